Add the design page and the skeleton of the core

Cause: the modules need a shared contract before they can be written. Change: docs/design.md with requirements, state ownership, messages and failure handling; frozen model types; events, effects, state and reducer; lint, type check and test targets. Conclusion: modules can be built in parallel against these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# VENV may name an environment that already holds the locked dependencies.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+SOURCES := apricotgap standins demo proof measures bench tests
+
+.PHONY: setup lint format test demo model-check fault-matrix measures bench binary ci
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements/lock.txt pyproject.toml
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q -r requirements/lock.txt
+	touch $@
+
+format: setup
+	$(PY) -m ruff format $(SOURCES)
+	$(PY) -m ruff check --fix $(SOURCES)
+
+lint: setup
+	$(PY) -m ruff format --check $(SOURCES)
+	$(PY) -m ruff check $(SOURCES)
+	$(PY) -m mypy
+
+test: setup
+	$(PY) -m pytest
+
+demo: setup
+	$(PY) -m demo
+
+model-check: setup
+	$(PY) -m proof.model_check
+
+fault-matrix: setup
+	$(PY) -m proof.fault_matrix
+
+measures: setup
+	$(PY) -m measures
+
+bench: setup
+	$(PY) -m bench
+
+binary: setup
+	rm -rf build/site && mkdir -p build dist
+	$(PY) -m pip install -q --no-deps --target build/site .
+	$(PY) -m shiv -q -c apricotgap -o dist/apricotgap --site-packages build/site -r requirements/runtime.txt
--- /dev/null
+++ b/apricotgap/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/apricotgap/clock.py
@@ -0,0 +1,59 @@
+"""Monotonic time in milliseconds."""
+
+from abc import ABC, abstractmethod
+
+import trio
+
+__all__ = ["Clock", "FakeClock", "TrioClock"]
+
+
+class Clock(ABC):
+    """Source of monotonic time.
+
+    An implementation must never go backwards and must advance while the process
+    is paused, so that a lease that lapsed during a pause is seen as lapsed.
+    """
+
+    @property
+    @abstractmethod
+    def now_ms(self) -> int:
+        """Milliseconds since an arbitrary fixed point."""
+
+
+class TrioClock(Clock):
+    """Clock of the running trio loop, virtual under ``trio.testing.MockClock``."""
+
+    @property
+    def now_ms(self) -> int:
+        """Milliseconds since an arbitrary fixed point."""
+        return int(trio.current_time() * 1000)
+
+
+class FakeClock(Clock):
+    """Clock that a test advances by hand.
+
+    Parameters
+    ----------
+    start_ms : int
+        Initial time in milliseconds.
+    """
+
+    def __init__(self, start_ms: int = 0) -> None:
+        self._now_ms = start_ms
+
+    @property
+    def now_ms(self) -> int:
+        """Milliseconds since the fixed start."""
+        return self._now_ms
+
+    def advance(self, step_ms: int) -> None:
+        """Move the time forward.
+
+        Parameters
+        ----------
+        step_ms : int
+            Milliseconds to add, not negative.
+        """
+        if step_ms < 0:
+            raise ValueError("step_ms must not be negative")
+        self._now_ms += step_ms
--- /dev/null
+++ b/apricotgap/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O: a reducer over events that returns effects."""
--- /dev/null
+++ b/apricotgap/core/events/__init__.py
@@ -0,0 +1,83 @@
+"""Everything that can happen to an entry instance, as data."""
+
+from apricotgap.core.events.base import (
+    Event,
+    Started,
+    StopRequested,
+    Tick,
+)
+from apricotgap.core.events.operators import (
+    OperatorCalled,
+)
+from apricotgap.core.events.peers import (
+    PeerConnected,
+    PeerLost,
+    PeerReceived,
+)
+from apricotgap.core.events.requests import (
+    CallerGone,
+    OutcomeQueried,
+    RequestArrived,
+    RequestCancelled,
+    TicketRequested,
+)
+from apricotgap.core.events.store import (
+    CasFinished,
+    CasResult,
+    KeyValue,
+    LeaseGranted,
+    LeaseKept,
+    LeaseLost,
+    StoreCallFailed,
+    StoreChanged,
+    StoreReadFinished,
+    WatchBroken,
+    WatchOpened,
+)
+from apricotgap.core.events.workers import (
+    InstanceListRead,
+    TaskCompleted,
+    TaskFailed,
+    TaskProbed,
+    TaskRefusal,
+    TaskRefused,
+    TaskState,
+    WorkerReported,
+    WorkerUnreachable,
+)
+
+__all__ = [
+    "CallerGone",
+    "CasFinished",
+    "CasResult",
+    "Event",
+    "InstanceListRead",
+    "KeyValue",
+    "LeaseGranted",
+    "LeaseKept",
+    "LeaseLost",
+    "OperatorCalled",
+    "OutcomeQueried",
+    "PeerConnected",
+    "PeerLost",
+    "PeerReceived",
+    "RequestArrived",
+    "RequestCancelled",
+    "Started",
+    "StopRequested",
+    "StoreCallFailed",
+    "StoreChanged",
+    "StoreReadFinished",
+    "TaskCompleted",
+    "TaskFailed",
+    "TaskProbed",
+    "TaskRefusal",
+    "TaskRefused",
+    "TaskState",
+    "Tick",
+    "TicketRequested",
+    "WatchBroken",
+    "WatchOpened",
+    "WorkerReported",
+    "WorkerUnreachable",
+]
--- /dev/null
+++ b/apricotgap/core/events/peers.py
@@ -0,0 +1,42 @@
+"""Events from other entry instances."""
+
+from dataclasses import dataclass
+
+from apricotgap.core.events.base import Event
+from apricotgap.model.peers import PeerMessage
+
+__all__ = ["PeerConnected", "PeerLost", "PeerReceived"]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerConnected(Event):
+    """An authenticated connection is up.
+
+    Parameters
+    ----------
+    peer : str
+        Entry name of the peer.
+    data_centre : str
+        Its data centre.
+    incarnation : str
+        Its incarnation.
+    """
+
+    peer: str
+    data_centre: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLost(Event):
+    """The connection to a peer broke or went silent."""
+
+    peer: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReceived(Event):
+    """A valid message arrived."""
+
+    peer: str
+    message: PeerMessage
--- /dev/null
+++ b/apricotgap/core/events/requests.py
@@ -0,0 +1,54 @@
+"""Events from callers."""
+
+from dataclasses import dataclass
+
+from apricotgap.core.events.base import Event
+from apricotgap.model import Request
+
+__all__ = [
+    "CallerGone",
+    "OutcomeQueried",
+    "RequestArrived",
+    "RequestCancelled",
+    "TicketRequested",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived(Event):
+    """A caller sent a whole request."""
+
+    request: Request
+
+
+@dataclass(frozen=True, slots=True)
+class RequestCancelled(Event):
+    """A caller asks to cancel; `key_digest` must be of the team that submitted."""
+
+    call_id: str
+    request_id: str
+    key_digest: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone(Event):
+    """The connection of the caller broke before the answer."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class TicketRequested(Event):
+    """A caller asks for a ticket."""
+
+    call_id: str
+    key_digest: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeQueried(Event):
+    """A caller asks for the outcome of an earlier request."""
+
+    call_id: str
+    request_id: str
+    key_digest: str | None = None
--- /dev/null
+++ b/apricotgap/core/events/workers.py
@@ -0,0 +1,132 @@
+"""Events from backend servers and the platform's instance list."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from apricotgap.core.events.base import Event
+
+__all__ = [
+    "InstanceListRead",
+    "TaskCompleted",
+    "TaskFailed",
+    "TaskProbed",
+    "TaskRefused",
+    "TaskRefusal",
+    "TaskState",
+    "WorkerReported",
+    "WorkerUnreachable",
+]
+
+
+class TaskRefusal(StrEnum):
+    """Why a backend server did not run a task; each is proof that nothing ran."""
+
+    FULL = "full"
+    DEADLINE = "deadline"
+    LEAVING = "leaving"
+    INFEASIBLE = "infeasible"
+    DUPLICATE = "duplicate"
+
+
+class TaskState(StrEnum):
+    """What a backend server knows of a task."""
+
+    UNKNOWN = "unknown"
+    RUNNING = "running"
+    DONE = "done"
+
+
+@dataclass(frozen=True, slots=True)
+class TaskCompleted(Event):
+    """The whole answer of a task arrived; the driver holds the body."""
+
+    task_id: str
+    status: int
+    n_body_bytes: int
+    run_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TaskRefused(Event):
+    """The backend server refused the task before starting it."""
+
+    task_id: str
+    reason: TaskRefusal
+
+
+@dataclass(frozen=True, slots=True)
+class TaskFailed(Event):
+    """No whole answer arrived.
+
+    Parameters
+    ----------
+    task_id : str
+        The task.
+    sent : bool
+        Whether any byte of the task may have reached the server; False is proof
+        that nothing ran.
+    timed_out : bool
+        Whether the connection stayed silent until the timeout.
+    message : str
+        Cause.
+    """
+
+    task_id: str
+    sent: bool
+    timed_out: bool = False
+    message: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskProbed(Event):
+    """Answer to `ProbeTask`; `state` is None when the server did not answer."""
+
+    task_id: str
+    state: TaskState | None
+    server_now_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerReported(Event):
+    """A status report of a backend server.
+
+    Parameters
+    ----------
+    instance : str
+        The instance.
+    server_now_ms : int
+        The server's own clock when it answered.
+    n_slots : int
+        Slots of the server.
+    n_running : int
+        Tasks running for all entry instances.
+    draining : bool
+        Whether the server is leaving.
+    boot_id : str
+        Changes when the server restarts.
+    n_running_by_team : dict of str to int
+        Running tasks by team, lagging.
+    """
+
+    instance: str
+    server_now_ms: int
+    n_slots: int
+    n_running: int
+    draining: bool = False
+    boot_id: str = ""
+    n_running_by_team: dict[str, int] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerUnreachable(Event):
+    """A status probe over a fresh connection failed."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceListRead(Event):
+    """The platform's lagging list was read."""
+
+    live: frozenset[str]
+    leaving: frozenset[str]
--- /dev/null
+++ b/apricotgap/drivers/__init__.py
@@ -0,0 +1,1 @@
+"""Shells between the core and the outside world."""
--- /dev/null
+++ b/apricotgap/errors.py
@@ -0,0 +1,84 @@
+"""Typed errors whose messages name the remedy."""
+
+from typing import ClassVar
+
+__all__ = [
+    "ApricotgapError",
+    "ConflictError",
+    "NotAuthorisedError",
+    "NotFoundError",
+    "SettingsError",
+    "UnavailableError",
+    "ValidationError",
+]
+
+
+class ApricotgapError(Exception):
+    """Base class of all errors that a caller or operator may see.
+
+    A subclass declares its `kind` (stable, machine-readable), the HTTP status and
+    the exit code of the command line.
+
+    Parameters
+    ----------
+    message : str
+        What is wrong.
+    remedy : str
+        What the reader can do about it.
+    """
+
+    kind: ClassVar[str] = "error"
+    http_status: ClassVar[int] = 500
+    exit_code: ClassVar[int] = 1
+
+    def __init__(self, message: str, remedy: str) -> None:
+        super().__init__(f"{message}; {remedy}")
+        self.message = message
+        self.remedy = remedy
+
+
+class SettingsError(ApricotgapError):
+    """A settings file cannot be used."""
+
+    kind = "settings"
+    exit_code = 2
+
+
+class ValidationError(ApricotgapError):
+    """A request or document is malformed."""
+
+    kind = "invalid"
+    http_status = 400
+    exit_code = 2
+
+
+class ConflictError(ApricotgapError):
+    """The configuration changed since the plan or document was read."""
+
+    kind = "conflict"
+    http_status = 409
+    exit_code = 3
+
+
+class NotFoundError(ApricotgapError):
+    """The named object does not exist."""
+
+    kind = "not_found"
+    http_status = 404
+    exit_code = 4
+
+
+class NotAuthorisedError(ApricotgapError):
+    """The credential is missing or wrong."""
+
+    kind = "not_authorised"
+    http_status = 401
+    exit_code = 5
+
+
+class UnavailableError(ApricotgapError):
+    """The store cannot be reached, so a change cannot be accepted."""
+
+    kind = "unavailable"
+    http_status = 503
+    exit_code = 6
--- /dev/null
+++ b/apricotgap/model/peers.py
@@ -0,0 +1,168 @@
+"""Messages between entry instances."""
+
+from dataclasses import dataclass, field
+
+__all__ = [
+    "PROTOCOL_VERSION",
+    "ClaimAnswer",
+    "ClaimQuery",
+    "ConfigAck",
+    "ConfigParts",
+    "ConfigPartsWanted",
+    "ConfigRoot",
+    "Heartbeat",
+    "PeerMessage",
+    "TicketAnswer",
+    "TicketForward",
+    "Unsupported",
+    "Usage",
+]
+
+PROTOCOL_VERSION = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Liveness, view and relayed store contact.
+
+    Parameters
+    ----------
+    incarnation : str
+        Incarnation of the sender.
+    revision : int
+        Configuration revision in force at the sender.
+    store_age_ms : int or None
+        Age of the last store confirmation that the sender has, direct or relayed;
+        None when it never had one.
+    direct_store_age_ms : int or None
+        Age of its last direct store contact.
+    draining : bool
+        Whether the sender is stopping.
+    relayed_acks : dict of str to int
+        Revisions in force at entries of the sender's data centre.
+    """
+
+    incarnation: str
+    revision: int
+    store_age_ms: int | None
+    direct_store_age_ms: int | None = None
+    draining: bool = False
+    relayed_acks: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigRoot:
+    """The configuration root document as stored."""
+
+    revision: int
+    root: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigPartsWanted:
+    """Asks for parts by hash."""
+
+    hashes: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigParts:
+    """Parts by hash."""
+
+    parts: dict[str, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigAck:
+    """The sender has put a revision in force."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Work of the sender since its last report.
+
+    Parameters
+    ----------
+    charged_ms : dict of str to int
+        Slot milliseconds by ``queue/priority/team`` since the last report.
+    waiting : dict of str to int
+        Requests that wait for an allotment, by team.
+    in_flight : dict of str to int
+        Tasks in flight, by worker.
+    """
+
+    charged_ms: dict[str, int]
+    waiting: dict[str, int]
+    in_flight: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimQuery:
+    """Asks the claimant of an idempotency key for the outcome."""
+
+    call_id: str
+    claim_key: str
+    claimant: str
+    body_digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAnswer:
+    """Answer to `ClaimQuery`: running, completed, failed, unknown or abandoned."""
+
+    call_id: str
+    state: str
+    status: int = 0
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class TicketForward:
+    """Sends a ticketed request to the entry that minted the ticket."""
+
+    call_id: str
+    ticket: str
+    queue: str
+    key_digest: str | None
+    priority: str
+    body_digest: str
+    body: bytes
+    expected_run_ms: int | None = None
+    max_wait_ms: int = 30_000
+
+
+@dataclass(frozen=True, slots=True)
+class TicketAnswer:
+    """Outcome of a forwarded request."""
+
+    call_id: str
+    outcome: str
+    kind: str = ""
+    message: str = ""
+    status: int = 0
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Unsupported:
+    """The receiver does not know this version or message type."""
+
+    what: str
+    supported_version: int = PROTOCOL_VERSION
+
+
+PeerMessage = (
+    Heartbeat
+    | ConfigRoot
+    | ConfigPartsWanted
+    | ConfigParts
+    | ConfigAck
+    | Usage
+    | ClaimQuery
+    | ClaimAnswer
+    | TicketForward
+    | TicketAnswer
+    | Unsupported
+)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Cost of a reducer step and of a request."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration with real processes."""
--- /dev/null
+++ b/measures/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of the policy against baselines."""
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,12 @@
+from apricotgap.model import REFUSALS, RefusalKind, Row
+
+
+def test_every_refusal_kind_has_a_status_and_a_remedy():
+    """Guards against a refusal that a driver cannot present."""
+    assert set(REFUSALS) == set(RefusalKind)
+
+
+def test_row_scales_down_with_a_lowered_limit():
+    """Guards against a sum of rows above a lowered limit."""
+    rows = [Row(5, 10), Row(3, 10), Row(2, 10)]
+    assert sum(row.usable(7) for row in rows) <= 7
