--- /dev/null
+++ b/apricotgap/core/budgets.py
@@ -0,0 +1,368 @@
+"""Availability budgets and the document of current grants."""
+
+from abc import ABC, abstractmethod
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import ClassVar
+
+import msgspec
+
+from apricotgap.errors import ValidationError
+from apricotgap.model import (
+    Budget,
+    Configuration,
+    DataCentreState,
+    Instance,
+    InstanceState,
+)
+
+__all__ = [
+    "GRANTS_KEY",
+    "BudgetKind",
+    "Counts",
+    "Grant",
+    "Grants",
+    "Usage",
+    "budget_kinds",
+    "check",
+    "decode_grants",
+    "encode_grants",
+    "out_of_service",
+]
+
+GRANTS_KEY = "grants"
+
+_KINDS: dict[str, "BudgetKind"] = {}
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Permission of a plan to take an instance out."""
+
+    plan_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Grants:
+    """The document ``grants``.
+
+    Parameters
+    ----------
+    epoch : int
+        Fencing epoch of the runner that may write the document.
+    holder : str
+        Incarnation of that runner.
+    writer : str
+        Token of the last write, to recognise it after a lost answer.
+    instances : dict of str to Grant
+        Grants by instance.
+    """
+
+    epoch: int = 0
+    holder: str = ""
+    writer: str = ""
+    instances: dict[str, Grant] = field(default_factory=dict)
+
+
+def encode_grants(grants: Grants) -> bytes:
+    """Encode the document as JSON with sorted keys."""
+    return msgspec.json.encode(grants, order="sorted")
+
+
+def decode_grants(value: bytes) -> Grants:
+    """Decode the document; an empty value is an empty document.
+
+    Raises
+    ------
+    ValidationError
+        If the value is not a grants document.
+    """
+    if not value:
+        return Grants()
+    try:
+        return msgspec.json.decode(value, type=Grants)
+    except msgspec.MsgspecError as error:
+        raise ValidationError(
+            f"the document {GRANTS_KEY} is malformed: {error}",
+            "restore it from a backup of the store",
+        ) from error
+
+
+@dataclass(frozen=True, slots=True)
+class Counts:
+    """Instances of one group: all, out, and the groups with an instance out."""
+
+    n_total: int
+    n_out: int
+    n_groups_out: int
+
+
+class BudgetKind(ABC):
+    """A way to group instances and to limit how many of them are out.
+
+    A subclass declares `name` and the fields of `Budget` that it uses, and is
+    registered by its definition. `group_of` must depend on the instance alone.
+    """
+
+    name: ClassVar[str]
+    fields: ClassVar[tuple[str, ...]]
+
+    def __init_subclass__(cls, **kwargs: object) -> None:
+        super().__init_subclass__(**kwargs)
+        _KINDS[cls.name] = cls()
+
+    @abstractmethod
+    def group_of(self, instance: Instance) -> str:
+        """Return the group of an instance."""
+
+    @abstractmethod
+    def breaks(self, budget: Budget, counts: Counts) -> bool:
+        """Tell whether the counts of a group break the budget."""
+
+
+def _above(value: int, limit: int | None) -> bool:
+    return limit is not None and value > limit
+
+
+class PoolBudget(BudgetKind):
+    """Keeps enough instances of a pool serving."""
+
+    name = "pool"
+    fields = ("min_available", "max_unavailable")
+
+    def group_of(self, instance: Instance) -> str:
+        """Return the pool."""
+        return instance.pool
+
+    def breaks(self, budget: Budget, counts: Counts) -> bool:
+        """Compare the instances that serve and those that are out."""
+        least = budget.min_available or 0
+        return counts.n_total - counts.n_out < least or _above(
+            counts.n_out, budget.max_unavailable
+        )
+
+
+class RackBudget(BudgetKind):
+    """Limits the racks out at once and the instances out within a rack."""
+
+    name = "rack"
+    fields = ("max_unavailable", "max_groups_out")
+
+    def group_of(self, instance: Instance) -> str:
+        """Return the rack."""
+        return instance.rack
+
+    def breaks(self, budget: Budget, counts: Counts) -> bool:
+        """Compare the instances and the racks that are out."""
+        return _above(counts.n_out, budget.max_unavailable) or _above(
+            counts.n_groups_out, budget.max_groups_out
+        )
+
+
+class DataCentreBudget(BudgetKind):
+    """Limits the data centres out at once and the instances out within one."""
+
+    name = "data_centre"
+    fields = ("max_unavailable", "max_groups_out")
+
+    def group_of(self, instance: Instance) -> str:
+        """Return the data centre."""
+        return instance.data_centre
+
+    def breaks(self, budget: Budget, counts: Counts) -> bool:
+        """Compare the instances and the data centres that are out."""
+        return _above(counts.n_out, budget.max_unavailable) or _above(
+            counts.n_groups_out, budget.max_groups_out
+        )
+
+
+def budget_kinds() -> dict[str, BudgetKind]:
+    """Return the registered kinds by name."""
+    return dict(_KINDS)
+
+
+def out_of_service(config: Configuration) -> set[str]:
+    """Instances that the configuration itself keeps from serving."""
+    closed = {
+        name
+        for name, data_centre in config.data_centres.items()
+        if data_centre.state is DataCentreState.CLOSED
+    }
+    return {
+        name
+        for name, instance in config.instances.items()
+        if instance.state is not InstanceState.IN_SERVICE
+        or instance.data_centre in closed
+    }
+
+
+class Usage:
+    """How far the budgets are spent; counts are kept while instances go and return.
+
+    Parameters
+    ----------
+    config : Configuration
+        Instances and budgets.
+    out : iterable of str
+        Instances that are out for any reason.
+    """
+
+    def __init__(self, config: Configuration, out: Iterable[str]) -> None:
+        self._instances = dict(config.instances)
+        self._budgets: dict[tuple[str, str], list[Budget]] = defaultdict(list)
+        for budget in config.budgets.values():
+            self._budgets[budget.kind, budget.target].append(budget)
+        self._out: set[str] = set()
+        self._n_total: dict[tuple[str, str], int] = defaultdict(int)
+        self._n_out: dict[tuple[str, str], int] = defaultdict(int)
+        self._n_groups_out: dict[str, int] = defaultdict(int)
+        for instance in self._instances.values():
+            self._count_total(instance, 1)
+        self.take(out)
+
+    @property
+    def out(self) -> frozenset[str]:
+        """Instances that are out."""
+        return frozenset(self._out)
+
+    def is_out(self, name: str) -> bool:
+        """Tell whether an instance is out."""
+        return name in self._out
+
+    def take(self, names: Iterable[str]) -> None:
+        """Count instances as out."""
+        for name in names:
+            if name in self._instances and name not in self._out:
+                self._out.add(name)
+                self._count_out(self._instances[name], 1)
+
+    def give_back(self, names: Iterable[str]) -> None:
+        """Count instances as serving again."""
+        for name in names:
+            if name in self._out:
+                self._out.remove(name)
+                self._count_out(self._instances[name], -1)
+
+    def move(self, instance: Instance) -> None:
+        """Replace an instance, for example by itself in another pool."""
+        before = self._instances[instance.name]
+        was_out = instance.name in self._out
+        self.give_back((instance.name,))
+        self._count_total(before, -1)
+        self._instances[instance.name] = instance
+        self._count_total(instance, 1)
+        if was_out:
+            self.take((instance.name,))
+
+    def covering(self, name: str) -> list[Budget]:
+        """Budgets that protect an instance, by name."""
+        groups = self._groups((self._instances[name],))
+        return sorted(
+            (b for kind, group in groups for b in self._of_group(kind, group)),
+            key=lambda b: b.name,
+        )
+
+    def slack(self, pool: str) -> tuple[int, Budget | None]:
+        """Count the serving instances of a pool above its strictest minimum.
+
+        Parameters
+        ----------
+        pool : str
+            Name of the pool.
+
+        Returns
+        -------
+        n_above : int
+            Negative when the pool is short.
+        budget : Budget or None
+            The strictest minimum, None when there is none.
+        """
+        n_serving = self._n_total["pool", pool] - self._n_out["pool", pool]
+        bound = max(
+            self._of_group(_KINDS["pool"], pool),
+            key=lambda b: b.min_available or 0,
+            default=None,
+        )
+        return n_serving - ((bound.min_available or 0) if bound else 0), bound
+
+    def violated(self, names: Iterable[str]) -> list[Budget]:
+        """Budgets that break when the instances go out together.
+
+        Parameters
+        ----------
+        names : iterable of str
+            Instances; those that are out already change nothing.
+
+        Returns
+        -------
+        list of Budget
+            Broken budgets by name; empty when the instances may go.
+        """
+        fresh = [n for n in names if n in self._instances and n not in self._out]
+        if not fresh:
+            return []
+        self.take(fresh)
+        broken = {
+            budget.name: budget
+            for kind, group in self._groups(self._instances[n] for n in fresh)
+            for budget in self._of_group(kind, group)
+            if kind.breaks(budget, self._counts(kind, group))
+        }
+        self.give_back(fresh)
+        return [broken[name] for name in sorted(broken)]
+
+    def _groups(self, instances: Iterable[Instance]) -> set[tuple[BudgetKind, str]]:
+        return {(k, k.group_of(i)) for i in instances for k in _KINDS.values()}
+
+    def _of_group(self, kind: BudgetKind, group: str) -> list[Budget]:
+        own = self._budgets.get((kind.name, group), [])
+        return own + self._budgets.get((kind.name, "*"), [])
+
+    def _counts(self, kind: BudgetKind, group: str) -> Counts:
+        return Counts(
+            self._n_total[kind.name, group],
+            self._n_out[kind.name, group],
+            self._n_groups_out[kind.name],
+        )
+
+    def _count_total(self, instance: Instance, step: int) -> None:
+        for kind in _KINDS.values():
+            self._n_total[kind.name, kind.group_of(instance)] += step
+
+    def _count_out(self, instance: Instance, step: int) -> None:
+        for kind in _KINDS.values():
+            key = (kind.name, kind.group_of(instance))
+            before = self._n_out[key]
+            self._n_out[key] = before + step
+            if (before == 0) != (before + step == 0):
+                self._n_groups_out[kind.name] += step
+
+
+def check(
+    config: Configuration,
+    grants: Grants,
+    unavailable: Iterable[str],
+    instance: str | Iterable[str],
+) -> list[Budget]:
+    """Return the budgets that break when one more instance goes out.
+
+    Parameters
+    ----------
+    config : Configuration
+        Instances and budgets.
+    grants : Grants
+        Current grants.
+    unavailable : iterable of str
+        Instances that are out without a grant, counted first.
+    instance : str or iterable of str
+        An instance, or a set that goes out together.
+
+    Returns
+    -------
+    list of Budget
+        Broken budgets; empty when the instances may go out.
+    """
+    out = out_of_service(config) | set(grants.instances) | set(unavailable)
+    names = (instance,) if isinstance(instance, str) else tuple(instance)
+    return Usage(config, out).violated(names)
--- /dev/null
+++ b/apricotgap/core/plan_steps.py
@@ -0,0 +1,382 @@
+"""What each kind of step does to the configuration and when it is complete."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from typing import Any, ClassVar, Protocol
+
+from apricotgap.model import (
+    Configuration,
+    DataCentreState,
+    InstanceState,
+    Plan,
+    PlanState,
+    Step,
+    StepKind,
+    StepState,
+)
+
+__all__ = [
+    "ConfigDraft",
+    "Phase",
+    "StepAction",
+    "StepFacts",
+    "Transition",
+    "action_of",
+    "apply_transition",
+    "cancel_plan",
+]
+
+_ACTIONS: dict[StepKind, "StepAction"] = {}
+
+
+class Phase(StrEnum):
+    """Progress that a transition makes."""
+
+    START = "start"
+    JOIN = "join"
+    FINISH = "finish"
+
+
+@dataclass(frozen=True, slots=True)
+class Transition:
+    """One advance of one step; `boot_id` is recorded when a reboot starts."""
+
+    plan_id: str
+    index: int
+    phase: Phase
+    boot_id: str = ""
+
+
+class StepFacts(Protocol):
+    """What the runner knows of the fleet when it asks whether a step is complete."""
+
+    def is_in_force(self, plan_id: str, step: Step) -> bool:
+        """Whether the last change of the step is in force everywhere."""
+
+    def is_drained(self, plan_id: str, step: Step) -> bool:
+        """Whether no task runs on the target and none can start."""
+
+    def is_available(self, instance: str) -> bool:
+        """Whether the instance serves."""
+
+    def has_rebooted(self, step: Step) -> bool:
+        """Whether the target reports another boot than before the reboot."""
+
+
+class ConfigDraft:
+    """Changes a copy of the parts of a configuration that steps touch."""
+
+    def __init__(self, config: Configuration) -> None:
+        self._config = config
+        self.instances = dict(config.instances)
+        self.data_centres = dict(config.data_centres)
+        self.plans = dict(config.active_plans)
+
+    def set_instance(self, name: str, **changes: Any) -> None:
+        """Change fields of an instance that still exists."""
+        if name in self.instances:
+            self.instances[name] = replace(self.instances[name], **changes)
+
+    def set_data_centre(self, name: str, state: DataCentreState) -> None:
+        """Change the state of a data centre that still exists."""
+        if name in self.data_centres:
+            self.data_centres[name] = replace(self.data_centres[name], state=state)
+
+    def set_step(self, plan_id: str, index: int, **changes: Any) -> None:
+        """Change fields of a step."""
+        plan = self.plans[plan_id]
+        steps = list(plan.steps)
+        steps[index] = replace(steps[index], **changes)
+        self.plans[plan_id] = replace(plan, steps=tuple(steps))
+
+    def build(self) -> Configuration:
+        """Return the changed configuration."""
+        return replace(
+            self._config,
+            instances=self.instances,
+            data_centres=self.data_centres,
+            active_plans=self.plans,
+        )
+
+
+class StepAction(ABC):
+    """Behaviour of a step kind.
+
+    A subclass declares its `kind` and whether it `takes_out` its target, so that a
+    grant must be stored before it starts. `start` and `finish` must be idempotent.
+    """
+
+    kind: ClassVar[StepKind]
+    takes_out: ClassVar[bool] = False
+
+    def __init_subclass__(cls, **kwargs: object) -> None:
+        super().__init_subclass__(**kwargs)
+        _ACTIONS[cls.kind] = cls()
+
+    @abstractmethod
+    def start(self, draft: ConfigDraft, step: Step) -> None:
+        """Change the configuration when the step starts."""
+
+    @abstractmethod
+    def progress(
+        self, config: Configuration, facts: StepFacts, plan_id: str, step: Step
+    ) -> Phase | None:
+        """Return the transition that a running step is ready for."""
+
+    def finish(self, draft: ConfigDraft, step: Step) -> None:
+        """Change the configuration when the step is complete."""
+
+    def targets(self, plan: Plan, step: Step) -> tuple[str, ...]:
+        """Instances that need grants before the step starts."""
+        return (step.target,) if self.takes_out else ()
+
+
+def _finish_if(complete: bool) -> Phase | None:
+    return Phase.FINISH if complete else None
+
+
+class DrainAction(StepAction):
+    """Keeps new tasks away and waits for the running ones."""
+
+    kind = StepKind.DRAIN
+    takes_out = True
+
+    def start(self, draft: ConfigDraft, step: Step) -> None:
+        """Mark the instance as draining."""
+        draft.set_instance(step.target, state=InstanceState.DRAINING)
+
+    def progress(
+        self, config: Configuration, facts: StepFacts, plan_id: str, step: Step
+    ) -> Phase | None:
+        """Wait until nothing runs."""
+        return _finish_if(facts.is_drained(plan_id, step))
+
+    def finish(self, draft: ConfigDraft, step: Step) -> None:
+        """Mark the instance as drained."""
+        draft.set_instance(step.target, state=InstanceState.DRAINED)
+        if step.lent_for:
+            draft.set_instance(step.target, lent_for=step.lent_for)
+
+
+class RebootAction(StepAction):
+    """Reboots a drained instance."""
+
+    kind = StepKind.REBOOT
+
+    def start(self, draft: ConfigDraft, step: Step) -> None:
+        """Mark the instance as rebooting."""
+        draft.set_instance(step.target, state=InstanceState.REBOOTING)
+
+    def progress(
+        self, config: Configuration, facts: StepFacts, plan_id: str, step: Step
+    ) -> Phase | None:
+        """Wait for a new boot identifier."""
+        return _finish_if(facts.has_rebooted(step))
+
+
+class RestoreAction(StepAction):
+    """Returns an instance to service."""
+
+    kind = StepKind.RESTORE
+
+    def start(self, draft: ConfigDraft, step: Step) -> None:
+        """Mark the instance as in service."""
+        draft.set_instance(step.target, state=InstanceState.IN_SERVICE, lent_for="")
+
+    def progress(
+        self, config: Configuration, facts: StepFacts, plan_id: str, step: Step
+    ) -> Phase | None:
+        """Wait until the instance serves."""
+        return _finish_if(facts.is_available(step.target))
+
+
+class MoveAction(StepAction):
+    """Moves an instance to another pool: it leaves, drains and joins."""
+
+    kind = StepKind.MOVE
+    takes_out = True
+
+    def start(self, draft: ConfigDraft, step: Step) -> None:
+        """Mark the instance as draining."""
+        draft.set_instance(step.target, state=InstanceState.DRAINING)
+
+    def progress(
+        self, config: Configuration, facts: StepFacts, plan_id: str, step: Step
+    ) -> Phase | None:
+        """Join when drained, finish when the instance serves its new pool."""
+        if not has_joined(config.instances, step):
+            return Phase.JOIN if facts.is_drained(plan_id, step) else None
+        return _finish_if(facts.is_available(step.target))
+
+    @staticmethod
+    def join(draft: ConfigDraft, step: Step) -> None:
+        """Change the pool, the only record of membership."""
+        if step.target not in draft.instances:
+            return
+        lends = bool(step.lent_for)
+        draft.set_instance(
+            step.target,
+            home_pool=draft.instances[step.target].pool if lends else "",
+            lent_for=step.lent_for,
+            pool=step.to_pool,
+            state=InstanceState.IN_SERVICE,
+        )
+
+
+class CloseAction(StepAction):
+    """Closes a data centre; the grants of all its drains are taken together."""
+
+    kind = StepKind.CLOSE_DATA_CENTRE
+
+    def start(self, draft: ConfigDraft, step: Step) -> None:
+        """Let no task start in the data centre."""
+        draft.set_data_centre(step.target, DataCentreState.CLOSED)
+
+    def progress(
+        self, config: Configuration, facts: StepFacts, plan_id: str, step: Step
+    ) -> Phase | None:
+        """Wait until the closure is in force everywhere."""
+        return _finish_if(facts.is_in_force(plan_id, step))
+
+    def targets(self, plan: Plan, step: Step) -> tuple[str, ...]:
+        """All instances that the plan drains in the data centre."""
+        return tuple(
+            s.target
+            for s in plan.steps
+            if s.kind is StepKind.DRAIN and s.lent_for == step.target
+        )
+
+
+class OpenAction(StepAction):
+    """Opens a data centre."""
+
+    kind = StepKind.OPEN_DATA_CENTRE
+
+    def start(self, draft: ConfigDraft, step: Step) -> None:
+        """Let tasks start in the data centre."""
+        draft.set_data_centre(step.target, DataCentreState.OPEN)
+
+    def progress(
+        self, config: Configuration, facts: StepFacts, plan_id: str, step: Step
+    ) -> Phase | None:
+        """Wait until the opening is in force everywhere."""
+        return _finish_if(facts.is_in_force(plan_id, step))
+
+
+def has_joined(instances: dict[str, Any], step: Step) -> bool:
+    """Tell whether a move has changed the pool, or its instance is gone."""
+    instance = instances.get(step.target)
+    return instance is None or instance.pool == step.to_pool
+
+
+def action_of(step: Step) -> StepAction:
+    """Return the behaviour of a step."""
+    return _ACTIONS[step.kind]
+
+
+def apply_transition(draft: ConfigDraft, transition: Transition) -> bool:
+    """Advance one step, unless another runner did so before.
+
+    Returns
+    -------
+    bool
+        Whether the step was in the state that the transition starts from.
+    """
+    plan = draft.plans.get(transition.plan_id)
+    if plan is None:
+        return False
+    step = plan.steps[transition.index]
+    key = (transition.plan_id, transition.index)
+    expected = (
+        StepState.PENDING if transition.phase is Phase.START else StepState.RUNNING
+    )
+    if step.state is not expected:
+        return False
+    action = action_of(step)
+    if transition.phase is Phase.START:
+        action.start(draft, step)
+        draft.set_step(*key, state=StepState.RUNNING, boot_id=transition.boot_id)
+    elif transition.phase is Phase.FINISH:
+        action.finish(draft, step)
+        draft.set_step(*key, state=StepState.DONE)
+    elif has_joined(draft.instances, step):
+        return False
+    else:
+        MoveAction.join(draft, step)
+    return True
+
+
+def cancel_plan(config: Configuration, plan_id: str) -> Configuration:
+    """Stop a plan so that every instance serves or its step under way is finished.
+
+    Parameters
+    ----------
+    config : Configuration
+        Configuration with the active plan.
+    plan_id : str
+        The plan.
+
+    Returns
+    -------
+    Configuration
+        Reboots, joins and restores under way stay in the plan; every other step is
+        skipped and its instance returned to service.
+    """
+    draft = ConfigDraft(config)
+    plan = draft.plans[plan_id]
+    kept = {s.index for s in plan.steps if _must_finish(config, plan, s)}
+    for step in plan.steps:
+        if step.index in kept or step.state is StepState.SKIPPED:
+            continue
+        undo = _UNDO.get(step.kind)
+        under_way = step.state is not StepState.PENDING
+        if undo is not None and under_way:
+            undo(draft, step)
+        if not step.finished:
+            draft.set_step(plan_id, step.index, state=StepState.SKIPPED)
+    draft.plans[plan_id] = replace(
+        draft.plans[plan_id], state=PlanState.CANCELLED, paused_reason=""
+    )
+    return draft.build()
+
+
+def _must_finish(config: Configuration, plan: Plan, step: Step) -> bool:
+    if step.finished:
+        return False
+    if step.kind is StepKind.MOVE:
+        return step.state is StepState.RUNNING and has_joined(config.instances, step)
+    if step.kind is StepKind.OPEN_DATA_CENTRE:
+        return step.state is StepState.RUNNING
+    if step.kind not in (StepKind.REBOOT, StepKind.RESTORE):
+        return False
+    if step.state is StepState.RUNNING:
+        return True
+    earlier = [s for s in plan.steps[: step.index] if s.target == step.target]
+    if any(s.kind is StepKind.REBOOT and s.state is not StepState.PENDING for s in earlier):
+        return True
+    return step.kind is StepKind.RESTORE and any(
+        s.kind is StepKind.OPEN_DATA_CENTRE and s.state is not StepState.PENDING
+        for s in plan.steps
+    )
+
+
+def _undo_drain(draft: ConfigDraft, step: Step) -> None:
+    instance = draft.instances.get(step.target)
+    waits = (InstanceState.DRAINING, InstanceState.DRAINED)
+    if instance is not None and instance.state in waits:
+        draft.set_instance(step.target, state=InstanceState.IN_SERVICE)
+        if step.kind is StepKind.DRAIN:
+            draft.set_instance(step.target, lent_for="")
+
+
+def _undo_close(draft: ConfigDraft, step: Step) -> None:
+    draft.set_data_centre(step.target, DataCentreState.OPEN)
+
+
+_UNDO: dict[StepKind, Callable[[ConfigDraft, Step], None]] = {
+    StepKind.DRAIN: _undo_drain,
+    StepKind.MOVE: _undo_drain,
+    StepKind.CLOSE_DATA_CENTRE: _undo_close,
+}
--- a/apricotgap/model/fleet.py
+++ b/apricotgap/model/fleet.py
@@ -46,7 +46,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Instance:
-    """A backend server instance; `pool` is the only record of its membership."""
+    """A backend server instance; `pool` is the only record of its membership.
+
+    `lent_for` names the data centre whose take-out drained the instance or lent it
+    to another pool; bringing that data centre back returns it to `home_pool`.
+    """
 
     name: str
     address: str
@@ -57,6 +61,8 @@
     connections: int = 64
     capacity: Resources = Resources()
     state: InstanceState = InstanceState.IN_SERVICE
+    home_pool: str = ""
+    lent_for: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricotgap/model/intents.py
+++ b/apricotgap/model/intents.py
@@ -77,6 +77,14 @@
         What callers notice, for the operator to read.
     state : StepState
         Progress.
+    after_wave : int
+        The step starts only when all steps of earlier waves up to and including
+        this one are finished; -1 for none. Waves without such an order overlap as
+        the budgets permit.
+    lent_for : str
+        Data centre whose take-out makes the move or drain necessary, else empty.
+    boot_id : str
+        Boot identifier of the server before its reboot.
     """
 
     index: int
@@ -87,6 +95,14 @@
     uses: tuple[str, ...] = ()
     disturbs: str = ""
     state: StepState = StepState.PENDING
+    after_wave: int = -1
+    lent_for: str = ""
+    boot_id: str = ""
+
+    @property
+    def finished(self) -> bool:
+        """Whether nothing is left to do."""
+        return self.state in (StepState.DONE, StepState.SKIPPED)
 
 
 @dataclass(frozen=True, slots=True)
