Add the maintenance runner, operator actions and their HTTP side

Confirmed plans need one runner at a time that spends budgets before it takes an instance out, and operators need validated actions with clear errors.

--- /dev/null
+++ b/apricotgap/client.py
@@ -0,0 +1,162 @@
+"""Operator calls from a program or the command line."""
+
+import hashlib
+import json
+import secrets
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+from urllib.parse import quote
+
+import httpcore
+
+from apricotgap import errors
+from apricotgap.errors import ApricotgapError, UnavailableError, ValidationError
+
+__all__ = ["OperatorClient", "make_key"]
+
+CONNECT_TIMEOUT_S = 2.0
+# Longer than an entry waits for the answer to a call.
+READ_TIMEOUT_S = 20.0
+
+Transport = Callable[[str, Mapping[str, str], bytes], tuple[int, bytes]]
+
+_BY_KIND = {
+    cls.kind: cls
+    for cls in vars(errors).values()
+    if isinstance(cls, type) and issubclass(cls, ApricotgapError)
+}
+
+
+def make_key() -> tuple[str, str]:
+    """Make a key for a team.
+
+    Returns
+    -------
+    secret : str
+        To be shown once and given to the team.
+    digest : str
+        Hex SHA-256 digest, the only part that is stored.
+    """
+    secret = secrets.token_urlsafe(32)
+    return secret, hashlib.sha256(secret.encode()).hexdigest()
+
+
+class OperatorClient:
+    """Calls the operator interface of any entry instance.
+
+    Parameters
+    ----------
+    entries : iterable of str
+        Addresses ``host:port`` or ``http://host:port``, tried in order.
+    credential : str
+        Operator credential.
+    transport : callable or None
+        Sends ``(url, headers, body)`` and returns status and body; None uses HTTP.
+    """
+
+    def __init__(
+        self,
+        entries: Iterable[str],
+        credential: str,
+        transport: Transport | None = None,
+    ) -> None:
+        self._entries = tuple(entries)
+        self._credential = credential
+        self._transport = transport or _send
+
+    def call(self, action: str, arguments: Mapping[str, Any]) -> dict[str, Any]:
+        """Call an action.
+
+        A failed connection is proof that an entry did not get the call, so the next
+        one is tried. After any other failure the call may have had its effect and
+        is not repeated.
+
+        Parameters
+        ----------
+        action : str
+            Registered action.
+        arguments : mapping of str to object
+            JSON-shaped arguments.
+
+        Returns
+        -------
+        dict of str to object
+            Result of the action.
+
+        Raises
+        ------
+        ApricotgapError
+            As answered by the entry, or `UnavailableError` if none could be asked.
+        """
+        if not self._entries:
+            raise ValidationError(
+                "no entry address is given", "use --entry or set APRICOTGAP_ENTRY"
+            )
+        headers = {
+            "Authorization": f"Bearer {self._credential}",
+            "Content-Type": "application/json",
+        }
+        body = json.dumps(arguments).encode()
+        failures = []
+        for entry in self._entries:
+            base = entry if "://" in entry else f"http://{entry}"
+            url = f"{base.rstrip('/')}/v1/operator/{quote(action)}"
+            try:
+                status, answer = self._transport(url, headers, body)
+            except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+                failures.append(f"{entry}: {error or type(error).__name__}")
+                continue
+            except (httpcore.TimeoutException, httpcore.NetworkError) as error:
+                raise _lost(entry, error) from error
+            except httpcore.ProtocolError as error:
+                raise _lost(entry, error) from error
+            return _result(entry, status, answer)
+        raise UnavailableError(
+            f"no entry could be reached ({'; '.join(failures)})",
+            "check the addresses given with --entry",
+        )
+
+
+def _lost(entry: str, error: Exception) -> ApricotgapError:
+    return UnavailableError(
+        f"the answer of {entry} was lost ({type(error).__name__}); "
+        "a change may have been accepted",
+        "check the present state with a list or show command first",
+    )
+
+
+def _result(entry: str, status: int, answer: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(answer)
+    except ValueError:
+        document = None
+    if not isinstance(document, dict):
+        raise UnavailableError(
+            f"{entry} answered status {status} without a JSON object",
+            "check that the address is that of an entry instance",
+        )
+    if status == 200:
+        return document
+    error_type = _BY_KIND.get(str(document.get("kind")), ApricotgapError)
+    raise error_type(
+        str(document.get("message", f"status {status}")),
+        str(document.get("remedy", "see the log of the entry")),
+    )
+
+
+def _send(url: str, headers: Mapping[str, str], body: bytes) -> tuple[int, bytes]:
+    timeout = {
+        "connect": CONNECT_TIMEOUT_S,
+        "read": READ_TIMEOUT_S,
+        "write": READ_TIMEOUT_S,
+        "pool": CONNECT_TIMEOUT_S,
+    }
+    with httpcore.ConnectionPool() as pool:
+        response = pool.request(
+            "POST",
+            url,
+            headers=dict(headers),
+            content=body,
+            extensions={"timeout": timeout},
+        )
+        return response.status, response.content
--- a/apricotgap/core/plan_steps.py
+++ b/apricotgap/core/plan_steps.py
@@ -105,7 +105,7 @@
     """Behaviour of a step kind.
 
     A subclass declares its `kind` and whether it `takes_out` its target, so that a
-    grant must be stored before it starts. `start` and `finish` must be idempotent.
+    grant must be stored before it starts. `start` must be idempotent.
     """
 
     kind: ClassVar[StepKind]
@@ -125,8 +125,9 @@
     ) -> Phase | None:
         """Return the transition that a running step is ready for."""
 
-    def finish(self, draft: ConfigDraft, step: Step) -> None:
-        """Change the configuration when the step is complete."""
+    def finish_changes(self, step: Step) -> dict[str, Any]:
+        """Return fields of the target instance to set when the step is complete."""
+        return {}
 
     def targets(self, plan: Plan, step: Step) -> tuple[str, ...]:
         """Instances that need grants before the step starts."""
@@ -153,11 +154,10 @@
         """Wait until nothing runs."""
         return _finish_if(facts.is_drained(plan_id, step))
 
-    def finish(self, draft: ConfigDraft, step: Step) -> None:
+    def finish_changes(self, step: Step) -> dict[str, Any]:
         """Mark the instance as drained."""
-        draft.set_instance(step.target, state=InstanceState.DRAINED)
-        if step.lent_for:
-            draft.set_instance(step.target, lent_for=step.lent_for)
+        lent = {"lent_for": step.lent_for} if step.lent_for else {}
+        return {"state": InstanceState.DRAINED, **lent}
 
 
 class RebootAction(StepAction):
@@ -183,7 +183,8 @@
 
     def start(self, draft: ConfigDraft, step: Step) -> None:
         """Mark the instance as in service."""
-        draft.set_instance(step.target, state=InstanceState.IN_SERVICE, lent_for="")
+        draft.set_instance(step.target, state=InstanceState.IN_SERVICE)
+        _forget_take_out(draft, step)
 
     def progress(
         self, config: Configuration, facts: StepFacts, plan_id: str, step: Step
@@ -265,6 +266,13 @@
         return _finish_if(facts.is_in_force(plan_id, step))
 
 
+def _forget_take_out(draft: ConfigDraft, step: Step) -> None:
+    """Clear the mark of a drain; that of a lent instance stays until it returns."""
+    instance = draft.instances.get(step.target)
+    if instance is not None and not instance.home_pool:
+        draft.set_instance(step.target, lent_for="")
+
+
 def has_joined(instances: dict[str, Any], step: Step) -> bool:
     """Tell whether a move has changed the pool, or its instance is gone."""
     instance = instances.get(step.target)
@@ -299,7 +307,7 @@
         action.start(draft, step)
         draft.set_step(*key, state=StepState.RUNNING, boot_id=transition.boot_id)
     elif transition.phase is Phase.FINISH:
-        action.finish(draft, step)
+        draft.set_instance(step.target, **action.finish_changes(step))
         draft.set_step(*key, state=StepState.DONE)
     elif has_joined(draft.instances, step):
         return False
@@ -354,7 +362,9 @@
     if step.state is StepState.RUNNING:
         return True
     earlier = [s for s in plan.steps[: step.index] if s.target == step.target]
-    if any(s.kind is StepKind.REBOOT and s.state is not StepState.PENDING for s in earlier):
+    if any(
+        s.kind is StepKind.REBOOT and s.state is not StepState.PENDING for s in earlier
+    ):
         return True
     return step.kind is StepKind.RESTORE and any(
         s.kind is StepKind.OPEN_DATA_CENTRE and s.state is not StepState.PENDING
@@ -363,12 +373,13 @@
 
 
 def _undo_drain(draft: ConfigDraft, step: Step) -> None:
+    if step.kind is StepKind.MOVE and step.state is not StepState.RUNNING:
+        return
     instance = draft.instances.get(step.target)
     waits = (InstanceState.DRAINING, InstanceState.DRAINED)
     if instance is not None and instance.state in waits:
         draft.set_instance(step.target, state=InstanceState.IN_SERVICE)
-        if step.kind is StepKind.DRAIN:
-            draft.set_instance(step.target, lent_for="")
+        _forget_take_out(draft, step)
 
 
 def _undo_close(draft: ConfigDraft, step: Step) -> None:
--- a/apricotgap/core/planner.py
+++ b/apricotgap/core/planner.py
@@ -297,9 +297,19 @@
 
 def _require_no_overlap(config: Configuration, targets: set[str]) -> None:
     for plan in config.active_plans.values():
-        shared = targets & {s.target for s in plan.steps if not s.finished}
+        shared = targets & _held_targets(plan)
         if shared:
             raise ConflictError(
                 f"{min(shared)!r} is part of the active plan {plan.plan_id}",
                 f"wait for it or cancel it with intent cancel {plan.plan_id}",
             )
+
+
+def _held_targets(plan: Plan) -> set[str]:
+    """Targets that a cancellation of the plan could still change."""
+    restores = any(s.kind is StepKind.RESTORE for s in plan.steps)
+    return {
+        s.target
+        for s in plan.steps
+        if not s.finished or (s.kind is StepKind.DRAIN and not restores)
+    }
--- a/apricotgap/core/waves.py
+++ b/apricotgap/core/waves.py
@@ -1,10 +1,266 @@
 """Execution of confirmed plans under availability budgets."""
 
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
 
-__all__ = ["WaveState"]
+from apricotgap.core import config_writer, runner_role
+from apricotgap.core.effects import (
+    Count,
+    Effect,
+    LogChange,
+    ProbeWorker,
+    RebootInstance,
+)
+from apricotgap.core.limits import (
+    IN_FORCE_BOUND_MS,
+    REBOOT_REPEAT_MS,
+    RUNNER_INTERVAL_MS,
+    STATUS_INTERVAL_MS,
+)
+from apricotgap.core.plan_steps import (
+    ConfigDraft,
+    Transition,
+    apply_transition,
+)
+from apricotgap.core.runner_role import RoleState
+from apricotgap.core.runner_view import FleetFacts, RunnerView, WorkerFacts
+from apricotgap.errors import ApricotgapError, ConflictError
+from apricotgap.model import Configuration, Step, StepKind
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = ["StepsChange", "WaveState", "has_work", "note_report", "tick"]
 
 
 @dataclass(slots=True)
 class WaveState:
-    """Grants, the runner role and progress of plans."""
+    """Grants, the runner role and progress of plans.
+
+    Parameters
+    ----------
+    role : RoleState
+        The runner role and the grants document.
+    since_revision : dict
+        Revision of the last change of a step, by plan and index.
+    in_force_at_ms : dict
+        When that revision was first seen in force everywhere.
+    workers : dict of str to WorkerFacts
+        Reports of the instances that steps under way wait for.
+    changing : bool
+        Whether a change of the configuration is under way.
+    held_revision : int
+        Revision of the last accepted change of this runner.
+    held_since_ms : int
+        When it was accepted.
+    repeated_at_ms : dict
+        When a probe or reboot of an instance was last sent.
+    next_advance_ms : int
+        When the runner looks at the plans again.
+    """
+
+    role: RoleState = field(default_factory=RoleState)
+    since_revision: dict[tuple[str, int], int] = field(default_factory=dict)
+    in_force_at_ms: dict[tuple[str, int], int] = field(default_factory=dict)
+    workers: dict[str, WorkerFacts] = field(default_factory=dict)
+    changing: bool = False
+    held_revision: int = 0
+    held_since_ms: int = 0
+    repeated_at_ms: dict[tuple[str, str], int] = field(default_factory=dict)
+    next_advance_ms: int = 0
+
+
+class StepsChange(config_writer.Change):
+    """Advances many steps and the reasons of pauses in one change.
+
+    Parameters
+    ----------
+    transitions : tuple of Transition
+        Steps to advance; those that advanced before are left alone.
+    paused : dict of str to str
+        New reasons of pauses, by plan.
+    closed : tuple of str
+        Plans with nothing left to do.
+    """
+
+    def __init__(
+        self,
+        transitions: tuple[Transition, ...],
+        paused: dict[str, str],
+        closed: tuple[str, ...],
+    ) -> None:
+        self._transitions = transitions
+        self._paused = paused
+        self._closed = closed
+
+    def apply(self, config: Configuration) -> Configuration:
+        """Apply what still applies.
+
+        Raises
+        ------
+        ConflictError
+            If nothing is left to change.
+        """
+        draft = ConfigDraft(config)
+        changed = [t for t in self._transitions if apply_transition(draft, t)]
+        n_plans = self._apply_plans(draft)
+        if not changed and not n_plans:
+            raise ConflictError("the steps advanced already", "nothing is to be done")
+        return draft.build()
+
+    def _apply_plans(self, draft: ConfigDraft) -> int:
+        n_changed = 0
+        for plan_id, reason in self._paused.items():
+            plan = draft.plans.get(plan_id)
+            if plan is not None and plan.paused_reason != reason:
+                draft.plans[plan_id] = replace(plan, paused_reason=reason)
+                n_changed += 1
+        for plan_id in self._closed:
+            plan = draft.plans.get(plan_id)
+            if plan is not None and all(s.finished for s in plan.steps):
+                del draft.plans[plan_id]
+                n_changed += 1
+        return n_changed
+
+    def finished(
+        self,
+        state: "EntryState",
+        error: ApricotgapError | None,
+        revision: int,
+        at_ms: int,
+    ) -> Iterable[Effect]:
+        """Note the revision that the steps wait for."""
+        waves = state.waves
+        waves.changing = False
+        if error is not None:
+            yield Count("apricotgap.waves.changes_refused")
+            return
+        waves.held_revision = revision
+        waves.held_since_ms = at_ms
+        for transition in self._transitions:
+            key = (transition.plan_id, transition.index)
+            waves.since_revision[key] = revision
+            waves.in_force_at_ms.pop(key, None)
+        for plan_id, reason in self._paused.items():
+            yield LogChange("plan_paused", {"plan": plan_id, "reason": reason})
+        for plan_id in self._closed:
+            yield LogChange("plan_closed", {"plan": plan_id})
+
+
+def has_work(state: "EntryState") -> bool:
+    """Tell whether a runner is needed."""
+    return bool(state.config.active_plans)
+
+
+def tick(state: "EntryState", at_ms: int) -> Iterator[Effect]:
+    """Keep or seek the role; the holder advances the plans.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    at_ms : int
+        Present time.
+
+    Yields
+    ------
+    Effect
+        Store writes, configuration changes, probes and reboots.
+    """
+    waves = state.waves
+    was_held = waves.role.is_held(at_ms)
+    wanted = has_work(state) and not state.stopping
+    yield from runner_role.keep(state, wanted, at_ms)
+    if not waves.role.is_held(at_ms):
+        if not was_held:
+            _forget_progress(waves)
+        return
+    if wanted and at_ms >= waves.next_advance_ms:
+        waves.next_advance_ms = at_ms + RUNNER_INTERVAL_MS
+        yield from _advance(state, at_ms)
+
+
+def note_report(
+    state: "EntryState", instance: str, n_running: int, boot_id: str, at_ms: int
+) -> None:
+    """Note a status report of an instance that a step waits for."""
+    facts = state.waves.workers.get(instance)
+    if facts is not None:
+        facts.note_report(n_running, boot_id, at_ms)
+
+
+def _forget_progress(waves: WaveState) -> None:
+    """Drop what only a runner without a gap may rely on."""
+    waves.since_revision.clear()
+    waves.in_force_at_ms.clear()
+    waves.workers.clear()
+    waves.repeated_at_ms.clear()
+    waves.changing = False
+    waves.held_revision = 0
+
+
+def _advance(state: "EntryState", at_ms: int) -> Iterator[Effect]:
+    waves = state.waves
+    facts = FleetFacts(state, at_ms)
+    facts.note_in_force()
+    view = RunnerView(state, facts)
+    _track_workers(waves, view)
+    yield from _repeat_calls(state, view, at_ms)
+    grants = view.next_grants()
+    if waves.role.may_write and grants.instances != waves.role.grants.instances:
+        yield waves.role.begin_write(grants, at_ms)
+    if waves.changing or _awaits_acknowledgement(waves, facts, at_ms):
+        return
+    transitions = tuple(view.transitions())
+    paused = view.pauses()
+    closed = view.closed_plans()
+    if transitions or paused or closed:
+        waves.changing = True
+        change = StepsChange(transitions, paused, closed)
+        yield from config_writer.propose(state, change, at_ms)
+
+
+def _awaits_acknowledgement(waves: WaveState, facts: FleetFacts, at_ms: int) -> bool:
+    """Hold changes until the last one is in force, so that steps share changes."""
+    if waves.held_revision <= facts.in_force_revision:
+        return False
+    return at_ms < waves.held_since_ms + IN_FORCE_BOUND_MS
+
+
+def _track_workers(waves: WaveState, view: RunnerView) -> None:
+    wanted = {step.target for _, step in view.running_on_instances()}
+    wanted |= {step.target for _, step in view.startable_reboots()}
+    for name in set(waves.workers) - wanted:
+        del waves.workers[name]
+    for name in wanted:
+        waves.workers.setdefault(name, WorkerFacts())
+
+
+def _repeat_calls(
+    state: "EntryState", view: RunnerView, at_ms: int
+) -> Iterator[Effect]:
+    for plan_id, step in view.running_on_instances():
+        instance = state.config.instances.get(step.target)
+        if instance is None:
+            continue
+        if _is_due(state.waves, ("probe", step.target), STATUS_INTERVAL_MS, at_ms):
+            yield ProbeWorker(instance.name, instance.address)
+        if step.kind is StepKind.REBOOT and _is_due(
+            state.waves, ("reboot", step.target), REBOOT_REPEAT_MS, at_ms
+        ):
+            yield RebootInstance(instance.name, _step_id(plan_id, step))
+
+
+def _step_id(plan_id: str, step: Step) -> str:
+    return f"{plan_id}/{step.index}"
+
+
+def _is_due(
+    waves: WaveState, key: tuple[str, str], interval_ms: int, at_ms: int
+) -> bool:
+    last = waves.repeated_at_ms.get(key)
+    if last is not None and at_ms < last + interval_ms:
+        return False
+    waves.repeated_at_ms[key] = at_ms
+    return True
