--- a/apricotgap/client.py
+++ b/apricotgap/client.py
@@ -155,7 +155,7 @@
         response = pool.request(
             "POST",
             url,
-            headers=dict(headers),
+            headers=list(headers.items()),
             content=body,
             extensions={"timeout": timeout},
         )
--- a/apricotgap/core/object_kinds.py
+++ b/apricotgap/core/object_kinds.py
@@ -31,6 +31,14 @@
 _ADDRESS = re.compile(r"[^\s:/]+:[0-9]{1,5}|\[[0-9a-fA-F:]+\]:[0-9]{1,5}")
 
 
+def _merge(known: Mapping[str, Any], values: Mapping[str, Any]) -> dict[str, Any]:
+    merged = {**known, **values}
+    for field, value in values.items():
+        if isinstance(value, dict) and isinstance(known.get(field), dict):
+            merged[field] = {**known[field], **value}
+    return merged
+
+
 class ObjectKind(ABC):
     """A kind of object that operators put, delete and list.
 
@@ -90,7 +98,7 @@
         reject_unknown(values, self.fields, path)
         before = self.of(config).get(name)
         known = {} if before is None else msgspec.to_builtins(before)
-        changed: Any = convert({**known, **values}, self.model, path)
+        changed: Any = convert(_merge(known, values), self.model, path)
         self._check_ranges(changed, path)
         refusal = self.refuse_put(before, changed)
         if refusal is not None:
--- a/apricotgap/core/runner_view.py
+++ b/apricotgap/core/runner_view.py
@@ -1,6 +1,6 @@
 """What the runner may do next, worked out from the state without changing it."""
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -155,7 +155,7 @@
         self._facts = facts
         self._grants = state.waves.role.grants
         self._plans = [plan for _, plan in sorted(state.config.active_plans.items())]
-        self._blocked: dict[str, tuple[Step, Budget]] = {}
+        self._blocked: dict[str, str] = {}
         self._unplanned: frozenset[str] = frozenset()
 
     def running_on_instances(self) -> Iterator[tuple[str, Step]]:
@@ -204,29 +204,51 @@
                 for t in action_of(step).targets(plan, step)
                 if t not in kept and t in self._config.instances
             ]
-            violated = usage.violated(targets)
-            if violated:
-                self._blocked.setdefault(plan.plan_id, (step, violated[0]))
+            reason = self._refusal(plan, step, usage.violated(targets))
+            if targets and reason:
+                self._blocked.setdefault(plan.plan_id, reason)
                 if step.kind is StepKind.CLOSE_DATA_CENTRE:
                     return
                 continue
             usage.take(targets)
             kept.update((t, Grant(plan.plan_id)) for t in targets)
 
+    def _refusal(self, plan: Plan, step: Step, violated: list[Budget]) -> str:
+        """Tell why a step may not take its targets out, empty when it may."""
+        if step.target in self._unplanned and _returns_to_service(plan, step):
+            return f"waits until the failed instance {step.target} serves again"
+        if not violated:
+            return ""
+        names = sorted(self._unplanned)
+        cause = "instances that are out"
+        if names:
+            shown = ", ".join(names[:3]) + (" and others" if len(names) > 3 else "")
+            cause = f"failed instances: {shown}"
+        name = violated[0].name
+        return f"budget {name} does not permit {step.target}: waits for {cause}"
+
     def transitions(self) -> Iterator[Transition]:
-        """List steps that may start, join or finish now."""
+        """List steps that may start, join or finish now.
+
+        A step starts in the same change in which its predecessor finishes, which
+        saves a round of acknowledgements.
+        """
         for plan in self._plans:
+            finishing = set()
             for step in plan.steps:
-                if step.state is StepState.RUNNING:
-                    phase = action_of(step).progress(
-                        self._config, self._facts, plan.plan_id, step
-                    )
-                    if phase is not None:
-                        yield Transition(plan.plan_id, step.index, phase)
-            yield from self._starts(plan)
-
-    def _starts(self, plan: Plan) -> Iterator[Transition]:
-        for step in self._startable(plan):
+                if step.state is not StepState.RUNNING:
+                    continue
+                phase = action_of(step).progress(
+                    self._config, self._facts, plan.plan_id, step
+                )
+                if phase is Phase.FINISH:
+                    finishing.add(step.index)
+                if phase is not None:
+                    yield Transition(plan.plan_id, step.index, phase)
+            yield from self._starts(plan, finishing)
+
+    def _starts(self, plan: Plan, finishing: set[int]) -> Iterator[Transition]:
+        for step in self._startable(plan, finishing):
             if not self._has_grants(plan, step):
                 if step.kind is StepKind.CLOSE_DATA_CENTRE:
                     return
@@ -261,14 +283,7 @@
             s.state is StepState.RUNNING for s in plan.steps
         ):
             return ""
-        step, budget = self._blocked[plan.plan_id]
-        names = sorted(self._unplanned)
-        cause = "instances that other plans took out"
-        if names:
-            cause = f"failed instances ({', '.join(names[:3])})"
-            if len(names) > 3:
-                cause = f"{len(names)} {cause}"
-        return f"budget {budget.name} does not permit {step.target}: waits for {cause}"
+        return self._blocked[plan.plan_id]
 
     def _has_grants(self, plan: Plan, step: Step) -> bool:
         return all(
@@ -276,16 +291,18 @@
             for t in action_of(step).targets(plan, step)
         )
 
-    def _startable(self, plan: Plan) -> Iterator[Step]:
-        """List pending steps whose predecessors are finished."""
-        first_open_wave = min((s.wave for s in plan.steps if not s.finished), default=0)
+    def _startable(self, plan: Plan, finishing: Collection[int] = ()) -> Iterator[Step]:
+        """List pending steps whose predecessors are finished or finish now."""
+        open_steps = [
+            s for s in plan.steps if not s.finished and s.index not in finishing
+        ]
+        first_open_wave = min((s.wave for s in open_steps), default=0)
         busy: set[str] = set()
-        for step in plan.steps:
+        for step in open_steps:
             may_start = step.target not in busy and first_open_wave > step.after_wave
             if step.state is StepState.PENDING and may_start:
                 yield step
-            if not step.finished:
-                busy.add(step.target)
+            busy.add(step.target)
 
     def _holds_grant(self, name: str) -> bool:
         """Whether a grant remains that the runner has to return."""
@@ -314,3 +331,10 @@
         if step.kind is StepKind.MOVE and step.state is StepState.RUNNING:
             return not has_joined(self._config.instances, step)
         return True
+
+
+def _returns_to_service(plan: Plan, step: Step) -> bool:
+    """Tell whether the plan expects the target to serve afterwards."""
+    return step.kind is StepKind.MOVE or any(
+        s.kind is StepKind.REBOOT and s.target == step.target for s in plan.steps
+    )
--- a/apricotgap/drivers/operators.py
+++ b/apricotgap/drivers/operators.py
@@ -139,7 +139,8 @@
 
     async def _call(self, action: str, arguments: dict[str, Any]) -> tuple[int, Any]:
         call_id = f"op-{next(self._ids)}"
-        answered, answers = trio.Event(), []  # type: trio.Event, list[AnswerOperator]
+        answered = trio.Event()
+        answers: list[AnswerOperator] = []
         self._waiting[call_id] = (answered, answers)
         try:
             self._post(OperatorCalled(self._clock.now_ms, call_id, action, arguments))
--- /dev/null
+++ b/tests/fleet_fakes.py
@@ -0,0 +1,229 @@
+"""Small fleets and a store and fleet in memory for the tests of operators."""
+
+from dataclasses import replace
+from enum import StrEnum
+from random import Random
+
+from apricotgap.core import config_view, config_writer, health, placement
+from apricotgap.core.effects import (
+    AnswerOperator,
+    GrantLease,
+    KeepLease,
+    ProbeWorker,
+    RebootInstance,
+    RevokeLease,
+    StoreCas,
+    StoreGet,
+    StoreList,
+)
+from apricotgap.core.events import (
+    CasFinished,
+    CasResult,
+    KeyValue,
+    LeaseGranted,
+    LeaseKept,
+    OperatorCalled,
+    StoreReadFinished,
+    Tick,
+    WorkerReported,
+)
+from apricotgap.core.operator_handlers import (
+    AnswerWhenInForce,
+    TakeOperatorCall,
+    TakePlanAnswer,
+)
+from apricotgap.core.reducer import Reducer
+from apricotgap.core.state import EntryState, Identity
+from apricotgap.core.wave_handlers import NoteWorkerReport, RunPlans, TakeStoreAnswer
+from apricotgap.errors import ApricotgapError
+from apricotgap.model import (
+    Budget,
+    Configuration,
+    DataCentre,
+    Instance,
+    InstanceState,
+    Pool,
+    Team,
+)
+
+HANDLERS = (
+    AnswerWhenInForce,
+    TakeOperatorCall,
+    TakePlanAnswer,
+    NoteWorkerReport,
+    RunPlans,
+    TakeStoreAnswer,
+)
+
+
+class ViewCase(StrEnum):
+    LINKED = "linked"
+    STORE_DOWN = "store_down"
+
+
+def make_fleet(n_per_dc=3, budgets=(), spare=2):
+    """Two data centres, pool a with `n_per_dc` in each, `spare` spares in each."""
+    instances = {}
+    for dc in ("d1", "d2"):
+        names = [("a", i) for i in range(n_per_dc)] + [("s", i) for i in range(spare)]
+        for pool, i in names:
+            name = f"{dc}-{pool}{i}"
+            rack = f"{dc}-r{i % 2}"
+            instances[name] = Instance(name, "10.0.0.1:80", dc, rack, pool)
+    return Configuration(
+        revision=1,
+        data_centres={"d1": DataCentre("d1"), "d2": DataCentre("d2")},
+        instances=instances,
+        pools={"a": Pool("a"), "s": Pool("s", spare=True)},
+        teams={"t": Team("t", 1, 4)},
+        budgets={b.name: b for b in budgets},
+    )
+
+
+KEEP_FIVE = Budget("keep", "pool", "a", min_available=5)
+
+
+class World:
+    """A store, backend servers and entries that run in lockstep."""
+
+    def __init__(self, monkeypatch, config, n_entries=1):
+        self.now_ms = 0
+        self.config = config
+        self.store: dict[str, tuple[bytes, int]] = {}
+        self.n_writes = 0
+        self.n_leases = 0
+        self.failed: set[str] = set()
+        self.pending: dict[str, str] = {}
+        self.busy: set[str] = set()
+        self.boots: dict[str, int] = {}
+        self.rebooted_while_serving: list[str] = []
+        self.answers: dict[str, AnswerOperator] = {}
+        self.view = ViewCase.LINKED
+        self.least_serving = len(config.instances)
+        self.n_changes = 0
+        self.lost_answers = 0
+        self.muted: set[str] = set()
+        fakes = (
+            (config_writer, "propose", self._propose),
+            (config_view, "in_force_report", lambda s, t: {"pending": self.pending}),
+            (config_view, "view_case", lambda s, t: self.view),
+            (config_view, "ViewCase", ViewCase),
+            (health, "is_available", lambda s, name, t: name not in self.failed),
+            (placement, "n_in_flight", lambda s, name: int(name in self.busy)),
+        )
+        for module, name, fake in fakes:
+            monkeypatch.setattr(module, name, fake, raising=False)
+        self.entries = [
+            Reducer(EntryState(Identity(f"e{i}", f"e{i}.1", "d1"), Random(i)), HANDLERS)
+            for i in range(n_entries)
+        ]
+        self._share()
+
+    def _share(self):
+        for entry in self.entries:
+            entry.state.config = self.config
+
+    def _propose(self, state, change, at_ms):
+        try:
+            changed = change.apply(self.config)
+        except ApricotgapError as error:
+            return tuple(change.finished(state, error, self.config.revision, at_ms))
+        self.config = replace(changed, revision=self.config.revision + 1)
+        self.n_changes += 1
+        self._share()
+        return tuple(change.finished(state, None, self.config.revision, at_ms))
+
+    def send(self, entry, event):
+        for effect in entry.step(event):
+            self._run(entry, effect)
+
+    def _run(self, entry, effect):
+        now = self.now_ms
+        if isinstance(effect, StoreGet):
+            value, revision = self.store.get(effect.key, (b"", 0))
+            items = (KeyValue(effect.key, value, revision),)
+            self.send(entry, StoreReadFinished(now, effect.call_id, items, now))
+        elif isinstance(effect, StoreList):
+            items = tuple(
+                KeyValue(k, *v)
+                for k, v in sorted(self.store.items())
+                if k.startswith(effect.prefix)
+            )
+            self.send(entry, StoreReadFinished(now, effect.call_id, items, now))
+        elif isinstance(effect, StoreCas):
+            self.send(entry, self._cas(effect))
+        elif isinstance(effect, GrantLease):
+            self.n_leases += 1
+            event = LeaseGranted(now, effect.call_id, self.n_leases, 10_000, now)
+            self.send(entry, event)
+        elif isinstance(effect, KeepLease):
+            self.send(entry, LeaseKept(now, effect.lease_id, 10_000, now))
+        elif isinstance(effect, RevokeLease):
+            self.store.pop("roles/waves", None)
+        elif isinstance(effect, ProbeWorker):
+            self.report(entry, effect.instance)
+        elif isinstance(effect, RebootInstance):
+            self._reboot(effect.instance)
+        elif isinstance(effect, AnswerOperator):
+            assert effect.call_id not in self.answers, "a call was answered twice"
+            self.answers[effect.call_id] = effect
+
+    def _cas(self, effect):
+        if self.store.get(effect.key, (b"", 0))[1] != effect.expected_revision:
+            return CasFinished(
+                self.now_ms, effect.call_id, effect.key, CasResult.CONFLICT
+            )
+        self.n_writes += 1
+        self.store[effect.key] = (effect.value, self.n_writes)
+        result = CasResult.STORED
+        if self.lost_answers:
+            self.lost_answers -= 1
+            result = CasResult.UNKNOWN
+        return CasFinished(
+            self.now_ms, effect.call_id, effect.key, result, self.n_writes
+        )
+
+    def _reboot(self, name):
+        if self.config.instances[name].state is not InstanceState.REBOOTING:
+            self.rebooted_while_serving.append(name)
+        self.boots.setdefault(name, 1)
+
+    def report(self, entry, name):
+        if name in self.failed or name in self.muted:
+            return
+        n_running = int(name in self.busy)
+        boot = f"boot{self.boots.get(name, 0)}"
+        self.send(
+            entry, WorkerReported(self.now_ms, name, 0, 8, n_running, boot_id=boot)
+        )
+
+    def serving(self, pool="a"):
+        return sum(
+            i.pool == pool
+            and i.state is InstanceState.IN_SERVICE
+            and i.name not in self.failed
+            and self.config.data_centres[i.data_centre].state == "open"
+            for i in self.config.instances.values()
+        )
+
+    def run(self, duration_ms, until=lambda: False):
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms and not until():
+            self.now_ms += 100
+            for entry in list(self.entries):
+                self.send(entry, Tick(self.now_ms))
+            self.least_serving = min(self.least_serving, self.serving())
+        return until()
+
+    def call(self, action, entry=0, **arguments):
+        call_id = f"c{len(self.answers)}-{self.now_ms}-{action}"
+        event = OperatorCalled(self.now_ms, call_id, action, arguments)
+        self.send(self.entries[entry], event)
+        return self.answers.get(call_id)
+
+    def confirm(self, kind, target, **options):
+        plan = self.call("intent.plan", kind=kind, target=target, options=options)
+        assert not plan.error_kind, plan.message
+        confirmed = self.call("intent.confirm", id=plan.result["plan_id"])
+        assert not confirmed.error_kind, confirmed.message
+        return plan.result["plan_id"]
--- /dev/null
+++ b/tests/test_waves.py
@@ -0,0 +1,164 @@
+import pytest
+
+from apricotgap.core import budgets
+from apricotgap.model import DataCentreState, InstanceState
+from tests.fleet_fakes import KEEP_FIVE, World, make_fleet
+
+
+@pytest.fixture
+def world(monkeypatch):
+    return World(monkeypatch, make_fleet(budgets=(KEEP_FIVE,)), n_entries=2)
+
+
+def finished(world):
+    return lambda: not world.config.active_plans
+
+
+def grants(world):
+    value = world.store.get(budgets.GRANTS_KEY, (b"", 0))[0]
+    return budgets.decode_grants(value)
+
+
+def test_roll_reboots_each_instance_once_within_the_budget(world):
+    """Guards against a wave that takes more instances out than the budget permits."""
+    world.confirm("roll_pool", "a")
+    assert world.run(300_000, finished(world))
+    assert world.least_serving == 5
+    assert len(world.boots) == 6
+    assert not world.rebooted_while_serving
+    assert not grants(world).instances
+
+
+def test_drain_waits_for_running_tasks(world):
+    """Guards against a reboot that cuts a request."""
+    world.busy.add("d1-a0")
+    world.confirm("drain_instance", "d1-a0", reboot="true")
+    world.run(60_000)
+    assert "d1-a0" not in world.boots
+    world.busy.clear()
+    assert world.run(30_000, finished(world))
+
+
+def test_drain_waits_until_every_entry_has_the_change(world):
+    """Guards against a drain that an entry with an old view does not know of."""
+    world.pending = {"e9": "not acknowledged"}
+    world.confirm("drain_instance", "d1-a0")
+    world.run(60_000)
+    assert world.config.instances["d1-a0"].state is InstanceState.DRAINING
+
+
+def test_idle_report_before_late_dispatches_can_arrive_does_not_count(world):
+    """Guards against a drain that a dispatch under way overtakes."""
+    world.confirm("drain_instance", "d1-a0")
+    assert world.run(
+        20_000,
+        lambda: world.config.instances["d1-a0"].state is InstanceState.DRAINING,
+    )
+    start_ms = world.now_ms
+    assert world.run(30_000, finished(world))
+    assert world.now_ms - start_ms > 2_000
+
+
+def test_failures_pause_the_plan_and_its_reason_names_the_budget(world):
+    """Guards against grants that ignore unplanned failures."""
+    plan_id = world.confirm("roll_pool", "a")
+    world.failed.add("d2-a1")
+    world.run(60_000)
+    assert not grants(world).instances
+    assert "keep" in world.config.active_plans[plan_id].paused_reason
+    world.failed.clear()
+    assert world.run(300_000, finished(world))
+
+
+def test_grant_is_kept_until_the_instance_serves(world):
+    """Guards against a second instance out while the first has not returned."""
+    world.confirm("roll_pool", "a")
+    world.run(60_000, lambda: bool(world.boots))
+    first = next(iter(world.boots))
+    world.failed.add(first)
+    world.run(60_000)
+    assert set(grants(world).instances) == {first}
+    assert len(world.boots) == 1
+
+
+def test_another_entry_resumes_the_plan_of_a_killed_runner(world):
+    """Guards against plans that depend on the memory of their runner."""
+    world.confirm("roll_pool", "a")
+    world.run(60_000, lambda: bool(world.boots))
+    runner = next(e for e in world.entries if e.state.waves.role.is_held(world.now_ms))
+    world.entries.remove(runner)
+    world.store.pop("roles/waves")
+    assert world.run(300_000, finished(world))
+    assert world.least_serving == 5
+    assert grants(world).epoch == 2
+
+
+def test_paused_runner_is_fenced_by_the_epoch(world):
+    """Guards against grants written by a runner that lost its lease in a pause."""
+    world.confirm("roll_pool", "a")
+    world.run(60_000, lambda: bool(world.boots))
+    old = next(e for e in world.entries if e.state.waves.role.is_held(world.now_ms))
+    world.entries.remove(old)
+    world.store.pop("roles/waves")
+    world.run(20_000)
+    before = grants(world)
+    role = old.state.waves.role
+    write = role.begin_write(budgets.Grants(1, "e", "w", {}), world.now_ms)
+    role.expires_ms = world.now_ms + 10_000
+    world._run(old, write)
+    assert grants(world) == before
+    assert not role.is_held(world.now_ms)
+
+
+def test_lost_answer_of_a_grant_write_is_resolved(world):
+    """Guards against a runner stuck after an unknown write."""
+    world.confirm("roll_pool", "a")
+    world.lost_answers = 5
+    assert world.run(300_000, finished(world))
+    assert world.least_serving == 5
+
+
+@pytest.mark.parametrize("after_ms", range(0, 30_000, 700))
+def test_cancel_leaves_every_instance_serving(world, after_ms):
+    """Guards against a cancelled plan that leaves capacity out."""
+    plan_id = world.confirm("roll_pool", "a")
+    world.run(after_ms, finished(world))
+    if plan_id in world.config.active_plans:
+        assert not world.call("intent.cancel", id=plan_id).error_kind
+    assert world.run(60_000, finished(world))
+    assert world.serving() == 6
+    assert not grants(world).instances
+
+
+def test_data_centre_leaves_and_returns_with_lent_capacity(world):
+    """Guards against a take-out that breaks a pool budget or loses its moves."""
+    before = dict(world.config.instances)
+    world.confirm("take_out_data_centre", "d1")
+    assert world.run(120_000, finished(world))
+    assert world.config.data_centres["d1"].state is DataCentreState.CLOSED
+    assert world.least_serving == 5
+    world.confirm("bring_back_data_centre", "d1")
+    assert world.run(120_000, finished(world))
+    assert world.config.instances == before
+    assert not grants(world).instances
+
+
+def test_move_never_counts_an_instance_in_two_pools(world):
+    """Guards against a move that joins before it has drained."""
+    world.busy.add("d1-s0")
+    world.confirm("move_capacity", "s", to_pool="a", count="1")
+    world.run(30_000)
+    assert world.config.instances["d1-s0"].pool == "s"
+    world.busy.clear()
+    assert world.run(30_000, finished(world))
+    assert world.serving() == 7
+
+
+def test_wave_shares_one_change(monkeypatch):
+    """Guards against one configuration change for each instance of a wave."""
+    world = World(monkeypatch, make_fleet(n_per_dc=20))
+    world.confirm("roll_pool", "a")
+    n_before = world.n_changes
+    assert world.run(120_000, finished(world))
+    assert len(world.boots) == 40
+    assert world.n_changes - n_before <= 6
