Test budgets, planner, operators and the command line

A plan counted a failed instance as serving after its wave, so a roll without room was planned and would only have paused; it is now refused at planning.

--- a/apricotgap/core/plan_draft.py
+++ b/apricotgap/core/plan_draft.py
@@ -63,6 +63,7 @@
         self.steps: list[Step] = []
         self._wave = 0
         self._after_wave = -1
+        self._out_for_wave: set[str] = set()
 
     def add(
         self,
@@ -225,13 +226,13 @@
                 if self.usage.violated((instance.name,)):
                     later.append(instance)
                 else:
-                    self.usage.take((instance.name,))
+                    self._take(instance)
                     wave.append(instance)
             if not wave:
                 blocked = self.usage.violated((left[0].name,))[0]
                 raise budget_error(blocked, [i.name for i in left])
             yield wave
-            self.usage.give_back(i.name for i in wave)
+            self._give_back(wave)
             left = later
 
     def _require(self, names: list[str]) -> None:
@@ -247,12 +248,23 @@
             to_pool=to_pool,
             lent_for=lent_for,
         )
-        self.usage.take((donor.name,))
+        self._take(donor)
+
+    def _take(self, instance: Instance) -> None:
+        """Count an instance as out for one wave; failed ones stay out after it."""
+        if not self.usage.is_out(instance.name):
+            self._out_for_wave.add(instance.name)
+        self.usage.take((instance.name,))
+
+    def _give_back(self, wave: list[Instance]) -> None:
+        names = {i.name for i in wave} & self._out_for_wave
+        self._out_for_wave -= names
+        self.usage.give_back(names)
 
     def _join(self, wave: list[Instance], pool: str) -> None:
         for instance in wave:
             self.usage.move(replace(instance, pool=pool))
-        self.usage.give_back(i.name for i in wave)
+        self._give_back(wave)
 
     def _spare_donors(self, gone: set[str]) -> list[Instance]:
         spare = {p.name for p in self.config.pools.values() if p.spare}
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,187 @@
+import hashlib
+import json
+
+import pytest
+import trio
+
+from apricotgap.clock import FakeClock
+from apricotgap.core import operator_handlers  # noqa: F401
+from apricotgap.core.effects import AnswerOperator
+from apricotgap.core.operators import actions
+from apricotgap.drivers.operators import OperatorApp
+from apricotgap.model import Budget
+from tests.fleet_fakes import KEEP_FIVE, ViewCase, World, make_fleet
+
+DIGEST = "a" * 64
+NEW = {"address": "10.0.0.9:80", "data_centre": "d1", "rack": "r", "pool": "a"}
+
+
+@pytest.fixture
+def world(monkeypatch):
+    return World(monkeypatch, make_fleet(budgets=(KEEP_FIVE,)), n_entries=2)
+
+
+def test_every_action_of_the_design_is_registered():
+    """Guards against a command without an action."""
+    nouns = ("pool", "instance", "team", "queue", "budget", "data_centre")
+    wanted = {f"{n}.{v}" for n in nouns for v in ("put", "delete", "list")}
+    wanted |= {"key.grant", "key.withdraw", "key.list", "status", "apply"}
+    wanted |= {f"intent.{v}" for v in ("plan", "confirm", "cancel", "list", "show")}
+    assert set(actions()) == wanted
+
+
+@pytest.mark.parametrize(
+    ("action", "arguments", "kind", "text"),
+    [
+        ("nope", {}, "not_found", "no action"),
+        ("pool.put", {}, "invalid", "name"),
+        ("pool.put", {"name": "x y"}, "invalid", "name"),
+        ("pool.put", {"name": "p", "color": 1}, "invalid", "color"),
+        ("team.put", {"name": "t", "share": "3"}, "invalid", "share: expected int"),
+        ("team.put", {"name": "t", "share": 0}, "invalid", "share: 0 is below 1"),
+        ("pool.put", {"name": "p", "if_revision": 99}, "conflict", "revision 1"),
+        ("pool.delete", {"name": "a"}, "conflict", "pool 'a'"),
+        ("pool.delete", {"name": "zz"}, "not_found", "zz"),
+        ("queue.put", {"name": "q", "pool": "zz"}, "conflict", "pool 'zz'"),
+        ("instance.put", {"name": "d1-a0", "pool": "s"}, "conflict", "in_service"),
+        ("instance.put", {"name": "d1-a0", "state": "drained"}, "invalid", "state"),
+        ("instance.put", {"name": "n", **NEW, "address": "x"}, "invalid", "address"),
+        ("instance.delete", {"name": "d1-a0"}, "conflict", "in_service"),
+        ("key.grant", {"digest": "x", "team": "t"}, "invalid", "digest"),
+        ("key.grant", {"digest": DIGEST, "team": "zz"}, "conflict", "team 'zz'"),
+        ("budget.put", {"name": "b", "kind": "row"}, "invalid", "kind"),
+        ("budget.put", {"name": "b", "kind": "rack"}, "invalid", "no limit"),
+        ("budget.put", {"name": "keep", "min_available": 9}, "conflict", "cannot be"),
+        ("apply", {"pools": [{"nam": "p"}]}, "invalid", "nam"),
+        ("apply", {"pools": 3}, "invalid", "pools"),
+        ("intent.confirm", {"id": "zz"}, "not_found", "zz"),
+    ],
+)
+def test_bad_calls_are_refused_with_a_remedy(world, action, arguments, kind, text):
+    """Guards against a bad call that changes or hides something."""
+    before = world.config
+    answer = world.call(action, **arguments)
+    assert (answer.error_kind, text in answer.message) == (kind, True), answer
+    assert answer.remedy
+    assert world.config == before
+
+
+def test_move_of_a_serving_instance_names_the_plan(world):
+    """Guards against an instance that changes its pool while it runs tasks."""
+    answer = world.call("instance.put", name="d1-a0", pool="s")
+    assert "intent plan move-capacity a --to-pool s" in answer.remedy
+
+
+def test_put_keeps_fields_that_are_not_given(world):
+    """Guards against a put that resets other fields to defaults."""
+    world.call("team.put", name="t", share=7)
+    assert world.config.teams["t"].upper_limit == 4
+    assert world.config.teams["t"].share == 7
+
+
+def test_apply_is_one_change_with_references_within(world):
+    """Guards against a set that is half applied or depends on its order."""
+    objects = {
+        "queues": [{"name": "q", "pool": "new"}],
+        "pools": [{"name": "new"}],
+        "instances": [{"name": "n1", **NEW, "pool": "new"}],
+    }
+    answer = world.call("apply", **objects)
+    assert answer.result["revision"] == 2, answer
+    assert world.call("apply", pools=[{"name": "x"}], queues=[{"name": "y"}]).error_kind
+    assert "x" not in world.config.pools
+
+
+def test_confirm_of_an_overtaken_plan_says_plan_again(world):
+    """Guards against a plan carried out on a fleet that has changed."""
+    asked = {"kind": "drain-rack", "target": "d1-r1", "options": {}}
+    plan = world.call("intent.plan", **asked).result
+    world.call("pool.put", name="other")
+    answer = world.call("intent.confirm", entry=1, id=plan["plan_id"])
+    assert (answer.error_kind, answer.remedy) == ("conflict", "plan again")
+
+
+def test_another_entry_confirms_and_a_second_confirm_conflicts(world):
+    """Guards against plans known to one entry, and against two confirmations."""
+    asked = {"kind": "drain-rack", "target": "d1-r1", "options": {}}
+    plan_id = world.call("intent.plan", **asked).result["plan_id"]
+    assert not world.call("intent.confirm", entry=1, id=plan_id).error_kind
+    assert world.call("intent.confirm", id=plan_id).error_kind == "conflict"
+    assert world.call("intent.show", id=plan_id).result["state"] == "confirmed"
+
+
+def test_lost_answer_of_the_plan_write_is_read_again(world):
+    """Guards against a plan reported as failed although it was stored."""
+    world.lost_answers = 1
+    asked = {"kind": "drain-rack", "target": "d1-r1", "options": {}}
+    assert world.call("intent.plan", **asked).result["plan_id"]
+
+
+def test_withdrawal_reports_where_it_is_pending(world):
+    """Guards against a withdrawal reported as in force everywhere too early."""
+    world.call("key.grant", digest=DIGEST, team="t")
+    world.pending = {"e9": "isolated"}
+    assert world.call("key.withdraw", digest=DIGEST) is None
+    world.run(5_100)
+    answer = next(a for c, a in world.answers.items() if "withdraw" in c)
+    assert answer.result["accepted"]
+    assert answer.result["in_force"]["pending"] == {"e9": "isolated"}
+
+
+def test_changes_are_refused_while_the_store_is_down(world):
+    """Guards against a change that no store has accepted."""
+    world.view = ViewCase.STORE_DOWN
+    assert world.call("pool.put", name="p").error_kind == "unavailable"
+    assert world.call("pool.list").result["items"]
+
+
+def test_plan_of_a_budget_that_cannot_hold_names_it(world):
+    """Guards against an intent that fails without a reason."""
+    world.call("budget.put", name="r", kind="rack", max_groups_out=0)
+    asked = {"kind": "roll-pool", "target": "a", "options": {}}
+    assert "budget 'r'" in world.call("intent.plan", **asked).message
+    assert world.config.budgets["r"] == Budget("r", "rack", max_groups_out=0)
+
+
+async def _request(body, credential="secret", method="POST", answer=None, **options):
+    digests = (hashlib.sha256(b"secret").hexdigest(),)
+    sent = []
+
+    def post(event):
+        if answer is not None:
+            app.answer(AnswerOperator(event.call_id, **answer))
+
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message):
+        sent.append(message)
+
+    app = OperatorApp(digests, post, FakeClock(), **options)
+    headers = [(b"authorization", f"Bearer {credential}".encode())]
+    path = "/v1/operator/pool.list"
+    scope = {"type": "http", "method": method, "path": path, "headers": headers}
+    await app(scope, receive, send)
+    return sent[0]["status"], json.loads(sent[1]["body"])
+
+
+@pytest.mark.parametrize(
+    ("body", "options", "status"),
+    [
+        (b"{}", {"answer": {"result": {"items": []}}}, 200),
+        (b"{}", {"answer": {"error_kind": "conflict", "message": "m"}}, 409),
+        (b"{}", {"credential": "wrong"}, 401),
+        (b"{}", {"method": "GET"}, 405),
+        (b"{", {}, 400),
+        (b"[]", {}, 400),
+        (b"[" * 200_000, {}, 400),
+        (b"\xff", {}, 400),
+        (b" " * 11, {"max_body_bytes": 10}, 400),
+        (b"{}", {"timeout_ms": 10}, 503),
+    ],
+)
+def test_http_calls_end_in_a_structured_answer(body, options, status):
+    """Guards against a call that hangs, crashes or passes without credential."""
+    found, document = trio.run(lambda: _request(body, **options))
+    assert found == status
+    assert status == 200 or set(document) == {"kind", "message", "remedy"}
