Close gaps in the tests of the runner that mutants showed

Mutants of the in-flight check, of the return of grants and of the state check of transitions survived.

--- a/apricotgap/core/object_kinds.py
+++ b/apricotgap/core/object_kinds.py
@@ -151,8 +151,9 @@
 
 def _missing(user: str, field: str, noun: str, name: str) -> ApricotgapError:
     return ConflictError(
-        f"{user}: {field} refers to {noun} {name!r}, which does not exist",
-        f"put the {noun} first, or change or delete {user}",
+        f"{user}: {field} refers to {noun} {name!r}, which would not exist",
+        f"put the {noun} before or in the same change, or first change or "
+        f"delete {user}",
     )
 
 
--- a/apricotgap/core/operators.py
+++ b/apricotgap/core/operators.py
@@ -10,6 +10,7 @@
 from apricotgap.core.effects import AnswerOperator, Effect
 from apricotgap.core.limits import IN_FORCE_BOUND_MS
 from apricotgap.core.object_kinds import require_consistent
+from apricotgap.core.runner_view import awaits_acknowledgement
 from apricotgap.errors import (
     ApricotgapError,
     ConflictError,
@@ -183,7 +184,7 @@
     operators = state.operators
     if not operators.awaited:
         return
-    pending = config_view.in_force_report(state, at_ms).get("pending")
+    pending = awaits_acknowledgement(state, at_ms)
     waiting = []
     for awaited in operators.awaited:
         in_force = not pending and state.config.revision >= awaited.revision
--- a/apricotgap/core/runner_view.py
+++ b/apricotgap/core/runner_view.py
@@ -31,7 +31,13 @@
 if TYPE_CHECKING:
     from apricotgap.core.state import EntryState
 
-__all__ = ["FleetFacts", "RunnerView", "WorkerFacts", "unplanned_unavailable"]
+__all__ = [
+    "FleetFacts",
+    "RunnerView",
+    "WorkerFacts",
+    "awaits_acknowledgement",
+    "unplanned_unavailable",
+]
 
 # The second report was asked for after the first had arrived, so it was taken after
 # the time from which no late dispatch can start.
@@ -57,6 +63,11 @@
         )
 
 
+def awaits_acknowledgement(state: "EntryState", at_ms: int) -> bool:
+    """Tell whether an entry may still act on an older configuration."""
+    return bool(config_view.in_force_report(state, at_ms)["pending"])
+
+
 def unplanned_unavailable(
     state: "EntryState", grants: Grants, at_ms: int
 ) -> frozenset[str]:
@@ -96,9 +107,8 @@
     def __init__(self, state: "EntryState", at_ms: int) -> None:
         self._state = state
         self.at_ms = at_ms
-        report = config_view.in_force_report(state, at_ms)
-        self.pending = report.get("pending") or {}
-        self.in_force_revision = 0 if self.pending else state.config.revision
+        in_force = not awaits_acknowledgement(state, at_ms)
+        self.in_force_revision = state.config.revision if in_force else 0
 
     def note_in_force(self) -> None:
         """Record since when the changes of steps have been in force."""
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -102,14 +102,15 @@
         self.least_serving = len(config.instances)
         self.n_changes = 0
         self.lost_answers = 0
-        self.muted: set[str] = set()
+        self.unhealthy: set[str] = set()
+        self.in_flight: set[str] = set()
         fakes = (
             (config_writer, "propose", self._propose),
             (config_view, "in_force_report", lambda s, t: {"pending": self.pending}),
             (config_view, "view_case", lambda s, t: self.view),
             (config_view, "ViewCase", ViewCase),
-            (health, "is_available", lambda s, name, t: name not in self.failed),
-            (placement, "n_in_flight", lambda s, name: int(name in self.busy)),
+            (health, "is_available", self._is_available),
+            (placement, "n_in_flight", lambda s, name: int(name in self.in_flight)),
         )
         for module, name, fake in fakes:
             monkeypatch.setattr(module, name, fake, raising=False)
@@ -119,6 +120,9 @@
         ]
         self._share()
 
+    def _is_available(self, state, name, at_ms):
+        return name not in self.failed | self.unhealthy
+
     def _share(self):
         for entry in self.entries:
             entry.state.config = self.config
@@ -189,7 +193,7 @@
         self.boots.setdefault(name, 1)
 
     def report(self, entry, name):
-        if name in self.failed or name in self.muted:
+        if name in self.failed:
             return
         n_running = int(name in self.busy)
         boot = f"boot{self.boots.get(name, 0)}"
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -3,6 +3,12 @@
 from apricotgap.core import budgets
 from apricotgap.core.effects import LogChange, RevokeLease
 from apricotgap.core.events import Tick
+from apricotgap.core.plan_steps import (
+    ConfigDraft,
+    Phase,
+    Transition,
+    apply_transition,
+)
 from apricotgap.model import DataCentreState, InstanceState
 from tests.fleet_fakes import KEEP_FIVE, World, make_fleet
 
@@ -77,12 +83,30 @@
     world.confirm("roll_pool", "a")
     world.run(60_000, lambda: bool(world.boots))
     first = next(iter(world.boots))
-    world.failed.add(first)
+    world.unhealthy.add(first)
     world.run(60_000)
+    assert world.config.instances[first].state is InstanceState.IN_SERVICE
     assert set(grants(world).instances) == {first}
     assert len(world.boots) == 1
 
 
+def test_drain_waits_for_dispatches_of_the_own_entry(world):
+    """Guards against a drain that overlooks a task the server did not report."""
+    world.in_flight.add("d1-a0")
+    world.confirm("drain_instance", "d1-a0")
+    world.run(20_000)
+    assert world.config.instances["d1-a0"].state is InstanceState.DRAINING
+
+
+def test_late_change_of_an_old_runner_does_not_undo_a_cancellation(world):
+    """Guards against a step that starts after it was skipped."""
+    plan_id = world.confirm("drain_instance", "d1-a0")
+    world.call("intent.cancel", id=plan_id)
+    draft = ConfigDraft(world.config)
+    assert not apply_transition(draft, Transition(plan_id, 0, Phase.START))
+    assert draft.build() == world.config
+
+
 def test_another_entry_resumes_the_plan_of_a_killed_runner(world):
     """Guards against plans that depend on the memory of their runner."""
     world.confirm("roll_pool", "a")
