Test plans under random faults

24 seeds mix failed store calls, lost answers, refused changes, failing instances, silent entries and a cancellation: no budget broken, no plan stuck.

--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -23,6 +23,7 @@
     LeaseGranted,
     LeaseKept,
     OperatorCalled,
+    StoreCallFailed,
     StoreReadFinished,
     Tick,
     WorkerReported,
@@ -35,7 +36,7 @@
 from apricotgap.core.reducer import Reducer
 from apricotgap.core.state import EntryState, Identity
 from apricotgap.core.wave_handlers import NoteWorkerReport, RunPlans, TakeStoreAnswer
-from apricotgap.errors import ApricotgapError
+from apricotgap.errors import ApricotgapError, UnavailableError
 from apricotgap.model import (
     Budget,
     Configuration,
@@ -102,6 +103,7 @@
         self.least_serving = len(config.instances)
         self.n_changes = 0
         self.lost_answers = 0
+        self.fault_rng: Random | None = None
         self.unhealthy: set[str] = set()
         self.in_flight: set[str] = set()
         fakes = (
@@ -127,8 +129,13 @@
         for entry in self.entries:
             entry.state.config = self.config
 
+    def _fault(self, probability):
+        return self.fault_rng is not None and self.fault_rng.random() < probability
+
     def _propose(self, state, change, at_ms):
         try:
+            if self._fault(0.15):
+                raise UnavailableError("the store is down", "wait")
             changed = change.apply(self.config)
         except ApricotgapError as error:
             return tuple(change.finished(state, error, self.config.revision, at_ms))
@@ -143,7 +150,9 @@
 
     def _run(self, entry, effect):
         now = self.now_ms
-        if isinstance(effect, StoreGet):
+        if isinstance(effect, StoreGet | GrantLease) and self._fault(0.1):
+            self.send(entry, StoreCallFailed(now, effect.call_id))
+        elif isinstance(effect, StoreGet):
             value, revision = self.store.get(effect.key, (b"", 0))
             items = (KeyValue(effect.key, value, revision),)
             self.send(entry, StoreReadFinished(now, effect.call_id, items, now))
@@ -160,7 +169,7 @@
             self.n_leases += 1
             event = LeaseGranted(now, effect.call_id, self.n_leases, 10_000, now)
             self.send(entry, event)
-        elif isinstance(effect, KeepLease):
+        elif isinstance(effect, KeepLease) and not self._fault(0.3):
             self.send(entry, LeaseKept(now, effect.lease_id, 10_000, now))
         elif isinstance(effect, RevokeLease):
             self.store.pop("roles/waves", None)
@@ -173,6 +182,10 @@
             self.answers[effect.call_id] = effect
 
     def _cas(self, effect):
+        if self._fault(0.1):
+            return CasFinished(
+                self.now_ms, effect.call_id, effect.key, CasResult.UNKNOWN
+            )
         if self.store.get(effect.key, (b"", 0))[1] != effect.expected_revision:
             return CasFinished(
                 self.now_ms, effect.call_id, effect.key, CasResult.CONFLICT
@@ -180,8 +193,8 @@
         self.n_writes += 1
         self.store[effect.key] = (effect.value, self.n_writes)
         result = CasResult.STORED
-        if self.lost_answers:
-            self.lost_answers -= 1
+        if self.lost_answers or self._fault(0.1):
+            self.lost_answers = max(0, self.lost_answers - 1)
             result = CasResult.UNKNOWN
         return CasFinished(
             self.now_ms, effect.call_id, effect.key, result, self.n_writes
@@ -210,6 +223,16 @@
             for i in self.config.instances.values()
         )
 
+    def n_planned_out(self, pool="a"):
+        return sum(
+            i.pool == pool
+            and (
+                i.state is not InstanceState.IN_SERVICE
+                or self.config.data_centres[i.data_centre].state == "closed"
+            )
+            for i in self.config.instances.values()
+        )
+
     def run(self, duration_ms, until=lambda: False):
         end_ms = self.now_ms + duration_ms
         while self.now_ms < end_ms and not until():
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -1,3 +1,5 @@
+from random import Random
+
 import pytest
 
 from apricotgap.core import budgets
@@ -201,6 +203,47 @@
     assert world.serving() == 7
 
 
+INTENTS = (
+    ("roll_pool", "a", {}),
+    ("take_out_data_centre", "d1", {}),
+    ("drain_rack", "d1-r1", {"reboot": "true"}),
+    ("move_capacity", "s", {"to_pool": "a", "count": "2"}),
+)
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_plans_keep_budgets_and_end_under_random_faults(world, seed):
+    """Guards against faults that spend a budget twice or leave a plan stuck."""
+    rng = Random(seed)
+    kind, target, options = INTENTS[seed % len(INTENTS)]
+    plan_id = world.confirm(kind, target, **options)
+    world.fault_rng = rng
+    cancel_ms = rng.randint(0, 80_000)
+    for _ in range(600):
+        world.run(100)
+        n_in_pool = sum(i.pool == "a" for i in world.config.instances.values())
+        assert n_in_pool - world.n_planned_out() >= 5
+        name = rng.choice(sorted(world.config.instances))
+        if rng.random() < 0.03:
+            world.failed ^= {name}
+        if rng.random() < 0.05:
+            world.busy ^= {name}
+        if rng.random() < 0.02:
+            world.pending = {} if world.pending else {"e9": "cut off"}
+        if rng.random() < 0.003:
+            world.store.pop("roles/waves", None)
+        if world.now_ms >= cancel_ms and plan_id in world.config.active_plans:
+            world.call("intent.cancel", id=plan_id)
+    world.fault_rng = None
+    world.failed.clear()
+    world.busy.clear()
+    world.pending = {}
+    world.store.pop("roles/waves", None)
+    assert world.run(400_000, finished(world))
+    out = {n for n, i in world.config.instances.items() if i.state != "in_service"}
+    assert set(grants(world).instances) == out
+
+
 def test_wave_shares_one_change(monkeypatch):
     """Guards against one configuration change for each instance of a wave."""
     world = World(monkeypatch, make_fleet(n_per_dc=20))
