Refuse to spend budgets of unknown kinds; take if_revision only where it acts

During a rolling upgrade an older entry would have ignored a budget of a newer kind. intent.plan and intent.confirm accepted if_revision without effect.

--- a/apricotgap/core/budgets.py
+++ b/apricotgap/core/budgets.py
@@ -163,6 +163,8 @@
         self._budgets: dict[tuple[str, str], list[Budget]] = defaultdict(list)
         for budget in config.budgets.values():
             self._budgets[budget.kind, budget.target].append(budget)
+        # An entry of a newer version may have accepted a kind that this one lacks.
+        self._unknown = [b for b in config.budgets.values() if b.kind not in _KINDS]
         self._out: set[str] = set()
         self._n_total: dict[tuple[str, str], int] = defaultdict(int)
         self._n_out: dict[tuple[str, str], int] = defaultdict(int)
@@ -269,6 +271,7 @@
             for budget in self._of_group(kind, group)
             if kind.breaks(budget, self._counts(kind, group))
         }
+        broken.update((budget.name, budget) for budget in self._unknown)
         self.give_back(fresh)
         return [broken[name] for name in sorted(broken)]
 
--- a/apricotgap/core/object_kinds.py
+++ b/apricotgap/core/object_kinds.py
@@ -332,7 +332,9 @@
             for kind in budget_kinds().values()
         }
         for budget in config.budgets.values():
-            counts = groups[budget.kind]
+            counts = groups.get(budget.kind)
+            if counts is None:
+                continue
             if budget.target != "*" and budget.target not in counts:
                 yield _missing(
                     f"budget {budget.name}",
--- a/apricotgap/core/operator_intents.py
+++ b/apricotgap/core/operator_intents.py
@@ -147,6 +147,7 @@
     name = "intent.cancel"
     arguments = ("id",)
     changes = True
+    takes_revision = True
 
     def run(
         self, state: "EntryState", call_id: str, values: Values, at_ms: int
--- a/apricotgap/core/operator_objects.py
+++ b/apricotgap/core/operator_objects.py
@@ -27,6 +27,7 @@
 
 class _Put(_ObjectAction):
     changes = True
+    takes_revision = True
 
     def run(
         self, state: "EntryState", call_id: str, values: Values, at_ms: int
@@ -45,6 +46,7 @@
 
 class _Delete(_ObjectAction):
     changes = True
+    takes_revision = True
     await_in_force: ClassVar[bool] = False
 
     def run(
@@ -120,6 +122,7 @@
     name = "apply"
     arguments = tuple(kind.part for kind in object_kinds().values())
     changes = True
+    takes_revision = True
 
     def run(
         self, state: "EntryState", call_id: str, values: Values, at_ms: int
--- a/apricotgap/core/operators.py
+++ b/apricotgap/core/operators.py
@@ -78,8 +78,9 @@
 class Action(ABC):
     """Something that operators ask for.
 
-    A subclass declares its `name`, the `arguments` that it accepts and whether it
-    `changes` anything, and is registered by its definition. `run` must validate
+    A subclass declares its `name`, the `arguments` that it accepts, whether it
+    `changes` anything and whether it `takes_revision`, the optional argument
+    ``if_revision``, and is registered by its definition. `run` must validate
     every argument before it returns effects, and answer the call exactly once,
     directly or when its change or store call ends.
     """
@@ -87,6 +88,7 @@
     name: ClassVar[str]
     arguments: ClassVar[tuple[str, ...]] = ()
     changes: ClassVar[bool] = False
+    takes_revision: ClassVar[bool] = False
 
     def __init_subclass__(cls, **kwargs: object) -> None:
         super().__init_subclass__(**kwargs)
@@ -101,7 +103,7 @@
 
     def read(self, values: Mapping[str, Any]) -> Arguments:
         """Return a reader of the arguments that refuses unknown ones."""
-        extra = ("if_revision",) if self.changes else ()
+        extra = ("if_revision",) if self.takes_revision else ()
         return Arguments(values, (*self.arguments, *extra))
 
 
--- a/apricotgap/drivers/operators.py
+++ b/apricotgap/drivers/operators.py
@@ -74,6 +74,8 @@
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
         """Serve one HTTP request below ``/v1/operator/``."""
+        if scope["type"] != "http":
+            return
         try:
             status, document = await self._serve(scope, receive)
         except ApricotgapError as error:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -55,6 +55,12 @@
     assert names(check(config, NONE, (), ("d1-a0", "d1-a1"))) == ["keep"]
 
 
+def test_budget_of_an_unknown_kind_permits_nothing():
+    """Guards against an older entry that ignores a newer kind of budget."""
+    config = make_fleet(budgets=(Budget("new", "region"),))
+    assert names(check(config, NONE, (), "d1-a0")) == ["new"]
+
+
 def test_malformed_grants_are_refused():
     """Guards against a document that is read as one without grants."""
     with pytest.raises(ValidationError, match="grants"):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -55,6 +55,7 @@
         ("apply", {"pools": [{"nam": "p"}]}, "invalid", "nam"),
         ("apply", {"pools": 3}, "invalid", "pools"),
         ("intent.confirm", {"id": "zz"}, "not_found", "zz"),
+        ("intent.confirm", {"id": "zz", "if_revision": 1}, "invalid", "if_revision"),
     ],
 )
 def test_bad_calls_are_refused_with_a_remedy(world, action, arguments, kind, text):
