Trust only reports written after the last possible dispatch; bound probes

Two probes under way together could both be answered before the last dispatch and count as two idle reports, for example after a pause of the entry. A report now counts by the time of its probe, or by the server's clock when the driver does not tell it. Probes of the runner are bounded to 20 a second with a burst of 100, since draining a data centre sent about 200 a second.

--- a/apricotgap/core/events/workers.py
+++ b/apricotgap/core/events/workers.py
@@ -106,6 +106,8 @@
         Changes when the server restarts.
     n_running_by_team : dict of str to int
         Running tasks by team, lagging.
+    sent_ms : int or None
+        When the probe was sent; the report is not older. None when unknown.
     """
 
     instance: str
@@ -115,6 +117,7 @@
     draining: bool = False
     boot_id: str = ""
     n_running_by_team: dict[str, int] | None = None
+    sent_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/apricotgap/core/fleet_facts.py
@@ -0,0 +1,181 @@
+"""What the runner knows of the fleet: acknowledgements, reports and health."""
+
+from collections.abc import Set as AbstractSet
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from apricotgap.core import config_view, health, placement
+from apricotgap.core.budgets import Grants, out_of_service
+from apricotgap.core.events import WorkerReported
+from apricotgap.core.limits import (
+    DRIFT_FACTOR,
+    MAX_TASK_LEASE_MS,
+    START_WINDOW_MS,
+)
+from apricotgap.model import InstanceState, Step, StepState
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = [
+    "FleetFacts",
+    "WorkerFacts",
+    "in_force_revision",
+    "not_serving",
+    "unplanned_unavailable",
+]
+
+# Reports of probes that were under way together lie closer on the server's clock.
+_PROBE_SPREAD_MS = 2_000
+
+
+@dataclass(slots=True)
+class WorkerFacts:
+    """Reports of one instance.
+
+    `settled_ms` is the time from which no late dispatch can start, and `idle` tells
+    whether a report taken after it showed no running task.
+    """
+
+    boot_id: str = ""
+    idle: bool = False
+    settled_ms: int | None = None
+    last_contact_ms: int | None = None
+    first_idle_server_ms: int | None = None
+
+    def note_report(self, report: WorkerReported) -> None:
+        """Take a report in."""
+        if report.boot_id and report.boot_id != self.boot_id:
+            self.boot_id = report.boot_id
+            self.first_idle_server_ms = None
+        self.last_contact_ms = report.at_ms
+        if report.n_running or self.settled_ms is None:
+            self.idle = False
+            self.first_idle_server_ms = None
+        elif report.at_ms >= self.settled_ms:
+            self.idle = self.idle or self._is_after_settling(report)
+
+    def _is_after_settling(self, report: WorkerReported) -> bool:
+        """Tell whether the server wrote the report after the settling time.
+
+        Without the time of the probe, a report counts that the server wrote well
+        after another one that arrived after the settling time.
+        """
+        if report.sent_ms is not None:
+            return self.settled_ms is not None and report.sent_ms >= self.settled_ms
+        if self.first_idle_server_ms is None:
+            self.first_idle_server_ms = report.server_now_ms
+        return report.server_now_ms >= self.first_idle_server_ms + _PROBE_SPREAD_MS
+
+
+def in_force_revision(state: "EntryState", at_ms: int) -> int:
+    """Return the revision known to be in force everywhere, 0 when unknown."""
+    report = config_view.in_force_report(state, at_ms)
+    return int(report["revision"]) if report["in_force"] else 0
+
+
+def unplanned_unavailable(
+    state: "EntryState", grants: Grants, at_ms: int
+) -> frozenset[str]:
+    """Return instances that should serve but do not.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    grants : Grants
+        Grants of plans; their instances are not unplanned.
+    at_ms : int
+        Present time.
+
+    Returns
+    -------
+    frozenset of str
+        Names of instances.
+    """
+    planned = out_of_service(state.config) | set(grants.instances)
+    return not_serving(state, planned, at_ms)
+
+
+def not_serving(
+    state: "EntryState", planned: AbstractSet[str], at_ms: int
+) -> frozenset[str]:
+    """Return instances outside `planned` that do not serve."""
+    return frozenset(
+        name
+        for name in state.config.instances
+        if name not in planned and not health.is_available(state, name, at_ms)
+    )
+
+
+class FleetFacts:
+    """Answers the questions of step actions from the state of the entry."""
+
+    def __init__(self, state: "EntryState", at_ms: int) -> None:
+        self._state = state
+        self.at_ms = at_ms
+        self.in_force_revision = in_force_revision(state, at_ms)
+
+    def note_in_force(self) -> None:
+        """Record since when the changes of steps have been in force."""
+        waves = self._state.waves
+        for plan in self._state.config.active_plans.values():
+            for step in plan.steps:
+                key = (plan.plan_id, step.index)
+                if step.state is not StepState.RUNNING or key in waves.in_force_at_ms:
+                    continue
+                since = waves.since_revision.setdefault(
+                    key, self._state.config.revision
+                )
+                if self.in_force_revision >= since:
+                    waves.in_force_at_ms[key] = self.at_ms
+
+    def is_in_force(self, plan_id: str, step: Step) -> bool:
+        """Tell whether the last change of the step is in force everywhere."""
+        return (plan_id, step.index) in self._state.waves.in_force_at_ms
+
+    def is_drained(self, plan_id: str, step: Step) -> bool:
+        """Tell whether no task runs on the target and none can start."""
+        waves = self._state.waves
+        in_force_ms = waves.in_force_at_ms.get((plan_id, step.index))
+        facts = waves.workers.get(step.target)
+        if in_force_ms is None or facts is None:
+            return False
+        if facts.settled_ms is None:
+            facts.settled_ms = in_force_ms + int(START_WINDOW_MS * DRIFT_FACTOR)
+        if facts.idle:
+            return placement.n_in_flight(self._state, step.target) == 0
+        # A server that is gone runs nothing once the leases of its tasks have lapsed.
+        heard_ms = max(facts.last_contact_ms or 0, facts.settled_ms)
+        return self.at_ms > heard_ms + int(MAX_TASK_LEASE_MS * DRIFT_FACTOR)
+
+    def is_settled(self, step: Step) -> bool:
+        """Tell whether no new task can start on the target of a draining step."""
+        facts = self._state.waves.workers.get(step.target)
+        instance = self._state.config.instances.get(step.target)
+        return (
+            facts is not None
+            and instance is not None
+            and instance.state is InstanceState.DRAINING
+            and facts.settled_ms is not None
+            and self.at_ms >= facts.settled_ms
+        )
+
+    def is_available(self, instance: str) -> bool:
+        """Tell whether the instance serves, or is gone for good."""
+        known = self._state.config.instances.get(instance)
+        if known is None:
+            return True
+        if known.state is not InstanceState.IN_SERVICE:
+            return False
+        return health.is_available(self._state, instance, self.at_ms)
+
+    def has_rebooted(self, step: Step) -> bool:
+        """Tell whether the target reports another boot than before the reboot."""
+        facts = self._state.waves.workers.get(step.target)
+        return facts is not None and facts.boot_id not in ("", step.boot_id)
+
+    def boot_id(self, instance: str) -> str:
+        """Return the last reported boot identifier, empty when there is none."""
+        facts = self._state.waves.workers.get(instance)
+        return facts.boot_id if facts is not None else ""
--- a/apricotgap/core/operator_intents.py
+++ b/apricotgap/core/operator_intents.py
@@ -18,10 +18,10 @@
     StoreList,
 )
 from apricotgap.core.events import CasResult, KeyValue
+from apricotgap.core.fleet_facts import unplanned_unavailable
 from apricotgap.core.limits import PLAN_RETENTION_MS
 from apricotgap.core.operators import Action, EditChange, PlanCall, answer_error
 from apricotgap.core.plan_cancel import cancel_plan
-from apricotgap.core.runner_view import unplanned_unavailable
 from apricotgap.errors import (
     ApricotgapError,
     ConflictError,
--- a/apricotgap/core/operators.py
+++ b/apricotgap/core/operators.py
@@ -8,9 +8,9 @@
 from apricotgap.core import config_view, config_writer
 from apricotgap.core.arguments import Arguments
 from apricotgap.core.effects import AnswerOperator, Effect
+from apricotgap.core.fleet_facts import in_force_revision
 from apricotgap.core.limits import IN_FORCE_BOUND_MS
 from apricotgap.core.object_kinds import require_consistent
-from apricotgap.core.runner_view import awaits_acknowledgement
 from apricotgap.errors import (
     ApricotgapError,
     ConflictError,
@@ -186,11 +186,10 @@
     operators = state.operators
     if not operators.awaited:
         return
-    pending = awaits_acknowledgement(state, at_ms)
+    revision = in_force_revision(state, at_ms)
     waiting = []
     for awaited in operators.awaited:
-        in_force = not pending and state.config.revision >= awaited.revision
-        if in_force or at_ms >= awaited.deadline_ms:
+        if revision >= awaited.revision or at_ms >= awaited.deadline_ms:
             yield _accepted(state, awaited, at_ms)
         else:
             waiting.append(awaited)
--- a/apricotgap/core/runner_view.py
+++ b/apricotgap/core/runner_view.py
@@ -1,17 +1,11 @@
 """What the runner may do next, worked out from the state without changing it."""
 
 from collections.abc import Collection, Iterator
-from collections.abc import Set as AbstractSet
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from apricotgap.core import config_view, health, placement
-from apricotgap.core.budgets import Grant, Grants, Usage, out_of_service
-from apricotgap.core.limits import (
-    DRIFT_FACTOR,
-    MAX_TASK_LEASE_MS,
-    START_WINDOW_MS,
-)
+from apricotgap.core.budgets import Grant, Grants, Usage
+from apricotgap.core.fleet_facts import FleetFacts, not_serving
 from apricotgap.core.plan_steps import (
     Phase,
     Transition,
@@ -31,136 +25,7 @@
 if TYPE_CHECKING:
     from apricotgap.core.state import EntryState
 
-__all__ = [
-    "FleetFacts",
-    "RunnerView",
-    "WorkerFacts",
-    "awaits_acknowledgement",
-    "unplanned_unavailable",
-]
-
-# The second report was asked for after the first had arrived, so it was taken after
-# the time from which no late dispatch can start.
-_N_IDLE_REPORTS = 2
-
-
-@dataclass(slots=True)
-class WorkerFacts:
-    """Reports of one instance; `n_idle_reports` counts those since it was last busy."""
-
-    boot_id: str = ""
-    n_idle_reports: int = 0
-    settled_ms: int | None = None
-    last_contact_ms: int | None = None
-
-    def note_report(self, n_running: int, boot_id: str, at_ms: int) -> None:
-        """Take a report in."""
-        self.boot_id = boot_id or self.boot_id
-        self.last_contact_ms = at_ms
-        settled = self.settled_ms is not None and at_ms >= self.settled_ms
-        self.n_idle_reports = (
-            self.n_idle_reports + 1 if settled and n_running == 0 else 0
-        )
-
-
-def awaits_acknowledgement(state: "EntryState", at_ms: int) -> bool:
-    """Tell whether an entry may still act on an older configuration."""
-    return bool(config_view.in_force_report(state, at_ms)["pending"])
-
-
-def unplanned_unavailable(
-    state: "EntryState", grants: Grants, at_ms: int
-) -> frozenset[str]:
-    """Return instances that should serve but do not.
-
-    Parameters
-    ----------
-    state : EntryState
-        State of the entry instance.
-    grants : Grants
-        Grants of plans; their instances are not unplanned.
-    at_ms : int
-        Present time.
-
-    Returns
-    -------
-    frozenset of str
-        Names of instances.
-    """
-    planned = out_of_service(state.config) | set(grants.instances)
-    return _not_serving(state, planned, at_ms)
-
-
-def _not_serving(
-    state: "EntryState", planned: AbstractSet[str], at_ms: int
-) -> frozenset[str]:
-    return frozenset(
-        name
-        for name in state.config.instances
-        if name not in planned and not health.is_available(state, name, at_ms)
-    )
-
-
-class FleetFacts:
-    """Answers the questions of step actions from the state of the entry."""
-
-    def __init__(self, state: "EntryState", at_ms: int) -> None:
-        self._state = state
-        self.at_ms = at_ms
-        in_force = not awaits_acknowledgement(state, at_ms)
-        self.in_force_revision = state.config.revision if in_force else 0
-
-    def note_in_force(self) -> None:
-        """Record since when the changes of steps have been in force."""
-        waves = self._state.waves
-        for plan in self._state.config.active_plans.values():
-            for step in plan.steps:
-                key = (plan.plan_id, step.index)
-                if step.state is not StepState.RUNNING or key in waves.in_force_at_ms:
-                    continue
-                since = waves.since_revision.setdefault(
-                    key, self._state.config.revision
-                )
-                if self.in_force_revision >= since:
-                    waves.in_force_at_ms[key] = self.at_ms
-
-    def is_in_force(self, plan_id: str, step: Step) -> bool:
-        """Tell whether the last change of the step is in force everywhere."""
-        return (plan_id, step.index) in self._state.waves.in_force_at_ms
-
-    def is_drained(self, plan_id: str, step: Step) -> bool:
-        """Tell whether no task runs on the target and none can start."""
-        waves = self._state.waves
-        in_force_ms = waves.in_force_at_ms.get((plan_id, step.index))
-        facts = waves.workers.get(step.target)
-        if in_force_ms is None or facts is None:
-            return False
-        if facts.settled_ms is None:
-            facts.settled_ms = in_force_ms + int(START_WINDOW_MS * DRIFT_FACTOR)
-        if facts.n_idle_reports >= _N_IDLE_REPORTS:
-            return placement.n_in_flight(self._state, step.target) == 0
-        # A server that is gone runs nothing once the leases of its tasks have lapsed.
-        heard_ms = max(facts.last_contact_ms or 0, facts.settled_ms)
-        return self.at_ms > heard_ms + int(MAX_TASK_LEASE_MS * DRIFT_FACTOR)
-
-    def is_available(self, instance: str) -> bool:
-        """Tell whether the instance serves, or is gone for good."""
-        known = self._state.config.instances.get(instance)
-        if known is None:
-            return True
-        if known.state is not InstanceState.IN_SERVICE:
-            return False
-        return health.is_available(self._state, instance, self.at_ms)
-
-    def has_rebooted(self, step: Step) -> bool:
-        """Tell whether the target reports another boot than before the reboot."""
-        facts = self._state.waves.workers.get(step.target)
-        return facts is not None and facts.boot_id not in ("", step.boot_id)
-
-    def boot_id(self, instance: str) -> str:
-        """Return the last reported boot identifier, empty when there is none."""
-        facts = self._state.waves.workers.get(instance)
-        return facts.boot_id if facts is not None else ""
+__all__ = ["RunnerView"]
 
 
 class RunnerView:
@@ -195,6 +60,12 @@
                 ):
                     yield plan.plan_id, step
 
+    def to_probe(self) -> Iterator[Step]:
+        """List running steps that a report of their target may complete."""
+        for _, step in self.running_on_instances():
+            if step.kind is StepKind.REBOOT or self._facts.is_settled(step):
+                yield step
+
     def startable_reboots(self) -> Iterator[tuple[str, Step]]:
         """List reboots that wait for the boot identifier of their target."""
         for plan in self._plans:
@@ -212,7 +83,7 @@
         if not any(self._needed_grants()):
             return replace(self._grants, instances=kept)
         planned = self._usage.out | set(self._grants.instances)
-        self._unplanned = _not_serving(self._state, planned, self._facts.at_ms)
+        self._unplanned = not_serving(self._state, planned, self._facts.at_ms)
         usage = self._usage.copy()
         usage.take(kept)
         usage.take(self._unplanned)
--- a/apricotgap/core/wave_handlers.py
+++ b/apricotgap/core/wave_handlers.py
@@ -40,9 +40,7 @@
     def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
         """Note the report."""
         assert isinstance(event, WorkerReported)
-        waves.note_report(
-            state, event.instance, event.n_running, event.boot_id, event.at_ms
-        )
+        waves.note_report(state, event)
         return ()
 
 
--- a/apricotgap/core/waves.py
+++ b/apricotgap/core/waves.py
@@ -13,6 +13,8 @@
     ProbeWorker,
     RebootInstance,
 )
+from apricotgap.core.events import WorkerReported
+from apricotgap.core.fleet_facts import FleetFacts, WorkerFacts
 from apricotgap.core.limits import (
     IN_FORCE_BOUND_MS,
     REBOOT_REPEAT_MS,
@@ -25,7 +27,7 @@
     apply_transition,
 )
 from apricotgap.core.runner_role import RoleState
-from apricotgap.core.runner_view import FleetFacts, RunnerView, WorkerFacts
+from apricotgap.core.runner_view import RunnerView
 from apricotgap.errors import ApricotgapError, ConflictError
 from apricotgap.model import Configuration, Step, StepKind
 
@@ -34,6 +36,11 @@
 
 __all__ = ["StepsChange", "WaveState", "has_work", "note_report", "tick"]
 
+# Bounds the network load of the runner while a whole data centre drains.
+_PROBES_PER_S = 20
+_PROBE_BURST = 100
+_BOOT_PROBE_INTERVAL_MS = 1_000
+
 
 @dataclass(slots=True)
 class WaveState:
@@ -59,6 +66,10 @@
         When a probe or reboot of an instance was last sent.
     next_advance_ms : int
         When the runner looks at the plans again.
+    probe_tokens : float
+        Probes that may be sent now, as of `refilled_ms`.
+    refilled_ms : int
+        When `probe_tokens` was computed.
     usage : Usage or None
         Budgets as spent by the configuration alone, at `usage_revision`.
     usage_revision : int
@@ -74,6 +85,8 @@
     held_since_ms: int = 0
     repeated_at_ms: dict[tuple[str, str], int] = field(default_factory=dict)
     next_advance_ms: int = 0
+    probe_tokens: float = _PROBE_BURST
+    refilled_ms: int = 0
     usage: Usage | None = None
     usage_revision: int = -1
 
@@ -188,13 +201,11 @@
         yield from _advance(state, at_ms)
 
 
-def note_report(
-    state: "EntryState", instance: str, n_running: int, boot_id: str, at_ms: int
-) -> None:
+def note_report(state: "EntryState", report: WorkerReported) -> None:
     """Note a status report of an instance that a step waits for."""
-    facts = state.waves.workers.get(instance)
+    facts = state.waves.workers.get(report.instance)
     if facts is not None:
-        facts.note_report(n_running, boot_id, at_ms)
+        facts.note_report(report)
 
 
 def _forget_progress(waves: WaveState) -> None:
@@ -269,16 +280,37 @@
 def _repeat_calls(
     state: "EntryState", view: RunnerView, at_ms: int
 ) -> Iterator[Effect]:
-    for plan_id, step in view.running_on_instances():
-        instance = state.config.instances.get(step.target)
-        if instance is None:
-            continue
-        if _is_due(state.waves, ("probe", step.target), STATUS_INTERVAL_MS, at_ms):
+    waves = state.waves
+    earned = (at_ms - waves.refilled_ms) * _PROBES_PER_S / 1000
+    waves.probe_tokens = min(waves.probe_tokens + earned, _PROBE_BURST)
+    waves.refilled_ms = at_ms
+    yield from _repeat_reboots(state, view, at_ms)
+    steps = sorted(
+        view.to_probe(),
+        key=lambda s: (waves.repeated_at_ms.get(("probe", s.target), -1), s.target),
+    )
+    for step in steps:
+        is_reboot = step.kind is StepKind.REBOOT
+        interval_ms = _BOOT_PROBE_INTERVAL_MS if is_reboot else STATUS_INTERVAL_MS
+        if waves.probe_tokens >= 1 and _is_due(
+            waves, ("probe", step.target), interval_ms, at_ms
+        ):
+            waves.probe_tokens -= 1
+            instance = state.config.instances[step.target]
             yield ProbeWorker(instance.name, instance.address)
+
+
+def _repeat_reboots(
+    state: "EntryState", view: RunnerView, at_ms: int
+) -> Iterator[Effect]:
+    waves = state.waves
+    for plan_id, step in view.running_on_instances():
         if step.kind is StepKind.REBOOT and _is_due(
-            state.waves, ("reboot", step.target), REBOOT_REPEAT_MS, at_ms
+            waves, ("reboot", step.target), REBOOT_REPEAT_MS, at_ms
         ):
-            yield RebootInstance(instance.name, _step_id(plan_id, step))
+            # The report of a server that has not gone down yet tells nothing.
+            waves.repeated_at_ms["probe", step.target] = at_ms
+            yield RebootInstance(step.target, _step_id(plan_id, step))
 
 
 def _step_id(plan_id: str, step: Step) -> str:
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -94,7 +94,7 @@
         self.n_writes = 0
         self.n_leases = 0
         self.failed: set[str] = set()
-        self.pending: dict[str, str] = {}
+        self.missing: list[str] = []
         self.busy: set[str] = set()
         self.boots: dict[str, int] = {}
         self.rebooted_while_serving: list[str] = []
@@ -102,13 +102,14 @@
         self.view = ViewCase.LINKED
         self.least_serving = len(config.instances)
         self.n_changes = 0
+        self.tells_sent_ms = True
         self.lost_answers = 0
         self.fault_rng: Random | None = None
         self.unhealthy: set[str] = set()
         self.in_flight: set[str] = set()
         fakes = (
             (config_writer, "propose", self._propose),
-            (config_view, "in_force_report", lambda s, t: {"pending": self.pending}),
+            (config_view, "in_force_report", self._in_force_report),
             (config_view, "view_case", lambda s, t: self.view),
             (config_view, "ViewCase", ViewCase),
             (health, "is_available", self._is_available),
@@ -122,6 +123,14 @@
         ]
         self._share()
 
+    def _in_force_report(self, state, at_ms):
+        return {
+            "revision": self.config.revision,
+            "in_force": not self.missing,
+            "missing": self.missing,
+            "isolated_data_centres": [],
+        }
+
     def _is_available(self, state, name, at_ms):
         return name not in self.failed | self.unhealthy
 
@@ -209,10 +218,16 @@
         if name in self.failed:
             return
         n_running = int(name in self.busy)
-        boot = f"boot{self.boots.get(name, 0)}"
-        self.send(
-            entry, WorkerReported(self.now_ms, name, 0, 8, n_running, boot_id=boot)
+        report = WorkerReported(
+            self.now_ms,
+            name,
+            self.now_ms + 77,
+            8,
+            n_running,
+            boot_id=f"boot{self.boots.get(name, 0)}",
+            sent_ms=self.now_ms if self.tells_sent_ms else None,
         )
+        self.send(entry, report)
 
     def serving(self, pool="a"):
         return sum(
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -121,12 +121,12 @@
 def test_withdrawal_reports_where_it_is_pending(world):
     """Guards against a withdrawal reported as in force everywhere too early."""
     world.call("key.grant", digest=DIGEST, team="t")
-    world.pending = {"e9": "isolated"}
+    world.missing = ["e9"]
     assert world.call("key.withdraw", digest=DIGEST) is None
     world.run(5_100)
     answer = next(a for c, a in world.answers.items() if "withdraw" in c)
     assert answer.result["accepted"]
-    assert answer.result["in_force"]["pending"] == {"e9": "isolated"}
+    assert answer.result["in_force"]["missing"] == ["e9"]
 
 
 def test_changes_are_refused_while_the_store_is_down(world):
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -4,7 +4,8 @@
 
 from apricotgap.core import budgets
 from apricotgap.core.effects import LogChange, RevokeLease
-from apricotgap.core.events import Tick
+from apricotgap.core.events import Tick, WorkerReported
+from apricotgap.core.fleet_facts import WorkerFacts
 from apricotgap.core.plan_steps import (
     ConfigDraft,
     Phase,
@@ -51,7 +52,7 @@
 
 def test_drain_waits_until_every_entry_has_the_change(world):
     """Guards against a drain that an entry with an old view does not know of."""
-    world.pending = {"e9": "not acknowledged"}
+    world.missing = ["e9"]
     world.confirm("drain_instance", "d1-a0")
     world.run(60_000)
     assert world.config.instances["d1-a0"].state is InstanceState.DRAINING
@@ -92,6 +93,26 @@
     assert len(world.boots) == 1
 
 
+def test_reports_older_than_the_last_dispatch_do_not_prove_a_drain():
+    """Guards against a report held up on its way, or in a paused entry."""
+    late = WorkerFacts(settled_ms=1_000)
+    late.note_report(WorkerReported(9_000, "w", 500, 8, 0, sent_ms=999))
+    assert not late.idle
+    held_up = WorkerFacts(settled_ms=1_000)
+    for server_ms in (500, 1_900):
+        held_up.note_report(WorkerReported(9_000, "w", server_ms, 8, 0))
+    assert not held_up.idle
+    held_up.note_report(WorkerReported(9_100, "w", 2_500, 8, 0))
+    assert held_up.idle
+
+
+def test_drain_ends_without_the_time_of_probes(world):
+    """Guards against a plan stuck with a driver that does not tell it."""
+    world.tells_sent_ms = False
+    world.confirm("roll_pool", "a")
+    assert world.run(300_000, finished(world))
+
+
 def test_drain_waits_for_dispatches_of_the_own_entry(world):
     """Guards against a drain that overlooks a task the server did not report."""
     world.in_flight.add("d1-a0")
@@ -229,7 +250,7 @@
         if rng.random() < 0.05:
             world.busy ^= {name}
         if rng.random() < 0.02:
-            world.pending = {} if world.pending else {"e9": "cut off"}
+            world.missing = [] if world.missing else ["e9"]
         if rng.random() < 0.003:
             world.store.pop("roles/waves", None)
         if world.now_ms >= cancel_ms and plan_id in world.config.active_plans:
@@ -237,7 +258,7 @@
     world.fault_rng = None
     world.failed.clear()
     world.busy.clear()
-    world.pending = {}
+    world.missing = []
     world.store.pop("roles/waves", None)
     assert world.run(400_000, finished(world))
     out = {n for n, i in world.config.instances.items() if i.state != "in_service"}
