--- a/apricotgap/cli/__init__.py
+++ b/apricotgap/cli/__init__.py
@@ -49,4 +49,6 @@
 objects.add_commands(main)
 intents.add_commands(main)
 if importlib.util.find_spec(_DAEMON_COMMANDS) is not None:
-    importlib.import_module(_DAEMON_COMMANDS).add_commands(main)
+    daemon = importlib.import_module(_DAEMON_COMMANDS)
+    main.add_command(daemon.entry)
+    main.add_command(daemon.settings)
