Look at paused plans less often and never call a plan paused between its grants and its steps

A look at a blocked plan asks for the health of all instances, 4.5 ms at 2,100. Paused plans are now looked at every 2 s. A plan that had just taken grants was for one look reported as paused, which cost two configuration changes a wave.

--- a/apricotgap/core/limits.py
+++ b/apricotgap/core/limits.py
@@ -16,6 +16,7 @@
     "RECLAIM_GRACE_MS",
     "RUNNER_INTERVAL_MS",
     "RUNNER_LEASE_MS",
+    "RUNNER_PAUSED_INTERVAL_MS",
     "RUNNER_RETRY_MS",
     "START_WINDOW_MS",
     "STATUS_INTERVAL_MS",
@@ -54,10 +55,11 @@
 OUTCOME_RETENTION_MS = 600_000
 CLAIM_RETENTION_MS = 86_400_000
 
-# Of the maintenance runner: its lease, how often it looks at the plans, how often
-# others look for a free role, and how often a reboot request is repeated until the
-# instance reports a new boot.
+# Of the maintenance runner: how often it looks at the plans (less often while all
+# are paused), its lease, how often others look for a free role, and how often a
+# reboot request is repeated until the instance reports a new boot.
 RUNNER_INTERVAL_MS = 500
+RUNNER_PAUSED_INTERVAL_MS = 2_000
 RUNNER_LEASE_MS = 10_000
 RUNNER_RETRY_MS = 3_000
 REBOOT_REPEAT_MS = 10_000
--- a/apricotgap/core/runner_view.py
+++ b/apricotgap/core/runner_view.py
@@ -49,6 +49,7 @@
         self._grants = state.waves.role.grants
         self._plans = [plan for _, plan in sorted(state.config.active_plans.items())]
         self._blocked: dict[str, str] = {}
+        self._next: dict[str, Grant] = {}
         self._unplanned: frozenset[str] = frozenset()
 
     def running_on_instances(self) -> Iterator[tuple[str, Step]]:
@@ -89,6 +90,7 @@
         usage.take(self._unplanned)
         for plan in self._plans:
             self._grant_plan(plan, usage, kept)
+        self._next = kept
         return replace(self._grants, instances=kept)
 
     def _needed_grants(self) -> Iterator[bool]:
@@ -178,12 +180,18 @@
         )
 
     def _pause_reason(self, plan: Plan) -> str:
-        if plan.plan_id not in self._blocked or any(
-            s.state is StepState.RUNNING for s in plan.steps
-        ):
+        goes_on = any(s.state is StepState.RUNNING for s in plan.steps) or any(
+            grant.plan_id == plan.plan_id and self._is_unfinished(plan, name)
+            for name, grant in self._next.items()
+        )
+        if goes_on or plan.plan_id not in self._blocked:
             return ""
         return self._blocked[plan.plan_id]
 
+    @staticmethod
+    def _is_unfinished(plan: Plan, target: str) -> bool:
+        return any(s.target == target and not s.finished for s in plan.steps)
+
     def _has_grants(self, plan: Plan, step: Step) -> bool:
         return all(
             t in self._grants.instances or t not in self._config.instances
--- a/apricotgap/core/waves.py
+++ b/apricotgap/core/waves.py
@@ -19,6 +19,7 @@
     IN_FORCE_BOUND_MS,
     REBOOT_REPEAT_MS,
     RUNNER_INTERVAL_MS,
+    RUNNER_PAUSED_INTERVAL_MS,
     STATUS_INTERVAL_MS,
 )
 from apricotgap.core.plan_steps import (
@@ -197,7 +198,10 @@
             _forget_progress(waves)
         return
     if wanted and at_ms >= waves.next_advance_ms:
-        waves.next_advance_ms = at_ms + RUNNER_INTERVAL_MS
+        # Each look at a paused plan asks for the health of all instances.
+        all_paused = all(p.paused_reason for p in state.config.active_plans.values())
+        interval_ms = RUNNER_PAUSED_INTERVAL_MS if all_paused else RUNNER_INTERVAL_MS
+        waves.next_advance_ms = at_ms + interval_ms
         yield from _advance(state, at_ms)
 
 
