--- a/apricotgap/core/runner_view.py
+++ b/apricotgap/core/runner_view.py
@@ -62,10 +62,14 @@
                     yield plan.plan_id, step
 
     def to_probe(self) -> Iterator[Step]:
-        """List running steps that a report of their target may complete."""
+        """List steps that a report of their target may start or complete."""
         for _, step in self.running_on_instances():
             if step.kind is StepKind.REBOOT or self._facts.is_settled(step):
                 yield step
+        for _, step in self.startable_reboots():
+            known = step.target in self._config.instances
+            if known and not self._facts.boot_id(step.target):
+                yield step
 
     def startable_reboots(self) -> Iterator[tuple[str, Step]]:
         """List reboots that wait for the boot identifier of their target."""
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -93,6 +93,9 @@
         self.store: dict[str, tuple[bytes, int]] = {}
         self.n_writes = 0
         self.n_leases = 0
+        self.kept_ms: dict[int, int] = {}
+        self.cut_leases: set[int] = set()
+        self.role_lease = 0
         self.failed: set[str] = set()
         self.missing: list[str] = []
         self.busy: set[str] = set()
@@ -176,12 +179,17 @@
             self.send(entry, self._cas(effect))
         elif isinstance(effect, GrantLease):
             self.n_leases += 1
+            self.kept_ms[self.n_leases] = now
             event = LeaseGranted(now, effect.call_id, self.n_leases, 10_000, now)
             self.send(entry, event)
         elif isinstance(effect, KeepLease) and not self._fault(0.3):
+            if effect.lease_id in self.cut_leases:
+                return
+            self.kept_ms[effect.lease_id] = now
             self.send(entry, LeaseKept(now, effect.lease_id, 10_000, now))
         elif isinstance(effect, RevokeLease):
-            self.store.pop("roles/waves", None)
+            if effect.lease_id == self.role_lease:
+                self.store.pop("roles/waves", None)
         elif isinstance(effect, ProbeWorker):
             self.report(entry, effect.instance)
         elif isinstance(effect, RebootInstance):
@@ -199,6 +207,8 @@
             return CasFinished(
                 self.now_ms, effect.call_id, effect.key, CasResult.CONFLICT
             )
+        if effect.key == "roles/waves":
+            self.role_lease = effect.lease_id
         self.n_writes += 1
         self.store[effect.key] = (effect.value, self.n_writes)
         result = CasResult.STORED
@@ -252,6 +262,8 @@
         end_ms = self.now_ms + duration_ms
         while self.now_ms < end_ms and not until():
             self.now_ms += 100
+            if self.now_ms >= self.kept_ms.get(self.role_lease, 0) + 10_000:
+                self.store.pop("roles/waves", None)
             for entry in list(self.entries):
                 self.send(entry, Tick(self.now_ms))
             self.least_serving = min(self.least_serving, self.serving())
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -106,6 +106,18 @@
     assert held_up.idle
 
 
+def test_server_that_was_silent_while_drained_is_rebooted_when_heard(world):
+    """Guards against a reboot that waits for a report nobody asks for."""
+    world.confirm("drain_instance", "d1-a0", reboot="true")
+    world.run(1_500)
+    world.failed.add("d1-a0")
+    world.run(60_000)
+    assert not world.boots
+    world.failed.clear()
+    assert world.run(60_000, finished(world))
+    assert set(world.boots) == {"d1-a0"}
+
+
 def test_drain_ends_without_the_time_of_probes(world):
     """Guards against a plan stuck with a driver that does not tell it."""
     world.tells_sent_ms = False
@@ -251,15 +263,14 @@
             world.busy ^= {name}
         if rng.random() < 0.02:
             world.missing = [] if world.missing else ["e9"]
-        if rng.random() < 0.003:
-            world.store.pop("roles/waves", None)
+        if rng.random() < 0.005:
+            world.cut_leases.add(world.role_lease)
         if world.now_ms >= cancel_ms and plan_id in world.config.active_plans:
             world.call("intent.cancel", id=plan_id)
     world.fault_rng = None
     world.failed.clear()
     world.busy.clear()
     world.missing = []
-    world.store.pop("roles/waves", None)
     assert world.run(400_000, finished(world))
     out = {n for n, i in world.config.instances.items() if i.state != "in_service"}
     assert set(grants(world).instances) == out
