--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -4,7 +4,7 @@
 
 from apricotgap.core import budgets
 from apricotgap.core.effects import LogChange, RevokeLease
-from apricotgap.core.events import Tick, WorkerReported
+from apricotgap.core.events import CasFinished, CasResult, Tick, WorkerReported
 from apricotgap.core.fleet_facts import WorkerFacts
 from apricotgap.core.plan_steps import (
     ConfigDraft,
@@ -225,6 +225,32 @@
     assert not grants(world).instances
 
 
+def test_lent_capacity_stays_until_the_data_centre_serves_again(world):
+    """Guards against moves that start before the steps that they must follow."""
+    world.confirm("take_out_data_centre", "d1")
+    assert world.run(120_000, finished(world))
+    world.confirm("bring_back_data_centre", "d1")
+    world.missing = ["e9"]
+    world.run(60_000)
+    assert world.serving() == 8
+    world.missing = []
+    assert world.run(60_000, finished(world))
+    assert world.serving() == 6
+
+
+def test_answer_to_an_older_write_is_ignored(world):
+    """Guards against a late answer taken for that of the write under way."""
+    world.confirm("roll_pool", "a")
+    world.run(60_000, lambda: bool(world.boots))
+    entry = next(e for e in world.entries if e.state.waves.role.is_held(world.now_ms))
+    role = entry.state.waves.role
+    old_call, before = role.call_id, role.grants
+    role.begin_write(budgets.Grants(role.epoch, "x", "w", {}), world.now_ms)
+    stored = CasFinished(world.now_ms, old_call, "grants", CasResult.STORED, 99)
+    assert not entry.step(stored)
+    assert role.grants == before
+
+
 def test_move_never_counts_an_instance_in_two_pools(world):
     """Guards against a move that joins before it has drained."""
     world.busy.add("d1-s0")
