--- a/apricotgap/drivers/operators.py
+++ b/apricotgap/drivers/operators.py
@@ -75,7 +75,8 @@
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
         """Serve one HTTP request below ``/v1/operator/``."""
         if scope["type"] != "http":
-            return
+            # A server takes the exception as the lack of support for its lifespan.
+            raise NotImplementedError(f"scope type {scope['type']!r}")
         try:
             status, document = await self._serve(scope, receive)
         except ApricotgapError as error:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -186,3 +186,14 @@
     found, document = trio.run(lambda: _request(body, **options))
     assert found == status
     assert status == 200 or set(document) == {"kind", "message", "remedy"}
+
+
+def test_other_scopes_are_refused_as_asgi_demands():
+    """Guards against a server that cannot start since the app ends its lifespan."""
+
+    async def serve():
+        app = OperatorApp((), lambda event: None, FakeClock())
+        await app({"type": "lifespan"}, None, None)
+
+    with pytest.raises(NotImplementedError):
+        trio.run(serve)
