Add settings, telemetry, the runtime and the drivers for callers and backends

Cause: an entry instance needs checked settings and shells around the core. Conclusion: the daemon can be composed when the core modules are in.

--- /dev/null
+++ b/apricotgap/cli/daemon.py
@@ -0,0 +1,81 @@
+"""Commands that run an entry instance and check its settings."""
+
+import hashlib
+import sys
+
+import click
+
+from apricotgap.errors import SettingsError
+from apricotgap.settings import check_settings, load_settings
+
+__all__ = ["entry", "settings"]
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "settings_path",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="Settings of this entry instance, in YAML.",
+)
+def entry(settings_path: str) -> None:
+    """Run an entry instance until SIGTERM.
+
+    Example: apricotgap entry --settings examples/himsurya/entry.yaml
+    """
+    # The daemon's libraries are not needed by the other commands.
+    from apricotgap.entry import main  # noqa: PLC0415
+
+    try:
+        main(load_settings(settings_path))
+    except SettingsError as error:
+        click.echo(f"settings: {error}", err=True)
+        sys.exit(error.exit_code)
+    except OSError as error:
+        click.echo(
+            f"cannot listen: {error.strerror or error};"
+            " free the address or change it in the settings",
+            err=True,
+        )
+        sys.exit(1)
+
+
+@click.group()
+def settings() -> None:
+    """Check settings before an entry instance starts."""
+
+
+@settings.command("check")
+@click.argument("path", type=click.Path())
+def check(path: str) -> None:
+    """Check a settings file as a whole and list every mistake.
+
+    Example: apricotgap settings check examples/himsurya/entry.yaml
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or "it is not UTF-8 text"
+        click.echo(f"{path}: cannot be read: {reason}; name a readable file", err=True)
+        sys.exit(SettingsError.exit_code)
+    found, problems = check_settings(text)
+    for problem in problems:
+        click.echo(f"{path}: {problem}", err=True)
+    if found is None:
+        sys.exit(SettingsError.exit_code)
+    click.echo(f"{path}: valid, entry instance {found.entry.name!r}")
+
+
+@settings.command("digest")
+def digest() -> None:
+    """Read a credential from standard input and print its digest.
+
+    Example: apricotgap settings digest < credential.txt
+    """
+    secret = click.get_text_stream("stdin").readline().strip()
+    if not secret:
+        click.echo("no credential on standard input; pipe one line to it", err=True)
+        sys.exit(SettingsError.exit_code)
+    click.echo(hashlib.sha256(secret.encode()).hexdigest())
--- a/apricotgap/core/reducer.py
+++ b/apricotgap/core/reducer.py
@@ -2,11 +2,13 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterable, Iterator
-from typing import ClassVar
+from typing import TYPE_CHECKING, ClassVar
 
 from apricotgap.core.effects import Effect
 from apricotgap.core.events import Event
-from apricotgap.core.state import EntryState
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
 
 __all__ = ["Handler", "Reducer", "registered_handlers"]
 
@@ -31,7 +33,7 @@
             _HANDLERS.append(cls)
 
     @abstractmethod
-    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+    def apply(self, state: "EntryState", event: Event) -> Iterable[Effect]:
         """Change the state and return effects.
 
         Parameters
@@ -66,7 +68,7 @@
 
     def __init__(
         self,
-        state: EntryState,
+        state: "EntryState",
         handlers: Iterable[type[Handler]] | None = None,
     ) -> None:
         self._state = state
@@ -78,7 +80,7 @@
                 self._by_type[event_type] = (*known, handler)
 
     @property
-    def state(self) -> EntryState:
+    def state(self) -> "EntryState":
         """The state; read only for callers."""
         return self._state
 
--- /dev/null
+++ b/apricotgap/drivers/backends.py
@@ -0,0 +1,292 @@
+"""Tasks and probes to backend servers over HTTP."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import httpcore
+import trio
+
+from apricotgap.clock import Clock
+from apricotgap.core.effects import (
+    CheckpointTask,
+    Dispatch,
+    DropConnections,
+    Effect,
+    ProbeTask,
+    ProbeWorker,
+    RenewTask,
+    StopTask,
+    ThrottleTask,
+)
+from apricotgap.core.events import (
+    Event,
+    TaskCompleted,
+    TaskFailed,
+    TaskProbed,
+    TaskRefusal,
+    TaskRefused,
+    TaskState,
+    WorkerReported,
+    WorkerUnreachable,
+)
+from apricotgap.drivers.bodies import Answer, Bodies
+from apricotgap.drivers.spans import RequestSpans
+
+__all__ = ["BackendDriver"]
+
+_CONNECT_TIMEOUT_S = 1.0
+_PROBE_TIMEOUT_S = 1.5
+_MAX_ANSWER_BYTES = 64 * 1_048_576
+# Raised before any byte of the request was written.
+_NOT_SENT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.UnsupportedProtocol,
+)
+_NETWORK_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    httpcore.UnsupportedProtocol,
+)
+
+
+class _CrossedAnswerError(Exception):
+    """The answer names another task or is not whole."""
+
+
+class BackendDriver:
+    """Runs the effects towards backend servers.
+
+    Parameters
+    ----------
+    post : callable
+        Receives events.
+    clock : Clock
+        Time of the events.
+    bodies : Bodies
+        Bodies of requests and answers.
+    spans : RequestSpans
+        Spans of the requests under way.
+    max_connections : int
+        Most connections to one server.
+    """
+
+    def __init__(
+        self,
+        post: Callable[[Event], None],
+        clock: Clock,
+        bodies: Bodies,
+        spans: RequestSpans,
+        max_connections: int = 21,
+    ) -> None:
+        self._post = post
+        self._clock = clock
+        self._bodies = bodies
+        self._spans = spans
+        self._max_connections = max_connections
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def runners(self) -> dict[type[Effect], Callable[..., None]]:
+        """Runner of each effect type."""
+        return {
+            Dispatch: self._start(self._dispatch),
+            ProbeWorker: self._start(self._probe_worker),
+            ProbeTask: self._start(self._probe_task),
+            RenewTask: self._start(self._control("renew")),
+            CheckpointTask: self._start(self._control("checkpoint")),
+            ThrottleTask: self._start(self._control("throttle")),
+            StopTask: self._start(self._control("stop")),
+            DropConnections: self._drop_connections,
+        }
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run effects until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    def _start(self, function: Callable[[Any], Any]) -> Callable[[Effect], None]:
+        def runner(effect: Effect) -> None:
+            if self._nursery is not None:
+                self._nursery.start_soon(function, effect)
+
+        return runner
+
+    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=self._max_connections,
+                max_keepalive_connections=self._max_connections,
+                keepalive_expiry=30.0,
+            )
+            self._pools[address] = pool
+        return pool
+
+    def _drop_connections(self, effect: DropConnections) -> None:
+        # Requests in flight on the old pool finish there; it takes no new ones and
+        # its idle connections are not reused.
+        self._pools.pop(effect.address, None)
+
+    async def _dispatch(self, effect: Dispatch) -> None:
+        body = self._bodies.request(effect.request_id)
+        if body is None:
+            self._failed(effect, sent=False, message="the request body is gone")
+            return
+        started_ms = self._clock.now_ms
+        span = self._spans.start_task(effect)
+        headers = {
+            "Content-Type": "application/octet-stream",
+            "Apricotgap-Start-Deadline-Ms": str(effect.server_deadline_ms),
+            "Apricotgap-Task-Lease-Ms": str(effect.lease_ms),
+            "Apricotgap-Priority": effect.priority.value,
+            "Apricotgap-Team": effect.team,
+            **self._spans.trace_headers(span),
+        }
+        try:
+            response = await self._pool(effect.address).request(
+                "POST",
+                f"http://{effect.address}/v1/tasks/{effect.task_id}",
+                headers=headers,
+                content=body,
+                extensions={"timeout": _timeouts(effect.timeout_ms)},
+            )
+            self._finish(effect, response, started_ms)
+        except _NOT_SENT_ERRORS as error:
+            self._failed(effect, sent=False, message=_describe(error))
+        except httpcore.TimeoutException as error:
+            self._failed(effect, sent=True, timed_out=True, message=_describe(error))
+        except (*_NETWORK_ERRORS, _CrossedAnswerError) as error:
+            self._failed(effect, sent=True, message=_describe(error))
+        finally:
+            span.end()
+
+    def _finish(
+        self, effect: Dispatch, response: httpcore.Response, started_ms: int
+    ) -> None:
+        headers = {k.lower(): v for k, v in response.headers}
+        refusal = headers.get(b"apricotgap-not-run", b"").decode("latin-1")
+        answered_id = headers.get(b"apricotgap-task-id", b"").decode("latin-1")
+        if answered_id != effect.task_id:
+            # A later answer on this connection could be crossed as well.
+            self._pools.pop(effect.address, None)
+            raise _CrossedAnswerError(f"the answer is for task {answered_id!r}")
+        now_ms = self._clock.now_ms
+        if refusal in TaskRefusal._value2member_map_:
+            self._post(TaskRefused(now_ms, effect.task_id, TaskRefusal(refusal)))
+            return
+        content = response.content
+        declared = headers.get(b"content-length")
+        if declared is None or int(declared) != len(content):
+            raise _CrossedAnswerError("the answer is not whole")
+        if len(content) > _MAX_ANSWER_BYTES:
+            raise _CrossedAnswerError("the answer is too large")
+        content_type = headers.get(b"content-type", b"application/octet-stream")
+        self._bodies.put_answer(
+            effect.task_id,
+            Answer(response.status, content_type.decode("latin-1"), content),
+        )
+        self._post(
+            TaskCompleted(
+                now_ms,
+                effect.task_id,
+                response.status,
+                len(content),
+                now_ms - started_ms,
+            )
+        )
+
+    def _failed(
+        self, effect: Dispatch, *, sent: bool, message: str, timed_out: bool = False
+    ) -> None:
+        self._post(
+            TaskFailed(self._clock.now_ms, effect.task_id, sent, timed_out, message)
+        )
+
+    async def _probe_worker(self, effect: ProbeWorker) -> None:
+        try:
+            data = await self._get(effect.address, "/v1/status", fresh=effect.fresh)
+            report = WorkerReported(
+                self._clock.now_ms,
+                effect.instance,
+                int(data["now_ms"]),
+                int(data["slots"]),
+                int(data["running"]),
+                bool(data.get("draining", False)),
+                str(data.get("boot_id", "")),
+                {str(k): int(v) for k, v in data.get("running_by_team", {}).items()},
+            )
+        except (*_NETWORK_ERRORS, ValueError, KeyError, TypeError, AttributeError):
+            self._post(WorkerUnreachable(self._clock.now_ms, effect.instance))
+            return
+        self._post(report)
+
+    async def _probe_task(self, effect: ProbeTask) -> None:
+        state: TaskState | None = None
+        server_now_ms = 0
+        try:
+            path = f"/v1/tasks/{effect.task_id}"
+            data = await self._get(effect.address, path, fresh=True)
+            state = TaskState(data["state"])
+            server_now_ms = int(data.get("now_ms", 0))
+        except (*_NETWORK_ERRORS, ValueError, KeyError, TypeError):
+            state = None
+        self._post(TaskProbed(self._clock.now_ms, effect.task_id, state, server_now_ms))
+
+    async def _get(self, address: str, path: str, *, fresh: bool) -> Any:
+        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), _PROBE_TIMEOUT_S)
+        url = f"http://{address}{path}"
+        if not fresh:
+            response = await self._pool(address).request(
+                "GET", url, extensions={"timeout": timeouts}
+            )
+        else:
+            async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+                response = await pool.request(
+                    "GET",
+                    url,
+                    headers={"Connection": "close"},
+                    extensions={"timeout": timeouts},
+                )
+        if response.status != 200:
+            raise ValueError(f"status {response.status}")
+        return json.loads(response.content)
+
+    def _control(self, action: str) -> Callable[[Any], Any]:
+        async def call(effect: Any) -> None:
+            timeouts = dict.fromkeys(
+                ("connect", "read", "write", "pool"), _PROBE_TIMEOUT_S
+            )
+            url = f"http://{effect.address}/v1/tasks/{effect.task_id}/{action}"
+            # A control call that fails is repeated by the core or ends with the
+            # task lease, so the failure needs no event.
+            try:
+                await self._pool(effect.address).request(
+                    "POST", url, extensions={"timeout": timeouts}
+                )
+            except _NETWORK_ERRORS:
+                return
+
+        return call
+
+
+def _timeouts(timeout_ms: int) -> dict[str, float]:
+    silence_s = timeout_ms / 1000
+    return {
+        "connect": _CONNECT_TIMEOUT_S,
+        "pool": _CONNECT_TIMEOUT_S,
+        "read": silence_s,
+        "write": silence_s,
+    }
+
+
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}".rstrip(": ")
--- /dev/null
+++ b/apricotgap/drivers/bodies.py
@@ -0,0 +1,69 @@
+"""Bodies of requests and answers, which never enter the core."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+__all__ = ["Answer", "Bodies"]
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A backend server's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Bodies:
+    """Holds request bodies while they are needed and answers for repeated queries.
+
+    Parameters
+    ----------
+    max_retained_bytes : int
+        Most bytes of answers kept after their requests ended; the oldest go first.
+    """
+
+    def __init__(self, max_retained_bytes: int) -> None:
+        self._max_retained_bytes = max_retained_bytes
+        self._requests: dict[str, bytes] = {}
+        self._answers: dict[str, Answer] = {}
+        self._retained: OrderedDict[str, Answer] = OrderedDict()
+        self._n_retained_bytes = 0
+
+    def put_request(self, request_id: str, body: bytes) -> None:
+        """Hold the body of a request."""
+        self._requests[request_id] = body
+
+    def request(self, request_id: str) -> bytes | None:
+        """Return the body of a request, None if it is not held."""
+        return self._requests.get(request_id)
+
+    def drop_request(self, request_id: str) -> None:
+        """Forget the body of a request."""
+        self._requests.pop(request_id, None)
+
+    def put_answer(self, task_id: str, answer: Answer) -> None:
+        """Hold the answer of a task until its request is concluded."""
+        self._answers[task_id] = answer
+
+    def take_answer(self, task_id: str) -> Answer | None:
+        """Return the answer of a task and stop holding it."""
+        return self._answers.pop(task_id, None)
+
+    def retain(self, request_id: str, answer: Answer) -> None:
+        """Keep the answer of a request for later queries."""
+        self._forget(request_id)
+        self._retained[request_id] = answer
+        self._n_retained_bytes += len(answer.body)
+        while self._n_retained_bytes > self._max_retained_bytes:
+            self._forget(next(iter(self._retained)))
+
+    def retained(self, request_id: str) -> Answer | None:
+        """Return the kept answer of a request, None if it was dropped."""
+        return self._retained.get(request_id)
+
+    def _forget(self, request_id: str) -> None:
+        answer = self._retained.pop(request_id, None)
+        if answer is not None:
+            self._n_retained_bytes -= len(answer.body)
--- /dev/null
+++ b/apricotgap/drivers/http.py
@@ -0,0 +1,150 @@
+"""Small helpers for plain ASGI applications."""
+
+import json
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+import trio
+
+from apricotgap.errors import ApricotgapError
+
+__all__ = [
+    "BodyTooLargeError",
+    "BodyIncompleteError",
+    "Receive",
+    "Scope",
+    "Send",
+    "headers_of",
+    "read_body",
+    "send_error",
+    "send_json",
+    "send_response",
+]
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+
+class BodyTooLargeError(ApricotgapError):
+    """The body is larger than allowed."""
+
+    kind = "too_large"
+    http_status = 413
+
+
+class BodyIncompleteError(ApricotgapError):
+    """The body did not arrive whole in time."""
+
+    kind = "body_incomplete"
+    http_status = 408
+
+
+def headers_of(scope: Scope) -> dict[str, str]:
+    """Return the request headers with lower-case names."""
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in scope["headers"]
+    }
+
+
+async def read_body(
+    headers: dict[str, str], receive: Receive, max_bytes: int, timeout_ms: int
+) -> bytes:
+    """Read a whole request body.
+
+    Parameters
+    ----------
+    headers : dict of str to str
+        Request headers with lower-case names.
+    receive : callable
+        ASGI receive.
+    max_bytes : int
+        Largest body.
+    timeout_ms : int
+        Longest time for the whole body.
+
+    Returns
+    -------
+    bytes
+        The body.
+
+    Raises
+    ------
+    BodyTooLargeError, BodyIncompleteError
+        The body must not be used.
+    """
+    too_large = BodyTooLargeError(
+        f"the body has more than {max_bytes} bytes", "send a smaller body"
+    )
+    declared = headers.get("content-length", "0")
+    if declared.isdigit() and int(declared) > max_bytes:
+        raise too_large
+    chunks = []
+    n_bytes = 0
+    with trio.move_on_after(timeout_ms / 1000) as scope:
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                break
+            chunk = message.get("body", b"")
+            n_bytes += len(chunk)
+            if n_bytes > max_bytes:
+                raise too_large
+            chunks.append(chunk)
+            if not message.get("more_body", False):
+                return b"".join(chunks)
+    what = "did not arrive in time" if scope.cancelled_caught else "was cut short"
+    raise BodyIncompleteError(f"the body {what}", "send the whole body again")
+
+
+async def send_response(
+    send: Send,
+    status: int,
+    body: bytes,
+    content_type: str,
+    headers: dict[str, str] | None = None,
+) -> None:
+    """Send a whole response."""
+    fields = {
+        "content-type": content_type,
+        "content-length": str(len(body)),
+        **(headers or {}),
+    }
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [
+                (name.encode("latin-1"), value.encode("latin-1"))
+                for name, value in fields.items()
+            ],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def send_json(
+    send: Send, status: int, data: Any, headers: dict[str, str] | None = None
+) -> None:
+    """Send a JSON response."""
+    body = json.dumps(data).encode()
+    await send_response(send, status, body, "application/json", headers)
+
+
+async def send_error(
+    send: Send,
+    error: ApricotgapError,
+    request_id: str = "",
+    outcome: str = "not_run",
+) -> None:
+    """Send a structured error."""
+    data = {
+        "kind": error.kind,
+        "message": error.message,
+        "remedy": error.remedy,
+        "request_id": request_id,
+        "outcome": outcome,
+    }
+    headers = {"connection": "close"} if error.http_status in (408, 413) else None
+    await send_json(send, error.http_status, data, headers)
