--- a/apricotgap/cli/daemon.py
+++ b/apricotgap/cli/daemon.py
@@ -74,7 +74,7 @@
 
     Example: apricotgap settings digest < credential.txt
     """
-    secret = click.get_text_stream("stdin").readline().strip()
+    secret = sys.stdin.readline().strip()
     if not secret:
         click.echo("no credential on standard input; pipe one line to it", err=True)
         sys.exit(SettingsError.exit_code)
--- a/apricotgap/drivers/backends.py
+++ b/apricotgap/drivers/backends.py
@@ -51,9 +51,10 @@
     httpcore.ProtocolError,
     httpcore.UnsupportedProtocol,
 )
+_REFUSALS = {refusal.value: refusal for refusal in TaskRefusal}
 
 
-class _CrossedAnswerError(Exception):
+class _BadAnswerError(Exception):
     """The answer names another task or is not whole."""
 
 
@@ -143,7 +144,7 @@
             return
         started_ms = self._clock.now_ms
         span = self._spans.start_task(effect)
-        headers = {
+        headers: dict[str, str] = {
             "Content-Type": "application/octet-stream",
             "Apricotgap-Start-Deadline-Ms": str(effect.server_deadline_ms),
             "Apricotgap-Task-Lease-Ms": str(effect.lease_ms),
@@ -152,47 +153,50 @@
             **self._spans.trace_headers(span),
         }
         try:
-            response = await self._pool(effect.address).request(
+            async with self._pool(effect.address).stream(
                 "POST",
                 f"http://{effect.address}/v1/tasks/{effect.task_id}",
-                headers=headers,
+                headers=list(headers.items()),
                 content=body,
                 extensions={"timeout": _timeouts(effect.timeout_ms)},
-            )
-            self._finish(effect, response, started_ms)
+            ) as response:
+                self._check_task_id(effect, response)
+                content = await _read_bounded(response)
+            self._finish(effect, response, content, started_ms)
         except _NOT_SENT_ERRORS as error:
             self._failed(effect, sent=False, message=_describe(error))
         except httpcore.TimeoutException as error:
             self._failed(effect, sent=True, timed_out=True, message=_describe(error))
-        except (*_NETWORK_ERRORS, _CrossedAnswerError) as error:
+        except (*_NETWORK_ERRORS, _BadAnswerError) as error:
             self._failed(effect, sent=True, message=_describe(error))
         finally:
             span.end()
 
+    def _check_task_id(self, effect: Dispatch, response: httpcore.Response) -> None:
+        answered_id = _header(response, b"apricotgap-task-id")
+        if answered_id == effect.task_id:
+            return
+        # A later answer on this connection could be crossed as well.
+        self._pools.pop(effect.address, None)
+        raise _BadAnswerError(f"the answer is for task {answered_id!r}")
+
     def _finish(
-        self, effect: Dispatch, response: httpcore.Response, started_ms: int
+        self,
+        effect: Dispatch,
+        response: httpcore.Response,
+        content: bytes,
+        started_ms: int,
     ) -> None:
-        headers = {k.lower(): v for k, v in response.headers}
-        refusal = headers.get(b"apricotgap-not-run", b"").decode("latin-1")
-        answered_id = headers.get(b"apricotgap-task-id", b"").decode("latin-1")
-        if answered_id != effect.task_id:
-            # A later answer on this connection could be crossed as well.
-            self._pools.pop(effect.address, None)
-            raise _CrossedAnswerError(f"the answer is for task {answered_id!r}")
         now_ms = self._clock.now_ms
-        if refusal in TaskRefusal._value2member_map_:
-            self._post(TaskRefused(now_ms, effect.task_id, TaskRefusal(refusal)))
+        refusal = _header(response, b"apricotgap-not-run")
+        if refusal in _REFUSALS:
+            self._post(TaskRefused(now_ms, effect.task_id, _REFUSALS[refusal]))
             return
-        content = response.content
-        declared = headers.get(b"content-length")
-        if declared is None or int(declared) != len(content):
-            raise _CrossedAnswerError("the answer is not whole")
-        if len(content) > _MAX_ANSWER_BYTES:
-            raise _CrossedAnswerError("the answer is too large")
-        content_type = headers.get(b"content-type", b"application/octet-stream")
+        if _header(response, b"content-length") != str(len(content)):
+            raise _BadAnswerError("the answer is not whole")
+        content_type = _header(response, b"content-type") or "application/octet-stream"
         self._bodies.put_answer(
-            effect.task_id,
-            Answer(response.status, content_type.decode("latin-1"), content),
+            effect.task_id, Answer(response.status, content_type, content)
         )
         self._post(
             TaskCompleted(
@@ -278,6 +282,24 @@
         return call
 
 
+def _header(response: httpcore.Response, name: bytes) -> str:
+    for key, value in response.headers:
+        if key.lower() == name:
+            return value.decode("latin-1")
+    return ""
+
+
+async def _read_bounded(response: httpcore.Response) -> bytes:
+    chunks = []
+    n_bytes = 0
+    async for chunk in response.aiter_stream():
+        n_bytes += len(chunk)
+        if n_bytes > _MAX_ANSWER_BYTES:
+            raise _BadAnswerError(f"the answer has more than {_MAX_ANSWER_BYTES} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 def _timeouts(timeout_ms: int) -> dict[str, float]:
     silence_s = timeout_ms / 1000
     return {
