Add the store client, the drivers and an in-memory store

Cause: the core's store and instance effects had no driver. Change: EtcdStore speaks the etcd v3 JSON gateway over httpcore, StoreDriver runs the store effects in order for each key, InstancesDriver reads the instance list and requests reboots, MemoryStore is a fake for virtual time. StoreReadFinished carries the store's revision, since a watch on a quiet prefix must start from it: started from the revision of an item it would be cancelled again and again once the history has moved on. Conclusion: the core can be tied to the store.

--- a/apricotgap/core/events/store.py
+++ b/apricotgap/core/events/store.py
@@ -42,12 +42,14 @@
     """Answer to `StoreGet` (one item, also when absent) or `StoreList`.
 
     `sent_ms` is when the call was sent; the answer confirms the store's state at
-    some time not before it.
+    some time not before it. A watch from `revision` + 1 misses no later change; 0
+    when the reader does not know it.
     """
 
     call_id: str
     items: tuple[KeyValue, ...]
     sent_ms: int
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/apricotgap/drivers/instances.py
@@ -0,0 +1,151 @@
+"""Reads the platform's instance list and asks it for reboots."""
+
+import json
+from collections.abc import Callable
+from urllib.parse import quote
+
+import httpcore
+import structlog
+import trio
+
+from apricotgap.clock import Clock
+from apricotgap.core.effects import Effect, ReadInstanceList, RebootInstance
+from apricotgap.core.events import Event, InstanceListRead
+
+__all__ = ["InstancesDriver"]
+
+CALL_TIMEOUT_MS = 2_000
+
+
+class _CallFailed(Exception):
+    pass
+
+
+class InstancesDriver:
+    """Runs `ReadInstanceList` and `RebootInstance`.
+
+    A failed read is retried by the next `ReadInstanceList`; a failed reboot is sent
+    again then too, which is safe because the platform keeps the step id.
+
+    Parameters
+    ----------
+    base_url : str
+        Base URL of the platform.
+    post : callable
+        Takes each event; synchronous.
+    clock : Clock
+        Time of the entry instance.
+    entry : str
+        Name of this entry instance, sent as ``Apricotgap-Entry``.
+    timeout_ms : int
+        Longest time for a call.
+    """
+
+    handles = (ReadInstanceList, RebootInstance)
+
+    def __init__(
+        self,
+        base_url: str,
+        post: Callable[[Event], None],
+        clock: Clock,
+        entry: str = "",
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._post = post
+        self._clock = clock
+        self._headers = [(b"Apricotgap-Entry", entry.encode())]
+        self._timeout_ms = timeout_ms
+        self._nursery: trio.Nursery | None = None
+        self._reading = False
+        self._sending: set[str] = set()
+        self._unsent: dict[str, RebootInstance] = {}
+        self._reachable = True
+        self._log = structlog.get_logger("instances")
+        self.n_failed = 0
+
+    async def serve(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until cancelled."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            self._pool = pool
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                task_status.started()
+                try:
+                    await trio.sleep_forever()
+                finally:
+                    self._nursery = None
+
+    def run(self, effect: Effect) -> None:
+        """Start an effect; its event is posted later, never from this call."""
+        if self._nursery is None:
+            raise RuntimeError("the instances driver is not running; call serve first")
+        match effect:
+            case RebootInstance():
+                self._start_reboot(self._nursery, effect)
+            case ReadInstanceList():
+                for reboot in list(self._unsent.values()):
+                    self._start_reboot(self._nursery, reboot)
+                if not self._reading:
+                    self._reading = True
+                    self._nursery.start_soon(self._read)
+            case _:
+                raise TypeError(f"{type(effect).__name__} is not an instance effect")
+
+    def _start_reboot(self, nursery: trio.Nursery, effect: RebootInstance) -> None:
+        if effect.step_id in self._sending:
+            return
+        self._sending.add(effect.step_id)
+        self._unsent.pop(effect.step_id, None)
+        nursery.start_soon(self._reboot, effect)
+
+    async def _read(self) -> None:
+        try:
+            answer = json.loads(await self._call("GET", "/v1/instances", b""))
+            live, leaving = frozenset(answer["live"]), frozenset(answer["leaving"])
+        except (_CallFailed, ValueError, KeyError, TypeError) as error:
+            self._note_failure(error)
+            return
+        finally:
+            self._reading = False
+        if not self._reachable:
+            self._reachable = True
+            self._log.info("instance list readable")
+        self._post(InstanceListRead(self._clock.now_ms, live, leaving))
+
+    async def _reboot(self, effect: RebootInstance) -> None:
+        path = f"/v1/instances/{quote(effect.instance, safe='')}/reboot"
+        body = json.dumps({"step_id": effect.step_id}).encode()
+        try:
+            await self._call("POST", path, body)
+        except _CallFailed as error:
+            self._unsent[effect.step_id] = effect
+            self._note_failure(error)
+        finally:
+            self._sending.discard(effect.step_id)
+
+    async def _call(self, method: str, path: str, body: bytes) -> bytes:
+        url = self._base_url + path
+        try:
+            with trio.fail_after(self._timeout_ms / 1000):
+                response = await self._pool.request(
+                    method, url, headers=self._headers, content=body
+                )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            trio.TooSlowError,
+        ) as error:
+            raise _CallFailed(type(error).__name__) from error
+        if response.status != 200:
+            raise _CallFailed(f"status {response.status}")
+        return response.content
+
+    def _note_failure(self, error: Exception) -> None:
+        self.n_failed += 1
+        if self._reachable:
+            self._reachable = False
+            self._log.warning("platform call failed", cause=str(error))
--- /dev/null
+++ b/standins/key_values.py
@@ -0,0 +1,168 @@
+"""Key-value state with revisions, leases and a bounded history."""
+
+from collections import deque
+from dataclasses import dataclass
+
+import trio
+
+from standins.serving import now_ms
+
+__all__ = ["Change", "KeyValues", "Record", "in_range"]
+
+MAX_HISTORY = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """A stored key."""
+
+    key: bytes
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    version: int
+    lease_id: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A change of one key; `deleted` records have an empty value."""
+
+    record: Record
+    deleted: bool
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_s: int
+    expires_ms: int
+
+
+def in_range(key: bytes, start: bytes, end: bytes) -> bool:
+    """Tell whether a key is in an etcd range (empty `end`: one key)."""
+    if not end:
+        return key == start
+    return key >= start and (end == b"\0" or key < end)
+
+
+class KeyValues:
+    """State of the key-value store.
+
+    Parameters
+    ----------
+    max_history : int
+        Most changes kept for watches that start in the past.
+    """
+
+    def __init__(self, max_history: int = MAX_HISTORY) -> None:
+        self.revision = 1
+        self.changed = trio.Event()
+        self._records: dict[bytes, Record] = {}
+        self._leases: dict[int, _Lease] = {}
+        self._n_leases = 0
+        self._history: deque[Change] = deque(maxlen=max_history)
+
+    @property
+    def compact_revision(self) -> int:
+        """First revision that a watch can start from."""
+        if not self._history:
+            return self.revision + 1
+        return self._history[0].record.mod_revision
+
+    def wake(self) -> None:
+        """Wake all watches."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def range(
+        self, start: bytes, end: bytes, limit: int = 0
+    ) -> tuple[list[Record], int]:
+        """Return records of a range, sorted by key, and their total number."""
+        self.lapse()
+        if not end:
+            found = [self._records[start]] if start in self._records else []
+        else:
+            keys = sorted(key for key in self._records if in_range(key, start, end))
+            found = [self._records[key] for key in keys]
+        return (found[:limit] if limit else found), len(found)
+
+    def mod_revision(self, key: bytes) -> int:
+        """Revision of a key, 0 when it is absent."""
+        self.lapse()
+        record = self._records.get(key)
+        return record.mod_revision if record else 0
+
+    def has_lease(self, lease_id: int) -> bool:
+        """Tell whether a lease is valid."""
+        self.lapse()
+        return lease_id in self._leases
+
+    def put(self, key: bytes, value: bytes, lease_id: int = 0) -> None:
+        """Write a key."""
+        old = self._records.get(key)
+        self.revision += 1
+        record = Record(
+            key,
+            value,
+            old.create_revision if old else self.revision,
+            self.revision,
+            old.version + 1 if old else 1,
+            lease_id,
+        )
+        self._records[key] = record
+        self._history.append(Change(record, False))
+        self.wake()
+
+    def delete(self, start: bytes, end: bytes) -> int:
+        """Delete a range; all its keys share one revision."""
+        found, _ = self.range(start, end)
+        if not found:
+            return 0
+        self.revision += 1
+        for record in found:
+            del self._records[record.key]
+            gone = Record(record.key, b"", 0, self.revision, 0)
+            self._history.append(Change(gone, True))
+        self.wake()
+        return len(found)
+
+    def changes_from(self, revision: int) -> list[Change]:
+        """Return changes at or after a revision, oldest first."""
+        self.lapse()
+        found: list[Change] = []
+        for change in reversed(self._history):
+            if change.record.mod_revision < revision:
+                break
+            found.append(change)
+        return found[::-1]
+
+    def grant(self, ttl_s: int) -> int:
+        """Grant a lease and return its id."""
+        self._n_leases += 1
+        self._leases[self._n_leases] = _Lease(ttl_s, now_ms() + ttl_s * 1000)
+        return self._n_leases
+
+    def keep_alive(self, lease_id: int) -> int:
+        """Renew a lease; 0 when it does not exist."""
+        self.lapse()
+        lease = self._leases.get(lease_id)
+        if lease is None:
+            return 0
+        lease.expires_ms = now_ms() + lease.ttl_s * 1000
+        return lease.ttl_s
+
+    def revoke(self, lease_id: int) -> bool:
+        """Remove a lease and its keys; False when it does not exist."""
+        if self._leases.pop(lease_id, None) is None:
+            return False
+        for record in list(self._records.values()):
+            if record.lease_id == lease_id:
+                self.delete(record.key, b"")
+        return True
+
+    def lapse(self) -> None:
+        """Remove leases whose time is over."""
+        now = now_ms()
+        for lease_id, lease in list(self._leases.items()):
+            if lease.expires_ms <= now:
+                self.revoke(lease_id)
--- /dev/null
+++ b/tests/test_store_contract.py
@@ -0,0 +1,248 @@
+"""One contract for the memory store and the client of the stand-in."""
+
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from apricotgap.core.events import CasResult, KeyValue
+from apricotgap.drivers.memory_store import MemoryStore
+from apricotgap.drivers.store import MAX_VALUE_BYTES, EtcdStore, StoreCallError
+from standins.platform import Platform
+from tests.loopback import call
+
+TIMEOUT_MS = 400
+
+
+class MemoryCase:
+    def __init__(self):
+        self.store = MemoryStore(timeout_ms=TIMEOUT_MS, max_history=5)
+
+    async def fault(self, kind, **options):
+        faults = self.store.faults
+        faults.down = kind == "store_down"
+        faults.silent_watches = kind == "store_silent_watches"
+        faults.n_lost_answers = options.get("n", 0)
+        if kind == "store_slow":
+            faults.slow_ms = options["delay_ms"]
+
+
+class StandinCase:
+    def __init__(self, platform):
+        self.platform = platform
+        self.store = EtcdStore(
+            [f"http://{platform.store.address}"], "e1", TIMEOUT_MS, watch_idle_ms=5_000
+        )
+
+    async def fault(self, kind, **options):
+        body = {"fault": kind, **options}
+        await call("POST", self.platform.platform.address, "/standin/faults", body)
+
+
+@asynccontextmanager
+async def open_case(kind):
+    if kind == "memory":
+        yield MemoryCase()
+        return
+    platform = Platform(max_history=5)
+    async with trio.open_nursery() as nursery:
+        for listener in platform.listeners:
+            await nursery.start(listener.run)
+        case = StandinCase(platform)
+        yield case
+        await case.store.aclose()
+        nursery.cancel_scope.cancel()
+
+
+@pytest.fixture(params=["memory", "standin"])
+def run(request):
+    def runner(check):
+        async def main():
+            with trio.fail_after(10):
+                async with open_case(request.param) as case:
+                    await check(case)
+
+        trio.run(main)
+
+    return runner
+
+
+def test_cas_stores_once_and_refuses_a_stale_revision(run):
+    """Guards against two writers that both believe they won."""
+
+    async def check(case):
+        first = await case.store.cas("a", 0, b"one")
+        assert first.result is CasResult.STORED
+        assert (await case.store.cas("a", 0, b"two")).result is CasResult.CONFLICT
+        assert await case.store.get("a") == KeyValue("a", b"one", first.revision)
+        second = await case.store.cas("a", first.revision, b"three")
+        assert second.revision > first.revision
+
+    run(check)
+
+
+def test_absent_key_has_revision_zero(run):
+    """Guards against an absent key that cannot be created by CAS."""
+
+    async def check(case):
+        assert await case.store.get("missing") == KeyValue("missing", b"", 0)
+
+    run(check)
+
+
+def test_list_returns_only_the_prefix_in_order(run):
+    """Guards against a range end that takes in a neighbouring prefix."""
+
+    async def check(case):
+        for key in ("p/b", "p/a", "p0", "o/z", "p/ÿ"):
+            await case.store.cas(key, 0, b"\x00\xff")
+        items = await case.store.list("p/")
+        assert [item.key for item in items] == ["p/a", "p/b", "p/ÿ"]
+        assert items[0].value == b"\x00\xff"
+
+    run(check)
+
+
+def test_delete_needs_the_current_revision(run):
+    """Guards against a delete of a newer value."""
+
+    async def check(case):
+        stored = await case.store.cas("a", 0, b"one")
+        stale = await case.store.delete("a", stored.revision + 7)
+        assert stale.result is CasResult.CONFLICT
+        deleted = await case.store.delete("a", stored.revision)
+        assert deleted.result is CasResult.STORED
+        assert (await case.store.get("a")).revision == 0
+
+    run(check)
+
+
+def test_too_large_value_is_a_definite_failure(run):
+    """Guards against a value that the store will never take being retried."""
+
+    async def check(case):
+        with pytest.raises(StoreCallError):
+            await case.store.cas("a", 0, b"x" * (MAX_VALUE_BYTES + 1))
+        stored = await case.store.cas("a", 0, b"x" * MAX_VALUE_BYTES)
+        assert stored.result is CasResult.STORED
+
+    run(check)
+
+
+def test_keys_vanish_with_their_lease(run):
+    """Guards against members that stay registered after their lease lapsed."""
+
+    async def check(case):
+        lease = await case.store.grant_lease(1_000)
+        await case.store.cas("m", 0, b"x", lease.lease_id)
+        await trio.sleep(0.6)
+        assert await case.store.keep_alive(lease.lease_id) == 1_000
+        await trio.sleep(0.6)
+        assert (await case.store.get("m")).revision > 0
+        await trio.sleep(0.6)
+        assert (await case.store.get("m")).revision == 0
+        assert await case.store.keep_alive(lease.lease_id) == 0
+
+    run(check)
+
+
+def test_revoked_lease_deletes_its_keys_and_takes_no_more(run):
+    """Guards against a write under a lease that no longer exists."""
+
+    async def check(case):
+        lease = await case.store.grant_lease(60_000)
+        await case.store.cas("m", 0, b"x", lease.lease_id)
+        await case.store.revoke(lease.lease_id)
+        assert (await case.store.get("m")).revision == 0
+        with pytest.raises(StoreCallError):
+            await case.store.cas("n", 0, b"x", lease.lease_id)
+
+    run(check)
+
+
+def test_watch_reports_changes_in_order_from_a_past_revision(run):
+    """Guards against a change between a read and the opening of the watch."""
+
+    async def check(case):
+        first = await case.store.cas("w/a", 0, b"1")
+        await case.store.cas("other", 0, b"1")
+        seen = []
+        async with case.store.watch("w/", first.revision) as changes:
+            second = await case.store.cas("w/a", first.revision, b"2")
+            await case.store.delete("w/a", second.revision)
+            while len(seen) < 3:
+                seen += await anext(changes)
+        assert [item.value for item in seen] == [b"1", b"2", b""]
+        assert seen[2] == KeyValue("w/a", b"", 0)
+
+    run(check)
+
+
+def test_watch_from_a_forgotten_revision_raises(run):
+    """Guards against changes that are skipped because the history is short."""
+
+    async def check(case):
+        first = await case.store.cas("w/0", 0, b"")
+        for n in range(1, 8):
+            await case.store.cas(f"w/{n}", 0, b"")
+        with pytest.raises(StoreCallError, match="compact revision"):
+            async with case.store.watch("w/", first.revision) as changes:
+                await anext(changes)
+
+    run(check)
+
+
+def test_lost_answer_is_unknown_although_the_write_took_effect(run):
+    """Guards against a lost answer being taken for a conflict or a failure."""
+
+    async def check(case):
+        await case.fault("store_lost_answers", n=1)
+        assert (await case.store.cas("a", 0, b"one")).result is CasResult.UNKNOWN
+        assert (await case.store.get("a")).value == b"one"
+
+    run(check)
+
+
+def test_slow_write_is_unknown_and_may_take_effect_later(run):
+    """Guards against a timed-out write being repeated as if it had failed."""
+
+    async def check(case):
+        await case.fault("store_slow", delay_ms=600, for_ms=300)
+        with trio.fail_after(TIMEOUT_MS / 1000 + 0.3):
+            answer = await case.store.cas("a", 0, b"one")
+        assert answer.result is CasResult.UNKNOWN
+        await case.fault("store_slow", delay_ms=1, n=1)
+        await trio.sleep(0.4)
+        assert (await case.store.get("a")).value == b"one"
+
+    run(check)
+
+
+def test_down_store_fails_writes_for_certain_and_breaks_watches(run):
+    """Guards against an unknown result when nothing was sent."""
+
+    async def check(case):
+        async with case.store.watch("w/") as changes:
+            await case.fault("store_down", mode="refuse")
+            with pytest.raises(StoreCallError):
+                await anext(changes)
+        with pytest.raises(StoreCallError):
+            await case.store.get("a")
+        with pytest.raises(StoreCallError):
+            await case.store.cas("a", 0, b"one")
+
+    run(check)
+
+
+def test_silent_watch_delivers_nothing_and_can_be_left(run):
+    """Guards against a shutdown that hangs on a silent watch."""
+
+    async def check(case):
+        await case.fault("store_silent_watches")
+        with trio.move_on_after(0.3) as scope:
+            async with case.store.watch("w/") as changes:
+                await case.store.cas("w/a", 0, b"1")
+                await anext(changes)
+        assert scope.cancelled_caught
+
+    run(check)
--- /dev/null
+++ b/tests/test_store_driver.py
@@ -0,0 +1,272 @@
+import pytest
+import trio
+import trio.testing
+
+from apricotgap.clock import TrioClock
+from apricotgap.core.effects import (
+    GrantLease,
+    KeepLease,
+    OpenWatch,
+    ReadInstanceList,
+    RebootInstance,
+    StoreCas,
+    StoreGet,
+)
+from apricotgap.core.events import (
+    CasFinished,
+    CasResult,
+    InstanceListRead,
+    LeaseGranted,
+    LeaseLost,
+    StoreCallFailed,
+    StoreChanged,
+    StoreReadFinished,
+    WatchBroken,
+    WatchOpened,
+)
+from apricotgap.drivers.instances import InstancesDriver
+from apricotgap.drivers.memory_store import MemoryStore
+from apricotgap.drivers.store import EtcdStore, StoreCallError, StoreDriver
+from standins.platform import Platform
+from tests.loopback import call
+
+
+def run_with_driver(check, **options):
+    """Run a check on a driver over a memory store in virtual time."""
+
+    async def main():
+        store, events = MemoryStore(), []
+        driver = StoreDriver(store, events.append, TrioClock(), **options)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(driver.serve)
+            await check(driver, store, events)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def run_with_platform(check, **options):
+    async def main():
+        platform = Platform(**options)
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                for listener in platform.listeners:
+                    await nursery.start(listener.run)
+                nursery.start_soon(platform.watch_faults)
+                await check(platform, nursery)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def of_type(events, kind):
+    return [event for event in events if isinstance(event, kind)]
+
+
+def test_effects_on_one_key_keep_their_order():
+    """Guards against a later write that overtakes an earlier one."""
+
+    async def check(driver, store, events):
+        store.faults.slow_ms = 50
+        driver.run(StoreCas("first", "a", 0, b"1"))
+        driver.run(StoreCas("second", "a", 0, b"2"))
+        driver.run(StoreGet("read", "a"))
+        await trio.sleep(1)
+        assert [event.call_id for event in events] == ["first", "second", "read"]
+        assert [e.result for e in of_type(events, CasFinished)] == [
+            CasResult.STORED,
+            CasResult.CONFLICT,
+        ]
+
+    run_with_driver(check)
+
+
+def test_calls_are_bounded_and_excess_fails_unsent():
+    """Guards against an unbounded backlog while the store is slow."""
+
+    async def check(driver, store, events):
+        store.faults.slow_ms = 100
+        for n in range(8):
+            driver.run(StoreGet(f"c{n}", f"k{n}"))
+        assert events == []
+        await trio.sleep(0.15)
+        failed = {event.call_id for event in of_type(events, StoreCallFailed)}
+        assert failed == {"c4", "c5", "c6", "c7"}
+        assert len(of_type(events, StoreReadFinished)) == 2
+
+    run_with_driver(check, max_concurrent=2, max_waiting=4)
+
+
+def test_read_confirms_no_later_than_when_it_was_sent():
+    """Guards against a slow answer that makes a view look fresh."""
+
+    async def check(driver, store, events):
+        store.faults.slow_ms = 300
+        driver.run(StoreGet("c", "a"))
+        await trio.sleep(1)
+        assert events[0].at_ms - events[0].sent_ms == 300
+
+    run_with_driver(check)
+
+
+def test_lapsed_lease_is_reported_lost():
+    """Guards against a holder that goes on after its lease lapsed."""
+
+    async def check(driver, store, events):
+        driver.run(GrantLease("g", 1_000))
+        await trio.sleep(0.1)
+        granted = of_type(events, LeaseGranted)[0]
+        await trio.sleep(2)
+        driver.run(KeepLease(granted.lease_id))
+        await trio.sleep(0.1)
+        assert of_type(events, LeaseLost)[0].lease_id == granted.lease_id
+
+    run_with_driver(check)
+
+
+def test_late_effect_is_unknown_and_then_visible():
+    """Guards against treating a timed-out write as not done."""
+
+    async def check(driver, store, events):
+        store.faults.n_late_effects = 1
+        driver.run(StoreCas("c", "a", 0, b"1"))
+        await trio.sleep(1.2)
+        assert of_type(events, CasFinished)[0].result is CasResult.UNKNOWN
+        assert (await store.get("a")).revision == 0
+        await trio.sleep(1)
+        assert (await store.get("a")).value == b"1"
+
+    run_with_driver(check)
+
+
+def test_broken_watch_is_reported_and_can_be_reopened():
+    """Guards against a watch that is reopened silently and misses changes."""
+
+    async def check(driver, store, events):
+        driver.run(OpenWatch("w/"))
+        await trio.sleep(0.1)
+        await store.cas("w/a", 0, b"1")
+        store.faults.down = True
+        await trio.sleep(1)
+        store.faults.down = False
+        driver.run(OpenWatch("w/", 1))
+        await trio.sleep(1)
+        kinds = [type(event) for event in events if event.prefix == "w/"]
+        assert kinds[0] is WatchOpened
+        assert kinds[-3:] == [WatchBroken, WatchOpened, StoreChanged]
+
+    run_with_driver(check)
+
+
+def test_driver_stops_while_a_watch_is_silent():
+    """Guards against a shutdown that hangs on a silent connection."""
+
+    async def check(platform, nursery):
+        store, events = EtcdStore([f"http://{platform.store.address}"], "e1"), []
+        driver = StoreDriver(store, events.append, TrioClock())
+        await call(
+            "POST",
+            platform.platform.address,
+            "/standin/faults",
+            {"fault": "store_silent_watches"},
+        )
+        with trio.move_on_after(0.5) as scope:
+            async with trio.open_nursery() as inner:
+                await inner.start(driver.serve)
+                driver.run(OpenWatch("w/"))
+                await trio.sleep_forever()
+        assert scope.cancelled_caught
+        assert len(of_type(events, WatchOpened)) == 1
+
+    run_with_platform(check)
+
+
+def test_watch_without_deliveries_counts_as_broken():
+    """Guards against a connection that stays silent for good."""
+
+    async def check(platform, nursery):
+        endpoint = f"http://{platform.store.address}"
+        store = EtcdStore([endpoint], "e1", watch_idle_ms=200)
+        with pytest.raises(StoreCallError):
+            async with store.watch("w/") as changes:
+                await anext(changes)
+
+    run_with_platform(check)
+
+
+def test_reads_and_unsent_writes_fail_over():
+    """Guards against one refused endpoint that stops all calls."""
+
+    async def check(platform, nursery):
+        other = Platform()
+        await nursery.start(other.store.run)
+        gone = other.store.address
+        other.store.close()
+        await trio.sleep(0.1)
+        good = f"http://{platform.store.address}"
+        store = EtcdStore([f"http://{gone}", good], "e1")
+        assert (await store.cas("a", 0, b"1")).result is CasResult.STORED
+        store = EtcdStore([f"http://{gone}", good], "e1")
+        assert (await store.get("a")).value == b"1"
+
+    run_with_platform(check)
+
+
+def test_fault_limited_to_an_entry_cuts_off_only_that_entry():
+    """Guards against a partition test that cuts everyone off."""
+
+    async def check(platform, nursery):
+        fault = {"fault": "store_down", "mode": "silent", "entries": ["e1"]}
+        await call("POST", platform.platform.address, "/standin/faults", fault)
+        endpoint = f"http://{platform.store.address}"
+        cut_off = EtcdStore([endpoint], "e1", timeout_ms=200)
+        assert (await cut_off.cas("a", 0, b"1")).result is CasResult.UNKNOWN
+        with pytest.raises(StoreCallError):
+            await cut_off.get("a")
+        served = await EtcdStore([endpoint], "e2").get("a")
+        assert served.revision == 0
+
+    run_with_platform(check)
+
+
+def test_counters_show_calls_and_waiting_watches():
+    """Guards against uncounted calls in measures of the store's load."""
+
+    async def check(platform, nursery):
+        store = EtcdStore([f"http://{platform.store.address}"], "e1")
+        await store.cas("a", 0, b"1")
+        await store.get("a")
+        path, address = "/standin/counters", platform.platform.address
+        async with store.watch("a"):
+            _, counters = await call("GET", address, path)
+        assert (counters["reads"], counters["writes"]) == (1, 1)
+        assert counters["waiting_watches"] == 1
+        await trio.sleep(0.2)
+        _, counters = await call("GET", address, path)
+        assert counters["waiting_watches"] == 0
+
+    run_with_platform(check)
+
+
+def test_instance_list_lags_and_failures_are_retried():
+    """Guards against a lost reboot and against a list that never lags."""
+
+    async def check(platform, nursery):
+        address, events = platform.platform.address, []
+        driver = InstancesDriver(f"http://{address}", events.append, TrioClock(), "e1")
+        await nursery.start(driver.serve)
+        register = {"instances": [{"name": "b1"}, {"name": "b2", "state": "leaving"}]}
+        await call("POST", address, "/standin/instances", register)
+        driver.run(ReadInstanceList())
+        driver.run(RebootInstance("b1", "step-1"))
+        await trio.sleep(0.2)
+        assert events[0].live == frozenset()
+        assert driver.n_failed == 1
+        await trio.sleep(0.3)
+        driver.run(ReadInstanceList())
+        await trio.sleep(0.2)
+        assert driver.n_failed == 2
+        last = of_type(events, InstanceListRead)[-1]
+        assert (last.live, last.leaving) == ({"b1"}, {"b2"})
+
+    run_with_platform(check, list_lag_ms=400)
