--- a/standins/gateway.py
+++ b/standins/gateway.py
@@ -221,7 +221,7 @@
             if down is not None and down.options.get("mode") != "silent":
                 break
             oldest = self._state.compact_revision
-            if next_revision < oldest and next_revision <= self._state.revision:
+            if next_revision < oldest:
                 cancel = {"canceled": True, "compact_revision": str(oldest)}
                 await exchange.send_line({"result": {**base, **cancel}})
                 break
--- a/standins/key_values.py
+++ b/standins/key_values.py
@@ -60,14 +60,10 @@
         self._records: dict[bytes, Record] = {}
         self._leases: dict[int, _Lease] = {}
         self._n_leases = 0
-        self._history: deque[Change] = deque(maxlen=max_history)
-
-    @property
-    def compact_revision(self) -> int:
-        """First revision that a watch can start from."""
-        if not self._history:
-            return self.revision + 1
-        return self._history[0].record.mod_revision
+        self._max_history = max_history
+        self._history: deque[Change] = deque()
+        # First revision that a watch can start from.
+        self.compact_revision = 1
 
     def wake(self) -> None:
         """Wake all watches."""
@@ -110,7 +106,7 @@
             lease_id,
         )
         self._records[key] = record
-        self._history.append(Change(record, False))
+        self._note(Change(record, False))
         self.wake()
 
     def delete(self, start: bytes, end: bytes) -> int:
@@ -122,10 +118,16 @@
         for record in found:
             del self._records[record.key]
             gone = Record(record.key, b"", 0, self.revision, 0)
-            self._history.append(Change(gone, True))
+            self._note(Change(gone, True))
         self.wake()
         return len(found)
 
+    def _note(self, change: Change) -> None:
+        self._history.append(change)
+        if len(self._history) > self._max_history:
+            dropped = self._history.popleft()
+            self.compact_revision = dropped.record.mod_revision + 1
+
     def changes_from(self, revision: int) -> list[Change]:
         """Return changes at or after a revision, oldest first."""
         self.lapse()
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -178,6 +178,22 @@
     run(check)
 
 
+def test_watch_from_the_revision_after_a_read_needs_no_old_history(run):
+    """Guards against a watch on a quiet prefix that can never be opened again."""
+
+    async def check(case):
+        await case.store.cas("w/0", 0, b"")
+        for n in range(8):
+            await case.store.cas(f"busy/{n}", 0, b"")
+        snapshot = await case.store.read_key("w/1")
+        await case.store.cas("w/1", 0, b"new")
+        async with case.store.watch("w/", snapshot.revision + 1) as changes:
+            items = await anext(changes)
+        assert [item.value for item in items] == [b"new"]
+
+    run(check)
+
+
 def test_watch_from_a_forgotten_revision_raises(run):
     """Guards against changes that are skipped because the history is short."""
 
