Share the in-memory state among clients and bound the stand-ins' work per call

Cause: a fault matrix must cut off one entry instance alone, and the stand-in store scanned all leases and keys on each call, which grows with claims under leases.

--- a/standins/backend_instance.py
+++ b/standins/backend_instance.py
@@ -84,6 +84,7 @@
         self._nursery = nursery
         self._tasks = TaskTable()
         self._boot_id = secrets.token_hex(8)
+        self._reboot_steps: set[str] = set()
         self._draining = False
         self._n_calls = 0
         self._clients: set[tuple[str, int]] = set()
@@ -99,8 +100,19 @@
         else:
             self.listener.reopen()
 
-    def reboot(self) -> None:
-        """Kill all tasks and change the boot id; the records stay."""
+    def reboot(self, step_id: str = "") -> None:
+        """Kill all tasks and change the boot id; the records stay.
+
+        Parameters
+        ----------
+        step_id : str
+            A step that already rebooted the instance has no effect; empty always
+            reboots.
+        """
+        if step_id in self._reboot_steps:
+            return
+        if step_id:
+            self._reboot_steps.add(step_id)
         self._tasks.forget_all()
         self._note_usage()
         self._boot_id = secrets.token_hex(8)
@@ -141,7 +153,7 @@
                     200, {**records, "records": self._tasks.records()}
                 )
             case "POST", ["reboot"]:
-                self.reboot()
+                self.reboot(str(exchange.json().get("step_id", "")))
                 await exchange.answer_json(200, {"boot_id": self._boot_id})
             case "POST", ["drain"]:
                 self._draining = bool(exchange.json().get("draining", True))
@@ -202,7 +214,7 @@
                 return
             task = self._start(exchange, task_id)
             if self._faults.hit("fail_fast") is not None:
-                task.end("failed")
+                self._tasks.end(task, "failed")
                 self._note_usage()
             else:
                 self._nursery.start_soon(self._run, task)
@@ -251,7 +263,7 @@
         return task
 
     async def _run(self, task: Task) -> None:
-        await task.run()
+        await self._tasks.run(task)
         self._note_usage()
 
     async def _answer(self, exchange: Exchange, task: Task) -> None:
@@ -287,9 +299,9 @@
             case "throttle":
                 task.throttle(float(body.get("speed", THROTTLED_SPEED)))
             case "checkpoint":
-                task.end("checkpointed")
+                self._tasks.end(task, "checkpointed")
             case "stop":
-                task.end("stopped")
+                self._tasks.end(task, "stopped")
             case _:
                 await exchange.answer_json(404, {"message": f"unknown action {action}"})
                 return
--- a/standins/key_values.py
+++ b/standins/key_values.py
@@ -1,7 +1,9 @@
 """Key-value state with revisions, leases and a bounded history."""
 
+import heapq
+from bisect import bisect_left, insort
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -36,6 +38,7 @@
 class _Lease:
     ttl_s: int
     expires_ms: int
+    keys: set[bytes] = field(default_factory=set)
 
 
 def in_range(key: bytes, start: bytes, end: bytes) -> bool:
@@ -58,7 +61,10 @@
         self.revision = 1
         self.changed = trio.Event()
         self._records: dict[bytes, Record] = {}
+        self._sorted_keys: list[bytes] = []
         self._leases: dict[int, _Lease] = {}
+        # One entry for each lease: no later than its expiry, then its id.
+        self._expiries: list[tuple[int, int]] = []
         self._n_leases = 0
         self._max_history = max_history
         self._history: deque[Change] = deque()
@@ -78,8 +84,9 @@
         if not end:
             found = [self._records[start]] if start in self._records else []
         else:
-            keys = sorted(key for key in self._records if in_range(key, start, end))
-            found = [self._records[key] for key in keys]
+            keys = self._sorted_keys
+            last = len(keys) if end == b"\0" else bisect_left(keys, end)
+            found = [self._records[k] for k in keys[bisect_left(keys, start) : last]]
         return (found[:limit] if limit else found), len(found)
 
     def mod_revision(self, key: bytes) -> int:
@@ -96,6 +103,12 @@
     def put(self, key: bytes, value: bytes, lease_id: int = 0) -> None:
         """Write a key."""
         old = self._records.get(key)
+        if old is None:
+            insort(self._sorted_keys, key)
+        else:
+            self._detach(old)
+        if lease_id:
+            self._leases[lease_id].keys.add(key)
         self.revision += 1
         record = Record(
             key,
@@ -116,7 +129,9 @@
             return 0
         self.revision += 1
         for record in found:
+            self._detach(record)
             del self._records[record.key]
+            del self._sorted_keys[bisect_left(self._sorted_keys, record.key)]
             gone = Record(record.key, b"", 0, self.revision, 0)
             self._note(Change(gone, True))
         self.wake()
@@ -141,7 +156,9 @@
     def grant(self, ttl_s: int) -> int:
         """Grant a lease and return its id."""
         self._n_leases += 1
-        self._leases[self._n_leases] = _Lease(ttl_s, now_ms() + ttl_s * 1000)
+        expires_ms = now_ms() + ttl_s * 1000
+        self._leases[self._n_leases] = _Lease(ttl_s, expires_ms)
+        heapq.heappush(self._expiries, (expires_ms, self._n_leases))
         return self._n_leases
 
     def keep_alive(self, lease_id: int) -> int:
@@ -155,16 +172,27 @@
 
     def revoke(self, lease_id: int) -> bool:
         """Remove a lease and its keys; False when it does not exist."""
-        if self._leases.pop(lease_id, None) is None:
+        lease = self._leases.pop(lease_id, None)
+        if lease is None:
             return False
-        for record in list(self._records.values()):
-            if record.lease_id == lease_id:
-                self.delete(record.key, b"")
+        for key in sorted(lease.keys):
+            self.delete(key, b"")
         return True
 
     def lapse(self) -> None:
         """Remove leases whose time is over."""
         now = now_ms()
-        for lease_id, lease in list(self._leases.items()):
-            if lease.expires_ms <= now:
+        while self._expiries and self._expiries[0][0] <= now:
+            _, lease_id = heapq.heappop(self._expiries)
+            lease = self._leases.get(lease_id)
+            if lease is None:
+                continue
+            if lease.expires_ms > now:
+                heapq.heappush(self._expiries, (lease.expires_ms, lease_id))
+            else:
                 self.revoke(lease_id)
+
+    def _detach(self, record: Record) -> None:
+        lease = self._leases.get(record.lease_id)
+        if lease is not None:
+            lease.keys.discard(record.key)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,5 +1,6 @@
 """Stand-in for the platform: key-value store, instance list and reboots."""
 
+import json
 from typing import Any
 from urllib.parse import unquote
 
@@ -132,7 +133,7 @@
             return
         async with self._reboot_lock:
             repeated = step_id in self._reboots
-            if not repeated and not await _forward_reboot(instance["control"]):
+            if not repeated and not await _forward_reboot(instance["control"], step_id):
                 await exchange.answer_json(502, {"message": f"{name} did not answer"})
                 return
             self._reboots[step_id] = name
@@ -150,12 +151,13 @@
             self.store.reopen()
 
 
-async def _forward_reboot(control_url: str) -> bool:
+async def _forward_reboot(control_url: str, step_id: str) -> bool:
     try:
         with trio.fail_after(REBOOT_TIMEOUT_S):
             async with httpcore.AsyncConnectionPool() as pool:
                 url = control_url.rstrip("/") + "/reboot"
-                return (await pool.request("POST", url)).status == 200
+                body = json.dumps({"step_id": step_id}).encode()
+                return (await pool.request("POST", url, content=body)).status == 200
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
--- a/standins/tasks.py
+++ b/standins/tasks.py
@@ -123,16 +123,28 @@
 
     def __init__(self) -> None:
         self._known: dict[str, Task] = {}
+        self._running: dict[str, Task] = {}
         self._records: list[Task] = []
 
     @property
     def n_running(self) -> int:
         """Tasks that hold a slot."""
-        return sum(task.running for task in self._known.values())
+        return len(self._running)
 
     def n_running_by_team(self) -> dict[str, int]:
         """Count running tasks by team."""
-        return dict(Counter(t.team for t in self._known.values() if t.running))
+        return dict(Counter(task.team for task in self._running.values()))
+
+    def end(self, task: Task, outcome: str) -> None:
+        """End a task and free its slot."""
+        task.end(outcome)
+        self._running.pop(task.task_id, None)
+
+    async def run(self, task: Task) -> None:
+        """Run a task to its end and free its slot."""
+        await task.run()
+        if self._running.get(task.task_id) is task:
+            del self._running[task.task_id]
 
     def get(self, task_id: str) -> Task | None:
         """Task known since the last boot."""
@@ -163,7 +175,7 @@
             trio.Event(),
             boot_id,
         )
-        self._known[task_id] = task
+        self._known[task_id] = self._running[task_id] = task
         self._records.append(task)
         return task
 
@@ -173,6 +185,6 @@
 
     def forget_all(self) -> None:
         """End all tasks and forget them, as a reboot does."""
-        for task in self._known.values():
-            task.end("killed")
+        for task in list(self._running.values()):
+            self.end(task, "killed")
         self._known.clear()
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -6,7 +6,7 @@
 import trio
 
 from apricotgap.core.events import CasResult, KeyValue
-from apricotgap.drivers.memory_store import MemoryStore
+from apricotgap.drivers.memory_store import MemoryState, MemoryStore
 from apricotgap.drivers.store import MAX_VALUE_BYTES, EtcdStore, StoreCallError
 from standins.platform import Platform
 from tests.loopback import call
@@ -16,7 +16,7 @@
 
 class MemoryCase:
     def __init__(self):
-        self.store = MemoryStore(timeout_ms=TIMEOUT_MS, max_history=5)
+        self.store = MemoryStore(MemoryState(max_history=5), TIMEOUT_MS)
 
     async def fault(self, kind, **options):
         faults = self.store.faults
--- a/tests/test_store_driver.py
+++ b/tests/test_store_driver.py
@@ -139,6 +139,21 @@
     run_with_driver(check)
 
 
+def test_memory_clients_share_writes_but_not_faults():
+    """Guards against a fault matrix that can only cut everyone off."""
+
+    async def check(driver, store, events):
+        other = MemoryStore(store.state)
+        store.faults.down = True
+        await other.cas("a", 0, b"1")
+        with pytest.raises(StoreCallError):
+            await store.get("a")
+        store.faults.down = False
+        assert (await store.get("a")).value == b"1"
+
+    run_with_driver(check)
+
+
 def test_broken_watch_is_reported_and_can_be_reopened():
     """Guards against a watch that is reopened silently and misses changes."""
 
