Treat malformed store answers as failures and drop effects after a stop

Cause: a 200 answer of another shape could end the process or pass for a conflict, and an effect given during shutdown raised an error. Change: answers are checked where they are decoded; a conflict needs the store's header; stopped drivers drop effects. Conclusion: CONFLICT stays a proof that the write had no effect.

--- a/apricotgap/drivers/etcd_store.py
+++ b/apricotgap/drivers/etcd_store.py
@@ -27,6 +27,8 @@
 MAX_WATCH_LINE_BYTES = 16 * MAX_VALUE_BYTES
 
 _NEVER_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+# Request timeout and client closed request say nothing about the effect.
+_MAY_HAVE_RUN = (408, 499)
 _FAILURES = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
@@ -121,16 +123,16 @@
         answer = await self._read("/v3/lease/grant", {"TTL": str(ttl_s)})
         try:
             return Lease(int(answer["ID"]), int(answer["TTL"]) * 1000)
-        except (KeyError, ValueError) as error:
+        except (KeyError, TypeError, ValueError) as error:
             raise StoreCallError("lease answer is malformed") from error
 
     async def keep_alive(self, lease_id: int) -> int:
         """Renew a lease."""
         answer = await self._read("/v3/lease/keepalive", {"ID": str(lease_id)})
-        result = answer.get("result")
-        if not isinstance(result, dict):
-            raise StoreCallError("keep-alive answer is malformed")
-        return max(0, int(result.get("TTL", 0))) * 1000
+        try:
+            return max(0, int(answer["result"].get("TTL", 0))) * 1000
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise StoreCallError("keep-alive answer is malformed") from error
 
     async def revoke(self, lease_id: int) -> None:
         """Give a lease back."""
@@ -205,9 +207,12 @@
         body = {"compare": [compare], "success": [change], "failure": []}
         try:
             answer = await self._call("/v3/kv/txn", body, repeatable=False)
+            # The gateway leaves `succeeded` out when false, so an answer counts as a
+            # conflict only when its header shows that the store made it.
+            revision = int(answer["header"]["revision"])
             if not answer.get("succeeded", False):
                 return CasAnswer(CasResult.CONFLICT)
-            return CasAnswer(CasResult.STORED, int(answer["header"]["revision"]))
+            return CasAnswer(CasResult.STORED, revision)
         except (_AnswerLost, KeyError, TypeError, ValueError):
             return CasAnswer(CasResult.UNKNOWN)
 
@@ -247,7 +252,7 @@
             content=content,
             extensions={"timeout": dict.fromkeys(phases, share_s)},
         )
-        if 400 <= response.status < 500:
+        if 400 <= response.status < 500 and response.status not in _MAY_HAVE_RUN:
             raise StoreCallError(f"{path}: refused with status {response.status}")
         if response.status != 200:
             raise _AnswerLost(f"status {response.status}")
@@ -311,6 +316,8 @@
         result = json.loads(line)["result"]
     except (KeyError, TypeError, ValueError) as error:
         raise StoreCallError("watch answer is malformed or missing") from error
+    if not isinstance(result, dict):
+        raise StoreCallError("watch answer is malformed")
     if result.get("canceled"):
         raise StoreCallError(
             f"watch cancelled, compact revision {result.get('compact_revision', 0)}"
@@ -318,15 +325,20 @@
     return result
 
 
+def _changed_item(event: dict[str, Any]) -> KeyValue:
+    item = _item(event["kv"])
+    return KeyValue(item.key, b"", 0) if event.get("type") == "DELETE" else item
+
+
 async def _changes(
     lines: AsyncIterator[bytes],
 ) -> AsyncGenerator[tuple[KeyValue, ...], None]:
     async for line in lines:
-        items = []
-        for event in _watch_result(line).get("events") or ():
-            item = _item(event["kv"])
-            deleted = event.get("type") == "DELETE"
-            items.append(KeyValue(item.key, b"", 0) if deleted else item)
+        events = _watch_result(line).get("events") or ()
+        try:
+            items = tuple(_changed_item(event) for event in events)
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise StoreCallError("watch event is malformed") from error
         if items:
-            yield tuple(items)
+            yield items
     raise StoreCallError("the store ended the watch")
--- a/apricotgap/drivers/instances.py
+++ b/apricotgap/drivers/instances.py
@@ -57,6 +57,7 @@
         self._headers = [(b"Apricotgap-Entry", entry.encode())]
         self._timeout_ms = timeout_ms
         self._nursery: trio.Nursery | None = None
+        self._stopped = False
         self._reading = False
         self._sending: set[str] = set()
         self._unsent: dict[str, RebootInstance] = {}
@@ -76,10 +77,15 @@
                 try:
                     await trio.sleep_forever()
                 finally:
-                    self._nursery = None
+                    self._stopped = True
 
     def run(self, effect: Effect) -> None:
-        """Start an effect; its event is posted later, never from this call."""
+        """Start an effect; its event is posted later, never from this call.
+
+        Effects given after the driver stopped are dropped.
+        """
+        if self._stopped:
+            return
         if self._nursery is None:
             raise RuntimeError("the instances driver is not running; call serve first")
         match effect:
--- a/apricotgap/drivers/store_driver.py
+++ b/apricotgap/drivers/store_driver.py
@@ -81,6 +81,7 @@
         self._max_waiting = max_waiting
         self._n_waiting = 0
         self._nursery: trio.Nursery | None = None
+        self._stopped = False
         self._waiting: dict[str, deque[Effect]] = {}
         self._watches: dict[str, trio.CancelScope] = {}
         self._log = structlog.get_logger("store")
@@ -97,16 +98,20 @@
             try:
                 await trio.sleep_forever()
             finally:
-                self._nursery = None
+                self._stopped = True
 
     def run(self, effect: Effect) -> None:
         """Start an effect; its event is posted later, never from this call.
 
+        Effects given after the driver stopped are dropped.
+
         Parameters
         ----------
         effect : Effect
             One of the types in `handles`.
         """
+        if self._stopped:
+            return
         if self._nursery is None:
             raise RuntimeError("the store driver is not running; call serve first")
         if isinstance(effect, OpenWatch):
--- a/tests/test_store_driver.py
+++ b/tests/test_store_driver.py
@@ -28,6 +28,7 @@
 from apricotgap.drivers.memory_store import MemoryStore
 from apricotgap.drivers.store import EtcdStore, StoreCallError, StoreDriver
 from standins.platform import Platform
+from standins.serving import Listener
 from tests.loopback import call
 
 
@@ -192,6 +193,7 @@
                 await trio.sleep_forever()
         assert scope.cancelled_caught
         assert len(of_type(events, WatchOpened)) == 1
+        driver.run(StoreGet("after", "a"))
 
     run_with_platform(check)
 
@@ -209,6 +211,30 @@
     run_with_platform(check)
 
 
+def test_malformed_answers_are_store_failures():
+    """Guards against a strange answer that ends the whole process."""
+
+    async def main():
+        async def answer(exchange):
+            document = {"result": [], "kvs": [{}], "ID": None}
+            await exchange.answer_json(200, document)
+
+        listener = Listener(answer)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(listener.run)
+            store = EtcdStore([f"http://{listener.address}"])
+            for read in (store.get("a"), store.grant_lease(1), store.keep_alive(1)):
+                with pytest.raises(StoreCallError):
+                    await read
+            with pytest.raises(StoreCallError):
+                async with store.watch("a"):
+                    pass
+            assert (await store.cas("a", 0, b"")).result is CasResult.UNKNOWN
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_reads_and_unsent_writes_fail_over():
     """Guards against one refused endpoint that stops all calls."""
 
