--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -227,6 +227,9 @@
     """Guards against answer faults that leave answers intact."""
 
     async def check(backend, nursery):
+        async def soon():
+            return (await backend.status())["now_ms"] + 50
+
         await backend.fault("wrong_task_id", n=1)
         wrong = await backend.submit("t1")
         assert header(wrong, "apricotgap-task-id") != "t1"
@@ -239,6 +242,9 @@
         with trio.move_on_after(0.2) as scope:
             await backend.submit("t4")
         assert scope.cancelled_caught
+        await backend.fault("slow_start", n=1, delay_ms=100)
+        late = await backend.submit("t6", Apricotgap_Start_Deadline_Ms=await soon())
+        assert header(late, "apricotgap-not-run") == "deadline"
         assert (await backend.submit("t5")).status == 200
         outcomes = ["completed", "completed", "failed", "completed", "completed"]
         assert await backend.outcomes() == outcomes
@@ -276,3 +282,24 @@
         process.kill()
         process.wait()
         process.stdout.close()
+
+
+def test_kill_ends_a_process_started_from_a_settings_file(tmp_path):
+    """Guards against a kill that is a graceful stop."""
+    path = tmp_path / "backends.yaml"
+    path.write_text("instances:\n  - {name: b1, slots: 2}\n  - {name: b2}\n")
+    command = [sys.executable, "-m", "standins.backend_server", "--settings", path]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        instances = json.loads(process.stdout.readline())["instances"]
+
+        async def kill():
+            address, body = instances["b2"]["address"], {"fault": "kill"}
+            await call("POST", address, "/standin/faults", body)
+
+        trio.run(kill)
+        assert process.wait(timeout=10) == 137
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
