--- /dev/null
+++ b/apricotgap/drivers/memory_store.py
@@ -0,0 +1,181 @@
+"""In-memory store with switchable faults for tests in virtual time."""
+
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from contextlib import aclosing, asynccontextmanager
+from dataclasses import dataclass
+
+import trio
+
+from apricotgap.core.events import CasResult, KeyValue
+from apricotgap.drivers.memory_state import MemoryState
+from apricotgap.drivers.store_api import (
+    MAX_VALUE_BYTES,
+    CasAnswer,
+    Lease,
+    Snapshot,
+    Store,
+    StoreCallError,
+)
+
+__all__ = ["MemoryFaults", "MemoryState", "MemoryStore"]
+
+CALL_TIMEOUT_MS = 1_000
+WATCH_CHECK_S = 0.1
+
+
+@dataclass(slots=True)
+class MemoryFaults:
+    """Faults of one client; change the attributes to switch them.
+
+    Parameters
+    ----------
+    down : bool
+        Calls fail without effect and watches break.
+    n_lost_answers : int
+        The next writes take effect, but their answers are lost.
+    n_late_effects : int
+        The next writes take effect `late_ms` after their call timed out.
+    late_ms : int
+        Delay of late effects.
+    slow_ms : int
+        Delay of each call; a call slower than the timeout loses its answer.
+    silent_watches : bool
+        Watches stay open and deliver nothing.
+    """
+
+    down: bool = False
+    n_lost_answers: int = 0
+    n_late_effects: int = 0
+    late_ms: int = 500
+    slow_ms: int = 0
+    silent_watches: bool = False
+
+
+class MemoryStore(Store):
+    """One client of a store kept in memory.
+
+    Clients that are given the same state see each other's writes, and each has
+    faults of its own, so that one entry instance can be cut off alone.
+
+    Parameters
+    ----------
+    state : MemoryState or None
+        State to share; None for a new one.
+    timeout_ms : int
+        Longest time for a call.
+    """
+
+    def __init__(
+        self, state: MemoryState | None = None, timeout_ms: int = CALL_TIMEOUT_MS
+    ) -> None:
+        self.state = MemoryState() if state is None else state
+        self.faults = MemoryFaults()
+        self._timeout_ms = timeout_ms
+
+    async def read_key(self, key: str) -> Snapshot:
+        """Read one key."""
+        await self._reach()
+        return Snapshot((self.state.item(key),), self.state.revision)
+
+    async def read_prefix(self, prefix: str) -> Snapshot:
+        """Read all keys below `prefix`."""
+        await self._reach()
+        return Snapshot(self.state.items(prefix), self.state.revision)
+
+    async def cas(
+        self, key: str, expected_revision: int, value: bytes, lease_id: int = 0
+    ) -> CasAnswer:
+        """Write a key if its revision is `expected_revision`."""
+        if len(value) > MAX_VALUE_BYTES:
+            raise StoreCallError(f"value of {key} is above {MAX_VALUE_BYTES} bytes")
+
+        def put() -> CasAnswer:
+            if self.state.revision_of(key) != expected_revision:
+                return CasAnswer(CasResult.CONFLICT)
+            return CasAnswer(CasResult.STORED, self.state.put(key, value, lease_id))
+
+        return await self._write(put)
+
+    async def delete(self, key: str, expected_revision: int) -> CasAnswer:
+        """Delete a key if its revision is `expected_revision`."""
+
+        def remove() -> CasAnswer:
+            if self.state.revision_of(key) != expected_revision:
+                return CasAnswer(CasResult.CONFLICT)
+            return CasAnswer(CasResult.STORED, self.state.remove(key))
+
+        return await self._write(remove)
+
+    async def grant_lease(self, ttl_ms: int) -> Lease:
+        """Ask for a lease."""
+        await self._reach()
+        return self.state.grant(ttl_ms)
+
+    async def keep_alive(self, lease_id: int) -> int:
+        """Renew a lease."""
+        await self._reach()
+        return self.state.keep_alive(lease_id)
+
+    async def revoke(self, lease_id: int) -> None:
+        """Give a lease back."""
+        await self._reach()
+        self.state.revoke(lease_id)
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, from_revision: int = 0
+    ) -> AsyncIterator[AsyncIterator[tuple[KeyValue, ...]]]:
+        """Watch all keys below `prefix`."""
+        await self._reach()
+        start = from_revision or self.state.revision + 1
+        async with aclosing(self._changes(prefix, start)) as changes:
+            yield changes
+
+    async def _changes(
+        self, prefix: str, next_revision: int
+    ) -> AsyncGenerator[tuple[KeyValue, ...], None]:
+        while True:
+            if self.faults.down:
+                raise StoreCallError("watch broke: the store is down")
+            self.state.advance()
+            changed = self.state.changed
+            news = self.state.changes(next_revision)
+            if news:
+                next_revision = news[-1][0] + 1
+            items = tuple(item for _, item in news if item.key.startswith(prefix))
+            if items and not self.faults.silent_watches:
+                yield items
+                continue
+            # Wakes also for lapsed leases, late effects and switched faults.
+            with trio.move_on_after(WATCH_CHECK_S):
+                await changed.wait()
+
+    async def _reach(self) -> None:
+        await trio.lowlevel.checkpoint()
+        slow_ms = self.faults.slow_ms
+        if slow_ms:
+            await trio.sleep(min(slow_ms, self._timeout_ms) / 1000)
+        if self.faults.down:
+            raise StoreCallError("the store is down")
+        if slow_ms >= self._timeout_ms:
+            raise StoreCallError("timed out")
+        self.state.advance()
+
+    async def _write(self, change: Callable[[], CasAnswer]) -> CasAnswer:
+        faults = self.faults
+        late_ms = 0
+        if faults.n_late_effects > 0 and not faults.down:
+            faults.n_late_effects -= 1
+            late_ms = self._timeout_ms + faults.late_ms
+        elif faults.slow_ms >= self._timeout_ms and not faults.down:
+            late_ms = faults.slow_ms
+        if late_ms:
+            self.state.apply_late(self.state.now_ms + late_ms, change)
+            await trio.sleep(self._timeout_ms / 1000)
+            return CasAnswer(CasResult.UNKNOWN)
+        await self._reach()
+        answer = change()
+        if faults.n_lost_answers > 0:
+            faults.n_lost_answers -= 1
+            return CasAnswer(CasResult.UNKNOWN)
+        return answer
