--- a/apricotgap/core/events/workers.py
+++ b/apricotgap/core/events/workers.py
@@ -79,11 +79,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskProbed(Event):
-    """Answer to `ProbeTask`; `state` is None when the server did not answer."""
+    """Answer to `ProbeTask`; `state` is None when the server did not answer.
+
+    ``unknown`` proves that a task never ran only while `boot_id` is the one of the
+    report that the task was dispatched on, since a restarted server forgets tasks.
+    """
 
     task_id: str
     state: TaskState | None
     server_now_ms: int = 0
+    boot_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricotgap/drivers/backends.py
+++ b/apricotgap/drivers/backends.py
@@ -192,6 +192,10 @@
         if refusal in _REFUSALS:
             self._post(TaskRefused(now_ms, effect.task_id, _REFUSALS[refusal]))
             return
+        ended = _header(response, b"apricotgap-task-ended")
+        if ended:
+            self._failed(effect, sent=True, message=ended)
+            return
         if _header(response, b"content-length") != str(len(content)):
             raise _BadAnswerError("the answer is not whole")
         content_type = _header(response, b"content-type") or "application/octet-stream"
@@ -222,11 +226,11 @@
                 self._clock.now_ms,
                 effect.instance,
                 int(data["now_ms"]),
-                int(data["slots"]),
-                int(data["running"]),
+                int(data["n_slots"]),
+                int(data["n_running"]),
                 bool(data.get("draining", False)),
                 str(data.get("boot_id", "")),
-                {str(k): int(v) for k, v in data.get("running_by_team", {}).items()},
+                {str(k): int(v) for k, v in data.get("n_running_by_team", {}).items()},
             )
         except (*_NETWORK_ERRORS, ValueError, KeyError, TypeError, AttributeError):
             self._post(WorkerUnreachable(self._clock.now_ms, effect.instance))
@@ -236,14 +240,20 @@
     async def _probe_task(self, effect: ProbeTask) -> None:
         state: TaskState | None = None
         server_now_ms = 0
+        boot_id = ""
         try:
             path = f"/v1/tasks/{effect.task_id}"
             data = await self._get(effect.address, path, fresh=True)
             state = TaskState(data["state"])
             server_now_ms = int(data.get("now_ms", 0))
+            boot_id = str(data.get("boot_id", ""))
         except (*_NETWORK_ERRORS, ValueError, KeyError, TypeError):
             state = None
-        self._post(TaskProbed(self._clock.now_ms, effect.task_id, state, server_now_ms))
+        self._post(
+            TaskProbed(
+                self._clock.now_ms, effect.task_id, state, server_now_ms, boot_id
+            )
+        )
 
     async def _get(self, address: str, path: str, *, fresh: bool) -> Any:
         timeouts = dict.fromkeys(("connect", "read", "write", "pool"), _PROBE_TIMEOUT_S)
