Add admission, claims and tickets to the core

Requests had no path from their arrival to the queue and no rule for their end. This adds the checks of admission, tickets, claims on idempotency keys, retained outcomes and the messages among peers about them, as reducer handlers.

--- /dev/null
+++ b/apricotgap/core/admission.py
@@ -0,0 +1,369 @@
+"""Whether a request is accepted, and the life of a request towards its caller."""
+
+from collections.abc import Iterable
+
+from apricotgap.core import (
+    claim_handlers,  # noqa: F401  registers the reactions that claims need
+    claims,
+    config_view,
+    fair_queue,
+    outcomes,
+    peer_requests,
+    quarantine,
+    tickets,
+)
+from apricotgap.core.claim_state import Admission, Origin, Phase
+from apricotgap.core.effects import (
+    AnswerCaller,
+    AnswerQuery,
+    AnswerTicket,
+    Count,
+    Effect,
+    ReleaseBodies,
+    SendPeer,
+    SetReady,
+)
+from apricotgap.core.events import (
+    CallerGone,
+    Event,
+    ForwardedRequestArrived,
+    OutcomeQueried,
+    RequestArrived,
+    RequestCancelled,
+    StopRequested,
+    TicketRequested,
+)
+from apricotgap.core.limits import READINESS_GRACE_MS
+from apricotgap.core.reducer import Handler
+from apricotgap.core.state import EntryState
+from apricotgap.model import (
+    NotRun,
+    OutcomeUnknown,
+    Queue,
+    RefusalKind,
+    Request,
+    Resources,
+)
+from apricotgap.model.peers import TicketAnswer
+
+__all__ = [
+    "CallerLeaves",
+    "CancelRequest",
+    "ForwardedRequestAdmission",
+    "OutcomeQuery",
+    "RequestAdmission",
+    "StopAdmission",
+    "TicketMinting",
+    "check",
+    "may_exit",
+]
+
+_MAX_KEY_CHARS = 256
+_WAITING_PHASES = (Phase.CLAIMING, Phase.FOLLOWING, Phase.WAITING)
+
+
+def check(state: EntryState, request: Request, at_ms: int) -> str | NotRun:
+    """Decide whether a request is accepted.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    request : Request
+        The request.
+    at_ms : int
+        Time of the decision in milliseconds.
+
+    Returns
+    -------
+    str or NotRun
+        The team, empty for a request without a key, or the refusal.
+    """
+    team = _team(state, request.key_digest)
+    starts = claims.may_start_here(state, request, team or "")
+    if starts and _is_stopping(state, at_ms):
+        return _stopping()
+    if not state.config.revision:
+        return NotRun(RefusalKind.NOT_READY, "no configuration has been received yet")
+    if refusal := _check_form(request):
+        return refusal
+    queue = state.config.queues.get(request.queue)
+    if queue is None:
+        message = f"queue {request.queue!r} does not exist"
+        return NotRun(RefusalKind.UNKNOWN_QUEUE, message)
+    if request.key_digest is None and not queue.open_to_all:
+        message = f"queue {queue.name!r} needs a key"
+        return NotRun(RefusalKind.KEY_MISSING, message)
+    if team is None:
+        return NotRun(RefusalKind.KEY_UNKNOWN, "the key belongs to no team")
+    if team and queue.teams and team not in queue.teams and not queue.open_to_all:
+        message = f"team {team!r} may not use queue {queue.name!r}"
+        return NotRun(RefusalKind.TEAM_NOT_ALLOWED, message)
+    if starts and team and not config_view.accepts_keyed(state, team, at_ms):
+        return _cut_off(state)
+    if starts and (refusal := _check_load(state, request, queue)):
+        return refusal
+    return team
+
+
+def may_exit(state: EntryState) -> bool:
+    """Tell whether no admitted request and no stored outcome is under way."""
+    own = state.claims
+    return not (own.admissions or own.writes or own.calls)
+
+
+class RequestAdmission(Handler):
+    """Accepts or refuses a caller's request."""
+
+    handles = (RequestArrived,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Check the request, then admit it."""
+        assert isinstance(event, RequestArrived)
+        request = event.request
+        team = check(state, request, event.at_ms)
+        if isinstance(team, str):
+            return claims.admit(state, request, team, event.at_ms)
+        return [
+            AnswerCaller(request.request_id, team),
+            ReleaseBodies(request.request_id),
+            _count_refusal(team),
+        ]
+
+
+class ForwardedRequestAdmission(Handler):
+    """Accepts or refuses a ticketed request that a peer forwarded."""
+
+    handles = (ForwardedRequestArrived,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Check the request as if its caller were connected here."""
+        assert isinstance(event, ForwardedRequestArrived)
+        message = event.message
+        request = peer_requests.request_of(
+            message, event.request_id, event.n_body_bytes
+        )
+        team = check(state, request, event.at_ms)
+        if isinstance(team, str):
+            origin = Origin(event.peer, message.call_id, message.n_hops)
+            return claims.admit(state, request, team, event.at_ms, origin)
+        answer = TicketAnswer(message.call_id, "not_run", team.kind.value, team.message)
+        return [
+            SendPeer(event.peer, answer),
+            ReleaseBodies(event.request_id),
+            _count_refusal(team),
+        ]
+
+
+class CallerLeaves(Handler):
+    """Drops work that nobody waits for, if it was not dispatched."""
+
+    handles = (CallerGone,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Withdraw the request unless others wait for it."""
+        assert isinstance(event, CallerGone)
+        admission = state.claims.admissions.get(event.request_id)
+        if admission is None:
+            return ()
+        admission.caller_gone = True
+        if admission.phase is Phase.FOLLOWING:
+            return _leave(state, admission, event.at_ms)
+        return _withdraw_unwanted(state, admission, event.at_ms)
+
+
+class CancelRequest(Handler):
+    """Cancels a request at its caller's wish."""
+
+    handles = (RequestCancelled,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """End a request before dispatch, or ask placement to stop its task."""
+        assert isinstance(event, RequestCancelled)
+        own = state.claims
+        admission = own.admissions.get(event.request_id)
+        if admission is None:
+            return [_kept_outcome(state, event)]
+        if not _may_see(state, admission.team, event.key_digest):
+            return [AnswerQuery(event.call_id, "not_found")]
+        first = own.admissions.get(admission.leader or "", admission)
+        message = "the caller cancelled the request before it was dispatched"
+        effects = claims.withdraw(state, first, message, event.at_ms)
+        if effects is None:
+            first.cancel_requested = True
+            return [AnswerQuery(event.call_id, "running")]
+        return [*effects, AnswerQuery(event.call_id, "cancelled", first.outcome)]
+
+
+class OutcomeQuery(Handler):
+    """Looks the outcome of a request up."""
+
+    handles = (OutcomeQueried,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Answer only the team that submitted the request."""
+        assert isinstance(event, OutcomeQueried)
+        admission = state.claims.admissions.get(event.request_id)
+        if admission is None:
+            return [_kept_outcome(state, event)]
+        if not _may_see(state, admission.team, event.key_digest):
+            return [AnswerQuery(event.call_id, "not_found")]
+        first = state.claims.admissions.get(admission.leader or "", admission)
+        waiting = first.phase in _WAITING_PHASES
+        return [AnswerQuery(event.call_id, "waiting" if waiting else "running")]
+
+
+class TicketMinting(Handler):
+    """Mints tickets."""
+
+    handles = (TicketRequested,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Mint a ticket for the team of the key, or for callers without one."""
+        assert isinstance(event, TicketRequested)
+        team = _team(state, event.key_digest)
+        if refusal := _check_minting(state, team, event.at_ms):
+            return [
+                AnswerTicket(event.call_id, None, refusal),
+                _count_refusal(refusal),
+            ]
+        ticket = tickets.mint(state, team or "", event.at_ms)
+        if ticket is not None:
+            return [AnswerTicket(event.call_id, ticket)]
+        refusal = NotRun(RefusalKind.QUEUE_FULL, "too many tickets are unused")
+        return [AnswerTicket(event.call_id, None, refusal), _count_refusal(refusal)]
+
+
+class StopAdmission(Handler):
+    """Becomes unready; requests are refused after the load balancer's lag."""
+
+    handles = (StopRequested,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Start the grace time at the first request to stop."""
+        if state.claims.stop_requested_ms is not None:
+            return ()
+        state.claims.stop_requested_ms = event.at_ms
+        state.stopping = True
+        return (SetReady(False),)
+
+
+def _team(state: EntryState, key_digest: str | None) -> str | None:
+    """Return the team of a key, empty without a key, None for an unknown one."""
+    if key_digest is None:
+        return ""
+    return config_view.team_of_key(state, key_digest)
+
+
+def _is_stopping(state: EntryState, at_ms: int) -> bool:
+    stop_ms = state.claims.stop_requested_ms
+    return stop_ms is not None and at_ms - stop_ms >= READINESS_GRACE_MS
+
+
+def _stopping() -> NotRun:
+    return NotRun(RefusalKind.STOPPING, "this entry instance is stopping")
+
+
+def _cut_off(state: EntryState) -> NotRun:
+    data_centre = state.identity.data_centre
+    message = f"data centre {data_centre!r} is cut off and cannot verify keys"
+    return NotRun(RefusalKind.CUT_OFF, message)
+
+
+def _check_form(request: Request) -> NotRun | None:
+    key = request.idempotency_key
+    if key is not None and request.ticket is not None:
+        message = "a request carries an idempotency key or a ticket, not both"
+        return NotRun(RefusalKind.INVALID, message)
+    if key is not None and not 0 < len(key) <= _MAX_KEY_CHARS:
+        message = f"an idempotency key has 1 to {_MAX_KEY_CHARS} characters"
+        return NotRun(RefusalKind.INVALID, message)
+    return None
+
+
+def _check_load(state: EntryState, request: Request, queue: Queue) -> NotRun | None:
+    """Refuse what this entry has no room for or must not start."""
+    capacities = _capacities(state, queue.pool)
+    if not capacities:
+        message = f"pool {queue.pool!r} and the spare pools have no instance"
+        return NotRun(RefusalKind.NO_CAPACITY, message)
+    if not any(request.declared.fits_in(capacity) for capacity in capacities):
+        message = f"no instance of pool {queue.pool!r} or a spare pool is large enough"
+        return NotRun(RefusalKind.INFEASIBLE, message)
+    if fair_queue.n_waiting(state, queue.name) >= queue.max_length:
+        message = f"queue {queue.name!r} holds {queue.max_length} waiting requests"
+        return NotRun(RefusalKind.QUEUE_FULL, message)
+    if quarantine.is_quarantined(state, request.body_digest):
+        message = "requests with this body stopped the workers that ran them"
+        return NotRun(RefusalKind.QUARANTINED, message)
+    return None
+
+
+def _capacities(state: EntryState, pool: str) -> frozenset[Resources]:
+    """Return the distinct sizes of instances that may serve a pool."""
+    own, config = state.claims, state.config
+    if own.capacities_of is not config:
+        own.capacities_of = config
+        own.capacities = {}
+    if pool not in own.capacities:
+        own.capacities[pool] = frozenset(
+            instance.capacity
+            for instance in config.instances.values()
+            if instance.pool == pool or _is_spare(state, instance.pool)
+        )
+    return own.capacities[pool]
+
+
+def _is_spare(state: EntryState, pool: str) -> bool:
+    found = state.config.pools.get(pool)
+    return found is not None and found.spare
+
+
+def _check_minting(state: EntryState, team: str | None, at_ms: int) -> NotRun | None:
+    if _is_stopping(state, at_ms):
+        return _stopping()
+    if not state.config.revision:
+        return NotRun(RefusalKind.NOT_READY, "no configuration has been received yet")
+    if team is None:
+        return NotRun(RefusalKind.KEY_UNKNOWN, "the key belongs to no team")
+    if team and not config_view.accepts_keyed(state, team, at_ms):
+        return _cut_off(state)
+    return None
+
+
+def _leave(state: EntryState, follower: Admission, at_ms: int) -> Iterable[Effect]:
+    """End a follower; its leader goes on while somebody waits for it."""
+    leader = state.claims.admissions.get(follower.leader or "")
+    message = "the caller left; the first submission goes on"
+    effects = claims.end(state, follower, OutcomeUnknown(message), at_ms)
+    if leader is None or not leader.caller_gone:
+        return effects
+    return [*effects, *_withdraw_unwanted(state, leader, at_ms)]
+
+
+def _withdraw_unwanted(
+    state: EntryState, admission: Admission, at_ms: int
+) -> Iterable[Effect]:
+    if admission.followers:
+        return ()
+    message = "the caller left before the request was dispatched"
+    if admission.phase in (Phase.ASKING, Phase.FETCHING):
+        return claims.end(state, admission, OutcomeUnknown(message), at_ms)
+    return claims.withdraw(state, admission, message, at_ms) or ()
+
+
+def _kept_outcome(
+    state: EntryState, event: OutcomeQueried | RequestCancelled
+) -> AnswerQuery:
+    kept = outcomes.find(state, event.request_id)
+    if kept is None or not _may_see(state, kept.team, event.key_digest):
+        return AnswerQuery(event.call_id, "not_found")
+    return AnswerQuery(event.call_id, "done", kept.outcome)
+
+
+def _may_see(state: EntryState, team: str, key_digest: str | None) -> bool:
+    return not team or _team(state, key_digest) == team
+
+
+def _count_refusal(refusal: NotRun) -> Count:
+    return Count("requests_refused", labels=(("kind", refusal.kind.value),))
--- /dev/null
+++ b/apricotgap/core/claim_store.py
@@ -0,0 +1,405 @@
+"""Claims on idempotency keys in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from apricotgap.core import claims, config_view, peer_requests
+from apricotgap.core.claim_document import (
+    ClaimDocument,
+    ClaimStep,
+    claim_key,
+)
+from apricotgap.core.claim_state import Admission, Claim, OutcomeWrite, Phase
+from apricotgap.core.effects import (
+    Count,
+    Effect,
+    FetchBody,
+    GrantLease,
+    StoreBody,
+    StoreCas,
+    StoreGet,
+)
+from apricotgap.core.events import CasFinished, CasResult, KeyValue
+from apricotgap.core.limits import (
+    CLAIM_LEASE_WINDOW_MS,
+    CLAIM_RETENTION_MS,
+    CLAIM_TIMEOUT_MS,
+    CLAIM_WRITE_BURST,
+    CLAIM_WRITES_PER_S,
+    MAX_CLAIM_TRIES,
+    MAX_STORED_BODY_BYTES,
+)
+from apricotgap.model import (
+    Completed,
+    FailedAfterStart,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    RefusalKind,
+)
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = [
+    "begin",
+    "finish_cas",
+    "finish_fetch",
+    "finish_read",
+    "finish_write",
+    "lease_failed",
+    "lease_granted",
+    "read",
+    "read_failed",
+    "store_outcome",
+    "supersede",
+    "time_out",
+]
+
+_UNREACHABLE = "the store did not confirm the claim on the idempotency key"
+
+
+def begin(state: EntryState, admission: Admission, at_ms: int) -> list[Effect]:
+    """Join an earlier submission with the same key or claim the key."""
+    own = state.claims
+    key = claim_key(admission.team, admission.request)
+    if key in own.by_key:
+        return claims.join(state, admission, own.by_key[key], at_ms)
+    if config_view.view_case(state, at_ms) == "store_down":
+        message = "the store is down, so the idempotency key cannot be claimed"
+        kind = RefusalKind.STORE_UNAVAILABLE
+        return claims.refuse(state, admission, kind, message, at_ms)
+    if not _take_write(state, at_ms):
+        message = f"more than {CLAIM_WRITES_PER_S} claims per second"
+        return claims.refuse(state, admission, RefusalKind.CLAIM_RATE, message, at_ms)
+    identity = state.identity
+    own.last_n += 1
+    token = f"{identity.entry}.{identity.incarnation}.{own.last_n}"
+    request_id = admission.request.request_id
+    admission.claim = Claim(key, token)
+    admission.phase = Phase.CLAIMING
+    own.by_key[key] = request_id
+    own.by_token[token] = request_id
+    own.resolving[request_id] = None
+    return _write_claim(state, admission, admission.claim, at_ms)
+
+
+def finish_cas(
+    state: EntryState, admission: Admission, event: CasFinished
+) -> list[Effect]:
+    """Continue after the answer to the claim's CAS."""
+    claim = _claim(admission)
+    claim.call_id = ""
+    if event.result is CasResult.STORED:
+        return _stored(state, admission, claim, event.revision, event.at_ms)
+    if admission.outcome is not None:
+        return []
+    return read(state, admission)
+
+
+def read(state: EntryState, admission: Admission) -> list[Effect]:
+    """Read the claim to learn who holds the key."""
+    claim = _claim(admission)
+    claim.call_id = _new_call(state, admission)
+    return [StoreGet(claim.call_id, claim.key)]
+
+
+def finish_read(
+    state: EntryState, admission: Admission, item: KeyValue, at_ms: int
+) -> list[Effect]:
+    """Continue with the claim document as it is stored."""
+    claim = _claim(admission)
+    claim.call_id = ""
+    claim.n_failed_reads = 0
+    document = ClaimDocument.decode(item.value) if item.revision else None
+    if document is not None and document.claimant == claim.token:
+        return _stored(state, admission, claim, item.revision, at_ms)
+    if admission.outcome is not None:
+        return []
+    if not item.revision and not claim.final_read:
+        claim.expected_revision = 0
+        return _write_claim(state, admission, claim, at_ms)
+    if document is None:
+        message = "the claim on the idempotency key is gone or unreadable"
+        return claims.end(state, admission, OutcomeUnknown(message), at_ms)
+    return _resolve(state, admission, document, item.revision, at_ms)
+
+
+def read_failed(state: EntryState, admission: Admission, at_ms: int) -> list[Effect]:
+    """Read again, or give up."""
+    claim = _claim(admission)
+    claim.call_id = ""
+    if admission.outcome is not None:
+        return []
+    claim.n_failed_reads += 1
+    if claim.n_failed_reads < MAX_CLAIM_TRIES:
+        return read(state, admission)
+    if claim.final_read:
+        return _unknown(state, admission, at_ms)
+    return _give_up(state, admission, at_ms)
+
+
+def time_out(state: EntryState, admission: Admission, at_ms: int) -> list[Effect]:
+    """Give up a claim that the store did not confirm in time."""
+    return _give_up(state, admission, at_ms)
+
+
+def supersede(state: EntryState, admission: Admission, at_ms: int) -> list[Effect]:
+    """Replace an abandoned claim at the revision at which it was read."""
+    claim = _claim(admission)
+    claim.expected_revision = claim.other_revision
+    claim.other = None
+    if admission.phase is not Phase.CLAIMING:
+        admission.phase = Phase.CLAIMING
+        admission.deadline_ms = at_ms + CLAIM_TIMEOUT_MS
+    return _write_claim(state, admission, claim, at_ms)
+
+
+def finish_fetch(
+    state: EntryState, admission: Admission, n_body_bytes: int | None, at_ms: int
+) -> list[Effect]:
+    """Answer with the body that another entry stored."""
+    claim = _claim(admission)
+    if admission.outcome is not None or claim.other is None:
+        return []
+    if n_body_bytes is None:
+        return _answer_lost(state, admission, claim.other, at_ms)
+    outcome = Completed(claim.other.status, n_body_bytes)
+    source = admission.request.request_id
+    return claims.end(state, admission, outcome, at_ms, source=source)
+
+
+def lease_granted(
+    state: EntryState, lease_id: int, sent_ms: int, at_ms: int
+) -> list[Effect]:
+    """Write the claims that waited for a lease."""
+    own = state.claims
+    own.lease_call_id = ""
+    own.lease_id = lease_id
+    own.lease_fresh_until_ms = sent_ms + CLAIM_LEASE_WINDOW_MS
+    effects: list[Effect] = []
+    for admission in _pop_waiters(state):
+        effects += _write_claim(state, admission, _claim(admission), at_ms)
+    return effects
+
+
+def lease_failed(state: EntryState, at_ms: int) -> list[Effect]:
+    """Refuse the claims that waited for a lease; none was written."""
+    state.claims.lease_call_id = ""
+    effects: list[Effect] = []
+    for admission in _pop_waiters(state):
+        effects += _give_up(state, admission, at_ms)
+    return effects
+
+
+def store_outcome(state: EntryState, admission: Admission, at_ms: int) -> list[Effect]:
+    """Write the outcome into the own claim, best effort."""
+    claim = admission.claim
+    if claim is None or not claim.revision or admission.outcome is None:
+        return []
+    if not _take_write(state, at_ms):
+        return [Count("claim_outcomes_not_stored")]
+    document = _outcome_document(claim, admission.digest, admission.outcome)
+    write = OutcomeWrite(claim.key, claim.revision, claim.lease_id, document)
+    if document.has_body:
+        call_id = _new_call_id(state)
+        state.claims.writes[call_id] = write
+        key = document.body_key(claim.key)
+        request_id = admission.request.request_id
+        return [StoreBody(call_id, key, request_id, claim.lease_id)]
+    return _write_document(state, write, document)
+
+
+def finish_write(state: EntryState, call_id: str, stored: bool) -> list[Effect]:
+    """Write the outcome document after its body."""
+    write = state.claims.writes.pop(call_id)
+    if write.document is None:
+        return [] if stored else [Count("claim_outcomes_not_stored")]
+    document = write.document
+    if not stored:
+        document = ClaimDocument(
+            document.claimant, document.digest, document.step, document.status
+        )
+    return _write_document(state, write, document)
+
+
+def _claim(admission: Admission) -> Claim:
+    assert admission.claim is not None
+    return admission.claim
+
+
+def _new_call_id(state: EntryState) -> str:
+    state.claims.last_n += 1
+    return f"claim-{state.claims.last_n}"
+
+
+def _new_call(state: EntryState, admission: Admission) -> str:
+    call_id = _new_call_id(state)
+    state.claims.calls[call_id] = admission
+    return call_id
+
+
+def _take_write(state: EntryState, at_ms: int) -> bool:
+    own = state.claims
+    refill = (at_ms - own.refilled_ms) * CLAIM_WRITES_PER_S
+    own.milli_writes = min(CLAIM_WRITE_BURST * 1000, own.milli_writes + refill)
+    own.refilled_ms = at_ms
+    if own.milli_writes < 1000:
+        return False
+    own.milli_writes -= 1000
+    return True
+
+
+def _write_claim(
+    state: EntryState, admission: Admission, claim: Claim, at_ms: int
+) -> list[Effect]:
+    # Every try writes the same token, so at most one of them can be stored.
+    if claim.n_writes >= MAX_CLAIM_TRIES or at_ms > admission.deadline_ms:
+        return _give_up(state, admission, at_ms)
+    own = state.claims
+    if not own.lease_id or at_ms >= own.lease_fresh_until_ms:
+        own.lease_waiters.append(admission.request.request_id)
+        if own.lease_call_id:
+            return []
+        own.lease_call_id = _new_call_id(state)
+        ttl_ms = CLAIM_RETENTION_MS + CLAIM_LEASE_WINDOW_MS
+        return [GrantLease(own.lease_call_id, ttl_ms)]
+    claim.n_writes += 1
+    claim.lease_id = own.lease_id
+    claim.call_id = _new_call(state, admission)
+    value = ClaimDocument(claim.token, admission.digest).encode()
+    return [
+        StoreCas(
+            claim.call_id, claim.key, claim.expected_revision, value, claim.lease_id
+        )
+    ]
+
+
+def _pop_waiters(state: EntryState) -> list[Admission]:
+    own = state.claims
+    waiters, own.lease_waiters = own.lease_waiters, []
+    found = (own.admissions.get(request_id) for request_id in waiters)
+    return [admission for admission in found if admission is not None]
+
+
+def _stored(
+    state: EntryState, admission: Admission, claim: Claim, revision: int, at_ms: int
+) -> list[Effect]:
+    claim.revision = revision
+    if isinstance(admission.outcome, NotRun):
+        return store_outcome(state, admission, at_ms)
+    if admission.outcome is not None:
+        return []
+    if at_ms > admission.deadline_ms:
+        # After a long pause the retention lease may have lapsed as well.
+        return _give_up(state, admission, at_ms)
+    state.claims.resolving.pop(admission.request.request_id, None)
+    return claims.enter_queue(state, admission, at_ms)
+
+
+def _resolve(
+    state: EntryState,
+    admission: Admission,
+    document: ClaimDocument,
+    revision: int,
+    at_ms: int,
+) -> list[Effect]:
+    claim = _claim(admission)
+    claim.other = document
+    claim.other_revision = revision
+    if document.digest != admission.digest:
+        message = "the idempotency key was used with another queue or body"
+        return claims.refuse(state, admission, RefusalKind.KEY_REUSED, message, at_ms)
+    match document.step:
+        case ClaimStep.ABANDONED:
+            return supersede(state, admission, at_ms)
+        case ClaimStep.COMPLETED:
+            return _fetch(state, admission, document, at_ms)
+        case ClaimStep.FAILED:
+            failed = FailedAfterStart(document.message)
+            return claims.end(state, admission, failed, at_ms)
+        case ClaimStep.UNKNOWN:
+            unknown = OutcomeUnknown(document.message)
+            return claims.end(state, admission, unknown, at_ms)
+    if claim.final_read:
+        return _unknown(state, admission, at_ms)
+    return _follow_claimant(state, admission, document, at_ms)
+
+
+def _follow_claimant(
+    state: EntryState, admission: Admission, document: ClaimDocument, at_ms: int
+) -> list[Effect]:
+    own = state.claims
+    first_id = own.by_token.get(document.claimant)
+    kept = own.keyed.records.get(first_id or "")
+    if kept is not None and isinstance(kept.outcome, NotRun):
+        return supersede(state, admission, at_ms)
+    if kept is not None:
+        source = kept.body_id
+        return claims.end(state, admission, kept.outcome, at_ms, source=source)
+    return peer_requests.ask(state, admission, document.claimant, at_ms)
+
+
+def _fetch(
+    state: EntryState, admission: Admission, document: ClaimDocument, at_ms: int
+) -> list[Effect]:
+    claim = _claim(admission)
+    if not document.has_body and not claim.final_read:
+        return peer_requests.ask(state, admission, document.claimant, at_ms)
+    if not document.has_body:
+        return _answer_lost(state, admission, document, at_ms)
+    admission.phase = Phase.FETCHING
+    request_id = admission.request.request_id
+    claim.call_id = _new_call(state, admission)
+    return [FetchBody(claim.call_id, document.body_key(claim.key), request_id)]
+
+
+def _answer_lost(
+    state: EntryState, admission: Admission, document: ClaimDocument, at_ms: int
+) -> list[Effect]:
+    message = f"it ran with status {document.status}; its answer is not kept"
+    return claims.end(state, admission, OutcomeUnknown(message), at_ms)
+
+
+def _unknown(state: EntryState, admission: Admission, at_ms: int) -> list[Effect]:
+    message = "the entry instance that claimed the idempotency key cannot be asked"
+    return claims.end(state, admission, OutcomeUnknown(message), at_ms)
+
+
+def _give_up(state: EntryState, admission: Admission, at_ms: int) -> list[Effect]:
+    # A lease that the store has lost makes every write fail.
+    state.claims.lease_id = 0
+    kind = RefusalKind.STORE_UNAVAILABLE
+    return claims.refuse(state, admission, kind, _UNREACHABLE, at_ms)
+
+
+def _outcome_document(claim: Claim, digest: str, outcome: Outcome) -> ClaimDocument:
+    match outcome:
+        case NotRun():
+            return ClaimDocument(claim.token, digest, ClaimStep.ABANDONED)
+        case FailedAfterStart(message):
+            step = ClaimStep.FAILED
+            return ClaimDocument(claim.token, digest, step, message=message)
+        case OutcomeUnknown(message):
+            step = ClaimStep.UNKNOWN
+            return ClaimDocument(claim.token, digest, step, message=message)
+        case Completed(status, n_body_bytes):
+            return ClaimDocument(
+                claim.token,
+                digest,
+                ClaimStep.COMPLETED,
+                status,
+                has_body=n_body_bytes <= MAX_STORED_BODY_BYTES,
+            )
+
+
+def _write_document(
+    state: EntryState, write: OutcomeWrite, document: ClaimDocument
+) -> list[Effect]:
+    call_id = _new_call_id(state)
+    state.claims.writes[call_id] = OutcomeWrite(
+        write.key, write.revision, write.lease_id
+    )
+    value = document.encode()
+    return [StoreCas(call_id, write.key, write.revision, value, write.lease_id)]
--- a/apricotgap/core/claims.py
+++ b/apricotgap/core/claims.py
@@ -1,10 +1,328 @@
-"""At-most-once claims, tickets and the end of every request."""
+"""At-most-once admission and the end of every admitted request."""
 
-from dataclasses import dataclass
+from __future__ import annotations
 
-__all__ = ["ClaimState"]
+from typing import TYPE_CHECKING
 
+from apricotgap.core import (
+    claim_store,
+    fair_queue,
+    outcomes,
+    peer_requests,
+    placement,
+    tickets,
+)
+from apricotgap.core.claim_document import claim_key, request_digest
+from apricotgap.core.claim_state import Admission, ClaimState, Origin, Phase
+from apricotgap.core.effects import AnswerCaller, Count, Effect
+from apricotgap.core.limits import CLAIM_TIMEOUT_MS
+from apricotgap.core.quarantine import note_worker_killed
+from apricotgap.model import (
+    Completed,
+    FailedAfterStart,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    RefusalKind,
+    Request,
+)
 
-@dataclass(slots=True)
-class ClaimState:
-    """Claims, tickets and retained outcomes."""
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = [
+    "ClaimState",
+    "admit",
+    "cancel_requested",
+    "conclude",
+    "end",
+    "enter_queue",
+    "join",
+    "may_start_here",
+    "note_dispatched",
+    "note_worker_killed",
+    "refuse",
+    "withdraw",
+]
+
+
+def admit(
+    state: EntryState,
+    request: Request,
+    team: str,
+    at_ms: int,
+    origin: Origin | None = None,
+) -> list[Effect]:
+    """Take the claim or ticket of a checked request, then queue it.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    request : Request
+        A request that passed the checks of admission.
+    team : str
+        Its team, empty without a key.
+    at_ms : int
+        Time of the decision in milliseconds.
+    origin : Origin or None
+        The peer that forwarded the request.
+
+    Returns
+    -------
+    list of Effect
+        Effects; the outcome may be among them.
+    """
+    request_id = request.request_id
+    if request_id in state.claims.admissions or outcomes.find(state, request_id):
+        return []
+    admission = Admission(
+        request=request,
+        team=team,
+        digest=request_digest(request),
+        deadline_ms=at_ms + CLAIM_TIMEOUT_MS,
+        origin=origin,
+    )
+    state.claims.admissions[request_id] = admission
+    if request.ticket is not None:
+        return _admit_ticket(state, admission, request.ticket, at_ms)
+    if request.idempotency_key is not None:
+        return claim_store.begin(state, admission, at_ms)
+    return enter_queue(state, admission, at_ms)
+
+
+def conclude(
+    state: EntryState,
+    request_id: str,
+    outcome: Outcome,
+    task_id: str | None,
+    at_ms: int,
+) -> list[Effect]:
+    """End an admitted request.
+
+    A request that has ended already is left alone, so its first outcome stands.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    request_id : str
+        The request.
+    outcome : Outcome
+        Its outcome. `NotRun` needs proof that nothing ran, and the caller must
+        never dispatch the request afterwards.
+    task_id : str or None
+        Task whose answer body belongs to a `Completed` outcome.
+    at_ms : int
+        Time in milliseconds.
+
+    Returns
+    -------
+    list of Effect
+        Answers to the caller and to all that wait for the same outcome.
+    """
+    admission = state.claims.admissions.get(request_id)
+    if admission is None:
+        return []
+    return end(state, admission, outcome, at_ms, task_id=task_id)
+
+
+def note_dispatched(state: EntryState, request_id: str) -> None:
+    """Record that a task of the request was dispatched."""
+    admission = state.claims.admissions.get(request_id)
+    if admission is not None:
+        admission.phase = Phase.RUNNING
+
+
+def cancel_requested(state: EntryState, request_id: str) -> bool:
+    """Tell whether the caller cancelled after dispatch: stop, and do not retry."""
+    admission = state.claims.admissions.get(request_id)
+    return admission is not None and admission.cancel_requested
+
+
+def may_start_here(state: EntryState, request: Request, team: str) -> bool:
+    """Tell whether the request may start a task of this entry instance.
+
+    False for one that only joins an earlier submission or goes to the minter of
+    its ticket; load must not refuse it as "not run", since its work may have run.
+    """
+    if request.ticket is not None:
+        parsed = tickets.parse(request.ticket)
+        return parsed is None or (
+            parsed.entry == state.identity.entry
+            and parsed.incarnation == state.identity.incarnation
+            and parsed.n in state.claims.tickets.unused
+        )
+    if request.idempotency_key is None:
+        return True
+    return claim_key(team, request) not in state.claims.by_key
+
+
+def enter_queue(state: EntryState, admission: Admission, at_ms: int) -> list[Effect]:
+    """Queue a request that holds its claim or needs none."""
+    request = admission.request
+    if request.queue not in state.config.queues:
+        message = f"queue {request.queue!r} was removed"
+        return refuse(state, admission, RefusalKind.UNKNOWN_QUEUE, message, at_ms)
+    admission.phase = Phase.WAITING
+    fair_queue.enqueue(state, request, admission.team, at_ms)
+    return list(placement.schedule(state, at_ms))
+
+
+def join(
+    state: EntryState, admission: Admission, leader_id: str, at_ms: int
+) -> list[Effect]:
+    """Give a repeated submission the outcome of the first one."""
+    leader = state.claims.admissions.get(leader_id)
+    first = leader or outcomes.find(state, leader_id)
+    if first is None:
+        message = "the outcome of the first submission is no longer kept"
+        return end(state, admission, OutcomeUnknown(message), at_ms)
+    if first.team != admission.team:
+        message = "the ticket was first used by another team"
+        return refuse(state, admission, RefusalKind.TICKET_INVALID, message, at_ms)
+    if first.digest != admission.digest:
+        message = "an earlier submission had another queue or body"
+        return refuse(state, admission, RefusalKind.KEY_REUSED, message, at_ms)
+    if leader is not None:
+        admission.phase = Phase.FOLLOWING
+        admission.leader = leader_id
+        leader.followers.append(admission.request.request_id)
+        return []
+    kept = outcomes.find(state, leader_id)
+    assert kept is not None
+    return end(state, admission, kept.outcome, at_ms, source=kept.body_id)
+
+
+def withdraw(
+    state: EntryState, admission: Admission, message: str, at_ms: int
+) -> list[Effect] | None:
+    """End a request that was not dispatched; None when it may have been."""
+    before_dispatch = admission.phase is Phase.CLAIMING or (
+        admission.phase in (Phase.WAITING, Phase.RUNNING)
+        and fair_queue.cancel(state, admission.request.request_id)
+    )
+    if not before_dispatch:
+        return None
+    return refuse(state, admission, RefusalKind.CANCELLED, message, at_ms)
+
+
+def refuse(
+    state: EntryState,
+    admission: Admission,
+    kind: RefusalKind,
+    message: str,
+    at_ms: int,
+) -> list[Effect]:
+    """End a request of which nothing was dispatched."""
+    return end(state, admission, NotRun(kind, message), at_ms)
+
+
+def end(
+    state: EntryState,
+    admission: Admission,
+    outcome: Outcome,
+    at_ms: int,
+    *,
+    task_id: str | None = None,
+    source: str | None = None,
+) -> list[Effect]:
+    """Answer a request and its followers, and keep and store the outcome.
+
+    `source` is the id of a body that the driver holds already.
+    """
+    claims = state.claims
+    request_id = admission.request.request_id
+    if claims.admissions.pop(request_id, None) is None:
+        return []
+    if isinstance(outcome, NotRun):
+        fair_queue.cancel(state, request_id)
+    dispatched = admission.phase is Phase.RUNNING or admission.phase is Phase.WAITING
+    admission.outcome = outcome
+    claims.resolving.pop(request_id, None)
+    _leave_leader(state, admission)
+    if admission.claim is not None and admission.claim.ask_id != source:
+        claims.asks.pop(admission.claim.ask_id, None)
+    effects = _answer(admission, outcome, task_id, source)
+    for follower_id in admission.followers:
+        follower = claims.admissions.pop(follower_id)
+        follower.outcome = outcome
+        effects += _answer(follower, outcome, None, source or request_id)
+        effects += outcomes.retain(state, follower, outcome, None, at_ms)
+    effects += claim_store.store_outcome(state, admission, at_ms)
+    if not _answers_repeats(outcome, dispatched):
+        _forget_key(state, admission)
+    effects += outcomes.retain(state, admission, outcome, source, at_ms)
+    effects.append(Count("requests_ended", labels=_labels(outcome)))
+    return effects
+
+
+def _admit_ticket(
+    state: EntryState, admission: Admission, ticket: str, at_ms: int
+) -> list[Effect]:
+    parsed = tickets.parse(ticket)
+    if parsed is None:
+        message = "the ticket is malformed"
+        return refuse(state, admission, RefusalKind.TICKET_INVALID, message, at_ms)
+    identity = state.identity
+    if (parsed.entry, parsed.incarnation) != (identity.entry, identity.incarnation):
+        return peer_requests.forward(state, admission, parsed, at_ms)
+    if not tickets.is_authentic(state, parsed):
+        message = "the ticket was not minted by this entry instance"
+        return refuse(state, admission, RefusalKind.TICKET_INVALID, message, at_ms)
+    book = state.claims.tickets
+    tickets.expire(state, at_ms)
+    if parsed.n in book.used:
+        return join(state, admission, book.used[parsed.n], at_ms)
+    unused = book.unused.get(parsed.n)
+    if unused is None and parsed.n <= book.forgotten_n:
+        message = "the outcome of the ticket is no longer kept"
+        return end(state, admission, OutcomeUnknown(message), at_ms)
+    if unused is None:
+        message = "the ticket expired unused"
+        return refuse(state, admission, RefusalKind.TICKET_EXPIRED, message, at_ms)
+    if unused.team != admission.team:
+        message = "the ticket was minted for another team"
+        return refuse(state, admission, RefusalKind.TICKET_INVALID, message, at_ms)
+    del book.unused[parsed.n]
+    book.used[parsed.n] = admission.request.request_id
+    admission.ticket_n = parsed.n
+    return enter_queue(state, admission, at_ms)
+
+
+def _answer(
+    admission: Admission, outcome: Outcome, task_id: str | None, source: str | None
+) -> list[Effect]:
+    if not isinstance(outcome, Completed):
+        source = None
+    if admission.origin is not None:
+        return [peer_requests.ticket_answer(admission, outcome, task_id, source)]
+    request_id = admission.request.request_id
+    return [AnswerCaller(request_id, outcome, task_id, source)]
+
+
+def _leave_leader(state: EntryState, admission: Admission) -> None:
+    leader = state.claims.admissions.get(admission.leader or "")
+    if leader is not None:
+        leader.followers.remove(admission.request.request_id)
+
+
+def _answers_repeats(outcome: Outcome, dispatched: bool) -> bool:
+    # An unknown outcome of another entry's claim may become known later.
+    return isinstance(outcome, Completed | FailedAfterStart) or (
+        dispatched and isinstance(outcome, OutcomeUnknown)
+    )
+
+
+def _forget_key(state: EntryState, admission: Admission) -> None:
+    claim = admission.claim
+    by_key = state.claims.by_key
+    if claim is not None and by_key.get(claim.key) == admission.request.request_id:
+        del by_key[claim.key]
+
+
+def _labels(outcome: Outcome) -> tuple[tuple[str, str], ...]:
+    name = type(outcome).__name__
+    if isinstance(outcome, NotRun):
+        return (("outcome", name), ("kind", outcome.kind.value))
+    return (("outcome", name),)
--- a/apricotgap/core/effects/requests.py
+++ b/apricotgap/core/effects/requests.py
@@ -4,8 +4,18 @@
 
 from apricotgap.core.effects.base import Effect
 from apricotgap.model import Outcome
+from apricotgap.model.peers import ClaimAnswer, TicketAnswer, TicketForward
 
-__all__ = ["AnswerCaller", "AnswerQuery", "AnswerTicket"]
+__all__ = [
+    "AnswerCaller",
+    "AnswerQuery",
+    "AnswerTicket",
+    "FetchBody",
+    "ForwardHeldRequest",
+    "ReleaseBodies",
+    "SendHeldAnswer",
+    "StoreBody",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,6 +24,8 @@
 
     For `Completed` the driver sends the body that it holds for `task_id`, or the
     stored body of `source_request_id` when an earlier submission has the answer.
+    The answer body stays held under `request_id` until `ReleaseBodies`; the request
+    body is no longer needed.
     """
 
     request_id: str
@@ -42,3 +54,65 @@
     call_id: str
     state: str
     outcome: Outcome | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardHeldRequest(Effect):
+    """Sends a request to a peer with the body held for `request_id`.
+
+    The driver fills in `message.body`. It holds the body of the `TicketAnswer`
+    under the same request id, as the answer body.
+    """
+
+    peer: str
+    message: TicketForward
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendHeldAnswer(Effect):
+    """Sends an outcome to a peer with the answer body held for `request_id`.
+
+    The driver fills in `message.body`. If `task_id` is set, it first stores the
+    body that it holds for the task as the answer body of `request_id`.
+    """
+
+    peer: str
+    message: ClaimAnswer | TicketAnswer
+    request_id: str
+    task_id: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StoreBody(Effect):
+    """Writes the answer body held for `request_id` to an absent key of the store.
+
+    Answered by `CasFinished`.
+    """
+
+    call_id: str
+    key: str
+    request_id: str
+    lease_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class FetchBody(Effect):
+    """Reads a key and holds its value as the answer body of `request_id`.
+
+    Answered by `BodyFetched`.
+    """
+
+    call_id: str
+    key: str
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseBodies(Effect):
+    """Frees the bodies of a request once the answers under way are sent.
+
+    Bodies are held under a request id until this effect.
+    """
+
+    request_id: str
--- a/apricotgap/core/events/__init__.py
+++ b/apricotgap/core/events/__init__.py
@@ -15,7 +15,9 @@
     PeerReceived,
 )
 from apricotgap.core.events.requests import (
+    BodyFetched,
     CallerGone,
+    ForwardedRequestArrived,
     OutcomeQueried,
     RequestArrived,
     RequestCancelled,
@@ -47,10 +49,12 @@
 )
 
 __all__ = [
+    "BodyFetched",
     "CallerGone",
     "CasFinished",
     "CasResult",
     "Event",
+    "ForwardedRequestArrived",
     "InstanceListRead",
     "KeyValue",
     "LeaseGranted",
--- a/apricotgap/core/events/requests.py
+++ b/apricotgap/core/events/requests.py
@@ -4,9 +4,12 @@
 
 from apricotgap.core.events.base import Event
 from apricotgap.model import Request
+from apricotgap.model.peers import TicketForward
 
 __all__ = [
+    "BodyFetched",
     "CallerGone",
+    "ForwardedRequestArrived",
     "OutcomeQueried",
     "RequestArrived",
     "RequestCancelled",
@@ -52,3 +55,25 @@
     call_id: str
     request_id: str
     key_digest: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedRequestArrived(Event):
+    """A peer sent a request; sent instead of `PeerReceived`.
+
+    The driver chose `request_id`, holds the body under it and left
+    `message.body` empty. `n_body_bytes` is the size of the body.
+    """
+
+    peer: str
+    message: TicketForward
+    request_id: str
+    n_body_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class BodyFetched(Event):
+    """Answer to `FetchBody`; `n_body_bytes` is None when the body is not there."""
+
+    call_id: str
+    n_body_bytes: int | None = None
--- a/apricotgap/model/peers.py
+++ b/apricotgap/model/peers.py
@@ -106,6 +106,7 @@
     claim_key: str
     claimant: str
     body_digest: str
+    n_hops: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +117,7 @@
     state: str
     status: int = 0
     body: bytes = b""
+    n_body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +133,11 @@
     body: bytes
     expected_run_ms: int | None = None
     max_wait_ms: int = 30_000
+    idempotent: bool = False
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    n_hops: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +150,7 @@
     message: str = ""
     status: int = 0
     body: bytes = b""
+    n_body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
