Test admission with a small double of the entry

Cause: the checks of admission had no test. Change: a double with fakes for queue, placement, view and membership, and one test for each failure that a check prevents.

--- /dev/null
+++ b/tests/request_double.py
@@ -0,0 +1,269 @@
+"""Entries, a store and a network without I/O, for tests of requests and claims."""
+
+from dataclasses import dataclass, replace
+from random import Random
+from types import SimpleNamespace
+
+from apricotgap.core import (
+    admission,
+    claim_handlers,
+    claims,
+    config_view,
+    fair_queue,
+    membership,
+    placement,
+)
+from apricotgap.core import effects as fx
+from apricotgap.core import events as ev
+from apricotgap.core.reducer import Reducer, registered_handlers
+from apricotgap.core.state import EntryState, Identity
+from apricotgap.model import (
+    Completed,
+    Configuration,
+    Instance,
+    KeyRecord,
+    Pool,
+    Queue,
+    Request,
+    Resources,
+    Team,
+)
+
+CONFIG = Configuration(
+    revision=1,
+    pools={"ovens": Pool("ovens"), "backoffice": Pool("backoffice", spare=True)},
+    instances={
+        "a": Instance("a", "h:1", "d1", "r", "ovens", capacity=Resources(4000, 100, 0)),
+        "b": Instance(
+            "b", "h:2", "d1", "r", "backoffice", capacity=Resources(8000, 50, 1)
+        ),
+    },
+    teams={"orders": Team("orders"), "tally": Team("tally")},
+    keys={"k1": KeyRecord("k1", "orders"), "k2": KeyRecord("k2", "tally")},
+    queues={
+        "plans": Queue("plans", "ovens", teams=("orders",), max_length=2),
+        "open": Queue("open", "ovens", open_to_all=True),
+    },
+)
+HANDLERS = [
+    cls
+    for cls in registered_handlers()
+    if cls.__module__ in (admission.__name__, claim_handlers.__name__)
+]
+
+
+@dataclass(frozen=True)
+class Member:
+    incarnation: str
+    data_centre: str
+
+
+class Entry:
+    """A reducer with fakes for the queue, placement, view and membership."""
+
+    def __init__(self, world, name="e1", incarnation="i1", data_centre="d1"):
+        state = EntryState(Identity(name, incarnation, data_centre), Random(7), CONFIG)
+        state.queues = SimpleNamespace(waiting={})
+        state.view = SimpleNamespace(case="linked", accepts=True)
+        state.members = SimpleNamespace(live=world.live)
+        self.reducer = Reducer(state, HANDLERS)
+        self.state, self.world, self.name = state, world, name
+        self.bodies, self.running, self.answers = {}, {}, {}
+        world.entries[name] = self
+        world.live[name] = Member(incarnation, data_centre)
+
+    def step(self, event_type, *args, **kwargs):
+        return self.run(self.reducer.step(event_type(self.world.now, *args, **kwargs)))
+
+    def submit(self, request_id, queue="plans", key_digest="k1", **kwargs):
+        request = Request(request_id, queue, key_digest, body_digest="b1")
+        return self.step(ev.RequestArrived, replace(request, **kwargs))
+
+    def dispatch(self, request_id):
+        request = self.state.queues.waiting.pop(request_id)
+        self.running[request_id] = request
+        self.world.dispatched.append((request_id, request))
+        claims.note_dispatched(self.state, request_id)
+
+    def finish(self, request_id, outcome=None):
+        request = self.running.pop(request_id)
+        body = f"answer to {request.idempotency_key or request.ticket}"
+        self.bodies["task-" + request_id] = body
+        outcome = outcome or Completed(200, len(body))
+        return self.run(
+            claims.conclude(
+                self.state, request_id, outcome, "task-" + request_id, self.world.now
+            )
+        )
+
+    def run(self, effects):
+        effects = tuple(effects)
+        for effect in effects:
+            self._run(effect)
+        return effects
+
+    def _run(self, effect):
+        match effect:
+            case fx.AnswerCaller(request_id, outcome, task_id, source):
+                self._file(request_id, task_id)
+                body = self.bodies.get(source or request_id)
+                assert request_id not in self.answers
+                self.answers[request_id] = (outcome, body)
+            case fx.SendHeldAnswer(peer, message, request_id, task_id):
+                self._file(request_id, task_id)
+                body = self.bodies[request_id]
+                self.world.send(self.name, peer, replace(message, body=body))
+            case fx.SendPeer(peer, message) | fx.ForwardHeldRequest(peer, message):
+                self.world.send(self.name, peer, message)
+            case fx.ReleaseBodies(request_id):
+                self.bodies.pop(request_id, None)
+            case fx.StoreBody(call_id, key, request_id):
+                body = self.bodies[request_id]
+                self.world.calls.append((self, fx.StoreCas(call_id, key, 0, body)))
+            case fx.GrantLease(call_id, ttl_ms):
+                now = self.world.now
+                self.step(ev.LeaseGranted, call_id, 9, ttl_ms, now)
+            case fx.StoreCas() | fx.StoreGet() | fx.FetchBody():
+                self.world.calls.append((self, effect))
+
+    def _file(self, request_id, task_id):
+        if task_id in self.bodies:
+            self.bodies[request_id] = self.bodies.pop(task_id)
+
+    def receive(self, peer, message):
+        body = getattr(message, "body", b"")
+        if isinstance(
+            message, claim_handlers.ClaimAnswer | claim_handlers.TicketAnswer
+        ):
+            if body:
+                self.bodies[message.call_id] = body
+            return self.step(ev.PeerReceived, peer, replace(message, body=b""))
+        if hasattr(message, "ticket"):
+            request_id = self.world.new_id()
+            return self.step(ev.ForwardedRequestArrived, peer, message, request_id)
+        return self.step(ev.PeerReceived, peer, message)
+
+
+class World:
+    """A store, a network and a clock."""
+
+    def __init__(self):
+        self.now, self.n_ids = 0, 0
+        self.store, self.revision = {}, 0
+        self.entries, self.live = {}, {}
+        self.calls, self.late_writes, self.messages = [], [], []
+        self.dispatched = []
+
+    def new_id(self):
+        self.n_ids += 1
+        return f"f{self.n_ids}"
+
+    def connect(self):
+        for entry in self.entries.values():
+            for name, member in self.live.items():
+                if name != entry.name:
+                    entry.step(
+                        ev.PeerConnected, name, member.data_centre, member.incarnation
+                    )
+
+    def restart(self, name, incarnation):
+        self.messages = [m for m in self.messages if name not in m[:2]]
+        self.calls = [call for call in self.calls if call[0].name != name]
+        for entry in self.entries.values():
+            if entry.name != name:
+                entry.step(ev.PeerLost, name)
+        Entry(self, name, incarnation, self.live[name].data_centre)
+        self.connect()
+
+    def send(self, sender, receiver, message):
+        self.messages.append((sender, receiver, message))
+
+    def write(self, cas):
+        _, revision = self.store.get(cas.key, (b"", 0))
+        if revision != cas.expected_revision:
+            return ev.CasResult.CONFLICT, 0
+        self.revision += 1
+        self.store[cas.key] = (cas.value, self.revision)
+        return ev.CasResult.STORED, self.revision
+
+    def answer_call(self, index=0, fate="ok"):
+        """Answer a store call; `fate` is ok, failed, lost or late (effective later)."""
+        entry, call = self.calls.pop(index)
+        match call:
+            case fx.StoreCas(call_id, key) if fate != "ok":
+                if fate == "lost":
+                    self.write(call)
+                if fate == "late":
+                    self.late_writes.append(call)
+                return entry.step(ev.CasFinished, call_id, key, ev.CasResult.UNKNOWN)
+            case fx.StoreCas(call_id, key):
+                return entry.step(ev.CasFinished, call_id, key, *self.write(call))
+            case fx.FetchBody(call_id, key, request_id):
+                body, _ = self.store.get(key, (None, 0))
+                if fate != "ok" or body is None:
+                    return entry.step(ev.BodyFetched, call_id, None)
+                entry.bodies[request_id] = body
+                return entry.step(ev.BodyFetched, call_id, len(body))
+            case fx.StoreGet(call_id, key) if fate == "ok":
+                item = ev.KeyValue(key, *self.store.get(key, (b"", 0)))
+                return entry.step(ev.StoreReadFinished, call_id, (item,), self.now)
+        return entry.step(ev.StoreCallFailed, call.call_id)
+
+    def deliver(self, index=0):
+        sender, receiver, message = self.messages.pop(index)
+        return self.entries[receiver].receive(sender, message)
+
+    def settle(self):
+        """Answer all calls and deliver all messages."""
+        while self.calls or self.messages:
+            if self.calls:
+                self.answer_call()
+            else:
+                self.deliver()
+
+    def tick(self, step_ms):
+        self.now += step_ms
+        for entry in tuple(self.entries.values()):
+            entry.step(ev.Tick)
+
+
+def install_fakes(monkeypatch):
+    def put(module, **functions):
+        for name, function in functions.items():
+            monkeypatch.setattr(module, name, function, raising=False)
+
+    def enqueue(state, request, team, at_ms):
+        state.queues.waiting[request.request_id] = request
+
+    def cancel(state, request_id):
+        return state.queues.waiting.pop(request_id, None) is not None
+
+    def n_waiting(state, queue):
+        return sum(r.queue == queue for r in state.queues.waiting.values())
+
+    def team_of_key(state, digest):
+        record = state.config.keys.get(digest)
+        return record.team if record else None
+
+    def live_entries_of(state, data_centre, at_ms):
+        live = state.members.live
+        return {n: m for n, m in live.items() if m.data_centre == data_centre}
+
+    def is_relay(state, at_ms):
+        own = live_entries_of(state, state.identity.data_centre, at_ms)
+        return min(own) == state.identity.entry
+
+    put(fair_queue, enqueue=enqueue, cancel=cancel, n_waiting=n_waiting)
+    put(placement, schedule=lambda state, at_ms: ())
+    put(
+        config_view,
+        team_of_key=team_of_key,
+        view_case=lambda state, at_ms: state.view.case,
+        accepts_keyed=lambda state, team, at_ms: state.view.accepts,
+    )
+    put(
+        membership,
+        live_entries=lambda state, at_ms: state.members.live,
+        live_entries_of=live_entries_of,
+        is_relay=is_relay,
+    )
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,154 @@
+from dataclasses import replace
+
+import pytest
+from request_double import CONFIG, Entry, World, install_fakes
+
+from apricotgap.core import admission, claims
+from apricotgap.core import effects as fx
+from apricotgap.core import events as ev
+from apricotgap.core.limits import READINESS_GRACE_MS
+from apricotgap.model import NotRun, RefusalKind, Resources
+
+
+@pytest.fixture
+def entry(monkeypatch):
+    install_fakes(monkeypatch)
+    return Entry(World())
+
+
+def refusal(entry, **kwargs):
+    entry.submit("r", **kwargs)
+    outcome, _ = entry.answers["r"]
+    assert isinstance(outcome, NotRun)
+    assert not entry.state.queues.waiting
+    return outcome
+
+
+@pytest.mark.parametrize(
+    ("fields", "kind", "named"),
+    [
+        ({"queue": "gone"}, RefusalKind.UNKNOWN_QUEUE, "gone"),
+        ({"key_digest": None}, RefusalKind.KEY_MISSING, "plans"),
+        ({"key_digest": "no"}, RefusalKind.KEY_UNKNOWN, "key"),
+        ({"queue": "open", "key_digest": "no"}, RefusalKind.KEY_UNKNOWN, "key"),
+        ({"key_digest": "k2"}, RefusalKind.TEAM_NOT_ALLOWED, "tally"),
+        ({"declared": Resources(9000)}, RefusalKind.INFEASIBLE, "ovens"),
+        ({"declared": Resources(8000, 100)}, RefusalKind.INFEASIBLE, "ovens"),
+        ({"idempotency_key": ""}, RefusalKind.INVALID, "key"),
+        ({"idempotency_key": "x", "ticket": "y"}, RefusalKind.INVALID, "both"),
+        ({"ticket": "y"}, RefusalKind.TICKET_INVALID, "malformed"),
+    ],
+)
+def test_refusals_name_what_is_wrong(entry, fields, kind, named):
+    """Guards against accepting a bad request and against a vague refusal."""
+    outcome = refusal(entry, **fields)
+    assert outcome.kind is kind
+    assert named in outcome.message
+
+
+def test_open_queue_identifies_the_team_of_a_key(entry):
+    """Guards against work of a team that escapes its upper limit in open queues."""
+    entry.submit("anonymous", queue="open", key_digest=None)
+    entry.submit("keyed", queue="open", key_digest="k2")
+    teams = {i: a.team for i, a in entry.state.claims.admissions.items()}
+    assert teams == {"anonymous": "", "keyed": "tally"}
+
+
+def test_spare_pool_makes_a_large_request_feasible(entry):
+    """Guards against refusing what only a spare instance can run."""
+    entry.submit("r", declared=Resources(8000, 50, 1))
+    assert "r" in entry.state.queues.waiting
+
+
+def test_feasibility_follows_the_configuration(entry):
+    """Guards against sizes cached from an earlier configuration."""
+    entry.submit("r1")
+    entry.state.config = replace(CONFIG, instances={})
+    entry.submit("r2")
+    assert entry.answers["r2"][0].kind is RefusalKind.NO_CAPACITY
+
+
+def test_full_queue_is_refused(entry):
+    """Guards against an unbounded queue."""
+    entry.submit("r1")
+    entry.submit("r2")
+    entry.submit("r3")
+    assert entry.answers["r3"][0].kind is RefusalKind.QUEUE_FULL
+
+
+def test_cut_off_refuses_keys_and_serves_open_queues(entry):
+    """Guards against a withdrawn key that works in an isolated data centre."""
+    entry.state.view.accepts = False
+    assert refusal(entry).kind is RefusalKind.CUT_OFF
+    entry.submit("open", queue="open", key_digest=None)
+    assert "open" in entry.state.queues.waiting
+
+
+def test_body_that_killed_two_workers_is_quarantined(entry):
+    """Guards against a request that takes the pool down worker by worker."""
+    claims.note_worker_killed(entry.state, "b1")
+    entry.submit("r1")
+    claims.note_worker_killed(entry.state, "b1")
+    entry.submit("r2")
+    assert "r1" in entry.state.queues.waiting
+    assert entry.answers["r2"][0].kind is RefusalKind.QUARANTINED
+
+
+def test_unready_before_the_first_configuration(entry):
+    """Guards against telling callers of a fresh entry that queues do not exist."""
+    entry.state.config = replace(CONFIG, revision=0, queues={})
+    assert refusal(entry).kind is RefusalKind.NOT_READY
+
+
+def test_stop_refuses_after_the_grace_and_waits_for_admitted_work(entry):
+    """Guards against a planned stop that cuts or turns away requests."""
+    assert fx.SetReady(False) in entry.step(ev.StopRequested)
+    entry.submit("early")
+    entry.world.now += READINESS_GRACE_MS
+    entry.step(ev.StopRequested)
+    entry.submit("late")
+    assert entry.answers["late"][0].kind is RefusalKind.STOPPING
+    assert not admission.may_exit(entry.state)
+    entry.dispatch("early")
+    entry.finish("early")
+    assert admission.may_exit(entry.state)
+
+
+def test_cancel_before_dispatch_ends_as_not_run(entry):
+    """Guards against a cancelled request that starts later."""
+    entry.submit("r")
+    *_, answer = entry.step(ev.RequestCancelled, "c", "r", "k1")
+    assert answer.state == "cancelled"
+    assert entry.answers["r"][0].kind is RefusalKind.CANCELLED
+    assert not entry.state.queues.waiting
+
+
+def test_cancel_after_dispatch_never_says_not_run(entry):
+    """Guards against "not run" for a task that has started."""
+    entry.submit("r")
+    entry.dispatch("r")
+    assert entry.step(ev.RequestCancelled, "c", "r", "k1")[0].state == "running"
+    assert "r" not in entry.answers
+    assert claims.cancel_requested(entry.state, "r")
+
+
+def test_other_teams_can_neither_cancel_nor_look_up(entry):
+    """Guards against a team that acts on another team's request."""
+    entry.submit("r")
+    for event in (ev.RequestCancelled, ev.OutcomeQueried):
+        assert entry.step(event, "c", "r", "k2") == (fx.AnswerQuery("c", "not_found"),)
+    entry.dispatch("r")
+    entry.finish("r")
+    assert entry.step(ev.OutcomeQueried, "c", "r", "k2")[0].state == "not_found"
+    assert entry.step(ev.OutcomeQueried, "c", "r", "k1")[0].state == "done"
+
+
+def test_caller_gone_withdraws_only_undispatched_work(entry):
+    """Guards against work for nobody and against a lost outcome of started work."""
+    entry.submit("r1")
+    entry.submit("r2")
+    entry.dispatch("r2")
+    entry.step(ev.CallerGone, "r1")
+    entry.step(ev.CallerGone, "r2")
+    assert set(entry.state.claims.admissions) == {"r2"}
+    assert not entry.state.queues.waiting
