Void a ticket whose start is refused, and test claims

Cause: random interleavings showed a ticket refused as queue_full whose earlier submission, still on its way between entries, ran afterwards. Change: a refusal of a ticketed request by its minter uses the ticket up. Tests cover claims, tickets and random interleavings of three entries. Conclusion: a refused ticket needs a new ticket.

--- a/apricotgap/core/admission.py
+++ b/apricotgap/core/admission.py
@@ -20,7 +20,6 @@
     Count,
     Effect,
     ReleaseBodies,
-    SendPeer,
     SetReady,
 )
 from apricotgap.core.events import (
@@ -44,7 +43,6 @@
     Request,
     Resources,
 )
-from apricotgap.model.peers import TicketAnswer
 
 __all__ = [
     "CallerLeaves",
@@ -55,6 +53,7 @@
     "StopAdmission",
     "TicketMinting",
     "check",
+    "check_start",
     "may_exit",
 ]
 
@@ -63,7 +62,7 @@
 
 
 def check(state: EntryState, request: Request, at_ms: int) -> str | NotRun:
-    """Decide whether a request is accepted.
+    """Decide whether a request is well formed and its caller may send it.
 
     Parameters
     ----------
@@ -99,13 +98,37 @@
     if team and queue.teams and team not in queue.teams and not queue.open_to_all:
         message = f"team {team!r} may not use queue {queue.name!r}"
         return NotRun(RefusalKind.TEAM_NOT_ALLOWED, message)
-    if starts and team and not config_view.accepts_keyed(state, team, at_ms):
-        return _cut_off(state)
-    if starts and (refusal := _check_load(state, request, queue)):
-        return refusal
     return team
 
 
+def check_start(
+    state: EntryState, request: Request, team: str, at_ms: int
+) -> NotRun | None:
+    """Decide whether this entry may start a request that passed `check`.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    request : Request
+        The request.
+    team : str
+        Its team, empty without a key.
+    at_ms : int
+        Time of the decision in milliseconds.
+
+    Returns
+    -------
+    NotRun or None
+        The refusal. A repeated submission is never refused here.
+    """
+    if not claims.may_start_here(state, request, team):
+        return None
+    if team and not config_view.accepts_keyed(state, team, at_ms):
+        return _cut_off(state)
+    return _check_load(state, request, state.config.queues[request.queue])
+
+
 def may_exit(state: EntryState) -> bool:
     """Tell whether no admitted request and no stored outcome is under way."""
     own = state.claims
@@ -121,14 +144,7 @@
         """Check the request, then admit it."""
         assert isinstance(event, RequestArrived)
         request = event.request
-        team = check(state, request, event.at_ms)
-        if isinstance(team, str):
-            return claims.admit(state, request, team, event.at_ms)
-        return [
-            AnswerCaller(request.request_id, team),
-            ReleaseBodies(request.request_id),
-            _count_refusal(team),
-        ]
+        return _accept(state, request, event.at_ms)
 
 
 class ForwardedRequestAdmission(Handler):
@@ -143,16 +159,8 @@
         request = peer_requests.request_of(
             message, event.request_id, event.n_body_bytes
         )
-        team = check(state, request, event.at_ms)
-        if isinstance(team, str):
-            origin = Origin(event.peer, message.call_id, message.n_hops)
-            return claims.admit(state, request, team, event.at_ms, origin)
-        answer = TicketAnswer(message.call_id, "not_run", team.kind.value, team.message)
-        return [
-            SendPeer(event.peer, answer),
-            ReleaseBodies(event.request_id),
-            _count_refusal(team),
-        ]
+        origin = Origin(event.peer, message.call_id, message.n_hops)
+        return _accept(state, request, event.at_ms, origin)
 
 
 class CallerLeaves(Handler):
@@ -248,6 +256,25 @@
         return (SetReady(False),)
 
 
+def _accept(
+    state: EntryState, request: Request, at_ms: int, origin: Origin | None = None
+) -> list[Effect]:
+    team = check(state, request, at_ms)
+    if isinstance(team, NotRun):
+        return _refuse(request, team, origin)
+    refusal = check_start(state, request, team, at_ms)
+    if refusal is not None and request.ticket is None:
+        return _refuse(request, refusal, origin)
+    return claims.admit(state, request, team, at_ms, origin=origin, refusal=refusal)
+
+
+def _refuse(request: Request, refusal: NotRun, origin: Origin | None) -> list[Effect]:
+    answer: Effect = AnswerCaller(request.request_id, refusal)
+    if origin is not None:
+        answer = peer_requests.refusal_answer(origin, refusal)
+    return [answer, ReleaseBodies(request.request_id), _count_refusal(refusal)]
+
+
 def _team(state: EntryState, key_digest: str | None) -> str | None:
     """Return the team of a key, empty without a key, None for an unknown one."""
     if key_digest is None:
--- a/apricotgap/core/claims.py
+++ b/apricotgap/core/claims.py
@@ -51,7 +51,9 @@
     request: Request,
     team: str,
     at_ms: int,
+    *,
     origin: Origin | None = None,
+    refusal: NotRun | None = None,
 ) -> list[Effect]:
     """Take the claim or ticket of a checked request, then queue it.
 
@@ -67,6 +69,9 @@
         Time of the decision in milliseconds.
     origin : Origin or None
         The peer that forwarded the request.
+    refusal : NotRun or None
+        Refuses a ticketed request and voids its ticket. An earlier submission that
+        is still on its way would otherwise run after the caller read "not run".
 
     Returns
     -------
@@ -85,7 +90,7 @@
     )
     state.claims.admissions[request_id] = admission
     if request.ticket is not None:
-        return _admit_ticket(state, admission, request.ticket, at_ms)
+        return _admit_ticket(state, admission, request.ticket, at_ms, refusal)
     if request.idempotency_key is not None:
         return claim_store.begin(state, admission, at_ms)
     return enter_queue(state, admission, at_ms)
@@ -258,7 +263,11 @@
 
 
 def _admit_ticket(
-    state: EntryState, admission: Admission, ticket: str, at_ms: int
+    state: EntryState,
+    admission: Admission,
+    ticket: str,
+    at_ms: int,
+    refusal: NotRun | None,
 ) -> list[Effect]:
     parsed = tickets.parse(ticket)
     if parsed is None:
@@ -287,6 +296,9 @@
     del book.unused[parsed.n]
     book.used[parsed.n] = admission.request.request_id
     admission.ticket_n = parsed.n
+    if refusal is not None:
+        message = f"{refusal.message}; the ticket is void, ask for a new one"
+        return refuse(state, admission, refusal.kind, message, at_ms)
     return enter_queue(state, admission, at_ms)
 
 
--- a/apricotgap/core/peer_requests.py
+++ b/apricotgap/core/peer_requests.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from apricotgap.core import claim_store, claims, membership, outcomes
-from apricotgap.core.claim_state import Admission, Phase, Relay
+from apricotgap.core.claim_state import Admission, Origin, Phase, Relay
 from apricotgap.core.effects import (
     Effect,
     ForwardHeldRequest,
@@ -45,6 +45,7 @@
     "forward",
     "peer_lost",
     "poll",
+    "refusal_answer",
     "request_of",
     "ticket_answer",
 ]
@@ -114,8 +115,8 @@
             )
             held = source or admission.request.request_id
             return SendHeldAnswer(peer, message, held, task_id)
-        case NotRun(kind, text):
-            message = TicketAnswer(call_id, "not_run", kind.value, text)
+        case NotRun():
+            return refusal_answer(admission.origin, outcome)
         case FailedAfterStart(text):
             message = TicketAnswer(call_id, "failed_after_start", message=text)
         case OutcomeUnknown(text):
@@ -123,6 +124,14 @@
     return SendPeer(peer, message)
 
 
+def refusal_answer(origin: Origin, refusal: NotRun) -> Effect:
+    """Return a refusal to the peer that forwarded the request."""
+    message = TicketAnswer(
+        origin.call_id, "not_run", refusal.kind.value, refusal.message
+    )
+    return SendPeer(origin.peer, message)
+
+
 def finish_forward(
     state: EntryState, peer: str, message: TicketAnswer, at_ms: int
 ) -> list[Effect]:
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,409 @@
+from random import Random
+
+import pytest
+from request_double import Entry, World, install_fakes
+
+from apricotgap.core import claims, limits, outcomes
+from apricotgap.core import effects as fx
+from apricotgap.core import events as ev
+from apricotgap.core.claim_document import ClaimDocument, ClaimStep
+from apricotgap.model import (
+    Completed,
+    FailedAfterStart,
+    NotRun,
+    OutcomeUnknown,
+    RefusalKind,
+)
+from apricotgap.model.peers import ClaimAnswer, ClaimQuery
+
+KEY = {"idempotency_key": "order-7"}
+
+
+@pytest.fixture
+def world(monkeypatch):
+    install_fakes(monkeypatch)
+    world = World()
+    Entry(world, "e1")
+    Entry(world, "e2")
+    world.connect()
+    return world
+
+
+@pytest.fixture
+def e1(world):
+    return world.entries["e1"]
+
+
+@pytest.fixture
+def e2(world):
+    return world.entries["e2"]
+
+
+def submit(entry, request_id, **kwargs):
+    entry.submit(request_id, **(kwargs or KEY))
+    entry.world.settle()
+
+
+def run(entry, request_id, **kwargs):
+    submit(entry, request_id, **kwargs)
+    entry.dispatch(request_id)
+    entry.finish(request_id)
+    entry.world.settle()
+
+
+def ticket(entry, key_digest="k1"):
+    return entry.step(ev.TicketRequested, "c", key_digest)[0].ticket
+
+
+def claim(world):
+    (value,) = [v for k, (v, _) in world.store.items() if k.startswith("claims/")]
+    return ClaimDocument.decode(value)
+
+
+def answer(entry, request_id):
+    return entry.answers[request_id][0]
+
+
+def test_nothing_is_queued_before_the_claim_is_stored(world, e1):
+    """Guards against a dispatch without a claim."""
+    e1.submit("r", **KEY)
+    assert not e1.state.queues.waiting
+    world.settle()
+    assert "r" in e1.state.queues.waiting
+
+
+@pytest.mark.parametrize("fate", ["lost", "failed"])
+def test_lost_claim_answer_is_resolved_by_reading(world, e1, fate):
+    """Guards against refusing, or repeating, a claim whose answer was lost."""
+    e1.submit("r", **KEY)
+    world.answer_call(fate=fate)
+    world.settle()
+    assert "r" in e1.state.queues.waiting
+    assert claim(world).step is ClaimStep.CLAIMED
+
+
+def test_refused_claim_that_takes_effect_later_is_superseded(world, e1, e2):
+    """Guards against a late write that blocks the key or runs a refused request."""
+    e1.submit("r1", **KEY)
+    world.answer_call(fate="late")
+    while world.calls:
+        world.answer_call(fate="failed")
+    assert answer(e1, "r1").kind is RefusalKind.STORE_UNAVAILABLE
+    world.write(world.late_writes[0])
+    submit(e2, "r2")
+    assert "r2" in e2.state.queues.waiting
+    assert not e1.state.queues.waiting
+
+
+def test_store_down_refuses_keys_and_serves_tickets(world, e1):
+    """Guards against unclaimed work and against tickets that need the store."""
+    e1.state.view.case = "store_down"
+    e1.submit("r1", **KEY)
+    e1.submit("r2", ticket=ticket(e1))
+    assert answer(e1, "r1").kind is RefusalKind.STORE_UNAVAILABLE
+    assert list(e1.state.queues.waiting) == ["r2"]
+    assert not world.calls
+
+
+def test_late_confirmation_after_a_pause_is_refused(world, e1):
+    """Guards against a dispatch under a claim that may have expired."""
+    e1.submit("r", **KEY)
+    world.now += limits.CLAIM_TIMEOUT_MS + 1
+    world.settle()
+    assert answer(e1, "r").kind is RefusalKind.STORE_UNAVAILABLE
+    assert claim(world).step is ClaimStep.ABANDONED
+
+
+@pytest.mark.parametrize("same_entry", [True, False])
+def test_second_submission_waits_for_the_first(world, e1, e2, same_entry):
+    """Guards against running an order twice when the caller submits it twice."""
+    second = e1 if same_entry else e2
+    e1.submit("r1", **KEY)
+    second.submit("r2", **KEY)
+    world.settle()
+    e1.dispatch("r1")
+    e1.finish("r1")
+    world.tick(limits.CLAIM_POLL_MS)
+    world.settle()
+    assert second.answers["r2"] == e1.answers["r1"]
+    assert second.answers["r2"][1] == "answer to order-7"
+    assert len(world.dispatched) == 1
+
+
+def test_repetition_gets_the_kept_answer_even_under_load(world, e1):
+    """Guards against "not run" for a repeated order when the queue is full."""
+    run(e1, "r1")
+    e1.submit("x1")
+    e1.submit("x2")
+    e1.step(ev.StopRequested)
+    world.now += limits.READINESS_GRACE_MS
+    submit(e1, "r2")
+    assert e1.answers["r2"] == e1.answers["r1"]
+
+
+def test_stored_answer_outlives_its_claimant(world, e1, e2):
+    """Guards against losing an answer that was stored before the entry went."""
+    run(e1, "r1")
+    world.restart("e1", "i2")
+    submit(e2, "r2")
+    assert e2.answers["r2"] == (Completed(200, 17), "answer to order-7")
+
+
+@pytest.mark.parametrize("at", ["e1", "e2"])
+def test_restarted_claimant_means_outcome_unknown(world, e1, at):
+    """Guards against a rerun when the claimant's memory is gone."""
+    submit(e1, "r1")
+    e1.dispatch("r1")
+    world.restart("e1", "i2")
+    submit(world.entries[at], "r2")
+    assert isinstance(answer(world.entries[at], "r2"), OutcomeUnknown)
+    assert len(world.dispatched) == 1
+
+
+def test_silent_claimant_means_outcome_unknown(world, e1, e2):
+    """Guards against a caller that waits for ever on a silent peer."""
+    submit(e1, "r1")
+    e2.submit("r2", **KEY)
+    while world.calls:
+        world.answer_call()
+    world.messages.clear()
+    world.tick(limits.CLAIM_ANSWER_TIMEOUT_MS)
+    world.settle()
+    assert isinstance(answer(e2, "r2"), OutcomeUnknown)
+
+
+def test_unknown_token_is_never_called_abandoned(world, e1):
+    """Guards against a rerun of a claim that this entry does not remember."""
+    for token in ("e1.i1.99", "e1.i0.1"):
+        e1.step(ev.PeerReceived, "e2", ClaimQuery("q", "claims/x", token, "d"))
+        assert world.messages.pop()[2] == ClaimAnswer("q", "unknown")
+
+
+def test_late_answer_about_an_earlier_claim_is_ignored(world, e1, e2):
+    """Guards against superseding a live claim because an older one was abandoned."""
+    submit(e1, "r1")
+    e2.submit("r2", **KEY)
+    while world.calls:
+        world.answer_call()
+    e1.step(ev.RequestCancelled, "c", "r1", "k1")
+    first_ask = world.messages[0][2].call_id
+    world.settle()
+    assert "r2" in e2.state.queues.waiting
+    e2.step(ev.PeerReceived, "e1", ClaimAnswer(first_ask, "abandoned"))
+    assert not world.calls
+
+
+@pytest.mark.parametrize("when", ["claiming", "waiting"])
+def test_caller_gone_before_dispatch_abandons_the_claim(world, e1, e2, when):
+    """Guards against a key that stays blocked by a request that never ran."""
+    e1.submit("r1", **KEY)
+    if when == "waiting":
+        world.settle()
+    e1.step(ev.CallerGone, "r1")
+    world.settle()
+    assert claim(world).step is ClaimStep.ABANDONED
+    submit(e2, "r2")
+    assert "r2" in e2.state.queues.waiting
+    assert not e1.state.queues.waiting
+
+
+def test_caller_gone_after_dispatch_keeps_the_answer(world, e1):
+    """Guards against losing the answer for the caller's retry."""
+    submit(e1, "r1")
+    e1.dispatch("r1")
+    e1.step(ev.CallerGone, "r1")
+    e1.finish("r1")
+    submit(e1, "r2")
+    assert e1.answers["r2"][1] == "answer to order-7"
+
+
+def test_caller_gone_does_not_take_the_retry_along(world, e1):
+    """Guards against cancelling work that the caller's retry waits for."""
+    submit(e1, "r1")
+    submit(e1, "r2")
+    e1.step(ev.CallerGone, "r1")
+    assert "r1" in e1.state.queues.waiting
+    e1.step(ev.CallerGone, "r2")
+    assert not e1.state.queues.waiting
+
+
+@pytest.mark.parametrize("at", ["e1", "e2"])
+def test_key_with_another_body_is_refused(world, e1, at):
+    """Guards against answering a request with another request's result."""
+    submit(e1, "r1")
+    submit(world.entries[at], "r2", **KEY, body_digest="other")
+    assert answer(world.entries[at], "r2").kind is RefusalKind.KEY_REUSED
+
+
+def test_claim_writes_are_limited(world, e1):
+    """Guards against a burst of claims that takes the store's write rate."""
+    for n in range(limits.CLAIM_WRITE_BURST + 1):
+        e1.submit(f"r{n}", idempotency_key=f"k{n}")
+    assert answer(e1, f"r{limits.CLAIM_WRITE_BURST}").kind is RefusalKind.CLAIM_RATE
+    assert len(world.calls) == limits.CLAIM_WRITE_BURST
+
+
+def test_ticket_is_dispatched_once_wherever_it_is_sent(world, e1, e2):
+    """Guards against a ticketed order that runs twice."""
+    minted = ticket(e1)
+    submit(e2, "r1", ticket=minted)
+    (held,) = e1.state.queues.waiting
+    submit(e1, "r2", ticket=minted)
+    e1.dispatch(held)
+    e1.finish(held)
+    submit(e2, "r3", ticket=minted)
+    bodies = {e2.answers["r1"], e1.answers["r2"], e2.answers["r3"]}
+    assert [body for _, body in bodies] == [f"answer to {minted}"]
+    assert len(world.dispatched) == 1
+
+
+def test_ticket_of_a_gone_minter_is_never_run(world, e1, e2):
+    """Guards against a rerun after the minter was replaced."""
+    minted = ticket(e1)
+    world.restart("e1", "i2")
+    submit(e2, "r1", ticket=minted)
+    submit(world.entries["e1"], "r2", ticket=minted)
+    assert isinstance(answer(e2, "r1"), OutcomeUnknown)
+    assert isinstance(answer(world.entries["e1"], "r2"), OutcomeUnknown)
+
+
+def test_lost_minter_ends_a_forwarded_request_as_unknown(world, e1, e2):
+    """Guards against "not run" for a request that the minter may have started."""
+    e2.submit("r", ticket=ticket(e1))
+    e2.step(ev.PeerLost, "e1")
+    assert isinstance(answer(e2, "r"), OutcomeUnknown)
+
+
+def test_ticket_crosses_data_centres_through_relays(world, e1, e2):
+    """Guards against a ticket that works only in the data centre of its minter."""
+    f1, f2 = Entry(world, "f1", "i1", "d2"), Entry(world, "f2", "i1", "d2")
+    peers = [(e2, e1), (e1, f1), (f1, f2)]
+    for a, b in peers + [(b, a) for a, b in peers]:
+        a.step(ev.PeerConnected, b.name, "", "i1")
+    submit(e2, "r", ticket=ticket(f2))
+    (held,) = f2.state.queues.waiting
+    f2.dispatch(held)
+    f2.finish(held)
+    world.settle()
+    assert isinstance(answer(e2, "r"), Completed)
+
+
+def test_expired_ticket_is_refused_and_a_forged_one_too(world, e1):
+    """Guards against a late dispatch and against guessed tickets."""
+    minted = ticket(e1)
+    submit(e1, "r1", ticket=minted[:-1] + ("0" if minted[-1] != "0" else "1"))
+    submit(e1, "r2", ticket=ticket(e1, "k2"))
+    world.tick(limits.TICKET_TTL_MS)
+    submit(e1, "r3", ticket=minted)
+    kinds = [answer(e1, r).kind for r in ("r1", "r2", "r3")]
+    invalid = RefusalKind.TICKET_INVALID
+    assert kinds == [invalid, invalid, RefusalKind.TICKET_EXPIRED]
+
+
+def test_refusal_voids_the_ticket(world, e1):
+    """Guards against running an earlier submission after "not run" was said."""
+    minted = ticket(e1)
+    for request_id in ("x1", "x2", "r1"):
+        e1.submit(request_id, ticket=minted if request_id == "r1" else None)
+    e1.state.queues.waiting.clear()
+    submit(e1, "r2", ticket=minted)
+    assert answer(e1, "r1") == answer(e1, "r2")
+    assert answer(e1, "r1").kind is RefusalKind.QUEUE_FULL
+
+
+def test_used_ticket_is_never_called_expired(world, e1):
+    """Guards against "not run" for a ticket whose kept outcome is gone."""
+    minted = ticket(e1)
+    run(e1, "r1", ticket=minted)
+    world.tick(limits.OUTCOME_RETENTION_MS)
+    submit(e1, "r2", ticket=minted)
+    assert isinstance(answer(e1, "r2"), OutcomeUnknown)
+
+
+def test_kept_outcomes_are_bounded(world, e1, monkeypatch):
+    """Guards against memory that grows with the number of requests."""
+    monkeypatch.setattr(outcomes, "MAX_RETAINED_OUTCOMES", 2)
+    for n in range(4):
+        run(e1, f"r{n}", idempotency_key=f"k{n}")
+    own = e1.state.claims
+    assert list(own.keyed.records) == ["r2", "r3"]
+    assert len(own.by_key) == len(own.by_token) == len(e1.bodies) == 2
+
+
+def test_first_outcome_stands(world, e1):
+    """Guards against two answers to one request."""
+    run(e1, "r1")
+    assert claims.conclude(e1.state, "r1", FailedAfterStart("x"), None, 0) == []
+
+
+def test_claims_share_a_lease_and_drop_it_when_writes_fail(world, e1):
+    """Guards against a lost lease that blocks all claims for an hour."""
+    leases = [isinstance(e, fx.GrantLease) for e in e1.submit("r1", **KEY)]
+    while world.calls:
+        world.answer_call(fate="failed")
+    again = e1.submit("r2", idempotency_key="k2")
+    assert any(leases)
+    assert any(isinstance(e, fx.GrantLease) for e in again)
+
+
+FATES = ["ok", "ok", "ok", "lost", "late", "failed"]
+
+
+def act(world, rng, n):
+    """Make one random move of a caller, the store, the network or a worker."""
+    entry = world.entries[rng.choice(sorted(world.entries))]
+    move = rng.randrange(16)
+    if move < 2:
+        options = [{"idempotency_key": key} for key in "ab"]
+        options += [{"ticket": t} for t in world.tickets]
+        option = rng.choice(options)
+        entry.submit(f"r{n}", **option)
+        world.submitted[f"r{n}"] = (entry, *option.values())
+    elif move < 6 and world.calls:
+        world.answer_call(rng.randrange(len(world.calls)), rng.choice(FATES))
+    elif move < 10 and world.messages:
+        world.deliver(rng.randrange(len(world.messages)))
+    elif move == 10 and world.late_writes:
+        world.write(world.late_writes.pop(rng.randrange(len(world.late_writes))))
+    elif move == 11 and entry.state.queues.waiting:
+        entry.dispatch(rng.choice(sorted(entry.state.queues.waiting)))
+    elif move == 12 and entry.running:
+        entry.finish(rng.choice(sorted(entry.running)))
+    elif move == 13 and world.submitted:
+        request_id = rng.choice(sorted(world.submitted))
+        at, _ = world.submitted[request_id]
+        if rng.random() < 0.5:
+            at.step(ev.CallerGone, request_id)
+        else:
+            at.step(ev.RequestCancelled, "c", request_id, "k1")
+    elif move == 14:
+        world.tick(rng.choice([100, 500, 3000]))
+    elif move == 15 and rng.random() < 0.1:
+        world.late_writes += [
+            call
+            for owner, call in world.calls
+            if owner is entry and isinstance(call, fx.StoreCas)
+        ]
+        world.restart(entry.name, f"n{n}")
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_random_interleavings_run_each_submission_at_most_once(world, seed):
+    """Guards against a second run, a false "not run" and a crossed answer."""
+    rng = Random(seed)
+    Entry(world, "e3")
+    world.connect()
+    world.submitted = {}
+    world.tickets = [ticket(entry) for entry in world.entries.values()]
+    for n in range(600):
+        act(world, rng, n)
+    sources = [r.idempotency_key or r.ticket for _, r in world.dispatched]
+    assert len(sources) == len(set(sources))
+    started = {request_id for request_id, _ in world.dispatched}
+    for request_id, (entry, key) in world.submitted.items():
+        outcome, body = entry.answers.get(request_id, (None, None))
+        if isinstance(outcome, NotRun):
+            assert request_id not in started
+            assert key in "ab" or key not in sources
+        if isinstance(outcome, Completed):
+            assert body == f"answer to {key}"
