Test claims across data centres, late answers and expiry

Cause: trial mutants of six guards passed the tests, among them a late answer about an earlier claim and an outcome kept although it was not final. Change: a test for each, and claims that are asked about through relays.

--- a/apricotgap/core/effects/requests.py
+++ b/apricotgap/core/effects/requests.py
@@ -25,7 +25,7 @@
     For `Completed` the driver sends the body that it holds for `task_id`, or the
     stored body of `source_request_id` when an earlier submission has the answer.
     The answer body stays held under `request_id` until `ReleaseBodies`; the request
-    body is no longer needed.
+    body is no longer needed. This also holds when the caller is gone.
     """
 
     request_id: str
--- a/tests/request_double.py
+++ b/tests/request_double.py
@@ -1,6 +1,6 @@
 """Entries, a store and a network without I/O, for tests of requests and claims."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
 
@@ -28,15 +28,15 @@
     Resources,
     Team,
 )
+from apricotgap.model.peers import ClaimAnswer, TicketAnswer, TicketForward
 
+SMALL, LARGE = Resources(4000, 100, 0), Resources(8000, 50, 1)
 CONFIG = Configuration(
     revision=1,
     pools={"ovens": Pool("ovens"), "backoffice": Pool("backoffice", spare=True)},
     instances={
-        "a": Instance("a", "h:1", "d1", "r", "ovens", capacity=Resources(4000, 100, 0)),
-        "b": Instance(
-            "b", "h:2", "d1", "r", "backoffice", capacity=Resources(8000, 50, 1)
-        ),
+        "a": Instance("a", "h:1", "d1", "r", "ovens", capacity=SMALL),
+        "b": Instance("b", "h:2", "d1", "r", "backoffice", capacity=LARGE),
     },
     teams={"orders": Team("orders"), "tally": Team("tally")},
     keys={"k1": KeyRecord("k1", "orders"), "k2": KeyRecord("k2", "tally")},
@@ -45,17 +45,8 @@
         "open": Queue("open", "ovens", open_to_all=True),
     },
 )
-HANDLERS = [
-    cls
-    for cls in registered_handlers()
-    if cls.__module__ in (admission.__name__, claim_handlers.__name__)
-]
-
-
-@dataclass(frozen=True)
-class Member:
-    incarnation: str
-    data_centre: str
+MODULES = (admission.__name__, claim_handlers.__name__)
+HANDLERS = [cls for cls in registered_handlers() if cls.__module__ in MODULES]
 
 
 class Entry:
@@ -70,7 +61,9 @@
         self.state, self.world, self.name = state, world, name
         self.bodies, self.running, self.answers = {}, {}, {}
         world.entries[name] = self
-        world.live[name] = Member(incarnation, data_centre)
+        world.live[name] = SimpleNamespace(
+            incarnation=incarnation, data_centre=data_centre
+        )
 
     def step(self, event_type, *args, **kwargs):
         return self.run(self.reducer.step(event_type(self.world.now, *args, **kwargs)))
@@ -85,20 +78,16 @@
         self.world.dispatched.append((request_id, request))
         claims.note_dispatched(self.state, request_id)
 
-    def finish(self, request_id, outcome=None):
+    def finish(self, request_id):
         request = self.running.pop(request_id)
         body = f"answer to {request.idempotency_key or request.ticket}"
-        self.bodies["task-" + request_id] = body
-        outcome = outcome or Completed(200, len(body))
-        return self.run(
-            claims.conclude(
-                self.state, request_id, outcome, "task-" + request_id, self.world.now
-            )
-        )
+        task_id, outcome = f"task-{request_id}", Completed(200, len(body))
+        self.bodies[task_id] = body
+        now = self.world.now
+        self.run(claims.conclude(self.state, request_id, outcome, task_id, now))
 
     def run(self, effects):
-        effects = tuple(effects)
-        for effect in effects:
+        for effect in (effects := tuple(effects)):
             self._run(effect)
         return effects
 
@@ -121,8 +110,7 @@
                 body = self.bodies[request_id]
                 self.world.calls.append((self, fx.StoreCas(call_id, key, 0, body)))
             case fx.GrantLease(call_id, ttl_ms):
-                now = self.world.now
-                self.step(ev.LeaseGranted, call_id, 9, ttl_ms, now)
+                self.step(ev.LeaseGranted, call_id, 9, ttl_ms, self.world.now)
             case fx.StoreCas() | fx.StoreGet() | fx.FetchBody():
                 self.world.calls.append((self, effect))
 
@@ -131,16 +119,13 @@
             self.bodies[request_id] = self.bodies.pop(task_id)
 
     def receive(self, peer, message):
-        body = getattr(message, "body", b"")
-        if isinstance(
-            message, claim_handlers.ClaimAnswer | claim_handlers.TicketAnswer
-        ):
-            if body:
-                self.bodies[message.call_id] = body
-            return self.step(ev.PeerReceived, peer, replace(message, body=b""))
-        if hasattr(message, "ticket"):
+        if isinstance(message, TicketForward):
             request_id = self.world.new_id()
             return self.step(ev.ForwardedRequestArrived, peer, message, request_id)
+        if isinstance(message, ClaimAnswer | TicketAnswer):
+            if message.body:
+                self.bodies[message.call_id] = message.body
+            message = replace(message, body=b"")
         return self.step(ev.PeerReceived, peer, message)
 
 
@@ -160,11 +145,9 @@
 
     def connect(self):
         for entry in self.entries.values():
-            for name, member in self.live.items():
+            for name in self.live:
                 if name != entry.name:
-                    entry.step(
-                        ev.PeerConnected, name, member.data_centre, member.incarnation
-                    )
+                    entry.step(ev.PeerConnected, name, "", "")
 
     def restart(self, name, incarnation):
         self.messages = [m for m in self.messages if name not in m[:2]]
@@ -193,8 +176,7 @@
             case fx.StoreCas(call_id, key) if fate != "ok":
                 if fate == "lost":
                     self.write(call)
-                if fate == "late":
-                    self.late_writes.append(call)
+                self.late_writes += [call] if fate == "late" else []
                 return entry.step(ev.CasFinished, call_id, key, ev.CasResult.UNKNOWN)
             case fx.StoreCas(call_id, key):
                 return entry.step(ev.CasFinished, call_id, key, *self.write(call))
@@ -216,10 +198,7 @@
     def settle(self):
         """Answer all calls and deliver all messages."""
         while self.calls or self.messages:
-            if self.calls:
-                self.answer_call()
-            else:
-                self.deliver()
+            self.answer_call() if self.calls else self.deliver()
 
     def tick(self, step_ms):
         self.now += step_ms
@@ -227,33 +206,35 @@
             entry.step(ev.Tick)
 
 
-def install_fakes(monkeypatch):
-    def put(module, **functions):
-        for name, function in functions.items():
-            monkeypatch.setattr(module, name, function, raising=False)
+def live_of(state, data_centre, at_ms):
+    live = state.members.live
+    return {n: m for n, m in live.items() if m.data_centre == data_centre}
+
 
-    def enqueue(state, request, team, at_ms):
-        state.queues.waiting[request.request_id] = request
+def is_relay(state, at_ms):
+    own = state.identity
+    return min(live_of(state, own.data_centre, at_ms)) == own.entry
 
-    def cancel(state, request_id):
-        return state.queues.waiting.pop(request_id, None) is not None
 
-    def n_waiting(state, queue):
-        return sum(r.queue == queue for r in state.queues.waiting.values())
+def team_of_key(state, digest):
+    return state.config.keys[digest].team if digest in state.config.keys else None
 
-    def team_of_key(state, digest):
-        record = state.config.keys.get(digest)
-        return record.team if record else None
 
-    def live_entries_of(state, data_centre, at_ms):
-        live = state.members.live
-        return {n: m for n, m in live.items() if m.data_centre == data_centre}
+def n_waiting(state, queue):
+    return sum(r.queue == queue for r in state.queues.waiting.values())
 
-    def is_relay(state, at_ms):
-        own = live_entries_of(state, state.identity.data_centre, at_ms)
-        return min(own) == state.identity.entry
 
-    put(fair_queue, enqueue=enqueue, cancel=cancel, n_waiting=n_waiting)
+def install_fakes(monkeypatch):
+    def put(module, **functions):
+        for name, function in functions.items():
+            monkeypatch.setattr(module, name, function, raising=False)
+
+    put(
+        fair_queue,
+        enqueue=lambda s, r, team, at_ms: s.queues.waiting.update({r.request_id: r}),
+        cancel=lambda s, r_id: s.queues.waiting.pop(r_id, None) is not None,
+        n_waiting=n_waiting,
+    )
     put(placement, schedule=lambda state, at_ms: ())
     put(
         config_view,
@@ -261,9 +242,5 @@
         view_case=lambda state, at_ms: state.view.case,
         accepts_keyed=lambda state, team, at_ms: state.view.accepts,
     )
-    put(
-        membership,
-        live_entries=lambda state, at_ms: state.members.live,
-        live_entries_of=live_entries_of,
-        is_relay=is_relay,
-    )
+    put(membership, live_entries_of=live_of, is_relay=is_relay)
+    put(membership, live_entries=lambda state, at_ms: state.members.live)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,14 +7,8 @@
 from apricotgap.core import effects as fx
 from apricotgap.core import events as ev
 from apricotgap.core.claim_document import ClaimDocument, ClaimStep
-from apricotgap.model import (
-    Completed,
-    FailedAfterStart,
-    NotRun,
-    OutcomeUnknown,
-    RefusalKind,
-)
-from apricotgap.model.peers import ClaimAnswer, ClaimQuery
+from apricotgap.model import Completed, NotRun, OutcomeUnknown, RefusalKind
+from apricotgap.model.peers import ClaimAnswer, ClaimQuery, TicketAnswer
 
 KEY = {"idempotency_key": "order-7"}
 
@@ -160,13 +154,16 @@
     assert len(world.dispatched) == 1
 
 
-def test_silent_claimant_means_outcome_unknown(world, e1, e2):
-    """Guards against a caller that waits for ever on a silent peer."""
+@pytest.mark.parametrize("expired", [False, True])
+def test_silent_claimant_means_outcome_unknown(world, e1, e2, expired):
+    """Guards against endless waiting for a silent peer and against a rerun."""
     submit(e1, "r1")
     e2.submit("r2", **KEY)
     while world.calls:
         world.answer_call()
     world.messages.clear()
+    if expired:
+        world.store.clear()
     world.tick(limits.CLAIM_ANSWER_TIMEOUT_MS)
     world.settle()
     assert isinstance(answer(e2, "r2"), OutcomeUnknown)
@@ -181,20 +178,28 @@
 
 def test_late_answer_about_an_earlier_claim_is_ignored(world, e1, e2):
     """Guards against superseding a live claim because an older one was abandoned."""
+    e3 = Entry(world, "e3")
+    world.connect()
     submit(e1, "r1")
     e2.submit("r2", **KEY)
     while world.calls:
         world.answer_call()
+    (_, _, query) = world.messages.pop()
     e1.step(ev.RequestCancelled, "c", "r1", "k1")
-    first_ask = world.messages[0][2].call_id
+    submit(e3, "r3")
+    abandoned = ClaimAnswer(query.call_id, "abandoned")
+    e2.step(ev.PeerReceived, "e1", abandoned)
+    while world.calls:
+        world.answer_call()
+    e2.step(ev.PeerReceived, "e1", abandoned)
     world.settle()
-    assert "r2" in e2.state.queues.waiting
-    e2.step(ev.PeerReceived, "e1", ClaimAnswer(first_ask, "abandoned"))
-    assert not world.calls
+    assert "r3" in e3.state.queues.waiting
+    assert not e2.state.queues.waiting
 
 
+@pytest.mark.parametrize("at", ["e1", "e2"])
 @pytest.mark.parametrize("when", ["claiming", "waiting"])
-def test_caller_gone_before_dispatch_abandons_the_claim(world, e1, e2, when):
+def test_caller_gone_before_dispatch_abandons_the_claim(world, e1, e2, when, at):
     """Guards against a key that stays blocked by a request that never ran."""
     e1.submit("r1", **KEY)
     if when == "waiting":
@@ -202,9 +207,19 @@
     e1.step(ev.CallerGone, "r1")
     world.settle()
     assert claim(world).step is ClaimStep.ABANDONED
+    submit(world.entries[at], "r2")
+    assert [*e1.state.queues.waiting, *e2.state.queues.waiting] == ["r2"]
+
+
+def test_caller_gone_while_asking_lets_the_retry_ask_again(world, e1, e2):
+    """Guards against an unknown outcome kept for a claim that still runs."""
+    submit(e1, "r1")
     submit(e2, "r2")
-    assert "r2" in e2.state.queues.waiting
-    assert not e1.state.queues.waiting
+    e2.step(ev.CallerGone, "r2")
+    e1.dispatch("r1")
+    e1.finish("r1")
+    submit(e2, "r3")
+    assert e2.answers["r3"][1] == "answer to order-7"
 
 
 def test_caller_gone_after_dispatch_keeps_the_answer(world, e1):
@@ -270,22 +285,27 @@
 def test_lost_minter_ends_a_forwarded_request_as_unknown(world, e1, e2):
     """Guards against "not run" for a request that the minter may have started."""
     e2.submit("r", ticket=ticket(e1))
+    e2.step(ev.PeerReceived, "e3", TicketAnswer("r", "not_run"))
     e2.step(ev.PeerLost, "e1")
     assert isinstance(answer(e2, "r"), OutcomeUnknown)
 
 
-def test_ticket_crosses_data_centres_through_relays(world, e1, e2):
-    """Guards against a ticket that works only in the data centre of its minter."""
+@pytest.mark.parametrize("by_ticket", [True, False])
+def test_data_centres_reach_each_other_through_relays(world, e1, e2, by_ticket):
+    """Guards against tickets and keys that work in one data centre only."""
     f1, f2 = Entry(world, "f1", "i1", "d2"), Entry(world, "f2", "i1", "d2")
-    peers = [(e2, e1), (e1, f1), (f1, f2)]
-    for a, b in peers + [(b, a) for a, b in peers]:
+    for a, b in [(e2, e1), (e1, f1), (f1, f2)]:
         a.step(ev.PeerConnected, b.name, "", "i1")
-    submit(e2, "r", ticket=ticket(f2))
-    (held,) = f2.state.queues.waiting
-    f2.dispatch(held)
-    f2.finish(held)
+        b.step(ev.PeerConnected, a.name, "", "i1")
+    fields = {"ticket": ticket(f2)} if by_ticket else KEY
+    submit(f2, "r1", **fields)
+    e2.submit("r2", **fields)
     world.settle()
-    assert isinstance(answer(e2, "r"), Completed)
+    f2.dispatch("r1")
+    f2.finish("r1")
+    world.tick(limits.CLAIM_POLL_MS)
+    world.settle()
+    assert e2.answers["r2"] == f2.answers["r1"]
 
 
 def test_expired_ticket_is_refused_and_a_forged_one_too(world, e1):
@@ -333,17 +353,27 @@
 def test_first_outcome_stands(world, e1):
     """Guards against two answers to one request."""
     run(e1, "r1")
-    assert claims.conclude(e1.state, "r1", FailedAfterStart("x"), None, 0) == []
+    late = NotRun(RefusalKind.NO_CAPACITY, "")
+    assert claims.conclude(e1.state, "r1", late, None, 0) == []
+
+
+def test_not_run_takes_the_request_out_of_the_queue(world, e1):
+    """Guards against a dispatch after the caller was told "not run"."""
+    submit(e1, "r1")
+    expired = NotRun(RefusalKind.WAIT_EXPIRED, "")
+    e1.run(claims.conclude(e1.state, "r1", expired, None, 0))
+    assert not e1.state.queues.waiting
 
 
 def test_claims_share_a_lease_and_drop_it_when_writes_fail(world, e1):
     """Guards against a lost lease that blocks all claims for an hour."""
-    leases = [isinstance(e, fx.GrantLease) for e in e1.submit("r1", **KEY)]
-    while world.calls:
-        world.answer_call(fate="failed")
-    again = e1.submit("r2", idempotency_key="k2")
-    assert any(leases)
-    assert any(isinstance(e, fx.GrantLease) for e in again)
+    grants = []
+    for n, fate in enumerate(["ok", "failed", "ok"]):
+        effects = e1.submit(f"r{n}", idempotency_key=f"k{n}")
+        grants.append(any(isinstance(effect, fx.GrantLease) for effect in effects))
+        while world.calls:
+            world.answer_call(fate=fate)
+    assert grants == [True, False, True]
 
 
 FATES = ["ok", "ok", "ok", "lost", "late", "failed"]
@@ -372,18 +402,13 @@
     elif move == 13 and world.submitted:
         request_id = rng.choice(sorted(world.submitted))
         at, _ = world.submitted[request_id]
-        if rng.random() < 0.5:
-            at.step(ev.CallerGone, request_id)
-        else:
-            at.step(ev.RequestCancelled, "c", request_id, "k1")
+        cancel = (ev.RequestCancelled, "c", request_id, "k1")
+        at.step(*rng.choice([cancel, (ev.CallerGone, request_id)]))
     elif move == 14:
         world.tick(rng.choice([100, 500, 3000]))
     elif move == 15 and rng.random() < 0.1:
-        world.late_writes += [
-            call
-            for owner, call in world.calls
-            if owner is entry and isinstance(call, fx.StoreCas)
-        ]
+        calls = [call for owner, call in world.calls if owner is entry]
+        world.late_writes += [c for c in calls if isinstance(c, fx.StoreCas)]
         world.restart(entry.name, f"n{n}")
 
 
