--- a/apricotgap/core/events/__init__.py
+++ b/apricotgap/core/events/__init__.py
@@ -36,6 +36,7 @@
 )
 from apricotgap.core.events.workers import (
     InstanceListRead,
+    TaskCheckpointed,
     TaskCompleted,
     TaskFailed,
     TaskProbed,
@@ -68,6 +69,7 @@
     "StoreCallFailed",
     "StoreChanged",
     "StoreReadFinished",
+    "TaskCheckpointed",
     "TaskCompleted",
     "TaskFailed",
     "TaskProbed",
--- a/apricotgap/core/events/workers.py
+++ b/apricotgap/core/events/workers.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "InstanceListRead",
+    "TaskCheckpointed",
     "TaskCompleted",
     "TaskFailed",
     "TaskProbed",
@@ -79,11 +80,28 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskProbed(Event):
-    """Answer to `ProbeTask`; `state` is None when the server did not answer."""
+    """Answer to `ProbeTask`; `state` is None when the server did not answer.
+
+    `boot_id` is that of the answering server. An answer without it proves nothing,
+    since the server may have restarted and forgotten the task.
+    """
 
     task_id: str
     state: TaskState | None
     server_now_ms: int = 0
+    boot_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskCheckpointed(Event):
+    """Answer to `CheckpointTask`.
+
+    `stopped` tells whether the task was checkpointed and left its slot; otherwise
+    it runs on. No other event of a stopped task follows.
+    """
+
+    task_id: str
+    stopped: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricotgap/core/fair_queue.py
+++ b/apricotgap/core/fair_queue.py
@@ -1,10 +1,365 @@
 """Weighted fair queueing over teams with two priority classes."""
 
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush
+from itertools import islice
+from typing import TYPE_CHECKING
 
-__all__ = ["QueueState"]
+from apricotgap.core import allotments, claims
+from apricotgap.core.effects import Effect
+from apricotgap.model import (
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    Priority,
+    RefusalKind,
+    Request,
+)
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = [
+    "QueueState",
+    "Waiting",
+    "cancel",
+    "charge",
+    "enqueue",
+    "expire",
+    "n_waiting",
+    "n_waiting_class",
+    "peek",
+    "put_back",
+    "recheck_parked",
+    "restore",
+    "set_aside",
+    "take",
+    "unpark",
+]
+
+# A team that was held at its limit keeps its turn, but no more than this lead in
+# slot time; without the bound a raised limit would let it starve the others.
+MAX_KEPT_TURN_MS = 10_000
+N_RECHECKED_PER_TICK = 64
+_COMPACT_SLACK = 64
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """An admitted request and the history of its tries."""
+
+    request: Request
+    team: str
+    enqueued_ms: int
+    deadline_ms: int
+    n_tries: int = 0
+    n_refusals: int = 0
+    n_failures: int = 0
+    n_kills: int = 0
+    may_have_run: bool = False
+    removed: bool = False
+    tried: set[str] = field(default_factory=set)
+
+    @property
+    def class_key(self) -> tuple[str, Priority]:
+        """Queue and priority class."""
+        return self.request.queue, self.request.priority
+
+
+@dataclass(slots=True, eq=False)
+class _TeamQueue:
+    team: str
+    virtual_ms: float
+    requests: deque[Waiting] = field(default_factory=deque)
+    n_live: int = 0
+    # Serial number of its valid heap item, 0 while it has none.
+    serial: int = 0
+    parked: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _ClassQueue:
+    teams: dict[str, _TeamQueue] = field(default_factory=dict)
+    heap: list[tuple[float, int, _TeamQueue]] = field(default_factory=list)
+    virtual_ms: float = 0.0
+    latest_ms: float = 0.0
+    n_waiting: int = 0
+    n_pushed: int = 0
+
+    def team(self, name: str) -> _TeamQueue:
+        """Return the queue of a team, created at the current virtual time."""
+        known = self.teams.get(name)
+        if known is None:
+            known = self.teams[name] = _TeamQueue(name, self.virtual_ms)
+        return known
+
+    def push(self, team: _TeamQueue) -> None:
+        """Put the team into the heap at its virtual time; older items are void."""
+        self.n_pushed += 1
+        team.serial = self.n_pushed
+        heappush(self.heap, (team.virtual_ms, team.serial, team))
+        if len(self.heap) > 2 * len(self.teams) + _COMPACT_SLACK:
+            self.heap = [item for item in self.heap if item[1] == item[2].serial]
+            heapify(self.heap)
+
+    def drop_top(self) -> None:
+        """Remove the first item and its team's claim to it."""
+        _, serial, team = heappop(self.heap)
+        if team.serial == serial:
+            team.serial = 0
 
 
 @dataclass(slots=True)
 class QueueState:
-    """Admitted requests that wait."""
+    """Admitted requests that wait.
+
+    `ready` names the queues in which a request may have become able to start.
+    `parked` names, by team at its limit, the classes that it waits in.
+    """
+
+    classes: dict[tuple[str, Priority], _ClassQueue] = field(default_factory=dict)
+    by_request: dict[str, Waiting] = field(default_factory=dict)
+    n_by_queue: dict[str, int] = field(default_factory=dict)
+    n_by_team: dict[str, int] = field(default_factory=dict)
+    ready: dict[str, None] = field(default_factory=dict)
+    parked: dict[str, dict[tuple[str, Priority], None]] = field(default_factory=dict)
+    expiries: list[tuple[int, int, Waiting]] = field(default_factory=list)
+    n_expiries: int = 0
+
+
+def enqueue(
+    state: "EntryState", request: Request, team: str, at_ms: int
+) -> Iterable[Effect]:
+    """Let an admitted request wait.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    request : Request
+        The request.
+    team : str
+        Its team, empty in queues open to all.
+    at_ms : int
+        Time.
+
+    Returns
+    -------
+    iterable of Effect
+        The end of the request when the queue is full, else nothing.
+    """
+    queue = state.config.queues.get(request.queue)
+    if queue is None:
+        outcome = NotRun(RefusalKind.UNKNOWN_QUEUE, f"no queue {request.queue}")
+        return claims.conclude(state, request.request_id, outcome, None, at_ms)
+    if n_waiting(state, request.queue) >= queue.max_length:
+        outcome = NotRun(
+            RefusalKind.QUEUE_FULL, f"{queue.max_length} requests wait already"
+        )
+        return claims.conclude(state, request.request_id, outcome, None, at_ms)
+    waiting = Waiting(request, team, at_ms, at_ms + request.max_wait_ms)
+    _insert(state, waiting, front=False)
+    return ()
+
+
+def put_back(state: "EntryState", waiting: Waiting, at_ms: int) -> None:
+    """Let a request wait again, first of its team, after a try that did not end it.
+
+    The length bound does not apply: the request was admitted before.
+    """
+    waiting.removed = False
+    if waiting.may_have_run:
+        waiting.deadline_ms = at_ms + waiting.request.max_wait_ms
+    _insert(state, waiting, front=True)
+
+
+def cancel(state: "EntryState", request_id: str) -> bool:
+    """Remove a waiting request in constant time.
+
+    Returns
+    -------
+    bool
+        Whether it waited and nothing of it has run. A request that waits for a
+        further try after one that may have run is not removed, since "cancelled"
+        would claim that nothing ran.
+    """
+    waiting = state.queues.by_request.get(request_id)
+    if waiting is None or waiting.may_have_run:
+        return False
+    _remove(state, waiting)
+    return True
+
+
+def n_waiting(state: "EntryState", queue: str) -> int:
+    """Return the number of requests that wait in a queue."""
+    return state.queues.n_by_queue.get(queue, 0)
+
+
+def n_waiting_class(state: "EntryState", queue: str, priority: Priority) -> int:
+    """Return the number of requests that wait in a priority class of a queue."""
+    found = state.queues.classes.get((queue, priority))
+    return found.n_waiting if found else 0
+
+
+def peek(
+    state: "EntryState", queue: str, priority: Priority, at_ms: int
+) -> Waiting | None:
+    """Return the next request of a class whose team is below its limit.
+
+    Teams at their limit are parked with their virtual time, so that they neither
+    block others nor lose their turn.
+    """
+    found = state.queues.classes.get((queue, priority))
+    if found is None:
+        return None
+    while found.heap:
+        _, serial, team = found.heap[0]
+        if team.serial != serial or not team.n_live:
+            found.drop_top()
+            continue
+        if team.team and allotments.headroom(state, team.team, at_ms) <= 0:
+            found.drop_top()
+            team.parked = True
+            state.queues.parked.setdefault(team.team, {})[queue, priority] = None
+            continue
+        while team.requests[0].removed:
+            team.requests.popleft()
+        return team.requests[0]
+    return None
+
+
+def take(state: "EntryState", waiting: Waiting) -> None:
+    """Remove the request that `peek` returned, to start it."""
+    found = state.queues.classes[waiting.class_key]
+    found.virtual_ms = max(found.virtual_ms, found.teams[waiting.team].virtual_ms)
+    _remove(state, waiting)
+
+
+def set_aside(state: "EntryState", waiting: Waiting) -> None:
+    """Skip the team of the request that `peek` returned until `restore`."""
+    state.queues.classes[waiting.class_key].drop_top()
+
+
+def restore(state: "EntryState", waiting: Waiting) -> None:
+    """Undo `set_aside`."""
+    found = state.queues.classes[waiting.class_key]
+    team = found.teams[waiting.team]
+    if team.n_live and not team.serial and not team.parked:
+        found.push(team)
+
+
+def charge(
+    state: "EntryState", class_key: tuple[str, Priority], team: str, slot_ms: float
+) -> None:
+    """Add slot time to a team's virtual time; negative for a correction."""
+    found = state.queues.classes.setdefault(class_key, _ClassQueue())
+    record = found.team(team)
+    if slot_ms > 0 and not record.n_live:
+        record.virtual_ms = max(record.virtual_ms, found.virtual_ms)
+    record.virtual_ms += slot_ms / _weight(state, team)
+    found.latest_ms = max(found.latest_ms, record.virtual_ms)
+    if record.serial:
+        found.push(record)
+
+
+def unpark(state: "EntryState", team: str) -> None:
+    """Return a team to the queues that it waits in, since its limit may allow."""
+    for class_key in state.queues.parked.pop(team, ()):
+        found = state.queues.classes[class_key]
+        record = found.teams[team]
+        record.parked = False
+        if not record.n_live:
+            continue
+        kept = MAX_KEPT_TURN_MS / _weight(state, team)
+        record.virtual_ms = max(record.virtual_ms, found.virtual_ms - kept)
+        found.push(record)
+        state.queues.ready[class_key[0]] = None
+
+
+def recheck_parked(state: "EntryState", at_ms: int) -> None:
+    """Return parked teams whose allotment grew, a bounded number per call."""
+    parked = state.queues.parked
+    for team in list(islice(parked, N_RECHECKED_PER_TICK)):
+        if allotments.headroom(state, team, at_ms) > 0:
+            unpark(state, team)
+        else:
+            parked[team] = parked.pop(team)
+
+
+def expire(state: "EntryState", at_ms: int) -> Iterable[Effect]:
+    """End the requests that waited for too long."""
+    queues = state.queues
+    while queues.expiries and queues.expiries[0][0] <= at_ms:
+        deadline_ms, _, waiting = heappop(queues.expiries)
+        if waiting.removed or waiting.deadline_ms != deadline_ms:
+            continue
+        _remove(state, waiting)
+        yield from claims.conclude(
+            state, waiting.request.request_id, _expired(waiting), None, at_ms
+        )
+
+
+def _expired(waiting: Waiting) -> Outcome:
+    if waiting.may_have_run:
+        return OutcomeUnknown("an earlier try may have run; no further one could start")
+    return NotRun(
+        RefusalKind.WAIT_EXPIRED, f"waited {waiting.request.max_wait_ms} ms for a slot"
+    )
+
+
+def _insert(state: "EntryState", waiting: Waiting, front: bool) -> None:
+    queues = state.queues
+    found = queues.classes.setdefault(waiting.class_key, _ClassQueue())
+    if not found.n_waiting:
+        # Nobody waits, so nobody is behind: old differences are forgotten.
+        found.virtual_ms = max(found.virtual_ms, found.latest_ms)
+    team = found.team(waiting.team)
+    if not team.n_live:
+        team.requests.clear()
+        kept = MAX_KEPT_TURN_MS / _weight(state, waiting.team) if front else 0
+        team.virtual_ms = max(team.virtual_ms, found.virtual_ms - kept)
+    (team.requests.appendleft if front else team.requests.append)(waiting)
+    team.n_live += 1
+    found.n_waiting += 1
+    if not team.serial and not team.parked:
+        found.push(team)
+    queues.by_request[waiting.request.request_id] = waiting
+    queues.n_expiries += 1
+    heappush(queues.expiries, (waiting.deadline_ms, queues.n_expiries, waiting))
+    if len(queues.expiries) > 2 * len(queues.by_request) + _COMPACT_SLACK:
+        queues.expiries = [item for item in queues.expiries if not item[2].removed]
+        heapify(queues.expiries)
+    queues.ready[waiting.request.queue] = None
+    _count(state, waiting, 1)
+
+
+def _remove(state: "EntryState", waiting: Waiting) -> None:
+    waiting.removed = True
+    found = state.queues.classes[waiting.class_key]
+    team = found.teams[waiting.team]
+    team.n_live -= 1
+    found.n_waiting -= 1
+    if len(team.requests) > 2 * team.n_live + _COMPACT_SLACK:
+        team.requests = deque(item for item in team.requests if not item.removed)
+    elif not team.n_live:
+        team.requests.clear()
+    elif team.requests[0] is waiting:
+        team.requests.popleft()
+    del state.queues.by_request[waiting.request.request_id]
+    _count(state, waiting, -1)
+
+
+def _count(state: "EntryState", waiting: Waiting, step: int) -> None:
+    queues = state.queues
+    queue, team = waiting.request.queue, waiting.team
+    queues.n_by_queue[queue] = queues.n_by_queue.get(queue, 0) + step
+    if team:
+        queues.n_by_team[team] = queues.n_by_team.get(team, 0) + step
+        allotments.set_waiting(state, team, queues.n_by_team[team])
+
+
+def _weight(state: "EntryState", team: str) -> int:
+    known = state.config.teams.get(team)
+    return max(1, known.share) if known else 1
--- a/apricotgap/core/health.py
+++ b/apricotgap/core/health.py
@@ -1,10 +1,232 @@
-"""Health of backend servers: ejection, probing and the retry budget."""
+"""Health of backend servers: ejection, return and what may take work."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
-__all__ = ["HealthState"]
+from apricotgap.core.effects import Count, Effect, LogChange
+from apricotgap.core.limits import IN_FORCE_BOUND_MS, START_WINDOW_MS
+from apricotgap.core.polling import PollState
+from apricotgap.core.retry import RetryState
+from apricotgap.model import DataCentreState, InstanceState
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = [
+    "HealthState",
+    "WorkerHealth",
+    "can_take_work",
+    "forget_report",
+    "has_recent_report",
+    "is_available",
+    "note_failure",
+    "note_success",
+    "recent_failures",
+    "record",
+]
+
+# A report that is older says too little about leaving: with the start window
+# added, a leaving server gets no new work within the promised bound.
+MAX_REPORT_AGE_MS = IN_FORCE_BOUND_MS - START_WINDOW_MS
+# A single lost probe is not taken for the end of a server and its tasks.
+N_PROBES_UNREACHABLE = 3
+MAX_CONSECUTIVE_FAILURES = 5
+MAX_FAILURE_RATIO = 0.5
+MIN_RATIO_WEIGHT = 10.0
+MAX_EJECTED_SHARE = 0.3
+EJECTION_MS = 5_000
+MAX_EJECTION_MS = 300_000
+_HALF_LIFE_MS = 10_000
+
+
+@dataclass(slots=True)
+class WorkerHealth:
+    """What is known of a backend server.
+
+    `n_others` is the number of tasks that others ran there at the last report.
+    `probation` lasts from the end of an ejection to the first success; meanwhile
+    the server gets one task at a time.
+    """
+
+    reported_ms: int | None = None
+    server_now_ms: int = 0
+    n_slots: int = 0
+    n_others: int = 0
+    n_done_since_probe: int = 0
+    draining: bool = False
+    boot_id: str = ""
+    probe_sent_ms: int | None = None
+    n_unreachable: int = 0
+    n_consecutive: int = 0
+    n_ok: float = 0.0
+    n_failed: float = 0.0
+    decayed_ms: int = 0
+    ejected_until_ms: int | None = None
+    n_ejections: int = 0
+    probation: bool = False
 
 
 @dataclass(slots=True)
 class HealthState:
-    """What is known of each backend server."""
+    """What is known of each backend server.
+
+    `listed` is None until the platform's list was read.
+    """
+
+    workers: dict[str, WorkerHealth] = field(default_factory=dict)
+    ejected_by_pool: dict[str, dict[str, None]] = field(default_factory=dict)
+    listed: frozenset[str] | None = None
+    leaving: frozenset[str] = frozenset()
+    list_read_ms: int | None = None
+    retries: RetryState = field(default_factory=RetryState)
+    polls: PollState = field(default_factory=PollState)
+
+
+def record(state: "EntryState", instance: str) -> WorkerHealth:
+    """Return the record of a backend server, created when absent."""
+    known = state.health.workers.get(instance)
+    if known is None:
+        known = state.health.workers[instance] = WorkerHealth()
+    return known
+
+
+def has_recent_report(state: "EntryState", instance: str, at_ms: int) -> bool:
+    """Tell whether a status report is recent enough to dispatch by it."""
+    known = state.health.workers.get(instance)
+    if known is None or known.reported_ms is None:
+        return False
+    return at_ms - known.reported_ms <= MAX_REPORT_AGE_MS
+
+
+def forget_report(state: "EntryState", instance: str) -> None:
+    """Forget the status of a server that is no longer polled."""
+    known = state.health.workers.get(instance)
+    if known is None:
+        return
+    if instance not in state.config.instances:
+        del state.health.workers[instance]
+        _forget_ejection(state, instance)
+        return
+    known.reported_ms = None
+    known.n_unreachable = 0
+    known.draining = False
+
+
+def can_take_work(state: "EntryState", instance: str, at_ms: int) -> bool:
+    """Tell whether new tasks may be sent to an instance.
+
+    It must be in service in an open data centre, reachable with a recent report,
+    not leaving by the platform's list or its own word, and not ejected.
+    """
+    return (
+        _in_service(state, instance)
+        and has_recent_report(state, instance, at_ms)
+        and _serves(state, instance, at_ms)
+    )
+
+
+def is_available(state: "EntryState", instance: str, at_ms: int) -> bool:
+    """Tell whether an instance serves, as availability budgets count it.
+
+    An instance that this entry does not poll is judged by the platform's list.
+    """
+    listed = state.health.listed
+    return (
+        _in_service(state, instance)
+        and (listed is None or instance in listed)
+        and _serves(state, instance, at_ms)
+    )
+
+
+def recent_failures(state: "EntryState", instance: str, at_ms: int) -> float:
+    """Return the decayed number of failures; it counts as load of the worker."""
+    known = record(state, instance)
+    _decay(known, at_ms)
+    return known.n_failed
+
+
+def note_success(state: "EntryState", instance: str, at_ms: int) -> None:
+    """Count a task that a worker answered well."""
+    known = record(state, instance)
+    _decay(known, at_ms)
+    known.n_ok += 1
+    known.n_consecutive = 0
+    if not known.probation:
+        return
+    known.probation = False
+    known.n_failed = 0.0
+    _forget_ejection(state, instance)
+
+
+def note_failure(state: "EntryState", instance: str, at_ms: int) -> tuple[Effect, ...]:
+    """Count a failed task or connection and eject the worker if it fails often."""
+    known = record(state, instance)
+    _decay(known, at_ms)
+    known.n_failed += 1
+    known.n_consecutive += 1
+    total = known.n_ok + known.n_failed
+    too_many = known.n_consecutive >= MAX_CONSECUTIVE_FAILURES or (
+        total >= MIN_RATIO_WEIGHT and known.n_failed / total > MAX_FAILURE_RATIO
+    )
+    if not known.probation and not (too_many and known.ejected_until_ms is None):
+        return ()
+    return _eject(state, instance, known, at_ms)
+
+
+def _eject(
+    state: "EntryState", instance: str, known: WorkerHealth, at_ms: int
+) -> tuple[Effect, ...]:
+    from apricotgap.core import worker_index  # noqa: PLC0415
+
+    config = state.config.instances.get(instance)
+    if config is None:
+        return ()
+    ejected = state.health.ejected_by_pool.setdefault(config.pool, {})
+    n_members = len(worker_index.index_of(state).members.get(config.pool, ()))
+    n_allowed = max(1, int(MAX_EJECTED_SHARE * n_members)) if n_members > 1 else 0
+    if instance not in ejected and len(ejected) >= n_allowed:
+        return (Count("ejections_withheld", labels=(("pool", config.pool),)),)
+    ejected[instance] = None
+    duration_ms = min(EJECTION_MS << min(known.n_ejections, 16), MAX_EJECTION_MS)
+    known.n_ejections += 1
+    known.ejected_until_ms = at_ms + duration_ms
+    known.probation = False
+    known.n_consecutive = 0
+    return (LogChange("worker_ejected", {"instance": instance, "for_ms": duration_ms}),)
+
+
+def _forget_ejection(state: "EntryState", instance: str) -> None:
+    for ejected in state.health.ejected_by_pool.values():
+        ejected.pop(instance, None)
+
+
+def _in_service(state: "EntryState", instance: str) -> bool:
+    config = state.config.instances.get(instance)
+    if config is None or config.state is not InstanceState.IN_SERVICE:
+        return False
+    data_centre = state.config.data_centres.get(config.data_centre)
+    return data_centre is not None and data_centre.state is DataCentreState.OPEN
+
+
+def _serves(state: "EntryState", instance: str, at_ms: int) -> bool:
+    if instance in state.health.leaving:
+        return False
+    known = state.health.workers.get(instance)
+    if known is None:
+        return True
+    if known.draining or known.n_unreachable:
+        return False
+    if known.ejected_until_ms is None:
+        return True
+    if at_ms < known.ejected_until_ms:
+        return False
+    known.ejected_until_ms = None
+    known.probation = True
+    return True
+
+
+def _decay(known: WorkerHealth, at_ms: int) -> None:
+    factor = 0.5 ** ((at_ms - known.decayed_ms) / _HALF_LIFE_MS)
+    known.n_ok *= factor
+    known.n_failed *= factor
+    known.decayed_ms = at_ms
--- a/apricotgap/core/placement.py
+++ b/apricotgap/core/placement.py
@@ -1,10 +1,330 @@
 """Choice of a backend server for each task and tracking of tasks in flight."""
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from typing import TYPE_CHECKING
 
-__all__ = ["PlacementState"]
+from apricotgap.core import (
+    allotments,
+    estimates,
+    fair_queue,
+    health,
+    polling,
+    preemption,
+    retry,
+    routing,
+    usage,
+    worker_index,
+)
+from apricotgap.core.effects import (
+    Dispatch,
+    Effect,
+    Observe,
+    RenewTask,
+)
+from apricotgap.core.estimates import EstimateState, is_feasible
+from apricotgap.core.limits import DRIFT_FACTOR, START_WINDOW_MS, TASK_LEASE_MS
+from apricotgap.core.usage import apply_usage, usage_report
+from apricotgap.model import Priority, Resources
+
+if TYPE_CHECKING:
+    from apricotgap.core.fair_queue import Waiting
+    from apricotgap.core.state import EntryState
+
+__all__ = [
+    "PlacementState",
+    "Task",
+    "apply_usage",
+    "is_feasible",
+    "n_in_flight",
+    "probe_at",
+    "release",
+    "renew",
+    "schedule",
+    "start_bound_passed",
+    "usage_report",
+]
+
+# A task that was not started by then, seen by this entry's clock, never starts; the
+# margin lets the server's clock pass the start deadline as well.
+START_BOUND_MS = int(START_WINDOW_MS * DRIFT_FACTOR) + 50
+RENEW_INTERVAL_MS = TASK_LEASE_MS // 3
+# Task probes find silent connections sooner; this only bounds what drivers hold.
+MIN_TASK_TIMEOUT_MS = 600_000
+TIMEOUT_FACTOR = 10
+# A task that takes this many times its estimate is asked about at its server.
+SILENCE_FACTOR = 2
+# A team that waits for a rare kind of instance must not hold up the others.
+MAX_SET_ASIDE = 4
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One try of a request on a backend server.
+
+    `waiting` is None once the request no longer depends on the task, which then
+    only holds its team's allotment until it can no longer run. `ends_by_ms` is
+    when the server has certainly stopped it if its lease is not renewed again.
+    """
+
+    task_id: str
+    waiting: "Waiting | None"
+    request_id: str
+    class_key: tuple[str, Priority]
+    team: str
+    body_digest: str
+    instance: str
+    address: str
+    data_centre: str
+    pool: str
+    boot_id: str
+    started_ms: int
+    server_deadline_ms: int
+    n_slots: int
+    estimate_ms: int
+    ends_by_ms: int
+    idempotent: bool
+    spilled: bool = False
+    checkpointing: bool = False
+    kill_noted: bool = False
+    connection_lost: bool = False
+    done_seen: bool = False
+    probe_due_ms: int = 0
 
 
 @dataclass(slots=True)
 class PlacementState:
-    """Tasks in flight and estimates of their run time."""
+    """Tasks in flight and estimates of their run time.
+
+    `blocked_since_ms` is when work that may displace other work began to wait;
+    `preemptible` holds by pool, and by whether they are spilled, the tasks that may
+    be checkpointed, newest last; `checkpointing` those that were asked to;
+    `starved` the queues that found no free worker.
+    """
+
+    tasks: dict[str, Task] = field(default_factory=dict)
+    by_request: dict[str, Task] = field(default_factory=dict)
+    by_instance: dict[str, dict[str, Task]] = field(default_factory=dict)
+    preemptible: dict[tuple[str, bool], dict[str, Task]] = field(default_factory=dict)
+    checkpointing: dict[str, dict[str, Task]] = field(default_factory=dict)
+    blocked_since_ms: dict[tuple[str, Priority], int] = field(default_factory=dict)
+    starved: dict[str, None] = field(default_factory=dict)
+    turns: dict[str, int] = field(default_factory=dict)
+    renewals: list[tuple[int, str]] = field(default_factory=list)
+    probes: list[tuple[int, str]] = field(default_factory=list)
+    estimates: EstimateState = field(default_factory=EstimateState)
+    charged_ms: dict[str, int] = field(default_factory=dict)
+    index: worker_index.RoutingIndex | None = None
+    n_started: int = 0
+    now_ms: int = 0
+
+    def n_slots_in_flight(self, instance: str) -> int:
+        """Return the slots that own tasks take up on an instance."""
+        tasks = self.by_instance.get(instance)
+        return sum(task.n_slots for task in tasks.values()) if tasks else 0
+
+
+def n_in_flight(state: "EntryState", instance: str) -> int:
+    """Return the number of own tasks that may run on an instance."""
+    return len(state.placement.by_instance.get(instance, ()))
+
+
+def start_bound_passed(server_deadline_ms: int, server_now_ms: int) -> bool:
+    """Tell whether a task can no longer start, by the server's clock."""
+    return server_now_ms > server_deadline_ms
+
+
+def schedule(state: "EntryState", at_ms: int) -> Iterable[Effect]:
+    """Dispatch every waiting request that may start now.
+
+    Only queues that changed since the last call, or whose workers did, are looked
+    at, so the cost does not grow with teams, queues or workers.
+    """
+    state.placement.now_ms = at_ms
+    index = worker_index.index_of(state)
+    worker_index.expire_reports(state, at_ms)
+    ready = state.queues.ready
+    while ready:
+        queue = state.config.queues.get(next(iter(ready)))
+        if queue is None:
+            del ready[next(iter(ready))]
+            continue
+        yield from _serve_pool(state, queue.pool, at_ms)
+        for name in index.queues_of_pool[queue.pool]:
+            ready.pop(name, None)
+
+
+def _serve_pool(state: "EntryState", pool: str, at_ms: int) -> Iterable[Effect]:
+    queues = worker_index.index_of(state).queues_of_pool[pool]
+    for name in queues:
+        state.placement.starved.pop(name, None)
+    for priority in (Priority.URGENT, Priority.BATCH):
+        pending = [
+            name for name in queues if fair_queue.n_waiting_class(state, name, priority)
+        ]
+        turn_key = f"{pool}/{priority}"
+        while pending:
+            # Queues of one pool take turns, so that none holds up another.
+            turn = state.placement.turns.get(turn_key, 0)
+            name = pending[turn % len(pending)]
+            state.placement.turns[turn_key] = turn + 1
+            effects = _start_next(state, name, priority, at_ms)
+            if not effects:
+                pending.remove(name)
+            yield from effects
+
+
+def _start_next(
+    state: "EntryState", queue: str, priority: Priority, at_ms: int
+) -> tuple[Effect, ...]:
+    aside: list[Waiting] = []
+    worker = None
+    while len(aside) < MAX_SET_ASIDE:
+        waiting = fair_queue.peek(state, queue, priority, at_ms)
+        if waiting is None:
+            break
+        worker = routing.choose(state, waiting.request, waiting.tried, at_ms)
+        if worker is not None:
+            break
+        aside.append(waiting)
+        if not waiting.tried and waiting.request.declared == Resources():
+            # No other request can need less.
+            break
+        fair_queue.set_aside(state, waiting)
+    for held in aside:
+        fair_queue.restore(state, held)
+    _note_starved(state, queue, priority, aside, at_ms)
+    if worker is None or waiting is None:
+        return ()
+    fair_queue.take(state, waiting)
+    return _dispatch(state, waiting, worker, at_ms)
+
+
+def _note_starved(
+    state: "EntryState",
+    queue: str,
+    priority: Priority,
+    aside: list["Waiting"],
+    at_ms: int,
+) -> None:
+    placement = state.placement
+    placement.blocked_since_ms.pop((queue, priority), None)
+    if not aside:
+        return
+    placement.starved[queue] = None
+    pool = state.config.pools.get(state.config.queues[queue].pool)
+    if pool is None:
+        return
+    polling.note_wanted(state, pool.name, at_ms)
+    if priority is Priority.URGENT or pool.spare:
+        placement.blocked_since_ms[queue, priority] = aside[0].enqueued_ms
+
+
+def _dispatch(
+    state: "EntryState", waiting: "Waiting", worker: worker_index.Worker, at_ms: int
+) -> tuple[Effect, ...]:
+    placement, request, instance = state.placement, waiting.request, worker.instance
+    report = health.record(state, instance.name)
+    estimate_ms = estimates.estimate_ms(state, request, waiting.team)
+    placement.n_started += 1
+    since_report_ms = at_ms - (report.reported_ms or 0)
+    task = Task(
+        task_id=f"{state.identity.incarnation}-{placement.n_started}",
+        waiting=waiting,
+        request_id=request.request_id,
+        class_key=waiting.class_key,
+        team=waiting.team,
+        body_digest=request.body_digest,
+        instance=instance.name,
+        address=instance.address,
+        data_centre=instance.data_centre,
+        pool=instance.pool,
+        boot_id=report.boot_id,
+        started_ms=at_ms,
+        # Divided by the drift factor so that the deadline never lies later than
+        # intended on a server whose clock runs slow.
+        server_deadline_ms=report.server_now_ms
+        + int(since_report_ms / DRIFT_FACTOR)
+        + START_WINDOW_MS,
+        n_slots=estimates.n_slots_needed(request.declared, instance),
+        estimate_ms=estimate_ms,
+        ends_by_ms=at_ms + int((START_WINDOW_MS + TASK_LEASE_MS) * DRIFT_FACTOR),
+        idempotent=request.idempotent,
+        spilled=instance.pool != state.config.queues[request.queue].pool,
+    )
+    if not waiting.n_tries:
+        retry.note_first_try(state, instance.data_centre)
+    waiting.n_tries += 1
+    _track(state, task)
+    allotments.note_started(state, waiting.team)
+    usage.charge(state, task.class_key, task.team, estimate_ms * task.n_slots)
+    polling.note_used(state, instance.name, at_ms)
+    worker_index.refresh(state, instance.name, at_ms)
+    timeout_ms = max(MIN_TASK_TIMEOUT_MS, TIMEOUT_FACTOR * estimate_ms)
+    wait_ms = at_ms - waiting.enqueued_ms
+    labels = (("priority", str(request.priority)),)
+    dispatch = Dispatch(
+        task_id=task.task_id,
+        request_id=request.request_id,
+        instance=instance.name,
+        address=instance.address,
+        server_deadline_ms=task.server_deadline_ms,
+        lease_ms=TASK_LEASE_MS,
+        # Spilled work runs below the spare pool's own work.
+        priority=Priority.BATCH if task.spilled else request.priority,
+        team=waiting.team,
+        timeout_ms=timeout_ms,
+    )
+    return dispatch, Observe("queue_wait_ms", wait_ms, labels)
+
+
+def _track(state: "EntryState", task: Task) -> None:
+    placement = state.placement
+    placement.tasks[task.task_id] = task
+    placement.by_request[task.request_id] = task
+    placement.by_instance.setdefault(task.instance, {})[task.task_id] = task
+    if task.idempotent and (task.class_key[1] is Priority.BATCH or task.spilled):
+        key = (task.pool, task.spilled)
+        placement.preemptible.setdefault(key, {})[task.task_id] = task
+    due_ms = task.started_ms + RENEW_INTERVAL_MS
+    heappush(placement.renewals, (due_ms, task.task_id))
+    silent_ms = max(START_BOUND_MS, SILENCE_FACTOR * task.estimate_ms)
+    probe_at(state, task, task.started_ms + silent_ms)
+
+
+def probe_at(state: "EntryState", task: Task, due_ms: int) -> None:
+    """Probe a task at a time, which replaces an earlier plan."""
+    task.probe_due_ms = due_ms
+    heappush(state.placement.probes, (due_ms, task.task_id))
+
+
+def release(state: "EntryState", task: Task, at_ms: int) -> None:
+    """Forget a task that runs no more and give its slot and allotment back."""
+    placement = state.placement
+    if placement.tasks.pop(task.task_id, None) is None:
+        return
+    if placement.by_request.get(task.request_id) is task:
+        del placement.by_request[task.request_id]
+    on_instance = placement.by_instance[task.instance]
+    del on_instance[task.task_id]
+    if not on_instance:
+        del placement.by_instance[task.instance]
+    preemption.not_preemptible(state, task)
+    health.record(state, task.instance).n_done_since_probe += 1
+    allotments.note_finished(state, task.team)
+    fair_queue.unpark(state, task.team)
+    worker_index.refresh(state, task.instance, at_ms)
+
+
+def renew(state: "EntryState", at_ms: int) -> Iterable[Effect]:
+    """Renew the leases of running tasks that are due."""
+    placement = state.placement
+    while placement.renewals and placement.renewals[0][0] <= at_ms:
+        _, task_id = heappop(placement.renewals)
+        task = placement.tasks.get(task_id)
+        if task is None or task.waiting is None:
+            continue
+        task.ends_by_ms = at_ms + int((START_WINDOW_MS + TASK_LEASE_MS) * DRIFT_FACTOR)
+        heappush(placement.renewals, (at_ms + RENEW_INTERVAL_MS, task_id))
+        yield RenewTask(task.task_id, task.instance, task.address)
--- /dev/null
+++ b/apricotgap/core/preemption.py
@@ -0,0 +1,62 @@
+"""Checkpoint of batch tasks that block urgent work."""
+
+from collections.abc import Iterable
+from itertools import chain, islice
+from typing import TYPE_CHECKING
+
+from apricotgap.core import fair_queue
+from apricotgap.core.effects import CheckpointTask, Effect
+from apricotgap.model import Priority
+
+if TYPE_CHECKING:
+    from apricotgap.core.placement import Task
+    from apricotgap.core.state import EntryState
+
+__all__ = ["checkpoint_blocking", "not_preemptible"]
+
+CHECKPOINT_AFTER_MS = 500
+MAX_CHECKPOINTS_PER_TICK = 8
+
+
+def not_preemptible(state: "EntryState", task: "Task") -> None:
+    """Exclude a task from checkpoints, or end the wait for one."""
+    placement = state.placement
+    placement.preemptible.get((task.pool, task.spilled), {}).pop(task.task_id, None)
+    placement.checkpointing.get(task.pool, {}).pop(task.task_id, None)
+
+
+def checkpoint_blocking(state: "EntryState", at_ms: int) -> Iterable[Effect]:
+    """Checkpoint idempotent batch tasks that block urgent work for too long.
+
+    The newest tasks go first, since they lose least. Spilled tasks also give way
+    to the own work of the spare pool.
+    """
+    placement = state.placement
+    n_left = MAX_CHECKPOINTS_PER_TICK
+    for (queue, priority), since_ms in list(placement.blocked_since_ms.items()):
+        n_wanted = fair_queue.n_waiting_class(state, queue, priority)
+        if not n_wanted or queue not in state.config.queues:
+            del placement.blocked_since_ms[queue, priority]
+            continue
+        if at_ms - since_ms < CHECKPOINT_AFTER_MS:
+            continue
+        pool = state.config.queues[queue].pool
+        asked = placement.checkpointing.setdefault(pool, {})
+        n_wanted = min(n_wanted - len(asked), n_left)
+        for task in _to_checkpoint(state, pool, priority, n_wanted):
+            not_preemptible(state, task)
+            asked[task.task_id] = task
+            task.checkpointing = True
+            n_left -= 1
+            yield CheckpointTask(task.task_id, task.instance, task.address)
+
+
+def _to_checkpoint(
+    state: "EntryState", pool: str, priority: Priority, n: int
+) -> list["Task"]:
+    preemptible = state.placement.preemptible
+    found = reversed(preemptible.get((pool, True), {}).values())
+    if priority is Priority.URGENT:
+        own = reversed(preemptible.get((pool, False), {}).values())
+        return list(islice(chain(found, own), max(n, 0)))
+    return list(islice(found, max(n, 0)))
--- /dev/null
+++ b/apricotgap/core/routing.py
@@ -0,0 +1,120 @@
+"""Choice of a backend server for a request."""
+
+from heapq import heappush
+from typing import TYPE_CHECKING
+
+from apricotgap.core import estimates, health
+from apricotgap.core.worker_index import (
+    Group,
+    RoutingIndex,
+    Worker,
+    index_of,
+    refresh,
+)
+from apricotgap.model import Priority, Request
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = ["choose"]
+
+# Bounds the cost of a choice when many workers are too small or tried before.
+N_EXAMINED = 8
+
+
+def choose(
+    state: "EntryState", request: Request, tried: set[str], at_ms: int
+) -> Worker | None:
+    """Return the best worker that may take the request now.
+
+    Own data centre first, then the others, then idle workers of spare pools.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    request : Request
+        The request.
+    tried : set of str
+        Instances that the request must not be sent to again.
+    at_ms : int
+        Time.
+
+    Returns
+    -------
+    Worker or None
+        None when no worker has room for the request.
+    """
+    index = index_of(state)
+    pool = state.config.pools.get(state.config.queues[request.queue].pool)
+    if pool is None:
+        return None
+    reserve = 0 if request.priority is Priority.URGENT else pool.urgent_reserve_slots
+    for _, group in index.groups.get(pool.name, ()):
+        if group.n_free <= min(reserve, group.n_slots - 1):
+            continue
+        found = _best(state, group, request, tried, reserve=reserve, at_ms=at_ms)
+        if found is not None:
+            return found
+    if pool.spare:
+        return None
+    return _choose_spare(state, index, request, tried, at_ms)
+
+
+def _choose_spare(
+    state: "EntryState",
+    index: RoutingIndex,
+    request: Request,
+    tried: set[str],
+    at_ms: int,
+) -> Worker | None:
+    for spare_name, group in index.spare_groups:
+        spare = state.config.pools[spare_name]
+        queues = index.queues_of_pool.get(spare_name, ())
+        if any(state.queues.n_by_queue.get(queue) for queue in queues):
+            continue
+        found = _best(state, group, request, tried, reserve=0, at_ms=at_ms)
+        if found is None:
+            continue
+        # Spilled work leaves the reserve of the spare pool to its own urgent work.
+        own_group = found.groups[0]
+        n_needed = estimates.n_slots_needed(request.declared, found.instance)
+        if own_group.n_free - n_needed >= spare.urgent_reserve_slots:
+            return found
+    return None
+
+
+def _best(
+    state: "EntryState",
+    group: Group,
+    request: Request,
+    tried: set[str],
+    *,
+    reserve: int,
+    at_ms: int,
+) -> Worker | None:
+    kept = []
+    found = None
+    for _ in range(N_EXAMINED):
+        item = group.pop()
+        if item is None:
+            break
+        worker = item[4]
+        if not health.can_take_work(state, worker.instance.name, at_ms):
+            refresh(state, worker.instance.name, at_ms)
+            continue
+        kept.append(item)
+        if worker.instance.name in tried:
+            continue
+        if not estimates.fits(request.declared, worker.instance):
+            continue
+        n_needed = estimates.n_slots_needed(request.declared, worker.instance)
+        n_left = worker.groups[0].n_free - n_needed
+        # A pool too small for both keeps no reserve; its batch work would never run.
+        n_reserved = min(reserve, worker.groups[0].n_slots - n_needed)
+        if n_needed <= worker.n_free and n_left >= n_reserved:
+            found = worker
+            break
+    for item in kept:
+        heappush(group.heap, item)
+    return found
--- /dev/null
+++ b/apricotgap/core/task_events.py
@@ -0,0 +1,295 @@
+"""Reaction to the end, loss or refusal of tasks."""
+
+from collections.abc import Iterable
+from heapq import heappop
+from typing import ClassVar
+
+from apricotgap.core import (
+    claims,
+    estimates,
+    fair_queue,
+    health,
+    placement,
+    preemption,
+    task_loss,
+    usage,
+    worker_index,
+)
+from apricotgap.core.effects import (
+    Count,
+    DropConnections,
+    Effect,
+    ProbeTask,
+    ProbeWorker,
+)
+from apricotgap.core.events import (
+    Event,
+    TaskCheckpointed,
+    TaskCompleted,
+    TaskFailed,
+    TaskProbed,
+    TaskRefusal,
+    TaskRefused,
+    TaskState,
+    Tick,
+)
+from apricotgap.core.placement import Task
+from apricotgap.core.reducer import Handler
+from apricotgap.core.state import EntryState
+from apricotgap.model import Completed, RefusalKind
+
+__all__ = [
+    "HandleTaskCheckpointed",
+    "HandleTaskCompleted",
+    "HandleTaskFailed",
+    "HandleTaskProbed",
+    "HandleTaskRefused",
+    "HandleTaskTick",
+]
+
+PROBE_INTERVAL_MS = 1_000
+# A whole answer may still be on its way when the server says that it is done.
+ANSWER_GRACE_MS = 5_000
+_REFUSALS = {
+    TaskRefusal.FULL: RefusalKind.NO_CAPACITY,
+    TaskRefusal.INFEASIBLE: RefusalKind.INFEASIBLE,
+}
+
+
+def _measured(state: EntryState, task: Task, run_ms: int) -> None:
+    correction_ms = (run_ms - task.estimate_ms) * task.n_slots
+    usage.charge(state, task.class_key, task.team, correction_ms)
+
+
+class HandleTaskCompleted(Handler):
+    """Ends a request with the answer of its task."""
+
+    handles: ClassVar = (TaskCompleted,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Correct charge and estimate, conclude, and use the free slot."""
+        assert isinstance(event, TaskCompleted)
+        task = state.placement.tasks.get(event.task_id)
+        if task is None:
+            return
+        waiting = task.waiting
+        _measured(state, task, event.run_ms)
+        if event.status >= 500:
+            # A worker that answers errors at once must not look fast.
+            yield from health.note_failure(state, task.instance, event.at_ms)
+        else:
+            health.note_success(state, task.instance, event.at_ms)
+            if waiting is not None:
+                estimates.observe(state, waiting.request, task.team, event.run_ms)
+        task_loss.detach(state, task)
+        placement.release(state, task, event.at_ms)
+        if waiting is not None:
+            outcome = Completed(event.status, event.n_body_bytes)
+            yield from claims.conclude(
+                state, task.request_id, outcome, task.task_id, event.at_ms
+            )
+        yield from placement.schedule(state, event.at_ms)
+
+
+class HandleTaskRefused(Handler):
+    """Tries a refused task elsewhere: a refusal proves that nothing ran."""
+
+    handles: ClassVar = (TaskRefused,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Learn about the worker from the reason and let the request wait again."""
+        assert isinstance(event, TaskRefused)
+        task = state.placement.tasks.get(event.task_id)
+        if task is None:
+            return
+        yield Count("task_refusals", labels=(("reason", str(event.reason)),))
+        if event.reason is TaskRefusal.DUPLICATE:
+            # The server got this task id before, so that copy may run.
+            yield from task_loss.lose_task(
+                state, task, "the task was sent twice", event.at_ms
+            )
+            yield from placement.schedule(state, event.at_ms)
+            return
+        self._learn(state, task, event.reason)
+        kind = _REFUSALS.get(event.reason, RefusalKind.BACKEND_REFUSED)
+        message = f"backend servers refused: {event.reason}"
+        yield from task_loss.not_run(state, task, kind, message, event.at_ms)
+        yield from placement.schedule(state, event.at_ms)
+
+    @staticmethod
+    def _learn(state: EntryState, task: Task, reason: TaskRefusal) -> None:
+        known = health.record(state, task.instance)
+        if reason is TaskRefusal.FULL:
+            # Others hold the slots; the next report tells when one is free.
+            n_own = placement.n_in_flight(state, task.instance) - 1
+            known.n_others = max(known.n_others, known.n_slots - n_own)
+        elif reason is TaskRefusal.LEAVING:
+            known.draining = True
+        elif reason is TaskRefusal.DEADLINE:
+            # The reading of the server's clock may be wrong.
+            known.reported_ms = None
+        elif reason is TaskRefusal.INFEASIBLE and task.waiting is not None:
+            task.waiting.tried.add(task.instance)
+
+
+class HandleTaskFailed(Handler):
+    """Handles a task without an answer."""
+
+    handles: ClassVar = (TaskFailed,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Judge the worker, then retry, probe or end as is safe."""
+        assert isinstance(event, TaskFailed)
+        task = state.placement.tasks.get(event.task_id)
+        if task is None or task.connection_lost:
+            return
+        at_ms = event.at_ms
+        if event.timed_out:
+            # The connection may be silent while the server works.
+            yield DropConnections(task.instance, task.address)
+        else:
+            yield from health.note_failure(state, task.instance, at_ms)
+        if event.timed_out or not event.sent:
+            yield ProbeWorker(task.instance, task.address, fresh=True)
+        if event.sent:
+            yield from task_loss.lose_task(state, task, event.message, at_ms)
+        else:
+            health.record(state, task.instance).reported_ms = None
+            if task.waiting is not None:
+                task.waiting.tried.add(task.instance)
+            kind = RefusalKind.BACKEND_REFUSED
+            yield from task_loss.not_run(state, task, kind, event.message, at_ms)
+        worker_index.refresh(state, task.instance, at_ms)
+        yield from placement.schedule(state, at_ms)
+
+
+class HandleTaskCheckpointed(Handler):
+    """Lets a checkpointed request wait again."""
+
+    handles: ClassVar = (TaskCheckpointed,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Free the slot of a stopped task; do not ask the others again."""
+        assert isinstance(event, TaskCheckpointed)
+        task = state.placement.tasks.get(event.task_id)
+        if task is None:
+            return
+        preemption.not_preemptible(state, task)
+        task.checkpointing = False
+        if event.stopped:
+            waiting = task.waiting
+            _measured(state, task, event.at_ms - task.started_ms)
+            task_loss.detach(state, task)
+            placement.release(state, task, event.at_ms)
+            if waiting is not None:
+                waiting.may_have_run = True
+                task_loss.wait_again(state, waiting, event.at_ms)
+        yield from placement.schedule(state, event.at_ms)
+
+
+class HandleTaskProbed(Handler):
+    """Decides about a lost task by what its server knows of it."""
+
+    handles: ClassVar = (TaskProbed,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Retry on proof of not run, otherwise end as unknown or probe again."""
+        assert isinstance(event, TaskProbed)
+        task = state.placement.tasks.get(event.task_id)
+        if task is None:
+            return
+        judge = self._judge if task.connection_lost else self._judge_silent
+        yield from judge(state, task, event)
+        yield from placement.schedule(state, event.at_ms)
+
+    def _judge(
+        self, state: EntryState, task: Task, event: TaskProbed
+    ) -> Iterable[Effect]:
+        at_ms = event.at_ms
+        if event.state is None:
+            return self._unproven(state, task, "no answer about the task", at_ms)
+        if not event.boot_id or not task.boot_id:
+            return self._unproven(state, task, "the server may have restarted", at_ms)
+        if event.boot_id != task.boot_id:
+            return task_loss.lose_task_by_restart(state, task, at_ms)
+        if event.state is TaskState.DONE:
+            effects = self._unproven(state, task, "the answer was lost", at_ms)
+            placement.release(state, task, at_ms)
+            return effects
+        passed = placement.start_bound_passed(
+            task.server_deadline_ms, event.server_now_ms
+        )
+        if event.state is TaskState.UNKNOWN and passed:
+            kind = RefusalKind.BACKEND_REFUSED
+            return task_loss.not_run(state, task, kind, "the task never started", at_ms)
+        placement.probe_at(state, task, at_ms + PROBE_INTERVAL_MS)
+        return ()
+
+    @staticmethod
+    def _judge_silent(
+        state: EntryState, task: Task, event: TaskProbed
+    ) -> Iterable[Effect]:
+        """Decide whether a task that takes long lost its connection."""
+        at_ms = event.at_ms
+        same_server = bool(event.boot_id) and event.boot_id == task.boot_id
+        passed = placement.start_bound_passed(
+            task.server_deadline_ms, event.server_now_ms
+        )
+        is_done = same_server and event.state is TaskState.DONE
+        if same_server and passed and event.state is TaskState.UNKNOWN:
+            yield DropConnections(task.instance, task.address)
+            kind, message = RefusalKind.BACKEND_REFUSED, "the task never arrived"
+            yield from task_loss.not_run(state, task, kind, message, at_ms)
+        elif is_done and task.done_seen:
+            yield DropConnections(task.instance, task.address)
+            yield ProbeWorker(task.instance, task.address, fresh=True)
+            message = "the connection went silent"
+            yield from task_loss.lose_task(state, task, message, at_ms)
+        else:
+            task.done_seen = is_done
+            # Long tasks are asked about ever more rarely.
+            growing_ms = (at_ms - task.started_ms) // 2
+            next_ms = ANSWER_GRACE_MS if is_done else max(PROBE_INTERVAL_MS, growing_ms)
+            placement.probe_at(state, task, at_ms + next_ms)
+
+    @staticmethod
+    def _unproven(
+        state: EntryState, task: Task, message: str, at_ms: int
+    ) -> Iterable[Effect]:
+        placement.probe_at(state, task, at_ms + PROBE_INTERVAL_MS)
+        waiting = task.waiting
+        if waiting is None:
+            return ()
+        return task_loss.end_unknown(state, task, waiting, message, at_ms)
+
+
+class HandleTaskTick(Handler):
+    """Runs what is due: expiry, renewal, probes, checkpoints, dispatch."""
+
+    handles: ClassVar = (Tick,)
+    order: ClassVar = 60
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Advance the queues and the tasks in flight."""
+        at_ms = event.at_ms
+        state.placement.now_ms = at_ms
+        worker_index.refresh_preference(state, at_ms)
+        yield from fair_queue.expire(state, at_ms)
+        fair_queue.recheck_parked(state, at_ms)
+        yield from placement.renew(state, at_ms)
+        yield from self._probe(state, at_ms)
+        yield from placement.schedule(state, at_ms)
+        yield from preemption.checkpoint_blocking(state, at_ms)
+
+    @staticmethod
+    def _probe(state: EntryState, at_ms: int) -> Iterable[Effect]:
+        probes = state.placement.probes
+        while probes and probes[0][0] <= at_ms:
+            due_ms, task_id = heappop(probes)
+            task = state.placement.tasks.get(task_id)
+            if task is None or task.probe_due_ms != due_ms:
+                continue
+            if task.waiting is None and at_ms >= task.ends_by_ms:
+                placement.release(state, task, at_ms)
+                continue
+            yield ProbeTask(task.task_id, task.instance, task.address)
--- /dev/null
+++ b/apricotgap/core/usage.py
@@ -0,0 +1,58 @@
+"""Charges of slot time and their exchange with peers of the data centre."""
+
+from typing import TYPE_CHECKING
+
+from apricotgap.core import fair_queue
+from apricotgap.model import Priority
+from apricotgap.model.peers import Usage
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = ["apply_usage", "charge", "usage_report"]
+
+
+def charge(
+    state: "EntryState", class_key: tuple[str, Priority], team: str, slot_ms: int
+) -> None:
+    """Charge slot time to a team here and, by the next report, at the peers."""
+    fair_queue.charge(state, class_key, team, slot_ms)
+    queue, priority = class_key
+    key = f"{queue}/{priority}/{team}"
+    charged = state.placement.charged_ms
+    charged[key] = charged.get(key, 0) + slot_ms
+
+
+def usage_report(state: "EntryState") -> Usage:
+    """Return the usage since the last report and start the next period."""
+    placement = state.placement
+    charged_ms = {key: ms for key, ms in placement.charged_ms.items() if ms}
+    placement.charged_ms = {}
+    waiting = {team: n for team, n in state.queues.n_by_team.items() if n}
+    in_flight = {name: len(tasks) for name, tasks in placement.by_instance.items()}
+    return Usage(charged_ms, waiting, in_flight)
+
+
+def apply_usage(state: "EntryState", peer: str, usage: Usage) -> None:
+    """Charge what a peer of the same data centre ran to the teams.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    peer : str
+        Name of the peer.
+    usage : Usage
+        Its report. Keys that this version or configuration does not know are
+        ignored.
+    """
+    if peer == state.identity.entry:
+        return
+    for key, slot_ms in usage.charged_ms.items():
+        queue, _, rest = key.partition("/")
+        priority, _, team = rest.partition("/")
+        if queue not in state.config.queues or priority not in set(Priority):
+            continue
+        if team and team not in state.config.teams:
+            continue
+        fair_queue.charge(state, (queue, Priority(priority)), team, slot_ms)
--- /dev/null
+++ b/apricotgap/core/worker_events.py
@@ -0,0 +1,155 @@
+"""Reaction to reports about backend servers and the platform's list."""
+
+from collections.abc import Iterable
+from typing import ClassVar
+
+from apricotgap.core import health, placement, polling, task_loss, worker_index
+from apricotgap.core.effects import (
+    DropConnections,
+    Effect,
+    LogChange,
+    ReadInstanceList,
+)
+from apricotgap.core.events import (
+    Event,
+    InstanceListRead,
+    Tick,
+    WorkerReported,
+    WorkerUnreachable,
+)
+from apricotgap.core.placement import Task
+from apricotgap.core.reducer import Handler
+from apricotgap.core.state import EntryState
+
+__all__ = [
+    "HandleInstanceList",
+    "HandleWorkerReported",
+    "HandleWorkerTick",
+    "HandleWorkerUnreachable",
+]
+
+# The list is read less often as it grows, which bounds the bytes per second.
+MIN_LIST_INTERVAL_MS = 2_000
+LIST_INTERVAL_MS_PER_INSTANCE = 10
+
+
+def _note_killed(state: EntryState, task: Task) -> None:
+    from apricotgap.core import admission  # noqa: PLC0415
+
+    if task.kill_noted:
+        return
+    task.kill_noted = True
+    if task.waiting is not None:
+        task.waiting.n_kills += 1
+    admission.note_worker_killed(state, task.body_digest)
+
+
+class HandleWorkerReported(Handler):
+    """Takes over a status report."""
+
+    handles: ClassVar = (WorkerReported,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Update the record, find a restart, and dispatch to free slots."""
+        assert isinstance(event, WorkerReported)
+        if event.instance not in state.config.instances:
+            return
+        known = health.record(state, event.instance)
+        restarted = bool(known.boot_id) and event.boot_id != known.boot_id
+        if known.n_unreachable >= health.N_PROBES_UNREACHABLE:
+            yield LogChange("worker_reachable", {"instance": event.instance})
+        known.reported_ms = event.at_ms
+        known.server_now_ms = event.server_now_ms
+        known.n_slots = event.n_slots
+        known.n_others = self._n_others(state, event, known.n_done_since_probe)
+        known.n_done_since_probe = 0
+        known.draining = event.draining
+        known.boot_id = event.boot_id
+        known.n_unreachable = 0
+        if restarted:
+            yield from self._restarted(state, event)
+        worker_index.refresh(state, event.instance, event.at_ms)
+        yield from placement.schedule(state, event.at_ms)
+
+    @staticmethod
+    def _n_others(state: EntryState, event: WorkerReported, n_done: int) -> int:
+        # Own tasks that started or ended while the report was on its way may or may
+        # not be in it. All are taken as included: a wrong guess costs one refusal,
+        # the other guess would leave a slot idle until the next report.
+        n_own = placement.n_in_flight(state, event.instance)
+        return max(0, event.n_running - n_own - n_done)
+
+    @staticmethod
+    def _restarted(state: EntryState, event: WorkerReported) -> Iterable[Effect]:
+        yield LogChange("worker_restarted", {"instance": event.instance})
+        tasks = state.placement.by_instance.get(event.instance, {})
+        for task in list(tasks.values()):
+            if task.boot_id == event.boot_id:
+                continue
+            _note_killed(state, task)
+            yield from task_loss.lose_task_by_restart(state, task, event.at_ms)
+
+
+class HandleWorkerUnreachable(Handler):
+    """Takes an unreachable server out and gives its idempotent tasks up."""
+
+    handles: ClassVar = (WorkerUnreachable,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Count the failed probe; after several, act on the tasks in flight.
+
+        Other tasks keep their connections: if the path heals, their answers come.
+        """
+        assert isinstance(event, WorkerUnreachable)
+        instance = state.config.instances.get(event.instance)
+        if instance is None:
+            return
+        known = health.record(state, event.instance)
+        known.n_unreachable += 1
+        worker_index.refresh(state, event.instance, event.at_ms)
+        if known.n_unreachable != health.N_PROBES_UNREACHABLE:
+            return
+        yield LogChange("worker_unreachable", {"instance": event.instance})
+        yield DropConnections(event.instance, instance.address)
+        tasks = state.placement.by_instance.get(event.instance, {})
+        for task in list(tasks.values()):
+            _note_killed(state, task)
+            if task.idempotent and not task.connection_lost:
+                message = "the backend server became unreachable"
+                yield from task_loss.lose_task(state, task, message, event.at_ms)
+        yield from placement.schedule(state, event.at_ms)
+
+
+class HandleInstanceList(Handler):
+    """Takes over the platform's list of live and leaving instances."""
+
+    handles: ClassVar = (InstanceListRead,)
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Send no new work to leaving instances."""
+        assert isinstance(event, InstanceListRead)
+        changed = state.health.leaving ^ event.leaving
+        state.health.listed = event.live
+        state.health.leaving = event.leaving
+        for name in sorted(changed):
+            worker_index.refresh(state, name, event.at_ms)
+        yield from placement.schedule(state, event.at_ms)
+
+
+class HandleWorkerTick(Handler):
+    """Polls servers and reads the platform's list."""
+
+    handles: ClassVar = (Tick,)
+    order: ClassVar = 40
+
+    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
+        """Return the reads that are due."""
+        n_instances = len(state.config.instances)
+        interval_ms = max(
+            MIN_LIST_INTERVAL_MS, n_instances * LIST_INTERVAL_MS_PER_INSTANCE
+        )
+        read_ms = state.health.list_read_ms
+        if read_ms is None or event.at_ms - read_ms >= interval_ms:
+            state.health.list_read_ms = event.at_ms
+            yield ReadInstanceList()
+        yield from polling.poll(state, event.at_ms)
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,121 @@
+from apricotgap.core import health, polling
+from apricotgap.core.effects import DropConnections, ProbeWorker
+from apricotgap.core.events import (
+    InstanceListRead,
+    TaskCompleted,
+    TaskFailed,
+    WorkerUnreachable,
+)
+from tests.scheduling_harness import Fleet, configuration, dispatched, of_type
+
+
+def fail_all(fleet, name, n):
+    for _ in range(n):
+        health.note_failure(fleet.state, name, fleet.at_ms)
+
+
+def usable(fleet, name):
+    return health.can_take_work(fleet.state, name, fleet.at_ms)
+
+
+def test_failing_worker_is_ejected_for_growing_times_and_returns_by_one_task(
+    monkeypatch,
+):
+    """Guards against a failing worker that goes on getting work."""
+    fleet = Fleet(monkeypatch, configuration(n_workers=4, slots=8))
+    fleet.report("w0")
+    fail_all(fleet, "w0", 5)
+    assert not usable(fleet, "w0")
+    fleet.at_ms += health.EJECTION_MS
+    fleet.report("w0")
+    assert usable(fleet, "w0")
+    fleet.submit("a0")
+    fleet.submit("a1")
+    assert len(fleet.state.placement.tasks) == 1
+    (task,) = fleet.state.placement.tasks.values()
+    fleet.step(TaskFailed, task.task_id, sent=True)
+    fleet.at_ms += health.EJECTION_MS
+    fleet.report("w0")
+    assert not usable(fleet, "w0")
+    fleet.at_ms += health.EJECTION_MS
+    fleet.report("w0")
+    assert usable(fleet, "w0")
+
+
+def test_ejection_is_bounded_by_a_share_of_the_pool(monkeypatch):
+    """Guards against a bad request that takes a whole pool out."""
+    fleet = Fleet(monkeypatch, configuration(n_workers=9))
+    names = [f"w{i}" for i in range(9)]
+    fleet.report(*names)
+    for name in names:
+        fail_all(fleet, name, 20)
+    assert sum(not usable(fleet, name) for name in names) == 3
+
+
+def test_worker_that_fails_fast_does_not_attract_work(monkeypatch):
+    """Guards against least-loaded routing to a worker that answers errors at once."""
+    fleet = Fleet(monkeypatch, configuration(n_workers=3, slots=100))
+    fleet.report("w0", "w1", "w2")
+    n_bad = 0
+    for i in range(60):
+        sent = dispatched(fleet.submit(f"a{i}"))
+        if sent.instance == "w0":
+            n_bad += 1
+            fleet.step(TaskCompleted, sent.task_id, 503, 0, 1)
+    assert n_bad <= 5
+
+
+def test_silent_connection_is_dropped_and_the_server_judged_by_a_probe(monkeypatch):
+    """Guards against ejecting a server, or reusing a path, for a silent connection."""
+    fleet = Fleet(monkeypatch)
+    fleet.report("w0")
+    sent = dispatched(fleet.submit("a0"))
+    effects = fleet.step(TaskFailed, sent.task_id, sent=True, timed_out=True)
+    assert of_type(effects, DropConnections)
+    assert of_type(effects, ProbeWorker)[0].fresh
+    assert health.recent_failures(fleet.state, "w0", fleet.at_ms) == 0
+
+
+def test_leaving_servers_get_no_new_work(monkeypatch):
+    """Guards against work on a server that the list or the server says is leaving."""
+    fleet = Fleet(monkeypatch, configuration(n_workers=2))
+    fleet.report("w0")
+    fleet.report("w1", draining=True)
+    fleet.step(InstanceListRead, frozenset({"w0", "w1"}), frozenset({"w0"}))
+    assert not fleet.submit("a0")
+    assert not health.is_available(fleet.state, "w1", fleet.at_ms)
+    fleet.step(InstanceListRead, frozenset({"w1"}), frozenset())
+    assert not health.is_available(fleet.state, "w0", fleet.at_ms)
+
+
+def test_old_report_allows_no_dispatch(monkeypatch):
+    """Guards against a start deadline computed from an outdated clock reading."""
+    fleet = Fleet(monkeypatch)
+    fleet.report("w0")
+    fleet.at_ms += health.MAX_REPORT_AGE_MS + 1
+    assert not fleet.submit("a0")
+    assert dispatched(fleet.report("w0")).request_id == "a0"
+
+
+def test_status_probes_are_bounded_and_used_servers_stay_fresh(monkeypatch):
+    """Guards against probe traffic that grows with the fleet."""
+    fleet = Fleet(monkeypatch, configuration(n_workers=500))
+    fleet.report("w7")
+    dispatched(fleet.submit("a0"))
+    probed = []
+    for _ in range(100):
+        probed += [probe.instance for probe in of_type(fleet.tick(), ProbeWorker)]
+    assert len(probed) <= 10 * polling.MAX_PROBES_PER_S + 5
+    assert probed.count("w7") >= 10
+    assert "x0" not in probed
+
+
+def test_workers_that_die_with_a_task_are_reported_once(monkeypatch):
+    """Guards against a request that kills one worker after the other unnoticed."""
+    fleet = Fleet(monkeypatch)
+    fleet.report("w0")
+    fleet.submit("a0", body_digest="bad", idempotent=True)
+    for _ in range(5):
+        fleet.step(WorkerUnreachable, "w0")
+    fleet.report("w0", boot_id="b2")
+    assert fleet.killed == ["bad"]
