Bound idle team records and tighten scheduling tests

Cause: hand-made faults in the new modules showed gaps in the tests, and idle team records of a queue were kept for ever.

Change: tests for each gap; idle records are dropped when nothing waits; spilled work yields to a spare queue that needs slots, not to one held by a limit; the ejection time starts again after a long healthy period.

--- a/apricotgap/core/fair_queue.py
+++ b/apricotgap/core/fair_queue.py
@@ -315,6 +315,8 @@
     if not found.n_waiting:
         # Nobody waits, so nobody is behind: old differences are forgotten.
         found.virtual_ms = max(found.virtual_ms, found.latest_ms)
+        found.teams = {name: team for name, team in found.teams.items() if team.parked}
+        found.heap.clear()
     team = found.team(waiting.team)
     if not team.n_live:
         team.requests.clear()
@@ -354,10 +356,16 @@
 def _count(state: "EntryState", waiting: Waiting, step: int) -> None:
     queues = state.queues
     queue, team = waiting.request.queue, waiting.team
-    queues.n_by_queue[queue] = queues.n_by_queue.get(queue, 0) + step
+    _add(queues.n_by_queue, queue, step)
     if team:
-        queues.n_by_team[team] = queues.n_by_team.get(team, 0) + step
-        allotments.set_waiting(state, team, queues.n_by_team[team])
+        _add(queues.n_by_team, team, step)
+        allotments.set_waiting(state, team, queues.n_by_team.get(team, 0))
+
+
+def _add(counts: dict[str, int], name: str, step: int) -> None:
+    counts[name] = counts.get(name, 0) + step
+    if not counts[name]:
+        del counts[name]
 
 
 def _weight(state: "EntryState", team: str) -> int:
--- a/apricotgap/core/health.py
+++ b/apricotgap/core/health.py
@@ -62,6 +62,7 @@
     n_failed: float = 0.0
     decayed_ms: int = 0
     ejected_until_ms: int | None = None
+    ejected_ms: int = 0
     n_ejections: int = 0
     probation: bool = False
 
@@ -187,6 +188,9 @@
     if instance not in ejected and len(ejected) >= n_allowed:
         return (Count("ejections_withheld", labels=(("pool", config.pool),)),)
     ejected[instance] = None
+    if at_ms - known.ejected_ms > 2 * MAX_EJECTION_MS:
+        known.n_ejections = 0
+    known.ejected_ms = at_ms
     duration_ms = min(EJECTION_MS << min(known.n_ejections, 16), MAX_EJECTION_MS)
     known.n_ejections += 1
     known.ejected_until_ms = at_ms + duration_ms
--- a/apricotgap/core/polling.py
+++ b/apricotgap/core/polling.py
@@ -129,6 +129,9 @@
 def _add_own_workers(state: "EntryState", at_ms: int) -> None:
     polls = state.health.polls
     polls.config = state.config
+    for known in (state.health.workers, polls.used_ms):
+        for name in [name for name in known if name not in state.config.instances]:
+            del known[name]
     own = state.identity.data_centre
     new = [
         instance.name
--- a/apricotgap/core/routing.py
+++ b/apricotgap/core/routing.py
@@ -71,7 +71,7 @@
     for spare_name, group in index.spare_groups:
         spare = state.config.pools[spare_name]
         queues = index.queues_of_pool.get(spare_name, ())
-        if any(state.queues.n_by_queue.get(queue) for queue in queues):
+        if any(_needs_slots(state, queue) for queue in queues):
             continue
         found = _best(state, group, request, tried, reserve=0, at_ms=at_ms)
         if found is None:
@@ -84,6 +84,13 @@
     return None
 
 
+def _needs_slots(state: "EntryState", queue: str) -> bool:
+    queues = state.queues
+    return queue in state.placement.starved or (
+        queue in queues.ready and queue in queues.n_by_queue
+    )
+
+
 def _best(
     state: "EntryState",
     group: Group,
--- a/apricotgap/core/usage.py
+++ b/apricotgap/core/usage.py
@@ -28,7 +28,7 @@
     placement = state.placement
     charged_ms = {key: ms for key, ms in placement.charged_ms.items() if ms}
     placement.charged_ms = {}
-    waiting = {team: n for team, n in state.queues.n_by_team.items() if n}
+    waiting = dict(state.queues.n_by_team)
     in_flight = {name: len(tasks) for name, tasks in placement.by_instance.items()}
     return Usage(charged_ms, waiting, in_flight)
 
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -1,8 +1,8 @@
 from apricotgap.core import fair_queue, placement
 from apricotgap.core.effects import Dispatch
-from apricotgap.core.events import TaskCompleted, Tick
+from apricotgap.core.events import TaskCompleted, TaskFailed, Tick
 from apricotgap.core.fair_queue import QueueState
-from apricotgap.model import NotRun, OutcomeUnknown, Priority, RefusalKind
+from apricotgap.model import OutcomeUnknown, RefusalKind
 from apricotgap.model.peers import Usage
 from tests.scheduling_harness import Fleet, configuration, dispatched, of_type
 
@@ -34,9 +34,10 @@
 def test_idle_team_gets_no_credit(monkeypatch):
     """Guards against a burst after idleness that shuts the others out."""
     fleet = Fleet(monkeypatch)
+    fleet.submit("b-first", "b")
     for i in range(400):
         fleet.submit(f"a{i}", "a", max_wait_ms=10**7)
-    saturate(fleet, 200, {"a": 100})
+    saturate(fleet, 200, {"a": 100, "b": 100})
     for i in range(100):
         fleet.submit(f"b{i}", "b", max_wait_ms=10**7)
     task = next(iter(fleet.state.placement.tasks.values()))
@@ -110,10 +111,10 @@
 def test_expiry_after_a_try_is_not_reported_as_not_run(monkeypatch):
     """Guards against a false "not run" for a request that may have run."""
     fleet = Fleet(monkeypatch)
-    fleet.submit("a0", priority=Priority.BATCH, max_wait_ms=300)
-    waiting = fleet.state.queues.by_request["a0"]
-    waiting.may_have_run = True
+    fleet.report("w0")
+    sent = dispatched(fleet.submit("a0", idempotent=True, max_wait_ms=300))
+    fleet.step(TaskFailed, sent.task_id, sent=True)
+    assert fair_queue.n_waiting(fleet.state, "q") == 1
     assert not fair_queue.cancel(fleet.state, "a0")
     fleet.tick(300)
     assert isinstance(fleet.outcomes["a0"], OutcomeUnknown)
-    assert not isinstance(fleet.outcomes["a0"], NotRun)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -56,13 +56,14 @@
     """Guards against least-loaded routing to a worker that answers errors at once."""
     fleet = Fleet(monkeypatch, configuration(n_workers=3, slots=100))
     fleet.report("w0", "w1", "w2")
+    fleet.state.placement.index.workers["w0"].rank = -1
     n_bad = 0
     for i in range(60):
         sent = dispatched(fleet.submit(f"a{i}"))
         if sent.instance == "w0":
             n_bad += 1
             fleet.step(TaskCompleted, sent.task_id, 503, 0, 1)
-    assert n_bad <= 5
+    assert 1 <= n_bad <= 2
 
 
 def test_silent_connection_is_dropped_and_the_server_judged_by_a_probe(monkeypatch):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from apricotgap.core import health, membership, placement
+from apricotgap.core import fair_queue, health, membership, placement
 from apricotgap.core.effects import (
     CheckpointTask,
     Dispatch,
@@ -34,10 +34,10 @@
 from tests.scheduling_harness import Fleet, configuration, dispatched, of_type
 
 
-def lost_task(fleet, **kwargs):
+def lost_task(fleet, boot_id="b1"):
     """Start a request, lose its connection and wait for the probe of the task."""
-    fleet.report("w0")
-    sent = dispatched(fleet.submit("a0", **kwargs))
+    fleet.report("w0", boot_id=boot_id)
+    sent = dispatched(fleet.submit("a0"))
     fleet.step(TaskFailed, sent.task_id, sent=True)
     assert "a0" not in fleet.outcomes
     early = fleet.tick(START_WINDOW_MS)
@@ -67,12 +67,13 @@
     """Guards against spilled work that makes the spare pool's own queue wait."""
     fleet = Fleet(monkeypatch, configuration(slots=2))
     fleet.report("s0", n_running=1)
-    assert not fleet.submit("a0")
-    fleet.submit("s-own", queue="sq")
-    assert not fleet.submit("a1")
-    assert not fleet.submit("s-own-2", queue="sq")
-    fleet.report("s0", n_running=2)
-    assert not [t for t in fleet.state.placement.tasks.values() if t.spilled]
+    assert not fleet.submit("a0", max_wait_ms=100)
+    fleet.tick()
+    fleet.state.queues.ready.clear()
+    for request_id, queue in (("a1", "q"), ("own", "sq")):
+        request = Request(request_id, queue)
+        list(fair_queue.enqueue(fleet.state, request, "a", fleet.at_ms))
+    assert dispatched(fleet.report("s0")).request_id == "own"
 
 
 def test_spilled_work_gives_way_to_own_work(monkeypatch):
@@ -95,6 +96,27 @@
     assert dispatched(fleet.submit("a2", priority=Priority.URGENT))
 
 
+def test_large_batch_leaves_the_urgent_reserve(monkeypatch):
+    """Guards against a batch request of several slots that uses the reserve up."""
+    fleet = Fleet(monkeypatch, configuration(slots=8, reserve=3))
+    config = fleet.state.config
+    sized = replace(config.instances["w0"], capacity=Resources(8_000))
+    fleet.state.config = replace(config, instances={"w0": sized})
+    fleet.report("w0", n_running=2)
+    assert not fleet.submit("a0", declared=Resources(4_000))
+    assert dispatched(fleet.report("w0", n_running=1))
+
+
+def test_server_that_refuses_as_leaving_gets_no_further_task(monkeypatch):
+    """Guards against tasks to a server that said it is leaving."""
+    fleet = Fleet(monkeypatch, configuration(slots=4))
+    fleet.report("w0", "x0")
+    sent = dispatched(fleet.submit("a0"))
+    again = fleet.step(TaskRefused, sent.task_id, TaskRefusal.LEAVING)
+    assert dispatched(again).instance == "x0"
+    assert dispatched(fleet.submit("a1")).instance == "x0"
+
+
 def test_batch_that_blocks_urgent_work_is_checkpointed_and_waits_again(monkeypatch):
     """Guards against urgent work behind long batch, and a batch request lost."""
     fleet = Fleet(monkeypatch)
@@ -146,20 +168,22 @@
 
 
 @pytest.mark.parametrize(
-    ("state", "late_ms", "boot_id"),
+    ("state", "boot_ids"),
     [
-        (TaskState.UNKNOWN, 1, "b2"),
-        (TaskState.UNKNOWN, 1, ""),
-        (TaskState.DONE, 1, "b1"),
-        (None, 1, ""),
+        (TaskState.UNKNOWN, ("b1", "b2")),
+        (TaskState.UNKNOWN, ("b1", "")),
+        (TaskState.UNKNOWN, ("", "")),
+        (TaskState.DONE, ("b1", "b1")),
+        (None, ("b1", "")),
     ],
 )
-def test_without_proof_a_lost_task_is_never_rerun(monkeypatch, state, late_ms, boot_id):
+def test_without_proof_a_lost_task_is_never_rerun(monkeypatch, state, boot_ids):
     """Guards against an order that is entered twice."""
     fleet = Fleet(monkeypatch)
-    sent = lost_task(fleet)
+    sent_boot_id, boot_id = boot_ids
+    sent = lost_task(fleet, sent_boot_id)
     fleet.report("x0")
-    now_ms = sent.server_deadline_ms + late_ms
+    now_ms = sent.server_deadline_ms + 1
     effects = fleet.step(TaskProbed, sent.task_id, state, now_ms, boot_id)
     assert not of_type(effects, Dispatch)
     assert isinstance(fleet.outcomes["a0"], OutcomeUnknown)
@@ -182,9 +206,13 @@
     """Guards against a rerun because the restarted server forgot the task."""
     fleet = Fleet(monkeypatch)
     fleet.report("w0")
-    fleet.submit("a0")
+    fleet.submit("a0", expected_run_ms=100_000)
     fleet.report("w0", boot_id="b2")
     assert isinstance(fleet.outcomes["a0"], OutcomeUnknown)
+    (probe,) = of_type(fleet.tick(3_000), ProbeTask)
+    fleet.step(TaskProbed, probe.task_id, None)
+    fleet.tick(15_000)
+    assert fleet.running["a"] == 0
 
 
 def test_lost_idempotent_task_is_retried_and_holds_its_allotment(monkeypatch):
@@ -232,6 +260,19 @@
     assert dispatched(again).request_id == "a0"
 
 
+def test_task_that_ended_while_a_report_was_sent_leaves_no_slot_idle(monkeypatch):
+    """Guards against counting an own ended task as work of others."""
+    fleet = Fleet(monkeypatch, configuration(slots=2))
+    fleet.report("w0")
+    ended = dispatched(fleet.submit("a0"))
+    fleet.submit("a1")
+    fleet.tick()
+    fleet.step(TaskCompleted, ended.task_id, 200, 1, 5)
+    fleet.report("w0", n_running=2)
+    assert dispatched(fleet.submit("a2"))
+    assert not fleet.submit("a3")
+
+
 def test_late_answers_of_ended_tasks_are_ignored(monkeypatch):
     """Guards against a second end of a request by crossed or late events."""
     fleet = Fleet(monkeypatch)
