--- a/apricotgap/core/events/__init__.py
+++ b/apricotgap/core/events/__init__.py
@@ -38,6 +38,7 @@
 )
 from apricotgap.core.events.workers import (
     InstanceListRead,
+    TaskCheckpointed,
     TaskCompleted,
     TaskFailed,
     TaskProbed,
@@ -72,6 +73,7 @@
     "StoreCallFailed",
     "StoreChanged",
     "StoreReadFinished",
+    "TaskCheckpointed",
     "TaskCompleted",
     "TaskFailed",
     "TaskProbed",
--- a/apricotgap/core/events/workers.py
+++ b/apricotgap/core/events/workers.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "InstanceListRead",
+    "TaskCheckpointed",
     "TaskCompleted",
     "TaskFailed",
     "TaskProbed",
@@ -83,6 +84,7 @@
 
     ``unknown`` proves that a task never ran only while `boot_id` is the one of the
     report that the task was dispatched on, since a restarted server forgets tasks.
+    An answer without it proves nothing.
     """
 
     task_id: str
@@ -91,6 +93,18 @@
     boot_id: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class TaskCheckpointed(Event):
+    """Answer to `CheckpointTask`.
+
+    `stopped` tells whether the task was checkpointed and left its slot; otherwise
+    it runs on. No other event of a stopped task follows.
+    """
+
+    task_id: str
+    stopped: bool
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerReported(Event):
     """A status report of a backend server.
