--- /dev/null
+++ b/apricotgap/core/config_sync.py
@@ -0,0 +1,216 @@
+"""Keeps the configuration view up to date from the store and from peers."""
+
+from collections.abc import Iterable, Iterator
+
+from apricotgap.core import config_codec, limits, membership, part_fetch
+from apricotgap.core.config_codec import ROOT_KEY, Root
+from apricotgap.core.config_view import Candidate, age_ms
+from apricotgap.core.effects import (
+    Count,
+    Effect,
+    LogChange,
+    OpenWatch,
+    SendPeer,
+    StoreGet,
+)
+from apricotgap.core.events import KeyValue
+from apricotgap.core.state import EntryState
+from apricotgap.errors import ValidationError
+from apricotgap.model.peers import ConfigRoot, Heartbeat
+
+__all__ = [
+    "ROOT_CALL",
+    "heartbeat_received",
+    "read_failed",
+    "read_root",
+    "root_changed",
+    "root_read",
+    "root_received",
+    "start",
+    "tick",
+    "watch_broken",
+]
+
+ROOT_CALL = "config:root:"
+
+
+def start(state: EntryState, at_ms: int) -> Iterator[Effect]:
+    """Open the watch and read the root."""
+    yield OpenWatch(ROOT_KEY)
+    yield from read_root(state, at_ms)
+
+
+def read_root(state: EntryState, at_ms: int) -> Iterator[Effect]:
+    """Read the root unless a read is under way."""
+    view = state.view
+    if view.read_call:
+        return
+    view.n_reads += 1
+    view.read_due = False
+    view.read_call = f"{ROOT_CALL}{view.n_reads}"
+    view.read_sent_ms = at_ms
+    view.next_read_ms = at_ms + limits.CONFIRM_INTERVAL_MS
+    yield StoreGet(view.read_call, ROOT_KEY)
+
+
+def read_failed(state: EntryState, call_id: str) -> Iterator[Effect]:
+    """Note a failed read; the tick sends the next one."""
+    if call_id == state.view.read_call:
+        state.view.read_call = ""
+    yield Count("config_root_read_failed")
+
+
+def watch_broken(state: EntryState, at_ms: int) -> None:
+    """Note a broken watch; the tick opens the next one."""
+    state.view.watch_broken_ms = at_ms
+
+
+def tick(state: EntryState, at_ms: int) -> Iterator[Effect]:
+    """Confirm the root when due, ask again for parts, relay to late peers."""
+    view = state.view
+    if view.read_call and at_ms - view.read_sent_ms > limits.CAS_TIMEOUT_MS:
+        view.read_call = ""
+    if (
+        view.watch_broken_ms is not None
+        and at_ms - view.watch_broken_ms >= limits.CONFIRM_INTERVAL_MS
+    ):
+        view.watch_broken_ms = None
+        yield OpenWatch(ROOT_KEY)
+    if at_ms >= view.next_read_ms and _needs_read(state, at_ms):
+        yield from read_root(state, at_ms)
+    yield from part_fetch.fetch_late(state, at_ms)
+    yield from _relay(state, at_ms)
+
+
+def _needs_read(state: EntryState, at_ms: int) -> bool:
+    age = age_ms(state, at_ms)
+    if age is None or state.view.read_due:
+        return True
+    first = membership.is_relay(state, at_ms)
+    return age >= (limits.CONFIRM_INTERVAL_MS if first else limits.CONFIRM_LATEST_MS)
+
+
+def root_read(
+    state: EntryState, call_id: str, item: KeyValue, sent_ms: int, at_ms: int
+) -> Iterator[Effect]:
+    """Take the answer of a read of the root."""
+    if call_id == state.view.read_call:
+        state.view.read_call = ""
+    yield from _root_seen(state, item, sent_ms, at_ms)
+
+
+def root_changed(state: EntryState, item: KeyValue, at_ms: int) -> Iterator[Effect]:
+    """Take a root from the watch; an older or missing one is read to be sure."""
+    if item.revision:
+        yield from _root_seen(state, item, None, at_ms)
+    root = state.view.root
+    if root is not None and item.value != state.view.root_blob:
+        yield from read_root(state, at_ms)
+
+
+def root_received(
+    state: EntryState, peer: str, message: ConfigRoot, at_ms: int
+) -> Iterator[Effect]:
+    """Take a root that a peer relays."""
+    if message.revision > state.view.revision:
+        item = KeyValue(ROOT_KEY, message.root, 0)
+        yield from _root_seen(state, item, None, at_ms, peer)
+
+
+def _root_seen(
+    state: EntryState,
+    item: KeyValue,
+    sent_ms: int | None,
+    at_ms: int,
+    peer: str | None = None,
+) -> Iterator[Effect]:
+    view = state.view
+    if peer is None and not item.revision:
+        yield from _older_store(state, 0, 0, sent_ms)
+        return
+    if view.root is not None and item.value == view.root_blob:
+        if peer is None:
+            view.store_revision = item.revision
+            view.rolled_back_to, view.diverged = None, False
+        part_fetch.confirm(state, sent_ms)
+        return
+    digest = config_codec.sha256_hex(item.value)
+    try:
+        root = config_codec.decode_root(item.value)
+    except ValidationError as error:
+        yield from part_fetch.refuse(state, digest, str(error))
+        return
+    if root.revision < view.revision:
+        if peer is None:
+            yield from _older_store(state, root.revision, item.revision, sent_ms)
+    elif _diverges(view.root, root):
+        view.diverged = view.diverged or peer is None
+        yield from part_fetch.refuse(
+            state, digest, "history lacks the configuration in force"
+        )
+    elif digest not in view.refused:
+        store_revision = item.revision if peer is None else None
+        candidate = Candidate(root, item.value, store_revision, sent_ms, peer)
+        yield from part_fetch.offer(state, candidate, at_ms)
+
+
+def _older_store(
+    state: EntryState, revision: int, store_revision: int, sent_ms: int | None
+) -> Iterator[Effect]:
+    """Handle a store whose root is older than the view or absent.
+
+    An answer to a read sent before the view was installed may simply be late.
+    """
+    view = state.view
+    if sent_ms is None or (view.root is not None and sent_ms <= view.installed_ms):
+        return
+    view.store_revision = store_revision
+    part_fetch.confirm(state, sent_ms)
+    if view.root is not None and view.rolled_back_to != revision:
+        view.rolled_back_to = revision
+        yield Count("config_store_rolled_back")
+        yield LogChange(
+            "config_store_rolled_back",
+            {"in_force": view.revision, "in_store": revision},
+        )
+
+
+def _diverges(mine: Root | None, other: Root) -> bool:
+    if mine is None:
+        return False
+    if other.revision - mine.revision > limits.N_ROOT_AUTHORS:
+        return False
+    return other.revision == mine.revision or not other.includes(mine.author)
+
+
+def heartbeat_received(
+    state: EntryState, name: str, message: Heartbeat, at_ms: int
+) -> None:
+    """Take the store confirmation that a peer relays.
+
+    The peer sent the message after `echo_ms`, so its confirmation is not older than
+    `echo_ms` less the age that it reports, whatever the message's time on the way.
+    """
+    if message.echo_ms is None or message.store_age_ms is None:
+        return
+    peer = state.members.peers.get(name)
+    if peer is None or not peer.connected_ms <= message.echo_ms <= at_ms:
+        return
+    if message.revision > state.view.revision:
+        return
+    confirmed = message.echo_ms - message.store_age_ms
+    state.view.relayed_ms = max(state.view.relayed_ms or confirmed, confirmed)
+
+
+def _relay(state: EntryState, at_ms: int) -> Iterable[Effect]:
+    view = state.view
+    if view.root is None or at_ms - view.installed_ms < limits.ROOT_RELAY_DELAY_MS:
+        return
+    for name, peer in sorted(state.members.peers.items()):
+        if peer.revision is None or peer.revision >= view.revision:
+            continue
+        revision, sent_ms = view.roots_sent.get(name, (0, 0))
+        late = at_ms - sent_ms >= limits.ROOT_RELAY_RETRY_MS
+        if revision != view.revision or late:
+            view.roots_sent[name] = (view.revision, at_ms)
+            yield SendPeer(name, ConfigRoot(view.revision, view.root_blob))
--- /dev/null
+++ b/apricotgap/core/config_writer.py
@@ -0,0 +1,380 @@
+"""Changes of the configuration: parts first, then the root by compare-and-swap."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+from apricotgap.core import config_codec, limits
+from apricotgap.core.change import Change, RepublishView
+from apricotgap.core.config_codec import ROOT_KEY, Root, Snapshot
+from apricotgap.core.effects import Count, Effect, LogChange, StoreCas
+from apricotgap.core.events.store import CasFinished, CasResult
+from apricotgap.errors import (
+    ApricotgapError,
+    ConflictError,
+    OutcomeUnknownError,
+    UnavailableError,
+    ValidationError,
+)
+from apricotgap.model import Configuration
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = [
+    "CALL",
+    "Change",
+    "RepublishView",
+    "WriterState",
+    "advance",
+    "cas_finished",
+    "propose",
+    "tick",
+]
+
+CALL = "change:"
+
+
+class _Phase(Enum):
+    BASE = auto()
+    PARTS = auto()
+    ROOT = auto()
+
+
+@dataclass(slots=True)
+class _Proposal:
+    change: Change
+    token: str
+    started_ms: int
+    phase: _Phase = _Phase.BASE
+    n_tries: int = 0
+    base_revision: int = 0
+    snapshot: Snapshot = field(default_factory=Snapshot)
+    root: Root | None = None
+    root_blob: bytes = b""
+    root_call: str = ""
+    root_sent_ms: int = 0
+    # A root write may take effect although no answer said so.
+    unresolved: bool = False
+    parts_left: dict[str, int] = field(default_factory=dict)
+    written: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class WriterState:
+    """The change under way, those that wait, and removals of superseded parts.
+
+    `removed` holds hashes that are known to be gone and are still listed as
+    superseded in the root.
+    """
+
+    active: _Proposal | None = None
+    waiting: deque[_Proposal] = field(default_factory=deque)
+    n_calls: int = 0
+    next_try_ms: int = 0
+    removing: set[str] = field(default_factory=set)
+    removed: set[str] = field(default_factory=set)
+
+
+def propose(state: EntryState, change: Change, at_ms: int) -> Iterator[Effect]:
+    """Start a change; its `finished` reports the end.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    change : Change
+        What to change.
+    at_ms : int
+        Monotonic time in milliseconds.
+    """
+    writer = state.writer
+    error = _refusal(state, change, at_ms)
+    if error is None and len(writer.waiting) >= limits.N_CHANGES_WAITING:
+        error = UnavailableError("too many changes wait", "try again in some seconds")
+    if error is not None:
+        yield from change.finished(state, error, state.view.revision, at_ms)
+        return
+    token = f"{state.rng.getrandbits(64):016x}"
+    writer.waiting.append(_Proposal(change, token, at_ms))
+    yield from advance(state, at_ms)
+
+
+def _refusal(state: EntryState, change: Change, at_ms: int) -> ApricotgapError | None:
+    from apricotgap.core.config_view import ViewCase, view_case  # noqa: PLC0415
+
+    view = state.view
+    if view.diverged:
+        return ConflictError(
+            "the store holds another history than the configuration in force",
+            "restore the store, or restart the entry instances to follow the store",
+        )
+    if view.rolled_back_to is not None and not change.repairs_store:
+        return UnavailableError(
+            f"the store was restored from revision {view.rolled_back_to}, older than "
+            f"revision {view.revision} in force",
+            "restore a newer state of the store or republish the configuration",
+        )
+    case = view_case(state, at_ms)
+    if case is not ViewCase.LINKED:
+        return UnavailableError(
+            f"the store cannot be reached (this entry instance is {case.value})",
+            "nothing was changed; try again when the store answers",
+        )
+    return None
+
+
+def advance(state: EntryState, at_ms: int) -> Iterator[Effect]:
+    """Go on after a change of the view or of the queue."""
+    writer = state.writer
+    while True:
+        if writer.active is None:
+            if not writer.waiting:
+                return
+            writer.active = writer.waiting.popleft()
+        active = writer.active
+        if active.phase is not _Phase.BASE or at_ms < writer.next_try_ms:
+            return
+        view = state.view
+        if view.candidate is not None:
+            return
+        if view.store_revision is None:
+            yield from _read_root(state, at_ms)
+            return
+        yield from _build(state, active, at_ms)
+        if writer.active is active:
+            return
+
+
+def _read_root(state: EntryState, at_ms: int) -> Iterator[Effect]:
+    from apricotgap.core import config_sync  # noqa: PLC0415
+
+    yield from config_sync.read_root(state, at_ms)
+
+
+def _build(state: EntryState, active: _Proposal, at_ms: int) -> Iterator[Effect]:
+    view = state.view
+    base = view.root or Root(0, {})
+    if base.includes(active.token):
+        yield from _finish(state, None, at_ms)
+        return
+    if active.unresolved and base.revision != active.base_revision:
+        if base.revision - active.base_revision > limits.N_ROOT_AUTHORS:
+            yield from _finish(state, _unknown(), at_ms)
+            return
+        # Another change took the place of the lost write, which can no longer land.
+        active.unresolved = False
+    error = _refusal(state, active.change, at_ms)
+    if error is not None:
+        yield from _finish(state, _unknown() if active.unresolved else error, at_ms)
+        return
+    if active.n_tries >= limits.N_CHANGE_TRIES and not active.unresolved:
+        error = ConflictError("other changes kept coming first", "plan again")
+        yield from _finish(state, error, at_ms)
+        return
+    active.n_tries += 1
+    try:
+        config = active.change.apply(state.config)
+        if config == state.config and not active.change.repairs_store:
+            yield from _finish(state, None, at_ms)
+            return
+        _encode(state, active, base, config)
+    except ApricotgapError as error:
+        yield from _finish(state, error, at_ms)
+        return
+    yield from _write_parts(state, active, at_ms)
+
+
+def _encode(
+    state: EntryState, active: _Proposal, base: Root, config: Configuration
+) -> None:
+    old = state.view.snapshot
+    config = replace(config, revision=base.revision + 1)
+    snapshot = config_codec.encode_snapshot(config, old, base.superseded)
+    in_use = set(snapshot.hashes.values())
+    dropped = (set(base.parts.values()) | active.written) - in_use
+    listed = [h for h in base.superseded if h not in state.writer.removed]
+    listed += sorted(dropped - set(listed))
+    authors = (base.author, *base.earlier_authors) if base.author else ()
+    active.base_revision = base.revision
+    active.snapshot = snapshot
+    active.root = Root(
+        config.revision,
+        snapshot.hashes,
+        active.token,
+        authors[: limits.N_ROOT_AUTHORS],
+        tuple(listed),
+    )
+    active.root_blob = config_codec.encode_root(active.root)
+    blobs = (active.root_blob, *snapshot.blobs.values())
+    if max(map(len, blobs)) > limits.MAX_STORE_VALUE_BYTES:
+        raise ValidationError(
+            "the changed configuration has a part above the size limit of the store",
+            "split the change or remove unused objects",
+        )
+
+
+def _write_parts(state: EntryState, active: _Proposal, at_ms: int) -> Iterator[Effect]:
+    known = set() if active.change.repairs_store else set(state.view.snapshot.blobs)
+    missing = sorted(active.snapshot.blobs.keys() - known - active.written)
+    active.phase = _Phase.PARTS
+    active.parts_left = dict.fromkeys(missing, at_ms)
+    for digest in missing:
+        yield _part_write(active, digest)
+    if not missing:
+        yield from _write_root(state, active, at_ms)
+
+
+def _part_write(active: _Proposal, digest: str) -> StoreCas:
+    return StoreCas(
+        f"{CALL}part:{active.token}:{digest}",
+        config_codec.part_key(digest),
+        0,
+        active.snapshot.blobs[digest],
+    )
+
+
+def _write_root(state: EntryState, active: _Proposal, at_ms: int) -> Iterator[Effect]:
+    state.writer.n_calls += 1
+    active.phase = _Phase.ROOT
+    active.root_call = f"{CALL}root:{active.token}:{state.writer.n_calls}"
+    active.root_sent_ms = at_ms
+    expected = state.view.store_revision
+    if expected is None or state.view.revision != active.base_revision:
+        # The view moved on while the parts were written.
+        yield from _rebase(state, at_ms)
+        return
+    yield StoreCas(active.root_call, ROOT_KEY, expected, active.root_blob)
+
+
+def cas_finished(state: EntryState, event: CasFinished) -> Iterator[Effect]:
+    """Take the answer to a write of a part or the root."""
+    active = state.writer.active
+    if active is None:
+        return
+    digest = event.call_id.rpartition(":")[2]
+    if event.call_id == f"{CALL}part:{active.token}:{digest}":
+        yield from _part_finished(state, active, digest, event)
+    elif event.call_id == active.root_call and active.phase is _Phase.ROOT:
+        yield from _root_finished(state, active, event)
+
+
+def _part_finished(
+    state: EntryState, active: _Proposal, digest: str, event: CasFinished
+) -> Iterator[Effect]:
+    if active.phase is not _Phase.PARTS or digest not in active.parts_left:
+        return
+    if event.result is CasResult.UNKNOWN:
+        # Writing the same part again is harmless; the tick does it.
+        return
+    # A conflict means that the part exists; its name is the hash of its content.
+    del active.parts_left[digest]
+    active.written.add(digest)
+    if not active.parts_left:
+        yield from _write_root(state, active, event.at_ms)
+
+
+def _root_finished(
+    state: EntryState, active: _Proposal, event: CasFinished
+) -> Iterator[Effect]:
+    if event.result is CasResult.STORED and active.root is not None:
+        yield from _stored(state, active, event)
+        return
+    yield Count("config_change_" + event.result.value)
+    if event.result is CasResult.UNKNOWN:
+        active.unresolved = True
+        state.writer.next_try_ms = event.at_ms + limits.CHANGE_RETRY_MS
+    yield from _rebase(state, event.at_ms)
+
+
+def _rebase(state: EntryState, at_ms: int) -> Iterator[Effect]:
+    """Read the root again; a read that is under way may be too old."""
+    active = state.writer.active
+    if active is None:
+        return
+    active.phase = _Phase.BASE
+    state.view.store_revision = None
+    state.view.read_call = ""
+    yield from advance(state, at_ms)
+
+
+def _stored(
+    state: EntryState, active: _Proposal, event: CasFinished
+) -> Iterator[Effect]:
+    from apricotgap.core import part_fetch  # noqa: PLC0415
+    from apricotgap.core.config_view import Candidate  # noqa: PLC0415
+
+    assert active.root is not None
+    candidate = Candidate(
+        active.root,
+        active.root_blob,
+        event.revision,
+        active.root_sent_ms,
+        None,
+        dict(active.snapshot.blobs),
+    )
+    yield from part_fetch.install_written(state, candidate, event.at_ms)
+    yield from _finish(state, None, event.at_ms, active.root.revision)
+
+
+def _finish(
+    state: EntryState,
+    error: ApricotgapError | None,
+    at_ms: int,
+    revision: int | None = None,
+) -> Iterator[Effect]:
+    active, state.writer.active = state.writer.active, None
+    if active is None:
+        return
+    result = error.kind if error else "accepted"
+    yield Count("config_changes", labels=(("result", result),))
+    yield LogChange("config_change_finished", {"result": result})
+    shown = state.view.revision if revision is None else revision
+    yield from active.change.finished(state, error, shown, at_ms)
+    yield from advance(state, at_ms)
+
+
+def _unknown() -> OutcomeUnknownError:
+    return OutcomeUnknownError("outcome unknown", "check status before trying again")
+
+
+def tick(state: EntryState, at_ms: int) -> Iterator[Effect]:
+    """End changes that take too long and repeat writes without an answer."""
+    writer = state.writer
+    while writer.waiting and _is_late(writer.waiting[0], at_ms):
+        late = writer.waiting.popleft()
+        yield from late.change.finished(state, _too_late(), state.view.revision, at_ms)
+    active = writer.active
+    if active is None:
+        return
+    if _is_late(active, at_ms):
+        in_doubt = active.unresolved or active.phase is _Phase.ROOT
+        yield from _finish(state, _unknown() if in_doubt else _too_late(), at_ms)
+        return
+    if active.phase is _Phase.ROOT:
+        if at_ms - active.root_sent_ms > 2 * limits.CAS_TIMEOUT_MS:
+            active.unresolved = True
+            yield from _rebase(state, at_ms)
+        return
+    if active.phase is _Phase.BASE:
+        yield from advance(state, at_ms)
+        return
+    for digest, sent_ms in active.parts_left.items():
+        if at_ms - sent_ms > limits.CAS_TIMEOUT_MS:
+            active.parts_left[digest] = at_ms
+            yield _part_write(active, digest)
+
+
+def _is_late(proposal: _Proposal, at_ms: int) -> bool:
+    return at_ms - proposal.started_ms > limits.CHANGE_TIMEOUT_MS
+
+
+def _too_late() -> UnavailableError:
+    return UnavailableError(
+        "the store did not answer in time",
+        "nothing was changed; try again when the store answers",
+    )
--- a/apricotgap/core/membership.py
+++ b/apricotgap/core/membership.py
@@ -1,10 +1,272 @@
 """Entry instances: incarnations, leases, heartbeats and whom to connect to."""
 
-from dataclasses import dataclass
+from __future__ import annotations
 
-__all__ = ["MembershipState"]
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING
+
+from apricotgap.core import limits
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = [
+    "Member",
+    "MembershipState",
+    "PeerInfo",
+    "acknowledged",
+    "cut_off_together",
+    "expected_others",
+    "is_heard",
+    "is_proven",
+    "is_relay",
+    "known_others",
+    "lease_valid",
+    "live_entries",
+    "live_entries_of",
+    "may_take_work",
+    "new_incarnation",
+    "own_member",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """An entry instance as registered or as learnt from a connection."""
+
+    entry: str
+    incarnation: str
+    data_centre: str
+    peer_address: str = ""
+    http_address: str = ""
+
+
+@dataclass(slots=True)
+class PeerInfo:
+    """A connected peer.
+
+    `heard_ms` is when its last message arrived. `proven_ms` is a time after which it
+    certainly sent one: that of the handshake, then that of the echoed heartbeat.
+    `relayed` holds the revisions at the entries that its last heartbeat named.
+    """
+
+    member: Member
+    connected_ms: int
+    heard_ms: int
+    proven_ms: int
+    revision: int | None = None
+    store_age_ms: int | None = None
+    direct_store_age_ms: int | None = None
+    draining: bool = False
+    last_sent_ms: int | None = None
+    relayed: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
 class MembershipState:
-    """Known entry instances and the own registration."""
+    """Known entry instances and the own registration.
+
+    `registry` is the last list of the store, with the time at which each entry was
+    first seen in it. `met` holds peers that were connected and did not leave in
+    order. `listed` is True once the store has answered with a list.
+    `replaced` is True once a newer incarnation of the own entry has registered.
+    `lease_epoch` rises with each lease that follows a lapse: the rows taken under an
+    earlier one must be read again before they are used.
+    """
+
+    registry: dict[str, Member] = field(default_factory=dict)
+    first_seen_ms: dict[str, int] = field(default_factory=dict)
+    met: dict[str, Member] = field(default_factory=dict)
+    peers: dict[str, PeerInfo] = field(default_factory=dict)
+    listed: bool = False
+    wanted_since_ms: dict[str, int] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+    replaced: bool = False
+    left: bool = False
+    lease_id: int = 0
+    lease_until_ms: int = 0
+    lease_epoch: int = 0
+    lapsed: bool = True
+    last_tick_ms: int = 0
+    registered: bool = False
+    ever_registered: bool = False
+    n_calls: int = 0
+    lease_call: str = ""
+    register_call: str = ""
+    list_call: str = ""
+    next_lease_ms: int = 0
+    next_register_ms: int = 0
+    next_list_ms: int = 0
+    watch_broken_ms: int | None = None
+    next_heartbeat_ms: int = 0
+    last_store_contact_ms: int | None = None
+
+
+def new_incarnation(started_wall_ms: int, rng: Random) -> str:
+    """Return an incarnation that orders by start time.
+
+    Parameters
+    ----------
+    started_wall_ms : int
+        Wall-clock start time of the process in milliseconds.
+    rng : Random
+        Source of the random part.
+    """
+    return f"{started_wall_ms:014d}-{rng.getrandbits(64):016x}"
+
+
+def own_member(state: EntryState) -> Member:
+    """Return the own entry as a member."""
+    me = state.identity
+    return Member(
+        me.entry, me.incarnation, me.data_centre, me.peer_address, me.http_address
+    )
+
+
+def known_others(state: EntryState) -> dict[str, Member]:
+    """Return other entries that are registered or were met and have not left."""
+    members = state.members
+    known = {**members.met, **members.registry}
+    known |= {name: peer.member for name, peer in members.peers.items()}
+    known.pop(state.identity.entry, None)
+    return known
+
+
+def expected_others(state: EntryState) -> set[str]:
+    """Return the other entries whose silence means a partition.
+
+    The seeds of the settings stand in until the store has listed the members.
+    """
+    expected = set(known_others(state))
+    if not state.members.listed:
+        expected |= state.seeds.keys()
+    return expected - {state.identity.entry}
+
+
+def is_heard(state: EntryState, entry: str, at_ms: int) -> bool:
+    """Tell whether an entry is heard, directly or through a peer."""
+    peer = state.members.peers.get(entry)
+    if peer is not None and at_ms - peer.heard_ms <= limits.PEER_SILENCE_MS:
+        return True
+    return _relayed_recently(state, entry, at_ms)
+
+
+def is_proven(state: EntryState, entry: str, at_ms: int) -> bool:
+    """Tell whether an entry certainly sent a message within the silence bound.
+
+    Stricter than `is_heard`: messages that were held up on their way do not count.
+    """
+    peer = state.members.peers.get(entry)
+    if peer is not None and at_ms - peer.proven_ms <= limits.PEER_SILENCE_MS:
+        return True
+    return _relayed_recently(state, entry, at_ms)
+
+
+def _relayed_recently(state: EntryState, entry: str, at_ms: int) -> bool:
+    return any(
+        entry in peer.relayed and at_ms - peer.proven_ms <= limits.PEER_SILENCE_MS
+        for peer in state.members.peers.values()
+    )
+
+
+def acknowledged(state: EntryState) -> dict[str, int]:
+    """Return the newest revision that each other entry is known to have in force."""
+    acks: dict[str, int] = {}
+    for name, peer in state.members.peers.items():
+        for entry, revision in (*peer.relayed.items(), (name, peer.revision or 0)):
+            acks[entry] = max(acks.get(entry, 0), revision)
+    return acks
+
+
+def live_entries(state: EntryState, at_ms: int) -> dict[str, Member]:
+    """Return the entries that are live, this one included.
+
+    Another entry is live when it is heard. One of another data centre is also live
+    while it is registered, since a lapsed store lease removes it. One of the own
+    data centre has the time of the silence bound to connect.
+    """
+    members = state.members
+    live = (
+        {}
+        if members.replaced or members.left
+        else {state.identity.entry: own_member(state)}
+    )
+    for entry, member in known_others(state).items():
+        if is_heard(state, entry, at_ms) or _counts_as_live(state, member, at_ms):
+            live[entry] = member
+    return dict(sorted(live.items()))
+
+
+def _counts_as_live(state: EntryState, member: Member, at_ms: int) -> bool:
+    if member.entry not in state.members.registry:
+        return False
+    if member.data_centre != state.identity.data_centre:
+        return True
+    since_ms = state.members.first_seen_ms.get(member.entry, at_ms)
+    return at_ms - since_ms <= limits.PEER_SILENCE_MS
+
+
+def live_entries_of(
+    state: EntryState, data_centre: str, at_ms: int
+) -> dict[str, Member]:
+    """Return the live entries of one data centre."""
+    return {
+        entry: member
+        for entry, member in live_entries(state, at_ms).items()
+        if member.data_centre == data_centre
+    }
+
+
+def is_relay(state: EntryState, at_ms: int) -> bool:
+    """Tell whether this entry has the lowest live name of its data centre.
+
+    Draining entries give the role up. Entries that are not heard do not count, so
+    that at a partition each side has a relay.
+    """
+    if state.stopping or state.members.replaced or state.members.left:
+        return False
+    own = state.identity
+    return not any(
+        entry < own.entry
+        and peer.member.data_centre == own.data_centre
+        and not peer.draining
+        and at_ms - peer.heard_ms <= limits.PEER_SILENCE_MS
+        for entry, peer in state.members.peers.items()
+    )
+
+
+def may_take_work(state: EntryState) -> bool:
+    """Tell whether this incarnation may accept new work at all."""
+    return not (state.stopping or state.members.replaced or state.members.left)
+
+
+def lease_valid(state: EntryState, at_ms: int) -> bool:
+    """Tell whether work may be started under the allotment rows of this entry.
+
+    The own lease is within its time, or the whole data centre was cut off together
+    without a gap since then: every other entry of the data centre is heard and none
+    reaches the store, so nobody can reclaim the rows.
+    """
+    members = state.members
+    if members.replaced or members.left:
+        return False
+    if at_ms < members.lease_until_ms:
+        return True
+    if members.lapsed or at_ms - members.last_tick_ms > limits.PEER_SILENCE_MS:
+        return False
+    return cut_off_together(state, at_ms)
+
+
+def cut_off_together(state: EntryState, at_ms: int) -> bool:
+    """Tell whether no entry of the own data centre reaches the store."""
+    for entry, member in known_others(state).items():
+        if member.data_centre != state.identity.data_centre:
+            continue
+        peer = state.members.peers.get(entry)
+        if peer is None or at_ms - peer.proven_ms > limits.PEER_SILENCE_MS:
+            return False
+        direct_ms = peer.direct_store_age_ms
+        if direct_ms is not None and direct_ms <= limits.IN_FORCE_BOUND_MS:
+            return False
+    return True
--- /dev/null
+++ b/apricotgap/core/membership_handlers.py
@@ -0,0 +1,168 @@
+"""Handlers of registration, connections and heartbeats."""
+
+from collections.abc import Iterator
+
+from apricotgap.core import heartbeats, placement, registration
+from apricotgap.core.effects import Effect
+from apricotgap.core.events import (
+    CasFinished,
+    Event,
+    LeaseGranted,
+    LeaseKept,
+    LeaseLost,
+    PeerConnected,
+    PeerLost,
+    PeerReceived,
+    Started,
+    StopRequested,
+    StoreCallFailed,
+    StoreChanged,
+    StoreReadFinished,
+    Tick,
+    WatchBroken,
+    WatchOpened,
+)
+from apricotgap.core.reducer import Handler
+from apricotgap.core.registration import CALL, MEMBER_PREFIX
+from apricotgap.core.state import EntryState
+from apricotgap.model.peers import Heartbeat, Usage
+
+__all__ = [
+    "Lifecycle",
+    "MemberLease",
+    "MemberReads",
+    "MemberWatch",
+    "MemberWrites",
+    "PeerConnections",
+    "StoreContact",
+]
+
+
+class Lifecycle(Handler):
+    """Registers at the start and follows time; a stop is told to the peers."""
+
+    handles = (Started, Tick, StopRequested)
+    order = 10
+
+    def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
+        """Do what is due."""
+        if isinstance(event, StopRequested):
+            state.stopping = True
+            yield from heartbeats.send_heartbeats(state, event.at_ms)
+            return
+        if isinstance(event, Started):
+            state.members.last_tick_ms = event.at_ms
+            yield from registration.start(state, event.at_ms)
+            yield from heartbeats.update_connections(state, event.at_ms)
+            return
+        yield from registration.tick(state, event.at_ms)
+        yield from heartbeats.tick(state, event.at_ms)
+
+
+class StoreContact(Handler):
+    """Notes when the store last answered this entry.
+
+    The time is that of the call, not of the answer, which may have been held up.
+    """
+
+    handles = (StoreReadFinished, LeaseGranted, LeaseKept)
+    order = 5
+
+    def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
+        """Note the time of the call."""
+        sent_ms = getattr(event, "sent_ms", event.at_ms)
+        last_ms = state.members.last_store_contact_ms
+        state.members.last_store_contact_ms = max(last_ms or sent_ms, sent_ms)
+        yield from ()
+
+
+class MemberLease(Handler):
+    """Follows the own lease."""
+
+    handles = (LeaseGranted, LeaseKept, LeaseLost)
+    order = 10
+
+    def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
+        """Extend the lease or replace it."""
+        if isinstance(event, LeaseGranted) and event.call_id.startswith(CALL):
+            yield from registration.lease_granted(state, event)
+        elif isinstance(event, LeaseKept):
+            registration.lease_kept(state, event)
+        elif isinstance(event, LeaseLost):
+            yield from registration.lease_lost(state, event)
+
+
+class MemberReads(Handler):
+    """Takes answers to reads of members."""
+
+    handles = (StoreReadFinished, StoreCallFailed)
+    order = 10
+
+    def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
+        """Route the answer by its call."""
+        if isinstance(event, StoreCallFailed):
+            registration.call_failed(state, event.call_id, event.at_ms)
+            return
+        if not isinstance(event, StoreReadFinished):
+            return
+        if event.call_id.startswith(CALL + "register:") and event.items:
+            yield from registration.own_key_read(
+                state, event.call_id, event.items[0], event.at_ms
+            )
+        elif event.call_id.startswith(CALL + "list:"):
+            yield from registration.listed(
+                state, event.call_id, event.items, event.at_ms
+            )
+
+
+class MemberWatch(Handler):
+    """Follows the watch of members."""
+
+    handles = (StoreChanged, WatchOpened, WatchBroken)
+    order = 10
+
+    def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
+        """Take changes, or list again."""
+        if isinstance(event, StoreChanged) and event.prefix == MEMBER_PREFIX:
+            yield from registration.members_changed(state, event.items, event.at_ms)
+        elif isinstance(event, WatchOpened) and event.prefix == MEMBER_PREFIX:
+            yield from registration.watch_opened(state, event.at_ms)
+        elif isinstance(event, WatchBroken) and event.prefix == MEMBER_PREFIX:
+            state.members.watch_broken_ms = event.at_ms
+
+
+class MemberWrites(Handler):
+    """Takes answers to the registration write."""
+
+    handles = (CasFinished,)
+    order = 10
+
+    def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
+        """Note whether the entry is registered."""
+        if not isinstance(event, CasFinished):
+            return
+        yield from registration.register_finished(state, event)
+
+
+class PeerConnections(Handler):
+    """Follows connections, heartbeats and usage."""
+
+    handles = (PeerConnected, PeerLost, PeerReceived)
+    order = 10
+
+    def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
+        """Note who is heard."""
+        if isinstance(event, PeerConnected):
+            yield from heartbeats.connected(state, event)
+        elif isinstance(event, PeerLost):
+            yield from heartbeats.lost(state, event.peer)
+        elif isinstance(event, PeerReceived):
+            heartbeats.received(state, event)
+            if isinstance(event.message, Heartbeat):
+                heartbeats.heartbeat_received(
+                    state, event.peer, event.message, event.at_ms
+                )
+            elif isinstance(event.message, Usage):
+                placement.apply_usage(  # type: ignore[attr-defined]
+                    state, event.peer, event.message
+                )
--- a/apricotgap/core/state.py
+++ b/apricotgap/core/state.py
@@ -6,6 +6,7 @@
 from apricotgap.core.allotments import AllotmentState
 from apricotgap.core.claims import ClaimState
 from apricotgap.core.config_view import ViewState
+from apricotgap.core.config_writer import WriterState
 from apricotgap.core.fair_queue import QueueState
 from apricotgap.core.health import HealthState
 from apricotgap.core.membership import MembershipState
@@ -56,6 +57,7 @@
     seeds: dict[str, str] = field(default_factory=dict)
     stopping: bool = False
     view: ViewState = field(default_factory=ViewState)
+    writer: WriterState = field(default_factory=WriterState)
     members: MembershipState = field(default_factory=MembershipState)
     allotments: AllotmentState = field(default_factory=AllotmentState)
     queues: QueueState = field(default_factory=QueueState)
--- /dev/null
+++ b/apricotgap/drivers/peers.py
@@ -0,0 +1,272 @@
+"""Connections between entry instances over websockets."""
+
+import random
+import ssl
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+import structlog
+import trio
+from websockets.exceptions import WebSocketException
+from websockets.trio.client import connect as ws_connect
+from websockets.trio.server import ServerConnection
+from websockets.trio.server import serve as ws_serve
+
+from apricotgap.clock import Clock
+from apricotgap.core import limits
+from apricotgap.core.events import Event, PeerConnected, PeerLost, PeerReceived
+from apricotgap.core.state import Identity
+from apricotgap.drivers import peer_codec
+from apricotgap.drivers.peer_link import HandshakeFailed, Link
+from apricotgap.errors import SettingsError
+from apricotgap.model.peers import PeerMessage
+
+__all__ = ["PeerDriver"]
+
+_LOG = structlog.get_logger(__name__)
+_PING_S = limits.PEER_PING_INTERVAL_MS / 1000
+_PONG_S = limits.PEER_PING_TIMEOUT_MS / 1000
+_HANDSHAKE_S = limits.PEER_HANDSHAKE_TIMEOUT_MS / 1000
+# The other side may be silent; waiting longer for its close would only block.
+_CLOSE_S = 0.5
+
+
+class PeerDriver:
+    """Keeps authenticated connections to peers, one for each pair.
+
+    Parameters
+    ----------
+    identity : Identity
+        Who this entry instance is.
+    secret : bytes
+        Shared secret of all entry instances.
+    listen_address : str
+        ``host:port`` to listen on; port 0 lets the kernel choose.
+    post : callable
+        Takes each event.
+    clock : Clock
+        Time of the events.
+    rng : random.Random or None
+        Source of the backoff's jitter; None seeds it from the incarnation.
+    server_tls, client_tls : ssl.SSLContext or None
+        TLS for accepted and opened connections; None for plain TCP.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        secret: bytes,
+        listen_address: str,
+        post: Callable[[Event], None],
+        clock: Clock,
+        rng: random.Random | None = None,
+        server_tls: ssl.SSLContext | None = None,
+        client_tls: ssl.SSLContext | None = None,
+    ) -> None:
+        if not secret:
+            raise SettingsError("the peer secret is empty", "set it in the settings")
+        self._identity = identity
+        self._secret = secret
+        self._listen = _parse_address(listen_address)
+        self._post = post
+        self._clock = clock
+        self._rng = rng or random.Random(identity.incarnation)
+        self._server_tls = server_tls
+        self._client_tls = client_tls
+        self._links: dict[str, Link] = {}
+        self._changed = trio.Event()
+        self._addresses: dict[str, str] = {}
+        self._dialling: dict[str, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self.counters: Counter[str] = Counter()
+
+    @property
+    def connected(self) -> frozenset[str]:
+        """Names of the connected peers."""
+        return frozenset(self._links)
+
+    async def run(
+        self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Accept and open connections until cancelled.
+
+        Parameters
+        ----------
+        task_status : trio.TaskStatus
+            Told the port that is listened on.
+        """
+        host, port = self._listen
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._serve, listeners)
+            addresses, self._addresses = self._addresses, {}
+            self.connect(addresses)
+            task_status.started(listeners[0].socket.getsockname()[1])
+
+    async def _serve(self, listeners: list[trio.SocketListener]) -> None:
+        await ws_serve(
+            self._accepted,
+            listeners=listeners,
+            ssl=self._server_tls,
+            compression=None,
+            open_timeout=_HANDSHAKE_S,
+            ping_interval=_PING_S,
+            ping_timeout=_PONG_S,
+            close_timeout=_CLOSE_S,
+            max_size=limits.MAX_PEER_MESSAGE_BYTES,
+        )
+
+    def send(self, peer: str, message: PeerMessage) -> None:
+        """Queue a message to a peer; it is lost if the peer is not connected."""
+        link = self._links.get(peer)
+        if link is None:
+            self.counters["peer_messages_not_connected"] += 1
+            return
+        blob = peer_codec.encode(message)
+        if len(blob) > limits.MAX_PEER_MESSAGE_BYTES:
+            self.counters["peer_messages_too_large"] += 1
+            return
+        if not link.send(blob):
+            self.counters["peer_buffers_overflowed"] += 1
+
+    def connect(self, addresses: Mapping[str, str]) -> None:
+        """Set the peers to stay connected to.
+
+        Parameters
+        ----------
+        addresses : mapping of str to str
+            ``host:port`` by entry name. Connections that this side opened to other
+            peers are closed.
+        """
+        old, self._addresses = self._addresses, dict(addresses)
+        if self._nursery is None:
+            return
+        for peer in old.keys() | addresses.keys():
+            if old.get(peer) == addresses.get(peer):
+                continue
+            if scope := self._dialling.pop(peer, None):
+                scope.cancel()
+            link = self._links.get(peer)
+            if peer not in addresses and link is not None and link.dialled:
+                link.drop()
+            if peer in addresses and peer != self._identity.entry:
+                self._nursery.start_soon(self._keep_connected, peer, addresses[peer])
+
+    async def _keep_connected(self, peer: str, address: str) -> None:
+        with trio.CancelScope() as scope:
+            self._dialling[peer] = scope
+            backoff_ms = limits.PEER_BACKOFF_MIN_MS
+            while True:
+                while peer in self._links:
+                    await self._changed.wait()
+                if await self._dial(peer, address):
+                    backoff_ms = limits.PEER_BACKOFF_MIN_MS
+                else:
+                    backoff_ms = min(2 * backoff_ms, limits.PEER_BACKOFF_MAX_MS)
+                await trio.sleep(self._rng.uniform(0.5, 1.0) * backoff_ms / 1000)
+
+    async def _dial(self, peer: str, address: str) -> bool:
+        """Open a connection and keep it; return whether it was established."""
+        scheme = "wss" if self._client_tls else "ws"
+        joined = False
+        try:
+            async with ws_connect(
+                f"{scheme}://{address}/",
+                ssl=self._client_tls,
+                proxy=None,
+                compression=None,
+                open_timeout=_HANDSHAKE_S,
+                ping_interval=_PING_S,
+                ping_timeout=_PONG_S,
+                close_timeout=_CLOSE_S,
+                max_size=limits.MAX_PEER_MESSAGE_BYTES,
+            ) as socket:
+                link = Link(socket, self._identity, self._secret)
+                with trio.fail_after(_HANDSHAKE_S):
+                    await link.dial(peer)
+                if self._refusal(link):
+                    return False
+                joined = True
+                await self._run(link)
+        except (
+            OSError,
+            WebSocketException,
+            HandshakeFailed,
+            trio.TooSlowError,
+            TimeoutError,
+            ValueError,
+        ) as error:
+            self._note_failure("peer_dials_failed", peer, error)
+        return joined
+
+    async def _accepted(self, socket: ServerConnection) -> None:
+        link = Link(socket, self._identity, self._secret)
+        try:
+            with trio.fail_after(_HANDSHAKE_S):
+                await link.accept(self._refusal)
+            await self._run(link)
+        except (
+            OSError,
+            WebSocketException,
+            HandshakeFailed,
+            trio.TooSlowError,
+        ) as error:
+            self._note_failure("peer_accepts_failed", link.peer, error)
+
+    def _note_failure(self, counter: str, peer: str, error: Exception) -> None:
+        self.counters[counter] += 1
+        _LOG.debug(counter, peer=peer, error=repr(error))
+
+    def _refusal(self, link: Link) -> str:
+        """Return why a link is not wanted.
+
+        When both sides open a connection at once, both keep the one that the lower
+        name opened. A new incarnation or a new try of the same side replaces a link
+        whose end was not noticed here.
+        """
+        old = self._links.get(link.peer)
+        if old is None or old.incarnation != link.incarnation:
+            return ""
+        if old.dialled == link.dialled or self._is_preferred(link):
+            return ""
+        return "duplicate connection"
+
+    def _is_preferred(self, link: Link) -> bool:
+        return link.dialled == (self._identity.entry < link.peer)
+
+    async def _run(self, link: Link) -> None:
+        peer = link.peer
+        if old := self._links.pop(peer, None):
+            old.drop()
+            self._post(PeerLost(self._clock.now_ms, peer))
+        self._links[peer] = link
+        self._notify()
+        now_ms = self._clock.now_ms
+        self._post(PeerConnected(now_ms, peer, link.data_centre, link.incarnation))
+
+        def deliver(message: PeerMessage) -> None:
+            if self._links.get(peer) is link:
+                self._post(PeerReceived(self._clock.now_ms, peer, message))
+
+        try:
+            await link.run(deliver)
+        finally:
+            if self._links.get(peer) is link:
+                del self._links[peer]
+                self._notify()
+                self._post(PeerLost(self._clock.now_ms, peer))
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _parse_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65_535:
+        raise SettingsError(
+            f"{address!r} is not an address",
+            "write it as host:port, for example [::]:7000",
+        )
+    return host.strip("[]"), int(port)
--- a/apricotgap/errors.py
+++ b/apricotgap/errors.py
@@ -7,6 +7,7 @@
     "ConflictError",
     "NotAuthorisedError",
     "NotFoundError",
+    "OutcomeUnknownError",
     "SettingsError",
     "UnavailableError",
     "ValidationError",
@@ -82,3 +83,11 @@
     kind = "unavailable"
     http_status = 503
     exit_code = 6
+
+
+class OutcomeUnknownError(ApricotgapError):
+    """A change may or may not have been accepted."""
+
+    kind = "outcome_unknown"
+    http_status = 504
+    exit_code = 1
--- a/apricotgap/model/peers.py
+++ b/apricotgap/model/peers.py
@@ -39,7 +39,14 @@
     draining : bool
         Whether the sender is stopping.
     relayed_acks : dict of str to int
-        Revisions in force at entries of the sender's data centre.
+        Revisions in force at entries of the sender's data centre; within the data
+        centre a relay adds the entries that it hears of in other data centres.
+    sent_ms : int
+        Sender's clock when it sent this heartbeat.
+    echo_ms : int or None
+        `sent_ms` of the last heartbeat that the sender got from the receiver. It
+        proves that this heartbeat is younger than that one, so a heartbeat that
+        was held up on its way cannot make the view look fresh.
     """
 
     incarnation: str
@@ -48,6 +55,8 @@
     direct_store_age_ms: int | None = None
     draining: bool = False
     relayed_acks: dict[str, int] = field(default_factory=dict)
+    sent_ms: int = 0
+    echo_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
