Test the configuration view, writer and membership

The tests found news of a silent entry that two peers kept relaying to each other, and parts that stayed in the store when the watch reported an own change first.

--- a/apricotgap/core/config_handlers.py
+++ b/apricotgap/core/config_handlers.py
@@ -54,9 +54,11 @@
     order = 11
 
     def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
-        """Confirm, fetch, relay and write."""
+        """Confirm, fetch, relay, write and remove parts after an own change."""
         yield from config_sync.tick(state, event.at_ms)
         yield from config_writer.tick(state, event.at_ms)
+        if state.writer.removal_due:
+            yield from part_removal.remove_superseded(state, event.at_ms)
 
 
 class ConfigReads(Handler):
@@ -142,7 +144,7 @@
     order = 11
 
     def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
-        """Go on with the change, then remove parts that it made superfluous."""
+        """Go on with the change or the removal."""
         if not isinstance(event, CasFinished):
             return
         if not event.call_id.startswith(config_writer.CALL):
@@ -150,7 +152,4 @@
         if event.call_id.startswith(part_removal.REMOVAL_CALL):
             yield from part_removal.part_removed(state, event)
             return
-        before = state.view.revision
         yield from config_writer.cas_finished(state, event)
-        if state.view.revision > before:
-            yield from part_removal.remove_superseded(state, event.at_ms)
--- a/apricotgap/core/config_writer.py
+++ b/apricotgap/core/config_writer.py
@@ -76,6 +76,7 @@
     waiting: deque[_Proposal] = field(default_factory=deque)
     n_calls: int = 0
     next_try_ms: int = 0
+    removal_due: bool = False
     removing: set[str] = field(default_factory=set)
     removed: set[str] = field(default_factory=set)
 
@@ -331,6 +332,7 @@
     if active is None:
         return
     result = error.kind if error else "accepted"
+    state.writer.removal_due |= error is None
     yield Count("config_changes", labels=(("result", result),))
     yield LogChange("config_change_finished", {"result": result})
     shown = state.view.revision if revision is None else revision
--- a/apricotgap/core/heartbeats.py
+++ b/apricotgap/core/heartbeats.py
@@ -61,13 +61,17 @@
 
 
 def _relayed_acks(state: EntryState, to: PeerInfo, at_ms: int) -> dict[str, int]:
-    """Return what this entry heard itself, and for its own data centre all."""
+    """Return what this entry heard itself, and for its own data centre all.
+
+    What peers of the own data centre relayed is left out: two entries would keep
+    each other's news of a silent one alive.
+    """
     own_centre = state.identity.data_centre
     inside = to.member.data_centre == own_centre
     acks = {
         name: peer.revision or 0
         for name, peer in state.members.peers.items()
-        if membership.is_proven(state, name, at_ms)
+        if at_ms - peer.proven_ms <= limits.PEER_SILENCE_MS
         and (peer.member.data_centre == own_centre) is not inside
         and name != to.member.entry
     }
--- a/apricotgap/core/part_removal.py
+++ b/apricotgap/core/part_removal.py
@@ -21,6 +21,7 @@
     """
     view, writer = state.view, state.writer
     listed = view.superseded_since
+    writer.removal_due = False
     writer.removed &= listed.keys()
     writer.removing.clear()
     due = [
--- a/apricotgap/drivers/peer_link.py
+++ b/apricotgap/drivers/peer_link.py
@@ -1,5 +1,6 @@
 """One authenticated connection to a peer with a bounded outgoing buffer."""
 
+import contextlib
 import hmac
 import secrets
 from collections import deque
@@ -16,10 +17,23 @@
 from apricotgap.drivers.peer_codec import Challenge, Hello, Refused
 from apricotgap.model.peers import PeerMessage, Unsupported
 
-__all__ = ["CLOSE_MALFORMED", "CLOSE_POLICY", "HandshakeFailed", "Link", "WebSocket"]
+__all__ = [
+    "CLOSE_MALFORMED",
+    "CLOSE_POLICY",
+    "LINK_ERRORS",
+    "HandshakeFailed",
+    "Link",
+    "WebSocket",
+]
 
 CLOSE_MALFORMED = 1007
 CLOSE_POLICY = 1008
+LINK_ERRORS = (
+    ConnectionClosed,
+    OSError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
 _NONCE_BYTES = 32
 _MAX_REASON_BYTES = 100
 
@@ -176,10 +190,8 @@
         with self._scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._write)
-                try:
+                with contextlib.suppress(*LINK_ERRORS):
                     await self._read(deliver)
-                except ConnectionClosed:
-                    pass
                 nursery.cancel_scope.cancel()
 
     async def _write(self) -> None:
@@ -191,7 +203,7 @@
                     self._n_bytes -= len(blob)
                 self._wake = trio.Event()
                 await self._wake.wait()
-        except ConnectionClosed:
+        except LINK_ERRORS:
             self.drop()
 
     async def _read(self, deliver: Callable[[PeerMessage], None]) -> None:
--- a/apricotgap/drivers/peers.py
+++ b/apricotgap/drivers/peers.py
@@ -17,7 +17,7 @@
 from apricotgap.core.events import Event, PeerConnected, PeerLost, PeerReceived
 from apricotgap.core.state import Identity
 from apricotgap.drivers import peer_codec
-from apricotgap.drivers.peer_link import HandshakeFailed, Link
+from apricotgap.drivers.peer_link import LINK_ERRORS, HandshakeFailed, Link
 from apricotgap.errors import SettingsError
 from apricotgap.model.peers import PeerMessage
 
@@ -29,6 +29,7 @@
 _HANDSHAKE_S = limits.PEER_HANDSHAKE_TIMEOUT_MS / 1000
 # The other side may be silent; waiting longer for its close would only block.
 _CLOSE_S = 0.5
+_FAILURES = (*LINK_ERRORS, WebSocketException, HandshakeFailed, trio.TooSlowError)
 
 
 class PeerDriver:
@@ -59,6 +60,7 @@
         listen_address: str,
         post: Callable[[Event], None],
         clock: Clock,
+        *,
         rng: random.Random | None = None,
         server_tls: ssl.SSLContext | None = None,
         client_tls: ssl.SSLContext | None = None,
@@ -189,14 +191,8 @@
                     return False
                 joined = True
                 await self._run(link)
-        except (
-            OSError,
-            WebSocketException,
-            HandshakeFailed,
-            trio.TooSlowError,
-            TimeoutError,
-            ValueError,
-        ) as error:
+        except (*_FAILURES, ValueError) as error:
+            # A ValueError is an address that cannot be dialled.
             self._note_failure("peer_dials_failed", peer, error)
         return joined
 
@@ -206,12 +202,7 @@
             with trio.fail_after(_HANDSHAKE_S):
                 await link.accept(self._refusal)
             await self._run(link)
-        except (
-            OSError,
-            WebSocketException,
-            HandshakeFailed,
-            trio.TooSlowError,
-        ) as error:
+        except _FAILURES as error:
             self._note_failure("peer_accepts_failed", link.peer, error)
 
     def _note_failure(self, counter: str, peer: str, error: Exception) -> None:
--- /dev/null
+++ b/tests/fleet_harness.py
@@ -0,0 +1,207 @@
+"""Entry instances on one in-memory store, driven in virtual time."""
+
+from collections import Counter
+from random import Random
+
+from apricotgap.core import placement
+from apricotgap.core.config_handlers import (
+    ConfigReads,
+    ConfigTick,
+    ConfigWatch,
+    ConfigWrites,
+    PeerConfig,
+    ViewStart,
+)
+from apricotgap.core.effects import (
+    GrantLease,
+    KeepLease,
+    LogChange,
+    RevokeLease,
+    SendPeer,
+    StoreCas,
+    StoreDelete,
+    StoreGet,
+    StoreList,
+)
+from apricotgap.core.events import (
+    CasFinished,
+    CasResult,
+    KeyValue,
+    LeaseGranted,
+    LeaseKept,
+    LeaseLost,
+    PeerConnected,
+    PeerLost,
+    PeerReceived,
+    Started,
+    StoreCallFailed,
+    StoreChanged,
+    StoreReadFinished,
+    Tick,
+)
+from apricotgap.core.membership_handlers import (
+    Lifecycle,
+    MemberLease,
+    MemberReads,
+    MemberWatch,
+    MemberWrites,
+    PeerConnections,
+    StoreContact,
+)
+from apricotgap.core.reducer import Reducer
+from apricotgap.core.state import EntryState, Identity
+from apricotgap.model.peers import Usage
+
+HANDLERS = (
+    *(ConfigReads, ConfigTick, ConfigWatch, ConfigWrites, PeerConfig, ViewStart),
+    *(Lifecycle, MemberLease, MemberReads, MemberWatch, MemberWrites),
+    *(PeerConnections, StoreContact),
+)
+
+
+def use_plain_usage(monkeypatch):
+    """Keep the content of usage messages out of tests that are not about it."""
+    report = Usage({}, {}, {})
+    monkeypatch.setattr(placement, "usage_report", lambda _: report, raising=False)
+    monkeypatch.setattr(placement, "apply_usage", lambda *_: None, raising=False)
+
+
+class FakeStore:
+    """Keys with revisions and leases; `lose` drops the answer of the next writes."""
+
+    def __init__(self):
+        self.data, self.revision, self.leases = {}, 0, {}
+        self.down, self.lose, self.calls, self.n_written = set(), [], Counter(), 0
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        self.n_written += len(value)
+        self.data[key] = (value, self.revision, lease)
+
+    def item(self, key):
+        value, revision, _ = self.data.get(key, (b"", 0, 0))
+        return KeyValue(key, value, revision)
+
+    def expire(self, lease):
+        self.leases.pop(lease, None)
+        self.data = {k: v for k, v in self.data.items() if not lease or v[2] != lease}
+
+    def answer(self, effect, node, at_ms):  # noqa: PLR0912
+        """Return the event that answers an effect, None if it has no answer."""
+        for lease in [k for k, until in self.leases.items() if until < at_ms]:
+            self.expire(lease)
+        call_id = getattr(effect, "call_id", None)
+        if node in self.down:
+            if isinstance(effect, StoreCas | StoreDelete):
+                return CasFinished(at_ms, call_id, effect.key, CasResult.UNKNOWN)
+            return StoreCallFailed(at_ms, call_id) if call_id else None
+        self.calls[type(effect).__name__, getattr(effect, "key", "")] += 1
+        match effect:
+            case StoreGet():
+                items = (self.item(effect.key),)
+                return StoreReadFinished(at_ms, call_id, items, at_ms)
+            case StoreList():
+                keys = [k for k in self.data if k.startswith(effect.prefix)]
+                items = tuple(map(self.item, keys))
+                return StoreReadFinished(at_ms, call_id, items, at_ms)
+            case StoreCas() | StoreDelete():
+                return self._write(effect, at_ms)
+            case GrantLease():
+                lease = len(self.calls) + self.revision * 1000 + len(self.leases) + 1
+                self.leases[lease] = at_ms + effect.ttl_ms
+                return LeaseGranted(at_ms, call_id, lease, effect.ttl_ms, at_ms)
+            case KeepLease():
+                if effect.lease_id not in self.leases:
+                    return LeaseLost(at_ms, effect.lease_id)
+                self.leases[effect.lease_id] = at_ms + 10_000
+                return LeaseKept(at_ms, effect.lease_id, 10_000, at_ms)
+            case RevokeLease():
+                self.expire(effect.lease_id)
+        return None
+
+    def _write(self, effect, at_ms):
+        fate = self.lose.pop(0) if self.lose and "root" in effect.key else ""
+        if fate == "before":
+            return CasFinished(at_ms, effect.call_id, effect.key, CasResult.UNKNOWN)
+        result = CasResult.CONFLICT
+        if self.item(effect.key).revision == effect.expected_revision:
+            result = CasResult.STORED
+            if isinstance(effect, StoreDelete):
+                del self.data[effect.key]
+            else:
+                self.put(effect.key, effect.value, effect.lease_id)
+        if callable(fate):
+            fate()
+        if fate:
+            result = CasResult.UNKNOWN
+        return CasFinished(
+            at_ms, effect.call_id, effect.key, result, self.item(effect.key).revision
+        )
+
+
+class Fleet:
+    """Entry instances, named ``<data centre><number>``, and their connections."""
+
+    def __init__(self, *names, seeds=(), store=None):
+        self.store = store or FakeStore()
+        self.at_ms, self.nodes, self.cut, self.log = 1_000, {}, set(), []
+        self.watching = True
+        for name in names:
+            self.add(name, seeds)
+        for name in names:
+            self.step(name, Started(self.at_ms))
+
+    def add(self, name, seeds=(), incarnation="1"):
+        identity = Identity(name, incarnation, name[0], f"{name}:1")
+        state = EntryState(identity, Random(name))
+        state.seeds = {seed: f"{seed}:1" for seed in seeds}
+        self.nodes[name] = Reducer(state, HANDLERS)
+
+    def state(self, name):
+        return self.nodes[name].state
+
+    def link(self, one, other):
+        for a, b in ((one, other), (other, one)):
+            self.step(a, PeerConnected(self.at_ms, b, b[0], "1"))
+
+    def unlink(self, one, other):
+        self.step(one, PeerLost(self.at_ms, other))
+        self.step(other, PeerLost(self.at_ms, one))
+
+    def step(self, name, event):
+        self.run(name, self.nodes[name].step(event))
+
+    def run(self, name, effects):
+        for effect in effects:
+            self.log.append((name, effect))
+            if isinstance(effect, SendPeer):
+                pair = frozenset((name, effect.peer))
+                known = self.nodes.get(effect.peer)
+                if known and name in known.state.members.peers and pair not in self.cut:
+                    event = PeerReceived(self.at_ms, name, effect.message)
+                    self.step(effect.peer, event)
+                continue
+            revision = self.store.revision
+            event = self.store.answer(effect, name, self.at_ms)
+            if isinstance(effect, StoreCas) and self.store.revision > revision:
+                self._watch(effect.key)
+            if event is not None:
+                self.step(name, event)
+
+    def _watch(self, key):
+        prefix = key if key == "config/root" else "members/"
+        if not self.watching or not key.startswith(prefix):
+            return
+        for name in self.nodes:
+            if name not in self.store.down:
+                item = (self.store.item(key),)
+                self.step(name, StoreChanged(self.at_ms, prefix, item))
+
+    def pass_time(self, ms, *names):
+        for _ in range(ms // 100):
+            self.at_ms += 100
+            for name in names or self.nodes:
+                self.step(name, Tick(self.at_ms))
+
+    def logged(self, event):
+        return [e for _, e in self.log if isinstance(e, LogChange) and e.event == event]
