--- /dev/null
+++ b/tests/test_peers_driver.py
@@ -0,0 +1,341 @@
+"""The peer driver over real loopback sockets, ports chosen by the kernel."""
+
+from contextlib import asynccontextmanager
+
+import cbor2
+import pytest
+import trio
+from websockets.exceptions import ConnectionClosed
+from websockets.trio.client import connect
+
+from apricotgap.clock import TrioClock
+from apricotgap.core import limits
+from apricotgap.core.events import PeerConnected, PeerLost, PeerReceived
+from apricotgap.core.state import Identity
+from apricotgap.drivers import peer_codec
+from apricotgap.drivers.peer_link import Link
+from apricotgap.drivers.peers import PeerDriver
+from apricotgap.errors import SettingsError
+from apricotgap.model.peers import ConfigAck, ConfigParts, Heartbeat, Unsupported
+
+SECRET = b"s3cret"
+
+
+class Entry:
+    def __init__(self, name, secret=SECRET, incarnation="1"):
+        self.events, self.identity = [], Identity(name, incarnation, name[0])
+        self.driver = PeerDriver(
+            self.identity, secret, "127.0.0.1:0", self.events.append, TrioClock()
+        )
+        self.address, self.scope = "", trio.CancelScope()
+
+    async def run(self, task_status):
+        with self.scope:
+            await self.driver.run(task_status)
+
+    def messages(self):
+        return [e.message for e in self.events if isinstance(e, PeerReceived)]
+
+    def count(self, cls):
+        return sum(isinstance(event, cls) for event in self.events)
+
+
+@asynccontextmanager
+async def running(*entries):
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            for entry in entries:
+                port = await nursery.start(entry.run)
+                entry.address = f"127.0.0.1:{port}"
+            yield nursery
+            nursery.cancel_scope.cancel()
+
+
+async def until(condition, timeout_s=8):
+    with trio.fail_after(timeout_s):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+@asynccontextmanager
+async def raw_link(entry, name="z9", **options):
+    """Connect as an authenticated peer without a driver."""
+    async with connect(
+        f"ws://{entry.address}/", proxy=None, close_timeout=0.2, **options
+    ) as ws:
+        await Link(ws, Identity(name, "1", name[0]), SECRET).dial(entry.identity.entry)
+        await until(lambda: name in entry.driver.connected)
+        yield ws
+
+
+async def close_of(ws):
+    with pytest.raises(ConnectionClosed) as caught, trio.fail_after(5):
+        while True:
+            await ws.recv()
+    return caught.value.rcvd
+
+
+def test_messages_of_every_shape_arrive_whole():
+    """Guards against fields lost between encoding and decoding."""
+    beat = Heartbeat("i", 3, None, 5, True, {"a1": 3}, 9, 8)
+    parts = ConfigParts({"00": b"\x00\xff", "01": b""})
+
+    async def main():
+        a, b = Entry("a1"), Entry("b1")
+        async with running(a, b):
+            a.driver.connect({"b1": b.address})
+            await until(lambda: b.driver.connected and a.driver.connected)
+            for message in (beat, parts):
+                a.driver.send("b1", message)
+            b.driver.send("a1", ConfigAck(7))
+            await until(lambda: len(b.messages()) == 2 and a.messages())
+            assert b.messages() == [beat, parts]
+            assert a.messages() == [ConfigAck(7)]
+            connected = [e for e in b.events if isinstance(e, PeerConnected)]
+            assert [(e.peer, e.data_centre) for e in connected] == [("a1", "a")]
+
+    trio.run(main)
+
+
+def test_simultaneous_connects_keep_one_connection():
+    """Guards against two connections of a pair, or none."""
+
+    async def main():
+        a, b = Entry("a1"), Entry("b1")
+        async with running(a, b):
+            a.driver.connect({"b1": b.address})
+            b.driver.connect({"a1": a.address})
+            await until(lambda: b.driver.connected and a.driver.connected)
+            await trio.sleep(0.5)
+            for entry in (a, b):
+                assert entry.count(PeerConnected) - entry.count(PeerLost) == 1
+            a.driver.send("b1", ConfigAck(1))
+            b.driver.send("a1", ConfigAck(2))
+            await until(lambda: a.messages() and b.messages())
+
+    for _ in range(5):
+        trio.run(main)
+
+
+@pytest.mark.parametrize("dialler", ["a1", "b1"])
+def test_a_wrong_secret_is_refused_on_both_sides(dialler):
+    """Guards against a peer outside the fleet."""
+
+    async def main():
+        a, b = Entry("a1"), Entry("b1", b"other")
+        one, other = (a, b) if dialler == "a1" else (b, a)
+        async with running(a, b):
+            one.driver.connect({other.identity.entry: other.address})
+            await until(lambda: one.driver.counters["peer_dials_failed"] >= 2)
+            assert not a.events and not b.events
+
+    trio.run(main)
+
+
+def test_a_reflected_proof_is_refused():
+    """Guards against a peer that answers a challenge with our own proof."""
+
+    async def main():
+        a = Entry("a1")
+        async with (
+            running(a),
+            connect(f"ws://{a.address}/", proxy=None, close_timeout=0.2) as ws,
+        ):
+            challenge = peer_codec.decode(await ws.recv())
+            me = Identity("b1", "1", "b")
+            nonces = (challenge.nonce, b"n")
+            mac = peer_codec.proof(SECRET, "accept", me, nonces)
+            hello = peer_codec.Hello("b1", "1", "b", b"n", mac)
+            await ws.send(peer_codec.encode(hello))
+            assert (await close_of(ws)).code == 1008
+            assert not a.events
+
+    trio.run(main)
+
+
+def test_a_peer_under_another_name_is_refused():
+    """Guards against messages to the wrong entry after an address was reused."""
+
+    async def main():
+        a, c = Entry("a1"), Entry("c1")
+        async with running(a, c):
+            a.driver.connect({"b1": c.address})
+            await until(lambda: a.driver.counters["peer_dials_failed"] >= 1)
+            assert not a.driver.connected
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize(
+    "blob",
+    [
+        b"\xff\x00",
+        b"",
+        b"\x81" * 4_000,
+        cbor2.dumps([1]),
+        cbor2.dumps({"v": 1, "type": "config_ack", "revision": "x"}),
+        cbor2.dumps({"v": 1, "type": "heartbeat"}),
+        "text",
+    ],
+)
+def test_malformed_messages_get_a_reason_and_close(blob):
+    """Guards against a crash, or a silent end, on bytes that are no message."""
+
+    async def main():
+        a = Entry("a1")
+        async with running(a), raw_link(a) as ws:
+            await ws.send(blob)
+            closed = await close_of(ws)
+            assert closed.code == 1007 and closed.reason
+            await until(lambda: a.count(PeerLost) == 1)
+            async with raw_link(a, "z8"):
+                assert a.driver.connected == {"z8"}
+
+    trio.run(main)
+
+
+def test_unknown_types_and_fields_are_tolerated_and_versions_are_not():
+    """Guards against a rolling upgrade that cuts peers off."""
+
+    async def main():
+        a = Entry("a1")
+        async with running(a), raw_link(a) as ws:
+            await ws.send(cbor2.dumps({"v": 1, "type": "novelty"}))
+            answer = peer_codec.decode(await ws.recv())
+            assert isinstance(answer, Unsupported) and "novelty" in answer.what
+            ack = {"v": 1, "type": "config_ack", "revision": 4, "new": 1}
+            await ws.send(cbor2.dumps(ack))
+            await until(lambda: a.messages() == [ConfigAck(4)])
+            await ws.send(cbor2.dumps({"v": 2, "type": "config_ack"}))
+            answer = peer_codec.decode(await ws.recv())
+            assert isinstance(answer, Unsupported) and answer.supported_version == 1
+            await close_of(ws)
+
+    trio.run(main)
+
+
+def test_a_message_above_the_size_limit_closes_the_connection():
+    """Guards against memory that a peer can fill."""
+
+    async def main():
+        a = Entry("a1")
+        async with running(a), raw_link(a) as ws:
+            await ws.send(bytes(limits.MAX_PEER_MESSAGE_BYTES + 1))
+            assert (await close_of(ws)).code == 1009
+            a.driver.send("z9", ConfigParts({"x": bytes(5_000_000)}))
+
+    trio.run(main)
+
+
+def test_a_slow_peer_is_dropped_and_blocks_no_other():
+    """Guards against one peer that stops reading and fills the memory."""
+
+    async def main():
+        a, b = Entry("a1"), Entry("b1")
+        async with running(a, b):
+            a.driver.connect({"b1": b.address})
+            async with raw_link(a, ping_interval=None, max_queue=1):
+                await until(lambda: len(a.driver.connected) == 2)
+                for number in range(limits.MAX_PEER_BUFFER_BYTES // 100_000 + 100):
+                    a.driver.send("z9", ConfigParts({"x": bytes(100_000)}))
+                    if number % 20 == 0:
+                        a.driver.send("b1", ConfigAck(number))
+                        await trio.sleep(0)
+                assert a.driver.counters["peer_buffers_overflowed"] >= 1
+                await until(lambda: a.driver.connected == {"b1"})
+                await until(lambda: len(b.messages()) >= 9)
+
+    trio.run(main)
+
+
+def test_a_silent_connection_is_noticed():
+    """Guards against an open connection that carries nothing any more."""
+
+    async def main():
+        a = Entry("a1")
+        async with running(a) as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            port = listeners[0].socket.getsockname()[1]
+            muted = trio.Event()
+
+            async def forward(source, target):
+                async for chunk in source:
+                    if muted.is_set():
+                        await trio.sleep_forever()
+                    await target.send_all(chunk)
+
+            async def proxy(stream):
+                host, _, number = a.address.rpartition(":")
+                onward = await trio.open_tcp_stream(host, int(number))
+                async with trio.open_nursery() as pair:
+                    pair.start_soon(forward, stream, onward)
+                    pair.start_soon(forward, onward, stream)
+
+            nursery.start_soon(trio.serve_listeners, proxy, listeners)
+            b = Entry("b1")
+            await nursery.start(b.run)
+            b.driver.connect({"a1": f"127.0.0.1:{port}"})
+            await until(lambda: a.driver.connected and b.driver.connected)
+            muted.set()
+            begun = trio.current_time()
+            await until(lambda: a.count(PeerLost) and b.count(PeerLost))
+            bound_ms = limits.PEER_PING_INTERVAL_MS + limits.PEER_PING_TIMEOUT_MS
+            assert trio.current_time() - begun <= bound_ms / 1000 + 1.5
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_a_restarted_peer_is_connected_again():
+    """Guards against a peer that stays lost after its process was replaced."""
+
+    async def main():
+        a, b = Entry("a1"), Entry("b1")
+        async with running(a, b) as nursery:
+            a.driver.connect({"b1": b.address})
+            await until(lambda: a.driver.connected)
+            b.scope.cancel()
+            await until(lambda: a.count(PeerLost) == 1)
+            again = Entry("b1", incarnation="2")
+            await nursery.start(again.run)
+            again.driver.connect({"a1": a.address})
+            await until(lambda: a.count(PeerConnected) == 2)
+            assert a.events[-1].incarnation == "2"
+
+    trio.run(main)
+
+
+def test_connections_no_longer_wanted_are_closed():
+    """Guards against a mesh that only grows."""
+
+    async def main():
+        a, b = Entry("a1"), Entry("b1")
+        async with running(a, b):
+            a.driver.connect({"b1": b.address})
+            await until(lambda: b.driver.connected)
+            a.driver.connect({})
+            await until(lambda: not a.driver.connected and not b.driver.connected)
+
+    trio.run(main)
+
+
+def test_a_connection_without_a_handshake_ends():
+    """Guards against connections that hold resources and never prove the secret."""
+
+    async def main():
+        a = Entry("a1")
+        async with (
+            running(a),
+            connect(f"ws://{a.address}/", proxy=None, close_timeout=0.2) as ws,
+        ):
+            await close_of(ws)
+            assert not a.events
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("address", ["", "nowhere", "host:", "host:x", "host:70000"])
+def test_a_bad_listen_address_is_named(address):
+    """Guards against a traceback where a setting is wrong."""
+    with pytest.raises(SettingsError):
+        PeerDriver(Identity("a1", "1", "a"), SECRET, address, print, TrioClock())
