--- /dev/null
+++ b/apricotgap/core/ledger.py
@@ -0,0 +1,223 @@
+"""Pure operations on allotment documents; each keeps the sum of shares within 1."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+from fractions import Fraction
+
+from apricotgap.model.ledger import DataCentreLedger, FleetLedger, Row, TeamRows
+
+__all__ = [
+    "EMPTY",
+    "available",
+    "cap_allows_lowering",
+    "cap_may_rise",
+    "fair_parts",
+    "fleet_sound",
+    "ledger_sound",
+    "lower_cap",
+    "lower_share",
+    "portion",
+    "raise_cap",
+    "raise_share",
+    "rebase",
+    "reclaim",
+    "remove_team",
+    "return_units",
+    "take",
+    "total",
+]
+
+EMPTY = Row(0, 1)
+
+
+def portion(row: Row) -> Fraction:
+    """Return the part of the whole upper limit that a row holds."""
+    return Fraction(row.n, row.basis)
+
+
+def total(rows: Iterable[Row]) -> Fraction:
+    """Return the part of the whole upper limit that rows hold together."""
+    return sum((portion(row) for row in rows), Fraction(0))
+
+
+def available(cap: Fraction, rows: Iterable[Row], limit: int) -> int:
+    """Return the whole units of `limit` that `rows` leave free below `cap`."""
+    free = cap - total(rows)
+    return free.numerator * limit // free.denominator if free > 0 else 0
+
+
+def fair_parts(n_units: int, wanted: Mapping[str, int]) -> dict[str, int]:
+    """Split units by max-min fairness.
+
+    Nobody gets more than wanted, and what one does not want goes to the others in
+    equal parts. Units that cannot be split go to the first names.
+
+    Parameters
+    ----------
+    n_units : int
+        Units to split.
+    wanted : mapping of str to int
+        Units wanted by each holder.
+
+    Returns
+    -------
+    dict of str to int
+        Units for each holder.
+    """
+    parts: dict[str, int] = {}
+    names = sorted(wanted)
+    left = max(0, n_units)
+    while names:
+        part, n_extra = divmod(left, len(names))
+        satisfied = [name for name in names if wanted[name] <= part]
+        if not satisfied:
+            extra = {name: part + (i < n_extra) for i, name in enumerate(names)}
+            return parts | extra
+        parts |= {name: wanted[name] for name in satisfied}
+        left -= sum(wanted[name] for name in satisfied)
+        names = [name for name in names if name not in parts]
+    return parts
+
+
+def rebase(row: Row, limit: int) -> Row:
+    """Express a row in units of the present limit without raising its portion."""
+    if limit <= 0:
+        return replace(row, n=0, basis=1)
+    return replace(row, n=row.usable(limit), basis=limit)
+
+
+def take(team: TeamRows, holder: str, n: int, limit: int, *, wanted: int) -> TeamRows:
+    """Raise the row of `holder` to at most `n` units of `limit`.
+
+    Fewer units are taken when the cap leaves fewer free.
+    """
+    row = rebase(team.rows.get(holder, EMPTY), limit)
+    others = [other for name, other in team.rows.items() if name != holder]
+    cap = portion(team.cap)
+    free = available(cap, [*others, row], limit)
+    raised = replace(row, n=row.n + max(0, min(n - row.n, free)), wanted=wanted)
+    return replace(team, rows={**team.rows, holder: raised})
+
+
+def return_units(
+    team: TeamRows, holder: str, n: int, limit: int, *, wanted: int, n_running: int
+) -> TeamRows:
+    """Lower the row of `holder` to `n` units, never below what it runs.
+
+    A row whose running tasks exceed what it may run stays unchanged.
+    """
+    row = team.rows.get(holder, EMPTY)
+    rebased = rebase(row, limit)
+    if n_running > rebased.n:
+        return replace(team, rows={**team.rows, holder: replace(row, wanted=wanted)})
+    kept = min(rebased.n, max(n, n_running))
+    rows = {**team.rows, holder: replace(rebased, n=kept, wanted=wanted)}
+    if kept == 0 and wanted == 0:
+        del rows[holder]
+    return replace(team, rows=rows)
+
+
+def reclaim(team: TeamRows, holder: str) -> TeamRows:
+    """Remove the row of a holder that is proven gone."""
+    rows = {name: row for name, row in team.rows.items() if name != holder}
+    return replace(team, rows=rows)
+
+
+def cap_may_rise(team: TeamRows, share: Row, fence: int) -> bool:
+    """Tell whether the cap may rise to a share that was read earlier.
+
+    Each raise of a share is used at most once. A reader with an old share could
+    otherwise raise the cap again after it was lowered and the share given away.
+    """
+    return share.generation > max(team.cap.generation, fence)
+
+
+def raise_cap(team: TeamRows, share: Row, fence: int) -> TeamRows:
+    """Raise the cap to a share of the fleet document that is known to be stored."""
+    if not cap_may_rise(team, share, fence):
+        return team
+    cap = replace(share, wanted=0)
+    if portion(share) < max(portion(team.cap), total(team.rows.values())):
+        cap = replace(team.cap, generation=share.generation)
+    return replace(team, cap=cap)
+
+
+def lower_cap(team: TeamRows, n: int, limit: int, generation: int) -> TeamRows:
+    """Lower the cap to `n` units of `limit`, never below the rows.
+
+    `generation` is that of the share as read; it cannot raise the cap any more.
+    """
+    last = max(generation, team.cap.generation)
+    used = total(team.rows.values())
+    aim = max(Fraction(n, max(1, limit)), used)
+    if aim >= portion(team.cap):
+        return replace(team, cap=replace(team.cap, generation=last))
+    return replace(team, cap=Row(aim.numerator, aim.denominator, generation=last))
+
+
+def raise_share(
+    ledger: FleetLedger, team: str, data_centre: str, n: int, limit: int, *, wanted: int
+) -> FleetLedger:
+    """Raise a data centre's share to at most `n` units of `limit`.
+
+    The share gets a new generation even when no unit was free, so that a cap that
+    lies below the share may rise to it.
+    """
+    shares = ledger.teams.get(team, {})
+    own = shares.get(data_centre, EMPTY)
+    others = [row for name, row in shares.items() if name != data_centre]
+    free = available(Fraction(1), others, limit)
+    n = min(n, free)
+    if n > 0 and Fraction(n, limit) > portion(own):
+        own = Row(n, limit)
+    number = ledger.generation + 1
+    own = replace(own, wanted=wanted, generation=number)
+    teams = {**ledger.teams, team: {**shares, data_centre: own}}
+    return replace(ledger, teams=teams, generation=number)
+
+
+def cap_allows_lowering(share: Row, cap: Row) -> bool:
+    """Tell whether a stored cap permits lowering the share to it.
+
+    The cap must have used the last raise of the share; only then can it not rise
+    before the share is raised again.
+    """
+    return cap.generation >= share.generation and portion(cap) < portion(share)
+
+
+def lower_share(
+    ledger: FleetLedger, team: str, data_centre: str, cap: Row, wanted: int
+) -> FleetLedger:
+    """Lower a data centre's share to a cap that is known to be stored."""
+    shares = ledger.teams.get(team, {})
+    own = shares.get(data_centre, EMPTY)
+    if cap_allows_lowering(own, cap):
+        own = replace(cap, generation=own.generation)
+    shares = {**shares, data_centre: replace(own, wanted=wanted)}
+    if own.n == 0 and wanted == 0:
+        del shares[data_centre]
+    teams = {**ledger.teams, team: shares}
+    if not shares:
+        del teams[team]
+    return replace(ledger, teams=teams)
+
+
+def remove_team(ledger: DataCentreLedger, team: str) -> DataCentreLedger:
+    """Remove a team that holds nothing, and remember its generation."""
+    gone = ledger.teams.get(team)
+    if gone is None or gone.cap.n or gone.rows:
+        return ledger
+    teams = {name: rows for name, rows in ledger.teams.items() if name != team}
+    return replace(ledger, teams=teams, fence=max(ledger.fence, gone.cap.generation))
+
+
+def fleet_sound(ledger: FleetLedger) -> bool:
+    """Tell whether the shares of each team are within its upper limit."""
+    return all(total(shares.values()) <= 1 for shares in ledger.teams.values())
+
+
+def ledger_sound(ledger: DataCentreLedger) -> bool:
+    """Tell whether the rows of each team are within its cap."""
+    return all(
+        total(team.rows.values()) <= portion(team.cap) for team in ledger.teams.values()
+    )
--- a/apricotgap/model/ledger.py
+++ b/apricotgap/model/ledger.py
@@ -15,10 +15,17 @@
         Units taken.
     basis : int
         Upper limit of the team when they were taken.
+    wanted : int
+        Units for which the holder has work, as last written; the fair split uses it.
+    generation : int
+        For a share in the fleet document, the number of its last raise. For a cap,
+        the last raise that it has used.
     """
 
     n: int
     basis: int
+    wanted: int = 0
+    generation: int = 0
 
     def usable(self, limit: int) -> int:
         """Units that the holder may run under the present upper limit.
@@ -40,26 +47,38 @@
 
 @dataclass(frozen=True, slots=True)
 class TeamRows:
-    """Rows of one team: the cap of this level and its holders."""
+    """Rows of one team: the cap of this level and its holders.
+
+    `target` is the number of units to which the data centre must come down for the
+    sake of others, None when it need not.
+    """
 
     cap: Row
     rows: dict[str, Row] = field(default_factory=dict)
+    target: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class FleetLedger:
     """Shares of the data centres, ``allot/fleet/<bucket>``.
 
-    `teams` maps a team to the rows of the data centres.
+    `teams` maps a team to the rows of the data centres. `generation` counts the
+    raises of all rows and never falls, also when rows are removed.
     """
 
     writer: str
     teams: dict[str, dict[str, Row]] = field(default_factory=dict)
+    generation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class DataCentreLedger:
-    """Rows of entry incarnations, ``allot/dc/<dc>/<bucket>``."""
+    """Rows of entry incarnations, ``allot/dc/<dc>/<bucket>``.
+
+    `fence` is the highest generation among removed teams; no raise at or below it
+    may be used again.
+    """
 
     writer: str
     teams: dict[str, TeamRows] = field(default_factory=dict)
+    fence: int = 0
