--- /dev/null
+++ b/apricotgap/core/allotment_plan.py
@@ -0,0 +1,240 @@
+"""What an entry instance writes next into the allotment documents of a team."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from fractions import Fraction
+
+from apricotgap.core import ledger
+from apricotgap.model.ledger import FleetLedger, Row, TeamRows
+
+__all__ = [
+    "Need",
+    "data_centre_wants",
+    "fair_bound",
+    "plan_rows",
+    "plan_share",
+    "target_of",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Work of a team at an entry instance.
+
+    Parameters
+    ----------
+    limit : int
+        Upper limit in force, 0 for a team that no longer exists.
+    n_running : int
+        Tasks started and not known to have ended.
+    n_waiting : int
+        Requests that wait for an allotment.
+    give_back : bool
+        Whether units without need go back now: their hold time has passed, or
+        others wait for units.
+    cap_idle : bool
+        Whether the same holds for units of the cap that no row has taken.
+    """
+
+    limit: int
+    n_running: int = 0
+    n_waiting: int = 0
+    give_back: bool = False
+    cap_idle: bool = False
+
+    @property
+    def demand(self) -> int:
+        """Units for which there is work, at most the limit."""
+        return min(self.limit, self.n_running + self.n_waiting)
+
+
+def plan_rows(
+    team: TeamRows, holder: str, need: Need, share: Row | None, fence: int
+) -> TeamRows:
+    """Return the rows as the holder wants them; equal when nothing has to change.
+
+    Parameters
+    ----------
+    team : TeamRows
+        Rows of the data centre as stored.
+    holder : str
+        The own row.
+    need : Need
+        Work at the holder.
+    share : Row or None
+        The data centre's share as last read, None when it was not read.
+    fence : int
+        Fence of the document.
+
+    Returns
+    -------
+    TeamRows
+        Rows whose total stays within the cap.
+    """
+    before = team
+    if share is not None:
+        team = ledger.raise_cap(team, share, fence)
+    team = _plan_own(team, holder, need)
+    return _plan_cap(before, team, need, share)
+
+
+def fair_bound(team: TeamRows, holder: str, need: Need) -> int | None:
+    """Return the units above which the holder must start nothing, None without one.
+
+    A holder above its fair part that replaces each ended task at once would never
+    get below what it holds, and others would never get their part.
+    """
+    part, others_short = _fair_part(
+        _units(team, need.limit), holder, need.demand, team.rows, need.limit
+    )
+    return part if others_short or team.target is not None else None
+
+
+def _plan_own(team: TeamRows, holder: str, need: Need) -> TeamRows:
+    limit, demand = need.limit, need.demand
+    held = ledger.rebase(team.rows.get(holder, ledger.EMPTY), limit).n
+    bound = fair_bound(team, holder, need)
+    aim = demand if bound is None else min(demand, bound)
+    if aim > held:
+        raised = ledger.take(
+            team, holder, aim, limit, wanted=demand, n_running=need.n_running
+        )
+        if raised.rows.get(holder, ledger.EMPTY).n > held:
+            return raised
+    if (held > demand and need.give_back) or (bound is not None and held > aim):
+        lowered = ledger.return_units(
+            team, holder, aim, limit, wanted=demand, n_running=need.n_running
+        )
+        if lowered.rows.get(holder, ledger.EMPTY).n < held or not lowered.rows:
+            return lowered
+    return _plan_wanted(_plan_basis(team, holder, need), holder, need)
+
+
+def _plan_basis(team: TeamRows, holder: str, need: Need) -> TeamRows:
+    """Express the own row in the present limit, to free what rounding leaves over."""
+    row = team.rows.get(holder, ledger.EMPTY)
+    rebased = ledger.rebase(row, need.limit)
+    unchanged = ledger.portion(rebased) == ledger.portion(row)
+    if unchanged or need.n_running > rebased.n:
+        return team
+    return replace(team, rows={**team.rows, holder: rebased})
+
+
+def _plan_wanted(team: TeamRows, holder: str, need: Need) -> TeamRows:
+    row = team.rows.get(holder, ledger.EMPTY)
+    told = min(need.limit, row.wanted)
+    if told == need.demand or (told > need.demand and not need.give_back):
+        return team
+    if told < need.demand <= row.usable(need.limit):
+        return team
+    row = replace(row, wanted=need.demand)
+    rows = {**team.rows, holder: row}
+    if row.n == 0 and row.wanted == 0:
+        del rows[holder]
+    return replace(team, rows=rows)
+
+
+def _plan_cap(
+    before: TeamRows, team: TeamRows, need: Need, share: Row | None
+) -> TeamRows:
+    limit = need.limit
+    generation = share.generation if share is not None else 0
+    floor = data_centre_wants(team, limit)
+    if team.target is not None:
+        floor = min(floor, team.target)
+    rose = team.cap.generation != before.cap.generation
+    shrinks = team.target is not None or (need.cap_idle and not rose)
+    units = ledger.available(ledger.portion(team.cap), (), limit)
+    aim = min(units, floor) if shrinks else units
+    if Fraction(aim, max(1, limit)) >= ledger.portion(team.cap):
+        return team
+    if ledger.total(team.rows.values()) >= ledger.portion(team.cap):
+        return team
+    return ledger.lower_cap(team, aim, limit, generation)
+
+
+def plan_share(
+    fleet: FleetLedger,
+    name: str,
+    data_centre: str,
+    team: TeamRows,
+    limit: int,
+    *,
+    fence: int,
+) -> FleetLedger:
+    """Return the fleet document as the data centre wants it for one team.
+
+    Parameters
+    ----------
+    fleet : FleetLedger
+        Shares as stored.
+    name : str
+        The team.
+    data_centre : str
+        The own data centre.
+    team : TeamRows
+        Rows of the own data centre, known to be stored.
+    limit : int
+        Upper limit in force.
+    fence : int
+        Fence of the data centre document.
+
+    Returns
+    -------
+    FleetLedger
+        Shares whose total stays within the limit; equal when nothing has to change.
+    """
+    shares = fleet.teams.get(name, {})
+    share = shares.get(data_centre, ledger.EMPTY)
+    wanted = data_centre_wants(team, limit)
+    part, others_short = _fair_part(limit, data_centre, wanted, shares, limit)
+    aim = min(part, wanted) if others_short else wanted
+    cap_units = ledger.available(ledger.portion(team.cap), (), limit)
+    if aim > cap_units:
+        if ledger.cap_may_rise(team, share, fence) and share.usable(limit) > cap_units:
+            return fleet
+        raised = ledger.raise_share(fleet, name, data_centre, aim, limit, wanted=wanted)
+        if raised.teams[name][data_centre].usable(limit) > cap_units:
+            return raised
+    if ledger.cap_allows_lowering(share, team.cap) or (share.wanted and not wanted):
+        return ledger.lower_share(fleet, name, data_centre, team.cap, wanted=wanted)
+    if share.wanted == wanted or (aim <= cap_units and wanted > share.wanted):
+        return fleet
+    if data_centre not in shares and wanted == 0:
+        return fleet
+    own = replace(share, wanted=wanted)
+    teams = {**fleet.teams, name: {**shares, data_centre: own}}
+    return replace(fleet, teams=teams)
+
+
+def target_of(
+    fleet: FleetLedger, name: str, data_centre: str, team: TeamRows, limit: int
+) -> int | None:
+    """Return the units to which a data centre must come down, None if it need not."""
+    shares = fleet.teams.get(name, {})
+    wanted = data_centre_wants(team, limit)
+    part, others_short = _fair_part(limit, data_centre, wanted, shares, limit)
+    held = ledger.available(ledger.portion(team.cap), (), limit)
+    return part if others_short and held > part else None
+
+
+def data_centre_wants(team: TeamRows, limit: int) -> int:
+    """Return the units wanted by all rows of a data centre, at most the limit."""
+    return min(limit, sum(row.wanted for row in team.rows.values()))
+
+
+def _units(team: TeamRows, limit: int) -> int:
+    units = ledger.available(ledger.portion(team.cap), (), limit)
+    return units if team.target is None else min(units, team.target)
+
+
+def _fair_part(
+    n_units: int, name: str, demand: int, rows: Mapping[str, Row], limit: int
+) -> tuple[int, bool]:
+    wanted = {other: min(limit, row.wanted) for other, row in rows.items()}
+    wanted[name] = demand
+    parts = ledger.fair_parts(n_units, wanted)
+    short = any(
+        row.usable(limit) < parts[other] for other, row in rows.items() if other != name
+    )
+    return parts[name], short
--- a/apricotgap/core/allotments.py
+++ b/apricotgap/core/allotments.py
@@ -1,10 +1,251 @@
-"""Two-level split of each team's upper limit."""
+"""Two-level split of each team's upper limit: the state and what others may ask."""
 
-from dataclasses import dataclass
+from __future__ import annotations
 
-__all__ = ["AllotmentState"]
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+from apricotgap.core import ledger_codec, membership
+from apricotgap.core.limits import MEMBER_LEASE_MS
+from apricotgap.model.ledger import DataCentreLedger, FleetLedger, Row, TeamRows
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = [
+    "UNLIMITED",
+    "AllotmentState",
+    "Evidence",
+    "Stored",
+    "Write",
+    "check_lease",
+    "handed_back",
+    "headroom",
+    "holder_of",
+    "limit_of",
+    "may_renew",
+    "note_finished",
+    "note_started",
+    "own_row",
+    "set_waiting",
+    "surplus",
+]
+
+UNLIMITED = 1_000_000_000
+
+_Ledger = TypeVar("_Ledger", FleetLedger, DataCentreLedger)
+
+
+@dataclass(frozen=True, slots=True)
+class Stored(Generic[_Ledger]):
+    """A document and the revision at which it is known to be stored."""
+
+    ledger: _Ledger
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """A compare-and-swap that was sent and may still take effect."""
+
+    call_id: str
+    key: str
+    bucket: int
+    expected_revision: int
+    ledger: FleetLedger | DataCentreLedger
+    sent_ms: int
+
+
+@dataclass(slots=True)
+class Evidence:
+    """Since when each holder of the data centre has been proven gone.
+
+    Only time with own contact to the store counts.
+    """
+
+    heard_ms: dict[str, int] = field(default_factory=dict)
+    incarnations: dict[str, str] = field(default_factory=dict)
+    gone_since_ms: dict[str, int] = field(default_factory=dict)
+    rows: dict[str, dict[str, Row]] = field(default_factory=dict)
+    listed: frozenset[str] | None = None
+    contact_ms: int | None = None
 
 
 @dataclass(slots=True)
 class AllotmentState:
-    """Rows held by this entry instance and what runs under them."""
+    """Rows held by this entry instance and what runs under them.
+
+    `documents` and `fleet` hold the documents by bucket. `unresolved` holds writes
+    of data centre documents that may still take effect. `lapsed_ms` is the last time
+    at which the own lease was found invalid; `confirmed` tells whether the rows were
+    read after it, and `to_renew` names the buckets whose rows must be renewed after
+    it before use. `fair_bounds` holds the units above which nothing starts because
+    others lack their fair part.
+    """
+
+    running: dict[str, int] = field(default_factory=dict)
+    waiting: dict[str, int] = field(default_factory=dict)
+    documents: dict[int, Stored[DataCentreLedger]] = field(default_factory=dict)
+    fleet: dict[int, Stored[FleetLedger]] = field(default_factory=dict)
+    fleet_read_ms: dict[int, int] = field(default_factory=dict)
+    unreadable: set[str] = field(default_factory=set)
+    writing: Write | None = None
+    unresolved: list[Write] = field(default_factory=list)
+    last_write_ms: int | None = None
+    next_bucket: int = 0
+    n_calls: int = 0
+    reads: dict[str, str] = field(default_factory=dict)
+    due: dict[str, int] = field(default_factory=dict)
+    watch_open: bool = False
+    watch_asked_ms: int | None = None
+    confirmed: bool = False
+    was_confirmed: bool = False
+    lapsed_ms: int = -1
+    seen_ms: int | None = None
+    to_renew: set[int] = field(default_factory=set)
+    idle_since_ms: dict[str, int] = field(default_factory=dict)
+    cap_idle_since_ms: dict[str, int] = field(default_factory=dict)
+    fair_bounds: dict[str, int] = field(default_factory=dict)
+    unmet_ms: dict[str, int] = field(default_factory=dict)
+    evidence: Evidence = field(default_factory=Evidence)
+
+
+def headroom(state: EntryState, team: str, at_ms: int) -> int:
+    """Return how many tasks of a team may start now.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    team : str
+        The team; empty for queues open to all, which have no upper limit.
+    at_ms : int
+        Monotonic time in milliseconds.
+
+    Returns
+    -------
+    int
+        Tasks that may start, 0 when the own row cannot be relied on.
+    """
+    if not team:
+        return UNLIMITED
+    own = state.allotments
+    check_lease(state, at_ms)
+    if not own.confirmed or ledger_codec.bucket_of(team) in own.to_renew:
+        return 0
+    usable = min(_usable(state, team), own.fair_bounds.get(team, UNLIMITED))
+    return max(0, usable - own.running.get(team, 0))
+
+
+def note_started(state: EntryState, team: str) -> None:
+    """Count a task of a team as running; call it with the dispatch."""
+    if team:
+        running = state.allotments.running
+        running[team] = running.get(team, 0) + 1
+
+
+def note_finished(state: EntryState, team: str) -> None:
+    """Count a task of a team as ended, or as proven never to start."""
+    running = state.allotments.running
+    if running.get(team, 0) > 1:
+        running[team] -= 1
+    else:
+        running.pop(team, None)
+
+
+def set_waiting(state: EntryState, team: str, n: int) -> None:
+    """Set how many requests of a team wait for an allotment."""
+    if not team:
+        return
+    if n > 0:
+        state.allotments.waiting[team] = n
+    else:
+        state.allotments.waiting.pop(team, None)
+
+
+def surplus(state: EntryState) -> dict[str, int]:
+    """Return how many running tasks of each team exceed what may run.
+
+    The scheduler must checkpoint or drain that many.
+    """
+    over = {
+        team: n - _usable(state, team) for team, n in state.allotments.running.items()
+    }
+    return {team: n for team, n in over.items() if n > 0}
+
+
+def may_renew(state: EntryState, at_ms: int) -> bool:
+    """Tell whether leases of tasks under a limit may be renewed.
+
+    The grace time before a row is reclaimed covers the longest task lease only if
+    a holder whose own lease lapsed renews no task.
+    """
+    return membership.lease_valid(state, at_ms)
+
+
+def handed_back(state: EntryState) -> bool:
+    """Tell whether a stopping entry instance holds no row any more."""
+    own = state.allotments
+    holder = holder_of(state)
+    return own.writing is None and not any(
+        holder in team.rows
+        for stored in own.documents.values()
+        for team in stored.ledger.teams.values()
+    )
+
+
+def holder_of(state: EntryState) -> str:
+    """Return the name of the own row; no other incarnation has the same."""
+    return f"{state.identity.entry}/{state.identity.incarnation}"
+
+
+def limit_of(state: EntryState, team: str) -> int:
+    """Return the upper limit of a team in force, 0 when it does not exist."""
+    found = state.config.teams.get(team)
+    return found.upper_limit if found is not None else 0
+
+
+def own_row(state: EntryState, team: str) -> Row | None:
+    """Return the own row of a team as stored."""
+    stored = state.allotments.documents.get(ledger_codec.bucket_of(team))
+    rows = stored.ledger.teams.get(team) if stored is not None else None
+    return rows.rows.get(holder_of(state)) if rows is not None else None
+
+
+def check_lease(state: EntryState, at_ms: int) -> None:
+    """Note a lapse of the own lease or a pause that may have hidden one."""
+    own = state.allotments
+    paused = own.seen_ms is not None and at_ms - own.seen_ms >= MEMBER_LEASE_MS
+    own.seen_ms = at_ms
+    if paused or not membership.lease_valid(state, at_ms):
+        own.lapsed_ms = at_ms
+        own.confirmed = False
+
+
+def _usable(state: EntryState, team: str) -> int:
+    """Return what the own row allows, the least of all states it may have.
+
+    A lost write takes effect as long as the document keeps the revision that the
+    write expects, so reading the old value again does not settle it.
+    """
+    row = own_row(state, team)
+    if row is None:
+        return 0
+    own = state.allotments
+    limit = limit_of(state, team)
+    bucket = ledger_codec.bucket_of(team)
+    key = ledger_codec.data_centre_key(state.identity.data_centre, bucket)
+    usable = row.usable(limit)
+    sent = [*own.unresolved, *([own.writing] if own.writing else [])]
+    for write in sent:
+        if (
+            write.key != key
+            or write.expected_revision != own.documents[bucket].revision
+        ):
+            continue
+        rows = write.ledger.teams.get(team)
+        if not isinstance(rows, TeamRows | None):
+            continue
+        later = rows.rows.get(holder_of(state)) if rows is not None else None
+        usable = min(usable, later.usable(limit) if later is not None else 0)
+    return usable
--- a/apricotgap/core/ledger.py
+++ b/apricotgap/core/ledger.py
@@ -22,6 +22,7 @@
     "rebase",
     "reclaim",
     "remove_team",
+    "renew",
     "return_units",
     "take",
     "total",
@@ -86,12 +87,18 @@
     return replace(row, n=row.usable(limit), basis=limit)
 
 
-def take(team: TeamRows, holder: str, n: int, limit: int, *, wanted: int) -> TeamRows:
+def take(
+    team: TeamRows, holder: str, n: int, limit: int, *, wanted: int, n_running: int
+) -> TeamRows:
     """Raise the row of `holder` to at most `n` units of `limit`.
 
-    Fewer units are taken when the cap leaves fewer free.
+    Fewer units are taken when the cap leaves fewer free. A row whose running tasks
+    exceed what it may run stays unchanged: expressed in the lower limit it would
+    give away units that run again once the limit rises.
     """
     row = rebase(team.rows.get(holder, EMPTY), limit)
+    if n_running > row.n:
+        return team
     others = [other for name, other in team.rows.items() if name != holder]
     cap = portion(team.cap)
     free = available(cap, [*others, row], limit)
@@ -117,6 +124,13 @@
     return replace(team, rows=rows)
 
 
+def renew(team: TeamRows, holder: str) -> TeamRows:
+    """Mark the row of `holder` as renewed, so that no earlier reclaim can apply."""
+    row = team.rows[holder]
+    row = replace(row, renewals=row.renewals + 1)
+    return replace(team, rows={**team.rows, holder: row})
+
+
 def reclaim(team: TeamRows, holder: str) -> TeamRows:
     """Remove the row of a holder that is proven gone."""
     rows = {name: row for name, row in team.rows.items() if name != holder}
--- a/apricotgap/model/ledger.py
+++ b/apricotgap/model/ledger.py
@@ -26,6 +26,7 @@
     basis: int
     wanted: int = 0
     generation: int = 0
+    renewals: int = 0
 
     def usable(self, limit: int) -> int:
         """Units that the holder may run under the present upper limit.
