--- a/apricotgap/core/limits.py
+++ b/apricotgap/core/limits.py
@@ -50,11 +50,17 @@
     "PEER_PING_INTERVAL_MS",
     "PEER_PING_TIMEOUT_MS",
     "PEER_SILENCE_MS",
+    "PLAN_RETENTION_MS",
     "QUARANTINE_KILLS",
     "READINESS_GRACE_MS",
+    "REBOOT_REPEAT_MS",
     "RECLAIM_GRACE_MS",
     "ROOT_RELAY_DELAY_MS",
     "ROOT_RELAY_RETRY_MS",
+    "RUNNER_INTERVAL_MS",
+    "RUNNER_LEASE_MS",
+    "RUNNER_PAUSED_INTERVAL_MS",
+    "RUNNER_RETRY_MS",
     "START_WINDOW_MS",
     "STATUS_INTERVAL_MS",
     "STORE_REACH_MS",
@@ -155,3 +161,12 @@
 PEER_HANDSHAKE_TIMEOUT_MS = 3_000
 PEER_BACKOFF_MIN_MS = 100
 PEER_BACKOFF_MAX_MS = 2_000
+# Of the maintenance runner: how often it looks at the plans (less often while all
+# are paused), its lease, how often others look for a free role, and how often a
+# reboot request is repeated until the instance reports a new boot.
+RUNNER_INTERVAL_MS = 500
+RUNNER_PAUSED_INTERVAL_MS = 2_000
+RUNNER_LEASE_MS = 10_000
+RUNNER_RETRY_MS = 3_000
+REBOOT_REPEAT_MS = 10_000
+PLAN_RETENTION_MS = 86_400_000
