Merge the core modules into one daemon

Cause: the core modules were built apart and named a stop differently. Change: one lifecycle module sets readiness and the order of a planned stop: unready, wait out the load balancer, finish requests, give rows back, exit. Conclusion: rows are no longer given back while requests are still accepted.

--- a/apricotgap/core/admission.py
+++ b/apricotgap/core/admission.py
@@ -20,7 +20,6 @@
     Count,
     Effect,
     ReleaseBodies,
-    SetReady,
 )
 from apricotgap.core.events import (
     CallerGone,
@@ -29,10 +28,8 @@
     OutcomeQueried,
     RequestArrived,
     RequestCancelled,
-    StopRequested,
     TicketRequested,
 )
-from apricotgap.core.limits import READINESS_GRACE_MS
 from apricotgap.core.reducer import Handler
 from apricotgap.core.state import EntryState
 from apricotgap.model import (
@@ -50,7 +47,6 @@
     "ForwardedRequestAdmission",
     "OutcomeQuery",
     "RequestAdmission",
-    "StopAdmission",
     "TicketMinting",
     "check",
     "check_start",
@@ -242,20 +238,6 @@
         return [AnswerTicket(event.call_id, None, refusal), _count_refusal(refusal)]
 
 
-class StopAdmission(Handler):
-    """Becomes unready; requests are refused after the load balancer's lag."""
-
-    handles = (StopRequested,)
-
-    def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
-        """Start the grace time at the first request to stop."""
-        if state.claims.stop_requested_ms is not None:
-            return ()
-        state.claims.stop_requested_ms = event.at_ms
-        state.stopping = True
-        return (SetReady(False),)
-
-
 def _accept(
     state: EntryState, request: Request, at_ms: int, origin: Origin | None = None
 ) -> list[Effect]:
@@ -283,8 +265,8 @@
 
 
 def _is_stopping(state: EntryState, at_ms: int) -> bool:
-    stop_ms = state.claims.stop_requested_ms
-    return stop_ms is not None and at_ms - stop_ms >= READINESS_GRACE_MS
+    stop_ms = state.lifecycle.stop_requested_ms
+    return stop_ms is not None and at_ms - stop_ms >= state.lifecycle.balancer_lag_ms
 
 
 def _stopping() -> NotRun:
--- a/apricotgap/core/allotment_handlers.py
+++ b/apricotgap/core/allotment_handlers.py
@@ -15,7 +15,6 @@
     PeerConnected,
     PeerReceived,
     Started,
-    StopRequested,
     StoreCallFailed,
     StoreChanged,
     StoreReadFinished,
@@ -42,13 +41,11 @@
 class FollowTime(Handler):
     """Opens the watch, notices lapses, and writes what the work needs."""
 
-    handles = (Started, Tick, StopRequested)
+    handles = (Started, Tick)
     order = 60
 
     def apply(self, state: EntryState, event: Event) -> Iterable[Effect]:
         """React to time."""
-        if isinstance(event, StopRequested):
-            state.stopping = True
         check_lease(state, event.at_ms)
         yield from _open_watch(state, event.at_ms)
         if not state.allotments.confirmed:
--- a/apricotgap/core/claim_state.py
+++ b/apricotgap/core/claim_state.py
@@ -161,6 +161,5 @@
     lease_waiters: list[str] = field(default_factory=list)
     milli_writes: int = CLAIM_WRITE_BURST * 1000
     refilled_ms: int = 0
-    stop_requested_ms: int | None = None
     capacities: dict[str, frozenset[Resources]] = field(default_factory=dict)
     capacities_of: Configuration | None = None
--- a/apricotgap/core/config_writer.py
+++ b/apricotgap/core/config_writer.py
@@ -1,4 +1,3 @@
-<<<<<<< HEAD
 """Changes of the configuration: parts first, then the root by compare-and-swap."""
 
 from __future__ import annotations
@@ -21,22 +20,11 @@
     UnavailableError,
     ValidationError,
 )
-=======
-"""Interface of the configuration writer."""
-
-from abc import ABC, abstractmethod
-from collections.abc import Iterable
-from typing import TYPE_CHECKING
-
-from apricotgap.core.effects import Effect
-from apricotgap.errors import ApricotgapError, UnavailableError
->>>>>>> intents
 from apricotgap.model import Configuration
 
 if TYPE_CHECKING:
     from apricotgap.core.state import EntryState
 
-<<<<<<< HEAD
 __all__ = [
     "CALL",
     "Change",
@@ -392,30 +380,3 @@
         "the store did not answer in time",
         "nothing was changed; try again when the store answers",
     )
-=======
-__all__ = ["Change", "propose"]
-
-
-class Change(ABC):
-    """A change of the configuration; `apply` may run several times."""
-
-    @abstractmethod
-    def apply(self, config: Configuration) -> Configuration:
-        """Return the changed configuration or raise an `ApricotgapError`."""
-
-    @abstractmethod
-    def finished(
-        self,
-        state: "EntryState",
-        error: ApricotgapError | None,
-        revision: int,
-        at_ms: int,
-    ) -> Iterable[Effect]:
-        """React to the acceptance (`error` is None) or the refusal."""
-
-
-def propose(state: "EntryState", change: Change, at_ms: int) -> Iterable[Effect]:
-    """Refuse the change, since this build cannot write the configuration."""
-    error = UnavailableError("no configuration writer", "use a complete build")
-    return change.finished(state, error, state.config.revision, at_ms)
->>>>>>> intents
--- a/apricotgap/core/heartbeats.py
+++ b/apricotgap/core/heartbeats.py
@@ -53,7 +53,7 @@
         revision=state.view.revision,
         store_age_ms=config_view.age_ms(state, at_ms),
         direct_store_age_ms=None if contact_ms is None else at_ms - contact_ms,
-        draining=state.stopping,
+        draining=state.lifecycle.stop_requested_ms is not None,
         relayed_acks=_relayed_acks(state, peer, at_ms),
         sent_ms=at_ms,
         echo_ms=peer.last_sent_ms,
--- /dev/null
+++ b/apricotgap/core/lifecycle.py
@@ -0,0 +1,101 @@
+"""Readiness of the entry instance and the order of a planned stop."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from apricotgap.core.effects import Effect, Exit, LogChange, SetReady
+from apricotgap.core.events import Event, StopRequested, Tick
+from apricotgap.core.limits import HAND_BACK_TIMEOUT_MS, READINESS_GRACE_MS
+from apricotgap.core.reducer import Handler
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = ["FollowReadiness", "LifecycleState", "StopInOrder"]
+
+
+@dataclass(slots=True)
+class LifecycleState:
+    """Readiness and progress of a planned stop.
+
+    Parameters
+    ----------
+    balancer_lag_ms : int
+        How long the load balancer may still send requests to an unready entry.
+    stop_timeout_ms : int
+        Longest planned stop.
+    ready : bool
+        Last answer of the readiness check.
+    stop_requested_ms : int or None
+        When the stop was first requested.
+    handing_back_ms : int or None
+        When the last request had ended and the rows were given back.
+    """
+
+    balancer_lag_ms: int = READINESS_GRACE_MS
+    stop_timeout_ms: int = 60_000
+    ready: bool = False
+    stop_requested_ms: int | None = None
+    handing_back_ms: int | None = None
+    exited: bool = False
+
+
+class FollowReadiness(Handler):
+    """Becomes ready with the first configuration and unready with a stop."""
+
+    handles = (Tick, StopRequested)
+    order = 2
+
+    def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
+        """Compare what holds with the last answer."""
+        own = state.lifecycle
+        if isinstance(event, StopRequested) and own.stop_requested_ms is None:
+            own.stop_requested_ms = event.at_ms
+        ready = state.config.revision > 0 and own.stop_requested_ms is None
+        ready = ready and not state.members.replaced
+        if ready != own.ready:
+            own.ready = ready
+            yield SetReady(ready)
+            yield LogChange("ready" if ready else "unready")
+
+
+class StopInOrder(Handler):
+    """Finishes every request, gives rows and leases back, then exits."""
+
+    handles = (Tick,)
+    order = 95
+
+    def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
+        """Go on to the next phase when the present one is over."""
+        # Both modules import the state, which holds this module's part.
+        from apricotgap.core import (  # noqa: PLC0415
+            admission,
+            allotments,
+            registration,
+        )
+
+        own = state.lifecycle
+        if own.stop_requested_ms is None or own.exited:
+            return
+        elapsed_ms = event.at_ms - own.stop_requested_ms
+        if own.handing_back_ms is None:
+            busy = not admission.may_exit(state)
+            if elapsed_ms < own.balancer_lag_ms or (
+                busy and elapsed_ms < own.stop_timeout_ms
+            ):
+                return
+            own.handing_back_ms = event.at_ms
+            state.stopping = True
+            yield LogChange(
+                "handing_back", {"unfinished": len(state.claims.admissions)}
+            )
+            return
+        waited_ms = event.at_ms - own.handing_back_ms
+        if not allotments.handed_back(state) and waited_ms < HAND_BACK_TIMEOUT_MS:
+            return
+        own.exited = True
+        yield from registration.hand_back(state)
+        yield Exit()
--- a/apricotgap/core/membership.py
+++ b/apricotgap/core/membership.py
@@ -224,7 +224,8 @@
     Draining entries give the role up. Entries that are not heard do not count, so
     that at a partition each side has a relay.
     """
-    if state.stopping or state.members.replaced or state.members.left:
+    stop_requested = state.lifecycle.stop_requested_ms is not None
+    if stop_requested or state.members.replaced or state.members.left:
         return False
     own = state.identity
     return not any(
--- a/apricotgap/core/membership_handlers.py
+++ b/apricotgap/core/membership_handlers.py
@@ -14,7 +14,6 @@
     PeerLost,
     PeerReceived,
     Started,
-    StopRequested,
     StoreCallFailed,
     StoreChanged,
     StoreReadFinished,
@@ -28,7 +27,7 @@
 from apricotgap.model.peers import Heartbeat, Usage
 
 __all__ = [
-    "Lifecycle",
+    "MemberTime",
     "MemberLease",
     "MemberReads",
     "MemberWatch",
@@ -38,18 +37,14 @@
 ]
 
 
-class Lifecycle(Handler):
-    """Registers at the start and follows time; a stop is told to the peers."""
+class MemberTime(Handler):
+    """Registers at the start and follows time."""
 
-    handles = (Started, Tick, StopRequested)
+    handles = (Started, Tick)
     order = 10
 
     def apply(self, state: EntryState, event: Event) -> Iterator[Effect]:
         """Do what is due."""
-        if isinstance(event, StopRequested):
-            state.stopping = True
-            yield from heartbeats.send_heartbeats(state, event.at_ms)
-            return
         if isinstance(event, Started):
             state.members.last_tick_ms = event.at_ms
             yield from registration.start(state, event.at_ms)
--- a/apricotgap/core/state.py
+++ b/apricotgap/core/state.py
@@ -9,6 +9,7 @@
 from apricotgap.core.config_writer import WriterState
 from apricotgap.core.fair_queue import QueueState
 from apricotgap.core.health import HealthState
+from apricotgap.core.lifecycle import LifecycleState
 from apricotgap.core.membership import MembershipState
 from apricotgap.core.operators import OperatorState
 from apricotgap.core.placement import PlacementState
@@ -48,7 +49,8 @@
     """Everything that an entry instance knows.
 
     `config` is replaced as a whole by the configuration view; every other part
-    belongs to the module of its name. `rng` is seeded by the caller.
+    belongs to the module of its name. `rng` is seeded by the caller. `stopping` is set
+    when every request has ended and the rows are given back.
     """
 
     identity: Identity
@@ -56,6 +58,7 @@
     config: Configuration = field(default_factory=Configuration)
     seeds: dict[str, str] = field(default_factory=dict)
     stopping: bool = False
+    lifecycle: LifecycleState = field(default_factory=LifecycleState)
     view: ViewState = field(default_factory=ViewState)
     writer: WriterState = field(default_factory=WriterState)
     members: MembershipState = field(default_factory=MembershipState)
--- a/apricotgap/core/worker_events.py
+++ b/apricotgap/core/worker_events.py
@@ -41,7 +41,7 @@
     task.kill_noted = True
     if task.waiting is not None:
         task.waiting.n_kills += 1
-    admission.note_worker_killed(state, task.body_digest)
+    quarantine.note_worker_killed(state, task.body_digest)
 
 
 class HandleWorkerReported(Handler):
--- /dev/null
+++ b/apricotgap/entry.py
@@ -0,0 +1,252 @@
+"""The entry daemon: composes the reducer and the drivers."""
+
+import logging
+import secrets
+import signal
+import ssl
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import hypercorn.trio
+import structlog
+import trio
+from hypercorn.config import Config
+from hypercorn.logging import Logger as HypercornLogger
+
+import apricotgap.core.handlers  # noqa: F401  registers every handler
+from apricotgap.clock import TrioClock
+from apricotgap.core.effects import (
+    AnswerOperator,
+    ConnectPeers,
+    Count,
+    Effect,
+    Exit,
+    LogChange,
+    Observe,
+    SendPeer,
+)
+from apricotgap.core.events import Started, StopRequested
+from apricotgap.core.reducer import Reducer
+from apricotgap.core.state import EntryState, Identity
+from apricotgap.drivers.backends import BackendDriver
+from apricotgap.drivers.bodies import Bodies
+from apricotgap.drivers.callers import CallerApp
+from apricotgap.drivers.etcd_store import EtcdStore
+from apricotgap.drivers.http import Receive, Scope, Send, send_json
+from apricotgap.drivers.instances import InstancesDriver
+from apricotgap.drivers.operators import OperatorApp
+from apricotgap.drivers.peers import PeerDriver
+from apricotgap.drivers.runtime import Runtime
+from apricotgap.drivers.spans import RequestSpans
+from apricotgap.drivers.store_driver import StoreDriver
+from apricotgap.settings import Settings, TlsSettings
+from apricotgap.telemetry import Telemetry, configure_logs
+
+__all__ = ["EntryDaemon", "main"]
+
+
+class EntryDaemon:
+    """One entry instance.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._clock = TrioClock()
+        self._telemetry = Telemetry(settings.entry.name, settings.telemetry)
+        self._stopped = trio.Event()
+        self._log = structlog.get_logger().bind(entry=settings.entry.name)
+        entry = settings.entry
+        self._identity = Identity(
+            entry.name,
+            f"{time.time_ns() // 1_000_000:x}-{secrets.token_hex(8)}",
+            entry.data_centre,
+            entry.peer_address,
+            entry.http_address,
+        )
+        state = EntryState(
+            self._identity, Random(secrets.randbits(64)), seeds=_seeds(settings)
+        )
+        state.lifecycle.balancer_lag_ms = settings.limits.balancer_lag
+        state.lifecycle.stop_timeout_ms = settings.limits.stop_timeout
+        self._runtime = Runtime(Reducer(state), self._clock)
+        self._compose(settings)
+
+    @property
+    def runtime(self) -> Runtime:
+        """The event loop of the core."""
+        return self._runtime
+
+    def _compose(self, settings: Settings) -> None:
+        post = self._runtime.post
+        bodies = Bodies(settings.limits.max_retained_answers)
+        spans = RequestSpans(self._telemetry)
+        name = settings.entry.name
+        self._callers = CallerApp(
+            name,
+            self._identity.incarnation,
+            post,
+            self._clock,
+            bodies,
+            spans,
+            settings.limits,
+        )
+        self._operators = OperatorApp(
+            settings.operators.credential_digests, post, self._clock
+        )
+        self._backends = BackendDriver(post, self._clock, bodies, spans)
+        store = EtcdStore(settings.store.endpoints, name, settings.store.timeout)
+        self._store = StoreDriver(store, post, self._clock)
+        self._instances = InstancesDriver(
+            settings.platform.endpoint, post, self._clock, name
+        )
+        self._peers = PeerDriver(
+            self._identity,
+            settings.peer_secret,
+            settings.entry.peer_address,
+            post,
+            self._clock,
+        )
+        self._register()
+
+    def _register(self) -> None:
+        telemetry = self._telemetry
+        runners: dict[type[Effect], Callable[..., None]] = {
+            Count: telemetry.count,
+            Observe: telemetry.observe,
+            LogChange: telemetry.log_change,
+            Exit: lambda effect: self._stopped.set(),
+            AnswerOperator: self._operators.answer,
+            SendPeer: lambda effect: self._peers.send(effect.peer, effect.message),
+            ConnectPeers: lambda effect: self._peers.connect(effect.addresses),
+        }
+        for driver in (self._store, self._instances):
+            runners |= dict.fromkeys(driver.handles, driver.run)
+        runners |= self._callers.runners
+        runners |= self._backends.runners
+        self._runtime.register(runners)
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until the core has finished a planned stop."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._store.serve)
+            await nursery.start(self._instances.serve)
+            await nursery.start(self._backends.run)
+            await nursery.start(self._peers.run)
+            binds: list[str] = await nursery.start(self._serve_http)
+            self._log.info("listening", http=binds)
+            nursery.start_soon(self._watch_signals)
+            self._runtime.post(Started(self._clock.now_ms))
+            nursery.start_soon(self._runtime.tick)
+            task_status.started()
+            await self._stopped.wait()
+            self._log.info("stopped")
+            nursery.cancel_scope.cancel()
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._runtime.post(StopRequested(self._clock.now_ms))
+
+    async def _serve_http(
+        self, task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        config = _http_config(self._settings)
+        await hypercorn.trio.serve(
+            self._application,  # type: ignore[arg-type]
+            config,
+            shutdown_trigger=self._stopped.wait,
+            task_status=task_status,
+            mode="asgi",
+        )
+
+    async def _application(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+        elif scope["type"] != "http":
+            await send({"type": "websocket.close", "code": 1000})
+        elif scope["path"].startswith("/v1/operator/"):
+            await self._operators(scope, receive, send)
+        elif scope["path"] == "/metrics":
+            await send_json(send, 200, self._telemetry.snapshot())
+        else:
+            await self._callers(scope, receive, send)
+
+    async def _watch_signals(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for number in signals:
+                if self._runtime.reducer.state.stopping:
+                    self._log.info("stop_forced", signal=number)
+                    self._stopped.set()
+                    return
+                self._log.info("stopping", signal=number)
+                self.stop()
+
+
+async def _serve_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+class _QuietLogger(HypercornLogger):
+    """Keeps the HTTP library's own lines and tracebacks out of the log."""
+
+    def __init__(self, config: Config) -> None:
+        super().__init__(config)
+        self.access_logger = None
+        self.error_logger = logging.getLogger("hypercorn.quiet")
+        self.error_logger.addHandler(logging.NullHandler())
+        self.error_logger.propagate = False
+
+
+def _http_config(settings: Settings) -> Config:
+    config = Config()
+    config.bind = [settings.entry.http_address]
+    config.h11_max_incomplete_size = settings.limits.max_headers
+    config.include_server_header = False
+    config.logger_class = _QuietLogger
+    config.keep_alive_timeout = 75
+    config.graceful_timeout = 5
+    if settings.tls is not None:
+        config.certfile = settings.tls.certificate
+        config.keyfile = settings.tls.key
+    return config
+
+
+def _seeds(settings: Settings) -> dict[str, str]:
+    return {
+        name: str(address)
+        for name, address in settings.peers.seeds.items()
+        if name != settings.entry.name
+    }
+
+
+def _tls_context(tls: TlsSettings | None, *, server: bool) -> Any:
+    if tls is None:
+        return None
+    purpose = ssl.Purpose.CLIENT_AUTH if server else ssl.Purpose.SERVER_AUTH
+    context = ssl.create_default_context(purpose, cafile=tls.authority or None)
+    context.load_cert_chain(tls.certificate, tls.key)
+    return context
+
+
+def main(settings: Settings) -> None:
+    """Run an entry instance until it has stopped.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+    configure_logs(settings.telemetry.log_format)
+    trio.run(EntryDaemon(settings).run)
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -39,10 +39,11 @@
     StoreReadFinished,
     Tick,
 )
+from apricotgap.core.lifecycle import FollowReadiness
 from apricotgap.core.membership_handlers import (
-    Lifecycle,
     MemberLease,
     MemberReads,
+    MemberTime,
     MemberWatch,
     MemberWrites,
     PeerConnections,
@@ -54,8 +55,8 @@
 
 HANDLERS = (
     *(ConfigReads, ConfigTick, ConfigWatch, ConfigWrites, PeerConfig, ViewStart),
-    *(Lifecycle, MemberLease, MemberReads, MemberWatch, MemberWrites),
-    *(PeerConnections, StoreContact),
+    *(MemberTime, MemberLease, MemberReads, MemberWatch, MemberWrites),
+    *(PeerConnections, StoreContact, FollowReadiness),
 )
 
 
--- a/tests/request_double.py
+++ b/tests/request_double.py
@@ -10,6 +10,7 @@
     claims,
     config_view,
     fair_queue,
+    lifecycle,
     membership,
     placement,
 )
@@ -45,7 +46,7 @@
         "open": Queue("open", "ovens", open_to_all=True),
     },
 )
-MODULES = (admission.__name__, claim_handlers.__name__)
+MODULES = (admission.__name__, claim_handlers.__name__, lifecycle.__name__)
 HANDLERS = [cls for cls in registered_handlers() if cls.__module__ in MODULES]
 
 
@@ -56,7 +57,7 @@
         state = EntryState(Identity(name, incarnation, data_centre), Random(7), CONFIG)
         state.queues = SimpleNamespace(waiting={})
         state.view = SimpleNamespace(case="linked", accepts=True)
-        state.members = SimpleNamespace(live=world.live)
+        state.members = SimpleNamespace(live=world.live, replaced=False)
         self.reducer = Reducer(state, HANDLERS)
         self.state, self.world, self.name = state, world, name
         self.bodies, self.running, self.answers = {}, {}, {}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -227,6 +227,7 @@
     """Guards against a stopped entry that stays registered or comes back."""
     fleet = fleet_of("a1", "a2")
     fleet.step("a1", StopRequested(fleet.at_ms))
+    fleet.pass_time(HEARTBEAT_MS)
     assert fleet.state("a2").members.peers["a1"].draining
     assert is_relay(fleet.state("a2"), fleet.at_ms)
     fleet.run("a1", registration.hand_back(fleet.state("a1")))
