Compose the entry daemon

Cause: the modules had no process around them. Change: the daemon registers every driver, bodies travel between entry instances and through the store outside the core, checkpoints are told apart from failures. Conclusion: the whole path exists as a process.

--- a/apricotgap/core/lifecycle.py
+++ b/apricotgap/core/lifecycle.py
@@ -54,6 +54,7 @@
         own = state.lifecycle
         if isinstance(event, StopRequested) and own.stop_requested_ms is None:
             own.stop_requested_ms = event.at_ms
+            yield SetReady(False)
         ready = state.config.revision > 0 and own.stop_requested_ms is None
         ready = ready and not state.members.replaced
         if ready != own.ready:
--- a/apricotgap/core/worker_events.py
+++ b/apricotgap/core/worker_events.py
@@ -3,7 +3,14 @@
 from collections.abc import Iterable
 from typing import ClassVar
 
-from apricotgap.core import health, placement, polling, task_loss, worker_index
+from apricotgap.core import (
+    health,
+    placement,
+    polling,
+    quarantine,
+    task_loss,
+    worker_index,
+)
 from apricotgap.core.effects import (
     DropConnections,
     Effect,
@@ -34,8 +41,6 @@
 
 
 def _note_killed(state: EntryState, task: Task) -> None:
-    from apricotgap.core import admission  # noqa: PLC0415
-
     if task.kill_noted:
         return
     task.kill_noted = True
--- a/apricotgap/drivers/backends.py
+++ b/apricotgap/drivers/backends.py
@@ -21,6 +21,7 @@
 )
 from apricotgap.core.events import (
     Event,
+    TaskCheckpointed,
     TaskCompleted,
     TaskFailed,
     TaskProbed,
@@ -99,7 +100,7 @@
             ProbeWorker: self._start(self._probe_worker),
             ProbeTask: self._start(self._probe_task),
             RenewTask: self._start(self._control("renew")),
-            CheckpointTask: self._start(self._control("checkpoint")),
+            CheckpointTask: self._start(self._checkpoint),
             ThrottleTask: self._start(self._control("throttle")),
             StopTask: self._start(self._control("stop")),
             DropConnections: self._drop_connections,
@@ -193,6 +194,9 @@
             self._post(TaskRefused(now_ms, effect.task_id, _REFUSALS[refusal]))
             return
         ended = _header(response, b"apricotgap-task-ended")
+        if ended == "checkpointed":
+            self._post(TaskCheckpointed(now_ms, effect.task_id, True))
+            return
         if ended:
             self._failed(effect, sent=True, message=ended)
             return
@@ -275,22 +279,29 @@
         return json.loads(response.content)
 
     def _control(self, action: str) -> Callable[[Any], Any]:
+        # A control call that fails is repeated by the core or ends with the task
+        # lease, so the failure needs no event.
         async def call(effect: Any) -> None:
-            timeouts = dict.fromkeys(
-                ("connect", "read", "write", "pool"), _PROBE_TIMEOUT_S
-            )
-            url = f"http://{effect.address}/v1/tasks/{effect.task_id}/{action}"
-            # A control call that fails is repeated by the core or ends with the
-            # task lease, so the failure needs no event.
-            try:
-                await self._pool(effect.address).request(
-                    "POST", url, extensions={"timeout": timeouts}
-                )
-            except _NETWORK_ERRORS:
-                return
+            await self._call_task(effect, action)
 
         return call
 
+    async def _checkpoint(self, effect: CheckpointTask) -> None:
+        # The answer to the task itself tells that it was checkpointed.
+        if not await self._call_task(effect, "checkpoint"):
+            self._post(TaskCheckpointed(self._clock.now_ms, effect.task_id, False))
+
+    async def _call_task(self, effect: Any, action: str) -> bool:
+        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), _PROBE_TIMEOUT_S)
+        url = f"http://{effect.address}/v1/tasks/{effect.task_id}/{action}"
+        try:
+            response = await self._pool(effect.address).request(
+                "POST", url, extensions={"timeout": timeouts}
+            )
+        except _NETWORK_ERRORS:
+            return False
+        return response.status < 300
+
 
 def _header(response: httpcore.Response, name: bytes) -> str:
     for key, value in response.headers:
--- a/apricotgap/drivers/callers.py
+++ b/apricotgap/drivers/callers.py
@@ -417,7 +417,7 @@
     headers = {"apricotgap-request-id": request_id, "apricotgap-outcome": name}
     if isinstance(outcome, Completed) and answer is not None:
         await send_response(
-            send, answer.status, answer.body, answer.content_type, headers
+            send, outcome.status, answer.body, answer.content_type, headers
         )
         return
     data = {"request_id": request_id, **_outcome_data(outcome)}
--- /dev/null
+++ b/apricotgap/drivers/held_bodies.py
@@ -0,0 +1,178 @@
+"""Bodies that travel between entry instances or through the store."""
+
+import dataclasses
+import itertools
+from collections.abc import Callable
+
+import trio
+
+from apricotgap.clock import Clock
+from apricotgap.core.effects import (
+    Effect,
+    FetchBody,
+    ForwardHeldRequest,
+    ReleaseBodies,
+    SendHeldAnswer,
+    StoreBody,
+)
+from apricotgap.core.events import (
+    BodyFetched,
+    CasFinished,
+    CasResult,
+    Event,
+    ForwardedRequestArrived,
+    PeerReceived,
+)
+from apricotgap.drivers.bodies import Answer, Bodies
+from apricotgap.drivers.store_api import Store, StoreCallError
+from apricotgap.model.peers import (
+    ClaimAnswer,
+    PeerMessage,
+    TicketAnswer,
+    TicketForward,
+)
+
+__all__ = ["BodyDriver"]
+
+_CONTENT_TYPE = "application/octet-stream"
+
+
+class BodyDriver:
+    """Fills bodies into outgoing messages and takes them out of incoming ones.
+
+    Parameters
+    ----------
+    id_prefix : str
+        Start of the ids of forwarded requests, unique to this incarnation.
+    post : callable
+        Receives events.
+    clock : Clock
+        Time of the events.
+    bodies : Bodies
+        Bodies of requests and answers.
+    store : Store
+        The platform's store.
+    send : callable
+        Sends a message to a peer.
+    """
+
+    def __init__(
+        self,
+        id_prefix: str,
+        post: Callable[[Event], None],
+        clock: Clock,
+        bodies: Bodies,
+        store: Store,
+        send: Callable[[str, PeerMessage], None],
+    ) -> None:
+        self._id_prefix = id_prefix
+        self._post = post
+        self._clock = clock
+        self._bodies = bodies
+        self._store = store
+        self._send = send
+        self._numbers = itertools.count(1)
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def runners(self) -> dict[type[Effect], Callable[..., None]]:
+        """Runner of each effect type."""
+        return {
+            ForwardHeldRequest: self._forward,
+            SendHeldAnswer: self._send_answer,
+            StoreBody: self._start_store,
+            FetchBody: self._start_fetch,
+            ReleaseBodies: self._release,
+        }
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run store calls until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    def post_from_peer(self, event: Event) -> None:
+        """Pass an event of the peer driver on, without the body that it carries."""
+        if not isinstance(event, PeerReceived):
+            self._post(event)
+            return
+        message = event.message
+        if isinstance(message, TicketForward):
+            request_id = f"{self._id_prefix}.f{next(self._numbers)}"
+            self._bodies.put_request(request_id, message.body)
+            bare = dataclasses.replace(message, body=b"")
+            self._post(
+                ForwardedRequestArrived(
+                    event.at_ms, event.peer, bare, request_id, len(message.body)
+                )
+            )
+            return
+        if isinstance(message, ClaimAnswer | TicketAnswer):
+            if message.n_body_bytes or message.body:
+                self._bodies.retain(
+                    message.call_id,
+                    Answer(message.status or 200, _CONTENT_TYPE, message.body),
+                )
+            message = dataclasses.replace(message, body=b"")
+        self._post(PeerReceived(event.at_ms, event.peer, message))
+
+    def _forward(self, effect: ForwardHeldRequest) -> None:
+        body = self._bodies.request(effect.request_id)
+        if body is None:
+            return
+        self._send(effect.peer, dataclasses.replace(effect.message, body=body))
+
+    def _send_answer(self, effect: SendHeldAnswer) -> None:
+        if effect.task_id is not None:
+            answer = self._bodies.take_answer(effect.task_id)
+            if answer is not None:
+                self._bodies.retain(effect.request_id, answer)
+        held = self._bodies.retained(effect.request_id)
+        message = effect.message
+        if held is not None:
+            message = dataclasses.replace(message, body=held.body)
+        self._send(effect.peer, message)
+
+    def _start_store(self, effect: StoreBody) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._store_body, effect)
+
+    async def _store_body(self, effect: StoreBody) -> None:
+        held = self._bodies.retained(effect.request_id)
+        result, revision = CasResult.CONFLICT, 0
+        if held is not None:
+            try:
+                answer = await self._store.cas(
+                    effect.key, 0, held.body, effect.lease_id
+                )
+                result, revision = answer.result, answer.revision
+            except StoreCallError:
+                result = CasResult.UNKNOWN
+        self._post(
+            CasFinished(
+                self._clock.now_ms, effect.call_id, effect.key, result, revision
+            )
+        )
+
+    def _start_fetch(self, effect: FetchBody) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._fetch_body, effect)
+
+    async def _fetch_body(self, effect: FetchBody) -> None:
+        n_bytes: int | None = None
+        try:
+            found = await self._store.get(effect.key)
+        except StoreCallError:
+            found = None
+        if found is not None and found.revision:
+            self._bodies.retain(
+                effect.request_id, Answer(200, _CONTENT_TYPE, found.value)
+            )
+            n_bytes = len(found.value)
+        self._post(BodyFetched(self._clock.now_ms, effect.call_id, n_bytes))
+
+    def _release(self, effect: ReleaseBodies) -> None:
+        self._bodies.drop_request(effect.request_id)
--- a/apricotgap/entry.py
+++ b/apricotgap/entry.py
@@ -34,6 +34,7 @@
 from apricotgap.drivers.bodies import Bodies
 from apricotgap.drivers.callers import CallerApp
 from apricotgap.drivers.etcd_store import EtcdStore
+from apricotgap.drivers.held_bodies import BodyDriver
 from apricotgap.drivers.http import Receive, Scope, Send, send_json
 from apricotgap.drivers.instances import InstancesDriver
 from apricotgap.drivers.operators import OperatorApp
@@ -41,6 +42,7 @@
 from apricotgap.drivers.runtime import Runtime
 from apricotgap.drivers.spans import RequestSpans
 from apricotgap.drivers.store_driver import StoreDriver
+from apricotgap.model.peers import PeerMessage
 from apricotgap.settings import Settings, TlsSettings
 from apricotgap.telemetry import Telemetry, configure_logs
 
@@ -103,6 +105,14 @@
         self._backends = BackendDriver(post, self._clock, bodies, spans)
         store = EtcdStore(settings.store.endpoints, name, settings.store.timeout)
         self._store = StoreDriver(store, post, self._clock)
+        self._bodies = BodyDriver(
+            f"{name}.{self._identity.incarnation}",
+            post,
+            self._clock,
+            bodies,
+            store,
+            self._send_to_peer,
+        )
         self._instances = InstancesDriver(
             settings.platform.endpoint, post, self._clock, name
         )
@@ -110,11 +120,16 @@
             self._identity,
             settings.peer_secret,
             settings.entry.peer_address,
-            post,
+            self._bodies.post_from_peer,
             self._clock,
+            server_tls=_tls_context(settings.peers.tls, server=True),
+            client_tls=_tls_context(settings.peers.tls, server=False),
         )
         self._register()
 
+    def _send_to_peer(self, peer: str, message: PeerMessage) -> None:
+        self._peers.send(peer, message)
+
     def _register(self) -> None:
         telemetry = self._telemetry
         runners: dict[type[Effect], Callable[..., None]] = {
@@ -123,13 +138,14 @@
             LogChange: telemetry.log_change,
             Exit: lambda effect: self._stopped.set(),
             AnswerOperator: self._operators.answer,
-            SendPeer: lambda effect: self._peers.send(effect.peer, effect.message),
+            SendPeer: lambda effect: self._send_to_peer(effect.peer, effect.message),
             ConnectPeers: lambda effect: self._peers.connect(effect.addresses),
         }
         for driver in (self._store, self._instances):
             runners |= dict.fromkeys(driver.handles, driver.run)
         runners |= self._callers.runners
         runners |= self._backends.runners
+        runners |= self._bodies.runners
         self._runtime.register(runners)
 
     async def run(
@@ -140,6 +156,7 @@
             await nursery.start(self._store.serve)
             await nursery.start(self._instances.serve)
             await nursery.start(self._backends.run)
+            await nursery.start(self._bodies.run)
             await nursery.start(self._peers.run)
             binds: list[str] = await nursery.start(self._serve_http)
             self._log.info("listening", http=binds)
--- a/tests/scheduling_harness.py
+++ b/tests/scheduling_harness.py
@@ -1,11 +1,15 @@
 """A reducer with the scheduling handlers and fakes of the other modules."""
 
-import sys
 from random import Random
-from types import ModuleType
 
-from apricotgap import core
-from apricotgap.core import allotments, claims, fair_queue, membership, placement
+from apricotgap.core import (
+    allotments,
+    claims,
+    fair_queue,
+    membership,
+    placement,
+    quarantine,
+)
 from apricotgap.core import task_events as tasks
 from apricotgap.core import worker_events as workers
 from apricotgap.core.effects import Dispatch
@@ -53,10 +57,11 @@
         self.state = EntryState(Identity("e1", "e1.1", "d1"), Random(1))
         self.state.config = config or configuration()
         self.reducer = Reducer(self.state, HANDLERS)
-        admission = ModuleType("apricotgap.core.admission")
-        admission.note_worker_killed = lambda _, digest: self.killed.append(digest)
-        monkeypatch.setitem(sys.modules, admission.__name__, admission)
-        monkeypatch.setattr(core, "admission", admission, raising=False)
+        monkeypatch.setattr(
+            quarantine,
+            "note_worker_killed",
+            lambda _, digest: self.killed.append(digest),
+        )
         for module, name, fake in (
             (allotments, "headroom", self._headroom),
             (allotments, "note_started", lambda _, team: self._note(team, 1)),
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,13 +1,13 @@
 from dataclasses import replace
 
 import pytest
-from request_double import CONFIG, Entry, World, install_fakes
 
 from apricotgap.core import admission, claims
 from apricotgap.core import effects as fx
 from apricotgap.core import events as ev
 from apricotgap.core.limits import READINESS_GRACE_MS
 from apricotgap.model import NotRun, RefusalKind, Resources
+from tests.request_double import CONFIG, Entry, World, install_fakes
 
 
 @pytest.fixture
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,7 +1,6 @@
 from random import Random
 
 import pytest
-from request_double import Entry, World, install_fakes
 
 from apricotgap.core import claims, limits, outcomes
 from apricotgap.core import effects as fx
@@ -9,6 +8,7 @@
 from apricotgap.core.claim_document import ClaimDocument, ClaimStep
 from apricotgap.model import Completed, NotRun, OutcomeUnknown, RefusalKind
 from apricotgap.model.peers import ClaimAnswer, ClaimQuery, TicketAnswer
+from tests.request_double import Entry, World, install_fakes
 
 KEY = {"idempotency_key": "order-7"}
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,6 +14,7 @@
     StopRequested,
     StoreChanged,
 )
+from apricotgap.core.limits import HEARTBEAT_MS
 from apricotgap.core.membership import (
     is_relay,
     lease_valid,
