End tasks of dead or silent servers in bounded time

Change: tasks that take longer than expected are probed at their server. A changed boot_id ends them at once, a server that does not answer for the length of a task lease ends them as unknown, and "done" without an answer is taken for a silent connection after a grace time.

Conclusion: no task outlives the knowledge about its server.

--- a/apricotgap/core/placement.py
+++ b/apricotgap/core/placement.py
@@ -91,6 +91,7 @@
     connection_lost: bool = False
     done_seen: bool = False
     probe_due_ms: int = 0
+    unanswered_ms: int | None = None
 
 
 @dataclass(slots=True)
--- a/apricotgap/core/task_events.py
+++ b/apricotgap/core/task_events.py
@@ -33,6 +33,7 @@
     TaskState,
     Tick,
 )
+from apricotgap.core.limits import TASK_LEASE_MS
 from apricotgap.core.placement import Task
 from apricotgap.core.reducer import Handler
 from apricotgap.core.state import EntryState
@@ -208,49 +209,71 @@
         at_ms = event.at_ms
         if event.state is None:
             return self._unproven(state, task, "no answer about the task", at_ms)
-        if not event.boot_id or not task.boot_id:
-            return self._unproven(state, task, "the server may have restarted", at_ms)
-        if event.boot_id != task.boot_id:
+        if self._restarted(task, event):
             return task_loss.lose_task_by_restart(state, task, at_ms)
         if event.state is TaskState.DONE:
             effects = self._unproven(state, task, "the answer was lost", at_ms)
             placement.release(state, task, at_ms)
             return effects
-        passed = placement.start_bound_passed(
-            task.server_deadline_ms, event.server_now_ms
-        )
-        if event.state is TaskState.UNKNOWN and passed:
+        if self._never_started(task, event):
             kind = RefusalKind.BACKEND_REFUSED
             return task_loss.not_run(state, task, kind, "the task never started", at_ms)
+        if event.state is TaskState.UNKNOWN and not (event.boot_id and task.boot_id):
+            return self._unproven(state, task, "the server may have restarted", at_ms)
         placement.probe_at(state, task, at_ms + PROBE_INTERVAL_MS)
         return ()
 
     @staticmethod
+    def _restarted(task: Task, event: TaskProbed) -> bool:
+        known = bool(event.boot_id) and bool(task.boot_id)
+        return known and event.boot_id != task.boot_id
+
+    @staticmethod
+    def _never_started(task: Task, event: TaskProbed) -> bool:
+        """Tell whether the same run of the server did not start the task in time."""
+        if event.state is not TaskState.UNKNOWN or not event.boot_id:
+            return False
+        return event.boot_id == task.boot_id and placement.start_bound_passed(
+            task.server_deadline_ms, event.server_now_ms
+        )
+
     def _judge_silent(
-        state: EntryState, task: Task, event: TaskProbed
+        self, state: EntryState, task: Task, event: TaskProbed
     ) -> Iterable[Effect]:
         """Decide whether a task that takes long lost its connection."""
         at_ms = event.at_ms
-        same_server = bool(event.boot_id) and event.boot_id == task.boot_id
-        passed = placement.start_bound_passed(
-            task.server_deadline_ms, event.server_now_ms
-        )
-        is_done = same_server and event.state is TaskState.DONE
-        if same_server and passed and event.state is TaskState.UNKNOWN:
-            yield DropConnections(task.instance, task.address)
+        if event.state is None:
+            return self._unanswered(state, task, at_ms)
+        if self._restarted(task, event):
+            return task_loss.lose_task_by_restart(state, task, at_ms)
+        task.unanswered_ms = None
+        drop = DropConnections(task.instance, task.address)
+        if self._never_started(task, event):
             kind, message = RefusalKind.BACKEND_REFUSED, "the task never arrived"
-            yield from task_loss.not_run(state, task, kind, message, at_ms)
-        elif is_done and task.done_seen:
-            yield DropConnections(task.instance, task.address)
-            yield ProbeWorker(task.instance, task.address, fresh=True)
+            return [drop, *task_loss.not_run(state, task, kind, message, at_ms)]
+        is_done = event.state is TaskState.DONE
+        if is_done and task.done_seen:
+            probe = ProbeWorker(task.instance, task.address, fresh=True)
             message = "the connection went silent"
-            yield from task_loss.lose_task(state, task, message, at_ms)
-        else:
-            task.done_seen = is_done
-            # Long tasks are asked about ever more rarely.
-            growing_ms = (at_ms - task.started_ms) // 2
-            next_ms = ANSWER_GRACE_MS if is_done else max(PROBE_INTERVAL_MS, growing_ms)
-            placement.probe_at(state, task, at_ms + next_ms)
+            return [drop, probe, *task_loss.lose_task(state, task, message, at_ms)]
+        task.done_seen = is_done
+        # Long tasks are asked about ever more rarely.
+        growing_ms = max(PROBE_INTERVAL_MS, (at_ms - task.started_ms) // 2)
+        next_ms = ANSWER_GRACE_MS if is_done else growing_ms
+        placement.probe_at(state, task, at_ms + next_ms)
+        return ()
+
+    @staticmethod
+    def _unanswered(state: EntryState, task: Task, at_ms: int) -> Iterable[Effect]:
+        """Give a task up when its lease cannot have been renewed for its length."""
+        if task.unanswered_ms is None:
+            task.unanswered_ms = at_ms
+        if at_ms - task.unanswered_ms < TASK_LEASE_MS:
+            placement.probe_at(state, task, at_ms + PROBE_INTERVAL_MS)
+            return ()
+        drop = DropConnections(task.instance, task.address)
+        message = "the backend server does not answer"
+        return [drop, *task_loss.lose_task(state, task, message, at_ms)]
 
     @staticmethod
     def _unproven(
--- a/apricotgap/core/task_loss.py
+++ b/apricotgap/core/task_loss.py
@@ -52,13 +52,13 @@
         effects += _retry_or_end(state, task, waiting, message, at_ms)
     elif waiting is not None:
         effects += end_unknown(state, task, waiting, message, at_ms)
-    if at_ms - task.started_ms > placement.START_BOUND_MS:
+    bound_ms = task.started_ms + placement.START_BOUND_MS
+    if at_ms >= bound_ms:
         placement.release(state, task, at_ms)
-    elif not task.connection_lost:
+    else:
         # The new server may still accept the message that is on its way.
         task.connection_lost = True
-        due_ms = task.started_ms + placement.START_BOUND_MS
-        placement.probe_at(state, task, due_ms)
+        placement.probe_at(state, task, bound_ms)
     return effects
 
 
--- a/apricotgap/core/worker_events.py
+++ b/apricotgap/core/worker_events.py
@@ -114,7 +114,11 @@
         tasks = state.placement.by_instance.get(event.instance, {})
         for task in list(tasks.values()):
             _note_killed(state, task)
-            if task.idempotent and not task.connection_lost:
+            if task.connection_lost:
+                continue
+            if not task.idempotent:
+                placement.probe_at(state, task, event.at_ms)
+            else:
                 message = "the backend server became unreachable"
                 yield from task_loss.lose_task(state, task, message, event.at_ms)
         yield from placement.schedule(state, event.at_ms)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -18,6 +18,7 @@
     TaskRefusal,
     TaskRefused,
     TaskState,
+    WorkerUnreachable,
 )
 from apricotgap.core.limits import START_WINDOW_MS
 from apricotgap.model import (
@@ -273,6 +274,19 @@
     assert not fleet.submit("a3")
 
 
+def test_task_of_a_dead_server_ends_in_bounded_time(monkeypatch):
+    """Guards against a caller that waits for ever for a server without power."""
+    fleet = Fleet(monkeypatch)
+    fleet.report("w0")
+    sent = dispatched(fleet.submit("a0", expected_run_ms=3_600_000))
+    for _ in range(3):
+        fleet.step(WorkerUnreachable, "w0")
+    for _ in range(150):
+        for _ in of_type(fleet.tick(), ProbeTask):
+            fleet.step(TaskProbed, sent.task_id, None)
+    assert isinstance(fleet.outcomes["a0"], OutcomeUnknown)
+
+
 def test_late_answers_of_ended_tasks_are_ignored(monkeypatch):
     """Guards against a second end of a request by crossed or late events."""
     fleet = Fleet(monkeypatch)
