Release connections whose messages are unread at the end

The reading task of a websocket waits while received messages are unread, and closing the connection does not wake it.

--- a/apricotgap/drivers/peer_link.py
+++ b/apricotgap/drivers/peer_link.py
@@ -41,6 +41,11 @@
 class WebSocket(Protocol):
     """What this module uses of a websockets connection."""
 
+    recv_flow_control: trio.Event | None
+
+    def resume_reading(self) -> None:
+        """Go on reading from the network."""
+
     async def send(self, message: bytes) -> None:
         """Send one binary message."""
 
@@ -229,3 +234,13 @@
         """Close the connection, telling why."""
         text = reason.encode()[:_MAX_REASON_BYTES].decode(errors="ignore")
         await self._socket.aclose(code, text)
+
+    async def end(self) -> None:
+        """Close the connection and let its reading task end.
+
+        The task waits while received messages are unread. Closing does not wake it,
+        so the connection would never be released.
+        """
+        await self.close()
+        if self._socket.recv_flow_control is not None:
+            self._socket.resume_reading()
--- a/apricotgap/drivers/peers.py
+++ b/apricotgap/drivers/peers.py
@@ -185,12 +185,15 @@
                 max_size=limits.MAX_PEER_MESSAGE_BYTES,
             ) as socket:
                 link = Link(socket, self._identity, self._secret)
-                with trio.fail_after(_HANDSHAKE_S):
-                    await link.dial(peer)
-                if self._refusal(link):
-                    return False
-                joined = True
-                await self._run(link)
+                try:
+                    with trio.fail_after(_HANDSHAKE_S):
+                        await link.dial(peer)
+                    if self._refusal(link):
+                        return False
+                    joined = True
+                    await self._run(link)
+                finally:
+                    await link.end()
         except (*_FAILURES, ValueError) as error:
             # A ValueError is an address that cannot be dialled.
             self._note_failure("peer_dials_failed", peer, error)
@@ -204,6 +207,8 @@
             await self._run(link)
         except _FAILURES as error:
             self._note_failure("peer_accepts_failed", link.peer, error)
+        finally:
+            await link.end()
 
     def _note_failure(self, counter: str, peer: str, error: Exception) -> None:
         self.counters[counter] += 1
--- a/tests/test_config_view.py
+++ b/tests/test_config_view.py
@@ -99,6 +99,7 @@
     fleet.pass_time(3_000)
     late = fleet.at_ms - 2_900
     fleet.step("a1", StoreReadFinished(fleet.at_ms, "config:root:9", (old,), late))
+    assert fleet.state("a1").view.rolled_back_to is None
     fleet.step("a1", StoreChanged(fleet.at_ms, "config/root", (old,)))
     fleet.step("a1", PeerReceived(fleet.at_ms, "a2", ConfigRoot(1, old.value)))
     state = fleet.state("a1")
@@ -226,6 +227,18 @@
     assert case(fleet, "a1") is ViewCase.ISOLATED
 
 
+def test_a_peer_that_is_ahead_does_not_make_an_old_view_fresh():
+    """Guards against serving on a view that is known to be superseded."""
+    fleet = fleet_of("a1", "a2")
+    fleet.store.down.add("a1")
+    fleet.cut.add(frozenset(("a1", "a2")))
+    for _ in range(limits.IN_FORCE_BOUND_MS // 1_000 + 1):
+        fleet.pass_time(1_000, "a1")
+        beat = Heartbeat("1", 9, 0, 0, sent_ms=1, echo_ms=fleet.at_ms)
+        fleet.step("a1", PeerReceived(fleet.at_ms, "a2", beat))
+    assert case(fleet, "a1") is ViewCase.ISOLATED
+
+
 def test_a_restored_older_store_is_reported_and_the_view_stays():
     """Guards against reverting with the store, and against hiding it."""
     fleet = fleet_of("a1")
--- a/tests/test_config_writer.py
+++ b/tests/test_config_writer.py
@@ -7,7 +7,12 @@
 from apricotgap.core import config_codec, config_writer, limits
 from apricotgap.core.config_writer import Change, RepublishView, propose
 from apricotgap.core.events import Tick
-from apricotgap.errors import ConflictError, OutcomeUnknownError, UnavailableError
+from apricotgap.errors import (
+    ConflictError,
+    OutcomeUnknownError,
+    UnavailableError,
+    ValidationError,
+)
 from apricotgap.model import (
     Configuration,
     DataCentre,
@@ -38,6 +43,8 @@
     def apply(self, config):
         if self.error:
             raise self.error
+        if self.name in config.pools:
+            raise ConflictError("the pool exists", "choose another name")
         return replace(config, pools={**config.pools, self.name: Pool(self.name)})
 
     def finished(self, state, error, revision, at_ms):
@@ -131,6 +138,22 @@
     assert config_codec.decode_snapshot(root, encoded.blobs, empty).config == config
 
 
+def test_a_plan_with_a_missing_part_is_refused():
+    """Guards against a plan that silently ends early."""
+    steps = tuple(Step(i, StepKind.DRAIN, f"w{i}") for i in range(150))
+    plan = Plan("p", Intent("roll_pool", "x", {}), 3, steps)
+    empty = config_codec.Snapshot()
+    encoded = config_codec.encode_snapshot(
+        Configuration(7, active_plans={"p": plan}), empty
+    )
+    for lost in ("steps/0/p", "steps/1/p"):
+        hashes = {name: h for name, h in encoded.hashes.items() if name != lost}
+        with pytest.raises(ValidationError):
+            config_codec.decode_snapshot(
+                config_codec.Root(7, hashes), encoded.blobs, empty
+            )
+
+
 def test_a_conflict_applies_the_change_to_the_newest_configuration():
     """Guards against overwriting another operator's change."""
     fleet = Fleet("a1", "a2")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -148,13 +148,14 @@
     assert not valid(fleet, "a1")
 
 
-def test_a_pause_past_the_lease_ends_it():
+@pytest.mark.parametrize("names", [("a1", "b1"), ("a1", "a2")])
+def test_a_pause_past_the_lease_ends_it(names):
     """Guards against starting work under a limit right after a long pause."""
-    fleet = fleet_of("a1", "a2")
-    fleet.store.down.update(("a1", "a2"))
+    fleet = fleet_of(*names)
+    fleet.store.down.update(names)
     fleet.pass_time(12_000)
     assert valid(fleet, "a1")
-    fleet.pass_time(60_000, "a2")
+    fleet.pass_time(60_000, names[1])
     assert not valid(fleet, "a1")
     fleet.pass_time(5_000)
     assert not valid(fleet, "a1")
--- a/tests/test_peers_driver.py
+++ b/tests/test_peers_driver.py
@@ -63,9 +63,11 @@
     async with connect(
         f"ws://{entry.address}/", proxy=None, close_timeout=0.2, **options
     ) as ws:
-        await Link(ws, Identity(name, "1", name[0]), SECRET).dial(entry.identity.entry)
+        link = Link(ws, Identity(name, "1", name[0]), SECRET)
+        await link.dial(entry.identity.entry)
         await until(lambda: name in entry.driver.connected)
         yield ws
+        await link.end()
 
 
 async def close_of(ws):
@@ -319,6 +321,29 @@
     trio.run(main)
 
 
+def test_a_flood_before_the_handshake_leaves_no_task_behind():
+    """Guards against connections that are never released with messages unread."""
+
+    async def main():
+        a = Entry("a1")
+        async with running(a):
+            await trio.sleep(0.1)
+            n_tasks = trio.lowlevel.current_statistics().tasks_living
+            stream = await trio.open_tcp_stream("127.0.0.1", int(a.address[10:]))
+            await stream.send_all(
+                b"GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n"
+                b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+                b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+            )
+            empty_frame = b"\x82\x80\x00\x00\x00\x00"
+            await stream.send_all(empty_frame * 500)
+            await until(lambda: a.driver.counters["peer_accepts_failed"] == 1)
+            tasks = trio.lowlevel.current_statistics
+            await until(lambda: tasks().tasks_living == n_tasks)
+
+    trio.run(main)
+
+
 def test_a_connection_without_a_handshake_ends():
     """Guards against connections that hold resources and never prove the secret."""
 
