--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -3,59 +3,17 @@
 from collections import Counter
 from random import Random
 
-from apricotgap.core import placement
-from apricotgap.core.config_handlers import (
-    ConfigReads,
-    ConfigTick,
-    ConfigWatch,
-    ConfigWrites,
-    PeerConfig,
-    ViewStart,
-)
-from apricotgap.core.effects import (
-    GrantLease,
-    KeepLease,
-    LogChange,
-    RevokeLease,
-    SendPeer,
-    StoreCas,
-    StoreDelete,
-    StoreGet,
-    StoreList,
-)
-from apricotgap.core.events import (
-    CasFinished,
-    CasResult,
-    KeyValue,
-    LeaseGranted,
-    LeaseKept,
-    LeaseLost,
-    PeerConnected,
-    PeerLost,
-    PeerReceived,
-    Started,
-    StoreCallFailed,
-    StoreChanged,
-    StoreReadFinished,
-    Tick,
-)
-from apricotgap.core.membership_handlers import (
-    Lifecycle,
-    MemberLease,
-    MemberReads,
-    MemberWatch,
-    MemberWrites,
-    PeerConnections,
-    StoreContact,
-)
+from apricotgap.core import config_handlers, membership_handlers, placement
+from apricotgap.core import effects as fx
+from apricotgap.core import events as ev
 from apricotgap.core.reducer import Reducer
 from apricotgap.core.state import EntryState, Identity
 from apricotgap.model.peers import Usage
 
-HANDLERS = (
-    *(ConfigReads, ConfigTick, ConfigWatch, ConfigWrites, PeerConfig, ViewStart),
-    *(Lifecycle, MemberLease, MemberReads, MemberWatch, MemberWrites),
-    *(PeerConnections, StoreContact),
+HANDLERS = tuple(
+    getattr(module, name)
+    for module in (config_handlers, membership_handlers)
+    for name in module.__all__
 )
 
 
@@ -80,7 +38,7 @@
 
     def item(self, key):
         value, revision, _ = self.data.get(key, (b"", 0, 0))
-        return KeyValue(key, value, revision)
+        return ev.KeyValue(key, value, revision)
 
     def expire(self, lease):
         self.leases.pop(lease, None)
@@ -92,49 +50,51 @@
             self.expire(lease)
         call_id = getattr(effect, "call_id", None)
         if node in self.down:
-            if isinstance(effect, StoreCas | StoreDelete):
-                return CasFinished(at_ms, call_id, effect.key, CasResult.UNKNOWN)
-            return StoreCallFailed(at_ms, call_id) if call_id else None
+            if isinstance(effect, fx.StoreCas | fx.StoreDelete):
+                return ev.CasFinished(at_ms, call_id, effect.key, ev.CasResult.UNKNOWN)
+            return ev.StoreCallFailed(at_ms, call_id) if call_id else None
         self.calls[type(effect).__name__, getattr(effect, "key", "")] += 1
         match effect:
-            case StoreGet():
+            case fx.StoreGet():
                 items = (self.item(effect.key),)
-                return StoreReadFinished(at_ms, call_id, items, at_ms)
-            case StoreList():
+                return ev.StoreReadFinished(at_ms, call_id, items, at_ms)
+            case fx.StoreList():
                 keys = [k for k in self.data if k.startswith(effect.prefix)]
                 items = tuple(map(self.item, keys))
-                return StoreReadFinished(at_ms, call_id, items, at_ms)
-            case StoreCas() | StoreDelete():
+                return ev.StoreReadFinished(at_ms, call_id, items, at_ms)
+            case fx.StoreCas() | fx.StoreDelete():
                 return self._write(effect, at_ms)
-            case GrantLease():
+            case fx.GrantLease():
                 lease = len(self.calls) + self.revision * 1000 + len(self.leases) + 1
                 self.leases[lease] = at_ms + effect.ttl_ms
-                return LeaseGranted(at_ms, call_id, lease, effect.ttl_ms, at_ms)
-            case KeepLease():
+                return ev.LeaseGranted(at_ms, call_id, lease, effect.ttl_ms, at_ms)
+            case fx.KeepLease():
                 if effect.lease_id not in self.leases:
-                    return LeaseLost(at_ms, effect.lease_id)
+                    return ev.LeaseLost(at_ms, effect.lease_id)
                 self.leases[effect.lease_id] = at_ms + 10_000
-                return LeaseKept(at_ms, effect.lease_id, 10_000, at_ms)
-            case RevokeLease():
+                return ev.LeaseKept(at_ms, effect.lease_id, 10_000, at_ms)
+            case fx.RevokeLease():
                 self.expire(effect.lease_id)
         return None
 
     def _write(self, effect, at_ms):
         fate = self.lose.pop(0) if self.lose and "root" in effect.key else ""
         if fate == "before":
-            return CasFinished(at_ms, effect.call_id, effect.key, CasResult.UNKNOWN)
-        result = CasResult.CONFLICT
+            return ev.CasFinished(
+                at_ms, effect.call_id, effect.key, ev.CasResult.UNKNOWN
+            )
+        result = ev.CasResult.CONFLICT
         if self.item(effect.key).revision == effect.expected_revision:
-            result = CasResult.STORED
-            if isinstance(effect, StoreDelete):
+            result = ev.CasResult.STORED
+            if isinstance(effect, fx.StoreDelete):
                 del self.data[effect.key]
             else:
                 self.put(effect.key, effect.value, effect.lease_id)
         if callable(fate):
             fate()
         if fate:
-            result = CasResult.UNKNOWN
-        return CasFinished(
+            result = ev.CasResult.UNKNOWN
+        return ev.CasFinished(
             at_ms, effect.call_id, effect.key, result, self.item(effect.key).revision
         )
 
@@ -149,7 +109,7 @@
         for name in names:
             self.add(name, seeds)
         for name in names:
-            self.step(name, Started(self.at_ms))
+            self.step(name, ev.Started(self.at_ms))
 
     def add(self, name, seeds=(), incarnation="1"):
         identity = Identity(name, incarnation, name[0], f"{name}:1")
@@ -162,11 +122,11 @@
 
     def link(self, one, other):
         for a, b in ((one, other), (other, one)):
-            self.step(a, PeerConnected(self.at_ms, b, b[0], "1"))
+            self.step(a, ev.PeerConnected(self.at_ms, b, b[0], "1"))
 
     def unlink(self, one, other):
-        self.step(one, PeerLost(self.at_ms, other))
-        self.step(other, PeerLost(self.at_ms, one))
+        self.step(one, ev.PeerLost(self.at_ms, other))
+        self.step(other, ev.PeerLost(self.at_ms, one))
 
     def step(self, name, event):
         self.run(name, self.nodes[name].step(event))
@@ -174,16 +134,16 @@
     def run(self, name, effects):
         for effect in effects:
             self.log.append((name, effect))
-            if isinstance(effect, SendPeer):
+            if isinstance(effect, fx.SendPeer):
                 pair = frozenset((name, effect.peer))
                 known = self.nodes.get(effect.peer)
                 if known and name in known.state.members.peers and pair not in self.cut:
-                    event = PeerReceived(self.at_ms, name, effect.message)
+                    event = ev.PeerReceived(self.at_ms, name, effect.message)
                     self.step(effect.peer, event)
                 continue
             revision = self.store.revision
             event = self.store.answer(effect, name, self.at_ms)
-            if isinstance(effect, StoreCas) and self.store.revision > revision:
+            if isinstance(effect, fx.StoreCas) and self.store.revision > revision:
                 self._watch(effect.key)
             if event is not None:
                 self.step(name, event)
@@ -195,13 +155,15 @@
         for name in self.nodes:
             if name not in self.store.down:
                 item = (self.store.item(key),)
-                self.step(name, StoreChanged(self.at_ms, prefix, item))
+                self.step(name, ev.StoreChanged(self.at_ms, prefix, item))
 
     def pass_time(self, ms, *names):
         for _ in range(ms // 100):
             self.at_ms += 100
             for name in names or self.nodes:
-                self.step(name, Tick(self.at_ms))
+                self.step(name, ev.Tick(self.at_ms))
 
     def logged(self, event):
-        return [e for _, e in self.log if isinstance(e, LogChange) and e.event == event]
+        return [
+            e for _, e in self.log if isinstance(e, fx.LogChange) and e.event == event
+        ]
--- a/tests/test_config_writer.py
+++ b/tests/test_config_writer.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from apricotgap import model
 from apricotgap.core import config_codec, config_writer, limits
 from apricotgap.core.config_writer import Change, RepublishView, propose
 from apricotgap.core.events import Tick
@@ -13,19 +14,7 @@
     UnavailableError,
     ValidationError,
 )
-from apricotgap.model import (
-    Configuration,
-    DataCentre,
-    Instance,
-    KeyRecord,
-    Plan,
-    Pool,
-    Queue,
-    Step,
-    StepKind,
-    Team,
-)
-from apricotgap.model.intents import Intent
+from apricotgap.model import Configuration, Intent, Plan, Pool, Step, StepKind, Team
 from tests.fleet_harness import Fleet, use_plain_usage
 
 
@@ -75,7 +64,7 @@
 def target_size():
     centres = [f"ostalpen-{i:02}" for i in range(22)]
     instances = [
-        Instance(
+        model.Instance(
             f"{centres[i % 22]}-r{i // 88:02}-w{i:04}",
             f"10.{i % 22}.{i // 250}.{i % 250}:8080",
             centres[i % 22],
@@ -85,14 +74,16 @@
         for i in range(2_100)
     ]
     teams = [Team(f"team-{i:03}", 1 + i % 7, 40) for i in range(330)]
-    keys = [KeyRecord(f"{i:064x}", f"team-{i % 330:03}") for i in range(660)]
+    keys = [model.KeyRecord(f"{i:064x}", f"team-{i % 330:03}") for i in range(660)]
     return Configuration(
-        data_centres={name: DataCentre(name, name[:8]) for name in centres},
+        data_centres={name: model.DataCentre(name, name[:8]) for name in centres},
         instances={item.name: item for item in instances},
         pools={f"pool-{i:03}": Pool(f"pool-{i:03}") for i in range(292)},
         teams={item.name: item for item in teams},
         keys={item.digest: item for item in keys},
-        queues={f"q-{i:03}": Queue(f"q-{i:03}", f"pool-{i:03}") for i in range(292)},
+        queues={
+            f"q-{i:03}": model.Queue(f"q-{i:03}", f"pool-{i:03}") for i in range(292)
+        },
     )
 
 
@@ -114,9 +105,9 @@
     changed = {
         "instances": replace(next(iter(config.instances.values())), pool="pool-009"),
         "teams": Team("team-001", 9, 9),
-        "keys": KeyRecord(f"{1:064x}", "team-009"),
+        "keys": model.KeyRecord(f"{1:064x}", "team-009"),
         "pools": Pool("pool-001", spare=True),
-        "queues": Queue("q-001", "pool-002"),
+        "queues": model.Queue("q-001", "pool-002"),
     }
     for kind, item in changed.items():
         key = item.digest if kind == "keys" else item.name
--- a/tests/test_peers_driver.py
+++ b/tests/test_peers_driver.py
@@ -5,6 +5,7 @@
 import cbor2
 import pytest
 import trio
+from trio.testing import trio_test
 from websockets.exceptions import ConnectionClosed
 from websockets.trio.client import connect
 
@@ -99,73 +100,61 @@
     trio.run(main)
 
 
-def test_simultaneous_connects_keep_one_connection():
+@pytest.mark.parametrize("_run", range(5))
+@trio_test
+async def test_simultaneous_connects_keep_one_connection(_run):
     """Guards against two connections of a pair, or none."""
-
-    async def main():
-        a, b = Entry("a1"), Entry("b1")
-        async with running(a, b):
-            a.driver.connect({"b1": b.address})
-            b.driver.connect({"a1": a.address})
-            await until(lambda: b.driver.connected and a.driver.connected)
-            await trio.sleep(0.5)
-            for entry in (a, b):
-                assert entry.count(PeerConnected) - entry.count(PeerLost) == 1
-            a.driver.send("b1", ConfigAck(1))
-            b.driver.send("a1", ConfigAck(2))
-            await until(lambda: a.messages() and b.messages())
-
-    for _ in range(5):
-        trio.run(main)
+    a, b = Entry("a1"), Entry("b1")
+    async with running(a, b):
+        a.driver.connect({"b1": b.address})
+        b.driver.connect({"a1": a.address})
+        await until(lambda: b.driver.connected and a.driver.connected)
+        await trio.sleep(0.5)
+        for entry in (a, b):
+            assert entry.count(PeerConnected) - entry.count(PeerLost) == 1
+        a.driver.send("b1", ConfigAck(1))
+        b.driver.send("a1", ConfigAck(2))
+        await until(lambda: a.messages() and b.messages())
 
 
 @pytest.mark.parametrize("dialler", ["a1", "b1"])
-def test_a_wrong_secret_is_refused_on_both_sides(dialler):
+@trio_test
+async def test_a_wrong_secret_is_refused_on_both_sides(dialler):
     """Guards against a peer outside the fleet."""
-
-    async def main():
-        a, b = Entry("a1"), Entry("b1", b"other")
-        one, other = (a, b) if dialler == "a1" else (b, a)
-        async with running(a, b):
-            one.driver.connect({other.identity.entry: other.address})
-            await until(lambda: one.driver.counters["peer_dials_failed"] >= 2)
-            assert not a.events and not b.events
-
-    trio.run(main)
+    a, b = Entry("a1"), Entry("b1", b"other")
+    one, other = (a, b) if dialler == "a1" else (b, a)
+    async with running(a, b):
+        one.driver.connect({other.identity.entry: other.address})
+        await until(lambda: one.driver.counters["peer_dials_failed"] >= 2)
+        assert not a.events and not b.events
 
 
-def test_a_reflected_proof_is_refused():
+@trio_test
+async def test_a_reflected_proof_is_refused():
     """Guards against a peer that answers a challenge with our own proof."""
-
-    async def main():
-        a = Entry("a1")
-        async with (
-            running(a),
-            connect(f"ws://{a.address}/", proxy=None, close_timeout=0.2) as ws,
-        ):
-            challenge = peer_codec.decode(await ws.recv())
-            me = Identity("b1", "1", "b")
-            nonces = (challenge.nonce, b"n")
-            mac = peer_codec.proof(SECRET, "accept", me, nonces)
-            hello = peer_codec.Hello("b1", "1", "b", b"n", mac)
-            await ws.send(peer_codec.encode(hello))
-            assert (await close_of(ws)).code == 1008
-            assert not a.events
-
-    trio.run(main)
-
-
-def test_a_peer_under_another_name_is_refused():
+    a = Entry("a1")
+    async with (
+        running(a),
+        connect(f"ws://{a.address}/", proxy=None, close_timeout=0.2) as ws,
+    ):
+        challenge = peer_codec.decode(await ws.recv())
+        me = Identity("b1", "1", "b")
+        nonces = (challenge.nonce, b"n")
+        mac = peer_codec.proof(SECRET, "accept", me, nonces)
+        hello = peer_codec.Hello("b1", "1", "b", b"n", mac)
+        await ws.send(peer_codec.encode(hello))
+        assert (await close_of(ws)).code == 1008
+        assert not a.events
+
+
+@trio_test
+async def test_a_peer_under_another_name_is_refused():
     """Guards against messages to the wrong entry after an address was reused."""
-
-    async def main():
-        a, c = Entry("a1"), Entry("c1")
-        async with running(a, c):
-            a.driver.connect({"b1": c.address})
-            await until(lambda: a.driver.counters["peer_dials_failed"] >= 1)
-            assert not a.driver.connected
-
-    trio.run(main)
+    a, c = Entry("a1"), Entry("c1")
+    async with running(a, c):
+        a.driver.connect({"b1": c.address})
+        await until(lambda: a.driver.counters["peer_dials_failed"] >= 1)
+        assert not a.driver.connected
 
 
 @pytest.mark.parametrize(
@@ -180,183 +169,156 @@
         "text",
     ],
 )
-def test_malformed_messages_get_a_reason_and_close(blob):
+@trio_test
+async def test_malformed_messages_get_a_reason_and_close(blob):
     """Guards against a crash, or a silent end, on bytes that are no message."""
-
-    async def main():
-        a = Entry("a1")
-        async with running(a), raw_link(a) as ws:
-            await ws.send(blob)
-            closed = await close_of(ws)
-            assert closed.code == 1007 and closed.reason
-            await until(lambda: a.count(PeerLost) == 1)
-            async with raw_link(a, "z8"):
-                assert a.driver.connected == {"z8"}
-
-    trio.run(main)
-
-
-def test_unknown_types_and_fields_are_tolerated_and_versions_are_not():
+    a = Entry("a1")
+    async with running(a), raw_link(a) as ws:
+        await ws.send(blob)
+        closed = await close_of(ws)
+        assert closed.code == 1007 and closed.reason
+        await until(lambda: a.count(PeerLost) == 1)
+        async with raw_link(a, "z8"):
+            assert a.driver.connected == {"z8"}
+
+
+@trio_test
+async def test_unknown_types_and_fields_are_tolerated_and_versions_are_not():
     """Guards against a rolling upgrade that cuts peers off."""
-
-    async def main():
-        a = Entry("a1")
-        async with running(a), raw_link(a) as ws:
-            await ws.send(cbor2.dumps({"v": 1, "type": "novelty"}))
-            answer = peer_codec.decode(await ws.recv())
-            assert isinstance(answer, Unsupported) and "novelty" in answer.what
-            ack = {"v": 1, "type": "config_ack", "revision": 4, "new": 1}
-            await ws.send(cbor2.dumps(ack))
-            await until(lambda: a.messages() == [ConfigAck(4)])
-            await ws.send(cbor2.dumps({"v": 2, "type": "config_ack"}))
-            answer = peer_codec.decode(await ws.recv())
-            assert isinstance(answer, Unsupported) and answer.supported_version == 1
-            await close_of(ws)
-
-    trio.run(main)
-
-
-def test_a_message_above_the_size_limit_closes_the_connection():
+    a = Entry("a1")
+    async with running(a), raw_link(a) as ws:
+        await ws.send(cbor2.dumps({"v": 1, "type": "novelty"}))
+        answer = peer_codec.decode(await ws.recv())
+        assert isinstance(answer, Unsupported) and "novelty" in answer.what
+        ack = {"v": 1, "type": "config_ack", "revision": 4, "new": 1}
+        await ws.send(cbor2.dumps(ack))
+        await until(lambda: a.messages() == [ConfigAck(4)])
+        await ws.send(cbor2.dumps({"v": 2, "type": "config_ack"}))
+        answer = peer_codec.decode(await ws.recv())
+        assert isinstance(answer, Unsupported) and answer.supported_version == 1
+        await close_of(ws)
+
+
+@trio_test
+async def test_a_message_above_the_size_limit_closes_the_connection():
     """Guards against memory that a peer can fill."""
+    a = Entry("a1")
+    async with running(a), raw_link(a) as ws:
+        await ws.send(bytes(limits.MAX_PEER_MESSAGE_BYTES + 1))
+        assert (await close_of(ws)).code == 1009
+        a.driver.send("z9", ConfigParts({"x": bytes(5_000_000)}))
 
-    async def main():
-        a = Entry("a1")
-        async with running(a), raw_link(a) as ws:
-            await ws.send(bytes(limits.MAX_PEER_MESSAGE_BYTES + 1))
-            assert (await close_of(ws)).code == 1009
-            a.driver.send("z9", ConfigParts({"x": bytes(5_000_000)}))
 
-    trio.run(main)
-
-
-def test_a_slow_peer_is_dropped_and_blocks_no_other():
+@trio_test
+async def test_a_slow_peer_is_dropped_and_blocks_no_other():
     """Guards against one peer that stops reading and fills the memory."""
-
-    async def main():
-        a, b = Entry("a1"), Entry("b1")
-        async with running(a, b):
-            a.driver.connect({"b1": b.address})
-            async with raw_link(a, ping_interval=None, max_queue=1):
-                await until(lambda: len(a.driver.connected) == 2)
-                for number in range(limits.MAX_PEER_BUFFER_BYTES // 100_000 + 100):
-                    a.driver.send("z9", ConfigParts({"x": bytes(100_000)}))
-                    if number % 20 == 0:
-                        a.driver.send("b1", ConfigAck(number))
-                        await trio.sleep(0)
-                assert a.driver.counters["peer_buffers_overflowed"] >= 1
-                await until(lambda: a.driver.connected == {"b1"})
-                await until(lambda: len(b.messages()) >= 9)
-
-    trio.run(main)
-
-
-def test_a_silent_connection_is_noticed():
+    a, b = Entry("a1"), Entry("b1")
+    async with running(a, b):
+        a.driver.connect({"b1": b.address})
+        async with raw_link(a, ping_interval=None, max_queue=1):
+            await until(lambda: len(a.driver.connected) == 2)
+            for number in range(limits.MAX_PEER_BUFFER_BYTES // 100_000 + 100):
+                a.driver.send("z9", ConfigParts({"x": bytes(100_000)}))
+                if number % 20 == 0:
+                    a.driver.send("b1", ConfigAck(number))
+                    await trio.sleep(0)
+            assert a.driver.counters["peer_buffers_overflowed"] >= 1
+            await until(lambda: a.driver.connected == {"b1"})
+            await until(lambda: len(b.messages()) >= 9)
+
+
+@trio_test
+async def test_a_silent_connection_is_noticed():
     """Guards against an open connection that carries nothing any more."""
-
-    async def main():
-        a = Entry("a1")
-        async with running(a) as nursery:
-            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-            port = listeners[0].socket.getsockname()[1]
-            muted = trio.Event()
-
-            async def forward(source, target):
-                async for chunk in source:
-                    if muted.is_set():
-                        await trio.sleep_forever()
-                    await target.send_all(chunk)
-
-            async def proxy(stream):
-                host, _, number = a.address.rpartition(":")
-                onward = await trio.open_tcp_stream(host, int(number))
-                async with trio.open_nursery() as pair:
-                    pair.start_soon(forward, stream, onward)
-                    pair.start_soon(forward, onward, stream)
-
-            nursery.start_soon(trio.serve_listeners, proxy, listeners)
-            b = Entry("b1")
-            await nursery.start(b.run)
-            b.driver.connect({"a1": f"127.0.0.1:{port}"})
-            await until(lambda: a.driver.connected and b.driver.connected)
-            muted.set()
-            begun = trio.current_time()
-            await until(lambda: a.count(PeerLost) and b.count(PeerLost))
-            bound_ms = limits.PEER_PING_INTERVAL_MS + limits.PEER_PING_TIMEOUT_MS
-            assert trio.current_time() - begun <= bound_ms / 1000 + 1.5
-            nursery.cancel_scope.cancel()
-
-    trio.run(main)
-
-
-def test_a_restarted_peer_is_connected_again():
+    a = Entry("a1")
+    async with running(a) as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        muted = trio.Event()
+
+        async def forward(source, target):
+            async for chunk in source:
+                if muted.is_set():
+                    await trio.sleep_forever()
+                await target.send_all(chunk)
+
+        async def proxy(stream):
+            host, _, number = a.address.rpartition(":")
+            onward = await trio.open_tcp_stream(host, int(number))
+            async with trio.open_nursery() as pair:
+                pair.start_soon(forward, stream, onward)
+                pair.start_soon(forward, onward, stream)
+
+        nursery.start_soon(trio.serve_listeners, proxy, listeners)
+        b = Entry("b1")
+        await nursery.start(b.run)
+        b.driver.connect({"a1": f"127.0.0.1:{port}"})
+        await until(lambda: a.driver.connected and b.driver.connected)
+        muted.set()
+        begun = trio.current_time()
+        await until(lambda: a.count(PeerLost) and b.count(PeerLost))
+        bound_ms = limits.PEER_PING_INTERVAL_MS + limits.PEER_PING_TIMEOUT_MS
+        assert trio.current_time() - begun <= bound_ms / 1000 + 1.5
+        nursery.cancel_scope.cancel()
+
+
+@trio_test
+async def test_a_restarted_peer_is_connected_again():
     """Guards against a peer that stays lost after its process was replaced."""
-
-    async def main():
-        a, b = Entry("a1"), Entry("b1")
-        async with running(a, b) as nursery:
-            a.driver.connect({"b1": b.address})
-            await until(lambda: a.driver.connected)
-            b.scope.cancel()
-            await until(lambda: a.count(PeerLost) == 1)
-            again = Entry("b1", incarnation="2")
-            await nursery.start(again.run)
-            again.driver.connect({"a1": a.address})
-            await until(lambda: a.count(PeerConnected) == 2)
-            assert a.events[-1].incarnation == "2"
-
-    trio.run(main)
-
-
-def test_connections_no_longer_wanted_are_closed():
+    a, b = Entry("a1"), Entry("b1")
+    async with running(a, b) as nursery:
+        a.driver.connect({"b1": b.address})
+        await until(lambda: a.driver.connected)
+        b.scope.cancel()
+        await until(lambda: a.count(PeerLost) == 1)
+        again = Entry("b1", incarnation="2")
+        await nursery.start(again.run)
+        again.driver.connect({"a1": a.address})
+        await until(lambda: a.count(PeerConnected) == 2)
+        assert a.events[-1].incarnation == "2"
+
+
+@trio_test
+async def test_connections_no_longer_wanted_are_closed():
     """Guards against a mesh that only grows."""
-
-    async def main():
-        a, b = Entry("a1"), Entry("b1")
-        async with running(a, b):
-            a.driver.connect({"b1": b.address})
-            await until(lambda: b.driver.connected)
-            a.driver.connect({})
-            await until(lambda: not a.driver.connected and not b.driver.connected)
-
-    trio.run(main)
+    a, b = Entry("a1"), Entry("b1")
+    async with running(a, b):
+        a.driver.connect({"b1": b.address})
+        await until(lambda: b.driver.connected)
+        a.driver.connect({})
+        await until(lambda: not a.driver.connected and not b.driver.connected)
 
 
-def test_a_flood_before_the_handshake_leaves_no_task_behind():
+@trio_test
+async def test_a_flood_before_the_handshake_leaves_no_task_behind():
     """Guards against connections that are never released with messages unread."""
-
-    async def main():
-        a = Entry("a1")
-        async with running(a):
-            await trio.sleep(0.1)
-            n_tasks = trio.lowlevel.current_statistics().tasks_living
-            stream = await trio.open_tcp_stream("127.0.0.1", int(a.address[10:]))
-            await stream.send_all(
-                b"GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n"
-                b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
-                b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
-            )
-            empty_frame = b"\x82\x80\x00\x00\x00\x00"
-            await stream.send_all(empty_frame * 500)
-            await until(lambda: a.driver.counters["peer_accepts_failed"] == 1)
-            tasks = trio.lowlevel.current_statistics
-            await until(lambda: tasks().tasks_living == n_tasks)
-
-    trio.run(main)
+    a = Entry("a1")
+    async with running(a):
+        await trio.sleep(0.1)
+        n_tasks = trio.lowlevel.current_statistics().tasks_living
+        stream = await trio.open_tcp_stream("127.0.0.1", int(a.address[10:]))
+        await stream.send_all(
+            b"GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n"
+            b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+            b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+        )
+        empty_frame = b"\x82\x80\x00\x00\x00\x00"
+        await stream.send_all(empty_frame * 500)
+        await until(lambda: a.driver.counters["peer_accepts_failed"] == 1)
+        tasks = trio.lowlevel.current_statistics
+        await until(lambda: tasks().tasks_living == n_tasks)
 
 
-def test_a_connection_without_a_handshake_ends():
+@trio_test
+async def test_a_connection_without_a_handshake_ends():
     """Guards against connections that hold resources and never prove the secret."""
-
-    async def main():
-        a = Entry("a1")
-        async with (
-            running(a),
-            connect(f"ws://{a.address}/", proxy=None, close_timeout=0.2) as ws,
-        ):
-            await close_of(ws)
-            assert not a.events
-
-    trio.run(main)
+    a = Entry("a1")
+    async with (
+        running(a),
+        connect(f"ws://{a.address}/", proxy=None, close_timeout=0.2) as ws,
+    ):
+        await close_of(ws)
+        assert not a.events
 
 
 @pytest.mark.parametrize("address", ["", "nowhere", "host:", "host:x", "host:70000"])
