Confirm the root by its revision in the store

At the target size a root has some 4.6 KB, and a full read each second would take most of the 7 KB/s of a node. StoreGet gets keys_only; every tenth read is a full one, since a restored store may use a revision again.

--- a/apricotgap/core/config_sync.py
+++ b/apricotgap/core/config_sync.py
@@ -19,6 +19,7 @@
 from apricotgap.model.peers import ConfigRoot, Heartbeat
 
 __all__ = [
+    "LIGHT_CALL",
     "ROOT_CALL",
     "heartbeat_received",
     "read_failed",
@@ -32,6 +33,9 @@
 ]
 
 ROOT_CALL = "config:root:"
+LIGHT_CALL = ROOT_CALL + "light:"
+# A restored store may use a revision again, so the content is read from time to time.
+_N_READS_PER_FULL = 10
 
 
 def start(state: EntryState, at_ms: int) -> Iterator[Effect]:
@@ -40,17 +44,22 @@
     yield from read_root(state, at_ms)
 
 
-def read_root(state: EntryState, at_ms: int) -> Iterator[Effect]:
-    """Read the root unless a read is under way."""
+def read_root(state: EntryState, at_ms: int, full: bool = True) -> Iterator[Effect]:
+    """Read the root unless a read is under way.
+
+    Without `full`, only the store's revision of the key is read, which confirms a
+    root whose revision in the store is known.
+    """
     view = state.view
     if view.read_call:
         return
     view.n_reads += 1
     view.read_due = False
-    view.read_call = f"{ROOT_CALL}{view.n_reads}"
+    light = not full and view.store_revision is not None and view.root is not None
+    view.read_call = f"{LIGHT_CALL if light else ROOT_CALL}{view.n_reads}"
     view.read_sent_ms = at_ms
     view.next_read_ms = at_ms + limits.CONFIRM_INTERVAL_MS
-    yield StoreGet(view.read_call, ROOT_KEY)
+    yield StoreGet(view.read_call, ROOT_KEY, light)
 
 
 def read_failed(state: EntryState, call_id: str) -> Iterator[Effect]:
@@ -77,7 +86,8 @@
         view.watch_broken_ms = None
         yield OpenWatch(ROOT_KEY)
     if at_ms >= view.next_read_ms and _needs_read(state, at_ms):
-        yield from read_root(state, at_ms)
+        full = view.read_due or view.n_reads % _N_READS_PER_FULL == 0
+        yield from read_root(state, at_ms, full)
     yield from part_fetch.fetch_late(state, at_ms)
     yield from _relay(state, at_ms)
 
@@ -94,9 +104,15 @@
     state: EntryState, call_id: str, item: KeyValue, sent_ms: int, at_ms: int
 ) -> Iterator[Effect]:
     """Take the answer of a read of the root."""
-    if call_id == state.view.read_call:
-        state.view.read_call = ""
-    yield from _root_seen(state, item, sent_ms, at_ms)
+    view = state.view
+    if call_id == view.read_call:
+        view.read_call = ""
+    if not call_id.startswith(LIGHT_CALL):
+        yield from _root_seen(state, item, sent_ms, at_ms)
+    elif item.revision != view.store_revision or view.rolled_back_to is not None:
+        yield from read_root(state, at_ms)
+    else:
+        part_fetch.confirm(state, sent_ms)
 
 
 def root_changed(state: EntryState, item: KeyValue, at_ms: int) -> Iterator[Effect]:
--- a/apricotgap/core/config_writer.py
+++ b/apricotgap/core/config_writer.py
@@ -341,7 +341,10 @@
 
 
 def _unknown() -> OutcomeUnknownError:
-    return OutcomeUnknownError("outcome unknown", "check status before trying again")
+    return OutcomeUnknownError(
+        "outcome unknown, check status",
+        "try again only if status shows that the change is missing",
+    )
 
 
 def tick(state: EntryState, at_ms: int) -> Iterator[Effect]:
--- a/apricotgap/core/effects/store.py
+++ b/apricotgap/core/effects/store.py
@@ -18,10 +18,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreGet(Effect):
-    """Reads one key."""
+    """Reads one key; with `keys_only` its revision is enough, without the value."""
 
     call_id: str
     key: str
+    keys_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
