--- a/apricotgap/entry.py
+++ b/apricotgap/entry.py
@@ -69,14 +69,14 @@
             entry.name,
             f"{time.time_ns() // 1_000_000:x}-{secrets.token_hex(8)}",
             entry.data_centre,
-            entry.peer_address,
-            entry.http_address,
+            str(entry.peer_address),
+            str(entry.http_address),
         )
         state = EntryState(
             self._identity, Random(secrets.randbits(64)), seeds=_seeds(settings)
         )
-        state.lifecycle.balancer_lag_ms = settings.limits.balancer_lag
-        state.lifecycle.stop_timeout_ms = settings.limits.stop_timeout
+        state.lifecycle.balancer_lag_ms = int(settings.limits.balancer_lag)
+        state.lifecycle.stop_timeout_ms = int(settings.limits.stop_timeout)
         self._runtime = Runtime(Reducer(state), self._clock)
         self._compose(settings)
 
