Split contended slots between entries with waiting work

Change: peers report the queues that wait for a free worker (`Usage.queued`). Entries with such work split the slots of each worker evenly, and entries of other data centres leave one slot of a worker free.

--- a/apricotgap/core/placement.py
+++ b/apricotgap/core/placement.py
@@ -101,7 +101,9 @@
     `blocked_since_ms` is when work that may displace other work began to wait;
     `preemptible` holds by pool, and by whether they are spilled, the tasks that may
     be checkpointed, newest last; `checkpointing` those that were asked to;
-    `starved` the queues that found no free worker.
+    `starved` the queues that found no free worker; `peers_waiting` by pool when a
+    peer of the data centre last reported that work waits there, and `peer_pools`
+    the pools that each peer reported last.
     """
 
     tasks: dict[str, Task] = field(default_factory=dict)
@@ -116,6 +118,8 @@
     probes: list[tuple[int, str]] = field(default_factory=list)
     estimates: EstimateState = field(default_factory=EstimateState)
     charged_ms: dict[str, int] = field(default_factory=dict)
+    peers_waiting: dict[str, dict[str, int]] = field(default_factory=dict)
+    peer_pools: dict[str, frozenset[str]] = field(default_factory=dict)
     index: worker_index.RoutingIndex | None = None
     n_started: int = 0
     now_ms: int = 0
--- a/apricotgap/core/routing.py
+++ b/apricotgap/core/routing.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from apricotgap.core import estimates, health
+from apricotgap.core.limits import PEER_SILENCE_MS
 from apricotgap.core.worker_index import (
     Group,
     RoutingIndex,
@@ -20,6 +21,9 @@
 
 # Bounds the cost of a choice when many workers are too small or tried before.
 N_EXAMINED = 8
+# Slots of a worker in another data centre that are left to the entries there; an
+# entry that refills every slot at once would starve them.
+KEPT_IN_OTHER_DATA_CENTRES = 1
 
 
 def choose(
@@ -84,6 +88,29 @@
     return None
 
 
+def _is_own_part(
+    state: "EntryState", worker: Worker, n_needed: int, at_ms: int
+) -> bool:
+    """Tell whether the slots belong to this entry's part of the worker.
+
+    An entry that refilled every slot at once would starve the requests that wait
+    at its peers. Entries with waiting work therefore split the slots of a worker
+    evenly, and entries of other data centres leave one slot.
+    """
+    n_slots = worker.instance.slots
+    if worker.instance.data_centre != state.identity.data_centre:
+        n_kept = min(KEPT_IN_OTHER_DATA_CENTRES, n_slots - n_needed)
+        return n_needed + n_kept <= worker.n_free
+    waiting = state.placement.peers_waiting.get(worker.instance.pool)
+    if not waiting:
+        return True
+    n_entries = 1 + sum(
+        at_ms - noted_ms < PEER_SILENCE_MS for noted_ms in waiting.values()
+    )
+    n_own = state.placement.n_slots_in_flight(worker.instance.name)
+    return not n_own or n_own + n_needed <= -(-n_slots // n_entries)
+
+
 def _needs_slots(state: "EntryState", queue: str) -> bool:
     queues = state.queues
     return queue in state.placement.starved or (
@@ -116,6 +143,8 @@
         if not estimates.fits(request.declared, worker.instance):
             continue
         n_needed = estimates.n_slots_needed(request.declared, worker.instance)
+        if not _is_own_part(state, worker, n_needed, at_ms):
+            continue
         n_left = worker.groups[0].n_free - n_needed
         # A pool too small for both keeps no reserve; its batch work would never run.
         n_reserved = min(reserve, worker.groups[0].n_slots - n_needed)
--- a/apricotgap/core/usage.py
+++ b/apricotgap/core/usage.py
@@ -30,11 +30,16 @@
     placement.charged_ms = {}
     waiting = dict(state.queues.n_by_team)
     in_flight = {name: len(tasks) for name, tasks in placement.by_instance.items()}
-    return Usage(charged_ms, waiting, in_flight)
+    queued = {
+        queue: state.queues.n_by_queue[queue]
+        for queue in placement.starved
+        if queue in state.queues.n_by_queue
+    }
+    return Usage(charged_ms, waiting, in_flight, queued)
 
 
 def apply_usage(state: "EntryState", peer: str, usage: Usage) -> None:
-    """Charge what a peer of the same data centre ran to the teams.
+    """Charge what a peer of the same data centre ran, and note what waits there.
 
     Parameters
     ----------
@@ -48,6 +53,7 @@
     """
     if peer == state.identity.entry:
         return
+    _note_queued(state, peer, usage)
     for key, slot_ms in usage.charged_ms.items():
         queue, _, rest = key.partition("/")
         priority, _, team = rest.partition("/")
@@ -56,3 +62,15 @@
         if team and team not in state.config.teams:
             continue
         fair_queue.charge(state, (queue, Priority(priority)), team, slot_ms)
+
+
+def _note_queued(state: "EntryState", peer: str, usage: Usage) -> None:
+    placement, queues = state.placement, state.config.queues
+    pools = {
+        queues[name].pool for name, n in usage.queued.items() if n if name in queues
+    }
+    for pool in placement.peer_pools.get(peer, frozenset()) - pools:
+        del placement.peers_waiting[pool][peer]
+    placement.peer_pools[peer] = frozenset(pools)
+    for pool in sorted(pools):
+        placement.peers_waiting.setdefault(pool, {})[peer] = placement.now_ms
--- a/apricotgap/model/peers.py
+++ b/apricotgap/model/peers.py
@@ -91,11 +91,14 @@
         Requests that wait for an allotment, by team.
     in_flight : dict of str to int
         Tasks in flight, by worker.
+    queued : dict of str to int
+        Requests of queues that wait for a free worker, by queue.
     """
 
     charged_ms: dict[str, int]
     waiting: dict[str, int]
     in_flight: dict[str, int]
+    queued: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -32,6 +32,7 @@
     Request,
     Resources,
 )
+from apricotgap.model.peers import Usage
 from tests.scheduling_harness import Fleet, configuration, dispatched, of_type
 
 
@@ -364,6 +365,25 @@
     assert not firsts[0] & firsts[1]
 
 
+def test_entry_leaves_slots_to_a_waiting_peer(monkeypatch):
+    """Guards against an entry that refills all slots while its peers starve."""
+    fleet = Fleet(monkeypatch, configuration(slots=8))
+    fleet.report("w0")
+    placement.apply_usage(fleet.state, "e2", Usage({}, {}, {}, {"q": 5}))
+    assert sum(len(of_type(fleet.submit(f"a{i}"), Dispatch)) for i in range(8)) == 4
+    assert placement.usage_report(fleet.state).queued == {"q": 4}
+    placement.apply_usage(fleet.state, "e2", Usage({}, {}, {}, {}))
+    assert len(of_type(fleet.report("w0"), Dispatch)) == 4
+
+
+def test_remote_entry_leaves_a_slot_to_the_entries_there(monkeypatch):
+    """Guards against an entry that starves those of another data centre."""
+    fleet = Fleet(monkeypatch, configuration(n_workers=0, slots=2))
+    fleet.report("x0")
+    assert dispatched(fleet.submit("a0")).instance == "x0"
+    assert not fleet.submit("a1")
+
+
 def test_not_sent_is_tried_elsewhere_and_worker_needs_a_new_report(monkeypatch):
     """Guards against further tasks to a server that refuses connections."""
     fleet = Fleet(monkeypatch, configuration(slots=4))
