--- a/apricotgap/core/events/__init__.py
+++ b/apricotgap/core/events/__init__.py
@@ -15,7 +15,9 @@
     PeerReceived,
 )
 from apricotgap.core.events.requests import (
+    BodyFetched,
     CallerGone,
+    ForwardedRequestArrived,
     OutcomeQueried,
     RequestArrived,
     RequestCancelled,
@@ -36,6 +38,7 @@
 )
 from apricotgap.core.events.workers import (
     InstanceListRead,
+    TaskCheckpointed,
     TaskCompleted,
     TaskFailed,
     TaskProbed,
@@ -47,10 +50,12 @@
 )
 
 __all__ = [
+    "BodyFetched",
     "CallerGone",
     "CasFinished",
     "CasResult",
     "Event",
+    "ForwardedRequestArrived",
     "InstanceListRead",
     "KeyValue",
     "LeaseGranted",
@@ -68,6 +73,7 @@
     "StoreCallFailed",
     "StoreChanged",
     "StoreReadFinished",
+    "TaskCheckpointed",
     "TaskCompleted",
     "TaskFailed",
     "TaskProbed",
--- a/apricotgap/core/events/workers.py
+++ b/apricotgap/core/events/workers.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "InstanceListRead",
+    "TaskCheckpointed",
     "TaskCompleted",
     "TaskFailed",
     "TaskProbed",
@@ -79,11 +80,29 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskProbed(Event):
-    """Answer to `ProbeTask`; `state` is None when the server did not answer."""
+    """Answer to `ProbeTask`; `state` is None when the server did not answer.
+
+    ``unknown`` proves that a task never ran only while `boot_id` is the one of the
+    report that the task was dispatched on, since a restarted server forgets tasks.
+    An answer without it proves nothing.
+    """
 
     task_id: str
     state: TaskState | None
     server_now_ms: int = 0
+    boot_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskCheckpointed(Event):
+    """Answer to `CheckpointTask`.
+
+    `stopped` tells whether the task was checkpointed and left its slot; otherwise
+    it runs on. No other event of a stopped task follows.
+    """
+
+    task_id: str
+    stopped: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricotgap/core/limits.py
+++ b/apricotgap/core/limits.py
@@ -2,24 +2,69 @@
 
 __all__ = [
     "CAS_TIMEOUT_MS",
+    "CHANGE_RETRY_MS",
+    "CHANGE_TIMEOUT_MS",
+    "CLAIM_ANSWER_TIMEOUT_MS",
+    "CLAIM_LEASE_WINDOW_MS",
+    "CLAIM_POLL_MS",
     "CLAIM_RETENTION_MS",
+    "CLAIM_TIMEOUT_MS",
+    "CLAIM_WRITES_PER_S",
+    "CLAIM_WRITE_BURST",
+    "CONFIRM_INTERVAL_MS",
+    "CONFIRM_LATEST_MS",
     "DRIFT_FACTOR",
+    "HAND_BACK_TIMEOUT_MS",
     "HEARTBEAT_MS",
     "IN_FORCE_BOUND_MS",
     "LEDGER_WRITE_INTERVAL_MS",
+    "MAX_CLAIM_TRIES",
+    "MAX_PEER_BUFFER_BYTES",
+    "MAX_PEER_HOPS",
+    "MAX_PEER_MESSAGE_BYTES",
+    "MAX_QUARANTINE_DIGESTS",
+    "MAX_RETAINED_BODY_BYTES",
+    "MAX_RETAINED_OUTCOMES",
+    "MAX_STORED_BODY_BYTES",
+    "MAX_STORE_VALUE_BYTES",
     "MAX_TASK_LEASE_MS",
+    "MAX_UNUSED_TICKETS",
     "MEMBER_LEASE_MS",
+    "N_BUDGET_BUCKETS",
+    "N_CHANGES_WAITING",
+    "N_CHANGE_TRIES",
+    "N_INSTANCE_BUCKETS_PER_DATA_CENTRE",
+    "N_KEY_BUCKETS",
+    "N_PART_REMOVALS_PER_CHANGE",
+    "N_PEER_BUFFER_MESSAGES",
+    "N_POOL_BUCKETS",
+    "N_QUEUE_BUCKETS",
+    "N_ROOT_AUTHORS",
+    "N_STEPS_PER_PART",
+    "N_TEAM_BUCKETS",
     "OUTCOME_RETENTION_MS",
+    "PART_FETCH_TIMEOUT_MS",
+    "PART_RETENTION_MS",
+    "PEER_BACKOFF_MAX_MS",
+    "PEER_BACKOFF_MIN_MS",
+    "PEER_HANDSHAKE_TIMEOUT_MS",
+    "PEER_PING_INTERVAL_MS",
+    "PEER_PING_TIMEOUT_MS",
     "PEER_SILENCE_MS",
     "PLAN_RETENTION_MS",
+    "QUARANTINE_KILLS",
+    "READINESS_GRACE_MS",
     "REBOOT_REPEAT_MS",
     "RECLAIM_GRACE_MS",
+    "ROOT_RELAY_DELAY_MS",
+    "ROOT_RELAY_RETRY_MS",
     "RUNNER_INTERVAL_MS",
     "RUNNER_LEASE_MS",
     "RUNNER_PAUSED_INTERVAL_MS",
     "RUNNER_RETRY_MS",
     "START_WINDOW_MS",
     "STATUS_INTERVAL_MS",
+    "STORE_REACH_MS",
     "SURPLUS_HOLD_MS",
     "TASK_LEASE_MS",
     "TICKET_TTL_MS",
@@ -55,6 +100,69 @@
 OUTCOME_RETENTION_MS = 600_000
 CLAIM_RETENTION_MS = 86_400_000
 
+# One lease serves the claims of a window, so that a claim costs one store call.
+CLAIM_LEASE_WINDOW_MS = 3_600_000
+CLAIM_TIMEOUT_MS = 5_000
+MAX_CLAIM_TRIES = 3
+# At the target size 55 entries write 275/s; the store takes several hundred.
+CLAIM_WRITES_PER_S = 5
+CLAIM_WRITE_BURST = 40
+CLAIM_POLL_MS = 500
+CLAIM_ANSWER_TIMEOUT_MS = 3_000
+# Entry, relay of its data centre, relay of the other data centre, entry.
+MAX_PEER_HOPS = 3
+
+MAX_UNUSED_TICKETS = 20_000
+MAX_RETAINED_OUTCOMES = 10_000
+MAX_RETAINED_BODY_BYTES = 16 * 1024 * 1024
+# The store holds values of up to 1 MB and serves all entries.
+MAX_STORED_BODY_BYTES = 64 * 1024
+
+QUARANTINE_KILLS = 2
+MAX_QUARANTINE_DIGESTS = 10_000
+
+# Load balancers notice an unready entry with a lag.
+READINESS_GRACE_MS = 5_000
+# Longest time that a stop waits for the store to take its rows back.
+HAND_BACK_TIMEOUT_MS = 3_000
+# Direct confirmation reads of the root. The first live entry of a data centre reads at
+# the shorter age and the others mostly use its heartbeats; the longer age leaves time
+# for two timed-out reads within the bound.
+CONFIRM_INTERVAL_MS = 1_000
+CONFIRM_LATEST_MS = 2_500
+# An entry that reaches the store renews its lease or reads the root more often.
+STORE_REACH_MS = 3_000
+PART_FETCH_TIMEOUT_MS = 1_000
+# The store's watch usually delivers a new root first; waiting saves the relayed copy.
+ROOT_RELAY_DELAY_MS = 300
+ROOT_RELAY_RETRY_MS = 2_000
+
+# At 2,100 instances in 22 data centres these keep a part near the size of the root.
+N_INSTANCE_BUCKETS_PER_DATA_CENTRE = 2
+N_TEAM_BUCKETS = 8
+N_KEY_BUCKETS = 16
+N_POOL_BUCKETS = 4
+N_QUEUE_BUCKETS = 4
+N_BUDGET_BUCKETS = 4
+N_STEPS_PER_PART = 64
+N_ROOT_AUTHORS = 32
+MAX_STORE_VALUE_BYTES = 1_000_000
+
+N_CHANGE_TRIES = 8
+N_CHANGES_WAITING = 64
+CHANGE_TIMEOUT_MS = 8_000
+CHANGE_RETRY_MS = 250
+PART_RETENTION_MS = 60_000
+N_PART_REMOVALS_PER_CHANGE = 16
+
+MAX_PEER_MESSAGE_BYTES = 4_194_304
+MAX_PEER_BUFFER_BYTES = 8_388_608
+N_PEER_BUFFER_MESSAGES = 1_024
+PEER_PING_INTERVAL_MS = 1_000
+PEER_PING_TIMEOUT_MS = 2_000
+PEER_HANDSHAKE_TIMEOUT_MS = 3_000
+PEER_BACKOFF_MIN_MS = 100
+PEER_BACKOFF_MAX_MS = 2_000
 # Of the maintenance runner: how often it looks at the plans (less often while all
 # are paused), its lease, how often others look for a free role, and how often a
 # reboot request is repeated until the instance reports a new boot.
--- /dev/null
+++ b/apricotgap/core/routing.py
@@ -0,0 +1,156 @@
+"""Choice of a backend server for a request."""
+
+from heapq import heappush
+from typing import TYPE_CHECKING
+
+from apricotgap.core import estimates, health
+from apricotgap.core.limits import PEER_SILENCE_MS
+from apricotgap.core.worker_index import (
+    Group,
+    RoutingIndex,
+    Worker,
+    index_of,
+    refresh,
+)
+from apricotgap.model import Priority, Request
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = ["choose"]
+
+# Bounds the cost of a choice when many workers are too small or tried before.
+N_EXAMINED = 8
+# Slots of a worker in another data centre that are left to the entries there; an
+# entry that refills every slot at once would starve them.
+KEPT_IN_OTHER_DATA_CENTRES = 1
+
+
+def choose(
+    state: "EntryState", request: Request, tried: set[str], at_ms: int
+) -> Worker | None:
+    """Return the best worker that may take the request now.
+
+    Own data centre first, then the others, then idle workers of spare pools.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry instance.
+    request : Request
+        The request.
+    tried : set of str
+        Instances that the request must not be sent to again.
+    at_ms : int
+        Time.
+
+    Returns
+    -------
+    Worker or None
+        None when no worker has room for the request.
+    """
+    index = index_of(state)
+    pool = state.config.pools.get(state.config.queues[request.queue].pool)
+    if pool is None:
+        return None
+    reserve = 0 if request.priority is Priority.URGENT else pool.urgent_reserve_slots
+    for _, group in index.groups.get(pool.name, ()):
+        if group.n_free <= min(reserve, group.n_slots - 1):
+            continue
+        found = _best(state, group, request, tried, reserve=reserve, at_ms=at_ms)
+        if found is not None:
+            return found
+    if pool.spare:
+        return None
+    return _choose_spare(state, index, request, tried, at_ms)
+
+
+def _choose_spare(
+    state: "EntryState",
+    index: RoutingIndex,
+    request: Request,
+    tried: set[str],
+    at_ms: int,
+) -> Worker | None:
+    for spare_name, group in index.spare_groups:
+        spare = state.config.pools[spare_name]
+        queues = index.queues_of_pool.get(spare_name, ())
+        if any(_needs_slots(state, queue) for queue in queues):
+            continue
+        found = _best(state, group, request, tried, reserve=0, at_ms=at_ms)
+        if found is None:
+            continue
+        # Spilled work leaves the reserve of the spare pool to its own urgent work.
+        own_group = found.groups[0]
+        n_needed = estimates.n_slots_needed(request.declared, found.instance)
+        if own_group.n_free - n_needed >= spare.urgent_reserve_slots:
+            return found
+    return None
+
+
+def _is_own_part(
+    state: "EntryState", worker: Worker, n_needed: int, at_ms: int
+) -> bool:
+    """Tell whether the slots belong to this entry's part of the worker.
+
+    An entry that refilled every slot at once would starve the requests that wait
+    at its peers. Entries with waiting work therefore split the slots of a worker
+    evenly, and entries of other data centres leave one slot.
+    """
+    n_slots = worker.instance.slots
+    if worker.instance.data_centre != state.identity.data_centre:
+        n_kept = min(KEPT_IN_OTHER_DATA_CENTRES, n_slots - n_needed)
+        return n_needed + n_kept <= worker.n_free
+    waiting = state.placement.peers_waiting.get(worker.instance.pool)
+    if not waiting:
+        return True
+    n_entries = 1 + sum(
+        at_ms - noted_ms < PEER_SILENCE_MS for noted_ms in waiting.values()
+    )
+    n_own = state.placement.n_slots_in_flight(worker.instance.name)
+    return not n_own or n_own + n_needed <= -(-n_slots // n_entries)
+
+
+def _needs_slots(state: "EntryState", queue: str) -> bool:
+    queues = state.queues
+    return queue in state.placement.starved or (
+        queue in queues.ready and queue in queues.n_by_queue
+    )
+
+
+def _best(
+    state: "EntryState",
+    group: Group,
+    request: Request,
+    tried: set[str],
+    *,
+    reserve: int,
+    at_ms: int,
+) -> Worker | None:
+    kept = []
+    found = None
+    for _ in range(N_EXAMINED):
+        item = group.pop()
+        if item is None:
+            break
+        worker = item[4]
+        if not health.can_take_work(state, worker.instance.name, at_ms):
+            refresh(state, worker.instance.name, at_ms)
+            continue
+        kept.append(item)
+        if worker.instance.name in tried:
+            continue
+        if not estimates.fits(request.declared, worker.instance):
+            continue
+        n_needed = estimates.n_slots_needed(request.declared, worker.instance)
+        if not _is_own_part(state, worker, n_needed, at_ms):
+            continue
+        n_left = worker.groups[0].n_free - n_needed
+        # A pool too small for both keeps no reserve; its batch work would never run.
+        n_reserved = min(reserve, worker.groups[0].n_slots - n_needed)
+        if n_needed <= worker.n_free and n_left >= n_reserved:
+            found = worker
+            break
+    for item in kept:
+        heappush(group.heap, item)
+    return found
--- /dev/null
+++ b/apricotgap/drivers/backends.py
@@ -0,0 +1,335 @@
+"""Tasks and probes to backend servers over HTTP."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import httpcore
+import trio
+
+from apricotgap.clock import Clock
+from apricotgap.core.effects import (
+    CheckpointTask,
+    Dispatch,
+    DropConnections,
+    Effect,
+    ProbeTask,
+    ProbeWorker,
+    RenewTask,
+    StopTask,
+    ThrottleTask,
+)
+from apricotgap.core.events import (
+    Event,
+    TaskCheckpointed,
+    TaskCompleted,
+    TaskFailed,
+    TaskProbed,
+    TaskRefusal,
+    TaskRefused,
+    TaskState,
+    WorkerReported,
+    WorkerUnreachable,
+)
+from apricotgap.drivers.bodies import Answer, Bodies
+from apricotgap.drivers.spans import RequestSpans
+
+__all__ = ["BackendDriver"]
+
+_CONNECT_TIMEOUT_S = 1.0
+_PROBE_TIMEOUT_S = 1.5
+_MAX_ANSWER_BYTES = 64 * 1_048_576
+# Raised before any byte of the request was written.
+_NOT_SENT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.UnsupportedProtocol,
+)
+_NETWORK_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    httpcore.UnsupportedProtocol,
+)
+_REFUSALS = {refusal.value: refusal for refusal in TaskRefusal}
+
+
+class _BadAnswerError(Exception):
+    """The answer names another task or is not whole."""
+
+
+class BackendDriver:
+    """Runs the effects towards backend servers.
+
+    Parameters
+    ----------
+    post : callable
+        Receives events.
+    clock : Clock
+        Time of the events.
+    bodies : Bodies
+        Bodies of requests and answers.
+    spans : RequestSpans
+        Spans of the requests under way.
+    max_connections : int
+        Most connections to one server.
+    """
+
+    def __init__(
+        self,
+        post: Callable[[Event], None],
+        clock: Clock,
+        bodies: Bodies,
+        spans: RequestSpans,
+        max_connections: int = 21,
+    ) -> None:
+        self._post = post
+        self._clock = clock
+        self._bodies = bodies
+        self._spans = spans
+        self._max_connections = max_connections
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def runners(self) -> dict[type[Effect], Callable[..., None]]:
+        """Runner of each effect type."""
+        return {
+            Dispatch: self._start(self._dispatch),
+            ProbeWorker: self._start(self._probe_worker),
+            ProbeTask: self._start(self._probe_task),
+            RenewTask: self._start(self._control("renew")),
+            CheckpointTask: self._start(self._checkpoint),
+            ThrottleTask: self._start(self._control("throttle")),
+            StopTask: self._start(self._control("stop")),
+            DropConnections: self._drop_connections,
+        }
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run effects until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    def _start(self, function: Callable[[Any], Any]) -> Callable[[Effect], None]:
+        def runner(effect: Effect) -> None:
+            if self._nursery is not None:
+                self._nursery.start_soon(function, effect)
+
+        return runner
+
+    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=self._max_connections,
+                max_keepalive_connections=self._max_connections,
+                keepalive_expiry=30.0,
+            )
+            self._pools[address] = pool
+        return pool
+
+    def _drop_connections(self, effect: DropConnections) -> None:
+        # Requests in flight on the old pool finish there; it takes no new ones and
+        # its idle connections are not reused.
+        self._pools.pop(effect.address, None)
+
+    async def _dispatch(self, effect: Dispatch) -> None:
+        body = self._bodies.request(effect.request_id)
+        if body is None:
+            self._failed(effect, sent=False, message="the request body is gone")
+            return
+        started_ms = self._clock.now_ms
+        span = self._spans.start_task(effect)
+        headers: dict[str, str] = {
+            "Content-Type": "application/octet-stream",
+            "Apricotgap-Start-Deadline-Ms": str(effect.server_deadline_ms),
+            "Apricotgap-Task-Lease-Ms": str(effect.lease_ms),
+            "Apricotgap-Priority": effect.priority.value,
+            "Apricotgap-Team": effect.team,
+            **self._spans.trace_headers(span),
+        }
+        try:
+            async with self._pool(effect.address).stream(
+                "POST",
+                f"http://{effect.address}/v1/tasks/{effect.task_id}",
+                headers=list(headers.items()),
+                content=body,
+                extensions={"timeout": _timeouts(effect.timeout_ms)},
+            ) as response:
+                self._check_task_id(effect, response)
+                content = await _read_bounded(response)
+            self._finish(effect, response, content, started_ms)
+        except _NOT_SENT_ERRORS as error:
+            self._failed(effect, sent=False, message=_describe(error))
+        except httpcore.TimeoutException as error:
+            self._failed(effect, sent=True, timed_out=True, message=_describe(error))
+        except (*_NETWORK_ERRORS, _BadAnswerError) as error:
+            self._failed(effect, sent=True, message=_describe(error))
+        finally:
+            span.end()
+
+    def _check_task_id(self, effect: Dispatch, response: httpcore.Response) -> None:
+        answered_id = _header(response, b"apricotgap-task-id")
+        if answered_id == effect.task_id:
+            return
+        # A later answer on this connection could be crossed as well.
+        self._pools.pop(effect.address, None)
+        raise _BadAnswerError(f"the answer is for task {answered_id!r}")
+
+    def _finish(
+        self,
+        effect: Dispatch,
+        response: httpcore.Response,
+        content: bytes,
+        started_ms: int,
+    ) -> None:
+        now_ms = self._clock.now_ms
+        refusal = _header(response, b"apricotgap-not-run")
+        if refusal in _REFUSALS:
+            self._post(TaskRefused(now_ms, effect.task_id, _REFUSALS[refusal]))
+            return
+        ended = _header(response, b"apricotgap-task-ended")
+        if ended == "checkpointed":
+            self._post(TaskCheckpointed(now_ms, effect.task_id, True))
+            return
+        if ended:
+            self._failed(effect, sent=True, message=ended)
+            return
+        if _header(response, b"content-length") != str(len(content)):
+            raise _BadAnswerError("the answer is not whole")
+        content_type = _header(response, b"content-type") or "application/octet-stream"
+        self._bodies.put_answer(
+            effect.task_id, Answer(response.status, content_type, content)
+        )
+        self._post(
+            TaskCompleted(
+                now_ms,
+                effect.task_id,
+                response.status,
+                len(content),
+                now_ms - started_ms,
+            )
+        )
+
+    def _failed(
+        self, effect: Dispatch, *, sent: bool, message: str, timed_out: bool = False
+    ) -> None:
+        self._post(
+            TaskFailed(self._clock.now_ms, effect.task_id, sent, timed_out, message)
+        )
+
+    async def _probe_worker(self, effect: ProbeWorker) -> None:
+        try:
+            data = await self._get(effect.address, "/v1/status", fresh=effect.fresh)
+            report = WorkerReported(
+                self._clock.now_ms,
+                effect.instance,
+                int(data["now_ms"]),
+                int(data["n_slots"]),
+                int(data["n_running"]),
+                bool(data.get("draining", False)),
+                str(data.get("boot_id", "")),
+                {str(k): int(v) for k, v in data.get("n_running_by_team", {}).items()},
+            )
+        except (*_NETWORK_ERRORS, ValueError, KeyError, TypeError, AttributeError):
+            self._post(WorkerUnreachable(self._clock.now_ms, effect.instance))
+            return
+        self._post(report)
+
+    async def _probe_task(self, effect: ProbeTask) -> None:
+        state: TaskState | None = None
+        server_now_ms = 0
+        boot_id = ""
+        try:
+            path = f"/v1/tasks/{effect.task_id}"
+            data = await self._get(effect.address, path, fresh=True)
+            state = TaskState(data["state"])
+            server_now_ms = int(data.get("now_ms", 0))
+            boot_id = str(data.get("boot_id", ""))
+        except (*_NETWORK_ERRORS, ValueError, KeyError, TypeError):
+            state = None
+        self._post(
+            TaskProbed(
+                self._clock.now_ms, effect.task_id, state, server_now_ms, boot_id
+            )
+        )
+
+    async def _get(self, address: str, path: str, *, fresh: bool) -> Any:
+        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), _PROBE_TIMEOUT_S)
+        url = f"http://{address}{path}"
+        if not fresh:
+            response = await self._pool(address).request(
+                "GET", url, extensions={"timeout": timeouts}
+            )
+        else:
+            async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+                response = await pool.request(
+                    "GET",
+                    url,
+                    headers={"Connection": "close"},
+                    extensions={"timeout": timeouts},
+                )
+        if response.status != 200:
+            raise ValueError(f"status {response.status}")
+        return json.loads(response.content)
+
+    def _control(self, action: str) -> Callable[[Any], Any]:
+        # A control call that fails is repeated by the core or ends with the task
+        # lease, so the failure needs no event.
+        async def call(effect: Any) -> None:
+            await self._call_task(effect, action)
+
+        return call
+
+    async def _checkpoint(self, effect: CheckpointTask) -> None:
+        # The answer to the task itself tells that it was checkpointed.
+        if not await self._call_task(effect, "checkpoint"):
+            self._post(TaskCheckpointed(self._clock.now_ms, effect.task_id, False))
+
+    async def _call_task(self, effect: Any, action: str) -> bool:
+        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), _PROBE_TIMEOUT_S)
+        url = f"http://{effect.address}/v1/tasks/{effect.task_id}/{action}"
+        try:
+            response = await self._pool(effect.address).request(
+                "POST", url, extensions={"timeout": timeouts}
+            )
+        except _NETWORK_ERRORS:
+            return False
+        return response.status < 300
+
+
+def _header(response: httpcore.Response, name: bytes) -> str:
+    for key, value in response.headers:
+        if key.lower() == name:
+            return value.decode("latin-1")
+    return ""
+
+
+async def _read_bounded(response: httpcore.Response) -> bytes:
+    chunks = []
+    n_bytes = 0
+    async for chunk in response.aiter_stream():
+        n_bytes += len(chunk)
+        if n_bytes > _MAX_ANSWER_BYTES:
+            raise _BadAnswerError(f"the answer has more than {_MAX_ANSWER_BYTES} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def _timeouts(timeout_ms: int) -> dict[str, float]:
+    silence_s = timeout_ms / 1000
+    return {
+        "connect": _CONNECT_TIMEOUT_S,
+        "pool": _CONNECT_TIMEOUT_S,
+        "read": silence_s,
+        "write": silence_s,
+    }
+
+
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}".rstrip(": ")
--- a/apricotgap/model/peers.py
+++ b/apricotgap/model/peers.py
@@ -39,7 +39,14 @@
     draining : bool
         Whether the sender is stopping.
     relayed_acks : dict of str to int
-        Revisions in force at entries of the sender's data centre.
+        Revisions in force at entries of the sender's data centre; within the data
+        centre a relay adds the entries that it hears of in other data centres.
+    sent_ms : int
+        Sender's clock when it sent this heartbeat.
+    echo_ms : int or None
+        `sent_ms` of the last heartbeat that the sender got from the receiver. It
+        proves that this heartbeat is younger than that one, so a heartbeat that
+        was held up on its way cannot make the view look fresh.
     """
 
     incarnation: str
@@ -48,6 +55,8 @@
     direct_store_age_ms: int | None = None
     draining: bool = False
     relayed_acks: dict[str, int] = field(default_factory=dict)
+    sent_ms: int = 0
+    echo_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,11 +100,14 @@
         Requests that wait for an allotment, by team.
     in_flight : dict of str to int
         Tasks in flight, by worker.
+    queued : dict of str to int
+        Requests of queues that wait for a free worker, by queue.
     """
 
     charged_ms: dict[str, int]
     waiting: dict[str, int]
     in_flight: dict[str, int]
+    queued: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +118,7 @@
     claim_key: str
     claimant: str
     body_digest: str
+    n_hops: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +129,7 @@
     state: str
     status: int = 0
     body: bytes = b""
+    n_body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +145,11 @@
     body: bytes
     expected_run_ms: int | None = None
     max_wait_ms: int = 30_000
+    idempotent: bool = False
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    n_hops: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +162,7 @@
     message: str = ""
     status: int = 0
     body: bytes = b""
+    n_body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
