--- a/apricotgap/drivers/backends.py
+++ b/apricotgap/drivers/backends.py
@@ -224,6 +224,7 @@
         )
 
     async def _probe_worker(self, effect: ProbeWorker) -> None:
+        sent_ms = self._clock.now_ms
         try:
             data = await self._get(effect.address, "/v1/status", fresh=effect.fresh)
             report = WorkerReported(
@@ -235,6 +236,7 @@
                 bool(data.get("draining", False)),
                 str(data.get("boot_id", "")),
                 {str(k): int(v) for k, v in data.get("n_running_by_team", {}).items()},
+                sent_ms,
             )
         except (*_NETWORK_ERRORS, ValueError, KeyError, TypeError, AttributeError):
             self._post(WorkerUnreachable(self._clock.now_ms, effect.instance))
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -1,9 +1,11 @@
 from random import Random
 
 import pytest
+import trio
 
+from apricotgap.clock import FakeClock
 from apricotgap.core import budgets
-from apricotgap.core.effects import LogChange, RevokeLease
+from apricotgap.core.effects import LogChange, ProbeWorker, RevokeLease
 from apricotgap.core.events import CasFinished, CasResult, Tick, WorkerReported
 from apricotgap.core.fleet_facts import WorkerFacts
 from apricotgap.core.plan_steps import (
@@ -12,6 +14,7 @@
     Transition,
     apply_transition,
 )
+from apricotgap.drivers.backends import BackendDriver
 from apricotgap.model import DataCentreState, InstanceState
 from tests.fleet_fakes import KEEP_FIVE, World, make_fleet
 
@@ -106,6 +109,20 @@
     assert held_up.idle
 
 
+def test_driver_tells_when_it_sent_a_probe(monkeypatch):
+    """Guards against a slow report that looks newer than it is."""
+    posted, clock = [], FakeClock(100)
+
+    async def get(driver, address, path, *, fresh):
+        clock.advance(700)
+        return {"now_ms": 5, "n_slots": 8, "n_running": 0}
+
+    monkeypatch.setattr(BackendDriver, "_get", get)
+    driver = BackendDriver(posted.append, clock, None, None)
+    trio.run(driver._probe_worker, ProbeWorker("w", "10.0.0.1:80"))
+    assert (posted[0].sent_ms, posted[0].at_ms) == (100, 800)
+
+
 def test_server_that_was_silent_while_drained_is_rebooted_when_heard(world):
     """Guards against a reboot that waits for a report nobody asks for."""
     world.confirm("drain_instance", "d1-a0", reboot="true")
