Bring the planned steps of the demonstration to their ends

Cause: a finished plan is shown as closed, which the demonstration did not know. Change: accept it; count records of a data centre one instance at a time.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -223,9 +223,7 @@
         before = await self._starts_in("villach")
         await trio.sleep(2)
         after = await self._starts_in("villach")
-        self.check(
-            after == before, f"no task starts in villach: {before} then {after}"
-        )
+        self.check(after == before, f"no task starts in villach: {before} then {after}")
         done = await self._wait_plan(plan["plan_id"], 15)
         self.check(done, f"villach is out after {trio.current_time() - out_s:.1f} s")
         back = await self.operator.must(
@@ -243,18 +241,18 @@
         with trio.move_on_after(timeout_s):
             while True:
                 plan = await self.operator.must("intent", "show", plan_id)
-                if plan["state"] == "done":
+                if plan["state"] in ("done", "closed"):
                     return True
                 await trio.sleep(0.3)
         say(f"plan {plan_id} is not done: {json.dumps(plan)[:600]}")
         return False
 
     async def _starts_in(self, data_centre: str) -> int:
-        return sum(
-            len(await self._records(name))
-            for name in self.fleet.controls
-            if name.startswith(f"{data_centre}-")
-        )
+        n_starts = 0
+        for name in self.fleet.controls:
+            if name.startswith(f"{data_centre}-"):
+                n_starts += len(await self._records(name))
+        return n_starts
 
     async def _records(self, instance: str) -> list[dict[str, Any]]:
         data = await _get(f"{self.fleet.controls[instance]}/records")
@@ -267,9 +265,7 @@
             runs.update(r["request_digest"] for r in await self._records(name))
         runs.update(r["request_digest"] for r in self.records_before_kill)
         codes = await self.fleet.stop_entries()
-        self.check(
-            set(codes.values()) == {0}, f"every entry instance stopped: {codes}"
-        )
+        self.check(set(codes.values()) == {0}, f"every entry instance stopped: {codes}")
         await self.fleet.stop_rest()
         for name in self.fleet.http:
             log = self.folder / f"entry-{name}.log"
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -150,9 +150,7 @@
             d for d in self._spec["data_centres"] if d["name"] in self._data_centres
         ]
         instances = [
-            i
-            for i in self._spec["instances"]
-            if i["data_centre"] in self._data_centres
+            i for i in self._spec["instances"] if i["data_centre"] in self._data_centres
         ]
         self._spec["instances"] = instances
         groups: dict[str, list[dict[str, Any]]] = {}
