Store the result of a finished plan

Cause: after a plan ended, intent show gave its stored proposal as if nothing had happened, so an operator could not tell whether it ran. Change: the runner stores the final plan under a retention lease; intent show reads the result first. Conclusion: a result that cannot be stored is shown as closed, which claims nothing.

--- a/apricotgap/core/operator_intents.py
+++ b/apricotgap/core/operator_intents.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from apricotgap.core import config_view, config_writer, planner
+from apricotgap.core import config_view, config_writer, plan_results, planner
 from apricotgap.core.budgets import Grants
 from apricotgap.core.effects import (
     AnswerOperator,
@@ -124,6 +124,9 @@
         if active is not None and purpose == "show":
             return (AnswerOperator(call_id, _shown(state, active, at_ms)),)
         pending = PlanCall(call_id, purpose, plan_id=plan_id)
+        if purpose == "show":
+            store_call = _begin(state, replace(pending, purpose="result"), "result")
+            return (StoreGet(store_call, plan_results.RESULTS_PREFIX + plan_id),)
         store_call = _begin(state, pending, "read")
         return (StoreGet(store_call, PLANS_PREFIX + plan_id),)
 
@@ -302,6 +305,10 @@
         ]
         plans = [_summary(p) for p in (*active.values(), *open_plans)]
         return (AnswerOperator(pending.call_id, {"items": plans}),)
+    if not stored and pending.purpose == "result":
+        again = replace(pending, purpose="show")
+        key = PLANS_PREFIX + pending.plan_id
+        return (StoreGet(_begin(state, again, "read"), key),)
     if not stored and pending.purpose == "plan":
         raise UnavailableError("the plan was not stored", "plan again")
     if not stored:
@@ -316,6 +323,6 @@
         return config_writer.propose(state, change, at_ms)
     result = _shown(state, plan, at_ms)
     if pending.purpose == "show" and plan.base_revision != state.config.revision:
-        # The stored proposal does not record whether the plan ran or was overtaken.
-        result["summary"]["state"] = "closed"
+        # Without a recorded result it is unknown whether the plan ran or was overtaken.
+        result["state"] = result["summary"]["state"] = "closed"
     return (AnswerOperator(pending.call_id, result),)
--- /dev/null
+++ b/apricotgap/core/plan_results.py
@@ -0,0 +1,49 @@
+"""Results of finished plans, kept in the store for operators to read."""
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, ClassVar
+
+import msgspec
+
+from apricotgap.core.effects import Effect, GrantLease, StoreCas
+from apricotgap.core.events import CasFinished, Event, LeaseGranted, StoreCallFailed
+from apricotgap.core.limits import PLAN_RETENTION_MS
+from apricotgap.core.reducer import Handler
+from apricotgap.model import Plan
+
+if TYPE_CHECKING:
+    from apricotgap.core.state import EntryState
+
+__all__ = ["RESULTS_PREFIX", "SavePlanResult", "record"]
+
+RESULTS_PREFIX = "plan-results/"
+_CALL_PREFIX = "plan-results/"
+
+
+def record(state: "EntryState", plan: Plan) -> Effect:
+    """Begin to store a finished plan, under a lease that bounds how long it is kept.
+
+    A result that cannot be stored is dropped; the plan is then shown as closed.
+    """
+    call_id = f"{_CALL_PREFIX}{plan.plan_id}"
+    state.waves.results[call_id] = plan
+    return GrantLease(call_id, PLAN_RETENTION_MS)
+
+
+class SavePlanResult(Handler):
+    """Writes the finished plan once its lease is granted."""
+
+    handles: ClassVar = (LeaseGranted, CasFinished, StoreCallFailed)
+
+    def apply(self, state: "EntryState", event: Event) -> Iterable[Effect]:
+        """Write, or forget the plan when the call has ended."""
+        assert isinstance(event, LeaseGranted | CasFinished | StoreCallFailed)
+        plan = state.waves.results.get(event.call_id)
+        if plan is None:
+            return
+        if not isinstance(event, LeaseGranted):
+            del state.waves.results[event.call_id]
+            return
+        key = RESULTS_PREFIX + plan.plan_id
+        value = msgspec.json.encode(plan)
+        yield StoreCas(event.call_id, key, 0, value, event.lease_id)
--- a/apricotgap/core/waves.py
+++ b/apricotgap/core/waves.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from apricotgap.core import config_writer, runner_role
+from apricotgap.core import config_writer, plan_results, runner_role
 from apricotgap.core.budgets import Usage, out_of_service
 from apricotgap.core.effects import (
     Count,
@@ -30,7 +30,7 @@
 from apricotgap.core.runner_role import RoleState
 from apricotgap.core.runner_view import RunnerView
 from apricotgap.errors import ApricotgapError, ConflictError
-from apricotgap.model import Configuration, Step, StepKind
+from apricotgap.model import Configuration, Plan, PlanState, Step, StepKind
 
 if TYPE_CHECKING:
     from apricotgap.core.state import EntryState
@@ -90,6 +90,7 @@
     refilled_ms: int = 0
     usage: Usage | None = None
     usage_revision: int = -1
+    results: dict[str, Plan] = field(default_factory=dict)
 
 
 class StepsChange(config_writer.Change):
@@ -114,6 +115,7 @@
         self._transitions = transitions
         self._paused = paused
         self._closed = closed
+        self._final: dict[str, Plan] = {}
 
     def apply(self, config: Configuration) -> Configuration:
         """Apply what still applies.
@@ -140,6 +142,9 @@
         for plan_id in self._closed:
             plan = draft.plans.get(plan_id)
             if plan is not None and all(s.finished for s in plan.steps):
+                cancelled = plan.state is PlanState.CANCELLED
+                state = PlanState.CANCELLED if cancelled else PlanState.DONE
+                self._final[plan_id] = replace(plan, state=state)
                 del draft.plans[plan_id]
                 n_changed += 1
         return n_changed
@@ -167,6 +172,8 @@
             yield LogChange("plan_paused", {"plan": plan_id, "reason": reason})
         for plan_id in self._closed:
             yield LogChange("plan_closed", {"plan": plan_id})
+            if plan_id in self._final:
+                yield plan_results.record(state, self._final[plan_id])
 
 
 def has_work(state: "EntryState") -> bool:
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -241,7 +241,7 @@
         with trio.move_on_after(timeout_s):
             while True:
                 plan = await self.operator.must("intent", "show", plan_id)
-                if plan["state"] in ("done", "closed"):
+                if plan["state"] == "done":
                     return True
                 await trio.sleep(0.3)
         say(f"plan {plan_id} is not done: {json.dumps(plan)[:600]}")
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,11 +19,21 @@
 _ROOT = Path(__file__).resolve().parent.parent
 
 
+# Below the usual range of ephemeral ports, so that no outgoing connection takes the
+# port of a listener while it restarts.
+_PORTS = iter(random.Random(os.getpid()).sample(range(20_000, 30_000), 5_000))
+
+
 def free_port() -> int:
     """Return a loopback port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError("no free port")
 
 
 class Process:
@@ -175,7 +186,7 @@
         items = [
             {
                 "name": m["name"],
-                "address": m["address"] if same_address else "127.0.0.1:0",
+                "address": m["address"] if same_address else f"127.0.0.1:{free_port()}",
                 "slots": m["slots"],
                 "connections": m["connections"],
                 "clock_offset_ms": 1_000 * index,
