Test the allotment handlers and remove empty rows of deleted teams

Cause: a row with neither units nor demand stayed in the document of a deleted team. Change: a holder drops its empty row; one test for each failure of the handlers. Conclusion: documents of deleted teams shrink to nothing but the fence.

--- a/apricotgap/core/allotment_plan.py
+++ b/apricotgap/core/allotment_plan.py
@@ -75,6 +75,9 @@
     if share is not None:
         team = ledger.raise_cap(team, share, fence)
     team = _plan_own(team, holder, need)
+    row = team.rows.get(holder)
+    if row is not None and row.n == 0 and row.wanted == 0:
+        team = ledger.reclaim(team, holder)
     return _plan_cap(before, team, need, share)
 
 
@@ -105,7 +108,7 @@
         lowered = ledger.return_units(
             team, holder, aim, limit, wanted=demand, n_running=need.n_running
         )
-        if lowered.rows.get(holder, ledger.EMPTY).n < held or not lowered.rows:
+        if lowered.rows.get(holder, ledger.EMPTY).n < held:
             return lowered
     return _plan_wanted(_plan_basis(team, holder, need), holder, need)
 
@@ -122,16 +125,13 @@
 
 def _plan_wanted(team: TeamRows, holder: str, need: Need) -> TeamRows:
     row = team.rows.get(holder, ledger.EMPTY)
-    told = min(need.limit, row.wanted)
+    told = min(need.limit, row.wanted) if need.limit else row.wanted
     if told == need.demand or (told > need.demand and not need.give_back):
         return team
     if told < need.demand <= row.usable(need.limit):
         return team
     row = replace(row, wanted=need.demand)
-    rows = {**team.rows, holder: row}
-    if row.n == 0 and row.wanted == 0:
-        del rows[holder]
-    return replace(team, rows=rows)
+    return replace(team, rows={**team.rows, holder: row})
 
 
 def _plan_cap(
--- /dev/null
+++ b/tests/test_allotments.py
@@ -0,0 +1,206 @@
+import pytest
+
+from apricotgap.core import allotments, ledger_codec
+from apricotgap.core.effects import StoreCas
+from apricotgap.core.events import (
+    CasFinished,
+    CasResult,
+    StopRequested,
+    StoreChanged,
+    Tick,
+    WatchBroken,
+)
+from apricotgap.core.limits import LEDGER_WRITE_INTERVAL_MS, RECLAIM_GRACE_MS
+from tests.allotment_cluster import TEAM, Cluster, running
+
+
+def _room(cluster, entry):
+    return allotments.headroom(entry.state, TEAM, cluster.now_ms)
+
+
+def _drive(cluster, n_ticks, waiting, ends_every=20):
+    """Keep `waiting` work at each entry, ending its tasks at intervals."""
+    for i in range(n_ticks):
+        cluster.tick()
+        for entry, n in waiting.items():
+            cluster.work(cluster.entries[entry], n, None if i % ends_every else 0)
+        if i % 10 == 0:
+            cluster.spread_usage()
+
+
+@pytest.fixture
+def cluster(monkeypatch):
+    return Cluster(monkeypatch)
+
+
+def _holding(cluster, n=4):
+    entry = cluster.add("a", "x")
+    cluster.work(entry, n)
+    for _ in range(40):
+        cluster.tick()
+    assert _room(cluster, entry) == n
+    return entry
+
+
+def test_open_queues_have_no_limit_and_a_team_without_row_has_no_room(cluster):
+    """Guards against tasks that start while the store is down and no row is held."""
+    entry = cluster.add("a", "x")
+    entry.reachable = False
+    cluster.tick(30)
+    assert allotments.headroom(entry.state, "", cluster.now_ms) > 1_000
+    assert _room(cluster, entry) == 0
+
+
+def test_rows_stay_usable_while_the_store_is_down(cluster):
+    """Guards against work that stops with the store while the lease is valid."""
+    entry = _holding(cluster)
+    entry.reachable = False
+    cluster.tick(50)
+    assert _room(cluster, entry) == 4
+
+
+def test_lapse_stops_starts_until_the_row_is_read_and_renewed(cluster):
+    """Guards against a paused holder that uses a row which was reclaimed."""
+    entry = _holding(cluster)
+    entry.paused_until_ms = cluster.now_ms + 15_000
+    cluster.tick(149)
+    assert _room(cluster, entry) == 0
+    n_writes = cluster.n_writes
+    cluster.tick(20)
+    assert cluster.n_writes > n_writes
+    assert _room(cluster, entry) > 0
+
+
+def test_raise_counts_only_once_stored(cluster):
+    """Guards against tasks under units that a lost write never took."""
+    entry = _holding(cluster)
+    cluster.work(entry, 8)
+    entry.reachable = False
+    cluster.tick(15)
+    assert entry.state.allotments.writing or entry.state.allotments.unresolved
+    assert running(entry) + _room(cluster, entry) == 4
+
+
+def test_lost_lowering_counts_until_the_revision_moves(cluster):
+    """Guards against reading the old row again before the lost write lands."""
+    entry = _holding(cluster)
+    own = entry.state.allotments
+    allotments.set_waiting(entry.state, TEAM, 0)
+    write = None
+    while write is None:
+        cluster.now_ms += 100
+        effects = entry.reducer.step(Tick(cluster.now_ms))
+        for effect in effects:
+            write = effect if isinstance(effect, StoreCas) else write
+    lost = CasFinished(cluster.now_ms, write.call_id, write.key, CasResult.UNKNOWN)
+    entry.reducer.step(lost)
+    prefix = ledger_codec.data_centre_prefix("x")
+    items = (cluster._item(write.key),)
+    entry.reducer.step(StoreChanged(cluster.now_ms, prefix, items))
+    assert own.unresolved and _room(cluster, entry) == 0
+
+
+def test_lowered_limit_scales_the_row_and_reports_surplus(cluster):
+    """Guards against tasks above a lowered limit that nobody drains."""
+    entry = _holding(cluster)
+    cluster.work(entry, 4)
+    cluster.set_limit(5)
+    cluster.put_config(entry)
+    assert _room(cluster, entry) == 0
+    assert allotments.surplus(entry.state) == {TEAM: 2}
+
+
+def test_idle_units_return_after_the_hold_time_or_at_once_when_wanted(cluster):
+    """Guards against units that stay where nobody needs them."""
+    entry = _holding(cluster, 10)
+    other = cluster.add("b", "y")
+    cluster.work(entry, 0)
+    cluster.work(other, 10)
+    _drive(cluster, 100, {"b/1": 10}, ends_every=1_000)
+    assert running(other) == 10
+
+
+def test_late_data_centre_reaches_its_fair_part_and_units_stay(cluster):
+    """Guards against starvation of a data centre that comes late, and oscillation."""
+    for name in "ab":
+        cluster.add(name, "x")
+    _drive(cluster, 100, {"a/1": 20, "b/1": 20})
+    cluster.add("c", "y")
+    waiting = {"a/1": 20, "b/1": 20, "c/1": 20}
+    _drive(cluster, 200, waiting)
+    held = [running(entry) for entry in cluster.entries.values()]
+    assert sorted(held[:2]) == [2, 3] and held[2] == 5
+    n_writes = cluster.n_writes
+    _drive(cluster, 100, waiting)
+    assert cluster.n_writes == n_writes
+
+
+def test_writes_keep_their_interval(cluster):
+    """Guards against store writes that grow with changes of demand."""
+    entry = cluster.add("a", "x")
+    for i in range(100):
+        cluster.work(entry, i % 7, 0)
+        cluster.tick()
+    assert cluster.n_writes <= cluster.now_ms // LEDGER_WRITE_INTERVAL_MS + 1
+
+
+def test_row_of_a_dead_entry_is_reclaimed_only_after_the_grace_time(cluster):
+    """Guards against a reclaim on suspicion, and against units lost for good."""
+    dead = _holding(cluster, 10)
+    other = cluster.add("b", "x")
+    dead.alive, dead.lease_until_ms = False, cluster.now_ms
+    cluster.list_instances({"b"})
+    _drive(cluster, RECLAIM_GRACE_MS // 100 - 10, {"b/1": 10})
+    assert running(other) == 0
+    _drive(cluster, 60, {"b/1": 10})
+    assert running(other) == 10
+
+
+def test_lost_store_contact_starts_the_grace_time_again(cluster):
+    """Guards against a reclaim by an entry that was itself cut off."""
+    dead = _holding(cluster, 10)
+    other = cluster.add("b", "x")
+    dead.alive, dead.lease_until_ms = False, cluster.now_ms
+    cluster.list_instances({"b"})
+    _drive(cluster, RECLAIM_GRACE_MS // 100 - 20, {"b/1": 10})
+    prefix = ledger_codec.data_centre_prefix("x")
+    cluster.step(other, WatchBroken(cluster.now_ms, prefix))
+    _drive(cluster, 100, {"b/1": 10})
+    assert running(other) == 0
+
+
+def test_new_incarnation_starts_without_rows(cluster):
+    """Guards against a restarted entry that uses the units of its former tasks."""
+    entry = _holding(cluster, 10)
+    entry.alive = False
+    again = cluster.replace_entry(entry)
+    _drive(cluster, 50, {"a/2": 10})
+    assert running(again) == 0
+
+
+def test_planned_stop_hands_everything_back(cluster):
+    """Guards against units that stay with an entry that has left."""
+    entry = _holding(cluster)
+    cluster.step(entry, StopRequested(cluster.now_ms))
+    cluster.tick(60)
+    assert allotments.handed_back(entry.state)
+    other = cluster.add("b", "y")
+    _drive(cluster, 60, {"b/1": 10})
+    assert running(other) == 10
+
+
+def test_rows_of_a_deleted_team_go_when_nothing_runs(cluster):
+    """Guards against documents that grow with every team there ever was."""
+    entry = _holding(cluster)
+    cluster.work(entry, 4)
+    cluster.set_limit(0)
+    cluster.put_config(entry)
+    cluster.tick(50)
+    assert allotments.surplus(entry.state) == {TEAM: 4}
+    cluster.work(entry, 0, 0)
+    cluster.tick(150)
+    stored = {key: value for key, (value, _) in cluster.store.items()}
+    bucket = ledger_codec.bucket_of(TEAM)
+    rows = ledger_codec.decode_ledger(stored[ledger_codec.data_centre_key("x", bucket)])
+    assert rows.teams == {} and rows.fence > 0
+    assert ledger_codec.decode_fleet(stored[ledger_codec.fleet_key(bucket)]).teams == {}
