Check lapses together with limit changes and lost writes

Cause: the specification let a resumed holder see the newest limit without naming that as a guard, and did not combine lost writes with a reclaim. Conclusion: a resumed holder must take the newest configuration before it starts anything, which the configuration view has to provide.

--- a/proof/model_check.py
+++ b/proof/model_check.py
@@ -4,7 +4,12 @@
 
 import click
 
-from proof.allotments import AllotmentHolders, AllotmentLevels, AllotmentLimits
+from proof.allotments import (
+    AllotmentHolders,
+    AllotmentLateWrites,
+    AllotmentLevels,
+    AllotmentLimits,
+)
 from proof.checker import Result, Specification, explore
 from proof.claims import Claims
 from proof.configuration import ConfigurationView
@@ -15,6 +20,7 @@
 SPECIFICATIONS: tuple[type[Specification], ...] = (
     AllotmentLimits,
     AllotmentHolders,
+    AllotmentLateWrites,
     AllotmentLevels,
     Claims,
     ConfigurationView,
