Model the query of a claimant

Cause: the claims specification ended a second submission as unknown without asking the claimant. Change: a query step, its guard and its mutant, and the invariant that an answer is that of a task of the key. Conclusion: only the claimant may tell an outcome.

--- a/proof/claims.py
+++ b/proof/claims.py
@@ -56,6 +56,7 @@
     invariants = (
         "I9: a non-idempotent request runs at most once",
         "I8: a refusal that says not run is true",
+        "I7: an answer is that of a task of this key",
     )
     guards: ClassVar[dict[str, str]] = {
         "claim before dispatch": "two entries that dispatch one key",
@@ -63,6 +64,7 @@
         "abandon only before dispatch": "an abandoned claim whose task runs",
         "re-read a lost claim": "not run, said of a claim that took effect",
         "retry only on proof": "a second task while the first may run",
+        "only the claimant tells the outcome": "an answer before there is one",
         "start deadline": "a task that starts after a probe did not find it",
         "a new incarnation does not own old claims": "a rerun after a restart",
     }
@@ -76,6 +78,9 @@
         world = cast(World, state)
         if world.n_started > 1:
             return self.invariants[0]
+        answers = [submission.answer for submission in world.submissions]
+        if "completed" in answers and not world.n_started:
+            return self.invariants[2]
         for i, submission in enumerate(world.submissions):
             started = any(t.by == i and t.place == "started" for t in world.tasks)
             if submission.answer == "not run" and started:
@@ -114,6 +119,8 @@
                 yield f"the answer to {i} is lost", lost
         elif stage == "lost":
             yield from self._resolve(world, i, submission)
+        elif stage == "asking":
+            yield from self._ask(world, i, submission)
         elif stage == "claimed":
             yield f"{i} dispatches", _dispatch(world, i)
             yield f"{i} is refused", self._abandon(world, i)
@@ -133,7 +140,21 @@
             claimant = cast(Claim, claim).claimant
             if claimant.rstrip("'0123456789") == submission.entry.rstrip("'"):
                 return _put(world, i, submission._replace(stage="claimed"))
-        return _put(world, i, submission._replace(stage="done", answer="unknown"))
+        return _put(world, i, submission._replace(stage="asking"))
+
+    def _ask(self, world: World, i: int, submission: Submission) -> Iterator[Step]:
+        """Ask the claimant; nobody else knows what became of the request."""
+        claim = cast(Claim, world.claim)
+        unknown = submission._replace(stage="done", answer="unknown")
+        yield f"{i} gets no answer of the claimant", _put(world, i, unknown)
+        if claim.abandoned:
+            again = submission._replace(stage="new")
+            yield f"{i} hears that the claim is abandoned", _put(world, i, again)
+        holder = world.submissions[int(claim.claimant.lstrip("ab'"))]
+        completed = holder.answer == "completed" and self._is_live(world, claim)
+        if completed or not self.guarded("only the claimant tells the outcome"):
+            done = submission._replace(stage="done", answer="completed")
+            yield f"{i} hears of the answer from the claimant", _put(world, i, done)
 
     def _is_live(self, world: World, claim: Claim) -> bool:
         return claim.claimant.rstrip("0123456789") in world.alive
