Give each entry instance its own pool in the demonstration's callers

Cause: choosing a connection scans the whole pool; with 200 connections the callers spent most of a core on it and delayed every step. Change: one pool for each entry instance; the first line of a child is read at once.

--- a/demo/callers.py
+++ b/demo/callers.py
@@ -3,7 +3,7 @@
 import hashlib
 import itertools
 import json
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass
 from random import Random
 
@@ -82,7 +82,11 @@
         self.records: list[Record] = []
         self.stopping = False
         self.ready: list[str] = list(fleet.http)
-        self._pool = httpcore.AsyncConnectionPool(max_connections=200)
+        # One pool for each entry instance: the time to choose a connection grows
+        # with the connections of a pool.
+        self._pools: defaultdict[str, httpcore.AsyncConnectionPool] = defaultdict(
+            lambda: httpcore.AsyncConnectionPool(max_connections=64)
+        )
 
     async def watch_readiness(self) -> None:
         """Poll the readiness checks, as a load balancer does."""
@@ -90,7 +94,7 @@
             ready = []
             for name, address in self._fleet.http.items():
                 try:
-                    response = await self._pool.request(
+                    response = await self._pools[name].request(
                         "GET",
                         f"http://{address}/readyz",
                         extensions={"timeout": _timeouts(0.5)},
@@ -186,7 +190,7 @@
         self, path: str, headers: dict[str, str], body: bytes
     ) -> tuple[int, str, bytes]:
         entry = self._rng.choice(self.ready or list(self._fleet.http))
-        response = await self._pool.request(
+        response = await self._pools[entry].request(
             "POST",
             f"http://{self._fleet.http[entry]}{path}",
             headers=list(headers.items()),
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -72,7 +72,7 @@
         assert stdout is not None
         with trio.fail_after(_START_TIMEOUT_S):
             while not line.endswith(b"\n"):
-                chunk = await stdout.receive_some(1)
+                chunk = await stdout.receive_some(65_536)
                 if not chunk:
                     raise RuntimeError(f"{self.name} ended before it listened")
                 line += chunk
