Write shares before rows that only tell other work

Cause: the rows of a bucket carry the work that the entry wants. With demand that changed every second the rows were due at every write, so the share of the data centre was never raised and the team got no unit.

Change: rows whose units stay the same are written after the shares of the bucket.

--- a/apricotgap/core/allotment_writes.py
+++ b/apricotgap/core/allotment_writes.py
@@ -86,9 +86,7 @@
         teams = _active_teams(state, bucket)
         _note_idle(state, teams, at_ms)
         _ask_fleet(state, bucket, teams, at_ms)
-        effect = _write_rows(state, bucket, teams, gone, at_ms) or _write_shares(
-            state, bucket, teams, at_ms
-        )
+        effect = _next_write(state, bucket, teams, gone, at_ms)
         if effect is not None:
             own.next_bucket = (bucket + 1) % ledger_codec.N_BUCKETS
             yield Count("allotment_writes")
@@ -192,22 +190,65 @@
             return
 
 
-def _write_rows(
+def _next_write(
     state: EntryState,
     bucket: int,
     teams: list[str],
     gone: frozenset[str],
     at_ms: int,
 ) -> StoreCas | None:
-    document = _document(state, bucket)
+    """Return the next write of a bucket.
+
+    Rows whose only change is the work told to others come after the shares: demand
+    that changes all the time would otherwise keep the share from ever rising.
+    """
+    planned = _plan_rows(state, bucket, teams, gone, at_ms)
+    stored_rows = _document(state, bucket).ledger
+    if not _same_units(planned, stored_rows) or _must_write(state, bucket):
+        return _write_rows(state, bucket, planned, at_ms)
+    shares = _write_shares(state, bucket, teams, at_ms)
+    if shares is not None or planned == stored_rows:
+        return shares
+    return _write_rows(state, bucket, planned, at_ms)
+
+
+def _same_units(one: DataCentreLedger, other: DataCentreLedger) -> bool:
+    def units(document: DataCentreLedger) -> DataCentreLedger:
+        teams = {
+            name: replace(
+                team, rows={h: replace(r, wanted=0) for h, r in team.rows.items()}
+            )
+            for name, team in document.teams.items()
+        }
+        return replace(document, teams=teams)
+
+    return one == other or units(one) == units(other)
+
+
+def _must_write(state: EntryState, bucket: int) -> bool:
+    own = state.allotments
     key = ledger_codec.data_centre_key(state.identity.data_centre, bucket)
-    planned = document.ledger
+    return bucket in own.to_renew or any(w.key == key for w in own.unresolved)
+
+
+def _plan_rows(
+    state: EntryState,
+    bucket: int,
+    teams: list[str],
+    gone: frozenset[str],
+    at_ms: int,
+) -> DataCentreLedger:
+    planned = _document(state, bucket).ledger
     for team in teams:
         planned = _plan_team(state, planned, team, gone, at_ms)
-    forced = any(write.key == key for write in state.allotments.unresolved)
-    renews = bucket in state.allotments.to_renew
-    if planned == document.ledger and not forced and not renews:
-        return None
+    return planned
+
+
+def _write_rows(
+    state: EntryState, bucket: int, planned: DataCentreLedger, at_ms: int
+) -> StoreCas | None:
+    document = _document(state, bucket)
+    key = ledger_codec.data_centre_key(state.identity.data_centre, bucket)
     return _cas(state, key, bucket, document.revision, planned, at_ms=at_ms)
 
 
--- a/tests/test_allotments_sequences.py
+++ b/tests/test_allotments_sequences.py
@@ -58,6 +58,19 @@
     _recovers(cluster)
 
 
+def test_growing_demand_gets_units(monkeypatch):
+    """Guards against demand that changes at every step and so never gets a share.
+
+    Three writes a second apart are needed.
+    """
+    cluster = Cluster(monkeypatch, limit=1_000)
+    entry = cluster.add("a", "x")
+    for n_waiting in range(1, 50):
+        cluster.work(entry, n_waiting)
+        cluster.tick()
+    assert running(entry) > 0
+
+
 def _recovers(cluster):
     cluster.faults = 0.0
     cluster.set_limit(12)
