--- a/bench/counted_entry.py
+++ b/bench/counted_entry.py
@@ -38,7 +38,10 @@
     def install(self) -> None:
         """Replace the methods of the stream class."""
         counting = self
-        send_all, receive_some = trio.SocketStream.send_all, trio.SocketStream.receive_some
+        send_all, receive_some = (
+            trio.SocketStream.send_all,
+            trio.SocketStream.receive_some,
+        )
 
         async def counted_send(self: Any, data: Any) -> None:
             await send_all(self, data)
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -1,7 +1,9 @@
 """Entry instances and stand-ins as processes on loopback, of a given size."""
 
 import json
+import os
 import signal
+import socket
 from collections import Counter
 from pathlib import Path
 from typing import Any
@@ -15,14 +17,31 @@
 from apricotgap.model import Configuration
 from bench.fleets import Size, configuration
 from bench.measuring import memory_mb, process_ms
-from demo.processes import Process, free_port
+from demo.processes import Process
 
-__all__ = ["Deployment", "Usage", "call"]
+__all__ = ["Deployment", "Usage", "call", "free_address"]
 
 _N_WORKERS_IN_PROCESS = 200
 _START_TIMEOUT_S = 60.0
 
 
+# Below the range from which the kernel takes the ports of outgoing connections, which
+# could otherwise be in use when a process comes to listen.
+_ports = iter(range(10_000 + os.getpid() % 17_000, 32_000))
+
+
+def free_address() -> str:
+    """Return a loopback address that is free and is not returned again."""
+    for port in _ports:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
+    raise OSError("no free port is left")
+
+
 async def call(
     method: str,
     url: str,
@@ -164,9 +183,9 @@
         for i in range(self._size.n_entries):
             centre = f"dc{i % n_centres:02d}"
             self.centre_of[f"{centre}-e{i // n_centres}"] = centre
-        seeds = {name: f"127.0.0.1:{free_port()}" for name in self.centre_of}
+        seeds = {name: free_address() for name in self.centre_of}
         for name, centre in self.centre_of.items():
-            self.http[name] = f"127.0.0.1:{free_port()}"
+            self.http[name] = free_address()
             settings = {
                 "entry": {
                     "name": name,
