Group the active teams of the ledgers once a tick

Cause: each tick hashed every team for each of the 16 buckets.

Change: teams are grouped by bucket in one pass and their buckets are cached.

--- a/apricotgap/core/allotment_writes.py
+++ b/apricotgap/core/allotment_writes.py
@@ -82,8 +82,9 @@
         return
     if last_ms is not None and at_ms - last_ms < LEDGER_WRITE_INTERVAL_MS:
         return
+    active = _active_teams(state)
     for bucket in _buckets(state):
-        teams = _active_teams(state, bucket)
+        teams = active.get(bucket, [])
         _note_idle(state, teams, at_ms)
         _ask_fleet(state, bucket, teams, at_ms)
         effect = _next_write(state, bucket, teams, gone, at_ms)
@@ -111,14 +112,15 @@
     yield from sorted(busy, key=lambda b: (b - start) % ledger_codec.N_BUCKETS)
 
 
-def _active_teams(state: EntryState, bucket: int) -> list[str]:
+def _active_teams(state: EntryState) -> dict[int, list[str]]:
+    """Return the teams with work or rows, sorted, by bucket."""
     own = state.allotments
-    named = {
-        team
-        for team in {**own.running, **own.waiting}
-        if ledger_codec.bucket_of(team) == bucket
-    }
-    return sorted(named.union(_document(state, bucket).ledger.teams))
+    active: dict[int, set[str]] = {}
+    for team in {**own.running, **own.waiting}:
+        active.setdefault(ledger_codec.bucket_of(team), set()).add(team)
+    for bucket, document in own.documents.items():
+        active.setdefault(bucket, set()).update(document.ledger.teams)
+    return {bucket: sorted(teams) for bucket, teams in active.items()}
 
 
 def _document(state: EntryState, bucket: int) -> Stored[DataCentreLedger]:
--- a/apricotgap/core/ledger_codec.py
+++ b/apricotgap/core/ledger_codec.py
@@ -1,6 +1,7 @@
 """Stored form of allotment documents."""
 
 from dataclasses import asdict
+from functools import lru_cache
 from hashlib import sha256
 from typing import TypeVar
 
@@ -27,6 +28,7 @@
 _Ledger = TypeVar("_Ledger", FleetLedger, DataCentreLedger)
 
 
+@lru_cache(maxsize=4_096)
 def bucket_of(team: str) -> int:
     """Return the bucket of a team; the same at every entry instance."""
     return int.from_bytes(sha256(team.encode()).digest()[:4], "big") % N_BUCKETS
