Take an equal part of the limit at the first need and keep it

An entry took units only for the work that waited, returned them after 2 s, and each change cost up to three store writes at one write a second. A holder also counted others as short while free units covered their need, so units were taken and returned in turn. Change: with its first work an entry takes its equal part of the limit and keeps it while nobody lacks units; others count as short only beyond the free units, or when the holder wants more than its fair part; writes follow a token bucket of one a second with a burst of 24. Conclusion: a team that works at times starts without a store write.

--- a/apricotgap/core/allotment_plan.py
+++ b/apricotgap/core/allotment_plan.py
@@ -34,6 +34,11 @@
         others wait for units.
     cap_idle : bool
         Whether the same holds for units of the cap that no row has taken.
+    base : int
+        Units that the holder takes with its first work and keeps while nobody else
+        lacks units, so that the next request need not wait for the store.
+    base_of_data_centre : int
+        The same for the whole data centre.
     """
 
     limit: int
@@ -41,6 +46,8 @@
     n_waiting: int = 0
     give_back: bool = False
     cap_idle: bool = False
+    base: int = 0
+    base_of_data_centre: int = 0
 
     @property
     def demand(self) -> int:
@@ -99,14 +106,16 @@
     bound = fair_bound(team, holder, need)
     aim = demand if bound is None else min(demand, bound)
     if aim > held:
+        units = aim if bound is not None else max(aim, need.base)
         raised = ledger.take(
-            team, holder, aim, limit, wanted=demand, n_running=need.n_running
+            team, holder, units, limit, wanted=demand, n_running=need.n_running
         )
         if raised.rows.get(holder, ledger.EMPTY).n > held:
             return raised
-    if (held > demand and need.give_back) or (bound is not None and held > aim):
+    kept = max(aim, need.base) if bound is None else aim
+    if (held > kept and need.give_back) or (bound is not None and held > aim):
         lowered = ledger.return_units(
-            team, holder, aim, limit, wanted=demand, n_running=need.n_running
+            team, holder, kept, limit, wanted=demand, n_running=need.n_running
         )
         if lowered.rows.get(holder, ledger.EMPTY).n < held:
             return lowered
@@ -139,7 +148,7 @@
 ) -> TeamRows:
     limit = need.limit
     generation = share.generation if share is not None else 0
-    floor = data_centre_wants(team, limit)
+    floor = max(data_centre_wants(team, limit), need.base_of_data_centre)
     if team.target is not None:
         floor = min(floor, team.target)
     rose = team.cap.generation != before.cap.generation
@@ -161,6 +170,7 @@
     limit: int,
     *,
     fence: int,
+    base: int = 0,
 ) -> FleetLedger:
     """Return the fleet document as the data centre wants it for one team.
 
@@ -178,6 +188,8 @@
         Upper limit in force.
     fence : int
         Fence of the data centre document.
+    base : int
+        Units to raise the share to at least when it is raised and nobody is short.
 
     Returns
     -------
@@ -193,7 +205,10 @@
     if aim > cap_units:
         if ledger.cap_may_rise(team, share, fence) and share.usable(limit) > cap_units:
             return fleet
-        raised = ledger.raise_share(fleet, name, data_centre, aim, limit, wanted=wanted)
+        units = aim if others_short else max(aim, base)
+        raised = ledger.raise_share(
+            fleet, name, data_centre, units, limit, wanted=wanted
+        )
         if raised.teams[name][data_centre].usable(limit) > cap_units:
             return raised
     if ledger.cap_allows_lowering(share, team.cap) or (share.wanted and not wanted):
@@ -234,7 +249,12 @@
     wanted = {other: min(limit, row.wanted) for other, row in rows.items()}
     wanted[name] = demand
     parts = ledger.fair_parts(n_units, wanted)
-    short = any(
-        row.usable(limit) < parts[other] for other, row in rows.items() if other != name
+    lacking = sum(
+        max(0, parts[other] - row.usable(limit))
+        for other, row in rows.items()
+        if other != name
     )
-    return parts[name], short
+    free = n_units - sum(row.usable(limit) for row in rows.values())
+    # Free units serve what others lack, unless this holder would take them first.
+    contested = lacking > 0 and demand > parts[name]
+    return parts[name], contested or lacking > max(0, free)
--- a/apricotgap/core/allotment_writes.py
+++ b/apricotgap/core/allotment_writes.py
@@ -3,7 +3,13 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
 
-from apricotgap.core import allotment_plan, ledger, ledger_codec, reclaim
+from apricotgap.core import (
+    allotment_plan,
+    ledger,
+    ledger_codec,
+    membership,
+    reclaim,
+)
 from apricotgap.core.allotments import (
     Stored,
     Write,
@@ -14,6 +20,7 @@
 from apricotgap.core.effects import Count, Effect, StoreCas
 from apricotgap.core.limits import (
     CAS_TIMEOUT_MS,
+    LEDGER_WRITE_BURST,
     LEDGER_WRITE_INTERVAL_MS,
     SURPLUS_HOLD_MS,
 )
@@ -77,10 +84,9 @@
     own = state.allotments
     _give_up_write(state, at_ms)
     gone = reclaim.gone_holders(state, at_ms)
-    last_ms = own.last_write_ms
     if own.writing is not None or not own.confirmed or at_ms < own.plan_after_ms:
         return
-    if last_ms is not None and at_ms - last_ms < LEDGER_WRITE_INTERVAL_MS:
+    if not _may_write(state, at_ms):
         return
     active = _active_teams(state)
     for bucket in _buckets(state):
@@ -97,6 +103,16 @@
     own.plan_after_ms = at_ms + LEDGER_WRITE_INTERVAL_MS
 
 
+def _may_write(state: EntryState, at_ms: int) -> bool:
+    """Tell whether the write rate permits one more; a burst serves a first need."""
+    own = state.allotments
+    elapsed_ms = at_ms - (own.last_write_ms if own.last_write_ms is not None else at_ms)
+    refilled = own.write_credit_ms + elapsed_ms
+    own.write_credit_ms = min(refilled, LEDGER_WRITE_BURST * LEDGER_WRITE_INTERVAL_MS)
+    own.last_write_ms = at_ms
+    return own.write_credit_ms >= LEDGER_WRITE_INTERVAL_MS
+
+
 def _give_up_write(state: EntryState, at_ms: int) -> None:
     own = state.allotments
     if own.writing is not None and at_ms - own.writing.sent_ms > 3 * CAS_TIMEOUT_MS:
@@ -173,9 +189,25 @@
         n_waiting=0 if state.stopping else own.waiting.get(team, 0),
         give_back=held(own.idle_since_ms),
         cap_idle=held(own.cap_idle_since_ms),
+        base=0 if state.stopping else _base(state, team, at_ms),
+        base_of_data_centre=_data_centre_base(state, team, at_ms),
     )
 
 
+def _base(state: EntryState, team: str, at_ms: int) -> int:
+    """Return an equal part of the limit for each live entry instance, at least 1."""
+    n_entries = max(1, len(membership.live_entries(state, at_ms)))
+    return min(limit_of(state, team), max(1, limit_of(state, team) // n_entries))
+
+
+def _data_centre_base(state: EntryState, team: str, at_ms: int) -> int:
+    data_centre = state.identity.data_centre
+    if state.stopping:
+        return 0
+    n_own = max(1, len(membership.live_entries_of(state, data_centre, at_ms)))
+    return min(limit_of(state, team), n_own * _base(state, team, at_ms))
+
+
 def _ask_fleet(state: EntryState, bucket: int, teams: list[str], at_ms: int) -> None:
     """Read the shares when units are missing, wanted elsewhere, or at intervals."""
     own = state.allotments
@@ -315,6 +347,7 @@
             _rows_of(state, bucket, team),
             limit_of(state, team),
             fence=_document(state, bucket).ledger.fence,
+            base=_need(state, team, at_ms).base_of_data_centre,
         )
     if planned == fleet.ledger:
         return None
@@ -337,7 +370,7 @@
     call_id = next_call(state)
     planned = replace(planned, writer=f"{holder_of(state)}/{call_id}")
     own.writing = Write(call_id, key, bucket, revision, planned, at_ms)
-    own.last_write_ms = at_ms
+    own.write_credit_ms -= LEDGER_WRITE_INTERVAL_MS
     return StoreCas(call_id, key, revision, ledger_codec.encode(planned))
 
 
--- a/apricotgap/core/allotments.py
+++ b/apricotgap/core/allotments.py
@@ -6,7 +6,11 @@
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 from apricotgap.core import ledger_codec, membership
-from apricotgap.core.limits import MEMBER_LEASE_MS
+from apricotgap.core.limits import (
+    LEDGER_WRITE_BURST,
+    LEDGER_WRITE_INTERVAL_MS,
+    MEMBER_LEASE_MS,
+)
 from apricotgap.model.ledger import DataCentreLedger, FleetLedger, Row, TeamRows
 
 if TYPE_CHECKING:
@@ -92,6 +96,7 @@
     writing: Write | None = None
     unresolved: list[Write] = field(default_factory=list)
     last_write_ms: int | None = None
+    write_credit_ms: int = LEDGER_WRITE_BURST * LEDGER_WRITE_INTERVAL_MS
     plan_after_ms: int = 0
     next_bucket: int = 0
     n_calls: int = 0
--- a/apricotgap/core/limits.py
+++ b/apricotgap/core/limits.py
@@ -17,6 +17,7 @@
     "HAND_BACK_TIMEOUT_MS",
     "HEARTBEAT_MS",
     "IN_FORCE_BOUND_MS",
+    "LEDGER_WRITE_BURST",
     "LEDGER_WRITE_INTERVAL_MS",
     "MAX_CLAIM_TRIES",
     "MAX_PEER_BUFFER_BYTES",
@@ -93,7 +94,10 @@
 )
 
 CAS_TIMEOUT_MS = 1_000
+# An entry writes one document an interval on average. A burst lets the teams of
+# several buckets get their first units within the bound on urgent starts.
 LEDGER_WRITE_INTERVAL_MS = 1_000
+LEDGER_WRITE_BURST = 24
 SURPLUS_HOLD_MS = 2_000
 
 TICKET_TTL_MS = 60_000
