--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -86,9 +86,9 @@
     async def _configure(self) -> None:
         await self._wait_ready()
         await self.operator.must("apply", str(self.fleet.fleet_file))
-        for team in self.fleet.spec["teams"]:
-            granted = await self.operator.must("key", "grant", team["name"])
-            self.keys[team["name"]] = granted["key"]
+        async with trio.open_nursery() as nursery:
+            for team in self.fleet.spec["teams"]:
+                nursery.start_soon(self._grant, team["name"])
         control = [
             {"name": name, "control": url, "state": "live"}
             for name, url in self.fleet.controls.items()
@@ -100,6 +100,10 @@
         say("configuration applied, keys granted")
         await trio.sleep(2)
 
+    async def _grant(self, team: str) -> None:
+        granted = await self.operator.must("key", "grant", team)
+        self.keys[team] = granted["key"]
+
     async def _wait_ready(self) -> None:
         for address in self.fleet.http.values():
             with trio.fail_after(20):
@@ -197,21 +201,12 @@
     async def _withdraw_key(self) -> None:
         key = hashlib.sha256(self.keys["fairs"].encode()).hexdigest()
         await self.operator.must("key", "withdraw", key)
-        withdrawn_s = trio.current_time()
         await trio.sleep(_BOUND_S)
-        late = [
-            r
-            for r in self.callers.records
-            if r.queue == "stock"
-            and r.kind != "key_unknown"
-            and r.started_s > withdrawn_s + _BOUND_S
-        ]
         record = await self.callers.send(Source("stock", "fairs", "batch", "", 1, 10))
         self.check(
             record.kind == "key_unknown",
             f"the withdrawn key is refused: {record.outcome} {record.kind}",
         )
-        del late
 
     async def _data_centre_out_and_back(self) -> None:
         plan = await self.operator.must(
