Leave an eighth of a team's units to its urgent work

Cause: urgent requests of a team whose batch work used up its upper limit never started under saturation (p99 of the urgent start "never" in the measures). Change: batch may not use the last units of a row of four or more; the command line asks the next entry instance when one refuses a change because it cannot reach the store, which it does for some seconds after a restart. Conclusion: the reserve belongs to the team's own limit, so it costs other teams nothing.

--- a/apricotgap/client.py
+++ b/apricotgap/client.py
@@ -67,8 +67,9 @@
     def call(self, action: str, arguments: Mapping[str, Any]) -> dict[str, Any]:
         """Call an action.
 
-        A failed connection is proof that an entry did not get the call, so the next
-        one is tried. After any other failure the call may have had its effect and
+        A failed connection is proof that an entry did not get the call, and an entry
+        that refuses a change since it cannot reach the store has not made it, so the
+        next one is tried. After any other failure the call may have had its effect and
         is not repeated.
 
         Parameters
@@ -110,6 +111,10 @@
                 raise _lost(entry, error) from error
             except httpcore.ProtocolError as error:
                 raise _lost(entry, error) from error
+            refused = _refused(status, answer)
+            if refused and entry != self._entries[-1]:
+                failures.append(f"{entry}: unavailable")
+                continue
             return _result(entry, status, answer)
         raise UnavailableError(
             f"no entry could be reached ({'; '.join(failures)})",
@@ -117,6 +122,11 @@
         )
 
 
+def _refused(status: int, answer: bytes) -> bool:
+    """Tell whether an entry refused the call because it cannot reach the store."""
+    return status == UnavailableError.http_status and b'"unavailable"' in answer
+
+
 def _lost(entry: str, error: Exception) -> ApricotgapError:
     return UnavailableError(
         f"the answer of {entry} was lost ({type(error).__name__}); "
--- a/apricotgap/core/allotments.py
+++ b/apricotgap/core/allotments.py
@@ -11,6 +11,7 @@
     LEDGER_WRITE_INTERVAL_MS,
     MEMBER_LEASE_MS,
 )
+from apricotgap.model import Priority
 from apricotgap.model.ledger import DataCentreLedger, FleetLedger, Row, TeamRows
 
 if TYPE_CHECKING:
@@ -36,6 +37,8 @@
 ]
 
 UNLIMITED = 1_000_000_000
+MIN_UNITS_WITH_RESERVE = 4
+URGENT_UNITS_DIVISOR = 8
 
 _Ledger = TypeVar("_Ledger", FleetLedger, DataCentreLedger)
 
@@ -116,9 +119,17 @@
     evidence: Evidence = field(default_factory=Evidence)
 
 
-def headroom(state: EntryState, team: str, at_ms: int) -> int:
+def headroom(
+    state: EntryState,
+    team: str,
+    at_ms: int,
+    priority: Priority = Priority.URGENT,
+) -> int:
     """Return how many tasks of a team may start now.
 
+    Batch leaves an eighth of the units to urgent work, which would otherwise wait
+    for a batch task of its own team to end.
+
     Parameters
     ----------
     state : EntryState
@@ -127,6 +138,8 @@
         The team; empty for queues open to all, which have no upper limit.
     at_ms : int
         Monotonic time in milliseconds.
+    priority : Priority
+        Class of the work.
 
     Returns
     -------
@@ -140,9 +153,17 @@
     if not own.confirmed or ledger_codec.bucket_of(team) in own.to_renew:
         return 0
     usable = min(_usable(state, team), own.fair_bounds.get(team, UNLIMITED))
+    if priority is Priority.BATCH:
+        usable -= _urgent_units(usable)
     return max(0, usable - own.running.get(team, 0))
 
 
+def _urgent_units(usable: int) -> int:
+    if usable < MIN_UNITS_WITH_RESERVE:
+        return 0
+    return max(1, usable // URGENT_UNITS_DIVISOR)
+
+
 def note_started(state: EntryState, team: str) -> None:
     """Count a task of a team as running; call it with the dispatch."""
     if team:
--- a/apricotgap/core/fair_queue.py
+++ b/apricotgap/core/fair_queue.py
@@ -219,7 +219,7 @@
         if team.serial != serial or not team.n_live:
             found.drop_top()
             continue
-        if team.team and allotments.headroom(state, team.team, at_ms) <= 0:
+        if team.team and allotments.headroom(state, team.team, at_ms, priority) <= 0:
             found.drop_top()
             team.parked = True
             state.queues.parked.setdefault(team.team, {})[queue, priority] = None
--- a/tests/scheduling_harness.py
+++ b/tests/scheduling_harness.py
@@ -72,7 +72,7 @@
         ):
             monkeypatch.setattr(module, name, fake, raising=False)
 
-    def _headroom(self, _, team, at_ms):
+    def _headroom(self, _, team, at_ms, priority=None):
         return self.limits.get(team, 10**6) - self.running.get(team, 0)
 
     def _note(self, team, step):
