--- a/apricotgap/core/membership.py
+++ b/apricotgap/core/membership.py
@@ -186,13 +186,17 @@
     while it is registered, since a lapsed store lease removes it. One of the own
     data centre has the time of the silence bound to connect.
     """
+    return _live(state, known_others(state), at_ms)
+
+
+def _live(state: EntryState, known: dict[str, Member], at_ms: int) -> dict[str, Member]:
     members = state.members
     live = (
         {}
         if members.replaced or members.left
         else {state.identity.entry: own_member(state)}
     )
-    for entry, member in known_others(state).items():
+    for entry, member in known.items():
         if is_heard(state, entry, at_ms) or _counts_as_live(state, member, at_ms):
             live[entry] = member
     return dict(sorted(live.items()))
@@ -211,11 +215,15 @@
     state: EntryState, data_centre: str, at_ms: int
 ) -> dict[str, Member]:
     """Return the live entries of one data centre."""
-    return {
+    known = {
         entry: member
-        for entry, member in live_entries(state, at_ms).items()
+        for entry, member in known_others(state).items()
         if member.data_centre == data_centre
     }
+    live = _live(state, known, at_ms)
+    if state.identity.data_centre != data_centre:
+        live.pop(state.identity.entry, None)
+    return live
 
 
 def is_relay(state: EntryState, at_ms: int) -> bool:
--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -34,10 +34,9 @@
             if response.status != 200:
                 raise RuntimeError(f"{url}: {response.status} {response.content!r}")
 
-    async with httpcore.AsyncConnectionPool() as pool:
-        async with trio.open_nursery() as nursery:
-            for _ in range(N_CALLERS):
-                nursery.start_soon(one_caller, pool)
+    async with httpcore.AsyncConnectionPool() as pool, trio.open_nursery() as nursery:
+        for _ in range(N_CALLERS):
+            nursery.start_soon(one_caller, pool)
 
 
 async def _cpu_ms(pid: int, url: str, headers: list[tuple[str, str]]) -> float:
