--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     "idle": "bench.idle_cost",
     "change": "bench.change_cost",
     "planning": "bench.planning",
+    "first-start": "bench.first_start",
 }
 
 
