--- a/bench/idle_cost.py
+++ b/bench/idle_cost.py
@@ -76,7 +76,9 @@
         deployment = Deployment(Path(folder), size)
         try:
             await deployment.start()
-            await trio.sleep(SETTLE_S + size.n_entries / 10)
+            # The first probes go out at 20 a second.
+            n_own = size.n_workers / size.n_data_centres
+            await trio.sleep(SETTLE_S + size.n_entries / 10 + n_own / 20)
             usages = [await deployment.usage()]
             for _ in range(N_WINDOWS):
                 await trio.sleep(WINDOW_S)
