--- a/proof/fake_store.py
+++ b/proof/fake_store.py
@@ -54,15 +54,17 @@
         self._values: dict[str, _Value] = {}
         self._leases: dict[int, _Lease] = {}
         self._watches: list[_Watch] = []
-        self._revisions = itertools.count(1)
+        self._last_revision = 0
         self._lease_ids = itertools.count(1)
         self.down = False
         self.slow_ms = 0
         self.lose_answers = 0
         self.delay_writes_ms = 0
         self.silent_watches = False
+        self.checks_revision = True
         self.n_reads = 0
         self.n_writes = 0
+        self.on_write: Callable[[str, bytes], None] = lambda key, value: None
 
     @property
     def n_watches(self) -> int:
@@ -108,6 +110,12 @@
 
         self._schedule.after(link_ms + self.slow_ms, arrive)
 
+    def lapse_lease_of(self, key: str) -> None:
+        """End the lease that a key is bound to, as if it had lapsed."""
+        found = self._values.get(key)
+        if found is not None and found.lease_id:
+            self._end_lease(found.lease_id)
+
     def break_watches(self, client: str | None = None) -> None:
         """Break open watches, of one client or of all."""
         for watch in list(self._watches):
@@ -147,12 +155,20 @@
         if isinstance(effect, fx.StoreGet):
             self.n_reads += 1
             items = (self._item(effect.key),)
-            return lambda at: ev.StoreReadFinished(at, effect.call_id, items, sent_ms)
+            if effect.keys_only:
+                items = tuple(ev.KeyValue(i.key, b"", i.revision) for i in items)
+            revision = self._last_revision
+            return lambda at: ev.StoreReadFinished(
+                at, effect.call_id, items, sent_ms, revision
+            )
         if isinstance(effect, fx.StoreList):
             self.n_reads += 1
             keys = sorted(k for k in self._values if k.startswith(effect.prefix))
             found = tuple(self._item(key) for key in keys)
-            return lambda at: ev.StoreReadFinished(at, effect.call_id, found, sent_ms)
+            revision = self._last_revision
+            return lambda at: ev.StoreReadFinished(
+                at, effect.call_id, found, sent_ms, revision
+            )
         self.n_writes += 1
         if isinstance(effect, fx.GrantLease):
             lease_id = next(self._lease_ids)
@@ -197,12 +213,15 @@
     def _apply(self, effect: fx.StoreCas | fx.StoreDelete) -> tuple[ev.CasResult, int]:
         self._expire()
         current = self._values.get(effect.key)
-        if (current.revision if current else 0) != effect.expected_revision:
+        known = current.revision if current else 0
+        if self.checks_revision and known != effect.expected_revision:
             return ev.CasResult.CONFLICT, 0
-        revision = next(self._revisions)
+        self._last_revision += 1
+        revision = self._last_revision
         if isinstance(effect, fx.StoreDelete):
             self._values.pop(effect.key, None)
             self._notify(ev.KeyValue(effect.key, b"", 0))
+            self.on_write(effect.key, b"")
             return ev.CasResult.STORED, revision
         if effect.lease_id and effect.lease_id not in self._leases:
             return ev.CasResult.CONFLICT, 0
@@ -212,6 +231,7 @@
         if effect.lease_id:
             self._leases[effect.lease_id].keys.add(effect.key)
         self._notify(ev.KeyValue(effect.key, effect.value, revision))
+        self.on_write(effect.key, effect.value)
         return ev.CasResult.STORED, revision
 
     def _open(self, effect: fx.OpenWatch, client: str, post: Post) -> None:
@@ -249,6 +269,6 @@
     def _end_lease(self, lease_id: int) -> None:
         lease = self._leases.pop(lease_id, None)
         for key in sorted(lease.keys) if lease else ():
-            next(self._revisions)
+            self._last_revision += 1
             self._values.pop(key, None)
             self._notify(ev.KeyValue(key, b"", 0))
--- a/proof/fake_worker.py
+++ b/proof/fake_worker.py
@@ -28,13 +28,15 @@
     worker: str
     started_ms: int
     ended_ms: int | None = None
+    completed: bool = False
 
 
 @dataclass(slots=True)
 class _Running:
     run: Run
     post: Post
-    remaining_ms: float
+    lease_ms: int
+    lease_ends_ms: int
 
 
 class FakeWorker:
@@ -79,6 +81,8 @@
         self.extra_link_ms = 0
         self.speed = 1.0
         self.n_boots = 1
+        self.checks_deadline = True
+        self.on_start: Callable[[Run], None] = lambda run: None
         self._schedule = schedule
         self._run_ms = run_ms
         self._runs = runs
@@ -113,7 +117,9 @@
             )
         return self._run(effect, post, link_ms)
 
-    def report(self, instance: str, post: Post, link_ms: float) -> None:
+    def report(
+        self, instance: str, post: Post, link_ms: float, sent_ms: int | None = None
+    ) -> None:
         """Answer a status probe."""
         by_team: dict[str, int] = {}
         for item in self._running.values():
@@ -132,6 +138,7 @@
                     draining,
                     boot_id,
                     by_team,
+                    sent_ms,
                 )
             ),
         )
@@ -146,33 +153,47 @@
             lambda: post(lambda at: ev.TaskProbed(at, task_id, state, now_ms, boot_id)),
         )
 
-    def control(self, effect: fx.Effect) -> None:
-        """Handle checkpoint and stop; other calls change nothing here."""
-        if not isinstance(effect, (fx.CheckpointTask, fx.StopTask)):
-            return
-        item = self._running.get(effect.task_id)
+    def control(self, effect: fx.Effect) -> bool:
+        """Handle a control call; False when the task does not run."""
+        task_id: str = effect.task_id  # type: ignore[attr-defined]
+        item = self._running.get(task_id)
         if item is None:
-            return
-        self._end(effect.task_id)
-        message = "checkpointed" if isinstance(effect, fx.CheckpointTask) else "stopped"
-        self._schedule.after(
-            1,
-            lambda: item.post(
-                lambda at: ev.TaskFailed(at, effect.task_id, True, False, message)
-            ),
+            return False
+        if isinstance(effect, fx.RenewTask):
+            item.lease_ends_ms = self._schedule.now_ms + item.lease_ms
+        elif isinstance(effect, fx.CheckpointTask):
+            self._end(task_id)
+            self._answer(item, lambda at: ev.TaskCheckpointed(at, task_id, True))
+        elif isinstance(effect, fx.StopTask):
+            self._stop(item, "stopped")
+        return True
+
+    def _answer(self, item: _Running, build: Callable[[int], ev.Event]) -> None:
+        self._schedule.after(1, lambda: item.post(build))
+
+    def _stop(self, item: _Running, message: str) -> None:
+        task_id = item.run.task_id
+        self._end(task_id)
+        self._answer(
+            item, lambda at: ev.TaskFailed(at, task_id, True, False, message)
         )
 
+    def _check_lease(self, task_id: str) -> None:
+        """Stop a task whose lease was not renewed."""
+        item = self._running.get(task_id)
+        if item is None:
+            return
+        left_ms = item.lease_ends_ms - self._schedule.now_ms
+        if left_ms <= 0:
+            self._stop(item, "lease lapsed")
+        else:
+            self._schedule.after(left_ms, lambda: self._check_lease(task_id))
+
     def kill(self) -> None:
         """Lose every running task and stay down until `reboot`."""
         self.down = True
-        for task_id, item in list(self._running.items()):
-            self._end(task_id)
-            self._schedule.after(
-                1,
-                lambda i=item, t=task_id: i.post(
-                    lambda at: ev.TaskFailed(at, t, True, False, "connection lost")
-                ),
-            )
+        for item in list(self._running.values()):
+            self._stop(item, "connection lost")
 
     def reboot(self) -> None:
         """Start again without memory of earlier tasks."""
@@ -187,7 +208,7 @@
             return TaskRefusal.DUPLICATE
         if self.draining:
             return TaskRefusal.LEAVING
-        if self.now_ms > effect.server_deadline_ms:
+        if self.checks_deadline and self.now_ms > effect.server_deadline_ms:
             return TaskRefusal.DEADLINE
         if self.n_running >= self._n_slots:
             return TaskRefusal.FULL
@@ -198,12 +219,18 @@
         run = Run(effect.task_id, effect.request_id, effect.team, self.name, now_ms)
         self._runs.append(run)
         run_ms = 1.0 if self.fail_all else self._run_ms(effect.request_id) / self.speed
-        self._running[effect.task_id] = _Running(run, post, run_ms)
+        self._running[effect.task_id] = _Running(
+            run, post, effect.lease_ms, now_ms + effect.lease_ms
+        )
+        self._schedule.after(
+            effect.lease_ms, lambda: self._check_lease(effect.task_id)
+        )
         self._known[effect.task_id] = TaskState.RUNNING
         boot = self.n_boots
         self._schedule.after(
             run_ms, lambda: self._finish(effect.task_id, boot, link_ms)
         )
+        self.on_start(run)
 
     def _finish(self, task_id: str, boot: int, link_ms: float) -> None:
         item = self._running.get(task_id)
@@ -219,6 +246,7 @@
                 ),
             )
             return
+        item.run.completed = True
         status = 500 if self.fail_all else 200
         self._schedule.after(
             link_ms,
--- a/proof/harness.py
+++ b/proof/harness.py
@@ -1,16 +1,24 @@
 """Entry instances on the real reducer, with fakes at every interface."""
 
+import dataclasses
 import heapq
 import itertools
 from collections.abc import Callable
 from random import Random
 
+import apricotgap.core.handlers  # noqa: F401  registers every handler
 from apricotgap.core import effects as fx
 from apricotgap.core import events as ev
 from apricotgap.core.limits import TICK_MS
 from apricotgap.core.reducer import Reducer
 from apricotgap.core.state import EntryState, Identity
 from apricotgap.model import Outcome, Request
+from apricotgap.model.peers import (
+    ClaimAnswer,
+    PeerMessage,
+    TicketAnswer,
+    TicketForward,
+)
 from proof.fake_store import FakeStore
 from proof.fake_worker import FakeWorker
 
@@ -18,6 +26,13 @@
 
 EventBuilder = Callable[[int], ev.Event]
 
+_CONNECT_TIMEOUT_MS = 1_000
+_PROBE_TIMEOUT_MS = 1_500
+_BOOT_MS = 1_500
+_TICK_PHASE_MS = 37
+# How often a cut path is tried again; TCP resends at similar intervals.
+_RESEND_MS = 250
+
 
 class Schedule:
     """Virtual time in milliseconds and what is due."""
@@ -73,7 +88,12 @@
         self.counts: dict[str, int] = {}
         self.changes: list[tuple[int, str, dict[str, object]]] = []
         self.operator_answers: dict[str, fx.AnswerOperator] = {}
+        self.request_bodies: dict[str, bytes] = {}
+        self.task_answers: dict[str, bytes] = {}
+        self.retained: dict[str, bytes] = {}
+        self.n_forwarded = 0
         self._held: list[EventBuilder] = []
+        self._held_effects: list[fx.Effect] = []
 
     def post(self, build: EventBuilder) -> None:
         """Deliver an event now, or when the pause ends."""
@@ -83,8 +103,27 @@
             self._held.append(build)
             return
         event = build(self.harness.now_ms)
+        for watcher in self.harness.event_watchers:
+            watcher(self, event)
+        if not self.alive:
+            return
+        if self.paused:
+            self._held.append(build)
+            return
         for effect in self.reducer.step(event):
-            self.harness.run_effect(self, effect)
+            self._run(effect)
+        for watcher in self.harness.step_watchers:
+            watcher(self, event)
+
+    def _run(self, effect: fx.Effect) -> None:
+        for watcher in self.harness.effect_watchers:
+            watcher(self, effect)
+        if not self.alive:
+            return
+        if self.paused:
+            self._held_effects.append(effect)
+            return
+        self.harness.run_effect(self, effect)
 
     def pause(self) -> None:
         """Stop handling events, as a stopped process does."""
@@ -93,6 +132,10 @@
     def resume(self) -> None:
         """Handle what arrived during the pause."""
         self.paused = False
+        effects, self._held_effects = self._held_effects, []
+        for effect in effects:
+            if self.alive:
+                self.harness.run_effect(self, effect)
         held, self._held = self._held, []
         for build in held:
             self.post(build)
@@ -132,10 +175,20 @@
         self.outcomes: dict[str, tuple[int, Outcome]] = {}
         self.answers_from: dict[str, str] = {}
         self.queries: dict[str, fx.Effect] = {}
+        self.n_outcomes: dict[str, int] = {}
         self.bodies: dict[str, bytes] = {}
+        self.answer_bodies: dict[str, bytes | None] = {}
+        self.event_watchers: list[Callable[[FakeEntry, ev.Event], None]] = []
+        self.step_watchers: list[Callable[[FakeEntry, ev.Event], None]] = []
+        self.effect_watchers: list[Callable[[FakeEntry, fx.Effect], None]] = []
         self.unhandled: list[fx.Effect] = []
         self.reboots: dict[str, str] = {}
         self._connected: set[frozenset[str]] = set()
+        self._n_started = 0
+        self._dialling: set[tuple[str, str]] = set()
+        self._generations: dict[tuple[str, str], int] = {}
+        self._opened: set[tuple[str, str, int]] = set()
+        self._silent: set[tuple[str, str, int]] = set()
 
     @property
     def now_ms(self) -> int:
@@ -155,7 +208,11 @@
         entry = FakeEntry(self, identity, seeds)
         self.entries[name] = entry
         entry.post(ev.Started)
-        entry.tick()
+        # Processes do not tick in step; equal phases would make every write of two
+        # entries of a data centre a conflict.
+        phase_ms = self._n_started * _TICK_PHASE_MS % TICK_MS
+        self._n_started += 1
+        self.schedule.after(phase_ms, entry.tick)
         return entry
 
     def kill_entry(self, name: str) -> None:
@@ -171,6 +228,7 @@
     def submit(self, entry: str, request: Request, body: bytes = b"") -> None:
         """Send a request to an entry instance."""
         self.bodies[request.request_id] = body
+        self.entries[entry].request_bodies[request.request_id] = body
         self.entries[entry].post(lambda at: ev.RequestArrived(at, request))
 
     def cut(self, side_a: set[str], side_b: set[str]) -> None:
@@ -178,7 +236,7 @@
         for a in side_a:
             for b in side_b:
                 self.cut_links.add(frozenset((a, b)))
-        for pair in list(self._connected):
+        for pair in sorted(self._connected, key=sorted):
             if pair in self.cut_links:
                 self._disconnect(pair)
 
@@ -189,6 +247,10 @@
         for name in self.entries:
             self._connect_wanted(name)
 
+    def silence(self, entry: str, instance: str) -> None:
+        """Make the present connections from an entry to a server go silent."""
+        self._silent.add((entry, instance, self._generation(entry, instance)))
+
     def run_effect(self, entry: FakeEntry, effect: fx.Effect) -> None:
         """Run one effect of an entry instance."""
         runner = self._RUNNERS.get(type(effect))
@@ -215,9 +277,19 @@
         self._close_links_of(entry.identity.entry)
 
     def _answer_caller(self, entry: FakeEntry, effect: fx.AnswerCaller) -> None:
-        self.outcomes.setdefault(effect.request_id, (self.now_ms, effect.outcome))
+        request_id = effect.request_id
+        self.outcomes.setdefault(request_id, (self.now_ms, effect.outcome))
+        self.n_outcomes[request_id] = self.n_outcomes.get(request_id, 0) + 1
+        body = None
         if effect.task_id is not None:
-            self.answers_from[effect.request_id] = effect.task_id
+            self.answers_from[request_id] = effect.task_id
+            body = entry.task_answers.pop(effect.task_id, None)
+        if body is None and effect.source_request_id is not None:
+            body = entry.retained.get(effect.source_request_id)
+        if body is not None:
+            entry.retained[request_id] = body
+        self.answer_bodies.setdefault(request_id, body)
+        entry.request_bodies.pop(request_id, None)
 
     def _answer_query(self, entry: FakeEntry, effect: fx.AnswerQuery) -> None:
         self.queries[effect.call_id] = effect
@@ -227,7 +299,12 @@
 
     # Store
 
-    def _store(self, entry: FakeEntry, effect: fx.Effect) -> None:
+    def _store(
+        self,
+        entry: FakeEntry,
+        effect: fx.Effect,
+        post: Callable[[EventBuilder], None] | None = None,
+    ) -> None:
         name = entry.identity.entry
         self.store.call(
             effect,
@@ -235,7 +312,7 @@
             reachable=lambda: name not in self.store_cut,
             link_ms=self.link_ms,
             sent_ms=self.now_ms,
-            post=entry.post,
+            post=post or entry.post,
         )
 
     # Peers
@@ -245,17 +322,22 @@
         self._connect_wanted(entry.identity.entry)
 
     def _connect_wanted(self, name: str) -> None:
-        entry = self.entries[name]
-        for peer in entry.wanted_peers:
-            self.schedule.after(2 * self.link_ms, lambda p=peer: self._connect(name, p))
+        for peer in sorted(self.entries[name].wanted_peers):
+            self._dial(name, peer, 2 * self.link_ms)
+
+    def _dial(self, name: str, peer: str, delay_ms: float) -> None:
+        if (name, peer) not in self._dialling:
+            self._dialling.add((name, peer))
+            self.schedule.after(delay_ms, lambda: self._connect(name, peer))
 
     def _connect(self, name: str, peer: str) -> None:
+        self._dialling.discard((name, peer))
         pair = frozenset((name, peer))
         other = self.entries.get(peer)
         entry = self.entries[name]
-        if other is None or len(pair) != 2 or pair in self._connected:
+        if len(pair) != 2 or pair in self._connected:
             return
-        if not (entry.alive and other.alive) or other.paused:
+        if other is None or not (entry.alive and other.alive) or other.paused:
             self._retry_connect(name, peer)
             return
         if pair in self.cut_links or self._data_centres_cut(entry, other):
@@ -273,110 +355,276 @@
     def _retry_connect(self, name: str, peer: str) -> None:
         entry = self.entries[name]
         if entry.alive and peer in entry.wanted_peers:
-            self.schedule.after(500, lambda: self._connect(name, peer))
+            self._dial(name, peer, 500)
 
     def _data_centres_cut(self, entry: FakeEntry, other: FakeEntry) -> bool:
         centres = {entry.identity.data_centre, other.identity.data_centre}
         return len(centres) == 2 and frozenset(centres) in self.cut_links
 
     def _send_peer(self, entry: FakeEntry, effect: fx.SendPeer) -> None:
+        self._send(entry, effect.peer, effect.message)
+
+    def _send(self, entry: FakeEntry, peer: str, message: PeerMessage) -> None:
         name = entry.identity.entry
-        pair = frozenset((name, effect.peer))
+        pair = frozenset((name, peer))
         if pair not in self._connected:
             return
-        message = effect.message
 
         def arrive() -> None:
-            other = self.entries.get(effect.peer)
+            other = self.entries.get(peer)
             if other is not None and pair in self._connected:
-                other.post(lambda at: ev.PeerReceived(at, name, message))
+                self._receive(other, name, message)
 
         self.schedule.after(self.link_ms, arrive)
 
+    def _receive(self, entry: FakeEntry, peer: str, message: PeerMessage) -> None:
+        if isinstance(message, TicketForward):
+            entry.n_forwarded += 1
+            me = entry.identity
+            request_id = f"{me.entry}.{me.incarnation}.f{entry.n_forwarded}"
+            self.bodies[request_id] = message.body
+            entry.request_bodies[request_id] = message.body
+            n_bytes = len(message.body)
+            bare = dataclasses.replace(message, body=b"")
+            entry.post(
+                lambda at: ev.ForwardedRequestArrived(
+                    at, peer, bare, request_id, n_bytes
+                )
+            )
+            return
+        if isinstance(message, ClaimAnswer | TicketAnswer):
+            if message.n_body_bytes or message.body:
+                entry.retained[message.call_id] = message.body
+            message = dataclasses.replace(message, body=b"")
+        entry.post(lambda at: ev.PeerReceived(at, peer, message))
+
+    def _forward(self, entry: FakeEntry, effect: fx.ForwardHeldRequest) -> None:
+        body = entry.request_bodies.get(effect.request_id)
+        if body is not None:
+            message = dataclasses.replace(effect.message, body=body)
+            self._send(entry, effect.peer, message)
+
+    def _send_answer(self, entry: FakeEntry, effect: fx.SendHeldAnswer) -> None:
+        if effect.task_id is not None:
+            body = entry.task_answers.pop(effect.task_id, None)
+            if body is not None:
+                entry.retained[effect.request_id] = body
+        message = effect.message
+        held = entry.retained.get(effect.request_id)
+        if held is not None:
+            message = dataclasses.replace(message, body=held)
+        self._send(entry, effect.peer, message)
+
+    def _store_body(self, entry: FakeEntry, effect: fx.StoreBody) -> None:
+        held = entry.retained.get(effect.request_id)
+        if held is None:
+            entry.post(
+                lambda at: ev.CasFinished(
+                    at, effect.call_id, effect.key, ev.CasResult.CONFLICT
+                )
+            )
+            return
+        cas = fx.StoreCas(effect.call_id, effect.key, 0, held, effect.lease_id)
+        self._store(entry, cas)
+
+    def _fetch_body(self, entry: FakeEntry, effect: fx.FetchBody) -> None:
+        def found(build: EventBuilder) -> None:
+            read = build(self.now_ms)
+            n_bytes: int | None = None
+            if isinstance(read, ev.StoreReadFinished) and read.items[0].revision:
+                entry.retained[effect.request_id] = read.items[0].value
+                n_bytes = len(read.items[0].value)
+            entry.post(lambda at: ev.BodyFetched(at, effect.call_id, n_bytes))
+
+        self._store(entry, fx.StoreGet(effect.call_id, effect.key), found)
+
+    def _release(self, entry: FakeEntry, effect: fx.ReleaseBodies) -> None:
+        entry.request_bodies.pop(effect.request_id, None)
+
     def cut_data_centres(self, one: str, *others: str) -> None:
         """Cut a data centre's entry instances and workers off from others."""
         for other in others:
             self.cut_links.add(frozenset((one, other)))
-        for pair in list(self._connected):
+        for pair in sorted(self._connected, key=sorted):
             first, second = (self.entries[name] for name in pair)
             if self._data_centres_cut(first, second):
                 self._disconnect(pair)
 
     def _disconnect(self, pair: frozenset[str]) -> None:
         self._connected.discard(pair)
-        for name in pair:
+        for name in sorted(pair):
             (peer,) = pair - {name}
             entry = self.entries.get(name)
             if entry is not None:
-                entry.post(lambda at, peer=peer: ev.PeerLost(at, peer))
+                self._post_soon(entry, lambda at, peer=peer: ev.PeerLost(at, peer))
                 self._retry_connect(name, peer)
 
+    def _post_soon(self, entry: FakeEntry, build: EventBuilder) -> None:
+        self.schedule.after(0, lambda: entry.post(build))
+
     def _close_links_of(self, name: str) -> None:
-        for pair in [p for p in self._connected if name in p]:
+        for pair in sorted((p for p in self._connected if name in p), key=sorted):
             self._disconnect(pair)
 
     # Workers
 
-    def _worker_reachable(self, entry: FakeEntry, instance: str) -> bool:
-        worker = self.workers.get(instance)
-        if worker is None or worker.down:
-            return False
+    def _generation(self, entry: str, instance: str) -> int:
+        return self._generations.get((entry, instance), 0)
+
+    def _path_cut(self, entry: FakeEntry, instance: str) -> bool:
         centres = frozenset(
             (entry.identity.data_centre, self.worker_data_centre[instance])
         )
         pair = frozenset((entry.identity.entry, instance))
-        return centres not in self.cut_links and pair not in self.cut_links
+        return centres in self.cut_links or pair in self.cut_links
+
+    def _over(
+        self, entry: FakeEntry, instance: str, connection: tuple[str, str, int]
+    ) -> Callable[[EventBuilder], None]:
+        """Return a post that a silent connection drops and a cut path delays."""
+
+        def post(build: EventBuilder) -> None:
+            if connection in self._silent or not entry.alive:
+                return
+            if self._path_cut(entry, instance):
+                self.schedule.after(_RESEND_MS, lambda: post(build))
+                return
+            entry.post(build)
+
+        return post
 
     def _dispatch(self, entry: FakeEntry, effect: fx.Dispatch) -> None:
-        if not self._worker_reachable(entry, effect.instance):
+        name, instance = entry.identity.entry, effect.instance
+        connection = (name, instance, self._generation(name, instance))
+        worker = self.workers.get(instance)
+        if effect.request_id not in entry.request_bodies:
+            self._not_sent(entry, effect, 0, "the request body is gone")
+        elif worker is None or worker.down:
+            self._not_sent(entry, effect, self.link_ms, "refused")
+        elif connection in self._silent:
+            return
+        elif self._path_cut(entry, instance) and connection not in self._opened:
+            self._not_sent(entry, effect, _CONNECT_TIMEOUT_MS, "connect timeout")
+        else:
+            self._opened.add(connection)
+            delay_ms = self.link_ms + worker.extra_link_ms
+            body = entry.request_bodies[effect.request_id]
             self.schedule.after(
-                self.link_ms,
-                lambda: entry.post(
-                    lambda at: ev.TaskFailed(
-                        at, effect.task_id, False, False, "refused"
-                    )
-                ),
+                delay_ms, lambda: self._arrive(entry, effect, connection, body)
             )
-            return
-        worker = self.workers[effect.instance]
+
+    def _not_sent(
+        self, entry: FakeEntry, effect: fx.Dispatch, after_ms: float, message: str
+    ) -> None:
         self.schedule.after(
-            self.link_ms + worker.extra_link_ms,
-            lambda: worker.start(effect, entry.post, self.link_ms),
+            after_ms,
+            lambda: entry.post(
+                lambda at: ev.TaskFailed(at, effect.task_id, False, False, message)
+            ),
         )
 
+    def _arrive(
+        self,
+        entry: FakeEntry,
+        effect: fx.Dispatch,
+        connection: tuple[str, str, int],
+        body: bytes,
+    ) -> None:
+        """Deliver a task; over a cut path it arrives when the path heals."""
+        if connection in self._silent:
+            return
+        if self._path_cut(entry, effect.instance):
+            if entry.alive:
+                self.schedule.after(
+                    _RESEND_MS, lambda: self._arrive(entry, effect, connection, body)
+                )
+            return
+        plain = self._over(entry, effect.instance, connection)
+
+        def post(build: EventBuilder) -> None:
+            def keep_answer(at: int) -> ev.Event:
+                event = build(at)
+                if isinstance(event, ev.TaskCompleted):
+                    entry.task_answers[event.task_id] = b"answer to " + body
+                return event
+
+            plain(keep_answer)
+
+        self.workers[effect.instance].start(effect, post, self.link_ms)
+
     def _probe_worker(self, entry: FakeEntry, effect: fx.ProbeWorker) -> None:
-        if not self._worker_reachable(entry, effect.instance):
+        name, instance = entry.identity.entry, effect.instance
+        connection = (name, instance, self._generation(name, instance))
+        silent = connection in self._silent and not effect.fresh
+        worker = self.workers.get(instance)
+        sent_ms = self.now_ms
+
+        def unreachable(after_ms: float) -> None:
             self.schedule.after(
-                2 * self.link_ms,
-                lambda: entry.post(
-                    lambda at: ev.WorkerUnreachable(at, effect.instance)
-                ),
+                after_ms,
+                lambda: entry.post(lambda at: ev.WorkerUnreachable(at, instance)),
             )
-            return
-        worker = self.workers[effect.instance]
-        self.schedule.after(
-            self.link_ms,
-            lambda: worker.report(effect.instance, entry.post, self.link_ms),
-        )
+
+        def ask() -> None:
+            if worker is None or worker.down:
+                unreachable(self.link_ms)
+            else:
+                worker.report(instance, entry.post, self.link_ms, sent_ms)
+
+        if silent or self._path_cut(entry, instance):
+            unreachable(_PROBE_TIMEOUT_MS)
+        else:
+            self.schedule.after(self.link_ms, ask)
 
     def _probe_task(self, entry: FakeEntry, effect: fx.ProbeTask) -> None:
-        if not self._worker_reachable(entry, effect.instance):
+        def unanswered(after_ms: float) -> None:
             self.schedule.after(
-                2 * self.link_ms,
+                after_ms,
                 lambda: entry.post(lambda at: ev.TaskProbed(at, effect.task_id, None)),
             )
+
+        def ask() -> None:
+            worker = self.workers.get(effect.instance)
+            if worker is None or worker.down:
+                unanswered(self.link_ms)
+            else:
+                worker.probe(effect.task_id, entry.post, self.link_ms)
+
+        if self._path_cut(entry, effect.instance):
+            unanswered(_PROBE_TIMEOUT_MS)
+        else:
+            self.schedule.after(self.link_ms, ask)
+
+    def _control(self, entry: FakeEntry, effect: fx.Effect) -> None:
+        instance: str = effect.instance  # type: ignore[attr-defined]
+        name = entry.identity.entry
+        connection = (name, instance, self._generation(name, instance))
+        worker = self.workers.get(instance)
+        down = worker is None or worker.down
+        if down or connection in self._silent or self._path_cut(entry, instance):
+            self._control_failed(entry, effect, _PROBE_TIMEOUT_MS)
             return
-        worker = self.workers[effect.instance]
+
+        def arrive() -> None:
+            if not self.workers[instance].control(effect):
+                self._control_failed(entry, effect, self.link_ms)
+
+        self.schedule.after(self.link_ms, arrive)
+
+    def _control_failed(
+        self, entry: FakeEntry, effect: fx.Effect, after_ms: float
+    ) -> None:
+        if not isinstance(effect, fx.CheckpointTask):
+            return
+        task_id = effect.task_id
         self.schedule.after(
-            self.link_ms,
-            lambda: worker.probe(effect.task_id, entry.post, self.link_ms),
+            after_ms,
+            lambda: entry.post(lambda at: ev.TaskCheckpointed(at, task_id, False)),
         )
 
-    def _control(self, entry: FakeEntry, effect: fx.Effect) -> None:
-        instance = effect.instance  # type: ignore[attr-defined]
-        if self._worker_reachable(entry, instance):
-            worker = self.workers[instance]
-            self.schedule.after(self.link_ms, lambda: worker.control(effect))
+    def _drop_connections(self, entry: FakeEntry, effect: fx.DropConnections) -> None:
+        key = (entry.identity.entry, effect.instance)
+        self._generations[key] = self._generations.get(key, 0) + 1
 
     def _read_list(self, entry: FakeEntry, effect: fx.ReadInstanceList) -> None:
         live = frozenset(
@@ -391,10 +639,13 @@
             )
 
     def _reboot(self, entry: FakeEntry, effect: fx.RebootInstance) -> None:
+        if entry.identity.entry in self.store_cut:
+            return
         if self.reboots.get(effect.instance) != effect.step_id:
             self.reboots[effect.instance] = effect.step_id
             worker = self.workers[effect.instance]
-            self.schedule.after(self.link_ms, worker.reboot)
+            self.schedule.after(self.link_ms, worker.kill)
+            self.schedule.after(_BOOT_MS, worker.reboot)
 
     _RUNNERS = {
         fx.Count: _count,
@@ -415,7 +666,12 @@
         fx.CheckpointTask: _control,
         fx.ThrottleTask: _control,
         fx.StopTask: _control,
-        fx.DropConnections: _ignore,
+        fx.DropConnections: _drop_connections,
+        fx.ForwardHeldRequest: _forward,
+        fx.SendHeldAnswer: _send_answer,
+        fx.StoreBody: _store_body,
+        fx.FetchBody: _fetch_body,
+        fx.ReleaseBodies: _release,
         fx.ReadInstanceList: _read_list,
         fx.RebootInstance: _reboot,
         fx.StoreGet: _store,
