--- a/proof/harness.py
+++ b/proof/harness.py
@@ -340,7 +340,7 @@
         if other is None or not (entry.alive and other.alive) or other.paused:
             self._retry_connect(name, peer)
             return
-        if pair in self.cut_links or self._data_centres_cut(entry, other):
+        if self.is_cut(entry, other):
             self._retry_connect(name, peer)
             return
         self._connected.add(pair)
@@ -357,6 +357,11 @@
         if entry.alive and peer in entry.wanted_peers:
             self._dial(name, peer, 500)
 
+    def is_cut(self, entry: FakeEntry, other: FakeEntry) -> bool:
+        """Tell whether the path between two entries is cut."""
+        pair = frozenset((entry.identity.entry, other.identity.entry))
+        return pair in self.cut_links or self._data_centres_cut(entry, other)
+
     def _data_centres_cut(self, entry: FakeEntry, other: FakeEntry) -> bool:
         centres = {entry.identity.data_centre, other.identity.data_centre}
         return len(centres) == 2 and frozenset(centres) in self.cut_links
--- a/proof/steps.py
+++ b/proof/steps.py
@@ -86,6 +86,7 @@
         self.kind = kind
         self.logical = "target"
         self.sent: list[str] = []
+        self._refused = False
         self._fields: dict[str, Any] = {"idempotent": kind.idempotent}
         self._repeated = not (kind.key or kind.ticket)
 
@@ -117,7 +118,7 @@
     @property
     def ended(self) -> bool:
         """Whether the request and its repetition were answered or cut off."""
-        if not self.sent or not self._repeated:
+        if not (self.sent or self._refused) or not self._repeated:
             return False
         return all(self._answered(request_id) for request_id in self.sent)
 
@@ -142,7 +143,8 @@
             **self._fields,
         )
         if sent is None:
-            self._repeated = True
+            # The caller finds nobody at the entry.
+            self._repeated = self._refused = True
             return
         self.sent.append(sent.request.request_id)
         if len(self.sent) == 1:
