Count a broken connection as a worker that may have died with the task

Cause: an idempotent request that stops its worker was retried as soon as the connection broke, before a probe or a new boot told of the death. It stopped four workers, where two are the bound. Change: a request whose tasks broke two connections is not tried again. Conclusion: a rack that is lost under both tries now ends such a request as unknown, which the caller may send again.

--- a/apricotgap/core/fair_queue.py
+++ b/apricotgap/core/fair_queue.py
@@ -48,7 +48,11 @@
 
 @dataclass(slots=True, eq=False)
 class Waiting:
-    """An admitted request and the history of its tries."""
+    """An admitted request and the history of its tries.
+
+    `n_broken` counts the connections that broke after a task was sent; each may have
+    been the end of a worker, of which a probe tells only later.
+    """
 
     request: Request
     team: str
@@ -58,6 +62,7 @@
     n_refusals: int = 0
     n_failures: int = 0
     n_kills: int = 0
+    n_broken: int = 0
     may_have_run: bool = False
     removed: bool = False
     tried: set[str] = field(default_factory=set)
--- a/apricotgap/core/retry.py
+++ b/apricotgap/core/retry.py
@@ -20,7 +20,7 @@
 INITIAL_RETRY_TOKENS = 3.0
 MAX_FAILURES = 4
 MAX_REFUSALS = 8
-# A request whose tasks stopped this many workers is not tried again.
+# A request whose tasks stopped this many workers, or may have, is not tried again.
 MAX_KILLS = 2
 
 
@@ -43,7 +43,8 @@
 ) -> bool:
     """Spend a retry of an idempotent request after a failure, if allowed."""
     waiting.n_failures += 1
-    if waiting.n_failures >= MAX_FAILURES or waiting.n_kills >= MAX_KILLS:
+    n_kills = max(waiting.n_kills, waiting.n_broken)
+    if waiting.n_failures >= MAX_FAILURES or n_kills >= MAX_KILLS:
         return False
     tokens = state.health.retries.tokens
     held = tokens.get(data_centre, INITIAL_RETRY_TOKENS)
--- a/apricotgap/core/task_events.py
+++ b/apricotgap/core/task_events.py
@@ -153,6 +153,8 @@
         if event.timed_out or not event.sent:
             yield ProbeWorker(task.instance, task.address, fresh=True)
         if event.sent:
+            if task.waiting is not None and not event.timed_out:
+                task.waiting.n_broken += 1
             yield from task_loss.lose_task(state, task, event.message, at_ms)
         else:
             health.record(state, task.instance).reported_ms = None
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,5 +1,5 @@
 from apricotgap.core import health, polling
-from apricotgap.core.effects import DropConnections, ProbeWorker
+from apricotgap.core.effects import Dispatch, DropConnections, ProbeWorker
 from apricotgap.core.events import (
     InstanceListRead,
     TaskCompleted,
@@ -120,3 +120,13 @@
         fleet.step(WorkerUnreachable, "w0")
     fleet.report("w0", boot_id="b2")
     assert fleet.killed == ["bad"]
+
+
+def test_request_whose_tasks_break_two_connections_is_not_tried_again(monkeypatch):
+    """Guards against a request that kills workers faster than probes tell of it."""
+    fleet = Fleet(monkeypatch, configuration(n_workers=3))
+    fleet.report("w0", "w1", "w2")
+    first = dispatched(fleet.submit("a0", body_digest="bad", idempotent=True))
+    second = dispatched(fleet.step(TaskFailed, first.task_id, sent=True))
+    effects = fleet.step(TaskFailed, second.task_id, sent=True)
+    assert of_type(effects, Dispatch) == []
