--- a/proof/cells.py
+++ b/proof/cells.py
@@ -89,9 +89,9 @@
 class _Run:
     """One cell in virtual time."""
 
-    def __init__(self, cell: Cell, seed: int) -> None:
+    def __init__(self, cell: Cell, fleet: Fleet) -> None:
         self.cell = cell
-        self.fleet = Fleet(seed)
+        self.fleet = fleet
         self.found: list[str] = []
         self.healed_ms: int | None = None
         self.struck: Target | None = None
@@ -143,9 +143,7 @@
             fault: Fault = FAULTS[name]
             fault.strike(target)
             heal = fault.heal
-            fleet.harness.schedule.after(
-                fault.lasts_ms, lambda heal=heal: heal(target)
-            )
+            fleet.harness.schedule.after(fault.lasts_ms, lambda heal=heal: heal(target))
             lasts_ms = max(lasts_ms, fault.lasts_ms)
         self.healed_ms = fleet.now_ms + lasts_ms + 1
         fleet.harness.schedule.after(300, self._change)
@@ -215,7 +213,13 @@
         )
 
 
-def run_cell(cell: Cell, seed: int = SEED, *, trace: bool = False) -> CellResult:
+def run_cell(
+    cell: Cell,
+    seed: int = SEED,
+    *,
+    trace: bool = False,
+    fleet: Fleet | None = None,
+) -> CellResult:
     """Run a cell.
 
     Parameters
@@ -226,13 +230,15 @@
         Seed of the fleet.
     trace : bool
         Whether to keep what happened to the request or plan under test.
+    fleet : Fleet or None
+        A fresh fleet of the seed, which the cell uses up; None builds one.
 
     Returns
     -------
     CellResult
         Its violations; none when it passed.
     """
-    run = _Run(cell, seed)
+    run = _Run(cell, fleet or Fleet(seed))
     try:
         run.run()
     except Exception as error:  # noqa: BLE001  a crash of the reducer is a violation
@@ -249,7 +255,9 @@
     for root in fleet.roots:
         lines.append((root.at_ms, f"store root {root.config.revision}"))
     for name, entry in fleet.harness.entries.items():
-        lines += [(at, f"{name} {event} {fields}") for at, event, fields in entry.changes]
+        lines += [
+            (at, f"{name} {event} {fields}") for at, event, fields in entry.changes
+        ]
     for submission in fleet.submissions.values():
         if submission.logical != "target":
             continue
--- a/proof/fake_worker.py
+++ b/proof/fake_worker.py
@@ -174,9 +174,7 @@
     def _stop(self, item: _Running, message: str) -> None:
         task_id = item.run.task_id
         self._end(task_id)
-        self._answer(
-            item, lambda at: ev.TaskFailed(at, task_id, True, False, message)
-        )
+        self._answer(item, lambda at: ev.TaskFailed(at, task_id, True, False, message))
 
     def _check_lease(self, task_id: str) -> None:
         """Stop a task whose lease was not renewed."""
@@ -222,9 +220,7 @@
         self._running[effect.task_id] = _Running(
             run, post, effect.lease_ms, now_ms + effect.lease_ms
         )
-        self._schedule.after(
-            effect.lease_ms, lambda: self._check_lease(effect.task_id)
-        )
+        self._schedule.after(effect.lease_ms, lambda: self._check_lease(effect.task_id))
         self._known[effect.task_id] = TaskState.RUNNING
         boot = self.n_boots
         self._schedule.after(
--- a/proof/fault_matrix.py
+++ b/proof/fault_matrix.py
@@ -9,12 +9,14 @@
 from pathlib import Path
 
 from proof.cells import SEED, Cell, CellResult, all_cells, columns, run_cell
+from proof.fleet import Fleet
 
 __all__ = ["known_red", "main"]
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 _PREFIX = "fault-matrix: "
 N_PROCESSES = 4
+_WARM: dict[int, Fleet] = {}
 
 
 def known_red(path: Path = KNOWN_RED) -> dict[str, str]:
@@ -90,12 +92,19 @@
     if options.cell is not None:
         return _run_one(cells, options.cell, options.seed)
     started = time.monotonic()
-    with multiprocessing.Pool(N_PROCESSES) as pool:
+    _WARM[options.seed] = Fleet(options.seed)
+    context = multiprocessing.get_context("fork")
+    with context.Pool(N_PROCESSES, maxtasksperchild=1) as pool:
         jobs = [(cell, options.seed) for cell in cells]
-        results = pool.starmap(run_cell, jobs, chunksize=4)
+        results = pool.starmap(_run_warm, jobs, chunksize=1)
     return _report(cells, results, time.monotonic() - started)
 
 
+def _run_warm(cell: Cell, seed: int) -> CellResult:
+    """Run a cell in a process of its own, which inherits the warmed-up fleet."""
+    return run_cell(cell, seed, fleet=_WARM.pop(seed))
+
+
 def _run_one(cells: list[Cell], name: str, seed: int) -> int:
     cell = next((c for c in cells if c.name == name), None)
     if cell is None:
--- a/proof/faults.py
+++ b/proof/faults.py
@@ -233,6 +233,7 @@
         Fault("answers cut short", *_set_worker("cut_answers", True, False)),
         Fault("worker hidden from entry", _hide_worker, _heal_links),
         Fault("rack lost", _kill_rack, _boot_rack),
+        Fault("tasks delayed", *_set_worker("extra_link_ms", 5_000, 0), 1_000),
         Fault("member lease lapses", _lapse_lease, _nothing, 500),
         Fault("run times far off", _declare_wrong, _declare_right, 3_000),
         Fault("request kills workers", _send_poison, _nothing, 6_000),
--- a/proof/fleet.py
+++ b/proof/fleet.py
@@ -126,12 +126,7 @@
 
     def _start(self) -> None:
         for dc in DATA_CENTRES:
-            for pool, rack, name in (
-                ("app", "1", "app1"),
-                ("app", "1", "app2"),
-                ("app", "2", "app3"),
-                ("aux", "2", "aux1"),
-            ):
+            for name in ("app1", "app2", "app3", "aux1"):
                 self._add_worker(f"{dc}-{name}", dc)
         for name in self._seeds:
             self.start_entry(name)
--- a/proof/invariants.py
+++ b/proof/invariants.py
@@ -156,9 +156,7 @@
         or not fleet.harness.entries[s.entry].alive
     }
     never_ms = fleet.now_ms + 1
-    return max(
-        times.get(key, last[key] if key in dead else never_ms) for key in last
-    )
+    return max(times.get(key, last[key] if key in dead else never_ms) for key in last)
 
 
 def closed_and_leaving_are_left(fleet: Fleet) -> Iterator[str]:
@@ -166,20 +164,18 @@
     for run in fleet.runs:
         entry = fleet.task_entry[run.task_id]
         since_ms = _out_since(fleet, run)
-        if since_ms is not None and run.started_ms > since_ms + IN_FORCE_BOUND_MS:
-            if not _was(fleet.isolated, entry, since_ms, run.started_ms):
-                yield f"I6 {run.task_id} started on {run.worker} at {run.started_ms}"
+        late = since_ms is not None and run.started_ms > since_ms + IN_FORCE_BOUND_MS
+        if late and not _was(fleet.isolated, entry, since_ms or 0, run.started_ms):
+            yield f"I6 {run.task_id} started on {run.worker} at {run.started_ms}"
         listed_ms, until_ms = fleet.listed_leaving.get(run.worker, (None, None))
         if listed_ms is None or (until_ms is not None and run.started_ms > until_ms):
             continue
-        if run.started_ms > listed_ms + IN_FORCE_BOUND_MS:
-            if not _was(fleet.platform_cut, entry, listed_ms, run.started_ms):
-                yield f"I10 {run.task_id} started on {run.worker} at {run.started_ms}"
+        late = run.started_ms > listed_ms + IN_FORCE_BOUND_MS
+        if late and not _was(fleet.platform_cut, entry, listed_ms, run.started_ms):
+            yield f"I10 {run.task_id} started on {run.worker} at {run.started_ms}"
 
 
-def _was(
-    times: dict[str, list[int]], entry: str, since_ms: int, until_ms: int
-) -> bool:
+def _was(times: dict[str, list[int]], entry: str, since_ms: int, until_ms: int) -> bool:
     return any(since_ms <= at_ms <= until_ms for at_ms in times.get(entry, ()))
 
 
--- a/proof/steps.py
+++ b/proof/steps.py
@@ -16,7 +16,14 @@
 from proof.fleet import Fleet
 from proof.harness import FakeEntry
 
-__all__ = ["KINDS", "PLAN_STEPS", "REQUEST_STEPS", "PlanLife", "RequestKind", "RequestLife"]
+__all__ = [
+    "KINDS",
+    "PLAN_STEPS",
+    "REQUEST_STEPS",
+    "PlanLife",
+    "RequestKind",
+    "RequestLife",
+]
 
 TARGET_RUN_MS = 700
 REPEAT_AFTER_MS = 200
@@ -176,9 +183,8 @@
             self._reached("claim", name)
         elif isinstance(effect, fx.Dispatch) and self._is_target(effect.request_id):
             self._reached("dispatch", name, effect.instance)
-        elif isinstance(effect, fx.AnswerCaller) and not self._repeated:
-            if effect.request_id in self.sent:
-                self._later(REPEAT_AFTER_MS, lambda: self._repeat(True))
+        elif isinstance(effect, fx.AnswerCaller) and effect.request_id in self.sent:
+            self._later(REPEAT_AFTER_MS, lambda: self._repeat(True))
 
     def _see_run(self, run: Run) -> None:
         if self._is_target(run.request_id):
@@ -345,8 +351,8 @@
 
     def _see_effect(self, entry: FakeEntry, effect: fx.Effect) -> None:
         name = entry.identity.entry
-        if isinstance(effect, fx.StoreCas) and effect.key == "grants":
-            if b'"instances":{}' not in effect.value:
+        if isinstance(effect, fx.StoreCas):
+            if effect.key == "grants" and b'"instances":{}' not in effect.value:
                 self._reached("granted", name, "b-app1")
         elif isinstance(effect, fx.RebootInstance):
             self._reached("rebooting", name, effect.instance)
@@ -359,9 +365,7 @@
             return
         if self.plan_step.seen(config):
             worker = "c-app1" if self._step == "closing" else "b-app1"
-            self._later(
-                1, lambda: self._reached(self._step, self._runner(), worker)
-            )
+            self._later(1, lambda: self._reached(self._step, self._runner(), worker))
         draining = _has_instance(InstanceState.DRAINING)(config)
         if self._step == "cancelled" and draining and not self.cancelled:
             self.cancelled = True
