Ask a restored server again that was found unreachable

Cause: the runner polls no servers of other data centres. A probe that failed late, after the report of the new boot, left a restored server counted as unreachable, and its plan and grant never ended. Change: the runner probes the target of a running step that is back in service and not available. Conclusion: a plan no longer depends on the last probe of a step.

--- a/apricotgap/core/runner_view.py
+++ b/apricotgap/core/runner_view.py
@@ -64,13 +64,27 @@
     def to_probe(self) -> Iterator[Step]:
         """List steps that a report of their target may start or complete."""
         for _, step in self.running_on_instances():
-            if step.kind is StepKind.REBOOT or self._facts.is_settled(step):
+            if (
+                step.kind is StepKind.REBOOT
+                or self._facts.is_settled(step)
+                or self._awaits_service(step)
+            ):
                 yield step
         for _, step in self.startable_reboots():
             known = step.target in self._config.instances
             if known and not self._facts.boot_id(step.target):
                 yield step
 
+    def _awaits_service(self, step: Step) -> bool:
+        """Whether the target is back in service but was last found unreachable.
+
+        The runner polls no servers of other data centres, so nothing else would
+        tell it that the server is reachable again.
+        """
+        instance = self._config.instances[step.target]
+        is_back = instance.state is InstanceState.IN_SERVICE
+        return is_back and not self._facts.is_available(step.target)
+
     def startable_reboots(self) -> Iterator[tuple[str, Step]]:
         """List reboots that wait for the boot identifier of their target."""
         for plan in self._plans:
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -15,7 +15,7 @@
     apply_transition,
 )
 from apricotgap.drivers.backends import BackendDriver
-from apricotgap.model import DataCentreState, InstanceState
+from apricotgap.model import DataCentreState, InstanceState, StepState
 from tests.fleet_fakes import KEEP_FIVE, World, make_fleet
 
 
@@ -327,3 +327,24 @@
     assert world.run(120_000, finished(world))
     assert len(world.boots) == 40
     assert world.n_changes - n_before <= 6
+
+
+def test_restored_server_that_was_unreachable_is_asked_again(monkeypatch):
+    """Guards against a plan that waits for ever on one late failed probe."""
+    world = World(monkeypatch, make_fleet())
+    plan_id = world.confirm("drain_instance", "d1-a0", reboot="true")
+
+    def restores():
+        steps = world.config.active_plans[plan_id].steps
+        return steps[-1].state is StepState.RUNNING
+
+    assert world.run(60_000, restores)
+    world.unhealthy.add("d1-a0")
+    report = world.report
+
+    def answer(entry, name):
+        world.unhealthy.discard(name)
+        report(entry, name)
+
+    world.report = answer
+    assert world.run(20_000, lambda: not world.config.active_plans)
