Let shares rise while rows change, and keep standing units

Cause: under load the wanted units of a row change all the time, so each entry spent its one write per second on its row and the data centre share was not raised for 15 s and more. Share writes then met conflicts, since the document had been read seconds before. Units that were returned after 2 s had to be taken again at the next rise of the load.

Change: rows and shares of a bucket are written in turn; shares are read just before they are written; an entry with recent work of a team keeps an even part of the limit until others want more than the limit. The write rate stays at one a second.

--- a/apricotgap/core/allotment_plan.py
+++ b/apricotgap/core/allotment_plan.py
@@ -34,6 +34,9 @@
         others wait for units.
     cap_idle : bool
         Whether the same holds for units of the cap that no row has taken.
+    n_standing : int
+        Units held for work to come, so that ordinary changes of the load need no
+        write.
     """
 
     limit: int
@@ -41,11 +44,12 @@
     n_waiting: int = 0
     give_back: bool = False
     cap_idle: bool = False
+    n_standing: int = 0
 
     @property
     def demand(self) -> int:
-        """Units for which there is work, at most the limit."""
-        return min(self.limit, self.n_running + self.n_waiting)
+        """Units for work now and to come, at most the limit."""
+        return min(self.limit, max(self.n_running + self.n_waiting, self.n_standing))
 
 
 def plan_rows(
--- a/apricotgap/core/allotment_writes.py
+++ b/apricotgap/core/allotment_writes.py
@@ -3,7 +3,13 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
 
-from apricotgap.core import allotment_plan, ledger, ledger_codec, reclaim
+from apricotgap.core import (
+    allotment_plan,
+    ledger,
+    ledger_codec,
+    membership,
+    reclaim,
+)
 from apricotgap.core.allotments import (
     Stored,
     Write,
@@ -16,6 +22,7 @@
     CAS_TIMEOUT_MS,
     LEDGER_WRITE_INTERVAL_MS,
     SURPLUS_HOLD_MS,
+    TICK_MS,
 )
 from apricotgap.core.state import EntryState
 from apricotgap.model.ledger import DataCentreLedger, FleetLedger, TeamRows
@@ -23,6 +30,11 @@
 __all__ = ["ask", "keep_unresolved", "next_call", "settle", "stored", "write"]
 
 FLEET_READ_INTERVAL_MS = 5_000
+# All entries of the fleet write the shares, so a document that was read earlier has
+# mostly changed and the write would only meet a conflict.
+FRESH_MS = 2 * TICK_MS
+# A team without work at an entry keeps its standing units for this time.
+STANDING_MS = 60_000
 
 
 def next_call(state: EntryState) -> str:
@@ -82,13 +94,16 @@
         return
     if last_ms is not None and at_ms - last_ms < LEDGER_WRITE_INTERVAL_MS:
         return
+    own.stale_bucket = None
     for bucket in _buckets(state):
         teams = _active_teams(state, bucket)
+        _note_active(state, teams, at_ms)
         _note_idle(state, teams, at_ms)
         _ask_fleet(state, bucket, teams, at_ms)
-        effect = _write_rows(state, bucket, teams, gone, at_ms) or _write_shares(
-            state, bucket, teams, at_ms
-        )
+        effect = _write_bucket(state, bucket, teams, gone, at_ms)
+        if effect is None and own.stale_bucket == bucket:
+            own.next_bucket = bucket
+            return
         if effect is not None:
             own.next_bucket = (bucket + 1) % ledger_codec.N_BUCKETS
             yield Count("allotment_writes")
@@ -132,10 +147,44 @@
     return teams.get(team, TeamRows(ledger.EMPTY))
 
 
-def _demand(state: EntryState, team: str) -> int:
+def _demand(state: EntryState, team: str, at_ms: int) -> int:
+    return _need(state, team, at_ms).demand
+
+
+def _n_standing(state: EntryState, team: str, at_ms: int) -> int:
+    """Return the units to hold for work to come.
+
+    An even part of the limit stays with each entry that had work lately. Without it
+    each rise of the load waits for several writes, of which one a second is allowed.
+    An idle entry gives its part up once others want more than the limit.
+    """
+    idle_ms = at_ms - state.allotments.active_ms.get(team, at_ms - STANDING_MS)
+    n_others = len(membership.known_others(state))
+    if state.stopping or not n_others or idle_ms >= STANDING_MS:
+        return 0
+    if idle_ms >= SURPLUS_HOLD_MS and _is_contended(state, team, at_ms):
+        return 0
+    return limit_of(state, team) // (n_others + 1)
+
+
+def _is_contended(state: EntryState, team: str, at_ms: int) -> bool:
+    own = state.allotments
+    unmet_ms = own.unmet_ms.get(team)
+    if unmet_ms is not None and at_ms - unmet_ms <= SURPLUS_HOLD_MS:
+        return True
+    fleet = own.fleet.get(ledger_codec.bucket_of(team))
+    shares = fleet.ledger.teams.get(team, {}) if fleet is not None else {}
+    return sum(row.wanted for row in shares.values()) > limit_of(state, team)
+
+
+def _note_active(state: EntryState, teams: list[str], at_ms: int) -> None:
     own = state.allotments
-    waiting = 0 if state.stopping else own.waiting.get(team, 0)
-    return min(limit_of(state, team), own.running.get(team, 0) + waiting)
+    for team in teams:
+        if team in own.running or team in own.waiting or team in own.started:
+            own.active_ms[team] = at_ms
+        elif at_ms - own.active_ms.get(team, at_ms) >= STANDING_MS:
+            del own.active_ms[team]
+    own.started.difference_update(teams)
 
 
 def _note_idle(state: EntryState, teams: list[str], at_ms: int) -> None:
@@ -145,7 +194,7 @@
         limit, row = limit_of(state, team), own_row(state, team)
         told = max(row.usable(limit), row.wanted) if row is not None else 0
         cap = ledger.available(ledger.portion(rows.cap), (), limit)
-        _since(own.idle_since_ms, team, told > _demand(state, team), at_ms)
+        _since(own.idle_since_ms, team, told > _demand(state, team, at_ms), at_ms)
         idle = cap > allotment_plan.data_centre_wants(rows, limit)
         _since(own.cap_idle_since_ms, team, idle, at_ms)
 
@@ -171,6 +220,7 @@
         n_waiting=0 if state.stopping else own.waiting.get(team, 0),
         give_back=held(own.idle_since_ms),
         cap_idle=held(own.cap_idle_since_ms),
+        n_standing=_n_standing(state, team, at_ms),
     )
 
 
@@ -187,11 +237,38 @@
         row, limit = own_row(state, team), limit_of(state, team)
         held = row.usable(limit) if row is not None else 0
         unmet = at_ms - own.unmet_ms.get(team, at_ms - 2 * SURPLUS_HOLD_MS)
-        if _demand(state, team) > held or (held and unmet <= SURPLUS_HOLD_MS):
+        if _demand(state, team, at_ms) > held or (held and unmet <= SURPLUS_HOLD_MS):
             ask(state, ledger_codec.fleet_key(bucket), at_ms)
             return
 
 
+def _write_bucket(
+    state: EntryState,
+    bucket: int,
+    teams: list[str],
+    gone: frozenset[str],
+    at_ms: int,
+) -> StoreCas | None:
+    """Write the rows and the shares of a bucket in turn.
+
+    Under load the rows have something to change at any time, so that a fixed order
+    would never raise the shares that the rows wait for.
+    """
+    own = state.allotments
+    if bucket in own.shares_next:
+        effect = _write_shares(state, bucket, teams, at_ms)
+        if own.stale_bucket == bucket:
+            return None
+        own.shares_next.discard(bucket)
+        if effect is not None:
+            return effect
+    effect = _write_rows(state, bucket, teams, gone, at_ms)
+    if effect is None:
+        return _write_shares(state, bucket, teams, at_ms)
+    own.shares_next.add(bucket)
+    return effect
+
+
 def _write_rows(
     state: EntryState,
     bucket: int,
@@ -274,6 +351,10 @@
     if planned == fleet.ledger:
         return None
     key = ledger_codec.fleet_key(bucket)
+    if at_ms - state.allotments.fleet_read_ms.get(bucket, 0) > FRESH_MS:
+        ask(state, key, at_ms)
+        state.allotments.stale_bucket = bucket
+        return None
     return _cas(state, key, bucket, fleet.revision, planned, at_ms=at_ms)
 
 
--- a/apricotgap/core/allotments.py
+++ b/apricotgap/core/allotments.py
@@ -80,7 +80,10 @@
     at which the own lease was found invalid; `confirmed` tells whether the rows were
     read after it, and `to_renew` names the buckets whose rows must be renewed after
     it before use. `fair_bounds` holds the units above which nothing starts because
-    others lack their fair part.
+    others lack their fair part. `started` names the teams that started a task since
+    the last look, and `active_ms` holds when a team last had work here. `shares_next`
+    holds the buckets whose rows were written last, and `stale_bucket` the one whose
+    shares are read before they are written.
     """
 
     running: dict[str, int] = field(default_factory=dict)
@@ -107,6 +110,10 @@
     cap_idle_since_ms: dict[str, int] = field(default_factory=dict)
     fair_bounds: dict[str, int] = field(default_factory=dict)
     unmet_ms: dict[str, int] = field(default_factory=dict)
+    started: set[str] = field(default_factory=set)
+    shares_next: set[int] = field(default_factory=set)
+    stale_bucket: int | None = None
+    active_ms: dict[str, int] = field(default_factory=dict)
     evidence: Evidence = field(default_factory=Evidence)
 
 
@@ -142,6 +149,7 @@
     if team:
         running = state.allotments.running
         running[team] = running.get(team, 0) + 1
+        state.allotments.started.add(team)
 
 
 def note_finished(state: EntryState, team: str) -> None:
