Bound the wait for fresh shares

Cause: shares were written only after a read of the last 200 ms, so a store that answers more slowly would have stopped all share writes.

Change: the wait ends after one second.

Tried and not kept: holding the slot of a write also for the read that target_of needs, and writing as soon as that read arrives.

--- a/apricotgap/core/allotment_writes.py
+++ b/apricotgap/core/allotment_writes.py
@@ -348,13 +348,19 @@
             limit_of(state, team),
             fence=_document(state, bucket).ledger.fence,
         )
+    own = state.allotments
     if planned == fleet.ledger:
+        own.stale_since_ms.pop(bucket, None)
         return None
     key = ledger_codec.fleet_key(bucket)
-    if at_ms - state.allotments.fleet_read_ms.get(bucket, 0) > FRESH_MS:
-        ask(state, key, at_ms)
-        state.allotments.stale_bucket = bucket
-        return None
+    if at_ms - own.fleet_read_ms.get(bucket, 0) > FRESH_MS:
+        # The wait is bounded; a slow store would otherwise stop all writes.
+        since_ms = own.stale_since_ms.setdefault(bucket, at_ms)
+        if at_ms - since_ms <= CAS_TIMEOUT_MS:
+            ask(state, key, at_ms)
+            own.stale_bucket = bucket
+            return None
+    own.stale_since_ms.pop(bucket, None)
     return _cas(state, key, bucket, fleet.revision, planned, at_ms=at_ms)
 
 
--- a/apricotgap/core/allotments.py
+++ b/apricotgap/core/allotments.py
@@ -83,7 +83,7 @@
     others lack their fair part. `started` names the teams that started a task since
     the last look, and `active_ms` holds when a team last had work here. `shares_next`
     holds the buckets whose rows were written last, and `stale_bucket` the one whose
-    shares are read before they are written.
+    shares are read before they are written; `stale_since_ms` tells since when.
     """
 
     running: dict[str, int] = field(default_factory=dict)
@@ -113,6 +113,7 @@
     started: set[str] = field(default_factory=set)
     shares_next: set[int] = field(default_factory=set)
     stale_bucket: int | None = None
+    stale_since_ms: dict[int, int] = field(default_factory=dict)
     active_ms: dict[str, int] = field(default_factory=dict)
     evidence: Evidence = field(default_factory=Evidence)
 
--- a/tests/test_allotment_writes.py
+++ b/tests/test_allotment_writes.py
@@ -33,3 +33,17 @@
     assert _held(entry) == 5
     cluster.tick(STANDING_MS // 100)
     assert _held(entry) == 0
+
+
+def test_a_slow_store_does_not_stop_the_shares(monkeypatch):
+    """Guards against waiting for ever for a read that is never fresh enough."""
+    cluster = Cluster(monkeypatch, limit=10)
+    entry = cluster.add("a", "x")
+    later = cluster._later
+    cluster._later = lambda who, delay, kind, **fields: later(
+        who, delay + 5, kind, **fields
+    )
+    for _ in range(150):
+        cluster.tick()
+        cluster.work(entry, 1)
+    assert running(entry) > 0
