Let a team's urgent work take the units that its batch work holds

Cause: urgent requests of a team at its limit starved: the unit that became free went to batch of whichever queue was served first, and entries with many busy teams waited for their write. Change: batch of a team leaves as many units as urgent requests of the team wait at the entry; batch tasks that may be checkpointed give way after 500 ms; an entry writes two documents a second in place of one (110 writes/s at 55 entries).

--- a/apricotgap/core/fair_queue.py
+++ b/apricotgap/core/fair_queue.py
@@ -121,13 +121,16 @@
     """Admitted requests that wait.
 
     `ready` names the queues in which a request may have become able to start.
-    `parked` names, by team at its limit, the classes that it waits in.
+    `parked` names, by team at its limit, the classes that it waits in, and
+    `urgent_parked_ms` holds since when urgent work is among them.
     """
 
     classes: dict[tuple[str, Priority], _ClassQueue] = field(default_factory=dict)
     by_request: dict[str, Waiting] = field(default_factory=dict)
     n_by_queue: dict[str, int] = field(default_factory=dict)
     n_by_team: dict[str, int] = field(default_factory=dict)
+    n_urgent_by_team: dict[str, int] = field(default_factory=dict)
+    urgent_parked_ms: dict[str, int] = field(default_factory=dict)
     ready: dict[str, None] = field(default_factory=dict)
     parked: dict[str, dict[tuple[str, Priority], None]] = field(default_factory=dict)
     expiries: list[tuple[int, int, Waiting]] = field(default_factory=list)
@@ -224,9 +227,11 @@
         if team.serial != serial or not team.n_live:
             found.drop_top()
             continue
-        if team.team and allotments.headroom(state, team.team, at_ms, priority) <= 0:
+        if team.team and _room(state, team.team, priority, at_ms) <= 0:
             found.drop_top()
             team.parked = True
+            if priority is Priority.URGENT:
+                state.queues.urgent_parked_ms.setdefault(team.team, at_ms)
             state.queues.parked.setdefault(team.team, {})[queue, priority] = None
             continue
         while team.requests[0].removed:
@@ -235,6 +240,15 @@
     return None
 
 
+def _room(state: "EntryState", team: str, priority: Priority, at_ms: int) -> int:
+    room = allotments.headroom(state, team, at_ms, priority)
+    if priority is Priority.BATCH:
+        # Batch of another queue would otherwise take each unit that becomes free
+        # before the team's urgent work gets its turn.
+        room -= state.queues.n_urgent_by_team.get(team, 0)
+    return room
+
+
 def take(state: "EntryState", waiting: Waiting) -> None:
     """Remove the request that `peek` returned, to start it."""
     found = state.queues.classes[waiting.class_key]
@@ -271,6 +285,7 @@
 
 def unpark(state: "EntryState", team: str) -> None:
     """Return a team to the queues that it waits in, since its limit may allow."""
+    state.queues.urgent_parked_ms.pop(team, None)
     for class_key in state.queues.parked.pop(team, ()):
         found = state.queues.classes[class_key]
         record = found.teams[team]
@@ -364,6 +379,8 @@
     _add(queues.n_by_queue, queue, step)
     if team:
         _add(queues.n_by_team, team, step)
+        if waiting.request.priority is Priority.URGENT:
+            _add(queues.n_urgent_by_team, team, step)
         allotments.set_waiting(state, team, queues.n_by_team.get(team, 0))
 
 
--- a/apricotgap/core/limits.py
+++ b/apricotgap/core/limits.py
@@ -96,7 +96,7 @@
 CAS_TIMEOUT_MS = 1_000
 # An entry writes one document an interval on average. A burst lets the teams of
 # several buckets get their first units within the bound on urgent starts.
-LEDGER_WRITE_INTERVAL_MS = 1_000
+LEDGER_WRITE_INTERVAL_MS = 500
 LEDGER_WRITE_BURST = 24
 SURPLUS_HOLD_MS = 2_000
 
--- a/apricotgap/core/preemption.py
+++ b/apricotgap/core/preemption.py
@@ -12,7 +12,7 @@
     from apricotgap.core.placement import Task
     from apricotgap.core.state import EntryState
 
-__all__ = ["checkpoint_blocking", "not_preemptible"]
+__all__ = ["checkpoint_blocking", "checkpoint_own_batch", "not_preemptible"]
 
 CHECKPOINT_AFTER_MS = 500
 MAX_CHECKPOINTS_PER_TICK = 8
@@ -51,6 +51,31 @@
             yield CheckpointTask(task.task_id, task.instance, task.address)
 
 
+def checkpoint_own_batch(state: "EntryState", at_ms: int) -> Iterable[Effect]:
+    """Checkpoint batch tasks of teams whose urgent work waits for their limit."""
+    for team, since_ms in list(state.queues.urgent_parked_ms.items()):
+        n_urgent = state.queues.n_urgent_by_team.get(team, 0)
+        if not n_urgent:
+            del state.queues.urgent_parked_ms[team]
+            continue
+        if at_ms - since_ms < CHECKPOINT_AFTER_MS:
+            continue
+        state.queues.urgent_parked_ms[team] = at_ms
+        n_wanted = min(n_urgent, MAX_CHECKPOINTS_PER_TICK)
+        for task in _batch_of(state, team, n_wanted):
+            not_preemptible(state, task)
+            state.placement.checkpointing.setdefault(task.pool, {})[task.task_id] = task
+            task.checkpointing = True
+            yield CheckpointTask(task.task_id, task.instance, task.address)
+
+
+def _batch_of(state: "EntryState", team: str, n: int) -> list["Task"]:
+    tasks = chain.from_iterable(
+        reversed(group.values()) for group in state.placement.preemptible.values()
+    )
+    return list(islice((task for task in tasks if task.team == team), n))
+
+
 def _to_checkpoint(
     state: "EntryState", pool: str, priority: Priority, n: int
 ) -> list["Task"]:
--- a/apricotgap/core/task_events.py
+++ b/apricotgap/core/task_events.py
@@ -305,6 +305,7 @@
         yield from self._probe(state, at_ms)
         yield from placement.schedule(state, at_ms)
         yield from preemption.checkpoint_blocking(state, at_ms)
+        yield from preemption.checkpoint_own_batch(state, at_ms)
 
     @staticmethod
     def _probe(state: EntryState, at_ms: int) -> Iterable[Effect]:
--- a/measures/baselines.py
+++ b/measures/baselines.py
@@ -87,7 +87,9 @@
 def static_split(n_entries: int) -> Iterator[None]:
     """Give each entry instance a fixed part of every upper limit."""
 
-    def headroom(state: "EntryState", team: str, at_ms: int) -> int:
+    def headroom(
+        state: "EntryState", team: str, at_ms: int, priority: object = None
+    ) -> int:
         if not team:
             return allotments.UNLIMITED
         part = allotments.limit_of(state, team) // n_entries
