--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,182 @@
+"""One entry instance as a process, with stand-ins, over loopback."""
+
+import hashlib
+import json
+import signal
+
+import pytest
+import trio
+import yaml
+
+from demo.__main__ import httpcore_request
+from demo.operator import Operator
+from demo.processes import Fleet
+
+CREDENTIAL = "an-operator-credential"
+FLEET = {
+    "data_centres": [{"name": "a"}],
+    "pools": [{"name": "p"}],
+    "instances": [
+        {
+            "name": "a-p-1",
+            "address": "127.0.0.1:1",
+            "data_centre": "a",
+            "rack": "a-r1",
+            "pool": "p",
+            "slots": 2,
+            "connections": 8,
+        }
+    ],
+    "teams": [{"name": "t", "share": 1, "upper_limit": 4}],
+    "queues": [{"name": "q", "pool": "p"}],
+}
+
+
+class Scene:
+    """A running fleet of one entry instance and one backend server."""
+
+    def __init__(self, fleet, key, folder):
+        self.fleet, self.key, self.folder = fleet, key, folder
+        ((self.name, self.address),) = fleet.http.items()
+
+    async def send(self, raw):
+        """Send raw bytes and return everything that comes back."""
+        host, port = self.address.split(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        async with stream:
+            await stream.send_all(raw)
+            received = b""
+            with trio.move_on_after(3):
+                while b"\r\n\r\n" not in received or not received.endswith(b"}"):
+                    chunk = await stream.receive_some(65_536)
+                    if not chunk:
+                        break
+                    received += chunk
+            return received
+
+    async def post(self, body, key=None, queue="q", **headers):
+        """Send a request as a caller and return status and body."""
+        fields = {"Authorization": f"Bearer {key or self.key}", **headers}
+        head = f"POST /v1/queues/{queue}/requests HTTP/1.1\r\nHost: x\r\n"
+        head += "".join(f"{n.replace('_', '-')}: {v}\r\n" for n, v in fields.items())
+        head += f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        answer = await self.send(head.encode() + body)
+        status_line, _, rest = answer.partition(b"\r\n")
+        return int(status_line.split()[1]), rest.partition(b"\r\n\r\n")[2]
+
+
+def scene(tmp_path, function):
+    """Run `function(scene)` and check that the log has no traceback."""
+
+    async def main():
+        example = tmp_path / "example.yaml"
+        example.write_text(yaml.safe_dump(FLEET))
+        fleet = Fleet(tmp_path, example, ["a"], 1, "")
+        try:
+            digest = hashlib.sha256(CREDENTIAL.encode()).hexdigest()
+            with trio.fail_after(45):
+                await fleet.start(digest)
+                await function(await configured(fleet, tmp_path))
+        finally:
+            fleet.kill_all()
+
+    trio.run(main)
+    log = (tmp_path / "entry-a-1.log").read_text()
+    assert "Traceback" not in log and "internal_error" not in log
+
+
+async def configured(fleet, tmp_path):
+    (address,) = fleet.http.values()
+    operator = Operator([address], CREDENTIAL)
+    for _ in range(100):
+        code, _ = await operator.run("apply", str(fleet.fleet_file))
+        if code == 0:
+            break
+        await trio.sleep(0.2)
+    key = (await operator.must("key", "grant", "t"))["key"]
+    instances = [
+        {"name": n, "control": c, "state": "live"} for n, c in fleet.controls.items()
+    ]
+    await httpcore_request(
+        "POST",
+        f"{fleet.platform_url}/standin/instances",
+        {"instances": instances, "settled": True},
+    )
+    found = Scene(fleet, key, tmp_path)
+    for _ in range(50):
+        status, _ = await found.post(b'{"standin_run_ms": 1}')
+        if status == 200:
+            return found
+    raise AssertionError("no request was answered")
+
+
+@pytest.mark.timeout(90)
+def test_bad_input_gets_a_clear_error_and_the_process_lives(tmp_path):
+    """Guards against a caller or peer that stops the entry instance."""
+
+    async def check(found):
+        assert b"400" in (await found.send(b"GARBAGE\r\n\r\n")).split(b"\r\n")[0]
+        large = b"Content-Length: 9999999\r\n\r\n"
+        head = b"POST /v1/queues/q/requests HTTP/1.1\r\nHost: x\r\n"
+        assert b" 413" in (await found.send(head + large)).split(b"\r\n")[0]
+        for kwargs, expected in (
+            ({"key": "wrong"}, (401, "key_unknown")),
+            ({"queue": "none"}, (404, "unknown_queue")),
+            ({"Apricotgap_Priority": "soon"}, (400, "invalid")),
+        ):
+            status, body = await found.post(b"x", **kwargs)
+            data = json.loads(body)
+            assert (status, data["kind"]) == expected
+            assert data["remedy"] and data["outcome"] == "not_run"
+        settings = yaml.safe_load((found.folder / "entry-a-1.yaml").read_text())
+        host, port = settings["entry"]["peer_address"].split(":")
+        peer = await trio.open_tcp_stream(host, int(port))
+        await peer.send_all(b"\xff\xfe not a websocket\r\n\r\n")
+        await peer.aclose()
+        assert (await found.post(b'{"standin_run_ms": 1}'))[0] == 200
+        assert found.fleet.entries["a-1"].running
+
+    scene(tmp_path, check)
+
+
+@pytest.mark.timeout(90)
+def test_planned_stop_cuts_no_request(tmp_path):
+    """Guards against a stop that breaks the connection of a running request."""
+
+    async def check(found):
+        body = b'{"standin_run_ms": 1500}'
+        results = []
+
+        async def call():
+            results.append(await found.post(body))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await trio.sleep(0.5)
+            found.fleet.entries["a-1"].send(signal.SIGTERM)
+        whole = hashlib.sha256(body).hexdigest().encode() + b"\n" + body
+        assert results == [(200, whole)]
+        assert await found.fleet.entries["a-1"].wait() == 0
+
+    scene(tmp_path, check)
+
+
+@pytest.mark.timeout(90)
+def test_entry_paused_past_its_lease_serves_again(tmp_path):
+    """Guards against an entry instance that never recovers from a long pause."""
+
+    async def check(found):
+        entry = found.fleet.entries["a-1"]
+        entry.send(signal.SIGSTOP)
+        await trio.sleep(11)
+        entry.send(signal.SIGCONT)
+        for _ in range(20):
+            status, _ = await found.post(
+                b'{"standin_run_ms": 1}', Apricotgap_Max_Wait_Ms="2000"
+            )
+            if status == 200:
+                return
+            await trio.sleep(0.3)
+        raise AssertionError(f"the last answer had status {status}")
+
+    scene(tmp_path, check)
