Give every ledger bucket its turn

Cause: in bursts some entries never got a unit of some teams. A trace showed that they had read the shares of one bucket 90 s ago and never looked at it again: the start of the next pass was an absolute bucket to which the entry's own offset was added each time, so that a busy entry moved among a few buckets only. Ruled out: the fence and the generation of the cap (both allowed the raise), conflicts of writes, the write rate (credit was left). Change: the offset counts for the first pass only. The new test fails on the old code.

--- a/apricotgap/core/allotment_writes.py
+++ b/apricotgap/core/allotment_writes.py
@@ -126,7 +126,10 @@
     busy = {ledger_codec.bucket_of(team) for team in {**own.running, **own.waiting}}
     busy.update(b for b, stored in own.documents.items() if stored.ledger.teams)
     busy.update(write.bucket for write in own.unresolved)
-    start = own.next_bucket + ledger_codec.bucket_of(holder_of(state))
+    # Entries begin with different buckets, so that their first writes do not conflict.
+    start = own.next_bucket
+    if start is None:
+        start = ledger_codec.bucket_of(holder_of(state))
     yield from sorted(busy, key=lambda b: (b - start) % ledger_codec.N_BUCKETS)
 
 
--- a/apricotgap/core/allotments.py
+++ b/apricotgap/core/allotments.py
@@ -101,7 +101,7 @@
     last_write_ms: int | None = None
     write_credit_ms: int = LEDGER_WRITE_BURST * LEDGER_WRITE_INTERVAL_MS
     plan_after_ms: int = 0
-    next_bucket: int = 0
+    next_bucket: int | None = None
     n_calls: int = 0
     reads: dict[str, str] = field(default_factory=dict)
     due: dict[str, int] = field(default_factory=dict)
--- a/tests/test_allotment_writes.py
+++ b/tests/test_allotment_writes.py
@@ -1,3 +1,4 @@
+from apricotgap.core import allotment_writes, ledger_codec
 from tests.allotment_cluster import Cluster, running
 
 
@@ -23,3 +24,18 @@
         cluster.tick()
         cluster.work(entry, 1)
     assert running(entry) > 0
+
+
+def test_every_bucket_gets_its_turn(monkeypatch):
+    """Guards against a bucket that is never looked at while others always change."""
+    for holder in range(16):
+        cluster = Cluster(monkeypatch, limit=10)
+        entry = cluster.add(f"a{holder}", "x")
+        own = entry.state.allotments
+        own.waiting = {f"team-{i}": 1 for i in range(40)}
+        seen = set()
+        for _ in range(16):
+            first = next(iter(allotment_writes._buckets(entry.state)))
+            seen.add(first)
+            own.next_bucket = (first + 1) % ledger_codec.N_BUCKETS
+        assert seen == {ledger_codec.bucket_of(team) for team in own.waiting}
