Let the last urgent requests of a measured span start before it is judged

Cause: requests that arrived in the last second of a run counted as never started, since the run ended before they could start.

--- a/measures/scenarios.py
+++ b/measures/scenarios.py
@@ -158,6 +158,9 @@
     jobs = _saturation_jobs(fleet, duration_ms)
     fleet.send(jobs)
     fleet.harness.run_for(duration_ms)
+    end_ms = fleet.now_ms
+    # Requests that arrived last need time to start or to expire.
+    fleet.harness.run_for(MAX_WAIT_MS)
     queues = _Queues(fleet)
     first_ms = begin_ms + WARM_MS
     spans = [
@@ -165,7 +168,7 @@
         for queue in queues.main
         for i in range(N_WINDOWS)
     ]
-    whole = (first_ms, fleet.now_ms)
+    whole = (first_ms, end_ms)
     work = fleet.work()
     result = _compared(fleet, jobs, work, spans, whole)
     busy_ms = sum(
@@ -189,12 +192,14 @@
     jobs = _burst_jobs(fleet, duration_ms)
     fleet.send(jobs)
     fleet.harness.run_for(duration_ms)
+    end_ms = fleet.now_ms
+    fleet.harness.run_for(MAX_WAIT_MS)
     spans = []
     for i in range(n_main, 2 * n_main):
         burst_ms = begin_ms + i * BURST_MS
         span = (burst_ms + BURST_SETTLE_MS, burst_ms + BURST_MS)
         spans.append((_Queues(fleet).main[i % n_main], span))
-    whole = (begin_ms + n_main * BURST_MS, fleet.now_ms)
+    whole = (begin_ms + n_main * BURST_MS, end_ms)
     work = fleet.work()
     result = _compared(fleet, jobs, work, spans, whole)
     result.lists["idle_spare"] = [_idle_spare(fleet, whole)]
