Share the background driver and the data centre step

Cause: two drivers and two step actions repeated each other line by line. Change: one base for drivers that start a task for each effect; one base for opening and closing a data centre. Result: tests of waves, planner and processes pass. Conclusion: no behaviour changes.

--- a/apricotgap/core/plan_steps.py
+++ b/apricotgap/core/plan_steps.py
@@ -112,7 +112,8 @@
 
     def __init_subclass__(cls, **kwargs: object) -> None:
         super().__init_subclass__(**kwargs)
-        _ACTIONS[cls.kind] = cls()
+        if "kind" in cls.__dict__:
+            _ACTIONS[cls.kind] = cls()
 
     @abstractmethod
     def start(self, draft: ConfigDraft, step: Step) -> None:
@@ -225,21 +226,28 @@
         )
 
 
-class CloseAction(StepAction):
-    """Closes a data centre; the grants of all its drains are taken together."""
+class _DataCentreAction(StepAction):
+    """Sets the state of a data centre and waits until that is in force everywhere."""
 
-    kind = StepKind.CLOSE_DATA_CENTRE
+    goal: ClassVar[DataCentreState]
 
     def start(self, draft: ConfigDraft, step: Step) -> None:
-        """Let no task start in the data centre."""
-        draft.set_data_centre(step.target, DataCentreState.CLOSED)
+        """Set the state."""
+        draft.set_data_centre(step.target, self.goal)
 
     def progress(
         self, config: Configuration, facts: StepFacts, plan_id: str, step: Step
     ) -> Phase | None:
-        """Wait until the closure is in force everywhere."""
+        """Wait until the state is in force everywhere."""
         return _finish_if(facts.is_in_force(plan_id, step))
 
+
+class CloseAction(_DataCentreAction):
+    """Closes a data centre; the grants of all its drains are taken together."""
+
+    kind = StepKind.CLOSE_DATA_CENTRE
+    goal = DataCentreState.CLOSED
+
     def targets(self, plan: Plan, step: Step) -> tuple[str, ...]:
         """All instances that the plan drains in the data centre."""
         return tuple(
@@ -249,20 +257,11 @@
         )
 
 
-class OpenAction(StepAction):
+class OpenAction(_DataCentreAction):
     """Opens a data centre."""
 
     kind = StepKind.OPEN_DATA_CENTRE
-
-    def start(self, draft: ConfigDraft, step: Step) -> None:
-        """Let tasks start in the data centre."""
-        draft.set_data_centre(step.target, DataCentreState.OPEN)
-
-    def progress(
-        self, config: Configuration, facts: StepFacts, plan_id: str, step: Step
-    ) -> Phase | None:
-        """Wait until the opening is in force everywhere."""
-        return _finish_if(facts.is_in_force(plan_id, step))
+    goal = DataCentreState.OPEN
 
 
 def forget_take_out(draft: ConfigDraft, step: Step) -> None:
--- a/apricotgap/drivers/backends.py
+++ b/apricotgap/drivers/backends.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import httpcore
-import trio
 
 from apricotgap.clock import Clock
 from apricotgap.core.effects import (
@@ -31,6 +30,7 @@
     WorkerReported,
     WorkerUnreachable,
 )
+from apricotgap.drivers.background import BackgroundDriver
 from apricotgap.drivers.bodies import Answer, Bodies
 from apricotgap.drivers.spans import RequestSpans
 
@@ -59,7 +59,7 @@
     """The answer names another task or is not whole."""
 
 
-class BackendDriver:
+class BackendDriver(BackgroundDriver):
     """Runs the effects towards backend servers.
 
     Parameters
@@ -84,13 +84,13 @@
         spans: RequestSpans,
         max_connections: int = 21,
     ) -> None:
+        super().__init__()
         self._post = post
         self._clock = clock
         self._bodies = bodies
         self._spans = spans
         self._max_connections = max_connections
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
-        self._nursery: trio.Nursery | None = None
 
     @property
     def runners(self) -> dict[type[Effect], Callable[..., None]]:
@@ -106,22 +106,6 @@
             DropConnections: self._drop_connections,
         }
 
-    async def run(
-        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Run effects until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            task_status.started()
-            await trio.sleep_forever()
-
-    def _start(self, function: Callable[[Any], Any]) -> Callable[[Effect], None]:
-        def runner(effect: Effect) -> None:
-            if self._nursery is not None:
-                self._nursery.start_soon(function, effect)
-
-        return runner
-
     def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
         pool = self._pools.get(address)
         if pool is None:
--- a/apricotgap/drivers/held_bodies.py
+++ b/apricotgap/drivers/held_bodies.py
@@ -4,8 +4,6 @@
 import itertools
 from collections.abc import Callable
 
-import trio
-
 from apricotgap.clock import Clock
 from apricotgap.core.effects import (
     Effect,
@@ -23,6 +21,7 @@
     ForwardedRequestArrived,
     PeerReceived,
 )
+from apricotgap.drivers.background import BackgroundDriver
 from apricotgap.drivers.bodies import Answer, Bodies
 from apricotgap.drivers.store_api import Store, StoreCallError
 from apricotgap.model.peers import (
@@ -37,7 +36,7 @@
 _CONTENT_TYPE = "application/octet-stream"
 
 
-class BodyDriver:
+class BodyDriver(BackgroundDriver):
     """Fills bodies into outgoing messages and takes them out of incoming ones.
 
     Parameters
@@ -65,6 +64,7 @@
         store: Store,
         send: Callable[[str, PeerMessage], None],
     ) -> None:
+        super().__init__()
         self._id_prefix = id_prefix
         self._post = post
         self._clock = clock
@@ -72,7 +72,6 @@
         self._store = store
         self._send = send
         self._numbers = itertools.count(1)
-        self._nursery: trio.Nursery | None = None
 
     @property
     def runners(self) -> dict[type[Effect], Callable[..., None]]:
@@ -80,20 +79,11 @@
         return {
             ForwardHeldRequest: self._forward,
             SendHeldAnswer: self._send_answer,
-            StoreBody: self._start_store,
-            FetchBody: self._start_fetch,
+            StoreBody: self._start(self._store_body),
+            FetchBody: self._start(self._fetch_body),
             ReleaseBodies: self._release,
         }
 
-    async def run(
-        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Run store calls until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            task_status.started()
-            await trio.sleep_forever()
-
     def post_from_peer(self, event: Event) -> None:
         """Pass an event of the peer driver on, without the body that it carries."""
         if not isinstance(event, PeerReceived):
@@ -136,10 +126,6 @@
             message = dataclasses.replace(message, body=held.body)
         self._send(effect.peer, message)
 
-    def _start_store(self, effect: StoreBody) -> None:
-        if self._nursery is not None:
-            self._nursery.start_soon(self._store_body, effect)
-
     async def _store_body(self, effect: StoreBody) -> None:
         held = self._bodies.retained(effect.request_id)
         result, revision = CasResult.CONFLICT, 0
@@ -157,10 +143,6 @@
             )
         )
 
-    def _start_fetch(self, effect: FetchBody) -> None:
-        if self._nursery is not None:
-            self._nursery.start_soon(self._fetch_body, effect)
-
     async def _fetch_body(self, effect: FetchBody) -> None:
         n_bytes: int | None = None
         try:
