Start nothing under a limit that was not confirmed after a pause

Cause: the model checker showed that an entry which resumes after a pause and reads its row again may still use a limit that was lowered meanwhile. The code checked the row and not the view. Change: after a lapse the headroom is 0 until the configuration was confirmed later than the lapse. Conclusion: the guard of the specification is now in the code.

--- a/apricotgap/core/allotments.py
+++ b/apricotgap/core/allotments.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Generic, TypeVar
 
-from apricotgap.core import ledger_codec, membership
+from apricotgap.core import config_view, ledger_codec, membership
 from apricotgap.core.limits import (
     LEDGER_WRITE_BURST,
     LEDGER_WRITE_INTERVAL_MS,
@@ -152,12 +152,26 @@
     check_lease(state, at_ms)
     if not own.confirmed or ledger_codec.bucket_of(team) in own.to_renew:
         return 0
+    if not _limits_confirmed(state, at_ms):
+        return 0
     usable = min(_usable(state, team), own.fair_bounds.get(team, UNLIMITED))
     if priority is Priority.BATCH:
         usable -= _urgent_units(usable)
     return max(0, usable - own.running.get(team, 0))
 
 
+def _limits_confirmed(state: EntryState, at_ms: int) -> bool:
+    """Tell whether the view was confirmed after the last lapse.
+
+    A limit may have been lowered during a pause, and the row scaled with it.
+    """
+    lapsed_ms = state.allotments.lapsed_ms
+    if lapsed_ms < 0:
+        return True
+    age_ms = config_view.age_ms(state, at_ms)
+    return age_ms is not None and at_ms - age_ms > lapsed_ms
+
+
 def _urgent_units(usable: int) -> int:
     if usable < MIN_UNITS_WITH_RESERVE:
         return 0
--- a/tests/allotment_cluster.py
+++ b/tests/allotment_cluster.py
@@ -4,7 +4,13 @@
 from random import Random
 
 from apricotgap.core import allotment_handlers as handlers
-from apricotgap.core import allotments, ledger, ledger_codec, membership
+from apricotgap.core import (
+    allotments,
+    config_view,
+    ledger,
+    ledger_codec,
+    membership,
+)
 from apricotgap.core.effects import OpenWatch, StoreCas, StoreGet, StoreList
 from apricotgap.core.events import (
     CasFinished,
@@ -80,6 +86,7 @@
     bound: int = 0
     n_writes: int = 0
     n_members: int = 0
+    view_age_ms: int | None = 0
     n_started: int = 0
 
     def __post_init__(self):
@@ -89,6 +96,7 @@
         patch(membership, "lease_valid", self._lease_valid, raising=False)
         patch(membership, "live_entries_of", self._live, raising=False)
         patch(membership, "live_entries", self._all_live)
+        patch(config_view, "age_ms", lambda *_: self.view_age_ms)
 
     def _all_live(self, state, at_ms):
         return range(self.n_members or len(self.newest()))
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -222,3 +222,14 @@
     cluster.work(entry, 0, 0)
     cluster.tick(100)
     assert _room(cluster, entry) == 5
+
+
+def test_resumed_holder_waits_for_the_newest_limits(cluster):
+    """Guards against a pause during which a limit was lowered."""
+    entry = _holding(cluster)
+    cluster.view_age_ms = 60_000
+    entry.paused_until_ms = cluster.now_ms + 15_000
+    cluster.tick(200)
+    assert _room(cluster, entry) == 0
+    cluster.view_age_ms = 0
+    assert _room(cluster, entry) > 0
