--- a/apricotgap/core/heartbeats.py
+++ b/apricotgap/core/heartbeats.py
@@ -42,7 +42,7 @@
         if peer.member.data_centre != state.identity.data_centre:
             continue
         if usage is None:
-            usage = placement.usage_report(state)  # type: ignore[attr-defined]
+            usage = placement.usage_report(state)
         yield SendPeer(name, usage)
 
 
--- a/apricotgap/core/membership_handlers.py
+++ b/apricotgap/core/membership_handlers.py
@@ -158,6 +158,4 @@
                     state, event.peer, event.message, event.at_ms
                 )
             elif isinstance(event.message, Usage):
-                placement.apply_usage(  # type: ignore[attr-defined]
-                    state, event.peer, event.message
-                )
+                placement.apply_usage(state, event.peer, event.message)
--- a/apricotgap/core/waves.py
+++ b/apricotgap/core/waves.py
@@ -160,7 +160,7 @@
         waves = state.waves
         waves.changing = False
         if error is not None:
-            yield Count("apricotgap.waves.changes_refused")
+            yield Count("wave_changes_refused")
             return
         waves.held_revision = revision
         waves.held_since_ms = at_ms
--- a/apricotgap/drivers/store_driver.py
+++ b/apricotgap/drivers/store_driver.py
@@ -87,6 +87,7 @@
         self._log = structlog.get_logger("store")
         self._reachable = True
         self.n_failed = 0
+        self.n_watches_broken = 0
 
     async def serve(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -212,8 +213,9 @@
                     self._post(WatchOpened(self._clock.now_ms, prefix))
                     async for items in changes:
                         self._post(StoreChanged(self._clock.now_ms, prefix, items))
-            except StoreCallError as error:
-                self._log.info("watch broken", prefix=prefix, cause=error.message)
+            except StoreCallError:
+                # An idle watch breaks at every idle time, which is no change of state.
+                self.n_watches_broken += 1
         if scope.cancelled_caught:
             return
         if self._watches.get(prefix) is scope:
