--- a/apricotgap/core/events/workers.py
+++ b/apricotgap/core/events/workers.py
@@ -20,7 +20,10 @@
 
 
 class TaskRefusal(StrEnum):
-    """Why a backend server did not run a task; each is proof that nothing ran."""
+    """Why a backend server did not run a task.
+
+    Each is proof that nothing ran, except ``duplicate``: the first copy may run.
+    """
 
     FULL = "full"
     DEADLINE = "deadline"
