--- a/apricotgap/cli/daemon.py
+++ b/apricotgap/cli/daemon.py
@@ -8,7 +8,7 @@
 from apricotgap.errors import SettingsError
 from apricotgap.settings import check_settings, load_settings
 
-__all__ = ["entry", "settings"]
+__all__ = ["entry", "instance", "settings"]
 
 
 @click.command()
@@ -79,3 +79,19 @@
         click.echo("no credential on standard input; pipe one line to it", err=True)
         sys.exit(SettingsError.exit_code)
     click.echo(hashlib.sha256(secret.encode()).hexdigest())
+
+
+@click.command()
+def instance() -> None:
+    """Run an instance on the platform until SIGTERM.
+
+    The variable APRICOTGAP_NODE_FILE names the settings file.
+    """
+    # The daemon's libraries are not needed by the other commands.
+    from apricotgap.instance.instance import main  # noqa: PLC0415
+
+    try:
+        main()
+    except SettingsError as error:
+        click.echo(f"settings: {error}", err=True)
+        sys.exit(error.exit_code)
--- a/apricotgap/clock.py
+++ b/apricotgap/clock.py
@@ -1,10 +1,11 @@
 """Monotonic time in milliseconds."""
 
+import time
 from abc import ABC, abstractmethod
 
 import trio
 
-__all__ = ["Clock", "FakeClock", "TrioClock"]
+__all__ = ["BootClock", "Clock", "FakeClock", "TrioClock"]
 
 
 class Clock(ABC):
@@ -57,3 +58,12 @@
         if step_ms < 0:
             raise ValueError("step_ms must not be negative")
         self._now_ms += step_ms
+
+
+class BootClock(Clock):
+    """Clock that also counts the time in which the machine is suspended."""
+
+    @property
+    def now_ms(self) -> int:
+        """Milliseconds since the machine started."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
--- /dev/null
+++ b/apricotgap/instance/directory.py
@@ -0,0 +1,163 @@
+"""What an instance knows of the configuration and of the other instances."""
+
+import structlog
+
+from apricotgap.clock import Clock
+from apricotgap.instance.keys import (
+    MEMBERS,
+    OWNERS,
+    Member,
+    Owner,
+    decode_member,
+    decode_owner,
+)
+from apricotgap.instance.mirror import PrefixMirror
+from apricotgap.jobs.configuration import Configuration, Wave
+from apricotgap.platform.store import Item, StoreClient
+from apricotgap.platform.wire import WireError, decode_configuration, decode_wave
+
+__all__ = ["FLEET_SHARD", "Directory"]
+
+# The shard whose owner moves machines and runs waves of upkeep.
+FLEET_SHARD = "~fleet"
+
+_CONFIG = "op/config"
+_EVACUATE = "op/evacuate/"
+_WAVE = "op/wave/"
+# The age of the view is known to about this.
+OPERATOR_WAIT_MS = 1_500
+SYSTEM_WAIT_MS = 4_000
+
+
+class Directory:
+    """Mirrors of the operators' keys and of the instances' keys.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    clock : Clock
+        Time of freshness.
+    """
+
+    def __init__(self, store: StoreClient, clock: Clock) -> None:
+        self.operator = PrefixMirror(
+            store, "op/", clock, self._operator_changed, OPERATOR_WAIT_MS
+        )
+        self.system = PrefixMirror(
+            store, "sys/", clock, self._system_changed, SYSTEM_WAIT_MS
+        )
+        self.config: Configuration | None = None
+        self.evacuated: frozenset[str] = frozenset()
+        self.waves: dict[int, Wave] = {}
+        self._members: dict[str, Member] = {}
+        self._owners: dict[str, tuple[Item, Owner | None]] = {}
+        self._log = structlog.get_logger()
+
+    def config_age_ms(self) -> int | None:
+        """Age of the view of the configuration, None before the first one."""
+        return self.operator.age_ms() if self.config else None
+
+    def _operator_changed(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            if item.key == _CONFIG and item.value is not None:
+                self._take_config(item.value)
+            elif item.key.startswith(_WAVE):
+                self._take_wave(item)
+        prefix = len(_EVACUATE)
+        evacuated = frozenset(
+            key[prefix:] for key in self.operator.items if key.startswith(_EVACUATE)
+        )
+        if evacuated != self.evacuated:
+            self._log.info("evacuations", data_centres=sorted(evacuated))
+            self.evacuated = evacuated
+
+    def _take_config(self, value: bytes) -> None:
+        try:
+            config = decode_configuration(value)
+        except WireError as error:
+            self._log.error("configuration_unreadable", error=str(error))
+            return
+        if self.config is not None and config.version <= self.config.version:
+            return
+        self._log.info(
+            "configuration", version=config.version, n_queues=len(config.queues)
+        )
+        self.config = config
+
+    def _take_wave(self, item: Item) -> None:
+        try:
+            number = int(item.key[len(_WAVE) :])
+            if item.value is None:
+                self.waves.pop(number, None)
+                return
+            wave = decode_wave(item.value)
+        except (WireError, ValueError) as error:
+            self._log.error("wave_unreadable", key=item.key, error=str(error))
+            return
+        if wave != self.waves.get(number):
+            self._log.info("wave", number=number, n_machines=len(wave.machines))
+        self.waves[number] = wave
+
+    def _system_changed(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            self.note(item)
+
+    def note(self, item: Item) -> None:
+        """Take over one key of the instances."""
+        if item.key.startswith(OWNERS):
+            self._note_owner(item)
+        elif item.key.startswith(MEMBERS):
+            self._note_member(item)
+
+    def _note_owner(self, item: Item) -> None:
+        shard = item.key[len(OWNERS) :]
+        known = self._owners.get(shard)
+        if known is not None and known[0].revision > item.revision > 0:
+            return
+        if item.value is None:
+            self._owners.pop(shard, None)
+            return
+        owner = None
+        try:
+            owner = decode_owner(item.value)
+        except ValueError as error:
+            self._log.error("owner_unreadable", shard=shard, error=str(error))
+        self._owners[shard] = (item, owner)
+
+    def _note_member(self, item: Item) -> None:
+        name = item.key[len(MEMBERS) :]
+        if item.value is None:
+            self._members.pop(name, None)
+            return
+        try:
+            self._members[name] = decode_member(item.value)
+        except ValueError as error:
+            self._log.error("member_unreadable", member=name, error=str(error))
+
+    def shards(self) -> tuple[str, ...]:
+        """Names of all shards, none before the first configuration."""
+        if self.config is None or not self.system.loaded.is_set():
+            return ()
+        return (*self.config.working_services, FLEET_SHARD)
+
+    def owner_item(self, shard: str) -> Item | None:
+        """Key of a shard's owner, None without one."""
+        known = self._owners.get(shard)
+        return known[0] if known else None
+
+    def owner(self, shard: str) -> Owner | None:
+        """Owner of a shard."""
+        known = self._owners.get(shard)
+        return known[1] if known else None
+
+    def members(self) -> tuple[Member, ...]:
+        """All instances with a lease."""
+        return tuple(self._members.values())
+
+    def n_owned_by(self, name: str) -> int:
+        """Number of shards that an instance owns."""
+        return sum(
+            owner is not None and owner.name == name
+            for _, owner in self._owners.values()
+        )
--- /dev/null
+++ b/apricotgap/instance/election.py
@@ -0,0 +1,244 @@
+"""Ownership of shards: one owner each, by keys under the instances' leases."""
+
+import hashlib
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import structlog
+import trio
+
+from apricotgap.clock import Clock
+from apricotgap.instance.directory import Directory
+from apricotgap.instance.keys import (
+    MEMBERS,
+    Member,
+    Owner,
+    decode_owner,
+    encode_member,
+    encode_owner,
+    epoch_key,
+    owner_key,
+)
+from apricotgap.instance.lease import InstanceLease
+from apricotgap.platform.store import (
+    Conflict,
+    Item,
+    StoreClient,
+    StoreError,
+    Stored,
+    Unknown,
+    Write,
+)
+
+__all__ = ["Election", "Tenure"]
+
+# An instance waits this much longer for each other one that should come first.
+RANK_DELAY_MS = 250
+_SCAN_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Tenure:
+    """Ownership of a shard; writes of the owner are conditioned on `revision`."""
+
+    shard: str
+    epoch: int
+    revision: int
+
+    @property
+    def condition(self) -> Write:
+        """Part of a transaction that fails once another owner has taken over."""
+        return Write(
+            owner_key(self.shard), expected_revision=self.revision, check_only=True
+        )
+
+
+class Election:
+    """Claims shards without an owner and runs those that this instance owns.
+
+    Parameters
+    ----------
+    identity : Member
+        This instance.
+    store, lease, directory, clock
+        What it works with.
+    run_shard : callable
+        Runs one shard until it is cancelled.
+    """
+
+    def __init__(
+        self,
+        identity: Member,
+        store: StoreClient,
+        lease: InstanceLease,
+        directory: Directory,
+        clock: Clock,
+        run_shard: Callable[[Tenure], Awaitable[None]],
+    ) -> None:
+        self._identity = identity
+        self._store = store
+        self._lease = lease
+        self._directory = directory
+        self._clock = clock
+        self._run_shard = run_shard
+        self._vacant_since: dict[str, int] = {}
+        self._tenures: dict[str, tuple[Tenure, trio.CancelScope]] = {}
+        self._member_lease = 0
+        self._log = structlog.get_logger()
+        self.is_draining = False
+
+    @property
+    def n_owned(self) -> int:
+        """Number of shards that this instance owns."""
+        return len(self._tenures)
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(_SCAN_S)
+                self._drop_lost()
+                if self.is_draining or not self._lease.is_valid:
+                    continue
+                await self._register()
+                for shard in self._directory.shards():
+                    await self._consider(shard, nursery)
+
+    def _drop_lost(self) -> None:
+        for shard, (tenure, scope) in list(self._tenures.items()):
+            item = self._directory.owner_item(shard)
+            is_replaced = item is None or item.revision > tenure.revision
+            if is_replaced or not self._lease.lease_id:
+                self._log.warning("shard_lost", shard=shard, epoch=tenure.epoch)
+                scope.cancel()
+                del self._tenures[shard]
+
+    def step_down(self, tenure: Tenure, why: str) -> None:
+        """Give up a shard whose ownership was found to have ended."""
+        found = self._tenures.get(tenure.shard)
+        if found is not None and found[0] is tenure:
+            self._log.warning(
+                "shard_lost", shard=tenure.shard, epoch=tenure.epoch, why=why
+            )
+            found[1].cancel()
+            del self._tenures[tenure.shard]
+
+    async def _register(self) -> None:
+        lease_id = self._lease.lease_id
+        if self._member_lease == lease_id:
+            return
+        key = MEMBERS + self._identity.name
+        write = Write(key, encode_member(self._identity), lease=lease_id)
+        outcome = await self._store.write((write,))
+        if isinstance(outcome, Stored):
+            self._member_lease = lease_id
+            self._log.info("member_registered", lease=lease_id)
+            return
+        self._log.warning("member_not_registered", outcome=repr(outcome))
+
+    async def _consider(self, shard: str, nursery: trio.Nursery) -> None:
+        if shard in self._tenures:
+            return
+        now_ms = self._clock.now_ms
+        item = self._directory.owner_item(shard)
+        owner = self._directory.owner(shard)
+        is_own_earlier = (
+            owner is not None
+            and owner.name == self._identity.name
+            and owner.incarnation != self._identity.incarnation
+        )
+        if item is not None and not is_own_earlier:
+            self._vacant_since.pop(shard, None)
+            return
+        since_ms = self._vacant_since.setdefault(shard, now_ms)
+        delay_ms = 0 if is_own_earlier else self._rank(shard) * RANK_DELAY_MS
+        if now_ms - since_ms < delay_ms:
+            return
+        tenure = await self._claim(shard, item.revision if item else 0)
+        if tenure is None:
+            # Others may have been faster; the directory will show it.
+            self._vacant_since[shard] = self._clock.now_ms
+            return
+        self._vacant_since.pop(shard, None)
+        scope = trio.CancelScope()
+        self._tenures[shard] = (tenure, scope)
+        nursery.start_soon(self._serve, tenure, scope)
+
+    async def _serve(self, tenure: Tenure, scope: trio.CancelScope) -> None:
+        with scope:
+            await self._run_shard(tenure)
+
+    def _rank(self, shard: str) -> int:
+        """Number of instances that should claim the shard before this one."""
+
+        def preference(name: str) -> tuple[int, bytes]:
+            digest = hashlib.blake2b(f"{shard}/{name}".encode(), digest_size=8)
+            return self._directory.n_owned_by(name), digest.digest()
+
+        own = preference(self._identity.name)
+        return sum(
+            preference(member.name) < own
+            for member in self._directory.members()
+            if not member.is_draining and member.name != self._identity.name
+        )
+
+    async def _claim(self, shard: str, revision: int) -> Tenure | None:
+        try:
+            counter = await self._store.read_key(epoch_key(shard))
+        except StoreError as error:
+            self._log.warning("claim_failed", shard=shard, reason=str(error))
+            return None
+        epoch = int(counter.value or b"0") + 1
+        me = self._identity
+        owner = Owner(me.name, me.incarnation, me.address, epoch)
+        outcome = await self._store.write(
+            (
+                Write(
+                    owner_key(shard),
+                    encode_owner(owner),
+                    expected_revision=revision,
+                    lease=self._lease.lease_id,
+                ),
+                Write(
+                    epoch_key(shard),
+                    str(epoch).encode(),
+                    expected_revision=counter.revision,
+                ),
+            )
+        )
+        if isinstance(outcome, Unknown):
+            outcome = await self._resolve(shard, owner, outcome)
+        self._log.info(
+            "claim", shard=shard, epoch=epoch, outcome=type(outcome).__name__
+        )
+        if isinstance(outcome, Stored):
+            revision = outcome.revision
+            self._directory.note(
+                Item(owner_key(shard), encode_owner(owner), revision, revision)
+            )
+            return Tenure(shard, epoch, revision)
+        if isinstance(outcome, Conflict):
+            for item in outcome.items:
+                self._directory.note(item)
+        return None
+
+    async def _resolve(
+        self, shard: str, owner: Owner, outcome: Unknown
+    ) -> Stored | Unknown:
+        try:
+            item = await self._store.read_key(owner_key(shard))
+        except StoreError as error:
+            self._log.warning("claim_unresolved", shard=shard, reason=str(error))
+            return outcome
+        if _is(item, owner):
+            return Stored(item.revision)
+        return outcome
+
+
+def _is(item: Item, owner: Owner) -> bool:
+    if item.value is None:
+        return False
+    try:
+        return decode_owner(item.value) == owner
+    except ValueError:
+        return False
--- /dev/null
+++ b/apricotgap/instance/instance.py
@@ -0,0 +1,207 @@
+"""Composition of one instance on the platform."""
+
+import secrets
+import signal
+import time
+
+import hypercorn.trio
+import structlog
+import trio
+from hypercorn.config import Config
+
+from apricotgap.clock import BootClock
+from apricotgap.errors import SettingsError
+from apricotgap.instance import logs
+from apricotgap.instance.directory import FLEET_SHARD, Directory
+from apricotgap.instance.election import Election, Tenure
+from apricotgap.instance.gateway import Gateway
+from apricotgap.instance.keys import Member
+from apricotgap.instance.lease import InstanceLease
+from apricotgap.instance.metrics import Metrics
+from apricotgap.instance.peers import PeerClient, serve_peers
+from apricotgap.instance.shard_owner import OwnershipLostError, ShardOwner
+from apricotgap.instance.worker_list import WorkerList
+from apricotgap.platform.ingress import IngressApp
+from apricotgap.platform.settings import (
+    PlatformSettings,
+    load_platform_settings,
+    settings_path,
+)
+from apricotgap.platform.store import StoreClient
+from apricotgap.platform.workers import WorkerClient
+
+__all__ = ["Instance", "main"]
+
+# The balancer sends no new connections once the readiness check failed twice.
+BALANCER_LAG_S = 2.2
+# Share of the stop grace in which answers under way are finished.
+_FINISH_S = 1.0
+
+
+class Instance:
+    """One instance.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._clock = BootClock()
+        self._store = StoreClient(settings.store_address)
+        self._lease = InstanceLease(self._store, self._clock, settings.min_lease_ms)
+        self._directory = Directory(self._store, self._clock)
+        self._workers = WorkerList(self._store, self._clock)
+        self._client = WorkerClient()
+        self._metrics = Metrics()
+        self._owners: dict[str, ShardOwner] = {}
+        self._is_draining = False
+        self._stopped = trio.Event()
+        self._identity = Member(
+            settings.name,
+            f"{time.time_ns() // 1_000_000:x}{secrets.token_hex(4)}",
+            f"{settings.ip}:{settings.peer_port}",
+            settings.data_centre,
+        )
+        self._election = Election(
+            self._identity,
+            self._store,
+            self._lease,
+            self._directory,
+            self._clock,
+            self._run_shard,
+        )
+        self._log = structlog.get_logger()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        settings = self._settings
+        self._log.info(
+            "started",
+            incarnation=self._identity.incarnation,
+            data_centre=settings.data_centre,
+        )
+        async with trio.open_nursery() as nursery:
+            gateway = Gateway(
+                self._owners,
+                self._directory,
+                self._store,
+                PeerClient(nursery),
+                self._clock,
+            )
+            app = IngressApp(
+                self._directory,
+                gateway,
+                self._metrics,
+                self._clock,
+                settings.bounds.revoke_ms,
+                lambda: self._is_draining,
+                int(settings.readiness_address.rpartition(":")[2]),
+                settings.metrics_port,
+            )
+            nursery.start_soon(self._directory.operator.run)
+            nursery.start_soon(self._directory.system.run)
+            nursery.start_soon(self._workers.run)
+            nursery.start_soon(self._lease.run)
+            nursery.start_soon(self._election.run)
+            nursery.start_soon(
+                serve_peers, settings.ip, settings.peer_port, gateway.answer_peer
+            )
+            nursery.start_soon(self._signals)
+            await hypercorn.trio.serve(
+                app,  # type: ignore[arg-type]
+                self._http_config(),
+                shutdown_trigger=self._stopped.wait,
+            )
+            nursery.cancel_scope.cancel()
+        self._log.info("stopped")
+
+    def _http_config(self) -> Config:
+        settings = self._settings
+        config = Config()
+        config.bind = [
+            settings.client_address,
+            settings.readiness_address,
+            f"{settings.ip}:{settings.metrics_port}",
+        ]
+        config.accesslog = None
+        config.errorlog = None
+        config.graceful_timeout = _FINISH_S
+        config.keep_alive_timeout = 30.0
+        config.include_server_header = False
+        return config
+
+    async def _run_shard(self, tenure: Tenure) -> None:
+        if tenure.shard == FLEET_SHARD:
+            await trio.sleep_forever()
+        self._workers.forget_reader(tenure.shard)
+        owner = ShardOwner(
+            tenure,
+            self._settings,
+            self._store,
+            self._lease,
+            self._directory,
+            self._workers,
+            self._client,
+            self._clock,
+            self._metrics,
+        )
+        self._owners[tenure.shard] = owner
+        try:
+            await owner.run()
+        except* OwnershipLostError as group:
+            self._election.step_down(tenure, str(group.exceptions[0]))
+        finally:
+            if self._owners.get(tenure.shard) is owner:
+                del self._owners[tenure.shard]
+
+    async def _signals(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as arrived:
+            async for number in arrived:
+                if number == signal.SIGHUP:
+                    self._reload()
+                    continue
+                await self._stop()
+                return
+
+    def _reload(self) -> None:
+        try:
+            found = load_platform_settings(settings_path())
+        except SettingsError as error:
+            self._log.error("reload_failed", error=str(error))
+            return
+        self._log.info("reloaded", changed=found != self._settings)
+
+    async def _stop(self) -> None:
+        self._log.info("stopping", n_shards=self._election.n_owned)
+        self._is_draining = True
+        self._election.is_draining = True
+        with trio.move_on_after(1):
+            await self._lease.end()
+        await trio.sleep(BALANCER_LAG_S)
+        self._stopped.set()
+
+
+def main() -> None:
+    """Run an instance with the settings that the environment names.
+
+    Raises
+    ------
+    SettingsError
+        The settings cannot be used.
+    """
+    settings = load_platform_settings(settings_path())
+    buffer = logs.configure(settings.name)
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(buffer.run)
+            await Instance(settings).run()
+            nursery.cancel_scope.cancel()
+
+    try:
+        trio.run(run)
+    finally:
+        buffer.flush()
--- /dev/null
+++ b/apricotgap/instance/lease.py
@@ -0,0 +1,90 @@
+"""The instance's own lease in the store."""
+
+import structlog
+import trio
+
+from apricotgap.clock import Clock
+from apricotgap.platform.store import StoreClient, StoreError
+
+__all__ = ["InstanceLease"]
+
+# A lost instance is replaced within about this time; workers' leases outlast it.
+LEASE_TTL_MS = 3_000
+RENEW_INTERVAL_MS = 800
+_RENEW_TIMEOUT_MS = 600
+_RETRY_S = 0.2
+
+
+class InstanceLease:
+    """Keeps one lease that all keys of the instance hang on.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    clock : Clock
+        Must count the time in which the machine is suspended.
+    min_ttl_ms : int
+        Shortest lease that the store grants.
+    """
+
+    def __init__(self, store: StoreClient, clock: Clock, min_ttl_ms: int) -> None:
+        self._store = store
+        self._clock = clock
+        self._ttl_ms = max(LEASE_TTL_MS, min_ttl_ms)
+        self._log = structlog.get_logger()
+        self.lease_id = 0
+        self.until_ms = 0
+        self.changed = trio.Event()
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether the lease cannot have ended yet."""
+        return self.lease_id != 0 and self._clock.now_ms < self.until_ms
+
+    async def run(self) -> None:
+        """Renew the lease until cancelled; ask for a new one when it has ended."""
+        while True:
+            try:
+                await self._step()
+            except StoreError as error:
+                self._log.warning(
+                    "lease_renewal_failed",
+                    lease=self.lease_id,
+                    left_ms=self.until_ms - self._clock.now_ms,
+                    reason=str(error),
+                )
+                await trio.sleep(_RETRY_S)
+                continue
+            await trio.sleep(RENEW_INTERVAL_MS / 1000)
+
+    async def _step(self) -> None:
+        sent_ms = self._clock.now_ms
+        if self.lease_id:
+            if await self._store.renew_lease(self.lease_id, _RENEW_TIMEOUT_MS):
+                self.until_ms = sent_ms + self._ttl_ms
+                return
+            self._log.warning("lease_ended", lease=self.lease_id)
+            self._set(0, 0)
+            sent_ms = self._clock.now_ms
+        lease_id, ttl_ms = await self._store.grant_lease(self._ttl_ms)
+        self._ttl_ms = ttl_ms
+        self._set(lease_id, sent_ms + ttl_ms)
+        self._log.info("lease_granted", lease=lease_id, ttl_ms=ttl_ms)
+
+    def _set(self, lease_id: int, until_ms: int) -> None:
+        self.lease_id = lease_id
+        self.until_ms = until_ms
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def end(self) -> None:
+        """Give the lease back, so that others take over at once."""
+        if not self.lease_id:
+            return
+        lease_id = self.lease_id
+        self._set(0, 0)
+        try:
+            await self._store.end_lease(lease_id)
+        except StoreError as error:
+            self._log.warning("lease_not_ended", lease=lease_id, reason=str(error))
--- /dev/null
+++ b/apricotgap/instance/logs.py
@@ -0,0 +1,90 @@
+"""Structured lines on standard output that never block and stay bounded."""
+
+import os
+import sys
+from collections import deque
+from typing import Any
+
+import structlog
+import trio
+
+__all__ = ["LogBuffer", "configure"]
+
+# Lines held while standard output takes none; the oldest are dropped and counted.
+MAX_HELD_LINES = 2_000
+# Lines written per second on average; a burst may use what was saved up.
+MAX_LINES_PER_S = 400
+MAX_BURST_LINES = 800
+_FLUSH_S = 0.2
+
+
+class LogBuffer:
+    """Buffer between the loggers and standard output."""
+
+    def __init__(self) -> None:
+        self._lines: deque[str] = deque(maxlen=MAX_HELD_LINES)
+        self._allowance = float(MAX_BURST_LINES)
+        self.n_dropped = 0
+        self._rest = b""
+
+    def msg(self, message: str) -> None:
+        """Take one line."""
+        if self._allowance < 1 or len(self._lines) == MAX_HELD_LINES:
+            self.n_dropped += 1
+            return
+        self._allowance -= 1
+        self._lines.append(message)
+
+    log = debug = info = warning = error = critical = msg
+
+    def flush(self) -> None:
+        """Write what standard output takes without waiting."""
+        data = self._rest
+        if self._lines:
+            data += ("\n".join(self._lines) + "\n").encode()
+            self._lines.clear()
+        if not data:
+            return
+        try:
+            n_written = os.write(sys.stdout.fileno(), data)
+        except BlockingIOError:
+            n_written = 0
+        self._rest = data[n_written:]
+        if len(self._rest) > 1_000_000:
+            self.n_dropped += self._rest.count(b"\n")
+            self._rest = b""
+
+    async def run(self) -> None:
+        """Write lines until cancelled."""
+        n_reported = 0
+        while True:
+            await trio.sleep(_FLUSH_S)
+            self._allowance = min(
+                MAX_BURST_LINES, self._allowance + MAX_LINES_PER_S * _FLUSH_S
+            )
+            if self.n_dropped > n_reported and self._allowance >= 1:
+                structlog.get_logger().warning("log_lines_dropped", n=self.n_dropped)
+                n_reported = self.n_dropped
+            self.flush()
+
+
+def configure(instance: str) -> LogBuffer:
+    """Send structlog lines as JSON to a buffer and return it."""
+    buffer = LogBuffer()
+    os.set_blocking(sys.stdout.fileno(), False)
+
+    def factory(*_args: Any) -> LogBuffer:
+        return buffer
+
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=factory,
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(instance=instance)
+    return buffer
--- /dev/null
+++ b/apricotgap/instance/mirror.py
@@ -0,0 +1,123 @@
+"""Local copy of all keys below a prefix of the store."""
+
+from collections.abc import Callable
+
+import structlog
+import trio
+
+from apricotgap.clock import Clock
+from apricotgap.platform.store import (
+    HistoryLostError,
+    Item,
+    Snapshot,
+    StoreClient,
+    StoreError,
+)
+
+__all__ = ["PrefixMirror"]
+
+_RETRY_S = 0.2
+
+
+class PrefixMirror:
+    """Keeps a prefix up to date by a read and then watches.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    prefix : str
+        Keys to follow.
+    clock : Clock
+        Time of freshness.
+    on_change : callable
+        Called after each change with the changed items, and with all items after
+        a read of the whole prefix.
+    wait_ms : int
+        Longest wait of one watch.
+    pause_ms : int
+        Pause after a watch that returned changes, so that changes are grouped.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        prefix: str,
+        clock: Clock,
+        on_change: Callable[[tuple[Item, ...]], None],
+        wait_ms: int,
+        pause_ms: int = 0,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._clock = clock
+        self._on_change = on_change
+        self._wait_ms = wait_ms
+        self._pause_ms = pause_ms
+        self._revision: int | None = None
+        self._log = structlog.get_logger().bind(prefix=prefix)
+        self._is_lost = False
+        self.items: dict[str, Item] = {}
+        self.fresh_ms: int | None = None
+        self.loaded = trio.Event()
+
+    def age_ms(self) -> int | None:
+        """Milliseconds since which a change may be missing, None before the read."""
+        if self.fresh_ms is None:
+            return None
+        return self._clock.now_ms - self.fresh_ms
+
+    async def run(self) -> None:
+        """Follow the prefix until cancelled."""
+        while True:
+            try:
+                if self._revision is None:
+                    await self._load()
+                else:
+                    await self._watch(self._revision)
+            except HistoryLostError:
+                self._log.info("watch_history_lost", revision=self._revision)
+                self._revision = None
+            except StoreError as error:
+                if not self._is_lost:
+                    self._is_lost = True
+                    self._log.warning("store_lost", reason=str(error))
+                await trio.sleep(_RETRY_S)
+                continue
+            if self._is_lost:
+                self._is_lost = False
+                self._log.info("store_regained", revision=self._revision)
+
+    async def _load(self) -> None:
+        sent_ms = self._clock.now_ms
+        snapshot = await self._store.read_prefix(self._prefix)
+        self.replace(snapshot)
+        self.fresh_ms = sent_ms
+        self.loaded.set()
+
+    def replace(self, snapshot: Snapshot) -> None:
+        """Take over a read of the whole prefix."""
+        self._revision = snapshot.revision
+        found = {item.key: item for item in snapshot.items}
+        gone = tuple(
+            Item(key, None, snapshot.revision) for key in self.items if key not in found
+        )
+        self.items = found
+        self._on_change((*snapshot.items, *gone))
+
+    async def _watch(self, revision: int) -> None:
+        sent_ms = self._clock.now_ms
+        changes = await self._store.watch(self._prefix, revision, self._wait_ms)
+        for item in changes.items:
+            if item.value is None:
+                self.items.pop(item.key, None)
+            else:
+                self.items[item.key] = item
+        self._revision = max(revision, changes.revision)
+        if changes.items:
+            self._on_change(changes.items)
+            self.fresh_ms = sent_ms
+            if self._pause_ms:
+                await trio.sleep(self._pause_ms / 1000)
+            return
+        self.fresh_ms = max(sent_ms, min(self._clock.now_ms, sent_ms + self._wait_ms))
--- /dev/null
+++ b/apricotgap/instance/worker_list.py
@@ -0,0 +1,80 @@
+"""The workers that the platform lists."""
+
+import structlog
+import trio
+
+from apricotgap.clock import Clock
+from apricotgap.instance.mirror import PrefixMirror
+from apricotgap.jobs.fleet import WorkerEntry
+from apricotgap.platform.store import Item, StoreClient
+from apricotgap.platform.wire import WireError, decode_worker
+
+__all__ = ["WorkerList"]
+
+_PREFIX = "servers/"
+# A leaving worker must get no new work within seconds, so the list may lag by this.
+WATCH_WAIT_MS = 2_000
+WATCH_PAUSE_MS = 600
+
+
+class WorkerList:
+    """Mirror of the workers' entries.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    clock : Clock
+        Time of freshness.
+    """
+
+    def __init__(self, store: StoreClient, clock: Clock) -> None:
+        self._mirror = PrefixMirror(
+            store, _PREFIX, clock, self._changed, WATCH_WAIT_MS, WATCH_PAUSE_MS
+        )
+        self._entries: dict[str, WorkerEntry] = {}
+        self._version = 0
+        self._seen: dict[str, int] = {}
+        self._unreadable: set[str] = set()
+        self._log = structlog.get_logger()
+
+    @property
+    def loaded(self) -> trio.Event:
+        """Set once the entries were read."""
+        return self._mirror.loaded
+
+    async def run(self) -> None:
+        """Follow the entries until cancelled."""
+        await self._mirror.run()
+
+    def entries(self) -> tuple[WorkerEntry, ...]:
+        """All usable entries."""
+        return tuple(self._entries.values())
+
+    def changed_since(self, reader: str) -> bool:
+        """Whether entries changed since the same reader asked last."""
+        if self._seen.get(reader) == self._version:
+            return False
+        self._seen[reader] = self._version
+        return True
+
+    def forget_reader(self, reader: str) -> None:
+        """Let the reader's next question be answered with yes."""
+        self._seen.pop(reader, None)
+
+    def _changed(self, items: tuple[Item, ...]) -> None:
+        self._version += 1
+        for item in items:
+            worker_id = item.key[len(_PREFIX) :]
+            if item.value is None:
+                self._entries.pop(worker_id, None)
+                continue
+            try:
+                self._entries[worker_id] = decode_worker(worker_id, item.value)
+            except WireError as error:
+                self._entries.pop(worker_id, None)
+                if worker_id not in self._unreadable:
+                    self._unreadable.add(worker_id)
+                    self._log.warning(
+                        "worker_entry_unusable", worker=worker_id, error=str(error)
+                    )
--- /dev/null
+++ b/apricotgap/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: pure decisions on jobs, task runs, workers and pools."""
--- /dev/null
+++ b/apricotgap/jobs/configuration.py
@@ -0,0 +1,110 @@
+"""The operators' configuration as jobs need it."""
+
+from dataclasses import dataclass
+from functools import cached_property
+
+from apricotgap.jobs.model import Resources
+
+__all__ = ["Configuration", "QueueSpec", "ServiceSpec", "Team", "Wave"]
+
+
+@dataclass(frozen=True, slots=True)
+class QueueSpec:
+    """A queue; `priority` 0 comes first."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    timeout_ms: int
+    target_latency_ms: int
+    priority: int
+    max_attempts: int
+    slack_factor: float
+    is_open: bool
+    needs_ticket: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """A pool of workers; the workers of a spare pool are off."""
+
+    name: str
+    guards_capacity: bool
+    is_spare: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """A team; a limit of 0 means no limit of that kind."""
+
+    name: str
+    keys: frozenset[str]
+    share: float
+    limit: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class Wave:
+    """Upkeep of machines within `duration_ms`, at most `max_down` at once."""
+
+    number: int
+    machines: tuple[str, ...]
+    duration_ms: int
+    max_down: int
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """One version of the configuration; versions only rise."""
+
+    version: int
+    queues: tuple[QueueSpec, ...]
+    services: tuple[ServiceSpec, ...]
+    teams: tuple[Team, ...]
+
+    @cached_property
+    def team_of_key(self) -> dict[str, str]:
+        """Team name by key."""
+        return {key: team.name for team in self.teams for key in team.keys}
+
+    @cached_property
+    def team_by_name(self) -> dict[str, Team]:
+        """Teams by name."""
+        return {team.name: team for team in self.teams}
+
+    @cached_property
+    def service_by_name(self) -> dict[str, ServiceSpec]:
+        """Services by name."""
+        return {service.name: service for service in self.services}
+
+    @cached_property
+    def queue_by_name(self) -> dict[str, QueueSpec]:
+        """Queues by name."""
+        return {queue.name: queue for queue in self.queues}
+
+    @cached_property
+    def working_services(self) -> tuple[str, ...]:
+        """Names of the services that a queue sends work to."""
+        used = {queue.service for queue in self.queues}
+        return tuple(
+            sorted(
+                service.name
+                for service in self.services
+                if service.name in used and not service.is_spare
+            )
+        )
+
+    @cached_property
+    def _queues_by_host(self) -> dict[str, list[QueueSpec]]:
+        found: dict[str, list[QueueSpec]] = {}
+        for queue in sorted(self.queues, key=lambda queue: -len(queue.prefix)):
+            found.setdefault(queue.host, []).append(queue)
+        return found
+
+    def queue_for(self, host: str, path: str) -> QueueSpec | None:
+        """Return the queue with the longest matching prefix on a host."""
+        for queue in self._queues_by_host.get(host.lower(), ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
--- /dev/null
+++ b/apricotgap/jobs/documents.py
@@ -0,0 +1,149 @@
+"""Stored documents: the accepted job and its progress."""
+
+from dataclasses import dataclass, field
+
+import cbor2
+
+from apricotgap.jobs.model import JobPhase, JobSpec, Resources, StepSpec, TaskName
+
+__all__ = [
+    "DocumentError",
+    "Progress",
+    "TaskRecord",
+    "decode_job",
+    "decode_progress",
+    "encode_job",
+    "encode_progress",
+]
+
+_VERSION = 1
+
+
+class DocumentError(ValueError):
+    """Stored bytes are no document of this version."""
+
+
+@dataclass(slots=True)
+class TaskRecord:
+    """What must survive of one task: ends so far and the last checkpoint."""
+
+    done: bool = False
+    n_failed: int = 0
+    checkpoint: str = ""
+
+
+@dataclass(slots=True)
+class Progress:
+    """Stored progress of one job; tasks without an entry have not ended yet."""
+
+    phase: JobPhase = JobPhase.PENDING
+    tasks: dict[TaskName, TaskRecord] = field(default_factory=dict)
+    finished_ms: int = 0
+
+
+def encode_job(job: JobSpec) -> bytes:
+    """Return the stored form of a job."""
+    steps = [
+        [
+            step.n_tasks,
+            [step.need.cpu, step.need.memory_mb, step.need.gpus],
+            step.estimated_ms,
+            list(step.after),
+            step.checkpoints,
+            step.is_gang,
+            step.same_rack,
+            step.required_label,
+            step.data_rack,
+            step.max_per_worker,
+            step.allows_duplicates,
+            step.lasts,
+            step.image,
+            step.target_ms,
+            step.fills,
+            step.max_unavailable,
+        ]
+        for step in job.steps
+    ]
+    return cbor2.dumps(
+        [
+            _VERSION,
+            job.job_id,
+            job.queue,
+            job.service,
+            job.team,
+            job.content,
+            steps,
+            job.submitted_ms,
+            job.max_attempts,
+            job.priority,
+            job.slack_factor,
+            job.target_latency_ms,
+            job.n_occurrences,
+            job.start_ms,
+            job.interval_ms,
+            job.is_open,
+        ]
+    )
+
+
+def decode_job(data: bytes) -> JobSpec:
+    """Read the stored form of a job.
+
+    Raises
+    ------
+    DocumentError
+        The bytes are no job of this version.
+    """
+    try:
+        version, *fields = cbor2.loads(data)
+        if version != _VERSION:
+            raise DocumentError(f"unknown job version {version}")
+        steps = tuple(_step(row) for row in fields[5])
+        return JobSpec(*fields[:5], steps, *fields[6:])
+    except DocumentError:
+        raise
+    except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError) as error:
+        raise DocumentError(f"malformed job: {error}") from error
+
+
+def _step(row: list) -> StepSpec:
+    n_tasks, need, estimated_ms, after, *rest = row
+    return StepSpec(n_tasks, Resources(*need), estimated_ms, tuple(after), *rest)
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Return the stored form of a job's progress."""
+    return cbor2.dumps(
+        [
+            _VERSION,
+            progress.phase.value,
+            [
+                [*name[1:], record.done, record.n_failed, record.checkpoint]
+                for name, record in progress.tasks.items()
+            ],
+            progress.finished_ms,
+        ]
+    )
+
+
+def decode_progress(job_id: str, data: bytes) -> Progress:
+    """Read the stored form of a job's progress.
+
+    Raises
+    ------
+    DocumentError
+        The bytes are no progress of this version.
+    """
+    try:
+        version, phase, rows, finished_ms = cbor2.loads(data)
+        if version != _VERSION:
+            raise DocumentError(f"unknown progress version {version}")
+        tasks = {
+            TaskName(job_id, *row[:3]): TaskRecord(bool(row[3]), row[4], row[5])
+            for row in rows
+        }
+        return Progress(JobPhase(phase), tasks, finished_ms)
+    except DocumentError:
+        raise
+    except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError) as error:
+        raise DocumentError(f"malformed progress: {error}") from error
--- /dev/null
+++ b/apricotgap/jobs/job_state.py
@@ -0,0 +1,169 @@
+"""State of one job at the owner of its shard."""
+
+from apricotgap.jobs.documents import Progress, TaskRecord
+from apricotgap.jobs.model import JobPhase, JobSpec, StepSpec, TaskName
+from apricotgap.jobs.runs import Run
+
+__all__ = ["JobState", "StepKey"]
+
+StepKey = tuple[int, int]
+
+
+class JobState:
+    """A job, its progress and its runs.
+
+    Parameters
+    ----------
+    spec : JobSpec
+        The job.
+    progress : Progress
+        What is stored of it.
+    revision : int
+        Store revision of the progress, 0 when none is stored.
+    is_inherited : bool
+        Whether an earlier owner may have started tasks of it.
+    """
+
+    def __init__(
+        self,
+        spec: JobSpec,
+        progress: Progress | None = None,
+        revision: int = 0,
+        is_inherited: bool = False,
+    ) -> None:
+        self.spec = spec
+        self.progress = progress or Progress()
+        self.revision = revision
+        self.is_inherited = is_inherited
+        self.saved_phase = self.progress.phase
+        self.runs: dict[TaskName, list[Run]] = {}
+        self.last_run: dict[TaskName, int] = {}
+        self.not_before: dict[TaskName, int] = {}
+        self.avoid: dict[TaskName, set[str]] = {}
+        self.waiting: dict[StepKey, set[int]] = {}
+        self._left: dict[StepKey, int] = {}
+        for occurrence in spec.occurrences:
+            for index, step in enumerate(spec.steps):
+                key = (occurrence, index)
+                done = self._done_indices(key)
+                self._left[key] = step.n_tasks - len(done)
+                self.waiting[key] = set(range(step.n_tasks)) - done
+
+    def _done_indices(self, key: StepKey) -> set[int]:
+        return {
+            name.index
+            for name, record in self.progress.tasks.items()
+            if record.done and (name.occurrence, name.step) == key
+        }
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing more is to be started."""
+        return self.progress.phase.is_final
+
+    @property
+    def shown_phase(self) -> JobPhase:
+        """State as callers see it; a final one only once it is stored."""
+        if self.is_final and self.saved_phase is not self.progress.phase:
+            return JobPhase.RUNNING
+        return self.progress.phase
+
+    def record(self, name: TaskName) -> TaskRecord:
+        """Return the record of a task, made on first use."""
+        return self.progress.tasks.setdefault(name, TaskRecord())
+
+    def step_of(self, name: TaskName) -> StepSpec | None:
+        """Return the step of a task, None when the job has no such task."""
+        if not 0 <= name.step < len(self.spec.steps):
+            return None
+        step = self.spec.steps[name.step]
+        if name.occurrence not in self.spec.occurrences:
+            return None
+        return step if 0 <= name.index < step.n_tasks else None
+
+    def is_open(self, key: StepKey, unix_ms: int) -> bool:
+        """Whether tasks of a step may start now."""
+        occurrence, index = key
+        if unix_ms < self.spec.due_ms(occurrence):
+            return False
+        return all(
+            self._left[occurrence, earlier] == 0
+            for earlier in self.spec.steps[index].after
+        )
+
+    def open_steps(self, unix_ms: int) -> list[StepKey]:
+        """Steps with waiting tasks that may start now."""
+        return [
+            key
+            for key, indices in self.waiting.items()
+            if indices and self.is_open(key, unix_ms)
+        ]
+
+    def add_run(self, run: Run) -> None:
+        """Take note of a run."""
+        self.runs.setdefault(run.name, []).append(run)
+        self.last_run[run.name] = max(self.last_run.get(run.name, 0), run.run_id)
+        self.waiting[run.name.occurrence, run.name.step].discard(run.name.index)
+        if self.progress.phase is JobPhase.PENDING:
+            self.progress.phase = JobPhase.RUNNING
+
+    def remove_run(self, run: Run) -> None:
+        """Forget a run; its task waits again unless it is done or has another run."""
+        left = [other for other in self.runs.get(run.name, ()) if other is not run]
+        if left:
+            self.runs[run.name] = left
+            return
+        self.runs.pop(run.name, None)
+        record = self.progress.tasks.get(run.name)
+        if record is None or not record.done:
+            self.waiting[run.name.occurrence, run.name.step].add(run.name.index)
+
+    def mark_done(self, name: TaskName) -> bool:
+        """Record that a task is done; returns whether it was not before."""
+        record = self.record(name)
+        if record.done:
+            return False
+        record.done = True
+        record.checkpoint = ""
+        key = (name.occurrence, name.step)
+        self._left[key] -= 1
+        self.waiting[key].discard(name.index)
+        return True
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all tasks are done."""
+        return not any(self._left.values())
+
+    def finish(self, phase: JobPhase, unix_ms: int) -> None:
+        """Give the job its final state."""
+        self.progress.phase = phase
+        self.progress.finished_ms = unix_ms
+        if phase is not JobPhase.SUCCEEDED:
+            return
+        # A succeeded job has no further use of the records.
+        self.progress.tasks.clear()
+
+    def chain_ms(self) -> int:
+        """Estimated time of the longest chain of steps that are not done."""
+        longest: list[int] = []
+        for index, step in enumerate(self.spec.steps):
+            own = 0 if self._left[0, index] == 0 else step.estimated_ms
+            longest.append(
+                own + max((longest[earlier] for earlier in step.after), default=0)
+            )
+        return max(longest)
+
+    def objective_ms(self) -> int:
+        """Unix milliseconds until which the job should succeed."""
+        total: list[int] = []
+        for step in self.spec.steps:
+            total.append(
+                step.estimated_ms
+                + max((total[earlier] for earlier in step.after), default=0)
+            )
+        return (
+            self.spec.submitted_ms
+            + int(self.spec.slack_factor * max(total))
+            + self.spec.target_latency_ms
+        )
--- /dev/null
+++ b/apricotgap/jobs/model.py
@@ -0,0 +1,192 @@
+"""Jobs, steps and task names."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+__all__ = [
+    "NO_RESOURCES",
+    "JobPhase",
+    "JobSpec",
+    "Resources",
+    "RunEnd",
+    "StepSpec",
+    "TaskName",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """Processor time in thousandths of a core, memory in MB, accelerators."""
+
+    cpu: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu + other.cpu,
+            self.memory_mb + other.memory_mb,
+            self.gpus + other.gpus,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu - other.cpu,
+            self.memory_mb - other.memory_mb,
+            self.gpus - other.gpus,
+        )
+
+    def fits(self, room: "Resources") -> bool:
+        """Whether this much fits into `room`."""
+        return (
+            self.cpu <= room.cpu
+            and self.memory_mb <= room.memory_mb
+            and self.gpus <= room.gpus
+        )
+
+    def largest(self, other: "Resources") -> "Resources":
+        """Return the larger value of each kind."""
+        return Resources(
+            max(self.cpu, other.cpu),
+            max(self.memory_mb, other.memory_mb),
+            max(self.gpus, other.gpus),
+        )
+
+    @property
+    def core_equivalents(self) -> float:
+        """Cores, an accelerator counted as eight."""
+        return self.cpu / 1000 + 8 * self.gpus
+
+
+NO_RESOURCES = Resources()
+
+
+class TaskName(NamedTuple):
+    """Name of a task; `occurrence` is 0 for a job that runs once."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
+
+    @classmethod
+    def parse(cls, text: str) -> "TaskName":
+        """Read the dotted form.
+
+        Raises
+        ------
+        ValueError
+            The text is no task name.
+        """
+        job_id, occurrence, step, index = text.split(".")
+        return cls(job_id, int(occurrence), int(step), int(index))
+
+
+class JobPhase(Enum):
+    """State of a job as callers see it."""
+
+    PENDING = "pending"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing of the job runs any more."""
+        return self not in (JobPhase.PENDING, JobPhase.RUNNING)
+
+
+class RunEnd(Enum):
+    """How a run of a task ended.
+
+    BROKEN means that another member of its gang ended, ALONE that the gang did
+    not come together, LAPSED that the worker's lease ran out.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+@dataclass(frozen=True, slots=True)
+class StepSpec:
+    """A step of a job: `n_tasks` equal tasks.
+
+    `after` holds the indices of steps that must be done first, `data_rack` the
+    rack where the tasks run fastest, `max_per_worker` 0 for no bound,
+    `max_unavailable` how many tasks of a lasting step the system may take away at
+    once. A step that `fills` uses only processor time that others leave.
+    """
+
+    n_tasks: int
+    need: Resources
+    estimated_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    is_gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+    allows_duplicates: bool = False
+    lasts: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    max_unavailable: int = 0
+
+    @property
+    def room(self) -> Resources:
+        """What a task takes of a worker's capacity."""
+        if self.fills:
+            return Resources(0, self.need.memory_mb, self.need.gpus)
+        return self.need
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """A job as it was accepted; it never changes.
+
+    `submitted_ms` and `start_ms` are Unix milliseconds. `n_occurrences` is 0 for a
+    job that runs once, at once.
+    """
+
+    job_id: str
+    queue: str
+    service: str
+    team: str
+    content: str
+    steps: tuple[StepSpec, ...]
+    submitted_ms: int
+    max_attempts: int = 3
+    priority: int = 0
+    slack_factor: float = 2.0
+    target_latency_ms: int = 1000
+    n_occurrences: int = 0
+    start_ms: int = 0
+    interval_ms: int = 0
+    is_open: bool = field(default=False)
+
+    @property
+    def occurrences(self) -> range:
+        """Numbers of all occurrences."""
+        return range(max(1, self.n_occurrences))
+
+    @property
+    def lasts(self) -> bool:
+        """Whether the job runs until it is cancelled."""
+        return any(step.lasts for step in self.steps)
+
+    def due_ms(self, occurrence: int) -> int:
+        """Unix milliseconds before which the occurrence must not start."""
+        if not self.n_occurrences:
+            return 0
+        return self.start_ms + occurrence * self.interval_ms
--- /dev/null
+++ b/apricotgap/jobs/pacing.py
@@ -0,0 +1,93 @@
+"""Pace of filling tasks beside serving tasks."""
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.effects import Effect, LogDecision, PaceRun
+from apricotgap.jobs.runs import Run, RunPhase
+from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.workers import Worker
+
+__all__ = ["Pacer"]
+
+_SLOW_DOWN = 0.5
+_SPEED_UP = 10
+
+
+class Pacer:
+    """Slows filling tasks down while a serving task nears its target.
+
+    The pace falls by half and rises in small steps, for each worker on its own.
+
+    Parameters
+    ----------
+    shard : Shard
+        The state.
+    """
+
+    def __init__(self, shard: Shard) -> None:
+        self._shard = shard
+
+    def run(self, at_ms: int) -> list[Effect]:
+        """Return the changes of pace that are due now."""
+        effects: list[Effect] = []
+        for worker in self._shard.workers.values():
+            if at_ms - worker.paced_ms >= limits.PACE_INTERVAL_MS:
+                effects.extend(self._pace_worker(worker, at_ms))
+        return effects
+
+    def _pace_worker(self, worker: Worker, at_ms: int) -> list[Effect]:
+        runs = [run for run in worker.runs.values() if run.phase is RunPhase.RUNNING]
+        fillers = [run for run in runs if run.step.fills]
+        if not fillers:
+            return []
+        ratio = max(
+            (run.usage / run.step.target_ms for run in runs if run.step.target_ms),
+            default=0.0,
+        )
+        if limits.PACE_UP_AT <= ratio <= limits.PACE_DOWN_AT:
+            return []
+        worker.paced_ms = at_ms
+        effects: list[Effect] = []
+        for run in fillers:
+            pace = self._next_pace(run, ratio)
+            if pace == run.pace:
+                continue
+            run.pace = pace
+            entry = worker.entry
+            effects.append(
+                PaceRun(
+                    entry.worker_id,
+                    entry.address,
+                    entry.born_ms,
+                    run.name,
+                    run.run_id,
+                    pace,
+                )
+            )
+        if effects:
+            effects.append(
+                LogDecision(
+                    "paced",
+                    {
+                        "worker": worker.worker_id,
+                        "tail_to_target": round(ratio, 2),
+                        "pace": fillers[0].pace,
+                        "n_fillers": len(fillers),
+                    },
+                )
+            )
+        return effects
+
+    @staticmethod
+    def _next_pace(run: Run, ratio: float) -> int:
+        if ratio > limits.PACE_DOWN_AT:
+            pace = int(run.pace * _SLOW_DOWN)
+            return pace if pace >= 5 else 0
+        return min(100, run.pace + _SPEED_UP)
+
+    def answered(self, order: PaceRun, ok: bool) -> None:
+        """Take note of an order that may not have arrived."""
+        worker = self._shard.workers.get(order.worker_id)
+        run = worker.runs.get((order.name, order.run_id)) if worker else None
+        if run is not None and not ok:
+            # An unknown pace makes the next pass send one again.
+            run.pace = order.percent + 1
--- /dev/null
+++ b/apricotgap/jobs/runs.py
@@ -0,0 +1,50 @@
+"""Runs of tasks under way."""
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from apricotgap.jobs.model import Resources, StepSpec, TaskName
+
+__all__ = ["Run", "RunPhase"]
+
+
+class RunPhase(Enum):
+    """What is known of a run.
+
+    UNCONFIRMED: the start got no answer, so the run may exist.
+    """
+
+    STARTING = auto()
+    UNCONFIRMED = auto()
+    RUNNING = auto()
+    STOPPING = auto()
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a task on a worker.
+
+    `settled_ms` is the moment from which on a worker's list that lacks the run
+    proves that it does not exist. Times are milliseconds of the instance's clock.
+    """
+
+    name: TaskName
+    run_id: int
+    worker_id: str
+    step: StepSpec
+    team: str
+    phase: RunPhase
+    sent_ms: int
+    settled_ms: int
+    percent: float = 0.0
+    progress_ms: int = 0
+    usage: float = 0.0
+    checkpoint: str = ""
+    pace: int = 100
+    stop_sent_ms: int = -1_000_000
+    is_cancelled: bool = False
+
+    @property
+    def room(self) -> Resources:
+        """What the run takes of the worker's capacity."""
+        return self.step.room
--- /dev/null
+++ b/apricotgap/jobs/scheduling.py
@@ -0,0 +1,290 @@
+"""Which waiting task starts next, and where."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.effects import Effect, LogDecision, StartRun
+from apricotgap.jobs.job_state import JobState, StepKey
+from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec, TaskName
+from apricotgap.jobs.runs import Run, RunPhase
+from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.workers import Worker
+
+__all__ = ["Scheduler"]
+
+
+@dataclass(slots=True)
+class _Pass:
+    """One scheduling pass: candidates and the starts it decided."""
+
+    at_ms: int
+    unix_ms: int
+    workers: list[Worker]
+    effects: list[Effect]
+    n_starts: int = 0
+
+
+class Scheduler:
+    """Starts waiting tasks of a shard.
+
+    Jobs that can still meet their objective come first, lasting ones before all;
+    among these the priority of the queue decides, then the earlier objective.
+
+    Parameters
+    ----------
+    shard : Shard
+        The state; a pass changes it.
+    """
+
+    def __init__(self, shard: Shard) -> None:
+        self._shard = shard
+
+    def run(self, at_ms: int, lease_until_ms: int) -> list[Effect]:
+        """Decide which tasks start now.
+
+        Parameters
+        ----------
+        at_ms : int
+            Now.
+        lease_until_ms : int
+            End of the owner's lease; nothing starts close to it.
+
+        Returns
+        -------
+        list of Effect
+            Starts, taken note of as if they were sent.
+        """
+        if at_ms > lease_until_ms - limits.LEASE_MARGIN_MS:
+            return []
+        shard = self._shard
+        if shard.config is None or shard.service not in shard.config.service_by_name:
+            return []
+        workers = [
+            worker
+            for worker in shard.workers.values()
+            if worker.accepts(at_ms) and worker.entry.data_centre not in shard.evacuated
+        ]
+        if not workers:
+            return []
+        current = _Pass(at_ms, shard.unix_of(at_ms), workers, [])
+        in_doubt = shard.in_doubt
+        for job in self._order(current.unix_ms):
+            if current.n_starts >= limits.MAX_STARTS_PER_PASS:
+                break
+            if in_doubt and job.is_inherited:
+                continue
+            self._start_job(job, current)
+        return current.effects
+
+    def _order(self, unix_ms: int) -> list[JobState]:
+        def rank(job: JobState) -> tuple[bool, bool, int, int]:
+            spec = job.spec
+            if spec.lasts:
+                return (False, False, spec.priority, spec.submitted_ms)
+            objective = job.objective_ms()
+            is_late = unix_ms + job.chain_ms() // 2 > objective
+            return (True, is_late, spec.priority, objective)
+
+        waiting = [
+            job
+            for job in self._shard.jobs.values()
+            if not job.is_final and any(job.waiting.values())
+        ]
+        return sorted(waiting, key=rank)
+
+    def _start_job(self, job: JobState, current: _Pass) -> None:
+        for key in job.open_steps(current.unix_ms):
+            step = job.spec.steps[key[1]]
+            if step.is_gang:
+                self._start_gang(job, key, step, current)
+                continue
+            for index in sorted(job.waiting[key]):
+                if current.n_starts >= limits.MAX_STARTS_PER_PASS:
+                    return
+                name = TaskName(job.spec.job_id, *key, index)
+                if job.not_before.get(name, 0) > current.at_ms:
+                    continue
+                worker = self._choose(job, name, step, current, {})
+                if worker is None:
+                    # The tasks of a step are alike, so the others do not fit either.
+                    if name not in job.avoid:
+                        break
+                    continue
+                run_id = self._shard.next_run_id(job, [name])
+                self._start(job, name, step, worker, run_id, current)
+
+    def _start_gang(
+        self, job: JobState, key: StepKey, step: StepSpec, current: _Pass
+    ) -> None:
+        """Start all members of a gang or none."""
+        if len(job.waiting[key]) < step.n_tasks:
+            return
+        names = [
+            TaskName(job.spec.job_id, *key, index) for index in range(step.n_tasks)
+        ]
+        if any(job.not_before.get(name, 0) > current.at_ms for name in names):
+            return
+        racks: list[str | None] = [None]
+        if step.same_rack:
+            found = {worker.entry.rack for worker in current.workers}
+            racks = [*sorted(found, key=lambda rack: rack != step.data_rack), None]
+        for rack in racks:
+            places = self._places(job, names, step, current, rack)
+            if places is None:
+                continue
+            run_id = self._shard.next_run_id(job, names)
+            saved = max((job.record(name).checkpoint for name in names), default="")
+            for name, worker in zip(names, places, strict=True):
+                job.record(name).checkpoint = saved
+                self._start(job, name, step, worker, run_id, current)
+            return
+
+    def _places(
+        self,
+        job: JobState,
+        names: list[TaskName],
+        step: StepSpec,
+        current: _Pass,
+        rack: str | None,
+    ) -> list[Worker] | None:
+        taken: dict[str, list[TaskName]] = {}
+        places = []
+        for name in names:
+            worker = self._choose(job, name, step, current, taken, rack)
+            if worker is None:
+                return None
+            taken.setdefault(worker.worker_id, []).append(name)
+            places.append(worker)
+        team = self._shard.team_limits.get(job.spec.team)
+        if team is not None:
+            usage = self._shard.team_usage.get(job.spec.team, NO_RESOURCES)
+            for _ in names:
+                usage = usage + step.room
+            if not usage.fits(_unbounded(team)):
+                return None
+        return places
+
+    def _choose(
+        self,
+        job: JobState,
+        name: TaskName,
+        step: StepSpec,
+        current: _Pass,
+        taken: dict[str, list[TaskName]],
+        rack: str | None = None,
+    ) -> Worker | None:
+        room = step.room
+        if not self._team_may(job, room):
+            return None
+        avoided = job.avoid.get(name, ())
+        best: Worker | None = None
+        best_cost = float("inf")
+        for worker in current.workers:
+            entry = worker.entry
+            if step.required_label and step.required_label not in entry.labels:
+                continue
+            if rack is not None and entry.rack != rack:
+                continue
+            need = room
+            for _ in taken.get(worker.worker_id, ()):
+                need = need + room
+            if not need.fits(worker.free):
+                continue
+            if step.max_per_worker and (
+                self._n_of_step(worker, name) + len(taken.get(worker.worker_id, ()))
+                >= step.max_per_worker
+            ):
+                continue
+            cost = self._cost(worker, step)
+            if worker.worker_id in avoided:
+                cost += 10
+            if cost < best_cost:
+                best, best_cost = worker, cost
+        return best
+
+    @staticmethod
+    def _n_of_step(worker: Worker, name: TaskName) -> int:
+        return sum(key[0][:3] == name[:3] for key in worker.runs)
+
+    @staticmethod
+    def _cost(worker: Worker, step: StepSpec) -> float:
+        """Preference among workers with room, the lowest wins."""
+        total = worker.total
+        load = worker.used.cpu / total.cpu if total.cpu else 1.0
+        cost = load
+        if step.data_rack and worker.entry.rack != step.data_rack:
+            cost += 2
+        if worker.suspect_since_ms is not None:
+            cost += 5
+        if step.fills:
+            cost += 1.0 * worker.n_serving
+        return cost
+
+    def _team_may(self, job: JobState, room: Resources) -> bool:
+        limit = self._shard.team_limits.get(job.spec.team)
+        if limit is None:
+            return True
+        usage = self._shard.team_usage.get(job.spec.team, NO_RESOURCES)
+        return (usage + room).fits(_unbounded(limit))
+
+    def _start(
+        self,
+        job: JobState,
+        name: TaskName,
+        step: StepSpec,
+        worker: Worker,
+        run_id: int,
+        current: _Pass,
+    ) -> None:
+        at_ms = current.at_ms
+        record = job.progress.tasks.get(name)
+        run = Run(
+            name,
+            run_id,
+            worker.worker_id,
+            step,
+            job.spec.team,
+            RunPhase.STARTING,
+            at_ms,
+            at_ms + limits.START_WINDOW_MS + limits.RETRY_BACKOFF_MS,
+            progress_ms=at_ms,
+            checkpoint=record.checkpoint if record else "",
+        )
+        self._shard._add_run(job, worker, run)
+        current.n_starts += 1
+        current.effects.append(
+            StartRun(
+                worker.worker_id,
+                worker.entry.address,
+                worker.entry.born_ms,
+                name,
+                run_id,
+                job.spec.content,
+                worker.clock_now_ms(at_ms) + limits.START_WINDOW_MS,
+                run.checkpoint,
+            )
+        )
+        current.effects.append(
+            LogDecision(
+                "run_started",
+                {
+                    "task": str(name),
+                    "run": run_id,
+                    "worker": worker.worker_id,
+                    "free_cpu": worker.free.cpu,
+                    "answer_age_ms": at_ms - worker.answered_ms,
+                },
+            )
+        )
+
+
+def _unbounded(limit: Resources) -> Resources:
+    """Replace 0, which stands for no limit, by a bound that nothing reaches."""
+    none = 1 << 60
+    return Resources(limit.cpu or none, limit.memory_mb or none, limit.gpus or none)
+
+
+def pending_reasons(jobs: Iterable[JobState]) -> int:
+    """Count jobs of which no task has started."""
+    return sum(1 for job in jobs if not job.is_final and not job.last_run)
--- /dev/null
+++ b/apricotgap/jobs/shard.py
@@ -0,0 +1,547 @@
+"""Reducer of one shard: the jobs of one service and the workers that run them."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.configuration import Configuration
+from apricotgap.jobs.documents import Progress, encode_progress
+from apricotgap.jobs.effects import Effect, LogDecision, StopRun
+from apricotgap.jobs.events import (
+    EndRow,
+    HoldAnswered,
+    HoldFailed,
+    RunningRow,
+    StartAnswered,
+    StopAnswered,
+    WorkersListed,
+)
+from apricotgap.jobs.fleet import WorkerEntry
+from apricotgap.jobs.job_state import JobState
+from apricotgap.jobs.model import (
+    NO_RESOURCES,
+    JobPhase,
+    JobSpec,
+    Resources,
+    RunEnd,
+    TaskName,
+)
+from apricotgap.jobs.runs import Run, RunPhase
+from apricotgap.jobs.workers import Worker
+
+__all__ = ["SaveBatch", "Shard"]
+
+_STOP_RETRY_MS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class SaveBatch:
+    """Documents to store, and per worker the last end that they cover."""
+
+    documents: tuple[tuple[str, bytes, int], ...]
+    phases: dict[str, JobPhase]
+    seen: dict[tuple[str, int], int]
+
+
+class Shard:
+    """Jobs, runs and workers of one service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    epoch : int
+        Fencing token of this owner, above that of any earlier owner.
+    max_lease_ms : int
+        Longest lease of a worker.
+    """
+
+    def __init__(self, service: str, epoch: int, max_lease_ms: int) -> None:
+        self.service = service
+        self.epoch = epoch
+        self.max_lease_ms = max_lease_ms
+        self.workers: dict[str, Worker] = {}
+        self.jobs: dict[str, JobState] = {}
+        self.config: Configuration | None = None
+        self.evacuated: frozenset[str] = frozenset()
+        self.team_usage: dict[str, Resources] = {}
+        self.team_limits: dict[str, Resources] = {}
+        self.tickets: dict[tuple[str, int, int, str], str] = {}
+        self._dirty: set[str] = set()
+        self._handlers: dict[type, Callable[..., Iterable[Effect]]] = {
+            WorkersListed: self._workers_listed,
+            HoldAnswered: self._hold_answered,
+            HoldFailed: self._hold_failed,
+            StartAnswered: self._start_answered,
+            StopAnswered: self._stop_answered,
+        }
+
+    def step(self, event: object) -> list[Effect]:
+        """Apply one event and return what is to be done."""
+        return list(self._handlers[type(event)](event))
+
+    # Jobs
+
+    def load(self, spec: JobSpec, progress: Progress | None, revision: int) -> JobState:
+        """Take over a job that an earlier owner may have started."""
+        job = JobState(spec, progress, revision, is_inherited=True)
+        self.jobs[spec.job_id] = job
+        return job
+
+    def submit(self, spec: JobSpec) -> JobState:
+        """Take a job that is stored and that no owner has started."""
+        job = self.jobs.get(spec.job_id)
+        if job is None:
+            job = JobState(spec)
+            self.jobs[spec.job_id] = job
+        return job
+
+    def cancel(self, job_id: str, unix_ms: int, at_ms: int) -> list[Effect]:
+        """End a job; a job that is final stays as it is."""
+        job = self.jobs[job_id]
+        if job.is_final:
+            return []
+        return self._finish(job, JobPhase.CANCELLED, unix_ms, at_ms)
+
+    def forget(self, job_id: str) -> None:
+        """Drop a final job."""
+        self.jobs.pop(job_id, None)
+        self._dirty.discard(job_id)
+
+    def _finish(
+        self, job: JobState, phase: JobPhase, unix_ms: int, at_ms: int
+    ) -> list[Effect]:
+        job.finish(phase, unix_ms)
+        self._dirty.add(job.spec.job_id)
+        effects: list[Effect] = [
+            LogDecision(
+                "job_finished",
+                {
+                    "job": job.spec.job_id,
+                    "phase": phase.value,
+                    "latency_ms": unix_ms - job.spec.submitted_ms,
+                },
+            )
+        ]
+        for runs in list(job.runs.values()):
+            for run in runs:
+                effects.extend(self.stop(run, at_ms))
+        return effects
+
+    # Progress
+
+    @property
+    def has_unsaved(self) -> bool:
+        """Whether some progress is not stored yet."""
+        return bool(self._dirty)
+
+    @property
+    def has_unsaved_final(self) -> bool:
+        """Whether a job became final and that is not stored yet."""
+        return any(self.jobs[job].is_final for job in self._dirty if job in self.jobs)
+
+    def begin_save(self) -> SaveBatch:
+        """Return the documents that changed since the last save."""
+        documents = tuple(
+            (job_id, encode_progress(job.progress), job.revision)
+            for job_id in self._dirty
+            if (job := self.jobs.get(job_id)) is not None
+        )
+        phases = {job_id: self.jobs[job_id].progress.phase for job_id, *_ in documents}
+        self._dirty.clear()
+        return SaveBatch(
+            documents,
+            phases,
+            {
+                (worker.worker_id, worker.entry.born_ms): worker.seen
+                for worker in self.workers.values()
+            },
+        )
+
+    def saved(self, batch: SaveBatch, revisions: dict[str, int]) -> None:
+        """Take note of what is stored; workers may forget the ends once all is."""
+        for job_id, revision in revisions.items():
+            job = self.jobs.get(job_id)
+            if job is not None:
+                job.revision = revision
+                job.saved_phase = batch.phases[job_id]
+        if len(revisions) < len(batch.documents):
+            return
+        for (worker_id, born_ms), seen in batch.seen.items():
+            worker = self.workers.get(worker_id)
+            if worker is not None and worker.entry.born_ms == born_ms:
+                worker.acknowledged = max(worker.acknowledged, seen)
+
+    def save_failed(self, job_ids: Iterable[str]) -> None:
+        """Keep documents for the next save."""
+        self._dirty.update(job_ids)
+
+    # Workers
+
+    def expect(self, entry: WorkerEntry, at_ms: int) -> None:
+        """Take note of a worker on which an earlier owner may have started tasks."""
+        self._add_worker(entry, at_ms, lease_ms=int(self.max_lease_ms * 1.03) + 1500)
+        self.workers[entry.worker_id].is_listed = False
+        self.workers[entry.worker_id].is_doubtful = True
+
+    def _add_worker(self, entry: WorkerEntry, at_ms: int, lease_ms: int = 0) -> Worker:
+        worker = Worker(entry, entry.free, at_ms + lease_ms)
+        self.workers[entry.worker_id] = worker
+        return worker
+
+    def _workers_listed(self, event: WorkersListed) -> Iterable[Effect]:
+        listed = {
+            entry.worker_id: entry
+            for entry in event.entries
+            if entry.service == self.service
+        }
+        for worker_id, entry in listed.items():
+            worker = self.workers.get(worker_id)
+            if worker is None:
+                self._add_worker(entry, event.at_ms)
+                yield LogDecision("worker_added", {"worker": worker_id})
+                continue
+            if worker.entry.born_ms != entry.born_ms:
+                if entry.born_ms < worker.entry.born_ms:
+                    continue
+                yield from self._lose(worker, event.at_ms, "restarted")
+                self._add_worker(entry, event.at_ms)
+                continue
+            if entry.is_draining and not worker.entry.is_draining:
+                yield LogDecision("worker_draining", {"worker": worker_id})
+            worker.entry = entry
+            worker.is_listed = True
+            worker.total = worker.total.largest(entry.free)
+        self._share_totals()
+        for worker in list(self.workers.values()):
+            if worker.worker_id not in listed:
+                worker.is_listed = False
+                yield from self._expire(worker, event.at_ms)
+
+    def _share_totals(self) -> None:
+        """Assume equal capacity of workers of one kind where they guard it."""
+        spec = self.config and self.config.service_by_name.get(self.service)
+        if not spec or not spec.guards_capacity:
+            return
+        largest: dict[str, Resources] = {}
+        for worker in self.workers.values():
+            kind = worker.entry.kind
+            largest[kind] = worker.total.largest(largest.get(kind, NO_RESOURCES))
+        for worker in self.workers.values():
+            worker.total = largest[worker.entry.kind]
+
+    def _expire(self, worker: Worker, at_ms: int) -> Iterable[Effect]:
+        """Drop what ran on a worker whose lease must have ended."""
+        if at_ms <= worker.lease_until_ms:
+            return
+        if worker.runs:
+            yield from self._lose(worker, at_ms, "lease ended")
+        worker.is_taken = False
+        worker.is_doubtful = False
+        if not worker.is_listed:
+            self.workers.pop(worker.worker_id, None)
+            yield LogDecision("worker_gone", {"worker": worker.worker_id})
+
+    def tick(self, at_ms: int) -> list[Effect]:
+        """Expire silent workers and repeat stops."""
+        effects: list[Effect] = []
+        for worker in list(self.workers.values()):
+            effects.extend(self._expire(worker, at_ms))
+            for run in list(worker.runs.values()):
+                is_due = at_ms - run.stop_sent_ms > _STOP_RETRY_MS
+                if run.phase is RunPhase.STOPPING and is_due:
+                    effects.extend(self.stop(run, at_ms))
+        return effects
+
+    def _lose(self, worker: Worker, at_ms: int, why: str) -> Iterable[Effect]:
+        n_runs = len(worker.runs)
+        for run in list(worker.runs.values()):
+            self._drop_run(run)
+        worker.is_taken = False
+        worker.is_doubtful = False
+        yield LogDecision(
+            "worker_lost",
+            {
+                "worker": worker.worker_id,
+                "why": why,
+                "n_runs": n_runs,
+                "silent_ms": at_ms - worker.answered_ms,
+            },
+        )
+
+    def hold_sent(self, worker: Worker, at_ms: int) -> int:
+        """Return the lease end to ask for, on the worker's clock, 0 for none."""
+        if not worker.clock_at_ms:
+            return 0
+        worker.lease_until_ms = max(
+            worker.lease_until_ms, at_ms + int(self.max_lease_ms * 1.03) + 100
+        )
+        return worker.clock_now_ms(at_ms) + self.max_lease_ms
+
+    @property
+    def in_doubt(self) -> bool:
+        """Whether a run of an earlier owner may exist on a worker not yet taken."""
+        return any(worker.is_doubtful for worker in self.workers.values())
+
+    def _hold_answered(self, event: HoldAnswered) -> Iterable[Effect]:
+        worker = self.workers.get(event.worker_id)
+        if worker is None:
+            return
+        if event.born_ms and event.born_ms != worker.entry.born_ms:
+            yield from self._hold_failed(
+                HoldFailed(
+                    event.at_ms,
+                    event.worker_id,
+                    worker.entry.born_ms,
+                    "restarted",
+                    is_other_life=True,
+                )
+            )
+            return
+        if not worker.is_taken:
+            yield LogDecision(
+                "worker_taken",
+                {
+                    "worker": worker.worker_id,
+                    "epoch": self.epoch,
+                    "n_running": len(event.running),
+                },
+            )
+        worker.is_taken = True
+        worker.is_doubtful = False
+        worker.answered_ms = event.at_ms
+        worker.clock_ms = event.clock_ms
+        worker.clock_at_ms = event.at_ms
+        for end in event.ends:
+            if end.number > worker.seen:
+                worker.seen = end.number
+                yield from self._ended(worker, end, event.at_ms)
+        listed = set()
+        for row in event.running:
+            listed.add((row.name, row.run_id))
+            yield from self._listed(worker, row, event)
+        if len(event.ends) >= limits.MAX_LISTED_ENDS:
+            return
+        for key, run in list(worker.runs.items()):
+            if key not in listed and run.settled_ms <= event.sent_ms:
+                self._drop_run(run)
+                yield LogDecision(
+                    "run_absent",
+                    {
+                        "task": str(run.name),
+                        "run": run.run_id,
+                        "worker": worker.worker_id,
+                        "was": run.phase.name,
+                    },
+                )
+
+    def _listed(
+        self, worker: Worker, row: RunningRow, event: HoldAnswered
+    ) -> Iterable[Effect]:
+        run = worker.runs.get((row.name, row.run_id))
+        if run is None:
+            yield from self._adopt(worker, row, event.at_ms)
+            return
+        if run.phase in (RunPhase.STARTING, RunPhase.UNCONFIRMED):
+            run.phase = RunPhase.RUNNING
+            run.settled_ms = event.sent_ms
+        if row.percent != run.percent:
+            run.percent = row.percent
+            run.progress_ms = event.at_ms
+        run.usage = row.usage
+        run.checkpoint = row.checkpoint or run.checkpoint
+
+    def _adopt(self, worker: Worker, row: RunningRow, at_ms: int) -> Iterable[Effect]:
+        """Take over a run of an earlier owner, or stop one that must not exist."""
+        job = self.jobs.get(row.name.job_id)
+        step = job.step_of(row.name) if job else None
+        if job is None or step is None:
+            yield StopRun(
+                worker.worker_id,
+                worker.entry.address,
+                worker.entry.born_ms,
+                row.name,
+                row.run_id,
+            )
+            return
+        run = Run(
+            row.name,
+            row.run_id,
+            worker.worker_id,
+            step,
+            job.spec.team,
+            RunPhase.RUNNING,
+            at_ms,
+            at_ms,
+            row.percent,
+            at_ms,
+            row.usage,
+            row.checkpoint,
+        )
+        record = job.progress.tasks.get(row.name)
+        is_surplus = row.name in job.runs and not step.allows_duplicates
+        self._add_run(job, worker, run)
+        if job.is_final or (record and record.done) or is_surplus:
+            yield from self.stop(run, at_ms)
+
+    def _hold_failed(self, event: HoldFailed) -> Iterable[Effect]:
+        worker = self.workers.get(event.worker_id)
+        if worker is None or worker.entry.born_ms != event.born_ms:
+            return
+        if event.is_other_life:
+            yield from self._lose(worker, event.at_ms, event.reason)
+            self.workers.pop(worker.worker_id, None)
+            return
+        yield from self._expire(worker, event.at_ms)
+
+    # Runs
+
+    def _add_run(self, job: JobState, worker: Worker, run: Run) -> None:
+        job.add_run(run)
+        worker.add(run)
+        self.team_usage[run.team] = (
+            self.team_usage.get(run.team, NO_RESOURCES) + run.room
+        )
+
+    def _drop_run(self, run: Run) -> None:
+        worker = self.workers.get(run.worker_id)
+        if worker is not None:
+            if (run.name, run.run_id) not in worker.runs:
+                return
+            worker.remove(run)
+        self.team_usage[run.team] = self.team_usage[run.team] - run.room
+        job = self.jobs.get(run.name.job_id)
+        if job is not None:
+            job.remove_run(run)
+
+    def stop(self, run: Run, at_ms: int) -> Iterable[Effect]:
+        """Stop a run."""
+        worker = self.workers.get(run.worker_id)
+        if worker is None:
+            return
+        run.phase = RunPhase.STOPPING
+        run.stop_sent_ms = at_ms
+        yield StopRun(
+            worker.worker_id,
+            worker.entry.address,
+            worker.entry.born_ms,
+            run.name,
+            run.run_id,
+        )
+
+    def _start_answered(self, event: StartAnswered) -> Iterable[Effect]:
+        worker = self.workers.get(event.worker_id)
+        if worker is None or worker.entry.born_ms != event.born_ms:
+            return
+        run = worker.runs.get((event.name, event.run_id))
+        if run is None or run.phase is RunPhase.RUNNING:
+            return
+        kind = event.result.kind
+        if kind == "ok":
+            run.settled_ms = min(run.settled_ms, event.at_ms)
+            if run.phase is not RunPhase.STOPPING:
+                run.phase = RunPhase.RUNNING
+                run.progress_ms = event.at_ms
+            return
+        yield LogDecision(
+            "start_refused",
+            {
+                "task": str(event.name),
+                "run": event.run_id,
+                "why": kind,
+                "worker": worker.worker_id,
+            },
+        )
+        if kind == "unknown":
+            if run.phase is RunPhase.STARTING:
+                # The stop bars a start that is still on its way.
+                yield from self.stop(run, event.at_ms)
+            worker.blocked_until_ms = event.at_ms + limits.RETRY_BACKOFF_MS * 3
+            return
+        self._drop_run(run)
+        if kind == "busy":
+            worker.blocked_until_ms = event.at_ms + limits.RETRY_BACKOFF_MS * 5
+        elif kind == "room":
+            worker.room_refused_ms = event.at_ms
+            worker.blocked_until_ms = event.at_ms + limits.RETRY_BACKOFF_MS
+        elif kind == "ticket":
+            self.tickets.pop((*event.name[:3], worker.worker_id), None)
+
+    def _stop_answered(self, event: StopAnswered) -> Iterable[Effect]:
+        worker = self.workers.get(event.worker_id)
+        if worker is None or worker.entry.born_ms != event.born_ms:
+            return ()
+        run = worker.runs.get((event.name, event.run_id))
+        if run is not None and event.ok:
+            run.settled_ms = min(run.settled_ms, event.at_ms)
+        return ()
+
+    def _ended(self, worker: Worker, end: EndRow, at_ms: int) -> Iterable[Effect]:
+        run = worker.runs.get((end.name, end.run_id))
+        job = self.jobs.get(end.name.job_id)
+        was_stopping = run is not None and run.phase is RunPhase.STOPPING
+        if run is not None:
+            self._drop_run(run)
+        if job is None:
+            return
+        step = job.step_of(end.name)
+        if step is None or job.is_final:
+            return
+        if worker.note_end(at_ms, end.name.job_id, end.end):
+            yield LogDecision("worker_suspect", {"worker": worker.worker_id})
+        if end.end is RunEnd.DONE and not step.lasts:
+            yield from self._task_done(job, end, at_ms)
+            return
+        record = job.record(end.name)
+        if end.checkpoint:
+            record.checkpoint = end.checkpoint
+        if end.end is not RunEnd.FAILED or was_stopping:
+            self._dirty.add(job.spec.job_id)
+            return
+        record.n_failed += 1
+        self._dirty.add(job.spec.job_id)
+        job.avoid.setdefault(end.name, set()).add(worker.worker_id)
+        yield LogDecision(
+            "run_failed",
+            {
+                "task": str(end.name),
+                "run": end.run_id,
+                "worker": worker.worker_id,
+                "n_failed": record.n_failed,
+            },
+        )
+        if step.lasts:
+            return
+        job.not_before[end.name] = at_ms
+        if record.n_failed >= job.spec.max_attempts:
+            yield from self._finish(job, JobPhase.FAILED, self.unix_of(at_ms), at_ms)
+
+    def _task_done(self, job: JobState, end: EndRow, at_ms: int) -> Iterable[Effect]:
+        step = job.spec.steps[end.name.step]
+        names = [end.name]
+        if step.is_gang:
+            # One end stands for the whole gang.
+            names = [end.name._replace(index=index) for index in range(step.n_tasks)]
+        is_new = False
+        for name in names:
+            is_new |= job.mark_done(name)
+            for other in list(job.runs.get(name, ())):
+                if not step.is_gang:
+                    yield from self.stop(other, at_ms)
+        if not is_new:
+            return
+        self._dirty.add(job.spec.job_id)
+        if job.is_complete:
+            unix_ms = self.unix_of(at_ms)
+            yield from self._finish(job, JobPhase.SUCCEEDED, unix_ms, at_ms)
+
+    unix_offset_ms: int = 0
+
+    def unix_of(self, at_ms: int) -> int:
+        """Unix milliseconds of a moment of the instance's clock."""
+        return at_ms + self.unix_offset_ms
+
+    def next_run_id(self, job: JobState, names: Iterable[TaskName]) -> int:
+        """Return a run number above all that earlier owners and this one gave."""
+        base = (self.epoch - 1) * limits.RUNS_PER_EPOCH
+        return max(base, *(job.last_run.get(name, 0) for name in names)) + 1
--- /dev/null
+++ b/apricotgap/jobs/workers.py
@@ -0,0 +1,121 @@
+"""A shard's view of its workers: capacity, lease, clock and trust."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.fleet import WorkerEntry
+from apricotgap.jobs.model import NO_RESOURCES, Resources, RunEnd, TaskName
+from apricotgap.jobs.runs import Run
+
+__all__ = ["Worker"]
+
+RunKey = tuple[TaskName, int]
+
+
+@dataclass(slots=True)
+class Worker:
+    """One life of a worker.
+
+    `total` is the largest free capacity seen, a lower bound of its capacity.
+    `lease_until_ms` bounds, on the instance's clock, how long the worker may go on
+    running what it was told to. `acknowledged` is the number of the last end that
+    is stored, `seen` that of the last end that was applied. A doubtful worker may
+    run what an earlier owner started there; only a recorded worker, which the next
+    owner will know of, gets work.
+    """
+
+    entry: WorkerEntry
+    total: Resources
+    lease_until_ms: int
+    is_listed: bool = True
+    is_taken: bool = False
+    is_doubtful: bool = False
+    is_recorded: bool = False
+    is_reserved: bool = False
+    answered_ms: int = -1_000_000
+    clock_ms: int = 0
+    clock_at_ms: int = 0
+    seen: int = 0
+    acknowledged: int = 0
+    runs: dict[RunKey, Run] = field(default_factory=dict)
+    used: Resources = NO_RESOURCES
+    n_serving: int = 0
+    blocked_until_ms: int = -1_000_000
+    suspect_since_ms: int | None = None
+    recent_ends: deque[tuple[int, str, bool]] = field(default_factory=deque)
+    paced_ms: int = -1_000_000
+    room_refused_ms: int = -1_000_000
+
+    @property
+    def worker_id(self) -> str:
+        """Id of the worker."""
+        return self.entry.worker_id
+
+    @property
+    def free(self) -> Resources:
+        """Capacity that no run takes or may take."""
+        return self.total - self.used
+
+    def clock_now_ms(self, at_ms: int) -> int:
+        """Return a lower bound of the worker's clock.
+
+        Parameters
+        ----------
+        at_ms : int
+            Now, on the instance's clock.
+        """
+        elapsed = max(0, at_ms - self.clock_at_ms)
+        return self.clock_ms + int(elapsed * (1 - limits.CLOCK_DRIFT))
+
+    def add(self, run: Run) -> None:
+        """Take room for a run."""
+        self.runs[run.name, run.run_id] = run
+        self.used = self.used + run.room
+        if run.step.target_ms:
+            self.n_serving += 1
+
+    def remove(self, run: Run) -> None:
+        """Give the room of a run back."""
+        if self.runs.pop((run.name, run.run_id), None) is None:
+            return
+        self.used = self.used - run.room
+        if run.step.target_ms:
+            self.n_serving -= 1
+
+    def note_end(self, at_ms: int, job_id: str, end: RunEnd) -> bool:
+        """Update the worker's record; returns whether it became suspect.
+
+        A worker is suspect when tasks of several jobs failed on it within the trust
+        window and more failed than ended well. One bad job does not count.
+        """
+        if end is RunEnd.DONE:
+            self.suspect_since_ms = None
+        if end not in (RunEnd.DONE, RunEnd.FAILED):
+            return False
+        recent = self.recent_ends
+        recent.append((at_ms, job_id, end is RunEnd.FAILED))
+        while recent and recent[0][0] < at_ms - limits.TRUST_WINDOW_MS:
+            recent.popleft()
+        failed = {job for _, job, is_failed in recent if is_failed}
+        n_failed = sum(is_failed for _, _, is_failed in recent)
+        if end is RunEnd.DONE or len(failed) < 2 or 2 * n_failed <= len(recent):
+            return False
+        was_suspect = self.suspect_since_ms is not None
+        self.suspect_since_ms = at_ms
+        return not was_suspect
+
+    def accepts(self, at_ms: int) -> bool:
+        """Whether the worker may get new work now."""
+        if not self.is_taken or not self.is_listed:
+            return False
+        if self.is_reserved or not self.is_recorded:
+            return False
+        if self.entry.is_draining or at_ms < self.blocked_until_ms:
+            return False
+        if at_ms - self.answered_ms > limits.SILENT_WORKER_MS:
+            return False
+        if self.suspect_since_ms is None:
+            return True
+        on_probation = at_ms - self.suspect_since_ms > limits.PROBATION_MS
+        return on_probation and not self.runs
--- /dev/null
+++ b/apricotgap/platform/ingress.py
@@ -0,0 +1,231 @@
+"""Callers' interface on the platform, as an ASGI application."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+
+from apricotgap.clock import Clock
+from apricotgap.drivers.http import (
+    BodyIncompleteError,
+    BodyTooLargeError,
+    Receive,
+    Scope,
+    Send,
+    headers_of,
+    read_body,
+    send_response,
+)
+from apricotgap.instance.directory import Directory
+from apricotgap.instance.gateway import CancelResult, Gateway, SubmitResult
+from apricotgap.instance.metrics import Metrics
+from apricotgap.jobs.configuration import QueueSpec
+from apricotgap.platform.store import StoreError
+from apricotgap.platform.wire import WireError, decode_job
+
+__all__ = ["IngressApp"]
+
+_DEADLINE_HEADER = "x-apricotgap-request-deadline"
+_KEY_HEADER = "api-key"
+_DEFAULT_DEADLINE_MS = 3_000
+# An answer needs this much of the caller's wait to get back.
+_ANSWER_MARGIN_MS = 150
+MAX_BODY_BYTES = 262_144
+_BODY_TIMEOUT_MS = 3_000
+_RETRY_AFTER = {"retry-after": "1"}
+_HEX = frozenset("0123456789abcdef")
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    status: int
+    body: object = None
+    why: str = ""
+
+
+class IngressApp:
+    """Serves callers, the readiness check and the metrics.
+
+    Parameters
+    ----------
+    directory, gateway, metrics, clock
+        What it works with.
+    revoke_ms : int
+        How long a withdrawn key may still work.
+    is_draining : callable
+        Whether the process is about to stop.
+    readiness_port, metrics_port : int
+        Ports of the other two interfaces.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        gateway: Gateway,
+        metrics: Metrics,
+        clock: Clock,
+        revoke_ms: int,
+        is_draining: Callable[[], bool],
+        readiness_port: int,
+        metrics_port: int,
+    ) -> None:
+        self._directory = directory
+        self._gateway = gateway
+        self._metrics = metrics
+        self._clock = clock
+        # A watch may hear nothing for a second while changes are made.
+        self._max_view_age_ms = revoke_ms - 1_700
+        self._ready_view_age_ms = revoke_ms // 2
+        self._is_draining = is_draining
+        self._readiness_port = readiness_port
+        self._metrics_port = metrics_port
+        self._log = structlog.get_logger()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        port = scope["server"][1]
+        if port == self._readiness_port:
+            await send_response(
+                send, 200 if self.is_ready() else 503, b"", "text/plain"
+            )
+        elif port == self._metrics_port:
+            text = self._metrics.text().encode()
+            await send_response(send, 200, text, "text/plain")
+        else:
+            await self._serve(scope, receive, send)
+
+    def is_ready(self) -> bool:
+        """Whether new connections are wanted."""
+        age_ms = self._directory.config_age_ms()
+        if age_ms is None or self._is_draining():
+            return False
+        return age_ms < self._ready_view_age_ms
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        started_ms = self._clock.now_ms
+        headers = headers_of(scope)
+        method, path = scope["method"], scope["path"]
+        try:
+            body = await read_body(headers, receive, MAX_BODY_BYTES, _BODY_TIMEOUT_MS)
+            reply = await self._reply(method, path, headers, body, started_ms)
+        except BodyTooLargeError:
+            reply = _Reply(413, why="body too large")
+        except BodyIncompleteError:
+            reply = _Reply(408, why="body incomplete")
+        took_ms = self._clock.now_ms - started_ms
+        self._metrics.observe_ms("call", took_ms, method=method, status=reply.status)
+        if method != "GET" or reply.status not in (200, 410):
+            self._log.info(
+                "call",
+                method=method,
+                path=path,
+                status=reply.status,
+                why=reply.why,
+                took_ms=took_ms,
+                view_age_ms=self._directory.config_age_ms(),
+            )
+        extra: dict[str, str] = {}
+        if reply.status in (429, 503):
+            extra |= _RETRY_AFTER
+        if self._is_draining() or reply.status in (408, 413):
+            extra["connection"] = "close"
+        data = b"{}" if reply.body is None else msgspec.json.encode(reply.body)
+        await send_response(send, reply.status, data, "application/json", extra)
+
+    async def _reply(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        started_ms: int,
+    ) -> _Reply:
+        config = self._directory.config
+        if config is None:
+            return _Reply(503, why="no configuration yet")
+        queue = config.queue_for(headers.get("host", "").partition(":")[0], path)
+        if queue is None:
+            return _Reply(404, why="no such queue")
+        team = ""
+        if not queue.is_open:
+            found = config.team_of_key.get(headers.get(_KEY_HEADER, ""))
+            if found is None:
+                return _Reply(401, why="unknown key")
+            age_ms = self._directory.config_age_ms()
+            if age_ms is None or age_ms > self._max_view_age_ms:
+                return _Reply(503, why="view of the keys too old")
+            team = found
+        else:
+            team = config.team_of_key.get(headers.get(_KEY_HEADER, ""), "")
+        wait = headers.get(_DEADLINE_HEADER, "")
+        wait_ms = int(wait) if wait.isdigit() else _DEFAULT_DEADLINE_MS
+        deadline_ms = started_ms + min(wait_ms, queue.timeout_ms) - _ANSWER_MARGIN_MS
+        job_id = path[len(queue.prefix) :]
+        if not job_id and method == "GET":
+            return await self._count(queue, deadline_ms)
+        if len(job_id) != 16 or not _HEX.issuperset(job_id):
+            return _Reply(400, {"error": "a job id has 16 hexadecimal digits"}, "id")
+        if method == "POST":
+            return await self._submit(queue, job_id, team, body, deadline_ms)
+        if method == "GET":
+            return await self._state(queue, job_id, deadline_ms)
+        if method == "DELETE":
+            return await self._cancel(queue, job_id, deadline_ms)
+        return _Reply(405, why="method")
+
+    async def _submit(
+        self, queue: QueueSpec, job_id: str, team: str, body: bytes, deadline_ms: int
+    ) -> _Reply:
+        try:
+            job = decode_job(body, job_id, queue, team, time.time_ns() // 1_000_000)
+        except WireError as error:
+            return _Reply(400, {"error": str(error)}, str(error))
+        result = await self._gateway.submit(job, deadline_ms)
+        if result is SubmitResult.ACCEPTED:
+            return _Reply(200)
+        if result is SubmitResult.REFUSED:
+            return _Reply(503, why="store not reachable, not stored")
+        return _Reply(504, why="store gave no answer")
+
+    async def _state(self, queue: QueueSpec, job_id: str, deadline_ms: int) -> _Reply:
+        try:
+            phase = await self._gateway.phase(queue.service, job_id, deadline_ms)
+        except StoreError as error:
+            return _Reply(503, why=f"state not readable: {error}")
+        if phase is None:
+            return _Reply(410, why="no such job")
+        return _Reply(200, {"state": phase.value})
+
+    async def _cancel(self, queue: QueueSpec, job_id: str, deadline_ms: int) -> _Reply:
+        result = await self._gateway.cancel(queue.service, job_id, deadline_ms)
+        if result is CancelResult.DONE:
+            return _Reply(200)
+        if result is CancelResult.NO_SUCH_JOB:
+            return _Reply(410, why="no such job")
+        return _Reply(504, why="cancellation not confirmed")
+
+    async def _count(self, queue: QueueSpec, deadline_ms: int) -> _Reply:
+        try:
+            n_pending = await self._gateway.n_pending(
+                queue.service, queue.name, deadline_ms
+            )
+        except StoreError as error:
+            return _Reply(503, why=f"jobs not readable: {error}")
+        return _Reply(200, {"pendingCount": n_pending})
+
+
+async def _lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        elif message["type"] == "lifespan.shutdown":
+            await send({"type": "lifespan.shutdown.complete"})
+            return
--- /dev/null
+++ b/apricotgap/platform/settings.py
@@ -0,0 +1,144 @@
+"""Settings file of a process on the platform."""
+
+import os
+import tomllib
+from dataclasses import dataclass
+from typing import Any
+
+from apricotgap.errors import SettingsError
+
+__all__ = ["Bounds", "PlatformSettings", "load_platform_settings", "settings_path"]
+
+_PATH_VARIABLE = "APRICOTGAP_NODE_FILE"
+_DEFAULT_PATH = "/etc/apricotgap/boot.toml"
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Time bounds of the platform, in milliseconds.
+
+    `status_retention_ms` is how long a finished job must stay readable,
+    `revoke_ms` how long a withdrawn key may still work, `max_lease_ms` the longest
+    lease of a worker.
+    """
+
+    max_lease_ms: int
+    stop_timeout_ms: int
+    gang_timeout_ms: int
+    revoke_ms: int
+    status_retention_ms: int
+    stop_grace_ms: int
+    upkeep_ms: int
+    move_ms: int
+    notice_ms: int
+    holder_lease_ms: int
+    pace_ms: int
+    remote_factor: float
+    early_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Checked settings of one instance.
+
+    Addresses are ``HOST:PORT``; `advice_address` is empty without such a service.
+    """
+
+    name: str
+    ip: str
+    data_centre: str
+    client_address: str
+    readiness_address: str
+    peer_port: int
+    metrics_port: int
+    store_address: str
+    min_lease_ms: int
+    fleet_address: str
+    fleet_duties_per_s: float
+    advice_address: str
+    heartbeat_ms: int
+    bounds: Bounds
+
+
+def settings_path() -> str:
+    """Return the path of the settings file."""
+    return os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH)
+
+
+def load_platform_settings(path: str) -> PlatformSettings:
+    """Read and check the settings file.
+
+    Raises
+    ------
+    SettingsError
+        The file cannot be read or a field is missing or has the wrong type.
+    """
+    try:
+        with open(path, "rb") as file:
+            data = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(
+            f"{path} cannot be read: {error}", "name a readable TOML file"
+        ) from error
+    fields = _Fields(path, data)
+    try:
+        return _settings(fields)
+    except (TypeError, ValueError, IndexError) as error:
+        raise SettingsError(
+            f"{path} has a field of the wrong type: {error}", "correct the field"
+        ) from error
+
+
+class _Fields:
+    def __init__(self, path: str, data: dict[str, Any]) -> None:
+        self._path = path
+        self._data = data
+
+    def get(self, name: str, default: Any = None) -> Any:
+        value: Any = self._data
+        for part in name.split("."):
+            value = value.get(part) if isinstance(value, dict) else None
+        if value is not None:
+            return value
+        if default is None:
+            raise SettingsError(f"{self._path} lacks {name}", f"add the field {name}")
+        return default
+
+
+def _settings(fields: _Fields) -> PlatformSettings:
+    get = fields.get
+
+    def number(name: str, default: float) -> int:
+        return int(get(f"bounds.{name}", default))
+
+    ports = get("internalPorts")
+    return PlatformSettings(
+        name=str(get("nodeName")),
+        ip=str(get("ip")),
+        data_centre=str(get("zone")),
+        client_address=str(get("listenAddrs.frontendAddr")),
+        readiness_address=str(get("listenAddrs.readinessAddr")),
+        peer_port=int(ports[0]),
+        metrics_port=int(ports[0]) + 1,
+        store_address=str(get("platform.address")),
+        min_lease_ms=int(get("platform.minTtlMs", 1000)),
+        fleet_address=str(get("cloudApi.address", "")),
+        fleet_duties_per_s=float(get("cloudApi.dutyPerS", 8)),
+        advice_address=str(get("advice", "")),
+        heartbeat_ms=int(get("heartbeatMs", 1500)),
+        bounds=Bounds(
+            max_lease_ms=number("maxHoldMs", 6000),
+            stop_timeout_ms=number("stopTimeoutMs", 900),
+            gang_timeout_ms=number("gangTimeoutMs", 3000),
+            revoke_ms=number("revokeMs", 5000),
+            status_retention_ms=1000 * number("status_s", 120),
+            stop_grace_ms=int(1000 * get("bounds.graceS", 6)),
+            upkeep_ms=int(1000 * get("bounds.maintenanceS", 2)),
+            move_ms=int(1000 * get("bounds.migrateS", 1.5)),
+            notice_ms=number("noticeMs", 4500),
+            holder_lease_ms=number("leaseMs", 3000),
+            pace_ms=number("paceMs", 100),
+            remote_factor=float(get("bounds.remoteFactor", 2)),
+            early_ms=number("early_ms", 250),
+        ),
+    )
--- /dev/null
+++ b/apricotgap/platform/wire.py
@@ -0,0 +1,366 @@
+"""Decoding of the platform's documents into the product's types.
+
+Each struct names its fields as the product does and maps the platform's spelling
+once, in `name`.
+"""
+
+from typing import Any, TypeVar
+
+import msgspec
+
+from apricotgap.jobs.configuration import (
+    Configuration,
+    QueueSpec,
+    ServiceSpec,
+    Team,
+    Wave,
+)
+from apricotgap.jobs.model import JobSpec, Resources, StepSpec
+from apricotgap.jobs.fleet import Machine, WorkerEntry
+
+__all__ = [
+    "WireError",
+    "decode_configuration",
+    "decode_job",
+    "decode_machines",
+    "decode_wave",
+    "decode_worker",
+]
+
+_T = TypeVar("_T")
+
+
+class WireError(ValueError):
+    """A document of the platform cannot be read."""
+
+
+class _Resources(msgspec.Struct, rename={"memory_mb": "memMb"}):
+    cpu: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+    def resources(self) -> Resources:
+        return Resources(self.cpu, self.memory_mb, self.gpus)
+
+
+class _Queue(
+    msgspec.Struct,
+    rename={
+        "target_latency_ms": "targetLatencyMs",
+        "timeout_ms": "timeoutMs",
+        "max_attempts": "maxAttempts",
+        "slack_factor": "slackFactor",
+        "is_open": "public",
+    },
+):
+    name: str
+    host: str
+    prefix: str
+    service: str
+    timeout_ms: int = 3000
+    target_latency_ms: int = 1000
+    priority: int = 0
+    max_attempts: int = 3
+    slack_factor: float = 2.0
+    is_open: bool = False
+    advice: dict[str, Any] | None = None
+
+
+class _Service(
+    msgspec.Struct,
+    rename={"guards_capacity": "admissionCheck", "is_spare": "standby"},
+):
+    name: str
+    guards_capacity: bool = False
+    is_spare: bool = False
+
+
+class _Team(
+    msgspec.Struct, rename={"keys": "apiKeys", "share": "weight", "limit": "maxCount"}
+):
+    name: str
+    keys: list[str] = []
+    share: float = 1.0
+    limit: _Resources = msgspec.field(default_factory=_Resources)
+
+
+class _Configuration(msgspec.Struct, rename={"queues": "routes", "teams": "tenants"}):
+    version: int
+    queues: list[_Queue] = []
+    services: list[_Service] = []
+    teams: list[_Team] = []
+
+
+class _Worker(
+    msgspec.Struct,
+    rename={
+        "data_centre": "zone",
+        "free": "freeCapacity",
+        "clock_ms": "clockMs",
+        "born_ms": "born",
+        "drain_left_ms": "drainRemainingMs",
+        "cold_left_ms": "coldRemainingMs",
+    },
+):
+    service: str
+    address: str
+    state: str
+    free: _Resources
+    data_centre: str = ""
+    machine: str = ""
+    labels: list[str] = []
+    clock_ms: int = 0
+    born_ms: int = 0
+    drain_left_ms: int = 0
+    cold_left_ms: int = 0
+
+
+class _Machine(
+    msgspec.Struct,
+    rename={
+        "name": "machine",
+        "data_centre": "zone",
+        "free": "freeCapacity",
+        "worker_id": "id",
+    },
+):
+    name: str
+    pool: str
+    state: str
+    data_centre: str = ""
+    labels: list[str] = []
+    free: _Resources = msgspec.field(default_factory=_Resources)
+    worker_id: str | None = None
+
+
+class _MachinePage(msgspec.Struct, rename={"next_page": "nextPageToken"}):
+    machines: list[_Machine]
+    next_page: str | None = None
+
+
+class _Step(
+    msgspec.Struct,
+    rename={
+        "n_tasks": "count",
+        "memory_mb": "memMb",
+        "estimated_ms": "estimatedMs",
+        "checkpoints": "checkpointing",
+        "is_gang": "gang",
+        "same_rack": "sameRack",
+        "required_label": "requirements",
+        "data_rack": "affinity",
+        "max_per_worker": "antiAffinity",
+        "allows_duplicates": "allowDuplicates",
+        "lasts": "longRunning",
+        "target_ms": "targetMs",
+        "max_unavailable": "mayMiss",
+    },
+):
+    n_tasks: int
+    cpu: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+    estimated_ms: int = 0
+    after: list[int] = []
+    checkpoints: bool = False
+    is_gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+    allows_duplicates: bool = False
+    lasts: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    max_unavailable: int = 0
+
+    def step(self) -> StepSpec:
+        return StepSpec(
+            self.n_tasks,
+            Resources(self.cpu, self.memory_mb, self.gpus),
+            self.estimated_ms,
+            tuple(self.after),
+            self.checkpoints,
+            self.is_gang,
+            self.same_rack,
+            self.required_label,
+            self.data_rack,
+            self.max_per_worker,
+            self.allows_duplicates,
+            self.lasts,
+            self.image,
+            self.target_ms,
+            self.fills,
+            self.max_unavailable,
+        )
+
+
+class _Job(
+    msgspec.Struct,
+    rename={
+        "content": "spec",
+        "n_occurrences": "repeatCount",
+        "start_ms": "startTimeMs",
+        "interval_ms": "intervalMs",
+    },
+):
+    steps: list[_Step]
+    content: str = ""
+    n_occurrences: int = 0
+    start_ms: int = 0
+    interval_ms: int = 0
+
+
+class _Wave(msgspec.Struct, rename={"number": "wave", "max_down": "maxCount"}):
+    number: int
+    machines: list[str]
+    durationS: float  # noqa: N815
+    max_down: int = 1
+
+
+def _decode(kind: type[_T], data: bytes) -> _T:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise WireError(str(error)) from error
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Read the operators' configuration.
+
+    Raises
+    ------
+    WireError
+        The document cannot be read.
+    """
+    wire = _decode(_Configuration, data)
+    return Configuration(
+        wire.version,
+        tuple(
+            QueueSpec(
+                queue.name,
+                queue.host.lower(),
+                queue.prefix,
+                queue.service,
+                queue.timeout_ms,
+                queue.target_latency_ms,
+                queue.priority,
+                queue.max_attempts,
+                queue.slack_factor,
+                queue.is_open,
+                bool(queue.advice),
+            )
+            for queue in wire.queues
+        ),
+        tuple(
+            ServiceSpec(service.name, service.guards_capacity, service.is_spare)
+            for service in wire.services
+        ),
+        tuple(
+            Team(team.name, frozenset(team.keys), team.share, team.limit.resources())
+            for team in wire.teams
+        ),
+    )
+
+
+def decode_worker(worker_id: str, data: bytes) -> WorkerEntry:
+    """Read what a worker says of itself.
+
+    Raises
+    ------
+    WireError
+        The entry names no worker that can be used.
+    """
+    wire = _decode(_Worker, data)
+    if wire.state not in ("ready", "draining"):
+        raise WireError(f"unknown state {wire.state}")
+    host, _, port = wire.address.rpartition(":")
+    if not host or not port.isdigit():
+        raise WireError(f"unusable address {wire.address}")
+    return WorkerEntry(
+        worker_id,
+        wire.service,
+        wire.address,
+        wire.data_centre,
+        wire.machine,
+        wire.state == "draining",
+        wire.free.resources(),
+        tuple(wire.labels),
+        wire.born_ms,
+        wire.cold_left_ms,
+    )
+
+
+def decode_machines(data: bytes) -> tuple[list[Machine], str]:
+    """Read one page of machines; the second value names the next page, or is empty.
+
+    Raises
+    ------
+    WireError
+        The answer cannot be read.
+    """
+    wire = _decode(_MachinePage, data)
+    machines = [
+        Machine(
+            machine.name,
+            machine.pool,
+            machine.state,
+            machine.data_centre,
+            tuple(machine.labels),
+            machine.free.resources(),
+            machine.worker_id or "",
+        )
+        for machine in wire.machines
+    ]
+    return machines, wire.next_page or ""
+
+
+def decode_wave(data: bytes) -> Wave:
+    """Read an operator's wave of upkeep.
+
+    Raises
+    ------
+    WireError
+        The document cannot be read.
+    """
+    wire = _decode(_Wave, data)
+    return Wave(
+        wire.number, tuple(wire.machines), int(wire.durationS * 1000), wire.max_down
+    )
+
+
+def decode_job(
+    data: bytes, job_id: str, queue: QueueSpec, team: str, now_ms: int
+) -> JobSpec:
+    """Read a submitted job.
+
+    Raises
+    ------
+    WireError
+        The body is no job.
+    """
+    wire = _decode(_Job, data)
+    steps = tuple(step.step() for step in wire.steps)
+    if not steps or any(step.n_tasks <= 0 for step in steps):
+        raise WireError("a job needs steps with at least one task each")
+    for index, step in enumerate(steps):
+        if any(not 0 <= earlier < index for earlier in step.after):
+            raise WireError(f"step {index} follows a step that is not before it")
+    return JobSpec(
+        job_id,
+        queue.name,
+        queue.service,
+        team,
+        wire.content,
+        steps,
+        now_ms,
+        queue.max_attempts,
+        queue.priority,
+        queue.slack_factor,
+        queue.target_latency_ms,
+        wire.n_occurrences,
+        wire.start_ms,
+        wire.interval_ms,
+        queue.is_open,
+    )
