--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -24,8 +24,8 @@
     Conflict,
     Item,
     StoreClient,
-    StoreError,
     Stored,
+    StoreError,
     Unknown,
     Write,
 )
--- a/apricotgap/instance/gateway.py
+++ b/apricotgap/instance/gateway.py
@@ -28,8 +28,8 @@
 from apricotgap.platform.store import (
     Conflict,
     StoreClient,
-    StoreError,
     Stored,
+    StoreError,
     Unavailable,
     Unknown,
     Write,
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -52,8 +52,8 @@
     Item,
     Snapshot,
     StoreClient,
-    StoreError,
     Stored,
+    StoreError,
     Unavailable,
     Unknown,
     Write,
@@ -462,10 +462,8 @@
         if worker.seen != had_ends:
             self._wake.set()
         if worker.seen > worker.acknowledged:
-            if not self.core.has_unsaved:
+            if self.core.is_stored:
                 worker.acknowledged = worker.seen
-            else:
-                self._dirty.set()
             await trio.sleep(HOLD_GAP_S)
 
     def _hold_failed(self, worker: Worker, error: WorkerError) -> None:
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -68,6 +68,7 @@
         self.team_limits: dict[str, Resources] = {}
         self.tickets: dict[tuple[str, int, int, str], str] = {}
         self._dirty: set[str] = set()
+        self._is_saving = False
         self._handlers: dict[type, Callable[..., Iterable[Effect]]] = {
             WorkersListed: self._workers_listed,
             HoldAnswered: self._hold_answered,
@@ -135,6 +136,11 @@
         """Whether some progress is not stored yet."""
         return bool(self._dirty)
 
+    @property
+    def is_stored(self) -> bool:
+        """Whether all that was applied is stored, so that ends may be forgotten."""
+        return not self._dirty and not self._is_saving
+
     @property
     def has_unsaved_final(self) -> bool:
         """Whether a job became final and that is not stored yet."""
@@ -149,6 +155,7 @@
         )
         phases = {job_id: self.jobs[job_id].progress.phase for job_id, *_ in documents}
         self._dirty.clear()
+        self._is_saving = True
         return SaveBatch(
             documents,
             phases,
@@ -165,6 +172,7 @@
             if job is not None:
                 job.revision = revision
                 job.saved_phase = batch.phases[job_id]
+        self._is_saving = False
         if len(revisions) < len(batch.documents):
             return
         for (worker_id, born_ms), seen in batch.seen.items():
--- a/apricotgap/platform/wire.py
+++ b/apricotgap/platform/wire.py
@@ -15,8 +15,8 @@
     Team,
     Wave,
 )
-from apricotgap.jobs.model import JobSpec, Resources, StepSpec
 from apricotgap.jobs.fleet import Machine, WorkerEntry
+from apricotgap.jobs.model import JobSpec, Resources, StepSpec
 
 __all__ = [
     "WireError",
