Move machines with demand and run waves of upkeep

The fleet shard's owner lists machines, asks each pool's owner what it wants, reserves workers until nothing runs there and orders moves and upkeep.

--- /dev/null
+++ b/apricotgap/instance/fleet_owner.py
@@ -0,0 +1,231 @@
+"""The owner of the fleet: moves machines between pools and runs waves."""
+
+from collections.abc import Awaitable, Callable
+
+import cbor2
+import msgspec
+import structlog
+import trio
+
+from apricotgap.clock import Clock
+from apricotgap.instance.directory import Directory
+from apricotgap.instance.election import Tenure
+from apricotgap.instance.lease import InstanceLease
+from apricotgap.instance.metrics import Metrics
+from apricotgap.instance.shard_owner import OwnershipLostError
+from apricotgap.jobs.fleet import Machine
+from apricotgap.jobs.fleet_plan import (
+    FleetPlanner,
+    MachineOrder,
+    OrderResult,
+    PoolReport,
+    WorkerReport,
+)
+from apricotgap.platform.machines import MachineClient, MachineListError
+from apricotgap.platform.settings import PlatformSettings
+from apricotgap.platform.store import (
+    Conflict,
+    StoreClient,
+    Stored,
+    StoreError,
+    Write,
+)
+
+__all__ = ["FleetOwner", "WAVES"]
+
+WAVES = "waves/"
+_STATUS = "status/wave/"
+_CYCLE_S = 0.3
+_RETRY_S = 0.3
+LIST_INTERVAL_MS = 900
+# While machines are on the move, the list is read this often.
+BUSY_LIST_INTERVAL_MS = 450
+
+AskPool = Callable[[str, list[str]], Awaitable[PoolReport | None]]
+
+
+class FleetOwner:
+    """One tenure of the fleet.
+
+    Parameters
+    ----------
+    tenure : Tenure
+        The ownership.
+    settings, store, lease, directory, clock, metrics
+        What it works with.
+    ask_pool : callable
+        Reserves workers at the owner of a pool and returns its report, None when
+        there is no answer.
+    """
+
+    def __init__(
+        self,
+        tenure: Tenure,
+        settings: PlatformSettings,
+        store: StoreClient,
+        lease: InstanceLease,
+        directory: Directory,
+        clock: Clock,
+        metrics: Metrics,
+        ask_pool: AskPool,
+    ) -> None:
+        self._tenure = tenure
+        self._store = store
+        self._lease = lease
+        self._directory = directory
+        self._clock = clock
+        self._metrics = metrics
+        self._ask_pool = ask_pool
+        self._client = MachineClient(settings.fleet_address, settings.name)
+        self._planner = FleetPlanner(settings.bounds.move_ms, settings.bounds.upkeep_ms)
+        self._holder_lease_ms = settings.bounds.holder_lease_ms
+        self._machines: dict[str, Machine] = {}
+        self._listed_ms = -1_000_000
+        self._done: dict[int, tuple[str, ...]] = {}
+        self._status: dict[int, str] = {}
+        self._log = structlog.get_logger().bind(shard=tenure.shard, epoch=tenure.epoch)
+
+    async def run(self) -> None:
+        """Run the fleet until cancelled or replaced.
+
+        Raises
+        ------
+        OwnershipLostError
+            The store shows another owner.
+        """
+        if self._tenure.epoch > 1:
+            # Orders of two holders must not mix within one lease time.
+            await trio.sleep(self._holder_lease_ms / 1000)
+        await self._load()
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._cycle(nursery)
+                await trio.sleep(_CYCLE_S)
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                snapshot = await self._store.read_prefix(WAVES)
+                break
+            except StoreError as error:
+                self._log.warning("waves_not_read", reason=str(error))
+                await trio.sleep(_RETRY_S)
+        for item in snapshot.items:
+            try:
+                number = int(item.key[len(WAVES) :])
+                self._done[number] = tuple(cbor2.loads(item.value or b""))
+            except (ValueError, TypeError) as error:
+                self._log.error("wave_unreadable", key=item.key, error=str(error))
+
+    async def _cycle(self, nursery: trio.Nursery) -> None:
+        config = self._directory.config
+        if config is None or not self._lease.is_valid:
+            return
+        await self._list_machines()
+        if not self._machines:
+            return
+        now_ms = self._clock.now_ms
+        self._planner.set_waves(self._directory.waves.values(), self._done, now_ms)
+        reserved = self._planner.reserved_workers(self._machines)
+        reports: dict[str, PoolReport] = {}
+
+        async def ask(pool: str) -> None:
+            report = await self._ask_pool(pool, reserved.get(pool, []))
+            if report is not None:
+                reports[pool] = report
+
+        async with trio.open_nursery() as asking:
+            for pool in config.working_services:
+                asking.start_soon(ask, pool)
+        if not self._lease.is_valid:
+            return
+        orders, lines = self._planner.plan(
+            self._clock.now_ms,
+            self._listed_ms,
+            config,
+            self._machines,
+            reports,
+            self._directory.evacuated,
+        )
+        for line in lines:
+            self._log.info(line.event, **line.fields)
+        for order in orders:
+            nursery.start_soon(self._send, order)
+        await self._store_waves()
+
+    async def _list_machines(self) -> None:
+        interval_ms = (
+            BUSY_LIST_INTERVAL_MS if self._planner.is_busy else LIST_INTERVAL_MS
+        )
+        now_ms = self._clock.now_ms
+        if now_ms - self._listed_ms < interval_ms:
+            return
+        try:
+            self._machines = await self._client.machines()
+            self._listed_ms = now_ms
+        except MachineListError as error:
+            self._log.warning("machines_not_listed", reason=str(error))
+
+    async def _send(self, order: MachineOrder) -> None:
+        kind = await self._client.send(order, self._tenure.epoch)
+        self._metrics.count("machine_orders", result=kind)
+        self._log.info(
+            "machine_order_answered",
+            machine=order.machine,
+            pool=order.pool,
+            wave=order.wave,
+            result=kind,
+        )
+        self._planner.answered(OrderResult(order, kind, self._clock.now_ms))
+
+    async def _store_waves(self) -> None:
+        finished = set(self._planner.finished())
+        for number, state in self._planner.waves.items():
+            done = tuple(sorted(state.done))
+            status = "succeeded" if state.is_finished else "running"
+            if self._done.get(number) == done and self._status.get(number) == status:
+                continue
+            outcome = await self._store.write(
+                (
+                    self._tenure.condition,
+                    Write(f"{WAVES}{number}", cbor2.dumps(list(done))),
+                    Write(
+                        f"{_STATUS}{number}",
+                        msgspec.json.encode({"wave": number, "state": status}),
+                    ),
+                )
+            )
+            if isinstance(outcome, Stored):
+                self._done[number] = done
+                self._status[number] = status
+                if number in finished:
+                    self._log.info("wave_finished", wave=number)
+                continue
+            self._log.warning("wave_not_stored", wave=number, outcome=repr(outcome))
+            if isinstance(outcome, Conflict):
+                for item in outcome.items:
+                    if item.revision != self._tenure.revision:
+                        raise OwnershipLostError(f"owner revision {item.revision}")
+
+
+def report_to_rows(report: PoolReport) -> list:
+    """Return the form in which a report travels."""
+    return [
+        report.wanted,
+        [
+            [
+                worker.worker_id,
+                worker.n_runs,
+                worker.n_lasting,
+                worker.is_usable,
+                worker.is_reserved,
+            ]
+            for worker in report.workers
+        ],
+    ]
+
+
+def report_of_rows(rows: list) -> PoolReport:
+    """Read the form in which a report travels."""
+    wanted, workers = rows
+    return PoolReport(wanted, tuple(WorkerReport(*row) for row in workers))
--- a/apricotgap/instance/gateway.py
+++ b/apricotgap/instance/gateway.py
@@ -9,9 +9,11 @@
 
 from apricotgap.clock import Clock
 from apricotgap.instance.directory import Directory
+from apricotgap.instance.fleet_owner import report_of_rows, report_to_rows
 from apricotgap.instance.keys import (
     cancel_key,
-    job_key,
+    index_key,
+    job_writes,
     jobs_prefix,
     progress_key,
     progress_prefix,
@@ -24,6 +26,7 @@
     decode_progress,
     encode_job,
 )
+from apricotgap.jobs.fleet_plan import PoolReport
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.platform.store import (
     Conflict,
@@ -100,13 +103,12 @@
             return SubmitResult(result)
         except _NoOwner as error:
             may_be_stored = error.may_have_run
-        key = job_key(job.service, job.job_id)
-        write = Write(key, encode_job(job), expected_revision=0)
+        writes = job_writes(job.service, job.job_id, encode_job(job))
         while True:
             left_ms = deadline_ms - self._clock.now_ms
             if left_ms <= 0:
                 break
-            outcome = await self._store.write((write,), min(left_ms, _STORE_TIMEOUT_MS))
+            outcome = await self._store.write(writes, min(left_ms, _STORE_TIMEOUT_MS))
             if isinstance(outcome, Stored | Conflict):
                 return SubmitResult.ACCEPTED
             may_be_stored |= isinstance(outcome, Unknown)
@@ -124,16 +126,29 @@
         StoreError
             Neither an owner nor the store answered.
         """
+        found = await self._phase_at(service, job_id, deadline_ms)
+        if found is not None:
+            return found
+        actual = await self._service_of(job_id)
+        if actual is None:
+            return None
+        if actual != service:
+            found = await self._phase_at(actual, job_id, deadline_ms)
+        return found or JobPhase.PENDING
+
+    async def _phase_at(
+        self, service: str, job_id: str, deadline_ms: int
+    ) -> JobPhase | None:
         try:
             result = await self._ask(service, "phase", job_id, deadline_ms)
-            if result is not None:
-                return JobPhase(result)
         except _NoOwner:
-            found = await self._stored_phase(service, job_id)
-            if found is not None:
-                return found
-        item = await self._store.read_key(job_key(service, job_id), _STORE_TIMEOUT_MS)
-        return JobPhase.PENDING if item.value is not None else None
+            return await self._stored_phase(service, job_id)
+        return JobPhase(result) if result is not None else None
+
+    async def _service_of(self, job_id: str) -> str | None:
+        """Read which service has a job; its queue may be sent elsewhere by now."""
+        item = await self._store.read_key(index_key(job_id), _STORE_TIMEOUT_MS)
+        return item.value.decode() if item.value is not None else None
 
     async def _stored_phase(self, service: str, job_id: str) -> JobPhase | None:
         key = progress_key(service, job_id)
@@ -148,27 +163,29 @@
 
     async def cancel(self, service: str, job_id: str, deadline_ms: int) -> CancelResult:
         """Cancel a job."""
+        if await self._cancel_at(service, job_id, deadline_ms):
+            return CancelResult.DONE
         try:
-            result = await self._ask(service, "cancel", job_id, deadline_ms)
-            if result is True:
-                return CancelResult.DONE
-        except _NoOwner:
-            pass
-        try:
-            item = await self._store.read_key(
-                job_key(service, job_id), _STORE_TIMEOUT_MS
-            )
+            actual = await self._service_of(job_id)
         except StoreError as error:
             self._log.warning("cancel_unresolved", job=job_id, reason=str(error))
             return CancelResult.UNKNOWN
-        if item.value is None:
+        if actual is None:
             return CancelResult.NO_SUCH_JOB
-        write = Write(cancel_key(service, job_id), b"1")
+        if actual != service and await self._cancel_at(actual, job_id, deadline_ms):
+            return CancelResult.DONE
+        write = Write(cancel_key(actual, job_id), b"1")
         outcome = await self._store.write((write,), _STORE_TIMEOUT_MS)
         if isinstance(outcome, Stored):
             return CancelResult.DONE
         return CancelResult.UNKNOWN
 
+    async def _cancel_at(self, service: str, job_id: str, deadline_ms: int) -> bool:
+        try:
+            return await self._ask(service, "cancel", job_id, deadline_ms) is True
+        except _NoOwner:
+            return False
+
     async def n_pending(self, service: str, queue: str, deadline_ms: int) -> int:
         """Jobs of a queue of which no task has started.
 
@@ -198,6 +215,15 @@
                 self._log.error("job_unreadable", key=item.key, error=str(error))
         return n_pending
 
+    async def pool_report(self, service: str, reserved: list[str]) -> PoolReport | None:
+        """Reserve workers at a shard's owner and read its report."""
+        deadline_ms = self._clock.now_ms + PEER_TIMEOUT_MS
+        try:
+            rows = await self._ask(service, "report", reserved, deadline_ms)
+        except _NoOwner:
+            return None
+        return report_of_rows(rows)
+
     async def _ask(
         self, service: str, operation: str, argument: Any, deadline_ms: int
     ) -> Any:
@@ -262,4 +288,6 @@
             return await owner.cancel(argument, deadline_ms)
         if operation == "pending":
             return owner.n_pending(argument)
+        if operation == "report":
+            return report_to_rows(owner.report(argument))
         raise ValueError(f"unknown operation {operation}")
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -14,6 +14,7 @@
 from apricotgap.instance import logs
 from apricotgap.instance.directory import FLEET_SHARD, Directory
 from apricotgap.instance.election import Election, Tenure
+from apricotgap.instance.fleet_owner import FleetOwner
 from apricotgap.instance.gateway import Gateway
 from apricotgap.instance.keys import Member
 from apricotgap.instance.lease import InstanceLease
@@ -84,7 +85,7 @@
             data_centre=settings.data_centre,
         )
         async with trio.open_nursery() as nursery:
-            gateway = Gateway(
+            gateway = self._gateway = Gateway(
                 self._owners,
                 self._directory,
                 self._store,
@@ -135,7 +136,8 @@
 
     async def _run_shard(self, tenure: Tenure) -> None:
         if tenure.shard == FLEET_SHARD:
-            await trio.sleep_forever()
+            await self._run_fleet(tenure)
+            return
         self._workers.forget_reader(tenure.shard)
         owner = ShardOwner(
             tenure,
@@ -157,6 +159,22 @@
             if self._owners.get(tenure.shard) is owner:
                 del self._owners[tenure.shard]
 
+    async def _run_fleet(self, tenure: Tenure) -> None:
+        fleet = FleetOwner(
+            tenure,
+            self._settings,
+            self._store,
+            self._lease,
+            self._directory,
+            self._clock,
+            self._metrics,
+            self._gateway.pool_report,
+        )
+        try:
+            await fleet.run()
+        except* OwnershipLostError as group:
+            self._election.step_down(tenure, str(group.exceptions[0]))
+
     async def _signals(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as arrived:
             async for number in arrived:
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -4,6 +4,8 @@
 
 import cbor2
 
+from apricotgap.platform.store import Write
+
 __all__ = [
     "MEMBERS",
     "OWNERS",
@@ -16,7 +18,9 @@
     "encode_member",
     "encode_owner",
     "epoch_key",
+    "index_key",
     "job_key",
+    "job_writes",
     "jobs_prefix",
     "owner_key",
     "progress_key",
@@ -54,6 +58,11 @@
     return f"jobs/{service}/{job_id}"
 
 
+def index_key(job_id: str) -> str:
+    """Key that names the service of a job, whatever its queue is sent to later."""
+    return f"ids/{job_id}"
+
+
 def cancel_key(service: str, job_id: str) -> str:
     """Key of a cancellation that the owner has not seen yet."""
     return f"jobs/{service}/{job_id}/cancel"
@@ -135,3 +144,11 @@
     if not isinstance(row, list) or len(row) != n_fields:
         raise ValueError(f"expected {n_fields} fields")
     return row
+
+
+def job_writes(service: str, job_id: str, document: bytes) -> tuple[Write, Write]:
+    """Return the writes that accept a job unless its id is taken."""
+    return (
+        Write(index_key(job_id), service.encode(), expected_revision=0),
+        Write(job_key(service, job_id), document),
+    )
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -12,7 +12,9 @@
 from apricotgap.instance.election import Tenure
 from apricotgap.instance.keys import (
     cancel_key,
+    index_key,
     job_key,
+    job_writes,
     jobs_prefix,
     progress_key,
     progress_prefix,
@@ -22,6 +24,7 @@
 from apricotgap.instance.metrics import Metrics
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.worker_list import WorkerList
+from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.documents import (
     DocumentError,
     Progress,
@@ -38,8 +41,9 @@
     WorkersListed,
 )
 from apricotgap.jobs.fleet import WorkerEntry
+from apricotgap.jobs.fleet_plan import PoolReport, WorkerReport
 from apricotgap.jobs.job_state import JobState
-from apricotgap.jobs.limits import HOLD_WAIT_MS, RETENTION_MARGIN_MS
+from apricotgap.jobs.limits import HOLD_WAIT_MS, RETENTION_MARGIN_MS, SILENT_WORKER_MS
 from apricotgap.jobs.model import JobPhase, JobSpec, Resources
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.scheduling import Scheduler
@@ -71,6 +75,8 @@
 
 _TICK_S = 0.1
 _RETRY_S = 0.15
+# A worker that has been silent for a while is asked less often.
+_SILENT_RETRY_S = 0.4
 # Ends are stored, and with that acknowledged, at the latest after this time.
 SAVE_INTERVAL_S = 0.15
 # A job that became final is stored after this time, to group what ends together.
@@ -124,6 +130,7 @@
         self.core.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._scheduler = Scheduler(self.core)
         self._pacer = Pacer(self.core)
+        self._demand = Demand(self.core)
         self._retention_ms = settings.bounds.status_retention_ms
         self._wake = trio.Event()
         self._dirty = trio.Event()
@@ -280,17 +287,18 @@
         """
         if job.job_id in self.core.jobs:
             return "accepted"
-        write = Write(
-            job_key(self.service, job.job_id), encode_job(job), expected_revision=0
-        )
+        writes = job_writes(self.service, job.job_id, encode_job(job))
         may_be_stored = False
         while True:
-            outcome = await self._store.write((self.tenure.condition, write))
+            outcome = await self._store.write((self.tenure.condition, *writes))
             if isinstance(outcome, Stored):
                 break
             if isinstance(outcome, Conflict):
                 self._check_ownership(outcome)
-                break
+                if any(item.value == self.service.encode() for item in outcome.items):
+                    break
+                # The id belongs to a job of a service that the queue used before.
+                return "accepted"
             if isinstance(outcome, Unknown):
                 may_be_stored = True
             if self._clock.now_ms > deadline_ms:
@@ -299,6 +307,8 @@
                 return "refused"
             await trio.sleep(_RETRY_S)
         self.core.submit(job)
+        self._run([self.core.describe(job)])
+        self._demand.note_job(job, self._clock.now_ms)
         self._wake.set()
         return "accepted"
 
@@ -339,6 +349,24 @@
             for job in self.core.jobs.values()
         )
 
+    def report(self, reserved: Iterable[str]) -> PoolReport:
+        """Reserve workers and tell what the pool wants and has."""
+        now_ms = self._clock.now_ms
+        self.core.reserve(reserved, now_ms)
+        return PoolReport(
+            self._demand.wanted(now_ms),
+            tuple(
+                WorkerReport(
+                    worker.worker_id,
+                    len(worker.runs),
+                    sum(run.step.lasts for run in worker.runs.values()),
+                    worker.is_usable(now_ms, self.core.evacuated),
+                    worker.is_reserved(now_ms),
+                )
+                for worker in self.core.workers.values()
+            ),
+        )
+
     # Loops
 
     async def _tick_loop(self) -> None:
@@ -351,6 +379,7 @@
                 else []
             )
             self._run(self.core.tick(now_ms))
+            self._run(self.core.migrate(now_ms))
             self._run(self._pacer.run(now_ms))
             self._start_holds()
             await self._record_workers()
@@ -443,7 +472,9 @@
             raise OwnershipLostError("a worker has a newer owner") from error
         except WorkerError as error:
             self._hold_failed(worker, error)
-            await trio.sleep(_RETRY_S)
+            silent_ms = self._clock.now_ms - worker.answered_ms
+            is_gone = worker.is_taken and silent_ms > SILENT_WORKER_MS
+            await trio.sleep(_SILENT_RETRY_S if is_gone else _RETRY_S)
             return
         had_ends = worker.seen
         self._run(
@@ -469,7 +500,7 @@
     def _hold_failed(self, worker: Worker, error: WorkerError) -> None:
         entry = worker.entry
         silent_ms = self._clock.now_ms - worker.answered_ms
-        if worker.is_taken and silent_ms < 3 * HOLD_WAIT_MS:
+        if worker.is_taken and silent_ms < 2 * HOLD_WAIT_MS:
             self._log.warning(
                 "hold_failed",
                 worker=entry.worker_id,
@@ -570,7 +601,8 @@
 
     async def _save(self, batch: SaveBatch) -> bool:
         revisions: dict[str, int] = {}
-        step = MAX_TXN_ENTRIES - 2
+        # A document takes two entries, the condition on the owner one.
+        step = (MAX_TXN_ENTRIES - 1) // 2
         for start in range(0, len(batch.documents), step):
             part = batch.documents[start : start + step]
             outcome = await self._store.write(
@@ -640,6 +672,7 @@
             job_key(self.service, job_id),
             progress_key(self.service, job_id),
             cancel_key(self.service, job_id),
+            index_key(job_id),
         )
         outcome = await self._store.write((self.tenure.condition, *map(Write, keys)))
         if isinstance(outcome, Stored):
--- /dev/null
+++ b/apricotgap/jobs/fleet_plan.py
@@ -0,0 +1,485 @@
+"""Moves of machines between pools and waves of upkeep: what to order next."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from math import ceil
+
+from apricotgap.jobs.configuration import Configuration, Wave
+from apricotgap.jobs.effects import LogDecision
+from apricotgap.jobs.fleet import Machine
+
+__all__ = [
+    "FleetPlanner",
+    "MachineOrder",
+    "OrderResult",
+    "PoolReport",
+    "WorkerReport",
+]
+
+# An order without an answer is repeated after this time.
+ORDER_RETRY_MS = 600
+# Time from reserving a worker until its upkeep can be over, for pacing a wave.
+UPKEEP_CYCLE_MS = 4_500
+# A worker that joined a pool counts as on its way for this long.
+TAKE_TIME_MS = 3_000
+# A machine that an order found busy is left alone for this long.
+BUSY_BACKOFF_MS = 1_500
+# A wave should be over this much before its end.
+WAVE_MARGIN_MS = 3_000
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerReport:
+    """A worker as its shard sees it."""
+
+    worker_id: str
+    n_runs: int
+    n_lasting: int
+    is_usable: bool
+    is_reserved: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PoolReport:
+    """What a shard wants and has."""
+
+    wanted: int
+    workers: tuple[WorkerReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MachineOrder:
+    """Move a machine to a pool, or with `wave` above 0 take it down for upkeep."""
+
+    machine: str
+    pool: str = ""
+    wave: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class OrderResult:
+    """Outcome of an order: ``ok``, ``busy``, ``gone``, ``wave``, ``unknown``."""
+
+    order: MachineOrder
+    kind: str
+    at_ms: int
+
+
+@dataclass(slots=True)
+class _Pending:
+    order: MachineOrder
+    sent_ms: int
+    is_in_flight: bool = True
+    done_ms: int = 0
+    is_back: bool = False
+
+
+@dataclass(slots=True)
+class _WaveState:
+    wave: Wave
+    seen_ms: int
+    done: set[str] = field(default_factory=set)
+    gone: set[str] = field(default_factory=set)
+    is_finished: bool = False
+
+
+class FleetPlanner:
+    """Decides moves and upkeep from the machines and the pools' reports.
+
+    Parameters
+    ----------
+    move_ms, upkeep_ms : int
+        How long a machine is away.
+    """
+
+    def __init__(self, move_ms: int, upkeep_ms: int) -> None:
+        self._move_ms = move_ms
+        self._upkeep_ms = upkeep_ms
+        self._pending: dict[str, _Pending] = {}
+        self._reserved: dict[str, MachineOrder] = {}
+        self._avoid_until: dict[str, int] = {}
+        self.waves: dict[int, _WaveState] = {}
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether machines are on their way or about to leave."""
+        return bool(self._pending or self._reserved)
+
+    def reserved_workers(self, machines: Mapping[str, Machine]) -> dict[str, list[str]]:
+        """Ids of the workers that get no new work, by pool."""
+        found: dict[str, list[str]] = {}
+        for name in self._reserved:
+            machine = machines.get(name)
+            if machine is not None and machine.worker_id:
+                found.setdefault(machine.pool, []).append(machine.worker_id)
+        return found
+
+    def set_waves(
+        self, waves: Iterable[Wave], done: Mapping[int, Iterable[str]], at_ms: int
+    ) -> None:
+        """Take over the operators' waves and what is stored of them."""
+        wanted = {wave.number: wave for wave in waves}
+        for number in set(self.waves) - set(wanted):
+            del self.waves[number]
+        for number, wave in wanted.items():
+            state = self.waves.setdefault(number, _WaveState(wave, at_ms))
+            state.wave = wave
+            state.done.update(done.get(number, ()))
+
+    def finished(self) -> list[int]:
+        """Return waves that are over and were not reported so before."""
+        over = []
+        for number, state in self.waves.items():
+            left = set(state.wave.machines) - state.done - state.gone
+            if not left and not state.is_finished:
+                state.is_finished = True
+                over.append(number)
+        return over
+
+    def answered(self, result: OrderResult) -> None:
+        """Take note of the outcome of an order."""
+        order = result.order
+        pending = self._pending.get(order.machine)
+        if pending is None or pending.order != order:
+            return
+        pending.is_in_flight = False
+        wave = self.waves.get(order.wave)
+        if result.kind == "ok":
+            pending.done_ms = result.at_ms
+            if wave is not None:
+                wave.done.add(order.machine)
+            self._reserved.pop(order.machine, None)
+            return
+        if result.kind == "unknown":
+            return
+        del self._pending[order.machine]
+        if result.kind in ("gone", "wave") and wave is not None:
+            wave.gone.add(order.machine)
+            self._reserved.pop(order.machine, None)
+        self._avoid_until[order.machine] = result.at_ms + BUSY_BACKOFF_MS
+
+    def plan(
+        self,
+        at_ms: int,
+        listed_ms: int,
+        config: Configuration,
+        machines: Mapping[str, Machine],
+        reports: Mapping[str, PoolReport],
+        evacuated: frozenset[str],
+    ) -> tuple[list[MachineOrder], list[LogDecision]]:
+        """Return the orders to send now.
+
+        Parameters
+        ----------
+        at_ms : int
+            Now.
+        listed_ms : int
+            When the list of machines was asked for.
+        config : Configuration
+            Names the pools.
+        machines : mapping of str to Machine
+            The list.
+        reports : mapping of str to PoolReport
+            Reports by pool; a pool without one is left alone.
+        evacuated : frozenset of str
+            Data centres whose machines serve nothing now.
+        """
+        current = _Planning(at_ms, config, machines, reports, evacuated)
+        self._settle(listed_ms, current)
+        orders = self._retries(at_ms)
+        orders += self._plan_waves(current)
+        orders += self._plan_sizes(current)
+        orders += self._plan_reserved(current)
+        for order in orders:
+            self._pending[order.machine] = _Pending(order, at_ms)
+            current.lines.append(
+                LogDecision(
+                    "machine_order",
+                    {
+                        "machine": order.machine,
+                        "pool": order.pool,
+                        "wave": order.wave,
+                        "list_age_ms": at_ms - listed_ms,
+                    },
+                )
+            )
+        return orders, current.lines
+
+    def _settle(self, listed_ms: int, current: "_Planning") -> None:
+        """Forget orders whose machine serves again, and reservations that are over."""
+        machines = current.machines
+        for name, pending in list(self._pending.items()):
+            if not pending.done_ms:
+                continue
+            away_ms = self._upkeep_ms if pending.order.wave else self._move_ms
+            machine = machines.get(name)
+            if machine is None or machine.state == "down":
+                del self._pending[name]
+                continue
+            is_new = listed_ms > pending.done_ms + away_ms // 2
+            pending.is_back = pending.is_back or (is_new and machine.state == "up")
+            if not pending.is_back:
+                continue
+            # The shard needs a moment to find and take the new worker.
+            is_overdue = current.at_ms > pending.done_ms + away_ms + TAKE_TIME_MS
+            if current.serves(machine) or is_overdue:
+                del self._pending[name]
+        for name, order in list(self._reserved.items()):
+            machine = machines.get(name)
+            wave = self.waves.get(order.wave)
+            is_over = order.wave and (wave is None or name in wave.done)
+            if machine is None or machine.state != "up" or is_over:
+                del self._reserved[name]
+
+    def _retries(self, at_ms: int) -> list[MachineOrder]:
+        return [
+            pending.order
+            for pending in self._pending.values()
+            if not pending.is_in_flight
+            and not pending.done_ms
+            and at_ms - pending.sent_ms > ORDER_RETRY_MS
+        ]
+
+    def _is_idle(self, name: str, at_ms: int) -> bool:
+        if name in self._pending or name in self._reserved:
+            return False
+        return self._avoid_until.get(name, 0) <= at_ms
+
+    # Waves
+
+    def _plan_waves(self, current: "_Planning") -> list[MachineOrder]:
+        orders: list[MachineOrder] = []
+        for number, state in self.waves.items():
+            if not state.is_finished:
+                orders += self._plan_wave(number, state, current)
+        return orders
+
+    def _plan_wave(
+        self, number: int, state: _WaveState, current: "_Planning"
+    ) -> list[MachineOrder]:
+        wave = state.wave
+        left = []
+        for name in wave.machines:
+            if name in state.done or name in state.gone:
+                continue
+            machine = current.machines.get(name)
+            if machine is None:
+                # A machine that left needs no upkeep; it may only be late in the list.
+                if current.at_ms - state.seen_ms > WAVE_MARGIN_MS:
+                    state.gone.add(name)
+                continue
+            left.append(machine)
+        room = wave.max_down - self._n_down(number, state, current)
+        orders = []
+        vacating = sum(order.wave == number for order in self._reserved.values())
+        for machine in left:
+            if machine.state != "up" or not self._is_idle(machine.name, current.at_ms):
+                continue
+            if current.is_empty(machine):
+                if room > 0:
+                    room -= 1
+                    orders.append(MachineOrder(machine.name, wave=number))
+                continue
+        end_ms = state.seen_ms + wave.duration_ms - WAVE_MARGIN_MS
+        n_cycles = max(1, (end_ms - current.at_ms) // UPKEEP_CYCLE_MS)
+        n_parallel = min(wave.max_down, ceil(len(left) / n_cycles) + 1)
+        by_pool: dict[str, int] = {}
+        for name, order in self._reserved.items():
+            if order.wave == number and name in current.machines:
+                pool = current.machines[name].pool
+                by_pool[pool] = by_pool.get(pool, 0) + 1
+        chosen = {order.machine for order in orders}
+        for machine in sorted(left, key=current.load):
+            if vacating >= n_parallel:
+                break
+            if machine.name in chosen or machine.state != "up":
+                continue
+            if not self._is_idle(machine.name, current.at_ms):
+                continue
+            report = current.reports.get(machine.pool)
+            if report is None or current.is_empty(machine):
+                continue
+            most = max(1, len(current.usable(machine.pool)) // 3)
+            if by_pool.get(machine.pool, 0) >= most:
+                continue
+            by_pool[machine.pool] = by_pool.get(machine.pool, 0) + 1
+            vacating += 1
+            self._reserved[machine.name] = MachineOrder(machine.name, wave=number)
+        return orders
+
+    def _n_down(self, number: int, state: _WaveState, current: "_Planning") -> int:
+        down = {
+            name
+            for name, pending in self._pending.items()
+            if pending.order.wave == number and not pending.is_back
+        }
+        down.update(
+            name
+            for name in state.wave.machines
+            if name in current.machines and current.machines[name].state == "upkeep"
+        )
+        return len(down)
+
+    # Sizes
+
+    def _plan_sizes(self, current: "_Planning") -> list[MachineOrder]:
+        spare = [
+            machine
+            for machine in current.machines.values()
+            if current.is_spare(machine.pool)
+            and machine.state == "up"
+            and self._is_idle(machine.name, current.at_ms)
+            and machine.data_centre not in current.evacuated
+        ]
+        waiting = {
+            name
+            for state in self.waves.values()
+            if not state.is_finished
+            for name in set(state.wave.machines) - state.done - state.gone
+        }
+        # A machine whose upkeep is over serves on undisturbed.
+        spare.sort(key=lambda machine: machine.name in waiting, reverse=True)
+        orders: list[MachineOrder] = []
+        for pool, report in sorted(current.reports.items()):
+            missing = report.wanted - self._n_available(pool, current)
+            if missing > 0:
+                missing -= self._release(pool, missing, current)
+            while missing > 0 and spare:
+                missing -= 1
+                orders.append(MachineOrder(spare.pop().name, pool))
+            if missing < 0 and current.spare_pool:
+                self._reserve_surplus(pool, -missing, current)
+        return orders
+
+    def _n_available(self, pool: str, current: "_Planning") -> int:
+        here = sum(
+            name not in self._reserved and name not in self._pending
+            for name in current.usable(pool)
+        )
+        coming = sum(
+            (pending.order.pool or current.pool_of(name)) == pool
+            for name, pending in self._pending.items()
+        )
+        return here + coming
+
+    def _release(self, pool: str, n: int, current: "_Planning") -> int:
+        """Keep machines that were about to leave a pool that needs them again."""
+        names = [
+            name
+            for name, order in self._reserved.items()
+            if order.pool and current.machines[name].pool == pool
+        ][:n]
+        for name in names:
+            del self._reserved[name]
+        return len(names)
+
+    def _reserve_surplus(self, pool: str, n: int, current: "_Planning") -> None:
+        candidates = [
+            current.machines[name]
+            for name in current.usable(pool)
+            if self._is_idle(name, current.at_ms)
+        ]
+        candidates = [
+            machine for machine in candidates if not current.n_lasting(machine)
+        ]
+        for machine in sorted(candidates, key=current.load)[:n]:
+            order = MachineOrder(machine.name, current.spare_pool)
+            self._reserved[machine.name] = order
+
+    def _plan_reserved(self, current: "_Planning") -> list[MachineOrder]:
+        """Send the orders of reserved machines on which nothing runs any more."""
+        orders = []
+        rooms: dict[int, int] = {}
+        for name, order in self._reserved.items():
+            machine = current.machines[name]
+            worker = current.worker(machine)
+            if name in self._pending or worker is None:
+                continue
+            if worker.n_runs or not worker.is_reserved:
+                continue
+            if order.wave:
+                state = self.waves[order.wave]
+                room = rooms.setdefault(
+                    order.wave,
+                    state.wave.max_down - self._n_down(order.wave, state, current),
+                )
+                if room <= 0:
+                    continue
+                rooms[order.wave] -= 1
+            orders.append(order)
+        return orders
+
+
+class _Planning:
+    """Lookups of one planning pass."""
+
+    def __init__(
+        self,
+        at_ms: int,
+        config: Configuration,
+        machines: Mapping[str, Machine],
+        reports: Mapping[str, PoolReport],
+        evacuated: frozenset[str],
+    ) -> None:
+        self.at_ms = at_ms
+        self.machines = machines
+        self.reports = reports
+        self.evacuated = evacuated
+        self.lines: list[LogDecision] = []
+        self._services = config.service_by_name
+        self.spare_pool = next(
+            (service.name for service in config.services if service.is_spare), ""
+        )
+        self._workers = {
+            worker.worker_id: worker
+            for report in reports.values()
+            for worker in report.workers
+        }
+
+    def is_spare(self, pool: str) -> bool:
+        """Whether the machines of a pool are off."""
+        service = self._services.get(pool)
+        return service is not None and service.is_spare
+
+    def worker(self, machine: Machine) -> WorkerReport | None:
+        """Return the worker of a machine as its shard sees it."""
+        return self._workers.get(machine.worker_id)
+
+    def is_empty(self, machine: Machine) -> bool:
+        """Whether a machine may be taken without asking a shard."""
+        if self.is_spare(machine.pool):
+            return True
+        return machine.pool not in self._services
+
+    def usable(self, pool: str) -> list[str]:
+        """Return the machines of a pool whose workers take work."""
+        found = []
+        for machine in self.machines.values():
+            if machine.pool != pool or machine.state != "up":
+                continue
+            worker = self.worker(machine)
+            if worker is not None and worker.is_usable:
+                found.append(machine.name)
+        return found
+
+    def serves(self, machine: Machine) -> bool:
+        """Whether a machine does in its pool what it is there for."""
+        if machine.pool not in self.reports:
+            return True
+        worker = self.worker(machine)
+        return worker is not None and worker.is_usable
+
+    def pool_of(self, name: str) -> str:
+        """Return the pool of a machine, empty for an unknown one."""
+        machine = self.machines.get(name)
+        return machine.pool if machine else ""
+
+    def n_lasting(self, machine: Machine) -> int:
+        """Return the number of lasting runs on a machine."""
+        worker = self.worker(machine)
+        return worker.n_lasting if worker else 0
+
+    def load(self, machine: Machine) -> tuple[int, int]:
+        """Order machines by what would have to leave them."""
+        worker = self.worker(machine)
+        return (worker.n_lasting, worker.n_runs) if worker else (0, 0)
--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -34,3 +34,5 @@
 PACE_UP_AT = 0.5
 # Least time between two changes of pace on a worker.
 PACE_INTERVAL_MS = 400
+# A reservation of a worker lapses after this time unless it is repeated.
+RESERVATION_MS = 2_000
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -97,6 +97,22 @@
             self.jobs[spec.job_id] = job
         return job
 
+    def describe(self, spec: JobSpec) -> LogDecision:
+        """Return the line that tells what was accepted."""
+        return LogDecision(
+            "job_accepted",
+            {
+                "job": spec.job_id,
+                "queue": spec.queue,
+                "team": spec.team,
+                "priority": spec.priority,
+                "n_tasks": [step.n_tasks for step in spec.steps],
+                "cpu": [step.need.cpu for step in spec.steps],
+                "estimated_ms": [step.estimated_ms for step in spec.steps],
+                "lasts": spec.lasts,
+            },
+        )
+
     def cancel(self, job_id: str, unix_ms: int, at_ms: int) -> list[Effect]:
         """End a job; a job that is final stays as it is."""
         job = self.jobs[job_id]
@@ -277,6 +293,50 @@
             },
         )
 
+    def reserve(self, worker_ids: Iterable[str], at_ms: int) -> None:
+        """Give these workers no new work for a while; the caller repeats it."""
+        for worker_id in worker_ids:
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                worker.reserved_until_ms = at_ms + limits.RESERVATION_MS
+
+    def migrate(self, at_ms: int) -> list[Effect]:
+        """Stop lasting runs that should go on elsewhere, within their budget."""
+        effects: list[Effect] = []
+        for worker in self.workers.values():
+            if not worker.entry.is_draining and not worker.is_reserved(at_ms):
+                continue
+            for run in list(worker.runs.values()):
+                if run.phase is not RunPhase.RUNNING or not run.step.lasts:
+                    continue
+                if self._may_take_away(run, at_ms, worker.entry.is_draining):
+                    effects.extend(self.stop(run, at_ms))
+                    effects.append(
+                        LogDecision(
+                            "run_migrated",
+                            {"task": str(run.name), "worker": worker.worker_id},
+                        )
+                    )
+        return effects
+
+    def _may_take_away(self, run: Run, at_ms: int, is_leaving: bool) -> bool:
+        """Whether a lasting run may end now without breaking its step's budget."""
+        job = self.jobs.get(run.name.job_id)
+        if job is None or job.is_final:
+            return False
+        n_away = 0
+        for index in range(run.step.n_tasks):
+            if index == run.name.index:
+                continue
+            others = job.runs.get(run.name._replace(index=index), ())
+            n_away += not any(
+                other.phase is RunPhase.RUNNING and other.percent >= 100
+                for other in others
+            )
+        return n_away < max(1, run.step.max_unavailable) or (
+            is_leaving and n_away <= run.step.max_unavailable
+        )
+
     def hold_sent(self, worker: Worker, at_ms: int) -> int:
         """Return the lease end to ask for, on the worker's clock, 0 for none."""
         if not worker.clock_at_ms:
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -32,7 +32,7 @@
     is_taken: bool = False
     is_doubtful: bool = False
     is_recorded: bool = False
-    is_reserved: bool = False
+    reserved_until_ms: int = -1_000_000
     answered_ms: int = -1_000_000
     clock_ms: int = 0
     clock_at_ms: int = 0
@@ -105,11 +105,23 @@
         self.suspect_since_ms = at_ms
         return not was_suspect
 
+    def is_reserved(self, at_ms: int) -> bool:
+        """Whether the worker is to be emptied."""
+        return at_ms < self.reserved_until_ms
+
+    def is_usable(self, at_ms: int, evacuated: frozenset[str]) -> bool:
+        """Whether the worker counts as capacity of its pool."""
+        if not self.is_listed or self.entry.is_draining:
+            return False
+        if self.entry.data_centre in evacuated or self.suspect_since_ms is not None:
+            return False
+        return at_ms - self.answered_ms <= limits.SILENT_WORKER_MS
+
     def accepts(self, at_ms: int) -> bool:
         """Whether the worker may get new work now."""
         if not self.is_taken or not self.is_listed:
             return False
-        if self.is_reserved or not self.is_recorded:
+        if self.is_reserved(at_ms) or not self.is_recorded:
             return False
         if self.entry.is_draining or at_ms < self.blocked_until_ms:
             return False
