--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -123,6 +123,13 @@
             found[1].cancel()
             del self._tenures[tenure.shard]
 
+    async def resign(self, tenure: Tenure, why: str) -> None:
+        """Give a shard up so that any instance may claim it."""
+        self.step_down(tenure, why)
+        write = Write(owner_key(tenure.shard), expected_revision=tenure.revision)
+        outcome = await self._store.write((write,))
+        self._log.info("resigned", shard=tenure.shard, outcome=type(outcome).__name__)
+
     async def _register(self) -> None:
         lease_id = self._lease.lease_id
         if self._member_lease == lease_id:
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -41,7 +41,7 @@
 # While machines are on the move, the list is read this often.
 BUSY_LIST_INTERVAL_MS = 450
 
-AskPool = Callable[[str, list[str]], Awaitable[PoolReport | None]]
+AskPool = Callable[[str, list[str], list[str]], Awaitable[PoolReport | None]]
 
 
 class FleetOwner:
@@ -54,8 +54,8 @@
     settings, store, lease, directory, clock, metrics
         What it works with.
     ask_pool : callable
-        Reserves workers at the owner of a pool and returns its report, None when
-        there is no answer.
+        Gets a pool, the workers to reserve there and the workers that orders have
+        ended; returns the owner's report, None when there is no answer.
     """
 
     def __init__(
@@ -127,10 +127,11 @@
         now_ms = self._clock.now_ms
         self._planner.set_waves(self._directory.waves.values(), self._done, now_ms)
         reserved = self._planner.reserved_workers(self._machines)
+        ended = self._planner.ended_workers(now_ms)
         reports: dict[str, PoolReport] = {}
 
         async def ask(pool: str) -> None:
-            report = await self._ask_pool(pool, reserved.get(pool, []))
+            report = await self._ask_pool(pool, reserved.get(pool, []), ended)
             if report is not None:
                 reports[pool] = report
 
--- a/apricotgap/instance/gateway.py
+++ b/apricotgap/instance/gateway.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum, auto
+from random import Random
 from typing import Any
 
 import structlog
@@ -11,6 +12,7 @@
 from apricotgap.instance.directory import Directory
 from apricotgap.instance.fleet_owner import report_of_rows, report_to_rows
 from apricotgap.instance.keys import (
+    Member,
     cancel_key,
     index_key,
     job_writes,
@@ -42,6 +44,9 @@
 
 PEER_TIMEOUT_MS = 700
 _STORE_TIMEOUT_MS = 700
+# Instances that are asked to hand a submission on.
+MAX_RELAYS = 2
+_RELAY_MARGIN_MS = 50
 
 
 class SubmitResult(Enum):
@@ -72,6 +77,8 @@
 
     Parameters
     ----------
+    name : str
+        This instance.
     owners : mapping of str to ShardOwner
         The shards that this instance owns now.
     directory, store, peers, clock
@@ -80,13 +87,16 @@
 
     def __init__(
         self,
+        name: str,
         owners: Mapping[str, ShardOwner],
         directory: Directory,
         store: StoreClient,
         peers: PeerClient,
         clock: Clock,
     ) -> None:
+        self._name = name
         self._owners = owners
+        self._random = Random()
         self._directory = directory
         self._store = store
         self._peers = peers
@@ -95,16 +105,42 @@
 
     async def submit(self, job: JobSpec, deadline_ms: int) -> SubmitResult:
         """Accept a job, or say truly that it never runs."""
+        document = encode_job(job)
+        result = await self._submit_here(job, document, deadline_ms)
+        if result is SubmitResult.ACCEPTED:
+            return result
+        for member in self._relays(job.service):
+            if deadline_ms - self._clock.now_ms <= 0:
+                break
+            try:
+                answer = await self._relay(member, "submit", document, deadline_ms)
+            except PeerCallError as error:
+                self._log.info("relay_failed", peer=member.name, reason=str(error))
+                result = SubmitResult.UNKNOWN
+                continue
+            relayed = SubmitResult(answer)
+            if relayed is SubmitResult.ACCEPTED:
+                return relayed
+            if relayed is SubmitResult.UNKNOWN:
+                result = relayed
+        return result
+
+    async def _submit_here(
+        self, job: JobSpec, document: bytes, deadline_ms: int
+    ) -> SubmitResult:
+        """Submit at the owner, or write to the store without one."""
         may_be_stored = False
         try:
-            result = await self._ask(
-                job.service, "submit", encode_job(job), deadline_ms
+            result = SubmitResult(
+                await self._ask(job.service, "submit", document, deadline_ms)
             )
-            return SubmitResult(result)
+            if result is not SubmitResult.UNKNOWN:
+                return result
+            may_be_stored = True
         except _NoOwner as error:
             may_be_stored = error.may_have_run
-        writes = job_writes(job.service, job.job_id, encode_job(job))
-        while True:
+        writes = job_writes(job.service, job.job_id, document)
+        while not self._store.is_down:
             left_ms = deadline_ms - self._clock.now_ms
             if left_ms <= 0:
                 break
@@ -116,6 +152,35 @@
                 break
         return SubmitResult.UNKNOWN if may_be_stored else SubmitResult.REFUSED
 
+    def _relays(self, service: str) -> list[Member]:
+        """Choose other instances that may reach what this one does not."""
+        owner = self._directory.owner(service)
+        avoided = {self._name, owner.name if owner else ""}
+        members = [
+            member
+            for member in self._directory.members()
+            if member.name not in avoided and not member.is_draining
+        ]
+        return self._random.sample(members, min(MAX_RELAYS, len(members)))
+
+    async def _relay(
+        self, member: Member, operation: str, argument: Any, deadline_ms: int
+    ) -> Any:
+        left_ms = max(1, min(PEER_TIMEOUT_MS, deadline_ms - self._clock.now_ms))
+        _, result = await self._peers.call(
+            member.address, f"relay-{operation}", [argument, left_ms], left_ms
+        )
+        return result
+
+    async def _answer_relay(self, operation: str, argument: list[Any]) -> list[Any]:
+        inner, left_ms = argument
+        deadline_ms = self._clock.now_ms + left_ms - _RELAY_MARGIN_MS
+        if operation == "relay-submit":
+            job = decode_job(inner)
+            result = await self._submit_here(job, inner, deadline_ms)
+            return ["ok", result.value]
+        raise ValueError(f"unknown operation {operation}")
+
     async def phase(
         self, service: str, job_id: str, deadline_ms: int
     ) -> JobPhase | None:
@@ -215,11 +280,13 @@
                 self._log.error("job_unreadable", key=item.key, error=str(error))
         return n_pending
 
-    async def pool_report(self, service: str, reserved: list[str]) -> PoolReport | None:
-        """Reserve workers at a shard's owner and read its report."""
+    async def pool_report(
+        self, service: str, reserved: list[str], ended: list[str]
+    ) -> PoolReport | None:
+        """Tell a shard's owner of reserved and ended workers and read its report."""
         deadline_ms = self._clock.now_ms + PEER_TIMEOUT_MS
         try:
-            rows = await self._ask(service, "report", reserved, deadline_ms)
+            rows = await self._ask(service, "report", [reserved, ended], deadline_ms)
         except _NoOwner:
             return None
         return report_of_rows(rows)
@@ -265,6 +332,8 @@
 
     async def answer_peer(self, operation: str, argument: Any) -> list[Any]:
         """Serve a peer's call on a shard of this instance."""
+        if operation.startswith("relay-"):
+            return await self._answer_relay(operation, argument)
         service, inner, left_ms = argument
         local = self._owners.get(service)
         if local is None or not local.ready.is_set():
@@ -289,5 +358,5 @@
         if operation == "pending":
             return owner.n_pending(argument)
         if operation == "report":
-            return report_to_rows(owner.report(argument))
+            return report_to_rows(owner.report(*argument))
         raise ValueError(f"unknown operation {operation}")
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -3,6 +3,7 @@
 import secrets
 import signal
 import time
+from collections.abc import Awaitable, Callable
 
 import hypercorn.trio
 import structlog
@@ -86,6 +87,7 @@
         )
         async with trio.open_nursery() as nursery:
             gateway = self._gateway = Gateway(
+                settings.name,
                 self._owners,
                 self._directory,
                 self._store,
@@ -152,9 +154,7 @@
         )
         self._owners[tenure.shard] = owner
         try:
-            await owner.run()
-        except* OwnershipLostError as group:
-            self._election.step_down(tenure, str(group.exceptions[0]))
+            await self._run_tenure(tenure, owner.run)
         finally:
             if self._owners.get(tenure.shard) is owner:
                 del self._owners[tenure.shard]
@@ -170,10 +170,20 @@
             self._metrics,
             self._gateway.pool_report,
         )
+        await self._run_tenure(tenure, fleet.run)
+
+    async def _run_tenure(
+        self, tenure: Tenure, run: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Run a shard; a defect in one shard must not end the whole instance."""
         try:
-            await fleet.run()
+            await run()
         except* OwnershipLostError as group:
             self._election.step_down(tenure, str(group.exceptions[0]))
+        except* Exception as group:
+            self._log.exception("shard_failed", shard=tenure.shard)
+            self._metrics.count("shard_failures")
+            await self._election.resign(tenure, repr(group.exceptions[0]))
 
     async def _signals(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as arrived:
--- a/apricotgap/instance/logs.py
+++ b/apricotgap/instance/logs.py
@@ -80,6 +80,7 @@
         processors=[
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
+            structlog.processors.format_exc_info,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.JSONRenderer(),
         ],
--- a/apricotgap/instance/mirror.py
+++ b/apricotgap/instance/mirror.py
@@ -17,6 +17,9 @@
 __all__ = ["PrefixMirror"]
 
 _RETRY_S = 0.2
+# A watch that returned changes proves freshness only up to when it was sent, so the
+# next one is short.
+_SHORT_WAIT_MS = 300
 
 
 class PrefixMirror:
@@ -57,6 +60,7 @@
         self._revision: int | None = None
         self._log = structlog.get_logger().bind(prefix=prefix)
         self._is_lost = False
+        self._is_stale = False
         self.items: dict[str, Item] = {}
         self.fresh_ms: int | None = None
         self.loaded = trio.Event()
@@ -107,17 +111,21 @@
 
     async def _watch(self, revision: int) -> None:
         sent_ms = self._clock.now_ms
-        changes = await self._store.watch(self._prefix, revision, self._wait_ms)
+        wait_ms = (
+            min(self._wait_ms, _SHORT_WAIT_MS) if self._is_stale else self._wait_ms
+        )
+        changes = await self._store.watch(self._prefix, revision, wait_ms)
         for item in changes.items:
             if item.value is None:
                 self.items.pop(item.key, None)
             else:
                 self.items[item.key] = item
         self._revision = max(revision, changes.revision)
+        self._is_stale = bool(changes.items)
         if changes.items:
             self._on_change(changes.items)
             self.fresh_ms = sent_ms
             if self._pause_ms:
                 await trio.sleep(self._pause_ms / 1000)
             return
-        self.fresh_ms = max(sent_ms, min(self._clock.now_ms, sent_ms + self._wait_ms))
+        self.fresh_ms = max(sent_ms, min(self._clock.now_ms, sent_ms + wait_ms))
--- a/apricotgap/instance/peers.py
+++ b/apricotgap/instance/peers.py
@@ -166,6 +166,8 @@
                 task_status.started(link)
                 try:
                     async for data in socket:
+                        if isinstance(data, str):
+                            raise ValueError("text message")
                         number, result = cbor2.loads(data)
                         waiter = link.waiting.get(number)
                         if waiter is not None:
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -48,6 +48,7 @@
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.shard import SaveBatch, Shard
+from apricotgap.jobs.stragglers import StragglerWatch
 from apricotgap.jobs.workers import Worker
 from apricotgap.platform.settings import PlatformSettings
 from apricotgap.platform.store import (
@@ -131,12 +132,13 @@
         self._scheduler = Scheduler(self.core)
         self._pacer = Pacer(self.core)
         self._demand = Demand(self.core)
+        self._stragglers = StragglerWatch(self.core)
         self._retention_ms = settings.bounds.status_retention_ms
         self._wake = trio.Event()
         self._dirty = trio.Event()
         self._saved = trio.Event()
         self._holding: set[tuple[str, int, str]] = set()
-        self._recorded: dict[str, WorkerEntry] = {}
+        self._recorded: set[str] = set()
         self._log = structlog.get_logger().bind(shard=tenure.shard, epoch=tenure.epoch)
 
     async def run(self) -> None:
@@ -176,6 +178,7 @@
                 nursery.start_soon(read, prefix)
             nursery.start_soon(self._workers.loaded.wait)
         jobs, progress, roster = (found[prefix] for prefix in prefixes)
+        self.core.loaded_ms = self._clock.now_ms
         self._load_roster(roster)
         self._load_jobs(jobs, progress)
         self._log.info(
@@ -227,7 +230,7 @@
                 )
                 self.core.expect(entry, now_ms)
                 self.core.workers[worker_id].is_recorded = True
-                self._recorded[worker_id] = entry
+                self._recorded.add(worker_id)
 
     def _load_jobs(self, jobs: Snapshot, progress: Snapshot) -> None:
         stored: dict[str, tuple[Progress, int]] = {}
@@ -287,6 +290,8 @@
         """
         if job.job_id in self.core.jobs:
             return "accepted"
+        if self._store.is_down:
+            return "refused"
         writes = job_writes(self.service, job.job_id, encode_job(job))
         may_be_stored = False
         while True:
@@ -349,9 +354,18 @@
             for job in self.core.jobs.values()
         )
 
-    def report(self, reserved: Iterable[str]) -> PoolReport:
-        """Reserve workers and tell what the pool wants and has."""
+    def report(self, reserved: Iterable[str], ended: Iterable[str]) -> PoolReport:
+        """Reserve workers and tell what the pool wants and has.
+
+        Parameters
+        ----------
+        reserved : iterable of str
+            Workers that are to be emptied.
+        ended : iterable of str
+            Workers whose machines have been moved or taken down.
+        """
         now_ms = self._clock.now_ms
+        self._run(self.core.end_workers(ended, now_ms))
         self.core.reserve(reserved, now_ms)
         return PoolReport(
             self._demand.wanted(now_ms),
@@ -381,6 +395,7 @@
             self._run(self.core.tick(now_ms))
             self._run(self.core.migrate(now_ms))
             self._run(self._pacer.run(now_ms))
+            self._run(self._stragglers.run(now_ms))
             self._start_holds()
             await self._record_workers()
             self._wake.set()
@@ -405,7 +420,9 @@
     async def _record_workers(self) -> None:
         """Write down new workers before anything starts on them."""
         present = {worker.worker_id: worker for worker in self.core.workers.values()}
-        if all(worker.is_recorded for worker in present.values()):
+        if present.keys() == self._recorded and all(
+            worker.is_recorded for worker in present.values()
+        ):
             return
         rows = [
             [
@@ -429,6 +446,7 @@
         if not isinstance(outcome, Stored):
             self._log.warning("roster_not_stored", outcome=repr(outcome))
             return
+        self._recorded = set(present)
         for worker in present.values():
             worker.is_recorded = True
 
@@ -456,7 +474,7 @@
     async def _hold(self, worker: Worker) -> None:
         entry = worker.entry
         sent_ms = self._clock.now_ms
-        deadline_ms = self.core.hold_sent(worker, sent_ms)
+        deadline_ms = self.core.hold_sent(worker, sent_ms, self._lease.until_ms)
         wait_ms = HOLD_WAIT_MS if worker.is_taken and worker.clock_at_ms else 0
         try:
             answer = await self._client.hold(
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -12,6 +12,8 @@
 RATE_WINDOW_MS = 1_200
 # A want is kept for this long, so that a pool does not shrink between two jobs.
 HOLD_MS = 3_000
+# Work that waits or runs should be done within this time.
+CLEAR_MS = 1_500
 # Room above the measured demand; tasks of uneven size do not pack tightly.
 HEADROOM = 1.2
 # Workers that a pool keeps without any demand: they carry the lasting tasks and the
@@ -60,20 +62,21 @@
         while self._arrivals and self._arrivals[0][0] < at_ms - RATE_WINDOW_MS:
             self._arrivals.popleft()
         arriving = sum(work for _, work in self._arrivals) / RATE_WINDOW_MS
-        lasting = in_use = 0.0
+        lasting = work = 0.0
         for worker in self._shard.workers.values():
             for run in worker.runs.values():
                 cores = run.room.core_equivalents
                 if run.step.lasts:
                     lasting += cores
                 else:
-                    in_use += cores
+                    work += cores * run.step.estimated_ms / 2
         unix_ms = self._shard.unix_of(at_ms)
-        waiting = 0.0
         for job in self._shard.jobs.values():
             if job.is_final:
                 continue
             for key in job.open_steps(unix_ms):
                 step = job.spec.steps[key[1]]
-                waiting += len(job.waiting[key]) * step.room.core_equivalents
-        return lasting + max(arriving, in_use + waiting)
+                tasks_ms = len(job.waiting[key]) * step.estimated_ms
+                if not step.lasts:
+                    work += tasks_ms * step.room.core_equivalents
+        return lasting + max(arriving, work / CLEAR_MS)
--- a/apricotgap/jobs/documents.py
+++ b/apricotgap/jobs/documents.py
@@ -99,7 +99,8 @@
         if version != _VERSION:
             raise DocumentError(f"unknown job version {version}")
         steps = tuple(_step(row) for row in fields[5])
-        return JobSpec(*fields[:5], steps, *fields[6:])
+        fields[5] = steps
+        return JobSpec(*fields)
     except DocumentError:
         raise
     except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError) as error:
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -22,6 +22,8 @@
 UPKEEP_CYCLE_MS = 4_500
 # A worker that joined a pool counts as on its way for this long.
 TAKE_TIME_MS = 3_000
+# Shards are told for this long that an order has ended a worker.
+ENDED_REPORT_MS = 6_000
 # A machine that an order found busy is left alone for this long.
 BUSY_BACKOFF_MS = 1_500
 # A wave should be over this much before its end.
@@ -69,6 +71,7 @@
 class _Pending:
     order: MachineOrder
     sent_ms: int
+    worker_id: str
     is_in_flight: bool = True
     done_ms: int = 0
     is_back: bool = False
@@ -98,6 +101,7 @@
         self._pending: dict[str, _Pending] = {}
         self._reserved: dict[str, MachineOrder] = {}
         self._avoid_until: dict[str, int] = {}
+        self._ended: dict[str, int] = {}
         self.waves: dict[int, _WaveState] = {}
 
     @property
@@ -105,6 +109,13 @@
         """Whether machines are on their way or about to leave."""
         return bool(self._pending or self._reserved)
 
+    def ended_workers(self, at_ms: int) -> list[str]:
+        """Ids of workers that recent orders have ended."""
+        for worker_id, ended_ms in list(self._ended.items()):
+            if at_ms - ended_ms > ENDED_REPORT_MS:
+                del self._ended[worker_id]
+        return list(self._ended)
+
     def reserved_workers(self, machines: Mapping[str, Machine]) -> dict[str, list[str]]:
         """Ids of the workers that get no new work, by pool."""
         found: dict[str, list[str]] = {}
@@ -146,6 +157,8 @@
         wave = self.waves.get(order.wave)
         if result.kind == "ok":
             pending.done_ms = result.at_ms
+            if pending.worker_id:
+                self._ended[pending.worker_id] = result.at_ms
             if wave is not None:
                 wave.done.add(order.machine)
             self._reserved.pop(order.machine, None)
@@ -191,7 +204,6 @@
         orders += self._plan_sizes(current)
         orders += self._plan_reserved(current)
         for order in orders:
-            self._pending[order.machine] = _Pending(order, at_ms)
             current.lines.append(
                 LogDecision(
                     "machine_order",
@@ -232,13 +244,21 @@
                 del self._reserved[name]
 
     def _retries(self, at_ms: int) -> list[MachineOrder]:
-        return [
-            pending.order
-            for pending in self._pending.values()
-            if not pending.is_in_flight
-            and not pending.done_ms
-            and at_ms - pending.sent_ms > ORDER_RETRY_MS
-        ]
+        orders = []
+        for pending in self._pending.values():
+            if pending.is_in_flight or pending.done_ms:
+                continue
+            if at_ms - pending.sent_ms > ORDER_RETRY_MS:
+                pending.sent_ms = at_ms
+                pending.is_in_flight = True
+                orders.append(pending.order)
+        return orders
+
+    def _order(self, order: MachineOrder, current: "_Planning") -> MachineOrder:
+        """Take note of an order at once, so that the same pass counts it."""
+        worker_id = current.machines[order.machine].worker_id
+        self._pending[order.machine] = _Pending(order, current.at_ms, worker_id)
+        return order
 
     def _is_idle(self, name: str, at_ms: int) -> bool:
         if name in self._pending or name in self._reserved:
@@ -278,8 +298,8 @@
             if current.is_empty(machine):
                 if room > 0:
                     room -= 1
-                    orders.append(MachineOrder(machine.name, wave=number))
-                continue
+                    order = MachineOrder(machine.name, wave=number)
+                    orders.append(self._order(order, current))
         end_ms = state.seen_ms + wave.duration_ms - WAVE_MARGIN_MS
         n_cycles = max(1, (end_ms - current.at_ms) // UPKEEP_CYCLE_MS)
         n_parallel = min(wave.max_down, ceil(len(left) / n_cycles) + 1)
@@ -288,11 +308,10 @@
             if order.wave == number and name in current.machines:
                 pool = current.machines[name].pool
                 by_pool[pool] = by_pool.get(pool, 0) + 1
-        chosen = {order.machine for order in orders}
         for machine in sorted(left, key=current.load):
             if vacating >= n_parallel:
                 break
-            if machine.name in chosen or machine.state != "up":
+            if machine.state != "up":
                 continue
             if not self._is_idle(machine.name, current.at_ms):
                 continue
@@ -346,7 +365,8 @@
                 missing -= self._release(pool, missing, current)
             while missing > 0 and spare:
                 missing -= 1
-                orders.append(MachineOrder(spare.pop().name, pool))
+                order = MachineOrder(spare.pop().name, pool)
+                orders.append(self._order(order, current))
             if missing < 0 and current.spare_pool:
                 self._reserve_surplus(pool, -missing, current)
         return orders
@@ -389,7 +409,6 @@
     def _plan_reserved(self, current: "_Planning") -> list[MachineOrder]:
         """Send the orders of reserved machines on which nothing runs any more."""
         orders = []
-        rooms: dict[int, int] = {}
         for name, order in self._reserved.items():
             machine = current.machines[name]
             worker = current.worker(machine)
@@ -399,14 +418,9 @@
                 continue
             if order.wave:
                 state = self.waves[order.wave]
-                room = rooms.setdefault(
-                    order.wave,
-                    state.wave.max_down - self._n_down(order.wave, state, current),
-                )
-                if room <= 0:
+                if self._n_down(order.wave, state, current) >= state.wave.max_down:
                     continue
-                rooms[order.wave] -= 1
-            orders.append(order)
+            orders.append(self._order(order, current))
         return orders
 
 
--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -39,6 +39,7 @@
         self.runs: dict[TaskName, list[Run]] = {}
         self.last_run: dict[TaskName, int] = {}
         self.not_before: dict[TaskName, int] = {}
+        self.durations_ms: dict[StepKey, list[int]] = {}
         self.avoid: dict[TaskName, set[str]] = {}
         self.waiting: dict[StepKey, set[int]] = {}
         self._left: dict[StepKey, int] = {}
@@ -51,7 +52,7 @@
 
     def _done_indices(self, key: StepKey) -> set[int]:
         return {
-            name.index
+            name.number
             for name, record in self.progress.tasks.items()
             if record.done and (name.occurrence, name.step) == key
         }
@@ -79,7 +80,7 @@
         step = self.spec.steps[name.step]
         if name.occurrence not in self.spec.occurrences:
             return None
-        return step if 0 <= name.index < step.n_tasks else None
+        return step if 0 <= name.number < step.n_tasks else None
 
     def is_open(self, key: StepKey, unix_ms: int) -> bool:
         """Whether tasks of a step may start now."""
@@ -103,7 +104,7 @@
         """Take note of a run."""
         self.runs.setdefault(run.name, []).append(run)
         self.last_run[run.name] = max(self.last_run.get(run.name, 0), run.run_id)
-        self.waiting[run.name.occurrence, run.name.step].discard(run.name.index)
+        self.waiting[run.name.occurrence, run.name.step].discard(run.name.number)
         if self.progress.phase is JobPhase.PENDING:
             self.progress.phase = JobPhase.RUNNING
 
@@ -116,7 +117,7 @@
         self.runs.pop(run.name, None)
         record = self.progress.tasks.get(run.name)
         if record is None or not record.done:
-            self.waiting[run.name.occurrence, run.name.step].add(run.name.index)
+            self.waiting[run.name.occurrence, run.name.step].add(run.name.number)
 
     def mark_done(self, name: TaskName) -> bool:
         """Record that a task is done; returns whether it was not before."""
@@ -127,7 +128,7 @@
         record.checkpoint = ""
         key = (name.occurrence, name.step)
         self._left[key] -= 1
-        self.waiting[key].discard(name.index)
+        self.waiting[key].discard(name.number)
         return True
 
     @property
--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -36,3 +36,8 @@
 PACE_INTERVAL_MS = 400
 # A reservation of a worker lapses after this time unless it is repeated.
 RESERVATION_MS = 2_000
+# Workers' leases end at most this long after the owner's own lease.
+WORKER_LEASE_TAIL_MS = 3_500
+# After a takeover no lasting run is moved for this long: a stop that an earlier
+# owner sent may still be under way.
+SETTLE_MS = 3_000
--- a/apricotgap/jobs/model.py
+++ b/apricotgap/jobs/model.py
@@ -68,10 +68,10 @@
     job_id: str
     occurrence: int
     step: int
-    index: int
+    number: int
 
     def __str__(self) -> str:
-        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.number}"
 
     @classmethod
     def parse(cls, text: str) -> "TaskName":
@@ -82,8 +82,8 @@
         ValueError
             The text is no task name.
         """
-        job_id, occurrence, step, index = text.split(".")
-        return cls(job_id, int(occurrence), int(step), int(index))
+        job_id, occurrence, step, number = text.split(".")
+        return cls(job_id, int(occurrence), int(step), int(number))
 
 
 class JobPhase(Enum):
--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -41,6 +41,7 @@
     usage: float = 0.0
     checkpoint: str = ""
     pace: int = 100
+    started_ms: int = 0
     stop_sent_ms: int = -1_000_000
     is_cancelled: bool = False
 
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -178,10 +178,13 @@
         if not self._team_may(job, room):
             return None
         avoided = job.avoid.get(name, ())
+        used = {run.worker_id for run in job.runs.get(name, ())}
         best: Worker | None = None
         best_cost = float("inf")
         for worker in current.workers:
             entry = worker.entry
+            if worker.worker_id in used:
+                continue
             if step.required_label and step.required_label not in entry.labels:
                 continue
             if rack is not None and entry.rack != rack:
@@ -196,7 +199,7 @@
                 >= step.max_per_worker
             ):
                 continue
-            cost = self._cost(worker, step)
+            cost = self._cost(worker, name, step, current.at_ms)
             if worker.worker_id in avoided:
                 cost += 10
             if cost < best_cost:
@@ -207,18 +210,32 @@
     def _n_of_step(worker: Worker, name: TaskName) -> int:
         return sum(key[0][:3] == name[:3] for key in worker.runs)
 
-    @staticmethod
-    def _cost(worker: Worker, step: StepSpec) -> float:
+    def _n_in_rack(self, rack: str, name: TaskName) -> int:
+        return sum(
+            self._n_of_step(worker, name)
+            for worker in self._shard.workers.values()
+            if worker.entry.rack == rack
+        )
+
+    def _cost(
+        self, worker: Worker, name: TaskName, step: StepSpec, at_ms: int
+    ) -> float:
         """Preference among workers with room, the lowest wins."""
         total = worker.total
-        load = worker.used.cpu / total.cpu if total.cpu else 1.0
-        cost = load
+        cost = worker.used.cpu / total.cpu if total.cpu else 1.0
         if step.data_rack and worker.entry.rack != step.data_rack:
             cost += 2
         if worker.suspect_since_ms is not None:
             cost += 5
+        if at_ms < worker.slow_until_ms:
+            cost += 3
         if step.fills:
-            cost += 1.0 * worker.n_serving
+            cost += worker.n_serving
+        if step.lasts:
+            # Lasting tasks keep their machine in the pool, so they share few, two of
+            # a step to a machine, in different racks.
+            cost += self._n_of_step(worker, name) - 2.0 * (worker.n_lasting > 0)
+            cost += 0.3 * self._n_in_rack(worker.entry.rack, name)
         return cost
 
     def _team_may(self, job: JobState, room: Resources) -> bool:
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -69,6 +69,8 @@
         self.tickets: dict[tuple[str, int, int, str], str] = {}
         self._dirty: set[str] = set()
         self._is_saving = False
+        self._ended_workers: set[str] = set()
+        self.loaded_ms = -1_000_000
         self._handlers: dict[type, Callable[..., Iterable[Effect]]] = {
             WorkersListed: self._workers_listed,
             HoldAnswered: self._hold_answered,
@@ -204,7 +206,7 @@
 
     def expect(self, entry: WorkerEntry, at_ms: int) -> None:
         """Take note of a worker on which an earlier owner may have started tasks."""
-        self._add_worker(entry, at_ms, lease_ms=int(self.max_lease_ms * 1.03) + 1500)
+        self._add_worker(entry, at_ms, lease_ms=int(self.max_lease_ms * 1.03) + 200)
         self.workers[entry.worker_id].is_listed = False
         self.workers[entry.worker_id].is_doubtful = True
 
@@ -222,6 +224,8 @@
         for worker_id, entry in listed.items():
             worker = self.workers.get(worker_id)
             if worker is None:
+                if worker_id in self._ended_workers:
+                    continue
                 self._add_worker(entry, event.at_ms)
                 yield LogDecision("worker_added", {"worker": worker_id})
                 continue
@@ -293,6 +297,17 @@
             },
         )
 
+    def end_workers(self, worker_ids: Iterable[str], at_ms: int) -> list[Effect]:
+        """Drop workers whose machines were moved or taken down."""
+        effects: list[Effect] = []
+        for worker_id in worker_ids:
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                effects.extend(self._lose(worker, at_ms, "machine ordered away"))
+                del self.workers[worker_id]
+                self._ended_workers.add(worker_id)
+        return effects
+
     def reserve(self, worker_ids: Iterable[str], at_ms: int) -> None:
         """Give these workers no new work for a while; the caller repeats it."""
         for worker_id in worker_ids:
@@ -303,6 +318,9 @@
     def migrate(self, at_ms: int) -> list[Effect]:
         """Stop lasting runs that should go on elsewhere, within their budget."""
         effects: list[Effect] = []
+        if self.in_doubt or at_ms - self.loaded_ms < limits.SETTLE_MS:
+            # Stops of an earlier owner may be under way.
+            return effects
         for worker in self.workers.values():
             if not worker.entry.is_draining and not worker.is_reserved(at_ms):
                 continue
@@ -326,25 +344,32 @@
             return False
         n_away = 0
         for index in range(run.step.n_tasks):
-            if index == run.name.index:
-                continue
-            others = job.runs.get(run.name._replace(index=index), ())
-            n_away += not any(
-                other.phase is RunPhase.RUNNING and other.percent >= 100
-                for other in others
-            )
-        return n_away < max(1, run.step.max_unavailable) or (
-            is_leaving and n_away <= run.step.max_unavailable
-        )
+            if index != run.name.number:
+                others = job.runs.get(run.name._replace(number=index), ())
+                n_away += not any(self._is_at_work(other, at_ms) for other in others)
+        allowed = max(1, run.step.max_unavailable)
+        return n_away < allowed or (is_leaving and n_away <= allowed)
+
+    def _is_at_work(self, run: Run, at_ms: int) -> bool:
+        worker = self.workers.get(run.worker_id)
+        if worker is None or at_ms - worker.answered_ms > limits.SILENT_WORKER_MS:
+            return False
+        return run.phase is RunPhase.RUNNING and run.percent >= 100
+
+    def hold_sent(self, worker: Worker, at_ms: int, lease_until_ms: int) -> int:
+        """Return the lease end to ask for, on the worker's clock, 0 for none.
 
-    def hold_sent(self, worker: Worker, at_ms: int) -> int:
-        """Return the lease end to ask for, on the worker's clock, 0 for none."""
-        if not worker.clock_at_ms:
+        Workers' leases end at a bounded time after the owner's own, so that the next
+        owner need not wait longer for a worker that it cannot reach.
+        """
+        left_ms = lease_until_ms + limits.WORKER_LEASE_TAIL_MS - at_ms
+        lease_ms = min(self.max_lease_ms, left_ms)
+        if not worker.clock_at_ms or lease_ms <= 0:
             return 0
         worker.lease_until_ms = max(
-            worker.lease_until_ms, at_ms + int(self.max_lease_ms * 1.03) + 100
+            worker.lease_until_ms, at_ms + int(lease_ms * 1.03) + 100
         )
-        return worker.clock_now_ms(at_ms) + self.max_lease_ms
+        return worker.clock_now_ms(at_ms) + lease_ms
 
     @property
     def in_doubt(self) -> bool:
@@ -413,6 +438,7 @@
         if run.phase in (RunPhase.STARTING, RunPhase.UNCONFIRMED):
             run.phase = RunPhase.RUNNING
             run.settled_ms = event.sent_ms
+            run.started_ms = run.progress_ms = event.at_ms
         if row.percent != run.percent:
             run.percent = row.percent
             run.progress_ms = event.at_ms
@@ -446,6 +472,7 @@
             row.usage,
             row.checkpoint,
         )
+        run.started_ms = at_ms
         record = job.progress.tasks.get(row.name)
         is_surplus = row.name in job.runs and not step.allows_duplicates
         self._add_run(job, worker, run)
@@ -509,7 +536,7 @@
             run.settled_ms = min(run.settled_ms, event.at_ms)
             if run.phase is not RunPhase.STOPPING:
                 run.phase = RunPhase.RUNNING
-                run.progress_ms = event.at_ms
+                run.started_ms = run.progress_ms = event.at_ms
             return
         yield LogDecision(
             "start_refused",
@@ -558,6 +585,9 @@
         if worker.note_end(at_ms, end.name.job_id, end.end):
             yield LogDecision("worker_suspect", {"worker": worker.worker_id})
         if end.end is RunEnd.DONE and not step.lasts:
+            if run is not None and run.started_ms:
+                key = (end.name.occurrence, end.name.step)
+                job.durations_ms.setdefault(key, []).append(at_ms - run.started_ms)
             yield from self._task_done(job, end, at_ms)
             return
         record = job.record(end.name)
@@ -589,7 +619,7 @@
         names = [end.name]
         if step.is_gang:
             # One end stands for the whole gang.
-            names = [end.name._replace(index=index) for index in range(step.n_tasks)]
+            names = [end.name._replace(number=index) for index in range(step.n_tasks)]
         is_new = False
         for name in names:
             is_new |= job.mark_done(name)
--- /dev/null
+++ b/apricotgap/jobs/stragglers.py
@@ -0,0 +1,85 @@
+"""Runs that stand still or are far behind the others of their step."""
+
+from collections.abc import Iterable
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.effects import Effect, LogDecision
+from apricotgap.jobs.job_state import JobState
+from apricotgap.jobs.runs import Run, RunPhase
+from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.workers import Worker
+
+__all__ = ["StragglerWatch"]
+
+_INTERVAL_MS = 300
+# A run is late at this multiple of what the step's other tasks took.
+LATE_FACTOR = 2.0
+# Estimates are rough, so a step without an end gives its runs more time.
+LATE_FACTOR_ESTIMATED = 3.0
+# A worker with a straggler comes last for this long.
+SLOW_WORKER_MS = 4_000
+
+
+class StragglerWatch:
+    """Starts a second copy of a late task, or starts it again elsewhere.
+
+    Parameters
+    ----------
+    shard : Shard
+        The state.
+    """
+
+    def __init__(self, shard: Shard) -> None:
+        self._shard = shard
+        self._looked_ms = -1_000_000
+
+    def run(self, at_ms: int) -> list[Effect]:
+        """Return what is to be done about late runs now."""
+        if at_ms - self._looked_ms < _INTERVAL_MS:
+            return []
+        self._looked_ms = at_ms
+        effects: list[Effect] = []
+        for worker in self._shard.workers.values():
+            if at_ms - worker.answered_ms > limits.SILENT_WORKER_MS:
+                continue
+            for run in list(worker.runs.values()):
+                if run.phase is RunPhase.RUNNING and not run.step.lasts:
+                    effects.extend(self._look_at(run, worker, at_ms))
+        return effects
+
+    def _look_at(self, run: Run, worker: Worker, at_ms: int) -> Iterable[Effect]:
+        job = self._shard.jobs.get(run.name.job_id)
+        if job is None or job.is_final or run.step.is_gang:
+            return
+        typical_ms, factor = self._typical(job, run)
+        age_ms = at_ms - run.started_ms
+        is_stalled = at_ms - run.progress_ms > max(limits.STALL_MS, typical_ms)
+        done = max(run.percent, 1.0) / 100
+        left_ms = age_ms * (1 - done) / done
+        is_late = age_ms > factor * typical_ms and left_ms > typical_ms
+        if not is_stalled and not is_late:
+            return
+        worker.slow_until_ms = at_ms + SLOW_WORKER_MS
+        if len(job.runs.get(run.name, ())) > 1:
+            return
+        line = {
+            "task": str(run.name),
+            "worker": worker.worker_id,
+            "age_ms": age_ms,
+            "percent": run.percent,
+            "typical_ms": typical_ms,
+        }
+        if run.step.allows_duplicates:
+            job.waiting[run.name.occurrence, run.name.step].add(run.name.number)
+            yield LogDecision("run_copied", line)
+            return
+        job.avoid.setdefault(run.name, set()).add(worker.worker_id)
+        yield LogDecision("run_restarted", line)
+        yield from self._shard.stop(run, at_ms)
+
+    @staticmethod
+    def _typical(job: JobState, run: Run) -> tuple[int, float]:
+        took = job.durations_ms.get((run.name.occurrence, run.name.step))
+        if took:
+            return sum(took) // len(took), LATE_FACTOR
+        return max(run.step.estimated_ms, 500), LATE_FACTOR_ESTIMATED
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -41,7 +41,9 @@
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
     n_serving: int = 0
+    n_lasting: int = 0
     blocked_until_ms: int = -1_000_000
+    slow_until_ms: int = -1_000_000
     suspect_since_ms: int | None = None
     recent_ends: deque[tuple[int, str, bool]] = field(default_factory=deque)
     paced_ms: int = -1_000_000
@@ -72,16 +74,16 @@
         """Take room for a run."""
         self.runs[run.name, run.run_id] = run
         self.used = self.used + run.room
-        if run.step.target_ms:
-            self.n_serving += 1
+        self.n_serving += run.step.target_ms > 0
+        self.n_lasting += run.step.lasts
 
     def remove(self, run: Run) -> None:
         """Give the room of a run back."""
         if self.runs.pop((run.name, run.run_id), None) is None:
             return
         self.used = self.used - run.room
-        if run.step.target_ms:
-            self.n_serving -= 1
+        self.n_serving -= run.step.target_ms > 0
+        self.n_lasting -= run.step.lasts
 
     def note_end(self, at_ms: int, job_id: str, end: RunEnd) -> bool:
         """Update the worker's record; returns whether it became suspect.
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from apricotgap.platform.http import HttpClient, NoAnswerError
+from apricotgap.platform.http import Answer, HttpClient, NoAnswerError
 
 __all__ = [
     "Conflict",
@@ -28,6 +28,9 @@
 
 CALL_TIMEOUT_MS = 1000
 MAX_TXN_ENTRIES = 32
+# Single answers get lost while the store is up.
+DOWN_AFTER_FAILURES = 3
+_TURNED_AWAY = (429, 503)
 
 
 class StoreError(Exception):
@@ -158,14 +161,34 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._http = HttpClient(max_connections=48)
+        self._n_failed = 0
         self.n_calls = 0
 
-    async def _read(self, target: str, timeout_ms: int) -> tuple[int, bytes]:
+    @property
+    def is_down(self) -> bool:
+        """Whether the last calls all failed, so that a new one is not worth a try."""
+        return self._n_failed >= DOWN_AFTER_FAILURES
+
+    async def _call(
+        self, method: str, target: str, body: bytes, timeout_ms: int
+    ) -> Answer:
         self.n_calls += 1
         try:
             answer = await self._http.call(
-                "GET", self._address, target, timeout_ms=timeout_ms
+                method, self._address, target, body, timeout_ms
             )
+        except NoAnswerError:
+            self._n_failed += 1
+            raise
+        if answer.status in _TURNED_AWAY:
+            self._n_failed += 1
+        else:
+            self._n_failed = 0
+        return answer
+
+    async def _read(self, target: str, timeout_ms: int) -> tuple[int, bytes]:
+        try:
+            answer = await self._call("GET", target, b"", timeout_ms)
         except NoAnswerError as error:
             raise StoreError(error.reason) from error
         return answer.status, answer.body
@@ -278,11 +301,8 @@
                 ],
             }
         )
-        self.n_calls += 1
         try:
-            answer = await self._http.call(
-                "POST", self._address, "/v1/kv-txn", body, timeout_ms
-            )
+            answer = await self._call("POST", "/v1/kv-txn", body, timeout_ms)
         except NoAnswerError as error:
             if error.sent:
                 return Unknown(error.reason)
@@ -336,11 +356,8 @@
     async def _post(
         self, method: str, target: str, body: bytes, timeout_ms: int = CALL_TIMEOUT_MS
     ) -> tuple[int, bytes]:
-        self.n_calls += 1
         try:
-            answer = await self._http.call(
-                method, self._address, target, body, timeout_ms
-            )
+            answer = await self._call(method, target, body, timeout_ms)
         except NoAnswerError as error:
             raise StoreError(error.reason) from error
         return answer.status, answer.body
--- /dev/null
+++ b/tests/jobs_harness.py
@@ -0,0 +1,133 @@
+"""Builders shared by the tests of jobs."""
+
+from apricotgap.jobs.configuration import Configuration, QueueSpec, ServiceSpec, Team
+from apricotgap.jobs.effects import StartRun
+from apricotgap.jobs.events import (
+    EndRow,
+    HoldAnswered,
+    RunningRow,
+    StartAnswered,
+    StartResult,
+    WorkersListed,
+)
+from apricotgap.jobs.fleet import WorkerEntry
+from apricotgap.jobs.model import JobSpec, Resources, RunEnd, StepSpec, TaskName
+from apricotgap.jobs.scheduling import Scheduler
+from apricotgap.jobs.shard import Shard
+
+SERVICE = "bakery"
+FAR_MS = 10_000_000
+MAX_LEASE_MS = 6_000
+
+
+def configuration(version=1, guards=True):
+    """Return a configuration with one queue, one pool and a spare pool."""
+    queue = QueueSpec(
+        "plans", "h.example", "/plans/", SERVICE, 3000, 600, 0, 3, 1.6, False, False
+    )
+    return Configuration(
+        version,
+        (queue,),
+        (ServiceSpec(SERVICE, guards, False), ServiceSpec("spare", guards, True)),
+        (Team("bakers", frozenset({"key"}), 1.0, Resources()),),
+    )
+
+
+def entry(worker_id="w1", born_ms=1, free=Resources(8000, 8000), **changes):
+    """Return what a worker says of itself."""
+    fields = {
+        "service": SERVICE,
+        "address": f"10.0.0.1:{8000 + int(worker_id[1:])}",
+        "data_centre": "a",
+        "machine": f"m{worker_id}",
+        "is_draining": False,
+        "labels": ("k", "r1"),
+    } | changes
+    return WorkerEntry(worker_id, free=free, born_ms=born_ms, **fields)
+
+
+def job(job_id="j" * 16, steps=None, **changes):
+    """Return a job of one step with two tasks."""
+    steps = steps or (StepSpec(2, Resources(1000, 100), 800),)
+    return JobSpec(job_id, "plans", SERVICE, "bakers", "x", steps, 0, **changes)
+
+
+class Rig:
+    """A shard with a clock that tests move by hand."""
+
+    def __init__(self, epoch=1, workers=("w1",)):
+        self.shard = Shard(SERVICE, epoch, MAX_LEASE_MS)
+        self.shard.config = configuration()
+        self.scheduler = Scheduler(self.shard)
+        self.now = 10_000
+        self.list_workers(*map(entry, workers))
+
+    def list_workers(self, *entries):
+        """Let the platform list exactly these workers."""
+        return self.shard.step(WorkersListed(self.now, entries))
+
+    def record_all(self):
+        """Pretend that the roster is stored."""
+        for worker in self.shard.workers.values():
+            worker.is_recorded = True
+
+    def hold(self, worker_id="w1", running=(), ends=(), born_ms=1, sent_ms=None):
+        """Let a worker answer a hold."""
+        worker = self.shard.workers[worker_id]
+        self.shard.hold_sent(worker, self.now, FAR_MS)
+        return self.shard.step(
+            HoldAnswered(
+                self.now,
+                worker_id,
+                born_ms,
+                self.now if sent_ms is None else sent_ms,
+                50_000 + self.now,
+                tuple(running),
+                tuple(ends),
+            )
+        )
+
+    def ready(self):
+        """Take and record all workers."""
+        self.record_all()
+        for worker_id in list(self.shard.workers):
+            self.hold(worker_id)
+        return self
+
+    def schedule(self, lease_until_ms=FAR_MS):
+        """Run a scheduling pass; returns the starts."""
+        effects = self.scheduler.run(self.now, lease_until_ms)
+        return [effect for effect in effects if isinstance(effect, StartRun)]
+
+    def answer(self, start, kind="ok"):
+        """Answer a start."""
+        return self.shard.step(
+            StartAnswered(
+                self.now,
+                start.worker_id,
+                start.born_ms,
+                start.name,
+                start.run_id,
+                StartResult(kind),
+            )
+        )
+
+    def save(self):
+        """Store all changes."""
+        batch = self.shard.begin_save()
+        self.shard.saved(batch, {job_id: 1 for job_id, *_ in batch.documents})
+
+
+def running(start, percent=100):
+    """Return the row of a run."""
+    return RunningRow(start.name, start.run_id, "", percent, 0.0)
+
+
+def ended(number, start, end=RunEnd.DONE):
+    """Return the row of an end."""
+    return EndRow(number, start.name, start.run_id, end, "")
+
+
+def task(number, job_id="j" * 16):
+    """Return the name of a task of the first step."""
+    return TaskName(job_id, 0, 0, number)
--- /dev/null
+++ b/tests/test_fleet_plan.py
@@ -0,0 +1,173 @@
+"""Moves of machines and waves of upkeep."""
+
+from apricotgap.jobs.configuration import Wave
+from apricotgap.jobs.fleet import Machine
+from apricotgap.jobs.fleet_plan import (
+    BUSY_BACKOFF_MS,
+    ORDER_RETRY_MS,
+    FleetPlanner,
+    MachineOrder,
+    OrderResult,
+    PoolReport,
+    WorkerReport,
+)
+from apricotgap.jobs.model import Resources
+from tests.jobs_harness import SERVICE, configuration
+
+MOVE_MS = 1_500
+UPKEEP_MS = 2_000
+
+
+def machine(name, pool=SERVICE, state="up"):
+    worker_id = "" if pool == "spare" else f"w-{name}"
+    return Machine(name, pool, state, "a", ("k", "r1"), Resources(8000), worker_id)
+
+
+class Rig:
+    """A planner with a list of machines that tests change by hand."""
+
+    def __init__(self, *machines):
+        self.planner = FleetPlanner(MOVE_MS, UPKEEP_MS)
+        self.machines = {each.name: each for each in machines}
+        self.wanted = 0
+        self.runs = {}
+        self.reserved = set()
+        self.now = 100_000
+
+    def plan(self, *waves, listed_ms=None):
+        self.planner.set_waves(waves, {}, self.now)
+        for names in self.planner.reserved_workers(self.machines).values():
+            self.reserved.update(names)
+        workers = tuple(
+            WorkerReport(
+                each.worker_id,
+                *self.runs.get(each.name, (0, 0)),
+                True,
+                each.worker_id in self.reserved,
+            )
+            for each in self.machines.values()
+            if each.worker_id and each.state == "up"
+        )
+        orders, _ = self.planner.plan(
+            self.now,
+            self.now if listed_ms is None else listed_ms,
+            configuration(),
+            self.machines,
+            {SERVICE: PoolReport(self.wanted, workers)},
+            frozenset(),
+        )
+        return orders
+
+    def answer(self, order, kind="ok"):
+        self.planner.answered(OrderResult(order, kind, self.now))
+
+
+def wave(*names, max_down=2):
+    return Wave(1, names, 20_000, max_down)
+
+
+def test_no_more_machines_go_down_than_the_wave_allows():
+    """Guards against orders of one pass that do not count each other."""
+    names = [f"m{n}" for n in range(5)]
+    rig = Rig(*(machine(name, "spare") for name in names))
+    assert len(rig.plan(wave(*names))) == 2
+    assert rig.plan(wave(*names)) == []
+
+
+def test_order_without_an_answer_counts_as_down_and_is_repeated():
+    rig = Rig(*(machine(f"m{n}", "spare") for n in range(3)))
+    (order,) = rig.plan(wave("m0", "m1", "m2", max_down=1))
+    rig.answer(order, "unknown")
+    assert rig.plan(wave("m0", "m1", "m2", max_down=1)) == []
+    rig.now += ORDER_RETRY_MS + 1
+    assert rig.plan(wave("m0", "m1", "m2", max_down=1)) == [order]
+
+
+def test_machine_counts_as_down_until_a_later_list_shows_it_up():
+    """Guards against an older list that still shows the machine up."""
+    rig = Rig(*(machine(f"m{n}", "spare") for n in range(2)))
+    (order,) = rig.plan(wave("m0", "m1", max_down=1))
+    rig.answer(order)
+    rig.now += 300
+    assert rig.plan(wave("m0", "m1", max_down=1), listed_ms=rig.now - 400) == []
+    rig.now += UPKEEP_MS
+    assert len(rig.plan(wave("m0", "m1", max_down=1))) == 1
+
+
+def test_machine_of_a_pool_goes_down_only_when_nothing_runs_there():
+    """Guards against upkeep that kills what runs on a machine."""
+    rig = Rig(machine("m0"), machine("m1"), machine("m2"))
+    rig.wanted = 3
+    rig.runs["m0"] = (2, 0)
+    assert rig.plan(wave("m0")) == []
+    assert rig.plan(wave("m0")) == []
+    rig.runs["m0"] = (0, 0)
+    assert rig.plan(wave("m0")) == [MachineOrder("m0", wave=1)]
+
+
+def test_machine_that_left_needs_no_upkeep():
+    rig = Rig(machine("m0"))
+    rig.plan(wave("m9"))
+    rig.now += 3_001
+    rig.plan(wave("m9"))
+    assert rig.planner.finished() == [1]
+
+
+def test_wave_is_over_only_when_each_machine_has_had_its_upkeep():
+    rig = Rig(machine("m0", "spare"), machine("m1", "spare"))
+    orders = rig.plan(wave("m0", "m1"))
+    rig.answer(orders[0])
+    assert rig.planner.finished() == []
+    rig.answer(orders[1])
+    assert rig.planner.finished() == [1]
+
+
+def test_pool_below_its_want_gets_spare_machines_once():
+    """Guards against more orders while the machines are on their way."""
+    rig = Rig(machine("m0"), *(machine(f"s{n}", "spare") for n in range(4)))
+    rig.wanted = 3
+    orders = rig.plan()
+    assert [order.pool for order in orders] == [SERVICE, SERVICE]
+    for order in orders:
+        rig.answer(order)
+        rig.machines[order.machine] = machine(order.machine, SERVICE, "moving")
+    rig.now += 300
+    assert rig.plan() == []
+
+
+def test_surplus_machine_leaves_only_when_it_is_empty():
+    rig = Rig(machine("m0"), machine("m1"))
+    rig.wanted = 1
+    rig.runs = {"m0": (1, 0), "m1": (2, 0)}
+    assert rig.plan() == []
+    assert rig.plan() == []
+    rig.runs["m0"] = (0, 0)
+    assert rig.plan() == [MachineOrder("m0", "spare")]
+
+
+def test_machine_with_lasting_runs_stays():
+    rig = Rig(machine("m0"), machine("m1"))
+    rig.wanted = 1
+    rig.runs = {"m0": (1, 1), "m1": (1, 1)}
+    rig.plan()
+    assert rig.planner.reserved_workers(rig.machines) == {}
+
+
+def test_reserved_machine_is_kept_when_the_pool_wants_it_again():
+    rig = Rig(machine("m0"), machine("m1"))
+    rig.wanted = 1
+    rig.runs = {"m0": (1, 0), "m1": (1, 0)}
+    rig.plan()
+    rig.wanted = 2
+    rig.plan()
+    assert rig.planner.reserved_workers(rig.machines) == {}
+
+
+def test_busy_machine_is_left_alone_for_a_while():
+    rig = Rig(machine("m0"), machine("s0", "spare"))
+    rig.wanted = 2
+    (order,) = rig.plan()
+    rig.answer(order, "busy")
+    assert rig.plan() == []
+    rig.now += BUSY_BACKOFF_MS
+    assert rig.plan() == [order]
--- /dev/null
+++ b/tests/test_jobs_shard.py
@@ -0,0 +1,284 @@
+"""Runs, ends and takeovers of a shard."""
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.documents import (
+    Progress,
+    decode_job,
+    decode_progress,
+    encode_job,
+    encode_progress,
+)
+from apricotgap.jobs.effects import StartRun, StopRun
+from apricotgap.jobs.model import JobPhase, Resources, RunEnd, StepSpec
+from tests.jobs_harness import Rig, ended, entry, job, running, task
+
+
+def stops(effects):
+    return [effect for effect in effects if isinstance(effect, StopRun)]
+
+
+def test_job_succeeds_once_all_its_tasks_are_done():
+    rig = Rig().ready()
+    rig.shard.submit(job())
+    starts = rig.schedule()
+    assert [start.name.number for start in starts] == [0, 1]
+    rig.hold(ends=[ended(1, starts[0]), ended(2, starts[1])])
+    assert rig.shard.jobs["j" * 16].progress.phase is JobPhase.SUCCEEDED
+
+
+def test_success_is_shown_only_once_it_is_stored():
+    """Guards against a job shown as succeeded that the next owner runs again."""
+    rig = Rig().ready()
+    state = rig.shard.submit(job())
+    starts = rig.schedule()
+    rig.hold(ends=[ended(1, starts[0]), ended(2, starts[1])])
+    assert state.shown_phase is JobPhase.RUNNING
+    rig.save()
+    assert state.shown_phase is JobPhase.SUCCEEDED
+
+
+def test_ends_are_not_acknowledged_while_their_save_is_under_way():
+    """Guards against a worker forgetting an end that is not stored yet."""
+    rig = Rig().ready()
+    rig.shard.submit(job())
+    starts = rig.schedule()
+    rig.hold(ends=[ended(1, starts[0])])
+    batch = rig.shard.begin_save()
+    assert not rig.shard.is_stored
+    assert rig.shard.workers["w1"].acknowledged == 0
+    rig.shard.saved(batch, {"j" * 16: 5})
+    assert rig.shard.workers["w1"].acknowledged == 1
+
+
+def test_ends_stay_listed_when_their_save_failed():
+    rig = Rig().ready()
+    rig.shard.submit(job())
+    starts = rig.schedule()
+    rig.hold(ends=[ended(1, starts[0])])
+    batch = rig.shard.begin_save()
+    rig.shard.save_failed(["j" * 16])
+    rig.shard.saved(batch, {})
+    assert rig.shard.workers["w1"].acknowledged == 0
+    assert rig.shard.has_unsaved
+
+
+def test_step_waits_for_all_tasks_of_the_steps_before_it():
+    rig = Rig().ready()
+    steps = (
+        StepSpec(2, Resources(1000, 100), 800),
+        StepSpec(1, Resources(1000, 100), 800, after=(0,)),
+    )
+    rig.shard.submit(job(steps=steps))
+    first = rig.schedule()
+    rig.hold(running=[running(first[1], 50)], ends=[ended(1, first[0])])
+    assert rig.schedule() == []
+    rig.hold(ends=[ended(1, first[0]), ended(2, first[1])])
+    assert [start.name.step for start in rig.schedule()] == [1]
+
+
+def test_start_without_an_answer_is_barred_before_it_is_repeated():
+    """Guards against two runs of a task when a start is carried out late."""
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.shard.submit(job(steps=(StepSpec(1, Resources(1000, 100), 800),)))
+    (start,) = rig.schedule()
+    assert len(stops(rig.answer(start, "unknown"))) == 1
+    rig.now += 100
+    rig.hold(start.worker_id)
+    assert rig.schedule() == []
+    rig.now += limits.START_WINDOW_MS + limits.RETRY_BACKOFF_MS
+    rig.hold(start.worker_id)
+    other = "w2" if start.worker_id == "w1" else "w1"
+    rig.hold(other)
+    (again,) = rig.schedule()
+    assert again.run_id > start.run_id
+
+
+def test_list_that_was_asked_for_before_a_start_says_nothing_of_it():
+    """Guards against a second run when an older answer arrives after the start."""
+    rig = Rig().ready()
+    rig.shard.submit(job(steps=(StepSpec(1, Resources(1000, 100), 800),)))
+    sent_ms = rig.now
+    rig.now += 10
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.hold(sent_ms=sent_ms)
+    assert rig.schedule() == []
+
+
+def test_nothing_starts_close_to_the_end_of_the_owners_lease():
+    rig = Rig().ready()
+    rig.shard.submit(job())
+    assert rig.schedule(lease_until_ms=rig.now + limits.LEASE_MARGIN_MS - 1) == []
+
+
+def test_nothing_starts_on_a_worker_that_is_not_in_the_roster():
+    """Guards against a run that the next owner does not know where to look for."""
+    rig = Rig()
+    rig.hold()
+    rig.shard.submit(job())
+    assert rig.schedule() == []
+    rig.record_all()
+    assert len(rig.schedule()) == 2
+
+
+def test_inherited_job_waits_for_workers_that_an_earlier_owner_used():
+    """Guards against a second run while the first one may go on out of reach."""
+    rig = Rig(epoch=2)
+    rig.shard.expect(entry("w9"), rig.now)
+    rig.record_all()
+    rig.hold("w1")
+    rig.shard.load(job(), None, 0)
+    rig.shard.submit(job("k" * 16))
+    names = {start.name.job_id for start in rig.schedule()}
+    assert names == {"k" * 16}
+    rig.now += int(6_000 * 1.03) + 300
+    rig.shard.tick(rig.now)
+    rig.hold("w1")
+    assert "j" * 16 in {start.name.job_id for start in rig.schedule()}
+
+
+def test_run_that_a_worker_lists_is_taken_over():
+    rig = Rig(epoch=2)
+    rig.record_all()
+    rig.shard.load(job(), None, 0)
+    from_before = StartRun("w1", "", 1, task(0), 1, "", 0, "")
+    rig.hold(running=[running(from_before)])
+    assert [start.name for start in rig.schedule()] == [task(1)]
+
+
+def test_done_task_of_an_earlier_owner_is_not_started_again():
+    rig = Rig(epoch=2)
+    rig.record_all()
+    progress = Progress(JobPhase.RUNNING)
+    first = Rig().ready()
+    state = first.shard.submit(job())
+    state.mark_done(task(0))
+    progress = decode_progress("j" * 16, encode_progress(state.progress))
+    rig.shard.load(job(), progress, 3)
+    rig.hold()
+    assert [start.name for start in rig.schedule()] == [task(1)]
+
+
+def test_run_numbers_rise_from_owner_to_owner():
+    starts = []
+    for epoch in (1, 2):
+        rig = Rig(epoch=epoch).ready()
+        rig.shard.submit(job())
+        starts.append(rig.schedule()[0].run_id)
+    assert starts[0] == 1
+    assert starts[1] > limits.RUNS_PER_EPOCH
+
+
+def test_run_of_an_unknown_or_final_job_is_stopped():
+    """Guards against work that nobody asked for any more."""
+    rig = Rig().ready()
+    start = StartRun("w1", "", 1, task(0), 1, "", 0, "")
+    assert len(stops(rig.hold(running=[running(start)]))) == 1
+
+
+def test_cancelled_job_stops_and_stays_cancelled():
+    rig = Rig().ready()
+    state = rig.shard.submit(job())
+    starts = rig.schedule()
+    for start in starts:
+        rig.answer(start)
+    assert len(stops(rig.shard.cancel("j" * 16, 0, rig.now))) == 2
+    rig.hold(ends=[ended(1, starts[0]), ended(2, starts[1])])
+    assert state.progress.phase is JobPhase.CANCELLED
+    assert rig.schedule() == []
+
+
+def test_task_fails_its_job_after_the_last_attempt():
+    rig = Rig().ready()
+    state = rig.shard.submit(
+        job(steps=(StepSpec(1, Resources(1000, 100), 800),), max_attempts=2)
+    )
+    for number in (1, 2):
+        (start,) = rig.schedule()
+        rig.hold(ends=[ended(number, start, RunEnd.FAILED)])
+    assert state.progress.phase is JobPhase.FAILED
+
+
+def test_restarted_worker_has_lost_its_runs():
+    rig = Rig().ready()
+    rig.shard.submit(job(steps=(StepSpec(1, Resources(1000, 100), 800),)))
+    rig.answer(rig.schedule()[0])
+    rig.list_workers(entry("w1", born_ms=2))
+    rig.record_all()
+    rig.hold(born_ms=2)
+    assert len(rig.schedule()) == 1
+
+
+def test_worker_of_a_machine_that_was_ordered_away_is_dropped_for_good():
+    """Guards against a successor that waits for the lease of a dead worker."""
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.shard.end_workers(["w1"], rig.now)
+    rig.list_workers(entry("w1"), entry("w2"))
+    assert set(rig.shard.workers) == {"w2"}
+
+
+def test_failures_of_several_jobs_make_a_worker_suspect():
+    rig = Rig().ready()
+    for letter in "ab":
+        rig.shard.submit(
+            job(letter * 16, steps=(StepSpec(1, Resources(1000, 100), 800),))
+        )
+    starts = rig.schedule()
+    rig.hold(ends=[ended(n + 1, s, RunEnd.FAILED) for n, s in enumerate(starts)])
+    assert not rig.shard.workers["w1"].accepts(rig.now)
+
+
+def test_documents_survive_a_round_trip():
+    steps = (
+        StepSpec(3, Resources(1, 2, 3), 4, checkpoints=True, data_rack="r1"),
+        StepSpec(1, Resources(1), 5, after=(0,), lasts=True, max_unavailable=1),
+    )
+    spec = job(steps=steps, n_occurrences=2, start_ms=7, interval_ms=9)
+    assert decode_job(encode_job(spec)) == spec
+
+
+class TestBudget:
+    """Lasting runs leave a worker only within what their step may miss."""
+
+    steps = (
+        StepSpec(
+            2, Resources(1000, 100), lasts=True, max_per_worker=1, max_unavailable=1
+        ),
+    )
+
+    def rig(self):
+        rig = Rig(workers=("w1", "w2", "w3")).ready()
+        rig.shard.submit(job(steps=self.steps))
+        self.starts = rig.schedule()
+        for start in self.starts:
+            rig.answer(start)
+            rig.hold(start.worker_id, running=[running(start)])
+        return rig
+
+    def test_one_run_leaves_a_reserved_worker(self):
+        rig = self.rig()
+        rig.shard.reserve([self.starts[0].worker_id], rig.now)
+        assert [stop.name for stop in stops(rig.shard.migrate(rig.now))] == [
+            self.starts[0].name
+        ]
+
+    def test_no_second_run_leaves_while_the_first_is_away(self):
+        rig = self.rig()
+        rig.shard.reserve([start.worker_id for start in self.starts], rig.now)
+        assert len(stops(rig.shard.migrate(rig.now))) == 1
+        assert stops(rig.shard.migrate(rig.now)) == []
+
+    def test_no_run_leaves_while_another_ones_worker_is_silent(self):
+        """Guards against counting a run on a dead worker as at work."""
+        rig = self.rig()
+        rig.now += limits.SILENT_WORKER_MS + 1
+        rig.hold(self.starts[0].worker_id, running=[running(self.starts[0])])
+        rig.shard.reserve([self.starts[0].worker_id], rig.now)
+        assert stops(rig.shard.migrate(rig.now)) == []
+
+    def test_no_run_leaves_right_after_a_takeover(self):
+        """Guards against a stop beside one that the earlier owner has sent."""
+        rig = self.rig()
+        rig.shard.loaded_ms = rig.now
+        rig.shard.reserve([self.starts[0].worker_id], rig.now)
+        assert stops(rig.shard.migrate(rig.now)) == []
