--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -21,7 +21,11 @@
     PoolReport,
     WorkerReport,
 )
-from apricotgap.platform.machines import MachineClient, MachineListError
+from apricotgap.platform.machines import (
+    CALL_TIMEOUT_MS,
+    MachineClient,
+    MachineListError,
+)
 from apricotgap.platform.settings import PlatformSettings
 from apricotgap.platform.store import (
     Conflict,
@@ -168,7 +172,11 @@
             self._log.warning("machines_not_listed", reason=str(error))
 
     async def _send(self, order: MachineOrder) -> None:
-        kind = await self._client.send(order, self._tenure.epoch)
+        left_ms = self._lease.until_ms - self._clock.now_ms
+        kind = "unavailable"
+        # An order must not arrive after another owner has sent one.
+        if left_ms > CALL_TIMEOUT_MS:
+            kind = await self._client.send(order, self._tenure.epoch)
         self._metrics.count("machine_orders", result=kind)
         self._log.info(
             "machine_order_answered",
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -43,7 +43,12 @@
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.fleet_plan import PoolReport, WorkerReport
 from apricotgap.jobs.job_state import JobState
-from apricotgap.jobs.limits import HOLD_WAIT_MS, RETENTION_MARGIN_MS, SILENT_WORKER_MS
+from apricotgap.jobs.limits import (
+    HOLD_WAIT_MS,
+    LEASE_MARGIN_MS,
+    RETENTION_MARGIN_MS,
+    SILENT_WORKER_MS,
+)
 from apricotgap.jobs.model import JobPhase, JobSpec, Resources
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.scheduling import Scheduler
@@ -363,8 +368,16 @@
             Workers that are to be emptied.
         ended : iterable of str
             Workers whose machines have been moved or taken down.
+
+        Raises
+        ------
+        OwnershipLostError
+            Another owner may have started runs that this one does not know.
         """
         now_ms = self._clock.now_ms
+        if self._lease.until_ms - now_ms < LEASE_MARGIN_MS:
+            raise OwnershipLostError("the lease may have ended")
+        self.core.reported_ms = now_ms
         self._run(self.core.end_workers(ended, now_ms))
         self.core.reserve(reserved, now_ms)
         return PoolReport(
@@ -393,7 +406,9 @@
                 else []
             )
             self._run(self.core.tick(now_ms))
-            self._run(self.core.migrate(now_ms))
+            # Without a lease a stopped run could not be started elsewhere.
+            if self._lease.until_ms - now_ms > LEASE_MARGIN_MS:
+                self._run(self.core.migrate(now_ms))
             self._run(self._pacer.run(now_ms))
             self._run(self._stragglers.run(now_ms))
             self._start_holds()
--- a/apricotgap/jobs/documents.py
+++ b/apricotgap/jobs/documents.py
@@ -25,10 +25,14 @@
 
 @dataclass(slots=True)
 class TaskRecord:
-    """What must survive of one task: ends so far and the last checkpoint."""
+    """What must survive of one task: ends so far and the last checkpoint.
+
+    `failed_runs` holds run numbers, since a successor sees ends that are not
+    acknowledged yet once more and must not count them again.
+    """
 
     done: bool = False
-    n_failed: int = 0
+    failed_runs: list[int] = field(default_factory=list)
     checkpoint: str = ""
 
 
@@ -119,7 +123,7 @@
             _VERSION,
             progress.phase.value,
             [
-                [*name[1:], record.done, record.n_failed, record.checkpoint]
+                [*name[1:], record.done, record.failed_runs, record.checkpoint]
                 for name, record in progress.tasks.items()
             ],
             progress.finished_ms,
@@ -140,7 +144,7 @@
         if version != _VERSION:
             raise DocumentError(f"unknown progress version {version}")
         tasks = {
-            TaskName(job_id, *row[:3]): TaskRecord(bool(row[3]), row[4], row[5])
+            TaskName(job_id, *row[:3]): TaskRecord(bool(row[3]), list(row[4]), row[5])
             for row in rows
         }
         return Progress(JobPhase(phase), tasks, finished_ms)
--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -41,3 +41,6 @@
 # After a takeover no lasting run is moved for this long: a stop that an earlier
 # owner sent may still be under way.
 SETTLE_MS = 3_000
+# After a takeover lasting tasks start only once the fleet's owner has asked, or this
+# time has passed.
+FIRST_REPORT_MS = 800
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -69,11 +69,14 @@
             return []
         current = _Pass(at_ms, shard.unix_of(at_ms), workers, [])
         in_doubt = shard.in_doubt
+        may_last = shard.knows_reservations(at_ms)
         for job in self._order(current.unix_ms):
             if current.n_starts >= limits.MAX_STARTS_PER_PASS:
                 break
             if in_doubt and job.is_inherited:
                 continue
+            if job.spec.lasts and not may_last:
+                continue
             self._start_job(job, current)
         return current.effects
 
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -71,6 +71,7 @@
         self._is_saving = False
         self._ended_workers: set[str] = set()
         self.loaded_ms = -1_000_000
+        self.reported_ms = -1_000_000
         self._handlers: dict[type, Callable[..., Iterable[Effect]]] = {
             WorkersListed: self._workers_listed,
             HoldAnswered: self._hold_answered,
@@ -308,6 +309,12 @@
                 self._ended_workers.add(worker_id)
         return effects
 
+    def knows_reservations(self, at_ms: int) -> bool:
+        """Whether the fleet's owner had time to name the workers it is about to take."""
+        if self.reported_ms >= self.loaded_ms:
+            return True
+        return at_ms - self.loaded_ms > limits.FIRST_REPORT_MS
+
     def reserve(self, worker_ids: Iterable[str], at_ms: int) -> None:
         """Give these workers no new work for a while; the caller repeats it."""
         for worker_id in worker_ids:
@@ -596,22 +603,21 @@
         if end.end is not RunEnd.FAILED or was_stopping:
             self._dirty.add(job.spec.job_id)
             return
-        record.n_failed += 1
-        self._dirty.add(job.spec.job_id)
         job.avoid.setdefault(end.name, set()).add(worker.worker_id)
+        if step.lasts or end.run_id in record.failed_runs:
+            return
+        record.failed_runs.append(end.run_id)
+        self._dirty.add(job.spec.job_id)
         yield LogDecision(
             "run_failed",
             {
                 "task": str(end.name),
                 "run": end.run_id,
                 "worker": worker.worker_id,
-                "n_failed": record.n_failed,
+                "n_failed": len(record.failed_runs),
             },
         )
-        if step.lasts:
-            return
-        job.not_before[end.name] = at_ms
-        if record.n_failed >= job.spec.max_attempts:
+        if len(record.failed_runs) >= job.spec.max_attempts:
             yield from self._finish(job, JobPhase.FAILED, self.unix_of(at_ms), at_ms)
 
     def _task_done(self, job: JobState, end: EndRow, at_ms: int) -> Iterable[Effect]:
--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -1,5 +1,7 @@
 """JSON calls over HTTP/1.1 with a deadline for the whole call."""
 
+import socket
+import struct
 from dataclasses import dataclass
 
 import httpcore
@@ -22,6 +24,12 @@
     OSError,
 )
 _JSON = [("Content-Type", "application/json")]
+# Closing resets the connection, so that bytes of a call that was given up during a
+# partition do not arrive after it.
+_SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)),
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+)
 # Idle connections are closed before a silent loss of their state becomes likely.
 _KEEPALIVE_S = 20.0
 
@@ -106,6 +114,7 @@
                 max_connections=self._max_connections,
                 max_keepalive_connections=self._max_connections,
                 keepalive_expiry=_KEEPALIVE_S,
+                socket_options=_SOCKET_OPTIONS,
             )
             self._pools[address] = pool
         try:
--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -199,6 +199,21 @@
     assert state.progress.phase is JobPhase.FAILED
 
 
+def test_failure_that_a_successor_sees_again_counts_once():
+    """Guards against a job failed too early after a change of owner."""
+    spec = job(steps=(StepSpec(1, Resources(1000, 100), 800),), max_attempts=2)
+    first = Rig().ready()
+    state = first.shard.submit(spec)
+    (start,) = first.schedule()
+    first.hold(ends=[ended(1, start, RunEnd.FAILED)])
+    stored = decode_progress("j" * 16, encode_progress(state.progress))
+    second = Rig(epoch=2)
+    second.record_all()
+    again = second.shard.load(spec, stored, 1)
+    second.hold(ends=[ended(1, start, RunEnd.FAILED)])
+    assert again.progress.phase is not JobPhase.FAILED
+
+
 def test_restarted_worker_has_lost_its_runs():
     rig = Rig().ready()
     rig.shard.submit(job(steps=(StepSpec(1, Resources(1000, 100), 800),)))
@@ -282,3 +297,13 @@
         rig.shard.loaded_ms = rig.now
         rig.shard.reserve([self.starts[0].worker_id], rig.now)
         assert stops(rig.shard.migrate(rig.now)) == []
+
+    def test_lasting_run_waits_after_a_takeover_for_the_reserved_workers(self):
+        """Guards against a start on a machine whose upkeep is already ordered."""
+        rig = Rig(epoch=2)
+        rig.shard.loaded_ms = rig.now
+        rig.ready()
+        rig.shard.submit(job(steps=self.steps))
+        assert rig.schedule() == []
+        rig.shard.reported_ms = rig.now
+        assert len(rig.schedule()) == 1
