Take a refused transaction without the owner's key as loss of ownership

Adds stand-ins of the store and of workers and tests of instances as processes; time-outs now also count the time of a suspended machine. A collision of test ports that showed once was traced and mended.

--- a/apricotgap/clock.py
+++ b/apricotgap/clock.py
@@ -5,7 +5,7 @@
 
 import trio
 
-__all__ = ["BootClock", "Clock", "FakeClock", "TrioClock"]
+__all__ = ["BootClock", "BootTrioClock", "Clock", "FakeClock", "TrioClock"]
 
 
 class Clock(ABC):
@@ -67,3 +67,22 @@
     def now_ms(self) -> int:
         """Milliseconds since the machine started."""
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
+class BootTrioClock(trio.abc.Clock):
+    """Clock of a trio loop that also counts the time of a suspended machine.
+
+    Time-outs that ran out during a suspension cancel their calls on waking, before
+    these send anything more.
+    """
+
+    def start_clock(self) -> None:
+        """Need no preparation."""
+
+    def current_time(self) -> float:
+        """Return seconds since the machine started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def deadline_to_sleep_time(self, deadline: float) -> float:
+        """Return seconds until a deadline."""
+        return deadline - self.current_time()
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -212,9 +212,7 @@
                 continue
             self._log.warning("wave_not_stored", wave=number, outcome=repr(outcome))
             if isinstance(outcome, Conflict):
-                for item in outcome.items:
-                    if item.revision != self._tenure.revision:
-                        raise OwnershipLostError(f"owner revision {item.revision}")
+                raise OwnershipLostError("the owner's key has changed")
 
 
 def report_to_rows(report: PoolReport) -> list:
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -10,7 +10,7 @@
 import trio
 from hypercorn.config import Config
 
-from apricotgap.clock import BootClock
+from apricotgap.clock import BootClock, BootTrioClock
 from apricotgap.errors import SettingsError
 from apricotgap.instance import logs
 from apricotgap.instance.directory import FLEET_SHARD, Directory
@@ -230,6 +230,6 @@
             nursery.cancel_scope.cancel()
 
     try:
-        trio.run(run)
+        trio.run(run, clock=BootTrioClock())
     finally:
         buffer.flush()
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -324,9 +324,9 @@
 
     def _check_ownership(self, conflict: Conflict) -> None:
         owner = self.tenure.condition
-        for item in conflict.items:
-            if item.key == owner.key and item.revision != owner.expected_revision:
-                raise OwnershipLostError(f"owner revision {item.revision}")
+        revision = conflict.revision_of(owner.key)
+        if revision != owner.expected_revision:
+            raise OwnershipLostError(f"owner revision {revision}")
 
     def phase(self, job_id: str) -> JobPhase | None:
         """State of a job as callers see it, None for an unknown one."""
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -83,10 +83,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Conflict:
-    """A condition failed; `items` are the conditioned keys as they are."""
+    """A condition failed; `items` are those conditioned keys that exist."""
 
     items: tuple[Item, ...]
 
+    def revision_of(self, key: str) -> int:
+        """Revision of a conditioned key, 0 when it does not exist."""
+        return next((item.revision for item in self.items if item.key == key), 0)
+
 
 @dataclass(frozen=True, slots=True)
 class LeaseGone:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -30,6 +30,7 @@
     def __init__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         self.method: str = scope["method"]
         self.path: str = scope["path"]
+        self.query: str = scope["query_string"].decode("latin1")
         self.client: tuple[str, int] = tuple(scope["client"] or ("", 0))
         self.body = b""
         self._headers = {
--- /dev/null
+++ b/standins/task_worker.py
@@ -0,0 +1,138 @@
+"""Stand-in of a worker that runs tasks under a lease."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from standins.serving import Exchange, Listener, now_ms
+
+__all__ = ["StartedRun", "TaskWorker"]
+
+
+@dataclass
+class StartedRun:
+    """A run that the worker has begun."""
+
+    task: str
+    run_id: int
+    started_ms: int
+    end: str = ""
+
+
+@dataclass
+class TaskWorker:
+    """A worker whose tasks all take `task_ms`."""
+
+    worker_id: str
+    cpu: int = 8_000
+    task_ms: int = 100
+    born_ms: int = 1
+    starts: list[StartedRun] = field(default_factory=list)
+    is_unanswering: bool = False
+
+    def __post_init__(self) -> None:
+        self._running: dict[str, StartedRun] = {}
+        self._ends: list[list[Any]] = []
+        self._highest: dict[str, int] = {}
+        self._token = 0
+        self._until_ms = 0
+        self._n_ends = 0
+        self._ended = trio.Event()
+        self.listener = Listener(self._serve)
+
+    def entry(self, service: str) -> dict[str, Any]:
+        """Return what the worker says of itself in the store."""
+        return {
+            "service": service,
+            "address": self.listener.address,
+            "zone": "a",
+            "state": "ready",
+            "machine": f"m-{self.worker_id}",
+            "freeCapacity": {"cpu": self.cpu, "memMb": 32_000, "gpus": 0},
+            "labels": ["k", f"r-{self.worker_id}"],
+            "born": self.born_ms,
+            "sequence": 1,
+        }
+
+    async def run_tasks(self) -> None:
+        """End tasks as their time comes, and all when the lease ends."""
+        while True:
+            await trio.sleep(0.01)
+            for run in list(self._running.values()):
+                if now_ms() > self._until_ms:
+                    self._end(run, "lapsed")
+                elif now_ms() - run.started_ms >= self.task_ms:
+                    self._end(run, "done")
+
+    def _end(self, run: StartedRun, how: str) -> None:
+        del self._running[run.task]
+        run.end = how
+        self._n_ends += 1
+        self._ends.append([self._n_ends, run.task, run.run_id, how, ""])
+        self._ended.set()
+        self._ended = trio.Event()
+
+    async def _serve(self, exchange: Exchange) -> None:
+        if self.is_unanswering:
+            await exchange.until_disconnected()
+            return
+        if exchange.header("X-Apricotgap-Target-Instance") != self.worker_id:
+            await exchange.answer_json(421, {})
+            return
+        body = exchange.json()
+        token = body.get("fencingToken", 0)
+        if token < self._token:
+            await self._refuse(exchange, "fence")
+            return
+        self._token = token
+        if exchange.path == "/v1/run-start":
+            await self._start(exchange, body)
+        elif exchange.path == "/v1/run-stop":
+            await self._stop(exchange, body)
+        else:
+            await self._hold(exchange, body)
+
+    async def _refuse(self, exchange: Exchange, reason: str) -> None:
+        await exchange.answer_json(409, {"clockMs": now_ms(), "reason": reason})
+
+    async def _start(self, exchange: Exchange, body: dict[str, Any]) -> None:
+        task, run_id = body["task"], body["runId"]
+        if body["deadlineMs"] <= now_ms():
+            await self._refuse(exchange, "late")
+            return
+        self._until_ms = max(self._until_ms, body["deadlineMs"])
+        if run_id <= self._highest.get(task, 0):
+            await self._refuse(exchange, "old")
+            return
+        self._highest[task] = run_id
+        run = StartedRun(task, run_id, now_ms())
+        self.starts.append(run)
+        self._running[task] = run
+        await exchange.answer_json(200, {"clockMs": now_ms()})
+
+    async def _stop(self, exchange: Exchange, body: dict[str, Any]) -> None:
+        run = self._running.get(body["task"])
+        self._highest[body["task"]] = max(
+            self._highest.get(body["task"], 0), body["runId"]
+        )
+        if run is not None and run.run_id == body["runId"]:
+            self._end(run, "stopped")
+        await exchange.answer_json(200, {"clockMs": now_ms()})
+
+    async def _hold(self, exchange: Exchange, body: dict[str, Any]) -> None:
+        self._until_ms = max(self._until_ms, body.get("deadlineMs", 0))
+        self._ends = [row for row in self._ends if row[0] > body["lastSeen"]]
+        if not self._ends:
+            with trio.move_on_after(body.get("waitMs", 0) / 1000):
+                await self._ended.wait()
+        running = [[run.task, run.run_id, "", 50] for run in self._running.values()]
+        await exchange.answer_json(
+            200,
+            {
+                "clockMs": now_ms(),
+                "born": self.born_ms,
+                "running": running,
+                "finished": self._ends,
+            },
+        )
--- /dev/null
+++ b/tests/instance_cluster.py
@@ -0,0 +1,240 @@
+"""Instances as processes against stand-ins of the store and of workers."""
+
+import itertools
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from contextlib import asynccontextmanager, closing
+from pathlib import Path
+
+import trio
+
+from standins.task_worker import TaskWorker
+from standins.transactional_store import TransactionalStore
+from tests.loopback import call
+
+ROOT = Path(__file__).parent.parent
+SERVICE = "bakery"
+HOST = "h.example"
+KEY = "k-bakers"
+
+_SETTINGS = """
+nodeName = "{name}"
+ip = "127.0.0.1"
+zone = "a"
+internalPorts = [{peer}, {metrics}]
+heartbeatMs = 500
+[listenAddrs]
+frontendAddr = "127.0.0.1:{client}"
+readinessAddr = "127.0.0.1:{ready}"
+[bounds]
+maxHoldMs = 6000
+revokeMs = 5000
+status_s = 120
+[platform]
+address = "{store}"
+minTtlMs = 1000
+"""
+
+
+def configuration(version=1, keys=(KEY,)):
+    """Return the operators' configuration in the platform's form."""
+    queue = {
+        "name": "plans",
+        "host": HOST,
+        "prefix": "/plans/",
+        "service": SERVICE,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 600,
+        "priority": 0,
+        "maxAttempts": 3,
+        "slackFactor": 1.6,
+        "public": False,
+    }
+    return {
+        "version": version,
+        "routes": [queue],
+        "services": [{"name": SERVICE, "admissionCheck": True, "standby": False}],
+        "tenants": [{"name": "bakers", "apiKeys": list(keys), "weight": 1}],
+    }
+
+
+# Below the range from which the kernel takes ports of outgoing connections.
+_PORTS = itertools.count(15_000 + os.getpid() % 5_000 * 3)
+
+
+def free_ports(n):
+    """Return free ports that are given out once; the one after each is free too."""
+    ports = []
+    while len(ports) < n:
+        port = next(_PORTS)
+        next(_PORTS)
+        with closing(socket.socket()) as first, closing(socket.socket()) as second:
+            try:
+                first.bind(("127.0.0.1", port))
+                second.bind(("127.0.0.1", port + 1))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
+
+
+class InstanceProcess:
+    """One instance program."""
+
+    def __init__(self, name, store_address, folder):
+        self.name = name
+        client, ready, peer = free_ports(3)
+        self.address = f"127.0.0.1:{client}"
+        self.readiness = f"127.0.0.1:{ready}"
+        self.metrics = f"127.0.0.1:{peer + 1}"
+        self.log = Path(folder) / f"{name}.log"
+        self._path = Path(folder) / f"{name}.toml"
+        self._path.write_text(
+            _SETTINGS.format(
+                name=name,
+                client=client,
+                ready=ready,
+                peer=peer,
+                metrics=peer + 1,
+                store=store_address,
+            )
+        )
+        self._process = None
+
+    def start(self):
+        """Start the process."""
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "apricotgap", "instance"],
+                cwd=ROOT,
+                env={**os.environ, "APRICOTGAP_NODE_FILE": str(self._path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number):
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
+    def stop(self):
+        """Kill the process and wait for its end."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+            self._process.wait()
+
+    def wait(self, timeout_s):
+        """Wait for the end of the process; returns its exit code."""
+        return self._process.wait(timeout_s)
+
+    def lines(self, event):
+        """Return the log lines of an event."""
+        found = []
+        for line in self.log.read_text().splitlines():
+            if line.startswith("{") and (row := json.loads(line))["event"] == event:
+                found.append(row)
+        return found
+
+
+class Cluster:
+    """Store, workers and instances."""
+
+    def __init__(self, store, workers, instances):
+        self.store = store
+        self.workers = workers
+        self.instances = instances
+
+    def owner(self):
+        """Return the instance that claimed the service last."""
+        claims = [
+            (line["epoch"], instance)
+            for instance in self.instances
+            for line in instance.lines("claim")
+            if line["shard"] == SERVICE and line["outcome"] == "Stored"
+        ]
+        return max(claims, key=lambda claim: claim[0])[1] if claims else None
+
+    async def request(self, instance, method, job_id, body=None, key=KEY):
+        """Call an instance as a caller does; returns the status and the document."""
+        headers = [
+            ("Host", HOST),
+            ("Api-Key", key),
+            ("Content-Type", "application/json"),
+        ]
+        return await call(method, instance.address, f"/plans/{job_id}", body, headers)
+
+    async def until_succeeded(self, instance, job_id, timeout_s=15):
+        """Wait until a job is shown as succeeded."""
+        with trio.fail_after(timeout_s):
+            while True:
+                status, document = await self.request(instance, "GET", job_id)
+                if status == 200 and document["state"] == "succeeded":
+                    return
+                await trio.sleep(0.05)
+
+    async def until_ready(self):
+        """Wait until all instances are ready and the service has an owner."""
+        with trio.fail_after(15):
+            for instance in self.instances:
+                while not await _is_ready(instance):
+                    await trio.sleep(0.05)
+            while self.owner() is None:
+                await trio.sleep(0.05)
+
+    def done_runs(self):
+        """Return the tasks that ended as done, with repetitions."""
+        return [
+            run.task
+            for worker in self.workers
+            for run in worker.starts
+            if run.end == "done"
+        ]
+
+
+async def _is_ready(instance):
+    try:
+        with trio.move_on_after(1):
+            host, _, port = instance.readiness.partition(":")
+            stream = await trio.open_tcp_stream(host, int(port))
+            await stream.send_all(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            return b" 200 " in await stream.receive_some(100)
+    except OSError:
+        return False
+    return False
+
+
+@asynccontextmanager
+async def open_cluster(folder, n_instances=2, task_ms=100):
+    """Run a cluster until the block ends."""
+    store = TransactionalStore()
+    workers = [TaskWorker(f"w{n}", task_ms=task_ms) for n in range(2)]
+    async with trio.open_nursery() as nursery:
+        await nursery.start(store.listener.run)
+        nursery.start_soon(store.run_leases)
+        for worker in workers:
+            await nursery.start(worker.listener.run)
+            nursery.start_soon(worker.run_tasks)
+            store.put(
+                f"servers/{worker.worker_id}",
+                json.dumps(worker.entry(SERVICE)).encode(),
+            )
+        store.put("op/config", json.dumps(configuration()).encode())
+        instances = [
+            InstanceProcess(f"i{n}", store.address, folder) for n in range(n_instances)
+        ]
+        try:
+            for instance in instances:
+                instance.start()
+            cluster = Cluster(store, workers, instances)
+            await cluster.until_ready()
+            yield cluster
+        finally:
+            for instance in instances:
+                instance.stop()
+            nursery.cancel_scope.cancel()
+
+
+SIGTERM, SIGKILL, SIGHUP = signal.SIGTERM, signal.SIGKILL, signal.SIGHUP
--- /dev/null
+++ b/tests/test_instance_process.py
@@ -0,0 +1,196 @@
+"""Instances as processes: calls, loss of an owner, stops and outages of the store."""
+
+import json
+
+import pytest
+import trio
+
+from tests.instance_cluster import SIGHUP, SIGKILL, SIGTERM, configuration, open_cluster
+from tests.loopback import call_raw
+
+JOB = {
+    "spec": "x",
+    "steps": [{"count": 4, "cpu": 500, "memMb": 10, "estimatedMs": 100}],
+}
+LONG_JOB = {
+    "spec": "x",
+    "steps": [
+        {"count": 3, "cpu": 500, "memMb": 10, "estimatedMs": 1000},
+        {"count": 3, "cpu": 500, "memMb": 10, "estimatedMs": 1000, "after": [0]},
+    ],
+}
+
+
+def run(check, tmp_path, **options):
+    async def main():
+        async with open_cluster(tmp_path, **options) as cluster:
+            await check(cluster)
+
+    trio.run(main)
+
+
+def others(cluster, instance):
+    return [other for other in cluster.instances if other is not instance]
+
+
+def test_job_submitted_anywhere_runs_once(tmp_path):
+    async def check(cluster):
+        for n, instance in enumerate(cluster.instances):
+            job_id = f"{n:016x}"
+            assert (await cluster.request(instance, "POST", job_id, JOB))[0] == 200
+            # A caller that lost the answer sends the same id again.
+            assert (await cluster.request(instance, "POST", job_id, JOB))[0] == 200
+            await cluster.until_succeeded(others(cluster, instance)[0], job_id)
+        done = cluster.done_runs()
+        assert len(done) == len(set(done)) == 8
+
+    run(check, tmp_path)
+
+
+def test_refusals_name_their_reason(tmp_path):
+    async def check(cluster):
+        instance = cluster.instances[0]
+        job_id = "a" * 16
+        assert (await cluster.request(instance, "GET", job_id))[0] == 410
+        assert (await cluster.request(instance, "POST", job_id, JOB, "no"))[0] == 401
+        assert (await cluster.request(instance, "POST", "short", JOB))[0] == 400
+        for body in ({"steps": []}, {"steps": 3}, {}):
+            assert (await cluster.request(instance, "POST", job_id, body))[0] == 400
+        assert (await cluster.request(instance, "POST", job_id, JOB))[0] == 200
+
+    run(check, tmp_path)
+
+
+@pytest.mark.parametrize("number", [SIGKILL, SIGTERM])
+def test_job_goes_on_when_its_owner_ends(tmp_path, number):
+    """Guards against lost and repeated work after the loss of an owner."""
+
+    async def check(cluster):
+        owner = cluster.owner()
+        survivor = others(cluster, owner)[0]
+        job_id = "b" * 16
+        assert (await cluster.request(survivor, "POST", job_id, LONG_JOB))[0] == 200
+        await trio.sleep(0.3)
+        owner.signal(number)
+        await cluster.until_succeeded(survivor, job_id)
+        done = cluster.done_runs()
+        assert len(done) == len(set(done)) == 6
+
+    run(check, tmp_path, task_ms=700)
+
+
+def test_stopping_instance_ends_in_time_and_answers_until_then(tmp_path):
+    async def check(cluster):
+        owner = cluster.owner()
+        owner.signal(SIGTERM)
+        await trio.sleep(0.3)
+        assert (await cluster.request(owner, "GET", "c" * 16))[0] == 410
+        assert await trio.to_thread.run_sync(owner.wait, 6) == 0
+
+    run(check, tmp_path)
+
+
+def test_submission_is_refused_while_the_store_is_busy_and_never_runs(tmp_path):
+    """Guards against a refusal of a job that runs all the same."""
+
+    async def check(cluster):
+        instance = cluster.instances[0]
+        cluster.store.faults.is_busy = True
+        status, _ = await cluster.request(instance, "POST", "d" * 16, JOB)
+        assert status == 503
+        cluster.store.faults.is_busy = False
+        await trio.sleep(1.5)
+        assert cluster.done_runs() == []
+        assert (await cluster.request(instance, "POST", "e" * 16, JOB))[0] == 200
+
+    run(check, tmp_path)
+
+
+def test_lost_answers_of_the_store_lose_and_repeat_nothing(tmp_path):
+    async def check(cluster):
+        instance = cluster.instances[0]
+        for n in range(6):
+            job_id = f"{n:016x}"
+            cluster.store.faults.n_lost_answers = 1
+            cluster.store.faults.n_late_writes = n % 2
+            status, _ = await cluster.request(instance, "POST", job_id, JOB)
+            assert status in (200, 504)
+            if status == 200:
+                await cluster.until_succeeded(instance, job_id)
+        done = cluster.done_runs()
+        assert len(done) == len(set(done))
+
+    run(check, tmp_path)
+
+
+def test_withdrawn_key_is_refused_within_seconds(tmp_path):
+    async def check(cluster):
+        withdrawn = json.dumps(configuration(2, keys=("other",))).encode()
+        cluster.store.put("op/config", withdrawn)
+        with trio.fail_after(5):
+            for instance in cluster.instances:
+                while (await cluster.request(instance, "GET", "f" * 16))[0] != 401:
+                    await trio.sleep(0.05)
+
+    run(check, tmp_path)
+
+
+def test_keys_are_refused_once_the_view_of_them_is_old(tmp_path):
+    """Guards against a withdrawn key that works on while the store is away."""
+
+    async def check(cluster):
+        cluster.store.faults.is_silent = True
+        await trio.sleep(5)
+        for instance in cluster.instances:
+            assert (await cluster.request(instance, "GET", "f" * 16))[0] == 503
+
+    run(check, tmp_path)
+
+
+def test_lost_history_of_the_store_hides_no_change(tmp_path):
+    async def check(cluster):
+        cluster.store.put(
+            "op/config", json.dumps(configuration(2, keys=("other",))).encode()
+        )
+        cluster.store.forget_history()
+        with trio.fail_after(6):
+            for instance in cluster.instances:
+                while (await cluster.request(instance, "GET", "f" * 16))[0] != 401:
+                    await trio.sleep(0.05)
+
+    run(check, tmp_path)
+
+
+def test_job_accepted_while_ownership_ends_is_stored(tmp_path):
+    """Guards against a 200 for a job that the store refused with the owner's key."""
+
+    async def check(cluster):
+        owner = cluster.owner()
+        cluster.store.remove("sys/owners/bakery")
+        job_id = "a" * 16
+        status, _ = await cluster.request(owner, "POST", job_id, JOB)
+        assert status == 200
+        assert f"ids/{job_id}" in cluster.store.items
+        await cluster.until_succeeded(owner, job_id)
+
+    run(check, tmp_path)
+
+
+def test_metrics_and_logs_tell_what_was_decided(tmp_path):
+    async def check(cluster):
+        owner = cluster.owner()
+        job_id = "a" * 16
+        await cluster.request(owner, "POST", job_id, JOB)
+        await cluster.until_succeeded(owner, job_id)
+        owner.signal(SIGHUP)
+        answer = await call_raw("GET", owner.metrics, "/metrics")
+        text = answer.content.decode()
+        assert 'apricotgap_run_starts_total{result="ok"} 4' in text
+        assert "apricotgap_call_ms_bucket" in text
+        await trio.sleep(0.6)
+        for event in ("started", "configuration", "claim", "reloaded"):
+            assert owner.lines(event), event
+        assert [line["job"] for line in owner.lines("job_finished")] == [job_id]
+        assert len(owner.lines("run_started")) == 4
+
+    run(check, tmp_path)
