--- a/apricotgap/core/fleet_facts.py
+++ b/apricotgap/core/fleet_facts.py
@@ -12,7 +12,7 @@
     MAX_TASK_LEASE_MS,
     START_WINDOW_MS,
 )
-from apricotgap.model import InstanceState, Step, StepState
+from apricotgap.model import UNKNOWN_BOOT, InstanceState, Step, StepState
 
 if TYPE_CHECKING:
     from apricotgap.core.state import EntryState
@@ -42,6 +42,7 @@
     settled_ms: int | None = None
     last_contact_ms: int | None = None
     first_idle_server_ms: int | None = None
+    silent_since_ms: int | None = None
 
     def note_report(self, report: WorkerReported) -> None:
         """Take a report in."""
@@ -171,10 +172,33 @@
         return health.is_available(self._state, instance, self.at_ms)
 
     def has_rebooted(self, step: Step) -> bool:
-        """Tell whether the target reports another boot than before the reboot."""
-        facts = self._state.waves.workers.get(step.target)
+        """Tell whether the target reports another boot than before the reboot.
+
+        A server that was gone before its boot was known has rebooted once it reports
+        any boot after the request.
+        """
+        waves = self._state.waves
+        facts = waves.workers.get(step.target)
+        if facts is not None and step.boot_id == UNKNOWN_BOOT:
+            asked_ms = waves.repeated_at_ms.get(("reboot", step.target))
+            heard_ms = facts.last_contact_ms
+            return asked_ms is not None and heard_ms is not None and heard_ms > asked_ms
         return facts is not None and facts.boot_id not in ("", step.boot_id)
 
+    def is_gone(self, instance: str) -> bool:
+        """Tell whether an instance has been silent since before it was looked at.
+
+        Nothing runs on it any more once the leases of its tasks must have lapsed.
+        """
+        waves = self._state.waves
+        facts = waves.workers.get(instance)
+        if facts is None or facts.last_contact_ms is not None:
+            return False
+        if facts.silent_since_ms is None:
+            facts.silent_since_ms = self.at_ms
+        lapse_ms = int(MAX_TASK_LEASE_MS * DRIFT_FACTOR)
+        return self.at_ms > facts.silent_since_ms + lapse_ms
+
     def boot_id(self, instance: str) -> str:
         """Return the last reported boot identifier, empty when there is none."""
         facts = self._state.waves.workers.get(instance)
--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -39,11 +39,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Tenure:
-    """Ownership of a shard; writes of the owner are conditioned on `revision`."""
+    """Ownership of a shard, which ends with the lease `lease_id`.
+
+    Writes of the owner are conditioned on `revision`.
+    """
 
     shard: str
     epoch: int
     revision: int
+    lease_id: int
 
     @property
     def condition(self) -> Write:
@@ -108,7 +112,7 @@
         for shard, (tenure, scope) in list(self._tenures.items()):
             item = self._directory.owner_item(shard)
             is_replaced = item is None or item.revision > tenure.revision
-            if is_replaced or not self._lease.lease_id:
+            if is_replaced or self._lease.lease_id != tenure.lease_id:
                 self._log.warning("shard_lost", shard=shard, epoch=tenure.epoch)
                 scope.cancel()
                 del self._tenures[shard]
@@ -196,6 +200,7 @@
             self._log.warning("claim_failed", shard=shard, reason=str(error))
             return None
         epoch = int(counter.value or b"0") + 1
+        lease_id = self._lease.lease_id
         me = self._identity
         owner = Owner(me.name, me.incarnation, me.address, epoch)
         outcome = await self._store.write(
@@ -204,7 +209,7 @@
                     owner_key(shard),
                     encode_owner(owner),
                     expected_revision=revision,
-                    lease=self._lease.lease_id,
+                    lease=lease_id,
                 ),
                 Write(
                     epoch_key(shard),
@@ -223,7 +228,7 @@
             self._directory.note(
                 Item(owner_key(shard), encode_owner(owner), revision, revision)
             )
-            return Tenure(shard, epoch, revision)
+            return Tenure(shard, epoch, revision, lease_id)
         if isinstance(outcome, Conflict):
             for item in outcome.items:
                 self._directory.note(item)
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -123,7 +123,7 @@
 
     async def _cycle(self, nursery: trio.Nursery) -> None:
         config = self._directory.config
-        if config is None or not self._lease.is_valid:
+        if config is None or not self._has_lease(0):
             return
         await self._list_machines()
         if not self._machines:
@@ -142,7 +142,7 @@
         async with trio.open_nursery() as asking:
             for pool in config.working_services:
                 asking.start_soon(ask, pool)
-        if not self._lease.is_valid:
+        if not self._has_lease(0):
             return
         orders, lines = self._planner.plan(
             self._clock.now_ms,
@@ -158,6 +158,11 @@
             nursery.start_soon(self._send, order)
         await self._store_waves()
 
+    def _has_lease(self, span_ms: int) -> bool:
+        """Whether the tenure lasts for another `span_ms`."""
+        until_ms = self._lease.until_ms_of(self._tenure.lease_id)
+        return until_ms - self._clock.now_ms > span_ms
+
     async def _list_machines(self) -> None:
         interval_ms = (
             BUSY_LIST_INTERVAL_MS if self._planner.is_busy else LIST_INTERVAL_MS
@@ -172,10 +177,9 @@
             self._log.warning("machines_not_listed", reason=str(error))
 
     async def _send(self, order: MachineOrder) -> None:
-        left_ms = self._lease.until_ms - self._clock.now_ms
         kind = "unavailable"
         # An order must not arrive after another owner has sent one.
-        if left_ms > CALL_TIMEOUT_MS:
+        if self._has_lease(CALL_TIMEOUT_MS):
             kind = await self._client.send(order, self._tenure.epoch)
         self._metrics.count("machine_orders", result=kind)
         self._log.info(
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -140,7 +140,7 @@
         if tenure.shard == FLEET_SHARD:
             await self._run_fleet(tenure)
             return
-        self._workers.forget_reader(tenure.shard)
+        self._workers.add_reader(tenure.shard)
         owner = ShardOwner(
             tenure,
             self._settings,
--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -33,18 +33,25 @@
         self._clock = clock
         self._ttl_ms = max(LEASE_TTL_MS, min_ttl_ms)
         self._log = structlog.get_logger()
+        self._is_over = False
         self.lease_id = 0
         self.until_ms = 0
-        self.changed = trio.Event()
 
     @property
     def is_valid(self) -> bool:
         """Whether the lease cannot have ended yet."""
         return self.lease_id != 0 and self._clock.now_ms < self.until_ms
 
+    def until_ms_of(self, lease_id: int) -> int:
+        """Return when a lease may end, 0 for one that was replaced.
+
+        What hangs on an earlier lease is lost, however long the present one lasts.
+        """
+        return self.until_ms if lease_id == self.lease_id else 0
+
     async def run(self) -> None:
         """Renew the lease until cancelled; ask for a new one when it has ended."""
-        while True:
+        while not self._is_over:
             try:
                 await self._step()
             except StoreError as error:
@@ -68,6 +75,8 @@
             self._set(0, 0)
             sent_ms = self._clock.now_ms
         lease_id, ttl_ms = await self._store.grant_lease(self._ttl_ms)
+        if self._is_over:
+            return
         self._ttl_ms = ttl_ms
         self._set(lease_id, sent_ms + ttl_ms)
         self._log.info("lease_granted", lease=lease_id, ttl_ms=ttl_ms)
@@ -75,11 +84,10 @@
     def _set(self, lease_id: int, until_ms: int) -> None:
         self.lease_id = lease_id
         self.until_ms = until_ms
-        self.changed.set()
-        self.changed = trio.Event()
 
     async def end(self) -> None:
-        """Give the lease back, so that others take over at once."""
+        """Give the lease back for good, so that others take over at once."""
+        self._is_over = True
         if not self.lease_id:
             return
         lease_id = self.lease_id
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -276,6 +276,10 @@
                     self.core.submit(job)
         self._wake.set()
 
+    @property
+    def _lease_until_ms(self) -> int:
+        return self._lease.until_ms_of(self.tenure.lease_id)
+
     # Calls of the gateway
 
     async def submit(self, job: JobSpec, deadline_ms: int) -> SubmitOutcome:
@@ -375,7 +379,7 @@
             Another owner may have started runs that this one does not know.
         """
         now_ms = self._clock.now_ms
-        if self._lease.until_ms - now_ms < LEASE_MARGIN_MS:
+        if self._lease_until_ms - now_ms < LEASE_MARGIN_MS:
             raise OwnershipLostError("the lease may have ended")
         self.core.reported_ms = now_ms
         self._run(self.core.end_workers(ended, now_ms))
@@ -407,7 +411,7 @@
             )
             self._run(self.core.tick(now_ms))
             # Without a lease a stopped run could not be started elsewhere.
-            if self._lease.until_ms - now_ms > LEASE_MARGIN_MS:
+            if self._lease_until_ms - now_ms > LEASE_MARGIN_MS:
                 self._run(self.core.migrate(now_ms))
             self._run(self._pacer.run(now_ms))
             self._run(self._stragglers.run(now_ms))
@@ -489,7 +493,7 @@
     async def _hold(self, worker: Worker) -> None:
         entry = worker.entry
         sent_ms = self._clock.now_ms
-        deadline_ms = self.core.hold_sent(worker, sent_ms, self._lease.until_ms)
+        deadline_ms = self.core.hold_sent(worker, sent_ms, self._lease_until_ms)
         wait_ms = HOLD_WAIT_MS if worker.is_taken and worker.clock_at_ms else 0
         try:
             answer = await self._client.hold(
@@ -558,9 +562,7 @@
         while True:
             await self._wake.wait()
             self._wake = trio.Event()
-            if not self._lease.is_valid:
-                continue
-            self._run(self._scheduler.run(self._clock.now_ms, self._lease.until_ms))
+            self._run(self._scheduler.run(self._clock.now_ms, self._lease_until_ms))
 
     def _run(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
--- a/apricotgap/instance/worker_list.py
+++ b/apricotgap/instance/worker_list.py
@@ -14,7 +14,7 @@
 _PREFIX = "servers/"
 # A leaving worker must get no new work within seconds, so the list may lag by this.
 WATCH_WAIT_MS = 2_000
-WATCH_PAUSE_MS = 600
+WATCH_PAUSE_MS = 300
 
 
 class WorkerList:
@@ -35,6 +35,7 @@
         self._entries: dict[str, WorkerEntry] = {}
         self._version = 0
         self._seen: dict[str, int] = {}
+        self._wanted = trio.Event()
         self._unreadable: set[str] = set()
         self._log = structlog.get_logger()
 
@@ -44,7 +45,8 @@
         return self._mirror.loaded
 
     async def run(self) -> None:
-        """Follow the entries until cancelled."""
+        """Follow the entries, once a shard needs them, until cancelled."""
+        await self._wanted.wait()
         await self._mirror.run()
 
     def entries(self) -> tuple[WorkerEntry, ...]:
@@ -58,8 +60,9 @@
         self._seen[reader] = self._version
         return True
 
-    def forget_reader(self, reader: str) -> None:
-        """Let the reader's next question be answered with yes."""
+    def add_reader(self, reader: str) -> None:
+        """Follow the entries and answer the reader's first question with yes."""
+        self._wanted.set()
         self._seen.pop(reader, None)
 
     def _changed(self, items: tuple[Item, ...]) -> None:
--- a/apricotgap/jobs/fleet.py
+++ b/apricotgap/jobs/fleet.py
@@ -53,3 +53,8 @@
     def rack(self) -> str:
         """Label of the rack, the second one by convention."""
         return self.labels[1] if len(self.labels) > 1 else ""
+
+    @property
+    def kind(self) -> str:
+        """Label of the hardware kind, the first one by convention."""
+        return self.labels[0] if self.labels else ""
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -102,6 +102,7 @@
         self._reserved: dict[str, MachineOrder] = {}
         self._avoid_until: dict[str, int] = {}
         self._ended: dict[str, int] = {}
+        self._kinds: dict[str, set[str]] = {}
         self.waves: dict[int, _WaveState] = {}
 
     @property
@@ -220,27 +221,29 @@
     def _settle(self, listed_ms: int, current: "_Planning") -> None:
         """Forget orders whose machine serves again, and reservations that are over."""
         machines = current.machines
+        for machine in machines.values():
+            self._kinds.setdefault(machine.pool, set()).add(machine.kind)
         for name, pending in list(self._pending.items()):
             if not pending.done_ms:
                 continue
             away_ms = self._upkeep_ms if pending.order.wave else self._move_ms
-            machine = machines.get(name)
-            if machine is None or machine.state == "down":
+            listed = machines.get(name)
+            if listed is None or listed.state == "down":
                 del self._pending[name]
                 continue
             is_new = listed_ms > pending.done_ms + away_ms // 2
-            pending.is_back = pending.is_back or (is_new and machine.state == "up")
+            pending.is_back = pending.is_back or (is_new and listed.state == "up")
             if not pending.is_back:
                 continue
             # The shard needs a moment to find and take the new worker.
             is_overdue = current.at_ms > pending.done_ms + away_ms + TAKE_TIME_MS
-            if current.serves(machine) or is_overdue:
+            if current.serves(listed) or is_overdue:
                 del self._pending[name]
         for name, order in list(self._reserved.items()):
-            machine = machines.get(name)
+            listed = machines.get(name)
             wave = self.waves.get(order.wave)
             is_over = order.wave and (wave is None or name in wave.done)
-            if machine is None or machine.state != "up" or is_over:
+            if listed is None or listed.state != "up" or is_over:
                 del self._reserved[name]
 
     def _retries(self, at_ms: int) -> list[MachineOrder]:
@@ -356,21 +359,50 @@
             if not state.is_finished
             for name in set(state.wave.machines) - state.done - state.gone
         }
-        # A machine whose upkeep is over serves on undisturbed.
-        spare.sort(key=lambda machine: machine.name in waiting, reverse=True)
         orders: list[MachineOrder] = []
         for pool, report in sorted(current.reports.items()):
             missing = report.wanted - self._n_available(pool, current)
             if missing > 0:
                 missing -= self._release(pool, missing, current)
-            while missing > 0 and spare:
+            while missing > 0:
+                machine = self._choose_spare(pool, spare, waiting, current)
+                if machine is None:
+                    break
                 missing -= 1
-                order = MachineOrder(spare.pop().name, pool)
+                spare.remove(machine)
+                order = MachineOrder(machine.name, pool)
                 orders.append(self._order(order, current))
             if missing < 0 and current.spare_pool:
                 self._reserve_surplus(pool, -missing, current)
         return orders
 
+    def _choose_spare(
+        self,
+        pool: str,
+        spare: list[Machine],
+        waiting: set[str],
+        current: "_Planning",
+    ) -> Machine | None:
+        """Prefer machines whose upkeep is over, in racks that the pool uses least.
+
+        A pool takes machines of the kinds that were seen in it.
+        """
+        kinds = self._kinds.get(pool)
+        racks: dict[str, int] = {}
+        for name, machine in current.machines.items():
+            pending = self._pending.get(name)
+            if machine.pool == pool or (pending and pending.order.pool == pool):
+                racks[machine.rack] = racks.get(machine.rack, 0) + 1
+        return min(
+            (each for each in spare if kinds is None or each.kind in kinds),
+            key=lambda each: (
+                each.name in waiting,
+                racks.get(each.rack, 0),
+                each.name,
+            ),
+            default=None,
+        )
+
     def _n_available(self, pool: str, current: "_Planning") -> int:
         here = sum(
             name not in self._reserved and name not in self._pending
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -581,7 +581,6 @@
     def _ended(self, worker: Worker, end: EndRow, at_ms: int) -> Iterable[Effect]:
         run = worker.runs.get((end.name, end.run_id))
         job = self.jobs.get(end.name.job_id)
-        was_stopping = run is not None and run.phase is RunPhase.STOPPING
         if run is not None:
             self._drop_run(run)
         if job is None:
@@ -600,7 +599,7 @@
         record = job.record(end.name)
         if end.checkpoint:
             record.checkpoint = end.checkpoint
-        if end.end is not RunEnd.FAILED or was_stopping:
+        if end.end is not RunEnd.FAILED:
             self._dirty.add(job.spec.job_id)
             return
         job.avoid.setdefault(end.name, set()).add(worker.worker_id)
--- a/apricotgap/model/__init__.py
+++ b/apricotgap/model/__init__.py
@@ -14,6 +14,7 @@
     Team,
 )
 from apricotgap.model.intents import (
+    UNKNOWN_BOOT,
     Intent,
     Plan,
     PlanState,
@@ -38,6 +39,7 @@
 
 __all__ = [
     "REFUSALS",
+    "UNKNOWN_BOOT",
     "Budget",
     "Completed",
     "Configuration",
--- a/apricotgap/model/intents.py
+++ b/apricotgap/model/intents.py
@@ -3,7 +3,17 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["Intent", "Plan", "PlanState", "Step", "StepKind", "StepState"]
+__all__ = [
+    "UNKNOWN_BOOT",
+    "Intent",
+    "Plan",
+    "PlanState",
+    "Step",
+    "StepKind",
+    "StepState",
+]
+
+UNKNOWN_BOOT = "unknown"
 
 
 class StepKind(StrEnum):
@@ -84,7 +94,8 @@
     lent_for : str
         Data centre whose take-out makes the move or drain necessary, else empty.
     boot_id : str
-        Boot identifier of the server before its reboot.
+        Boot identifier of the server before its reboot, or `UNKNOWN_BOOT` for one
+        that was gone before it reported any.
     """
 
     index: int
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -1,5 +1,7 @@
 """Moves of machines and waves of upkeep."""
 
+from dataclasses import replace
+
 from apricotgap.jobs.configuration import Wave
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_plan import (
@@ -171,3 +173,12 @@
     assert rig.plan() == []
     rig.now += BUSY_BACKOFF_MS
     assert rig.plan() == [order]
+
+
+def test_machine_of_another_kind_is_not_sent_to_a_pool():
+    """Guards against orders that the platform refuses each time."""
+    rig = Rig(machine("m0"), machine("s0", "spare"), machine("s1", "spare"))
+    other = replace(rig.machines["s0"], labels=("other", "r1"))
+    rig.machines["s0"] = other
+    rig.wanted = 3
+    assert rig.plan() == [MachineOrder("s1", SERVICE)]
--- /dev/null
+++ b/tests/test_instance_lease.py
@@ -0,0 +1,81 @@
+"""The instance's lease and what hangs on it."""
+
+import trio
+import trio.testing
+
+from apricotgap.clock import FakeClock
+from apricotgap.instance.lease import LEASE_TTL_MS, InstanceLease
+from apricotgap.platform.store import StoreError
+
+
+class Store:
+    """Grants leases; tests end them."""
+
+    def __init__(self):
+        self.alive = set()
+        self.n_granted = 0
+        self.is_down = False
+
+    async def grant_lease(self, ttl_ms):
+        self.n_granted += 1
+        self.alive.add(self.n_granted)
+        return self.n_granted, ttl_ms
+
+    async def renew_lease(self, lease, timeout_ms):
+        if self.is_down:
+            raise StoreError("down")
+        return lease in self.alive
+
+    async def end_lease(self, lease):
+        self.alive.discard(lease)
+
+
+def run(check):
+    async def main():
+        store, clock = Store(), FakeClock(1_000)
+        lease = InstanceLease(store, clock, 1_000)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lease.run)
+            await trio.testing.wait_all_tasks_blocked()
+            await check(store, clock, lease)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+
+
+def test_ownership_ends_with_the_lease_it_was_claimed_under():
+    """Guards against an owner that goes on under a later lease of its instance."""
+
+    async def check(store, clock, lease):
+        first = lease.lease_id
+        store.alive.clear()
+        await trio.sleep(2)
+        assert lease.lease_id != first
+        assert lease.is_valid
+        assert lease.until_ms_of(first) == 0
+        assert lease.until_ms_of(lease.lease_id) > clock.now_ms
+
+    run(check)
+
+
+def test_lease_counts_from_before_the_renewal_was_sent():
+    async def check(store, clock, lease):
+        assert lease.until_ms == 1_000 + LEASE_TTL_MS
+        store.is_down = True
+        clock.advance(LEASE_TTL_MS)
+        await trio.sleep(2)
+        assert not lease.is_valid
+
+    run(check)
+
+
+def test_lease_that_was_given_back_is_not_asked_for_again():
+    """Guards against a stopping instance that registers anew."""
+
+    async def check(store, clock, lease):
+        await lease.end()
+        await trio.sleep(5)
+        assert not lease.is_valid
+        assert store.n_granted == 1
+
+    run(check)
--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -214,6 +214,20 @@
     assert again.progress.phase is not JobPhase.FAILED
 
 
+def test_failure_counts_when_a_stop_was_under_way():
+    """Guards against one attempt too many when a stop and a failure cross."""
+    rig = Rig().ready()
+    state = rig.shard.submit(
+        job(steps=(StepSpec(1, Resources(1000, 100), 800),), max_attempts=1)
+    )
+    (start,) = rig.schedule()
+    rig.answer(start)
+    (run,) = state.runs[start.name]
+    list(rig.shard.stop(run, rig.now))
+    rig.hold(ends=[ended(1, start, RunEnd.FAILED)])
+    assert state.progress.phase is JobPhase.FAILED
+
+
 def test_restarted_worker_has_lost_its_runs():
     rig = Rig().ready()
     rig.shard.submit(job(steps=(StepSpec(1, Resources(1000, 100), 800),)))
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,135 @@
+"""Documents of the platform, whole and broken."""
+
+import json
+
+import pytest
+
+from apricotgap.errors import SettingsError
+from apricotgap.jobs.model import Resources
+from apricotgap.platform.settings import load_platform_settings
+from apricotgap.platform.wire import (
+    WireError,
+    decode_configuration,
+    decode_job,
+    decode_machines,
+    decode_wave,
+    decode_worker,
+)
+from tests.jobs_harness import configuration
+
+WORKER = {
+    "service": "bakery",
+    "address": "10.0.0.1:8080",
+    "zone": "a",
+    "state": "ready",
+    "freeCapacity": {"cpu": 1000, "memMb": 2000, "gpus": 0},
+    "labels": ["k", "r1"],
+    "born": 77,
+    "coldRemainingMs": 0,
+}
+QUEUE = configuration().queues[0]
+
+
+def encode(document):
+    return json.dumps(document).encode()
+
+
+def test_worker_entry_is_read():
+    entry = decode_worker("i-1", encode(WORKER))
+    assert (entry.rack, entry.born_ms, entry.free) == ("r1", 77, Resources(1000, 2000))
+    assert decode_worker("i-1", encode(WORKER | {"state": "draining"})).is_draining
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b"null",
+        encode(WORKER | {"state": "sleeping"}),
+        encode(WORKER | {"address": "nowhere"}),
+        encode(WORKER | {"address": 7}),
+        encode(WORKER | {"freeCapacity": "much"}),
+        encode({key: WORKER[key] for key in WORKER if key != "service"}),
+    ],
+)
+def test_entry_of_another_writer_names_no_worker(data):
+    with pytest.raises(WireError):
+        decode_worker("i-1", data)
+
+
+def test_job_fields_get_the_products_names():
+    body = {
+        "spec": "x",
+        "steps": [
+            {"count": 2, "cpu": 500, "memMb": 9, "affinity": "r1", "mayMiss": 1},
+            {"count": 1, "cpu": 1, "after": [0], "longRunning": True},
+        ],
+        "repeatCount": 3,
+        "intervalMs": 50,
+    }
+    job = decode_job(encode(body), "a" * 16, QUEUE, "bakers", 5)
+    assert job.steps[0].data_rack == "r1"
+    assert job.steps[0].max_unavailable == 1
+    assert job.steps[1].after == (0,)
+    assert job.lasts
+    assert list(job.occurrences) == [0, 1, 2]
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [[], [{"count": 0}], [{"count": 1, "after": [0]}], [{"count": 1, "after": [3]}], 7],
+)
+def test_job_that_could_never_run_is_refused(steps):
+    with pytest.raises(WireError):
+        decode_job(encode({"spec": "x", "steps": steps}), "a" * 16, QUEUE, "", 0)
+
+
+def test_configuration_finds_queue_and_team():
+    document = {
+        "version": 4,
+        "routes": [
+            {"name": "a", "host": "H.example", "prefix": "/p/", "service": "s"},
+            {"name": "b", "host": "h.example", "prefix": "/p/q/", "service": "s"},
+        ],
+        "services": [{"name": "s", "admissionCheck": True}],
+        "tenants": [{"name": "t", "apiKeys": ["k1"], "weight": 2}],
+        "limits": {"maxHeaderBytes": 1},
+    }
+    config = decode_configuration(encode(document))
+    assert config.queue_for("h.example", "/p/q/1").name == "b"
+    assert config.queue_for("h.example", "/p/1").name == "a"
+    assert config.queue_for("other", "/p/1") is None
+    assert config.team_of_key["k1"] == "t"
+
+
+@pytest.mark.parametrize("data", [b"{}", b"[1]", encode({"version": "x"})])
+def test_unreadable_configuration_is_an_error(data):
+    with pytest.raises(WireError):
+        decode_configuration(data)
+
+
+def test_machines_and_waves_are_read():
+    page = {
+        "machines": [
+            {"machine": "m1", "pool": "s", "state": "up", "zone": "a", "id": None}
+        ],
+        "nextPageToken": "2",
+    }
+    machines, page_name = decode_machines(encode(page))
+    assert (machines[0].name, machines[0].worker_id, page_name) == ("m1", "", "2")
+    wave = decode_wave(
+        encode({"wave": 3, "machines": ["m1"], "durationS": 2.5, "maxCount": 4})
+    )
+    assert (wave.number, wave.duration_ms, wave.max_down) == (3, 2500, 4)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "not toml [", 'nodeName = "x"', 'internalPorts = "x"']
+)
+def test_unusable_settings_name_the_field(tmp_path, text):
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    with pytest.raises(SettingsError):
+        load_platform_settings(str(path))
