--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -20,6 +20,7 @@
     "epoch_key",
     "index_key",
     "job_key",
+    "limit_key",
     "job_writes",
     "jobs_prefix",
     "owner_key",
@@ -43,6 +44,11 @@
     return f"epochs/{shard}"
 
 
+def limit_key(team: str) -> str:
+    """Key of the split of a team's limit among the shards."""
+    return f"limits/{team}"
+
+
 def roster_key(shard: str) -> str:
     """Key of the workers that an owner may have started tasks on."""
     return f"roster/{shard}"
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -16,6 +16,7 @@
     job_key,
     job_writes,
     jobs_prefix,
+    limit_key,
     progress_key,
     progress_prefix,
     roster_key,
@@ -30,7 +31,9 @@
     Progress,
     decode_job,
     decode_progress,
+    decode_split,
     encode_job,
+    encode_split,
 )
 from apricotgap.jobs.effects import Effect, LogDecision, PaceRun, StartRun, StopRun
 from apricotgap.jobs.events import (
@@ -49,11 +52,12 @@
     RETENTION_MARGIN_MS,
     SILENT_WORKER_MS,
 )
-from apricotgap.jobs.model import JobPhase, JobSpec, Resources
+from apricotgap.jobs.model import NO_RESOURCES, JobPhase, JobSpec, Resources
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.shard import SaveBatch, Shard
 from apricotgap.jobs.stragglers import StragglerWatch
+from apricotgap.jobs.team_limits import LimitChange
 from apricotgap.jobs.workers import Worker
 from apricotgap.platform.settings import PlatformSettings
 from apricotgap.platform.store import (
@@ -91,6 +95,10 @@
 JOB_WATCH_WAIT_MS = 4_000
 JOB_WATCH_PAUSE_MS = 1_000
 HOUSEKEEPING_S = 5.0
+# Splits of teams' limits are looked at this often, at once when a task is blocked.
+_LIMITS_S = 0.5
+_LIMITS_GAP_S = 0.05
+_LIMIT_ATTEMPTS = 4
 # Between two looks at a worker whose ends are not stored yet.
 HOLD_GAP_S = 0.1
 
@@ -142,6 +150,7 @@
         self._wake = trio.Event()
         self._dirty = trio.Event()
         self._saved = trio.Event()
+        self._blocked = trio.Event()
         self._holding: set[tuple[str, int, str]] = set()
         self._recorded: set[str] = set()
         self._log = structlog.get_logger().bind(shard=tenure.shard, epoch=tenure.epoch)
@@ -162,6 +171,7 @@
             nursery.start_soon(self._save_loop)
             nursery.start_soon(self._tick_loop)
             nursery.start_soon(self._housekeeping_loop)
+            nursery.start_soon(self._limits_loop)
             self.ready.set()
 
     # Loading
@@ -426,15 +436,71 @@
         if config is None or config is self.core.config:
             return
         self.core.config = config
-        n_services = max(1, len(config.working_services))
-        self.core.team_limits = {
-            team.name: Resources(
-                team.limit.cpu // n_services,
-                team.limit.memory_mb // n_services,
-                team.limit.gpus // n_services,
+        self.core.team_limits.set_configuration(config)
+        self._blocked.set()
+
+    async def _limits_loop(self) -> None:
+        """Move teams' limits to where their work is."""
+        while True:
+            with trio.move_on_after(_LIMITS_S):
+                await self._blocked.wait()
+            self._blocked = trio.Event()
+            now_ms = self._clock.now_ms
+            if self._lease_until_ms < now_ms or self._store.is_down:
+                await trio.sleep(_RETRY_S)
+                continue
+            demand = self.core.team_demand(now_ms)
+            for change in self.core.team_limits.changes(demand, now_ms):
+                await self._write_limit(change)
+            self._wake.set()
+            # Owners that compete for the same limit must not do so in a busy loop.
+            await trio.sleep(_LIMITS_GAP_S)
+
+    async def _write_limit(self, change: LimitChange) -> None:
+        limits = self.core.team_limits
+        for _ in range(_LIMIT_ATTEMPTS):
+            key = limit_key(change.team)
+            outcome = await self._store.write(
+                (
+                    self.tenure.condition,
+                    Write(
+                        key,
+                        encode_split(change.split),
+                        expected_revision=change.revision,
+                    ),
+                )
             )
-            for team in config.teams
-        }
+            if isinstance(outcome, Stored):
+                limits.note_written(change, outcome.revision)
+                return
+            if not isinstance(outcome, Conflict):
+                self._log.warning(
+                    "limit_not_stored", team=change.team, outcome=repr(outcome)
+                )
+                return
+            self._check_ownership(outcome)
+            self._note_split(change.team, outcome)
+            now_ms = self._clock.now_ms
+            demand = self.core.team_demand(now_ms)
+            again = limits.changes(
+                {change.team: demand.get(change.team, NO_RESOURCES)}, now_ms
+            )
+            found = [other for other in again if other.team == change.team]
+            if not found:
+                return
+            change = found[0]
+
+    def _note_split(self, team: str, conflict: Conflict) -> None:
+        key = limit_key(team)
+        for item in conflict.items:
+            if item.key != key or item.value is None:
+                continue
+            try:
+                split = decode_split(item.value)
+            except DocumentError as error:
+                self._log.error("limit_unreadable", team=team, error=str(error))
+                split = {}
+            self.core.team_limits.note_split(team, split, item.revision)
 
     async def _record_workers(self) -> None:
         """Write down new workers before anything starts on them."""
@@ -553,6 +619,7 @@
                     entry.born_ms,
                     str(error),
                     is_other_life=isinstance(error, OtherLifeError),
+                    was_sent=error.sent,
                 )
             )
         )
@@ -563,6 +630,8 @@
             await self._wake.wait()
             self._wake = trio.Event()
             self._run(self._scheduler.run(self._clock.now_ms, self._lease_until_ms))
+            if self._scheduler.is_team_blocked:
+                self._blocked.set()
 
     def _run(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -9,9 +9,9 @@
 __all__ = ["Demand"]
 
 # Arriving work is averaged over this span.
-RATE_WINDOW_MS = 1_200
+RATE_WINDOW_MS = 900
 # A want is kept for this long, so that a pool does not shrink between two jobs.
-HOLD_MS = 3_000
+HOLD_MS = 2_000
 # Work that waits or runs should be done within this time.
 CLEAR_MS = 1_500
 # Room above the measured demand; tasks of uneven size do not pack tightly.
--- a/apricotgap/jobs/documents.py
+++ b/apricotgap/jobs/documents.py
@@ -12,8 +12,10 @@
     "TaskRecord",
     "decode_job",
     "decode_progress",
+    "decode_split",
     "encode_job",
     "encode_progress",
+    "encode_split",
 ]
 
 _VERSION = 1
@@ -152,3 +154,30 @@
         raise
     except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError) as error:
         raise DocumentError(f"malformed progress: {error}") from error
+
+
+def encode_split(split: dict[str, Resources]) -> bytes:
+    """Return the stored form of a team's split."""
+    rows = {
+        service: [row.cpu, row.memory_mb, row.gpus] for service, row in split.items()
+    }
+    return cbor2.dumps([_VERSION, rows])
+
+
+def decode_split(data: bytes) -> dict[str, Resources]:
+    """Read the stored form of a team's split.
+
+    Raises
+    ------
+    DocumentError
+        The bytes are no split of this version.
+    """
+    try:
+        version, rows = cbor2.loads(data)
+        if version != _VERSION:
+            raise DocumentError(f"unknown split version {version}")
+        return {service: Resources(*row) for service, row in rows.items()}
+    except DocumentError:
+        raise
+    except (ValueError, TypeError, AttributeError, cbor2.CBORDecodeError) as error:
+        raise DocumentError(f"malformed split: {error}") from error
--- a/apricotgap/jobs/events.py
+++ b/apricotgap/jobs/events.py
@@ -54,14 +54,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldFailed:
-    """A worker did not renew its lease; `is_fenced` when it has a newer owner."""
+    """A hold got no usable answer; unless `was_sent` it renewed no lease either."""
 
     at_ms: int
     worker_id: str
     born_ms: int
     reason: str
-    is_fenced: bool = False
     is_other_life: bool = False
+    was_sent: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -1,6 +1,5 @@
 """Which waiting task starts next, and where."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from apricotgap.jobs import limits
@@ -39,6 +38,7 @@
 
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
+        self.is_team_blocked = False
 
     def run(self, at_ms: int, lease_until_ms: int) -> list[Effect]:
         """Decide which tasks start now.
@@ -68,6 +68,7 @@
         if not workers:
             return []
         current = _Pass(at_ms, shard.unix_of(at_ms), workers, [])
+        self.is_team_blocked = False
         in_doubt = shard.in_doubt
         may_last = shard.knows_reservations(at_ms)
         for job in self._order(current.unix_ms):
@@ -159,13 +160,11 @@
                 return None
             taken.setdefault(worker.worker_id, []).append(name)
             places.append(worker)
-        team = self._shard.team_limits.get(job.spec.team)
-        if team is not None:
-            usage = self._shard.team_usage.get(job.spec.team, NO_RESOURCES)
-            for _ in names:
-                usage = usage + step.room
-            if not usage.fits(_unbounded(team)):
-                return None
+        room = NO_RESOURCES
+        for _ in names:
+            room = room + step.room
+        if not self._team_may(job, room):
+            return None
         return places
 
     def _choose(
@@ -242,11 +241,14 @@
         return cost
 
     def _team_may(self, job: JobState, room: Resources) -> bool:
-        limit = self._shard.team_limits.get(job.spec.team)
+        limit = self._shard.team_limits.allowed(job.spec.team)
         if limit is None:
             return True
         usage = self._shard.team_usage.get(job.spec.team, NO_RESOURCES)
-        return (usage + room).fits(_unbounded(limit))
+        if (usage + room).fits(limit):
+            return True
+        self.is_team_blocked = True
+        return False
 
     def _start(
         self,
@@ -297,14 +299,3 @@
                 },
             )
         )
-
-
-def _unbounded(limit: Resources) -> Resources:
-    """Replace 0, which stands for no limit, by a bound that nothing reaches."""
-    none = 1 << 60
-    return Resources(limit.cpu or none, limit.memory_mb or none, limit.gpus or none)
-
-
-def pending_reasons(jobs: Iterable[JobState]) -> int:
-    """Count jobs of which no task has started."""
-    return sum(1 for job in jobs if not job.is_final and not job.last_run)
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -27,6 +27,7 @@
     TaskName,
 )
 from apricotgap.jobs.runs import Run, RunPhase
+from apricotgap.jobs.team_limits import TeamLimits
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["SaveBatch", "Shard"]
@@ -65,7 +66,7 @@
         self.config: Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.team_usage: dict[str, Resources] = {}
-        self.team_limits: dict[str, Resources] = {}
+        self.team_limits = TeamLimits(service)
         self.tickets: dict[tuple[str, int, int, str], str] = {}
         self._dirty: set[str] = set()
         self._is_saving = False
@@ -148,6 +149,22 @@
                 effects.extend(self.stop(run, at_ms))
         return effects
 
+    def team_demand(self, at_ms: int) -> dict[str, Resources]:
+        """What each team runs and could start now."""
+        demand = dict(self.team_usage)
+        unix_ms = self.unix_of(at_ms)
+        for job in self.jobs.values():
+            if job.is_final:
+                continue
+            team = job.spec.team
+            for key in job.open_steps(unix_ms):
+                room = job.spec.steps[key[1]].room
+                n_tasks = len(job.waiting[key])
+                demand[team] = demand.get(team, NO_RESOURCES) + Resources(
+                    room.cpu * n_tasks, room.memory_mb * n_tasks, room.gpus * n_tasks
+                )
+        return demand
+
     # Progress
 
     @property
@@ -261,7 +278,7 @@
 
     def _expire(self, worker: Worker, at_ms: int) -> Iterable[Effect]:
         """Drop what ran on a worker whose lease must have ended."""
-        if at_ms <= worker.lease_until_ms:
+        if at_ms <= max(worker.lease_until_ms, worker.offered_until_ms):
             return
         if worker.runs:
             yield from self._lose(worker, at_ms, "lease ended")
@@ -373,11 +390,15 @@
         lease_ms = min(self.max_lease_ms, left_ms)
         if not worker.clock_at_ms or lease_ms <= 0:
             return 0
-        worker.lease_until_ms = max(
-            worker.lease_until_ms, at_ms + int(lease_ms * 1.03) + 100
-        )
+        worker.offered_until_ms = at_ms + int(lease_ms * 1.03) + 100
         return worker.clock_now_ms(at_ms) + lease_ms
 
+    @staticmethod
+    def _settle_offer(worker: Worker, was_sent: bool) -> None:
+        if was_sent:
+            worker.lease_until_ms = max(worker.lease_until_ms, worker.offered_until_ms)
+        worker.offered_until_ms = 0
+
     @property
     def in_doubt(self) -> bool:
         """Whether a run of an earlier owner may exist on a worker not yet taken."""
@@ -407,6 +428,7 @@
                     "n_running": len(event.running),
                 },
             )
+        self._settle_offer(worker, True)
         worker.is_taken = True
         worker.is_doubtful = False
         worker.answered_ms = event.at_ms
@@ -490,6 +512,7 @@
         worker = self.workers.get(event.worker_id)
         if worker is None or worker.entry.born_ms != event.born_ms:
             return
+        self._settle_offer(worker, event.was_sent)
         if event.is_other_life:
             yield from self._lose(worker, event.at_ms, event.reason)
             self.workers.pop(worker.worker_id, None)
--- /dev/null
+++ b/apricotgap/jobs/team_limits.py
@@ -0,0 +1,164 @@
+"""A team's limit, split among the shards and moved to where its work is.
+
+The split of each team is one document that all owners change by compare-and-swap: an
+owner raises only its own row, by no more than the other rows leave of the limit.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from apricotgap.jobs.configuration import Configuration
+from apricotgap.jobs.model import NO_RESOURCES, Resources
+
+__all__ = ["LimitChange", "Split", "TeamLimits"]
+
+UNLIMITED = 1 << 60
+# Room above the demand that a raise asks for, so that it is not asked for each task.
+RAISE_FACTOR = 1.3
+# A row is given back when it has been this much above the demand for a while.
+LOWER_FACTOR = 2.0
+LOWER_AFTER_MS = 1_000
+# Share of the limit that all shards together keep without any demand, so that a
+# first task need not wait for a raise.
+STANDING_SHARE = 0.2
+
+Split = dict[str, Resources]
+
+
+@dataclass(frozen=True, slots=True)
+class LimitChange:
+    """A new split of one team, to be written over `revision`."""
+
+    team: str
+    split: Split
+    revision: int
+
+
+def _scaled(amount: Resources, factor: float) -> Resources:
+    return Resources(
+        int(amount.cpu * factor),
+        int(amount.memory_mb * factor),
+        int(amount.gpus * factor),
+    )
+
+
+def _smallest(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        min(one.cpu, other.cpu),
+        min(one.memory_mb, other.memory_mb),
+        min(one.gpus, other.gpus),
+    )
+
+
+def _whole(limit: Resources) -> Resources:
+    return Resources(
+        limit.cpu or UNLIMITED, limit.memory_mb or UNLIMITED, limit.gpus or UNLIMITED
+    )
+
+
+class TeamLimits:
+    """Rows of one shard.
+
+    Parameters
+    ----------
+    service : str
+        The shard.
+    """
+
+    def __init__(self, service: str) -> None:
+        self._service = service
+        self._limits: dict[str, Resources] = {}
+        self._n_services = 1
+        self._splits: dict[str, tuple[Split, int]] = {}
+        self._rows: dict[str, Resources] = {}
+        self._ample_since: dict[str, int] = {}
+
+    def set_configuration(self, config: Configuration) -> None:
+        """Take over the limits; a lowered one lowers the rows at once."""
+        self._n_services = max(1, len(config.working_services))
+        limits = {team.name: _whole(team.limit) for team in config.teams}
+        for team, limit in limits.items():
+            before = self._limits.get(team)
+            if before is not None and team in self._rows and not before.fits(limit):
+                factor = min(
+                    limit.cpu / before.cpu,
+                    limit.memory_mb / before.memory_mb,
+                    limit.gpus / before.gpus,
+                    1.0,
+                )
+                self._rows[team] = _scaled(self._rows[team], factor)
+        self._limits = limits
+
+    def allowed(self, team: str) -> Resources | None:
+        """What a team may run in this shard, None for a team without a limit."""
+        limit = self._limits.get(team)
+        if limit is None or limit.cpu == limit.memory_mb == limit.gpus == UNLIMITED:
+            return None
+        return self._rows.get(team, NO_RESOURCES)
+
+    def note_split(self, team: str, split: Split, revision: int) -> None:
+        """Take over a split as it is stored."""
+        self._splits[team] = (split, revision)
+        row = split.get(self._service, NO_RESOURCES)
+        if team in self._rows:
+            # Never above what is stored, nor above what was given back already.
+            row = _smallest(row, self._rows[team])
+        self._rows[team] = row
+
+    def note_written(self, change: LimitChange, revision: int) -> None:
+        """Take over a split that this shard wrote."""
+        self._splits[change.team] = (change.split, revision)
+        self._rows[change.team] = change.split[self._service]
+
+    def changes(self, demand: Mapping[str, Resources], at_ms: int) -> list[LimitChange]:
+        """Return the splits to write now; lowered rows count from now on.
+
+        Parameters
+        ----------
+        demand : mapping of str to Resources
+            What each team runs and could start in this shard.
+        at_ms : int
+            Now.
+        """
+        found = []
+        for team, limit in self._limits.items():
+            if self.allowed(team) is None:
+                continue
+            change = self._change(team, limit, demand.get(team, NO_RESOURCES), at_ms)
+            if change is not None:
+                found.append(change)
+        return found
+
+    def _change(
+        self, team: str, limit: Resources, demand: Resources, at_ms: int
+    ) -> LimitChange | None:
+        split, revision = self._splits.get(team, ({}, 0))
+        row = self._rows.get(team, NO_RESOURCES)
+        standing = _scaled(limit, STANDING_SHARE / self._n_services)
+        if not demand.largest(standing).fits(row):
+            self._ample_since.pop(team, None)
+            others = NO_RESOURCES
+            for service, amount in split.items():
+                if service != self._service:
+                    others = others + amount
+            room = (limit - others).largest(NO_RESOURCES)
+            wanted = _scaled(demand, RAISE_FACTOR).largest(standing).largest(row)
+            new = _smallest(wanted, room)
+            if new.fits(row):
+                return None
+            return self._changed(team, split, new, revision)
+        wanted = _scaled(demand, RAISE_FACTOR).largest(standing)
+        if row.fits(_scaled(wanted, LOWER_FACTOR)):
+            self._ample_since.pop(team, None)
+            return None
+        since_ms = self._ample_since.setdefault(team, at_ms)
+        if at_ms - since_ms < LOWER_AFTER_MS:
+            return None
+        new = _smallest(wanted, row)
+        self._rows[team] = new
+        return self._changed(team, split, new, revision)
+
+    def _changed(
+        self, team: str, split: Split, row: Resources, revision: int
+    ) -> LimitChange:
+        return LimitChange(team, {**split, self._service: row}, revision)
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -19,7 +19,8 @@
 
     `total` is the largest free capacity seen, a lower bound of its capacity.
     `lease_until_ms` bounds, on the instance's clock, how long the worker may go on
-    running what it was told to. `acknowledged` is the number of the last end that
+    running what it was told to; `offered_until_ms` is the bound that a hold under way
+    would set. `acknowledged` is the number of the last end that
     is stored, `seen` that of the last end that was applied. A doubtful worker may
     run what an earlier owner started there; only a recorded worker, which the next
     owner will know of, gets work.
@@ -28,6 +29,7 @@
     entry: WorkerEntry
     total: Resources
     lease_until_ms: int
+    offered_until_ms: int = 0
     is_listed: bool = True
     is_taken: bool = False
     is_doubtful: bool = False
--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -32,6 +32,7 @@
 )
 # Idle connections are closed before a silent loss of their state becomes likely.
 _KEEPALIVE_S = 20.0
+_CONNECT_SHARE = 0.6
 
 
 class NoAnswerError(Exception):
@@ -117,6 +118,8 @@
                 socket_options=_SOCKET_OPTIONS,
             )
             self._pools[address] = pool
+        # Shorter than the whole, to tell a call that was never sent.
+        connect_s = timeout_ms * _CONNECT_SHARE / 1000
         try:
             with trio.fail_after(timeout_ms / 1000):
                 response = await pool.request(
@@ -124,6 +127,7 @@
                     f"http://{address}{target}",
                     headers=[*_JSON, *headers],
                     content=body,
+                    extensions={"timeout": {"connect": connect_s}},
                 )
         except trio.TooSlowError:
             raise NoAnswerError("timeout", sent=True) from None
--- a/apricotgap/platform/workers.py
+++ b/apricotgap/platform/workers.py
@@ -16,7 +16,19 @@
 
 
 class WorkerError(Exception):
-    """A worker gave no usable answer."""
+    """A worker gave no usable answer.
+
+    Parameters
+    ----------
+    reason : str
+        What was seen.
+    sent : bool
+        Whether the worker may have got the call.
+    """
+
+    def __init__(self, reason: str, sent: bool = True) -> None:
+        super().__init__(reason)
+        self.sent = sent
 
 
 class FencedError(WorkerError):
@@ -124,7 +136,7 @@
                 _target(worker_id),
             )
         except NoAnswerError as error:
-            raise WorkerError(error.reason) from error
+            raise WorkerError(error.reason, error.sent) from error
         if answer.status == _OTHER_LIFE:
             raise OtherLifeError("another life answers")
         if answer.status == 409:
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the real programs as processes, with faults from outside."""
--- a/tests/instance_cluster.py
+++ b/soak/cluster.py
@@ -14,6 +14,7 @@
 
 from standins.task_worker import TaskWorker
 from standins.transactional_store import TransactionalStore
+from soak.proxy import FaultyProxy
 from tests.loopback import call
 
 ROOT = Path(__file__).parent.parent
@@ -106,7 +107,9 @@
         self._process = None
 
     def start(self):
-        """Start the process."""
+        """Start the process unless it runs; faults may overlap."""
+        if self._process is not None and self._process.poll() is None:
+            return
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "apricotgap", "instance"],
@@ -130,6 +133,14 @@
         """Wait for the end of the process; returns its exit code."""
         return self._process.wait(timeout_s)
 
+    def end(self, grace_s):
+        """Ask the process to stop and kill it when it has not after `grace_s`."""
+        self.signal(SIGTERM)
+        try:
+            self.wait(grace_s)
+        except subprocess.TimeoutExpired:
+            self.stop()
+
     def lines(self, event):
         """Return the log lines of an event."""
         found = []
@@ -142,10 +153,11 @@
 class Cluster:
     """Store, workers and instances."""
 
-    def __init__(self, store, workers, instances):
+    def __init__(self, store, workers, instances, proxies):
         self.store = store
         self.workers = workers
         self.instances = instances
+        self.proxies = proxies
 
     def owner(self):
         """Return the instance that claimed the service last."""
@@ -207,10 +219,10 @@
 
 
 @asynccontextmanager
-async def open_cluster(folder, n_instances=2, task_ms=100):
+async def open_cluster(folder, n_instances=2, task_ms=100, n_workers=2):
     """Run a cluster until the block ends."""
     store = TransactionalStore()
-    workers = [TaskWorker(f"w{n}", task_ms=task_ms) for n in range(2)]
+    workers = [TaskWorker(f"w{n}", task_ms=task_ms) for n in range(n_workers)]
     async with trio.open_nursery() as nursery:
         await nursery.start(store.listener.run)
         nursery.start_soon(store.run_leases)
@@ -222,13 +234,17 @@
                 json.dumps(worker.entry(SERVICE)).encode(),
             )
         store.put("op/config", json.dumps(configuration()).encode())
+        proxies = [FaultyProxy(store.address) for _ in range(n_instances)]
+        for proxy in proxies:
+            await nursery.start(proxy.run)
         instances = [
-            InstanceProcess(f"i{n}", store.address, folder) for n in range(n_instances)
+            InstanceProcess(f"i{n}", proxy.address, folder)
+            for n, proxy in enumerate(proxies)
         ]
         try:
             for instance in instances:
                 instance.start()
-            cluster = Cluster(store, workers, instances)
+            cluster = Cluster(store, workers, instances, proxies)
             await cluster.until_ready()
             yield cluster
         finally:
--- a/tests/test_instance_process.py
+++ b/tests/test_instance_process.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from tests.instance_cluster import SIGHUP, SIGKILL, SIGTERM, configuration, open_cluster
+from soak.cluster import SIGHUP, SIGKILL, SIGTERM, configuration, open_cluster
 from tests.loopback import call_raw
 
 JOB = {
--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -9,8 +9,9 @@
     encode_progress,
 )
 from apricotgap.jobs.effects import StartRun, StopRun
+from apricotgap.jobs.events import HoldFailed
 from apricotgap.jobs.model import JobPhase, Resources, RunEnd, StepSpec
-from tests.jobs_harness import Rig, ended, entry, job, running, task
+from tests.jobs_harness import FAR_MS, Rig, ended, entry, job, running, task
 
 
 def stops(effects):
@@ -266,6 +267,26 @@
     assert decode_job(encode_job(spec)) == spec
 
 
+def test_holds_that_were_never_sent_do_not_keep_a_lost_workers_runs():
+    """Guards against a lasting task that waits for a dead worker without end."""
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.shard.submit(job(steps=(StepSpec(1, Resources(1000, 100), lasts=True),)))
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.hold(start.worker_id, running=[running(start)])
+    other = "w2" if start.worker_id == "w1" else "w1"
+    for _ in range(8):
+        rig.now += 1_000
+        worker = rig.shard.workers[start.worker_id]
+        rig.shard.hold_sent(worker, rig.now, FAR_MS)
+        rig.shard.step(
+            HoldFailed(rig.now, start.worker_id, 1, "no connection", was_sent=False)
+        )
+        rig.hold(other)
+    rig.shard.tick(rig.now)
+    assert [again.worker_id for again in rig.schedule()] == [other]
+
+
 class TestBudget:
     """Lasting runs leave a worker only within what their step may miss."""
 
--- /dev/null
+++ b/tests/test_team_limits.py
@@ -0,0 +1,102 @@
+"""A team's limit, split among shards."""
+
+from apricotgap.jobs.configuration import Team
+from apricotgap.jobs.model import NO_RESOURCES, Resources
+from apricotgap.jobs.team_limits import LOWER_AFTER_MS, TeamLimits
+from tests.jobs_harness import configuration
+
+LIMIT = Resources(1000, 0, 0)
+
+
+def config(limit=LIMIT):
+    found = configuration()
+    team = Team("bakers", frozenset({"key"}), 1.0, limit)
+    return type(found)(1, found.queues, found.services, (team,))
+
+
+class Store:
+    """Split of one team, changed by compare-and-swap."""
+
+    def __init__(self):
+        self.split, self.revision = {}, 0
+
+    def write(self, limits, change):
+        if change.revision != self.revision:
+            limits.note_split(change.team, self.split, self.revision)
+            return False
+        self.split, self.revision = change.split, self.revision + 1
+        limits.note_written(change, self.revision)
+        return True
+
+
+def ask(limits, store, cpu, at_ms=0):
+    for _ in range(3):
+        changes = limits.changes({"bakers": Resources(cpu)}, at_ms)
+        if not changes or store.write(limits, changes[0]):
+            return
+
+
+def shard(name, limit=LIMIT):
+    limits = TeamLimits(name)
+    limits.set_configuration(config(limit))
+    return limits
+
+
+def total(store):
+    return sum(row.cpu for row in store.split.values())
+
+
+def test_rows_never_exceed_the_limit_together():
+    """Guards against a team above its limit in two shards at once."""
+    store, one, two = Store(), shard("one"), shard("two")
+    ask(one, store, 900)
+    ask(two, store, 900)
+    assert total(store) <= 1000
+    assert one.allowed("bakers").cpu + two.allowed("bakers").cpu <= 1000
+    assert one.allowed("bakers").cpu >= 900
+
+
+def test_nothing_may_start_before_a_row_is_stored():
+    limits = shard("one")
+    limits.changes({"bakers": Resources(500)}, 0)
+    assert limits.allowed("bakers") == NO_RESOURCES
+
+
+def test_row_that_is_given_back_counts_before_it_is_stored():
+    """Guards against starts under a row that another shard may have taken."""
+    store, one = Store(), shard("one")
+    ask(one, store, 900)
+    one.changes({}, 0)
+    assert one.changes({}, LOWER_AFTER_MS)
+    assert one.allowed("bakers").cpu < 900
+
+
+def test_limit_moves_to_the_shard_with_work():
+    store, one, two = Store(), shard("one"), shard("two")
+    ask(one, store, 900)
+    ask(one, store, 0)
+    ask(one, store, 0, LOWER_AFTER_MS)
+    ask(two, store, 700, LOWER_AFTER_MS)
+    assert two.allowed("bakers").cpu >= 700
+    assert total(store) <= 1000
+
+
+def test_lowered_limit_lowers_the_rows_at_once():
+    store, one = Store(), shard("one")
+    ask(one, store, 900)
+    one.set_configuration(config(Resources(100)))
+    assert one.allowed("bakers").cpu <= 100
+
+
+def test_team_without_a_limit_is_not_held():
+    assert shard("one", NO_RESOURCES).allowed("bakers") is None
+
+
+def test_split_read_later_does_not_raise_a_row_that_was_given_back():
+    store, one = Store(), shard("one")
+    ask(one, store, 900)
+    one.changes({}, 0)
+    one.changes({}, LOWER_AFTER_MS)
+    lowered = one.allowed("bakers")
+    one.note_split("bakers", store.split, store.revision)
+    assert one.allowed("bakers") == lowered
