--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 # VENV may name an environment that already holds the locked dependencies.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-SOURCES := apricotgap standins demo proof measures bench tests
+SOURCES := apricotgap standins demo proof measures bench soak tests
 
-.PHONY: setup lint format test demo model-check fault-matrix measures bench binary ci
+.PHONY: setup lint format test demo model-check fault-matrix measures bench soak binary ci
 
 setup: $(VENV)/.installed
 
@@ -43,3 +43,6 @@
 	rm -rf build/site && mkdir -p build dist
 	$(PY) -m pip install -q --no-deps --target build/site .
 	$(PY) -m shiv -q -c apricotgap -o dist/apricotgap --site-packages build/site -r requirements/runtime.txt
+
+soak: setup
+	$(PY) -m soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),10)
--- a/apricotgap/instance/directory.py
+++ b/apricotgap/instance/directory.py
@@ -156,7 +156,7 @@
         return tuple(self._members.values())
 
     def n_owned_by(self, name: str) -> int:
-        """Number of shards that an instance owns."""
+        """Return the number of shards that an instance owns."""
         return sum(
             owner is not None and owner.name == name
             for _, owner in self._owners.values()
--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -180,7 +180,7 @@
             await self._run_shard(tenure)
 
     def _rank(self, shard: str) -> int:
-        """Number of instances that should claim the shard before this one."""
+        """Return how many instances should claim the shard before this one."""
 
         def preference(name: str) -> tuple[int, bytes]:
             digest = hashlib.blake2b(f"{shard}/{name}".encode(), digest_size=8)
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -140,7 +140,12 @@
         self._client = client
         self._clock = clock
         self._metrics = metrics
-        self.core = Shard(tenure.shard, tenure.epoch, settings.bounds.max_lease_ms)
+        self.core = Shard(
+            tenure.shard,
+            tenure.epoch,
+            settings.bounds.max_lease_ms,
+            settings.bounds.stop_timeout_ms,
+        )
         self.core.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._scheduler = Scheduler(self.core)
         self._pacer = Pacer(self.core)
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -280,54 +280,64 @@
     def _plan_wave(
         self, number: int, state: _WaveState, current: "_Planning"
     ) -> list[MachineOrder]:
-        wave = state.wave
+        left = self._left_of(state, current)
+        ready = [
+            machine
+            for machine in left
+            if machine.state == "up" and self._is_idle(machine.name, current.at_ms)
+        ]
+        room = state.wave.max_down - self._n_down(number, state, current)
+        empty = [machine for machine in ready if current.is_empty(machine)]
+        orders = [
+            self._order(MachineOrder(machine.name, wave=number), current)
+            for machine in empty[: max(0, room)]
+        ]
+        busy = [machine for machine in ready if not current.is_empty(machine)]
+        self._vacate(number, state, len(left), busy, current)
+        return orders
+
+    def _left_of(self, state: _WaveState, current: "_Planning") -> list[Machine]:
+        """Return the machines of a wave that still need their upkeep."""
         left = []
-        for name in wave.machines:
+        for name in state.wave.machines:
             if name in state.done or name in state.gone:
                 continue
             machine = current.machines.get(name)
-            if machine is None:
-                # A machine that left needs no upkeep; it may only be late in the list.
-                if current.at_ms - state.seen_ms > WAVE_MARGIN_MS:
-                    state.gone.add(name)
-                continue
-            left.append(machine)
-        room = wave.max_down - self._n_down(number, state, current)
-        orders = []
-        vacating = sum(order.wave == number for order in self._reserved.values())
-        for machine in left:
-            if machine.state != "up" or not self._is_idle(machine.name, current.at_ms):
-                continue
-            if current.is_empty(machine):
-                if room > 0:
-                    room -= 1
-                    order = MachineOrder(machine.name, wave=number)
-                    orders.append(self._order(order, current))
-        end_ms = state.seen_ms + wave.duration_ms - WAVE_MARGIN_MS
+            if machine is not None:
+                left.append(machine)
+            elif current.at_ms - state.seen_ms > WAVE_MARGIN_MS:
+                # A machine that left needs no upkeep; the list may only be late.
+                state.gone.add(name)
+        return left
+
+    def _vacate(
+        self,
+        number: int,
+        state: _WaveState,
+        n_left: int,
+        candidates: list[Machine],
+        current: "_Planning",
+    ) -> None:
+        """Reserve as many machines of pools as the wave's end calls for."""
+        end_ms = state.seen_ms + state.wave.duration_ms - WAVE_MARGIN_MS
         n_cycles = max(1, (end_ms - current.at_ms) // UPKEEP_CYCLE_MS)
-        n_parallel = min(wave.max_down, ceil(len(left) / n_cycles) + 1)
+        n_parallel = min(state.wave.max_down, ceil(n_left / n_cycles) + 1)
         by_pool: dict[str, int] = {}
         for name, order in self._reserved.items():
-            if order.wave == number and name in current.machines:
-                pool = current.machines[name].pool
+            if order.wave == number:
+                pool = current.pool_of(name)
                 by_pool[pool] = by_pool.get(pool, 0) + 1
-        for machine in sorted(left, key=current.load):
-            if vacating >= n_parallel:
-                break
-            if machine.state != "up":
-                continue
-            if not self._is_idle(machine.name, current.at_ms):
-                continue
-            report = current.reports.get(machine.pool)
-            if report is None or current.is_empty(machine):
-                continue
+        n_vacating = sum(by_pool.values())
+        for machine in sorted(candidates, key=current.load):
+            if n_vacating >= n_parallel:
+                return
             most = max(1, len(current.usable(machine.pool)) // 3)
-            if by_pool.get(machine.pool, 0) >= most:
+            n_of_pool = by_pool.get(machine.pool, 0)
+            if machine.pool not in current.reports or n_of_pool >= most:
                 continue
-            by_pool[machine.pool] = by_pool.get(machine.pool, 0) + 1
-            vacating += 1
+            by_pool[machine.pool] = n_of_pool + 1
+            n_vacating += 1
             self._reserved[machine.name] = MachineOrder(machine.name, wave=number)
-        return orders
 
     def _n_down(self, number: int, state: _WaveState, current: "_Planning") -> int:
         down = {
--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -93,7 +93,7 @@
         )
 
     def open_steps(self, unix_ms: int) -> list[StepKey]:
-        """Steps with waiting tasks that may start now."""
+        """Return the steps with waiting tasks that may start now."""
         return [
             key
             for key, indices in self.waiting.items()
--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -25,7 +25,8 @@
     """One run of a task on a worker.
 
     `settled_ms` is the moment from which on a worker's list that lacks the run
-    proves that it does not exist. Times are milliseconds of the instance's clock.
+    proves that it does not exist, `is_stopped` tells that the worker took a stop.
+    Times are milliseconds of the instance's clock.
     """
 
     name: TaskName
@@ -43,7 +44,7 @@
     pace: int = 100
     started_ms: int = 0
     stop_sent_ms: int = -1_000_000
-    is_cancelled: bool = False
+    is_stopped: bool = False
 
     @property
     def room(self) -> Resources:
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -55,12 +55,18 @@
         Fencing token of this owner, above that of any earlier owner.
     max_lease_ms : int
         Longest lease of a worker.
+    stop_ms : int
+        Longest time that a worker takes to stop a run.
     """
 
-    def __init__(self, service: str, epoch: int, max_lease_ms: int) -> None:
+    def __init__(
+        self, service: str, epoch: int, max_lease_ms: int, stop_ms: int = 1_000
+    ) -> None:
         self.service = service
         self.epoch = epoch
         self.max_lease_ms = max_lease_ms
+        # A run that is being stopped is in no list until its end is.
+        self._stop_settle_ms = int(stop_ms * 1.03) + limits.RETRY_BACKOFF_MS
         self.workers: dict[str, Worker] = {}
         self.jobs: dict[str, JobState] = {}
         self.config: Configuration | None = None
@@ -150,7 +156,7 @@
         return effects
 
     def team_demand(self, at_ms: int) -> dict[str, Resources]:
-        """What each team runs and could start now."""
+        """Return what each team runs and could start now."""
         demand = dict(self.team_usage)
         unix_ms = self.unix_of(at_ms)
         for job in self.jobs.values():
@@ -295,7 +301,7 @@
             effects.extend(self._expire(worker, at_ms))
             for run in list(worker.runs.values()):
                 is_due = at_ms - run.stop_sent_ms > _STOP_RETRY_MS
-                if run.phase is RunPhase.STOPPING and is_due:
+                if run.phase is RunPhase.STOPPING and is_due and not run.is_stopped:
                     effects.extend(self.stop(run, at_ms))
         return effects
 
@@ -327,7 +333,7 @@
         return effects
 
     def knows_reservations(self, at_ms: int) -> bool:
-        """Whether the fleet's owner had time to name the workers it is about to take."""
+        """Whether the fleet's owner could name the workers it is about to take."""
         if self.reported_ms >= self.loaded_ms:
             return True
         return at_ms - self.loaded_ms > limits.FIRST_REPORT_MS
@@ -428,6 +434,9 @@
                     "n_running": len(event.running),
                 },
             )
+        if not worker.offered_until_ms:
+            # The first hold offers no lease; an earlier owner's may still run.
+            worker.offered_until_ms = event.at_ms + int(self.max_lease_ms * 1.03)
         self._settle_offer(worker, True)
         worker.is_taken = True
         worker.is_doubtful = False
@@ -546,6 +555,7 @@
             return
         run.phase = RunPhase.STOPPING
         run.stop_sent_ms = at_ms
+        run.settled_ms = max(run.settled_ms, at_ms + self._stop_settle_ms)
         yield StopRun(
             worker.worker_id,
             worker.entry.address,
@@ -598,7 +608,8 @@
             return ()
         run = worker.runs.get((event.name, event.run_id))
         if run is not None and event.ok:
-            run.settled_ms = min(run.settled_ms, event.at_ms)
+            run.is_stopped = True
+            run.settled_ms = event.at_ms + self._stop_settle_ms
         return ()
 
     def _ended(self, worker: Worker, end: EndRow, at_ms: int) -> Iterable[Effect]:
--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -90,7 +90,7 @@
         self._limits = limits
 
     def allowed(self, team: str) -> Resources | None:
-        """What a team may run in this shard, None for a team without a limit."""
+        """Return what a team may run in this shard, None without a limit."""
         limit = self._limits.get(team)
         if limit is None or limit.cpu == limit.memory_mb == limit.gpus == UNLIMITED:
             return None
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -12,9 +12,9 @@
 
 import trio
 
+from soak.proxy import FaultyProxy
 from standins.task_worker import TaskWorker
 from standins.transactional_store import TransactionalStore
-from soak.proxy import FaultyProxy
 from tests.loopback import call
 
 ROOT = Path(__file__).parent.parent
--- a/tests/jobs_harness.py
+++ b/tests/jobs_harness.py
@@ -33,7 +33,10 @@
     )
 
 
-def entry(worker_id="w1", born_ms=1, free=Resources(8000, 8000), **changes):
+FREE = Resources(8000, 8000)
+
+
+def entry(worker_id="w1", born_ms=1, free=FREE, **changes):
     """Return what a worker says of itself."""
     fields = {
         "service": SERVICE,
--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -9,7 +9,7 @@
     encode_progress,
 )
 from apricotgap.jobs.effects import StartRun, StopRun
-from apricotgap.jobs.events import HoldFailed
+from apricotgap.jobs.events import HoldFailed, StopAnswered
 from apricotgap.jobs.model import JobPhase, Resources, RunEnd, StepSpec
 from tests.jobs_harness import FAR_MS, Rig, ended, entry, job, running, task
 
@@ -267,6 +267,41 @@
     assert decode_job(encode_job(spec)) == spec
 
 
+def test_run_that_is_being_stopped_counts_until_its_end_is_listed():
+    """Guards against a second run: a worker lists a stopping run nowhere."""
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.shard.submit(job(steps=(StepSpec(1, Resources(1000, 100), lasts=True),)))
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.hold(start.worker_id, running=[running(start)])
+    rig.shard.reserve([start.worker_id], rig.now)
+    (stop,) = stops(rig.shard.migrate(rig.now))
+    rig.now += 100
+    rig.shard.step(
+        StopAnswered(rig.now, stop.worker_id, 1, stop.name, stop.run_id, True)
+    )
+    rig.now += 100
+    other = "w2" if start.worker_id == "w1" else "w1"
+    rig.hold(start.worker_id)
+    rig.hold(other)
+    assert rig.schedule() == []
+    rig.hold(start.worker_id, ends=[ended(1, start, RunEnd.STOPPED)])
+    assert len(rig.schedule()) == 1
+
+
+def test_runs_found_by_the_first_hold_are_kept_until_their_lease_must_have_ended():
+    """Guards against a second run right after a takeover."""
+    rig = Rig(epoch=2)
+    rig.record_all()
+    rig.shard.load(job(steps=(StepSpec(1, Resources(1000, 100), 800),)), None, 0)
+    from_before = StartRun("w1", "", 1, task(0), 1, "", 0, "")
+    rig.hold(running=[running(from_before)])
+    rig.now += 100
+    rig.shard.tick(rig.now)
+    rig.hold(running=[running(from_before)])
+    assert rig.schedule() == []
+
+
 def test_holds_that_were_never_sent_do_not_keep_a_lost_workers_runs():
     """Guards against a lasting task that waits for a dead worker without end."""
     rig = Rig(workers=("w1", "w2")).ready()
