Split the shard owner: progress writer, roster, limit keeper and tenure

The roster is now written over its last revision: a late write must not drop a worker that was added since. Roster writes no longer delay the tick.

--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -2,7 +2,6 @@
 
 import hashlib
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import structlog
 import trio
@@ -20,6 +19,7 @@
     owner_key,
 )
 from apricotgap.instance.lease import InstanceLease
+from apricotgap.instance.tenure import Tenure
 from apricotgap.platform.store import (
     Conflict,
     Item,
@@ -30,33 +30,13 @@
     Write,
 )
 
-__all__ = ["Election", "Tenure"]
+__all__ = ["Election"]
 
 # An instance waits this much longer for each other one that should come first.
 RANK_DELAY_MS = 250
 _SCAN_S = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class Tenure:
-    """Ownership of a shard, which ends with the lease `lease_id`.
-
-    Writes of the owner are conditioned on `revision`.
-    """
-
-    shard: str
-    epoch: int
-    revision: int
-    lease_id: int
-
-    @property
-    def condition(self) -> Write:
-        """Part of a transaction that fails once another owner has taken over."""
-        return Write(
-            owner_key(self.shard), expected_revision=self.revision, check_only=True
-        )
-
-
 class Election:
     """Claims shards without an owner and runs those that this instance owns.
 
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -9,10 +9,9 @@
 
 from apricotgap.clock import Clock
 from apricotgap.instance.directory import Directory
-from apricotgap.instance.election import Tenure
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.metrics import Metrics
-from apricotgap.instance.shard_owner import OwnershipLostError
+from apricotgap.instance.tenure import Tenure
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_plan import (
     FleetPlanner,
@@ -216,7 +215,7 @@
                 continue
             self._log.warning("wave_not_stored", wave=number, outcome=repr(outcome))
             if isinstance(outcome, Conflict):
-                raise OwnershipLostError("the owner's key has changed")
+                self._tenure.check(outcome)
 
 
 def report_to_rows(report: PoolReport) -> list:
--- a/apricotgap/instance/gateway.py
+++ b/apricotgap/instance/gateway.py
@@ -21,7 +21,8 @@
     progress_prefix,
 )
 from apricotgap.instance.peers import PeerCallError, PeerClient
-from apricotgap.instance.shard_owner import OwnershipLostError, ShardOwner
+from apricotgap.instance.shard_owner import ShardOwner
+from apricotgap.instance.tenure import OwnershipLostError
 from apricotgap.jobs.documents import (
     DocumentError,
     decode_job,
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -14,14 +14,15 @@
 from apricotgap.errors import SettingsError
 from apricotgap.instance import logs
 from apricotgap.instance.directory import FLEET_SHARD, Directory
-from apricotgap.instance.election import Election, Tenure
+from apricotgap.instance.election import Election
 from apricotgap.instance.fleet_owner import FleetOwner
 from apricotgap.instance.gateway import Gateway
 from apricotgap.instance.keys import Member
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.metrics import Metrics
 from apricotgap.instance.peers import PeerClient, serve_peers
-from apricotgap.instance.shard_owner import OwnershipLostError, ShardOwner
+from apricotgap.instance.shard_owner import ShardOwner
+from apricotgap.instance.tenure import OwnershipLostError, Tenure
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.platform.ingress import IngressApp
 from apricotgap.platform.settings import (
--- /dev/null
+++ b/apricotgap/instance/limit_keeper.py
@@ -0,0 +1,128 @@
+"""Moves teams' limits between the owners of shards."""
+
+from collections.abc import Callable
+
+import structlog
+import trio
+
+from apricotgap.clock import Clock
+from apricotgap.instance.keys import limit_key
+from apricotgap.instance.tenure import Tenure
+from apricotgap.jobs.documents import DocumentError, decode_split, encode_split
+from apricotgap.jobs.model import NO_RESOURCES
+from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.team_limits import LimitChange
+from apricotgap.platform.store import Conflict, StoreClient, Stored, Write
+
+__all__ = ["LimitKeeper"]
+
+# Splits are looked at this often, at once when a task is blocked by one.
+INTERVAL_S = 0.5
+# Owners that compete for the same limit must not do so in a busy loop.
+GAP_S = 0.05
+MAX_ATTEMPTS = 4
+_RETRY_S = 0.15
+
+
+class LimitKeeper:
+    """Raises and gives back the rows of one shard.
+
+    Parameters
+    ----------
+    shard, tenure, store, clock
+        What it works with.
+    lease_until_ms : callable
+        End of the tenure's lease.
+    changed : callable
+        Called when tasks may start that could not before.
+    """
+
+    def __init__(
+        self,
+        shard: Shard,
+        tenure: Tenure,
+        store: StoreClient,
+        clock: Clock,
+        lease_until_ms: Callable[[], int],
+        changed: Callable[[], None],
+    ) -> None:
+        self._shard = shard
+        self._tenure = tenure
+        self._store = store
+        self._clock = clock
+        self._lease_until_ms = lease_until_ms
+        self._changed = changed
+        self._blocked = trio.Event()
+        self._log = structlog.get_logger().bind(shard=tenure.shard, epoch=tenure.epoch)
+
+    def wake(self) -> None:
+        """Look at the limits at once."""
+        self._blocked.set()
+
+    async def run(self) -> None:
+        """Move limits until cancelled.
+
+        Raises
+        ------
+        OwnershipLostError
+            The store shows another owner.
+        """
+        while True:
+            with trio.move_on_after(INTERVAL_S):
+                await self._blocked.wait()
+            self._blocked = trio.Event()
+            now_ms = self._clock.now_ms
+            if self._lease_until_ms() < now_ms or self._store.is_down:
+                await trio.sleep(_RETRY_S)
+                continue
+            demand = self._shard.team_demand(now_ms)
+            for change in self._shard.team_limits.changes(demand, now_ms):
+                await self._write_limit(change)
+            self._changed()
+            await trio.sleep(GAP_S)
+
+    async def _write_limit(self, change: LimitChange) -> None:
+        limits = self._shard.team_limits
+        for _ in range(MAX_ATTEMPTS):
+            key = limit_key(change.team)
+            outcome = await self._store.write(
+                (
+                    self._tenure.condition,
+                    Write(
+                        key,
+                        encode_split(change.split),
+                        expected_revision=change.revision,
+                    ),
+                )
+            )
+            if isinstance(outcome, Stored):
+                limits.note_written(change, outcome.revision)
+                return
+            if not isinstance(outcome, Conflict):
+                self._log.warning(
+                    "limit_not_stored", team=change.team, outcome=repr(outcome)
+                )
+                return
+            self._tenure.check(outcome)
+            self._note_split(change.team, outcome)
+            now_ms = self._clock.now_ms
+            demand = self._shard.team_demand(now_ms)
+            again = limits.changes(
+                {change.team: demand.get(change.team, NO_RESOURCES)}, now_ms
+            )
+            found = [other for other in again if other.team == change.team]
+            if not found:
+                return
+            change = found[0]
+
+    def _note_split(self, team: str, conflict: Conflict) -> None:
+        key = limit_key(team)
+        for item in conflict.items:
+            if item.key != key or item.value is None:
+                continue
+            try:
+                split = decode_split(item.value)
+            except DocumentError as error:
+                self._log.error("limit_unreadable", team=team, error=str(error))
+                split = {}
+            self._shard.team_limits.note_split(team, split, item.revision)
--- /dev/null
+++ b/apricotgap/instance/progress_writer.py
@@ -0,0 +1,130 @@
+"""Stores the progress of a shard's jobs, many in one transaction."""
+
+from collections.abc import Iterable
+
+import structlog
+import trio
+
+from apricotgap.instance.keys import progress_key
+from apricotgap.instance.tenure import Tenure
+from apricotgap.jobs.shard import SaveBatch, Shard
+from apricotgap.platform.store import (
+    MAX_TXN_ENTRIES,
+    Conflict,
+    Item,
+    StoreClient,
+    Stored,
+    StoreError,
+    Unknown,
+    Write,
+)
+
+__all__ = ["ProgressWriter"]
+
+# Ends are stored, and with that acknowledged, at the latest after this time.
+SAVE_INTERVAL_S = 0.15
+# A job that became final is stored after this time, to group what ends together.
+FINAL_SAVE_DELAY_S = 0.02
+_RETRY_S = 0.15
+
+
+class ProgressWriter:
+    """Writes changed progress and tells the shard what is stored.
+
+    Each document is written over its last revision, so that a write with an unknown
+    outcome that is executed late cannot undo a later one.
+
+    Parameters
+    ----------
+    shard, tenure, store
+        What it works with.
+    """
+
+    def __init__(self, shard: Shard, tenure: Tenure, store: StoreClient) -> None:
+        self._shard = shard
+        self._tenure = tenure
+        self._store = store
+        self._dirty = trio.Event()
+        self.saved = trio.Event()
+        self._log = structlog.get_logger().bind(shard=tenure.shard, epoch=tenure.epoch)
+
+    def wake(self) -> None:
+        """Store what has changed soon."""
+        self._dirty.set()
+
+    async def run(self) -> None:
+        """Store changes until cancelled.
+
+        Raises
+        ------
+        OwnershipLostError
+            The store shows another owner.
+        """
+        while True:
+            await self._dirty.wait()
+            self._dirty = trio.Event()
+            if not self._shard.has_unsaved:
+                continue
+            if self._shard.has_unsaved_final:
+                await trio.sleep(FINAL_SAVE_DELAY_S)
+            else:
+                with trio.move_on_after(SAVE_INTERVAL_S):
+                    while not self._shard.has_unsaved_final:
+                        await self._dirty.wait()
+                        self._dirty = trio.Event()
+            batch = self._shard.begin_save()
+            if not await self._save(batch):
+                self._dirty.set()
+                await trio.sleep(_RETRY_S)
+
+    async def _save(self, batch: SaveBatch) -> bool:
+        revisions: dict[str, int] = {}
+        # A document takes two entries, the condition on the owner one.
+        step = (MAX_TXN_ENTRIES - 1) // 2
+        for start in range(0, len(batch.documents), step):
+            part = batch.documents[start : start + step]
+            outcome = await self._store.write(
+                (
+                    self._tenure.condition,
+                    *(
+                        Write(
+                            progress_key(self._shard.service, job_id),
+                            data,
+                            expected_revision=revision,
+                        )
+                        for job_id, data, revision in part
+                    ),
+                )
+            )
+            if isinstance(outcome, Stored):
+                revisions.update((job_id, outcome.revision) for job_id, *_ in part)
+                continue
+            self._log.warning("progress_not_stored", outcome=repr(outcome)[:200])
+            if isinstance(outcome, Conflict):
+                self._tenure.check(outcome)
+                self._adopt_revisions(outcome.items)
+            elif isinstance(outcome, Unknown):
+                await self._reread(job_id for job_id, *_ in part)
+        missing = [job for job, *_ in batch.documents if job not in revisions]
+        self._shard.save_failed(missing)
+        self._shard.saved(batch, revisions)
+        self.saved.set()
+        self.saved = trio.Event()
+        return not missing
+
+    async def _reread(self, job_ids: Iterable[str]) -> None:
+        """Learn the revisions of documents whose write has an unknown outcome."""
+        for job_id in job_ids:
+            key = progress_key(self._shard.service, job_id)
+            try:
+                item = await self._store.read_key(key)
+            except StoreError as error:
+                self._log.warning("reread_failed", job=job_id, reason=str(error))
+                return
+            self._adopt_revisions((item,))
+
+    def _adopt_revisions(self, items: Iterable[Item]) -> None:
+        for item in items:
+            job = self._shard.jobs.get(item.key.rpartition("/")[2])
+            if job is not None and item.key.startswith("progress/"):
+                job.revision = item.revision
--- /dev/null
+++ b/apricotgap/instance/roster.py
@@ -0,0 +1,126 @@
+"""The stored list of workers that may run tasks of a shard."""
+
+import cbor2
+import structlog
+import trio
+
+from apricotgap.instance.keys import roster_key
+from apricotgap.instance.tenure import Tenure
+from apricotgap.jobs.fleet import WorkerEntry
+from apricotgap.jobs.model import Resources
+from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.workers import Worker
+from apricotgap.platform.store import (
+    Conflict,
+    Snapshot,
+    StoreClient,
+    Stored,
+    StoreError,
+    Unknown,
+    Write,
+)
+
+__all__ = ["RosterKeeper"]
+
+_INTERVAL_S = 0.05
+_RETRY_S = 0.15
+
+
+class RosterKeeper:
+    """Writes down workers before anything starts on them.
+
+    The roster is written over its last revision: a write with an unknown outcome that
+    is executed late must not drop a worker that was added since.
+
+    Parameters
+    ----------
+    shard, tenure, store
+        What it works with.
+    """
+
+    def __init__(self, shard: Shard, tenure: Tenure, store: StoreClient) -> None:
+        self._shard = shard
+        self._tenure = tenure
+        self._store = store
+        self._key = roster_key(tenure.shard)
+        self._revision = 0
+        self._recorded: set[str] = set()
+        self._log = structlog.get_logger().bind(shard=tenure.shard, epoch=tenure.epoch)
+
+    def load(self, snapshot: Snapshot, at_ms: int) -> None:
+        """Expect the workers that the earlier owner wrote down."""
+        for item in snapshot.items:
+            if item.key != self._key or item.value is None:
+                continue
+            self._revision = item.revision
+            try:
+                rows = cbor2.loads(item.value)
+                entries = [_entry(self._shard.service, row) for row in rows]
+            except (ValueError, TypeError) as error:
+                self._log.error("roster_unreadable", error=str(error))
+                continue
+            for entry in entries:
+                self._shard.expect(entry, at_ms)
+                self._shard.workers[entry.worker_id].is_recorded = True
+                self._recorded.add(entry.worker_id)
+
+    async def run(self) -> None:
+        """Keep the roster up to date until cancelled.
+
+        Raises
+        ------
+        OwnershipLostError
+            The store shows another owner.
+        """
+        while True:
+            await trio.sleep(_INTERVAL_S)
+            workers = dict(self._shard.workers)
+            is_new = any(not worker.is_recorded for worker in workers.values())
+            if not is_new and workers.keys() == self._recorded:
+                continue
+            if self._store.is_down or not await self._write(workers):
+                await trio.sleep(_RETRY_S)
+
+    async def _write(self, workers: dict[str, Worker]) -> bool:
+        rows = [_row(worker) for worker in workers.values()]
+        write = Write(self._key, cbor2.dumps(rows), expected_revision=self._revision)
+        outcome = await self._store.write((self._tenure.condition, write))
+        if isinstance(outcome, Stored):
+            self._revision = outcome.revision
+            self._recorded = set(workers)
+            for worker in workers.values():
+                worker.is_recorded = True
+            return True
+        self._log.warning("roster_not_stored", outcome=repr(outcome)[:200])
+        if isinstance(outcome, Conflict):
+            self._tenure.check(outcome)
+            self._revision = outcome.revision_of(self._key)
+        elif isinstance(outcome, Unknown):
+            await self._reread()
+        return False
+
+    async def _reread(self) -> None:
+        try:
+            self._revision = (await self._store.read_key(self._key)).revision
+        except StoreError as error:
+            self._log.warning("roster_not_read", reason=str(error))
+
+
+def _row(worker: Worker) -> list:
+    entry, total = worker.entry, worker.total
+    return [
+        entry.worker_id,
+        entry.address,
+        entry.machine,
+        list(entry.labels),
+        entry.born_ms,
+        [total.cpu, total.memory_mb, total.gpus],
+    ]
+
+
+def _entry(service: str, row: list) -> WorkerEntry:
+    worker_id, address, machine, labels, born_ms, total = row
+    free = Resources(*total)
+    return WorkerEntry(
+        worker_id, service, address, "", machine, False, free, tuple(labels), born_ms
+    )
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -3,27 +3,28 @@
 import time
 from collections.abc import Iterable
 
-import cbor2
 import structlog
 import trio
 
 from apricotgap.clock import Clock
 from apricotgap.instance.directory import Directory
-from apricotgap.instance.election import Tenure
 from apricotgap.instance.keys import (
     cancel_key,
     index_key,
     job_key,
     job_writes,
     jobs_prefix,
-    limit_key,
     progress_key,
     progress_prefix,
     roster_key,
 )
 from apricotgap.instance.lease import InstanceLease
+from apricotgap.instance.limit_keeper import LimitKeeper
 from apricotgap.instance.metrics import Metrics
 from apricotgap.instance.mirror import PrefixMirror
+from apricotgap.instance.progress_writer import ProgressWriter
+from apricotgap.instance.roster import RosterKeeper
+from apricotgap.instance.tenure import OwnershipLostError, Tenure
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.documents import (
@@ -31,9 +32,7 @@
     Progress,
     decode_job,
     decode_progress,
-    decode_split,
     encode_job,
-    encode_split,
 )
 from apricotgap.jobs.effects import Effect, LogDecision, PaceRun, StartRun, StopRun
 from apricotgap.jobs.events import (
@@ -43,25 +42,21 @@
     StopAnswered,
     WorkersListed,
 )
-from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.fleet_plan import PoolReport, WorkerReport
-from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.limits import (
     HOLD_WAIT_MS,
     LEASE_MARGIN_MS,
     RETENTION_MARGIN_MS,
     SILENT_WORKER_MS,
 )
-from apricotgap.jobs.model import NO_RESOURCES, JobPhase, JobSpec, Resources
+from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.scheduling import Scheduler
-from apricotgap.jobs.shard import SaveBatch, Shard
+from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.stragglers import StragglerWatch
-from apricotgap.jobs.team_limits import LimitChange
 from apricotgap.jobs.workers import Worker
 from apricotgap.platform.settings import PlatformSettings
 from apricotgap.platform.store import (
-    MAX_TXN_ENTRIES,
     Conflict,
     Item,
     Snapshot,
@@ -79,7 +74,7 @@
     WorkerError,
 )
 
-__all__ = ["OwnershipLostError", "ShardOwner", "SubmitOutcome"]
+__all__ = ["ShardOwner", "SubmitOutcome"]
 
 SubmitOutcome = str
 
@@ -87,26 +82,14 @@
 _RETRY_S = 0.15
 # A worker that has been silent for a while is asked less often.
 _SILENT_RETRY_S = 0.4
-# Ends are stored, and with that acknowledged, at the latest after this time.
-SAVE_INTERVAL_S = 0.15
-# A job that became final is stored after this time, to group what ends together.
-FINAL_SAVE_DELAY_S = 0.02
 # Changes that another instance wrote directly are read this often.
 JOB_WATCH_WAIT_MS = 4_000
 JOB_WATCH_PAUSE_MS = 1_000
 HOUSEKEEPING_S = 5.0
-# Splits of teams' limits are looked at this often, at once when a task is blocked.
-_LIMITS_S = 0.5
-_LIMITS_GAP_S = 0.05
-_LIMIT_ATTEMPTS = 4
 # Between two looks at a worker whose ends are not stored yet.
 HOLD_GAP_S = 0.1
 
 
-class OwnershipLostError(Exception):
-    """Another instance owns the shard."""
-
-
 class ShardOwner:
     """One tenure of a shard.
 
@@ -153,13 +136,17 @@
         self._stragglers = StragglerWatch(self.core)
         self._retention_ms = settings.bounds.status_retention_ms
         self._wake = trio.Event()
-        self._dirty = trio.Event()
-        self._saved = trio.Event()
-        self._blocked = trio.Event()
+        self._writer = ProgressWriter(self.core, tenure, store)
+        self._roster = RosterKeeper(self.core, tenure, store)
+        self._limits = LimitKeeper(
+            self.core, tenure, store, clock, lambda: self._lease_until_ms, self._wake_up
+        )
         self._holding: set[tuple[str, int, str]] = set()
-        self._recorded: set[str] = set()
         self._log = structlog.get_logger().bind(shard=tenure.shard, epoch=tenure.epoch)
 
+    def _wake_up(self) -> None:
+        self._wake.set()
+
     async def run(self) -> None:
         """Load the shard and run it until cancelled or replaced.
 
@@ -173,10 +160,11 @@
             self._nursery = nursery
             nursery.start_soon(jobs.run)
             nursery.start_soon(self._schedule_loop)
-            nursery.start_soon(self._save_loop)
+            nursery.start_soon(self._writer.run)
+            nursery.start_soon(self._roster.run)
             nursery.start_soon(self._tick_loop)
             nursery.start_soon(self._housekeeping_loop)
-            nursery.start_soon(self._limits_loop)
+            nursery.start_soon(self._limits.run)
             self.ready.set()
 
     # Loading
@@ -199,7 +187,7 @@
             nursery.start_soon(self._workers.loaded.wait)
         jobs, progress, roster = (found[prefix] for prefix in prefixes)
         self.core.loaded_ms = self._clock.now_ms
-        self._load_roster(roster)
+        self._roster.load(roster, self.core.loaded_ms)
         self._load_jobs(jobs, progress)
         self._log.info(
             "shard_loaded",
@@ -226,32 +214,6 @@
                 self._log.warning("load_failed", prefix=prefix, reason=str(error))
                 await trio.sleep(_RETRY_S)
 
-    def _load_roster(self, roster: Snapshot) -> None:
-        now_ms = self._clock.now_ms
-        for item in roster.items:
-            if item.key != roster_key(self.service) or item.value is None:
-                continue
-            try:
-                rows = cbor2.loads(item.value)
-            except ValueError as error:
-                self._log.error("roster_unreadable", error=str(error))
-                continue
-            for worker_id, address, machine, labels, born_ms, total in rows:
-                entry = WorkerEntry(
-                    worker_id,
-                    self.service,
-                    address,
-                    "",
-                    machine,
-                    False,
-                    Resources(*total),
-                    tuple(labels),
-                    born_ms,
-                )
-                self.core.expect(entry, now_ms)
-                self.core.workers[worker_id].is_recorded = True
-                self._recorded.add(worker_id)
-
     def _load_jobs(self, jobs: Snapshot, progress: Snapshot) -> None:
         stored: dict[str, tuple[Progress, int]] = {}
         for item in progress.items:
@@ -323,7 +285,7 @@
             if isinstance(outcome, Stored):
                 break
             if isinstance(outcome, Conflict):
-                self._check_ownership(outcome)
+                self.tenure.check(outcome)
                 if any(item.value == self.service.encode() for item in outcome.items):
                     break
                 # The id belongs to a job of a service that the queue used before.
@@ -341,12 +303,6 @@
         self._wake.set()
         return "accepted"
 
-    def _check_ownership(self, conflict: Conflict) -> None:
-        owner = self.tenure.condition
-        revision = conflict.revision_of(owner.key)
-        if revision != owner.expected_revision:
-            raise OwnershipLostError(f"owner revision {revision}")
-
     def phase(self, job_id: str) -> JobPhase | None:
         """State of a job as callers see it, None for an unknown one."""
         job = self.core.jobs.get(job_id)
@@ -362,7 +318,7 @@
             if self._clock.now_ms > deadline_ms:
                 return False
             with trio.move_on_after(0.2):
-                await self._saved.wait()
+                await self._writer.saved.wait()
         return True
 
     def _cancel(self, job_id: str) -> None:
@@ -431,7 +387,6 @@
             self._run(self._pacer.run(now_ms))
             self._run(self._stragglers.run(now_ms))
             self._start_holds()
-            await self._record_workers()
             self._wake.set()
             await trio.sleep(_TICK_S)
 
@@ -442,103 +397,7 @@
             return
         self.core.config = config
         self.core.team_limits.set_configuration(config)
-        self._blocked.set()
-
-    async def _limits_loop(self) -> None:
-        """Move teams' limits to where their work is."""
-        while True:
-            with trio.move_on_after(_LIMITS_S):
-                await self._blocked.wait()
-            self._blocked = trio.Event()
-            now_ms = self._clock.now_ms
-            if self._lease_until_ms < now_ms or self._store.is_down:
-                await trio.sleep(_RETRY_S)
-                continue
-            demand = self.core.team_demand(now_ms)
-            for change in self.core.team_limits.changes(demand, now_ms):
-                await self._write_limit(change)
-            self._wake.set()
-            # Owners that compete for the same limit must not do so in a busy loop.
-            await trio.sleep(_LIMITS_GAP_S)
-
-    async def _write_limit(self, change: LimitChange) -> None:
-        limits = self.core.team_limits
-        for _ in range(_LIMIT_ATTEMPTS):
-            key = limit_key(change.team)
-            outcome = await self._store.write(
-                (
-                    self.tenure.condition,
-                    Write(
-                        key,
-                        encode_split(change.split),
-                        expected_revision=change.revision,
-                    ),
-                )
-            )
-            if isinstance(outcome, Stored):
-                limits.note_written(change, outcome.revision)
-                return
-            if not isinstance(outcome, Conflict):
-                self._log.warning(
-                    "limit_not_stored", team=change.team, outcome=repr(outcome)
-                )
-                return
-            self._check_ownership(outcome)
-            self._note_split(change.team, outcome)
-            now_ms = self._clock.now_ms
-            demand = self.core.team_demand(now_ms)
-            again = limits.changes(
-                {change.team: demand.get(change.team, NO_RESOURCES)}, now_ms
-            )
-            found = [other for other in again if other.team == change.team]
-            if not found:
-                return
-            change = found[0]
-
-    def _note_split(self, team: str, conflict: Conflict) -> None:
-        key = limit_key(team)
-        for item in conflict.items:
-            if item.key != key or item.value is None:
-                continue
-            try:
-                split = decode_split(item.value)
-            except DocumentError as error:
-                self._log.error("limit_unreadable", team=team, error=str(error))
-                split = {}
-            self.core.team_limits.note_split(team, split, item.revision)
-
-    async def _record_workers(self) -> None:
-        """Write down new workers before anything starts on them."""
-        present = {worker.worker_id: worker for worker in self.core.workers.values()}
-        if present.keys() == self._recorded and all(
-            worker.is_recorded for worker in present.values()
-        ):
-            return
-        rows = [
-            [
-                worker.worker_id,
-                worker.entry.address,
-                worker.entry.machine,
-                list(worker.entry.labels),
-                worker.entry.born_ms,
-                [worker.total.cpu, worker.total.memory_mb, worker.total.gpus],
-            ]
-            for worker in present.values()
-        ]
-        outcome = await self._store.write(
-            (
-                self.tenure.condition,
-                Write(roster_key(self.service), cbor2.dumps(rows)),
-            )
-        )
-        if isinstance(outcome, Conflict):
-            self._check_ownership(outcome)
-        if not isinstance(outcome, Stored):
-            self._log.warning("roster_not_stored", outcome=repr(outcome))
-            return
-        self._recorded = set(present)
-        for worker in present.values():
-            worker.is_recorded = True
+        self._limits.wake()
 
     def _start_holds(self) -> None:
         for worker in self.core.workers.values():
@@ -636,7 +495,7 @@
             self._wake = trio.Event()
             self._run(self._scheduler.run(self._clock.now_ms, self._lease_until_ms))
             if self._scheduler.is_team_blocked:
-                self._blocked.set()
+                self._limits.wake()
 
     def _run(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
@@ -649,7 +508,7 @@
             elif isinstance(effect, PaceRun):
                 self._nursery.start_soon(self._pace, effect)
         if self.core.has_unsaved:
-            self._dirty.set()
+            self._writer.wake()
 
     async def _start(self, order: StartRun) -> None:
         result = await self._client.start(order, self.tenure.epoch)
@@ -690,76 +549,6 @@
 
     # Storing
 
-    async def _save_loop(self) -> None:
-        while True:
-            await self._dirty.wait()
-            self._dirty = trio.Event()
-            if not self.core.has_unsaved:
-                continue
-            if self.core.has_unsaved_final:
-                await trio.sleep(FINAL_SAVE_DELAY_S)
-            else:
-                with trio.move_on_after(SAVE_INTERVAL_S):
-                    while not self.core.has_unsaved_final:
-                        await self._dirty.wait()
-                        self._dirty = trio.Event()
-            batch = self.core.begin_save()
-            if not await self._save(batch):
-                self._dirty.set()
-                await trio.sleep(_RETRY_S)
-
-    async def _save(self, batch: SaveBatch) -> bool:
-        revisions: dict[str, int] = {}
-        # A document takes two entries, the condition on the owner one.
-        step = (MAX_TXN_ENTRIES - 1) // 2
-        for start in range(0, len(batch.documents), step):
-            part = batch.documents[start : start + step]
-            outcome = await self._store.write(
-                (
-                    self.tenure.condition,
-                    *(
-                        Write(
-                            progress_key(self.service, job_id),
-                            data,
-                            expected_revision=revision,
-                        )
-                        for job_id, data, revision in part
-                    ),
-                )
-            )
-            if isinstance(outcome, Stored):
-                revisions.update((job_id, outcome.revision) for job_id, *_ in part)
-                continue
-            self._log.warning("progress_not_stored", outcome=repr(outcome)[:200])
-            if isinstance(outcome, Conflict):
-                self._check_ownership(outcome)
-                self._adopt_revisions(outcome.items)
-            elif isinstance(outcome, Unknown):
-                await self._reread(job_id for job_id, *_ in part)
-        missing = [job for job, *_ in batch.documents if job not in revisions]
-        self.core.save_failed(missing)
-        self.core.saved(batch, revisions)
-        self._saved.set()
-        self._saved = trio.Event()
-        return not missing
-
-    async def _reread(self, job_ids: Iterable[str]) -> None:
-        """Learn the revisions of documents whose write has an unknown outcome."""
-        for job_id in job_ids:
-            key = progress_key(self.service, job_id)
-            try:
-                item = await self._store.read_key(key)
-            except StoreError as error:
-                self._log.warning("reread_failed", job=job_id, reason=str(error))
-                return
-            self._adopt_revisions((item,))
-
-    def _adopt_revisions(self, items: Iterable[Item]) -> None:
-        for item in items:
-            job: JobState | None = self.core.jobs.get(item.key.rpartition("/")[2])
-            if job is not None and item.key.startswith("progress/"):
-                job.revision = item.revision
-
     async def _housekeeping_loop(self) -> None:
         while True:
             await trio.sleep(HOUSEKEEPING_S)
