--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -55,6 +55,7 @@
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.stragglers import StragglerWatch
 from apricotgap.jobs.workers import Worker
+from apricotgap.platform.advice import AdviceClient, AdviceError
 from apricotgap.platform.settings import PlatformSettings
 from apricotgap.platform.store import (
     Conflict,
@@ -80,6 +81,7 @@
 
 _TICK_S = 0.1
 _RETRY_S = 0.15
+_ADVICE_IDLE_S = 0.05
 # A worker that has been silent for a while is asked less often.
 _SILENT_RETRY_S = 0.4
 # Changes that another instance wrote directly are read this often.
@@ -134,6 +136,9 @@
         self._pacer = Pacer(self.core)
         self._demand = Demand(self.core)
         self._stragglers = StragglerWatch(self.core)
+        self._advice = (
+            AdviceClient(settings.advice_address) if settings.advice_address else None
+        )
         self._retention_ms = settings.bounds.status_retention_ms
         self._wake = trio.Event()
         self._writer = ProgressWriter(self.core, tenure, store)
@@ -161,6 +166,7 @@
             nursery.start_soon(jobs.run)
             nursery.start_soon(self._schedule_loop)
             nursery.start_soon(self._writer.run)
+            nursery.start_soon(self._advice_loop)
             nursery.start_soon(self._roster.run)
             nursery.start_soon(self._tick_loop)
             nursery.start_soon(self._housekeeping_loop)
@@ -549,6 +555,32 @@
 
     # Storing
 
+    async def _advice_loop(self) -> None:
+        """Ask for tickets; the service serves one call of an instance at a time."""
+        if self._advice is None:
+            return
+        tickets = self.core.tickets
+        while True:
+            question = tickets.next_question()
+            if question is None:
+                await trio.sleep(_ADVICE_IDLE_S)
+                continue
+            step, workers = question
+            sent_ms = self._clock.now_ms
+            try:
+                approved, validity_ms = await self._advice.ask(
+                    str(step), [worker.worker_id for worker in workers]
+                )
+            except AdviceError as error:
+                self._log.warning("advice_failed", step=str(step), reason=str(error))
+                await trio.sleep(_RETRY_S)
+                continue
+            self._log.info(
+                "advice", step=str(step), n_asked=len(workers), n_approved=len(approved)
+            )
+            tickets.answered(step, workers, approved, sent_ms + validity_ms)
+            self._wake.set()
+
     async def _housekeeping_loop(self) -> None:
         while True:
             await trio.sleep(HOUSEKEEPING_S)
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -8,6 +8,7 @@
 from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec, TaskName
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.tickets import StepName
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["Scheduler"]
@@ -201,6 +202,8 @@
                 >= step.max_per_worker
             ):
                 continue
+            if self._needs_ticket(job) and not self._ticket(name, worker, current):
+                continue
             cost = self._cost(worker, name, step, current.at_ms)
             if worker.worker_id in avoided:
                 cost += 10
@@ -240,6 +243,15 @@
             cost += 0.3 * self._n_in_rack(worker.entry.rack, name)
         return cost
 
+    def _needs_ticket(self, job: JobState) -> bool:
+        config = self._shard.config
+        queue = config.queue_by_name.get(job.spec.queue) if config else None
+        return queue is not None and queue.needs_ticket
+
+    def _ticket(self, name: TaskName, worker: Worker, current: _Pass) -> str:
+        step = StepName.of(name)
+        return self._shard.tickets.find(step, worker, current.at_ms) or ""
+
     def _team_may(self, job: JobState, room: Resources) -> bool:
         limit = self._shard.team_limits.allowed(job.spec.team)
         if limit is None:
@@ -285,6 +297,7 @@
                 job.spec.content,
                 worker.clock_now_ms(at_ms) + limits.START_WINDOW_MS,
                 run.checkpoint,
+                self._ticket(name, worker, current) if self._needs_ticket(job) else "",
             )
         )
         current.effects.append(
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -28,6 +28,7 @@
 )
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.team_limits import TeamLimits
+from apricotgap.jobs.tickets import StepName, Tickets
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["SaveBatch", "Shard"]
@@ -73,7 +74,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.team_usage: dict[str, Resources] = {}
         self.team_limits = TeamLimits(service)
-        self.tickets: dict[tuple[str, int, int, str], str] = {}
+        self.tickets = Tickets()
         self._dirty: set[str] = set()
         self._is_saving = False
         self._ended_workers: set[str] = set()
@@ -139,6 +140,7 @@
         self, job: JobState, phase: JobPhase, unix_ms: int, at_ms: int
     ) -> list[Effect]:
         job.finish(phase, unix_ms)
+        self.tickets.forget_job(job.spec.job_id)
         self._dirty.add(job.spec.job_id)
         effects: list[Effect] = [
             LogDecision(
@@ -600,7 +602,7 @@
             worker.room_refused_ms = event.at_ms
             worker.blocked_until_ms = event.at_ms + limits.RETRY_BACKOFF_MS
         elif kind == "ticket":
-            self.tickets.pop((*event.name[:3], worker.worker_id), None)
+            self.tickets.refuse(StepName.of(event.name), worker)
 
     def _stop_answered(self, event: StopAnswered) -> Iterable[Effect]:
         worker = self.workers.get(event.worker_id)
--- /dev/null
+++ b/tests/test_jobs_scheduling.py
@@ -0,0 +1,189 @@
+"""Order and place of starts, late runs, pace, tickets and the want of a pool."""
+
+from dataclasses import replace
+
+from apricotgap.jobs import demand, limits
+from apricotgap.jobs.demand import Demand
+from apricotgap.jobs.effects import PaceRun, StopRun
+from apricotgap.jobs.events import RunningRow, StartAnswered, StartResult
+from apricotgap.jobs.model import Resources, RunEnd, StepSpec
+from apricotgap.jobs.pacing import Pacer
+from apricotgap.jobs.stragglers import StragglerWatch
+from apricotgap.jobs.tickets import StepName
+from tests.jobs_harness import Rig, configuration, ended, entry, job, running, task
+
+ONE = StepSpec(1, Resources(1000, 100), 800)
+
+
+def effects_of(kind, effects):
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def test_lasting_jobs_come_first_and_late_jobs_last():
+    rig = Rig(workers=())
+    rig.list_workers(entry("w1", free=Resources(1000, 8000)))
+    rig.ready()
+    rig.shard.unix_offset_ms = 1_000_000
+    now = rig.shard.unix_of(rig.now)
+    late = replace(job("a" * 16, steps=(ONE,)), submitted_ms=now - 60_000)
+    timely = replace(job("b" * 16, steps=(ONE,)), submitted_ms=now)
+    lasting = job("c" * 16, steps=(replace(ONE, lasts=True),))
+    for spec in (late, timely, lasting):
+        rig.shard.submit(spec)
+    order = []
+    for number in (1, 2, 3):
+        (start,) = rig.schedule()
+        order.append(start.name.job_id[0])
+        if start.name.job_id[0] == "c":
+            rig.shard.cancel("c" * 16, now, rig.now)
+        rig.hold(ends=[ended(number, start, RunEnd.DONE)])
+    assert order == ["c", "b", "a"]
+
+
+def test_tasks_beyond_the_bound_for_a_worker_go_elsewhere():
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.shard.submit(job(steps=(replace(ONE, n_tasks=3, max_per_worker=1),)))
+    assert sorted(start.worker_id for start in rig.schedule()) == ["w1", "w2"]
+
+
+def test_task_runs_only_where_its_label_is():
+    rig = Rig()
+    rig.list_workers(entry("w1"), entry("w2", labels=("k", "r2", "fast")))
+    rig.ready()
+    rig.shard.submit(job(steps=(replace(ONE, required_label="fast"),)))
+    assert [start.worker_id for start in rig.schedule()] == ["w2"]
+
+
+def test_nothing_starts_on_draining_or_evacuated_workers():
+    """Guards against work sent to workers that are about to leave."""
+    rig = Rig()
+    rig.list_workers(entry("w1"), entry("w2"), entry("w3", data_centre="b"))
+    rig.ready()
+    rig.list_workers(
+        entry("w1", is_draining=True), entry("w2"), entry("w3", data_centre="b")
+    )
+    rig.shard.evacuated = frozenset({"b"})
+    rig.shard.submit(job(steps=(replace(ONE, n_tasks=4),)))
+    assert {start.worker_id for start in rig.schedule()} == {"w2"}
+
+
+def test_workers_are_not_filled_beyond_their_capacity():
+    rig = Rig().ready()
+    rig.shard.submit(job(steps=(replace(ONE, n_tasks=20),)))
+    assert len(rig.schedule()) == 8
+
+
+def test_gang_starts_whole_or_not_at_all():
+    """Guards against half a gang that holds room while it waits."""
+    gang = StepSpec(3, Resources(4000, 100), 800, is_gang=True)
+    rig = Rig().ready()
+    rig.shard.submit(job(steps=(gang,)))
+    assert rig.schedule() == []
+    rig.list_workers(entry("w1"), entry("w2"))
+    rig.ready()
+    starts = rig.schedule()
+    assert len(starts) == 3
+    assert len({start.run_id for start in starts}) == 1
+
+
+def test_timed_occurrence_does_not_start_before_its_time():
+    rig = Rig().ready()
+    timed = job(steps=(ONE,), n_occurrences=2, start_ms=rig.now + 500, interval_ms=500)
+    rig.shard.submit(timed)
+    assert rig.schedule() == []
+    rig.now += 500
+    rig.hold()
+    assert [start.name.occurrence for start in rig.schedule()] == [0]
+
+
+def started(rig, step):
+    rig.shard.submit(job(steps=(step,)))
+    (start,) = rig.schedule()
+    rig.shard.step(
+        StartAnswered(
+            rig.now, start.worker_id, 1, start.name, start.run_id, StartResult("ok")
+        )
+    )
+    return start
+
+
+def test_stalled_run_is_stopped_and_its_worker_avoided():
+    rig = Rig(workers=("w1", "w2")).ready()
+    start = started(rig, ONE)
+    rig.now += 5_000
+    rig.hold(start.worker_id, running=[running(start, 0)])
+    effects = StragglerWatch(rig.shard).run(rig.now)
+    assert [stop.name for stop in effects_of(StopRun, effects)] == [start.name]
+
+
+def test_late_task_that_allows_it_gets_one_copy_elsewhere():
+    rig = Rig(workers=("w1", "w2")).ready()
+    start = started(rig, replace(ONE, allows_duplicates=True))
+    rig.now += 5_000
+    for worker in ("w1", "w2"):
+        rows = [running(start, 5)] if worker == start.worker_id else []
+        rig.hold(worker, running=rows)
+    assert not effects_of(StopRun, StragglerWatch(rig.shard).run(rig.now))
+    (copy,) = rig.schedule()
+    assert copy.worker_id != start.worker_id
+    assert rig.schedule() == []
+
+
+def test_filling_task_is_slowed_beside_a_serving_one_near_its_target():
+    rig = Rig().ready()
+    serving = StepSpec(1, Resources(1000, 100), lasts=True, target_ms=100)
+    filling = StepSpec(1, Resources(1000, 100), lasts=True, fills=True)
+    rig.shard.submit(job(steps=(serving, filling)))
+    starts = rig.schedule()
+    for start in starts:
+        rig.answer(start)
+
+    def look(tail_ms):
+        rig.now += limits.PACE_INTERVAL_MS
+        rig.hold(
+            running=[
+                RunningRow(starts[0].name, starts[0].run_id, "", 100, tail_ms),
+                RunningRow(starts[1].name, starts[1].run_id, "", 100, 500),
+            ]
+        )
+        return effects_of(PaceRun, Pacer(rig.shard).run(rig.now))
+
+    (slowed,) = look(90)
+    assert (slowed.name.step, slowed.percent) == (1, 50)
+    (sped_up,) = look(10)
+    assert sped_up.percent > 50
+
+
+def test_queue_with_a_policy_starts_only_with_a_ticket():
+    rig = Rig().ready()
+    config = configuration()
+    queue = replace(config.queues[0], needs_ticket=True)
+    rig.shard.config = type(config)(2, (queue,), config.services, config.teams)
+    rig.shard.submit(job(steps=(ONE,)))
+    assert rig.schedule() == []
+    step, workers = rig.shard.tickets.next_question()
+    assert step == StepName.of(task(0))
+    rig.shard.tickets.answered(step, workers, {"w1": "t-1"}, rig.now + 3_000)
+    assert [start.ticket for start in rig.schedule()] == ["t-1"]
+
+
+def test_worker_that_the_policy_denies_is_not_asked_about_again():
+    rig = Rig().ready()
+    tickets = rig.shard.tickets
+    worker = rig.shard.workers["w1"]
+    step = StepName.of(task(0))
+    assert tickets.find(step, worker, rig.now) is None
+    tickets.answered(*tickets.next_question(), {}, rig.now + 3_000)
+    assert tickets.find(step, worker, rig.now) is None
+    assert tickets.next_question() is None
+
+
+def test_pool_wants_more_for_arriving_work_and_lets_go_after_a_while():
+    rig = Rig().ready()
+    want = Demand(rig.shard)
+    assert want.wanted(rig.now) == demand.MIN_WORKERS
+    heavy = job(steps=(replace(ONE, n_tasks=100),))
+    want.note_job(heavy, rig.now)
+    assert want.wanted(rig.now) > demand.MIN_WORKERS
+    rig.now += demand.RATE_WINDOW_MS + demand.HOLD_MS + 1
+    assert want.wanted(rig.now) == demand.MIN_WORKERS
