--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -10,7 +10,6 @@
 from apricotgap.clock import Clock
 from apricotgap.instance.directory import Directory
 from apricotgap.instance.lease import InstanceLease
-from apricotgap.instance.metrics import Metrics
 from apricotgap.instance.tenure import Tenure
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_plan import (
@@ -20,6 +19,7 @@
     PoolReport,
     WorkerReport,
 )
+from apricotgap.metrics import Metrics
 from apricotgap.platform.machines import (
     CALL_TIMEOUT_MS,
     MachineClient,
--- a/apricotgap/instance/gateway.py
+++ b/apricotgap/instance/gateway.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import Enum, auto
 from random import Random
 from typing import Any
 
@@ -31,6 +30,7 @@
 )
 from apricotgap.jobs.fleet_plan import PoolReport
 from apricotgap.jobs.model import JobPhase, JobSpec
+from apricotgap.jobs.service import CancelResult, SubmitResult, UnreadableError
 from apricotgap.platform.store import (
     Conflict,
     StoreClient,
@@ -41,7 +41,7 @@
     Write,
 )
 
-__all__ = ["CancelResult", "Gateway", "SubmitResult"]
+__all__ = ["Gateway"]
 
 PEER_TIMEOUT_MS = 700
 _STORE_TIMEOUT_MS = 700
@@ -50,22 +50,6 @@
 _RELAY_MARGIN_MS = 50
 
 
-class SubmitResult(Enum):
-    """What became of a submission; REFUSED means that it never runs."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
-class CancelResult(Enum):
-    """What became of a cancellation."""
-
-    DONE = auto()
-    NO_SUCH_JOB = auto()
-    UNKNOWN = auto()
-
-
 @dataclass(frozen=True, slots=True)
 class _NoOwner(Exception):
     """No owner of the shard answered."""
@@ -189,9 +173,17 @@
 
         Raises
         ------
-        StoreError
+        UnreadableError
             Neither an owner nor the store answered.
         """
+        try:
+            return await self._phase(service, job_id, deadline_ms)
+        except StoreError as error:
+            raise UnreadableError(str(error)) from error
+
+    async def _phase(
+        self, service: str, job_id: str, deadline_ms: int
+    ) -> JobPhase | None:
         found = await self._phase_at(service, job_id, deadline_ms)
         if found is not None:
             return found
@@ -257,13 +249,19 @@
 
         Raises
         ------
-        StoreError
+        UnreadableError
             Neither an owner nor the store answered.
         """
         try:
             return int(await self._ask(service, "pending", queue, deadline_ms))
         except _NoOwner:
             pass
+        try:
+            return await self._count_stored(service, queue)
+        except StoreError as error:
+            raise UnreadableError(str(error)) from error
+
+    async def _count_stored(self, service: str, queue: str) -> int:
         jobs = await self._store.read_prefix(jobs_prefix(service), _STORE_TIMEOUT_MS)
         progress = await self._store.read_prefix(
             progress_prefix(service), _STORE_TIMEOUT_MS
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -19,11 +19,11 @@
 from apricotgap.instance.gateway import Gateway
 from apricotgap.instance.keys import Member
 from apricotgap.instance.lease import InstanceLease
-from apricotgap.instance.metrics import Metrics
 from apricotgap.instance.peers import PeerClient, serve_peers
 from apricotgap.instance.shard_owner import ShardOwner
 from apricotgap.instance.tenure import OwnershipLostError, Tenure
 from apricotgap.instance.worker_list import WorkerList
+from apricotgap.metrics import Metrics
 from apricotgap.platform.ingress import IngressApp
 from apricotgap.platform.settings import (
     PlatformSettings,
@@ -58,7 +58,7 @@
         self._directory = Directory(self._store, self._clock)
         self._workers = WorkerList(self._store, self._clock)
         self._client = WorkerClient()
-        self._metrics = Metrics()
+        self._metrics = Metrics(settings.name)
         self._owners: dict[str, ShardOwner] = {}
         self._is_draining = False
         self._stopped = trio.Event()
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -20,7 +20,6 @@
 )
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.limit_keeper import LimitKeeper
-from apricotgap.instance.metrics import Metrics
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.progress_writer import ProgressWriter
 from apricotgap.instance.roster import RosterKeeper
@@ -55,6 +54,7 @@
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.stragglers import StragglerWatch
 from apricotgap.jobs.workers import Worker
+from apricotgap.metrics import Metrics
 from apricotgap.platform.advice import AdviceClient, AdviceError
 from apricotgap.platform.settings import PlatformSettings
 from apricotgap.platform.store import (
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -285,7 +285,7 @@
             progress_ms=at_ms,
             checkpoint=record.checkpoint if record else "",
         )
-        self._shard._add_run(job, worker, run)
+        self._shard.add_run(job, worker, run)
         current.n_starts += 1
         current.effects.append(
             StartRun(
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -78,6 +78,7 @@
         self._dirty: set[str] = set()
         self._is_saving = False
         self._ended_workers: set[str] = set()
+        self.unix_offset_ms = 0
         self.loaded_ms = -1_000_000
         self.reported_ms = -1_000_000
         self._handlers: dict[type, Callable[..., Iterable[Effect]]] = {
@@ -515,7 +516,7 @@
         run.started_ms = at_ms
         record = job.progress.tasks.get(row.name)
         is_surplus = row.name in job.runs and not step.allows_duplicates
-        self._add_run(job, worker, run)
+        self.add_run(job, worker, run)
         if job.is_final or (record and record.done) or is_surplus:
             yield from self.stop(run, at_ms)
 
@@ -532,7 +533,8 @@
 
     # Runs
 
-    def _add_run(self, job: JobState, worker: Worker, run: Run) -> None:
+    def add_run(self, job: JobState, worker: Worker, run: Run) -> None:
+        """Take note of a run at its job, its worker and its team."""
         job.add_run(run)
         worker.add(run)
         self.team_usage[run.team] = (
@@ -674,8 +676,6 @@
             unix_ms = self.unix_of(at_ms)
             yield from self._finish(job, JobPhase.SUCCEEDED, unix_ms, at_ms)
 
-    unix_offset_ms: int = 0
-
     def unix_of(self, at_ms: int) -> int:
         """Unix milliseconds of a moment of the instance's clock."""
         return at_ms + self.unix_offset_ms
--- a/apricotgap/platform/ingress.py
+++ b/apricotgap/platform/ingress.py
@@ -18,11 +18,15 @@
     read_body,
     send_response,
 )
-from apricotgap.instance.directory import Directory
-from apricotgap.instance.gateway import CancelResult, Gateway, SubmitResult
-from apricotgap.instance.metrics import Metrics
 from apricotgap.jobs.configuration import QueueSpec
-from apricotgap.platform.store import StoreError
+from apricotgap.jobs.service import (
+    CancelResult,
+    ConfigurationView,
+    JobService,
+    SubmitResult,
+    UnreadableError,
+)
+from apricotgap.metrics import Metrics
 from apricotgap.platform.wire import WireError, decode_job
 
 __all__ = ["IngressApp"]
@@ -50,7 +54,7 @@
 
     Parameters
     ----------
-    directory, gateway, metrics, clock
+    view, jobs, metrics, clock
         What it works with.
     revoke_ms : int
         How long a withdrawn key may still work.
@@ -62,8 +66,8 @@
 
     def __init__(
         self,
-        directory: Directory,
-        gateway: Gateway,
+        view: ConfigurationView,
+        jobs: JobService,
         metrics: Metrics,
         clock: Clock,
         revoke_ms: int,
@@ -71,8 +75,8 @@
         readiness_port: int,
         metrics_port: int,
     ) -> None:
-        self._directory = directory
-        self._gateway = gateway
+        self._view = view
+        self._jobs = jobs
         self._metrics = metrics
         self._clock = clock
         # A watch may hear nothing for a second while changes are made.
@@ -103,7 +107,7 @@
 
     def is_ready(self) -> bool:
         """Whether new connections are wanted."""
-        age_ms = self._directory.config_age_ms()
+        age_ms = self._view.config_age_ms()
         if age_ms is None or self._is_draining():
             return False
         return age_ms < self._ready_view_age_ms
@@ -129,7 +133,7 @@
                 status=reply.status,
                 why=reply.why,
                 took_ms=took_ms,
-                view_age_ms=self._directory.config_age_ms(),
+                view_age_ms=self._view.config_age_ms(),
             )
         extra: dict[str, str] = {}
         if reply.status in (429, 503):
@@ -147,7 +151,7 @@
         body: bytes,
         started_ms: int,
     ) -> _Reply:
-        config = self._directory.config
+        config = self._view.config
         if config is None:
             return _Reply(503, why="no configuration yet")
         queue = config.queue_for(headers.get("host", "").partition(":")[0], path)
@@ -158,7 +162,7 @@
             found = config.team_of_key.get(headers.get(_KEY_HEADER, ""))
             if found is None:
                 return _Reply(401, why="unknown key")
-            age_ms = self._directory.config_age_ms()
+            age_ms = self._view.config_age_ms()
             if age_ms is None or age_ms > self._max_view_age_ms:
                 return _Reply(503, why="view of the keys too old")
             team = found
@@ -187,7 +191,7 @@
             job = decode_job(body, job_id, queue, team, time.time_ns() // 1_000_000)
         except WireError as error:
             return _Reply(400, {"error": str(error)}, str(error))
-        result = await self._gateway.submit(job, deadline_ms)
+        result = await self._jobs.submit(job, deadline_ms)
         if result is SubmitResult.ACCEPTED:
             return _Reply(200)
         if result is SubmitResult.REFUSED:
@@ -196,15 +200,15 @@
 
     async def _state(self, queue: QueueSpec, job_id: str, deadline_ms: int) -> _Reply:
         try:
-            phase = await self._gateway.phase(queue.service, job_id, deadline_ms)
-        except StoreError as error:
+            phase = await self._jobs.phase(queue.service, job_id, deadline_ms)
+        except UnreadableError as error:
             return _Reply(503, why=f"state not readable: {error}")
         if phase is None:
             return _Reply(410, why="no such job")
         return _Reply(200, {"state": phase.value})
 
     async def _cancel(self, queue: QueueSpec, job_id: str, deadline_ms: int) -> _Reply:
-        result = await self._gateway.cancel(queue.service, job_id, deadline_ms)
+        result = await self._jobs.cancel(queue.service, job_id, deadline_ms)
         if result is CancelResult.DONE:
             return _Reply(200)
         if result is CancelResult.NO_SUCH_JOB:
@@ -213,10 +217,10 @@
 
     async def _count(self, queue: QueueSpec, deadline_ms: int) -> _Reply:
         try:
-            n_pending = await self._gateway.n_pending(
+            n_pending = await self._jobs.n_pending(
                 queue.service, queue.name, deadline_ms
             )
-        except StoreError as error:
+        except UnreadableError as error:
             return _Reply(503, why=f"jobs not readable: {error}")
         return _Reply(200, {"pendingCount": n_pending})
 
