--- a/apricotgap/cli/__init__.py
+++ b/apricotgap/cli/__init__.py
@@ -51,5 +51,5 @@
 if importlib.util.find_spec(_DAEMON_COMMANDS) is not None:
     daemon = importlib.import_module(_DAEMON_COMMANDS)
     main.add_command(daemon.entry)
-    main.add_command(daemon.instance)
+    main.add_command(daemon.serve)
     main.add_command(daemon.settings)
--- a/apricotgap/cli/daemon.py
+++ b/apricotgap/cli/daemon.py
@@ -8,7 +8,7 @@
 from apricotgap.errors import SettingsError
 from apricotgap.settings import check_settings, load_settings
 
-__all__ = ["entry", "instance", "settings"]
+__all__ = ["entry", "serve", "settings"]
 
 
 @click.command()
@@ -82,7 +82,7 @@
 
 
 @click.command()
-def instance() -> None:
+def serve() -> None:
     """Run an instance on the platform until SIGTERM.
 
     The variable APRICOTGAP_NODE_FILE names the settings file.
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -112,7 +112,7 @@
             return
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "apricotgap", "instance"],
+                [sys.executable, "-m", "apricotgap", "serve"],
                 cwd=ROOT,
                 env={**os.environ, "APRICOTGAP_NODE_FILE": str(self._path)},
                 stdout=log,
