--- a/apricotgap/instance/gateway.py
+++ b/apricotgap/instance/gateway.py
@@ -348,7 +348,8 @@
         owner: ShardOwner, operation: str, argument: Any, deadline_ms: int
     ) -> Any:
         if operation == "submit":
-            return await owner.submit(decode_job(argument), deadline_ms)
+            result = await owner.submit(decode_job(argument), deadline_ms)
+            return result.value
         if operation == "phase":
             phase = owner.phase(argument)
             return phase.value if phase else None
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -51,6 +51,7 @@
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.scheduling import Scheduler
+from apricotgap.jobs.service import SubmitResult
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.stragglers import StragglerWatch
 from apricotgap.jobs.workers import Worker
@@ -75,9 +76,7 @@
     WorkerError,
 )
 
-__all__ = ["ShardOwner", "SubmitOutcome"]
-
-SubmitOutcome = str
+__all__ = ["ShardOwner"]
 
 _TICK_S = 0.1
 _RETRY_S = 0.15
@@ -265,7 +264,7 @@
 
     # Calls of the gateway
 
-    async def submit(self, job: JobSpec, deadline_ms: int) -> SubmitOutcome:
+    async def submit(self, job: JobSpec, deadline_ms: int) -> SubmitResult:
         """Store a job and take it.
 
         Parameters
@@ -277,13 +276,13 @@
 
         Returns
         -------
-        str
-            ``accepted``, ``refused`` (it is not stored) or ``unknown``.
+        SubmitResult
+            REFUSED only when it cannot be stored, also later.
         """
         if job.job_id in self.core.jobs:
-            return "accepted"
+            return SubmitResult.ACCEPTED
         if self._store.is_down:
-            return "refused"
+            return SubmitResult.REFUSED
         writes = job_writes(self.service, job.job_id, encode_job(job))
         may_be_stored = False
         while True:
@@ -295,19 +294,19 @@
                 if any(item.value == self.service.encode() for item in outcome.items):
                     break
                 # The id belongs to a job of a service that the queue used before.
-                return "accepted"
+                return SubmitResult.ACCEPTED
             if isinstance(outcome, Unknown):
                 may_be_stored = True
             if self._clock.now_ms > deadline_ms:
-                return "unknown" if may_be_stored else "refused"
+                return SubmitResult.UNKNOWN if may_be_stored else SubmitResult.REFUSED
             if isinstance(outcome, Unavailable) and not may_be_stored:
-                return "refused"
+                return SubmitResult.REFUSED
             await trio.sleep(_RETRY_S)
         self.core.submit(job)
         self._run([self.core.describe(job)])
         self._demand.note_job(job, self._clock.now_ms)
         self._wake.set()
-        return "accepted"
+        return SubmitResult.ACCEPTED
 
     def phase(self, job_id: str) -> JobPhase | None:
         """State of a job as callers see it, None for an unknown one."""
@@ -419,12 +418,14 @@
             while True:
                 worker = self.core.workers.get(worker_id)
                 if worker is None or worker.entry.born_ms != born_ms:
-                    return
+                    break
                 if worker.entry.address != address:
-                    return
+                    break
                 await self._hold(worker)
         finally:
             self._holding.discard(key)
+        if not any(entry.address == address for entry in self._workers.entries()):
+            await self._client.forget(address)
 
     async def _hold(self, worker: Worker) -> None:
         entry = worker.entry
