--- a/apricotgap/instance/directory.py
+++ b/apricotgap/instance/directory.py
@@ -13,6 +13,7 @@
 )
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.jobs.configuration import Configuration, Wave
+from apricotgap.platform.keys import CONFIGURATION, EVACUATIONS, OPERATOR, WAVES
 from apricotgap.platform.store import Item, StoreClient
 from apricotgap.platform.wire import WireError, decode_configuration, decode_wave
 
@@ -21,9 +22,6 @@
 # The shard whose owner moves machines and runs waves of upkeep.
 FLEET_SHARD = "~fleet"
 
-_CONFIG = "op/config"
-_EVACUATE = "op/evacuate/"
-_WAVE = "op/wave/"
 # The age of the view is known to about this.
 OPERATOR_WAIT_MS = 1_500
 SYSTEM_WAIT_MS = 4_000
@@ -42,7 +40,7 @@
 
     def __init__(self, store: StoreClient, clock: Clock) -> None:
         self.operator = PrefixMirror(
-            store, "op/", clock, self._operator_changed, OPERATOR_WAIT_MS
+            store, OPERATOR, clock, self._operator_changed, OPERATOR_WAIT_MS
         )
         self.system = PrefixMirror(
             store, "sys/", clock, self._system_changed, SYSTEM_WAIT_MS
@@ -60,13 +58,13 @@
 
     def _operator_changed(self, items: tuple[Item, ...]) -> None:
         for item in items:
-            if item.key == _CONFIG and item.value is not None:
+            if item.key == CONFIGURATION and item.value is not None:
                 self._take_config(item.value)
-            elif item.key.startswith(_WAVE):
+            elif item.key.startswith(WAVES):
                 self._take_wave(item)
-        prefix = len(_EVACUATE)
+        prefix = len(EVACUATIONS)
         evacuated = frozenset(
-            key[prefix:] for key in self.operator.items if key.startswith(_EVACUATE)
+            key[prefix:] for key in self.operator.items if key.startswith(EVACUATIONS)
         )
         if evacuated != self.evacuated:
             self._log.info("evacuations", data_centres=sorted(evacuated))
@@ -87,7 +85,7 @@
 
     def _take_wave(self, item: Item) -> None:
         try:
-            number = int(item.key[len(_WAVE) :])
+            number = int(item.key[len(WAVES) :])
             if item.value is None:
                 self.waves.pop(number, None)
                 return
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -3,7 +3,6 @@
 from collections.abc import Awaitable, Callable
 
 import cbor2
-import msgspec
 import structlog
 import trio
 
@@ -20,6 +19,7 @@
     WorkerReport,
 )
 from apricotgap.metrics import Metrics
+from apricotgap.platform.keys import encode_wave_status, wave_status_key
 from apricotgap.platform.machines import (
     CALL_TIMEOUT_MS,
     MachineClient,
@@ -37,7 +37,6 @@
 __all__ = ["FleetOwner", "WAVES"]
 
 WAVES = "waves/"
-_STATUS = "status/wave/"
 _CYCLE_S = 0.3
 _RETRY_S = 0.3
 LIST_INTERVAL_MS = 900
@@ -85,7 +84,7 @@
         self._machines: dict[str, Machine] = {}
         self._listed_ms = -1_000_000
         self._done: dict[int, tuple[str, ...]] = {}
-        self._status: dict[int, str] = {}
+        self._status: dict[int, bool] = {}
         self._log = structlog.get_logger().bind(shard=tenure.shard, epoch=tenure.epoch)
 
     async def run(self) -> None:
@@ -194,22 +193,25 @@
         finished = set(self._planner.finished())
         for number, state in self._planner.waves.items():
             done = tuple(sorted(state.done))
-            status = "succeeded" if state.is_finished else "running"
-            if self._done.get(number) == done and self._status.get(number) == status:
+            is_finished = state.is_finished
+            if (
+                self._done.get(number) == done
+                and self._status.get(number) == is_finished
+            ):
                 continue
             outcome = await self._store.write(
                 (
                     self._tenure.condition,
                     Write(f"{WAVES}{number}", cbor2.dumps(list(done))),
                     Write(
-                        f"{_STATUS}{number}",
-                        msgspec.json.encode({"wave": number, "state": status}),
+                        wave_status_key(number),
+                        encode_wave_status(number, is_finished),
                     ),
                 )
             )
             if isinstance(outcome, Stored):
                 self._done[number] = done
-                self._status[number] = status
+                self._status[number] = is_finished
                 if number in finished:
                     self._log.info("wave_finished", wave=number)
                 continue
--- a/apricotgap/instance/worker_list.py
+++ b/apricotgap/instance/worker_list.py
@@ -6,12 +6,12 @@
 from apricotgap.clock import Clock
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.jobs.fleet import WorkerEntry
+from apricotgap.platform.keys import WORKERS
 from apricotgap.platform.store import Item, StoreClient
 from apricotgap.platform.wire import WireError, decode_worker
 
 __all__ = ["WorkerList"]
 
-_PREFIX = "servers/"
 # A leaving worker must get no new work within seconds, so the list may lag by this.
 WATCH_WAIT_MS = 2_000
 WATCH_PAUSE_MS = 300
@@ -30,7 +30,7 @@
 
     def __init__(self, store: StoreClient, clock: Clock) -> None:
         self._mirror = PrefixMirror(
-            store, _PREFIX, clock, self._changed, WATCH_WAIT_MS, WATCH_PAUSE_MS
+            store, WORKERS, clock, self._changed, WATCH_WAIT_MS, WATCH_PAUSE_MS
         )
         self._entries: dict[str, WorkerEntry] = {}
         self._version = 0
@@ -68,7 +68,7 @@
     def _changed(self, items: tuple[Item, ...]) -> None:
         self._version += 1
         for item in items:
-            worker_id = item.key[len(_PREFIX) :]
+            worker_id = item.key[len(WORKERS) :]
             if item.value is None:
                 self._entries.pop(worker_id, None)
                 continue
