Split holds, loading, migration and the fleet view into modules of their own

The gateway's internal error was a frozen dataclass: a context manager that passes an exception on assigns its traceback, which such a class refuses.

--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -15,9 +15,8 @@
     FleetPlanner,
     MachineOrder,
     OrderResult,
-    PoolReport,
-    WorkerReport,
 )
+from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.metrics import Metrics
 from apricotgap.platform.keys import encode_wave_status, wave_status_key
 from apricotgap.platform.machines import (
--- a/apricotgap/instance/gateway.py
+++ b/apricotgap/instance/gateway.py
@@ -1,7 +1,6 @@
 """Calls on jobs: at the owner of the shard, or at the store without one."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -28,7 +27,7 @@
     decode_progress,
     encode_job,
 )
-from apricotgap.jobs.fleet_plan import PoolReport
+from apricotgap.jobs.fleet_view import PoolReport
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.service import CancelResult, SubmitResult, UnreadableError
 from apricotgap.platform.store import (
@@ -50,11 +49,12 @@
 _RELAY_MARGIN_MS = 50
 
 
-@dataclass(frozen=True, slots=True)
 class _NoOwner(Exception):
-    """No owner of the shard answered."""
+    """No owner of the shard answered; `may_have_run` when the call was sent."""
 
-    may_have_run: bool
+    def __init__(self, may_have_run: bool) -> None:
+        super().__init__(may_have_run)
+        self.may_have_run = may_have_run
 
 
 class Gateway:
--- /dev/null
+++ b/apricotgap/instance/shard_loader.py
@@ -0,0 +1,56 @@
+"""Reads stored jobs and their progress into a shard."""
+
+import structlog
+
+from apricotgap.jobs.documents import (
+    DocumentError,
+    Progress,
+    decode_job,
+    decode_progress,
+)
+from apricotgap.jobs.model import JobSpec
+from apricotgap.jobs.shard import Shard
+from apricotgap.platform.store import Item, Snapshot
+
+__all__ = ["decode_stored_job", "load_jobs"]
+
+# jobs/SERVICE/JOB; a deeper key belongs to a job but is none.
+_N_SLASHES = 2
+
+
+def load_jobs(shard: Shard, jobs: Snapshot, progress: Snapshot) -> None:
+    """Take over the jobs of an earlier owner.
+
+    Parameters
+    ----------
+    shard : Shard
+        Gets the jobs.
+    jobs, progress : Snapshot
+        All keys of the service's jobs and of their progress.
+    """
+    stored: dict[str, tuple[Progress, int]] = {}
+    for item in progress.items:
+        job_id = item.key.rpartition("/")[2]
+        try:
+            found = decode_progress(job_id, item.value or b"")
+        except DocumentError as error:
+            log = structlog.get_logger()
+            log.error("progress_unreadable", job=job_id, error=str(error))
+            continue
+        stored[job_id] = (found, item.revision)
+    for item in jobs.items:
+        job = decode_stored_job(item)
+        if job is not None:
+            shard.load(job, *stored.get(job.job_id, (None, 0)))
+
+
+def decode_stored_job(item: Item) -> JobSpec | None:
+    """Return the job under a key, None for another key or unreadable bytes."""
+    if item.value is None or item.key.count("/") != _N_SLASHES:
+        return None
+    try:
+        return decode_job(item.value)
+    except DocumentError as error:
+        log = structlog.get_logger()
+        log.error("job_unreadable", key=item.key, error=str(error))
+        return None
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -8,6 +8,7 @@
 
 from apricotgap.clock import Clock
 from apricotgap.instance.directory import Directory
+from apricotgap.instance.hold_loops import HoldLoops
 from apricotgap.instance.keys import (
     cancel_key,
     index_key,
@@ -23,38 +24,31 @@
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.progress_writer import ProgressWriter
 from apricotgap.instance.roster import RosterKeeper
+from apricotgap.instance.shard_loader import decode_stored_job, load_jobs
 from apricotgap.instance.tenure import OwnershipLostError, Tenure
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.documents import (
-    DocumentError,
-    Progress,
-    decode_job,
-    decode_progress,
     encode_job,
 )
 from apricotgap.jobs.effects import Effect, LogDecision, PaceRun, StartRun, StopRun
 from apricotgap.jobs.events import (
-    HoldAnswered,
-    HoldFailed,
     StartAnswered,
     StopAnswered,
     WorkersListed,
 )
-from apricotgap.jobs.fleet_plan import PoolReport, WorkerReport
+from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.limits import (
-    HOLD_WAIT_MS,
     LEASE_MARGIN_MS,
     RETENTION_MARGIN_MS,
-    SILENT_WORKER_MS,
 )
+from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.service import SubmitResult
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.stragglers import StragglerWatch
-from apricotgap.jobs.workers import Worker
 from apricotgap.metrics import Metrics
 from apricotgap.platform.advice import AdviceClient, AdviceError
 from apricotgap.platform.settings import PlatformSettings
@@ -70,10 +64,7 @@
     Write,
 )
 from apricotgap.platform.workers import (
-    FencedError,
-    OtherLifeError,
     WorkerClient,
-    WorkerError,
 )
 
 __all__ = ["ShardOwner"]
@@ -81,14 +72,10 @@
 _TICK_S = 0.1
 _RETRY_S = 0.15
 _ADVICE_IDLE_S = 0.05
-# A worker that has been silent for a while is asked less often.
-_SILENT_RETRY_S = 0.4
 # Changes that another instance wrote directly are read this often.
 JOB_WATCH_WAIT_MS = 4_000
 JOB_WATCH_PAUSE_MS = 1_000
 HOUSEKEEPING_S = 5.0
-# Between two looks at a worker whose ends are not stored yet.
-HOLD_GAP_S = 0.1
 
 
 class ShardOwner:
@@ -135,6 +122,7 @@
         self._pacer = Pacer(self.core)
         self._demand = Demand(self.core)
         self._stragglers = StragglerWatch(self.core)
+        self._migrator = Migrator(self.core)
         self._advice = (
             AdviceClient(settings.advice_address) if settings.advice_address else None
         )
@@ -145,7 +133,16 @@
         self._limits = LimitKeeper(
             self.core, tenure, store, clock, lambda: self._lease_until_ms, self._wake_up
         )
-        self._holding: set[tuple[str, int, str]] = set()
+        self._holds = HoldLoops(
+            self.core,
+            tenure,
+            client,
+            workers,
+            clock,
+            lambda: self._lease_until_ms,
+            self._run,
+            self._wake_up,
+        )
         self._log = structlog.get_logger().bind(shard=tenure.shard, epoch=tenure.epoch)
 
     def _wake_up(self) -> None:
@@ -193,7 +190,7 @@
         jobs, progress, roster = (found[prefix] for prefix in prefixes)
         self.core.loaded_ms = self._clock.now_ms
         self._roster.load(roster, self.core.loaded_ms)
-        self._load_jobs(jobs, progress)
+        load_jobs(self.core, jobs, progress)
         self._log.info(
             "shard_loaded",
             n_jobs=len(self.core.jobs),
@@ -219,31 +216,6 @@
                 self._log.warning("load_failed", prefix=prefix, reason=str(error))
                 await trio.sleep(_RETRY_S)
 
-    def _load_jobs(self, jobs: Snapshot, progress: Snapshot) -> None:
-        stored: dict[str, tuple[Progress, int]] = {}
-        for item in progress.items:
-            job_id = item.key.rpartition("/")[2]
-            try:
-                found = decode_progress(job_id, item.value or b"")
-            except DocumentError as error:
-                self._log.error("progress_unreadable", job=job_id, error=str(error))
-                continue
-            stored[job_id] = (found, item.revision)
-        for item in jobs.items:
-            job = self._decode(item)
-            if job is not None:
-                known = stored.get(job.job_id, (None, 0))
-                self.core.load(job, *known)
-
-    def _decode(self, item: Item) -> JobSpec | None:
-        if item.value is None or item.key.count("/") != 2:
-            return None
-        try:
-            return decode_job(item.value)
-        except DocumentError as error:
-            self._log.error("job_unreadable", key=item.key, error=str(error))
-            return None
-
     def _jobs_changed(self, items: tuple[Item, ...]) -> None:
         for item in items:
             if item.value is None:
@@ -252,7 +224,7 @@
             if len(parts) == 4 and parts[3] == "cancel":
                 self._cancel(parts[2])
             elif len(parts) == 3 and parts[2] not in self.core.jobs:
-                job = self._decode(item)
+                job = decode_stored_job(item)
                 if job is not None:
                     self._log.info("job_found", job=job.job_id)
                     self.core.submit(job)
@@ -388,10 +360,10 @@
             self._run(self.core.tick(now_ms))
             # Without a lease a stopped run could not be started elsewhere.
             if self._lease_until_ms - now_ms > LEASE_MARGIN_MS:
-                self._run(self.core.migrate(now_ms))
+                self._run(self._migrator.run(now_ms))
             self._run(self._pacer.run(now_ms))
             self._run(self._stragglers.run(now_ms))
-            self._start_holds()
+            self._holds.start(self._nursery)
             self._wake.set()
             await trio.sleep(_TICK_S)
 
@@ -404,98 +376,6 @@
         self.core.team_limits.set_configuration(config)
         self._limits.wake()
 
-    def _start_holds(self) -> None:
-        for worker in self.core.workers.values():
-            entry = worker.entry
-            key = (entry.worker_id, entry.born_ms, entry.address)
-            if key not in self._holding:
-                self._holding.add(key)
-                self._nursery.start_soon(self._hold_loop, key)
-
-    async def _hold_loop(self, key: tuple[str, int, str]) -> None:
-        worker_id, born_ms, address = key
-        try:
-            while True:
-                worker = self.core.workers.get(worker_id)
-                if worker is None or worker.entry.born_ms != born_ms:
-                    break
-                if worker.entry.address != address:
-                    break
-                await self._hold(worker)
-        finally:
-            self._holding.discard(key)
-        if not any(entry.address == address for entry in self._workers.entries()):
-            await self._client.forget(address)
-
-    async def _hold(self, worker: Worker) -> None:
-        entry = worker.entry
-        sent_ms = self._clock.now_ms
-        deadline_ms = self.core.hold_sent(worker, sent_ms, self._lease_until_ms)
-        wait_ms = HOLD_WAIT_MS if worker.is_taken and worker.clock_at_ms else 0
-        try:
-            answer = await self._client.hold(
-                entry.address,
-                entry.worker_id,
-                self.tenure.epoch,
-                worker.acknowledged,
-                deadline_ms,
-                wait_ms,
-            )
-        except FencedError as error:
-            self._log.warning("fenced", worker=entry.worker_id, reason=str(error))
-            raise OwnershipLostError("a worker has a newer owner") from error
-        except WorkerError as error:
-            self._hold_failed(worker, error)
-            silent_ms = self._clock.now_ms - worker.answered_ms
-            is_gone = worker.is_taken and silent_ms > SILENT_WORKER_MS
-            await trio.sleep(_SILENT_RETRY_S if is_gone else _RETRY_S)
-            return
-        had_ends = worker.seen
-        self._run(
-            self.core.step(
-                HoldAnswered(
-                    self._clock.now_ms,
-                    entry.worker_id,
-                    answer.born_ms,
-                    sent_ms,
-                    answer.clock_ms,
-                    answer.running,
-                    answer.ends,
-                )
-            )
-        )
-        if worker.seen != had_ends:
-            self._wake.set()
-        if worker.seen > worker.acknowledged:
-            if self.core.is_stored:
-                worker.acknowledged = worker.seen
-            await trio.sleep(HOLD_GAP_S)
-
-    def _hold_failed(self, worker: Worker, error: WorkerError) -> None:
-        entry = worker.entry
-        silent_ms = self._clock.now_ms - worker.answered_ms
-        if worker.is_taken and silent_ms < 2 * HOLD_WAIT_MS:
-            self._log.warning(
-                "hold_failed",
-                worker=entry.worker_id,
-                reason=str(error),
-                silent_ms=silent_ms,
-                lease_left_ms=worker.lease_until_ms - self._clock.now_ms,
-            )
-        self._run(
-            self.core.step(
-                HoldFailed(
-                    self._clock.now_ms,
-                    entry.worker_id,
-                    entry.born_ms,
-                    str(error),
-                    is_other_life=isinstance(error, OtherLifeError),
-                    was_sent=error.sent,
-                )
-            )
-        )
-        self._wake.set()
-
     async def _schedule_loop(self) -> None:
         while True:
             await self._wake.wait()
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -7,13 +7,12 @@
 from apricotgap.jobs.configuration import Configuration, Wave
 from apricotgap.jobs.effects import LogDecision
 from apricotgap.jobs.fleet import Machine
+from apricotgap.jobs.fleet_view import FleetView, PoolReport
 
 __all__ = [
     "FleetPlanner",
     "MachineOrder",
     "OrderResult",
-    "PoolReport",
-    "WorkerReport",
 ]
 
 # An order without an answer is repeated after this time.
@@ -30,25 +29,6 @@
 WAVE_MARGIN_MS = 3_000
 
 
-@dataclass(frozen=True, slots=True)
-class WorkerReport:
-    """A worker as its shard sees it."""
-
-    worker_id: str
-    n_runs: int
-    n_lasting: int
-    is_usable: bool
-    is_reserved: bool
-
-
-@dataclass(frozen=True, slots=True)
-class PoolReport:
-    """What a shard wants and has."""
-
-    wanted: int
-    workers: tuple[WorkerReport, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class MachineOrder:
     """Move a machine to a pool, or with `wave` above 0 take it down for upkeep."""
@@ -198,7 +178,7 @@
         evacuated : frozenset of str
             Data centres whose machines serve nothing now.
         """
-        current = _Planning(at_ms, config, machines, reports, evacuated)
+        current = FleetView(at_ms, config, machines, reports, evacuated)
         self._settle(listed_ms, current)
         orders = self._retries(at_ms)
         orders += self._plan_waves(current)
@@ -218,7 +198,7 @@
             )
         return orders, current.lines
 
-    def _settle(self, listed_ms: int, current: "_Planning") -> None:
+    def _settle(self, listed_ms: int, current: FleetView) -> None:
         """Forget orders whose machine serves again, and reservations that are over."""
         machines = current.machines
         for machine in machines.values():
@@ -257,7 +237,7 @@
                 orders.append(pending.order)
         return orders
 
-    def _order(self, order: MachineOrder, current: "_Planning") -> MachineOrder:
+    def _order(self, order: MachineOrder, current: FleetView) -> MachineOrder:
         """Take note of an order at once, so that the same pass counts it."""
         worker_id = current.machines[order.machine].worker_id
         self._pending[order.machine] = _Pending(order, current.at_ms, worker_id)
@@ -270,7 +250,7 @@
 
     # Waves
 
-    def _plan_waves(self, current: "_Planning") -> list[MachineOrder]:
+    def _plan_waves(self, current: FleetView) -> list[MachineOrder]:
         orders: list[MachineOrder] = []
         for number, state in self.waves.items():
             if not state.is_finished:
@@ -278,7 +258,7 @@
         return orders
 
     def _plan_wave(
-        self, number: int, state: _WaveState, current: "_Planning"
+        self, number: int, state: _WaveState, current: FleetView
     ) -> list[MachineOrder]:
         left = self._left_of(state, current)
         ready = [
@@ -296,7 +276,7 @@
         self._vacate(number, state, len(left), busy, current)
         return orders
 
-    def _left_of(self, state: _WaveState, current: "_Planning") -> list[Machine]:
+    def _left_of(self, state: _WaveState, current: FleetView) -> list[Machine]:
         """Return the machines of a wave that still need their upkeep."""
         left = []
         for name in state.wave.machines:
@@ -316,7 +296,7 @@
         state: _WaveState,
         n_left: int,
         candidates: list[Machine],
-        current: "_Planning",
+        current: FleetView,
     ) -> None:
         """Reserve as many machines of pools as the wave's end calls for."""
         end_ms = state.seen_ms + state.wave.duration_ms - WAVE_MARGIN_MS
@@ -339,7 +319,7 @@
             n_vacating += 1
             self._reserved[machine.name] = MachineOrder(machine.name, wave=number)
 
-    def _n_down(self, number: int, state: _WaveState, current: "_Planning") -> int:
+    def _n_down(self, number: int, state: _WaveState, current: FleetView) -> int:
         down = {
             name
             for name, pending in self._pending.items()
@@ -354,7 +334,7 @@
 
     # Sizes
 
-    def _plan_sizes(self, current: "_Planning") -> list[MachineOrder]:
+    def _plan_sizes(self, current: FleetView) -> list[MachineOrder]:
         spare = [
             machine
             for machine in current.machines.values()
@@ -391,7 +371,7 @@
         pool: str,
         spare: list[Machine],
         waiting: set[str],
-        current: "_Planning",
+        current: FleetView,
     ) -> Machine | None:
         """Prefer machines whose upkeep is over, in racks that the pool uses least.
 
@@ -413,7 +393,7 @@
             default=None,
         )
 
-    def _n_available(self, pool: str, current: "_Planning") -> int:
+    def _n_available(self, pool: str, current: FleetView) -> int:
         here = sum(
             name not in self._reserved and name not in self._pending
             for name in current.usable(pool)
@@ -424,7 +404,7 @@
         )
         return here + coming
 
-    def _release(self, pool: str, n: int, current: "_Planning") -> int:
+    def _release(self, pool: str, n: int, current: FleetView) -> int:
         """Keep machines that were about to leave a pool that needs them again."""
         names = [
             name
@@ -435,7 +415,7 @@
             del self._reserved[name]
         return len(names)
 
-    def _reserve_surplus(self, pool: str, n: int, current: "_Planning") -> None:
+    def _reserve_surplus(self, pool: str, n: int, current: FleetView) -> None:
         candidates = [
             current.machines[name]
             for name in current.usable(pool)
@@ -448,7 +428,7 @@
             order = MachineOrder(machine.name, current.spare_pool)
             self._reserved[machine.name] = order
 
-    def _plan_reserved(self, current: "_Planning") -> list[MachineOrder]:
+    def _plan_reserved(self, current: FleetView) -> list[MachineOrder]:
         """Send the orders of reserved machines on which nothing runs any more."""
         orders = []
         for name, order in self._reserved.items():
@@ -464,78 +444,3 @@
                     continue
             orders.append(self._order(order, current))
         return orders
-
-
-class _Planning:
-    """Lookups of one planning pass."""
-
-    def __init__(
-        self,
-        at_ms: int,
-        config: Configuration,
-        machines: Mapping[str, Machine],
-        reports: Mapping[str, PoolReport],
-        evacuated: frozenset[str],
-    ) -> None:
-        self.at_ms = at_ms
-        self.machines = machines
-        self.reports = reports
-        self.evacuated = evacuated
-        self.lines: list[LogDecision] = []
-        self._services = config.service_by_name
-        self.spare_pool = next(
-            (service.name for service in config.services if service.is_spare), ""
-        )
-        self._workers = {
-            worker.worker_id: worker
-            for report in reports.values()
-            for worker in report.workers
-        }
-
-    def is_spare(self, pool: str) -> bool:
-        """Whether the machines of a pool are off."""
-        service = self._services.get(pool)
-        return service is not None and service.is_spare
-
-    def worker(self, machine: Machine) -> WorkerReport | None:
-        """Return the worker of a machine as its shard sees it."""
-        return self._workers.get(machine.worker_id)
-
-    def is_empty(self, machine: Machine) -> bool:
-        """Whether a machine may be taken without asking a shard."""
-        if self.is_spare(machine.pool):
-            return True
-        return machine.pool not in self._services
-
-    def usable(self, pool: str) -> list[str]:
-        """Return the machines of a pool whose workers take work."""
-        found = []
-        for machine in self.machines.values():
-            if machine.pool != pool or machine.state != "up":
-                continue
-            worker = self.worker(machine)
-            if worker is not None and worker.is_usable:
-                found.append(machine.name)
-        return found
-
-    def serves(self, machine: Machine) -> bool:
-        """Whether a machine does in its pool what it is there for."""
-        if machine.pool not in self.reports:
-            return True
-        worker = self.worker(machine)
-        return worker is not None and worker.is_usable
-
-    def pool_of(self, name: str) -> str:
-        """Return the pool of a machine, empty for an unknown one."""
-        machine = self.machines.get(name)
-        return machine.pool if machine else ""
-
-    def n_lasting(self, machine: Machine) -> int:
-        """Return the number of lasting runs on a machine."""
-        worker = self.worker(machine)
-        return worker.n_lasting if worker else 0
-
-    def load(self, machine: Machine) -> tuple[int, int]:
-        """Order machines by what would have to leave them."""
-        worker = self.worker(machine)
-        return (worker.n_lasting, worker.n_runs) if worker else (0, 0)
--- /dev/null
+++ b/apricotgap/jobs/migration.py
@@ -0,0 +1,65 @@
+"""Lasting runs that leave workers which are to be emptied."""
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.effects import Effect, LogDecision
+from apricotgap.jobs.runs import Run, RunPhase
+from apricotgap.jobs.shard import Shard
+
+__all__ = ["Migrator"]
+
+
+class Migrator:
+    """Stops lasting runs on reserved and draining workers, within their budget.
+
+    A stopped task waits again, and the scheduler starts it elsewhere.
+
+    Parameters
+    ----------
+    shard : Shard
+        The state.
+    """
+
+    def __init__(self, shard: Shard) -> None:
+        self._shard = shard
+
+    def run(self, at_ms: int) -> list[Effect]:
+        """Return the stops that are due now."""
+        shard = self._shard
+        effects: list[Effect] = []
+        if shard.in_doubt or at_ms - shard.loaded_ms < limits.SETTLE_MS:
+            # Stops of an earlier owner may be under way.
+            return effects
+        for worker in shard.workers.values():
+            if not worker.entry.is_draining and not worker.is_reserved(at_ms):
+                continue
+            for run in list(worker.runs.values()):
+                if run.phase is not RunPhase.RUNNING or not run.step.lasts:
+                    continue
+                if not self._may_take_away(run, at_ms, worker.entry.is_draining):
+                    continue
+                effects.extend(shard.stop(run, at_ms))
+                line: dict[str, object] = {
+                    "task": str(run.name),
+                    "worker": worker.worker_id,
+                }
+                effects.append(LogDecision("run_migrated", line))
+        return effects
+
+    def _may_take_away(self, run: Run, at_ms: int, is_leaving: bool) -> bool:
+        """Whether a lasting run may end now without breaking its step's budget."""
+        job = self._shard.jobs.get(run.name.job_id)
+        if job is None or job.is_final:
+            return False
+        n_away = 0
+        for index in range(run.step.n_tasks):
+            if index != run.name.number:
+                others = job.runs.get(run.name._replace(number=index), ())
+                n_away += not any(self._is_at_work(other, at_ms) for other in others)
+        allowed = max(1, run.step.max_unavailable)
+        return n_away < allowed or (is_leaving and n_away <= allowed)
+
+    def _is_at_work(self, run: Run, at_ms: int) -> bool:
+        worker = self._shard.workers.get(run.worker_id)
+        if worker is None or at_ms - worker.answered_ms > limits.SILENT_WORKER_MS:
+            return False
+        return run.phase is RunPhase.RUNNING and run.percent >= 100
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -348,47 +348,6 @@
             if worker is not None:
                 worker.reserved_until_ms = at_ms + limits.RESERVATION_MS
 
-    def migrate(self, at_ms: int) -> list[Effect]:
-        """Stop lasting runs that should go on elsewhere, within their budget."""
-        effects: list[Effect] = []
-        if self.in_doubt or at_ms - self.loaded_ms < limits.SETTLE_MS:
-            # Stops of an earlier owner may be under way.
-            return effects
-        for worker in self.workers.values():
-            if not worker.entry.is_draining and not worker.is_reserved(at_ms):
-                continue
-            for run in list(worker.runs.values()):
-                if run.phase is not RunPhase.RUNNING or not run.step.lasts:
-                    continue
-                if self._may_take_away(run, at_ms, worker.entry.is_draining):
-                    effects.extend(self.stop(run, at_ms))
-                    effects.append(
-                        LogDecision(
-                            "run_migrated",
-                            {"task": str(run.name), "worker": worker.worker_id},
-                        )
-                    )
-        return effects
-
-    def _may_take_away(self, run: Run, at_ms: int, is_leaving: bool) -> bool:
-        """Whether a lasting run may end now without breaking its step's budget."""
-        job = self.jobs.get(run.name.job_id)
-        if job is None or job.is_final:
-            return False
-        n_away = 0
-        for index in range(run.step.n_tasks):
-            if index != run.name.number:
-                others = job.runs.get(run.name._replace(number=index), ())
-                n_away += not any(self._is_at_work(other, at_ms) for other in others)
-        allowed = max(1, run.step.max_unavailable)
-        return n_away < allowed or (is_leaving and n_away <= allowed)
-
-    def _is_at_work(self, run: Run, at_ms: int) -> bool:
-        worker = self.workers.get(run.worker_id)
-        if worker is None or at_ms - worker.answered_ms > limits.SILENT_WORKER_MS:
-            return False
-        return run.phase is RunPhase.RUNNING and run.percent >= 100
-
     def hold_sent(self, worker: Worker, at_ms: int, lease_until_ms: int) -> int:
         """Return the lease end to ask for, on the worker's clock, 0 for none.
 
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -10,9 +10,8 @@
     FleetPlanner,
     MachineOrder,
     OrderResult,
-    PoolReport,
-    WorkerReport,
 )
+from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.model import Resources
 from tests.jobs_harness import SERVICE, configuration
 
--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -10,6 +10,7 @@
 )
 from apricotgap.jobs.effects import StartRun, StopRun
 from apricotgap.jobs.events import HoldFailed, StopAnswered
+from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, Resources, RunEnd, StepSpec
 from tests.jobs_harness import FAR_MS, Rig, ended, entry, job, running, task
 
@@ -275,7 +276,7 @@
     rig.answer(start)
     rig.hold(start.worker_id, running=[running(start)])
     rig.shard.reserve([start.worker_id], rig.now)
-    (stop,) = stops(rig.shard.migrate(rig.now))
+    (stop,) = stops(Migrator(rig.shard).run(rig.now))
     rig.now += 100
     rig.shard.step(
         StopAnswered(rig.now, stop.worker_id, 1, stop.name, stop.run_id, True)
@@ -343,15 +344,15 @@
     def test_one_run_leaves_a_reserved_worker(self):
         rig = self.rig()
         rig.shard.reserve([self.starts[0].worker_id], rig.now)
-        assert [stop.name for stop in stops(rig.shard.migrate(rig.now))] == [
+        assert [stop.name for stop in stops(Migrator(rig.shard).run(rig.now))] == [
             self.starts[0].name
         ]
 
     def test_no_second_run_leaves_while_the_first_is_away(self):
         rig = self.rig()
         rig.shard.reserve([start.worker_id for start in self.starts], rig.now)
-        assert len(stops(rig.shard.migrate(rig.now))) == 1
-        assert stops(rig.shard.migrate(rig.now)) == []
+        assert len(stops(Migrator(rig.shard).run(rig.now))) == 1
+        assert stops(Migrator(rig.shard).run(rig.now)) == []
 
     def test_no_run_leaves_while_another_ones_worker_is_silent(self):
         """Guards against counting a run on a dead worker as at work."""
@@ -359,14 +360,14 @@
         rig.now += limits.SILENT_WORKER_MS + 1
         rig.hold(self.starts[0].worker_id, running=[running(self.starts[0])])
         rig.shard.reserve([self.starts[0].worker_id], rig.now)
-        assert stops(rig.shard.migrate(rig.now)) == []
+        assert stops(Migrator(rig.shard).run(rig.now)) == []
 
     def test_no_run_leaves_right_after_a_takeover(self):
         """Guards against a stop beside one that the earlier owner has sent."""
         rig = self.rig()
         rig.shard.loaded_ms = rig.now
         rig.shard.reserve([self.starts[0].worker_id], rig.now)
-        assert stops(rig.shard.migrate(rig.now)) == []
+        assert stops(Migrator(rig.shard).run(rig.now)) == []
 
     def test_lasting_run_waits_after_a_takeover_for_the_reserved_workers(self):
         """Guards against a start on a machine whose upkeep is already ordered."""
