Decode CBOR in one place with one kind of error

The tests of malformed peer messages passed before this change too: the websocket server contains the error, which was then not logged with its cause.

--- a/apricotgap/instance/peers.py
+++ b/apricotgap/instance/peers.py
@@ -11,6 +11,8 @@
 from websockets.trio.client import connect
 from websockets.trio.server import serve
 
+from apricotgap.jobs.cbor import decode_cbor
+
 __all__ = ["PeerCallError", "PeerClient", "serve_peers"]
 
 Handler = Callable[[str, Any], Awaitable[Any]]
@@ -46,11 +48,11 @@
     log = structlog.get_logger()
 
     async def answer(socket: Any, data: bytes) -> None:
-        number, operation, argument = cbor2.loads(data)
         try:
+            number, operation, argument = decode_cbor(data)
             result = await handler(operation, argument)
-        except (KeyError, TypeError, ValueError) as error:
-            log.warning("peer_call_malformed", operation=operation, error=repr(error))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            log.warning("peer_call_malformed", error=repr(error))
             return
         try:
             await socket.send(cbor2.dumps([number, result]))
@@ -64,8 +66,6 @@
                     nursery.start_soon(answer, socket, data)
             except _LINK_ERRORS as error:
                 log.info("peer_link_lost", error=repr(error))
-            except (cbor2.CBORDecodeError, ValueError) as error:
-                log.warning("peer_message_malformed", error=repr(error))
             nursery.cancel_scope.cancel()
 
     await serve(
@@ -168,7 +168,7 @@
                     async for data in socket:
                         if isinstance(data, str):
                             raise ValueError("text message")
-                        number, result = cbor2.loads(data)
+                        number, result = decode_cbor(data)
                         waiter = link.waiting.get(number)
                         if waiter is not None:
                             waiter[1].append(result)
--- a/apricotgap/instance/roster.py
+++ b/apricotgap/instance/roster.py
@@ -6,6 +6,7 @@
 
 from apricotgap.instance.keys import roster_key
 from apricotgap.instance.tenure import Tenure
+from apricotgap.jobs.cbor import decode_cbor
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.model import Resources
 from apricotgap.jobs.shard import Shard
@@ -54,7 +55,7 @@
                 continue
             self._revision = item.revision
             try:
-                rows = cbor2.loads(item.value)
+                rows = decode_cbor(item.value)
                 entries = [_entry(self._shard.service, row) for row in rows]
             except (ValueError, TypeError) as error:
                 self._log.error("roster_unreadable", error=str(error))
--- a/apricotgap/jobs/documents.py
+++ b/apricotgap/jobs/documents.py
@@ -4,6 +4,7 @@
 
 import cbor2
 
+from apricotgap.jobs.cbor import decode_cbor
 from apricotgap.jobs.model import JobPhase, JobSpec, Resources, StepSpec, TaskName
 
 __all__ = [
@@ -100,7 +101,7 @@
         The bytes are no job of this version.
     """
     try:
-        version, *fields = cbor2.loads(data)
+        version, *fields = decode_cbor(data)
         if version != _VERSION:
             raise DocumentError(f"unknown job version {version}")
         steps = tuple(_step(row) for row in fields[5])
@@ -108,7 +109,7 @@
         return JobSpec(*fields)
     except DocumentError:
         raise
-    except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError) as error:
+    except (ValueError, TypeError, IndexError) as error:
         raise DocumentError(f"malformed job: {error}") from error
 
 
@@ -141,7 +142,7 @@
         The bytes are no progress of this version.
     """
     try:
-        version, phase, rows, finished_ms = cbor2.loads(data)
+        version, phase, rows, finished_ms = decode_cbor(data)
         if version != _VERSION:
             raise DocumentError(f"unknown progress version {version}")
         tasks = {
@@ -151,7 +152,7 @@
         return Progress(JobPhase(phase), tasks, finished_ms)
     except DocumentError:
         raise
-    except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError) as error:
+    except (ValueError, TypeError, IndexError) as error:
         raise DocumentError(f"malformed progress: {error}") from error
 
 
@@ -172,11 +173,11 @@
         The bytes are no split of this version.
     """
     try:
-        version, rows = cbor2.loads(data)
+        version, rows = decode_cbor(data)
         if version != _VERSION:
             raise DocumentError(f"unknown split version {version}")
         return {service: Resources(*row) for service, row in rows.items()}
     except DocumentError:
         raise
-    except (ValueError, TypeError, AttributeError, cbor2.CBORDecodeError) as error:
+    except (ValueError, TypeError, AttributeError) as error:
         raise DocumentError(f"malformed split: {error}") from error
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -1,6 +1,8 @@
 """HTTP calls of the tests to servers on loopback."""
 
 import json
+import socket
+from contextlib import closing
 
 import httpcore
 
@@ -16,3 +18,10 @@
     body = b"" if document is None else json.dumps(document).encode()
     response = await call_raw(method, address, path, body, headers)
     return response.status, json.loads(response.content)
+
+
+def free_port():
+    """Return a port that was free just now."""
+    with closing(socket.socket()) as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
