Order machines right after a takeover; empty evacuated and suspect machines

Machines of an evacuated data centre, a third of the pools for 35 s, stayed in their pools without work. Change: an owner writes machines down before it orders them, and a successor leaves only those alone for the lease time; those of a wave count as down. Machines that are evacuated or fail what they start are emptied and moved to the pool that is off.

--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -9,7 +9,9 @@
 from apricotgap.clock import Clock
 from apricotgap.instance.directory import Directory
 from apricotgap.instance.lease import InstanceLease
+from apricotgap.instance.order_ledger import OrderLedger
 from apricotgap.instance.tenure import Tenure
+from apricotgap.jobs.cbor import decode_cbor
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_plan import (
     FleetPlanner,
@@ -80,6 +82,7 @@
         self._client = MachineClient(settings.fleet_address, settings.name)
         self._planner = FleetPlanner(settings.bounds.move_ms, settings.bounds.upkeep_ms)
         self._holder_lease_ms = settings.bounds.holder_lease_ms
+        self._ledger = OrderLedger(tenure, store, clock, self._holder_lease_ms)
         self._machines: dict[str, Machine] = {}
         self._listed_ms = -1_000_000
         self._done: dict[int, tuple[str, ...]] = {}
@@ -94,10 +97,9 @@
         OwnershipLostError
             The store shows another owner.
         """
-        if self._tenure.epoch > 1:
-            # Orders of two holders must not mix within one lease time.
-            await trio.sleep(self._holder_lease_ms / 1000)
+        claimed_ms = self._clock.now_ms
         await self._load()
+        await self._inherit(claimed_ms + self._holder_lease_ms)
         async with trio.open_nursery() as nursery:
             while True:
                 await self._cycle(nursery)
@@ -114,10 +116,25 @@
         for item in snapshot.items:
             try:
                 number = int(item.key[len(WAVES) :])
-                self._done[number] = tuple(cbor2.loads(item.value or b""))
+                self._done[number] = tuple(decode_cbor(item.value or b""))
             except (ValueError, TypeError) as error:
                 self._log.error("wave_unreadable", key=item.key, error=str(error))
 
+    async def _inherit(self, until_ms: int) -> None:
+        """Keep orders of two owners for one machine apart by one lease time."""
+        while True:
+            try:
+                ordered = await self._ledger.load()
+                break
+            except StoreError as error:
+                self._log.warning("fleet_orders_not_read", reason=str(error))
+                await trio.sleep(_RETRY_S)
+        if ordered is None:
+            await trio.sleep(max(0, until_ms - self._clock.now_ms) / 1000)
+            return
+        self._log.info("fleet_loaded", n_waves=len(self._done), n_ordered=len(ordered))
+        self._planner.inherit(ordered, until_ms)
+
     async def _cycle(self, nursery: trio.Nursery) -> None:
         config = self._directory.config
         if config is None or not self._has_lease(0):
@@ -151,8 +168,12 @@
         )
         for line in lines:
             self._log.info(line.event, **line.fields)
+        is_recorded = await self._ledger.record(order.machine for order in orders)
         for order in orders:
-            nursery.start_soon(self._send, order)
+            if is_recorded:
+                nursery.start_soon(self._send, order)
+            else:
+                self._answered(order, "unavailable")
         await self._store_waves()
 
     def _has_lease(self, span_ms: int) -> bool:
@@ -177,7 +198,12 @@
         kind = "unavailable"
         # An order must not arrive after another owner has sent one.
         if self._has_lease(CALL_TIMEOUT_MS):
+            self._ledger.ordered(order.machine)
             kind = await self._client.send(order, self._tenure.epoch)
+            self._ledger.ordered(order.machine)
+        self._answered(order, kind)
+
+    def _answered(self, order: MachineOrder, kind: str) -> None:
         self._metrics.count("machine_orders", result=kind)
         self._log.info(
             "machine_order_answered",
@@ -230,6 +256,7 @@
                 worker.n_lasting,
                 worker.is_usable,
                 worker.is_reserved,
+                worker.is_suspect,
             ]
             for worker in report.workers
         ],
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -4,9 +4,11 @@
 
 import cbor2
 
+from apricotgap.jobs.cbor import decode_cbor
 from apricotgap.platform.store import Write
 
 __all__ = [
+    "FLEET_ORDERS",
     "MEMBERS",
     "OWNERS",
     "SYSTEM",
@@ -32,6 +34,8 @@
 SYSTEM = "sys/"
 MEMBERS = "sys/members/"
 OWNERS = "sys/owners/"
+# Machines that the fleet's owner has ordered about just now.
+FLEET_ORDERS = "orders/fleet"
 
 
 def owner_key(shard: str) -> str:
@@ -146,7 +150,7 @@
 
 
 def _row(data: bytes, n_fields: int) -> list:
-    row = cbor2.loads(data)
+    row = decode_cbor(data)
     if not isinstance(row, list) or len(row) != n_fields:
         raise ValueError(f"expected {n_fields} fields")
     return row
--- /dev/null
+++ b/apricotgap/instance/order_ledger.py
@@ -0,0 +1,116 @@
+"""The stored list of machines that the fleet's owner has ordered just now."""
+
+from collections.abc import Iterable
+
+import cbor2
+import structlog
+
+from apricotgap.clock import Clock
+from apricotgap.instance.keys import FLEET_ORDERS
+from apricotgap.instance.tenure import Tenure
+from apricotgap.jobs.cbor import decode_cbor
+from apricotgap.platform.store import (
+    Conflict,
+    StoreClient,
+    Stored,
+    StoreError,
+    Unknown,
+    Write,
+)
+
+__all__ = ["OrderLedger"]
+
+
+class OrderLedger:
+    """Tells the next owner which machines it must leave alone for a while.
+
+    A machine is written down before its first order is sent, over the last revision of
+    the list: a write with an unknown outcome must not replace a later one.
+
+    Parameters
+    ----------
+    tenure, store, clock
+        What it works with.
+    span_ms : int
+        For how long after an order another owner must send none for the machine.
+    """
+
+    def __init__(
+        self, tenure: Tenure, store: StoreClient, clock: Clock, span_ms: int
+    ) -> None:
+        self._tenure = tenure
+        self._store = store
+        self._clock = clock
+        self._span_ms = span_ms
+        self._revision = 0
+        self._stored: frozenset[str] = frozenset()
+        self._ordered_ms: dict[str, int] = {}
+        self._log = structlog.get_logger().bind(shard=tenure.shard, epoch=tenure.epoch)
+
+    async def load(self) -> frozenset[str] | None:
+        """Return the machines that the earlier owner has ordered last.
+
+        Returns
+        -------
+        frozenset of str or None
+            None when the list is unreadable, so that any machine may be among them.
+
+        Raises
+        ------
+        StoreError
+            No usable answer.
+        """
+        item = await self._store.read_key(FLEET_ORDERS)
+        self._revision = item.revision
+        if item.value is None:
+            return frozenset()
+        try:
+            return frozenset(map(str, decode_cbor(item.value)))
+        except (ValueError, TypeError) as error:
+            self._log.error("fleet_orders_unreadable", error=str(error))
+            return None
+
+    async def record(self, machines: Iterable[str]) -> bool:
+        """Write machines down; False when that is not certain.
+
+        Raises
+        ------
+        OwnershipLostError
+            The store shows another owner.
+        """
+        now_ms = self._clock.now_ms
+        wanted = frozenset(machines)
+        if wanted <= self._stored:
+            return True
+        recent = {
+            name
+            for name, ordered_ms in self._ordered_ms.items()
+            if now_ms - ordered_ms <= self._span_ms
+        }
+        names = wanted | recent
+        write = Write(
+            FLEET_ORDERS, cbor2.dumps(sorted(names)), expected_revision=self._revision
+        )
+        outcome = await self._store.write((self._tenure.condition, write))
+        if isinstance(outcome, Stored):
+            self._revision = outcome.revision
+            self._stored = names
+            self._ordered_ms = {name: self._ordered_ms[name] for name in recent}
+            return True
+        self._log.warning("fleet_orders_not_stored", outcome=repr(outcome)[:200])
+        if isinstance(outcome, Conflict):
+            self._tenure.check(outcome)
+            self._revision = outcome.revision_of(FLEET_ORDERS)
+        elif isinstance(outcome, Unknown):
+            await self._reread()
+        return False
+
+    async def _reread(self) -> None:
+        try:
+            self._revision = (await self._store.read_key(FLEET_ORDERS)).revision
+        except StoreError as error:
+            self._log.warning("fleet_orders_not_read", reason=str(error))
+
+    def ordered(self, machine: str) -> None:
+        """Take note that an order was sent, at the latest now."""
+        self._ordered_ms[machine] = self._clock.now_ms
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -341,6 +341,7 @@
                     sum(run.step.lasts for run in worker.runs.values()),
                     worker.is_usable(now_ms, self.core.evacuated),
                     worker.is_reserved(now_ms),
+                    worker.suspect_since_ms is not None,
                 )
                 for worker in self.core.workers.values()
             ),
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -81,10 +81,27 @@
         self._pending: dict[str, _Pending] = {}
         self._reserved: dict[str, MachineOrder] = {}
         self._avoid_until: dict[str, int] = {}
+        self._inherited: frozenset[str] = frozenset()
+        self._inherited_until_ms = 0
         self._ended: dict[str, int] = {}
         self._kinds: dict[str, set[str]] = {}
         self.waves: dict[int, _WaveState] = {}
 
+    def inherit(self, machines: Iterable[str], until_ms: int) -> None:
+        """Leave machines alone that an earlier owner has ordered away just now.
+
+        Parameters
+        ----------
+        machines : iterable of str
+            Their names; those of a wave count as down.
+        until_ms : int
+            From when on they may be ordered again.
+        """
+        self._inherited = frozenset(machines)
+        self._inherited_until_ms = until_ms
+        for name in self._inherited:
+            self._avoid_until[name] = until_ms
+
     @property
     def is_busy(self) -> bool:
         """Whether machines are on their way or about to leave."""
@@ -330,6 +347,8 @@
             for name in state.wave.machines
             if name in current.machines and current.machines[name].state == "upkeep"
         )
+        if current.at_ms < self._inherited_until_ms:
+            down.update(self._inherited & (set(state.wave.machines) - state.done))
         return len(down)
 
     # Sizes
@@ -364,8 +383,18 @@
                 orders.append(self._order(order, current))
             if missing < 0 and current.spare_pool:
                 self._reserve_surplus(pool, -missing, current)
+            if current.spare_pool:
+                self._reserve_useless(pool, current)
         return orders
 
+    def _reserve_useless(self, pool: str, current: FleetView) -> None:
+        """Empty machines that are paid for and get no work."""
+        for name, machine in current.machines.items():
+            if machine.pool != pool or not current.is_useless(machine):
+                continue
+            if self._is_idle(name, current.at_ms):
+                self._reserved[name] = MachineOrder(name, current.spare_pool)
+
     def _choose_spare(
         self,
         pool: str,
@@ -409,7 +438,9 @@
         names = [
             name
             for name, order in self._reserved.items()
-            if order.pool and current.machines[name].pool == pool
+            if order.pool
+            and current.machines[name].pool == pool
+            and not current.is_useless(current.machines[name])
         ][:n]
         for name in names:
             del self._reserved[name]
@@ -436,6 +467,8 @@
             worker = current.worker(machine)
             if name in self._pending or worker is None:
                 continue
+            if self._avoid_until.get(name, 0) > current.at_ms:
+                continue
             if worker.n_runs or not worker.is_reserved:
                 continue
             if order.wave:
--- a/apricotgap/jobs/fleet_view.py
+++ b/apricotgap/jobs/fleet_view.py
@@ -12,13 +12,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
-    """A worker as its shard sees it."""
+    """A worker as its shard sees it; a suspect one fails what it starts."""
 
     worker_id: str
     n_runs: int
     n_lasting: int
     is_usable: bool
     is_reserved: bool
+    is_suspect: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +96,13 @@
                 found.append(machine.name)
         return found
 
+    def is_useless(self, machine: Machine) -> bool:
+        """Whether a pool's machine gets no work where it is, though it is sound."""
+        worker = self.worker(machine)
+        if machine.state != "up" or worker is None:
+            return False
+        return machine.data_centre in self.evacuated or worker.is_suspect
+
     def serves(self, machine: Machine) -> bool:
         """Whether a machine does in its pool what it is there for."""
         if machine.pool not in self.reports:
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -33,6 +33,8 @@
         self.wanted = 0
         self.runs = {}
         self.reserved = set()
+        self.suspect = set()
+        self.evacuated = frozenset()
         self.now = 100_000
 
     def plan(self, *waves, listed_ms=None):
@@ -43,8 +45,9 @@
             WorkerReport(
                 each.worker_id,
                 *self.runs.get(each.name, (0, 0)),
-                True,
+                each.data_centre not in self.evacuated,
                 each.worker_id in self.reserved,
+                each.name in self.suspect,
             )
             for each in self.machines.values()
             if each.worker_id and each.state == "up"
@@ -55,7 +58,7 @@
             configuration(),
             self.machines,
             {SERVICE: PoolReport(self.wanted, workers)},
-            frozenset(),
+            self.evacuated,
         )
         return orders
 
@@ -181,3 +184,42 @@
     rig.machines["s0"] = other
     rig.wanted = 3
     assert rig.plan() == [MachineOrder("s1", SERVICE)]
+
+
+def test_machines_of_an_evacuated_data_centre_leave_their_pool_once_empty():
+    """Guards against paying for machines that may not be given work."""
+    rig = Rig(machine("m0"), replace(machine("m1"), data_centre="b"))
+    rig.wanted = 2
+    rig.evacuated = frozenset({"b"})
+    rig.runs["m1"] = (1, 1)
+    assert rig.plan() == []
+    assert rig.plan() == []
+    rig.runs["m1"] = (0, 0)
+    assert rig.plan() == [MachineOrder("m1", "spare")]
+
+
+def test_machine_that_fails_what_it_starts_leaves_its_pool():
+    rig = Rig(machine("m0"), machine("m1"))
+    rig.wanted = 2
+    rig.suspect = {"m1"}
+    rig.plan()
+    assert rig.plan() == [MachineOrder("m1", "spare")]
+
+
+def test_machine_that_an_earlier_owner_ordered_is_left_alone_for_a_while():
+    """Guards against two owners that take turns on one machine."""
+    rig = Rig(machine("s0", "spare"), machine("s1", "spare"))
+    rig.wanted = 2
+    rig.planner.inherit({"s0"}, rig.now + 3_000)
+    assert rig.plan() == [MachineOrder("s1", SERVICE)]
+    rig.now += 3_000
+    assert MachineOrder("s0", SERVICE) in rig.plan()
+
+
+def test_machines_that_an_earlier_owner_took_down_count_for_the_wave():
+    """Guards against more machines down than a wave allows after a takeover."""
+    rig = Rig(*(machine(f"m{n}", "spare") for n in range(3)))
+    rig.planner.inherit({"m0"}, rig.now + 3_000)
+    assert rig.plan(wave("m0", "m1", "m2", max_down=1)) == []
+    rig.now += 3_000
+    assert len(rig.plan(wave("m0", "m1", "m2", max_down=1))) == 1
