Model-check the runs of a task under owners that replace each other

The search found that a worker which a successor gave up without taking it could still get a start of the earlier owner after a cut; what prevents it is that an owner starts nothing once its own lease may have ended.

--- a/proof/model_check.py
+++ b/proof/model_check.py
@@ -13,6 +13,7 @@
 from proof.checker import Result, Specification, explore
 from proof.claims import Claims
 from proof.configuration import ConfigurationView
+from proof.runs import Runs
 from proof.waves import WaveGrants
 
 __all__ = ["main"]
@@ -24,6 +25,7 @@
     AllotmentLevels,
     Claims,
     ConfigurationView,
+    Runs,
     WaveGrants,
 )
 
