--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -1,6 +1,7 @@
 """Calls without an answer: what may have been executed and what cannot."""
 
 import socket
+from functools import partial
 
 import pytest
 import trio
@@ -87,3 +88,97 @@
         assert len(snapshot.items) == 501
 
     run(check)
+
+
+@pytest.mark.parametrize(
+    "address", ["nowhere", "127.0.0.1:port", "127.0.0.1:99999", ":", "a b:1", "é:1"]
+)
+def test_unusable_address_is_a_call_that_was_not_sent(address):
+    """Guards against an entry of another writer that ends the shard."""
+
+    async def main():
+        with pytest.raises(NoAnswerError) as caught:
+            await HttpClient().call("GET", address, "/", timeout_ms=300)
+        assert not caught.value.sent
+
+    trio.run(main)
+
+
+def test_header_with_a_line_break_is_not_sent():
+    async def check(store, client):
+        headers = (("X-Apricotgap-Target-Instance", "w1\r\nHost: other"),)
+        with pytest.raises(NoAnswerError) as caught:
+            await HttpClient().call("GET", store.address, "/", headers=headers)
+        assert not caught.value.sent
+
+    run(check)
+
+
+def answer_once(*parts):
+    """Run a server that sends bytes to each connection and closes it."""
+
+    async def serve(stream):
+        async with stream:
+            await stream.receive_some(1_000)
+            for part in parts:
+                await stream.send_all(part)
+                await trio.sleep(0.02)
+
+    return serve
+
+
+@pytest.mark.parametrize(
+    ("parts", "body"),
+    [
+        ((b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab", b"cd"), b"abcd"),
+        ((b"HTTP/1.1 20", b"0 OK\r\nContent-Length: 1\r\n\r", b"\nx"), b"x"),
+        (
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+                b"1\r\nc\r\n0\r\n\r\n",
+            ),
+            b"abc",
+        ),
+        ((b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",), None),
+        ((b"nonsense\r\n\r\n",), None),
+        ((), None),
+    ],
+)
+def test_answer_is_whole_or_an_error(parts, body):
+    """Guards against an answer that is cut off and taken for a whole one."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            (listener,) = await nursery.start(
+                partial(trio.serve_tcp, answer_once(*parts), 0, host="127.0.0.1")
+            )
+            port = listener.socket.getsockname()[1]
+            call = HttpClient().call("GET", f"127.0.0.1:{port}", "/", timeout_ms=2_000)
+            if body is None:
+                with pytest.raises(NoAnswerError) as caught:
+                    await call
+                assert caught.value.sent
+            else:
+                assert (await call).body == body
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_connection_that_was_closed_while_idle_is_not_used_again():
+    """Guards against calls with an unknown outcome after each idle time-out."""
+
+    async def main():
+        serve = answer_once(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        async with trio.open_nursery() as nursery:
+            (listener,) = await nursery.start(
+                partial(trio.serve_tcp, serve, 0, host="127.0.0.1")
+            )
+            address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+            client = HttpClient()
+            for _ in range(3):
+                assert (await client.call("GET", address, "/")).status == 200
+                await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
