Give shards to the machines that can carry them; schedule without rescans

Cause: on the grown deployment machines differ by four in processor speed, and a pass of the scheduler with 300 waiting jobs on 60 workers took 34 ms after each answer of a worker. Change: members publish their processor; vacant shards go to the least load for each core, and an overloaded owner hands a shard over. Waiting jobs are looked through once for each size that found no room, final jobs not at all, and free room is kept rather than computed.

--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -35,6 +35,10 @@
 # An instance waits this much longer for each other one that should come first.
 RANK_DELAY_MS = 250
 _SCAN_S = 0.1
+# A shard is handed over when another instance would carry less than this share of
+# the load of its owner, and has for a while: each handover stops starts for a moment.
+HANDOVER_SHARE = 0.4
+HANDOVER_AFTER_MS = 2_000
 
 
 class Election:
@@ -68,6 +72,7 @@
         self._vacant_since: dict[str, int] = {}
         self._tenures: dict[str, tuple[Tenure, trio.CancelScope]] = {}
         self._member_lease = 0
+        self._overloaded_since_ms: int | None = None
         self._log = structlog.get_logger()
         self.is_draining = False
 
@@ -85,6 +90,7 @@
                 if self.is_draining or not self._lease.is_valid:
                     continue
                 await self._register()
+                await self._hand_over()
                 for shard in self._directory.shards():
                     await self._consider(shard, nursery)
 
@@ -162,17 +168,42 @@
     def _rank(self, shard: str) -> int:
         """Return how many instances should claim the shard before this one."""
 
-        def preference(name: str) -> tuple[int, bytes]:
-            digest = hashlib.blake2b(f"{shard}/{name}".encode(), digest_size=8)
-            return self._directory.n_owned_by(name), digest.digest()
+        def preference(member: Member) -> tuple[float, bytes]:
+            digest = hashlib.blake2b(f"{shard}/{member.name}".encode(), digest_size=8)
+            return self._load_with_one_more(member), digest.digest()
 
-        own = preference(self._identity.name)
+        own = preference(self._identity)
         return sum(
-            preference(member.name) < own
+            preference(member) < own
             for member in self._directory.members()
-            if not member.is_draining and member.name != self._identity.name
+            if member.name != self._identity.name
         )
 
+    def _load_with_one_more(self, member: Member) -> float:
+        """Shards for each core of an instance that claims one more."""
+        n_shards = self._directory.n_owned_by(member.name) + 1
+        return 1000 * n_shards / member.speed_milli
+
+    async def _hand_over(self) -> None:
+        """Give a shard up when a stronger or idler instance should have it."""
+        now_ms = self._clock.now_ms
+        own_load = 1000 * len(self._tenures) / self._identity.speed_milli
+        others = [
+            self._load_with_one_more(member)
+            for member in self._directory.members()
+            if member.name != self._identity.name
+        ]
+        if not others or min(others) >= HANDOVER_SHARE * own_load:
+            self._overloaded_since_ms = None
+            return
+        if self._overloaded_since_ms is None:
+            self._overloaded_since_ms = now_ms
+        if now_ms - self._overloaded_since_ms < HANDOVER_AFTER_MS:
+            return
+        self._overloaded_since_ms = None
+        shard = min(self._tenures)
+        await self.resign(self._tenures[shard][0], "another instance has more room")
+
     async def _claim(self, shard: str, revision: int) -> Tenure | None:
         try:
             counter = await self._store.read_key(epoch_key(shard))
--- a/apricotgap/instance/gateway.py
+++ b/apricotgap/instance/gateway.py
@@ -142,9 +142,7 @@
         owner = self._directory.owner(service)
         avoided = {self._name, owner.name if owner else ""}
         members = [
-            member
-            for member in self._directory.members()
-            if member.name not in avoided and not member.is_draining
+            member for member in self._directory.members() if member.name not in avoided
         ]
         return self._random.sample(members, min(MAX_RELAYS, len(members)))
 
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -67,6 +67,7 @@
             f"{time.time_ns() // 1_000_000:x}{secrets.token_hex(4)}",
             f"{settings.ip}:{settings.peer_port}",
             settings.data_centre,
+            settings.speed_milli,
         )
         self._election = Election(
             self._identity,
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -90,13 +90,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """An instance that takes part; `address` is its peer address."""
+    """An instance that takes part.
+
+    `address` is its peer address, `speed_milli` its processor in thousandths of a core.
+    """
 
     name: str
     incarnation: str
     address: str
     data_centre: str
-    is_draining: bool = False
+    speed_milli: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +120,7 @@
             member.incarnation,
             member.address,
             member.data_centre,
-            member.is_draining,
+            member.speed_milli,
         ]
     )
 
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -76,6 +76,8 @@
 JOB_WATCH_WAIT_MS = 4_000
 JOB_WATCH_PAUSE_MS = 1_000
 HOUSEKEEPING_S = 5.0
+# Least time between two scheduling passes.
+PASS_GAP_MS = 3
 
 
 class ShardOwner:
@@ -308,7 +310,7 @@
         """Jobs of a queue of which no task has started."""
         return sum(
             job.spec.queue == queue and job.progress.phase is JobPhase.PENDING
-            for job in self.core.jobs.values()
+            for job in self.core.open_jobs.values()
         )
 
     def report(self, reserved: Iterable[str], ended: Iterable[str]) -> PoolReport:
@@ -381,9 +383,16 @@
         while True:
             await self._wake.wait()
             self._wake = trio.Event()
-            self._run(self._scheduler.run(self._clock.now_ms, self._lease_until_ms))
+            started_ms = self._clock.now_ms
+            effects = self._scheduler.run(started_ms, self._lease_until_ms)
+            self._run(effects)
             if self._scheduler.is_team_blocked:
                 self._limits.wake()
+            if self._scheduler.is_cut_short:
+                self._wake.set()
+            # Events that come close together are served by one pass.
+            took_ms = self._clock.now_ms - started_ms
+            await trio.sleep(max(PASS_GAP_MS, took_ms) / 1000)
 
     def _run(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -71,9 +71,7 @@
                 else:
                     work += cores * run.step.estimated_ms / 2
         unix_ms = self._shard.unix_of(at_ms)
-        for job in self._shard.jobs.values():
-            if job.is_final:
-                continue
+        for job in self._shard.open_jobs.values():
             for key in job.open_steps(unix_ms):
                 step = job.spec.steps[key[1]]
                 tasks_ms = len(job.waiting[key]) * step.estimated_ms
--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -42,6 +42,8 @@
         self.avoid: dict[TaskName, set[str]] = {}
         self.waiting: dict[StepKey, set[int]] = {}
         self._left: dict[StepKey, int] = {}
+        self._chain_ms: int | None = None
+        self.objective_ms = self._objective_ms()
         for occurrence in spec.occurrences:
             for index, step in enumerate(spec.steps):
                 key = (occurrence, index)
@@ -127,6 +129,7 @@
         record.checkpoint = ""
         key = (name.occurrence, name.step)
         self._left[key] -= 1
+        self._chain_ms = None
         self.waiting[key].discard(name.number)
         return True
 
@@ -146,6 +149,11 @@
 
     def chain_ms(self) -> int:
         """Estimated time of the longest chain of steps that are not done."""
+        if self._chain_ms is None:
+            self._chain_ms = self._longest_chain_ms()
+        return self._chain_ms
+
+    def _longest_chain_ms(self) -> int:
         longest: list[int] = []
         for index, step in enumerate(self.spec.steps):
             own = 0 if self._left[0, index] == 0 else step.estimated_ms
@@ -154,7 +162,7 @@
             )
         return max(longest)
 
-    def objective_ms(self) -> int:
+    def _objective_ms(self) -> int:
         """Unix milliseconds until which the job should succeed."""
         total: list[int] = []
         for step in self.spec.steps:
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -1,6 +1,6 @@
 """Which waiting task starts next, and where."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import Effect, LogDecision, StartRun
@@ -23,6 +23,11 @@
     workers: list[Worker]
     effects: list[Effect]
     n_starts: int = 0
+    too_large: dict[str, list[Resources]] = field(default_factory=dict)
+
+    def is_too_large(self, label: str, room: Resources) -> bool:
+        """Whether as much room was looked for in vain; rooms only shrink."""
+        return any(other.fits(room) for other in self.too_large.get(label, ()))
 
 
 class Scheduler:
@@ -40,6 +45,7 @@
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
         self.is_team_blocked = False
+        self.is_cut_short = False
 
     def run(self, at_ms: int, lease_until_ms: int) -> list[Effect]:
         """Decide which tasks start now.
@@ -70,10 +76,12 @@
             return []
         current = _Pass(at_ms, shard.unix_of(at_ms), workers, [])
         self.is_team_blocked = False
+        self.is_cut_short = False
         in_doubt = shard.in_doubt
         may_last = shard.knows_reservations(at_ms)
         for job in self._order(current.unix_ms):
             if current.n_starts >= limits.MAX_STARTS_PER_PASS:
+                self.is_cut_short = True
                 break
             if in_doubt and job.is_inherited:
                 continue
@@ -87,14 +95,12 @@
             spec = job.spec
             if spec.lasts:
                 return (False, False, spec.priority, spec.submitted_ms)
-            objective = job.objective_ms()
+            objective = job.objective_ms
             is_late = unix_ms + job.chain_ms() // 2 > objective
             return (True, is_late, spec.priority, objective)
 
         waiting = [
-            job
-            for job in self._shard.jobs.values()
-            if not job.is_final and any(job.waiting.values())
+            job for job in self._shard.open_jobs.values() if any(job.waiting.values())
         ]
         return sorted(waiting, key=rank)
 
@@ -174,39 +180,57 @@
         rack: str | None = None,
     ) -> Worker | None:
         room = step.room
+        if current.is_too_large(step.required_label, room):
+            return None
         if not self._team_may(job, room):
             return None
+        needs_ticket = self._needs_ticket(job)
+        has_room = False
         avoided = job.avoid.get(name, ())
         used = {run.worker_id for run in job.runs.get(name, ())}
         best: Worker | None = None
         best_cost = float("inf")
         for worker in current.workers:
-            entry = worker.entry
-            if worker.worker_id in used:
+            if not room.fits(worker.free):
                 continue
+            entry = worker.entry
             if step.required_label and step.required_label not in entry.labels:
                 continue
-            if rack is not None and entry.rack != rack:
+            has_room = True
+            if entry.worker_id in used or (rack is not None and entry.rack != rack):
                 continue
-            need = room
-            for _ in taken.get(worker.worker_id, ()):
-                need = need + room
-            if not need.fits(worker.free):
-                continue
-            if step.max_per_worker and (
-                self._n_of_step(worker, name) + len(taken.get(worker.worker_id, ()))
-                >= step.max_per_worker
-            ):
+            if not self._fits_step(name, step, worker, taken):
                 continue
-            if self._needs_ticket(job) and not self._ticket(name, worker, current):
+            if needs_ticket and not self._ticket(name, worker, current):
                 continue
             cost = self._cost(worker, name, step, current.at_ms)
-            if worker.worker_id in avoided:
+            if entry.worker_id in avoided:
                 cost += 10
             if cost < best_cost:
                 best, best_cost = worker, cost
+        if not has_room:
+            current.too_large.setdefault(step.required_label, []).append(room)
         return best
 
+    def _fits_step(
+        self,
+        name: TaskName,
+        step: StepSpec,
+        worker: Worker,
+        taken: dict[str, list[TaskName]],
+    ) -> bool:
+        """Whether a worker holds one more task beside a gang's members before it."""
+        n_taken = len(taken.get(worker.worker_id, ())) if taken else 0
+        if n_taken:
+            need = step.room
+            for _ in range(n_taken):
+                need = need + step.room
+            if not need.fits(worker.free):
+                return False
+        if not step.max_per_worker:
+            return True
+        return self._n_of_step(worker, name) + n_taken < step.max_per_worker
+
     @staticmethod
     def _n_of_step(worker: Worker, name: TaskName) -> int:
         return sum(key[0][:3] == name[:3] for key in worker.runs)
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -70,6 +70,8 @@
         self._stop_settle_ms = int(stop_ms * 1.03) + limits.RETRY_BACKOFF_MS
         self.workers: dict[str, Worker] = {}
         self.jobs: dict[str, JobState] = {}
+        # Jobs that are not final; final ones are kept much longer.
+        self.open_jobs: dict[str, JobState] = {}
         self.config: Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.team_usage: dict[str, Resources] = {}
@@ -99,6 +101,8 @@
         """Take over a job that an earlier owner may have started."""
         job = JobState(spec, progress, revision, is_inherited=True)
         self.jobs[spec.job_id] = job
+        if not job.is_final:
+            self.open_jobs[spec.job_id] = job
         return job
 
     def submit(self, spec: JobSpec) -> JobState:
@@ -106,7 +110,7 @@
         job = self.jobs.get(spec.job_id)
         if job is None:
             job = JobState(spec)
-            self.jobs[spec.job_id] = job
+            self.jobs[spec.job_id] = self.open_jobs[spec.job_id] = job
         return job
 
     def describe(self, spec: JobSpec) -> LogDecision:
@@ -135,12 +139,14 @@
     def forget(self, job_id: str) -> None:
         """Drop a final job."""
         self.jobs.pop(job_id, None)
+        self.open_jobs.pop(job_id, None)
         self._dirty.discard(job_id)
 
     def _finish(
         self, job: JobState, phase: JobPhase, unix_ms: int, at_ms: int
     ) -> list[Effect]:
         job.finish(phase, unix_ms)
+        self.open_jobs.pop(job.spec.job_id, None)
         self.tickets.forget_job(job.spec.job_id)
         self._dirty.add(job.spec.job_id)
         effects: list[Effect] = [
@@ -162,9 +168,7 @@
         """Return what each team runs and could start now."""
         demand = dict(self.team_usage)
         unix_ms = self.unix_of(at_ms)
-        for job in self.jobs.values():
-            if job.is_final:
-                continue
+        for job in self.open_jobs.values():
             team = job.spec.team
             for key in job.open_steps(unix_ms):
                 room = job.spec.steps[key[1]].room
@@ -266,7 +270,8 @@
                 yield LogDecision("worker_draining", {"worker": worker_id})
             worker.entry = entry
             worker.is_listed = True
-            worker.total = worker.total.largest(entry.free)
+            if not entry.free.fits(worker.total):
+                worker.set_total(worker.total.largest(entry.free))
         self._share_totals()
         for worker in list(self.workers.values()):
             if worker.worker_id not in listed:
@@ -283,7 +288,7 @@
             kind = worker.entry.kind
             largest[kind] = worker.total.largest(largest.get(kind, NO_RESOURCES))
         for worker in self.workers.values():
-            worker.total = largest[worker.entry.kind]
+            worker.set_total(largest[worker.entry.kind])
 
     def _expire(self, worker: Worker, at_ms: int) -> Iterable[Effect]:
         """Drop what ran on a worker whose lease must have ended."""
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -17,7 +17,8 @@
 class Worker:
     """One life of a worker.
 
-    `total` is the largest free capacity seen, a lower bound of its capacity.
+    `total` is the largest free capacity seen, a lower bound of its capacity, and
+    `free` the part of it that no run takes or may take.
     `lease_until_ms` bounds, on the instance's clock, how long the worker may go on
     running what it was told to; `offered_until_ms` is the bound that a hold under way
     would set. `acknowledged` is the number of the last end that
@@ -49,16 +50,20 @@
     suspect_since_ms: int | None = None
     recent_ends: deque[tuple[int, str, bool]] = field(default_factory=deque)
     paced_ms: int = -1_000_000
+    free: Resources = NO_RESOURCES
+
+    def __post_init__(self) -> None:
+        self.set_total(self.total)
 
     @property
     def worker_id(self) -> str:
         """Id of the worker."""
         return self.entry.worker_id
 
-    @property
-    def free(self) -> Resources:
-        """Capacity that no run takes or may take."""
-        return self.total - self.used
+    def set_total(self, total: Resources) -> None:
+        """Take over a capacity that was seen."""
+        self.total = total
+        self.free = total - self.used
 
     def clock_now_ms(self, at_ms: int) -> int:
         """Return a lower bound of the worker's clock.
@@ -75,6 +80,7 @@
         """Take room for a run."""
         self.runs[run.name, run.run_id] = run
         self.used = self.used + run.room
+        self.free = self.total - self.used
         self.n_serving += run.step.target_ms > 0
         self.n_lasting += run.step.lasts
 
@@ -83,6 +89,7 @@
         if self.runs.pop((run.name, run.run_id), None) is None:
             return
         self.used = self.used - run.room
+        self.free = self.total - self.used
         self.n_serving -= run.step.target_ms > 0
         self.n_lasting -= run.step.lasts
 
--- a/apricotgap/platform/settings.py
+++ b/apricotgap/platform/settings.py
@@ -36,6 +36,7 @@
     """Checked settings of one instance.
 
     Addresses are ``HOST:PORT``; `advice_address` is empty without such a service.
+    `speed_milli` is the machine's processor in thousandths of a core.
     """
 
     name: str
@@ -49,6 +50,7 @@
     min_lease_ms: int
     fleet_address: str
     advice_address: str
+    speed_milli: int
     bounds: Bounds
 
 
@@ -116,6 +118,9 @@
         min_lease_ms=int(get("platform.minTtlMs", 1000)),
         fleet_address=str(get("cloudApi.address", "")),
         advice_address=str(get("advice", "")),
+        speed_milli=max(
+            1, int(1000 * get("limits.cpuShare", 1.0) * get("limits.cpuCores", 1))
+        ),
         bounds=Bounds(
             max_lease_ms=number("maxHoldMs", 6000),
             stop_timeout_ms=number("stopTimeoutMs", 900),
--- /dev/null
+++ b/tests/test_election.py
@@ -0,0 +1,140 @@
+"""Which instance owns a shard."""
+
+import trio
+import trio.testing
+
+from apricotgap.clock import FakeClock
+from apricotgap.instance.directory import Directory
+from apricotgap.instance.election import (
+    HANDOVER_AFTER_MS,
+    RANK_DELAY_MS,
+    Election,
+)
+from apricotgap.instance.keys import (
+    MEMBERS,
+    Member,
+    Owner,
+    encode_member,
+    encode_owner,
+    owner_key,
+)
+from apricotgap.platform.store import Item, Stored
+
+
+class Store:
+    """Stores every write at once and shows it in the directory."""
+
+    def __init__(self):
+        self.revision = 10
+        self.directory = None
+
+    async def read_key(self, key):
+        return Item(key, b"3", 5)
+
+    async def write(self, writes):
+        self.revision += 1
+        for write in writes:
+            item = Item(write.key, write.value, self.revision)
+            self.directory.note(item)
+        return Stored(self.revision)
+
+
+class Lease:
+    """A lease that never ends."""
+
+    lease_id = 1
+    is_valid = True
+
+
+class TwoShards(Directory):
+    """A directory with two shards that needs no mirrors."""
+
+    def shards(self):
+        return ("s1", "s2")
+
+
+class Rig:
+    """One instance, and others that only show in the directory."""
+
+    def __init__(self, speed_milli):
+        self.clock = FakeClock(100_000)
+        self.store = Store()
+        self.directory = TwoShards(self.store, FakeClock())
+        self.store.directory = self.directory
+        self.me = Member("me", "i1", "10.0.0.1:1", "a", speed_milli)
+        self.running = []
+        self.election = Election(
+            self.me, self.store, Lease(), self.directory, self.clock, self._run_shard
+        )
+
+    async def _run_shard(self, tenure):
+        self.running.append(tenure.shard)
+        await trio.sleep_forever()
+
+    def add(self, name, speed_milli, *owned):
+        member = Member(name, "i1", "10.0.0.2:1", "a", speed_milli)
+        self.directory.note(Item(MEMBERS + name, encode_member(member), 1))
+        for shard in owned:
+            owner = Owner(name, "i1", "10.0.0.2:1", 1)
+            self.directory.note(Item(owner_key(shard), encode_owner(owner), 2))
+
+    async def advance(self, span_ms):
+        for _ in range(span_ms // 100 + 1):
+            self.clock.advance(100)
+            await trio.sleep(0.1)
+
+
+def run(check, speed_milli=1_000):
+    async def main():
+        rig = Rig(speed_milli)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.election.run)
+            await check(rig)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.001))
+
+
+def test_instance_alone_claims_all_shards():
+    async def check(rig):
+        await rig.advance(1_000)
+        assert sorted(rig.running) == ["s1", "s2"]
+
+    run(check)
+
+
+def test_weak_instance_leaves_vacant_shards_to_a_strong_one():
+    """Guards against a shard on a machine that cannot carry its load."""
+
+    async def check(rig):
+        rig.add("strong", 2_150)
+        await rig.advance(RANK_DELAY_MS // 2)
+        assert rig.running == []
+        # Nobody claimed them, so the weak one must.
+        await rig.advance(4 * RANK_DELAY_MS)
+        assert sorted(rig.running) == ["s1", "s2"]
+
+    run(check, speed_milli=500)
+
+
+def test_weak_owner_hands_its_shards_to_a_strong_instance_that_came_later():
+    async def check(rig):
+        await rig.advance(500)
+        assert rig.election.n_owned == 2
+        rig.add("strong", 2_150)
+        await rig.advance(HANDOVER_AFTER_MS + 200)
+        assert rig.election.n_owned == 1
+
+    run(check, speed_milli=500)
+
+
+def test_owner_keeps_its_shards_beside_an_equal_instance():
+    """Guards against handovers that cost more than they bring."""
+
+    async def check(rig):
+        await rig.advance(500)
+        rig.add("equal", 1_000)
+        await rig.advance(3 * HANDOVER_AFTER_MS)
+        assert rig.election.n_owned == 2
+
+    run(check)
