--- a/apricotgap/instance/logs.py
+++ b/apricotgap/instance/logs.py
@@ -16,6 +16,8 @@
 MAX_LINES_PER_S = 400
 MAX_BURST_LINES = 800
 _FLUSH_S = 0.2
+# Some readers of a pipe cut what is written at once beyond 8 KiB.
+_WRITE_BYTES = 4_096
 
 
 class LogBuffer:
@@ -45,10 +47,13 @@
             self._lines.clear()
         if not data:
             return
+        n_written = 0
         try:
-            n_written = os.write(sys.stdout.fileno(), data)
+            while n_written < len(data):
+                part = data[n_written : n_written + _WRITE_BYTES]
+                n_written += os.write(sys.stdout.fileno(), part)
         except BlockingIOError:
-            n_written = 0
+            pass
         self._rest = data[n_written:]
         if len(self._rest) > 1_000_000:
             self.n_dropped += self._rest.count(b"\n")
--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -59,6 +59,7 @@
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.is_complete = False
+        self.is_reusable = False
         self._body: list[bytes] = []
 
     def on_body(self, body: bytes) -> None:
@@ -66,8 +67,9 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Take note of the end of the answer."""
+        """Take note of the end of the answer; the parser then starts anew."""
         self.is_complete = True
+        self.is_reusable = self.parser.should_keep_alive()
 
     def answer(self) -> Answer:
         """Return the whole answer."""
@@ -111,7 +113,7 @@
             if not data:
                 raise ConnectionResetError(errno.ECONNRESET, "closed before the answer")
             reader.parser.feed_data(data)
-        return reader.answer(), reader.parser.should_keep_alive()
+        return reader.answer(), reader.is_reusable
 
     def close(self) -> None:
         """Reset the connection."""
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -165,6 +165,32 @@
     trio.run(main)
 
 
+def test_connection_is_used_again():
+    """Guards against a new connection for each call."""
+
+    async def main():
+        n_opened = 0
+
+        async def serve(stream):
+            nonlocal n_opened
+            n_opened += 1
+            while await stream.receive_some(1_000):
+                await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+        async with trio.open_nursery() as nursery:
+            (listener,) = await nursery.start(
+                partial(trio.serve_tcp, serve, 0, host="127.0.0.1")
+            )
+            address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+            client = HttpClient()
+            for _ in range(5):
+                assert (await client.call("POST", address, "/", b"{}")).body == b"{}"
+            assert n_opened == 1
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_connection_that_was_closed_while_idle_is_not_used_again():
     """Guards against calls with an unknown outcome after each idle time-out."""
 
