--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -7,18 +7,22 @@
 import socket
 import subprocess
 import sys
+from base64 import b64decode
 from contextlib import asynccontextmanager, closing
 from pathlib import Path
 
 import trio
 
 from soak.proxy import FaultyProxy
+from standins.advice_service import AdviceService
+from standins.machine_service import MachineService, StandinMachine
 from standins.task_worker import TaskWorker
 from standins.transactional_store import TransactionalStore
 from tests.loopback import call
 
 ROOT = Path(__file__).parent.parent
 SERVICE = "bakery"
+SPARE = "spare"
 HOST = "h.example"
 KEY = "k-bakers"
 
@@ -28,6 +32,7 @@
 zone = "a"
 internalPorts = [{peer}, {metrics}]
 heartbeatMs = 500
+advice = "{advice}"
 [listenAddrs]
 frontendAddr = "127.0.0.1:{client}"
 readinessAddr = "127.0.0.1:{ready}"
@@ -35,13 +40,15 @@
 maxHoldMs = 6000
 revokeMs = 5000
 status_s = 120
+[cloudApi]
+address = "{machines}"
 [platform]
 address = "{store}"
 minTtlMs = 1000
 """
 
 
-def configuration(version=1, keys=(KEY,)):
+def configuration(version=1, keys=(KEY,), advice=None):
     """Return the operators' configuration in the platform's form."""
     queue = {
         "name": "plans",
@@ -55,10 +62,15 @@
         "slackFactor": 1.6,
         "public": False,
     }
+    if advice:
+        queue["advice"] = advice
     return {
         "version": version,
         "routes": [queue],
-        "services": [{"name": SERVICE, "admissionCheck": True, "standby": False}],
+        "services": [
+            {"name": SERVICE, "admissionCheck": True, "standby": False},
+            {"name": SPARE, "admissionCheck": True, "standby": True},
+        ],
         "tenants": [{"name": "bakers", "apiKeys": list(keys), "weight": 1}],
     }
 
@@ -86,7 +98,7 @@
 class InstanceProcess:
     """One instance program."""
 
-    def __init__(self, name, store_address, folder):
+    def __init__(self, name, store_address, platform, folder):
         self.name = name
         client, ready, peer = free_ports(3)
         self.address = f"127.0.0.1:{client}"
@@ -102,6 +114,8 @@
                 peer=peer,
                 metrics=peer + 1,
                 store=store_address,
+                machines=platform.machines.listener.address,
+                advice=platform.advice.listener.address,
             )
         )
         self._process = None
@@ -150,12 +164,53 @@
         return found
 
 
+class Platform:
+    """Stand-ins of the store, the machines with their workers, and the advice."""
+
+    def __init__(self, n_workers, n_spare, task_ms):
+        self.store = TransactionalStore()
+        self.workers = [
+            TaskWorker(f"w{n}", task_ms=task_ms) for n in range(n_workers + n_spare)
+        ]
+        self.machines = MachineService(self.store, SPARE)
+        self.advice = AdviceService(lambda step, worker: True)
+        for n, worker in enumerate(self.workers):
+            pool = SERVICE if n < n_workers else SPARE
+            machine = StandinMachine(f"m{n}", pool, worker)
+            self.machines.machines[machine.name] = machine
+        self.put("op/config", configuration())
+
+    def put(self, key, document):
+        """Write a document as the operator does."""
+        self.store.put(key, json.dumps(document).encode())
+
+    def get(self, key):
+        """Return a document of the store, None without one."""
+        item = self.store.items.get(key)
+        return json.loads(b64decode(item.value)) if item else None
+
+    async def start(self, nursery):
+        """Serve until the nursery is cancelled."""
+        await nursery.start(self.store.listener.run)
+        await nursery.start(self.machines.listener.run)
+        await nursery.start(self.advice.listener.run)
+        nursery.start_soon(self.store.run_leases)
+        nursery.start_soon(self.machines.run)
+        for worker in self.workers:
+            await nursery.start(worker.listener.run)
+            nursery.start_soon(worker.run_tasks)
+        # The workers' addresses are known only now.
+        for machine in self.machines.machines.values():
+            self.machines.add(machine)
+
+
 class Cluster:
-    """Store, workers and instances."""
+    """The platform and instances."""
 
-    def __init__(self, store, workers, instances, proxies):
-        self.store = store
-        self.workers = workers
+    def __init__(self, platform, instances, proxies):
+        self.platform = platform
+        self.store = platform.store
+        self.workers = platform.workers
         self.instances = instances
         self.proxies = proxies
 
@@ -219,32 +274,22 @@
 
 
 @asynccontextmanager
-async def open_cluster(folder, n_instances=2, task_ms=100, n_workers=2):
+async def open_cluster(folder, n_instances=2, task_ms=100, n_workers=2, n_spare=0):
     """Run a cluster until the block ends."""
-    store = TransactionalStore()
-    workers = [TaskWorker(f"w{n}", task_ms=task_ms) for n in range(n_workers)]
+    platform = Platform(n_workers, n_spare, task_ms)
     async with trio.open_nursery() as nursery:
-        await nursery.start(store.listener.run)
-        nursery.start_soon(store.run_leases)
-        for worker in workers:
-            await nursery.start(worker.listener.run)
-            nursery.start_soon(worker.run_tasks)
-            store.put(
-                f"servers/{worker.worker_id}",
-                json.dumps(worker.entry(SERVICE)).encode(),
-            )
-        store.put("op/config", json.dumps(configuration()).encode())
-        proxies = [FaultyProxy(store.address) for _ in range(n_instances)]
+        await platform.start(nursery)
+        proxies = [FaultyProxy(platform.store.address) for _ in range(n_instances)]
         for proxy in proxies:
             await nursery.start(proxy.run)
         instances = [
-            InstanceProcess(f"i{n}", proxy.address, folder)
+            InstanceProcess(f"i{n}", proxy.address, platform, folder)
             for n, proxy in enumerate(proxies)
         ]
         try:
             for instance in instances:
                 instance.start()
-            cluster = Cluster(store, workers, instances, proxies)
+            cluster = Cluster(platform, instances, proxies)
             await cluster.until_ready()
             yield cluster
         finally:
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -1,5 +1,7 @@
 """Stand-in of a worker that runs tasks under a lease."""
 
+import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -12,17 +14,25 @@
 
 @dataclass
 class StartedRun:
-    """A run that the worker has begun."""
+    """A run that the worker has begun; `done_ms` is its work up to `at_ms`."""
 
     task: str
     run_id: int
     started_ms: int
     end: str = ""
+    checkpoint: str = ""
+    percent: int = 100
+    done_ms: float = 0.0
+    at_ms: int = 0
 
 
 @dataclass
 class TaskWorker:
-    """A worker whose tasks all take `task_ms`."""
+    """A worker whose tasks all take `task_ms`.
+
+    `checkpoint_ms` is the work between two checkpoints, 0 for none. With
+    `accepts_ticket` a start needs a ticket for which that says yes.
+    """
 
     worker_id: str
     cpu: int = 8_000
@@ -30,6 +40,8 @@
     born_ms: int = 1
     starts: list[StartedRun] = field(default_factory=list)
     is_unanswering: bool = False
+    checkpoint_ms: int = 0
+    accepts_ticket: Callable[[str, str, str], bool] | None = None
 
     def __post_init__(self) -> None:
         self._running: dict[str, StartedRun] = {}
@@ -55,21 +67,47 @@
             "sequence": 1,
         }
 
+    def encoded(self, service: str) -> bytes:
+        """Return the entry as it is stored."""
+        return json.dumps(self.entry(service)).encode()
+
+    def restart(self, worker_id: str) -> None:
+        """Begin a new life that runs and knows nothing."""
+        for run in self._running.values():
+            run.end = "killed"
+        self.worker_id = worker_id
+        self.born_ms += 1
+        self._running.clear()
+        self._ends.clear()
+        self._highest.clear()
+        self._token = self._until_ms = self._n_ends = 0
+        self._ended.set()
+        self._ended = trio.Event()
+
     async def run_tasks(self) -> None:
         """End tasks as their time comes, and all when the lease ends."""
         while True:
             await trio.sleep(0.01)
             for run in list(self._running.values()):
+                self._work(run)
                 if now_ms() > self._until_ms:
                     self._end(run, "lapsed")
-                elif now_ms() - run.started_ms >= self.task_ms:
+                elif run.done_ms >= self.task_ms:
                     self._end(run, "done")
 
+    def _work(self, run: StartedRun) -> None:
+        run.done_ms += (now_ms() - run.at_ms) * run.percent / 100
+        run.at_ms = now_ms()
+        if self.checkpoint_ms:
+            n_saved = int(run.done_ms // self.checkpoint_ms)
+            run.checkpoint = str(n_saved * self.checkpoint_ms) if n_saved else ""
+
     def _end(self, run: StartedRun, how: str) -> None:
         del self._running[run.task]
         run.end = how
         self._n_ends += 1
-        self._ends.append([self._n_ends, run.task, run.run_id, how, ""])
+        saved = run.checkpoint if how != "done" else ""
+        self._ends.append([self._n_ends, run.task, run.run_id, how, saved])
         self._ended.set()
         self._ended = trio.Event()
 
@@ -90,6 +128,8 @@
             await self._start(exchange, body)
         elif exchange.path == "/v1/run-stop":
             await self._stop(exchange, body)
+        elif exchange.path == "/v1/pace":
+            await self._pace(exchange, body)
         else:
             await self._hold(exchange, body)
 
@@ -105,12 +145,27 @@
         if run_id <= self._highest.get(task, 0):
             await self._refuse(exchange, "old")
             return
+        step, ticket = task.rpartition(".")[0], body.get("ticket", "")
+        if self.accepts_ticket and not self.accepts_ticket(
+            step, self.worker_id, ticket
+        ):
+            await self._refuse(exchange, "ticket")
+            return
         self._highest[task] = run_id
-        run = StartedRun(task, run_id, now_ms())
+        saved = body.get("checkpoint", "")
+        done_ms = float(saved or 0)
+        run = StartedRun(task, run_id, now_ms(), "", saved, 100, done_ms, now_ms())
         self.starts.append(run)
         self._running[task] = run
         await exchange.answer_json(200, {"clockMs": now_ms()})
 
+    async def _pace(self, exchange: Exchange, body: dict[str, Any]) -> None:
+        run = self._running.get(body["task"])
+        if run is not None and run.run_id == body["runId"]:
+            self._work(run)
+            run.percent = body["percent"]
+        await exchange.answer_json(200, {"clockMs": now_ms()})
+
     async def _stop(self, exchange: Exchange, body: dict[str, Any]) -> None:
         run = self._running.get(body["task"])
         self._highest[body["task"]] = max(
@@ -126,7 +181,10 @@
         if not self._ends:
             with trio.move_on_after(body.get("waitMs", 0) / 1000):
                 await self._ended.wait()
-        running = [[run.task, run.run_id, "", 50] for run in self._running.values()]
+        running = [
+            [run.task, run.run_id, run.checkpoint, run.percent, 0.5]
+            for run in self._running.values()
+        ]
         await exchange.answer_json(
             200,
             {
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from apricotgap.jobs.configuration import Wave
+from apricotgap.jobs.configuration import ServiceSpec, Wave
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_plan import (
     BUSY_BACKOFF_MS,
@@ -15,6 +15,11 @@
 from apricotgap.jobs.model import Resources
 from tests.jobs_harness import SERVICE, configuration
 
+OTHER = "other"
+CONFIGURATION = replace(
+    configuration(),
+    services=(*configuration().services, ServiceSpec(OTHER, True, False)),
+)
 MOVE_MS = 1_500
 UPKEEP_MS = 2_000
 
@@ -31,6 +36,7 @@
         self.planner = FleetPlanner(MOVE_MS, UPKEEP_MS)
         self.machines = {each.name: each for each in machines}
         self.wanted = 0
+        self.other_wanted = 0
         self.runs = {}
         self.reserved = set()
         self.suspect = set()
@@ -55,9 +61,12 @@
         orders, _ = self.planner.plan(
             self.now,
             self.now if listed_ms is None else listed_ms,
-            configuration(),
+            CONFIGURATION,
             self.machines,
-            {SERVICE: PoolReport(self.wanted, workers)},
+            {
+                SERVICE: PoolReport(self.wanted, workers),
+                OTHER: PoolReport(self.other_wanted, ()),
+            },
             self.evacuated,
         )
         return orders
@@ -223,3 +232,24 @@
     assert rig.plan(wave("m0", "m1", "m2", max_down=1)) == []
     rig.now += 3_000
     assert len(rig.plan(wave("m0", "m1", "m2", max_down=1))) == 1
+
+
+def test_surplus_machine_goes_straight_to_a_pool_that_lacks_one():
+    """Guards against two moves, one after the other, at the start of a burst."""
+    rig = Rig(machine("m0"), machine("m1"), machine("m2"))
+    rig.wanted = 1
+    rig.other_wanted = 1
+    rig.plan()
+    orders = rig.plan()
+    assert sorted(order.pool for order in orders) == [OTHER, "spare"]
+
+
+def test_surplus_machine_goes_to_the_spare_pool_when_the_lack_is_over():
+    rig = Rig(machine("m0"), machine("m1"))
+    rig.wanted = 1
+    rig.other_wanted = 1
+    rig.runs = {"m0": (1, 0), "m1": (1, 0)}
+    rig.plan()
+    rig.other_wanted = 0
+    rig.runs = {}
+    assert [order.pool for order in rig.plan()] == ["spare"]
--- /dev/null
+++ b/tests/test_fleet_process.py
@@ -0,0 +1,118 @@
+"""Machines, waves, evacuation and tickets, with instances as processes."""
+
+import trio
+
+from soak.cluster import SERVICE, SIGKILL, SPARE, configuration, open_cluster
+
+JOB = {
+    "spec": "x",
+    "steps": [{"count": 24, "cpu": 1000, "memMb": 10, "estimatedMs": 400}],
+}
+
+
+def run(check, tmp_path, **options):
+    async def main():
+        async with open_cluster(tmp_path, **options) as cluster:
+            with trio.fail_after(40):
+                await check(cluster)
+
+    trio.run(main)
+
+
+async def until(condition):
+    while not condition():
+        await trio.sleep(0.05)
+
+
+def pools(cluster):
+    machines = cluster.platform.machines.machines.values()
+    return [machine.pool for machine in machines if machine.state == "up"]
+
+
+def test_machines_follow_the_work_and_leave_after_it(tmp_path):
+    async def check(cluster):
+        await until(lambda: pools(cluster).count(SERVICE) == 3)
+        for n in range(6):
+            status, _ = await cluster.request(
+                cluster.instances[0], "POST", f"{n:016x}", JOB
+            )
+            assert status == 200
+        await until(lambda: pools(cluster).count(SERVICE) > 4)
+        for n in range(6):
+            await cluster.until_succeeded(cluster.instances[1], f"{n:016x}", 30)
+        done = cluster.done_runs()
+        assert len(done) == len(set(done)) == 6 * 24
+        await until(lambda: pools(cluster).count(SPARE) == 5)
+
+    run(check, tmp_path, n_workers=2, n_spare=6, task_ms=400)
+
+
+def test_wave_is_finished_within_its_bound_though_the_owner_of_the_fleet_dies(
+    tmp_path,
+):
+    """Guards against machines left out, or too many down, after a takeover."""
+
+    async def check(cluster):
+        service = cluster.platform.machines
+        names = sorted(service.machines)
+        wave = {"wave": 3, "machines": names, "durationS": 20, "maxCount": 2}
+        cluster.platform.put("op/wave/3", wave)
+        await until(lambda: any(order.wave for order in service.orders))
+        claims = [
+            (line["epoch"], instance)
+            for instance in cluster.instances
+            for line in instance.lines("claim")
+            if line["shard"] != SERVICE and line["outcome"] == "Stored"
+        ]
+        max(claims, key=lambda claim: claim[0])[1].signal(SIGKILL)
+        await until(
+            lambda: (
+                (cluster.platform.get("status/wave/3") or {}).get("state")
+                == "succeeded"
+            )
+        )
+        serviced = {order.machine for order in service.orders if order.wave == 3}
+        assert serviced == set(names)
+        _check_holders(service.orders)
+
+    run(check, tmp_path, n_instances=3, n_workers=2, n_spare=4)
+
+
+def _check_holders(orders):
+    """No machine gets orders of two holders within the holder's lease."""
+    by_machine = {}
+    for order in orders:
+        last = by_machine.get(order.machine)
+        if last is not None and last.holder != order.holder:
+            assert order.token > last.token
+            assert order.at_ms - last.at_ms >= 3_000
+        by_machine[order.machine] = order
+
+
+def test_order_whose_answer_is_lost_is_not_lost(tmp_path):
+    async def check(cluster):
+        cluster.platform.machines.n_lost_answers = 2
+        await until(lambda: pools(cluster).count(SERVICE) == 3)
+
+    run(check, tmp_path, n_workers=1, n_spare=4)
+
+
+def test_queue_with_a_policy_runs_only_where_it_is_approved(tmp_path):
+    async def check(cluster):
+        advice = cluster.platform.advice
+        advice.approves = lambda step, worker: worker == "w1"
+        for worker in cluster.workers:
+            worker.accepts_ticket = lambda step, worker_id, ticket: (
+                ticket == advice.ticket(step, worker_id) and worker_id == "w1"
+            )
+        policy = {"decisionMs": 5, "perItemMs": 1, "validityMs": 2_000}
+        cluster.platform.put("op/config", configuration(2, advice=policy))
+        await trio.sleep(0.5)
+        job_id = "a" * 16
+        status, _ = await cluster.request(cluster.instances[0], "POST", job_id, JOB)
+        assert status == 200
+        await cluster.until_succeeded(cluster.instances[0], job_id)
+        assert not cluster.workers[0].starts
+        assert len(cluster.workers[1].starts) == 24
+
+    run(check, tmp_path)
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -10,7 +10,16 @@
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.stragglers import StragglerWatch
 from apricotgap.jobs.tickets import StepName
-from tests.jobs_harness import Rig, configuration, ended, entry, job, running, task
+from tests.jobs_harness import (
+    FREE,
+    Rig,
+    configuration,
+    ended,
+    entry,
+    job,
+    running,
+    task,
+)
 
 ONE = StepSpec(1, Resources(1000, 100), 800)
 
@@ -187,3 +196,22 @@
     assert want.wanted(rig.now) > demand.MIN_WORKERS
     rig.now += demand.RATE_WINDOW_MS + demand.HOLD_MS + 1
     assert want.wanted(rig.now) == demand.MIN_WORKERS
+
+
+def test_pool_has_a_worker_for_each_task_that_must_not_share_one():
+    """Guards against lasting tasks that never start for want of workers."""
+    rig = Rig().ready()
+    apart = replace(ONE, n_tasks=18, lasts=True, estimated_ms=0, max_per_worker=2)
+    rig.shard.submit(job(steps=(apart,)))
+    assert Demand(rig.shard).wanted(rig.now) == 9
+
+
+def test_start_of_a_burst_is_seen_before_the_long_average_shows_it():
+    """Guards against machines that are moved in only after the queue has grown."""
+    rig = Rig().ready()
+    want = Demand(rig.shard)
+    for _ in range(demand.MIN_SHORT_JOBS):
+        want.note_job(job(steps=(replace(ONE, n_tasks=10),)), rig.now)
+    rate = demand.MIN_SHORT_JOBS * 10 * ONE.room.core_equivalents * ONE.estimated_ms
+    cores = rate / demand.SHORT_WINDOW_MS
+    assert want.wanted(rig.now) >= cores / (FREE.cpu / 1000)
