--- /dev/null
+++ b/apricotgap/cli/diagnosis.py
@@ -0,0 +1,35 @@
+"""Commands that read what instances have written."""
+
+import sys
+from typing import TextIO
+
+import click
+
+from apricotgap.explain import explain
+
+__all__ = ["add_commands"]
+
+
+@click.command("explain")
+@click.argument("request_id")
+@click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
+def explain_request(request_id: str, logs: tuple[TextIO, ...]) -> None:
+    """Tell the story of a request from the instances' log files.
+
+    Lines after a bar do not name the request, but may be the cause.
+
+    Example: apricotgap explain 5c0e7a21d94b36f8 instance-*.log
+    """
+    story = explain((line for log in logs for line in log), request_id)
+    if not story:
+        click.echo(
+            f"no line names {request_id}; give the logs of all instances", err=True
+        )
+        sys.exit(1)
+    for moment in story:
+        click.echo(str(moment))
+
+
+def add_commands(group: click.Group) -> None:
+    """Add the commands of this module."""
+    group.add_command(explain_request)
--- a/apricotgap/instance/worker_list.py
+++ b/apricotgap/instance/worker_list.py
@@ -14,7 +14,7 @@
 
 # A leaving worker must get no new work within seconds, so the list may lag by this.
 WATCH_WAIT_MS = 2_000
-WATCH_PAUSE_MS = 100
+WATCH_PAUSE_MS = 200
 
 
 class WorkerList:
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -8,14 +8,21 @@
 
 __all__ = ["Demand"]
 
-# Arriving work is averaged over this span.
+# Arriving work is averaged over the long span, and over the short one as well once
+# that has seen enough jobs, so that the start of a burst shows at once.
 RATE_WINDOW_MS = 900
+SHORT_WINDOW_MS = 350
+MIN_SHORT_JOBS = 10
 # A want is kept for this long, so that a pool does not shrink between two jobs.
 HOLD_MS = 2_000
-# Work that waits or runs should be done within this time.
+# A machine that is moved in serves after this time; until then work piles up.
+MOVE_IN_MS = 1_800
+# Work that has piled up should be done within this time, but for it a pool grows by
+# this share of its present need at most: a backlog is short-lived and machines dear.
 CLEAR_MS = 1_500
+MAX_BACKLOG_SHARE = 0.8
 # Room above the measured demand; tasks of uneven size do not pack tightly.
-HEADROOM = 1.2
+HEADROOM = 1.1
 # Workers that a pool keeps without any demand: they carry the lasting tasks and the
 # first moments of a burst, until others have been moved in.
 MIN_WORKERS = 3
@@ -34,6 +41,7 @@
         self._shard = shard
         self._arrivals: deque[tuple[int, float]] = deque()
         self._wants: deque[tuple[int, int]] = deque()
+        self._excess_since_ms: int | None = None
 
     def note_job(self, spec: JobSpec, at_ms: int) -> None:
         """Take note of an accepted job."""
@@ -52,29 +60,75 @@
         )
         if not worker_cores:
             return MIN_WORKERS
-        want = max(MIN_WORKERS, ceil(self._cores(at_ms) * HEADROOM / worker_cores))
+        cores = self._cores(at_ms)
+        want = max(
+            MIN_WORKERS, ceil(cores * HEADROOM / worker_cores), self._spread(at_ms)
+        )
         self._wants.append((at_ms, want))
         while self._wants[0][0] < at_ms - HOLD_MS:
             self._wants.popleft()
         return max(want for _, want in self._wants)
 
     def _cores(self, at_ms: int) -> float:
-        while self._arrivals and self._arrivals[0][0] < at_ms - RATE_WINDOW_MS:
-            self._arrivals.popleft()
-        arriving = sum(work for _, work in self._arrivals) / RATE_WINDOW_MS
-        lasting = work = 0.0
+        arriving = self._arriving(at_ms)
+        lasting = running = 0.0
+        usable = 0.0
         for worker in self._shard.workers.values():
+            if worker.is_usable(at_ms, self._shard.evacuated):
+                usable += worker.total.core_equivalents
             for run in worker.runs.values():
-                cores = run.room.core_equivalents
                 if run.step.lasts:
-                    lasting += cores
+                    lasting += run.room.core_equivalents
                 else:
-                    work += cores * run.step.estimated_ms / 2
+                    running += run.room.core_equivalents
+        piled_up = self._waiting(at_ms)
+        piled_up += self._still_to_pile_up(arriving + lasting - usable, at_ms)
+        present = lasting + max(arriving, running)
+        return present + min(piled_up / CLEAR_MS, MAX_BACKLOG_SHARE * present)
+
+    def _still_to_pile_up(self, excess: float, at_ms: int) -> float:
+        """Return the work that will wait before machines ordered now can serve."""
+        if excess <= 0:
+            self._excess_since_ms = None
+            return 0.0
+        if self._excess_since_ms is None:
+            self._excess_since_ms = at_ms
+        left_ms = self._excess_since_ms + MOVE_IN_MS - at_ms
+        return excess * max(0, left_ms)
+
+    def _spread(self, at_ms: int) -> int:
+        """Return the workers over which the tasks of one step have to be spread."""
+        unix_ms = self._shard.unix_of(at_ms)
+        widest = 0
+        for job in self._shard.open_jobs.values():
+            for index, step in enumerate(job.spec.steps):
+                if not step.max_per_worker:
+                    continue
+                n_tasks = step.n_tasks if step.lasts else len(job.waiting[0, index])
+                if not step.lasts and not job.is_open((0, index), unix_ms):
+                    continue
+                widest = max(widest, ceil(n_tasks / step.max_per_worker))
+        return widest
+
+    def _arriving(self, at_ms: int) -> float:
+        """Return the cores that new work takes, of the last moments."""
+        arrivals = self._arrivals
+        while arrivals and arrivals[0][0] < at_ms - RATE_WINDOW_MS:
+            arrivals.popleft()
+        rate = sum(work for _, work in arrivals) / RATE_WINDOW_MS
+        recent = [work for at, work in arrivals if at >= at_ms - SHORT_WINDOW_MS]
+        if len(recent) >= MIN_SHORT_JOBS:
+            rate = max(rate, sum(recent) / SHORT_WINDOW_MS)
+        return rate
+
+    def _waiting(self, at_ms: int) -> float:
+        """Return the work that could start now, in cores times milliseconds."""
         unix_ms = self._shard.unix_of(at_ms)
+        work = 0.0
         for job in self._shard.open_jobs.values():
             for key in job.open_steps(unix_ms):
                 step = job.spec.steps[key[1]]
-                tasks_ms = len(job.waiting[key]) * step.estimated_ms
                 if not step.lasts:
+                    tasks_ms = len(job.waiting[key]) * step.estimated_ms
                     work += tasks_ms * step.room.core_equivalents
-        return lasting + max(arriving, work / CLEAR_MS)
+        return work
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -85,6 +85,7 @@
         self._inherited_until_ms = 0
         self._ended: dict[str, int] = {}
         self._kinds: dict[str, set[str]] = {}
+        self._wanted: dict[str, int] = {}
         self.waves: dict[int, _WaveState] = {}
 
     def inherit(self, machines: Iterable[str], until_ms: int) -> None:
@@ -369,8 +370,11 @@
             for name in set(state.wave.machines) - state.done - state.gone
         }
         orders: list[MachineOrder] = []
+        missing_by_pool: dict[str, int] = {}
         for pool, report in sorted(current.reports.items()):
-            missing = report.wanted - self._n_available(pool, current)
+            n_available = self._n_available(pool, current)
+            missing = report.wanted - n_available
+            self._note_size(pool, report.wanted, n_available, len(spare), current)
             if missing > 0:
                 missing -= self._release(pool, missing, current)
             while missing > 0:
@@ -381,12 +385,52 @@
                 spare.remove(machine)
                 order = MachineOrder(machine.name, pool)
                 orders.append(self._order(order, current))
+            if missing > 0:
+                missing_by_pool[pool] = missing
             if missing < 0 and current.spare_pool:
                 self._reserve_surplus(pool, -missing, current)
             if current.spare_pool:
                 self._reserve_useless(pool, current)
+        self._redirect(missing_by_pool, current)
         return orders
 
+    def _note_size(
+        self, pool: str, wanted: int, n_available: int, n_spare: int, current: FleetView
+    ) -> None:
+        """Write a line when what a pool wants has changed."""
+        if self._wanted.get(pool) == wanted:
+            return
+        self._wanted[pool] = wanted
+        fields: dict[str, object] = {
+            "pool": pool,
+            "wanted": wanted,
+            "n_available": n_available,
+            "n_spare": n_spare,
+        }
+        current.lines.append(LogDecision("pool_size", fields))
+
+    def _redirect(self, missing_by_pool: dict[str, int], current: FleetView) -> None:
+        """Send machines that leave a pool straight to one that lacks some.
+
+        The way through the pool that is off takes two moves.
+        """
+        for name, order in self._reserved.items():
+            if order.pool:
+                self._reserved[name] = MachineOrder(name, current.spare_pool)
+        for pool, n_missing in missing_by_pool.items():
+            kinds = self._kinds.get(pool)
+            leaving = [
+                name
+                for name, order in self._reserved.items()
+                if order.pool == current.spare_pool
+                and name not in self._pending
+                and not current.is_useless(current.machines[name])
+                and (kinds is None or current.machines[name].kind in kinds)
+            ]
+            leaving.sort(key=lambda name: current.load(current.machines[name]))
+            for name in leaving[:n_missing]:
+                self._reserved[name] = MachineOrder(name, pool)
+
     def _reserve_useless(self, pool: str, current: FleetView) -> None:
         """Empty machines that are paid for and get no work."""
         for name, machine in current.machines.items():
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,64 @@
+"""The story of a request, from log lines."""
+
+import json
+
+from click.testing import CliRunner
+
+from apricotgap.cli import main
+from apricotgap.explain import explain
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def line(second, event, **fields):
+    timestamp = f"2026-12-04T23:59:{second:09.6f}Z"
+    return json.dumps(
+        {**fields, "event": event, "instance": "i1", "timestamp": timestamp}
+    )
+
+
+LINES = [
+    line(9, "job_finished", job=JOB, shard="s1", phase="succeeded"),
+    line(2, "call", method="POST", path=f"/plans/{JOB}", status=200),
+    line(2, "job_accepted", job=JOB, shard="s1"),
+    line(3, "run_started", task=f"{JOB}.0.0.1", shard="s1", worker="w1"),
+    line(4, "worker_lost", shard="s1", worker="w1", why="lease ended"),
+    line(4, "worker_lost", shard="s1", worker="w2", why="lease ended"),
+    line(5, "shard_lost", shard="s2"),
+    line(6, "shard_lost", shard="s1"),
+    line(20, "store_lost", reason="timeout"),
+    line(3, "run_started", task="0000000000000000.0.0.1", shard="s1", worker="w1"),
+    "not a log line",
+    "{broken",
+    '{"event": "call"}',
+    "12.5 i1 " + line(1, "store_lost", reason="timeout"),
+]
+
+
+def test_story_is_in_order_with_the_causes_of_its_own_shard_and_workers():
+    """Guards against a cause that is left out, and against noise of other shards."""
+    story = [(moment.event, moment.is_cause) for moment in explain(LINES, JOB)]
+    assert story == [
+        ("store_lost", True),
+        ("call", False),
+        ("job_accepted", False),
+        ("run_started", False),
+        ("worker_lost", True),
+        ("shard_lost", True),
+        ("job_finished", False),
+    ]
+
+
+def test_unknown_request_has_no_story():
+    assert explain(LINES, "f" * 16) == []
+
+
+def test_command_reads_files_and_says_when_nothing_is_found(tmp_path):
+    path = tmp_path / "i1.log"
+    path.write_text("\n".join(LINES))
+    result = CliRunner().invoke(main, ["explain", JOB, str(path)])
+    assert result.exit_code == 0
+    assert "  | i1 worker_lost" in result.output
+    result = CliRunner().invoke(main, ["explain", "f" * 16, str(path)])
+    assert result.exit_code == 1
+    assert "give the logs of all instances" in result.output
