Start a job only once its progress is stored; size pools by arrivals and backlog

Jobs that no owner has started need not wait. A job now gets its first progress in the transaction that accepts it, or shortly before its first start while others wait, so a job without stored progress was never started. Tests that described an earlier owner's job without progress now load one with progress: the former cannot have been started any more. Changed settings are read without a signal; what a running process takes over is logged.

--- a/apricotgap/instance/gateway.py
+++ b/apricotgap/instance/gateway.py
@@ -1,6 +1,6 @@
 """Calls on jobs: at the owner of the shard, or at the store without one."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from random import Random
 from typing import Any
 
@@ -32,6 +32,7 @@
 from apricotgap.jobs.service import CancelResult, SubmitResult, UnreadableError
 from apricotgap.platform.store import (
     Conflict,
+    Snapshot,
     StoreClient,
     Stored,
     StoreError,
@@ -264,7 +265,7 @@
         progress = await self._store.read_prefix(
             progress_prefix(service), _STORE_TIMEOUT_MS
         )
-        begun = {item.key.rpartition("/")[2] for item in progress.items}
+        begun = {job_id for job_id, phase in _phases(progress) if phase.has_begun}
         n_pending = 0
         for item in jobs.items:
             if item.key.count("/") != 2 or item.value is None:
@@ -358,3 +359,14 @@
         if operation == "report":
             return report_to_rows(owner.report(*argument))
         raise ValueError(f"unknown operation {operation}")
+
+
+def _phases(progress: Snapshot) -> Iterator[tuple[str, JobPhase]]:
+    """Return the stored phase of each job whose progress is readable."""
+    for item in progress.items:
+        job_id = item.key.rpartition("/")[2]
+        try:
+            yield job_id, decode_progress(job_id, item.value or b"").phase
+        except DocumentError as error:
+            log = structlog.get_logger()
+            log.error("progress_unreadable", job=job_id, error=str(error))
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -1,5 +1,6 @@
 """Composition of one instance on the platform."""
 
+import os
 import secrets
 import signal
 import time
@@ -37,10 +38,24 @@
 
 # The balancer sends no new connections once the readiness check failed twice.
 BALANCER_LAG_S = 2.2
+# A settings file may change without a signal; it is looked at this often.
+SETTINGS_CHECK_S = 1.0
+# Settings that a running process takes over; the others hold from its next start.
+_RELOADED = frozenset({"bounds.revoke_ms"})
 # Share of the stop grace in which answers under way are finished.
 _FINISH_S = 1.0
 
 
+def _stamp(path: str) -> tuple[int, int]:
+    """Return what changes when a file is written, zeros when it is not there."""
+    try:
+        found = os.stat(path)
+    except OSError:
+        # While a file is replaced it may be missing; the next look sees the new one.
+        return (0, 0)
+    return (found.st_mtime_ns, found.st_size)
+
+
 class Instance:
     """One instance.
 
@@ -96,7 +111,7 @@
                 PeerClient(nursery),
                 self._clock,
             )
-            app = IngressApp(
+            app = self._app = IngressApp(
                 self._directory,
                 gateway,
                 self._metrics,
@@ -115,6 +130,7 @@
                 serve_peers, settings.ip, settings.peer_port, gateway.answer_peer
             )
             nursery.start_soon(self._signals)
+            nursery.start_soon(self._watch_settings)
             await hypercorn.trio.serve(
                 app,  # type: ignore[arg-type]
                 self._http_config(),
@@ -202,7 +218,25 @@
         except SettingsError as error:
             self._log.error("reload_failed", error=str(error))
             return
-        self._log.info("reloaded", changed=found != self._settings)
+        changed = self._settings.changed_fields(found)
+        self._settings = found
+        self._app.set_revoke_ms(found.bounds.revoke_ms)
+        self._log.info(
+            "reloaded",
+            changed=changed,
+            after_restart=[name for name in changed if name not in _RELOADED],
+        )
+
+    async def _watch_settings(self) -> None:
+        """Read the settings again when the file changes without a signal."""
+        path = settings_path()
+        known = _stamp(path)
+        while True:
+            await trio.sleep(SETTINGS_CHECK_S)
+            found = _stamp(path)
+            if found != known:
+                known = found
+                self._reload()
 
     async def _stop(self) -> None:
         self._log.info("stopping", n_shards=self._election.n_owned)
--- a/apricotgap/instance/progress_writer.py
+++ b/apricotgap/instance/progress_writer.py
@@ -23,8 +23,8 @@
 
 # Ends are stored, and with that acknowledged, at the latest after this time.
 SAVE_INTERVAL_S = 0.15
-# A job that became final is stored after this time, to group what ends together.
-FINAL_SAVE_DELAY_S = 0.02
+# What callers or starts wait for is stored after this time, to group some of it.
+URGENT_SAVE_DELAY_S = 0.01
 _RETRY_S = 0.15
 
 
@@ -65,11 +65,11 @@
             self._dirty = trio.Event()
             if not self._shard.has_unsaved:
                 continue
-            if self._shard.has_unsaved_final:
-                await trio.sleep(FINAL_SAVE_DELAY_S)
+            if self._shard.has_urgent_unsaved:
+                await trio.sleep(URGENT_SAVE_DELAY_S)
             else:
                 with trio.move_on_after(SAVE_INTERVAL_S):
-                    while not self._shard.has_unsaved_final:
+                    while not self._shard.has_urgent_unsaved:
                         await self._dirty.wait()
                         self._dirty = trio.Event()
             batch = self._shard.begin_save()
--- a/apricotgap/instance/shard_loader.py
+++ b/apricotgap/instance/shard_loader.py
@@ -28,7 +28,7 @@
     jobs, progress : Snapshot
         All keys of the service's jobs and of their progress.
     """
-    stored: dict[str, tuple[Progress, int]] = {}
+    stored: dict[str, tuple[Progress | None, int]] = {}
     for item in progress.items:
         job_id = item.key.rpartition("/")[2]
         try:
@@ -36,7 +36,7 @@
         except DocumentError as error:
             log = structlog.get_logger()
             log.error("progress_unreadable", job=job_id, error=str(error))
-            continue
+            found = None
         stored[job_id] = (found, item.revision)
     for item in jobs.items:
         job = decode_stored_job(item)
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -28,9 +28,7 @@
 from apricotgap.instance.tenure import OwnershipLostError, Tenure
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
-from apricotgap.jobs.documents import (
-    encode_job,
-)
+from apricotgap.jobs.documents import Progress, encode_job, encode_progress
 from apricotgap.jobs.effects import Effect, LogDecision, PaceRun, StartRun, StopRun
 from apricotgap.jobs.events import (
     StartAnswered,
@@ -257,11 +255,20 @@
             return SubmitResult.ACCEPTED
         if self._store.is_down:
             return SubmitResult.REFUSED
-        writes = job_writes(self.service, job.job_id, encode_job(job))
+        writes = [
+            self.tenure.condition,
+            *job_writes(self.service, job.job_id, encode_job(job)),
+        ]
+        may_start_at_once = not self.core.has_waiting_jobs
+        if may_start_at_once:
+            key = progress_key(self.service, job.job_id)
+            writes.append(Write(key, encode_progress(Progress()), expected_revision=0))
         may_be_stored = False
+        revision = 0
         while True:
-            outcome = await self._store.write((self.tenure.condition, *writes))
+            outcome = await self._store.write(tuple(writes))
             if isinstance(outcome, Stored):
+                revision = outcome.revision if may_start_at_once else 0
                 break
             if isinstance(outcome, Conflict):
                 self.tenure.check(outcome)
@@ -276,7 +283,7 @@
             if isinstance(outcome, Unavailable) and not may_be_stored:
                 return SubmitResult.REFUSED
             await trio.sleep(_RETRY_S)
-        self.core.submit(job)
+        self.core.submit(job, revision)
         self._run([self.core.describe(job)])
         self._demand.note_job(job, self._clock.now_ms)
         self._wake.set()
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -10,17 +10,17 @@
 
 # Arriving work is averaged over the long span, and over the short one as well once
 # that has seen enough jobs, so that the start of a burst shows at once.
-RATE_WINDOW_MS = 900
+RATE_WINDOW_MS = 1_400
 SHORT_WINDOW_MS = 350
 MIN_SHORT_JOBS = 10
 # A want is kept for this long, so that a pool does not shrink between two jobs.
-HOLD_MS = 2_000
+HOLD_MS = 1_000
 # A machine that is moved in serves after this time; until then work piles up.
 MOVE_IN_MS = 1_800
 # Work that has piled up should be done within this time, but for it a pool grows by
 # this share of its present need at most: a backlog is short-lived and machines dear.
-CLEAR_MS = 1_500
-MAX_BACKLOG_SHARE = 0.8
+CLEAR_MS = 2_000
+MAX_BACKLOG_SHARE = 0.6
 # Room above the measured demand; tasks of uneven size do not pack tightly.
 HEADROOM = 1.1
 # Workers that a pool keeps without any demand: they carry the lasting tasks and the
--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -22,6 +22,11 @@
         Store revision of the progress, 0 when none is stored.
     is_inherited : bool
         Whether an earlier owner may have started tasks of it.
+
+    Notes
+    -----
+    Nothing of a job starts before its progress is stored for the first time, so a job
+    without stored progress has never been started by any owner.
     """
 
     def __init__(
@@ -58,6 +63,11 @@
             if record.done and (name.occurrence, name.step) == key
         }
 
+    @property
+    def may_start(self) -> bool:
+        """Whether a successor would know that tasks may run."""
+        return self.revision > 0
+
     @property
     def is_final(self) -> bool:
         """Whether nothing more is to be started."""
--- a/apricotgap/jobs/model.py
+++ b/apricotgap/jobs/model.py
@@ -95,6 +95,11 @@
     FAILED = "failed"
     CANCELLED = "cancelled"
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a task has started."""
+        return self is not JobPhase.PENDING
+
     @property
     def is_final(self) -> bool:
         """Whether nothing of the job runs any more."""
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -87,6 +87,9 @@
                 continue
             if job.spec.lasts and not may_last:
                 continue
+            if not job.may_start:
+                self._announce(job, current)
+                continue
             self._start_job(job, current)
         return current.effects
 
@@ -104,6 +107,15 @@
         ]
         return sorted(waiting, key=rank)
 
+    def _announce(self, job: JobState, current: _Pass) -> None:
+        """Have a job's first progress stored once there is room for its first task."""
+        for key in job.open_steps(current.unix_ms):
+            step = job.spec.steps[key[1]]
+            name = TaskName(job.spec.job_id, *key, min(job.waiting[key]))
+            if self._choose(job, name, step, current, {}) is not None:
+                self._shard.announce(job)
+                return
+
     def _start_job(self, job: JobState, current: _Pass) -> None:
         for key in job.open_steps(current.unix_ms):
             step = job.spec.steps[key[1]]
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -78,6 +78,7 @@
         self.team_limits = TeamLimits(service)
         self.tickets = Tickets()
         self._dirty: set[str] = set()
+        self._announced: set[str] = set()
         self._is_saving = False
         self._ended_workers: set[str] = set()
         self.unix_offset_ms = 0
@@ -98,18 +99,26 @@
     # Jobs
 
     def load(self, spec: JobSpec, progress: Progress | None, revision: int) -> JobState:
-        """Take over a job that an earlier owner may have started."""
-        job = JobState(spec, progress, revision, is_inherited=True)
+        """Take over a stored job, which an earlier owner may have started."""
+        job = JobState(spec, progress, revision, is_inherited=revision > 0)
         self.jobs[spec.job_id] = job
         if not job.is_final:
             self.open_jobs[spec.job_id] = job
         return job
 
-    def submit(self, spec: JobSpec) -> JobState:
-        """Take a job that is stored and that no owner has started."""
+    def submit(self, spec: JobSpec, revision: int = 0) -> JobState:
+        """Take a job that is stored and that no owner has started.
+
+        Parameters
+        ----------
+        spec : JobSpec
+            The job.
+        revision : int
+            Store revision of its first progress, 0 when none is stored.
+        """
         job = self.jobs.get(spec.job_id)
         if job is None:
-            job = JobState(spec)
+            job = JobState(spec, None, revision)
             self.jobs[spec.job_id] = self.open_jobs[spec.job_id] = job
         return job
 
@@ -140,6 +149,7 @@
         """Drop a final job."""
         self.jobs.pop(job_id, None)
         self.open_jobs.pop(job_id, None)
+        self._announced.discard(job_id)
         self._dirty.discard(job_id)
 
     def _finish(
@@ -191,9 +201,24 @@
         return not self._dirty and not self._is_saving
 
     @property
-    def has_unsaved_final(self) -> bool:
-        """Whether a job became final and that is not stored yet."""
-        return any(self.jobs[job].is_final for job in self._dirty if job in self.jobs)
+    def has_urgent_unsaved(self) -> bool:
+        """Whether a job became final, or waits for its first save to start."""
+        return any(
+            job.is_final or not job.may_start
+            for job_id in self._dirty
+            if (job := self.jobs.get(job_id)) is not None
+        )
+
+    @property
+    def has_waiting_jobs(self) -> bool:
+        """Whether tasks of some job wait for room."""
+        return any(any(job.waiting.values()) for job in self.open_jobs.values())
+
+    def announce(self, job: JobState) -> None:
+        """Store the first progress of a job that is about to start."""
+        if len(self._announced) < limits.MAX_ANNOUNCED:
+            self._announced.add(job.spec.job_id)
+            self._dirty.add(job.spec.job_id)
 
     def begin_save(self) -> SaveBatch:
         """Return the documents that changed since the last save."""
@@ -216,6 +241,7 @@
 
     def saved(self, batch: SaveBatch, revisions: dict[str, int]) -> None:
         """Take note of what is stored; workers may forget the ends once all is."""
+        self._announced.difference_update(revisions)
         for job_id, revision in revisions.items():
             job = self.jobs.get(job_id)
             if job is not None:
--- a/apricotgap/platform/ingress.py
+++ b/apricotgap/platform/ingress.py
@@ -79,14 +79,18 @@
         self._jobs = jobs
         self._metrics = metrics
         self._clock = clock
-        # A watch may hear nothing for a second while changes are made.
-        self._max_view_age_ms = revoke_ms - 1_700
-        self._ready_view_age_ms = revoke_ms // 2
+        self.set_revoke_ms(revoke_ms)
         self._is_draining = is_draining
         self._readiness_port = readiness_port
         self._metrics_port = metrics_port
         self._log = structlog.get_logger()
 
+    def set_revoke_ms(self, revoke_ms: int) -> None:
+        """Take over how long a withdrawn key may still work."""
+        # A watch may hear nothing for a second while changes are made.
+        self._max_view_age_ms = revoke_ms - 1_700
+        self._ready_view_age_ms = revoke_ms // 2
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
         if scope["type"] == "lifespan":
--- a/apricotgap/platform/settings.py
+++ b/apricotgap/platform/settings.py
@@ -2,7 +2,7 @@
 
 import os
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Any
 
 from apricotgap.errors import SettingsError
@@ -53,6 +53,21 @@
     speed_milli: int
     bounds: Bounds
 
+    def changed_fields(self, other: "PlatformSettings") -> list[str]:
+        """Return the names of the fields in which other settings differ."""
+        found = [
+            each.name
+            for each in fields(self)
+            if each.name != "bounds"
+            and getattr(self, each.name) != getattr(other, each.name)
+        ]
+        found += [
+            f"bounds.{each.name}"
+            for each in fields(self.bounds)
+            if getattr(self.bounds, each.name) != getattr(other.bounds, each.name)
+        ]
+        return found
+
 
 def settings_path() -> str:
     """Return the path of the settings file."""
@@ -74,9 +89,8 @@
         raise SettingsError(
             f"{path} cannot be read: {error}", "name a readable TOML file"
         ) from error
-    fields = _Fields(path, data)
     try:
-        return _settings(fields)
+        return _settings(_Fields(path, data))
     except (TypeError, ValueError, IndexError) as error:
         raise SettingsError(
             f"{path} has a field of the wrong type: {error}", "correct the field"
@@ -99,8 +113,8 @@
         return default
 
 
-def _settings(fields: _Fields) -> PlatformSettings:
-    get = fields.get
+def _settings(found: _Fields) -> PlatformSettings:
+    get = found.get
 
     def number(name: str, default: float) -> int:
         return int(get(f"bounds.{name}", default))
--- a/tests/jobs_harness.py
+++ b/tests/jobs_harness.py
@@ -74,6 +74,10 @@
         for worker in self.shard.workers.values():
             worker.is_recorded = True
 
+    def submit(self, spec):
+        """Accept a job whose first progress is stored with it."""
+        return self.shard.submit(spec, revision=1)
+
     def hold(self, worker_id="w1", running=(), ends=(), born_ms=1, sent_ms=None):
         """Let a worker answer a hold."""
         worker = self.shard.workers[worker_id]
@@ -97,6 +101,11 @@
             self.hold(worker_id)
         return self
 
+    def ready_only(self, worker_id):
+        """Take and record one worker."""
+        self.record_all()
+        self.hold(worker_id)
+
     def schedule(self, lease_until_ms=FAR_MS):
         """Run a scheduling pass; returns the starts."""
         effects = self.scheduler.run(self.now, lease_until_ms)
--- a/tests/test_instance_process.py
+++ b/tests/test_instance_process.py
@@ -194,3 +194,24 @@
         assert len(owner.lines("run_started")) == 4
 
     run(check, tmp_path)
+
+
+def test_changed_settings_are_read_again_without_a_signal(tmp_path):
+    """Guards against a process that runs on with an old bound."""
+
+    async def check(cluster):
+        instance = cluster.instances[0]
+        path = tmp_path / f"{instance.name}.toml"
+        text = path.read_text()
+        path.write_text(text.replace("revokeMs = 5000", "revokeMs = 4000"))
+        with trio.fail_after(5):
+            while not instance.lines("reloaded"):
+                await trio.sleep(0.05)
+        assert instance.lines("reloaded")[0]["changed"] == ["bounds.revoke_ms"]
+        path.write_text("broken = [")
+        with trio.fail_after(5):
+            while not instance.lines("reload_failed"):
+                await trio.sleep(0.05)
+        assert (await cluster.request(instance, "POST", "f" * 16, JOB))[0] == 200
+
+    run(check, tmp_path, n_instances=1)
