--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -61,9 +61,7 @@
         if not worker_cores:
             return MIN_WORKERS
         cores = self._cores(at_ms)
-        want = max(
-            MIN_WORKERS, ceil(cores * HEADROOM / worker_cores), self._spread(at_ms)
-        )
+        want = max(MIN_WORKERS, ceil(cores * HEADROOM / worker_cores), self._spread())
         self._wants.append((at_ms, want))
         while self._wants[0][0] < at_ms - HOLD_MS:
             self._wants.popleft()
@@ -96,19 +94,20 @@
         left_ms = self._excess_since_ms + MOVE_IN_MS - at_ms
         return excess * max(0, left_ms)
 
-    def _spread(self, at_ms: int) -> int:
-        """Return the workers over which the tasks of one step have to be spread."""
-        unix_ms = self._shard.unix_of(at_ms)
-        widest = 0
-        for job in self._shard.open_jobs.values():
-            for index, step in enumerate(job.spec.steps):
-                if not step.max_per_worker:
-                    continue
-                n_tasks = step.n_tasks if step.lasts else len(job.waiting[0, index])
-                if not step.lasts and not job.is_open((0, index), unix_ms):
-                    continue
-                widest = max(widest, ceil(n_tasks / step.max_per_worker))
-        return widest
+    def _spread(self) -> int:
+        """Return the workers over which the tasks of a lasting step are spread.
+
+        Other tasks that must be apart can run one after the other.
+        """
+        return max(
+            (
+                ceil(step.n_tasks / step.max_per_worker)
+                for job in self._shard.open_jobs.values()
+                for step in job.spec.steps
+                if step.lasts and step.max_per_worker
+            ),
+            default=0,
+        )
 
     def _arriving(self, at_ms: int) -> float:
         """Return the cores that new work takes, of the last moments."""
