--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 demo: setup
 	$(PY) -m demo
+	$(PY) -m demo.platform_day
 
 model-check: setup
 	$(PY) -m proof.model_check
