Do not report a worker as empty while an earlier owner's runs may be unknown

Cause: a report right after a takeover counted the runs that the new owner knew, none before its first hold, so the fleet's owner could move a machine under running tasks.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -346,8 +346,8 @@
             tuple(
                 WorkerReport(
                     worker.worker_id,
-                    len(worker.runs),
-                    sum(run.step.lasts for run in worker.runs.values()),
+                    worker.n_possible_runs,
+                    worker.n_lasting,
                     worker.is_usable(now_ms, self.core.evacuated),
                     worker.is_reserved(now_ms),
                     worker.suspect_since_ms is not None,
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -65,6 +65,11 @@
         self.total = total
         self.free = total - self.used
 
+    @property
+    def n_possible_runs(self) -> int:
+        """Number of known runs; at least one while earlier ones may be unknown."""
+        return max(len(self.runs), int(self.is_doubtful))
+
     def clock_now_ms(self, at_ms: int) -> int:
         """Return a lower bound of the worker's clock.
 
--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -429,3 +429,14 @@
         rig.shard.submit(job(f"{n:016x}"))
     rig.schedule()
     assert len(rig.shard.begin_save().documents) == limits.MAX_ANNOUNCED
+
+
+def test_worker_that_may_run_what_an_earlier_owner_started_is_not_empty():
+    """Guards against a machine that is moved away under runs not yet known."""
+    rig = Rig(epoch=2, workers=())
+    rig.shard.expect(entry("w1"), rig.now)
+    rig.list_workers(entry("w1"))
+    worker = rig.shard.workers["w1"]
+    assert worker.n_possible_runs == 1
+    rig.hold()
+    assert worker.n_possible_runs == 0
