--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
 PARTS = {
     "reducer": "bench.reducer_cost",
     "jobs": "bench.jobs_cost",
+    "instance": "bench.instance_cost",
     "request": "bench.request_cost",
     "idle": "bench.idle_cost",
     "change": "bench.change_cost",
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -133,6 +133,11 @@
                 stderr=log,
             )
 
+    @property
+    def pid(self):
+        """Process id."""
+        return self._process.pid
+
     def signal(self, number):
         """Send a signal to the process."""
         self._process.send_signal(number)
--- a/standins/transactional_store.py
+++ b/standins/transactional_store.py
@@ -2,6 +2,7 @@
 
 import itertools
 from base64 import b64encode
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs
@@ -43,6 +44,7 @@
 
     def __post_init__(self) -> None:
         self.items: dict[str, _Item] = {}
+        self.n_calls: Counter[str] = Counter()
         self.leases: dict[int, tuple[int, int]] = {}
         self._history: list[dict[str, Any]] = []
         self._changed = trio.Event()
@@ -122,6 +124,7 @@
             await exchange.answer_json(503, {})
             return
         self._expire()
+        self.n_calls[path.removeprefix("/v1/").partition("/")[0]] += 1
         handlers = {
             "/v1/kv-key": self._get,
             "/v1/kv-range": self._range,
