Keep the budget of a lasting step also for runs of draining workers

The allowance of one more for draining workers counts against the others. Draining workers now take the budget first and no run leaves beyond it.

--- a/apricotgap/jobs/migration.py
+++ b/apricotgap/jobs/migration.py
@@ -29,13 +29,18 @@
         if shard.in_doubt or at_ms - shard.loaded_ms < limits.SETTLE_MS:
             # Stops of an earlier owner may be under way.
             return effects
-        for worker in shard.workers.values():
-            if not worker.entry.is_draining and not worker.is_reserved(at_ms):
-                continue
+        leaving = [
+            worker
+            for worker in shard.workers.values()
+            if worker.entry.is_draining or worker.is_reserved(at_ms)
+        ]
+        # Draining workers go whatever happens, so their runs take the budget first.
+        leaving.sort(key=lambda worker: not worker.entry.is_draining)
+        for worker in leaving:
             for run in list(worker.runs.values()):
                 if run.phase is not RunPhase.RUNNING or not run.step.lasts:
                     continue
-                if not self._may_take_away(run, at_ms, worker.entry.is_draining):
+                if not self._may_take_away(run, at_ms):
                     continue
                 effects.extend(shard.stop(run, at_ms))
                 line: dict[str, object] = {
@@ -45,7 +50,7 @@
                 effects.append(LogDecision("run_migrated", line))
         return effects
 
-    def _may_take_away(self, run: Run, at_ms: int, is_leaving: bool) -> bool:
+    def _may_take_away(self, run: Run, at_ms: int) -> bool:
         """Whether a lasting run may end now without breaking its step's budget."""
         job = self._shard.jobs.get(run.name.job_id)
         if job is None or job.is_final:
@@ -55,8 +60,7 @@
             if index != run.name.number:
                 others = job.runs.get(run.name._replace(number=index), ())
                 n_away += not any(self._is_at_work(other, at_ms) for other in others)
-        allowed = max(1, run.step.max_unavailable)
-        return n_away < allowed or (is_leaving and n_away <= allowed)
+        return n_away < max(1, run.step.max_unavailable)
 
     def _is_at_work(self, run: Run, at_ms: int) -> bool:
         worker = self._shard.workers.get(run.worker_id)
--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -1,5 +1,7 @@
 """Runs, ends and takeovers of a shard."""
 
+from dataclasses import replace
+
 from apricotgap.instance.shard_loader import load_jobs
 from apricotgap.jobs import limits
 from apricotgap.jobs.documents import (
@@ -363,6 +365,18 @@
         assert len(stops(Migrator(rig.shard).run(rig.now))) == 1
         assert stops(Migrator(rig.shard).run(rig.now)) == []
 
+    def test_run_of_a_leaving_worker_takes_the_budget_of_a_reserved_one(self):
+        """Guards against one more run away because its worker leaves anyway."""
+        rig = self.rig()
+        reserved, leaving = (start.worker_id for start in self.starts)
+        listed = [entry("w1"), entry("w2"), entry("w3")]
+        rig.list_workers(
+            *(replace(each, is_draining=each.worker_id == leaving) for each in listed)
+        )
+        rig.shard.reserve([reserved], rig.now)
+        found = stops(Migrator(rig.shard).run(rig.now))
+        assert [stop.worker_id for stop in found] == [leaving]
+
     def test_no_run_leaves_while_another_ones_worker_is_silent(self):
         """Guards against counting a run on a dead worker as at work."""
         rig = self.rig()
