--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -13,11 +13,8 @@
 from apricotgap.instance.tenure import Tenure
 from apricotgap.jobs.cbor import decode_cbor
 from apricotgap.jobs.fleet import Machine
-from apricotgap.jobs.fleet_plan import (
-    FleetPlanner,
-    MachineOrder,
-    OrderResult,
-)
+from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult
+from apricotgap.jobs.fleet_plan import FleetPlanner
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.metrics import Metrics
 from apricotgap.platform.keys import encode_wave_status, wave_status_key
--- /dev/null
+++ b/apricotgap/jobs/upkeep_waves.py
@@ -0,0 +1,177 @@
+"""Waves of upkeep: which machines go down next."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from math import ceil
+
+from apricotgap.jobs.configuration import Wave
+from apricotgap.jobs.fleet import Machine
+from apricotgap.jobs.fleet_orders import MachineOrder, OrderBook
+from apricotgap.jobs.fleet_view import FleetView
+
+__all__ = ["UpkeepWaves", "WaveState"]
+
+# Time from reserving a worker until its upkeep can be over, for pacing a wave.
+UPKEEP_CYCLE_MS = 4_500
+# A wave should be over this much before its end.
+WAVE_MARGIN_MS = 3_000
+
+
+@dataclass(slots=True)
+class WaveState:
+    """A wave and how far it is."""
+
+    wave: Wave
+    seen_ms: int
+    done: set[str] = field(default_factory=set)
+    gone: set[str] = field(default_factory=set)
+    is_finished: bool = False
+
+
+class UpkeepWaves:
+    """Plans the upkeep that operators ask for.
+
+    Parameters
+    ----------
+    book : OrderBook
+        Orders under way.
+    """
+
+    def __init__(self, book: OrderBook) -> None:
+        self._book = book
+        self.states: dict[int, WaveState] = {}
+
+    def replace(
+        self, waves: Iterable[Wave], done: Mapping[int, Iterable[str]], at_ms: int
+    ) -> None:
+        """Take over the operators' waves and what is stored of them."""
+        wanted = {wave.number: wave for wave in waves}
+        for number in set(self.states) - set(wanted):
+            del self.states[number]
+        for number, wave in wanted.items():
+            state = self.states.setdefault(number, WaveState(wave, at_ms))
+            state.wave = wave
+            state.done.update(done.get(number, ()))
+
+    def finished(self) -> list[int]:
+        """Return waves that are over and were not reported so before."""
+        over = []
+        for number, state in self.states.items():
+            left = set(state.wave.machines) - state.done - state.gone
+            if not left and not state.is_finished:
+                state.is_finished = True
+                over.append(number)
+        return over
+
+    def is_over(self, name: str, order: MachineOrder) -> bool:
+        """Whether a reservation for upkeep has become needless."""
+        if not order.wave:
+            return False
+        state = self.states.get(order.wave)
+        return state is None or name in state.done
+
+    def note_order(self, order: MachineOrder, kind: str) -> None:
+        """Take note of the outcome of an order."""
+        state = self.states.get(order.wave)
+        if state is None:
+            return
+        if kind == "ok":
+            state.done.add(order.machine)
+        elif kind in ("gone", "wave"):
+            state.gone.add(order.machine)
+
+    def waiting(self) -> set[str]:
+        """Return the machines that still need their upkeep."""
+        return {
+            name
+            for state in self.states.values()
+            if not state.is_finished
+            for name in set(state.wave.machines) - state.done - state.gone
+        }
+
+    def plan(self, current: FleetView) -> list[MachineOrder]:
+        """Return the upkeep to order now and reserve machines for the next."""
+        orders: list[MachineOrder] = []
+        for number, state in self.states.items():
+            if not state.is_finished:
+                orders += self._plan_wave(number, state, current)
+        return orders
+
+    def _plan_wave(
+        self, number: int, state: WaveState, current: FleetView
+    ) -> list[MachineOrder]:
+        left = self._left_of(state, current)
+        ready = [
+            machine
+            for machine in left
+            if machine.state == "up" and self._book.is_idle(machine.name, current.at_ms)
+        ]
+        room = state.wave.max_down - self.n_down(number, current)
+        empty = [machine for machine in ready if current.is_empty(machine)]
+        orders = [
+            self._book.order(MachineOrder(machine.name, wave=number), current)
+            for machine in empty[: max(0, room)]
+        ]
+        busy = [machine for machine in ready if not current.is_empty(machine)]
+        self._vacate(number, state, len(left), busy, current)
+        return orders
+
+    def _left_of(self, state: WaveState, current: FleetView) -> list[Machine]:
+        """Return the machines of a wave that still need their upkeep."""
+        left = []
+        for name in state.wave.machines:
+            if name in state.done or name in state.gone:
+                continue
+            machine = current.machines.get(name)
+            if machine is not None:
+                left.append(machine)
+            elif current.at_ms - state.seen_ms > WAVE_MARGIN_MS:
+                # A machine that left needs no upkeep; the list may only be late.
+                state.gone.add(name)
+        return left
+
+    def _vacate(
+        self,
+        number: int,
+        state: WaveState,
+        n_left: int,
+        candidates: list[Machine],
+        current: FleetView,
+    ) -> None:
+        """Reserve as many machines of pools as the wave's end calls for."""
+        end_ms = state.seen_ms + state.wave.duration_ms - WAVE_MARGIN_MS
+        n_cycles = max(1, (end_ms - current.at_ms) // UPKEEP_CYCLE_MS)
+        n_parallel = min(state.wave.max_down, ceil(n_left / n_cycles) + 1)
+        by_pool: dict[str, int] = {}
+        for name, order in self._book.reserved.items():
+            if order.wave == number:
+                pool = current.pool_of(name)
+                by_pool[pool] = by_pool.get(pool, 0) + 1
+        n_vacating = sum(by_pool.values())
+        for machine in sorted(candidates, key=current.load):
+            if n_vacating >= n_parallel:
+                return
+            most = max(1, len(current.usable(machine.pool)) // 3)
+            n_of_pool = by_pool.get(machine.pool, 0)
+            if machine.pool not in current.reports or n_of_pool >= most:
+                continue
+            by_pool[machine.pool] = n_of_pool + 1
+            n_vacating += 1
+            self._book.reserved[machine.name] = MachineOrder(machine.name, wave=number)
+
+    def n_down(self, number: int, current: FleetView) -> int:
+        """Return how many machines of a wave are down for their upkeep, at most."""
+        state = self.states[number]
+        down = {
+            name
+            for name, pending in self._book.pending.items()
+            if pending.order.wave == number and not pending.is_back
+        }
+        down.update(
+            name
+            for name in state.wave.machines
+            if name in current.machines and current.machines[name].state == "upkeep"
+        )
+        inherited = self._book.inherited(current.at_ms)
+        down.update(inherited & (set(state.wave.machines) - state.done))
+        return len(down)
--- a/apricotgap/platform/machines.py
+++ b/apricotgap/platform/machines.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from apricotgap.jobs.fleet import Machine
-from apricotgap.jobs.fleet_plan import MachineOrder
+from apricotgap.jobs.fleet_orders import MachineOrder
 from apricotgap.platform.http import HttpClient, NoAnswerError
 from apricotgap.platform.wire import WireError, decode_machines
 
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -4,13 +4,13 @@
 
 from apricotgap.jobs.configuration import ServiceSpec, Wave
 from apricotgap.jobs.fleet import Machine
-from apricotgap.jobs.fleet_plan import (
+from apricotgap.jobs.fleet_orders import (
     BUSY_BACKOFF_MS,
     ORDER_RETRY_MS,
-    FleetPlanner,
     MachineOrder,
     OrderResult,
 )
+from apricotgap.jobs.fleet_plan import FleetPlanner
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.model import Resources
 from tests.jobs_harness import SERVICE, configuration
