Refuse jobs beyond any sensible size

Cause: a submission of a thousand million tasks, or a spec of any length, was accepted and took the owner's memory. Limits: 4,000 bytes of spec, 20,000 tasks over all occurrences, no negative amounts; the answer is 400 with the reason.

--- a/apricotgap/platform/wire.py
+++ b/apricotgap/platform/wire.py
@@ -27,6 +27,10 @@
     "decode_worker",
 ]
 
+MAX_SPEC_BYTES = 4_000
+# Tasks of a job over all its occurrences; each takes memory at the owner.
+MAX_TASKS = 20_000
+
 _T = TypeVar("_T")
 
 
@@ -327,6 +331,23 @@
     )
 
 
+def _check_job(wire: _Job) -> None:
+    if len(wire.content.encode()) > MAX_SPEC_BYTES:
+        raise WireError(f"spec has more than {MAX_SPEC_BYTES} bytes; shorten it")
+    if not wire.steps or any(step.n_tasks <= 0 for step in wire.steps):
+        raise WireError("a job needs steps with at least one task each")
+    if min(wire.n_occurrences, wire.start_ms, wire.interval_ms) < 0:
+        raise WireError("repetitions and times must not be negative")
+    n_tasks = sum(step.n_tasks for step in wire.steps) * max(1, wire.n_occurrences)
+    if n_tasks > MAX_TASKS:
+        raise WireError(f"a job has at most {MAX_TASKS} tasks; hand in several jobs")
+    for index, step in enumerate(wire.steps):
+        if min(step.cpu, step.memory_mb, step.gpus, step.estimated_ms) < 0:
+            raise WireError(f"step {index} needs a negative amount")
+        if any(not 0 <= earlier < index for earlier in step.after):
+            raise WireError(f"step {index} follows a step that is not before it")
+
+
 def decode_job(
     data: bytes, job_id: str, queue: QueueSpec, team: str, now_ms: int
 ) -> JobSpec:
@@ -338,12 +359,8 @@
         The body is no job.
     """
     wire = _decode(_Job, data)
+    _check_job(wire)
     steps = tuple(step.step() for step in wire.steps)
-    if not steps or any(step.n_tasks <= 0 for step in steps):
-        raise WireError("a job needs steps with at least one task each")
-    for index, step in enumerate(steps):
-        if any(not 0 <= earlier < index for earlier in step.after):
-            raise WireError(f"step {index} follows a step that is not before it")
     return JobSpec(
         job_id,
         queue.name,
--- a/tests/test_instance_process.py
+++ b/tests/test_instance_process.py
@@ -54,6 +54,10 @@
         assert (await cluster.request(instance, "GET", job_id))[0] == 410
         assert (await cluster.request(instance, "POST", job_id, JOB, "no"))[0] == 401
         assert (await cluster.request(instance, "POST", "short", JOB))[0] == 400
+        response = await call_raw("GET", instance.address, "/nowhere/x")
+        assert response.status == 404
+        too_long = {**JOB, "spec": "x" * 4_001}
+        assert (await cluster.request(instance, "POST", job_id, too_long))[0] == 400
         for body in ({"steps": []}, {"steps": 3}, {}):
             assert (await cluster.request(instance, "POST", job_id, body))[0] == 400
         assert (await cluster.request(instance, "POST", job_id, JOB))[0] == 200
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -86,6 +86,32 @@
         decode_job(encode({"spec": "x", "steps": steps}), "a" * 16, QUEUE, "", 0)
 
 
+@pytest.mark.parametrize(
+    ("changes", "step"),
+    [
+        ({"spec": "x" * 4_001}, {}),
+        ({"spec": "é" * 2_001}, {}),
+        ({}, {"count": 10**9}),
+        ({"repeatCount": 10**9, "intervalMs": 1}, {}),
+        ({"repeatCount": -1}, {}),
+        ({}, {"cpu": -1}),
+        ({}, {"memMb": -5}),
+        ({}, {"gpus": -1}),
+        ({}, {"estimatedMs": -1}),
+    ],
+)
+def test_job_beyond_any_sensible_size_is_refused(changes, step):
+    """Guards against one submission that takes an owner's memory."""
+    body = {"spec": "x", "steps": [{"count": 1, "cpu": 1, **step}], **changes}
+    with pytest.raises(WireError):
+        decode_job(encode(body), "a" * 16, QUEUE, "", 0)
+
+
+def test_job_at_the_longest_spec_is_taken():
+    body = {"spec": "x" * 4_000, "steps": [{"count": 1, "cpu": 1}]}
+    assert len(decode_job(encode(body), "a" * 16, QUEUE, "", 0).content) == 4_000
+
+
 def test_configuration_finds_queue_and_team():
     document = {
         "version": 4,
