Claim a shard again when its owner's key could not be removed

Cause, found by reading: an owner that gives a shard up while the store refuses the removal left its key behind and renewed its lease, so that nobody owned the shard any more. The test failed first.

--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -39,6 +39,9 @@
 # the load of its owner, and has for a while: each handover stops starts for a moment.
 HANDOVER_SHARE = 0.4
 HANDOVER_AFTER_MS = 2_000
+# A key of this process for a shard that it does not run is left over from giving the
+# shard up; unless it goes within this time, the shard is claimed again.
+OWN_KEY_DELAY_MS = 500
 
 
 class Election:
@@ -139,16 +142,18 @@
         now_ms = self._clock.now_ms
         item = self._directory.owner_item(shard)
         owner = self._directory.owner(shard)
-        is_own_earlier = (
-            owner is not None
-            and owner.name == self._identity.name
-            and owner.incarnation != self._identity.incarnation
-        )
-        if item is not None and not is_own_earlier:
+        is_own = owner is not None and owner.name == self._identity.name
+        if item is not None and not is_own:
             self._vacant_since.pop(shard, None)
             return
         since_ms = self._vacant_since.setdefault(shard, now_ms)
-        delay_ms = 0 if is_own_earlier else self._rank(shard) * RANK_DELAY_MS
+        if owner is None or not is_own:
+            delay_ms = self._rank(shard) * RANK_DELAY_MS
+        elif owner.incarnation != self._identity.incarnation:
+            # The process that held the shard is gone.
+            delay_ms = 0
+        else:
+            delay_ms = OWN_KEY_DELAY_MS
         if now_ms - since_ms < delay_ms:
             return
         tenure = await self._claim(shard, item.revision if item else 0)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -7,6 +7,7 @@
 from apricotgap.instance.directory import Directory
 from apricotgap.instance.election import (
     HANDOVER_AFTER_MS,
+    OWN_KEY_DELAY_MS,
     RANK_DELAY_MS,
     Election,
 )
@@ -18,7 +19,7 @@
     encode_owner,
     owner_key,
 )
-from apricotgap.platform.store import Item, Stored
+from apricotgap.platform.store import Item, Stored, Unavailable
 
 
 class Store:
@@ -27,11 +28,14 @@
     def __init__(self):
         self.revision = 10
         self.directory = None
+        self.refuses_removals = False
 
     async def read_key(self, key):
         return Item(key, b"3", 5)
 
     async def write(self, writes):
+        if self.refuses_removals and any(write.value is None for write in writes):
+            return Unavailable("busy")
         self.revision += 1
         for write in writes:
             item = Item(write.key, write.value, self.revision)
@@ -128,6 +132,22 @@
     run(check, speed_milli=500)
 
 
+def test_shard_that_could_not_be_given_up_is_claimed_again():
+    """Guards against a shard that has an owner's key and no owner."""
+
+    async def check(rig):
+        await rig.advance(500)
+        tenure = rig.election._tenures["s1"][0]
+        rig.store.refuses_removals = True
+        await rig.election.resign(tenure, "a defect")
+        assert rig.election.n_owned == 1
+        await rig.advance(OWN_KEY_DELAY_MS + 300)
+        assert rig.election.n_owned == 2
+        assert rig.running.count("s1") == 2
+
+    run(check)
+
+
 def test_owner_keeps_its_shards_beside_an_equal_instance():
     """Guards against handovers that cost more than they bring."""
 
