Soak the fleet too: busy machine calls, lost orders, crashes, evacuations, waves

It checks the turns of holders at a machine and the bound of a wave. Ports are now chosen at random. Ends that a crashed worker had not been acknowledged count as lost, as on the platform.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -1,6 +1,5 @@
 """Instances as processes against stand-ins of the store and of workers."""
 
-import itertools
 import json
 import os
 import signal
@@ -10,6 +9,7 @@
 from base64 import b64decode
 from contextlib import asynccontextmanager, closing
 from pathlib import Path
+from random import SystemRandom
 
 import trio
 
@@ -75,22 +75,27 @@
     }
 
 
-# Below the range from which the kernel takes ports of outgoing connections.
-_PORTS = itertools.count(15_000 + os.getpid() % 5_000 * 3)
+# Below the range from which the kernel takes ports of outgoing connections. Chosen at
+# random, so that runs side by side do not count up through the same ports.
+_PORTS = range(12_000, 32_000)
+_RANDOM = SystemRandom()
+_given: set[int] = set()
 
 
 def free_ports(n):
     """Return free ports that are given out once; the one after each is free too."""
     ports = []
     while len(ports) < n:
-        port = next(_PORTS)
-        next(_PORTS)
+        port = _RANDOM.choice(_PORTS)
+        if {port, port + 1} & _given:
+            continue
         with closing(socket.socket()) as first, closing(socket.socket()) as second:
             try:
                 first.bind(("127.0.0.1", port))
                 second.bind(("127.0.0.1", port + 1))
             except OSError:
                 continue
+        _given.update((port, port + 1))
         ports.append(port)
     return ports
 
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -3,19 +3,24 @@
 import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from itertools import pairwise
 from random import Random
 
 import httpcore
 import trio
 
 from soak.cluster import Cluster, open_cluster
+from standins.machine_service import OrderRecord
 
 __all__ = ["FAULTS", "Report", "play"]
 
 N_INSTANCES = 4
 N_WORKERS = 3
+N_SPARE = 2
 TASK_MS = 300
 STOP_GRACE_S = 6
+# Orders of two holders for one machine are this far apart.
+HOLDER_LEASE_MS = 3_000
 # After the last fault everything accepted must be done within this time.
 SETTLE_S = 30
 _CALL_ERRORS = (OSError, httpcore.NetworkError, httpcore.ProtocolError)
@@ -106,6 +111,37 @@
     worker.is_unanswering = False
 
 
+async def _machines_busy(cluster: Cluster, random: Random) -> None:
+    cluster.platform.machines.is_busy = True
+    await trio.sleep(random.uniform(0.5, 4))
+    cluster.platform.machines.is_busy = False
+
+
+async def _orders_lost(cluster: Cluster, random: Random) -> None:
+    cluster.platform.machines.n_lost_answers = random.randint(1, 4)
+
+
+async def _crash_worker(cluster: Cluster, random: Random) -> None:
+    """Let a worker die; its machine comes back with another life."""
+    machines = list(cluster.platform.machines.machines.values())
+    machine = random.choice(machines)
+    if machine.state == "up":
+        cluster.platform.machines.crash(machine.name)
+
+
+async def _evacuate(cluster: Cluster, random: Random) -> None:
+    cluster.platform.put("op/evacuate/a", {})
+    await trio.sleep(random.uniform(0.5, 3))
+    cluster.store.remove("op/evacuate/a")
+
+
+async def _wave(cluster: Cluster, random: Random) -> None:
+    names = sorted(cluster.platform.machines.machines)
+    number = random.randint(1, 10**6)
+    wave = {"wave": number, "machines": names, "durationS": 20, "maxCount": 1}
+    cluster.platform.put(f"op/wave/{number}", wave)
+
+
 FAULTS: dict[str, Fault] = {
     "kill": _kill,
     "kill_all": _kill_all,
@@ -118,6 +154,11 @@
     "reset": _reset,
     "delay": _delay,
     "mute_worker": _mute_worker,
+    "machines_busy": _machines_busy,
+    "orders_lost": _orders_lost,
+    "crash_worker": _crash_worker,
+    "evacuate": _evacuate,
+    "wave": _wave,
 }
 
 
@@ -179,6 +220,28 @@
         report.problems.append(f"job {job_id} was refused and ran")
 
 
+def _check_orders(cluster: Cluster, report: Report) -> None:
+    """Check the turns of holders at a machine and the bound of a wave."""
+    service = cluster.platform.machines
+    last: dict[str, OrderRecord] = {}
+    for order in service.orders:
+        before = last.get(order.machine)
+        last[order.machine] = order
+        if before is None or before.holder == order.holder:
+            continue
+        gap_ms = order.at_ms - before.at_ms
+        if order.token <= before.token or gap_ms < HOLDER_LEASE_MS:
+            report.problems.append(
+                f"{order.machine}: {before.holder} and {order.holder} take turns"
+                f" after {gap_ms} ms"
+            )
+    upkeep = [order for order in service.orders if order.wave]
+    for first, second in pairwise(upkeep):
+        is_same = first.wave == second.wave
+        if is_same and second.at_ms - first.at_ms < service.upkeep_ms:
+            report.problems.append(f"wave {first.wave} has two machines down")
+
+
 async def play(seed: int, folder: str, length_s: float) -> Report:
     """Play one seed.
 
@@ -194,7 +257,11 @@
     random = Random(seed)
     report = Report(seed)
     async with open_cluster(
-        folder, n_instances=N_INSTANCES, n_workers=N_WORKERS, task_ms=TASK_MS
+        folder,
+        n_instances=N_INSTANCES,
+        n_workers=N_WORKERS,
+        n_spare=N_SPARE,
+        task_ms=TASK_MS,
     ) as cluster:
         until = trio.current_time() + length_s
         async with trio.open_nursery() as nursery:
@@ -206,4 +273,5 @@
         with trio.move_on_after(SETTLE_S):
             await cluster.until_ready()
         await _check(cluster, report)
+        _check_orders(cluster, report)
     return report
--- a/standins/machine_service.py
+++ b/standins/machine_service.py
@@ -64,6 +64,14 @@
         self.machines[machine.name] = machine
         self._list_worker(machine)
 
+    def crash(self, name: str) -> None:
+        """End the worker of a machine without a word; another life follows."""
+        machine = self.machines[name]
+        self.store.remove(f"servers/{machine.worker.worker_id}")
+        machine.worker.restart(f"{name}-{next(self._lives)}")
+        machine.state = "down"
+        self._returning[name] = now_ms() + self.upkeep_ms
+
     def _list_worker(self, machine: StandinMachine) -> None:
         worker = machine.worker
         if machine.pool != self.spare_pool:
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -72,9 +72,16 @@
         return json.dumps(self.entry(service)).encode()
 
     def restart(self, worker_id: str) -> None:
-        """Begin a new life that runs and knows nothing."""
+        """Begin a new life that runs and knows nothing.
+
+        Ends that nobody has acknowledged are lost with the old one.
+        """
         for run in self._running.values():
             run.end = "killed"
+        unacknowledged = {(task, run_id) for _, task, run_id, *_ in self._ends}
+        for run in self.starts:
+            if (run.task, run.run_id) in unacknowledged:
+                run.end = "lost"
         self.worker_id = worker_id
         self.born_ms += 1
         self._running.clear()
