Count an end that was sent before a restart as an end of its task

Cause: the demo on the platform failed with 1 to 4 lost tasks although every job was shown as succeeded. An owner stores an end, sees the worker empty and orders its machine to another pool before the next poll acknowledges the end. The stand-in marked each unacknowledged end as lost. No job was shown as succeeded without the ends of its tasks.

Change: the stand-in tells ends that were sent to an instance from those that nobody can know. Tasks without any known end still count as lost.

--- a/demo/platform_day.py
+++ b/demo/platform_day.py
@@ -80,11 +80,12 @@
             ) != "succeeded":
                 await trio.sleep(0.1)
         done = Counter(cluster.done_runs())
+        finished = cluster.finished_tasks()
         orders = cluster.platform.machines.orders
         return Counter(
             jobs=len(job_ids),
-            tasks=len(done),
-            lost=N_JOBS * N_TASKS - len(done),
+            tasks=len(finished),
+            lost=N_JOBS * N_TASKS - len(finished),
             repeated=sum(count - 1 for count in done.values()),
             moves=sum(not order.wave for order in orders),
             upkeep=len({order.machine for order in orders if order.wave}),
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -270,6 +270,15 @@
             if run.end == "done"
         ]
 
+    def finished_tasks(self):
+        """Return the tasks of which an instance may know that they ended as done."""
+        return {
+            run.task
+            for worker in self.workers
+            for run in worker.starts
+            if run.end in ("done", "listed")
+        }
+
 
 async def _is_ready(instance):
     try:
