Keep a connection between instances open when only one call is slow

Cause: a call that timed out closed its connection, and with it all calls in progress.

Change: the connection is closed only if nothing has arrived on it since the call.

--- a/apricotgap/instance/peers.py
+++ b/apricotgap/instance/peers.py
@@ -85,6 +85,7 @@
         self.socket = socket
         self.scope = scope
         self.pending_calls: dict[int, tuple[trio.Event, list[Any]]] = {}
+        self.received_s = trio.current_time()
 
 
 class PeerClient:
@@ -113,6 +114,7 @@
             No answer within `timeout_ms`, or the connection failed.
         """
         connection = None
+        started_s = trio.current_time()
         try:
             with trio.fail_after(timeout_ms / 1000):
                 connection = await self._get_connection(address)
@@ -128,8 +130,9 @@
                 finally:
                     connection.pending_calls.pop(call_id, None)
         except trio.TooSlowError as error:
-            # The connection may be half-open; the next call opens a new one.
-            if connection is not None:
+            # Without any answer since the call, the connection may be half-open; the
+            # next call opens a new one. Other calls go on if the peer is only slow.
+            if connection is not None and connection.received_s < started_s:
                 self._close(address, connection)
             raise PeerCallError("timed out") from error
         except _CONNECTION_ERRORS as error:
@@ -172,6 +175,7 @@
                             raise ValueError(
                                 "received a text message, expected a binary one"
                             )
+                        connection.received_s = trio.current_time()
                         call_id, result = decode_cbor(data)
                         pending_call = connection.pending_calls.get(call_id)
                         if pending_call is not None:
--- a/tests/test_instance_peers.py
+++ b/tests/test_instance_peers.py
@@ -67,3 +67,41 @@
         assert await client.call(address, "echo", 3, 1_000) == 3
 
     run(check)
+
+
+def test_slow_answer_does_not_end_the_other_calls_of_a_connection():
+    """Guards against calls that fail because another one took too long.
+
+    Under load one slow answer closed the connection with all its calls, and the
+    callers' submissions had unknown outcomes.
+    """
+
+    async def handle(operation, argument):
+        await trio.sleep(argument / 1_000)
+        return argument
+
+    async def main():
+        port = free_port()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_peers, "127.0.0.1", port, handle)
+            await trio.sleep(0.05)
+            client, answers = PeerClient(nursery), []
+
+            async def call(delay_ms, timeout_ms):
+                try:
+                    answers.append(
+                        await client.call(
+                            f"127.0.0.1:{port}", "wait", delay_ms, timeout_ms
+                        )
+                    )
+                except PeerCallError:
+                    answers.append(None)
+
+            async with trio.open_nursery() as calls:
+                calls.start_soon(call, 5_000, 300)
+                calls.start_soon(call, 50, 1_000)
+                calls.start_soon(call, 600, 1_000)
+            assert answers == [50, None, 600]
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
