--- a/apricotgap/instance/logs.py
+++ b/apricotgap/instance/logs.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import Any
 
+import msgspec
 import structlog
 import trio
 
@@ -73,6 +74,10 @@
             self.flush()
 
 
+def _to_json(fields: dict[str, Any], **_options: Any) -> str:
+    return msgspec.json.encode(fields, enc_hook=repr).decode()
+
+
 def configure(instance: str) -> LogBuffer:
     """Make structlog write JSON lines to a buffer and return the buffer."""
     buffer = LogBuffer()
@@ -87,7 +92,7 @@
             structlog.processors.add_log_level,
             structlog.processors.format_exc_info,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.JSONRenderer(),
+            structlog.processors.JSONRenderer(serializer=_to_json),
         ],
         logger_factory=factory,
         cache_logger_on_first_use=True,
