Divide machines fairly, run late jobs last and delegate starts under overload

Change: max-min division of the machines, by what jobs in time need and then by late ones; jobs that can still end in time go first; tasks that end soon are packed, so that machines become empty; a few jobs are no rate; jobs that would end after three times their objective are refused at once with a Retry-After that is spread, and keep their place when they return; large passes send their starts through idle instances near the workers; one log line for each step and pass; fewer polls and passes on slow machines. Instances of the build before are still understood: the second version of the calls is used only towards instances that name it in their incarnation.

--- a/apricotgap/explain.py
+++ b/apricotgap/explain.py
@@ -72,6 +72,9 @@
         return []
     shards = {row["shard"] for _, row in own_rows if "shard" in row}
     workers = {row["worker"] for _, row in own_rows if "worker" in row}
+    for _, row in own_rows:
+        listed = row.get("workers")
+        workers.update(listed if isinstance(listed, list) else ())
     first_s, last_s = own_rows[0][0] - CAUSE_WINDOW_S, own_rows[-1][0]
     timeline = []
     for at_s, row in rows:
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -15,7 +15,7 @@
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult
 from apricotgap.jobs.fleet_plan import FleetPlanner
-from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
+from apricotgap.jobs.fleet_view import PoolReport
 from apricotgap.metrics import Metrics
 from apricotgap.platform.keys import encode_wave_status, wave_status_key
 from apricotgap.platform.machines import (
@@ -41,7 +41,9 @@
 # Interval of lists while orders are in progress.
 BUSY_LIST_INTERVAL_MS = 450
 
-RequestPoolReport = Callable[[str, list[str], list[str]], Awaitable[PoolReport | None]]
+RequestPoolReport = Callable[
+    [str, list[str], list[str], int], Awaitable[PoolReport | None]
+]
 
 
 class FleetOwner:
@@ -54,8 +56,9 @@
     settings, store, lease, cluster_view, clock, metrics
         Dependencies.
     request_pool_report : callable
-        Called with a pool, its workers to reserve and the workers that orders have
-        ended; returns the report of the pool's owner, None without an answer.
+        Called with a pool, its workers to reserve, the workers that orders have ended
+        and the number of machines planned for the pool; returns the report of the
+        pool's owner, None without an answer.
     """
 
     def __init__(
@@ -159,7 +162,7 @@
 
         async def request(pool: str) -> None:
             report = await self._request_pool_report(
-                pool, reserved.get(pool, []), ended
+                pool, reserved.get(pool, []), ended, self._planner.shares.get(pool, 0)
             )
             if report is not None:
                 reports[pool] = report
@@ -254,27 +257,3 @@
             self._log.warning("wave_not_stored", wave=number, outcome=repr(outcome))
             if isinstance(outcome, Conflict):
                 self._ownership.check(outcome)
-
-
-def encode_pool_report(report: PoolReport) -> list:
-    """Encode a report for a call between instances."""
-    return [
-        report.wanted,
-        [
-            [
-                worker.worker_id,
-                worker.n_runs,
-                worker.n_long_running,
-                worker.is_usable,
-                worker.is_reserved,
-                worker.is_suspect,
-            ]
-            for worker in report.workers
-        ],
-    ]
-
-
-def decode_pool_report(rows: list) -> PoolReport:
-    """Decode a report from a call between instances."""
-    wanted, workers = rows
-    return PoolReport(wanted, tuple(WorkerReport(*row) for row in workers))
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -1,9 +1,7 @@
 """Assembles and runs an instance on the platform."""
 
 import os
-import secrets
 import signal
-import time
 from collections.abc import Awaitable, Callable
 
 import hypercorn.trio
@@ -18,11 +16,12 @@
 from apricotgap.instance.election import Election
 from apricotgap.instance.fleet_owner import FleetOwner
 from apricotgap.instance.job_router import JobRouter
-from apricotgap.instance.keys import Member
+from apricotgap.instance.keys import Member, new_incarnation
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.peers import PeerClient, serve_peers
 from apricotgap.instance.shard_owner import ShardOwner
+from apricotgap.instance.start_delegation import StartDelegate
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.metrics import Metrics
 from apricotgap.platform.ingress import IngressApp
@@ -87,7 +86,7 @@
         self._stopped = trio.Event()
         self._identity = Member(
             settings.name,
-            f"{time.time_ns() // 1_000_000:x}{secrets.token_hex(4)}",
+            new_incarnation(),
             f"{settings.ip}:{settings.peer_port}",
             settings.data_centre,
             settings.speed_milli,
@@ -109,14 +108,17 @@
             "started",
             incarnation=self._identity.incarnation,
             data_centre=settings.data_centre,
+            speed_milli=settings.speed_milli,
         )
         async with trio.open_nursery() as nursery:
+            self._peers = PeerClient(nursery)
             router = self._router = JobRouter(
                 settings.name,
                 self._owners,
                 self._cluster_view,
                 self._store,
-                PeerClient(nursery),
+                self._peers,
+                StartDelegate(self._client, self._clock),
                 self._clock,
             )
             app = self._app = IngressApp(
@@ -175,6 +177,7 @@
             self._cluster_view,
             self._workers,
             self._client,
+            self._peers,
             self._clock,
             self._metrics,
         )
--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -8,7 +8,6 @@
 
 from apricotgap.clock import Clock
 from apricotgap.instance.cluster_view import ClusterView
-from apricotgap.instance.fleet_owner import decode_pool_report, encode_pool_report
 from apricotgap.instance.keys import (
     Member,
     cancel_key,
@@ -20,7 +19,13 @@
 )
 from apricotgap.instance.ownership import OwnershipLostError
 from apricotgap.instance.peers import PeerCallError, PeerClient
+from apricotgap.instance.pool_reports import (
+    decode_pool_report,
+    encode_first_report,
+    encode_pool_report,
+)
 from apricotgap.instance.shard_owner import ShardOwner
+from apricotgap.instance.start_delegation import StartDelegate
 from apricotgap.jobs.documents import (
     DocumentError,
     decode_job,
@@ -29,7 +34,12 @@
 )
 from apricotgap.jobs.fleet_view import PoolReport
 from apricotgap.jobs.model import JobPhase, JobSpec
-from apricotgap.jobs.service import CancelResult, SubmitResult, UnreadableError
+from apricotgap.jobs.service import (
+    CancelResult,
+    SubmitOutcome,
+    SubmitResult,
+    UnreadableError,
+)
 from apricotgap.platform.store import (
     Conflict,
     Snapshot,
@@ -48,6 +58,9 @@
 # Largest number of other instances that are asked to relay a submission.
 MAX_RELAYS = 2
 _RELAY_MARGIN_MS = 50
+# Names of calls to owners with the second version of the protocol, which answer more.
+_SECOND_OPERATIONS = {"submit": "submit-job", "report": "pool-report"}
+_ACCEPTED = SubmitOutcome(SubmitResult.ACCEPTED)
 
 
 class _OwnerCallError(Exception):
@@ -70,7 +83,7 @@
         Name of this instance.
     owners : mapping of str to ShardOwner
         The shards that this instance owns, updated by the caller.
-    cluster_view, store, peers, clock
+    cluster_view, store, peers, delegate, clock
         Dependencies.
     """
 
@@ -81,6 +94,7 @@
         cluster_view: ClusterView,
         store: StoreClient,
         peers: PeerClient,
+        delegate: StartDelegate,
         clock: Clock,
     ) -> None:
         self._name = name
@@ -89,15 +103,17 @@
         self._cluster_view = cluster_view
         self._store = store
         self._peers = peers
+        self._delegate = delegate
         self._clock = clock
         self._log = structlog.get_logger()
 
-    async def submit(self, job: JobSpec, deadline_ms: int) -> SubmitResult:
+    async def submit(self, job: JobSpec, deadline_ms: int) -> SubmitOutcome:
         """Accept a job; REFUSED guarantees that it never runs."""
         document = encode_job(job)
-        result = await self._submit_without_relay(job, document, deadline_ms)
-        if result is SubmitResult.ACCEPTED:
-            return result
+        outcome = await self._submit_without_relay(job, document, deadline_ms)
+        if outcome.result is SubmitResult.ACCEPTED or outcome.reason:
+            return outcome
+        result = outcome.result
         for member in self._choose_relays(job.service):
             if deadline_ms - self._clock.now_ms <= 0:
                 break
@@ -109,22 +125,25 @@
                 continue
             relayed = SubmitResult(answer)
             if relayed is SubmitResult.ACCEPTED:
-                return relayed
+                return _ACCEPTED
             if relayed is SubmitResult.UNKNOWN:
                 result = relayed
-        return result
+        return SubmitOutcome(result)
 
     async def _submit_without_relay(
         self, job: JobSpec, document: bytes, deadline_ms: int
-    ) -> SubmitResult:
-        """Submit to the owner; if none answers, write the job to the store."""
+    ) -> SubmitOutcome:
+        """Submit to the owner; if none answers, write the job to the store.
+
+        Only a refusal by the owner itself, for lack of capacity, has a reason.
+        """
         may_be_stored = False
         try:
-            result = SubmitResult(
+            outcome = _decode_outcome(
                 await self._call_owner(job.service, "submit", document, deadline_ms)
             )
-            if result is not SubmitResult.UNKNOWN:
-                return result
+            if outcome.result is not SubmitResult.UNKNOWN:
+                return outcome
             may_be_stored = True
         except _OwnerCallError as error:
             may_be_stored = error.may_have_executed
@@ -133,13 +152,15 @@
             left_ms = deadline_ms - self._clock.now_ms
             if left_ms <= 0:
                 break
-            outcome = await self._store.write(writes, min(left_ms, _STORE_TIMEOUT_MS))
-            if isinstance(outcome, Stored | Conflict):
-                return SubmitResult.ACCEPTED
-            may_be_stored |= isinstance(outcome, Unknown)
-            if isinstance(outcome, Unavailable):
+            written = await self._store.write(writes, min(left_ms, _STORE_TIMEOUT_MS))
+            if isinstance(written, Stored | Conflict):
+                return _ACCEPTED
+            may_be_stored |= isinstance(written, Unknown)
+            if isinstance(written, Unavailable):
                 break
-        return SubmitResult.UNKNOWN if may_be_stored else SubmitResult.REFUSED
+        return SubmitOutcome(
+            SubmitResult.UNKNOWN if may_be_stored else SubmitResult.REFUSED
+        )
 
     def _choose_relays(self, service: str) -> list[Member]:
         """Choose random instances that may reach the owner or the store."""
@@ -166,8 +187,8 @@
         deadline_ms = self._clock.now_ms + left_ms - _RELAY_MARGIN_MS
         if operation == "relay-submit":
             job = decode_job(payload)
-            result = await self._submit_without_relay(job, payload, deadline_ms)
-            return ["ok", result.value]
+            outcome = await self._submit_without_relay(job, payload, deadline_ms)
+            return ["ok", outcome.result.value]
         raise ValueError(f"unknown operation {operation}")
 
     async def phase(
@@ -291,20 +312,35 @@
         return n_pending
 
     async def pool_report(
-        self, service: str, reserved: list[str], ended: list[str]
+        self, service: str, reserved: list[str], ended: list[str], share: int
     ) -> PoolReport | None:
-        """Send a shard owner the reserved and ended workers; return its report.
-
-        Returns None if no owner answered.
+        """Send a shard owner the plan for its pool and return its report.
+
+        Parameters
+        ----------
+        service : str
+            Service of the shard.
+        reserved, ended : list of str
+            Workers to drain, and workers that orders have ended.
+        share : int
+            Number of machines planned for the pool.
+
+        Returns
+        -------
+        PoolReport or None
+            None if no owner gave a usable answer.
         """
         deadline_ms = self._clock.now_ms + PEER_TIMEOUT_MS
         try:
-            rows = await self._call_owner(
-                service, "report", [reserved, ended], deadline_ms
+            data = await self._call_owner(
+                service, "report", [reserved, ended, share], deadline_ms
             )
+            return decode_pool_report(data)
         except _OwnerCallError:
             return None
-        return decode_pool_report(rows)
+        except ValueError as error:
+            self._log.error("pool_report_unreadable", shard=service, error=str(error))
+            return None
 
     async def _call_owner(
         self, service: str, operation: str, argument: Any, deadline_ms: int
@@ -320,7 +356,10 @@
         if local_owner is not None and local_owner.ready.is_set():
             try:
                 return await self._execute(
-                    local_owner, operation, argument, deadline_ms
+                    local_owner,
+                    _SECOND_OPERATIONS.get(operation, operation),
+                    argument,
+                    deadline_ms,
                 )
             except OwnershipLostError as error:
                 raise _OwnerCallError(False) from error
@@ -328,6 +367,10 @@
         if owner is None or local_owner is not None:
             raise _OwnerCallError(False)
         left_ms = min(PEER_TIMEOUT_MS, deadline_ms - self._clock.now_ms)
+        if owner.has_second_protocol:
+            operation = _SECOND_OPERATIONS.get(operation, operation)
+        elif operation == "report":
+            argument = argument[:2]
         try:
             kind, result = await self._peers.call(
                 owner.address,
@@ -351,6 +394,8 @@
         """Answer a peer's call on a shard of this instance, or a relayed call."""
         if operation.startswith("relay-"):
             return await self._handle_relay(operation, argument)
+        if operation == "start-runs":
+            return await self._delegate.send(argument)
         service, payload, left_ms = argument
         local_owner = self._owners.get(service)
         if local_owner is None or not local_owner.ready.is_set():
@@ -368,9 +413,11 @@
     async def _execute(
         owner: ShardOwner, operation: str, argument: Any, deadline_ms: int
     ) -> Any:
-        if operation == "submit":
-            result = await owner.submit(decode_job(argument), deadline_ms)
-            return result.value
+        if operation in ("submit", "submit-job"):
+            outcome = await owner.submit(decode_job(argument), deadline_ms)
+            if operation == "submit":
+                return outcome.result.value
+            return [outcome.result.value, outcome.retry_after_ms, outcome.reason]
         if operation == "phase":
             phase = owner.phase(argument)
             return phase.value if phase else None
@@ -379,10 +426,20 @@
         if operation == "pending":
             return owner.n_pending(argument)
         if operation == "report":
+            return encode_first_report(owner.report(*argument[:2]))
+        if operation == "pool-report":
             return encode_pool_report(owner.report(*argument))
         raise ValueError(f"unknown operation {operation}")
 
 
+def _decode_outcome(answer: Any) -> SubmitOutcome:
+    """Decode the answer of an owner; the first protocol has only the result."""
+    if isinstance(answer, str):
+        return SubmitOutcome(SubmitResult(answer))
+    value, retry_after_ms, reason = answer
+    return SubmitOutcome(SubmitResult(value), retry_after_ms, reason)
+
+
 def _decode_phases(progress: Snapshot) -> Iterator[tuple[str, JobPhase]]:
     """Yield the id and phase of each job whose progress is readable."""
     for item in progress.items:
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -1,5 +1,7 @@
 """Names and documents of the store keys that instances write."""
 
+import secrets
+import time
 from dataclasses import dataclass
 
 import cbor2
@@ -25,6 +27,7 @@
     "limit_key",
     "job_writes",
     "jobs_prefix",
+    "new_incarnation",
     "owner_key",
     "progress_key",
     "progress_prefix",
@@ -91,6 +94,17 @@
     return f"progress/{service}/{job_id}"
 
 
+# Instances with this prefix of their incarnation know the calls of the second version
+# of the peer protocol. During an upgrade, instances of both versions run side by side.
+_SECOND_PROTOCOL_PREFIX = "2-"
+
+
+def new_incarnation() -> str:
+    """Return an identifier for this run of the process."""
+    started_ms = time.time_ns() // 1_000_000
+    return f"{_SECOND_PROTOCOL_PREFIX}{started_ms:x}{secrets.token_hex(4)}"
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """An instance that takes part in the election.
@@ -105,6 +119,11 @@
     data_centre: str
     speed_milli: int
 
+    @property
+    def has_second_protocol(self) -> bool:
+        """Whether it knows the calls of the second version of the peer protocol."""
+        return self.incarnation.startswith(_SECOND_PROTOCOL_PREFIX)
+
 
 @dataclass(frozen=True, slots=True)
 class Owner:
@@ -115,6 +134,11 @@
     address: str
     epoch: int
 
+    @property
+    def has_second_protocol(self) -> bool:
+        """Whether it knows the calls of the second version of the peer protocol."""
+        return self.incarnation.startswith(_SECOND_PROTOCOL_PREFIX)
+
 
 def encode_member(member: Member) -> bytes:
     """Encode for the store."""
--- a/apricotgap/instance/poll_loops.py
+++ b/apricotgap/instance/poll_loops.py
@@ -28,6 +28,10 @@
 # Pause between two polls of a worker while ended runs that it lists are not stored yet:
 # until they are acknowledged, it responds to each poll at once.
 POLL_PAUSE_S = 0.1
+# Polls that a core carries beside the other work of an owner. With more workers or a
+# slower machine the pauses are longer, and a poll returns more ends.
+POLLS_PER_CORE_S = 600
+MAX_POLL_PAUSE_S = 0.5
 
 
 class PollLoops:
@@ -43,6 +47,8 @@
         Executes effects.
     on_change : callable
         Called when waiting tasks may be able to start.
+    speed_milli : int
+        Processor capacity of this machine in thousandths of a core.
     """
 
     def __init__(
@@ -55,6 +61,7 @@
         lease_until_ms: Callable[[], int],
         execute: Callable[[Iterable[Effect]], None],
         on_change: Callable[[], None],
+        speed_milli: int,
     ) -> None:
         self._shard = shard
         self._ownership = ownership
@@ -64,11 +71,18 @@
         self._lease_until_ms = lease_until_ms
         self._execute = execute
         self._on_change = on_change
+        self._speed_milli = speed_milli
         self._active: set[tuple[str, int, str]] = set()
         self._log = structlog.get_logger().bind(
             shard=ownership.shard, epoch=ownership.epoch
         )
 
+    @property
+    def _pause_s(self) -> float:
+        rate = POLLS_PER_CORE_S * self._speed_milli / 1000
+        pause_s = len(self._active) / rate
+        return min(max(POLL_PAUSE_S, pause_s), MAX_POLL_PAUSE_S)
+
     def start(self, nursery: trio.Nursery) -> None:
         """Start a loop for each worker that has none."""
         for worker in self._shard.workers.values():
@@ -137,7 +151,7 @@
         if worker.last_applied > worker.acknowledged:
             if self._shard.is_stored:
                 worker.acknowledged = worker.last_applied
-            await trio.sleep(POLL_PAUSE_S)
+            await trio.sleep(self._pause_s)
 
     def _poll_failed(self, worker: Worker, error: WorkerError) -> None:
         entry = worker.entry
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Iterable
+from dataclasses import asdict
 
 import structlog
 import trio
@@ -21,17 +22,21 @@
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
+from apricotgap.instance.peers import PeerClient
 from apricotgap.instance.poll_loops import PollLoops
 from apricotgap.instance.progress_writer import ProgressWriter
 from apricotgap.instance.roster import RosterWriter
 from apricotgap.instance.shard_loader import decode_stored_job, load_jobs
+from apricotgap.instance.start_delegation import StartSender
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
 from apricotgap.instance.worker_list import WorkerList
+from apricotgap.jobs.admission import Admission, Refusal
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.documents import Progress, encode_job, encode_progress
 from apricotgap.jobs.effects import Effect, LogDecision, PaceRun, StartRun, StopRun
 from apricotgap.jobs.events import (
     StartAnswered,
+    StartResult,
     StopAnswered,
     WorkersListed,
 )
@@ -44,7 +49,7 @@
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.scheduling import Scheduler
-from apricotgap.jobs.service import SubmitResult
+from apricotgap.jobs.service import SubmitOutcome, SubmitResult
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.stragglers import StragglerDetector
 from apricotgap.metrics import Metrics
@@ -67,6 +72,7 @@
 
 __all__ = ["ShardOwner"]
 
+_ACCEPTED = SubmitOutcome(SubmitResult.ACCEPTED)
 _TICK_INTERVAL_S = 0.1
 _RETRY_S = 0.15
 _ADVICE_IDLE_DELAY_S = 0.05
@@ -77,6 +83,9 @@
 HOUSEKEEPING_INTERVAL_S = 5.0
 # Least time between two scheduling passes.
 MIN_PASS_INTERVAL_MS = 3
+# Pause after a pass as a multiple of its duration, and the longest pause.
+PASS_PAUSE_FACTOR = 3
+MAX_PASS_PAUSE_MS = 60
 
 
 class ShardOwner:
@@ -86,7 +95,7 @@
     ----------
     ownership : Ownership
         Ownership of the shard.
-    settings, store, lease, cluster_view, workers, client, clock, metrics
+    settings, store, lease, cluster_view, workers, client, peers, clock, metrics
         Dependencies.
     """
 
@@ -99,6 +108,7 @@
         cluster_view: ClusterView,
         workers: WorkerList,
         client: WorkerClient,
+        peers: PeerClient,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -122,6 +132,7 @@
         self._scheduler = Scheduler(self._shard)
         self._pacer = Pacer(self._shard)
         self._demand = Demand(self._shard)
+        self._admission = Admission(self._shard, self._demand)
         self._stragglers = StragglerDetector(self._shard)
         self._migrator = Migrator(self._shard)
         self._advice = (
@@ -139,6 +150,15 @@
             lambda: self._lease_until_ms,
             self._request_pass,
         )
+        self._start_sender = StartSender(
+            settings.name,
+            ownership.epoch,
+            client,
+            peers,
+            cluster_view,
+            clock,
+            self._start_answered,
+        )
         self._poll_loops = PollLoops(
             self._shard,
             ownership,
@@ -148,6 +168,7 @@
             lambda: self._lease_until_ms,
             self._execute,
             self._request_pass,
+            settings.speed_milli,
         )
         self._log = structlog.get_logger().bind(
             shard=ownership.shard, epoch=ownership.epoch
@@ -244,8 +265,8 @@
 
     # Calls of the job router
 
-    async def submit(self, job: JobSpec, deadline_ms: int) -> SubmitResult:
-        """Store a job and add it to the shard.
+    async def submit(self, job: JobSpec, deadline_ms: int) -> SubmitOutcome:
+        """Store a job and add it to the shard, unless it cannot be served in time.
 
         Parameters
         ----------
@@ -256,13 +277,35 @@
 
         Returns
         -------
-        SubmitResult
+        SubmitOutcome
             REFUSED only if no write of the job can still take effect.
         """
         if job.job_id in self._shard.jobs:
-            return SubmitResult.ACCEPTED
+            return _ACCEPTED
         if self._store.is_down:
-            return SubmitResult.REFUSED
+            return SubmitOutcome(SubmitResult.REFUSED)
+        job = self._admission.keep_place(job)
+        refusal = self._admission.decide(job, self._clock.now_ms)
+        if refusal is not None:
+            return await self._refuse(job, refusal)
+        return await self._store_job(job, deadline_ms)
+
+    async def _refuse(self, job: JobSpec, refusal: Refusal) -> SubmitOutcome:
+        """Refuse a job unless an earlier submission of it has been stored."""
+        try:
+            item = await self._store.read_key(index_key(job.job_id))
+        except StoreError as error:
+            self._log.warning("refusal_unconfirmed", job=job.job_id, reason=str(error))
+            return SubmitOutcome(SubmitResult.UNKNOWN)
+        if item.value is not None:
+            return _ACCEPTED
+        self._log.info("job_refused", job=job.job_id, **asdict(refusal))
+        self._metrics.count("jobs_refused", queue=job.queue)
+        return SubmitOutcome(
+            SubmitResult.REFUSED, refusal.retry_after_ms, "cannot be served in time"
+        )
+
+    async def _store_job(self, job: JobSpec, deadline_ms: int) -> SubmitOutcome:
         writes = [
             self.ownership.condition,
             *job_writes(self.service, job.job_id, encode_job(job)),
@@ -284,19 +327,22 @@
                     break
                 # The id belongs to a job that was accepted for another service, which
                 # the queue used before.
-                return SubmitResult.ACCEPTED
+                return _ACCEPTED
             if isinstance(outcome, Unknown):
                 may_be_stored = True
             if self._clock.now_ms > deadline_ms:
-                return SubmitResult.UNKNOWN if may_be_stored else SubmitResult.REFUSED
+                return SubmitOutcome(
+                    SubmitResult.UNKNOWN if may_be_stored else SubmitResult.REFUSED
+                )
             if isinstance(outcome, Unavailable) and not may_be_stored:
-                return SubmitResult.REFUSED
+                return SubmitOutcome(SubmitResult.REFUSED)
             await trio.sleep(_RETRY_S)
         self._shard.submit(job, revision)
         self._execute([self._shard.describe(job)])
         self._demand.record_job(job, self._clock.now_ms)
+        self._admission.record_accepted(job)
         self._pass_requested.set()
-        return SubmitResult.ACCEPTED
+        return _ACCEPTED
 
     def phase(self, job_id: str) -> JobPhase | None:
         """Return the state of a job as shown to callers, None for an unknown one."""
@@ -333,7 +379,9 @@
             for job in self._shard.open_jobs.values()
         )
 
-    def report(self, reserved: Iterable[str], ended: Iterable[str]) -> PoolReport:
+    def report(
+        self, reserved: Iterable[str], ended: Iterable[str], share: int = 0
+    ) -> PoolReport:
         """Reserve workers and report the demand and the workers of the pool.
 
         Parameters
@@ -342,6 +390,8 @@
             Workers to drain: they get no new work.
         ended : iterable of str
             Workers whose machines have been moved or taken down.
+        share : int
+            Number of machines planned for the pool, 0 if it is unknown.
 
         Raises
         ------
@@ -355,6 +405,7 @@
         self._shard.reported_ms = now_ms
         self._execute(self._shard.end_workers(ended, now_ms))
         self._shard.reserve(reserved, now_ms)
+        self._demand.record_share(share)
         return PoolReport(
             self._demand.wanted(now_ms),
             tuple(
@@ -368,6 +419,7 @@
                 )
                 for worker in self._shard.workers.values()
             ),
+            self._demand.wanted_for_late_jobs(now_ms),
         )
 
     # Loops
@@ -411,25 +463,31 @@
                 self._limits.wake()
             if self._scheduler.hit_start_limit:
                 self._pass_requested.set()
-            # Groups events that occur close together into one pass.
+            # Groups events that occur close together into one pass. With many waiting
+            # jobs a pass takes long, and polls and starts need processor time too.
             took_ms = self._clock.now_ms - started_ms
-            await trio.sleep(max(MIN_PASS_INTERVAL_MS, took_ms) / 1000)
+            pause_ms = max(MIN_PASS_INTERVAL_MS, PASS_PAUSE_FACTOR * took_ms)
+            await trio.sleep(min(pause_ms, MAX_PASS_PAUSE_MS) / 1000)
 
     def _execute(self, effects: Iterable[Effect]) -> None:
+        starts: list[tuple[StartRun, str]] = []
         for effect in effects:
             if isinstance(effect, LogDecision):
                 self._log.info(effect.event, **effect.fields)
             elif isinstance(effect, StartRun):
-                self._nursery.start_soon(self._send_start, effect)
+                worker = self._shard.workers.get(effect.worker_id)
+                data_centre = worker.entry.data_centre if worker else ""
+                starts.append((effect, data_centre))
             elif isinstance(effect, StopRun):
                 self._nursery.start_soon(self._send_stop, effect)
             elif isinstance(effect, PaceRun):
                 self._nursery.start_soon(self._send_pace, effect)
+        if starts:
+            self._start_sender.send(starts, self._nursery)
         if self._shard.has_unsaved:
             self._writer.wake()
 
-    async def _send_start(self, effect: StartRun) -> None:
-        result = await self._client.start(effect, self.ownership.epoch)
+    def _start_answered(self, effect: StartRun, result: StartResult) -> None:
         self._metrics.count("run_starts", result=result.kind)
         self._execute(
             self._shard.step(
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -1,6 +1,7 @@
 """Autoscaling demand: the number of workers that a shard needs."""
 
 from collections import deque
+from dataclasses import dataclass
 from math import ceil
 
 from apricotgap.jobs.model import JobSpec
@@ -13,6 +14,8 @@
 RATE_WINDOW_MS = 1_400
 SHORT_WINDOW_MS = 350
 MIN_SHORT_JOBS = 10
+# Number of jobs in the long window that shows a lasting rate.
+MIN_RATE_JOBS = 3
 # The demand is the maximum over this window, so that a pool does not shrink between
 # two jobs.
 SCALE_DOWN_DELAY_MS = 1_000
@@ -23,6 +26,8 @@
 # this share of its current demand: a backlog is short-lived and machines expensive.
 BACKLOG_CLEAR_MS = 2_000
 MAX_BACKLOG_SHARE = 0.6
+# The backlog of jobs that can only end late should be cleared within this time.
+LATE_CLEAR_MS = 3_000
 # Factor over the measured demand: tasks of different sizes do not pack tightly.
 HEADROOM = 1.1
 # Workers that a pool keeps without demand: they run the long-running tasks and absorb
@@ -30,6 +35,15 @@
 MIN_WORKERS = 3
 
 
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    """Work of an accepted job in core-ms, and the cores of its widest step."""
+
+    at_ms: int
+    work: float
+    width: float
+
+
 class Demand:
     """Estimates the demand of one shard from arriving, running and waiting work.
 
@@ -41,9 +55,27 @@
 
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
-        self._arrivals: deque[tuple[int, float]] = deque()
+        self._arrivals: deque[_Arrival] = deque()
         self._targets: deque[tuple[int, int]] = deque()
         self._excess_since_ms: int | None = None
+        self._share = 0
+
+    def record_share(self, n_workers: int) -> None:
+        """Set the number of workers that the fleet owner has planned for the pool."""
+        self._share = n_workers
+
+    def expected_cores(self, at_ms: int) -> float:
+        """Return the cores for finite jobs that the pool has or is about to get."""
+        usable = self._usable_cores(at_ms)
+        planned = self._share * self._worker_cores()
+        return max(usable, planned) - self._running_cores(at_ms)[0]
+
+    def _usable_cores(self, at_ms: int) -> float:
+        return sum(
+            worker.total.core_equivalents
+            for worker in self._shard.workers.values()
+            if worker.is_usable(at_ms, self._shard.evacuated)
+        )
 
     def record_job(self, spec: JobSpec, at_ms: int) -> None:
         """Add an accepted job to the arrival rate."""
@@ -52,14 +84,14 @@
             for step in spec.steps
             if not step.is_long_running
         )
-        self._arrivals.append((at_ms, work))
+        width = max(
+            step.n_tasks * step.allocation.core_equivalents for step in spec.steps
+        )
+        self._arrivals.append(_Arrival(at_ms, work, width))
 
     def wanted(self, at_ms: int) -> int:
-        """Return the number of workers that the shard needs now."""
-        worker_cores = max(
-            (worker.total.core_equivalents for worker in self._shard.workers.values()),
-            default=0.0,
-        )
+        """Return the number of workers for the jobs that can end in time."""
+        worker_cores = self._worker_cores()
         if not worker_cores:
             return MIN_WORKERS
         cores = self._required_cores(at_ms)
@@ -71,19 +103,46 @@
             self._targets.popleft()
         return max(target for _, target in self._targets)
 
-    def _required_cores(self, at_ms: int) -> float:
-        arriving = self._arrival_cores(at_ms)
-        long_running = running = 0.0
-        usable = 0.0
+    def wanted_for_late_jobs(self, at_ms: int) -> int:
+        """Return the number of further workers for jobs that can only end late."""
+        worker_cores = self._worker_cores()
+        if not worker_cores:
+            return 0
+        cores = self._running_cores(at_ms)[2] + self._backlog(at_ms)[1] / LATE_CLEAR_MS
+        return ceil(cores * HEADROOM / worker_cores)
+
+    def _worker_cores(self) -> float:
+        return max(
+            (worker.total.core_equivalents for worker in self._shard.workers.values()),
+            default=0.0,
+        )
+
+    def _running_cores(self, at_ms: int) -> tuple[float, float, float]:
+        """Return the cores of long-running runs, of jobs in time and of late jobs."""
+        unix_ms = self._shard.unix_of(at_ms)
+        long_running = in_time = late = 0.0
+        is_late: dict[str, bool] = {}
         for worker in self._shard.workers.values():
-            if worker.is_usable(at_ms, self._shard.evacuated):
-                usable += worker.total.core_equivalents
             for run in worker.runs.values():
+                cores = run.allocation.core_equivalents
                 if run.step.is_long_running:
-                    long_running += run.allocation.core_equivalents
+                    long_running += cores
+                    continue
+                job_id = run.name.job_id
+                if job_id not in is_late:
+                    job = self._shard.jobs.get(job_id)
+                    is_late[job_id] = job is None or job.is_late(unix_ms)
+                if is_late[job_id]:
+                    late += cores
                 else:
-                    running += run.allocation.core_equivalents
-        backlog = self._backlog(at_ms)
+                    in_time += cores
+        return long_running, in_time, late
+
+    def _required_cores(self, at_ms: int) -> float:
+        arriving = self._arrival_cores(at_ms)
+        long_running, running, _ = self._running_cores(at_ms)
+        usable = self._usable_cores(at_ms)
+        backlog = self._backlog(at_ms)[0]
         backlog += self._expected_backlog(arriving + long_running - usable, at_ms)
         present = long_running + max(arriving, running)
         return present + min(backlog / BACKLOG_CLEAR_MS, MAX_BACKLOG_SHARE * present)
@@ -117,22 +176,29 @@
     def _arrival_cores(self, at_ms: int) -> float:
         """Return the cores that keep up with the recent arrival rate."""
         arrivals = self._arrivals
-        while arrivals and arrivals[0][0] < at_ms - RATE_WINDOW_MS:
+        while arrivals and arrivals[0].at_ms < at_ms - RATE_WINDOW_MS:
             arrivals.popleft()
-        rate = sum(work for _, work in arrivals) / RATE_WINDOW_MS
-        recent = [work for at, work in arrivals if at >= at_ms - SHORT_WINDOW_MS]
+        rate = sum(each.work for each in arrivals) / RATE_WINDOW_MS
+        recent = [each for each in arrivals if each.at_ms >= at_ms - SHORT_WINDOW_MS]
         if len(recent) >= MIN_SHORT_JOBS:
-            rate = max(rate, sum(recent) / SHORT_WINDOW_MS)
-        return rate
+            rate = max(rate, sum(each.work for each in recent) / SHORT_WINDOW_MS)
+        # A few jobs are no rate: they use no more cores than their tasks do at once.
+        width = sum(each.width for each in arrivals)
+        return min(rate, width * max(1.0, len(arrivals) / MIN_RATE_JOBS))
 
-    def _backlog(self, at_ms: int) -> float:
-        """Return the work that could start now, in core-ms."""
+    def _backlog(self, at_ms: int) -> tuple[float, float]:
+        """Return the work that could start now, in core-ms, in time and late."""
         unix_ms = self._shard.unix_of(at_ms)
-        work = 0.0
+        in_time = late = 0.0
         for job in self._shard.open_jobs.values():
+            work = 0.0
             for key in job.open_steps(unix_ms):
                 step = job.spec.steps[key[1]]
                 if not step.is_long_running:
                     tasks_ms = len(job.waiting[key]) * step.estimated_ms
                     work += tasks_ms * step.allocation.core_equivalents
-        return work
+            if job.is_late(unix_ms):
+                late += work
+            else:
+                in_time += work
+        return in_time, late
--- a/apricotgap/jobs/effects.py
+++ b/apricotgap/jobs/effects.py
@@ -1,6 +1,7 @@
 """Effects returned by the shard reducer as plain data, for a driver to execute."""
 
 from dataclasses import dataclass
+from typing import Any
 
 from apricotgap.jobs.model import TaskName
 
@@ -53,7 +54,7 @@
     """Write one structured log line."""
 
     event: str
-    fields: dict[str, object]
+    fields: dict[str, Any]
 
 
 Effect = StartRun | StopRun | PaceRun | LogDecision
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -37,6 +37,11 @@
         """Whether orders are pending or machines reserved."""
         return self._tracker.is_busy
 
+    @property
+    def shares(self) -> Mapping[str, int]:
+        """Number of machines that the last pass planned for each pool."""
+        return self._sizes.shares
+
     def inherit(self, machines: Iterable[str], until_ms: int) -> None:
         """Order nothing until then for machines with orders of a previous owner."""
         self._tracker.inherit(machines, until_ms)
--- a/apricotgap/jobs/fleet_view.py
+++ b/apricotgap/jobs/fleet_view.py
@@ -24,10 +24,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolReport:
-    """Number of workers that a shard needs, and the workers that it has."""
+    """Number of workers that a shard needs, and the workers that it has.
+
+    `wanted` are needed for jobs that can end in time. `wanted_late` more are of use to
+    jobs that can only end late, if no other pool needs them.
+    """
 
     wanted: int
     workers: tuple[WorkerReport, ...]
+    wanted_late: int = 0
 
 
 class FleetView:
--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -48,7 +48,7 @@
         self.waiting: dict[StepKey, set[int]] = {}
         self._n_remaining: dict[StepKey, int] = {}
         self._critical_path_ms: int | None = None
-        self.objective_ms = self._objective_ms()
+        self.objective_ms = spec.submitted_ms + spec.objective_span_ms
         for occurrence in spec.occurrences:
             for index, step in enumerate(spec.steps):
                 key = (occurrence, index)
@@ -161,6 +161,20 @@
         # Task records are not needed after success.
         self.progress.tasks.clear()
 
+    def is_late(self, unix_ms: int) -> bool:
+        """Whether the job can no longer end by its objective."""
+        return unix_ms + self.critical_path_ms() > self.objective_ms
+
+    def remaining_core_ms(self) -> float:
+        """Return the estimated work left; runs in progress count as half done."""
+        work = 0.0
+        for (occurrence, index), n_left in self._n_remaining.items():
+            step = self.spec.steps[index]
+            n_waiting = len(self.waiting[occurrence, index])
+            n_tasks = n_waiting + (n_left - n_waiting) / 2
+            work += n_tasks * step.estimated_ms * step.allocation.core_equivalents
+        return work
+
     def critical_path_ms(self) -> int:
         """Return the estimated time of the longest chain of unfinished steps."""
         if self._critical_path_ms is None:
@@ -175,17 +189,3 @@
                 own + max((longest[earlier] for earlier in step.after), default=0)
             )
         return max(longest)
-
-    def _objective_ms(self) -> int:
-        """Return the Unix time in ms by which the job should succeed."""
-        total: list[int] = []
-        for step in self.spec.steps:
-            total.append(
-                step.estimated_ms
-                + max((total[earlier] for earlier in step.after), default=0)
-            )
-        return (
-            self.spec.submitted_ms
-            + int(self.spec.slack_factor * max(total))
-            + self.spec.target_latency_ms
-        )
--- a/apricotgap/jobs/model.py
+++ b/apricotgap/jobs/model.py
@@ -190,6 +190,20 @@
         """Whether the job runs until it is cancelled."""
         return any(step.is_long_running for step in self.steps)
 
+    @property
+    def critical_path_ms(self) -> int:
+        """Estimated time of the longest chain of steps."""
+        longest: list[int] = []
+        for step in self.steps:
+            before = max((longest[earlier] for earlier in step.after), default=0)
+            longest.append(before + step.estimated_ms)
+        return max(longest)
+
+    @property
+    def objective_span_ms(self) -> int:
+        """Time from the submission within which the job should succeed."""
+        return int(self.slack_factor * self.critical_path_ms) + self.target_latency_ms
+
     def due_ms(self, occurrence: int) -> int:
         """Return the Unix time in ms before which an occurrence must not start."""
         if not self.n_occurrences:
--- a/apricotgap/jobs/pool_sizes.py
+++ b/apricotgap/jobs/pool_sizes.py
@@ -5,6 +5,7 @@
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderTracker
 from apricotgap.jobs.fleet_view import FleetView
 from apricotgap.jobs.maintenance_waves import MaintenanceWaves
+from apricotgap.jobs.pool_shares import divide
 
 __all__ = ["PoolSizes"]
 
@@ -24,6 +25,8 @@
         self._tracker = tracker
         self._waves = waves
         self._wanted: dict[str, int] = {}
+        # Number of machines planned for each pool.
+        self.shares: dict[str, int] = {}
 
     def plan(self, view: FleetView) -> list[MachineOrder]:
         """Return the moves to order now, and reserve surplus machines."""
@@ -38,10 +41,14 @@
         waiting = self._waves.waiting()
         orders: list[MachineOrder] = []
         missing_by_pool: dict[str, int] = {}
+        available = {pool: self._n_available(pool, view) for pool in view.reports}
+        shares = self.shares = self._shares(available, len(spare), view)
         for pool, report in sorted(view.reports.items()):
-            n_available = self._n_available(pool, view)
-            missing = report.wanted - n_available
-            self._log_size_change(pool, report.wanted, n_available, len(spare), view)
+            n_available = available[pool]
+            missing = shares[pool] - n_available
+            self._log_size_change(
+                pool, report.wanted, shares[pool], n_available, len(spare), view
+            )
             if missing > 0:
                 missing -= self._cancel_reservations(pool, missing, view)
             while missing > 0:
@@ -61,8 +68,33 @@
         self._redirect(missing_by_pool, view)
         return orders
 
+    def _shares(
+        self, available: dict[str, int], n_spare: int, view: FleetView
+    ) -> dict[str, int]:
+        """Divide the machines by what jobs in time need, and the rest by late ones."""
+        n_leaving = sum(
+            bool(order.pool) and not view.is_excluded(view.machines[name])
+            for name, order in self._tracker.reserved.items()
+            if name not in self._tracker.pending and name in view.machines
+        )
+        n_machines = n_spare + n_leaving + sum(available.values())
+        shares = divide(
+            {pool: report.wanted for pool, report in view.reports.items()}, n_machines
+        )
+        late_shares = divide(
+            {pool: report.wanted_late for pool, report in view.reports.items()},
+            n_machines - sum(shares.values()),
+        )
+        return {pool: share + late_shares[pool] for pool, share in shares.items()}
+
     def _log_size_change(
-        self, pool: str, wanted: int, n_available: int, n_spare: int, view: FleetView
+        self,
+        pool: str,
+        wanted: int,
+        share: int,
+        n_available: int,
+        n_spare: int,
+        view: FleetView,
     ) -> None:
         """Log the size of a pool when the number of workers it needs has changed."""
         if self._wanted.get(pool) == wanted:
@@ -71,6 +103,7 @@
         fields: dict[str, object] = {
             "pool": pool,
             "wanted": wanted,
+            "share": share,
             "n_available": n_available,
             "n_spare": n_spare,
         }
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -23,6 +23,7 @@
     workers: list[Worker]
     effects: list[Effect]
     n_starts: int = 0
+    log_lines: dict[tuple[str, StepKey], LogDecision] = field(default_factory=dict)
     too_large: dict[str, list[Resources]] = field(default_factory=dict)
 
     def is_too_large(self, label: str, allocation: Resources) -> bool:
@@ -95,16 +96,15 @@
                 self._request_first_save(job, current)
                 continue
             self._start_job(job, current)
-        return current.effects
+        return [*current.effects, *current.log_lines.values()]
 
     def _order(self, unix_ms: int) -> list[JobState]:
         def rank(job: JobState) -> tuple[bool, bool, int, int]:
             spec = job.spec
             if spec.is_long_running:
                 return (False, False, spec.priority, spec.submitted_ms)
-            objective = job.objective_ms
-            is_late = unix_ms + job.critical_path_ms() // 2 > objective
-            return (True, is_late, spec.priority, objective)
+            # A job that cannot make it in time would only delay those that still can.
+            return (True, job.is_late(unix_ms), spec.priority, job.objective_ms)
 
         waiting = [
             job for job in self._shard.open_jobs.values() if any(job.waiting.values())
@@ -264,6 +264,10 @@
         """Return the cost of placing a task on a worker; the lowest cost wins."""
         total = worker.total
         cost = worker.used.cpu / total.cpu if total.cpu else 1.0
+        if not step.is_long_running and not step.is_best_effort:
+            # Tasks that end soon are packed, so that other workers become empty and
+            # their machines can move at once.
+            cost = 1 - cost
         if step.data_rack and worker.entry.rack != step.data_rack:
             cost += 2
         if worker.suspect_since_ms is not None:
@@ -336,15 +340,29 @@
                 self._ticket(name, worker, current) if self._needs_ticket(job) else "",
             )
         )
-        current.effects.append(
-            LogDecision(
-                "run_started",
+        self._log_start(name, run_id, worker, current)
+
+    @staticmethod
+    def _log_start(name: TaskName, run_id: int, worker: Worker, current: _Pass) -> None:
+        """Add a start to the log line of its step: one line for each step and pass."""
+        key = (name.job_id, (name.occurrence, name.step))
+        line = current.log_lines.get(key)
+        if line is None:
+            line = current.log_lines[key] = LogDecision(
+                "runs_started",
                 {
-                    "task": str(name),
-                    "run": run_id,
-                    "worker": worker.worker_id,
-                    "free_cpu": worker.free.cpu,
-                    "answer_age_ms": at_ms - worker.answered_ms,
+                    "task": f"{name.job_id}.{name.occurrence}.{name.step}",
+                    "numbers": [],
+                    "runs": [],
+                    "workers": [],
+                    "free_cpu": [],
+                    "answer_age_ms": 0,
                 },
             )
-        )
+        fields = line.fields
+        fields["numbers"].append(name.number)
+        fields["runs"].append(run_id)
+        fields["workers"].append(worker.worker_id)
+        fields["free_cpu"].append(worker.free.cpu)
+        age_ms = current.at_ms - worker.answered_ms
+        fields["answer_age_ms"] = max(fields["answer_age_ms"], age_ms)
--- a/apricotgap/jobs/service.py
+++ b/apricotgap/jobs/service.py
@@ -1,5 +1,6 @@
 """Interface between the callers' HTTP gateway and the instance behind it."""
 
+from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Protocol
 
@@ -7,14 +8,19 @@
 from apricotgap.jobs.model import JobPhase, JobSpec
 
 __all__ = [
+    "DEFAULT_RETRY_AFTER_MS",
     "CancelResult",
     "ConfigurationView",
     "JobService",
+    "SubmitOutcome",
     "SubmitResult",
     "UnreadableError",
 ]
 
 
+DEFAULT_RETRY_AFTER_MS = 1_000
+
+
 class SubmitResult(Enum):
     """Result of a submission; a REFUSED job never runs."""
 
@@ -23,6 +29,15 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
+class SubmitOutcome:
+    """Result of a submission, with when to come back and why for a refused one."""
+
+    result: SubmitResult
+    retry_after_ms: int = DEFAULT_RETRY_AFTER_MS
+    reason: str = ""
+
+
 class CancelResult(Enum):
     """Result of a cancellation."""
 
@@ -49,8 +64,8 @@
 class JobService(Protocol):
     """Operations on jobs; `deadline_ms` is on the clock of the instance."""
 
-    async def submit(self, job: JobSpec, deadline_ms: int) -> SubmitResult:
-        """Submit a job; returns REFUSED only if the job will never run."""
+    async def submit(self, job: JobSpec, deadline_ms: int) -> SubmitOutcome:
+        """Submit a job; it is REFUSED only if it will never run."""
 
     async def phase(
         self, service: str, job_id: str, deadline_ms: int
--- a/apricotgap/platform/ingress.py
+++ b/apricotgap/platform/ingress.py
@@ -20,6 +20,7 @@
 )
 from apricotgap.jobs.configuration import QueueSpec
 from apricotgap.jobs.service import (
+    DEFAULT_RETRY_AFTER_MS,
     CancelResult,
     ConfigurationView,
     JobService,
@@ -38,7 +39,6 @@
 _RESPONSE_MARGIN_MS = 150
 MAX_BODY_BYTES = 262_144
 _BODY_TIMEOUT_MS = 3_000
-_RETRY_AFTER_HEADER = {"retry-after": "1"}
 _HEX_DIGITS = frozenset("0123456789abcdef")
 
 
@@ -47,6 +47,7 @@
     status: int
     body: object = None
     reason: str = ""
+    retry_after_ms: int = DEFAULT_RETRY_AFTER_MS
 
 
 class IngressApp:
@@ -150,7 +151,9 @@
             )
         extra_headers: dict[str, str] = {}
         if response.status in (429, 503):
-            extra_headers |= _RETRY_AFTER_HEADER
+            # The header has whole seconds; a caller that comes back early would only
+            # be refused again.
+            extra_headers["retry-after"] = str(-(-response.retry_after_ms // 1000))
         if self._is_draining() or response.status in (408, 413):
             extra_headers["connection"] = "close"
         data = b"{}" if response.body is None else msgspec.json.encode(response.body)
@@ -210,11 +213,15 @@
             job = decode_job(body, job_id, queue, team, time.time_ns() // 1_000_000)
         except WireError as error:
             return _Response(400, {"error": str(error)}, str(error))
-        result = await self._jobs.submit(job, deadline_ms)
-        if result is SubmitResult.ACCEPTED:
+        outcome = await self._jobs.submit(job, deadline_ms)
+        if outcome.result is SubmitResult.ACCEPTED:
             return _Response(200)
-        if result is SubmitResult.REFUSED:
-            return _Response(503, reason="store not reachable, not stored")
+        if outcome.result is SubmitResult.REFUSED:
+            return _Response(
+                503,
+                reason=outcome.reason or "store not reachable, not stored",
+                retry_after_ms=outcome.retry_after_ms,
+            )
         return _Response(504, reason="store gave no answer")
 
     async def _job_state(
--- a/bench/instance_cost.py
+++ b/bench/instance_cost.py
@@ -46,7 +46,7 @@
             at = datetime.fromisoformat(row["timestamp"])
             if row["event"] == "job_accepted":
                 accepted[row["job"]] = at
-            elif row["event"] == "run_started":
+            elif row["event"] == "runs_started":
                 started.setdefault(row["task"].partition(".")[0], at)
     return [
         (started[job_id] - at).total_seconds() * 1_000
