Detect the start of a burst from the time since its first job

Cause: the arrival rate was averaged over 1.4 s, or 0.35 s with ten jobs, so that a queue with 13 jobs a second in its turn was seen as a fifth of that after 0.3 s. At a start of the deployment, pools whose owners had not acquired their workers seemed empty and got five machines in vain. A floor of three workers a pool was half of what was paid.

Change: with four jobs the rate is taken since the first of them; pools that are being taken over get no machines for 3 s; two workers at least stay in a pool.

--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -9,11 +9,11 @@
 
 __all__ = ["Demand"]
 
-# The arrival rate is averaged over the long window, and also over the short one once
-# that holds enough jobs, so that the start of a burst is detected at once.
+# The arrival rate is averaged over this window, or since its first job if it holds
+# enough of them for the start of a burst, but over no less than the shortest time.
 RATE_WINDOW_MS = 1_400
-SHORT_WINDOW_MS = 350
-MIN_SHORT_JOBS = 10
+MIN_BURST_JOBS = 4
+MIN_BURST_MS = 350
 # Number of jobs in the long window that shows a lasting rate.
 MIN_RATE_JOBS = 3
 # The demand is the maximum over this window, so that a pool does not shrink between
@@ -32,7 +32,7 @@
 HEADROOM = 1.1
 # Workers that a pool keeps without demand: they run the long-running tasks and absorb
 # the start of a burst until more machines have been moved in.
-MIN_WORKERS = 3
+MIN_WORKERS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,10 +178,11 @@
         arrivals = self._arrivals
         while arrivals and arrivals[0].at_ms < at_ms - RATE_WINDOW_MS:
             arrivals.popleft()
-        rate = sum(each.work for each in arrivals) / RATE_WINDOW_MS
-        recent = [each for each in arrivals if each.at_ms >= at_ms - SHORT_WINDOW_MS]
-        if len(recent) >= MIN_SHORT_JOBS:
-            rate = max(rate, sum(each.work for each in recent) / SHORT_WINDOW_MS)
+        # At the start of a burst the window is not filled yet.
+        window_ms = RATE_WINDOW_MS
+        if len(arrivals) >= MIN_BURST_JOBS:
+            window_ms = max(MIN_BURST_MS, at_ms - arrivals[0].at_ms)
+        rate = sum(each.work for each in arrivals) / window_ms
         # A few jobs are no rate: they use no more cores than their tasks do at once.
         width = sum(each.width for each in arrivals)
         return min(rate, width * max(1.0, len(arrivals) / MIN_RATE_JOBS))
--- a/apricotgap/jobs/pool_sizes.py
+++ b/apricotgap/jobs/pool_sizes.py
@@ -2,7 +2,11 @@
 
 from apricotgap.jobs.effects import LogDecision
 from apricotgap.jobs.fleet import Machine
-from apricotgap.jobs.fleet_orders import MachineOrder, OrderTracker
+from apricotgap.jobs.fleet_orders import (
+    JOIN_TIMEOUT_MS,
+    MachineOrder,
+    OrderTracker,
+)
 from apricotgap.jobs.fleet_view import FleetView
 from apricotgap.jobs.maintenance_waves import MaintenanceWaves
 from apricotgap.jobs.pool_shares import divide
@@ -27,6 +31,7 @@
         self._wanted: dict[str, int] = {}
         # Number of machines planned for each pool.
         self.shares: dict[str, int] = {}
+        self._empty_since_ms: dict[str, int] = {}
 
     def plan(self, view: FleetView) -> list[MachineOrder]:
         """Return the moves to order now, and reserve surplus machines."""
@@ -44,6 +49,8 @@
         available = {pool: self._n_available(pool, view) for pool in view.reports}
         shares = self.shares = self._shares(available, len(spare), view)
         for pool, report in sorted(view.reports.items()):
+            if self._is_starting(pool, view):
+                continue
             n_available = available[pool]
             missing = shares[pool] - n_available
             self._log_size_change(
@@ -68,6 +75,22 @@
         self._redirect(missing_by_pool, view)
         return orders
 
+    def _is_starting(self, pool: str, view: FleetView) -> bool:
+        """Whether the owner of a pool is still about to acquire its workers.
+
+        Until then the pool seems empty, and machines would be moved to it in vain.
+        """
+        machines = [
+            machine
+            for machine in view.machines.values()
+            if machine.pool == pool and machine.state == "up"
+        ]
+        if not machines or any(map(view.is_serving, machines)):
+            self._empty_since_ms.pop(pool, None)
+            return False
+        since_ms = self._empty_since_ms.setdefault(pool, view.at_ms)
+        return view.at_ms - since_ms < JOIN_TIMEOUT_MS
+
     def _shares(
         self, available: dict[str, int], n_spare: int, view: FleetView
     ) -> dict[str, int]:
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -6,6 +6,7 @@
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import (
     BUSY_BACKOFF_MS,
+    JOIN_TIMEOUT_MS,
     ORDER_RETRY_MS,
     MachineOrder,
     OrderResult,
@@ -41,6 +42,7 @@
         self.reserved = set()
         self.suspect = set()
         self.evacuated = frozenset()
+        self.unusable = False
         self.now = 100_000
 
     def plan(self, *waves, listed_ms=None):
@@ -51,7 +53,7 @@
             WorkerReport(
                 each.worker_id,
                 *self.runs.get(each.name, (0, 0)),
-                each.data_centre not in self.evacuated,
+                each.data_centre not in self.evacuated and not self.unusable,
                 each.worker_id in self.reserved,
                 each.name in self.suspect,
             )
@@ -262,3 +264,34 @@
     rig.other_wanted = 0
     rig.runs = {}
     assert [order.pool for order in rig.plan()] == ["spare"]
+
+
+def test_burst_of_a_pool_leaves_machines_to_another():
+    """Guards against a pool that gets all machines because its name comes first."""
+    rig = Rig(*(machine(f"s{n}", "spare") for n in range(12)))
+    rig.wanted, rig.other_wanted = 4, 60
+    pools = [order.pool for order in rig.plan()]
+    assert pools.count(SERVICE) == 4
+    assert pools.count(OTHER) == 8
+
+
+def test_machines_that_leave_a_pool_count_for_the_division():
+    """Guards against a pool that shrinks further with each machine that it gives up."""
+    names = [f"m{n}" for n in range(10)]
+    rig = Rig(*map(machine, names))
+    rig.wanted, rig.other_wanted = 60, 60
+    rig.runs = dict.fromkeys(names, (1, 0))
+    for _ in range(4):
+        rig.plan()
+        rig.now += 300
+    assert len(rig.reserved) == 5
+
+
+def test_pool_whose_owner_has_not_acquired_its_workers_gets_no_machines():
+    """Guards against machines moved at every start of the deployment."""
+    rig = Rig(machine("m1"), machine("m2"), machine("s1", "spare"))
+    rig.wanted = 2
+    rig.unusable = True
+    assert not rig.plan()
+    rig.now += JOIN_TIMEOUT_MS
+    assert rig.plan()
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -1,6 +1,7 @@
 """Tests of scheduling order, placement, stragglers, pacing, tickets and demand."""
 
 from dataclasses import replace
+from math import ceil
 
 from apricotgap.jobs import demand, limits
 from apricotgap.jobs.demand import Demand
@@ -235,10 +236,35 @@
     """Guards against machines that are moved in only after the backlog has grown."""
     rig = Rig().ready()
     estimator = Demand(rig.shard)
-    for _ in range(demand.MIN_SHORT_JOBS):
-        estimator.record_job(job(steps=(replace(ONE, n_tasks=10),)), rig.now)
-    rate = (
-        demand.MIN_SHORT_JOBS * 10 * ONE.allocation.core_equivalents * ONE.estimated_ms
+    wide = replace(ONE, n_tasks=10)
+    for _ in range(demand.MIN_BURST_JOBS):
+        estimator.record_job(job(steps=(wide,)), rig.now)
+    work = (
+        demand.MIN_BURST_JOBS * 10 * ONE.allocation.core_equivalents * ONE.estimated_ms
     )
-    cores = rate / demand.SHORT_WINDOW_MS
+    cores = work / demand.MIN_BURST_MS
     assert estimator.wanted(rig.now) >= cores / (FREE.cpu / 1000)
+
+
+def test_single_large_job_is_no_rate():
+    """Guards against one job that draws machines from all other pools."""
+    rig = Rig().ready()
+    estimator = Demand(rig.shard)
+    long = replace(ONE, n_tasks=16, estimated_ms=60_000)
+    estimator.record_job(job(steps=(long,)), rig.now)
+    rig.submit(job(steps=(long,)))
+    n_workers = 16 * ONE.allocation.core_equivalents / (FREE.cpu / 1000)
+    growth = demand.HEADROOM * (1 + demand.MAX_BACKLOG_SHARE)
+    assert estimator.wanted(rig.now) <= ceil(n_workers * growth)
+
+
+def test_late_jobs_are_no_demand_for_jobs_in_time():
+    """Guards against late jobs that take machines from those that can be in time."""
+    rig = Rig().ready()
+    estimator = Demand(rig.shard)
+    for n in range(40):
+        late = replace(job(f"{n:016x}", steps=(replace(ONE, n_tasks=8),)))
+        rig.submit(late)
+    rig.now += 60_000
+    assert estimator.wanted(rig.now) == demand.MIN_WORKERS
+    assert estimator.wanted_for_late_jobs(rig.now) > 1
