Split the reducer of a shard into jobs, runs and workers

Each layer knows only those below it; nothing outside changes. Tests of the shard, the scheduler and the admission pass unchanged.

--- a/apricotgap/instance/progress_writer.py
+++ b/apricotgap/instance/progress_writer.py
@@ -7,7 +7,8 @@
 
 from apricotgap.instance.keys import progress_key
 from apricotgap.instance.ownership import Ownership
-from apricotgap.jobs.shard import SaveBatch, Shard
+from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.shard_jobs import SaveBatch
 from apricotgap.platform.store import (
     MAX_TXN_ENTRIES,
     Conflict,
--- /dev/null
+++ b/apricotgap/jobs/shard_jobs.py
@@ -0,0 +1,204 @@
+"""Jobs of a shard: their state, their demand and the saving of their progress."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.documents import Progress, encode_progress
+from apricotgap.jobs.effects import LogDecision
+from apricotgap.jobs.job_state import JobState
+from apricotgap.jobs.model import NO_RESOURCES, JobPhase, JobSpec, Resources
+from apricotgap.jobs.workers import Worker
+
+__all__ = ["SaveBatch", "ShardJobs"]
+
+
+@dataclass(frozen=True, slots=True)
+class SaveBatch:
+    """Documents to store, as job id, data and revision to write over.
+
+    `last_applied` holds, by worker id and incarnation, the number of the last end that
+    the documents include.
+    """
+
+    documents: tuple[tuple[str, bytes, int], ...]
+    phases: dict[str, JobPhase]
+    last_applied: dict[tuple[str, int], int]
+
+
+class ShardJobs:
+    """State of the jobs of one service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    """
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.workers: dict[str, Worker] = {}
+        self.jobs: dict[str, JobState] = {}
+        # Jobs that have not ended, a small part: ended ones are kept for much longer.
+        self.open_jobs: dict[str, JobState] = {}
+        self.team_usage: dict[str, Resources] = {}
+        self._dirty: set[str] = set()
+        self._pending_first_saves: set[str] = set()
+        self._is_saving = False
+        self.unix_offset_ms = 0
+
+    def unix_of(self, at_ms: int) -> int:
+        """Return the Unix time in ms of a time on the clock of the instance."""
+        return at_ms + self.unix_offset_ms
+
+    def load(self, spec: JobSpec, progress: Progress | None, revision: int) -> JobState:
+        """Add a job from the store; with stored progress it may have been started."""
+        job = JobState(spec, progress, revision, is_inherited=revision > 0)
+        self.jobs[spec.job_id] = job
+        if not job.is_final:
+            self.open_jobs[spec.job_id] = job
+        return job
+
+    def submit(self, spec: JobSpec, revision: int = 0) -> JobState:
+        """Add a stored job that no owner has started.
+
+        Parameters
+        ----------
+        spec : JobSpec
+            Specification of the job.
+        revision : int
+            Store revision of its first progress, 0 when none is stored.
+        """
+        job = self.jobs.get(spec.job_id)
+        if job is None:
+            job = JobState(spec, None, revision)
+            self.jobs[spec.job_id] = self.open_jobs[spec.job_id] = job
+        return job
+
+    def describe(self, spec: JobSpec) -> LogDecision:
+        """Return the log line for an accepted job."""
+        return LogDecision(
+            "job_accepted",
+            {
+                "job": spec.job_id,
+                "queue": spec.queue,
+                "team": spec.team,
+                "priority": spec.priority,
+                "n_tasks": [step.n_tasks for step in spec.steps],
+                "cpu": [step.resources.cpu for step in spec.steps],
+                "estimated_ms": [step.estimated_ms for step in spec.steps],
+                "lasts": spec.is_long_running,
+            },
+        )
+
+    def forget(self, job_id: str) -> None:
+        """Remove a job that has ended."""
+        self.jobs.pop(job_id, None)
+        self.open_jobs.pop(job_id, None)
+        self._pending_first_saves.discard(job_id)
+        self._dirty.discard(job_id)
+
+    def team_demand(self, at_ms: int) -> dict[str, Resources]:
+        """Return the resources that each team uses or could use now."""
+        demand = dict(self.team_usage)
+        unix_ms = self.unix_of(at_ms)
+        for job in self.open_jobs.values():
+            team = job.spec.team
+            for key in job.open_steps(unix_ms):
+                allocation = job.spec.steps[key[1]].allocation
+                n_tasks = len(job.waiting[key])
+                demand[team] = demand.get(team, NO_RESOURCES) + Resources(
+                    allocation.cpu * n_tasks,
+                    allocation.memory_mb * n_tasks,
+                    allocation.gpus * n_tasks,
+                )
+        return demand
+
+    def backlog_core_ms(self, unix_ms: int, priority: int) -> tuple[float, float]:
+        """Return the estimated work left, in core-ms: in time, and of late jobs.
+
+        Long-running jobs and those of less urgent queues do not count.
+        """
+        in_time = late = 0.0
+        for job in self.open_jobs.values():
+            if job.spec.priority > priority or job.spec.is_long_running:
+                continue
+            if job.is_late(unix_ms):
+                late += job.remaining_core_ms()
+            else:
+                in_time += job.remaining_core_ms()
+        return in_time, late
+
+    # Progress
+
+    @property
+    def has_unsaved(self) -> bool:
+        """Whether progress has changed since the last save began."""
+        return bool(self._dirty)
+
+    @property
+    def is_stored(self) -> bool:
+        """Whether all applied ends are stored, so that workers may forget them."""
+        return not self._dirty and not self._is_saving
+
+    @property
+    def has_urgent_unsaved(self) -> bool:
+        """Whether a save is awaited: a job has ended or cannot start before it."""
+        return any(
+            job.is_final or not job.may_start
+            for job_id in self._dirty
+            if (job := self.jobs.get(job_id)) is not None
+        )
+
+    @property
+    def has_waiting_jobs(self) -> bool:
+        """Whether any task waits to start."""
+        return any(any(job.waiting.values()) for job in self.open_jobs.values())
+
+    def request_first_save(self, job: JobState) -> None:
+        """Include a job that is about to start in the next save.
+
+        Does nothing while MAX_PENDING_FIRST_SAVES others wait for theirs.
+        """
+        if len(self._pending_first_saves) < limits.MAX_PENDING_FIRST_SAVES:
+            self._pending_first_saves.add(job.spec.job_id)
+            self._dirty.add(job.spec.job_id)
+
+    def begin_save(self) -> SaveBatch:
+        """Return the documents that changed since the last save."""
+        documents = tuple(
+            (job_id, encode_progress(job.progress), job.revision)
+            for job_id in self._dirty
+            if (job := self.jobs.get(job_id)) is not None
+        )
+        phases = {job_id: self.jobs[job_id].progress.phase for job_id, *_ in documents}
+        self._dirty.clear()
+        self._is_saving = True
+        return SaveBatch(
+            documents,
+            phases,
+            {
+                (worker.worker_id, worker.entry.born_ms): worker.last_applied
+                for worker in self.workers.values()
+            },
+        )
+
+    def saved(self, batch: SaveBatch, revisions: dict[str, int]) -> None:
+        """Apply the result of a save; a partial one acknowledges no ends."""
+        self._pending_first_saves.difference_update(revisions)
+        for job_id, revision in revisions.items():
+            job = self.jobs.get(job_id)
+            if job is not None:
+                job.revision = revision
+                job.saved_phase = batch.phases[job_id]
+        self._is_saving = False
+        if len(revisions) < len(batch.documents):
+            return
+        for (worker_id, born_ms), last_applied in batch.last_applied.items():
+            worker = self.workers.get(worker_id)
+            if worker is not None and worker.entry.born_ms == born_ms:
+                worker.acknowledged = max(worker.acknowledged, last_applied)
+
+    def save_failed(self, job_ids: Iterable[str]) -> None:
+        """Include these jobs in the next save."""
+        self._dirty.update(job_ids)
--- /dev/null
+++ b/apricotgap/jobs/shard_workers.py
@@ -0,0 +1,318 @@
+"""Workers of a shard: their leases, their polls and the runs that they list."""
+
+from collections.abc import Iterable
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.configuration import Configuration
+from apricotgap.jobs.effects import Effect, LogDecision, StopRun
+from apricotgap.jobs.events import (
+    PollAnswered,
+    PollFailed,
+    RunReport,
+    WorkersListed,
+)
+from apricotgap.jobs.fleet import WorkerEntry
+from apricotgap.jobs.model import NO_RESOURCES, Resources
+from apricotgap.jobs.runs import Run, RunPhase
+from apricotgap.jobs.shard_runs import ShardRuns
+from apricotgap.jobs.workers import Worker
+
+__all__ = ["ShardWorkers"]
+
+_STOP_RETRY_MS = 500
+
+
+class ShardWorkers(ShardRuns):
+    """State of the workers of one service.
+
+    Parameters
+    ----------
+    service, epoch, stop_ms
+        As for `ShardRuns`.
+    max_lease_ms : int
+        Maximum length of a worker's lease.
+    """
+
+    def __init__(
+        self, service: str, epoch: int, max_lease_ms: int, stop_ms: int
+    ) -> None:
+        super().__init__(service, epoch, stop_ms)
+        self.max_lease_ms = max_lease_ms
+        self.config: Configuration | None = None
+        self._ended_workers: set[str] = set()
+        self.loaded_ms = -1_000_000
+        self.reported_ms = -1_000_000
+
+    def add_inherited_worker(self, entry: WorkerEntry, at_ms: int) -> None:
+        """Add a worker on which a previous owner may have started runs.
+
+        It has to be assumed that its lease was renewed just now.
+        """
+        self._add_worker(entry, at_ms, lease_ms=int(self.max_lease_ms * 1.03) + 200)
+        self.workers[entry.worker_id].is_listed = False
+        self.workers[entry.worker_id].is_unverified = True
+
+    def _add_worker(self, entry: WorkerEntry, at_ms: int, lease_ms: int = 0) -> Worker:
+        worker = Worker(entry, entry.free, at_ms + lease_ms)
+        self.workers[entry.worker_id] = worker
+        return worker
+
+    def _workers_listed(self, event: WorkersListed) -> Iterable[Effect]:
+        listed = {
+            entry.worker_id: entry
+            for entry in event.entries
+            if entry.service == self.service
+        }
+        for worker_id, entry in listed.items():
+            worker = self.workers.get(worker_id)
+            if worker is None:
+                if worker_id in self._ended_workers:
+                    continue
+                self._add_worker(entry, event.at_ms)
+                yield LogDecision("worker_added", {"worker": worker_id})
+                continue
+            if worker.entry.born_ms != entry.born_ms:
+                if entry.born_ms < worker.entry.born_ms:
+                    continue
+                yield from self._mark_lost(worker, event.at_ms, "restarted")
+                self._add_worker(entry, event.at_ms)
+                continue
+            if entry.is_draining and not worker.entry.is_draining:
+                yield LogDecision("worker_draining", {"worker": worker_id})
+            worker.entry = entry
+            worker.is_listed = True
+            if not entry.free.fits(worker.total):
+                worker.set_total(worker.total.elementwise_max(entry.free))
+        self._equalise_totals()
+        for worker in list(self.workers.values()):
+            if worker.worker_id not in listed:
+                worker.is_listed = False
+                yield from self._expire(worker, event.at_ms)
+
+    def _equalise_totals(self) -> None:
+        """Assume equal capacity for workers of one kind if they check admission.
+
+        Should a worker have less, it rejects the start.
+        """
+        spec = self.config and self.config.service_by_name.get(self.service)
+        if not spec or not spec.has_admission_check:
+            return
+        largest: dict[str, Resources] = {}
+        for worker in self.workers.values():
+            kind = worker.entry.kind
+            largest[kind] = worker.total.elementwise_max(
+                largest.get(kind, NO_RESOURCES)
+            )
+        for worker in self.workers.values():
+            worker.set_total(largest[worker.entry.kind])
+
+    def _expire(self, worker: Worker, at_ms: int) -> Iterable[Effect]:
+        """Drop the runs of a worker whose lease must have ended.
+
+        A worker that the platform no longer lists is removed as well.
+        """
+        if at_ms <= max(worker.lease_until_ms, worker.offered_until_ms):
+            return
+        if worker.runs:
+            yield from self._mark_lost(worker, at_ms, "lease ended")
+        worker.is_acquired = False
+        worker.is_unverified = False
+        if not worker.is_listed:
+            self.workers.pop(worker.worker_id, None)
+            yield LogDecision("worker_gone", {"worker": worker.worker_id})
+
+    def tick(self, at_ms: int) -> list[Effect]:
+        """Expire the leases of silent workers and repeat unanswered stops."""
+        effects: list[Effect] = []
+        for worker in list(self.workers.values()):
+            effects.extend(self._expire(worker, at_ms))
+            for run in list(worker.runs.values()):
+                is_due = at_ms - run.stop_sent_ms > _STOP_RETRY_MS
+                if run.phase is RunPhase.STOPPING and is_due and not run.is_stopped:
+                    effects.extend(self.stop(run, at_ms))
+        return effects
+
+    def _mark_lost(self, worker: Worker, at_ms: int, why: str) -> Iterable[Effect]:
+        n_runs = len(worker.runs)
+        for run in list(worker.runs.values()):
+            self._drop_run(run)
+        worker.is_acquired = False
+        worker.is_unverified = False
+        yield LogDecision(
+            "worker_lost",
+            {
+                "worker": worker.worker_id,
+                "why": why,
+                "n_runs": n_runs,
+                "silent_ms": at_ms - worker.answered_ms,
+            },
+        )
+
+    def end_workers(self, worker_ids: Iterable[str], at_ms: int) -> list[Effect]:
+        """Remove workers whose machines were moved or taken down."""
+        effects: list[Effect] = []
+        for worker_id in worker_ids:
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                effects.extend(
+                    self._mark_lost(worker, at_ms, "machine moved or taken down")
+                )
+                del self.workers[worker_id]
+                self._ended_workers.add(worker_id)
+        return effects
+
+    def knows_reservations(self, at_ms: int) -> bool:
+        """Whether the fleet owner has had time to reserve workers for its orders."""
+        if self.reported_ms >= self.loaded_ms:
+            return True
+        return at_ms - self.loaded_ms > limits.FIRST_REPORT_TIMEOUT_MS
+
+    def reserve(self, worker_ids: Iterable[str], at_ms: int) -> None:
+        """Give these workers no new work; expires unless the caller repeats it."""
+        for worker_id in worker_ids:
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                worker.reserved_until_ms = at_ms + limits.RESERVATION_MS
+
+    def offer_lease(self, worker: Worker, at_ms: int, lease_until_ms: int) -> int:
+        """Return the lease end to request, on the worker's clock, or 0 for none.
+
+        Workers' leases end at most WORKER_LEASE_TAIL_MS after the owner's lease, which
+        bounds how long the next owner waits for a worker that it cannot reach.
+        """
+        left_ms = lease_until_ms + limits.WORKER_LEASE_TAIL_MS - at_ms
+        lease_ms = min(self.max_lease_ms, left_ms)
+        if not worker.clock_at_ms or lease_ms <= 0:
+            return 0
+        # The 3 % more cover a worker whose clock runs slow by up to CLOCK_DRIFT.
+        worker.offered_until_ms = at_ms + int(lease_ms * 1.03) + 100
+        return worker.clock_now_ms(at_ms) + lease_ms
+
+    @staticmethod
+    def _resolve_lease_offer(worker: Worker, was_sent: bool) -> None:
+        if was_sent:
+            worker.lease_until_ms = max(worker.lease_until_ms, worker.offered_until_ms)
+        worker.offered_until_ms = 0
+
+    @property
+    def has_unverified_workers(self) -> bool:
+        """Whether runs of a previous owner may exist on workers not acquired yet."""
+        return any(worker.is_unverified for worker in self.workers.values())
+
+    def _poll_answered(self, event: PollAnswered) -> Iterable[Effect]:
+        worker = self.workers.get(event.worker_id)
+        if worker is None:
+            return
+        if event.born_ms and event.born_ms != worker.entry.born_ms:
+            yield from self._poll_failed(
+                PollFailed(
+                    event.at_ms,
+                    event.worker_id,
+                    worker.entry.born_ms,
+                    "restarted",
+                    is_other_incarnation=True,
+                )
+            )
+            return
+        if not worker.is_acquired:
+            yield LogDecision(
+                "worker_taken",
+                {
+                    "worker": worker.worker_id,
+                    "epoch": self.epoch,
+                    "n_running": len(event.running),
+                },
+            )
+        if not worker.offered_until_ms:
+            # The first poll offers no lease; one of a previous owner may be valid.
+            worker.offered_until_ms = event.at_ms + int(self.max_lease_ms * 1.03)
+        self._resolve_lease_offer(worker, True)
+        worker.is_acquired = True
+        worker.is_unverified = False
+        worker.answered_ms = event.at_ms
+        worker.clock_ms = event.clock_ms
+        worker.clock_at_ms = event.at_ms
+        for end in event.ends:
+            if end.number > worker.last_applied:
+                worker.last_applied = end.number
+                yield from self._ended(worker, end, event.at_ms)
+        listed = set()
+        for report in event.running:
+            listed.add((report.name, report.run_id))
+            yield from self._listed(worker, report, event)
+        if len(event.ends) >= limits.MAX_LISTED_ENDS:
+            return
+        for key, run in list(worker.runs.items()):
+            if key not in listed and run.visible_from_ms <= event.sent_ms:
+                self._drop_run(run)
+                yield LogDecision(
+                    "run_absent",
+                    {
+                        "task": str(run.name),
+                        "run": run.run_id,
+                        "worker": worker.worker_id,
+                        "was": run.phase.name,
+                    },
+                )
+
+    def _listed(
+        self, worker: Worker, report: RunReport, event: PollAnswered
+    ) -> Iterable[Effect]:
+        run = worker.runs.get((report.name, report.run_id))
+        if run is None:
+            yield from self._adopt(worker, report, event.at_ms)
+            return
+        if run.phase in (RunPhase.STARTING, RunPhase.UNCONFIRMED):
+            run.phase = RunPhase.RUNNING
+            run.visible_from_ms = event.sent_ms
+            run.started_ms = run.last_progress_ms = event.at_ms
+        if report.percent != run.percent:
+            run.percent = report.percent
+            run.last_progress_ms = event.at_ms
+        run.usage = report.usage
+        run.checkpoint = report.checkpoint or run.checkpoint
+
+    def _adopt(self, worker: Worker, report: RunReport, at_ms: int) -> Iterable[Effect]:
+        """Adopt a run of a previous owner, or stop one that must not exist."""
+        job = self.jobs.get(report.name.job_id)
+        step = job.step_of(report.name) if job else None
+        if job is None or step is None:
+            yield StopRun(
+                worker.worker_id,
+                worker.entry.address,
+                worker.entry.born_ms,
+                report.name,
+                report.run_id,
+            )
+            return
+        run = Run(
+            report.name,
+            report.run_id,
+            worker.worker_id,
+            step,
+            job.spec.team,
+            RunPhase.RUNNING,
+            at_ms,
+            at_ms,
+            report.percent,
+            at_ms,
+            report.usage,
+            report.checkpoint,
+        )
+        run.started_ms = at_ms
+        record = job.progress.tasks.get(report.name)
+        is_surplus = report.name in job.runs and not step.allows_duplicates
+        self.add_run(job, worker, run)
+        if job.is_final or (record and record.done) or is_surplus:
+            yield from self.stop(run, at_ms)
+
+    def _poll_failed(self, event: PollFailed) -> Iterable[Effect]:
+        worker = self.workers.get(event.worker_id)
+        if worker is None or worker.entry.born_ms != event.born_ms:
+            return
+        self._resolve_lease_offer(worker, event.was_sent)
+        if event.is_other_incarnation:
+            yield from self._mark_lost(worker, event.at_ms, event.reason)
+            self.workers.pop(worker.worker_id, None)
+            return
+        yield from self._expire(worker, event.at_ms)
