--- /dev/null
+++ b/apricotgap/instance/effect_runner.py
@@ -0,0 +1,134 @@
+"""Execution of the effects of a shard: log lines and calls to workers."""
+
+from collections.abc import Callable, Iterable
+
+import structlog
+import trio
+
+from apricotgap.clock import Clock
+from apricotgap.instance.cluster_view import ClusterView
+from apricotgap.instance.ownership import Ownership
+from apricotgap.instance.peers import PeerClient
+from apricotgap.instance.start_delegation import StartSender
+from apricotgap.jobs.effects import Effect, LogDecision, PaceRun, StartRun, StopRun
+from apricotgap.jobs.events import StartAnswered, StartResult, StopAnswered
+from apricotgap.jobs.pacing import Pacer
+from apricotgap.jobs.shard import Shard
+from apricotgap.metrics import Metrics
+from apricotgap.platform.workers import WorkerClient
+
+__all__ = ["EffectRunner"]
+
+
+class EffectRunner:
+    """Executes effects without waiting for the answers of workers.
+
+    Parameters
+    ----------
+    name : str
+        Name of this instance.
+    shard, ownership, pacer, client, peers, cluster_view, clock, metrics
+        Dependencies.
+    on_unsaved : callable
+        Called when progress has to be stored.
+    on_room : callable
+        Called when waiting tasks may be able to start.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        shard: Shard,
+        ownership: Ownership,
+        pacer: Pacer,
+        client: WorkerClient,
+        peers: PeerClient,
+        cluster_view: ClusterView,
+        clock: Clock,
+        metrics: Metrics,
+        on_unsaved: Callable[[], None],
+        on_room: Callable[[], None],
+    ) -> None:
+        self._shard = shard
+        self._epoch = ownership.epoch
+        self._pacer = pacer
+        self._client = client
+        self._clock = clock
+        self._metrics = metrics
+        self._on_unsaved = on_unsaved
+        self._on_room = on_room
+        self._nursery: trio.Nursery | None = None
+        self._start_sender = StartSender(
+            name,
+            ownership.epoch,
+            client,
+            peers,
+            cluster_view,
+            clock,
+            self._start_answered,
+        )
+        self._log = structlog.get_logger().bind(
+            shard=ownership.shard, epoch=ownership.epoch
+        )
+
+    def open(self, nursery: trio.Nursery) -> None:
+        """Set the nursery in which the calls run."""
+        self._nursery = nursery
+
+    def execute(self, effects: Iterable[Effect]) -> None:
+        """Execute effects; the answers to calls are applied to the shard."""
+        nursery = self._nursery
+        if nursery is None:
+            raise RuntimeError("effects before open(); the shard is still loading")
+        starts: list[tuple[StartRun, str]] = []
+        for effect in effects:
+            if isinstance(effect, LogDecision):
+                self._log.info(effect.event, **effect.fields)
+            elif isinstance(effect, StartRun):
+                worker = self._shard.workers.get(effect.worker_id)
+                data_centre = worker.entry.data_centre if worker else ""
+                starts.append((effect, data_centre))
+            elif isinstance(effect, StopRun):
+                nursery.start_soon(self._send_stop, effect)
+            elif isinstance(effect, PaceRun):
+                nursery.start_soon(self._send_pace, effect)
+        if starts:
+            self._start_sender.send(starts, nursery)
+        if self._shard.has_unsaved:
+            self._on_unsaved()
+
+    def _start_answered(self, effect: StartRun, result: StartResult) -> None:
+        self._metrics.count("run_starts", result=result.kind)
+        self.execute(
+            self._shard.step(
+                StartAnswered(
+                    self._clock.now_ms,
+                    effect.worker_id,
+                    effect.born_ms,
+                    effect.name,
+                    effect.run_id,
+                    result,
+                )
+            )
+        )
+        if result.kind != "ok":
+            self._on_room()
+
+    async def _send_stop(self, effect: StopRun) -> None:
+        ok = await self._client.stop(effect, self._epoch)
+        self.execute(
+            self._shard.step(
+                StopAnswered(
+                    self._clock.now_ms,
+                    effect.worker_id,
+                    effect.born_ms,
+                    effect.name,
+                    effect.run_id,
+                    ok,
+                )
+            )
+        )
+
+    async def _send_pace(self, effect: PaceRun) -> None:
+        ok = await self._client.pace(effect, self._epoch)
+        self._pacer.handle_response(effect, ok)
--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -1,6 +1,6 @@
 """Routes job calls to the owner of the shard, or to the store if there is none."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from random import Random
 from typing import Any
 
@@ -11,11 +11,7 @@
 from apricotgap.instance.keys import (
     Member,
     cancel_key,
-    index_key,
     job_writes,
-    jobs_prefix,
-    progress_key,
-    progress_prefix,
 )
 from apricotgap.instance.ownership import OwnershipLostError
 from apricotgap.instance.peers import PeerCallError, PeerClient
@@ -26,12 +22,8 @@
 )
 from apricotgap.instance.shard_owner import ShardOwner
 from apricotgap.instance.start_delegation import StartDelegate
-from apricotgap.jobs.documents import (
-    DocumentError,
-    decode_job,
-    decode_progress,
-    encode_job,
-)
+from apricotgap.instance.stored_jobs import StoredJobs
+from apricotgap.jobs.documents import decode_job, encode_job
 from apricotgap.jobs.fleet_view import PoolReport
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.service import (
@@ -42,7 +34,6 @@
 )
 from apricotgap.platform.store import (
     Conflict,
-    Snapshot,
     StoreClient,
     Stored,
     StoreError,
@@ -104,6 +95,7 @@
         self._store = store
         self._peers = peers
         self._delegate = delegate
+        self._stored_jobs = StoredJobs(store)
         self._clock = clock
         self._log = structlog.get_logger()
 
@@ -212,7 +204,7 @@
         phase = await self._read_phase_of(service, job_id, deadline_ms)
         if phase is not None:
             return phase
-        actual = await self._read_service_of(job_id)
+        actual = await self._stored_jobs.service_of(job_id)
         if actual is None:
             return None
         if actual != service:
@@ -225,34 +217,15 @@
         try:
             result = await self._call_owner(service, "phase", job_id, deadline_ms)
         except _OwnerCallError:
-            return await self._read_stored_phase(service, job_id)
+            return await self._stored_jobs.phase_of(service, job_id)
         return JobPhase(result) if result is not None else None
 
-    async def _read_service_of(self, job_id: str) -> str | None:
-        """Read the service that a job was accepted for.
-
-        The configuration may have changed the service of its queue since.
-        """
-        item = await self._store.read_key(index_key(job_id), _STORE_TIMEOUT_MS)
-        return item.value.decode() if item.value is not None else None
-
-    async def _read_stored_phase(self, service: str, job_id: str) -> JobPhase | None:
-        key = progress_key(service, job_id)
-        item = await self._store.read_key(key, _STORE_TIMEOUT_MS)
-        if item.value is None:
-            return None
-        try:
-            return decode_progress(job_id, item.value).phase
-        except DocumentError as error:
-            self._log.error("progress_unreadable", job=job_id, error=str(error))
-            raise StoreError("stored progress is unreadable") from error
-
     async def cancel(self, service: str, job_id: str, deadline_ms: int) -> CancelResult:
         """Cancel a job."""
         if await self._cancel_at(service, job_id, deadline_ms):
             return CancelResult.DONE
         try:
-            actual = await self._read_service_of(job_id)
+            actual = await self._stored_jobs.service_of(job_id)
         except StoreError as error:
             self._log.warning("cancel_unresolved", job=job_id, reason=str(error))
             return CancelResult.UNKNOWN
@@ -287,30 +260,10 @@
         except _OwnerCallError:
             pass
         try:
-            return await self._count_stored(service, queue)
+            return await self._stored_jobs.n_pending(service, queue)
         except StoreError as error:
             raise UnreadableError(str(error)) from error
 
-    async def _count_stored(self, service: str, queue: str) -> int:
-        jobs = await self._store.read_prefix(jobs_prefix(service), _STORE_TIMEOUT_MS)
-        progress = await self._store.read_prefix(
-            progress_prefix(service), _STORE_TIMEOUT_MS
-        )
-        begun = {
-            job_id for job_id, phase in _decode_phases(progress) if phase.has_begun
-        }
-        n_pending = 0
-        for item in jobs.items:
-            if item.key.count("/") != 2 or item.value is None:
-                continue
-            if item.key.rpartition("/")[2] in begun:
-                continue
-            try:
-                n_pending += decode_job(item.value).queue == queue
-            except DocumentError as error:
-                self._log.error("job_unreadable", key=item.key, error=str(error))
-        return n_pending
-
     async def pool_report(
         self, service: str, reserved: list[str], ended: list[str], share: int
     ) -> PoolReport | None:
@@ -438,14 +391,3 @@
         return SubmitOutcome(SubmitResult(answer))
     value, retry_after_ms, reason = answer
     return SubmitOutcome(SubmitResult(value), retry_after_ms, reason)
-
-
-def _decode_phases(progress: Snapshot) -> Iterator[tuple[str, JobPhase]]:
-    """Yield the id and phase of each job whose progress is readable."""
-    for item in progress.items:
-        job_id = item.key.rpartition("/")[2]
-        try:
-            yield job_id, decode_progress(job_id, item.value or b"").phase
-        except DocumentError as error:
-            log = structlog.get_logger()
-            log.error("progress_unreadable", job=job_id, error=str(error))
--- a/apricotgap/instance/shard_loader.py
+++ b/apricotgap/instance/shard_loader.py
@@ -1,6 +1,9 @@
 """Loads stored jobs and their progress into a shard."""
 
+from typing import Any
+
 import structlog
+import trio
 
 from apricotgap.jobs.documents import (
     DocumentError,
@@ -10,14 +13,26 @@
 )
 from apricotgap.jobs.model import JobSpec
 from apricotgap.jobs.shard import Shard
-from apricotgap.platform.store import Item, Snapshot
+from apricotgap.platform.store import Item, Snapshot, StoreClient, StoreError
+
+__all__ = ["decode_stored_job", "load_jobs", "read_prefix"]
 
-__all__ = ["decode_stored_job", "load_jobs"]
+_RETRY_S = 0.15
 
 # Slashes in jobs/SERVICE/JOB. A key with more of them, as of a cancellation, is no job.
 _N_SLASHES = 2
 
 
+async def read_prefix(store: StoreClient, prefix: str, log: Any) -> Snapshot:
+    """Read the keys below a prefix, again and again until the store answers."""
+    while True:
+        try:
+            return await store.read_prefix(prefix)
+        except StoreError as error:
+            log.warning("load_failed", prefix=prefix, reason=str(error))
+            await trio.sleep(_RETRY_S)
+
+
 def load_jobs(shard: Shard, jobs: Snapshot, progress: Snapshot) -> None:
     """Load the jobs that the previous owner left in the store.
 
--- /dev/null
+++ b/apricotgap/instance/stored_jobs.py
@@ -0,0 +1,85 @@
+"""Reads the jobs of a shard from the store, while its owner does not answer."""
+
+from collections.abc import Iterator
+
+import structlog
+
+from apricotgap.instance.keys import (
+    index_key,
+    jobs_prefix,
+    progress_key,
+    progress_prefix,
+)
+from apricotgap.jobs.documents import DocumentError, decode_job, decode_progress
+from apricotgap.jobs.model import JobPhase
+from apricotgap.platform.store import Snapshot, StoreClient, StoreError
+
+__all__ = ["StoredJobs"]
+
+_STORE_TIMEOUT_MS = 700
+
+
+class StoredJobs:
+    """State of jobs as it is stored; all calls may raise `StoreError`.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The platform's store.
+    """
+
+    def __init__(self, store: StoreClient) -> None:
+        self._store = store
+        self._log = structlog.get_logger()
+
+    async def service_of(self, job_id: str) -> str | None:
+        """Read the service that a job was accepted for.
+
+        The configuration may have changed the service of its queue since.
+        """
+        item = await self._store.read_key(index_key(job_id), _STORE_TIMEOUT_MS)
+        return item.value.decode() if item.value is not None else None
+
+    async def phase_of(self, service: str, job_id: str) -> JobPhase | None:
+        """Read the phase of a job, None for one without stored progress."""
+        key = progress_key(service, job_id)
+        item = await self._store.read_key(key, _STORE_TIMEOUT_MS)
+        if item.value is None:
+            return None
+        try:
+            return decode_progress(job_id, item.value).phase
+        except DocumentError as error:
+            self._log.error("progress_unreadable", job=job_id, error=str(error))
+            raise StoreError("stored progress is unreadable") from error
+
+    async def n_pending(self, service: str, queue: str) -> int:
+        """Count the stored jobs of a queue without a started task."""
+        jobs = await self._store.read_prefix(jobs_prefix(service), _STORE_TIMEOUT_MS)
+        progress = await self._store.read_prefix(
+            progress_prefix(service), _STORE_TIMEOUT_MS
+        )
+        begun = {
+            job_id for job_id, phase in _decode_phases(progress) if phase.has_begun
+        }
+        n_pending = 0
+        for item in jobs.items:
+            if item.key.count("/") != 2 or item.value is None:
+                continue
+            if item.key.rpartition("/")[2] in begun:
+                continue
+            try:
+                n_pending += decode_job(item.value).queue == queue
+            except DocumentError as error:
+                self._log.error("job_unreadable", key=item.key, error=str(error))
+        return n_pending
+
+
+def _decode_phases(progress: Snapshot) -> Iterator[tuple[str, JobPhase]]:
+    """Yield the id and phase of each job whose progress is readable."""
+    for item in progress.items:
+        job_id = item.key.rpartition("/")[2]
+        try:
+            yield job_id, decode_progress(job_id, item.value or b"").phase
+        except DocumentError as error:
+            log = structlog.get_logger()
+            log.error("progress_unreadable", job=job_id, error=str(error))
