--- a/apricotgap/instance/effect_runner.py
+++ b/apricotgap/instance/effect_runner.py
@@ -6,12 +6,9 @@
 import trio
 
 from apricotgap.clock import Clock
-from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.ownership import Ownership
-from apricotgap.instance.peers import PeerClient
-from apricotgap.instance.start_delegation import StartSender
 from apricotgap.jobs.effects import Effect, LogDecision, PaceRun, StartRun, StopRun
-from apricotgap.jobs.events import StartAnswered, StartResult, StopAnswered
+from apricotgap.jobs.events import StartAnswered, StopAnswered
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.shard import Shard
 from apricotgap.metrics import Metrics
@@ -25,9 +22,7 @@
 
     Parameters
     ----------
-    name : str
-        Name of this instance.
-    shard, ownership, pacer, client, peers, cluster_view, clock, metrics
+    shard, ownership, pacer, client, clock, metrics
         Dependencies.
     on_unsaved : callable
         Called when progress has to be stored.
@@ -37,13 +32,10 @@
 
     def __init__(
         self,
-        name: str,
         shard: Shard,
         ownership: Ownership,
         pacer: Pacer,
         client: WorkerClient,
-        peers: PeerClient,
-        cluster_view: ClusterView,
         clock: Clock,
         metrics: Metrics,
         on_unsaved: Callable[[], None],
@@ -58,15 +50,6 @@
         self._on_unsaved = on_unsaved
         self._on_room = on_room
         self._nursery: trio.Nursery | None = None
-        self._start_sender = StartSender(
-            name,
-            ownership.epoch,
-            client,
-            peers,
-            cluster_view,
-            clock,
-            self._start_answered,
-        )
         self._log = structlog.get_logger().bind(
             shard=ownership.shard, epoch=ownership.epoch
         )
@@ -80,24 +63,20 @@
         nursery = self._nursery
         if nursery is None:
             raise RuntimeError("effects before open(); the shard is still loading")
-        starts: list[tuple[StartRun, str]] = []
         for effect in effects:
             if isinstance(effect, LogDecision):
                 self._log.info(effect.event, **effect.fields)
             elif isinstance(effect, StartRun):
-                worker = self._shard.workers.get(effect.worker_id)
-                data_centre = worker.entry.data_centre if worker else ""
-                starts.append((effect, data_centre))
+                nursery.start_soon(self._send_start, effect)
             elif isinstance(effect, StopRun):
                 nursery.start_soon(self._send_stop, effect)
             elif isinstance(effect, PaceRun):
                 nursery.start_soon(self._send_pace, effect)
-        if starts:
-            self._start_sender.send(starts, nursery)
         if self._shard.has_unsaved:
             self._on_unsaved()
 
-    def _start_answered(self, effect: StartRun, result: StartResult) -> None:
+    async def _send_start(self, effect: StartRun) -> None:
+        result = await self._client.start(effect, self._epoch)
         self._metrics.count("run_starts", result=result.kind)
         self.execute(
             self._shard.step(
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -21,7 +21,6 @@
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.peers import PeerClient, serve_peers
 from apricotgap.instance.shard_owner import ShardOwner
-from apricotgap.instance.start_delegation import StartDelegate
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.metrics import Metrics
 from apricotgap.platform.ingress import IngressApp
@@ -111,14 +110,12 @@
             speed_milli=settings.speed_milli,
         )
         async with trio.open_nursery() as nursery:
-            self._peers = PeerClient(nursery)
             router = self._router = JobRouter(
                 settings.name,
                 self._owners,
                 self._cluster_view,
                 self._store,
-                self._peers,
-                StartDelegate(self._client, self._clock),
+                PeerClient(nursery),
                 self._clock,
             )
             app = self._app = IngressApp(
@@ -177,7 +174,6 @@
             self._cluster_view,
             self._workers,
             self._client,
-            self._peers,
             self._clock,
             self._metrics,
         )
--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -21,7 +21,6 @@
     encode_pool_report,
 )
 from apricotgap.instance.shard_owner import ShardOwner
-from apricotgap.instance.start_delegation import StartDelegate
 from apricotgap.instance.stored_jobs import StoredJobs
 from apricotgap.jobs.documents import decode_job, encode_job
 from apricotgap.jobs.fleet_view import PoolReport
@@ -74,7 +73,7 @@
         Name of this instance.
     owners : mapping of str to ShardOwner
         The shards that this instance owns, updated by the caller.
-    cluster_view, store, peers, delegate, clock
+    cluster_view, store, peers, clock
         Dependencies.
     """
 
@@ -85,7 +84,6 @@
         cluster_view: ClusterView,
         store: StoreClient,
         peers: PeerClient,
-        delegate: StartDelegate,
         clock: Clock,
     ) -> None:
         self._name = name
@@ -94,7 +92,6 @@
         self._cluster_view = cluster_view
         self._store = store
         self._peers = peers
-        self._delegate = delegate
         self._stored_jobs = StoredJobs(store)
         self._clock = clock
         self._log = structlog.get_logger()
@@ -347,8 +344,6 @@
         """Answer a peer's call on a shard of this instance, or a relayed call."""
         if operation.startswith("relay-"):
             return await self._handle_relay(operation, argument)
-        if operation == "start-runs":
-            return await self._delegate.send(argument)
         service, payload, left_ms = argument
         local_owner = self._owners.get(service)
         if local_owner is None or not local_owner.ready.is_set():
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -119,11 +119,6 @@
     data_centre: str
     speed_milli: int
 
-    @property
-    def has_second_protocol(self) -> bool:
-        """Whether it knows the calls of the second version of the peer protocol."""
-        return self.incarnation.startswith(_SECOND_PROTOCOL_PREFIX)
-
 
 @dataclass(frozen=True, slots=True)
 class Owner:
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -18,7 +18,6 @@
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
-from apricotgap.instance.peers import PeerClient
 from apricotgap.instance.poll_loops import PollLoops
 from apricotgap.instance.progress_writer import ProgressWriter
 from apricotgap.instance.roster import RosterWriter
@@ -73,7 +72,7 @@
     ----------
     ownership : Ownership
         Ownership of the shard.
-    settings, store, lease, cluster_view, workers, client, peers, clock, metrics
+    settings, store, lease, cluster_view, workers, client, clock, metrics
         Dependencies.
     """
 
@@ -86,7 +85,6 @@
         cluster_view: ClusterView,
         workers: WorkerList,
         client: WorkerClient,
-        peers: PeerClient,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -149,13 +147,10 @@
             self._request_pass,
         )
         self._effects = EffectRunner(
-            settings.name,
             self._shard,
             ownership,
             self._pacer,
             client,
-            peers,
-            cluster_view,
             clock,
             metrics,
             self._writer.wake,
--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -15,6 +15,7 @@
 from apricotgap.jobs.events import PollFailed, StopAnswered
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, Resources, RunEnd, StepSpec
+from apricotgap.jobs.runs import RunPhase
 from apricotgap.platform.store import Item, Snapshot
 from tests.jobs_harness import (
     FAR_MS,
@@ -479,3 +480,19 @@
     assert worker.n_possible_runs == 1
     rig.poll()
     assert worker.n_possible_runs == 0
+
+
+def test_unanswered_start_is_confirmed_by_a_poll():
+    """Guards against a run that is lost because nobody heard that it was started."""
+    rig = Rig().ready()
+    rig.submit(job())
+    first, second = rig.schedule()
+    rig.now += 400
+    rig.poll(running=[running(first)])
+    runs = rig.shard.workers["w1"].runs
+    assert runs[first.name, first.run_id].phase is RunPhase.RUNNING
+    # The list may be older than the second start, which is still on its way.
+    assert runs[second.name, second.run_id].phase is RunPhase.STARTING
+    rig.now += limits.START_WINDOW_MS + limits.RETRY_BACKOFF_MS
+    rig.poll(running=[running(first)])
+    assert (second.name, second.run_id) not in runs
