Refuse no job before the capacity of a pool is known

Change: nothing is refused until the fleet owner has told its plan for the pool and all inherited workers have answered or must have ended. Two tests failed before.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -301,7 +301,7 @@
         )
 
     def report(
-        self, reserved: Iterable[str], ended: Iterable[str], share: int = 0
+        self, reserved: Iterable[str], ended: Iterable[str], share: int | None = None
     ) -> PoolReport:
         """Reserve workers and report the demand and the workers of the pool.
 
@@ -311,8 +311,8 @@
             Workers to drain: they get no new work.
         ended : iterable of str
             Workers whose machines have been moved or taken down.
-        share : int
-            Number of machines planned for the pool, 0 if it is unknown.
+        share : int, optional
+            Number of machines planned for the pool, None if it is unknown.
 
         Raises
         ------
@@ -326,7 +326,8 @@
         self._shard.reported_ms = now_ms
         self._effects.execute(self._shard.end_workers(ended, now_ms))
         self._shard.reserve(reserved, now_ms)
-        self._demand.record_share(share)
+        if share is not None:
+            self._demand.record_share(share)
         return PoolReport(
             self._demand.wanted(now_ms),
             tuple(
--- a/apricotgap/jobs/admission.py
+++ b/apricotgap/jobs/admission.py
@@ -40,7 +40,7 @@
     """Cores for finite jobs, and work before a new one: in time, and late ones."""
 
     at_ms: int
-    cores: float
+    cores: float | None
     in_time: float
     late: float
 
@@ -93,7 +93,7 @@
         unix_ms = self._shard.unix_of(at_ms)
         load = self._load(spec.priority, at_ms)
         cores = load.cores
-        if cores <= 0:
+        if cores is None or cores <= 0:
             return None
         path_ms = spec.critical_path_ms
         in_time, late = load.in_time, load.late
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -58,14 +58,20 @@
         self._arrivals: deque[_Arrival] = deque()
         self._targets: deque[tuple[int, int]] = deque()
         self._excess_since_ms: int | None = None
-        self._share = 0
+        self._share: int | None = None
 
     def record_share(self, n_workers: int) -> None:
         """Set the number of workers that the fleet owner has planned for the pool."""
         self._share = n_workers
 
-    def expected_cores(self, at_ms: int) -> float:
-        """Return the cores for finite jobs that the pool has or is about to get."""
+    def expected_cores(self, at_ms: int) -> float | None:
+        """Return the cores for finite jobs that the pool has or is about to get.
+
+        None as long as they are unknown after a takeover: workers of the previous owner
+        have not answered, or the fleet owner has not told its plan.
+        """
+        if self._share is None or self._shard.has_unverified_workers:
+            return None
         usable = self._usable_cores(at_ms)
         planned = self._share * self._worker_cores()
         return max(usable, planned) - self._running_cores(at_ms)[0]
--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -6,7 +6,7 @@
 from apricotgap.jobs.admission import Admission
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.model import Resources, StepSpec
-from tests.jobs_harness import Rig, job
+from tests.jobs_harness import Rig, entry, job
 
 STEP = StepSpec(8, Resources(1000, 100), 1_000)
 # Fills the eight cores of the only worker for this long.
@@ -23,7 +23,14 @@
     for n in range(BACKLOG_S):
         rig.submit(new_job(f"{n:016x}"))
     rig.schedule()
-    return rig, Admission(rig.shard, Demand(rig.shard))
+    return rig, gate_of(rig)
+
+
+def gate_of(rig, share=1):
+    """Return the admission of a pool for which the fleet owner plans `share`."""
+    demand = Demand(rig.shard)
+    demand.record_share(share)
+    return Admission(rig.shard, demand)
 
 
 def test_job_without_a_chance_is_refused_at_once():
@@ -37,14 +44,26 @@
 def test_job_is_accepted_while_it_can_still_end_in_time():
     """Guards against refusals by a shard that has capacity."""
     rig = Rig().ready()
-    assert Admission(rig.shard, Demand(rig.shard)).decide(new_job(), rig.now) is None
+    assert gate_of(rig).decide(new_job(), rig.now) is None
 
 
 def test_machines_that_are_on_their_way_count():
     """Guards against refusals at the start of a burst, before machines are moved."""
+    rig, _ = overloaded()
+    assert gate_of(rig, share=40).decide(new_job(), rig.now) is None
+
+
+def test_nothing_is_refused_before_the_plan_for_the_pool_is_known():
+    """Guards against refusals right after a takeover, with capacity left."""
+    rig, _ = overloaded()
+    gate = Admission(rig.shard, Demand(rig.shard))
+    assert gate.decide(new_job(), rig.now) is None
+
+
+def test_nothing_is_refused_while_inherited_workers_have_not_answered():
+    """Guards against refusals by a new owner that knows a part of its workers."""
     rig, gate = overloaded()
-    gate = Admission(rig.shard, demand := Demand(rig.shard))
-    demand.record_share(40)
+    rig.shard.add_inherited_worker(entry("w2"), rig.now)
     assert gate.decide(new_job(), rig.now) is None
 
 
@@ -61,7 +80,7 @@
     rig = Rig().ready()
     for n in range(BACKLOG_S):
         rig.submit(new_job(f"{n:016x}", priority=1))
-    gate = Admission(rig.shard, Demand(rig.shard))
+    gate = gate_of(rig)
     assert gate.decide(new_job(priority=0), rig.now) is None
     assert gate.decide(new_job(priority=1), rig.now) is not None
 
@@ -104,7 +123,7 @@
 def test_accepted_jobs_count_before_the_load_is_determined_again():
     """Guards against a burst of submissions that all see the same empty shard."""
     rig = Rig().ready()
-    gate = Admission(rig.shard, Demand(rig.shard))
+    gate = gate_of(rig)
     n_accepted = 0
     for n in range(100):
         spec = new_job(f"{n:016x}")
