Let a successor load a shard that holds a stored cancellation

Cause: since the owner of a shard was split, loading a job with a stored cancellation executed its log line before calls to workers were possible, and that ended the load. No instance could take the shard over any more.

Change: only a call to a worker needs the shard to be running. The new test fails without it.

--- a/apricotgap/instance/effect_runner.py
+++ b/apricotgap/instance/effect_runner.py
@@ -1,6 +1,7 @@
 """Execution of the effects of a shard: log lines and calls to workers."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
 
 import structlog
 import trio
@@ -60,21 +61,24 @@
 
     def execute(self, effects: Iterable[Effect]) -> None:
         """Execute effects; the answers to calls are applied to the shard."""
-        nursery = self._nursery
-        if nursery is None:
-            raise RuntimeError("effects before open(); the shard is still loading")
         for effect in effects:
             if isinstance(effect, LogDecision):
                 self._log.info(effect.event, **effect.fields)
             elif isinstance(effect, StartRun):
-                nursery.start_soon(self._send_start, effect)
+                self._call(self._send_start, effect)
             elif isinstance(effect, StopRun):
-                nursery.start_soon(self._send_stop, effect)
+                self._call(self._send_stop, effect)
             elif isinstance(effect, PaceRun):
-                nursery.start_soon(self._send_pace, effect)
+                self._call(self._send_pace, effect)
         if self._shard.has_unsaved:
             self._on_unsaved()
 
+    def _call(self, send: Callable[[Any], Awaitable[None]], effect: Effect) -> None:
+        # While the shard loads, jobs can end but no runs are known, so nothing is sent.
+        if self._nursery is None:
+            raise RuntimeError(f"call to a worker while the shard loads: {effect}")
+        self._nursery.start_soon(send, effect)
+
     async def _send_start(self, effect: StartRun) -> None:
         result = await self._client.start(effect, self._epoch)
         self._metrics.count("run_starts", result=result.kind)
--- a/tests/test_instance_process.py
+++ b/tests/test_instance_process.py
@@ -5,7 +5,14 @@
 import pytest
 import trio
 
-from soak.cluster import SIGHUP, SIGKILL, SIGTERM, configuration, open_cluster
+from soak.cluster import (
+    SERVICE,
+    SIGHUP,
+    SIGKILL,
+    SIGTERM,
+    configuration,
+    open_cluster,
+)
 from tests.loopback import call_raw
 
 JOB = {
@@ -87,6 +94,33 @@
     run(check, tmp_path, task_ms=700)
 
 
+def test_successor_loads_a_shard_with_a_stored_cancellation(tmp_path):
+    """Guards against a shard that no instance can take over any more.
+
+    A cancellation that reached no owner lies in the store beside its job.
+    """
+
+    async def check(cluster):
+        owner = cluster.owner()
+        survivor = others(cluster, owner)[0]
+        job_id = "c" * 16
+        assert (await cluster.request(survivor, "POST", job_id, LONG_JOB))[0] == 200
+        owner.signal(SIGKILL)
+        cluster.store.put(f"jobs/{SERVICE}/{job_id}/cancel", b"1")
+        with trio.fail_after(15):
+            state = None
+            while state != "cancelled":
+                await trio.sleep(0.1)
+                status, document = await cluster.request(survivor, "GET", job_id)
+                state = document.get("state") if status == 200 else None
+        next_id = "d" * 16
+        assert (await cluster.request(survivor, "POST", next_id, JOB))[0] == 200
+        await cluster.until_succeeded(survivor, next_id)
+        assert not survivor.lines("shard_failed")
+
+    run(check, tmp_path, task_ms=700)
+
+
 def test_stopping_instance_serves_calls_until_it_exits_in_time(tmp_path):
     """Guards against failed calls while the load balancer still sends them."""
 
