--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
-"""An entry under servers/ that cannot be read ends each process that owns a shard."""
+"""An instance that is stopped while it claims shards leaves owner keys for good."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -8,6 +9,7 @@
 sys.path.insert(0, str(HERE.parent))
 
 from harness.deployment import (  # noqa: E402
+    CannotRunError,
     configuration,
     has_trouble,
     job,
@@ -15,12 +17,12 @@
     route,
 )
 
-SERVICES = ["bakery", "tally"]
-# Bytes that another writer left: an object that is not closed, 4 KB of brackets.
-UNREADABLE = b'{"notes":' + b"[" * 4_000
-# The platform starts a process that ended again after a short delay.
-RESTART_S = 1
-WATCHED_S = 40
+SERVICES = ["bakery", "tally", "trays", "clouds"]
+# The store takes 60 times its usual 4 ms.
+SLOW_S = 0.24
+SLOW_FOR_S = 4.5
+# From the last disruption: leases of 3 s, finish_s of 14 s, and as much again.
+SETTLE_S = 30
 
 
 async def main(deployment):
@@ -31,47 +33,93 @@
     for service in SERVICES:
         for n in range(2):
             await deployment.add_worker(f"w-{service}-{n}", service)
-    for n in range(3):
+    for n in range(4):
         await deployment.add_instance(f"i{n}", "ab"[n % 2])
     await deployment.until_ready(SERVICES)
+    await asyncio.sleep(2)
 
+    leaving = []
     if has_trouble():
-        record("other writer: servers/stray is written")
-        deployment.store.put("servers/stray", UNREADABLE)
-    exits = dict.fromkeys(deployment.instances, 0)
-    async with asyncio.TaskGroup() as group:
-        group.create_task(_keep_running(deployment, exits))
-        group.create_task(_submit(deployment))
-    for instance, n_exits in exits.items():
-        record(f"instance {instance.name}: ended by itself {n_exits} times")
-    often = [instance for instance, n_exits in exits.items() if n_exits >= 3]
-    if len(often) >= 2:
-        return f"Fault: processes of {len(often)} machines ended by themselves 3 times"
-    return ""
-
-
-async def _keep_running(deployment, exits):
-    """Start processes again that have ended, as the platform does."""
-    until_s = asyncio.get_running_loop().time() + WATCHED_S
-    while asyncio.get_running_loop().time() < until_s:
-        await asyncio.sleep(RESTART_S)
-        for instance in deployment.instances:
-            if not instance.is_running:
-                code = instance.process.returncode
-                deployment.record(f"instance {instance.name}: ended by itself, {code}")
-                exits[instance] += 1
-                instance.start()
-
-
-async def _submit(deployment):
-    """Submit jobs and look at them, for the record."""
-    for n in range(WATCHED_S // 4):
-        instance = deployment.instances[n % len(deployment.instances)]
-        path = f"/q-{SERVICES[n % 2]}/{deployment.new_id()}"
-        await deployment.ask(instance, "POST", path, job())
-        await asyncio.sleep(2)
-        await deployment.ask(instance, "GET", path)
-        await asyncio.sleep(1)
+        leaving = await _stop_two(deployment)
+    staying = [each for each in deployment.instances if each not in leaving]
+    await asyncio.sleep(5)
+    jobs = []
+    for service in SERVICES:
+        path = f"/q-{service}/{deployment.new_id()}"
+        status = 0
+        while status != 200:
+            status, _ = await deployment.ask(staying[0], "POST", path, job())
+            await asyncio.sleep(0.3)
+        jobs.append(path)
+
+    open_jobs = set(jobs)
+
+    async def all_done():
+        for path in list(open_jobs):
+            status, answer = await deployment.ask(staying[0], "GET", path)
+            if status == 200 and answer["state"] == "succeeded":
+                open_jobs.discard(path)
+        await asyncio.sleep(0.5)
+        return not open_jobs
+
+    await deployment.until("all accepted jobs succeed", all_done, SETTLE_S)
+    for path in sorted(open_jobs):
+        job_id = path.rpartition("/")[2]
+        n_runs = sum(
+            run.task.startswith(job_id)
+            for w in deployment.workers
+            for run in w.all_runs
+        )
+        record(
+            f"{path} was accepted and has not succeeded; workers began {n_runs} runs"
+        )
+    for service in SERVICES:
+        item = deployment.store.items.get(f"sys/owners/{service}")
+        owner = deployment.owner(service)
+        if item and owner and not owner.is_running:
+            record(f"{service}: owner key of {owner.name}, which has left; {item}")
+    return f"LOST: {len(open_jobs)} accepted jobs never ran" if open_jobs else ""
+
+
+async def _stop_two(deployment):
+    """Take two instances away for good, while the store is slow."""
+    loop = asyncio.get_running_loop()
+    slow_until_s = loop.time() + SLOW_FOR_S
+    for instance in deployment.instances:
+        instance.door.delay_s = SLOW_S
+    await asyncio.sleep(0.3)
+    first = deployment.owner(SERVICES[0])
+    claiming = loop.create_future()
+
+    def watch(instance):
+        def on_call(request):
+            if request.path == "/v1/kv-key" and "epochs" in request.query["key"]:
+                deployment.record(
+                    f"store: {instance.name} reads {request.query['key']}"
+                )
+                if not claiming.done() and instance is not first:
+                    claiming.set_result(instance)
+
+        return on_call
+
+    for instance in deployment.instances:
+        instance.door.on_call = watch(instance)
+    first.signal(signal.SIGTERM)
+    try:
+        second = await asyncio.wait_for(claiming, SLOW_FOR_S)
+    except TimeoutError as error:
+        raise CannotRunError("nobody claimed the shards") from error
+    # It claims its shards, each with two calls to the store.
+    await asyncio.sleep(0.1)
+    second.signal(signal.SIGTERM)
+    await asyncio.sleep(slow_until_s - loop.time())
+    for instance in deployment.instances:
+        instance.door.delay_s = 0.004
+    for instance in (first, second):
+        await deployment.until(
+            f"{instance.name} has left", lambda each=instance: not each.is_running, 8
+        )
+    return [first, second]
 
 
 if __name__ == "__main__":
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -14,7 +14,7 @@
 import tomllib
 from pathlib import Path
 
-from .http import Server, call
+from .http import Server, call, errors
 from .store import Door, Store
 from .worker import Worker
 
@@ -391,6 +391,8 @@
         async with asyncio.timeout(110):
             async with Deployment(folder) as deployment:
                 broken = await main(deployment)
+                if errors:
+                    raise CannotRunError(f"fault of a stand-in: {errors[0]!r}")
                 verdict = f"the rule is broken: {broken}" if broken else "the rule held"
                 deployment.record(verdict)
                 return verdict, broken
--- a/review/harness/http.py
+++ b/review/harness/http.py
@@ -3,9 +3,8 @@
 import asyncio
 import json
 
-
-class NoAnswer(Exception):
-    """Raised by a handler to close the connection without an answer."""
+# Faults of the stand-ins themselves; a case with one could not run.
+errors = []
 
 
 class Request:
@@ -37,6 +36,9 @@
 class Server:
     """Server on a loopback address.
 
+    The handler returns a status, a document and, if the answer is on its way for long,
+    for how many seconds.
+
     While `is_dark`, nothing is answered, as from a machine without power. After `wake`,
     a call on a connection of before resets it, and what was sent before stays
     unanswered.
@@ -46,7 +48,8 @@
         self._handler = handler
         self._server = None
         self._writers = set()
-        self._tasks = set()
+        # Connections with an answer on its way for long.
+        self._late = set()
         self._n_wakes = 0
         self.port = 0
         self.is_dark = False
@@ -63,13 +66,11 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
-    async def stop(self):
-        """Close the listener and reset all connections."""
+    def crash(self):
+        """Refuse calls; reset the connections that have no answer on its way."""
         self._server.close()
-        for writer in list(self._writers):
+        for writer in self._writers - self._late:
             writer.transport.abort()
-        for task in list(self._tasks):
-            task.cancel()
 
     def wake(self):
         """Answer again, on new connections."""
@@ -78,8 +79,6 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
-        task = asyncio.current_task()
-        self._tasks.add(task)
         n_wakes = self._n_wakes
         try:
             while True:
@@ -94,8 +93,12 @@
                 if n_wakes != self._n_wakes:
                     return
                 request = Request(method, target, headers, body)
-                status, document = await self._handler(request)
-                if self.is_dark or n_wakes != self._n_wakes:
+                status, document, *late_s = await self._handler(request)
+                if late_s:
+                    # It has left; what happens to the server later doesn't change it.
+                    self._late.add(writer)
+                    await asyncio.sleep(late_s[0])
+                elif self.is_dark or n_wakes != self._n_wakes:
                     await asyncio.sleep(3600)
                 data = json.dumps(document).encode()
                 writer.write(
@@ -104,11 +107,14 @@
                     + data
                 )
                 await writer.drain()
-        except (NoAnswer, OSError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError):
             pass
+        except Exception as error:
+            # A fault of a stand-in, not of the system.
+            errors.append(error)
         finally:
             self._writers.discard(writer)
-            self._tasks.discard(task)
+            self._late.discard(writer)
             writer.transport.abort()
 
 
--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -61,8 +61,10 @@
         # How long a start may take. It is carried out earlier when a hold arrives,
         # right after the lists for that hold are made.
         self.start_delay_s = 0.0
-        # Falls silent after its next answer to a hold in a life.
+        # Falls silent after its next answer to a hold.
         self.is_silent_after_hold = False
+        # Crashes after its next answer that lists an end, which is on its way so long.
+        self.late_end_s = 0.0
         self.is_unhealthy = False
         self.server = Server(self._serve)
         self.all_runs = []
@@ -77,7 +79,10 @@
         self._sizes = {}
         self._highest = {}
         self._ends = []
-        self._n_ends = 0
+        self.n_ends = 0
+        self.is_up = True
+        # Holds that were answered in this life.
+        self.n_holds = 0
         self._token = 0
         self._until_ms = 0
         self._ended = asyncio.Event()
@@ -123,11 +128,25 @@
     def go_dark(self):
         """End this life without a word: all that runs is gone, nothing is answered."""
         self._record(f"worker {self.worker_id}: falls silent, its runs are gone")
+        self._end_life()
+        self.server.is_dark = True
+
+    def crash(self):
+        """End this life: all that runs is gone, connections are reset."""
+        self._record(f"worker {self.worker_id}: crashes, its runs are gone")
+        self._end_life()
+        self.server.crash()
+
+    def _end_life(self):
         for run in self._running.values():
             run.end, run.ended_s = "gone", time.monotonic()
         self._task.cancel()
         self._running = {}
-        self.server.is_dark = True
+        self.is_up = False
+
+    async def listen_again(self):
+        """Listen after a crash."""
+        await self.server.start()
 
     def restart(self, register_after_s=0.0):
         """Begin a new life at the same address, under the same id."""
@@ -151,14 +170,19 @@
                 elif time.monotonic() - run.begun_s >= self.task_s(run.task):
                     self._end(run, self.how(run.task))
 
+    def _percent(self, run):
+        """Return the progress of a run; a task that lasts is at work at once."""
+        done = (time.monotonic() - run.begun_s) / self.task_s(run.task)
+        return min(99, int(100 * done)) if done else 100
+
     def _end(self, run, how):
         del self._running[run.key]
         self._asked.pop(run.key, None)
         self._sizes.pop(run.key, None)
         self._highest[run.task] = max(self._highest.get(run.task, 0), run.run_id)
         run.end, run.ended_s = how, time.monotonic()
-        self._n_ends += 1
-        self._ends.append([self._n_ends, run.task, run.run_id, how, ""])
+        self.n_ends += 1
+        self._ends.append([self.n_ends, run.task, run.run_id, how, ""])
         self._record(f"worker {self.worker_id}: {run.task} run {run.run_id} ends {how}")
         self._ended.set()
         self._ended = asyncio.Event()
@@ -230,8 +254,11 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._ended.wait(), body["waitMs"] / 1000)
         running = [
-            [run.task, run.run_id, "", 100, 0.1] for run in self._running.values()
+            [run.task, run.run_id, "", self._percent(run), 0.1]
+            for run in self._running.values()
         ]
+        self.n_holds += 1
+        is_last = self.late_end_s and self._ends
         if self.is_silent_after_hold:
             self.is_silent_after_hold = False
             asyncio.get_running_loop().call_later(0.01, self.go_dark)
@@ -243,6 +270,11 @@
         }
         self._listed.set()
         self._listed = asyncio.Event()
+        if is_last:
+            late_s, self.late_end_s = self.late_end_s, 0.0
+            self._record(f"worker {self.worker_id}: sends {answer}, {late_s} s late")
+            asyncio.get_running_loop().call_later(0.01, self.crash)
+            return 200, answer, late_s
         if self.hold_delay_s:
             await asyncio.sleep(self.hold_delay_s)
         return 200, answer
