--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -55,6 +55,7 @@
         self.revision = 10
         self.items = {}
         self._leases = {}
+        self._down_since_ms = None
         self._n_leases = 100
         self._history = []
         self._changed = asyncio.Event()
@@ -78,11 +79,26 @@
         item = self.items.get(key)
         return b64decode(item["value"]) if item else None
 
+    def go_down(self):
+        """Answer 503 to all calls; leases pause meanwhile."""
+        self._record("store: is down")
+        self._down_since_ms = _now_ms()
+
+    def come_back(self):
+        """Answer again."""
+        self._record("store: is back")
+        down_ms = _now_ms() - self._down_since_ms
+        self._down_since_ms = None
+        for lease in self._leases.values():
+            lease[1] += down_ms
+
     # Interface
 
     async def serve(self, request):
         """Carry out a call."""
         path, query = request.path, request.query
+        if self._down_since_ms is not None:
+            return 503, {}
         if path == "/v1/kv-key":
             key = unquote(query["key"])
             item = self.items.get(key)
@@ -123,6 +139,8 @@
                 if row["revision"] > after and row["key"].startswith(prefix)
             ]
             left_s = (until_ms - _now_ms()) / 1000
+            if self._down_since_ms is not None:
+                return 503, {}
             if events or left_s <= 0:
                 return 200, {"events": events, "at": self.revision}
             with contextlib.suppress(TimeoutError):
@@ -198,6 +216,8 @@
         """End leases as their time comes, until cancelled."""
         while True:
             await asyncio.sleep(0.02)
+            if self._down_since_ms is not None:
+                continue
             for lease, (_, until_ms) in list(self._leases.items()):
                 if until_ms <= _now_ms():
                     self._end_lease(lease)
