--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,6 +8,7 @@
 sys.path.insert(0, str(HERE.parent))
 
 from harness.deployment import (  # noqa: E402
+    CannotRunError,
     configuration,
     has_trouble,
     job,
@@ -15,7 +16,7 @@
     route,
 )
 
-SERVICES = ["bakery", "tally"]
+SERVICES = ["bakery", "tally", "trays", "clouds"]
 # Bytes that another writer left: an object that is not closed, 4 KB of brackets.
 UNREADABLE = b'{"notes":' + b"[" * 4_000
 # The platform starts a process that ended again after a short delay.
@@ -35,6 +36,12 @@
         await deployment.add_instance(f"i{n}", "ab"[n % 2])
     await deployment.until_ready(SERVICES)
 
+    def owners():
+        return {deployment.owner(service) for service in SERVICES} - {None}
+
+    if not await deployment.until("two owners", lambda: len(owners()) >= 2, 20):
+        raise CannotRunError("one instance owns all services")
+
     if has_trouble():
         record("other writer: servers/stray is written")
         deployment.store.put("servers/stray", UNREADABLE)
@@ -67,7 +74,7 @@
     """Submit jobs and look at them, for the record."""
     for n in range(WATCHED_S // 4):
         instance = deployment.instances[n % len(deployment.instances)]
-        path = f"/q-{SERVICES[n % 2]}/{deployment.new_id()}"
+        path = f"/q-{SERVICES[n % 4]}/{deployment.new_id()}"
         await deployment.ask(instance, "POST", path, job())
         await asyncio.sleep(2)
         await deployment.ask(instance, "GET", path)
