--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,9 +20,16 @@
 SERVICE = "bakery"
 N_WORKERS = 7
 N_JOBS = 6
-N_OUTAGES = 4
-DOWN_S = 5.7
-FIRST_S, SECOND_S = 2.5, 3
+N_OUTAGES = 6
+# From a renewal of the owner's lease on.
+DOWN_S = 6.3
+FIRST_S, SECOND_S = 3, 3
+
+
+def _task_s(task):
+    """Return how long a task works; tasks end apart from each other."""
+    job_id, _, step, _ = task.split(".")
+    return (FIRST_S, SECOND_S)[int(step)] + int(job_id[:2], 16) / 256
 
 
 async def main(deployment):
@@ -32,7 +39,7 @@
     workers = []
     for n in range(N_WORKERS):
         worker = await deployment.add_worker(f"w{n}", SERVICE)
-        worker.task_s = lambda task: (FIRST_S, SECOND_S)[int(task.split(".")[2])]
+        worker.task_s = _task_s
         workers.append(worker)
     for n in range(3):
         await deployment.add_instance(f"i{n}", "ab"[n % 2])
@@ -61,8 +68,8 @@
     open_jobs = set()
     for n in range(N_JOBS):
         path = f"/plans/{deployment.new_id()}"
-        document = job(1, estimated_ms=int(1000 * FIRST_S))
-        second = {**document["steps"][0], "count": 4, "after": [0]}
+        document = job(1, cpu=4000, estimated_ms=int(1000 * FIRST_S))
+        second = {**document["steps"][0], "count": 2, "after": [0]}
         document["steps"].append({**second, "estimatedMs": 1000 * SECOND_S})
         instance = deployment.instances[n % 3]
         status, _ = await deployment.ask(instance, "POST", path, document)
@@ -72,6 +79,7 @@
     await asyncio.sleep(0.3)
     if has_trouble():
         # The first steps end meanwhile.
+        await _until_renewed(deployment)
         deployment.store.go_down()
         await asyncio.sleep(DOWN_S)
         deployment.store.come_back()
@@ -88,5 +96,22 @@
         raise CannotRunError("the jobs did not end")
 
 
+async def _until_renewed(deployment):
+    """Wait until the owner of the service has renewed its lease."""
+    owner = deployment.owner(SERVICE)
+    if owner is None:
+        raise CannotRunError("the service has no owner")
+    renewed = asyncio.Event()
+
+    def on_call(request):
+        if request.path.startswith("/v1/kv-keep/"):
+            renewed.set()
+
+    owner.door.on_call = on_call
+    await asyncio.wait_for(renewed.wait(), 3)
+    owner.door.on_call = None
+    await asyncio.sleep(0.05)
+
+
 if __name__ == "__main__":
     play(main, HERE)
