Count the lease that a start gives to its worker

Cause: a worker takes the deadline of a start as the end of the lease of all its runs. The shard counted only the leases that polls offer. Towards the end of an outage these are short, a long poll holds back the next one for up to 1 s, and tasks start as soon as the owner's lease is renewed. The shard then took the lease of the worker for ended and started the tasks elsewhere.

Change: a start extends the lease that the shard counts to the end of its window, and a poll with a short lease asks for an answer within a third of it, so that it is renewed before the window ends.

Test: test_task_started_as_the_store_is_back_is_not_started_twice failed before with a second start.

--- a/apricotgap/instance/poll_loops.py
+++ b/apricotgap/instance/poll_loops.py
@@ -111,7 +111,7 @@
         entry = worker.entry
         sent_ms = self._clock.now_ms
         deadline_ms = self._shard.offer_lease(worker, sent_ms, self._lease_until_ms())
-        wait_ms = POLL_WAIT_MS if worker.is_acquired and worker.clock_at_ms else 0
+        wait_ms = self._shard.poll_wait_ms(worker, sent_ms)
         try:
             response = await self._client.poll(
                 entry.address,
--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -8,8 +8,14 @@
 LEASE_MARGIN_MS = 1_200
 # Share by which a worker's clock may run slow.
 CLOCK_DRIFT = 0.02
+# Factor by which a worker's lease may last longer for its owner; covers CLOCK_DRIFT.
+WORKER_LEASE_STRETCH = 1.03
 # A worker responds to a poll after at most this time when no run ends.
 POLL_WAIT_MS = 1_000
+# It responds after at most this part of a lease that is shorter, so that the next poll
+# can renew the lease in time, but no sooner than the minimum.
+POLL_WAIT_LEASE_FRACTION = 0.33
+MIN_POLL_WAIT_MS = 200
 # A worker that has not responded for this long gets no new work.
 SILENT_WORKER_MS = 1_500
 # Base delay of retries: a worker whose start failed gets no start for a multiple of it.
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -344,6 +344,7 @@
             is_on_trial=job.is_suspect(name) and not step.is_gang,
         )
         self._shard.add_run(job, worker, run)
+        worker.record_start(at_ms)
         current.n_starts += 1
         current.effects.append(
             StartRun(
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -50,12 +50,13 @@
 
         It has to be assumed that its lease was renewed just now.
         """
-        self._add_worker(entry, at_ms, lease_ms=int(self.max_lease_ms * 1.03) + 200)
-        self.workers[entry.worker_id].is_listed = False
-        self.workers[entry.worker_id].is_unverified = True
+        worker = self._add_worker(entry, at_ms)
+        worker.lease_until_ms = worker.lease_bound_ms(at_ms, self.max_lease_ms)
+        worker.is_listed = False
+        worker.is_unverified = True
 
-    def _add_worker(self, entry: WorkerEntry, at_ms: int, lease_ms: int = 0) -> Worker:
-        worker = Worker(entry, entry.free, at_ms + lease_ms)
+    def _add_worker(self, entry: WorkerEntry, at_ms: int) -> Worker:
+        worker = Worker(entry, entry.free, at_ms)
         self.workers[entry.worker_id] = worker
         return worker
 
@@ -176,10 +177,22 @@
         lease_ms = min(self.max_lease_ms, left_ms)
         if not worker.clock_at_ms or lease_ms <= 0:
             return 0
-        # The 3 % more cover a worker whose clock runs slow by up to CLOCK_DRIFT.
-        worker.offered_until_ms = at_ms + int(lease_ms * 1.03) + 100
+        worker.offered_until_ms = worker.lease_bound_ms(at_ms, lease_ms)
         return worker.clock_now_ms(at_ms) + lease_ms
 
+    @staticmethod
+    def poll_wait_ms(worker: Worker, at_ms: int) -> int:
+        """Return how long a worker may delay its response to a poll sent now.
+
+        A worker whose lease is about to end must be polled again before: the owner may
+        have renewed its own lease meanwhile, and can then offer a longer one.
+        """
+        if not worker.is_acquired or not worker.clock_at_ms:
+            return 0
+        lease_ms = max(0, worker.offered_until_ms - at_ms)
+        wait_ms = int(lease_ms * limits.POLL_WAIT_LEASE_FRACTION)
+        return max(limits.MIN_POLL_WAIT_MS, min(limits.POLL_WAIT_MS, wait_ms))
+
     @staticmethod
     def _resolve_lease_offer(worker: Worker, was_sent: bool) -> None:
         if was_sent:
@@ -217,7 +230,9 @@
             )
         if not worker.offered_until_ms:
             # The first poll offers no lease; one of a previous owner may be valid.
-            worker.offered_until_ms = event.at_ms + int(self.max_lease_ms * 1.03)
+            worker.offered_until_ms = worker.lease_bound_ms(
+                event.at_ms, self.max_lease_ms
+            )
         self._resolve_lease_offer(worker, True)
         self._found_alive(worker)
         if worker.is_unverified:
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -100,6 +100,27 @@
         elapsed = max(0, at_ms - self.clock_at_ms)
         return self.clock_ms + int(elapsed * (1 - limits.CLOCK_DRIFT))
 
+    @staticmethod
+    def lease_bound_ms(at_ms: int, lease_ms: int) -> int:
+        """Return the latest end of a lease on the clock of the instance.
+
+        Parameters
+        ----------
+        at_ms : int
+            Time at which the lease is offered, on the clock of the instance.
+        lease_ms : int
+            Length of the lease on the worker's clock, in milliseconds.
+        """
+        return at_ms + int(lease_ms * limits.WORKER_LEASE_STRETCH) + 100
+
+    def record_start(self, at_ms: int) -> None:
+        """Record that a start was sent; it extends the lease to the end of its window.
+
+        The extension holds for all runs of the worker, even if it rejects the start.
+        """
+        window_end_ms = self.lease_bound_ms(at_ms, limits.START_WINDOW_MS)
+        self.lease_until_ms = max(self.lease_until_ms, window_end_ms)
+
     def record_failed_poll(self, at_ms: int) -> None:
         """Record that a poll of the worker got no response."""
         if self.silent_since_ms is None:
--- /dev/null
+++ b/tests/test_worker_leases.py
@@ -0,0 +1,105 @@
+"""Leases of workers around an outage of the store."""
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.events import PollAnswered
+from apricotgap.jobs.limits import WORKER_LEASE_TAIL_MS
+from apricotgap.jobs.model import Resources, StepSpec
+from tests.jobs_harness import MAX_LEASE_MS, Rig, job, running
+
+ONE_TASK = (StepSpec(1, Resources(1000, 100), 3_000),)
+
+
+class OutageRig(Rig):
+    """A shard whose owner can renew its lease only now and then."""
+
+    def __init__(self, workers=("w1", "w2")):
+        super().__init__(workers=workers)
+        self.ready()
+        self.lease_until_ms = self.now + 3_000
+
+    def send_poll(self, worker_id):
+        """Send a poll to a worker; returns when it was sent."""
+        worker = self.shard.workers[worker_id]
+        self.shard.offer_lease(worker, self.now, self.lease_until_ms)
+        return self.now
+
+    def answer_poll(self, worker_id, sent_ms, *runs):
+        """Apply the answer of a worker that lists these runs."""
+        listed = tuple(running(run) for run in runs)
+        self.shard.step(
+            PollAnswered(self.now, worker_id, 1, sent_ms, 50_000 + self.now, listed, ())
+        )
+
+    def last_through_outage(self, left_ms):
+        """Poll until the leases of the workers are about to end; send one poll more."""
+        self.now = self.lease_until_ms + WORKER_LEASE_TAIL_MS - 1_000
+        for worker_id in self.shard.workers:
+            self.answer_poll(worker_id, self.send_poll(worker_id))
+        self.now = self.lease_until_ms + WORKER_LEASE_TAIL_MS - left_ms
+        for worker_id in self.shard.workers:
+            self.send_poll(worker_id)
+        return self.now
+
+
+def test_task_started_as_the_store_is_back_is_not_started_twice():
+    """Guards against a second run while a start has extended the lease of its worker
+    beyond what the last poll before the end of an outage offered.
+    """
+    rig = OutageRig()
+    rig.submit(job(steps=ONE_TASK))
+    sent_ms = rig.last_through_outage(left_ms=200)
+    rig.now += 150
+    rig.lease_until_ms = rig.now + 3_000
+    (start,) = rig.schedule(rig.lease_until_ms)
+    rig.answer(start)
+    other = "w2" if start.worker_id == "w1" else "w1"
+    for _ in range(8):
+        rig.now += 100
+        rig.shard.tick(rig.now)
+        rig.answer_poll(other, rig.send_poll(other))
+        assert rig.schedule(rig.lease_until_ms) == []
+    rig.answer_poll(start.worker_id, sent_ms, start)
+    assert rig.schedule(rig.lease_until_ms) == []
+
+
+def test_start_window_that_a_worker_spends_out_of_reach_ends():
+    """Guards against a task that waits for a worker that fell silent at its start."""
+    rig = OutageRig()
+    rig.submit(job(steps=ONE_TASK))
+    rig.last_through_outage(left_ms=200)
+    rig.lease_until_ms = rig.now + 3_000
+    (start,) = rig.schedule(rig.lease_until_ms)
+    rig.answer(start)
+    rig.now += 2 * limits.START_WINDOW_MS
+    rig.lease_until_ms = rig.now + 3_000
+    rig.shard.tick(rig.now)
+    assert rig.shard.workers[start.worker_id].runs == {}
+
+
+def test_poll_with_a_short_lease_is_answered_soon():
+    """Guards against a worker whose lease ends while a long poll holds back its next
+    one, although the owner can renew it.
+    """
+    rig = OutageRig()
+    for left_ms in (2_500, 1_500, 600):
+        rig.last_through_outage(left_ms)
+        for worker in rig.shard.workers.values():
+            assert rig.shard.poll_wait_ms(worker, rig.now) <= left_ms / 2
+
+
+def test_poll_without_a_lease_still_waits():
+    """Guards against polls without a pause while the owner may offer no lease."""
+    rig = OutageRig()
+    rig.now = rig.lease_until_ms + WORKER_LEASE_TAIL_MS + 1
+    for worker in rig.shard.workers.values():
+        assert rig.shard.offer_lease(worker, rig.now, rig.lease_until_ms) == 0
+        assert rig.shard.poll_wait_ms(worker, rig.now) >= 100
+
+
+def test_poll_with_a_full_lease_waits_for_an_end():
+    """Guards against short polls while the store is up."""
+    rig = OutageRig()
+    for worker in rig.shard.workers.values():
+        rig.send_poll(worker.worker_id)
+        assert worker.offered_until_ms > rig.now + MAX_LEASE_MS - 1_000
+        assert rig.shard.poll_wait_ms(worker, rig.now) == limits.POLL_WAIT_MS
