Attach owner keys to a lease that is valid at the moment of the write

Cause: the election read the lease id after the epoch had been read. A stop sets it to 0 meanwhile, and the store takes 0 as no lease. The check for a stop stood before the loop over all shards only.

Change: a write takes a Lease, which can't have the id 0; the election asks for the usable lease after each wait. This also covers the time in which an ended lease is being replaced.

Tests: five in tests/test_election.py failed before.

--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -26,6 +26,7 @@
 from apricotgap.platform.store import (
     Conflict,
     Item,
+    Lease,
     StoreClient,
     Stored,
     StoreError,
@@ -79,7 +80,7 @@
         self._run_shard = run_shard
         self._vacant_since_ms: dict[str, int] = {}
         self._ownerships: dict[str, tuple[Ownership, trio.CancelScope]] = {}
-        self._member_lease = 0
+        self._member_lease: Lease | None = None
         self._overloaded_since_ms: int | None = None
         self._log = structlog.get_logger()
         self.is_draining = False
@@ -95,13 +96,22 @@
             while True:
                 await trio.sleep(_SCAN_INTERVAL_S)
                 self._drop_lost_shards()
-                if self.is_draining or not self._lease.is_valid:
+                lease = self._usable_lease
+                if lease is None:
                     continue
-                await self._register()
+                await self._register(lease)
                 await self._hand_over()
                 for shard in self._cluster_view.shards():
                     await self._claim_if_vacant(shard, nursery)
 
+    @property
+    def _usable_lease(self) -> Lease | None:
+        """The lease under which to write keys, None if this instance must write none.
+
+        It may change during each wait, so that it is read again after it.
+        """
+        return None if self.is_draining else self._lease.current
+
     def _drop_lost_shards(self) -> None:
         for shard, (ownership, scope) in list(self._ownerships.items()):
             item = self._cluster_view.owner_item(shard)
@@ -130,21 +140,20 @@
             "resigned", shard=ownership.shard, outcome=type(outcome).__name__
         )
 
-    async def _register(self) -> None:
-        lease_id = self._lease.lease_id
-        if self._member_lease == lease_id:
+    async def _register(self, lease: Lease) -> None:
+        if self._member_lease == lease:
             return
         key = MEMBERS_PREFIX + self._identity.name
-        write = Write(key, encode_member(self._identity), lease=lease_id)
+        write = Write(key, encode_member(self._identity), lease=lease)
         outcome = await self._store.write((write,))
         if isinstance(outcome, Stored):
-            self._member_lease = lease_id
-            self._log.info("member_registered", lease=lease_id)
+            self._member_lease = lease
+            self._log.info("member_registered", lease=lease.lease_id)
             return
         self._log.warning("member_not_registered", outcome=repr(outcome))
 
     async def _claim_if_vacant(self, shard: str, nursery: trio.Nursery) -> None:
-        if shard in self._ownerships:
+        if shard in self._ownerships or self._usable_lease is None:
             return
         now_ms = self._clock.now_ms
         item = self._cluster_view.owner_item(shard)
@@ -224,8 +233,11 @@
         except StoreError as error:
             self._log.warning("claim_failed", shard=shard, reason=str(error))
             return None
+        lease = self._usable_lease
+        if lease is None:
+            self._log.info("claim_dropped", shard=shard, is_draining=self.is_draining)
+            return None
         epoch = int(counter.value or b"0") + 1
-        lease_id = self._lease.lease_id
         me = self._identity
         owner = Owner(me.name, me.incarnation, me.address, epoch)
         outcome = await self._store.write(
@@ -234,7 +246,7 @@
                     owner_key(shard),
                     encode_owner(owner),
                     expected_revision=revision,
-                    lease=lease_id,
+                    lease=lease,
                 ),
                 Write(
                     epoch_key(shard),
@@ -253,7 +265,10 @@
             self._cluster_view.apply(
                 Item(owner_key(shard), encode_owner(owner), revision, revision)
             )
-            return Ownership(shard, epoch, revision, lease_id)
+            if self._usable_lease != lease:
+                # The key goes with its lease.
+                return None
+            return Ownership(shard, epoch, revision, lease.lease_id)
         if isinstance(outcome, Conflict):
             for item in outcome.items:
                 self._cluster_view.apply(item)
--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -4,7 +4,7 @@
 import trio
 
 from apricotgap.clock import Clock
-from apricotgap.platform.store import StoreClient, StoreError
+from apricotgap.platform.store import Lease, StoreClient, StoreError
 
 __all__ = ["InstanceLease"]
 
@@ -43,6 +43,11 @@
         """Whether the lease cannot have expired yet."""
         return self.lease_id != 0 and self._clock.now_ms < self.valid_until_ms
 
+    @property
+    def current(self) -> Lease | None:
+        """The lease that new keys may be attached to, None if it may have expired."""
+        return Lease(self.lease_id) if self.is_valid else None
+
     def valid_until_ms_of(self, lease_id: int) -> int:
         """Return the earliest time at which a lease may expire.
 
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -13,6 +13,7 @@
     "Conflict",
     "HistoryLostError",
     "Item",
+    "Lease",
     "LeaseGone",
     "Snapshot",
     "StoreClient",
@@ -63,19 +64,36 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease that the store has granted.
+
+    Raises
+    ------
+    ValueError
+        The id is 0, which the store takes as no lease: the key would stay for good.
+    """
+
+    lease_id: int
+
+    def __post_init__(self) -> None:
+        if self.lease_id <= 0:
+            raise ValueError(f"{self.lease_id} is not the id of a lease")
+
+
 @dataclass(frozen=True, slots=True)
 class Write:
     """Write and condition on one key of a transaction.
 
     `expected_revision` is None for no condition and 0 for a key that must not
     exist. A `value` of None removes the key, unless `check_only` is set. `lease` is
-    the lease to which the key is attached, 0 for none.
+    the lease to which the key is attached, None for a key that stays.
     """
 
     key: str
     value: bytes | None = None
     expected_revision: int | None = None
-    lease: int = 0
+    lease: Lease | None = None
     check_only: bool = False
 
 
@@ -306,7 +324,7 @@
                     {
                         "key": write.key,
                         "value": b64encode(write.value).decode(),
-                        "lease": write.lease,
+                        "lease": write.lease.lease_id if write.lease else 0,
                     }
                     for write in writes
                     if write.value is not None
@@ -343,6 +361,8 @@
         if status != 200:
             raise StoreError(f"status {status}")
         wire = _decode(_LEASE_DECODER, body)
+        if wire.lease <= 0:
+            raise StoreError("malformed response: no id of a lease")
         return wire.lease, wire.ttlMs
 
     async def renew_lease(self, lease: int, timeout_ms: int) -> bool:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -1,5 +1,6 @@
 """Election of shard owners: claims, handovers and reclaimed shards."""
 
+import pytest
 import trio
 import trio.testing
 
@@ -13,13 +14,15 @@
 )
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
+    OWNERS_PREFIX,
     Member,
     Owner,
     encode_member,
     encode_owner,
     owner_key,
 )
-from apricotgap.platform.store import Item, Stored, Unavailable
+from apricotgap.instance.lease import InstanceLease
+from apricotgap.platform.store import Item, Lease, Stored, Unavailable
 
 
 class Store:
@@ -43,11 +46,12 @@
         return Stored(self.revision)
 
 
-class Lease:
+class EndlessLease:
     """A lease that never expires."""
 
     lease_id = 1
     is_valid = True
+    current = Lease(1)
 
 
 class TwoShardView(ClusterView):
@@ -68,7 +72,12 @@
         self.me = Member("me", "i1", "10.0.0.1:1", "a", speed_milli)
         self.running = []
         self.election = Election(
-            self.me, self.store, Lease(), self.cluster_view, self.clock, self._run_shard
+            self.me,
+            self.store,
+            EndlessLease(),
+            self.cluster_view,
+            self.clock,
+            self._run_shard,
         )
 
     async def _run_shard(self, ownership):
@@ -165,3 +174,152 @@
         assert rig.election.n_owned == 2
 
     run(check)
+
+
+class SlowStore(Store):
+    """Reads of epochs last until `read_ends` is set; leases end when a test says so."""
+
+    def __init__(self):
+        super().__init__()
+        self.read_ends = trio.Event()
+        self.reading = trio.Event()
+        self.writes = []
+        self.has_lease_ended = False
+        self.grants = trio.Event()
+        self.n_leases = 0
+
+    async def read_key(self, key):
+        self.reading.set()
+        await self.read_ends.wait()
+        return await super().read_key(key)
+
+    async def write(self, writes):
+        self.writes += writes
+        return await super().write(writes)
+
+    async def grant_lease(self, ttl_ms):
+        if self.has_lease_ended:
+            await self.grants.wait()
+        self.n_leases += 1
+        return self.n_leases, ttl_ms
+
+    async def renew_lease(self, lease, timeout_ms):
+        return not self.has_lease_ended
+
+    async def revoke_lease(self, lease):
+        self.has_lease_ended = True
+
+    @property
+    def claims_without_a_lease(self):
+        """Owner keys that were written and that no lease would ever remove."""
+        return [
+            write.key
+            for write in self.writes
+            if write.key.startswith(OWNERS_PREFIX) and write.value and not write.lease
+        ]
+
+
+class LeasedRig(Rig):
+    """An instance whose claims take as long as a test wants them to."""
+
+    def __init__(self):
+        super().__init__(1_000)
+        self.store = SlowStore()
+        self.store.cluster_view = self.cluster_view
+        self.lease = InstanceLease(self.store, self.clock, 1_000)
+        self.election = Election(
+            self.me,
+            self.store,
+            self.lease,
+            self.cluster_view,
+            self.clock,
+            self._run_shard,
+        )
+
+
+def run_claiming(check):
+    """Run a check from the moment on in which a claim has begun."""
+
+    async def main():
+        rig = LeasedRig()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.lease.run)
+            nursery.start_soon(rig.election.run)
+            await rig.store.reading.wait()
+            await check(rig)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.001))
+
+
+def test_claim_in_flight_is_dropped_when_the_instance_stops():
+    """Guards against an owner key without a lease, which keeps its shard from all
+    other instances after this one has left.
+    """
+
+    async def check(rig):
+        rig.election.is_draining = True
+        await rig.lease.revoke()
+        rig.store.read_ends.set()
+        await rig.advance(2_000)
+        assert rig.store.claims_without_a_lease == []
+        assert rig.running == []
+
+    run_claiming(check)
+
+
+def test_claim_in_flight_is_dropped_when_the_lease_has_ended():
+    """Guards against an owner key without a lease while the next one is requested."""
+
+    async def check(rig):
+        rig.store.has_lease_ended = True
+        await rig.advance(1_000)
+        rig.store.read_ends.set()
+        await rig.advance(1_000)
+        assert rig.store.claims_without_a_lease == []
+        assert rig.running == []
+        rig.store.has_lease_ended = False
+        rig.store.grants.set()
+        await rig.advance(2_000)
+        assert sorted(rig.running) == ["s1", "s2"]
+
+    run_claiming(check)
+
+
+def test_draining_instance_claims_no_further_shard():
+    """Guards against shards that a stopping instance takes from those that stay."""
+
+    async def check(rig):
+        rig.election.is_draining = True
+        rig.store.read_ends.set()
+        await rig.advance(2_000)
+        assert rig.running == []
+        assert [
+            w.key for w in rig.store.writes if w.key.startswith(OWNERS_PREFIX)
+        ] == []
+
+    run_claiming(check)
+
+
+def test_lease_of_a_write_names_a_lease():
+    """Guards against a key that the store takes as one without a lease."""
+    with pytest.raises(ValueError, match="not the id of a lease"):
+        Lease(0)
+
+
+def test_shard_claimed_as_the_lease_ends_is_not_run():
+    """Guards against an owner that begins its work after it gave its lease back."""
+
+    async def check(rig):
+        async def write(writes):
+            outcome = await SlowStore.write(rig.store, writes)
+            if any(write.key.startswith(OWNERS_PREFIX) for write in writes):
+                await rig.lease.revoke()
+            return outcome
+
+        rig.store.write = write
+        rig.store.read_ends.set()
+        await rig.advance(1_000)
+        assert rig.running == []
+
+    run_claiming(check)
