Decode the documents of others in one place with one error

Cause: msgspec raises RecursionError for nested input. Each caller listed the decoder's errors by itself and none had this one, so that it reached the nursery of the process.

Change: apricotgap/decoding.py turns every failure of a decoder into DecodeError, and all JSON and CBOR of other programs goes through it.

--- a/apricotgap/core/claim_document.py
+++ b/apricotgap/core/claim_document.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.model import Request
 
 __all__ = ["ClaimDocument", "ClaimStep", "claim_key", "request_digest"]
@@ -54,8 +55,8 @@
     def decode(value: bytes) -> "ClaimDocument | None":
         """Return the document, or None when the value is malformed."""
         try:
-            return msgspec.json.decode(value, type=ClaimDocument)
-        except msgspec.MsgspecError:
+            return decode_json(value, ClaimDocument)
+        except DecodeError:
             return None
 
     def body_key(self, key: str) -> str:
--- a/apricotgap/core/grants.py
+++ b/apricotgap/core/grants.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.errors import ValidationError
 
 __all__ = ["GRANTS_KEY", "Grant", "Grants", "decode_grants", "encode_grants"]
@@ -56,8 +57,8 @@
     if not value:
         return Grants()
     try:
-        return msgspec.json.decode(value, type=Grants)
-    except msgspec.MsgspecError as error:
+        return decode_json(value, Grants)
+    except DecodeError as error:
         raise ValidationError(
             f"the document {GRANTS_KEY} is malformed: {error}",
             "restore it from a backup of the store",
--- a/apricotgap/core/ledger_codec.py
+++ b/apricotgap/core/ledger_codec.py
@@ -8,6 +8,7 @@
 import cbor2
 import msgspec
 
+from apricotgap.decoding import DecodeError, decode_cbor
 from apricotgap.errors import ValidationError
 from apricotgap.model.ledger import DataCentreLedger, FleetLedger, Row
 
@@ -74,8 +75,8 @@
     if not value:
         return form(writer="")
     try:
-        return msgspec.convert(cbor2.loads(value), form)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, TypeError) as error:
+        return msgspec.convert(decode_cbor(value), form)
+    except (DecodeError, msgspec.ValidationError, TypeError) as error:
         raise ValidationError(
             f"the {form.__name__} document is malformed: {error}",
             "restore the key from the store's history",
--- a/apricotgap/core/operator_intents.py
+++ b/apricotgap/core/operator_intents.py
@@ -22,6 +22,7 @@
 from apricotgap.core.limits import PLAN_RETENTION_MS
 from apricotgap.core.operators import Action, EditChange, PlanCall, answer_error
 from apricotgap.core.plan_cancel import cancel_plan
+from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.errors import (
     ApricotgapError,
     ConflictError,
@@ -290,8 +291,8 @@
 
 def _decode(item: KeyValue) -> Plan:
     try:
-        return msgspec.json.decode(item.value, type=Plan)
-    except msgspec.MsgspecError as error:
+        return decode_json(item.value, Plan)
+    except DecodeError as error:
         raise ConflictError(
             f"the document {item.key} is malformed: {error}", "plan again"
         ) from error
--- a/apricotgap/core/part_codec.py
+++ b/apricotgap/core/part_codec.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from apricotgap.core import limits
+from apricotgap.decoding import DecodeError, decode_cbor
 from apricotgap.errors import ValidationError
 from apricotgap.model import (
     Budget,
@@ -166,8 +167,8 @@
 def loads(blob: bytes, name: str) -> Any:
     """Decode CBOR, raising `ValidationError` on malformed bytes."""
     try:
-        return cbor2.loads(blob)
-    except (cbor2.CBORError, ValueError, RecursionError) as error:
+        return decode_cbor(blob)
+    except DecodeError as error:
         raise malformed(name, str(error)) from error
 
 
--- a/apricotgap/core/registration.py
+++ b/apricotgap/core/registration.py
@@ -29,6 +29,7 @@
 )
 from apricotgap.core.membership import Member, is_data_centre_cut_off, own_member
 from apricotgap.core.state import EntryState
+from apricotgap.decoding import decode_cbor
 
 __all__ = [
     "CALL_PREFIX",
@@ -78,8 +79,8 @@
 def decode_member(blob: bytes) -> Member | None:
     """Decode a member; return None if the document is malformed."""
     try:
-        wire = msgspec.convert(cbor2.loads(blob), _WireMember)
-    except (cbor2.CBORError, ValueError, RecursionError):
+        wire = msgspec.convert(decode_cbor(blob), _WireMember)
+    except (ValueError, RecursionError):
         return None
     return Member(
         wire.entry,
--- a/apricotgap/core/runner_role.py
+++ b/apricotgap/core/runner_role.py
@@ -29,6 +29,7 @@
     RUNNER_LEASE_MS,
     RUNNER_RETRY_MS,
 )
+from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.errors import ValidationError
 
 if TYPE_CHECKING:
@@ -246,8 +247,8 @@
         yield from _call(state, RolePhase.LEASE, at_ms)
         return
     try:
-        holder = msgspec.json.decode(value, type=RoleDocument)
-    except msgspec.MsgspecError:
+        holder = decode_json(value, RoleDocument)
+    except DecodeError:
         yield from _release_role(state, at_ms, f"the document {ROLE_KEY} is malformed")
         return
     own = holder.incarnation == state.identity.incarnation
--- a/apricotgap/drivers/backends.py
+++ b/apricotgap/drivers/backends.py
@@ -1,6 +1,5 @@
 """HTTP client that dispatches tasks to backend servers and probes them."""
 
-import json
 from collections.abc import Callable
 from typing import Any
 
@@ -30,6 +29,7 @@
     WorkerReported,
     WorkerUnreachable,
 )
+from apricotgap.decoding import decode_json
 from apricotgap.drivers.background import BackgroundDriver
 from apricotgap.drivers.bodies import BackendResponse, BodyBuffer
 from apricotgap.drivers.spans import RequestSpans
@@ -266,7 +266,7 @@
                 )
         if response.status != 200:
             raise ValueError(f"status {response.status}")
-        return json.loads(response.content)
+        return decode_json(response.content, Any)
 
     def _control_runner(self, action: str) -> Callable[[Any], Any]:
         # A failed control call posts no event: the core repeats the call, or the task
--- a/apricotgap/drivers/etcd_store.py
+++ b/apricotgap/drivers/etcd_store.py
@@ -12,6 +12,7 @@
 
 from apricotgap.core.events import CasResult, KeyValue
 from apricotgap.core.limits import CAS_TIMEOUT_MS
+from apricotgap.decoding import decode_json
 from apricotgap.drivers.store_api import (
     MAX_VALUE_BYTES,
     CasResponse,
@@ -262,7 +263,7 @@
         if response.status != 200:
             raise _LostResponseError(f"status {response.status}")
         try:
-            document = json.loads(response.content)
+            document = decode_json(response.content, Any)
         except ValueError as error:
             raise _LostResponseError("the response is not JSON") from error
         if not isinstance(document, dict):
@@ -318,7 +319,8 @@
 
 def _watch_result(line: bytes) -> dict[str, Any]:
     try:
-        result = json.loads(line)["result"]
+        response: Any = decode_json(line, Any)
+        result = response["result"]
     except (KeyError, TypeError, ValueError) as error:
         raise StoreCallError("watch response is malformed or missing") from error
     if not isinstance(result, dict):
--- a/apricotgap/drivers/instances.py
+++ b/apricotgap/drivers/instances.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from typing import Any
 from urllib.parse import quote
 
 import httpcore
@@ -11,6 +12,7 @@
 from apricotgap.clock import Clock
 from apricotgap.core.effects import Effect, ReadInstanceList, RebootInstance
 from apricotgap.core.events import Event, InstanceListRead
+from apricotgap.decoding import decode_json
 
 __all__ = ["InstancesDriver"]
 
@@ -109,7 +111,9 @@
 
     async def _read(self) -> None:
         try:
-            response = json.loads(await self._call("GET", "/v1/instances", b""))
+            response: Any = decode_json(
+                await self._call("GET", "/v1/instances", b""), Any
+            )
             live, leaving = frozenset(response["live"]), frozenset(response["leaving"])
         except (_PlatformCallError, ValueError, KeyError, TypeError) as error:
             self._record_failure(error)
--- a/apricotgap/drivers/operators.py
+++ b/apricotgap/drivers/operators.py
@@ -13,6 +13,7 @@
 from apricotgap.clock import Clock
 from apricotgap.core.effects import AnswerOperator
 from apricotgap.core.events import Event, OperatorCalled
+from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.errors import (
     ApricotgapError,
     NotAuthorisedError,
@@ -166,8 +167,8 @@
 
 def _decode(body: bytes) -> dict[str, Any]:
     try:
-        decoded = json.loads(body or b"{}")
-    except (ValueError, RecursionError) as error:
+        decoded = decode_json(body or b"{}", Any)
+    except DecodeError as error:
         raise ValidationError(
             f"the body is not JSON: {error}", "send one JSON object"
         ) from error
--- a/apricotgap/drivers/peer_codec.py
+++ b/apricotgap/drivers/peer_codec.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from apricotgap.core.state import Identity
+from apricotgap.decoding import DecodeError, decode_cbor
 from apricotgap.model.peers import PROTOCOL_VERSION, PeerMessage
 
 __all__ = [
@@ -90,8 +91,8 @@
         If the protocol version or the message type is unknown.
     """
     try:
-        document = cbor2.loads(blob)
-    except (cbor2.CBORError, ValueError, RecursionError) as error:
+        document = decode_cbor(blob)
+    except DecodeError as error:
         raise MalformedMessage(f"malformed CBOR: {error}") from error
     if not isinstance(document, dict):
         raise MalformedMessage("a message must be a map")
--- a/apricotgap/instance/fleet_order_store.py
+++ b/apricotgap/instance/fleet_order_store.py
@@ -6,9 +6,9 @@
 import structlog
 
 from apricotgap.clock import Clock
+from apricotgap.decoding import decode_cbor
 from apricotgap.instance.keys import FLEET_ORDERS_KEY
 from apricotgap.instance.ownership import Ownership
-from apricotgap.jobs.cbor import decode_cbor
 from apricotgap.platform.store import (
     Conflict,
     StoreClient,
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -7,11 +7,11 @@
 import trio
 
 from apricotgap.clock import Clock
+from apricotgap.decoding import decode_cbor
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.fleet_order_store import FleetOrderStore
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.ownership import Ownership
-from apricotgap.jobs.cbor import decode_cbor
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult
 from apricotgap.jobs.fleet_plan import FleetPlanner
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -6,7 +6,7 @@
 
 import cbor2
 
-from apricotgap.jobs.cbor import decode_cbor
+from apricotgap.decoding import decode_cbor
 from apricotgap.platform.store import Write
 
 __all__ = [
--- a/apricotgap/instance/peers.py
+++ b/apricotgap/instance/peers.py
@@ -11,7 +11,7 @@
 from websockets.trio.client import connect
 from websockets.trio.server import serve
 
-from apricotgap.jobs.cbor import decode_cbor
+from apricotgap.decoding import decode_cbor
 
 __all__ = ["PeerCallError", "PeerClient", "serve_peers"]
 
--- a/apricotgap/instance/roster.py
+++ b/apricotgap/instance/roster.py
@@ -4,9 +4,9 @@
 import structlog
 import trio
 
+from apricotgap.decoding import decode_cbor
 from apricotgap.instance.keys import roster_key
 from apricotgap.instance.ownership import Ownership
-from apricotgap.jobs.cbor import decode_cbor
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.model import Resources
 from apricotgap.jobs.shard import Shard
--- a/apricotgap/jobs/documents.py
+++ b/apricotgap/jobs/documents.py
@@ -4,7 +4,7 @@
 
 import cbor2
 
-from apricotgap.jobs.cbor import decode_cbor
+from apricotgap.decoding import decode_cbor
 from apricotgap.jobs.model import JobPhase, JobSpec, Resources, StepSpec, TaskName
 
 __all__ = [
--- a/apricotgap/platform/advice.py
+++ b/apricotgap/platform/advice.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.platform.http import HttpClient, NoResponseError
 
 __all__ = ["AdviceClient", "AdviceError"]
@@ -65,8 +66,19 @@
             raise AdviceError(error.reason) from error
         if response.status != 200:
             raise AdviceError(f"status {response.status}")
-        try:
-            approval = msgspec.json.decode(response.body, type=_Approval)
-        except (msgspec.MsgspecError, ValueError) as error:
-            raise AdviceError(f"malformed response: {error}") from error
+        approval = decode_approval(response.body)
         return dict(approval.approved), approval.validity_ms
+
+
+def decode_approval(body: bytes) -> _Approval:
+    """Decode the tickets that the service has approved.
+
+    Raises
+    ------
+    AdviceError
+        The body is malformed.
+    """
+    try:
+        return decode_json(body, _Approval)
+    except DecodeError as error:
+        raise AdviceError(str(error)) from error
--- a/apricotgap/platform/machines.py
+++ b/apricotgap/platform/machines.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import MachineOrder
 from apricotgap.platform.http import HttpClient, NoResponseError
@@ -111,9 +112,12 @@
         return "unavailable"
 
 
+class _Conflict(msgspec.Struct):
+    reason: str | None = None
+
+
 def _conflict_reason(body: bytes) -> str:
     try:
-        reason = msgspec.json.decode(body).get("reason")
-    except (msgspec.MsgspecError, ValueError, AttributeError):
-        reason = None
-    return str(reason or "conflict")
+        return decode_json(body, _Conflict).reason or "conflict"
+    except DecodeError:
+        return "conflict"
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.platform.http import HttpClient, HttpResponse, NoResponseError
 
 __all__ = [
@@ -421,6 +422,6 @@
 
 def _decode(decoder: "msgspec.json.Decoder[_T]", body: bytes) -> _T:
     try:
-        return decoder.decode(body)
-    except (msgspec.DecodeError, ValueError) as error:
+        return decode_json(body, decoder)
+    except DecodeError as error:
         raise StoreError(f"malformed response: {error}") from error
--- a/apricotgap/platform/wire.py
+++ b/apricotgap/platform/wire.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.jobs.configuration import (
     Configuration,
     QueueSpec,
@@ -159,8 +160,8 @@
         The document is malformed or does not fit the struct.
     """
     try:
-        return msgspec.json.decode(data, type=struct_type)
-    except (msgspec.MsgspecError, ValueError) as error:
+        return decode_json(data, struct_type)
+    except DecodeError as error:
         raise WireError(str(error)) from error
 
 
--- a/apricotgap/platform/workers.py
+++ b/apricotgap/platform/workers.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.jobs.effects import PaceRun, StartRun, StopRun
 from apricotgap.jobs.events import EndReport, RunReport, StartResult
 from apricotgap.jobs.model import RunEnd, TaskName
@@ -101,8 +102,8 @@
 
 def _decode_outcome(body: bytes) -> _OutcomeBody:
     try:
-        return _OUTCOME_DECODER.decode(body)
-    except (msgspec.MsgspecError, ValueError):
+        return decode_json(body, _OUTCOME_DECODER)
+    except DecodeError:
         return _OutcomeBody()
 
 
@@ -115,15 +116,15 @@
         The body is malformed.
     """
     try:
-        wire = _POLL_DECODER.decode(body)
+        wire = decode_json(body, _POLL_DECODER)
         return PollResponse(
             wire.clock_ms,
             wire.born_ms,
             tuple(row.report() for row in wire.running),
             tuple(row.report() for row in wire.finished),
         )
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise WorkerError(f"malformed response: {error}") from error
+    except ValueError as error:
+        raise WorkerError(f"malformed response: {error}"[:200]) from error
 
 
 class WorkerClient:
