Refuse worker entries whose address is none

Operators of similar systems saw processes end, or stop following the list of workers, because of one odd entry: nested, with a number too large, or with a port out of range.

Cause: only digits after a colon were asked for, and superscripts passed.

Change: an IPv4 address and a port from 1 to 65535. Errors quote 80 characters of a value instead of all of it.

--- a/apricotgap/platform/wire.py
+++ b/apricotgap/platform/wire.py
@@ -4,6 +4,7 @@
 ``rename``.
 """
 
+from ipaddress import IPv4Address
 from typing import Annotated, Any, TypeVar
 
 import msgspec
@@ -32,6 +33,10 @@
 # Largest integer on which JSON implementations agree. JSON itself has no limit, and
 # calculations with much larger numbers overflow.
 MAX_INTEGER = 2**53 - 1
+_MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
+# Values of other writers are quoted in messages up to this length.
+_MAX_QUOTED = 80
 MAX_WAVE_S = 10 * 366 * 24 * 3_600
 
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
@@ -203,6 +208,18 @@
     )
 
 
+def _is_address(address: str) -> bool:
+    """Whether a connection to ``IPV4:PORT`` can be tried without a name lookup."""
+    host, _, port = address.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= _MAX_PORT_DIGITS):
+        return False
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < int(port) <= _MAX_PORT
+
+
 def decode_worker(worker_id: str, data: bytes) -> WorkerEntry:
     """Decode the entry with which a worker registers itself in the store.
 
@@ -213,10 +230,10 @@
     """
     wire = decode(_Worker, data)
     if wire.state not in ("ready", "draining"):
-        raise WireError(f"unknown state {wire.state}")
-    host, _, port = wire.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise WireError(f"address is not HOST:PORT: {wire.address}")
+        raise WireError(f"unknown state {wire.state[:_MAX_QUOTED]!r}")
+    if not _is_address(wire.address):
+        quoted = repr(wire.address[:_MAX_QUOTED])
+        raise WireError(f"address is not IPV4:PORT: {quoted}")
     return WorkerEntry(
         worker_id,
         wire.service,
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -127,7 +127,7 @@
 
     def start(self):
         """Start the process unless it runs; faults may overlap."""
-        if self._process is not None and self._process.poll() is None:
+        if self.is_running:
             return
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
@@ -143,13 +143,18 @@
         """Process id."""
         return self._process.pid
 
+    @property
+    def is_running(self):
+        """Whether the process was started and has not ended."""
+        return self._process is not None and self._process.poll() is None
+
     def signal(self, number):
         """Send a signal to the process."""
         self._process.send_signal(number)
 
     def stop(self):
         """Kill the process and wait for its end."""
-        if self._process is not None and self._process.poll() is None:
+        if self.is_running:
             self._process.kill()
             self._process.wait()
 
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -135,3 +135,13 @@
         assert [entry.worker_id for entry in listed.entries()] == ["i-0", "i-2"]
 
     trio.run(main)
+
+
+def test_long_values_are_not_repeated_in_errors():
+    """Guards against log lines as long as the entries of other writers."""
+    entry = {"service": "s", "address": "a" * 100_000, "state": "ready"}
+    for changes in ({}, {"state": "s" * 100_000}):
+        data = json.dumps(entry | {"freeCapacity": {}} | changes).encode()
+        with pytest.raises(ValueError, match="a|s") as caught:
+            decode_worker("i-1", data)
+        assert len(str(caught.value)) < 500
--- a/tests/test_instance_process.py
+++ b/tests/test_instance_process.py
@@ -94,6 +94,44 @@
     run(check, tmp_path)
 
 
+def test_odd_entries_do_not_stop_the_owners_from_following_the_workers(tmp_path):
+    """Guards against entries of another writer that end owners or hide a change."""
+    entry = {"service": SERVICE, "state": "ready", "freeCapacity": {"cpu": 8000}}
+    address = "127.0.0.1:9"
+    odd = [
+        b'{"notes":' + b"[" * 4_000,
+        json.dumps(entry | {"address": address, "born": 10**400}).encode(),
+        json.dumps(entry | {"address": address, "clockMs": 1e300}).encode(),
+        *(
+            json.dumps(entry | {"address": each}).encode()
+            for each in ("127.0.0.1:99999", "127.0.0.1:\u00b2", "\u00e9" * 70 + ":80")
+        ),
+    ]
+
+    async def check(cluster):
+        for n, data in enumerate(odd):
+            cluster.store.put(f"servers/odd-{n}", data)
+        gone = cluster.workers[0]
+        cluster.store.put(
+            f"servers/{gone.worker_id}",
+            json.dumps(gone.entry(SERVICE) | {"state": "draining"}).encode(),
+        )
+        await trio.sleep(3)
+        job_id = "a" * 16
+        instance = cluster.instances[0]
+        assert (await cluster.request(instance, "POST", job_id, JOB))[0] == 200
+        await cluster.until_succeeded(instance, job_id)
+        owner = cluster.owner()
+        assert len(owner.lines("worker_entry_unusable")) == len(odd)
+        assert any(
+            line["worker"] == gone.worker_id for line in owner.lines("worker_draining")
+        )
+        for each in cluster.instances:
+            assert each.is_running and not each.lines("shard_failed")
+
+    run(check, tmp_path)
+
+
 @pytest.mark.parametrize("number", [SIGKILL, SIGTERM])
 def test_job_continues_after_its_owner_ends(tmp_path, number):
     """Guards against lost and repeated tasks after the loss of a shard owner."""
