Charge no crash to a start that may not have arrived

Cause: a run that no list had shown counted as one that crashed its worker at its start, also when the start got no answer.

Change: unanswered starts are counted apart from the points, bounded to five crashes in all, and cleared when a run of the task starts up.

--- a/apricotgap/jobs/crashes.py
+++ b/apricotgap/jobs/crashes.py
@@ -4,20 +4,26 @@
 of them those that had just started, and a task with too many points is given up. A task
 that is suspect by its points starts again on trial: until it has started up, nothing
 else starts on its worker, so that the next crash has one cause.
+
+A start that was never answered may have crashed its worker, or have found it down. Such
+crashes are counted apart: they never give a task up together with a single crash under
+a run that began.
 """
 
 from dataclasses import dataclass
 
 from apricotgap.jobs import limits
+from apricotgap.jobs.documents import TaskRecord
 from apricotgap.jobs.model import TaskName
 from apricotgap.jobs.runs import Run
 from apricotgap.jobs.workers import Worker
 
 __all__ = [
-    "MAX_CRASH_POINTS",
     "SUSPECT_POINTS",
     "LostRuns",
     "LostTask",
+    "is_given_up",
+    "is_suspect",
     "lost_tasks",
 ]
 
@@ -29,6 +35,9 @@
 SUSPECT_POINTS = CRASH_AT_START_POINTS
 # A task with as many points is given up: after two to four crashes.
 MAX_CRASH_POINTS = 4
+# Most crashes after starts of a task, whether these were answered or not. A task that
+# has crashed three workers may be started twice more.
+MAX_CRASHES = 5
 # A long-running task that had run for this long is not the cause of a crash. It
 # may run for weeks, and would collect points by chance.
 PROVEN_RUN_MS = 10_000
@@ -39,13 +48,23 @@
     """A task whose run ended with its worker; points count if the worker crashed.
 
     They raise the points of the task to `max_points` at most. `is_cleared` means that
-    the run proved the task harmless.
+    the run proved the task harmless, `is_unconfirmed` that its start was not answered.
     """
 
     name: TaskName
     points: int
     max_points: int = MAX_CRASH_POINTS
     is_cleared: bool = False
+    is_unconfirmed: bool = False
+
+    def charge(self, record: TaskRecord) -> None:
+        """Add the crash of the worker to the record of the task."""
+        if self.is_cleared:
+            record.crash_points = record.n_unconfirmed_crashes = 0
+            return
+        record.n_unconfirmed_crashes += self.is_unconfirmed
+        points = min(record.crash_points + self.points, self.max_points)
+        record.crash_points = max(record.crash_points, points)
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +78,18 @@
     tasks: tuple[LostTask, ...]
 
 
+def is_suspect(record: TaskRecord) -> bool:
+    """Whether a task may crash the worker that starts it."""
+    return record.crash_points >= SUSPECT_POINTS or record.n_unconfirmed_crashes > 0
+
+
+def is_given_up(record: TaskRecord) -> bool:
+    """Whether a task must not start again since workers crashed under it."""
+    if record.crash_points >= MAX_CRASH_POINTS:
+        return True
+    return record.crash_points + record.n_unconfirmed_crashes >= MAX_CRASHES
+
+
 def lost_tasks(worker: Worker) -> tuple[LostTask, ...]:
     """Return the tasks of a lost worker with their points for a crash.
 
@@ -66,10 +97,14 @@
     other starts that the trial may have met under way.
     """
     runs = [run for run in worker.runs.values() if _was_sent_before(run, worker)]
-    at_start = [run for run in runs if _was_starting(run, worker)]
+    begun = [run for run in runs if run.has_begun]
+    at_start = [run for run in begun if _was_starting(run, worker)]
     lost = [LostTask(run.name, CRASH_AT_START_POINTS) for run in at_start]
+    lost += [
+        LostTask(run.name, 0, is_unconfirmed=True) for run in runs if not run.has_begun
+    ]
     if worker.trial is None or worker.trial not in at_start:
-        lost += [_lost_at_work(run, worker) for run in runs if run not in at_start]
+        lost += [_lost_at_work(run, worker) for run in begun if run not in at_start]
     return tuple(lost)
 
 
--- a/apricotgap/jobs/documents.py
+++ b/apricotgap/jobs/documents.py
@@ -32,13 +32,15 @@
 
     `failed_runs` holds run numbers instead of a count: workers report unacknowledged
     ends again to the next owner, which must not count them twice. `crash_points` say
-    how likely the task crashes the workers that start it.
+    how likely the task crashes the workers that start it, `n_unconfirmed_crashes` how
+    many crashed after a start that they never answered and that may not have arrived.
     """
 
     done: bool = False
     failed_runs: list[int] = field(default_factory=list)
     checkpoint: str = ""
     crash_points: int = 0
+    n_unconfirmed_crashes: int = 0
 
 
 @dataclass(slots=True)
@@ -133,6 +135,7 @@
                     record.failed_runs,
                     record.checkpoint,
                     record.crash_points,
+                    record.n_unconfirmed_crashes,
                 ]
                 for name, record in progress.tasks.items()
             ],
@@ -162,9 +165,9 @@
 
 
 def _task_record(row: list) -> TaskRecord:
-    # Documents of earlier builds have no crash points.
+    # Documents of earlier builds have no crash points, or no unconfirmed crashes.
     done, failed_runs, checkpoint, *rest = row
-    return TaskRecord(bool(done), list(failed_runs), checkpoint, *rest[:1])
+    return TaskRecord(bool(done), list(failed_runs), checkpoint, *rest[:2])
 
 
 def encode_split(split: dict[str, Resources]) -> bytes:
--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -1,6 +1,6 @@
 """In-memory state of a job at the owner of its shard."""
 
-from apricotgap.jobs.crashes import MAX_CRASH_POINTS, SUSPECT_POINTS
+from apricotgap.jobs import crashes
 from apricotgap.jobs.documents import Progress, TaskRecord
 from apricotgap.jobs.model import JobPhase, JobSpec, StepSpec, TaskName
 from apricotgap.jobs.runs import Run
@@ -59,7 +59,7 @@
                 self._n_remaining[key] = step.n_tasks - len(done)
                 self.waiting[key] = set(range(step.n_tasks)) - done
         for name, record in self.progress.tasks.items():
-            if record.crash_points >= MAX_CRASH_POINTS:
+            if crashes.is_given_up(record):
                 self.give_up(name)
 
     def _done_indices(self, key: StepKey) -> set[int]:
@@ -98,12 +98,12 @@
     def is_suspect(self, name: TaskName) -> bool:
         """Whether a task may crash the worker that starts it."""
         record = self.progress.tasks.get(name)
-        return record is not None and record.crash_points >= SUSPECT_POINTS
+        return record is not None and crashes.is_suspect(record)
 
     def is_given_up(self, name: TaskName) -> bool:
         """Whether a task must not start again since workers crashed under it."""
         record = self.progress.tasks.get(name)
-        return record is not None and record.crash_points >= MAX_CRASH_POINTS
+        return record is not None and crashes.is_given_up(record)
 
     def give_up(self, name: TaskName) -> None:
         """Start a task no more, although it is not done."""
--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -26,9 +26,10 @@
 
     A list of the worker requested at `visible_from_ms` or later that lacks the run
     proves that the run does not exist. `is_stopped` is set once the worker has accepted
-    a stop, `is_started_up` once a list of the worker shows that the run got over its
-    start. A run on trial is one of a task that may have crashed a worker. Times are on
-    the clock of the instance.
+    a stop, `has_begun` once it has confirmed the start or listed the run, and
+    `is_started_up` once a list shows that the run got over its start. A run on trial is
+    one of a task that may have crashed a worker. Times are on the clock of the
+    instance.
     """
 
     name: TaskName
@@ -47,6 +48,7 @@
     started_ms: int = 0
     stop_sent_ms: int = -1_000_000
     is_stopped: bool = False
+    has_begun: bool = False
     is_started_up: bool = False
     is_on_trial: bool = False
 
--- a/apricotgap/jobs/shard_crashes.py
+++ b/apricotgap/jobs/shard_crashes.py
@@ -3,12 +3,7 @@
 from collections.abc import Iterable
 
 from apricotgap.jobs import limits
-from apricotgap.jobs.crashes import (
-    MAX_CRASH_POINTS,
-    LostRuns,
-    LostTask,
-    lost_tasks,
-)
+from apricotgap.jobs.crashes import LostRuns, LostTask, is_given_up, lost_tasks
 from apricotgap.jobs.effects import Effect, LogDecision
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.job_state import JobState
@@ -58,6 +53,7 @@
                 "why": why,
                 "n_runs": len(runs),
                 "n_starting": sum(not run.is_started_up for run in runs),
+                "n_unconfirmed": sum(not run.has_begun for run in runs),
                 "tasks": [str(run.name) for run in recent],
                 "runs": [run.run_id for run in recent],
                 "sent_before_ms": [at_ms - run.sent_ms for run in recent],
@@ -123,36 +119,45 @@
             record = job.record(lost.name)
             if record.done:
                 continue
-            points = min(record.crash_points + lost.points, lost.max_points)
-            record.crash_points = max(record.crash_points, points)
-            if lost.is_cleared:
-                record.crash_points = 0
+            lost.charge(record)
             job.n_crashes += 1
             self._dirty.add(job.spec.job_id)
-            charged.append((str(lost.name), record.crash_points))
-            if record.crash_points >= MAX_CRASH_POINTS:
+            charged.append(
+                (str(lost.name), record.crash_points, record.n_unconfirmed_crashes)
+            )
+            if is_given_up(record):
                 yield LogDecision(
                     "task_given_up",
                     {
                         "task": str(lost.name),
                         "worker": worker_id,
                         "crash_points": record.crash_points,
+                        "n_unconfirmed": record.n_unconfirmed_crashes,
                     },
                 )
                 yield from self._give_up(job, lost.name, at_ms)
         if charged:
-            charged.sort(key=lambda row: -row[1])
+            charged.sort(key=lambda row: -row[1] - row[2])
             logged = charged[:_MAX_LOGGED_TASKS]
             yield LogDecision(
                 "crash_charged",
                 {
                     "worker": worker_id,
                     "n_tasks": len(charged),
-                    "tasks": [name for name, _ in logged],
-                    "crash_points": [points for _, points in logged],
+                    "tasks": [name for name, _, _ in logged],
+                    "crash_points": [points for _, points, _ in logged],
+                    "n_unconfirmed": [n for _, _, n in logged],
                 },
             )
 
+    def _clear_unconfirmed(self, name: TaskName) -> None:
+        """Forget crashes after unanswered starts of a task that has now started up."""
+        job = self.jobs.get(name.job_id)
+        record = job.progress.tasks.get(name) if job is not None else None
+        if record is not None and record.n_unconfirmed_crashes:
+            record.n_unconfirmed_crashes = 0
+            self._dirty.add(name.job_id)
+
     def _give_up(self, job: JobState, name: TaskName, at_ms: int) -> Iterable[Effect]:
         """Fail the job of a task, or leave a long-running job without the task.
 
--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -110,6 +110,7 @@
             return
         kind = event.result.kind
         if kind == "ok":
+            run.has_begun = True
             run.visible_from_ms = min(run.visible_from_ms, event.at_ms)
             if run.phase is not RunPhase.STOPPING:
                 run.phase = RunPhase.RUNNING
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -282,8 +282,10 @@
         if run is None:
             yield from self._adopt(worker, report, event.at_ms)
             return
-        if event.at_ms - run.sent_ms >= limits.START_UP_MS:
+        run.has_begun = True
+        if event.at_ms - run.sent_ms >= limits.START_UP_MS and not run.is_started_up:
             run.is_started_up = True
+            self._clear_unconfirmed(run.name)
         if run.phase in (RunPhase.STARTING, RunPhase.UNCONFIRMED):
             run.phase = RunPhase.RUNNING
             run.visible_from_ms = event.sent_ms
@@ -323,7 +325,7 @@
             report.checkpoint,
         )
         run.started_ms = at_ms
-        run.is_started_up = True
+        run.has_begun = run.is_started_up = True
         record = job.progress.tasks.get(report.name)
         is_surplus = report.name in job.runs and not step.allows_duplicates
         self.add_run(job, worker, run)
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -348,3 +348,97 @@
     state = rig.submit(job("s" * 16, steps=ONE_TASK))
     state.record(TaskName("s" * 16, 0, 0, 0)).crash_points = SUSPECT_POINTS
     assert [start.worker_id for start in rig.start_and_answer()] == [other]
+
+
+class TestUnansweredStart:
+    """A start that was never answered may not have reached its worker at all."""
+
+    def crash_silently(self, rig, start):
+        """Let the worker of a start that it never answers crash and come back."""
+        rig.answer(start, "unknown")
+        rig.fail_poll(start.worker_id)
+        rig.crash(start.worker_id)
+        rig.save()
+        rig.advance(2 * limits.START_WINDOW_MS)
+
+    def play(self, n_crashes, steps=ONE_TASK):
+        rig = CrashRig()
+        state = rig.submit(job(steps=steps))
+        rig.shard.reported_ms = rig.now
+        n_starts = 0
+        for _ in range(n_crashes):
+            rig.shard.reported_ms = rig.now
+            for start in rig.schedule():
+                n_starts += 1
+                self.crash_silently(rig, start)
+        return rig, state, n_starts
+
+    def test_two_crashes_before_the_starts_arrived_do_not_fail_the_job(self):
+        """Guards against a job shown as failed although none of its tasks began."""
+        rig, state, _ = self.play(n_crashes=2)
+        assert state.progress.phase is JobPhase.RUNNING
+        assert len(rig.schedule()) == 1
+
+    def test_long_running_task_goes_on_after_two_such_crashes(self):
+        """Guards against a lasting task that is silently never started again."""
+        steps = (StepSpec(1, Resources(1000), is_long_running=True),)
+        rig, state, _ = self.play(n_crashes=2, steps=steps)
+        rig.shard.reported_ms = rig.now
+        assert not state.is_given_up(task(0))
+        assert len(rig.schedule()) == 1
+
+    def test_one_confirmed_crash_beside_them_is_not_enough(self):
+        """Guards against a job that fails after one worker has crashed under it."""
+        rig, state, _ = self.play(n_crashes=2)
+        (start,) = rig.start_and_answer()
+        rig.crash(start.worker_id)
+        assert state.progress.phase is JobPhase.RUNNING
+
+    def test_task_that_crashes_workers_before_they_answer_is_given_up(self):
+        """Guards against a task that crashes worker after worker without an answer."""
+        _, state, n_starts = self.play(n_crashes=12)
+        assert n_starts == MAX_STARTS
+        assert state.progress.phase is JobPhase.FAILED
+
+    def test_confirmed_and_other_crashes_together_are_bounded(self):
+        """Guards against starts without end of a task that is answered at times."""
+        rig, state, n_starts = self.play(n_crashes=3)
+        for _ in range(6):
+            for start in rig.start_and_answer():
+                n_starts += 1
+                rig.crash(start.worker_id)
+                rig.save()
+                rig.advance(3_300)
+        assert n_starts <= MAX_STARTS
+        assert state.progress.phase is JobPhase.FAILED
+
+    def test_successor_counts_on(self):
+        """Guards against a count that begins anew with each owner of the shard."""
+        _, state, _ = self.play(n_crashes=4)
+        data = encode_progress(state.progress)
+        stored = decode_progress(state.spec.job_id, data)
+        assert stored.tasks[task(0)].n_unconfirmed_crashes == 4
+
+    def test_task_that_starts_up_is_no_longer_suspect(self):
+        """Guards against lasting tasks that collect such crashes over weeks."""
+        rig, state, _ = self.play(n_crashes=4)
+        (start,) = rig.start_and_answer()
+        rig.advance(2 * limits.START_UP_MS)
+        assert state.record(start.name).n_unconfirmed_crashes == 0
+        assert not state.is_suspect(start.name)
+
+    def test_start_that_a_list_shows_is_confirmed(self):
+        """Guards against a lost answer that hides a task which crashes workers."""
+        rig = CrashRig()
+        state = rig.submit(job(steps=ONE_TASK))
+        for _ in range(2):
+            (start,) = rig.schedule()
+            rig.poll(
+                start.worker_id,
+                running=[running(start)],
+                born_ms=rig.born_ms[start.worker_id],
+            )
+            rig.crash(start.worker_id)
+            rig.save()
+            rig.advance(3_300)
+        assert state.progress.phase is JobPhase.FAILED
