Take a list for newer than a start only if it was requested later

Cause, likely: a poll that is sent in the millisecond in which a start is answered counted as sent after it. The worker may have made its lists before it carried the start out; the run then counted as absent and started elsewhere.

Change: the poll must have been sent in a later millisecond. Times are rounded down, so a greater one means later.

--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -254,7 +254,7 @@
         if len(event.ends) >= limits.MAX_LISTED_ENDS:
             return
         for key, run in list(worker.runs.items()):
-            if key not in listed and run.visible_from_ms <= event.sent_ms:
+            if key not in listed and run.visible_from_ms < event.sent_ms:
                 self._drop_run(run)
                 yield LogDecision(
                     "run_absent",
--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -124,6 +124,26 @@
     assert rig.schedule() == []
 
 
+def test_list_requested_in_the_millisecond_of_an_answer_does_not_disprove_the_run():
+    """Guards against a second run of a task where a poll is sent just before a start is
+    answered: the worker may have made its lists before it carried the start out.
+    """
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.submit(job(steps=(StepSpec(1, Resources(1000, 100), 800),)))
+    (start,) = rig.schedule()
+    sent_ms = rig.now
+    rig.answer(start)
+    rig.now += 5
+    rig.poll(start.worker_id, sent_ms=sent_ms)
+    assert rig.schedule() == []
+    rig.poll(start.worker_id, running=[running(start)])
+    assert rig.schedule() == []
+    # One that was requested later does.
+    rig.now += 1
+    rig.poll(start.worker_id)
+    assert len(rig.schedule()) == 1
+
+
 def test_nothing_starts_close_to_the_end_of_the_owners_lease():
     """Guards against a start that takes effect after the owner has been replaced."""
     rig = Rig().ready()
