Keep an absent run while an unanswered stop may be ending it

Cause: the time after which an absent run counts as gone was taken from the sending of the stop, not from when it took effect.

Change: a run that has begun is kept for one more stop timeout, from the first list without it.

Test: test_run_that_a_late_stop_is_ending_is_not_started_again failed before.

--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -24,12 +24,12 @@
 class Run:
     """One run of a task on a worker.
 
-    A list of the worker requested after `visible_from_ms` that lacks the run
-    proves that the run does not exist. `is_stopped` is set once the worker has accepted
-    a stop, `has_begun` once it has confirmed the start or listed the run, and
-    `is_started_up` once a list shows that the run got over its start. A run on trial is
-    one of a task that may have crashed a worker. Times are on the clock of the
-    instance.
+    A list of the worker requested after `visible_from_ms` that lacks the run proves
+    that the run does not exist. `is_stopped` is set once the worker has accepted a stop
+    or no longer lists a run that is to stop, `has_begun` once it has confirmed the
+    start or listed the run, and `is_started_up` once a list shows that the run got over
+    its start. A run on trial is one of a task that may have crashed a worker. Times are
+    on the clock of the instance.
     """
 
     name: TaskName
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -255,16 +255,27 @@
             return
         for key, run in list(worker.runs.items()):
             if key not in listed and run.visible_from_ms < event.sent_ms:
-                self._drop_run(run)
-                yield LogDecision(
-                    "run_absent",
-                    {
-                        "task": str(run.name),
-                        "run": run.run_id,
-                        "worker": worker.worker_id,
-                        "was": run.phase.name,
-                    },
-                )
+                yield from self._absent(worker, run, event.at_ms)
+
+    def _absent(self, worker: Worker, run: Run, at_ms: int) -> Iterable[Effect]:
+        """Drop a run that the worker no longer lists, unless it may be stopping it."""
+        is_stop_open = run.phase is RunPhase.STOPPING and not run.is_stopped
+        if is_stop_open and run.has_begun:
+            # The worker has given no answer to the stop, and may have carried it out
+            # late. Until the end is listed, the run is in no list.
+            run.is_stopped = True
+            run.visible_from_ms = at_ms + self.stop_listing_delay_ms
+            return
+        self._drop_run(run)
+        yield LogDecision(
+            "run_absent",
+            {
+                "task": str(run.name),
+                "run": run.run_id,
+                "worker": worker.worker_id,
+                "was": run.phase.name,
+            },
+        )
 
     def _wait_for_stops(self, worker: Worker, at_ms: int) -> None:
         """Start nothing until runs of unknown size that are being stopped have ended.
--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -144,6 +144,51 @@
     assert len(rig.schedule()) == 1
 
 
+def test_run_that_a_late_stop_is_ending_is_not_started_again():
+    """Guards against a second run while the first is being stopped: a stop that got no
+    answer takes effect late, and until its end is listed the run is in no list.
+    """
+    rig = Rig(workers=("w1", "w2")).ready()
+    state = rig.submit(job(steps=(StepSpec(1, Resources(1000, 100), 800),)))
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.poll(start.worker_id, running=[running(start)])
+    (run,) = state.runs[start.name]
+    stop_ms = rig.shard.stop_listing_delay_ms
+    list(rig.shard.stop(run, rig.now))
+    rig.shard.step(
+        StopAnswered(rig.now, start.worker_id, 1, start.name, start.run_id, ok=False)
+    )
+    other = "w2" if start.worker_id == "w1" else "w1"
+    # The worker carries the stop out only now; the run needs some time to end.
+    rig.now += stop_ms + 1
+    rig.poll(start.worker_id)
+    for _ in range(4):
+        rig.poll(other)
+        assert rig.schedule() == []
+        rig.now += stop_ms // 5
+    rig.poll(other)
+    rig.poll(start.worker_id, ends=[ended(1, start, RunEnd.STOPPED)])
+    assert len(rig.schedule()) == 1
+
+
+def test_run_that_never_was_is_absent_soon_after_its_stop():
+    """Guards against a task that waits for the end of a run that doesn't exist."""
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.submit(job(steps=(StepSpec(1, Resources(1000, 100), 800),)))
+    (start,) = rig.schedule()
+    rig.answer(start, "unknown")
+    rig.shard.step(
+        StopAnswered(rig.now, start.worker_id, 1, start.name, start.run_id, ok=False)
+    )
+    rig.now += limits.START_WINDOW_MS + limits.RETRY_BACKOFF_MS + 1
+    rig.poll(start.worker_id)
+    rig.now += rig.shard.stop_listing_delay_ms + 1
+    rig.poll(start.worker_id)
+    rig.poll("w2" if start.worker_id == "w1" else "w1")
+    assert len(rig.schedule()) == 1
+
+
 def test_nothing_starts_close_to_the_end_of_the_owners_lease():
     """Guards against a start that takes effect after the owner has been replaced."""
     rig = Rig().ready()
