Judge what a worker says by the incarnation that it speaks of

Cause: births were compared for inequality only, and all runs of the id were dropped with the incarnation that had ended, also those sent too late for it.

Change: an older answer changes nothing. A newer one replaces the worker and keeps the runs that it lists or that may have reached it; until the first list for an entry that comes first. After silence a poll lets the worker drop no ends, and the lease of a new incarnation counts as the longest.

--- a/apricotgap/instance/poll_loops.py
+++ b/apricotgap/instance/poll_loops.py
@@ -117,7 +117,7 @@
                 entry.address,
                 entry.worker_id,
                 self._ownership.epoch,
-                worker.acknowledged,
+                worker.last_seen,
                 deadline_ms,
                 wait_ms,
             )
@@ -138,6 +138,7 @@
                 PollAnswered(
                     self._clock.now_ms,
                     entry.worker_id,
+                    entry.born_ms,
                     response.born_ms,
                     sent_ms,
                     response.clock_ms,
--- a/apricotgap/jobs/events.py
+++ b/apricotgap/jobs/events.py
@@ -51,10 +51,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PollAnswered:
-    """A worker responded to a poll: its lease is renewed and its lists are current."""
+    """A worker responded to a poll: its lease is renewed and its lists are current.
+
+    `polled_born_ms` is the incarnation to which the poll was sent, `born_ms` the one
+    that responded, 0 if it does not say.
+    """
 
     at_ms: int
     worker_id: str
+    polled_born_ms: int
     born_ms: int
     sent_ms: int
     clock_ms: int
--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -8,6 +8,8 @@
 LEASE_MARGIN_MS = 1_200
 # Share by which a worker's clock may run slow.
 CLOCK_DRIFT = 0.02
+# A clock further behind its lower bound is that of another incarnation.
+CLOCK_SLACK_MS = 100
 # Factor by which a worker's lease may last longer for its owner; covers CLOCK_DRIFT.
 WORKER_LEASE_STRETCH = 1.03
 # A worker responds to a poll after at most this time when no run ends.
--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -30,6 +30,10 @@
     start or listed the run, and `is_started_up` once a list shows that the run got over
     its start. A run on trial is one of a task that may have crashed a worker. Times are
     on the clock of the instance.
+
+    `clock_ms` is a lower bound of the worker's clock at the time of the start. A start
+    that is confirmed at an earlier time of that clock reached the next incarnation of
+    the worker: then `is_in_next_incarnation` is set.
     """
 
     name: TaskName
@@ -51,6 +55,8 @@
     has_begun: bool = False
     is_started_up: bool = False
     is_on_trial: bool = False
+    clock_ms: int = 0
+    is_in_next_incarnation: bool = False
 
     @property
     def allocation(self) -> Resources:
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -342,6 +342,7 @@
             last_progress_ms=at_ms,
             checkpoint=record.checkpoint if record else "",
             is_on_trial=job.is_suspect(name) and not step.is_gang,
+            clock_ms=worker.clock_now_ms(at_ms),
         )
         self._shard.add_run(job, worker, run)
         worker.record_start(at_ms)
@@ -354,7 +355,7 @@
                 name,
                 run_id,
                 job.spec.content,
-                worker.clock_now_ms(at_ms) + limits.START_WINDOW_MS,
+                run.clock_ms + limits.START_WINDOW_MS,
                 run.checkpoint,
                 self._ticket(name, worker, current) if self._needs_ticket(job) else "",
             )
--- a/apricotgap/jobs/shard_crashes.py
+++ b/apricotgap/jobs/shard_crashes.py
@@ -1,6 +1,6 @@
 """Crashes of a shard's workers and the tasks that they are charged to."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.crashes import LostRuns, LostTask, is_given_up, lost_tasks
@@ -8,6 +8,7 @@
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.model import JobPhase, TaskName
+from apricotgap.jobs.runs import Run
 from apricotgap.jobs.shard_runs import ShardRuns
 from apricotgap.jobs.workers import Worker
 
@@ -33,16 +34,22 @@
         super().__init__(service, epoch, stop_ms)
         self._lost_runs: dict[str, LostRuns] = {}
 
-    def _mark_lost(self, worker: Worker, at_ms: int, why: str) -> Iterable[Effect]:
-        """Drop the runs of a worker."""
-        yield self._describe_loss(worker, at_ms, why)
+    def _mark_lost(
+        self, worker: Worker, at_ms: int, why: str, survivors: Collection[Run] = ()
+    ) -> Iterable[Effect]:
+        """Drop the runs of a worker; the survivors are only taken off it."""
+        yield self._describe_loss(worker, at_ms, why, len(survivors))
+        for run in survivors:
+            worker.remove(run)
         for run in list(worker.runs.values()):
             self._drop_run(run)
         worker.is_acquired = False
         worker.is_unverified = False
 
     @staticmethod
-    def _describe_loss(worker: Worker, at_ms: int, why: str) -> LogDecision:
+    def _describe_loss(
+        worker: Worker, at_ms: int, why: str, n_kept: int
+    ) -> LogDecision:
         """Return the log line for a lost worker, with its most recent runs."""
         runs = sorted(worker.runs.values(), key=lambda run: -run.sent_ms)
         recent = runs[:_MAX_LOGGED_TASKS]
@@ -53,6 +60,7 @@
                 "why": why,
                 "n_runs": len(runs),
                 "n_starting": sum(not run.is_started_up for run in runs),
+                "n_kept": n_kept,
                 "n_unconfirmed": sum(not run.has_begun for run in runs),
                 "tasks": [str(run.name) for run in recent],
                 "runs": [run.run_id for run in recent],
@@ -61,16 +69,22 @@
             },
         )
 
-    def _mark_crashed(self, worker: Worker, at_ms: int, why: str) -> Iterable[Effect]:
+    def _mark_crashed(
+        self, worker: Worker, at_ms: int, why: str, survivors: Collection[Run] = ()
+    ) -> Iterable[Effect]:
         """Drop the runs of a worker whose incarnation has ended.
 
-        It crashed, unless it had announced that it leaves.
+        It crashed, unless it had announced that it leaves. The survivors may be runs of
+        the next incarnation and are only taken off this one.
         """
-        tasks = lost_tasks(worker)
+        began_later = {run.name for run in survivors if run.has_begun}
+        tasks = tuple(
+            lost for lost in lost_tasks(worker) if lost.name not in began_later
+        )
         silent = self._lost_runs.pop(_key(worker.entry), None)
         if silent is not None and silent.born_ms == worker.entry.born_ms:
             tasks += silent.tasks
-        yield from self._mark_lost(worker, at_ms, why)
+        yield from self._mark_lost(worker, at_ms, why, survivors)
         if not worker.entry.is_draining:
             yield from self._charge_crash(worker.worker_id, tasks, at_ms)
 
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -1,6 +1,7 @@
 """Workers of a shard: their leases, their polls and the runs that they list."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.configuration import Configuration
@@ -81,8 +82,9 @@
             if worker.entry.born_ms != entry.born_ms:
                 if entry.born_ms < worker.entry.born_ms:
                     continue
-                yield from self._mark_crashed(worker, event.at_ms, "restarted")
-                self._add_worker(entry, event.at_ms)
+                yield from self._begin_incarnation(
+                    worker, entry, event.at_ms, _may_have_started_later
+                )
                 continue
             if entry.is_draining and not worker.entry.is_draining:
                 yield LogDecision("worker_draining", {"worker": worker_id})
@@ -104,6 +106,29 @@
                 worker.is_listed = False
                 yield from self._expire(worker, event.at_ms)
 
+    def _begin_incarnation(
+        self,
+        worker: Worker,
+        entry: WorkerEntry,
+        at_ms: int,
+        is_possible: Callable[[Run], bool],
+    ) -> Iterable[Effect]:
+        """Replace a worker by its next incarnation under the same id.
+
+        Starts and polls name the id only. Those that were meant for the incarnation
+        that has ended may have reached the next one: runs for which that is possible
+        are kept until a list of the next one disproves them, and its lease may already
+        be as long as a lease can be.
+        """
+        survivors = [run for run in worker.runs.values() if is_possible(run)]
+        yield from self._mark_crashed(worker, at_ms, "restarted", survivors)
+        self._ended_incarnations.add((worker.worker_id, worker.entry.born_ms))
+        successor = self._add_worker(entry, at_ms)
+        successor.lease_until_ms = successor.lease_bound_ms(at_ms, self.max_lease_ms)
+        for run in survivors:
+            run.is_in_next_incarnation = False
+            successor.add(run)
+
     def _expire(self, worker: Worker, at_ms: int) -> Iterable[Effect]:
         """Drop the runs of a worker whose lease must have ended.
 
@@ -205,20 +230,34 @@
         return any(worker.is_unverified for worker in self.workers.values())
 
     def _poll_answered(self, event: PollAnswered) -> Iterable[Effect]:
+        """Apply a response, judged by the incarnation that it comes from."""
         worker = self.workers.get(event.worker_id)
         if worker is None:
             return
-        if event.born_ms and event.born_ms != worker.entry.born_ms:
+        if event.polled_born_ms != worker.entry.born_ms:
+            # A late response to a poll of an earlier incarnation. Its lists prove
+            # nothing; if this one sent them, it also took the lease.
+            if event.born_ms == worker.entry.born_ms:
+                until_ms = worker.lease_bound_ms(event.at_ms, self.max_lease_ms)
+                worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+            return
+        if event.born_ms and event.born_ms < worker.entry.born_ms:
             yield from self._poll_failed(
                 PollFailed(
                     event.at_ms,
                     event.worker_id,
                     worker.entry.born_ms,
-                    "restarted",
-                    is_other_incarnation=True,
+                    "response of an earlier incarnation",
                 )
             )
             return
+        if event.born_ms > worker.entry.born_ms:
+            yield from self._answered_by_successor(worker, event)
+            return
+        yield from self._apply_lists(worker, event)
+
+    def _apply_lists(self, worker: Worker, event: PollAnswered) -> Iterable[Effect]:
+        """Renew the lease of a worker and apply its running runs and its ends."""
         if not worker.is_acquired:
             yield LogDecision(
                 "worker_taken",
@@ -277,6 +316,27 @@
             },
         )
 
+    def _answered_by_successor(
+        self, worker: Worker, event: PollAnswered
+    ) -> Iterable[Effect]:
+        """Apply the lists of an incarnation that the platform does not list yet.
+
+        It gets no work before its entry is listed and recorded, but it is polled, so
+        that what it runs keeps its lease.
+        """
+        listed = {(report.name, report.run_id) for report in event.running}
+
+        def is_possible(run: Run) -> bool:
+            if (run.name, run.run_id) in listed:
+                run.has_begun = run.is_in_next_incarnation = True
+                return True
+            return run.visible_from_ms >= event.sent_ms and _may_have_started_later(run)
+
+        entry = replace(worker.entry, born_ms=event.born_ms)
+        yield from self._begin_incarnation(worker, entry, event.at_ms, is_possible)
+        self.workers[event.worker_id].is_listed = False
+        yield from self._poll_answered(replace(event, polled_born_ms=event.born_ms))
+
     def _wait_for_stops(self, worker: Worker, at_ms: int) -> None:
         """Start nothing until runs of unknown size that are being stopped have ended.
 
@@ -354,3 +414,8 @@
             self._remove(worker)
             return
         yield from self._expire(worker, event.at_ms)
+
+
+def _may_have_started_later(run: Run) -> bool:
+    """Whether a start may have reached the next incarnation of its worker."""
+    return run.is_in_next_incarnation or not run.has_begun
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -121,6 +121,14 @@
         window_end_ms = self.lease_bound_ms(at_ms, limits.START_WINDOW_MS)
         self.lease_until_ms = max(self.lease_until_ms, window_end_ms)
 
+    @property
+    def last_seen(self) -> int:
+        """Number of the last end that the worker may drop at the next poll.
+
+        After silence another incarnation may respond, whose numbers begin anew.
+        """
+        return self.acknowledged if self.silent_since_ms is None else 0
+
     def record_failed_poll(self, at_ms: int) -> None:
         """Record that a poll of the worker got no response."""
         if self.silent_since_ms is None:
--- a/bench/jobs_cost.py
+++ b/bench/jobs_cost.py
@@ -53,7 +53,7 @@
     for worker in shard.workers.values():
         worker.is_recorded = True
         shard.offer_lease(worker, NOW_MS, FAR_MS)
-        shard.step(PollAnswered(NOW_MS, worker.worker_id, 1, NOW_MS, NOW_MS, (), ()))
+        shard.step(PollAnswered(NOW_MS, worker.worker_id, 1, 1, NOW_MS, NOW_MS, (), ()))
     return shard
 
 
@@ -99,7 +99,7 @@
         )
         end = EndReport(n, start.name, start.run_id, RunEnd.DONE, "")
         shard.step(
-            PollAnswered(NOW_MS, start.worker_id, 1, NOW_MS - 1, NOW_MS, (), (end,))
+            PollAnswered(NOW_MS, start.worker_id, 1, 1, NOW_MS - 1, NOW_MS, (), (end,))
         )
     found["end"] = (thread_time_ns() - started_ns) / len(runs)
     return {name: nanoseconds / 1_000 for name, nanoseconds in found.items()}
--- a/simulation/deployment.py
+++ b/simulation/deployment.py
@@ -236,6 +236,7 @@
                 self.now_ms,
                 worker.entry.worker_id,
                 worker.entry.born_ms,
+                worker.entry.born_ms,
                 self.now_ms,
                 self.now_ms + 1,
                 tuple(worker.running.values()),
--- a/tests/jobs_harness.py
+++ b/tests/jobs_harness.py
@@ -80,14 +80,21 @@
         """Submit a job whose first progress is stored along with it."""
         return self.shard.submit(spec, revision=1)
 
-    def poll(self, worker_id="w1", running=(), ends=(), born_ms=1, sent_ms=None):
-        """Send a poll and apply its response."""
+    def poll(
+        self, worker_id="w1", running=(), ends=(), born_ms=1, sent_ms=None, polled=None
+    ):
+        """Send a poll and apply its response.
+
+        `polled` is the start of the incarnation that the poll was sent to, by default
+        the present one.
+        """
         worker = self.shard.workers[worker_id]
         self.shard.offer_lease(worker, self.now, FAR_MS)
         return self.shard.step(
             PollAnswered(
                 self.now,
                 worker_id,
+                worker.entry.born_ms if polled is None else polled,
                 born_ms,
                 self.now if sent_ms is None else sent_ms,
                 50_000 + self.now,
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -359,7 +359,9 @@
         rig.fail_poll(start.worker_id)
         rig.crash(start.worker_id)
         rig.save()
-        rig.advance(2 * limits.START_WINDOW_MS)
+        rig.now += 2 * limits.START_WINDOW_MS
+        for worker_id, born_ms in rig.born_ms.items():
+            rig.poll(worker_id, born_ms=born_ms)
 
     def play(self, n_crashes, steps=ONE_TASK):
         rig = CrashRig()
--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -27,7 +27,9 @@
         """Apply the answer of a worker that lists these runs."""
         listed = tuple(running(run) for run in runs)
         self.shard.step(
-            PollAnswered(self.now, worker_id, 1, sent_ms, 50_000 + self.now, listed, ())
+            PollAnswered(
+                self.now, worker_id, 1, 1, sent_ms, 50_000 + self.now, listed, ()
+            )
         )
 
     def last_through_outage(self, left_ms):
--- /dev/null
+++ b/tests/test_worker_lives.py
@@ -0,0 +1,166 @@
+"""Incarnations of a worker under one id: what belongs to which of them."""
+
+import pytest
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.events import PollFailed, StartAnswered, StartResult
+from apricotgap.jobs.model import JobPhase, Resources, StepSpec
+from tests.jobs_harness import MAX_LEASE_MS, Rig, ended, entry, job, running
+
+ONE_TASK = (StepSpec(1, Resources(1000, 100), 800),)
+# Lists of workers have births; the first incarnation of each was born at 1.
+NEXT_BORN_MS = 2
+
+
+class LivesRig(Rig):
+    """Two workers, of which only the first may run the job's task."""
+
+    def __init__(self):
+        super().__init__(workers=("w1", "w2"))
+        self.ready()
+        self.state = self.submit(job(steps=ONE_TASK))
+
+    def start_one(self):
+        """Start the task; returns the start and the worker that doesn't have it."""
+        (start,) = self.schedule()
+        return start, "w2" if start.worker_id == "w1" else "w1"
+
+    def list_next(self, worker_id):
+        """List the next incarnation of a worker."""
+        born_ms = {worker_id: NEXT_BORN_MS}
+        self.list_workers(*(entry(w, born_ms=born_ms.get(w, 1)) for w in ("w1", "w2")))
+
+    def is_started_again(self, other):
+        """Whether the task starts on the other worker, which has answered just now."""
+        self.poll(other)
+        self.save()
+        return bool(self.schedule())
+
+
+def test_late_answer_of_the_last_life_ends_nothing():
+    """Guards against runs that are dropped, and started elsewhere, since a worker's
+    answer from before its restart comes in late.
+    """
+    rig = LivesRig()
+    for worker_id in ("w1", "w2"):
+        rig.list_workers(*(entry(w, born_ms=NEXT_BORN_MS) for w in ("w1", "w2")))
+        rig.poll(worker_id, born_ms=NEXT_BORN_MS)
+    rig.record_all()
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.poll(start.worker_id, born_ms=1, polled=1)
+    rig.poll(start.worker_id, born_ms=1)
+    worker = rig.shard.workers[start.worker_id]
+    assert worker.entry.born_ms == NEXT_BORN_MS
+    assert list(worker.runs) == [(start.name, start.run_id)]
+    rig.now += 10
+    rig.poll(start.worker_id, [running(start)], born_ms=NEXT_BORN_MS)
+    assert worker.accepts(rig.now)
+    assert rig.schedule() == []
+
+
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_start_that_reached_the_next_life_is_found_in_its_list(is_answered):
+    """Guards against a second run of a task whose start was meant for a worker that had
+    just restarted: a start names the id only.
+    """
+    rig = LivesRig()
+    start, other = rig.start_one()
+    rig.now += 5
+    if is_answered:
+        rig.answer(start)
+    rig.now += 5
+    # The list of the next life comes before the entry that tells of it.
+    rig.poll(start.worker_id, [running(start)], born_ms=NEXT_BORN_MS, polled=1)
+    assert not rig.is_started_again(other)
+    rig.now += 100
+    rig.list_next(start.worker_id)
+    assert not rig.is_started_again(other)
+    done = [ended(1, start)]
+    rig.poll(start.worker_id, ends=done, born_ms=NEXT_BORN_MS)
+    rig.save()
+    assert rig.state.progress.phase is JobPhase.SUCCEEDED
+
+
+def test_unanswered_start_may_have_reached_the_life_that_is_listed():
+    """Guards against a second run while the next life has not been polled yet."""
+    rig = LivesRig()
+    start, other = rig.start_one()
+    rig.now += 5
+    rig.list_next(start.worker_id)
+    assert not rig.is_started_again(other)
+    rig.now += limits.START_WINDOW_MS + limits.RETRY_BACKOFF_MS + 1
+    rig.poll(start.worker_id, born_ms=NEXT_BORN_MS)
+    assert rig.is_started_again(other)
+
+
+def test_start_confirmed_by_the_next_lifes_clock_is_not_lost():
+    """Guards against a second run of a task that the next life confirmed: its clock
+    starts anew, so that it is behind the clock of the life that the start was for.
+    """
+    rig = LivesRig()
+    start, other = rig.start_one()
+    rig.now += 5
+    result = StartResult("ok", clock_ms=40)
+    rig.shard.step(
+        StartAnswered(rig.now, start.worker_id, 1, start.name, start.run_id, result)
+    )
+    assert not rig.shard.workers[start.worker_id].accepts(rig.now)
+    rig.now += 5
+    rig.list_next(start.worker_id)
+    assert not rig.is_started_again(other)
+    rig.now += 5
+    rig.poll(start.worker_id, [running(start)], born_ms=NEXT_BORN_MS)
+    assert not rig.is_started_again(other)
+
+
+def test_run_of_the_ended_life_starts_again_at_once():
+    """Guards against tasks that wait for runs which ended with their worker."""
+    rig = LivesRig()
+    start, other = rig.start_one()
+    rig.answer(start)
+    rig.now += 50
+    rig.poll(start.worker_id, [running(start)])
+    rig.now += 50
+    rig.list_next(start.worker_id)
+    assert rig.is_started_again(other)
+
+
+def test_lease_of_the_next_life_may_be_as_long_as_any():
+    """Guards against a lease that counts as ended while a poll for the last life has
+    given it to the next one.
+    """
+    rig = LivesRig()
+    start, _ = rig.start_one()
+    rig.now += 5
+    rig.poll(start.worker_id, [running(start)], born_ms=NEXT_BORN_MS, polled=1)
+    rig.now += MAX_LEASE_MS - 100
+    rig.shard.tick(rig.now)
+    assert rig.shard.workers[start.worker_id].runs
+
+
+def test_life_that_is_not_listed_gets_no_work():
+    """Guards against starts on a worker whose capacity and owner record are unknown."""
+    rig = LivesRig()
+    start, _ = rig.start_one()
+    rig.now += 5
+    rig.poll(start.worker_id, [running(start)], born_ms=NEXT_BORN_MS, polled=1)
+    assert not rig.shard.workers[start.worker_id].accepts(rig.now)
+    rig.list_next(start.worker_id)
+    assert not rig.shard.workers[start.worker_id].accepts(rig.now)
+    rig.record_all()
+    assert rig.shard.workers[start.worker_id].accepts(rig.now)
+
+
+def test_poll_after_silence_lets_the_worker_drop_no_end():
+    """Guards against an end of the next life that is dropped unseen, as its number is
+    below that of the last end of the life before.
+    """
+    rig = LivesRig()
+    worker = rig.shard.workers["w1"]
+    worker.acknowledged = 57
+    assert worker.last_seen == 57
+    rig.shard.step(PollFailed(rig.now, "w1", 1, "reset"))
+    assert worker.last_seen == 0
+    rig.poll("w1")
+    assert worker.last_seen == 57
