Keep a run of a later incarnation until a list shows it

A specification of worker lives found it: a worker restarts twice within one poll, the start reaches its third life and is confirmed, then the list of the second arrives. The mark of the run was dropped with the change to the second life, and the run with the change to the third, while it was at work (TWICE).

Change: the mark stays until a list shows the run.

Test: test_start_confirmed_by_the_life_after_the_next_is_not_lost failed before.

--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -33,7 +33,7 @@
 
     `clock_ms` is a lower bound of the worker's clock at the time of the start. A start
     that is confirmed at an earlier time of that clock reached the next incarnation of
-    the worker: then `is_in_next_incarnation` is set.
+    the worker: then `is_in_next_incarnation` is set until a list shows the run.
     """
 
     name: TaskName
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -126,7 +126,6 @@
         successor = self._add_worker(entry, at_ms)
         successor.lease_until_ms = successor.lease_bound_ms(at_ms, self.max_lease_ms)
         for run in survivors:
-            run.is_in_next_incarnation = False
             successor.add(run)
 
     def _expire(self, worker: Worker, at_ms: int) -> Iterable[Effect]:
@@ -354,6 +353,7 @@
             yield from self._adopt(worker, report, event.at_ms)
             return
         run.has_begun = True
+        run.is_in_next_incarnation = False
         if event.at_ms - run.sent_ms >= limits.START_UP_MS and not run.is_started_up:
             run.is_started_up = True
             self._clear_unconfirmed(run.name)
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -114,6 +114,28 @@
     assert not rig.is_started_again(other)
 
 
+def test_start_confirmed_by_the_life_after_the_next_is_not_lost():
+    """Guards against a second run where a worker restarts twice within one poll: the
+    list that tells of the next life is older than the start in the one after it.
+    """
+    rig = LivesRig()
+    start, other = rig.start_one()
+    sent_ms = rig.now
+    rig.now += 5
+    result = StartResult("ok", clock_ms=40)
+    rig.shard.step(
+        StartAnswered(rig.now, start.worker_id, 1, start.name, start.run_id, result)
+    )
+    rig.poll(start.worker_id, born_ms=NEXT_BORN_MS, sent_ms=sent_ms, polled=1)
+    rig.now += 5
+    born_ms = {start.worker_id: NEXT_BORN_MS + 1}
+    rig.list_workers(*(entry(w, born_ms=born_ms.get(w, 1)) for w in ("w1", "w2")))
+    assert not rig.is_started_again(other)
+    rig.now += 5
+    rig.poll(start.worker_id, [running(start)], born_ms=NEXT_BORN_MS + 1)
+    assert not rig.is_started_again(other)
+
+
 def test_run_of_the_ended_life_starts_again_at_once():
     """Guards against tasks that wait for runs which ended with their worker."""
     rig = LivesRig()
