Charge no crash to a run that ended in the next incarnation

Cause: the first answer of the next incarnation was searched for running runs only. One that had begun and ended there counted as lost with the incarnation before, and was charged with its crash, although its end was in the answer or the clock of its confirmation had told.

Change: ends count like running runs, and a run that the next incarnation confirmed is not charged.

--- a/apricotgap/jobs/shard_crashes.py
+++ b/apricotgap/jobs/shard_crashes.py
@@ -77,7 +77,9 @@
         It crashed, unless it had announced that it leaves. The survivors may be runs of
         the next incarnation and are only taken off this one.
         """
-        began_later = {run.name for run in survivors if run.has_begun}
+        began_later = {
+            run.name for run in worker.runs.values() if run.is_in_next_incarnation
+        }
         tasks = tuple(
             lost for lost in lost_tasks(worker) if lost.name not in began_later
         )
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -324,6 +324,7 @@
         that what it runs keeps its lease.
         """
         listed = {(report.name, report.run_id) for report in event.running}
+        listed.update((end.name, end.run_id) for end in event.ends)
 
         def is_possible(run: Run) -> bool:
             if (run.name, run.run_id) in listed:
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -114,6 +114,26 @@
     assert not rig.is_started_again(other)
 
 
+@pytest.mark.parametrize("is_end_listed", [True, False])
+def test_crash_is_not_charged_to_a_run_of_the_next_incarnation(is_end_listed):
+    """Guards against a job that fails although no worker crashed under it: its run
+    began and ended in the next incarnation before that was polled.
+    """
+    rig = IncarnationsRig()
+    start, _ = rig.start_one()
+    rig.now += 5
+    result = StartResult("ok", clock_ms=40)
+    rig.shard.step(
+        StartAnswered(rig.now, start.worker_id, 1, start.name, start.run_id, result)
+    )
+    rig.now += 300
+    ends = [ended(1, start)] if is_end_listed else []
+    rig.poll(start.worker_id, ends=ends, born_ms=NEXT_BORN_MS, polled=1)
+    assert rig.state.record(start.name).crash_points == 0
+    expected = JobPhase.SUCCEEDED if is_end_listed else JobPhase.RUNNING
+    assert rig.state.progress.phase is expected
+
+
 def test_start_confirmed_by_the_incarnation_after_the_next_is_not_lost():
     """Guards against a second run where a worker restarts twice within one poll: the
     list that tells of the next incarnation is older than the start in the one after it.
