--- a/apricotgap/jobs/crashes.py
+++ b/apricotgap/jobs/crashes.py
@@ -6,8 +6,7 @@
 else starts on its worker, so that the next crash has one cause.
 
 A start that was never answered may have crashed its worker, or have found it down. Such
-crashes are counted apart: they never give a task up together with a single crash under
-a run that began.
+crashes are counted apart, and weigh less than those under a run that began.
 """
 
 from dataclasses import dataclass
