Date a crash by the answer of the next incarnation

The answer of a next incarnation used to count as a failed poll, which dates the crash. Without it every run that no list had shown counted as starting, and got the points of a crash at its start.

Change: it is recorded as a failed poll again.

Test: test_crash_long_after_a_start_is_not_one_at_the_start failed before.

--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -332,6 +332,8 @@
                 return True
             return run.visible_from_ms >= event.sent_ms and _may_have_started_later(run)
 
+        # The poll of the ended incarnation has failed: its crash shows only now.
+        worker.record_failed_poll(event.at_ms)
         entry = replace(worker.entry, born_ms=event.born_ms)
         yield from self._begin_incarnation(worker, entry, event.at_ms, is_possible)
         self.workers[event.worker_id].is_listed = False
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -134,6 +134,18 @@
     assert rig.state.progress.phase is expected
 
 
+def test_crash_long_after_a_start_is_not_one_at_the_start():
+    """Guards against a job that fails since a worker crashed twice under it because of
+    another task: no list had shown that it was over its start.
+    """
+    rig = IncarnationsRig()
+    start, _ = rig.start_one()
+    rig.answer(start)
+    rig.now += limits.CRASH_SIGN_MS + 50
+    rig.poll(start.worker_id, born_ms=NEXT_BORN_MS, polled=1)
+    assert rig.state.record(start.name).crash_points == 1
+
+
 def test_start_confirmed_by_the_incarnation_after_the_next_is_not_lost():
     """Guards against a second run where a worker restarts twice within one poll: the
     list that tells of the next incarnation is older than the start in the one after it.
