Soak: deployments of the users' size, with checks on cut requests, denied jobs and stalled tasks

Cause: the soak ran four instances with five workers of one service and jobs of 300 ms. It saw no request that ends without an answer, no denial of an accepted job before the end, and no task that lasts and waits in vain.

Change: layouts of two sizes (6 instances with 16 machines, 36 with 180), lasting and timed jobs, clients that keep their connections, rounds of overlapping faults with calm between them, configurations, SIGHUP and SIGTERM in series, workers that crash, flap, join, drain and leave. Faults and checks are registries. The stand-in of a worker refuses what does not fit; that of the machines lets workers fall silent, leave and join; that of the store no longer searches its whole history for each watch.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import time
 from base64 import b64decode
 from contextlib import asynccontextmanager, closing
 from pathlib import Path
@@ -13,6 +14,7 @@
 
 import trio
 
+from soak.layout import HOST, settings_text
 from soak.proxy import FaultyProxy
 from standins.advice_service import AdviceService
 from standins.machine_service import MachineService, StandinMachine
@@ -23,29 +25,9 @@
 ROOT = Path(__file__).parent.parent
 SERVICE = "bakery"
 SPARE = "spare"
-HOST = "h.example"
 KEY = "k-bakers"
 
-_SETTINGS = """
-nodeName = "{name}"
-ip = "127.0.0.1"
-zone = "a"
-internalPorts = [{peer}, {metrics}]
-heartbeatMs = 500
-advice = "{advice}"
-[listenAddrs]
-frontendAddr = "127.0.0.1:{client}"
-readinessAddr = "127.0.0.1:{ready}"
-[bounds]
-maxHoldMs = 6000
-revokeMs = 5000
-status_s = 120
-[cloudApi]
-address = "{machines}"
-[platform]
-address = "{store}"
-minTtlMs = 1000
-"""
+_BOUNDS = {"maxHoldMs": 6_000, "revokeMs": 5_000, "status_s": 120}
 
 
 def configuration(version=1, keys=(KEY,), advice=None):
@@ -103,32 +85,51 @@
 class InstanceProcess:
     """One instance program."""
 
-    def __init__(self, name, store_address, platform, folder):
+    def __init__(
+        self, name, store_address, platform, folder, data_centre="a", bounds=_BOUNDS
+    ):
         self.name = name
-        client, ready, peer = free_ports(3)
-        self.address = f"127.0.0.1:{client}"
-        self.readiness = f"127.0.0.1:{ready}"
-        self.metrics = f"127.0.0.1:{peer + 1}"
+        self.data_centre = data_centre
+        self.bounds = dict(bounds)
+        self._client, self._ready, self._peer = free_ports(3)
+        self.address = f"127.0.0.1:{self._client}"
+        self.readiness = f"127.0.0.1:{self._ready}"
+        self.metrics = f"127.0.0.1:{self._peer + 1}"
         self.log = Path(folder) / f"{name}.log"
         self._path = Path(folder) / f"{name}.toml"
-        self._path.write_text(
-            _SETTINGS.format(
-                name=name,
-                client=client,
-                ready=ready,
-                peer=peer,
-                metrics=peer + 1,
-                store=store_address,
-                machines=platform.machines.listener.address,
-                advice=platform.advice.listener.address,
-            )
-        )
+        self._platform = platform
+        self._store_address = store_address
         self._process = None
+        self._started_s = 0.0
+        # Whether the process may end because it was told to.
+        self.is_wanted = False
+        self.write_settings()
+
+    def write_settings(self):
+        """Write the settings file, as the platform does when settings change."""
+        listen = {"frontendAddr": self.address, "readinessAddr": self.readiness}
+        text = settings_text(
+            self.bounds,
+            {
+                "listenAddrs": listen,
+                "cloudApi": {"address": self._platform.machines.listener.address},
+                "platform": {"address": self._store_address, "minTtlMs": 1_000},
+            },
+            nodeName=self.name,
+            ip="127.0.0.1",
+            zone=self.data_centre,
+            internalPorts=[self._peer, self._peer + 1],
+            heartbeatMs=500,
+            advice=self._platform.advice.listener.address,
+        )
+        self._path.write_text(text)
 
     def start(self):
         """Start the process unless it runs; faults may overlap."""
         if self.is_running:
             return
+        self.is_wanted = True
+        self._started_s = time.monotonic()
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "apricotgap", "serve"],
@@ -138,6 +139,16 @@
                 stderr=log,
             )
 
+    @property
+    def process(self):
+        """The process that was started last."""
+        return self._process
+
+    @property
+    def age_s(self):
+        """Time since the last start in seconds."""
+        return time.monotonic() - self._started_s
+
     @property
     def pid(self):
         """Process id."""
@@ -154,6 +165,7 @@
 
     def stop(self):
         """Kill the process and wait for its end."""
+        self.is_wanted = False
         if self.is_running:
             self._process.kill()
             self._process.wait()
@@ -164,6 +176,7 @@
 
     def end(self, grace_s):
         """Ask the process to stop and kill it when it has not after `grace_s`."""
+        self.is_wanted = False
         self.signal(SIGTERM)
         try:
             self.wait(grace_s)
@@ -182,27 +195,34 @@
 class Platform:
     """Stand-ins of the store, the machines with their workers, and the advice."""
 
-    def __init__(self, n_workers, n_spare, task_ms):
+    def __init__(self, configuration, machines, spare_pool=SPARE):
         self.store = TransactionalStore()
-        self.workers = [
-            TaskWorker(f"w{n}", task_ms=task_ms) for n in range(n_workers + n_spare)
-        ]
-        self.machines = MachineService(self.store, SPARE)
+        self.machines = MachineService(self.store, spare_pool)
         self.advice = AdviceService(lambda step, worker: True)
-        for n, worker in enumerate(self.workers):
-            pool = SERVICE if n < n_workers else SPARE
-            machine = StandinMachine(f"m{n}", pool, worker)
-            self.machines.machines[machine.name] = machine
-        self.put("op/config", configuration())
+        self.machines.machines.update({machine.name: machine for machine in machines})
+        self.workers = [machine.worker for machine in machines]
+        self._nursery = None
+        self.put("op/config", configuration)
+
+    @property
+    def services(self):
+        """Services that run tasks."""
+        document = self.get("op/config")
+        return [each["name"] for each in document["services"] if not each["standby"]]
 
     def put(self, key, document):
         """Write a document as the operator does."""
         self.store.put(key, json.dumps(document).encode())
 
+    def read(self, key):
+        """Return the bytes of a key of the store, None without one."""
+        item = self.store.items.get(key)
+        return b64decode(item.value) if item else None
+
     def get(self, key):
         """Return a document of the store, None without one."""
-        item = self.store.items.get(key)
-        return json.loads(b64decode(item.value)) if item else None
+        data = self.read(key)
+        return None if data is None else json.loads(data)
 
     async def start(self, nursery):
         """Serve until the nursery is cancelled."""
@@ -211,13 +231,23 @@
         await nursery.start(self.advice.listener.run)
         nursery.start_soon(self.store.run_leases)
         nursery.start_soon(self.machines.run)
+        self._nursery = nursery
         for worker in self.workers:
-            await nursery.start(worker.listener.run)
-            nursery.start_soon(worker.run_tasks)
+            await self._serve(worker)
         # The workers' addresses are known only now.
-        for machine in self.machines.machines.values():
+        for machine in list(self.machines.machines.values()):
             self.machines.add(machine)
 
+    async def _serve(self, worker):
+        await self._nursery.start(worker.listener.run)
+        self._nursery.start_soon(worker.run_tasks)
+
+    async def join(self, machine):
+        """Add a machine while others run."""
+        await self._serve(machine.worker)
+        self.workers.append(machine.worker)
+        self.machines.add(machine)
+
 
 class Cluster:
     """The platform and instances."""
@@ -258,14 +288,30 @@
                 await trio.sleep(0.05)
 
     async def until_ready(self):
-        """Wait until all instances are ready and the service has an owner."""
-        with trio.fail_after(15):
+        """Wait until all instances are ready and the services have owners."""
+        with trio.fail_after(30):
             for instance in self.instances:
-                while not await _is_ready(instance):
+                while not await self.is_ready(instance):
                     await trio.sleep(0.05)
-            while self.owner() is None:
+            while not all(
+                f"sys/owners/{service}" in self.store.items
+                for service in self.platform.services
+            ):
                 await trio.sleep(0.05)
 
+    async def is_ready(self, instance):
+        """Whether an instance says that it takes new connections."""
+        try:
+            with trio.move_on_after(1):
+                host, _, port = instance.readiness.partition(":")
+                stream = await trio.open_tcp_stream(host, int(port))
+                async with stream:
+                    await stream.send_all(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                    return b" 200 " in await stream.receive_some(100)
+        except (OSError, trio.BrokenResourceError):
+            return False
+        return False
+
     def starts_of(self, job_id):
         """Return the runs of a job that workers have begun."""
         return [
@@ -294,30 +340,37 @@
         }
 
 
-async def _is_ready(instance):
-    try:
-        with trio.move_on_after(1):
-            host, _, port = instance.readiness.partition(":")
-            stream = await trio.open_tcp_stream(host, int(port))
-            await stream.send_all(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-            return b" 200 " in await stream.receive_some(100)
-    except OSError:
-        return False
-    return False
+@asynccontextmanager
+async def open_cluster(folder, n_instances=2, task_ms=100, n_workers=2, n_spare=0):
+    """Run a cluster with one service until the block ends."""
+    machines = [
+        StandinMachine(
+            f"m{n}",
+            SERVICE if n < n_workers else SPARE,
+            TaskWorker(f"w{n}", task_ms=task_ms),
+        )
+        for n in range(n_workers + n_spare)
+    ]
+    platform = Platform(configuration(), machines)
+    places = [("a", _BOUNDS)] * n_instances
+    async with run_cluster(folder, platform, places) as cluster:
+        with trio.fail_after(15):
+            while cluster.owner() is None:
+                await trio.sleep(0.05)
+        yield cluster
 
 
 @asynccontextmanager
-async def open_cluster(folder, n_instances=2, task_ms=100, n_workers=2, n_spare=0):
-    """Run a cluster until the block ends."""
-    platform = Platform(n_workers, n_spare, task_ms)
+async def run_cluster(folder, platform, places):
+    """Run instances with a data centre and time limits each until the block ends."""
     async with trio.open_nursery() as nursery:
         await platform.start(nursery)
-        proxies = [FaultyProxy(platform.store.address) for _ in range(n_instances)]
+        proxies = [FaultyProxy(platform.store.address) for _ in places]
         for proxy in proxies:
             await nursery.start(proxy.run)
         instances = [
-            InstanceProcess(f"i{n}", proxy.address, platform, folder)
-            for n, proxy in enumerate(proxies)
+            InstanceProcess(f"i{n}", proxies[n].address, platform, folder, *place)
+            for n, place in enumerate(places)
         ]
         try:
             for instance in instances:
--- a/standins/machine_service.py
+++ b/standins/machine_service.py
@@ -14,8 +14,6 @@
 
 __all__ = ["MachineService", "OrderRecord", "StandinMachine"]
 
-PAGE_SIZE = 3
-
 
 @dataclass
 class StandinMachine:
@@ -39,17 +37,28 @@
     at_ms: int
 
 
+def _take_due(times_ms: dict[str, int]) -> list[str]:
+    """Remove and return the keys whose time has come."""
+    due = [key for key, at_ms in times_ms.items() if now_ms() >= at_ms]
+    for key in due:
+        del times_ms[key]
+    return due
+
+
 @dataclass
 class MachineService:
     """Moves machines between pools and takes them down for upkeep.
 
-    Machines of the pool `spare_pool` are off and show no worker.
+    Machines of the pool `spare_pool` are off and show no worker. The entry of a worker
+    that crashed stays in the store for `silence_ms`.
     """
 
     store: TransactionalStore
     spare_pool: str
     move_ms: int = 300
     upkeep_ms: int = 400
+    silence_ms: int = 0
+    page_size: int = 3
     is_busy: bool = False
     n_lost_answers: int = 0
     machines: dict[str, StandinMachine] = field(default_factory=dict)
@@ -59,6 +68,9 @@
         self.listener = Listener(self._serve)
         self._lives = count(1)
         self._returning: dict[str, int] = {}
+        self._leaving: dict[str, int] = {}
+        # Workers that send nothing any more, and when their entries end.
+        self._silent: dict[str, int] = {}
 
     def add(self, machine: StandinMachine) -> None:
         """Add a machine; its worker is listed unless the pool is off."""
@@ -66,13 +78,46 @@
         machine.worker.crash = partial(self.crash, machine.name)
         self._list_worker(machine)
 
-    def crash(self, name: str) -> None:
+    def crash(self, name: str, down_ms: int | None = None) -> None:
         """End the worker of a machine without a word; another life follows."""
         machine = self.machines[name]
-        self.store.remove(f"servers/{machine.worker.worker_id}")
+        self._fall_silent(machine)
         machine.worker.restart(f"{name}-{next(self._lives)}")
         machine.state = "down"
-        self._returning[name] = now_ms() + self.upkeep_ms
+        away_ms = self.upkeep_ms if down_ms is None else down_ms
+        self._returning[name] = now_ms() + away_ms
+
+    def flap(self, name: str, down_ms: int) -> None:
+        """End the worker of a machine; it starts again under its id."""
+        machine = self.machines[name]
+        machine.worker.listener.close()
+        machine.worker.restart(machine.worker.worker_id)
+        machine.state = "down"
+        self._returning[name] = now_ms() + down_ms
+
+    def lose(self, name: str) -> None:
+        """Take a machine away for good, without a word."""
+        machine = self.machines.pop(name)
+        self._returning.pop(name, None)
+        self._leaving.pop(name, None)
+        self._fall_silent(machine)
+        machine.worker.restart(f"{name}-{next(self._lives)}")
+        machine.worker.listener.close()
+
+    def drain(self, name: str, drain_ms: int) -> None:
+        """Announce that a worker leaves; it does so for good after `drain_ms`."""
+        machine = self.machines[name]
+        machine.worker.state = "draining"
+        self._list_worker(machine)
+        self._leaving[name] = now_ms() + drain_ms
+
+    def _fall_silent(self, machine: StandinMachine) -> None:
+        worker_id = machine.worker.worker_id
+        if not self.silence_ms:
+            self.store.remove(f"servers/{worker_id}")
+            return
+        machine.worker.listener.close()
+        self._silent[worker_id] = now_ms() + self.silence_ms
 
     def _list_worker(self, machine: StandinMachine) -> None:
         worker = machine.worker
@@ -80,15 +125,26 @@
             self.store.put(f"servers/{worker.worker_id}", worker.encoded(machine.pool))
 
     async def run(self) -> None:
-        """Bring machines back whose time away is over."""
+        """Bring back or take away what is due, until cancelled."""
         while True:
             await trio.sleep(0.02)
-            for name, until_ms in list(self._returning.items()):
-                if now_ms() >= until_ms:
-                    del self._returning[name]
-                    machine = self.machines[name]
-                    machine.state = "up"
-                    self._list_worker(machine)
+            for worker_id in _take_due(self._silent):
+                self.store.remove(f"servers/{worker_id}")
+            for name in _take_due(self._leaving):
+                self._leave(name)
+            for name in _take_due(self._returning):
+                machine = self.machines[name]
+                machine.state = "up"
+                machine.worker.listener.reopen()
+                self._list_worker(machine)
+
+    def _leave(self, name: str) -> None:
+        machine = self.machines.pop(name)
+        self._returning.pop(name, None)
+        worker = machine.worker
+        self.store.remove(f"servers/{worker.worker_id}")
+        worker.restart(f"{name}-{next(self._lives)}")
+        worker.listener.close()
 
     async def _serve(self, exchange: Exchange) -> None:
         if self.is_busy:
@@ -105,11 +161,12 @@
         start = int(parse_qs(exchange.query).get("pageToken", ["0"])[0])
         names = sorted(self.machines)
         rows = [
-            self._row(self.machines[name]) for name in names[start : start + PAGE_SIZE]
+            self._row(self.machines[name])
+            for name in names[start : start + self.page_size]
         ]
         answer: dict[str, Any] = {"machines": rows}
-        if start + PAGE_SIZE < len(names):
-            answer["nextPageToken"] = str(start + PAGE_SIZE)
+        if start + self.page_size < len(names):
+            answer["nextPageToken"] = str(start + self.page_size)
         await exchange.answer_json(200, answer)
 
     def _row(self, machine: StandinMachine) -> dict[str, Any]:
@@ -134,7 +191,7 @@
         if self._is_done(machine, pool, wave):
             await exchange.answer_json(200, {})
             return
-        if machine.state != "up":
+        if machine.state != "up" or machine.worker.state != "ready":
             await exchange.answer_json(409, {"reason": "busy"})
             return
         self._carry_out(machine, pool, wave, exchange)
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -3,13 +3,23 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 import trio
 
 from standins.serving import Exchange, Listener, now_ms
 
-__all__ = ["StartedRun", "TaskWorker"]
+__all__ = ["StartedRun", "TaskWorker", "Work"]
+
+
+class Work(Protocol):
+    """What the tasks of each job need, as workers know it without being told."""
+
+    def duration_ms(self, task: str) -> float:
+        """Return how long a task works, infinity for one that lasts."""
+
+    def cpu(self, task: str) -> int:
+        """Return what a task takes in thousandths of a core."""
 
 
 @dataclass
@@ -28,11 +38,12 @@
 
 @dataclass
 class TaskWorker:
-    """A worker whose tasks all take `task_ms`.
+    """A worker whose tasks all take `task_ms`, or as long as `work` says.
 
-    `checkpoint_ms` is the work between two checkpoints, 0 for none. With
-    `accepts_ticket` a start needs a ticket for which that says yes. The start of a task
-    for which `is_deadly` says yes crashes the worker by `crash`.
+    With `work` a start that does not fit is refused. The tasks of a worker that
+    `is_failing` fail at once. `checkpoint_ms` is the work between two checkpoints, 0
+    for none. With `accepts_ticket` a start needs a ticket for which that says yes. The
+    start of a task for which `is_deadly` says yes crashes the worker by `crash`.
     """
 
     worker_id: str
@@ -45,6 +56,12 @@
     accepts_ticket: Callable[[str, str, str], bool] | None = None
     is_deadly: Callable[[str], bool] | None = None
     crash: Callable[[], None] | None = None
+    work: Work | None = None
+    zone: str = "a"
+    rack: str = ""
+    machine: str = ""
+    state: str = "ready"
+    is_failing: bool = False
 
     def __post_init__(self) -> None:
         self._running: dict[str, StartedRun] = {}
@@ -58,16 +75,28 @@
         self._ended = trio.Event()
         self.listener = Listener(self._serve)
 
+    @property
+    def running(self) -> tuple[StartedRun, ...]:
+        """Runs that are at work."""
+        return tuple(self._running.values())
+
+    @property
+    def free_cpu(self) -> int:
+        """What is left of `cpu`; without `work` nothing is taken from it."""
+        if self.work is None:
+            return self.cpu
+        return self.cpu - sum(self.work.cpu(task) for task in self._running)
+
     def entry(self, service: str) -> dict[str, Any]:
         """Return what the worker says of itself in the store."""
         return {
             "service": service,
             "address": self.listener.address,
-            "zone": "a",
-            "state": "ready",
-            "machine": f"m-{self.worker_id}",
+            "zone": self.zone,
+            "state": self.state,
+            "machine": self.machine or f"m-{self.worker_id}",
             "freeCapacity": {"cpu": self.cpu, "memMb": 32_000, "gpus": 0},
-            "labels": ["k", f"r-{self.worker_id}"],
+            "labels": ["k", self.rack or f"r-{self.worker_id}"],
             "born": self.born_ms,
             "sequence": 1,
         }
@@ -92,6 +121,7 @@
             if number is not None and run.end == "done":
                 run.end = "listed" if number <= self._n_listed else "lost"
         self.worker_id = worker_id
+        self.state = "ready"
         self.born_ms += 1
         self._running.clear()
         self._ends.clear()
@@ -108,9 +138,14 @@
                 self._work(run)
                 if now_ms() > self._until_ms:
                     self._end(run, "lapsed")
-                elif run.done_ms >= self.task_ms:
+                elif self.is_failing:
+                    self._end(run, "failed")
+                elif run.done_ms >= self._duration_ms(run.task):
                     self._end(run, "done")
 
+    def _duration_ms(self, task: str) -> float:
+        return self.work.duration_ms(task) if self.work else self.task_ms
+
     def _work(self, run: StartedRun) -> None:
         run.done_ms += (now_ms() - run.at_ms) * run.percent / 100
         run.at_ms = now_ms()
@@ -161,6 +196,9 @@
         if run_id <= self._highest.get(task, 0):
             await self._refuse(exchange, "old")
             return
+        if self.work and self.work.cpu(task) > self.free_cpu:
+            await self._refuse(exchange, "room")
+            return
         step, ticket = task.rpartition(".")[0], body.get("ticket", "")
         if self.accepts_ticket and not self.accepts_ticket(
             step, self.worker_id, ticket
--- a/standins/transactional_store.py
+++ b/standins/transactional_store.py
@@ -2,6 +2,7 @@
 
 import itertools
 from base64 import b64encode
+from bisect import bisect_right
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
@@ -16,6 +17,10 @@
 MAX_ENTRIES = 32
 
 
+def _revision(row: dict[str, Any]) -> int:
+    return int(row["revision"])
+
+
 @dataclass
 class _Item:
     value: str
@@ -171,8 +176,10 @@
 
     async def _watch(self, exchange: Exchange, query: dict[str, str]) -> None:
         after, prefix = int(query["after"]), query["prefix"]
+        seen = after
         with trio.move_on_after(int(query["waitMs"]) / 1000):
-            while after >= self.oldest_revision and not self._events(after, prefix):
+            while after >= self.oldest_revision and not self._events(seen, prefix):
+                seen = self.revision
                 await self._changed.wait()
         if after < self.oldest_revision:
             await exchange.answer_json(410, {})
@@ -182,10 +189,11 @@
         await exchange.answer_json(200, page)
 
     def _events(self, after: int, prefix: str) -> list[dict[str, Any]]:
+        first = bisect_right(self._history, after, key=_revision)
         return [
             row
-            for row in self._history
-            if row["revision"] > after and row["key"].startswith(prefix)
+            for row in itertools.islice(self._history, first, None)
+            if row["key"].startswith(prefix)
         ]
 
     async def _txn(self, exchange: Exchange) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,17 +1,106 @@
-"""A short seeded run of the soak; `python -m soak` plays more."""
+"""A short seeded run of the soak, and its checks on runs that broke a promise."""
 
 import pytest
 import trio
 
-from soak.scenario import FAULTS, play
+from soak.checks import CHECKS
+from soak.connections import CallResult, Ending
+from soak.faults import FAULTS, choose_faults
+from soak.layout import LAYOUTS
+from soak.scenario import Plan, play
+from soak.state import JobRecord, JobState, SoakState
+from soak.timeline import Scope, Span, Timeline
+from soak.work import JobPlan, StepPlan, WorkCatalogue
 
-LENGTH_S = 6.0
+LENGTH_S = 8.0
+JOB_ID = "a" * 16
 
 
 @pytest.mark.timeout(120)
 def test_seeded_run_keeps_the_promises(tmp_path):
-    report = trio.run(play, 1, str(tmp_path), LENGTH_S)
+    """Guards against a promise to callers that real processes break under faults."""
+    plan = Plan(LAYOUTS["small"], tuple(FAULTS.values()), LENGTH_S, burst_s=LENGTH_S)
+    report = trio.run(play, 1, str(tmp_path), plan)
     assert report.problems == []
-    assert report.accepted
-    assert set(report.faults) <= set(FAULTS)
+    assert report.n_accepted
     assert report.faults
+
+
+def cut(sent_ms, ended_ms, ending=Ending.CUT):
+    path = f"/shop-finite/{JOB_ID}"
+    return CallResult("i1", "GET", path, ending, sent_ms, ended_ms)
+
+
+def state_of(spans=(), unanswered=(), denials=()):
+    layout = LAYOUTS["small"]
+    state = SoakState(layout, None, None, WorkCatalogue(), Timeline(list(spans)))
+    plan = JobPlan((StepPlan(1, 500, 100.0),))
+    job = JobRecord(JOB_ID, 0, layout.queues[0], plan, accepted_ms=1_000)
+    state.jobs[JOB_ID] = job
+    state.unanswered.extend(unanswered)
+    state.denials.extend(denials)
+    return state
+
+
+def problems(name, state):
+    return list(CHECKS[name].problems(state))
+
+
+TERM = Span("term", Scope.STOP, True, 10_000, 13_000, {"i1"})
+KILL = Span("kill", Scope.INSTANCE, False, 9_000, 9_500, {"i2"})
+
+
+@pytest.mark.parametrize(
+    ("call", "spans", "n_problems"),
+    [
+        (cut(10_500, 10_800), [TERM], 1),
+        # Closed before the request was read, as far as a caller can tell.
+        (cut(10_500, 10_600), [TERM], 0),
+        (cut(10_500, 10_800, Ending.UNREAD), [TERM], 0),
+        (cut(10_500, 10_800), [TERM, KILL], 0),
+        (cut(14_000, 14_300), [TERM, KILL], 1),
+    ],
+)
+def test_request_that_was_read_and_cut_is_a_problem(call, spans, n_problems):
+    """Guards against a stop that ends requests unseen by the soak."""
+    state = state_of(spans, unanswered=[call])
+    assert len(problems("answered", state)) == n_problems
+
+
+def denial(state, at_ms):
+    result = CallResult("i1", "GET", "/x", Ending.ANSWERED, at_ms - 5, at_ms)
+    return JobState(JOB_ID, state, result)
+
+
+@pytest.mark.parametrize(
+    ("spans", "answer", "n_problems"),
+    [
+        ([], denial("", 4_500), 1),
+        # The caller's first seconds, in which another instance may not know the job.
+        ([], denial("", 3_500), 0),
+        (
+            [Span("cut", Scope.INSTANCE, False, 900, 1_000, {"i1"})],
+            denial("", 4_500),
+            0,
+        ),
+        (
+            [Span("cut", Scope.INSTANCE, False, 900, 1_000, {"i2"})],
+            denial("", 4_500),
+            1,
+        ),
+        ([], denial("cancelled", 1_500), 1),
+    ],
+)
+def test_accepted_job_that_is_denied_is_a_problem(spans, answer, n_problems):
+    """Guards against an accepted job that is denied or ended unseen by the soak."""
+    state = state_of(spans, denials=[answer])
+    assert len(problems("known", state)) == n_problems
+
+
+def test_faults_are_chosen_by_name_scope_and_plan():
+    """Guards against a command line that plays other faults than it names."""
+    assert [fault.name for fault in choose_faults("kill,wave")] == ["kill", "wave"]
+    assert all(fault.is_planned for fault in choose_faults("planned"))
+    assert {fault.scope for fault in choose_faults("store")} == {Scope.STORE}
+    with pytest.raises(ValueError, match="unknown fault"):
+        choose_faults("no-such-fault")
