Soak: stops of nearly all instances, services without a queue, ends by a signal

Cause: signals that arrive while an instance stops were sent, and how the process ended was not looked at. A lost task of a queue that was taken away was not missed.

Change: a stopped process must end with 0 unless it had just started; all queues of a service can be taken away; tasks of such queues must go on; requests without an answer are listed in the report.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -18,7 +18,7 @@
 _MAX_MISSES = 2
 _MAX_SUBMISSIONS = 5
 _RETRY_S = 0.3
-_SHARE_SUBMIT = 0.4
+_SHARE_SUBMIT = 0.25
 _SHARE_CANCEL = 0.03
 # A client keeps its connection this many calls at least, on average.
 _SHARE_RECONNECT = 0.02
@@ -58,14 +58,14 @@
 
 
 class Client:
-    """A client of one account; `number` is that of the account."""
+    """A client of one account, which follows from its `number`."""
 
     def __init__(
         self, state: SoakState, balancer: Balancer, number: int, random: Random
     ) -> None:
         self._state = state
         self._balancer = balancer
-        self._number = number
+        self._team = number % state.layout.n_teams
         self._random = random
         self._data_centre = state.layout.data_centre(number)
         self._connection: ClientConnection | None = None
@@ -96,7 +96,7 @@
     async def submit(self, queue: Queue, plan: JobPlan) -> None:
         """Submit a job, again after an unknown outcome."""
         job_id = f"{self._random.getrandbits(64):016x}"
-        job = JobRecord(job_id, self._number, queue, plan)
+        job = JobRecord(job_id, self._team, queue, plan)
         self._state.jobs[job_id] = job
         self._state.work.plans[job_id] = plan
         body = plan.document(time.time_ns() // 1_000_000)
@@ -130,7 +130,7 @@
         await self._call("DELETE", job)
 
     def _key(self) -> str:
-        keys = self._state.operator.team(self._number)["apiKeys"]
+        keys = self._state.operator.team(self._team)["apiKeys"]
         if len(keys) > 1 and self._random.random() < _SHARE_OTHER_KEY:
             return str(keys[1])
         return str(keys[0]) if keys else "none"
--- a/soak/faults/operator_faults.py
+++ b/soak/faults/operator_faults.py
@@ -36,14 +36,26 @@
 
     async def inject(self, state: SoakState, random: Random, span: Span) -> None:
         """Inject the fault once."""
-        present = {each["name"] for each in state.operator.document["routes"]}
-        queues = [each for each in state.layout.queues if each.name in present]
-        if not queues:
-            return
-        with state.operator.without_route(random.choice(queues).name):
+        queue = random.choice(state.layout.queues)
+        with state.operator.without_routes({queue.name}):
             await trio.sleep(random.uniform(0.1, 6))
 
 
+class ServiceUnrouted(Fault):
+    """Takes all queues of a service away and adds them again."""
+
+    name = "service_unrouted"
+    scope = Scope.CONFIGURATION
+    is_planned = True
+
+    async def inject(self, state: SoakState, random: Random, span: Span) -> None:
+        """Inject the fault once."""
+        service = random.choice(state.layout.services)
+        names = {each.name for each in state.layout.queues if each.service == service}
+        with state.operator.without_routes(names):
+            await trio.sleep(random.uniform(0.1, 8))
+
+
 class RouteAdded(Fault):
     """Adds another queue to a service and takes it away."""
 
--- a/soak/faults/planned_stops.py
+++ b/soak/faults/planned_stops.py
@@ -13,6 +13,8 @@
 __all__: list[str] = []
 
 _RESTART_S = 0.3
+# A process that starts has no handlers yet, takes no calls and may end by the signal.
+_START_S = 1.5
 _REVOKE_MS = (4_500, 5_000, 5_500)
 
 
@@ -27,6 +29,7 @@
         return
     span.instances.add(instance.name)
     process = instance.process
+    is_starting = instance.age_s < _START_S
     # One span for each stop, so that the window of each is known.
     with state.timeline.span("term", Scope.STOP, True, instance.name) as term:
         instance.is_wanted = False
@@ -38,7 +41,10 @@
             process.send_signal(number)
         grace_s = state.layout.bound_ms("graceS") / 1_000 - waited_s
         try:
-            await trio.to_thread.run_sync(process.wait, grace_s)
+            code = await trio.to_thread.run_sync(process.wait, grace_s)
+            is_clean = code == 0 or is_starting
+            if not is_clean and not _is_impaired(state, instance, term):
+                state.seen.append(f"STOP: {instance.name} ended with {code}")
         except subprocess.TimeoutExpired:
             process.kill()
             if not _is_impaired(state, instance, term):
@@ -84,6 +90,23 @@
                 await trio.sleep(gap_s)
 
 
+class StopHerd(Fault):
+    """Stops nearly all instances within a second."""
+
+    name = "stop_herd"
+    scope = Scope.STOP
+    is_planned = True
+
+    async def inject(self, state: SoakState, random: Random, span: Span) -> None:
+        """Inject the fault once."""
+        n_stopped = len(state.instances) - random.randint(0, 1)
+        gap_s = random.uniform(0, 1) / n_stopped
+        async with trio.open_nursery() as nursery:
+            for instance in random.sample(state.instances, n_stopped):
+                nursery.start_soon(_stop, state, span, instance)
+                await trio.sleep(gap_s)
+
+
 class StopWithReload(Fault):
     """Sends SIGHUP to an instance while it stops."""
 
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -91,7 +91,9 @@
     pools : tuple of Pool
         Services with their workers.
     n_teams : int
-        Client accounts; each has one client.
+        Client accounts.
+    n_clients : int
+        Clients; they belong to the accounts in turn.
     think_s : float
         Mean time between two calls of a client, in seconds.
     n_lasting_jobs : int
@@ -110,6 +112,7 @@
     data_centres: tuple[str, ...]
     pools: tuple[Pool, ...]
     n_teams: int
+    n_clients: int
     think_s: float
     n_lasting_jobs: int
     n_lasting_tasks: int
@@ -206,7 +209,8 @@
         data_centres=("a", "b"),
         pools=(Pool("shop", 6), Pool("office", 6), Pool("spare", 4, True)),
         n_teams=6,
-        think_s=0.3,
+        n_clients=12,
+        think_s=0.4,
         n_lasting_jobs=2,
         n_lasting_tasks=4,
         team_cpu=60_000,
@@ -222,7 +226,8 @@
             Pool("office", 28, True),
         ),
         n_teams=20,
-        think_s=0.5,
+        n_clients=60,
+        think_s=0.8,
         n_lasting_jobs=4,
         n_lasting_tasks=20,
     ),
--- a/soak/monitors.py
+++ b/soak/monitors.py
@@ -161,11 +161,10 @@
     def _may_run(
         self, job: JobRecord, task: str, room: "_Room", usage: Counter[int]
     ) -> bool:
+        # A queue that was taken away may still run what it accepted.
         state, step = self._state, self._state.work.step(task)
         now = now_ms()
         for document in state.operator.in_force(now - _STALL_MS, now):
-            if all(route["name"] != job.queue.name for route in document["routes"]):
-                return False
             limit = document["tenants"][job.team]["maxCount"]["cpu"]
             if 2 * (usage[job.team] + step.cpu) > limit:
                 return False
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -49,16 +49,16 @@
         self._write()
 
     @contextmanager
-    def without_route(self, name: str) -> Iterator[None]:
-        """Take a queue away for the time of a block."""
+    def without_routes(self, names: set[str]) -> Iterator[None]:
+        """Take queues away for the time of a block."""
         routes = self._document["routes"]
-        self._document["routes"] = [each for each in routes if each["name"] != name]
+        taken = [each for each in routes if each["name"] in names]
+        self._document["routes"] = [each for each in routes if each not in taken]
         self._write()
         try:
             yield
         finally:
-            queue = next(each for each in self.layout.queues if each.name == name)
-            self._document["routes"].append(route(queue))
+            self._document["routes"] += taken
             self._write()
 
     @contextmanager
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -89,7 +89,7 @@
 ) -> None:
     until_ms = now_ms() + int(plan.length_s * 1_000)
     async with trio.open_nursery() as nursery:
-        for number in range(plan.layout.n_teams):
+        for number in range(plan.layout.n_clients):
             client = Client(state, balancer, number, Random(random.random()))
             nursery.start_soon(client.run, until_ms)
         nursery.start_soon(_submit_lasting, state, balancer, Random(random.random()))
@@ -144,5 +144,10 @@
         timeline=[
             f"{span.start_ms} {span.end_ms} {span.name} {sorted(span.instances)}"
             for span in spans
+        ]
+        + [
+            f"{call.sent_ms} {call.ended_ms} {call.ending.value}: {call.method}"
+            f" {call.path} at {call.instance}, call {call.n_before} of its connection"
+            for call in state.unanswered
         ],
     )
