Acknowledge no end while a start may have reached the next incarnation

Cause: lastSeen was 0 only from a failed poll to the next answer. An answer that a worker's last incarnation had sent late ended that span, so that the next poll let the next incarnation drop its first ends, whose numbers begin anew.

Change: lastSeen is 0 also while a start has no answer or was confirmed by the next incarnation. Only such runs can have ended there unseen. A worker to which a start is under way at each poll for 1 s gets no start until it has dropped its ends, so that a slow worker's list can't grow without end.

Evidence: the first two tests of test_worker_acknowledgements.py failed before; the third fails without the last rule.

--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -39,6 +39,9 @@
 STALL_MS = 1_200
 # Maximum number of ends that a worker lists in one response.
 MAX_LISTED_ENDS = 500
+# A worker that could not be told to drop ends for this long, because a start to it was
+# under way at each poll, gets no start until it has been told.
+MAX_WITHHELD_MS = 1_000
 # Maximum number of starts in one scheduling pass; the rest is left to the next pass.
 MAX_STARTS_PER_PASS = 64
 # Maximum number of jobs whose first progress is being stored, so that jobs waiting for
--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -62,3 +62,8 @@
     def allocation(self) -> Resources:
         """Resources of the worker that the run reserves."""
         return self.step.allocation
+
+    @property
+    def may_be_in_next_incarnation(self) -> bool:
+        """Whether the start may have reached the next incarnation of its worker."""
+        return self.is_in_next_incarnation or not self.has_begun
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -83,7 +83,10 @@
                 if entry.born_ms < worker.entry.born_ms:
                     continue
                 yield from self._begin_incarnation(
-                    worker, entry, event.at_ms, _may_have_started_later
+                    worker,
+                    entry,
+                    event.at_ms,
+                    lambda run: run.may_be_in_next_incarnation,
                 )
                 continue
             if entry.is_draining and not worker.entry.is_draining:
@@ -281,6 +284,7 @@
         worker.silent_since_ms = None
         worker.clock_ms = event.clock_ms
         worker.clock_at_ms = event.at_ms
+        worker.record_listed_ends(event.at_ms, event.ends)
         for end in event.ends:
             if end.number > worker.last_applied:
                 worker.last_applied = end.number
@@ -330,7 +334,8 @@
             if (run.name, run.run_id) in listed:
                 run.has_begun = run.is_in_next_incarnation = True
                 return True
-            return run.visible_from_ms >= event.sent_ms and _may_have_started_later(run)
+            is_provable = run.visible_from_ms < event.sent_ms
+            return run.may_be_in_next_incarnation and not is_provable
 
         # The poll of the ended incarnation has failed: its crash shows only now.
         worker.record_failed_poll(event.at_ms)
@@ -417,8 +422,3 @@
             self._remove(worker)
             return
         yield from self._expire(worker, event.at_ms)
-
-
-def _may_have_started_later(run: Run) -> bool:
-    """Whether a start may have reached the next incarnation of its worker."""
-    return run.is_in_next_incarnation or not run.has_begun
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -1,9 +1,11 @@
 """State of a worker at its shard: capacity, lease, clock and failure history."""
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from apricotgap.jobs import limits
+from apricotgap.jobs.events import EndReport
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.model import NO_RESOURCES, Resources, RunEnd, TaskName
 from apricotgap.jobs.runs import Run
@@ -28,6 +30,9 @@
     `silent_since_ms` is the time of the first poll that failed since the last response,
     None if none has.
 
+    `withheld_since_ms` is the time since which each list of the worker has held ends
+    that are acknowledged, None if the last one held none.
+
     An acquired worker has responded to a poll of this owner. An unverified one may
     still have runs of a previous owner. Only a worker recorded in the stored roster,
     where the next owner finds it, gets work.
@@ -48,6 +53,7 @@
     clock_at_ms: int = 0
     last_applied: int = 0
     acknowledged: int = 0
+    withheld_since_ms: int | None = None
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
     n_serving: int = 0
@@ -125,9 +131,27 @@
     def last_seen(self) -> int:
         """Number of the last end that the worker may drop at the next poll.
 
-        After silence another incarnation may respond, whose numbers begin anew.
+        Another incarnation may respond, whose numbers begin anew: after silence, or
+        while a start may have reached it. Then the worker must not drop any end.
         """
-        return self.acknowledged if self.silent_since_ms is None else 0
+        if self.silent_since_ms is not None:
+            return 0
+        if any(run.may_be_in_next_incarnation for run in self.runs.values()):
+            return 0
+        return self.acknowledged
+
+    def record_listed_ends(self, at_ms: int, ends: Sequence[EndReport]) -> None:
+        """Record whether the worker still lists ends that are acknowledged."""
+        if not any(end.number <= self.acknowledged for end in ends):
+            self.withheld_since_ms = None
+        elif self.withheld_since_ms is None:
+            self.withheld_since_ms = at_ms
+
+    def awaits_acknowledgement(self, at_ms: int) -> bool:
+        """Whether the starts of the worker keep it from dropping ends for too long."""
+        if self.withheld_since_ms is None:
+            return False
+        return at_ms - self.withheld_since_ms > limits.MAX_WITHHELD_MS
 
     def record_failed_poll(self, at_ms: int) -> None:
         """Record that a poll of the worker got no response."""
@@ -203,6 +227,8 @@
             return False
         if self.entry.is_draining or at_ms < self.blocked_until_ms:
             return False
+        if self.awaits_acknowledgement(at_ms):
+            return False
         if self.silent_since_ms is not None:
             # It may have crashed, and a start there could not be told from the cause.
             return False
--- a/proof/model_check.py
+++ b/proof/model_check.py
@@ -4,6 +4,7 @@
 
 import click
 
+from proof.acknowledgements import Acknowledgements
 from proof.allotments import (
     AllotmentHolders,
     AllotmentLateWrites,
@@ -20,6 +21,7 @@
 __all__ = ["main"]
 
 SPECIFICATIONS: tuple[type[Specification], ...] = (
+    Acknowledgements,
     AllotmentLimits,
     AllotmentHolders,
     AllotmentLateWrites,
--- /dev/null
+++ b/tests/test_worker_acknowledgements.py
@@ -0,0 +1,81 @@
+"""Ends that a worker may drop: the number that a poll acknowledges."""
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.events import StartAnswered, StartResult
+from apricotgap.jobs.model import Resources, RunEnd, StepSpec
+from tests.jobs_harness import Rig, ended, job
+
+MANY_TASKS = (StepSpec(40, Resources(1000, 100), 800),)
+ACKNOWLEDGED = 57
+
+
+class AcknowledgementsRig(Rig):
+    """One worker that has had ends before; it has room for eight tasks."""
+
+    def __init__(self):
+        super().__init__()
+        self.ready()
+        self.worker = self.shard.workers["w1"]
+        self.worker.last_applied = self.worker.acknowledged = ACKNOWLEDGED
+        self.submit(job(steps=MANY_TASKS))
+
+    def confirm(self, start, clock_ms):
+        """Answer a start at a time of the worker's clock."""
+        result = StartResult("ok", clock_ms)
+        self.shard.step(
+            StartAnswered(self.now, "w1", 1, start.name, start.run_id, result)
+        )
+
+
+def test_late_answer_of_the_last_incarnation_lets_the_next_drop_no_end():
+    """Guards against an end that is dropped unseen, and a task that runs again: an
+    answer from before the restart comes in after the next one has confirmed a start.
+    """
+    rig = AcknowledgementsRig()
+    start, *others = rig.schedule()
+    for other in others:
+        rig.answer(other)
+    rig.now += 5
+    rig.confirm(start, clock_ms=40)
+    rig.now += 20
+    rig.poll(sent_ms=rig.now - 30)
+    assert rig.worker.last_seen == 0
+
+
+def test_start_without_an_answer_lets_the_worker_drop_no_end():
+    """Guards against an end of a start that reached the next incarnation, which a poll
+    sent before its answer lets that incarnation drop unseen.
+    """
+    rig = AcknowledgementsRig()
+    starts = rig.schedule()
+    assert rig.worker.last_seen == 0
+    rig.now += 5
+    for start in starts:
+        rig.confirm(start, clock_ms=50_000 + rig.now)
+    assert rig.worker.last_seen == ACKNOWLEDGED
+
+
+def test_worker_with_a_start_under_way_at_each_poll_may_drop_its_ends_in_time():
+    """Guards against ends that are never taken note of, as each poll meets a start on
+    its way to a worker that answers slowly.
+    """
+    rig = AcknowledgementsRig()
+    starts = rig.schedule()
+    n_ends = ACKNOWLEDGED
+    undropped = []
+    longest_ms = withheld_ms = 0
+    for _ in range(60):
+        for start in starts[:2]:
+            rig.confirm(start, clock_ms=50_000 + rig.now)
+            n_ends += 1
+            undropped.append(ended(n_ends, start, RunEnd.STOPPED))
+        starts = starts[2:] + rig.schedule()
+        last_seen = rig.worker.last_seen
+        undropped = [end for end in undropped if end.number > last_seen]
+        withheld_ms = 0 if last_seen else withheld_ms + 100
+        longest_ms = max(longest_ms, withheld_ms)
+        rig.poll(ends=undropped)
+        rig.worker.acknowledged = rig.worker.last_applied
+        rig.now += 100
+    assert n_ends > ACKNOWLEDGED + 40
+    assert longest_ms <= limits.MAX_WITHHELD_MS + 1_000
