Offer no lease to a worker that answers no poll

Callers saw a lasting task away for as long as its worker took calls and answered none (LOST, third kind): a stopped process, or one behind a connection that is accepted and then silent.

Cause: a poll that was sent and not answered counts as a renewal of the worker's lease, since it may have arrived. Each of the polls that follow renewed it in the owner's view for good, while the worker's own lease lapsed.

Change: a worker gets no lease from its first failed poll to its next answer. The first lists of a worker that is acquired anew still assume the longest lease of a previous owner; those of one that was only silent no longer do.

--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -199,7 +199,13 @@
 
         Workers' leases end at most WORKER_LEASE_TAIL_MS after the owner's lease, which
         bounds how long the next owner waits for a worker that it cannot reach.
+
+        A silent worker is offered none: it may take each poll although none of its
+        answers arrives, and its runs would then be away for good.
         """
+        if worker.silent_since_ms is not None:
+            worker.offered_until_ms = 0
+            return 0
         left_ms = lease_until_ms + limits.WORKER_LEASE_TAIL_MS - at_ms
         lease_ms = min(self.max_lease_ms, left_ms)
         if not worker.clock_at_ms or lease_ms <= 0:
@@ -269,7 +275,7 @@
                     "n_running": len(event.running),
                 },
             )
-        if not worker.offered_until_ms:
+        if not worker.is_acquired and not worker.offered_until_ms:
             # The first poll offers no lease; one of a previous owner may be valid.
             worker.offered_until_ms = worker.lease_bound_ms(
                 event.at_ms, self.max_lease_ms
