Wait for leases of earlier owners only as long as they can last

An owner offers no lease beyond 3.5 s after its own, so that no lease can last longer than 3.5 s after a takeover from an owner whose lease has ended, or 6.5 s after one that was given up or that a restarted process takes back.

Change: an owner marks its tenure in the store, and removes the mark in the transaction that gives the shard up; an instance that stops gives its shards up before it revokes its lease. A mark without an owner key tells that the key went with its lease.

--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -20,9 +20,11 @@
     encode_owner,
     epoch_key,
     owner_key,
+    tenure_key,
 )
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.ownership import Ownership
+from apricotgap.instance.tenure import inherited_lease_ms
 from apricotgap.platform.store import (
     Conflict,
     Item,
@@ -131,14 +133,41 @@
             current[1].cancel()
             del self._ownerships[ownership.shard]
 
-    async def resign(self, ownership: Ownership, why: str) -> None:
-        """Give up a shard and delete its owner key so that others may claim it."""
+    async def resign(self, ownership: Ownership, why: str) -> bool:
+        """Give up a shard and delete its owner key so that others may claim it.
+
+        Returns whether the key is known to be gone.
+        """
         self.step_down(ownership, why)
-        write = Write(owner_key(ownership.shard), expected_revision=ownership.revision)
-        outcome = await self._store.write((write,))
-        self._log.info(
-            "resigned", shard=ownership.shard, outcome=type(outcome).__name__
+        shard = ownership.shard
+        outcome = await self._store.write(
+            (
+                Write(owner_key(shard), expected_revision=ownership.revision),
+                Write(tenure_key(shard)),
+            )
         )
+        self._log.info("resigned", shard=shard, outcome=type(outcome).__name__)
+        return isinstance(outcome, Stored | Conflict)
+
+    async def leave(self) -> None:
+        """Give up all shards and the membership, so that others take over at once.
+
+        A shard that could not be given up goes when the lease ends. To revoke the lease
+        would remove its owner key and leave the mark of its tenure.
+        """
+        self.is_draining = True
+        are_gone: list[bool] = []
+
+        async def resign(ownership: Ownership) -> None:
+            are_gone.append(await self.resign(ownership, "the instance stops"))
+
+        async with trio.open_nursery() as nursery:
+            for ownership, _ in list(self._ownerships.values()):
+                nursery.start_soon(resign, ownership)
+        if all(are_gone):
+            await self._lease.revoke()
+            return
+        self._lease.abandon()
 
     async def _register(self, lease: Lease) -> None:
         if self._member_lease == lease:
@@ -230,6 +259,7 @@
     async def _claim(self, shard: str, revision: int) -> Ownership | None:
         try:
             counter = await self._store.read_key(epoch_key(shard))
+            mark = await self._store.read_key(tenure_key(shard))
         except StoreError as error:
             self._log.warning("claim_failed", shard=shard, reason=str(error))
             return None
@@ -237,7 +267,8 @@
         if lease is None:
             self._log.info("claim_dropped", shard=shard, is_draining=self.is_draining)
             return None
-        epoch = int(counter.value or b"0") + 1
+        last_epoch = int(counter.value or b"0")
+        epoch = last_epoch + 1
         me = self._identity
         owner = Owner(me.name, me.incarnation, me.address, epoch)
         outcome = await self._store.write(
@@ -261,14 +292,17 @@
             "claim", shard=shard, epoch=epoch, outcome=type(outcome).__name__
         )
         if isinstance(outcome, Stored):
-            revision = outcome.revision
+            inherited = inherited_lease_ms(
+                last_epoch, mark, revision > 0, self._lease.ttl_ms
+            )
+            stored = outcome.revision
             self._cluster_view.apply(
-                Item(owner_key(shard), encode_owner(owner), revision, revision)
+                Item(owner_key(shard), encode_owner(owner), stored, stored)
             )
             if self._usable_lease != lease:
                 # The key goes with its lease.
                 return None
-            return Ownership(shard, epoch, revision, lease.lease_id)
+            return Ownership(shard, epoch, stored, lease.lease_id, inherited)
         if isinstance(outcome, Conflict):
             for item in outcome.items:
                 self._cluster_view.apply(item)
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -248,9 +248,8 @@
     async def _stop(self) -> None:
         self._log.info("stopping", n_shards=self._election.n_owned)
         self._is_draining = True
-        self._election.is_draining = True
         with trio.move_on_after(1):
-            await self._lease.revoke()
+            await self._election.leave()
         await trio.sleep(BALANCER_LAG_S)
         self._stopped.set()
 
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -32,6 +32,7 @@
     "progress_key",
     "progress_prefix",
     "roster_key",
+    "tenure_key",
 ]
 
 SYSTEM_PREFIX = "sys/"
@@ -51,6 +52,11 @@
     return f"epochs/{shard}"
 
 
+def tenure_key(shard: str) -> str:
+    """Return the key of the mark that an owner sets on its tenure."""
+    return f"tenures/{shard}"
+
+
 def limit_key(team: str) -> str:
     """Return the key of the split of a team's limit among the shards."""
     return f"limits/{team}"
--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -38,6 +38,11 @@
         self.lease_id = 0
         self.valid_until_ms = 0
 
+    @property
+    def ttl_ms(self) -> int:
+        """Length of the lease from its last renewal on, in milliseconds."""
+        return self._ttl_ms
+
     @property
     def is_valid(self) -> bool:
         """Whether the lease cannot have expired yet."""
@@ -92,13 +97,18 @@
         self.lease_id = lease_id
         self.valid_until_ms = valid_until_ms
 
-    async def revoke(self) -> None:
-        """Revoke the lease and acquire no new one, so that others take over at once."""
+    def abandon(self) -> int:
+        """Renew the lease no more and acquire no new one; return its id, 0 for none."""
         self._is_revoked = True
-        if not self.lease_id:
-            return
         lease_id = self.lease_id
         self._set(0, 0)
+        return lease_id
+
+    async def revoke(self) -> None:
+        """Revoke the lease and acquire no new one, so that its keys go at once."""
+        lease_id = self.abandon()
+        if not lease_id:
+            return
         try:
             await self._store.revoke_lease(lease_id)
         except StoreError as error:
--- a/apricotgap/instance/ownership.py
+++ b/apricotgap/instance/ownership.py
@@ -18,13 +18,15 @@
 
     `epoch` is the fencing token. Every write of the owner is conditional on
     `revision`, the store revision of the owner key, so that the writes of a
-    replaced owner fail.
+    replaced owner fail. `inherited_lease_ms` is how long from the claim on the leases
+    that earlier owners gave to workers may last.
     """
 
     shard: str
     epoch: int
     revision: int
     lease_id: int
+    inherited_lease_ms: int
 
     @property
     def condition(self) -> Write:
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -28,6 +28,7 @@
 )
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
+from apricotgap.instance.tenure import TenureMark
 from apricotgap.instance.ticket_requests import TicketRequests
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
@@ -102,6 +103,7 @@
             settings.bounds.max_lease_ms,
             settings.bounds.stop_timeout_ms,
             settings.bounds.contact_ms,
+            ownership.inherited_lease_ms,
         )
         self._shard.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._scheduler = Scheduler(self._shard)
@@ -139,6 +141,7 @@
             settings.bounds.status_retention_ms,
         )
         self._roster = RosterWriter(self._shard, ownership, store)
+        self._tenure_mark = TenureMark(ownership, store, clock)
         self._limits = TeamLimitUpdater(
             self._shard,
             ownership,
@@ -193,6 +196,7 @@
             if self._tickets is not None:
                 nursery.start_soon(self._tickets.run)
             nursery.start_soon(self._roster.run)
+            nursery.start_soon(self._tenure_mark.run)
             nursery.start_soon(self._tick_loop)
             nursery.start_soon(self._cleanup.run)
             nursery.start_soon(self._limits.run)
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -34,6 +34,9 @@
     max_list_age_ms : int
         Maximum age of the list of workers by which tasks start on workers that do not
         check admission.
+    inherited_lease_ms : int, optional
+        Maximum time for which leases of workers last that previous owners gave, by
+        default `max_lease_ms`.
     """
 
     def __init__(
@@ -43,8 +46,9 @@
         max_lease_ms: int,
         stop_ms: int = 1_000,
         max_list_age_ms: int = 3_000,
+        inherited_lease_ms: int | None = None,
     ) -> None:
-        super().__init__(service, epoch, max_lease_ms, stop_ms)
+        super().__init__(service, epoch, max_lease_ms, stop_ms, inherited_lease_ms)
         self._max_list_age_ms = max_list_age_ms
         self.evacuated: frozenset[str] = frozenset()
         self.team_limits = TeamLimits(service)
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -31,13 +31,24 @@
         As for `ShardCrashes`.
     max_lease_ms : int
         Maximum length of a worker's lease.
+    inherited_lease_ms : int or None
+        Maximum time for which leases last that previous owners gave, None for
+        `max_lease_ms`.
     """
 
     def __init__(
-        self, service: str, epoch: int, max_lease_ms: int, stop_ms: int
+        self,
+        service: str,
+        epoch: int,
+        max_lease_ms: int,
+        stop_ms: int,
+        inherited_lease_ms: int | None = None,
     ) -> None:
         super().__init__(service, epoch, stop_ms)
         self.max_lease_ms = max_lease_ms
+        if inherited_lease_ms is None:
+            inherited_lease_ms = max_lease_ms
+        self._inherited_lease_ms = min(max_lease_ms, inherited_lease_ms)
         self.config: Configuration | None = None
         # Ended incarnations that the platform may still list, by worker and start.
         self._ended_incarnations: set[tuple[str, int]] = set()
@@ -47,12 +58,9 @@
         self.list_fresh_ms = -1_000_000
 
     def add_inherited_worker(self, entry: WorkerEntry, at_ms: int) -> None:
-        """Add a worker on which a previous owner may have started runs.
-
-        It has to be assumed that its lease was renewed just now.
-        """
+        """Add a worker on which a previous owner may have started runs."""
         worker = self._add_worker(entry, at_ms)
-        worker.lease_until_ms = worker.lease_bound_ms(at_ms, self.max_lease_ms)
+        worker.lease_until_ms = worker.lease_bound_ms(at_ms, self._inherited_lease_ms)
         worker.is_listed = False
         worker.is_unverified = True
 
@@ -278,7 +286,7 @@
         if not worker.is_acquired and not worker.offered_until_ms:
             # The first poll offers no lease; one of a previous owner may be valid.
             worker.offered_until_ms = worker.lease_bound_ms(
-                event.at_ms, self.max_lease_ms
+                event.at_ms, self._inherited_lease_ms
             )
         self._resolve_lease_offer(worker, True)
         self._found_alive(worker)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -20,6 +20,7 @@
     encode_member,
     encode_owner,
     owner_key,
+    tenure_key,
 )
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.platform.store import Item, Lease, Stored, Unavailable
@@ -50,9 +51,20 @@
     """A lease that never expires."""
 
     lease_id = 1
+    ttl_ms = 3_000
     is_valid = True
     current = Lease(1)
 
+    def __init__(self):
+        self.ended = []
+
+    async def revoke(self):
+        self.ended.append("revoked")
+
+    def abandon(self):
+        self.ended.append("abandoned")
+        return 1
+
 
 class TwoShardView(ClusterView):
     """A cluster view with two shards that watches no store."""
@@ -71,10 +83,11 @@
         self.store.cluster_view = self.cluster_view
         self.me = Member("me", "i1", "10.0.0.1:1", "a", speed_milli)
         self.running = []
+        self.lease = EndlessLease()
         self.election = Election(
             self.me,
             self.store,
-            EndlessLease(),
+            self.lease,
             self.cluster_view,
             self.clock,
             self._run_shard,
@@ -84,6 +97,18 @@
         self.running.append(ownership.shard)
         await trio.sleep_forever()
 
+    def record_writes(self):
+        """Return a list that gets the writes of each transaction from now on."""
+        writes = []
+        write = self.store.write
+
+        async def record(transaction):
+            writes.append(transaction)
+            return await write(transaction)
+
+        self.store.write = record
+        return writes
+
     def add(self, name, speed_milli, *owned):
         member = Member(name, "i1", "10.0.0.2:1", "a", speed_milli)
         self.cluster_view.apply(Item(MEMBERS_PREFIX + name, encode_member(member), 1))
@@ -323,3 +348,48 @@
         assert rig.running == []
 
     run_claiming(check)
+
+
+def test_shard_that_is_given_up_loses_the_mark_of_its_tenure():
+    """Guards against a successor that takes a key that was removed for one that went
+    with its lease, and then does not wait for leases that were given just before.
+    """
+
+    async def check(rig):
+        await rig.advance(500)
+        writes = rig.record_writes()
+        ownership = rig.election._ownerships["s1"][0]
+        await rig.election.resign(ownership, "test")
+        assert {write.key for write in writes[-1] if write.value is None} == {
+            owner_key("s1"),
+            tenure_key("s1"),
+        }
+
+    run(check)
+
+
+def test_lease_with_a_shard_that_could_not_be_given_up_is_not_revoked():
+    """Guards against an owner key that is removed with its lease while the mark of the
+    tenure stays.
+    """
+
+    async def check(rig):
+        await rig.advance(500)
+        rig.store.refuses_removals = True
+        await rig.election.leave()
+        assert rig.lease.ended == ["abandoned"]
+
+    run(check)
+
+
+def test_instance_that_stops_gives_up_its_shards_and_its_lease():
+    """Guards against shards that wait until the lease of a stopped instance ends."""
+
+    async def check(rig):
+        await rig.advance(500)
+        await rig.election.leave()
+        assert rig.election.n_owned == 0
+        assert rig.cluster_view.owner("s1") is None
+        assert rig.lease.ended == ["revoked"]
+
+    run(check)
--- a/tests/test_fleet_order_store.py
+++ b/tests/test_fleet_order_store.py
@@ -24,7 +24,7 @@
     def owner(self, epoch):
         revision = self.store.put(owner_key(SHARD), b"owner")
         return FleetOrderStore(
-            Ownership(SHARD, epoch, revision, 1),
+            Ownership(SHARD, epoch, revision, 1, 6_500),
             StoreClient(self.store.address),
             self.clock,
             EXCLUSION_MS,
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -32,7 +32,7 @@
     async def main():
         rig = Rig().ready()
         store = SlowStore()
-        ownership = Ownership(SERVICE, 1, 5, 1)
+        ownership = Ownership(SERVICE, 1, 5, 1, 6_500)
         assert owner_key(SERVICE) == ownership.condition.key
         await check(rig, store, ProgressWriter(rig.shard, ownership, store))
 
