Jobs of a service go on when its last route has left

What callers see: an accepted job runs until it ends or is cancelled, also a lasting one whose service no queue uses any more, through restarts of the owner and handovers for balance. After that no instance owns the service.

Cause: only the services that a queue uses were offered for election.

Change: `sys/shards/SERVICE`, a key without a lease, says that a service may have unfinished jobs. Each claim writes it in its transaction, so that whatever an owner accepts has a successor, jobs of an earlier build included. The view offers the services in use and those with a key. The scheduler also starts tasks of a service that has left the configuration altogether. The owner of the fleet asks such pools for reports and spares their machines in waves; a pool without queue and jobs wants no workers. A machine of a service without a shard goes down for a wave at once; before, its wave waited for a report that nobody gave.

The model check has no specification of the election, so that none was changed.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -6,6 +6,7 @@
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
     OWNERS_PREFIX,
+    SHARDS_PREFIX,
     Member,
     Owner,
     decode_member,
@@ -60,6 +61,7 @@
         self.waves: dict[int, Wave] = {}
         self._members: dict[str, Member] = {}
         self._owners: dict[str, tuple[Item, Owner | None]] = {}
+        self._stored_shards: dict[str, Item] = {}
         self._log = structlog.get_logger()
 
     def config_age_ms(self) -> int | None:
@@ -119,6 +121,18 @@
             self._apply_owner(item)
         elif item.key.startswith(MEMBERS_PREFIX):
             self._apply_member(item)
+        elif item.key.startswith(SHARDS_PREFIX):
+            self._apply_shard(item)
+
+    def _apply_shard(self, item: Item) -> None:
+        service = item.key[len(SHARDS_PREFIX) :]
+        known = self._stored_shards.get(service)
+        if known is not None and known.revision > item.revision:
+            return
+        if item.value is None:
+            self._stored_shards.pop(service, None)
+            return
+        self._stored_shards[service] = item
 
     def _apply_owner(self, item: Item) -> None:
         shard = item.key[len(OWNERS_PREFIX) :]
@@ -149,7 +163,20 @@
         """Return the names of all shards, none before the first configuration."""
         if self.config is None or not self.system_mirror.loaded.is_set():
             return ()
-        return (*self.config.working_services, FLEET_SHARD)
+        return (*self.services(), FLEET_SHARD)
+
+    def services(self) -> tuple[str, ...]:
+        """Return the services that have a shard, none before the first configuration.
+
+        A service whose last queue has left keeps its shard until its jobs have ended.
+        """
+        if self.config is None:
+            return ()
+        return tuple(sorted({*self.config.working_services, *self._stored_shards}))
+
+    def shard_item(self, service: str) -> Item | None:
+        """Return the key that says that a service may have unfinished jobs."""
+        return self._stored_shards.get(service)
 
     def owner_item(self, shard: str) -> Item | None:
         """Return the owner key of a shard, None if the shard has no owner."""
--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -10,9 +10,10 @@
 import trio
 
 from apricotgap.clock import Clock
-from apricotgap.instance.cluster_view import ClusterView
+from apricotgap.instance.cluster_view import FLEET_SHARD, ClusterView
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
+    SHARD_OPEN,
     Member,
     Owner,
     decode_owner,
@@ -20,6 +21,7 @@
     encode_owner,
     epoch_key,
     owner_key,
+    shard_key,
 )
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.ownership import Ownership
@@ -240,21 +242,23 @@
         epoch = int(counter.value or b"0") + 1
         me = self._identity
         owner = Owner(me.name, me.incarnation, me.address, epoch)
-        outcome = await self._store.write(
-            (
-                Write(
-                    owner_key(shard),
-                    encode_owner(owner),
-                    expected_revision=revision,
-                    lease=lease,
-                ),
-                Write(
-                    epoch_key(shard),
-                    str(epoch).encode(),
-                    expected_revision=counter.revision,
-                ),
-            )
-        )
+        writes = [
+            Write(
+                owner_key(shard),
+                encode_owner(owner),
+                expected_revision=revision,
+                lease=lease,
+            ),
+            Write(
+                epoch_key(shard),
+                str(epoch).encode(),
+                expected_revision=counter.revision,
+            ),
+        ]
+        if shard != FLEET_SHARD:
+            # Whatever the owner accepts has a successor, even without a queue.
+            writes.append(Write(shard_key(shard), SHARD_OPEN))
+        outcome = await self._store.write(tuple(writes))
         if isinstance(outcome, Unknown):
             outcome = await self._resolve_claim(shard, owner, outcome)
         self._log.info(
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -158,6 +158,7 @@
         )
         reserved = self._planner.reserved_workers(self._machines)
         ended = self._planner.ended_workers(now_ms)
+        services = self._cluster_view.services()
         reports: dict[str, PoolReport] = {}
 
         async def request(pool: str) -> None:
@@ -168,8 +169,9 @@
                 reports[pool] = report
 
         async with trio.open_nursery() as request_nursery:
-            for pool in config.working_services:
-                request_nursery.start_soon(request, pool)
+            for pool in services:
+                if pool not in config.spare_services:
+                    request_nursery.start_soon(request, pool)
         if not self._has_lease(0):
             return
         orders, decisions = self._planner.plan(
@@ -179,6 +181,7 @@
             self._machines,
             reports,
             self._cluster_view.evacuated,
+            services,
         )
         for decision in decisions:
             self._log.info(decision.event, **decision.fields)
--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -8,10 +8,10 @@
 
 from apricotgap.clock import Clock
 from apricotgap.instance.cluster_view import ClusterView
+from apricotgap.instance.direct_submissions import DirectSubmissions
 from apricotgap.instance.keys import (
     Member,
     cancel_key,
-    job_writes,
 )
 from apricotgap.instance.ownership import OwnershipLostError
 from apricotgap.instance.peers import PeerCallError, PeerClient
@@ -32,12 +32,9 @@
     UnreadableError,
 )
 from apricotgap.platform.store import (
-    Conflict,
     StoreClient,
     Stored,
     StoreError,
-    Unavailable,
-    Unknown,
     Write,
 )
 
@@ -93,6 +90,7 @@
         self._store = store
         self._peers = peers
         self._stored_jobs = StoredJobs(store)
+        self._direct_submissions = DirectSubmissions(cluster_view, store, clock)
         self._clock = clock
         self._log = structlog.get_logger()
 
@@ -136,20 +134,10 @@
             may_be_stored = True
         except _OwnerCallError as error:
             may_be_stored = error.may_have_executed
-        writes = job_writes(job.service, job.job_id, document)
-        while not self._store.is_down:
-            left_ms = deadline_ms - self._clock.now_ms
-            if left_ms <= 0:
-                break
-            written = await self._store.write(writes, min(left_ms, _STORE_TIMEOUT_MS))
-            if isinstance(written, Stored | Conflict):
-                return _ACCEPTED
-            may_be_stored |= isinstance(written, Unknown)
-            if isinstance(written, Unavailable):
-                break
-        return SubmitOutcome(
-            SubmitResult.UNKNOWN if may_be_stored else SubmitResult.REFUSED
-        )
+        result = await self._direct_submissions.submit(job, document, deadline_ms)
+        if result is SubmitResult.REFUSED and may_be_stored:
+            result = SubmitResult.UNKNOWN
+        return SubmitOutcome(result)
 
     def _choose_relays(self, service: str) -> list[Member]:
         """Choose random instances that may reach the owner or the store."""
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -13,6 +13,9 @@
     "FLEET_ORDERS_KEY",
     "MEMBERS_PREFIX",
     "OWNERS_PREFIX",
+    "SHARDS_PREFIX",
+    "SHARD_CLOSING",
+    "SHARD_OPEN",
     "SYSTEM_PREFIX",
     "Member",
     "Owner",
@@ -32,11 +35,17 @@
     "progress_key",
     "progress_prefix",
     "roster_key",
+    "shard_key",
 ]
 
 SYSTEM_PREFIX = "sys/"
 MEMBERS_PREFIX = "sys/members/"
 OWNERS_PREFIX = "sys/owners/"
+# Services that may have unfinished jobs, whether a queue uses them or not.
+SHARDS_PREFIX = "sys/shards/"
+# Values of these keys. While a shard is closing, its owner checks that no job is left.
+SHARD_OPEN = b"open"
+SHARD_CLOSING = b"closing"
 # Machines that were recently named in an order of the fleet owner.
 FLEET_ORDERS_KEY = "orders/fleet"
 
@@ -46,6 +55,11 @@
     return f"{OWNERS_PREFIX}{shard}"
 
 
+def shard_key(service: str) -> str:
+    """Return the key that exists while a service may have unfinished jobs."""
+    return f"{SHARDS_PREFIX}{service}"
+
+
 def epoch_key(shard: str) -> str:
     """Return the key of the number of owners that a shard has had."""
     return f"epochs/{shard}"
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -26,6 +26,7 @@
     load_jobs,
     read_prefix,
 )
+from apricotgap.instance.shard_retirement import ShardRetirement
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
 from apricotgap.instance.ticket_requests import TicketRequests
@@ -138,6 +139,9 @@
             clock,
             settings.bounds.status_retention_ms,
         )
+        self._retirement = ShardRetirement(
+            self._shard, ownership, store, cluster_view, clock
+        )
         self._roster = RosterWriter(self._shard, ownership, store)
         self._limits = TeamLimitUpdater(
             self._shard,
@@ -195,6 +199,7 @@
             nursery.start_soon(self._roster.run)
             nursery.start_soon(self._tick_loop)
             nursery.start_soon(self._cleanup.run)
+            nursery.start_soon(self._retirement.run)
             nursery.start_soon(self._limits.run)
             self.ready.set()
 
--- a/apricotgap/jobs/configuration.py
+++ b/apricotgap/jobs/configuration.py
@@ -86,18 +86,27 @@
         """Queues by name."""
         return {queue.name: queue for queue in self.queues}
 
+    @cached_property
+    def used_services(self) -> frozenset[str]:
+        """Names of the services that a queue uses."""
+        return frozenset(queue.service for queue in self.queues)
+
     @cached_property
     def working_services(self) -> tuple[str, ...]:
         """Sorted names of the services, spare ones excluded, that a queue uses."""
-        used = {queue.service for queue in self.queues}
         return tuple(
             sorted(
                 service.name
                 for service in self.services
-                if service.name in used and not service.is_spare
+                if service.name in self.used_services and not service.is_spare
             )
         )
 
+    @cached_property
+    def spare_services(self) -> frozenset[str]:
+        """Names of the services whose machines are powered off."""
+        return frozenset(service.name for service in self.services if service.is_spare)
+
     @cached_property
     def _queues_by_host(self) -> dict[str, list[QueueSpec]]:
         found: dict[str, list[QueueSpec]] = {}
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -98,17 +98,25 @@
     def wanted(self, at_ms: int) -> int:
         """Return the number of workers for the jobs that can end in time."""
         worker_cores = self._worker_cores()
+        least = self._min_workers()
         if not worker_cores:
-            return MIN_WORKERS
+            return least
         cores = self._required_cores(at_ms)
         target = max(
-            MIN_WORKERS, ceil(cores * HEADROOM / worker_cores), self._n_spread_workers()
+            least, ceil(cores * HEADROOM / worker_cores), self._n_spread_workers()
         )
         self._targets.append((at_ms, target))
         while self._targets[0][0] < at_ms - SCALE_DOWN_DELAY_MS:
             self._targets.popleft()
         return max(target for _, target in self._targets)
 
+    def _min_workers(self) -> int:
+        """Return the workers without demand, 0 if the service has no work to expect."""
+        config = self._shard.config
+        if config is None or self._shard.service in config.used_services:
+            return MIN_WORKERS
+        return MIN_WORKERS if self._shard.open_jobs else 0
+
     def wanted_for_late_jobs(self, at_ms: int) -> int:
         """Return the number of further workers for jobs that can only end late."""
         worker_cores = self._worker_cores()
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -77,6 +77,7 @@
         machines: Mapping[str, Machine],
         reports: Mapping[str, PoolReport],
         evacuated: frozenset[str],
+        services: Iterable[str] | None = None,
     ) -> tuple[list[MachineOrder], list[LogDecision]]:
         """Return the orders to send now and the log lines of this pass.
 
@@ -94,8 +95,12 @@
             Reports by pool; the machines of a pool without one are not ordered.
         evacuated : frozenset of str
             Data centres that get no work now.
+        services : iterable of str, optional
+            Services that have a shard, by default those that a queue uses.
         """
-        view = FleetView(at_ms, config, machines, reports, evacuated)
+        if services is None:
+            services = config.working_services
+        view = FleetView(at_ms, config, machines, reports, evacuated, services)
         self._tracker.prune(listed_ms, view, self._waves.is_obsolete)
         orders = self._tracker.retries(at_ms)
         orders += self._waves.plan(view)
--- a/apricotgap/jobs/fleet_view.py
+++ b/apricotgap/jobs/fleet_view.py
@@ -1,6 +1,6 @@
 """Snapshot of the machines and the reports of the pools for one planning pass."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from apricotgap.jobs.configuration import Configuration
@@ -50,6 +50,8 @@
         Reports by pool.
     evacuated : frozenset of str
         Data centres that get no work now.
+    services : iterable of str
+        Services that have a shard.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         machines: Mapping[str, Machine],
         reports: Mapping[str, PoolReport],
         evacuated: frozenset[str],
+        services: Iterable[str],
     ) -> None:
         self.at_ms = at_ms
         self.machines = machines
@@ -66,6 +69,7 @@
         self.evacuated = evacuated
         self.log_lines: list[LogDecision] = []
         self._services = config.service_by_name
+        self._sharded = frozenset(services)
         self.spare_pool = next(
             (service.name for service in config.services if service.is_spare), ""
         )
@@ -86,9 +90,7 @@
 
     def has_no_shard(self, machine: Machine) -> bool:
         """Whether a machine is in no shard's pool, so that nothing runs on it."""
-        if self.is_spare(machine.pool):
-            return True
-        return machine.pool not in self._services
+        return self.is_spare(machine.pool) or machine.pool not in self._sharded
 
     def usable(self, pool: str) -> list[str]:
         """Return the names of a pool's machines whose workers are usable."""
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -70,7 +70,7 @@
         if at_ms > lease_until_ms - limits.LEASE_MARGIN_MS:
             return []
         shard = self._shard
-        if shard.config is None or shard.service not in shard.config.service_by_name:
+        if shard.config is None:
             return []
         if not shard.knows_capacities(at_ms):
             return []
