A full read of the store replaces what other answers have shown

What callers see: after the store drops its history, an instance no longer keeps an owner of a shard that is gone. It would not claim the shard, and would send its calls to a process that does not run.

Cause: `ClusterView.apply` is also called with an instance's own claims and with the items of a conflict. The mirror below had never seen these, so a full read that lacked them reported no removal. The other way round, an event or a read from before could hide a newer claim, or bring back an owner that was removed.

Change: the mirror takes these items over (`PrefixMirror.adopt`) and is the one place that compares revisions: an older event, read or removal changes nothing, a newer full read replaces all.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -7,6 +7,7 @@
     MEMBERS_PREFIX,
     OWNERS_PREFIX,
     SHARDS_PREFIX,
+    SYSTEM_PREFIX,
     Member,
     Owner,
     decode_member,
@@ -54,7 +55,7 @@
             OPERATOR_WATCH_WAIT_MS,
         )
         self.system_mirror = PrefixMirror(
-            store, "sys/", clock, self._system_changed, SYSTEM_WATCH_WAIT_MS
+            store, SYSTEM_PREFIX, clock, self._system_changed, SYSTEM_WATCH_WAIT_MS
         )
         self.config: Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
@@ -111,24 +112,22 @@
             self._log.info("wave", number=number, n_machines=len(wave.machines))
         self.waves[number] = wave
 
+    def apply(self, item: Item) -> None:
+        """Apply a change of a key that instances write, before a watch delivers it."""
+        if item.key.startswith(SYSTEM_PREFIX):
+            self.system_mirror.adopt(item)
+
     def _system_changed(self, items: tuple[Item, ...]) -> None:
         for item in items:
-            self.apply(item)
-
-    def apply(self, item: Item) -> None:
-        """Apply a change of a key that instances write."""
-        if item.key.startswith(OWNERS_PREFIX):
-            self._apply_owner(item)
-        elif item.key.startswith(MEMBERS_PREFIX):
-            self._apply_member(item)
-        elif item.key.startswith(SHARDS_PREFIX):
-            self._apply_shard(item)
+            if item.key.startswith(OWNERS_PREFIX):
+                self._apply_owner(item)
+            elif item.key.startswith(MEMBERS_PREFIX):
+                self._apply_member(item)
+            elif item.key.startswith(SHARDS_PREFIX):
+                self._apply_shard(item)
 
     def _apply_shard(self, item: Item) -> None:
         service = item.key[len(SHARDS_PREFIX) :]
-        known = self._stored_shards.get(service)
-        if known is not None and known.revision > item.revision:
-            return
         if item.value is None:
             self._stored_shards.pop(service, None)
             return
@@ -136,9 +135,6 @@
 
     def _apply_owner(self, item: Item) -> None:
         shard = item.key[len(OWNERS_PREFIX) :]
-        known = self._owners.get(shard)
-        if known is not None and known[0].revision > item.revision > 0:
-            return
         if item.value is None:
             self._owners.pop(shard, None)
             return
--- a/apricotgap/instance/mirror.py
+++ b/apricotgap/instance/mirror.py
@@ -34,8 +34,8 @@
     clock : Clock
         Measures the age of the copy.
     on_change : callable
-        Called after each change with the changed items, and with all items after
-        a read of the whole prefix.
+        Called after each change with the changed items, and after a read of the whole
+        prefix with all items that are not older than those known.
     wait_ms : int
         Longest wait of one watch, in milliseconds.
     pause_ms : int
@@ -62,6 +62,8 @@
         self._log = structlog.get_logger().bind(prefix=prefix)
         self._is_disconnected = False
         self._had_changes = False
+        # Revisions of adopted items that no read or watch has reached yet.
+        self._adopted: dict[str, int] = {}
         self.items: dict[str, Item] = {}
         self.fresh_as_of_ms: int | None = None
         self.loaded = trio.Event()
@@ -109,8 +111,35 @@
             for key in self.items
             if key not in current
         )
-        self.items = current
-        self._on_change((*snapshot.items, *removed))
+        self._apply((*snapshot.items, *removed))
+
+    def adopt(self, item: Item) -> None:
+        """Apply a change that an answer to another call has shown.
+
+        Older reads and events do not undo it.
+        """
+        self._adopted[item.key] = item.revision
+        self._apply((item,))
+
+    def _apply(self, items: tuple[Item, ...]) -> None:
+        changed = tuple(filter(self._is_current, items))
+        for item in changed:
+            if item.value is None:
+                self.items.pop(item.key, None)
+            else:
+                self.items[item.key] = item
+        reached = self._revision or 0
+        self._adopted = {
+            key: revision
+            for key, revision in self._adopted.items()
+            if revision > reached
+        }
+        self._on_change(changed)
+
+    def _is_current(self, item: Item) -> bool:
+        known = self.items.get(item.key)
+        known_revision = known.revision if known else 0
+        return item.revision >= max(known_revision, self._adopted.get(item.key, 0))
 
     async def _watch(self, revision: int) -> None:
         sent_ms = self._clock.now_ms
@@ -118,15 +147,10 @@
             min(self._wait_ms, _SHORT_WAIT_MS) if self._had_changes else self._wait_ms
         )
         changes = await self._store.watch(self._prefix, revision, wait_ms)
-        for item in changes.items:
-            if item.value is None:
-                self.items.pop(item.key, None)
-            else:
-                self.items[item.key] = item
         self._revision = max(revision, changes.revision)
         self._had_changes = bool(changes.items)
         if changes.items:
-            self._on_change(changes.items)
+            self._apply(changes.items)
             self.fresh_as_of_ms = sent_ms
             if self._pause_ms:
                 await trio.sleep(self._pause_ms / 1000)
--- /dev/null
+++ b/tests/test_prefix_mirror.py
@@ -0,0 +1,98 @@
+"""Local copies of the store's keys, beside what other answers of the store tell."""
+
+import pytest
+
+from apricotgap.clock import FakeClock
+from apricotgap.instance.cluster_view import ClusterView
+from apricotgap.instance.keys import Owner, encode_owner, owner_key
+from apricotgap.platform.store import Item, Snapshot
+
+SHARD = "bakery"
+KEY = owner_key(SHARD)
+
+
+def owner(name):
+    return encode_owner(Owner(name, "i1", "10.0.0.1:1", 1))
+
+
+class WatchedStore:
+    """Answers watches with the events that a test provides."""
+
+    def __init__(self):
+        self.events = ()
+
+    async def watch(self, prefix, after, wait_ms):
+        return Snapshot(self.events, max(item.revision for item in self.events))
+
+
+@pytest.fixture
+def store():
+    return WatchedStore()
+
+
+@pytest.fixture
+def view(store):
+    """Return a view that has been read at revision 10, without an owner."""
+    view = ClusterView(store, FakeClock())
+    view.system_mirror.replace(Snapshot((), 10))
+    return view
+
+
+def name_of(view):
+    known = view.owner(SHARD)
+    return known.name if known else None
+
+
+def watch(view, store, *events):
+    """Deliver events of one watch."""
+    store.events = events
+    with pytest.raises(StopIteration):
+        view.system_mirror._watch(10).send(None)
+
+
+def test_full_read_removes_an_owner_that_no_watch_has_delivered(view):
+    """Guards against an owner that is long gone, after the store dropped its history.
+
+    The instance would neither claim the shard nor pass its calls by.
+    """
+    view.apply(Item(KEY, owner("a"), 12))
+    view.system_mirror.replace(Snapshot((), 20))
+    assert name_of(view) is None
+    assert view.owner_item(SHARD) is None
+
+
+def test_full_read_keeps_a_claim_that_is_newer(view):
+    """Guards against an owner that stops because a read is older than its claim."""
+    view.apply(Item(KEY, owner("a"), 12))
+    view.system_mirror.replace(Snapshot((Item(KEY, owner("b"), 5),), 11))
+    assert name_of(view) == "a"
+    view.system_mirror.replace(Snapshot((), 11))
+    assert name_of(view) == "a"
+
+
+def test_full_read_restores_nothing_that_was_removed_later(view):
+    """Guards against a shard that counts as owned after its owner gave it up."""
+    view.apply(Item(KEY, None, 12))
+    view.system_mirror.replace(Snapshot((Item(KEY, owner("b"), 5),), 11))
+    assert name_of(view) is None
+    view.system_mirror.replace(Snapshot((Item(KEY, owner("c"), 15),), 16))
+    assert name_of(view) == "c"
+
+
+@pytest.mark.parametrize("late", [None, owner("b")])
+def test_late_event_does_not_undo_a_newer_claim(view, store, late):
+    """Guards against a claim that is hidden by the removal of the owner before it."""
+    view.apply(Item(KEY, owner("a"), 12))
+    watch(view, store, Item(KEY, late, 11))
+    assert name_of(view) == "a"
+    view.system_mirror.replace(Snapshot((), 20))
+    assert name_of(view) is None
+
+
+def test_late_event_does_not_bring_back_a_removed_owner(view, store):
+    """Guards against a shard that is given up and seems to have an owner again."""
+    view.apply(Item(KEY, None, 12))
+    watch(view, store, Item(KEY, owner("b"), 11))
+    assert name_of(view) is None
+    watch(view, store, Item(KEY, owner("c"), 13))
+    assert name_of(view) == "c"
