A confirmed machine order ends a worker only when the list shows it

What callers see: after a change of the owner of the fleet, a sound worker stays in use. Before, its shard ignored it, and what ran on it, until it restarted.

Cause: the platform also answers 200 to an order that is already done. A new owner of the fleet that repeats the maintenance of its predecessor took the worker that had come back since for the one that the order had ended. The shard removes such a worker and doesn't add that incarnation again. The same happened to a worker that came back under its id within 6 s.

Change: the planner counts the worker of a confirmed order as ended once a list of machines shows the machine down, away or with another worker, and no longer when the list shows that worker up.

Of the four new cases in tests/test_fleet_plan.py the ones for an order that was already done and for a worker that comes back under its id fail on the commit before. The planner and tests/test_fleet_process.py pass.

--- a/apricotgap/jobs/fleet_orders.py
+++ b/apricotgap/jobs/fleet_orders.py
@@ -129,8 +129,6 @@
             return True
         if result.kind == "ok":
             pending.done_ms = result.at_ms
-            if pending.worker_id:
-                self._ended[pending.worker_id] = result.at_ms
             self.reserved.pop(order.machine, None)
             return True
         del self.pending[order.machine]
@@ -161,6 +159,7 @@
                 self._maintenance_ms if pending.order.wave else self._move_ms
             )
             listed = machines.get(name)
+            self._record_end(pending.worker_id, listed, view.at_ms)
             if listed is None or listed.state == "down":
                 del self.pending[name]
                 continue
@@ -179,6 +178,20 @@
             if listed is None or listed.state != "up" or is_obsolete(name, order):
                 del self.reserved[name]
 
+    def _record_end(self, worker_id: str, listed: Machine | None, at_ms: int) -> None:
+        """Record the end of the worker of an order, once the list shows it.
+
+        The platform also confirms an order that an earlier owner of the fleet has had
+        carried out. The worker is then the one that came afterwards.
+        """
+        if not worker_id:
+            return
+        running_id = listed.worker_id if listed and listed.state == "up" else ""
+        if running_id == worker_id:
+            self._ended.pop(worker_id, None)
+        else:
+            self._ended[worker_id] = at_ms
+
     def retries(self, at_ms: int) -> list[MachineOrder]:
         """Return the orders without a response that are due to be sent again."""
         orders = []
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from apricotgap.jobs.configuration import ServiceSpec, Wave
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import (
@@ -121,6 +123,54 @@
     assert rig.plan(wave("m0")) == [MachineOrder("m0", wave=1)]
 
 
+def ordered_maintenance():
+    """Return a rig and its confirmed order for a machine of a pool."""
+    rig = Rig(machine("m0"), machine("m1"), machine("m2"))
+    rig.wanted = 3
+    rig.plan(wave("m0"))
+    (order,) = rig.plan(wave("m0"))
+    rig.answer(order)
+    return rig
+
+
+def test_order_that_was_already_done_leaves_the_worker_in_service():
+    """Guards against a shard that ignores a sound worker, and what runs on it.
+
+    An earlier owner of the fleet has had the maintenance carried out and did not live
+    to store that. The platform confirms the order of its successor, and the worker that
+    came after the maintenance stays.
+    """
+    rig = ordered_maintenance()
+    for _ in range(10):
+        assert rig.planner.ended_workers(rig.now) == []
+        rig.now += 500
+        rig.plan(wave("m0"))
+    assert rig.planner.pop_finished() == [1]
+    assert not rig.planner.is_busy
+
+
+@pytest.mark.parametrize(
+    "listed", [machine("m0", state="upkeep"), replace(machine("m0"), worker_id="w-new")]
+)
+def test_order_that_was_carried_out_frees_the_tasks_of_its_worker(listed):
+    """Guards against tasks that wait for the lease of a worker that an order ended."""
+    rig = ordered_maintenance()
+    rig.machines["m0"] = listed
+    rig.plan(wave("m0"))
+    assert rig.planner.ended_workers(rig.now) == ["w-m0"]
+
+
+def test_worker_that_came_back_under_its_id_is_not_reported_as_ended():
+    """Guards against a shard that ignores the next incarnation of a worker."""
+    rig = ordered_maintenance()
+    rig.machines["m0"] = machine("m0", state="upkeep")
+    rig.plan(wave("m0"))
+    rig.now += MAINTENANCE_MS
+    rig.machines["m0"] = machine("m0")
+    rig.plan(wave("m0"))
+    assert rig.planner.ended_workers(rig.now) == []
+
+
 def test_machine_that_left_the_fleet_needs_no_maintenance():
     """Guards against a wave that never finishes."""
     rig = Rig(machine("m0"))
