A job whose first starts were rejected still counts as pending

What callers see: `pendingCount` no longer leaves out jobs of which no task has started. While workers reject starts, for want of room or because they are busy, it was too low until a task of each such job ran.

Cause: the count took the phase of a job, which changes when a start is sent.

Change: `JobState.has_begun` says whether a worker has confirmed a start, or has listed a run or an end of a task; the count takes that. The stored phase and the state that a GET shows stay as they are.

The four cases of test_job_whose_first_starts_were_rejected_is_still_pending fail with the count by phase; tests/test_pending_count.py passes now, as do the tests of the shard, the scheduler, crashes and incarnations.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -297,10 +297,7 @@
 
     def n_pending(self, queue: str) -> int:
         """Return the number of jobs of a queue without a started task."""
-        return sum(
-            job.spec.queue == queue and job.progress.phase is JobPhase.PENDING
-            for job in self._shard.open_jobs.values()
-        )
+        return self._shard.n_pending(queue)
 
     def report(
         self, reserved: Iterable[str], ended: Iterable[str], share: int | None = None
--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -42,6 +42,7 @@
         self.revision = revision
         self.is_inherited = is_inherited
         self.saved_phase = self.progress.phase
+        self._has_begun = self.progress.phase.has_begun
         self.runs: dict[TaskName, list[Run]] = {}
         self.last_run: dict[TaskName, int] = {}
         self.durations_ms: dict[StepKey, list[int]] = {}
@@ -74,6 +75,17 @@
         """Whether progress is stored, so that the next owner expects running tasks."""
         return self.revision > 0
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a worker has started a task; a rejected start does not count."""
+        return self._has_begun or any(
+            run.has_begun for runs in self.runs.values() for run in runs
+        )
+
+    def record_begun(self) -> None:
+        """Record that a worker has started a task."""
+        self._has_begun = True
+
     @property
     def is_final(self) -> bool:
         """Whether the job has ended, so that no more tasks start."""
@@ -158,6 +170,7 @@
 
     def remove_run(self, run: Run) -> None:
         """Remove a run; its task waits again if it is to be started once more."""
+        self._has_begun = self._has_begun or run.has_begun
         left = [other for other in self.runs.get(run.name, ()) if other is not run]
         if left:
             self.runs[run.name] = left
--- a/apricotgap/jobs/shard_jobs.py
+++ b/apricotgap/jobs/shard_jobs.py
@@ -99,6 +99,13 @@
         self._pending_first_saves.discard(job_id)
         self._dirty.discard(job_id)
 
+    def n_pending(self, queue: str) -> int:
+        """Return the number of jobs of a queue of which no task has been started."""
+        return sum(
+            job.spec.queue == queue and not job.has_begun
+            for job in self.open_jobs.values()
+        )
+
     def team_demand(self, at_ms: int) -> dict[str, Resources]:
         """Return the resources that each team uses or could use now."""
         demand = dict(self.team_usage)
--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -162,6 +162,7 @@
         step = job.step_of(end.name)
         if step is None or job.is_final:
             return
+        job.record_begun()
         if worker.record_end(at_ms, end.name.job_id, end.end):
             yield LogDecision("worker_suspect", {"worker": worker.worker_id})
         if end.end is RunEnd.DONE and not step.is_long_running:
