Waiting jobs of a queue that moved to another service are counted

What callers see: `pendingCount` includes jobs that were accepted while another service had the queue. It showed 0 for them as soon as the route had moved.

Cause: only the owner of the queue's service of now was asked.

Change: the router also asks the owners of the queue's former services that may still have jobs (`sys/shards/SERVICE`), and of such services without a queue.

Partial: an instance that starts after the queue has moved, and whose former service has another queue, doesn't know of the former one and counts too few.

Evidence: test_pending_jobs_count_although_their_queue_moved_to_another_service fails on (0 in place of 1) and passes now, also for an instance that starts after the move. tests/test_route_changes.py and tests/test_unused_services.py pass.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -63,6 +63,8 @@
         self._members: dict[str, Member] = {}
         self._owners: dict[str, tuple[Item, Owner | None]] = {}
         self._stored_shards: dict[str, Item] = {}
+        # Services that the configurations seen so far have given to a queue.
+        self._services_of: dict[str, set[str]] = {}
         self._log = structlog.get_logger()
 
     def config_age_ms(self) -> int | None:
@@ -97,6 +99,8 @@
             "configuration", version=config.version, n_queues=len(config.queues)
         )
         self.config = config
+        for queue in config.queues:
+            self._services_of.setdefault(queue.name, set()).add(queue.service)
 
     def _apply_wave(self, item: Item) -> None:
         try:
@@ -170,6 +174,34 @@
             return ()
         return tuple(sorted({*self.config.working_services, *self._stored_shards}))
 
+    def former_services(self, queue: str, service: str) -> tuple[str, ...]:
+        """Return other services that may have jobs of a queue.
+
+        Parameters
+        ----------
+        queue : str
+            Name of the queue.
+        service : str
+            Service of the queue by the configuration.
+
+        Returns
+        -------
+        tuple of str
+            Services that a configuration has given to the queue, as far as this
+            process has seen it, and those that no queue uses any more.
+        """
+        if self.config is None:
+            return ()
+        seen = self._services_of.get(queue, set())
+        return tuple(
+            sorted(
+                name
+                for name in self._stored_shards
+                if name != service
+                and (name in seen or name not in self.config.used_services)
+            )
+        )
+
     def shard_item(self, service: str) -> Item | None:
         """Return the key that says that a service may have unfinished jobs."""
         return self._stored_shards.get(service)
--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -235,11 +235,22 @@
     async def n_pending(self, service: str, queue: str, deadline_ms: int) -> int:
         """Return the number of jobs of a queue without a started task.
 
+        Jobs that were accepted for a former service of the queue count too.
+
         Raises
         ------
         UnreadableError
             Neither an owner nor the store answered.
         """
+        former = self._cluster_view.former_services(queue, service)
+        return sum(
+            [
+                await self._n_pending_of(each, queue, deadline_ms)
+                for each in (service, *former)
+            ]
+        )
+
+    async def _n_pending_of(self, service: str, queue: str, deadline_ms: int) -> int:
         try:
             return int(await self._call_owner(service, "pending", queue, deadline_ms))
         except _OwnerCallError:
--- a/tests/test_route_changes.py
+++ b/tests/test_route_changes.py
@@ -75,6 +75,30 @@
     run(check, tmp_path)
 
 
+def test_pending_jobs_count_although_their_queue_moved_to_another_service(tmp_path):
+    """Guards against a count of waiting jobs that is too low after a moved route."""
+
+    async def check(cluster):
+        step = {"count": 1, "cpu": 9_000, "memMb": 10, "longRunning": True}
+        too_large = {"spec": "x", "steps": [step]}
+        owner = cluster.owner()
+        assert (await cluster.request(owner, "POST", JOB_ID, too_large))[0] == 200
+        put_route(cluster, 2, OTHER)
+        await trio.sleep(1)
+        for instance in cluster.instances:
+            answer = await cluster.request(instance, "GET", "")
+            assert answer == (200, {"pendingCount": 1})
+        # An instance that has not seen the earlier configuration.
+        restarted = next(each for each in cluster.instances if each is not owner)
+        restarted.stop()
+        restarted.start()
+        await cluster.until_ready()
+        answer = await cluster.request(restarted, "GET", "")
+        assert answer == (200, {"pendingCount": 1})
+
+    run(check, tmp_path)
+
+
 def test_service_without_route_is_left_once_its_jobs_have_ended(tmp_path, monkeypatch):
     """Guards against an owner and a key that stay for good after the last job.
 
--- a/tests/test_unused_services.py
+++ b/tests/test_unused_services.py
@@ -1,11 +1,13 @@
 """Services that no queue uses any more: their jobs go on, and then they are left."""
 
+import json
 from dataclasses import replace
 
 import pytest
 import trio
 import trio.testing
 
+import soak.cluster
 from apricotgap.clock import FakeClock
 from apricotgap.instance.cluster_view import FLEET_SHARD, ClusterView
 from apricotgap.instance.job_router import JobRouter
@@ -144,6 +146,29 @@
     assert view.shards() == (FLEET_SHARD,)
 
 
+QUEUE_OF_BUSY = {"name": "q", "prefix": "/q/", "service": "busy"}
+
+
+def put_routes(view, version, *routes):
+    """Show a view a configuration with these routes."""
+    document = soak.cluster.configuration(version) | {"routes": routes}
+    item = Item("op/config", json.dumps(document).encode(), version)
+    view.operator_mirror.replace(Snapshot((item,), version))
+
+
+def test_former_services_of_a_queue_are_those_that_may_have_its_jobs():
+    """Guards against a count of waiting jobs without those of a queue that moved."""
+    view = ClusterView(Store(), FakeClock())
+    for name in (SERVICE, "idle", "busy"):
+        view.apply(Item(shard_key(name), SHARD_OPEN, 5))
+    (queue,) = soak.cluster.configuration()["routes"]
+    put_routes(view, 1, queue | {"service": "gone"})
+    put_routes(view, 2, queue | {"service": SERVICE})
+    put_routes(view, 3, queue | {"service": "new"}, queue | QUEUE_OF_BUSY)
+    assert view.former_services(queue["name"], "new") == (SERVICE, "idle")
+    assert view.former_services("q", "busy") == (SERVICE, "idle")
+
+
 def test_unused_shard_without_jobs_is_given_up_for_good():
     """Guards against owners that hold workers of a service without work forever."""
 
