--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -26,6 +26,7 @@
     load_jobs,
     read_prefix,
 )
+from apricotgap.instance.shard_retirement import ShardRetirement
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
 from apricotgap.instance.tenure import TenureMark
@@ -140,6 +141,9 @@
             clock,
             settings.bounds.status_retention_ms,
         )
+        self._retirement = ShardRetirement(
+            self._shard, ownership, store, cluster_view, clock
+        )
         self._roster = RosterWriter(self._shard, ownership, store)
         self._tenure_mark = TenureMark(ownership, store, clock)
         self._limits = TeamLimitUpdater(
@@ -199,6 +203,7 @@
             nursery.start_soon(self._tenure_mark.run)
             nursery.start_soon(self._tick_loop)
             nursery.start_soon(self._cleanup.run)
+            nursery.start_soon(self._retirement.run)
             nursery.start_soon(self._limits.run)
             self.ready.set()
 
@@ -296,10 +301,7 @@
 
     def n_pending(self, queue: str) -> int:
         """Return the number of jobs of a queue without a started task."""
-        return sum(
-            job.spec.queue == queue and job.progress.phase is JobPhase.PENDING
-            for job in self._shard.open_jobs.values()
-        )
+        return self._shard.n_pending(queue)
 
     def report(
         self, reserved: Iterable[str], ended: Iterable[str], share: int | None = None
