Let no stored document of one job hold up the saves of others

Callers saw, once the stored progress of one job was gone or the store rejected its document: jobs that are never shown as ended, ends that no worker may forget, and new jobs that never start, all over the shard, until its owner changed.

A conflict shows only keys that exist, so that the revision of a missing document was never adopted; a rejected transaction (400) was repeated every 150 ms, with a log line each.

Change: after a conflict the documents that differ from it (all, if none does) are read again, a missing one counts as revision 0, and they are written in transactions of their own until they are stored. So are those of a rejected transaction; one that is rejected by itself is set aside for 5 s at a time, with one log line each, and ends are acknowledged without it. The store client tells `Rejected` from `Unavailable`.

--- a/apricotgap/instance/progress_writer.py
+++ b/apricotgap/instance/progress_writer.py
@@ -1,6 +1,6 @@
 """Stores the progress of a shard's jobs, many per transaction."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import structlog
 import trio
@@ -13,6 +13,7 @@
     MAX_TXN_ENTRIES,
     Conflict,
     Item,
+    Rejected,
     StoreClient,
     Stored,
     StoreError,
@@ -29,8 +30,13 @@
 # which lets some of it share a transaction.
 URGENT_SAVE_DELAY_S = 0.01
 _RETRY_S = 0.15
+# A document that the store rejects by itself is written again after this time.
+REJECTED_RETRY_S = 5.0
 # Largest number of concurrent transactions of one save.
 MAX_PARALLEL_WRITES = 6
+# Each document takes two entries of a transaction, its condition and its value. The
+# condition on the owner key takes one.
+_MAX_DOCUMENTS = (MAX_TXN_ENTRIES - 1) // 2
 
 Documents = tuple[tuple[str, bytes, int], ...]
 
@@ -41,6 +47,11 @@
     Each write is conditional on the last known revision of its document, so that a
     write with an unknown outcome that takes effect late cannot undo a later one.
 
+    A document that fails must not hold up the others. After a conflict or a rejection
+    the documents that may be the cause are written in transactions of their own. One
+    that is rejected even so is set aside: ends are acknowledged without it, since their
+    workers would otherwise list more and more of them.
+
     Parameters
     ----------
     shard, ownership, store
@@ -53,6 +64,10 @@
         self._store = store
         self._dirty = trio.Event()
         self.saved = trio.Event()
+        # Jobs whose documents are written in transactions of their own.
+        self._isolated: set[str] = set()
+        # Jobs whose documents the store rejects, and when to write them again.
+        self._retry_s: dict[str, float] = {}
         self._log = structlog.get_logger().bind(
             shard=ownership.shard, epoch=ownership.epoch
         )
@@ -70,8 +85,7 @@
             The store shows another owner.
         """
         while True:
-            await self._dirty.wait()
-            self._dirty = trio.Event()
+            await self._wait_for_changes()
             if not self._shard.has_unsaved:
                 continue
             if self._shard.has_urgent_unsaved:
@@ -86,11 +100,20 @@
                 self._dirty.set()
                 await trio.sleep(_RETRY_S)
 
+    async def _wait_for_changes(self) -> None:
+        """Wait until progress has changed or a rejected document is due again."""
+        retry_s = min(self._retry_s.values(), default=float("inf"))
+        with trio.move_on_at(retry_s):
+            await self._dirty.wait()
+        self._dirty = trio.Event()
+        now_s = trio.current_time()
+        due = [job_id for job_id, at_s in self._retry_s.items() if at_s <= now_s]
+        for job_id in due:
+            del self._retry_s[job_id]
+        self._shard.save_failed(due)
+
     async def _save(self, batch: SaveBatch) -> bool:
         revisions: dict[str, int] = {}
-        # Each document takes two entries, its condition and its value. The condition on
-        # the owner key takes one.
-        max_documents = (MAX_TXN_ENTRIES - 1) // 2
         limiter = trio.CapacityLimiter(MAX_PARALLEL_WRITES)
 
         async def write_chunk(chunk: Documents) -> None:
@@ -98,17 +121,26 @@
                 revisions.update(await self._write_chunk(chunk))
 
         async with trio.open_nursery() as nursery:
-            for start in range(0, len(batch.documents), max_documents):
-                nursery.start_soon(
-                    write_chunk, batch.documents[start : start + max_documents]
-                )
-        missing = [job for job, *_ in batch.documents if job not in revisions]
+            for chunk in self._chunks(batch.documents):
+                nursery.start_soon(write_chunk, chunk)
+        unsaved = [job for job, *_ in batch.documents if job not in revisions]
+        missing = [job for job in unsaved if job not in self._retry_s]
         self._shard.save_failed(missing)
-        self._shard.saved(batch, revisions)
+        self._shard.saved(batch, revisions, is_complete=not missing)
         self.saved.set()
         self.saved = trio.Event()
         return not missing
 
+    def _chunks(self, documents: Documents) -> Iterator[Documents]:
+        """Yield the documents of each transaction, without those set aside."""
+        due = [row for row in documents if row[0] not in self._retry_s]
+        shared = tuple(row for row in due if row[0] not in self._isolated)
+        for start in range(0, len(shared), _MAX_DOCUMENTS):
+            yield shared[start : start + _MAX_DOCUMENTS]
+        for row in due:
+            if row[0] in self._isolated:
+                yield (row,)
+
     async def _write_chunk(self, chunk: Documents) -> dict[str, int]:
         """Write documents in one transaction; return the stored revisions by job id."""
         outcome = await self._store.write(
@@ -124,18 +156,46 @@
                 ),
             )
         )
+        job_ids = [job_id for job_id, *_ in chunk]
         if isinstance(outcome, Stored):
-            return {job_id: outcome.revision for job_id, *_ in chunk}
-        self._log.warning("progress_not_stored", outcome=repr(outcome)[:200])
+            self._isolated.difference_update(job_ids)
+            return dict.fromkeys(job_ids, outcome.revision)
+        self._log.warning(
+            "progress_not_stored", n_jobs=len(chunk), outcome=repr(outcome)[:200]
+        )
         if isinstance(outcome, Conflict):
             self._ownership.check(outcome)
-            self._adopt_revisions(outcome.items)
+            await self._resolve_conflict(chunk, outcome)
         elif isinstance(outcome, Unknown):
-            await self._reread(job_id for job_id, *_ in chunk)
+            await self._reread(job_ids)
+        elif isinstance(outcome, Rejected):
+            self._isolated.update(job_ids)
+            if len(job_ids) == 1:
+                self._set_aside(job_ids[0], outcome)
         return {}
 
+    async def _resolve_conflict(self, chunk: Documents, conflict: Conflict) -> None:
+        """Adopt the revisions of a conflict; documents that differ are read again.
+
+        A conflict shows no key that does not exist, and not which condition failed.
+        """
+        revisions = {
+            job_id: conflict.revision_of(progress_key(self._shard.service, job_id))
+            for job_id, *_ in chunk
+        }
+        changed = [
+            job_id for job_id, _, revision in chunk if revisions[job_id] != revision
+        ]
+        suspects = changed or list(revisions)
+        self._isolated.update(suspects)
+        await self._reread(suspects)
+
+    def _set_aside(self, job_id: str, outcome: Rejected) -> None:
+        self._retry_s[job_id] = trio.current_time() + REJECTED_RETRY_S
+        self._log.error("progress_rejected", job=job_id, reason=outcome.reason)
+
     async def _reread(self, job_ids: Iterable[str]) -> None:
-        """Read the revisions of documents after a write with an unknown outcome."""
+        """Read the revisions of documents, 0 for one that does not exist."""
         for job_id in job_ids:
             key = progress_key(self._shard.service, job_id)
             try:
@@ -143,10 +203,9 @@
             except StoreError as error:
                 self._log.warning("reread_failed", job=job_id, reason=str(error))
                 return
-            self._adopt_revisions((item,))
+            self._adopt_revision(job_id, item)
 
-    def _adopt_revisions(self, items: Iterable[Item]) -> None:
-        for item in items:
-            job = self._shard.jobs.get(item.key.rpartition("/")[2])
-            if job is not None and item.key.startswith("progress/"):
-                job.revision = item.revision
+    def _adopt_revision(self, job_id: str, item: Item) -> None:
+        job = self._shard.jobs.get(job_id)
+        if job is not None:
+            job.revision = item.revision if item.value is not None else 0
--- a/apricotgap/jobs/shard_jobs.py
+++ b/apricotgap/jobs/shard_jobs.py
@@ -185,8 +185,23 @@
             {job_id: job.n_crashes for job_id, job in jobs.items()},
         )
 
-    def saved(self, batch: SaveBatch, revisions: dict[str, int]) -> None:
-        """Apply the result of a save; a partial one acknowledges no ends."""
+    def saved(
+        self,
+        batch: SaveBatch,
+        revisions: dict[str, int],
+        is_complete: bool | None = None,
+    ) -> None:
+        """Apply the result of a save; an incomplete one acknowledges no ends.
+
+        Parameters
+        ----------
+        batch : SaveBatch
+            What was to be stored.
+        revisions : dict of str to int
+            Store revisions of the documents that are stored, by job id.
+        is_complete : bool, optional
+            Whether no document is left to be stored soon, by default whether all are.
+        """
         self._pending_first_saves.difference_update(revisions)
         for job_id, revision in revisions.items():
             job = self.jobs.get(job_id)
@@ -195,7 +210,9 @@
                 job.saved_phase = batch.phases[job_id]
                 job.n_stored_crashes = batch.n_crashes[job_id]
         self._is_saving = False
-        if len(revisions) < len(batch.documents):
+        if is_complete is None:
+            is_complete = len(revisions) == len(batch.documents)
+        if not is_complete:
             return
         for (worker_id, born_ms), last_applied in batch.last_applied.items():
             worker = self.workers.get(worker_id)
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -16,6 +16,7 @@
     "Item",
     "Lease",
     "LeaseGone",
+    "Rejected",
     "Snapshot",
     "StoreClient",
     "StoreError",
@@ -128,6 +129,11 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Rejected(Unavailable):
+    """The transaction was not committed, and no retry of it would be."""
+
+
 @dataclass(frozen=True, slots=True)
 class Unknown:
     """The transaction may have been committed or may yet be."""
@@ -417,6 +423,8 @@
         return LeaseGone()
     if status >= 500 and status != 503:
         return Unknown(f"status {status}")
+    if status not in _OVERLOAD_STATUSES:
+        return Rejected(f"status {status}")
     return Unavailable(f"status {status}")
 
 
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -4,11 +4,12 @@
 import trio
 import trio.testing
 
-from apricotgap.instance.keys import owner_key
+from apricotgap.instance.keys import owner_key, progress_key
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
-from apricotgap.instance.progress_writer import ProgressWriter
-from apricotgap.platform.store import Conflict, Stored
-from tests.jobs_harness import SERVICE, Rig, job
+from apricotgap.instance.progress_writer import REJECTED_RETRY_S, ProgressWriter
+from apricotgap.jobs.model import JobPhase
+from apricotgap.platform.store import Conflict, Item, Rejected, Stored
+from tests.jobs_harness import SERVICE, Rig, ended, job
 
 WRITE_S = 0.25
 
@@ -28,10 +29,47 @@
         return Stored(100 + self.n_writes)
 
 
-def run(check):
+class ConditionalStore:
+    """Checks conditions as the contract says; a conflict shows existing keys only.
+
+    It rejects transactions with one of the keys in `rejected`.
+    """
+
+    def __init__(self):
+        self.revisions = {owner_key(SERVICE): 5}
+        self.at = 100
+        self.rejected = set()
+        self.n_writes = 0
+
+    async def write(self, writes):
+        await trio.sleep(0.005)
+        self.n_writes += 1
+        if self.rejected.intersection(write.key for write in writes):
+            return Rejected("status 400")
+        checked = [write for write in writes if write.expected_revision is not None]
+        if any(
+            self.revisions.get(write.key, 0) != write.expected_revision
+            for write in checked
+        ):
+            found = [write.key for write in checked if write.key in self.revisions]
+            return Conflict(
+                tuple(Item(key, b"x", self.revisions[key]) for key in found)
+            )
+        self.at += 1
+        for write in writes:
+            if write.value is not None:
+                self.revisions[write.key] = self.at
+        return Stored(self.at)
+
+    async def read_key(self, key):
+        revision = self.revisions.get(key, 0)
+        return Item(key, b"x" if revision else None, revision)
+
+
+def run(check, store_type=SlowStore):
     async def main():
         rig = Rig().ready()
-        store = SlowStore()
+        store = store_type()
         ownership = Ownership(SERVICE, 1, 5, 1)
         assert owner_key(SERVICE) == ownership.condition.key
         await check(rig, store, ProgressWriter(rig.shard, ownership, store))
@@ -77,3 +115,85 @@
         assert others is None
 
     run(check)
+
+
+class TestDocumentThatFails:
+    """One document that can't be written, among those of other jobs."""
+
+    BAD = f"{7:016x}"
+
+    def play(self, damage, span_s=2.0):
+        """Save 30 cancelled jobs and an end after damage to the store of one job."""
+
+        async def check(rig, store, writer):
+            for n in range(30):
+                key = progress_key(SERVICE, f"{n:016x}")
+                store.revisions[key] = 1
+            damage(store, progress_key(SERVICE, self.BAD))
+            cancel_jobs(rig, 30)
+            rig.submit(job("e" * 16))
+            store.revisions[progress_key(SERVICE, "e" * 16)] = 1
+            start = rig.schedule()[0]
+            rig.poll(ends=[ended(1, start)])
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(writer.run)
+                writer.wake()
+                await trio.sleep(span_s)
+                nursery.cancel_scope.cancel()
+            self.rig, self.store, self.writer = rig, store, writer
+
+        run(check, ConditionalStore)
+
+    def unsaved(self):
+        """Return the jobs whose end is not stored."""
+        jobs = self.rig.shard.jobs.values()
+        return [
+            state.spec.job_id
+            for state in jobs
+            if state.is_final and state.saved_phase is not JobPhase.CANCELLED
+        ]
+
+    def test_document_that_is_gone_is_written_anew(self):
+        """Guards against ends that are never acknowledged, and jobs that never start,
+        since the stored document of another job no longer exists.
+        """
+        self.play(lambda store, key: store.revisions.pop(key))
+        assert self.unsaved() == []
+        assert self.rig.shard.workers["w1"].acknowledged == 1
+
+    def test_document_that_has_changed_is_written_over(self):
+        """Guards against saves that fail for good on a revision that has changed."""
+        self.play(lambda store, key: store.revisions.update({key: 42}))
+        assert self.unsaved() == []
+        assert self.rig.shard.workers["w1"].acknowledged == 1
+
+    def test_rejected_document_holds_up_no_other(self):
+        """Guards against a shard that stands still since the store rejects the document
+        of one job.
+        """
+        self.play(lambda store, key: store.rejected.add(key))
+        assert self.unsaved() == [self.BAD]
+        assert self.rig.shard.workers["w1"].acknowledged == 1
+
+    def test_rejected_document_is_written_later(self):
+        """Guards against a job whose end is never stored, and a loop of writes."""
+        self.play(lambda store, key: store.rejected.add(key), 3 * REJECTED_RETRY_S)
+        assert self.store.n_writes < 40
+
+        async def check(rig, store, writer):
+            rig.submit(job(self.BAD))
+            rig.shard.cancel(self.BAD, 0, rig.now)
+            key = progress_key(SERVICE, self.BAD)
+            store.revisions[key] = 1
+            store.rejected.add(key)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(writer.run)
+                writer.wake()
+                await trio.sleep(1)
+                store.rejected.clear()
+                await trio.sleep(REJECTED_RETRY_S)
+                nursery.cancel_scope.cancel()
+            assert not rig.shard.has_unsaved
+            assert rig.shard.jobs[self.BAD].saved_phase is JobPhase.CANCELLED
+
+        run(check, ConditionalStore)
