Charge one unanswered start for one crash only

Callers saw a job as failed after a single start that got no answer.

Cause: such a start is kept for the next incarnation of its worker, which it may have reached. Each time the worker restarted before a list disproved it, the same start was charged with one more crash; five such, or three beside one crash under a later run, gave the task up.

Change: a start that is kept is marked as charged and counts for no other crash. As soon as it is confirmed it counts as a run that began, as before.

--- a/apricotgap/jobs/crashes.py
+++ b/apricotgap/jobs/crashes.py
@@ -100,7 +100,9 @@
     at_start = [run for run in begun if _was_starting(run, worker)]
     lost = [LostTask(run.name, CRASH_AT_START_POINTS) for run in at_start]
     lost += [
-        LostTask(run.name, 0, is_unconfirmed=True) for run in runs if not run.has_begun
+        LostTask(run.name, 0, is_unconfirmed=True)
+        for run in runs
+        if not run.has_begun and not run.is_charged
     ]
     if worker.trial is None or worker.trial not in at_start:
         lost += [_lost_at_work(run, worker) for run in begun if run not in at_start]
--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -34,6 +34,8 @@
     `clock_ms` is a lower bound of the worker's clock at the time of the start. A start
     that is confirmed at an earlier time of that clock reached the next incarnation of
     the worker: then `is_in_next_incarnation` is set until a list shows the run.
+    `is_charged` is set once a crash was charged to an unconfirmed start that is kept
+    for the next incarnation: one start causes one crash at most.
     """
 
     name: TaskName
@@ -57,6 +59,7 @@
     is_on_trial: bool = False
     clock_ms: int = 0
     is_in_next_incarnation: bool = False
+    is_charged: bool = False
 
     @property
     def allocation(self) -> Resources:
--- a/apricotgap/jobs/shard_crashes.py
+++ b/apricotgap/jobs/shard_crashes.py
@@ -86,6 +86,8 @@
         silent = self._lost_runs.pop(_key(worker.entry), None)
         if silent is not None and silent.born_ms == worker.entry.born_ms:
             tasks += silent.tasks
+        for run in survivors:
+            run.is_charged = run.is_charged or not run.has_begun
         yield from self._mark_lost(worker, at_ms, why, survivors)
         if not worker.entry.is_draining:
             yield from self._charge_crash(worker.worker_id, tasks, at_ms)
--- a/tests/test_worker_flaps.py
+++ b/tests/test_worker_flaps.py
@@ -6,7 +6,7 @@
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.model import JobPhase, Resources, StepSpec
-from tests.jobs_harness import Rig, job, task
+from tests.jobs_harness import Rig, entry, job, task
 from tests.shard_world import World
 
 # More seeds by hand: SHARD_SEEDS=200 python -m pytest tests/test_worker_flaps.py
@@ -70,6 +70,21 @@
         rig.poll("w2")
         assert [start.worker_id for start in rig.schedule()] == ["w2"]
 
+    def test_one_start_counts_for_one_crash(self):
+        """Guards against a job that fails after one start: the start got no answer and
+        was kept for each next incarnation of a worker that restarts again and again.
+        """
+        rig = Rig()
+        rig.ready()
+        state = rig.submit(job(steps=(StepSpec(1, Resources(1000, 100), 800),)))
+        (start,) = rig.schedule()
+        rig.answer(start, "unknown")
+        for born_ms in range(2, 9):
+            rig.now += 100
+            rig.list_workers(entry("w1", born_ms=born_ms))
+        assert state.record(start.name).n_unconfirmed_crashes == 1
+        assert state.progress.phase is JobPhase.RUNNING
+
     def test_the_other_tasks_of_its_step_start_meanwhile(self):
         """Guards against tasks that wait for another one of their step."""
         rig, state = self.suspect(n_tasks=3)
