Write the split of a team's limit anew if its document is gone

Callers saw tasks wait for good although their team had room: the stored split of its limit no longer existed, and each raise of the shard's allowance failed.

Cause: a conflict shows only keys that exist, so that the known revision of the missing document stayed the condition of each write.

Change: a split that a conflict or a read does not show counts as empty, at revision 0, as an unreadable one does.

The roster needs no change: it takes revision 0 for a key that a conflict does not show (read only, no run).

--- a/apricotgap/instance/team_limit_updater.py
+++ b/apricotgap/instance/team_limit_updater.py
@@ -144,12 +144,13 @@
 
     def _apply_conflict(self, team: str, conflict: Conflict) -> None:
         key = limit_key(team)
-        for item in conflict.items:
-            if item.key == key:
-                self._apply_item(team, item)
+        found = [item for item in conflict.items if item.key == key]
+        # A conflict shows no key that does not exist.
+        self._apply_item(team, found[0] if found else Item(key, None, 0))
 
     def _apply_item(self, team: str, item: Item) -> None:
         if item.value is None:
+            self._shard.team_limits.record_split(team, {}, 0)
             return
         try:
             split = decode_split(item.value)
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -8,7 +8,8 @@
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.progress_writer import REJECTED_RETRY_S, ProgressWriter
 from apricotgap.jobs.model import JobPhase
-from apricotgap.platform.store import Conflict, Item, Rejected, Stored
+from apricotgap.platform.store import Conflict, Stored
+from tests.conditional_store import ConditionalStore
 from tests.jobs_harness import SERVICE, Rig, ended, job
 
 WRITE_S = 0.25
@@ -29,43 +30,6 @@
         return Stored(100 + self.n_writes)
 
 
-class ConditionalStore:
-    """Checks conditions as the contract says; a conflict shows existing keys only.
-
-    It rejects transactions with one of the keys in `rejected`.
-    """
-
-    def __init__(self):
-        self.revisions = {owner_key(SERVICE): 5}
-        self.at = 100
-        self.rejected = set()
-        self.n_writes = 0
-
-    async def write(self, writes):
-        await trio.sleep(0.005)
-        self.n_writes += 1
-        if self.rejected.intersection(write.key for write in writes):
-            return Rejected("status 400")
-        checked = [write for write in writes if write.expected_revision is not None]
-        if any(
-            self.revisions.get(write.key, 0) != write.expected_revision
-            for write in checked
-        ):
-            found = [write.key for write in checked if write.key in self.revisions]
-            return Conflict(
-                tuple(Item(key, b"x", self.revisions[key]) for key in found)
-            )
-        self.at += 1
-        for write in writes:
-            if write.value is not None:
-                self.revisions[write.key] = self.at
-        return Stored(self.at)
-
-    async def read_key(self, key):
-        revision = self.revisions.get(key, 0)
-        return Item(key, b"x" if revision else None, revision)
-
-
 def run(check, store_type=SlowStore):
     async def main():
         rig = Rig().ready()
