Don't repeat a refused start at once

Callers saw tasks start late while a worker refused them: a start that came back as `late`, `fence`, `other life` or unknown refusal was repeated at the next scheduling pass, up to 200 times a second by the pass interval. That keeps the owner busy and uses up the 1,000 run numbers of its epoch, after which a successor's starts are `old`.

Cause: only `busy` and `room` kept the worker from the next pass. After a response that was long on its way the known clock of its worker is behind, and each start sent by it is late until the next list.

Change: each such refusal blocks the worker for 200 ms, as `room` did; after `old` the task prefers another worker; the clock in a start's answer corrects the worker's.

--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -105,6 +105,7 @@
         worker = self.workers.get(event.worker_id)
         if worker is None or worker.entry.born_ms != event.born_ms:
             return
+        worker.record_clock(event.at_ms, event.result.clock_ms)
         run = worker.runs.get((event.name, event.run_id))
         if run is None or run.phase is RunPhase.RUNNING:
             return
@@ -137,10 +138,14 @@
         self._drop_run(run)
         if kind == "busy":
             worker.block(event.at_ms + limits.RETRY_BACKOFF_MS * 5)
-        elif kind == "room":
-            worker.block(event.at_ms + limits.RETRY_BACKOFF_MS)
         elif kind == "ticket":
             self.tickets.discard_ticket(StepName.of(event.name), worker)
+        elif kind == "old":
+            # A run with a higher number has ended there; other workers know of none.
+            job = self.jobs[event.name.job_id]
+            job.avoided_workers.setdefault(event.name, set()).add(worker.worker_id)
+        else:
+            worker.block(event.at_ms + limits.RETRY_BACKOFF_MS)
 
     def _stop_answered(self, event: StopAnswered) -> Iterable[Effect]:
         worker = self.workers.get(event.worker_id)
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -110,6 +110,15 @@
         elapsed = max(0, at_ms - self.clock_at_ms)
         return self.clock_ms + int(elapsed * (1 - limits.CLOCK_DRIFT))
 
+    def record_clock(self, at_ms: int, clock_ms: int) -> None:
+        """Raise the lower bound of the worker's clock.
+
+        A response that was long on its way had left it too low, and starts that were
+        sent by it come too late.
+        """
+        if self.clock_at_ms and clock_ms > self.clock_now_ms(at_ms):
+            self.clock_ms, self.clock_at_ms = clock_ms, at_ms
+
     @staticmethod
     def lease_bound_ms(at_ms: int, lease_ms: int) -> int:
         """Return the latest end of a lease on the clock of the instance.
