--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -173,6 +173,7 @@
             lambda: self._lease_until_ms,
             self._effects.execute,
             self._request_pass,
+            lambda: self._scheduler.awaits_fresh_answer,
             settings.speed_milli,
         )
         self._log = structlog.get_logger().bind(
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -90,6 +90,10 @@
         """Whether a task that was started last may have yet to start up."""
         return at_ms - self.last_start_ms <= limits.CRASH_SIGN_MS
 
+    def has_just_answered(self, at_ms: int) -> bool:
+        """Whether the worker is unlikely to have crashed since its last answer."""
+        return at_ms - self.answered_ms <= limits.FRESH_ANSWER_MS
+
     @property
     def n_possible_runs(self) -> int:
         """Number of known runs; at least 1 while runs of a previous owner may exist."""
@@ -106,6 +110,15 @@
         elapsed = max(0, at_ms - self.clock_at_ms)
         return self.clock_ms + int(elapsed * (1 - limits.CLOCK_DRIFT))
 
+    def record_clock(self, at_ms: int, clock_ms: int) -> None:
+        """Raise the lower bound of the worker's clock.
+
+        A response that was long on its way had left it too low, and starts that were
+        sent by it come too late.
+        """
+        if self.clock_at_ms and clock_ms > self.clock_now_ms(at_ms):
+            self.clock_ms, self.clock_at_ms = clock_ms, at_ms
+
     @staticmethod
     def lease_bound_ms(at_ms: int, lease_ms: int) -> int:
         """Return the latest end of a lease on the clock of the instance.
