Log why accepted work waits

What callers see: nothing changes for them. When a job has nothing running for two seconds, or a task that lasts, its owner now says why.

Cause: no log line named the reason of a wait, so that a run without further evidence could not tell a takeover from a limit, a full pool or a defect.

Worker names what keeps it from new work (`Obstacle`), which `accepts` now uses too.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -37,6 +37,7 @@
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.limits import (
     LEASE_MARGIN_MS,
+    TICK_INTERVAL_MS,
 )
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
@@ -45,6 +46,7 @@
 from apricotgap.jobs.service import SubmitOutcome
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.stragglers import StragglerDetector
+from apricotgap.jobs.wait_log import WaitLog
 from apricotgap.metrics import Metrics
 from apricotgap.platform.advice import AdviceClient
 from apricotgap.platform.settings import PlatformSettings
@@ -53,7 +55,6 @@
 
 __all__ = ["ShardOwner"]
 
-_TICK_INTERVAL_S = 0.1
 # Watch of the jobs and cancellations that other instances write to the store directly:
 # longest wait of one watch, and pause after one that returned changes.
 JOB_WATCH_WAIT_MS = 4_000
@@ -109,6 +110,7 @@
         self._demand = Demand(self._shard)
         self._stragglers = StragglerDetector(self._shard)
         self._migrator = Migrator(self._shard)
+        self._wait_log = WaitLog(self._shard)
         self._pass_requested = trio.Event()
         self._writer = ProgressWriter(self._shard, ownership, store)
         self._submissions = Submissions(
@@ -360,9 +362,10 @@
                 self._effects.execute(self._migrator.run(now_ms))
             self._effects.execute(self._pacer.run(now_ms))
             self._effects.execute(self._stragglers.run(now_ms))
+            self._effects.execute(self._wait_log.run(now_ms, self._lease_until_ms))
             self._poll_loops.start(self._nursery)
             self._pass_requested.set()
-            await trio.sleep(_TICK_INTERVAL_S)
+            await trio.sleep(TICK_INTERVAL_MS / 1000)
 
     def _apply_configuration(self) -> None:
         config = self._cluster_view.config
--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -1,5 +1,8 @@
 """Limits and timeouts of job scheduling."""
 
+# An owner checks its leases and looks at all waiting tasks at least this often.
+TICK_INTERVAL_MS = 100
+
 # A worker rejects a start that arrives later than this, so that the state of a start
 # without a response is known soon.
 START_WINDOW_MS = 1_000
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -74,11 +74,7 @@
             return []
         if not shard.knows_capacities(at_ms):
             return []
-        workers = [
-            worker
-            for worker in shard.workers.values()
-            if worker.accepts(at_ms) and worker.entry.data_centre not in shard.evacuated
-        ]
+        workers = shard.accepting_workers(at_ms)
         if not workers:
             return []
         current = _Pass(at_ms, shard.unix_of(at_ms), workers, [])
@@ -206,7 +202,7 @@
             return None
         if not self._is_within_team_limit(job, allocation):
             return None
-        needs_ticket = self._needs_ticket(job)
+        needs_ticket = self._shard.needs_ticket(job.spec.queue)
         has_room = False
         is_suspect = job.is_suspect(name)
         avoided = job.avoided_workers.get(name, ())
@@ -300,21 +296,12 @@
             cost += 0.3 * self._n_in_rack(worker.entry.rack, name)
         return cost
 
-    def _needs_ticket(self, job: JobState) -> bool:
-        config = self._shard.config
-        queue = config.queue_by_name.get(job.spec.queue) if config else None
-        return queue is not None and queue.needs_ticket
-
     def _ticket(self, name: TaskName, worker: Worker, current: _Pass) -> str:
         step = StepName.of(name)
         return self._shard.tickets.find(step, worker, current.at_ms) or ""
 
     def _is_within_team_limit(self, job: JobState, allocation: Resources) -> bool:
-        limit = self._shard.team_limits.allowed(job.spec.team)
-        if limit is None:
-            return True
-        usage = self._shard.team_usage.get(job.spec.team, NO_RESOURCES)
-        if (usage + allocation).fits(limit):
+        if self._shard.is_within_team_limit(job.spec.team, allocation):
             return True
         self.is_team_blocked = True
         return False
@@ -330,6 +317,7 @@
     ) -> None:
         at_ms = current.at_ms
         record = job.progress.tasks.get(name)
+        needs_ticket = self._shard.needs_ticket(job.spec.queue)
         run = Run(
             name,
             run_id,
@@ -357,7 +345,7 @@
                 job.spec.content,
                 run.clock_ms + limits.START_WINDOW_MS,
                 run.checkpoint,
-                self._ticket(name, worker, current) if self._needs_ticket(job) else "",
+                self._ticket(name, worker, current) if needs_ticket else "",
             )
         )
         self._log_start(name, run_id, worker, current)
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -10,8 +10,10 @@
     StopAnswered,
     WorkersListed,
 )
+from apricotgap.jobs.model import NO_RESOURCES, Resources
 from apricotgap.jobs.shard_workers import ShardWorkers
 from apricotgap.jobs.team_limits import TeamLimits
+from apricotgap.jobs.workers import Worker
 
 __all__ = ["Shard"]
 
@@ -65,6 +67,26 @@
             return True
         return at_ms - self.list_fresh_ms <= self._max_list_age_ms
 
+    def accepting_workers(self, at_ms: int) -> list[Worker]:
+        """Return the workers that may be given new work now."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.accepts(at_ms) and worker.entry.data_centre not in self.evacuated
+        ]
+
+    def is_within_team_limit(self, team: str, allocation: Resources) -> bool:
+        """Whether a team may use this much more in this shard."""
+        limit = self.team_limits.allowed(team)
+        if limit is None:
+            return True
+        return (self.team_usage.get(team, NO_RESOURCES) + allocation).fits(limit)
+
+    def needs_ticket(self, queue: str) -> bool:
+        """Whether starts of a queue's tasks need a ticket of the advice service."""
+        spec = self.config.queue_by_name.get(queue) if self.config else None
+        return spec is not None and spec.needs_ticket
+
     def step(self, event: object) -> list[Effect]:
         """Apply an event and return its effects."""
         return list(self._handlers[type(event)](event))
--- a/apricotgap/jobs/shard_jobs.py
+++ b/apricotgap/jobs/shard_jobs.py
@@ -165,6 +165,15 @@
             self._pending_first_saves.add(job.spec.job_id)
             self._dirty.add(job.spec.job_id)
 
+    def is_first_save_pending(self, job: JobState) -> bool:
+        """Whether the first save of a job has been requested and is not complete."""
+        return job.spec.job_id in self._pending_first_saves
+
+    @property
+    def n_pending_first_saves(self) -> int:
+        """Number of jobs whose first progress is being stored."""
+        return len(self._pending_first_saves)
+
     def begin_save(self) -> SaveBatch:
         """Return the documents that changed since the last save."""
         documents = tuple(
--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -103,6 +103,15 @@
             return None
         return self._allowances.get(team, NO_RESOURCES)
 
+    def limit(self, team: str) -> Resources:
+        """Return the limit of a team over all shards."""
+        return self._limits.get(team, NO_RESOURCES)
+
+    def stored_cpu(self, team: str) -> dict[str, int]:
+        """Return the CPU of the allowances of all shards, as last read or written."""
+        split, _ = self._splits.get(team, ({}, 0))
+        return {service: amount.cpu for service, amount in split.items()}
+
     def record_split(self, team: str, split: Split, revision: int) -> None:
         """Apply a split that was read from the store."""
         self._splits[team] = (split, revision)
--- a/apricotgap/jobs/tickets.py
+++ b/apricotgap/jobs/tickets.py
@@ -37,6 +37,9 @@
     denied: set[tuple[str, int]] = field(default_factory=set)
 
 
+_NO_ADVICE = _Advice()
+
+
 class Tickets:
     """Cache of tickets and denials, and the requests still to be sent.
 
@@ -50,18 +53,30 @@
 
     def find(self, step: StepName, worker: Worker, at_ms: int) -> str | None:
         """Return a valid ticket; without one, add the worker to the next request."""
-        key = (worker.worker_id, worker.entry.born_ms)
-        advice = self._advice.setdefault(step, _Advice())
-        if key in advice.denied:
+        if self.is_denied(step, worker):
             return None
-        ticket, until_ms = advice.approved.get(key, ("", 0))
-        if ticket and at_ms < until_ms - VALIDITY_MARGIN_MS:
+        ticket = self._valid_ticket(step, worker, at_ms)
+        if ticket:
             return ticket
         wanted = self._wanted.setdefault(step, [])
         if worker not in wanted and len(wanted) < MAX_WORKERS_PER_CALL:
             wanted.append(worker)
         return None
 
+    def holds(self, step: StepName, worker: Worker, at_ms: int) -> bool:
+        """Whether a valid ticket is known."""
+        return bool(self._valid_ticket(step, worker, at_ms))
+
+    def is_denied(self, step: StepName, worker: Worker) -> bool:
+        """Whether the advice service has denied a worker."""
+        advice = self._advice.get(step)
+        return advice is not None and _key(worker) in advice.denied
+
+    def _valid_ticket(self, step: StepName, worker: Worker, at_ms: int) -> str:
+        advice = self._advice.get(step, _NO_ADVICE)
+        ticket, until_ms = advice.approved.get(_key(worker), ("", 0))
+        return ticket if at_ms < until_ms - VALIDITY_MARGIN_MS else ""
+
     def next_request(self) -> tuple[StepName, list[Worker]] | None:
         """Return the step that has waited longest, and the workers to ask about."""
         for step in self._wanted:
@@ -78,7 +93,7 @@
         """Store a response; denials do not expire, as the policy does not change."""
         advice = self._advice.setdefault(step, _Advice())
         for worker in workers:
-            key = (worker.worker_id, worker.entry.born_ms)
+            key = _key(worker)
             ticket = approved.get(worker.worker_id)
             if ticket is None:
                 advice.denied.add(key)
@@ -89,10 +104,15 @@
         """Discard a ticket that a worker rejected."""
         advice = self._advice.get(step)
         if advice is not None:
-            advice.approved.pop((worker.worker_id, worker.entry.born_ms), None)
+            advice.approved.pop(_key(worker), None)
 
     def forget_job(self, job_id: str) -> None:
         """Discard the tickets and requests of a job that has ended."""
         for found in (self._advice, self._wanted):
             for step in [step for step in found if step.job_id == job_id]:
                 del found[step]  # type: ignore[attr-defined]
+
+
+def _key(worker: Worker) -> tuple[str, int]:
+    """Return what names one incarnation of a worker."""
+    return worker.worker_id, worker.entry.born_ms
--- /dev/null
+++ b/apricotgap/jobs/waiting.py
@@ -0,0 +1,435 @@
+"""Reasons for which accepted tasks wait, as the scheduler sees them.
+
+Each reason is a class; the first of `REASONS` that applies to a step explains its wait.
+"""
+
+from abc import ABC, abstractmethod
+from collections import Counter
+from dataclasses import dataclass
+from functools import cached_property
+from typing import Any, ClassVar
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.job_state import JobState, StepKey
+from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec, TaskName
+from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.tickets import StepName
+from apricotgap.jobs.workers import Obstacle, Worker
+
+__all__ = ["REASONS", "Wait", "WaitCase", "WaitReason", "explain_wait"]
+
+# Most workers that one reason names.
+_MAX_NAMED_WORKERS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Why a step waits, until when at most the scheduler looks again, and the inputs.
+
+    An expected wait is part of the job's specification.
+    """
+
+    reason: str
+    next_look_ms: int
+    inputs: dict[str, Any]
+    is_expected: bool
+
+
+@dataclass(frozen=True)
+class WaitCase:
+    """A step with waiting tasks at one moment."""
+
+    shard: Shard
+    job: JobState
+    key: StepKey
+    at_ms: int
+    lease_until_ms: int
+
+    @property
+    def step(self) -> StepSpec:
+        """Specification of the step."""
+        return self.job.spec.steps[self.key[1]]
+
+    @property
+    def names(self) -> list[TaskName]:
+        """Names of the waiting tasks."""
+        job_id = self.job.spec.job_id
+        return [
+            TaskName(job_id, *self.key, number)
+            for number in sorted(self.job.waiting[self.key])
+        ]
+
+    @property
+    def required(self) -> Resources:
+        """Resources that the next start takes: of one task, or of a whole gang."""
+        allocation = self.step.allocation
+        n_tasks = self.step.n_tasks if self.step.is_gang else 1
+        total = NO_RESOURCES
+        for _ in range(n_tasks):
+            total = total + allocation
+        return total
+
+    @cached_property
+    def accepting(self) -> list[Worker]:
+        """Workers that may be given new work."""
+        return self.shard.accepting_workers(self.at_ms)
+
+    @cached_property
+    def roomy(self) -> list[Worker]:
+        """Accepting workers with room for a task of the step."""
+        allocation = self.step.allocation
+        return [worker for worker in self.accepting if allocation.fits(worker.free)]
+
+    @cached_property
+    def candidates(self) -> list[Worker]:
+        """Workers with room for a task that have the required label."""
+        label = self.step.required_label
+        return [w for w in self.roomy if not label or label in w.entry.labels]
+
+    def obstacles(self) -> dict[str, int]:
+        """Return the number of workers that take no work, by cause."""
+        counts: Counter[str] = Counter()
+        for worker in self.shard.workers.values():
+            obstacle = worker.obstacle(self.at_ms)
+            if obstacle is not None:
+                counts[obstacle.value] += 1
+            elif worker.entry.data_centre in self.shard.evacuated:
+                counts["evacuated"] += 1
+        return dict(counts)
+
+
+class WaitReason(ABC):
+    """One reason for which the tasks of a step wait.
+
+    A subclass declares its `name` and returns from `inputs` what the decision rests on,
+    or None where the reason does not apply. It may rely on all reasons before it in
+    `REASONS` not to apply. It must not change the shard.
+    """
+
+    name: ClassVar[str]
+    is_expected: ClassVar[bool] = False
+
+    @abstractmethod
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        """Return the inputs of the decision to wait, None if it has another reason."""
+
+    def next_look_ms(self, case: WaitCase) -> int:
+        """Return the time of the next look, by default that of the next tick."""
+        return case.at_ms + limits.TICK_INTERVAL_MS
+
+
+class NotDue(WaitReason):
+    """The start time of the occurrence has not come."""
+
+    name = "not_due"
+    is_expected = True
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        left_ms = case.job.spec.due_ms(case.key[0]) - case.shard.unix_of(case.at_ms)
+        return {"due_in_ms": left_ms} if left_ms > 0 else None
+
+    def next_look_ms(self, case: WaitCase) -> int:
+        return case.job.spec.due_ms(case.key[0]) - case.shard.unix_offset_ms
+
+
+class EarlierSteps(WaitReason):
+    """A step that must be done first is not."""
+
+    name = "earlier_steps"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        unix_ms = case.shard.unix_of(case.at_ms)
+        if case.job.is_open(case.key, unix_ms):
+            return None
+        return {"after": list(case.step.after)}
+
+
+class LeaseEnding(WaitReason):
+    """The lease of the owner is about to end, so that it starts nothing."""
+
+    name = "lease_ending"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        left_ms = case.lease_until_ms - case.at_ms
+        return {"left_ms": left_ms} if left_ms < limits.LEASE_MARGIN_MS else None
+
+
+class NotConfigured(WaitReason):
+    """No configuration is known, or it lacks the service."""
+
+    name = "not_configured"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        config = case.shard.config
+        if config is not None and case.shard.service in config.service_by_name:
+            return None
+        return {"version": config.version if config else 0}
+
+
+class OldWorkerList(WaitReason):
+    """The list of workers is too old to start by its capacities."""
+
+    name = "old_worker_list"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        if case.shard.knows_capacities(case.at_ms):
+            return None
+        return {"list_age_ms": case.at_ms - case.shard.list_fresh_ms}
+
+
+class PreviousOwner(WaitReason):
+    """Workers of the previous owner may still run tasks of the job."""
+
+    name = "previous_owner"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        if not case.job.is_inherited:
+            return None
+        unverified = self._unverified(case)
+        if not unverified:
+            return None
+        return {
+            "n_workers": len(unverified),
+            "workers": [w.worker_id for w in unverified[:_MAX_NAMED_WORKERS]],
+            "lease_left_ms": self.next_look_ms(case) - case.at_ms,
+        }
+
+    def next_look_ms(self, case: WaitCase) -> int:
+        return max(
+            max(worker.lease_until_ms, worker.offered_until_ms)
+            for worker in self._unverified(case)
+        )
+
+    @staticmethod
+    def _unverified(case: WaitCase) -> list[Worker]:
+        return [w for w in case.shard.workers.values() if w.is_unverified]
+
+
+class ReservationsUnknown(WaitReason):
+    """The fleet owner has not named the workers that are to be emptied."""
+
+    name = "reservations_unknown"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        lasts = case.job.spec.is_long_running
+        if not lasts or case.shard.knows_reservations(case.at_ms):
+            return None
+        return {"since_load_ms": case.at_ms - case.shard.loaded_ms}
+
+    def next_look_ms(self, case: WaitCase) -> int:
+        return case.shard.loaded_ms + limits.FIRST_REPORT_TIMEOUT_MS + 1
+
+
+class CrashUnsaved(WaitReason):
+    """A crash charged to the waiting tasks is not stored yet."""
+
+    name = "crash_unsaved"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        if not case.job.has_unsaved_crash:
+            return None
+        if not case.step.is_gang and not all(map(case.job.is_suspect, case.names)):
+            return None
+        n_unsaved = case.job.n_crashes - case.job.n_stored_crashes
+        return {"n_unsaved": n_unsaved}
+
+
+class GangIncomplete(WaitReason):
+    """Members of the gang still run or are being stopped."""
+
+    name = "gang_incomplete"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        n_waiting = len(case.job.waiting[case.key])
+        if not case.step.is_gang or n_waiting == case.step.n_tasks:
+            return None
+        return {"n_waiting": n_waiting, "n_tasks": case.step.n_tasks}
+
+
+class NoWorkerAccepts(WaitReason):
+    """No worker of the pool takes new work."""
+
+    name = "no_worker_accepts"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        if case.accepting:
+            return None
+        return {"n_workers": len(case.shard.workers), "obstacles": case.obstacles()}
+
+    def next_look_ms(self, case: WaitCase) -> int:
+        """Return the first time at which a worker accepts by itself, if it is known."""
+        times = [
+            max(worker.reserved_until_ms, worker.blocked_until_ms)
+            for worker in case.shard.workers.values()
+            if worker.obstacle(case.at_ms) in (Obstacle.RESERVED, Obstacle.BLOCKED)
+        ]
+        return min(times, default=super().next_look_ms(case))
+
+
+class TeamLimit(WaitReason):
+    """The team has used up its allowance in this shard."""
+
+    name = "team_limit"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        team = case.job.spec.team
+        if case.shard.is_within_team_limit(team, case.required):
+            return None
+        limits_of_team = case.shard.team_limits
+        allowance = limits_of_team.allowed(team) or NO_RESOURCES
+        usage = case.shard.team_usage.get(team, NO_RESOURCES)
+        return {
+            "team": team,
+            "required_cpu": case.required.cpu,
+            "allowance_cpu": allowance.cpu,
+            "usage_cpu": usage.cpu,
+            "limit_cpu": limits_of_team.limit(team).cpu,
+            "split_cpu": limits_of_team.stored_cpu(team),
+        }
+
+
+class NoRoom(WaitReason):
+    """No accepting worker has room for a task, or all together for a gang."""
+
+    name = "no_room"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        if case.roomy and not self._lacks_gang_room(case):
+            return None
+        allocation = case.step.allocation
+        free = [worker.free for worker in case.accepting]
+        return {
+            "n_accepting": len(free),
+            "n_tasks": case.step.n_tasks if case.step.is_gang else 1,
+            "required_cpu": allocation.cpu,
+            "required_memory_mb": allocation.memory_mb,
+            "free_cpu": max(each.cpu for each in free),
+            "free_memory_mb": max(each.memory_mb for each in free),
+            "obstacles": case.obstacles(),
+        }
+
+    @staticmethod
+    def _lacks_gang_room(case: WaitCase) -> bool:
+        if not case.step.is_gang:
+            return False
+        allocation = case.step.allocation
+        n_places = 0
+        for worker in case.roomy:
+            free = worker.free - allocation
+            n_places += 1
+            while n_places < case.step.n_tasks and allocation.fits(free):
+                free = free - allocation
+                n_places += 1
+        return n_places < case.step.n_tasks
+
+
+class MissingLabel(WaitReason):
+    """No worker with room has the required label."""
+
+    name = "missing_label"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        if case.candidates:
+            return None
+        return {"label": case.step.required_label, "n_with_room": len(case.roomy)}
+
+
+class WorkersOnTrial(WaitReason):
+    """All workers with room have just started a task that may crash them."""
+
+    name = "workers_on_trial"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        on_trial = [w for w in case.candidates if w.is_on_trial(case.at_ms)]
+        if len(on_trial) < len(case.candidates):
+            return None
+        return {"workers": [w.worker_id for w in on_trial[:_MAX_NAMED_WORKERS]]}
+
+
+class WorkerShare(WaitReason):
+    """Workers with room already run as many tasks of the step as one may."""
+
+    name = "worker_share"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        most = case.step.max_per_worker
+        prefix = (case.job.spec.job_id, *case.key)
+        if not most or any(
+            sum(name[:3] == prefix for name, _ in worker.runs) < most
+            for worker in case.candidates
+        ):
+            return None
+        return {"max_per_worker": most, "n_with_room": len(case.candidates)}
+
+
+class NoTicket(WaitReason):
+    """The advice service has given no valid ticket for a worker with room."""
+
+    name = "no_ticket"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        if not case.shard.needs_ticket(case.job.spec.queue):
+            return None
+        step = StepName(case.job.spec.job_id, *case.key)
+        tickets = case.shard.tickets
+        if any(tickets.holds(step, w, case.at_ms) for w in case.candidates):
+            return None
+        n_denied = sum(tickets.is_denied(step, worker) for worker in case.candidates)
+        return {"n_with_room": len(case.candidates), "n_denied": n_denied}
+
+
+class FirstSave(WaitReason):
+    """The first progress of the job is not stored yet."""
+
+    name = "first_save"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        if case.job.may_start:
+            return None
+        return {
+            "is_requested": case.shard.is_first_save_pending(case.job),
+            "n_pending": case.shard.n_pending_first_saves,
+        }
+
+
+class NextPass(WaitReason):
+    """Nothing prevents a start: the next passes should start a task."""
+
+    name = "next_pass"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        return {"n_with_room": len(case.candidates)}
+
+
+# In the order in which the scheduler checks; the last one always applies.
+REASONS: tuple[WaitReason, ...] = (
+    NotDue(),
+    EarlierSteps(),
+    LeaseEnding(),
+    NotConfigured(),
+    OldWorkerList(),
+    PreviousOwner(),
+    ReservationsUnknown(),
+    CrashUnsaved(),
+    GangIncomplete(),
+    NoWorkerAccepts(),
+    TeamLimit(),
+    NoRoom(),
+    MissingLabel(),
+    WorkersOnTrial(),
+    WorkerShare(),
+    NoTicket(),
+    FirstSave(),
+    NextPass(),
+)
+
+
+def explain_wait(case: WaitCase) -> Wait:
+    """Return the first reason that explains the wait of a step."""
+    for reason in REASONS:
+        inputs = reason.inputs(case)
+        if inputs is not None:
+            return Wait(
+                reason.name, reason.next_look_ms(case), inputs, reason.is_expected
+            )
+    raise AssertionError("the last reason always applies")
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -2,17 +2,31 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from enum import Enum
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.model import NO_RESOURCES, Resources, RunEnd, TaskName
 from apricotgap.jobs.runs import Run
 
-__all__ = ["Worker"]
+__all__ = ["Obstacle", "Worker"]
 
 RunKey = tuple[TaskName, int]
 
 
+class Obstacle(Enum):
+    """Why a worker may not be given new work."""
+
+    UNACQUIRED = "unacquired"
+    UNLISTED = "unlisted"
+    RESERVED = "reserved"
+    UNRECORDED = "unrecorded"
+    DRAINING = "draining"
+    BLOCKED = "blocked"
+    SILENT = "silent"
+    SUSPECT = "suspect"
+
+
 @dataclass(slots=True)
 class Worker:
     """One incarnation of a worker.
@@ -197,18 +211,28 @@
 
     def accepts(self, at_ms: int) -> bool:
         """Whether the worker may be given new work now."""
-        if not self.is_acquired or not self.is_listed:
-            return False
-        if self.is_reserved(at_ms) or not self.is_recorded:
-            return False
-        if self.entry.is_draining or at_ms < self.blocked_until_ms:
-            return False
+        return self.obstacle(at_ms) is None
+
+    def obstacle(self, at_ms: int) -> Obstacle | None:
+        """Return why the worker may not be given new work now, None if it may."""
+        if not self.is_acquired:
+            return Obstacle.UNACQUIRED
+        if not self.is_listed:
+            return Obstacle.UNLISTED
+        if self.is_reserved(at_ms):
+            return Obstacle.RESERVED
+        if not self.is_recorded:
+            return Obstacle.UNRECORDED
+        if self.entry.is_draining:
+            return Obstacle.DRAINING
+        if at_ms < self.blocked_until_ms:
+            return Obstacle.BLOCKED
         if self.silent_since_ms is not None:
             # It may have crashed, and a start there could not be told from the cause.
-            return False
+            return Obstacle.SILENT
         if at_ms - self.answered_ms > limits.SILENT_WORKER_MS:
-            return False
+            return Obstacle.SILENT
         if self.suspect_since_ms is None:
-            return True
+            return None
         on_probation = at_ms - self.suspect_since_ms > limits.PROBATION_MS
-        return on_probation and not self.runs
+        return None if on_probation and not self.runs else Obstacle.SUSPECT
