End the lease of a worker that hangs

What callers see: work on a worker whose process hangs (it takes connections and polls, but answers none) starts again elsewhere. Before, it waited for as long as the worker hung: LOST of the third kind, beside free workers.

Cause: an owner offered a new lease with each poll. A poll that was sent but not answered may have renewed the lease, so the owner had to assume that the tasks still run, without end.

Change: a worker that has not answered for 3 s is polled without a lease. Its tasks are given up at most one lease after that; an answer renews it as before.

--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -62,6 +62,9 @@
 PACE_INTERVAL_MS = 400
 # A reservation of a worker expires after this time unless it is repeated.
 RESERVATION_MS = 2_000
+# The lease of a worker that has not answered for this long is not renewed: a process
+# that hangs takes calls without an answer.
+LEASE_OFFER_SILENCE_MS = 3_000
 # The leases of workers end at most this long after the owner's lease.
 WORKER_LEASE_TAIL_MS = 3_500
 # After a takeover no long-running run is migrated for this long: a stop sent by a
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -194,6 +194,9 @@
     def offer_lease(self, worker: Worker, at_ms: int, lease_until_ms: int) -> int:
         """Return the lease end to request, on the worker's clock, or 0 for none.
 
+        A worker that does not answer gets none after a while. It may take each poll,
+        and the lease with it, but hang, and its tasks could never start elsewhere.
+
         Workers' leases end at most WORKER_LEASE_TAIL_MS after the owner's lease, which
         bounds how long the next owner waits for a worker that it cannot reach.
         """
@@ -201,6 +204,8 @@
         lease_ms = min(self.max_lease_ms, left_ms)
         if not worker.clock_at_ms or lease_ms <= 0:
             return 0
+        if worker.silent_for_ms(at_ms) > limits.LEASE_OFFER_SILENCE_MS:
+            return 0
         worker.offered_until_ms = worker.lease_bound_ms(at_ms, lease_ms)
         return worker.clock_now_ms(at_ms) + lease_ms
 
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -148,6 +148,10 @@
         if self.silent_since_ms is None:
             self.silent_since_ms = at_ms
 
+    def silent_for_ms(self, at_ms: int) -> int:
+        """Return the time since the first poll that failed after the last response."""
+        return 0 if self.silent_since_ms is None else at_ms - self.silent_since_ms
+
     def block(self, until_ms: int) -> None:
         """Start nothing on the worker until then."""
         self.blocked_until_ms = max(self.blocked_until_ms, until_ms)
--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -1,7 +1,7 @@
 """Leases of workers around an outage of the store."""
 
 from apricotgap.jobs import limits
-from apricotgap.jobs.events import PollAnswered
+from apricotgap.jobs.events import PollAnswered, PollFailed
 from apricotgap.jobs.limits import WORKER_LEASE_TAIL_MS
 from apricotgap.jobs.model import Resources, StepSpec
 from tests.jobs_harness import MAX_LEASE_MS, Rig, job, running
@@ -105,3 +105,26 @@
         rig.send_poll(worker.worker_id)
         assert worker.offered_until_ms > rig.now + MAX_LEASE_MS - 1_000
         assert rig.shard.poll_wait_ms(worker, rig.now) == limits.POLL_WAIT_MS
+
+
+def test_lease_of_a_worker_that_hangs_ends():
+    """Guards against tasks that wait for ever since their worker takes each poll, and
+    a lease with it, but hangs and answers none.
+    """
+    rig = Rig(workers=("w1", "w2"))
+    rig.ready_only("w1")
+    rig.submit(job(steps=ONE_TASK))
+    (start,) = rig.schedule()
+    rig.answer(start)
+    began_ms = rig.now
+    most_ms = limits.LEASE_OFFER_SILENCE_MS + MAX_LEASE_MS + 1_000
+    while rig.shard.workers["w1"].runs:
+        assert rig.now - began_ms <= most_ms
+        worker = rig.shard.workers["w1"]
+        rig.shard.offer_lease(worker, rig.now, rig.now + 3_000)
+        rig.now += 500
+        rig.shard.step(PollFailed(rig.now, "w1", 1, "timeout", was_sent=True))
+        rig.shard.tick(rig.now)
+    rig.poll("w2")
+    (again,) = rig.schedule()
+    assert (again.worker_id, again.name) == ("w2", start.name)
