--- a/tests/shard_world.py
+++ b/tests/shard_world.py
@@ -35,6 +35,8 @@
 ZERO_MS = 100_000
 # Shares of the calls to workers that arrive late, or whose answer is late or lost.
 LATE_SHARE = 0.02
+# Tasks for which a worker has room.
+N_PLACES = 8
 MAX_LATE_MS = 2_500
 
 
@@ -53,6 +55,8 @@
     highest: dict = field(default_factory=dict)
     ends: list = field(default_factory=list)
     n_ends: int = 0
+    # Ids of jobs that cannot be done.
+    hopeless: set = field(default_factory=set)
 
     def clock(self, now):
         """Return the worker's own clock, which starts anew with each incarnation.
@@ -86,7 +90,8 @@
         """End what is due: tasks, stops and the lease."""
         for key, until in list(self.running.items()):
             if now >= until:
-                self.end(key, RunEnd.DONE)
+                is_hopeless = key[0].job_id in self.hopeless
+                self.end(key, RunEnd.FAILED if is_hopeless else RunEnd.DONE)
         for key, until in list(self.stopping.items()):
             if now >= until:
                 self.end(key, RunEnd.STOPPED)
@@ -142,6 +147,16 @@
         event = (self.now + delay_ms, tie, action, args)
         heapq.heappush(self._queue, event)
 
+    def _at_owner(self, delay_ms, action, *args):
+        """Do something later, unless another owner has taken over by then."""
+        shard = self.shard
+
+        def act():
+            if self.shard is shard:
+                action(*args)
+
+        self.at(delay_ms, act)
+
     def play(self, span_ms):
         """Advance the time."""
         until = self.now + span_ms
@@ -189,11 +204,13 @@
     def _call(self, worker_id, timeout_ms, serve, done):
         """Call a worker; `done` gets its answer, or None after the time-out."""
         is_done = []
+        shard = self.shard
 
         def finish(result):
             if not is_done:
                 is_done.append(True)
-                done(result)
+                if self.shard is shard:
+                    done(result)
 
         def reply(result):
             delay_ms = self._link_ms()
@@ -234,7 +251,7 @@
     def _renew(self):
         if self.is_store_up:
             self.owner_until_ms = self.now + OWNER_LEASE_MS
-        self.at(RENEW_MS if self.is_store_up else 200, self._renew)
+        self._at_owner(RENEW_MS if self.is_store_up else 200, self._renew)
 
     def _list_workers(self):
         if self.is_store_up:
@@ -251,7 +268,7 @@
                 self._polled.add(key)
                 self._poll(key)
         self._schedule()
-        self.at(100, self._tick)
+        self._at_owner(100, self._tick)
 
     def _apply(self, event):
         self._execute(self.shard.step(event))
@@ -267,8 +284,11 @@
             elif isinstance(effect, StopRun):
                 self._send_stop(effect)
         if self.is_store_up:
-            batch = self.shard.begin_save()
-            self.shard.saved(batch, {job_id: 1 for job_id, *_ in batch.documents})
+            self._save()
+
+    def _save(self):
+        batch = self.shard.begin_save()
+        self.shard.saved(batch, {job_id: 1 for job_id, *_ in batch.documents})
 
     def _send_start(self, order):
         def done(answer):
@@ -325,8 +345,12 @@
 
         def done(answer):
             if answer is None:
-                self._apply(PollFailed(self.now, *key, "timeout"))
-                self.at(150, self._poll, key)
+                self._apply(
+                    PollFailed(
+                        self.now, *key, "timeout", was_sent=self._was_sent(key[0])
+                    )
+                )
+                self._at_owner(150, self._poll, key)
                 return
             self._apply(
                 PollAnswered(self.now, key[0], key[1], answer[0], sent_ms, *answer[1:])
@@ -339,7 +363,7 @@
                 if self.shard.is_stored:
                     worker.acknowledged = worker.last_applied
                 pause_ms = 100
-            self.at(pause_ms, self._poll, key)
+            self._at_owner(pause_ms, self._poll, key)
 
         def serve(sim, reply):
             sim.extend(self.now, deadline)
@@ -360,13 +384,23 @@
             return "ok"
         if order.run_id <= worker.highest.get(order.name, 0):
             return "old"
-        if len(worker.running) + len(worker.stopping) >= 8:
+        if len(worker.running) + len(worker.stopping) >= self._n_places(worker):
             return "room"
         if order.name in self._noted:
             self.broken.append(f"TWICE {self.now} {key} after its end was noted")
-        worker.running[key] = self.now + self.rng.randrange(100, 900)
+        worker.running[key] = self.now + self._duration_ms(order)
         return "ok"
 
+    def _was_sent(self, worker_id):
+        """Whether a call without an answer may have reached its worker."""
+        return True
+
+    def _n_places(self, worker):
+        return N_PLACES
+
+    def _duration_ms(self, order):
+        return self.rng.randrange(100, 900)
+
     def _note(self, worker, last_seen):
         """Drop the ends that the owner says it has seen."""
         for end in worker.ends:
