Ask for the part of a team's limit that can start, not for the backlog

What callers see: work of a team starts in a shard with free workers although another shard of the team has a long backlog. Before, it could wait for as long as that backlog lasted, with the team at a fifth of its limit.

Cause: a shard asked for all of its waiting tasks, whether its pool had room or not, and kept what it got.

Change: `team_demand` counts what the team uses and what fits on workers that take work, by size, label, tasks per worker and whole gangs.

--- a/apricotgap/instance/team_limit_updater.py
+++ b/apricotgap/instance/team_limit_updater.py
@@ -11,6 +11,7 @@
 from apricotgap.jobs.documents import DocumentError, decode_split, encode_split
 from apricotgap.jobs.model import NO_RESOURCES
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.team_demand import team_demand
 from apricotgap.jobs.team_limits import LimitChange
 from apricotgap.platform.store import (
     Conflict,
@@ -88,7 +89,7 @@
             if self._lease_until_ms() < now_ms or self._store.is_down:
                 await trio.sleep(_RETRY_S)
                 continue
-            demand = self._shard.team_demand(now_ms)
+            demand = team_demand(self._shard, now_ms)
             limits = self._shard.team_limits
             for change in limits.changes(demand, now_ms):
                 await self._write_limit(change)
@@ -124,7 +125,7 @@
             self._ownership.check(outcome)
             self._apply_conflict(change.team, outcome)
             now_ms = self._clock.now_ms
-            demand = self._shard.team_demand(now_ms)
+            demand = team_demand(self._shard, now_ms)
             new_changes = limits.changes(
                 {change.team: demand.get(change.team, NO_RESOURCES)}, now_ms
             )
--- a/apricotgap/jobs/model.py
+++ b/apricotgap/jobs/model.py
@@ -53,6 +53,14 @@
             max(self.gpus, other.gpus),
         )
 
+    def elementwise_min(self, other: "Resources") -> "Resources":
+        """Return the smaller value for each kind of resource."""
+        return Resources(
+            min(self.cpu, other.cpu),
+            min(self.memory_mb, other.memory_mb),
+            min(self.gpus, other.gpus),
+        )
+
     @property
     def core_equivalents(self) -> float:
         """Number of cores, with an accelerator counted as eight."""
--- a/apricotgap/jobs/shard_jobs.py
+++ b/apricotgap/jobs/shard_jobs.py
@@ -7,7 +7,7 @@
 from apricotgap.jobs.documents import Progress, encode_progress
 from apricotgap.jobs.effects import LogDecision
 from apricotgap.jobs.job_state import JobState
-from apricotgap.jobs.model import NO_RESOURCES, JobPhase, JobSpec, Resources
+from apricotgap.jobs.model import JobPhase, JobSpec, Resources
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["SaveBatch", "ShardJobs"]
@@ -99,22 +99,6 @@
         self._pending_first_saves.discard(job_id)
         self._dirty.discard(job_id)
 
-    def team_demand(self, at_ms: int) -> dict[str, Resources]:
-        """Return the resources that each team uses or could use now."""
-        demand = dict(self.team_usage)
-        unix_ms = self.unix_of(at_ms)
-        for job in self.open_jobs.values():
-            team = job.spec.team
-            for key in job.open_steps(unix_ms):
-                allocation = job.spec.steps[key[1]].allocation
-                n_tasks = len(job.waiting[key])
-                demand[team] = demand.get(team, NO_RESOURCES) + Resources(
-                    allocation.cpu * n_tasks,
-                    allocation.memory_mb * n_tasks,
-                    allocation.gpus * n_tasks,
-                )
-        return demand
-
     def backlog_core_ms(self, unix_ms: int, priority: int) -> tuple[float, float]:
         """Return the estimated work left, in core-ms: in time, and of late jobs.
 
--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -45,14 +45,6 @@
     )
 
 
-def _elementwise_min(one: Resources, other: Resources) -> Resources:
-    return Resources(
-        min(one.cpu, other.cpu),
-        min(one.memory_mb, other.memory_mb),
-        min(one.gpus, other.gpus),
-    )
-
-
 def _with_unlimited(limit: Resources) -> Resources:
     return Resources(
         limit.cpu or UNLIMITED, limit.memory_mb or UNLIMITED, limit.gpus or UNLIMITED
@@ -118,7 +110,7 @@
         allowance = split.get(self._service, NO_RESOURCES)
         if team in self._allowances:
             # Never above the stored value, nor above what is left after a reduction.
-            allowance = _elementwise_min(allowance, self._allowances[team])
+            allowance = allowance.elementwise_min(self._allowances[team])
         self._allowances[team] = allowance
 
     def record_written(self, change: LimitChange, revision: int) -> None:
@@ -176,7 +168,7 @@
                 .elementwise_max(idle_allowance)
                 .elementwise_max(allowance)
             )
-            new = _elementwise_min(wanted, remaining)
+            new = wanted.elementwise_min(remaining)
             if new.fits(allowance):
                 return None
             return self._changed(team, split, new, revision)
@@ -190,7 +182,7 @@
         since_ms = self._surplus_since_ms.setdefault(team, at_ms)
         if at_ms - since_ms < LOWER_AFTER_MS:
             return None
-        new = _elementwise_min(wanted, allowance)
+        new = wanted.elementwise_min(allowance)
         self._allowances[team] = new
         return self._changed(team, split, new, revision)
 
--- a/tests/shard_days.py
+++ b/tests/shard_days.py
@@ -14,6 +14,7 @@
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.stragglers import StragglerDetector
+from apricotgap.jobs.team_demand import team_demand
 from apricotgap.jobs.team_limits import TeamLimits
 from tests.jobs_harness import MAX_LEASE_MS, SERVICE, configuration, entry, job
 from tests.shard_walker import Walker
@@ -226,7 +227,7 @@
         self.shard.team_limits.set_configuration(self.shard.config)
 
     def _move_limits(self):
-        demand = self.shard.team_demand(self.now)
+        demand = team_demand(self.shard, self.now)
         self._move_limit(self.shard.team_limits, demand)
         self._move_limit(self.other_limits, {TEAM: Resources(self.other_cpu)})
 
