Apply a lowered limit to rows that are read, and count what still runs

What callers see: a team stays within a limit that was lowered before a takeover, and its shards do not hold each other's part.

Cause: a new owner used the stored row of the one before as it was, although the limit had been lowered since. A shard with unmet demand never stored that its allowance was lower. A raise of one resource could store the row without the CPU that the shard used. What ran beyond a lowered limit was in no row.

Change: an allowance never exceeds what the rows of the other shards leave of the limit; if the rows exceed it, each shard lowers its own in proportion. A row is at least what the shard uses. A changed allowance is always stored.

Evidence: test_new_owner_applies_a_lowered_limit_to_the_row_that_it_reads, test_new_owners_share_a_lowered_limit (585 of a limit of 400) and test_raise_of_one_resource_keeps_the_others failed before; the other two new tests guard what held already.

--- a/apricotgap/instance/team_limit_updater.py
+++ b/apricotgap/instance/team_limit_updater.py
@@ -91,7 +91,7 @@
                 continue
             demand = team_demand(self._shard, now_ms)
             limits = self._shard.team_limits
-            for change in limits.changes(demand, now_ms):
+            for change in limits.changes(demand, now_ms, self._shard.team_usage):
                 await self._write_limit(change)
             if now_ms - self._last_read_ms >= READ_INTERVAL_MS:
                 self._last_read_ms = now_ms
@@ -127,7 +127,9 @@
             now_ms = self._clock.now_ms
             demand = team_demand(self._shard, now_ms)
             new_changes = limits.changes(
-                {change.team: demand.get(change.team, NO_RESOURCES)}, now_ms
+                {change.team: demand.get(change.team, NO_RESOURCES)},
+                now_ms,
+                self._shard.team_usage,
             )
             own_changes = [other for other in new_changes if other.team == change.team]
             if not own_changes:
--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from apricotgap.jobs.configuration import Configuration
 from apricotgap.jobs.model import NO_RESOURCES, Resources
@@ -26,6 +27,7 @@
 IDLE_SHARE = 0.2
 
 Split = dict[str, Resources]
+NO_USAGE: Mapping[str, Resources] = MappingProxyType({})
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +53,10 @@
     )
 
 
+def _in_proportion(amount: int, limit: int, stored: int) -> int:
+    return amount * limit // stored if stored > limit else amount
+
+
 class TeamLimits:
     """Allowances of one shard, by team.
 
@@ -71,29 +77,19 @@
     def set_configuration(self, config: Configuration) -> None:
         """Set the limits; a lowered limit lowers the allowance at once."""
         self._n_services = max(1, len(config.working_services))
-        limits = {team.name: _with_unlimited(team.limit) for team in config.teams}
-        for team, limit in limits.items():
-            before = self._limits.get(team)
-            if (
-                before is not None
-                and team in self._allowances
-                and not before.fits(limit)
-            ):
-                factor = min(
-                    limit.cpu / before.cpu,
-                    limit.memory_mb / before.memory_mb,
-                    limit.gpus / before.gpus,
-                    1.0,
-                )
-                self._allowances[team] = _scaled(self._allowances[team], factor)
-        self._limits = limits
+        self._limits = {team.name: _with_unlimited(team.limit) for team in config.teams}
+        for team, allowance in self._allowances.items():
+            self._allowances[team] = self._fair(team, allowance)
 
     def allowed(self, team: str) -> Resources | None:
         """Return the allowance of a team in this shard, None without a limit."""
         limit = self._limits.get(team)
         if limit is None or limit.cpu == limit.memory_mb == limit.gpus == UNLIMITED:
             return None
-        return self._allowances.get(team, NO_RESOURCES)
+        # Another shard may not have stored yet that its allowance is lower, or may use
+        # more than a lowered limit leaves it.
+        left = (limit - self._others(team)).elementwise_max(NO_RESOURCES)
+        return self._allowances.get(team, NO_RESOURCES).elementwise_min(left)
 
     def limit(self, team: str) -> Resources:
         """Return the limit of a team over all shards."""
@@ -111,14 +107,44 @@
         if team in self._allowances:
             # Never above the stored value, nor above what is left after a reduction.
             allowance = allowance.elementwise_min(self._allowances[team])
-        self._allowances[team] = allowance
+        self._allowances[team] = self._fair(team, allowance)
 
     def record_written(self, change: LimitChange, revision: int) -> None:
         """Apply a split that this shard has written to the store."""
         self._splits[change.team] = (change.split, revision)
-        self._allowances[change.team] = change.split[self._service]
+        allowance = change.split[self._service]
+        self._allowances[change.team] = self._fair(change.team, allowance)
 
-    def changes(self, demand: Mapping[str, Resources], at_ms: int) -> list[LimitChange]:
+    def _others(self, team: str) -> Resources:
+        """Return the sum of the stored allowances of the other shards."""
+        split, _ = self._splits.get(team, ({}, 0))
+        others = NO_RESOURCES
+        for service, amount in split.items():
+            if service != self._service:
+                others = others + amount
+        return others
+
+    def _fair(self, team: str, allowance: Resources) -> Resources:
+        """Lower an allowance in proportion if the stored ones exceed the limit."""
+        split, _ = self._splits.get(team, ({}, 0))
+        limit = self._limits.get(team)
+        if limit is None:
+            return allowance
+        stored = self._others(team) + split.get(self._service, NO_RESOURCES)
+        if stored.fits(limit):
+            return allowance
+        return Resources(
+            _in_proportion(allowance.cpu, limit.cpu, stored.cpu),
+            _in_proportion(allowance.memory_mb, limit.memory_mb, stored.memory_mb),
+            _in_proportion(allowance.gpus, limit.gpus, stored.gpus),
+        )
+
+    def changes(
+        self,
+        demand: Mapping[str, Resources],
+        at_ms: int,
+        usage: Mapping[str, Resources] = NO_USAGE,
+    ) -> list[LimitChange]:
         """Return the splits to write now; reductions take effect at once.
 
         Parameters
@@ -127,14 +153,23 @@
             Resources that each team uses or could use now in this shard.
         at_ms : int
             Current time.
+        usage : mapping of str to Resources, optional
+            Resources that each team uses in this shard.
         """
         found = []
-        for team, limit in self._limits.items():
+        for team in self._limits:
             if self.allowed(team) is None:
                 continue
-            change = self._change(team, limit, demand.get(team, NO_RESOURCES), at_ms)
-            if change is not None:
-                found.append(change)
+            used = usage.get(team, NO_RESOURCES)
+            wanted = demand.get(team, NO_RESOURCES)
+            allowance = self._next_allowance(team, wanted, at_ms)
+            # After a limit was lowered a shard may use more than its allowance. Its row
+            # says so, or the others would start tasks for what it still uses.
+            row = allowance.elementwise_max(used)
+            split, revision = self._splits.get(team, ({}, 0))
+            if row != split.get(self._service, NO_RESOURCES):
+                new_split = {**split, self._service: row}
+                found.append(LimitChange(team, new_split, revision))
         return found
 
     def unmet(self, demand: Mapping[str, Resources]) -> list[str]:
@@ -150,43 +185,21 @@
                 found.append(team)
         return found
 
-    def _change(
-        self, team: str, limit: Resources, demand: Resources, at_ms: int
-    ) -> LimitChange | None:
-        split, revision = self._splits.get(team, ({}, 0))
+    def _next_allowance(self, team: str, demand: Resources, at_ms: int) -> Resources:
+        """Return the allowance to have next; a lower one takes effect at once."""
+        limit = self._limits[team]
         allowance = self._allowances.get(team, NO_RESOURCES)
         idle_allowance = _scaled(limit, IDLE_SHARE / self._n_services)
+        wanted = _scaled(demand, RAISE_FACTOR).elementwise_max(idle_allowance)
         if not demand.elementwise_max(idle_allowance).fits(allowance):
             self._surplus_since_ms.pop(team, None)
-            others = NO_RESOURCES
-            for service, amount in split.items():
-                if service != self._service:
-                    others = others + amount
-            remaining = (limit - others).elementwise_max(NO_RESOURCES)
-            wanted = (
-                _scaled(demand, RAISE_FACTOR)
-                .elementwise_max(idle_allowance)
-                .elementwise_max(allowance)
-            )
-            new = wanted.elementwise_min(remaining)
-            if new.fits(allowance):
-                return None
-            return self._changed(team, split, new, revision)
-        wanted = _scaled(demand, RAISE_FACTOR).elementwise_max(idle_allowance)
-        if not split.get(self._service, NO_RESOURCES).fits(allowance):
-            # The allowance was lowered, but the reduction is not stored yet.
-            return self._changed(team, split, allowance, revision)
+            remaining = limit - self._others(team)
+            return wanted.elementwise_min(remaining).elementwise_max(allowance)
         if allowance.fits(_scaled(wanted, LOWER_FACTOR)):
             self._surplus_since_ms.pop(team, None)
-            return None
+            return allowance
         since_ms = self._surplus_since_ms.setdefault(team, at_ms)
         if at_ms - since_ms < LOWER_AFTER_MS:
-            return None
-        new = wanted.elementwise_min(allowance)
-        self._allowances[team] = new
-        return self._changed(team, split, new, revision)
-
-    def _changed(
-        self, team: str, split: Split, allowance: Resources, revision: int
-    ) -> LimitChange:
-        return LimitChange(team, {**split, self._service: allowance}, revision)
+            return allowance
+        self._allowances[team] = wanted.elementwise_min(allowance)
+        return self._allowances[team]
--- a/tests/shard_days.py
+++ b/tests/shard_days.py
@@ -228,11 +228,12 @@
 
     def _move_limits(self):
         demand = team_demand(self.shard, self.now)
-        self._move_limit(self.shard.team_limits, demand)
-        self._move_limit(self.other_limits, {TEAM: Resources(self.other_cpu)})
+        self._move_limit(self.shard.team_limits, demand, self.shard.team_usage)
+        other = {TEAM: Resources(self.other_cpu)}
+        self._move_limit(self.other_limits, other, other)
 
-    def _move_limit(self, limits, demand):
-        for change in limits.changes(demand, self.now):
+    def _move_limit(self, limits, demand, usage):
+        for change in limits.changes(demand, self.now, usage):
             if change.revision != self.split_revision:
                 limits.record_split(TEAM, self.split, self.split_revision)
                 continue
--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -128,3 +128,85 @@
             request_allowance(limits, store, cpu, at_ms)
     for limits, cpu in zip(shards, demands, strict=True):
         assert limits.allowed("bakers").cpu >= cpu
+
+
+def test_new_owner_applies_a_lowered_limit_to_the_row_that_it_reads():
+    """Guards against starts above a limit that was lowered before a takeover, since the
+    new owner uses the stored row of the one before.
+    """
+    store, one = Store(), team_limits("one")
+    request_allowance(one, store, 900)
+    successor = team_limits("one", Resources(400))
+    successor.record_split("bakers", store.split, store.revision)
+    assert successor.allowed("bakers").cpu <= 400
+
+
+def test_new_owners_share_a_lowered_limit():
+    """Guards against two successors that each use a row of before the reduction, and
+    against rows that both wait for the other to lower.
+    """
+    store, one, two = Store(), team_limits("one"), team_limits("two")
+    request_allowance(one, store, 450)
+    request_allowance(two, store, 420)
+    lowered = Resources(400)
+    successors = [team_limits("one", lowered), team_limits("two", lowered)]
+    for at_ms in range(0, 3_000, 500):
+        for limits in successors:
+            request_allowance(limits, store, 450, at_ms)
+            assert sum(each.allowed("bakers").cpu for each in successors) <= 400
+    assert total(store) <= 400
+    assert sum(each.allowed("bakers").cpu for each in successors) >= 300
+
+
+def test_lowered_allowance_is_stored_although_more_is_wanted():
+    """Guards against a stored row that stays above a lowered limit while the shard has
+    more work, so that a new owner of it, or another shard, goes by the old one.
+    """
+    store, one, two = Store(), team_limits("one"), team_limits("two")
+    request_allowance(one, store, 450)
+    request_allowance(two, store, 420)
+    for limits in (one, two):
+        limits.set_configuration(config(Resources(400)))
+    for limits in (one, two):
+        request_allowance(limits, store, 450)
+    assert total(store) <= 400
+
+
+def test_no_shard_starts_tasks_for_what_another_still_uses_of_a_lowered_limit():
+    """Guards against a team above its lowered limit: tasks that run on in one shard
+    were not counted in another, which used its part of the lowered limit.
+    """
+    store, one, two = Store(), team_limits("one"), team_limits("two")
+    request_allowance(one, store, 700)
+    request_allowance(two, store, 100)
+    for limits in (one, two):
+        limits.set_configuration(config(Resources(400)))
+    usage = {"bakers": Resources(600)}
+    for at_ms in range(0, 3_000, 250):
+        for change in one.changes(usage, at_ms, usage):
+            store.write(one, change)
+        request_allowance(two, store, 300, at_ms)
+        if at_ms:
+            assert two.allowed("bakers").cpu == 0
+    usage = {"bakers": Resources(100)}
+    for at_ms in range(3_000, 6_000, 250):
+        for change in one.changes(usage, at_ms, usage):
+            store.write(one, change)
+        request_allowance(two, store, 300, at_ms)
+    assert two.allowed("bakers").cpu >= 250
+
+
+def test_raise_of_one_resource_keeps_the_others():
+    """Guards against an allowance of CPU that is lost while memory is raised, so that
+    the CPU in use is given to another shard.
+    """
+    limit = Resources(1000, 1000, 8)
+    one = team_limits("one", limit)
+    one.record_split("bakers", {"one": Resources(600, 100, 1)}, 1)
+    one.set_configuration(config(Resources(500, 1000, 8)))
+    split = {"one": Resources(600, 100, 1), "two": Resources(400, 100, 1)}
+    one.record_split("bakers", split, 2)
+    before = one.allowed("bakers").cpu
+    (change,) = one.changes({"bakers": Resources(600, 500)}, 0)
+    assert change.split["one"].memory_mb > 100
+    assert change.split["one"].cpu >= before > 0
