--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -42,6 +42,9 @@
 STALL_MS = 1_200
 # Maximum number of ends that a worker lists in one response.
 MAX_LISTED_ENDS = 500
+# A worker that could not be told to drop ends for this long, because a start to it was
+# under way at each poll, gets no start until it has been told.
+MAX_WITHHELD_MS = 1_000
 # Maximum number of starts in one scheduling pass; the rest is left to the next pass.
 MAX_STARTS_PER_PASS = 64
 # Maximum number of jobs whose first progress is being stored, so that jobs waiting for
@@ -62,9 +65,6 @@
 PACE_INTERVAL_MS = 400
 # A reservation of a worker expires after this time unless it is repeated.
 RESERVATION_MS = 2_000
-# The lease of a worker that has not answered for this long is not renewed: a process
-# that hangs takes calls without an answer.
-LEASE_OFFER_SILENCE_MS = 3_000
 # The leases of workers end at most this long after the owner's lease.
 WORKER_LEASE_TAIL_MS = 3_500
 # After a takeover no long-running run is migrated for this long: a stop sent by a
--- a/tests/shard_days.py
+++ b/tests/shard_days.py
@@ -9,7 +9,6 @@
 
 from apricotgap.jobs.configuration import Team
 from apricotgap.jobs.documents import decode_progress
-from apricotgap.jobs.limits import LEASE_OFFER_SILENCE_MS
 from apricotgap.jobs.model import Resources, RunEnd, StepSpec
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.shard import Shard
@@ -255,7 +254,7 @@
         self._hung.add(worker_id)
         self.lose(worker_id)
         # Its last calls may have renewed its lease.
-        self.at(LEASE_OFFER_SILENCE_MS + MAX_LEASE_MS, self._list_workers)
+        self.at(MAX_LEASE_MS, self._list_workers)
 
     def lose(self, worker_id):
         """Lose a worker for good."""
--- a/tests/test_job_waits.py
+++ b/tests/test_job_waits.py
@@ -5,6 +5,7 @@
 import pytest
 
 from apricotgap.explain import explain
+from apricotgap.jobs import limits
 from apricotgap.jobs.configuration import Team
 from apricotgap.jobs.documents import Progress, TaskRecord
 from apricotgap.jobs.model import JobPhase, Resources, RunEnd, StepSpec
@@ -104,7 +105,7 @@
 
 def no_worker_accepts():
     """Each worker has another cause, but for the one that is evacuated."""
-    names = [f"w{number}" for number in range(9)]
+    names = [f"w{number}" for number in range(10)]
     rig = ready_rig(workers=names)
     workers = rig.shard.workers
     workers["w0"].entry = replace(workers["w0"].entry, data_centre="b")
@@ -117,6 +118,7 @@
     workers["w6"].block(rig.now + 900)
     workers["w7"].record_failed_poll(rig.now)
     workers["w8"].suspect_since_ms = rig.now
+    workers["w9"].withheld_since_ms = rig.now - limits.MAX_WITHHELD_MS - 1
     causes = (
         "evacuated",
         "unacquired",
@@ -127,8 +129,9 @@
         "blocked",
         "silent",
         "suspect",
+        "unacknowledged",
     )
-    return rig, {"n_workers": 9, "obstacles": dict.fromkeys(causes, 1)}
+    return rig, {"n_workers": 10, "obstacles": dict.fromkeys(causes, 1)}
 
 
 def team_limit():
--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -117,7 +117,7 @@
     (start,) = rig.schedule()
     rig.answer(start)
     began_ms = rig.now
-    most_ms = limits.LEASE_OFFER_SILENCE_MS + MAX_LEASE_MS + 1_000
+    most_ms = MAX_LEASE_MS + 1_000
     while rig.shard.workers["w1"].runs:
         assert rig.now - began_ms <= most_ms
         worker = rig.shard.workers["w1"]
