During an upgrade, shards of an earlier build's owners are kept too

During an upgrade, jobs whose owner still runs the earlier build aren't lost when their route leaves and that owner ends.

Cause: an owner of the earlier build writes no `sys/shards/SERVICE`.

Change: an instance that sees an owner without that key writes it, conditional on that owner, once; instances are staggered by their rank as for a claim.

Evidence: test_shard_of_an_earlier_build_is_marked_by_another_instance; without the change the key is missing. The store of tests/test_election.py now leaves the key of a pure condition alone: it removed it, which no store does. No run with processes of both builds.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -206,6 +206,17 @@
         """Return the key that says that a service may have unfinished jobs."""
         return self._stored_shards.get(service)
 
+    def unmarked_shards(self) -> tuple[str, ...]:
+        """Return the services with an owner but without a shard key.
+
+        Owners of an earlier build write no such key.
+        """
+        return tuple(
+            shard
+            for shard in self._owners
+            if shard != FLEET_SHARD and shard not in self._stored_shards
+        )
+
     def owner_item(self, shard: str) -> Item | None:
         """Return the owner key of a shard, None if the shard has no owner."""
         known = self._owners.get(shard)
--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -81,6 +81,7 @@
         self._clock = clock
         self._run_shard = run_shard
         self._vacant_since_ms: dict[str, int] = {}
+        self._unmarked_since_ms: dict[str, int] = {}
         self._ownerships: dict[str, tuple[Ownership, trio.CancelScope]] = {}
         self._member_lease: Lease | None = None
         self._overloaded_since_ms: int | None = None
@@ -103,6 +104,7 @@
                     continue
                 await self._register(lease)
                 await self._hand_over()
+                await self._mark_shards()
                 for shard in self._cluster_view.shards():
                     await self._claim_if_vacant(shard, nursery)
 
@@ -154,6 +156,29 @@
             return
         self._log.warning("member_not_registered", outcome=repr(outcome))
 
+    async def _mark_shards(self) -> None:
+        """Write the shard keys that owners of an earlier build do not write.
+
+        If its last queue left, such a shard would have no next owner.
+        """
+        now_ms = self._clock.now_ms
+        unmarked = self._cluster_view.unmarked_shards()
+        self._unmarked_since_ms = {
+            shard: self._unmarked_since_ms.get(shard, now_ms) for shard in unmarked
+        }
+        for shard, since_ms in self._unmarked_since_ms.items():
+            item = self._cluster_view.owner_item(shard)
+            delay_ms = (1 + self._rank(shard)) * RANK_DELAY_MS
+            if item is None or now_ms - since_ms < delay_ms:
+                continue
+            outcome = await self._store.write(
+                (
+                    Write(item.key, expected_revision=item.revision, check_only=True),
+                    Write(shard_key(shard), SHARD_OPEN, expected_revision=0),
+                )
+            )
+            self._log.info("shard_marked", shard=shard, outcome=type(outcome).__name__)
+
     async def _claim_if_vacant(self, shard: str, nursery: trio.Nursery) -> None:
         if shard in self._ownerships or self._usable_lease is None:
             return
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -5,7 +5,7 @@
 import trio.testing
 
 from apricotgap.clock import FakeClock
-from apricotgap.instance.cluster_view import ClusterView
+from apricotgap.instance.cluster_view import FLEET_SHARD, ClusterView
 from apricotgap.instance.election import (
     HANDOVER_DELAY_MS,
     RANK_DELAY_MS,
@@ -41,6 +41,8 @@
             return Unavailable("busy")
         self.revision += 1
         for write in writes:
+            if write.check_only:
+                continue
             item = Item(write.key, write.value, self.revision)
             self.cluster_view.apply(item)
         return Stored(self.revision)
@@ -132,6 +134,29 @@
     run(check, speed_milli=500)
 
 
+def test_claim_says_that_the_shard_may_have_jobs():
+    """Guards against jobs without a next owner once their route has left."""
+
+    async def check(rig):
+        await rig.advance(1_000)
+        assert {rig.cluster_view.shard_item(s).value for s in ("s1", "s2")} == {b"open"}
+
+    run(check)
+
+
+def test_shard_of_an_earlier_build_is_marked_by_another_instance():
+    """Guards against jobs that an upgrade loses with the route of their service."""
+
+    async def check(rig):
+        rig.add("old", 1_000, "s1", FLEET_SHARD)
+        await rig.advance(3 * RANK_DELAY_MS)
+        assert rig.cluster_view.owner("s1").name == "old"
+        assert rig.cluster_view.shard_item("s1").value == b"open"
+        assert rig.cluster_view.shard_item(FLEET_SHARD) is None
+
+    run(check)
+
+
 def test_slow_owner_hands_a_shard_over_to_a_fast_instance_that_joins_later():
     """Guards against shards that stay on a slow instance."""
 
