An owner resigns before it gives up its shard for good

What callers see: no job is lost that arrives at the owner of an unused service in the moment in which it gives up.

Cause: the owner looked for stored jobs and then removed its key and the shard's key together. A job that it accepted itself in between depends on the owner key only, so that the shard's key was still unchanged.

Change: the owner stops, resigns and sets the key to closing in one transaction; then it looks, and removes the key if it is unchanged. From the resignation on, whoever accepts a job changes the key. Other instances claim a closing shard after 2 s, which also covers an owner that ends half-way. A stored job that the owner could not load keeps the shard as well.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -6,6 +6,7 @@
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
     OWNERS_PREFIX,
+    SHARD_CLOSING,
     SHARDS_PREFIX,
     SYSTEM_PREFIX,
     Member,
@@ -206,6 +207,11 @@
         """Return the key that says that a service may have unfinished jobs."""
         return self._stored_shards.get(service)
 
+    def is_closing(self, service: str) -> bool:
+        """Return whether an owner is about to give up the shard for good."""
+        item = self._stored_shards.get(service)
+        return item is not None and item.value == SHARD_CLOSING
+
     def unmarked_shards(self) -> tuple[str, ...]:
         """Return the services with an owner but without a shard key.
 
--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -50,6 +50,9 @@
 # An owner key of this process for a shard that it does not run is left over from giving
 # up the shard. Unless the key disappears within this time, the shard is claimed again.
 RECLAIM_DELAY_MS = 500
+# An owner that gave up its shard for good removes the shard's key within this time,
+# unless it finds a job or ends.
+CLOSING_DELAY_MS = 2_000
 
 
 class Election:
@@ -197,6 +200,8 @@
             delay_ms = 0
         else:
             delay_ms = RECLAIM_DELAY_MS
+        if self._cluster_view.is_closing(shard):
+            delay_ms += CLOSING_DELAY_MS
         if now_ms - since_ms < delay_ms:
             return
         ownership = await self._claim(shard, item.revision if item else 0)
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -26,7 +26,7 @@
     load_jobs,
     read_prefix,
 )
-from apricotgap.instance.shard_retirement import ShardRetirement
+from apricotgap.instance.shard_retirement import ShardRetirement, ShardUnusedError
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
 from apricotgap.instance.ticket_requests import TicketRequests
@@ -185,23 +185,29 @@
         Raises
         ------
         OwnershipLostError
-            The store shows another owner.
+            The store shows another owner, or the shard was given up for good.
         """
         jobs = await self._load()
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            self._effects.open(nursery)
-            nursery.start_soon(jobs.run)
-            nursery.start_soon(self._schedule_loop)
-            nursery.start_soon(self._writer.run)
-            if self._tickets is not None:
-                nursery.start_soon(self._tickets.run)
-            nursery.start_soon(self._roster.run)
-            nursery.start_soon(self._tick_loop)
-            nursery.start_soon(self._cleanup.run)
-            nursery.start_soon(self._retirement.run)
-            nursery.start_soon(self._limits.run)
-            self.ready.set()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                self._effects.open(nursery)
+                nursery.start_soon(jobs.run)
+                nursery.start_soon(self._schedule_loop)
+                nursery.start_soon(self._writer.run)
+                if self._tickets is not None:
+                    nursery.start_soon(self._tickets.run)
+                nursery.start_soon(self._roster.run)
+                nursery.start_soon(self._tick_loop)
+                nursery.start_soon(self._cleanup.run)
+                nursery.start_soon(self._retirement.run, jobs)
+                nursery.start_soon(self._limits.run)
+                self.ready.set()
+        except* ShardUnusedError as group:
+            await self._retirement.retire()
+            raise OwnershipLostError(
+                "the service has neither queue nor jobs"
+            ) from group
 
     # Loading
 
--- a/proof/model_check.py
+++ b/proof/model_check.py
@@ -15,6 +15,7 @@
 from proof.configuration import ConfigurationView
 from proof.incarnations import Incarnations
 from proof.runs import Runs
+from proof.service_shards import ServiceShards
 from proof.waves import WaveGrants
 
 __all__ = ["main"]
@@ -28,6 +29,7 @@
     ConfigurationView,
     Incarnations,
     Runs,
+    ServiceShards,
     WaveGrants,
 )
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -7,6 +7,7 @@
 from apricotgap.clock import FakeClock
 from apricotgap.instance.cluster_view import FLEET_SHARD, ClusterView
 from apricotgap.instance.election import (
+    CLOSING_DELAY_MS,
     HANDOVER_DELAY_MS,
     RANK_DELAY_MS,
     RECLAIM_DELAY_MS,
@@ -15,11 +16,14 @@
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
     OWNERS_PREFIX,
+    SHARD_CLOSING,
+    SHARD_OPEN,
     Member,
     Owner,
     encode_member,
     encode_owner,
     owner_key,
+    shard_key,
 )
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.platform.store import Item, Lease, Stored, Unavailable
@@ -144,6 +148,21 @@
     run(check)
 
 
+@pytest.mark.parametrize("is_closing, n_claimed", [(True, 1), (False, 2)])
+def test_shard_that_is_given_up_is_left_until_its_key_is_removed(is_closing, n_claimed):
+    """Guards against a claim that keeps an unused shard alive, again and again."""
+
+    async def check(rig):
+        value = SHARD_CLOSING if is_closing else SHARD_OPEN
+        rig.cluster_view.apply(Item(shard_key("s1"), value, 5))
+        await rig.advance(CLOSING_DELAY_MS - 500)
+        assert len(rig.running) == n_claimed
+        await rig.advance(1_000)
+        assert len(rig.running) == 2
+
+    run(check)
+
+
 def test_shard_of_an_earlier_build_is_marked_by_another_instance():
     """Guards against jobs that an upgrade loses with the route of their service."""
 
