HTTP server that closes no connection from which it has read a request

Callers see: in the moment in which an instance closes idle connections, a request that was read from one of them gets no answer.

Cause: hypercorn closes idle connections while their reader may already have handed a request to the application.

Change: a server on h11 (already locked as a dependency of hypercorn). The wait for the first bytes of a request either returns them or is cancelled, so that a connection is closed only with nothing read.

--- /dev/null
+++ b/apricotgap/drivers/http_server.py
@@ -0,0 +1,149 @@
+"""HTTP/1.1 server for an ASGI application that stops without cutting a request."""
+
+import socket
+from collections.abc import Awaitable, Callable, Sequence
+
+import structlog
+import trio
+
+from apricotgap.drivers.http import Receive, Scope, Send
+from apricotgap.drivers.http_exchange import HttpExchange, RequestError
+
+__all__ = ["Application", "HttpServer"]
+
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+_BACKLOG = 1024
+_KEEP_ALIVE_TIMEOUT_S = 30.0
+# For the rest of a request's head once its first bytes have arrived.
+_HEAD_TIMEOUT_S = 3.0
+# A client that still sends a refused body must read the response before the connection
+# is reset.
+_LINGER_S = 1.0
+_CONNECTION_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class HttpServer:
+    """Serves an application until `stop` is called.
+
+    A request whose first bytes have been read is answered; a connection is closed only
+    while nothing of a request has been read from it.
+
+    Parameters
+    ----------
+    application : callable
+        ASGI application.
+    addresses : sequence of str
+        Addresses to listen on, as ``HOST:PORT``.
+    """
+
+    def __init__(self, application: Application, addresses: Sequence[str]) -> None:
+        self._application = application
+        self._addresses = addresses
+        self._listening = trio.CancelScope()
+        self._idle: set[trio.CancelScope] = set()
+        self._is_stopping = False
+        self._n_connections = 0
+        self._log = structlog.get_logger()
+
+    @property
+    def n_connections(self) -> int:
+        """Number of open connections."""
+        return self._n_connections
+
+    def stop(self) -> None:
+        """Accept no more connections and close each one once it is idle."""
+        self._is_stopping = True
+        self._listening.cancel()
+        for scope in self._idle:
+            scope.cancel()
+
+    async def run(self) -> None:
+        """Serve until `stop` was called and the last request has been answered.
+
+        Raises
+        ------
+        OSError
+            An address is not available.
+        """
+        listeners: list[trio.SocketListener] = []
+        for address in self._addresses:
+            host, _, port = address.rpartition(":")
+            listeners += await trio.open_tcp_listeners(
+                int(port), host=host, backlog=_BACKLOG
+            )
+        async with trio.open_nursery() as connections:
+            with self._listening:
+                await trio.serve_listeners(
+                    self._serve_connection, listeners, handler_nursery=connections
+                )
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        self._n_connections += 1
+        try:
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await self._serve_requests(stream)
+        except _CONNECTION_ERRORS:
+            # The client has left; there is nobody to answer.
+            pass
+        except Exception:
+            self._log.exception("connection_failed")
+        finally:
+            self._n_connections -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+        exchange = HttpExchange(stream)
+        while True:
+            if not exchange.has_unread_bytes and not await self._wait_for_bytes(
+                stream, exchange
+            ):
+                return
+            try:
+                with trio.move_on_after(_HEAD_TIMEOUT_S):
+                    await exchange.receive_head()
+            except RequestError as error:
+                await exchange.refuse(error)
+                await self._linger(stream)
+                return
+            if exchange.scope is None:
+                return
+            await self._answer(exchange)
+            if not exchange.finish_request():
+                await self._linger(stream)
+                return
+            if not exchange.start_next():
+                return
+
+    async def _wait_for_bytes(
+        self, stream: trio.SocketStream, exchange: HttpExchange
+    ) -> bool:
+        """Wait for the next request; False if there will be none."""
+        if self._is_stopping:
+            return False
+        with trio.move_on_after(_KEEP_ALIVE_TIMEOUT_S) as scope:
+            self._idle.add(scope)
+            try:
+                # Either returns bytes or is cancelled, so that none are read in vain.
+                return await exchange.receive_bytes()
+            finally:
+                self._idle.discard(scope)
+        return False
+
+    async def _answer(self, exchange: HttpExchange) -> None:
+        assert exchange.scope is not None
+        try:
+            await self._application(exchange.scope, exchange.receive, exchange.send)
+        except _CONNECTION_ERRORS:
+            raise
+        except Exception:
+            # An error in one request must not end the others.
+            self._log.exception("request_failed", path=exchange.scope["path"])
+            await exchange.fail()
+
+    async def _linger(self, stream: trio.SocketStream) -> None:
+        """Discard the rest of a request whose response has been sent."""
+        with trio.move_on_after(_LINGER_S):
+            await stream.send_eof()
+            while await stream.receive_some():
+                pass
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,208 @@
+"""HTTP server of the instances: requests, malformed bytes and the end of the server."""
+
+from random import Random
+
+import pytest
+import trio
+
+from apricotgap.drivers.http import headers_of, read_body, send_response
+from apricotgap.drivers.http_server import HttpServer
+from tests.loopback import free_port
+
+
+async def connect(address):
+    host, _, port = address.partition(":")
+    return await trio.open_tcp_stream(host, int(port))
+
+
+async def exchange(stream, data):
+    """Send bytes and return the status of the answer, None if there is none."""
+    await stream.send_all(data)
+    received = b""
+    while not received.partition(b"\r\n\r\n")[2].endswith(b"ok"):
+        chunk = await stream.receive_some(65_536)
+        if not chunk:
+            break
+        received += chunk
+    return int(received.split()[1]) if received else None
+
+
+def run(application, check):
+    async def main():
+        address = f"127.0.0.1:{free_port()}"
+        server = HttpServer(application, [address])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.run)
+            await trio.sleep(0.05)
+            with trio.fail_after(20):
+                await check(server, address)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def echo(scope, receive, send):
+    """Answer with the body, `ok` without one."""
+    body = await read_body(headers_of(scope), receive, 1_000_000, 3_000)
+    if scope["path"] == "/error":
+        raise RuntimeError("unexpected")
+    await send_response(send, 200, body or b"ok", "text/plain")
+
+
+GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nnook",
+        b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nno\r\n2\r\nok\r\n0\r\n\r\n",
+        b"GET /a%20b?c=d HTTP/1.1\r\nHost: x\r\nUpgrade: h2c\r\n\r\n",
+        b"GET / HTTP/1.0\r\n\r\n",
+    ],
+)
+@pytest.mark.parametrize("n_bytes", [1, 7, 1_000])
+def test_request_in_pieces_is_answered(data, n_bytes):
+    """Guards against a request whose parts arrive one by one and that is refused."""
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            for at in range(0, len(data) - n_bytes, n_bytes):
+                await stream.send_all(data[at : at + n_bytes])
+                await trio.sleep(0.001)
+            rest = len(data) - max(0, len(data) - n_bytes) % n_bytes
+            sent = len(range(0, len(data) - n_bytes, n_bytes)) * n_bytes
+            assert rest and await exchange(stream, data[sent:]) == 200
+
+    run(echo, check)
+
+
+def test_requests_sent_at_once_are_answered_in_order():
+    """Guards against a second request that is read with the first and forgotten."""
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            await stream.send_all(GET * 3)
+            received = b""
+            while received.count(b"HTTP/1.1 200") < 3:
+                received += await stream.receive_some(65_536)
+
+    run(echo, check)
+
+
+def test_client_that_asks_first_may_send_its_body():
+    """Guards against a client that waits for leave to send its body."""
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            await stream.send_all(
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+                b"Expect: 100-continue\r\n\r\n"
+            )
+            assert b" 100 " in await stream.receive_some(65_536)
+            assert await exchange(stream, b"ok") == 200
+
+    run(echo, check)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: \xb2\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        b"GET /" + b"a" * 100_000,
+    ],
+)
+def test_malformed_request_is_refused_and_the_others_go_on(data):
+    """Guards against bytes of one client that end the server."""
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            assert await exchange(stream, data) in (400, 431)
+        async with await connect(address) as stream:
+            assert await exchange(stream, GET) == 200
+
+    run(echo, check)
+
+
+def test_error_of_the_application_is_answered():
+    """Guards against a connection that ends without an answer."""
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            data = b"GET /error HTTP/1.1\r\nHost: x\r\n\r\n"
+            assert await exchange(stream, data) == 500
+
+    run(echo, check)
+
+
+def test_refused_body_does_not_hide_the_answer():
+    """Guards against a connection that is reset before its answer has been read."""
+
+    async def refuse(scope, receive, send):
+        await send_response(send, 413, b"ok", "text/plain", {"connection": "close"})
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n"
+            assert await exchange(stream, head + b"x" * 300_000) == 413
+
+    run(refuse, check)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_request_that_was_read_is_answered_while_connections_close(seed):
+    """Guards against a request that is read from a connection that is being closed."""
+    read, answered, unanswered = set(), set(), set()
+    random = Random(seed)
+
+    async def answer(scope, receive, send):
+        read.add(scope["path"])
+        await trio.sleep(0.001)
+        await send_response(send, 200, b"ok", "text/plain")
+
+    async def call_repeatedly(number, address):
+        async with await connect(address) as stream:
+            for n in range(1_000_000):
+                path = f"/{number}/{n}"
+                data = f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+                try:
+                    status = await exchange(stream, data)
+                except trio.BrokenResourceError:
+                    status = None
+                if status is None:
+                    unanswered.add(path)
+                    return
+                answered.add(path)
+                await trio.sleep(random.random() * 0.2)
+
+    async def check(server, address):
+        async with trio.open_nursery() as nursery:
+            for number in range(100):
+                nursery.start_soon(call_repeatedly, number, address)
+            await trio.sleep(0.5 + random.random() / 10)
+            server.stop()
+        assert len(answered) > 200
+        assert not read & unanswered
+
+    run(answer, check)
+
+
+def test_request_half_read_at_the_end_is_answered():
+    """Guards against a request that is cut although its rest was on its way."""
+
+    async def check(server, address):
+        async with await connect(address) as stream, await connect(address) as idle:
+            await stream.send_all(b"POST / HTTP/1.1\r\nHost: x\r\nConte")
+            await trio.sleep(0.05)
+            server.stop()
+            # A connection without a request is closed at once.
+            assert await idle.receive_some() == b""
+            await trio.sleep(0.3)
+            assert await exchange(stream, b"nt-Length: 2\r\n\r\nok") == 200
+            assert await stream.receive_some() == b""
+
+    run(echo, check)
