Stop: use the time until SIGKILL and answer every request that was read

Callers see: around a SIGTERM a request ends without an answer, or a second signal ends the process with everything in progress.

Evidence: tests/test_instance_stop.py failed before: a submission 2 s after SIGTERM with silent owner and store, one with a `graceS` of 3 s, series of SIGHUP and of SIGTERM while a request is in progress.

Change: `graceS` is a setting. The lease is revoked beside the wait for the balancer. Requests are answered until 5/6 of the time, with 503 for reads and 504 for what may have taken effect; the process ends as soon as nothing is in progress, at 11/12 at the latest. The receiver stays open until then, and signals that trio hands back on closing are ignored. Calls go on in the background when a response stops waiting, so that no response is later than its caller's deadline.

--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -2,14 +2,15 @@
 
 import os
 import signal
-from collections.abc import Awaitable, Callable
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
 
-import hypercorn.trio
 import structlog
 import trio
-from hypercorn.config import Config
 
 from apricotgap.clock import BootClock, BootTrioClock
+from apricotgap.drivers.http_server import HttpServer
+from apricotgap.drivers.timed_calls import TimedCalls
 from apricotgap.errors import SettingsError
 from apricotgap.instance import logs
 from apricotgap.instance.cluster_view import FLEET_SHARD, ClusterView
@@ -39,9 +40,12 @@
 # The settings file is polled too, since it may change without a SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 # Settings that a running process reloads; the others need a restart.
-_RELOADABLE = frozenset({"bounds.revoke_ms"})
-# Part of the stop timeout that is left for requests in progress.
-_GRACEFUL_TIMEOUT_S = 1.0
+_RELOADABLE = frozenset({"bounds.revoke_ms", "bounds.shutdown_ms"})
+# Part of the time between SIGTERM and SIGKILL in which all requests are answered, and
+# the part of it after which the process is gone.
+_ANSWER_FRACTION = 5 / 6
+_EXIT_FRACTION = 11 / 12
+_LEASE_REVOKE_TIMEOUT_S = 1.0
 
 
 def _first_cause(group: BaseExceptionGroup) -> BaseException:
@@ -82,7 +86,6 @@
         self._metrics = Metrics(settings.name)
         self._owners: dict[str, ShardOwner] = {}
         self._is_draining = False
-        self._stopped = trio.Event()
         self._identity = Member(
             settings.name,
             new_incarnation(),
@@ -109,57 +112,60 @@
             data_centre=settings.data_centre,
             speed_milli=settings.speed_milli,
         )
-        async with trio.open_nursery() as nursery:
-            router = self._router = JobRouter(
-                settings.name,
-                self._owners,
-                self._cluster_view,
-                self._store,
-                PeerClient(nursery),
-                self._clock,
-            )
-            app = self._app = IngressApp(
-                self._cluster_view,
-                router,
-                self._metrics,
-                self._clock,
-                settings.bounds.revoke_ms,
-                lambda: self._is_draining,
-                int(settings.readiness_address.rpartition(":")[2]),
-                settings.metrics_port,
-            )
-            nursery.start_soon(self._cluster_view.operator_mirror.run)
-            nursery.start_soon(self._cluster_view.system_mirror.run)
-            nursery.start_soon(self._workers.run)
-            nursery.start_soon(self._lease.run)
-            nursery.start_soon(self._election.run)
-            nursery.start_soon(
-                serve_peers, settings.ip, settings.peer_port, router.handle_peer_call
-            )
-            nursery.start_soon(self._handle_signals)
-            nursery.start_soon(self._watch_settings)
-            await hypercorn.trio.serve(
-                app,  # type: ignore[arg-type]
-                self._http_config(),
-                shutdown_trigger=self._stopped.wait,
-            )
-            nursery.cancel_scope.cancel()
+        signal.signal(signal.SIGTERM, self._exit_unless_stopping)
+        # The receiver stays open until the last request has been answered.
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                await self._serve(nursery, signals)
+                nursery.cancel_scope.cancel()
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
         self._log.info("stopped")
 
-    def _http_config(self) -> Config:
+    async def _serve(self, nursery: trio.Nursery, signals: AsyncIterator[int]) -> None:
+        """Run the tasks of the instance and serve calls until it has stopped."""
         settings = self._settings
-        config = Config()
-        config.bind = [
-            settings.client_address,
-            settings.readiness_address,
-            f"{settings.ip}:{settings.metrics_port}",
-        ]
-        config.accesslog = None
-        config.errorlog = None
-        config.graceful_timeout = _GRACEFUL_TIMEOUT_S
-        config.keep_alive_timeout = 30.0
-        config.include_server_header = False
-        return config
+        self._calls = TimedCalls(nursery, self._clock)
+        router = self._router = JobRouter(
+            settings.name,
+            self._owners,
+            self._cluster_view,
+            self._store,
+            PeerClient(nursery),
+            self._clock,
+        )
+        app = self._app = IngressApp(
+            self._cluster_view,
+            router,
+            self._calls,
+            self._metrics,
+            self._clock,
+            settings.bounds.revoke_ms,
+            lambda: self._is_draining,
+            int(settings.readiness_address.rpartition(":")[2]),
+            settings.metrics_port,
+        )
+        nursery.start_soon(self._cluster_view.operator_mirror.run)
+        nursery.start_soon(self._cluster_view.system_mirror.run)
+        nursery.start_soon(self._workers.run)
+        nursery.start_soon(self._lease.run)
+        nursery.start_soon(self._election.run)
+        nursery.start_soon(
+            serve_peers,
+            settings.ip,
+            settings.peer_port,
+            router.handle_peer_call,
+        )
+        nursery.start_soon(self._watch_settings)
+        server = HttpServer(
+            app,
+            (
+                settings.client_address,
+                settings.readiness_address,
+                f"{settings.ip}:{settings.metrics_port}",
+            ),
+        )
+        nursery.start_soon(self._handle_signals, signals, server, nursery)
+        await server.run()
 
     async def _run_shard(self, ownership: Ownership) -> None:
         if ownership.shard == FLEET_SHARD:
@@ -210,14 +216,20 @@
             self._metrics.count("shard_failures")
             await self._election.resign(ownership, repr(_first_cause(group)))
 
-    async def _handle_signals(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-            async for signal_number in signals:
-                if signal_number == signal.SIGHUP:
-                    self._reload()
-                    continue
-                await self._stop()
-                return
+    def _exit_unless_stopping(self, _number: int, _frame: object) -> None:
+        """Handle a SIGTERM before the receiver opens or that it returns on closing."""
+        if not self._is_draining:
+            sys.exit(0)
+
+    async def _handle_signals(
+        self, signals: AsyncIterator[int], server: HttpServer, nursery: trio.Nursery
+    ) -> None:
+        async for signal_number in signals:
+            if signal_number == signal.SIGHUP:
+                self._reload()
+            elif not self._is_draining:
+                self._is_draining = True
+                nursery.start_soon(self._stop, server, nursery)
 
     def _reload(self) -> None:
         try:
@@ -245,14 +257,27 @@
                 loaded = current
                 self._reload()
 
-    async def _stop(self) -> None:
-        self._log.info("stopping", n_shards=self._election.n_owned)
-        self._is_draining = True
+    async def _stop(self, server: HttpServer, nursery: trio.Nursery) -> None:
+        """Give up the shards, answer the requests that arrive and end the server."""
+        shutdown_ms = self._settings.bounds.shutdown_ms
+        self._log.info(
+            "stopping", n_shards=self._election.n_owned, shutdown_ms=shutdown_ms
+        )
+        started_s = trio.current_time()
         self._election.is_draining = True
-        with trio.move_on_after(1):
+        answer_ms = int(_ANSWER_FRACTION * shutdown_ms)
+        self._calls.end_by(self._clock.now_ms + answer_ms)
+        nursery.start_soon(self._revoke_lease)
+        # The last request that the balancer sends needs time for its answer too.
+        await trio.sleep(min(BALANCER_LAG_S, answer_ms / 2000))
+        server.stop()
+        await trio.sleep_until(started_s + _EXIT_FRACTION * shutdown_ms / 1000)
+        self._log.warning("stop_timeout", n_connections=server.n_connections)
+        nursery.cancel_scope.cancel()
+
+    async def _revoke_lease(self) -> None:
+        with trio.move_on_after(_LEASE_REVOKE_TIMEOUT_S):
             await self._lease.revoke()
-        await trio.sleep(BALANCER_LAG_S)
-        self._stopped.set()
 
 
 def main() -> None:
--- a/apricotgap/platform/ingress.py
+++ b/apricotgap/platform/ingress.py
@@ -1,8 +1,9 @@
 """HTTP interface for callers, readiness checks and metrics, as an ASGI application."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 
 import msgspec
 import structlog
@@ -18,7 +19,9 @@
     read_body,
     send_response,
 )
+from apricotgap.drivers.timed_calls import CallTimeoutError, TimedCalls
 from apricotgap.jobs.configuration import QueueSpec
+from apricotgap.jobs.model import JobSpec
 from apricotgap.jobs.service import (
     DEFAULT_RETRY_AFTER_MS,
     CancelResult,
@@ -38,6 +41,8 @@
 _DEFAULT_DEADLINE_MS = 3_000
 # Part of the caller's deadline that is reserved for sending the response.
 _RESPONSE_MARGIN_MS = 150
+# Part of the margin in which the instance's own limits may still end the call.
+_LATE_CALL_MS = 75
 MAX_BODY_BYTES = 262_144
 _BODY_TIMEOUT_MS = 3_000
 _HEX_DIGITS = frozenset("0123456789abcdef")
@@ -62,6 +67,8 @@
         Cached copy of the operators' configuration.
     jobs : JobService
         Submits, reads and cancels jobs.
+    calls : TimedCalls
+        Ends the wait of a response at the caller's deadline.
     metrics : Metrics
         Served on `metrics_port`; records the latency of calls.
     clock : Clock
@@ -78,6 +85,7 @@
         self,
         view: ConfigurationView,
         jobs: JobService,
+        calls: TimedCalls,
         metrics: Metrics,
         clock: Clock,
         revoke_ms: int,
@@ -87,6 +95,7 @@
     ) -> None:
         self._view = view
         self._jobs = jobs
+        self._calls = calls
         self._metrics = metrics
         self._clock = clock
         self.set_revoke_ms(revoke_ms)
@@ -132,7 +141,14 @@
         headers = headers_of(scope)
         method, path = scope["method"], scope["path"]
         try:
-            body = await read_body(headers, receive, MAX_BODY_BYTES, _BODY_TIMEOUT_MS)
+            body = await read_body(
+                headers,
+                receive,
+                MAX_BODY_BYTES,
+                max(
+                    0, self._calls.limit_ms(started_ms + _BODY_TIMEOUT_MS) - started_ms
+                ),
+            )
             response = await self._respond(method, path, headers, body, started_ms)
         except BodyTooLargeError:
             response = _Response(413, reason="body too large")
@@ -190,9 +206,15 @@
         wait = headers.get(_DEADLINE_HEADER, "")
         wait_ms = int(wait) if wait.isdigit() else _DEFAULT_DEADLINE_MS
         deadline_ms = started_ms + min(wait_ms, queue.timeout_ms) - _RESPONSE_MARGIN_MS
+        # A process that stops gives up sooner than a caller.
+        deadline_ms = self._calls.limit_ms(deadline_ms)
         job_id = path[len(queue.prefix) :]
         if not job_id and method == "GET":
-            return await self._count_pending(queue, deadline_ms)
+            return await self._in_time(
+                partial(self._count_pending, queue, deadline_ms),
+                deadline_ms,
+                _Response(503, reason="jobs not readable: no answer in time"),
+            )
         if len(job_id) != 16 or not _HEX_DIGITS.issuperset(job_id):
             return _Response(
                 400,
@@ -200,20 +222,41 @@
                 "malformed job id",
             )
         if method == "POST":
-            return await self._submit_job(queue, job_id, team, body, deadline_ms)
+            try:
+                job = decode_job(body, job_id, queue, team, time.time_ns() // 1_000_000)
+            except WireError as error:
+                return _Response(400, {"error": str(error)}, str(error))
+            return await self._in_time(
+                partial(self._submit_job, job, deadline_ms),
+                deadline_ms,
+                _Response(504, reason="submission not confirmed in time"),
+            )
         if method == "GET":
-            return await self._job_state(queue, job_id, deadline_ms)
+            return await self._in_time(
+                partial(self._job_state, queue, job_id, deadline_ms),
+                deadline_ms,
+                _Response(503, reason="state not readable: no answer in time"),
+            )
         if method == "DELETE":
-            return await self._cancel_job(queue, job_id, deadline_ms)
+            return await self._in_time(
+                partial(self._cancel_job, queue, job_id, deadline_ms),
+                deadline_ms,
+                _Response(504, reason="cancellation not confirmed in time"),
+            )
         return _Response(405, reason="method not allowed")
 
-    async def _submit_job(
-        self, queue: QueueSpec, job_id: str, team: str, body: bytes, deadline_ms: int
+    async def _in_time(
+        self,
+        call: Callable[[], Awaitable[_Response]],
+        deadline_ms: int,
+        late: _Response,
     ) -> _Response:
         try:
-            job = decode_job(body, job_id, queue, team, time.time_ns() // 1_000_000)
-        except WireError as error:
-            return _Response(400, {"error": str(error)}, str(error))
+            return await self._calls.run(call, deadline_ms + _LATE_CALL_MS)
+        except CallTimeoutError:
+            return late
+
+    async def _submit_job(self, job: JobSpec, deadline_ms: int) -> _Response:
         outcome = await self._jobs.submit(job, deadline_ms)
         if outcome.result is SubmitResult.ACCEPTED:
             return _Response(200)
--- a/apricotgap/platform/settings.py
+++ b/apricotgap/platform/settings.py
@@ -21,7 +21,8 @@
     time that a worker takes to stop a run, `revoke_ms` how long a withdrawn key may
     still be accepted, `status_retention_ms` how long a finished job must stay
     readable. `contact_ms` is how long an instance may go by what it knew when it was
-    last in contact with the platform.
+    last in contact with the platform. `shutdown_ms` is the time from SIGTERM to
+    SIGKILL.
     """
 
     max_lease_ms: int
@@ -32,6 +33,7 @@
     move_ms: int
     holder_lease_ms: int
     contact_ms: int
+    shutdown_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,5 +149,6 @@
             move_ms=int(1000 * get("bounds.migrateS", 1.5)),
             holder_lease_ms=bound("leaseMs", 3000),
             contact_ms=bound("contactMs", 3000),
+            shutdown_ms=int(1000 * get("bounds.graceS", 6)),
         ),
     )
--- /dev/null
+++ b/tests/test_instance_stop.py
@@ -0,0 +1,222 @@
+"""Instance processes that stop: requests in progress, connections and signals."""
+
+import json
+import signal
+from contextlib import aclosing
+from random import Random
+
+import pytest
+import trio
+
+from soak.cluster import HOST, KEY, SIGHUP, SIGTERM, open_cluster
+
+JOB = {
+    "spec": "x",
+    "steps": [{"count": 1, "cpu": 500, "memMb": 10, "estimatedMs": 100}],
+}
+GRACE_S = 6
+
+SIGSTOP = signal.SIGSTOP
+
+
+def run(check, tmp_path, **options):
+    async def main():
+        async with open_cluster(tmp_path, **options) as cluster:
+            await check(cluster)
+
+    trio.run(main)
+
+
+def request_bytes(method, path, body=b"", key=KEY):
+    """Return a request as a client sends it."""
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {key}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+async def receive_response(stream):
+    """Return the status and the head of a response, None if it is not complete."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        chunk = await stream.receive_some(65_536)
+        if not chunk:
+            return None
+        data += chunk
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = next(
+        int(line.partition(b":")[2])
+        for line in head.lower().split(b"\r\n")
+        if line.startswith(b"content-length:")
+    )
+    while len(body) < length:
+        chunk = await stream.receive_some(65_536)
+        if not chunk:
+            return None
+        body += chunk
+    return int(head.split()[1]), head.lower()
+
+
+async def connect(address):
+    host, _, port = address.partition(":")
+    return await trio.open_tcp_stream(host, int(port))
+
+
+async def answer_of(instance, data):
+    """Send a request on its own connection; return status and duration in seconds."""
+    async with await connect(instance.address) as stream:
+        started_s = trio.current_time()
+        await stream.send_all(data)
+        try:
+            response = await receive_response(stream)
+        except trio.BrokenResourceError:
+            response = None
+        return response and response[0], trio.current_time() - started_s
+
+
+def use_setting(instance, tmp_path, line):
+    """Add a line to the bounds of an instance and start it anew."""
+    path = tmp_path / f"{instance.name}.toml"
+    path.write_text(path.read_text().replace("[bounds]", f"[bounds]\n{line}"))
+    instance.stop()
+    instance.start()
+
+
+@pytest.mark.parametrize(("grace_s", "delay_s"), [(6, 0.0), (6, 2.0), (3, 1.0)])
+@pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
+def test_request_without_owner_and_store_is_answered_before_the_process_ends(
+    tmp_path, method, grace_s, delay_s
+):
+    """Guards against a request that is cut by the end of the process.
+
+    The owner and the store are silent, so that the instance needs the caller's whole
+    deadline, or what is left of the time for its stop.
+    """
+
+    async def check(cluster):
+        owner = cluster.owner()
+        (instance,) = (each for each in cluster.instances if each is not owner)
+        use_setting(instance, tmp_path, f"graceS = {grace_s}")
+        await cluster.until_ready()
+        owner.signal(SIGSTOP)
+        stopped_s = trio.current_time()
+        instance.signal(SIGTERM)
+        await trio.sleep(delay_s)
+        cluster.proxies[cluster.instances.index(instance)].silent_up = True
+        body = json.dumps(JOB).encode() if method == "POST" else b""
+        path = f"/plans/{'a' * 16}"
+        status, _ = await answer_of(instance, request_bytes(method, path, body))
+        # The owner or the store may have got the call, so that 503 would be wrong.
+        assert status == (503 if method == "GET" else 504)
+        assert trio.current_time() - stopped_s < grace_s * 5 / 6 + 0.1
+        assert await trio.to_thread.run_sync(instance.wait, grace_s) == 0
+
+    run(check, tmp_path)
+
+
+def test_process_ends_as_soon_as_nothing_is_in_progress(tmp_path):
+    """Guards against a stop that waits for its timeout with nothing left to do."""
+
+    async def check(cluster):
+        instance = cluster.instances[0]
+        async with await connect(instance.address), await connect(instance.address):
+            started_s = trio.current_time()
+            instance.signal(SIGTERM)
+            assert await trio.to_thread.run_sync(instance.wait, GRACE_S) == 0
+            assert trio.current_time() - started_s < 3.2
+
+    run(check, tmp_path, n_instances=1)
+
+
+@pytest.mark.parametrize("number", [SIGHUP, SIGTERM])
+def test_signals_while_it_stops_do_not_cut_a_request(tmp_path, number):
+    """Guards against a second signal that ends the process at once."""
+
+    async def check(cluster):
+        instance = cluster.instances[0]
+        cluster.proxies[0].silent_up = True
+        answers = []
+
+        async def ask():
+            data = request_bytes("GET", f"/plans/{'a' * 16}")
+            answers.append((await answer_of(instance, data))[0])
+
+        async with trio.open_nursery() as nursery:
+            instance.signal(SIGTERM)
+            await trio.sleep(2.0)
+            nursery.start_soon(ask)
+            # Signals in series until the process has ended.
+            while instance.is_running:
+                await trio.sleep(0.1)
+                if instance.is_running:
+                    instance.signal(number)
+        assert answers == [503]
+        assert instance.wait(1) == 0
+
+    run(check, tmp_path, n_instances=1)
+
+
+class Client:
+    """A client that keeps its connection and sends again and again on it."""
+
+    def __init__(self, number, address, seed):
+        self._number = number
+        self._address = address
+        self._random = Random(seed)
+        self.answered = set()
+        self.unanswered = set()
+
+    async def run(self):
+        n_sent = 0
+        while True:
+            try:
+                stream = await connect(self._address)
+            except OSError:
+                return
+            async with aclosing(stream):
+                is_open = True
+                while is_open:
+                    path = f"/plans/{self._number:08x}{n_sent:08x}"
+                    n_sent += 1
+                    is_open = await self._call(stream, path)
+                    await trio.sleep(self._random.random() * 0.6)
+
+    async def _call(self, stream, path):
+        response = None
+        try:
+            await stream.send_all(request_bytes("GET", path, key="unknown"))
+            response = await receive_response(stream)
+        except trio.BrokenResourceError:
+            pass
+        if response is None:
+            self.unanswered.add(path)
+            return False
+        self.answered.add(path)
+        return b"connection: close" not in response[1]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_request_that_was_read_is_answered_while_connections_close(tmp_path, seed):
+    """Guards against a request that is read from a connection that is being closed.
+
+    The `call` line of the log tells that the instance has read a request.
+    """
+
+    async def check(cluster):
+        instance = cluster.instances[0]
+        # Below the rate at which log lines are dropped.
+        clients = [Client(n, instance.address, seed * 1000 + n) for n in range(80)]
+        with trio.move_on_after(8):
+            async with trio.open_nursery() as nursery:
+                for client in clients:
+                    nursery.start_soon(client.run)
+                await trio.sleep(0.5 + 0.1 * seed)
+                instance.signal(SIGTERM)
+        assert instance.wait(1) == 0
+        assert not instance.lines("log_lines_dropped")
+        n_answered = sum(len(client.answered) for client in clients)
+        assert n_answered > 200
+        read = {line["path"] for line in instance.lines("call")}
+        assert not read & set().union(*(client.unanswered for client in clients))
+
+    run(check, tmp_path, n_instances=1)
