Start: a SIGHUP before the instance handles it does not end the process

Callers see: an instance that gets its first settings change while it starts is gone.

Cause: the default handler until the receiver opens, after about 0.5 s of imports.

Evidence: test_sighup_while_it_starts_does_not_end_the_process failed before.

Change: `python -m apricotgap serve` ignores SIGHUP before its imports. What remains is the start of the interpreter itself, before the first line of the program.

--- a/apricotgap/__main__.py
+++ b/apricotgap/__main__.py
@@ -1,6 +1,14 @@
 """Entry point of ``python -m apricotgap``."""
 
-from apricotgap.cli import main
+import signal
+import sys
+
+if sys.argv[1:2] == ["serve"]:
+    # Imports take a while, and a SIGHUP must not end a process that does not handle
+    # it yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from apricotgap.cli import main  # noqa: E402
 
 __all__: list[str] = []
 
--- a/tests/test_instance_stop.py
+++ b/tests/test_instance_stop.py
@@ -156,6 +156,24 @@
     run(check, tmp_path, n_instances=1)
 
 
+def test_sighup_while_it_starts_does_not_end_the_process(tmp_path):
+    """Guards against a reload that ends a process which does not handle it yet."""
+
+    async def check(cluster):
+        instance = cluster.instances[0]
+        instance.stop()
+        instance.start()
+        # The interpreter takes a moment before it runs any line of the program.
+        await trio.sleep(0.15)
+        for _ in range(60):
+            instance.signal(SIGHUP)
+            await trio.sleep(0.02)
+        assert instance.is_running
+        await cluster.until_ready()
+
+    run(check, tmp_path, n_instances=1)
+
+
 class Client:
     """A client that keeps its connection and sends again and again on it."""
 
