Settings: a damaged file is a SettingsError, and the process goes on

Callers see: an instance that is reloaded while its settings file is being written, or with a number that no integer holds, is gone with everything in progress.

Cause: UnicodeDecodeError of a file cut inside a character, OverflowError of infinite numbers, RecursionError and LookupError went past SettingsError. Numbers below zero were taken, so that a file with a revokeMs of -1 refused every keyed call.

Change: one reader of numbers with their range, and one error. The version of the file is taken before it is read, so that a change in between is seen (no test: the time between the two is a few milliseconds).

--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -73,10 +73,15 @@
     ----------
     settings : PlatformSettings
         Validated settings.
+    file_version : tuple of int
+        Version of the settings file, taken before it was read.
     """
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    def __init__(
+        self, settings: PlatformSettings, file_version: tuple[int, int]
+    ) -> None:
         self._settings = settings
+        self._file_version = file_version
         self._clock = BootClock()
         self._store = StoreClient(settings.store_address)
         self._lease = InstanceLease(self._store, self._clock, settings.min_lease_ms)
@@ -249,12 +254,11 @@
     async def _watch_settings(self) -> None:
         """Reload the settings when the file changes without a signal."""
         path = settings_path()
-        loaded = _file_version(path)
         while True:
             await trio.sleep(SETTINGS_CHECK_INTERVAL_S)
             current = _file_version(path)
-            if current != loaded:
-                loaded = current
+            if current != self._file_version:
+                self._file_version = current
                 self._reload()
 
     async def _stop(self, server: HttpServer, nursery: trio.Nursery) -> None:
@@ -288,13 +292,15 @@
     SettingsError
         The settings are invalid.
     """
-    settings = load_platform_settings(settings_path())
+    path = settings_path()
+    file_version = _file_version(path)
+    settings = load_platform_settings(path)
     buffer = logs.configure(settings.name)
 
     async def run() -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(buffer.run)
-            await Instance(settings).run()
+            await Instance(settings, file_version).run()
             nursery.cancel_scope.cancel()
 
     try:
--- a/apricotgap/platform/settings.py
+++ b/apricotgap/platform/settings.py
@@ -11,6 +11,9 @@
 
 _PATH_VARIABLE = "APRICOTGAP_NODE_FILE"
 _DEFAULT_PATH = "/etc/apricotgap/boot.toml"
+# Beyond any meaningful value, and small enough for sums in the units of all fields.
+_MAX_NUMBER = 10**9
+_MAX_PORT = 65_535
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,13 +93,14 @@
     try:
         with open(path, "rb") as file:
             data = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
+        # A file that is being written may be cut inside a line or a character.
         raise SettingsError(
             f"{path} cannot be read: {error}", "name a readable TOML file"
         ) from error
     try:
         return _build_settings(_FieldReader(path, data))
-    except (TypeError, ValueError, IndexError) as error:
+    except (TypeError, ValueError, LookupError) as error:
         raise SettingsError(
             f"{path} has a field of the wrong type: {error}", "correct the field"
         ) from error
@@ -117,38 +121,51 @@
             raise SettingsError(f"{self._path} lacks {name}", f"add the field {name}")
         return default
 
+    def number(
+        self, name: str, default: float, minimum: float = 0, scale: int = 1
+    ) -> int:
+        """Return a number times `scale`, rounded down."""
+        value = self.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise TypeError(f"{name} must be a number")
+        # Not true of NaN either.
+        if not minimum <= value <= _MAX_NUMBER:
+            raise ValueError(f"{name} must be from {minimum} to {_MAX_NUMBER}")
+        return int(scale * value)
 
-def _build_settings(reader: _FieldReader) -> PlatformSettings:
-    get = reader.get
-
-    def bound(name: str, default: float) -> int:
-        return int(get(f"bounds.{name}", default))
 
-    ports = get("internalPorts")
+def _build_settings(reader: _FieldReader) -> PlatformSettings:
+    get, number = reader.get, reader.number
+    port = get("internalPorts")[0]
+    if not isinstance(port, int) or not 0 < port < _MAX_PORT:
+        raise ValueError(f"internalPorts must begin with a port below {_MAX_PORT}")
     return PlatformSettings(
         name=str(get("nodeName")),
         ip=str(get("ip")),
         data_centre=str(get("zone")),
         client_address=str(get("listenAddrs.frontendAddr")),
         readiness_address=str(get("listenAddrs.readinessAddr")),
-        peer_port=int(ports[0]),
-        metrics_port=int(ports[0]) + 1,
+        peer_port=port,
+        metrics_port=port + 1,
         store_address=str(get("platform.address")),
-        min_lease_ms=int(get("platform.minTtlMs", 1000)),
+        min_lease_ms=number("platform.minTtlMs", 1000),
         fleet_address=str(get("cloudApi.address", "")),
         advice_address=str(get("advice", "")),
-        speed_milli=max(
-            1, int(1000 * get("limits.cpuShare", 1.0) * get("limits.cpuCores", 1))
-        ),
+        speed_milli=_speed_milli(reader),
         bounds=Bounds(
-            max_lease_ms=bound("maxHoldMs", 6000),
-            stop_timeout_ms=bound("stopTimeoutMs", 900),
-            revoke_ms=bound("revokeMs", 5000),
-            status_retention_ms=1000 * bound("status_s", 120),
-            upkeep_ms=int(1000 * get("bounds.maintenanceS", 2)),
-            move_ms=int(1000 * get("bounds.migrateS", 1.5)),
-            holder_lease_ms=bound("leaseMs", 3000),
-            contact_ms=bound("contactMs", 3000),
-            shutdown_ms=int(1000 * get("bounds.graceS", 6)),
+            max_lease_ms=number("bounds.maxHoldMs", 6000),
+            stop_timeout_ms=number("bounds.stopTimeoutMs", 900),
+            revoke_ms=number("bounds.revokeMs", 5000, minimum=1),
+            status_retention_ms=number("bounds.status_s", 120, scale=1000),
+            upkeep_ms=number("bounds.maintenanceS", 2, scale=1000),
+            move_ms=number("bounds.migrateS", 1.5, scale=1000),
+            holder_lease_ms=number("bounds.leaseMs", 3000),
+            contact_ms=number("bounds.contactMs", 3000),
+            shutdown_ms=number("bounds.graceS", 6, scale=1000),
         ),
     )
+
+
+def _speed_milli(reader: _FieldReader) -> int:
+    share = reader.number("limits.cpuShare", 1.0, scale=1000)
+    return max(1, int(share * reader.number("limits.cpuCores", 1, scale=1000) / 1000))
