Peers: one malformed message or address ends only its own call

Callers see: an instance is gone with everything in progress after one answer of a peer that is no pair, or one whose number is a list; a client gets 500 after an odd address.

Cause: TypeError of unpacking and of the lookup went past the handlers of the connection into the nursery of the instance; ValueError of the address went past those of the call. On the side that answers, a result without an encoding ended all calls of its connection, and a map of two entries was taken as a pair.

--- a/apricotgap/instance/peers.py
+++ b/apricotgap/instance/peers.py
@@ -20,6 +20,8 @@
 _CONNECT_TIMEOUT_S = 0.4
 _CLOSE_TIMEOUT_S = 0.2
 _MAX_MESSAGE_BYTES = 1 << 20
+# Messages of errors may repeat the input.
+_MAX_ERROR_CHARS = 200
 _CONNECTION_ERRORS = (
     WebSocketException,
     OSError,
@@ -51,16 +53,16 @@
         operation = None
         try:
             call_id, operation, argument = decode_cbor(data)
-            result = await handler(operation, argument)
+            message = cbor2.dumps([call_id, await handler(operation, argument)])
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log.warning("peer_call_malformed", error=repr(error))
+            log.warning("peer_call_malformed", error=repr(error)[:_MAX_ERROR_CHARS])
             return
         except Exception:
             # An error in one call must not end the other calls of the connection.
             log.exception("peer_call_failed", operation=operation)
             return
         try:
-            await socket.send(cbor2.dumps([call_id, result]))
+            await socket.send(message)
         except _CONNECTION_ERRORS as error:
             log.info("peer_answer_unsent", operation=operation, error=repr(error))
 
@@ -92,6 +94,28 @@
         self.pending_calls: dict[int, tuple[trio.Event, list[Any]]] = {}
         self.received_s = trio.current_time()
 
+    def receive(self, data: bytes | str) -> None:
+        """Take the answer of a call.
+
+        Raises
+        ------
+        ValueError
+            The message is malformed.
+        """
+        if isinstance(data, str):
+            raise ValueError("received a text message, expected a binary one")
+        self.received_s = trio.current_time()
+        message = decode_cbor(data)
+        if not isinstance(message, list) or len(message) != 2:
+            raise ValueError("received no pair of a call and its result")
+        call_id, result = message
+        if not isinstance(call_id, int):
+            raise ValueError("received an answer without the number of its call")
+        pending_call = self.pending_calls.get(call_id)
+        if pending_call is not None:
+            pending_call[1].append(result)
+            pending_call[0].set()
+
 
 class PeerClient:
     """Calls other instances; opens a connection to each on first use.
@@ -144,6 +168,9 @@
             if connection is not None:
                 self._close(address, connection)
             raise PeerCallError(repr(error)) from error
+        except (ValueError, TypeError, ExceptionGroup) as error:
+            # The address is malformed, or the argument has no encoding.
+            raise PeerCallError(repr(error)[:_MAX_ERROR_CHARS]) from error
         if not results:
             raise PeerCallError("connection closed before the answer")
         return results[0]
@@ -176,19 +203,12 @@
                 task_status.started(connection)
                 try:
                     async for data in socket:
-                        if isinstance(data, str):
-                            raise ValueError(
-                                "received a text message, expected a binary one"
-                            )
-                        connection.received_s = trio.current_time()
-                        call_id, result = decode_cbor(data)
-                        pending_call = connection.pending_calls.get(call_id)
-                        if pending_call is not None:
-                            pending_call[1].append(result)
-                            pending_call[0].set()
+                        connection.receive(data)
                 except (*_CONNECTION_ERRORS, ValueError) as error:
                     structlog.get_logger().info(
-                        "peer_link_lost", peer=address, error=repr(error)
+                        "peer_link_lost",
+                        peer=address,
+                        error=repr(error)[:_MAX_ERROR_CHARS],
                     )
                 finally:
                     self._close(address, connection)
--- a/tests/test_instance_peers.py
+++ b/tests/test_instance_peers.py
@@ -1,9 +1,12 @@
 """Calls between instances: malformed messages and unreachable peers."""
 
+from functools import partial
+
 import cbor2
 import pytest
 import trio
 from websockets.trio.client import connect
+from websockets.trio.server import serve
 
 from apricotgap.instance.peers import PeerCallError, PeerClient, serve_peers
 from tests.loopback import free_port
@@ -140,3 +143,102 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+class _Undumpable:
+    """A result that CBOR has no form for."""
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        cbor2.dumps(7),
+        cbor2.dumps([1]),
+        cbor2.dumps([1, 2, 3]),
+        cbor2.dumps({1: 2, 3: 4}),
+        cbor2.dumps([[1], 2]),
+        cbor2.dumps([{}, 2]),
+        cbor2.dumps(None),
+        b"\xff",
+        b"\x81" * 5_000,
+        "text",
+    ],
+)
+def test_malformed_answer_ends_only_its_connection(message):
+    """Guards against one message of a peer that ends the calling process."""
+    n_connections = 0
+
+    async def serve_socket(socket):
+        nonlocal n_connections
+        n_connections += 1
+        is_first = n_connections == 1
+        async for data in socket:
+            call_id, _, argument = cbor2.loads(data)
+            await socket.send(message if is_first else cbor2.dumps([call_id, argument]))
+
+    async def main():
+        port = free_port()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(partial(serve, serve_socket, port, host="127.0.0.1"))
+            await trio.sleep(0.05)
+            client = PeerClient(nursery)
+            address = f"127.0.0.1:{port}"
+            with pytest.raises(PeerCallError):
+                await client.call(address, "echo", 1, 300)
+            assert await client.call(address, "echo", 2, 1_000) == 2
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:99999", "127.0.0.1:x", "", "[::1", "a b:1", "\ud800:1", 7]
+)
+def test_call_of_an_odd_address_is_not_answered(address):
+    """Guards against an odd entry of a peer that ends the call with another error."""
+
+    async def check(nursery, _address):
+        client = PeerClient(nursery)
+        with pytest.raises(PeerCallError):
+            await client.call(address, "echo", 1, 500)
+
+    run(check)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        cbor2.dumps([1, "fail", 1]),
+        cbor2.dumps([[[]], "echo", 1]),
+        cbor2.dumps([1, 7, 1]),
+        cbor2.dumps([1, ["echo"], 1]),
+        cbor2.dumps(["\u00e9", "dump", 1]),
+        b"\x81" * 5_000,
+        "text",
+    ],
+)
+def test_odd_call_leaves_the_other_calls_of_its_connection(message):
+    """Guards against one message that ends all calls of a connection."""
+
+    async def handle(operation, argument):
+        if operation == "dump":
+            return _Undumpable()
+        if operation == "fail":
+            raise ExceptionGroup("unexpected", [OSError()])
+        return await _echo(operation, argument)
+
+    async def main():
+        port = free_port()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_peers, "127.0.0.1", port, handle)
+            await trio.sleep(0.05)
+            async with connect(f"ws://127.0.0.1:{port}/", proxy=None) as socket:
+                await socket.send(message)
+                await socket.send(cbor2.dumps([2, "echo", "still"]))
+                with trio.fail_after(2):
+                    answer = None
+                    while answer != [2, "still"]:
+                        answer = cbor2.loads(await socket.recv())
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
