Requests: a deadline in other digits or of 5,000 digits is no error

Callers see: 500 for a deadline header with a superscript digit or with more digits than Python converts.

Cause: str.isdigit takes digits that int() does not.

--- a/apricotgap/drivers/http.py
+++ b/apricotgap/drivers/http.py
@@ -15,12 +15,15 @@
     "Scope",
     "Send",
     "headers_of",
+    "parse_number",
     "read_body",
     "send_error",
     "send_json",
     "send_response",
 ]
 
+_MAX_DIGITS = 10
+
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
@@ -48,6 +51,18 @@
     }
 
 
+def parse_number(text: str, default: int) -> int:
+    """Return the whole number of a header, the default if it has none.
+
+    Numbers beyond nine digits are all taken as one that is larger than any limit.
+    """
+    # Digits of other scripts are digits too, for str.isdigit.
+    if not text.isascii() or not text.isdigit():
+        return default
+    digits = text.lstrip("0")
+    return int(digits or "0") if len(digits) < _MAX_DIGITS else 10**_MAX_DIGITS
+
+
 async def read_body(
     headers: dict[str, str], receive: Receive, max_bytes: int, timeout_ms: int
 ) -> bytes:
@@ -79,8 +94,7 @@
     too_large = BodyTooLargeError(
         f"the body has more than {max_bytes} bytes", "send a smaller body"
     )
-    declared = headers.get("content-length", "0")
-    if declared.isdigit() and int(declared) > max_bytes:
+    if parse_number(headers.get("content-length", ""), 0) > max_bytes:
         raise too_large
     chunks = []
     n_bytes = 0
--- a/apricotgap/platform/ingress.py
+++ b/apricotgap/platform/ingress.py
@@ -16,6 +16,7 @@
     Scope,
     Send,
     headers_of,
+    parse_number,
     read_body,
     send_response,
 )
@@ -203,8 +204,7 @@
             team = key_team
         else:
             team = config.team_of_key.get(headers.get(_KEY_HEADER, ""), "")
-        wait = headers.get(_DEADLINE_HEADER, "")
-        wait_ms = int(wait) if wait.isdigit() else _DEFAULT_DEADLINE_MS
+        wait_ms = parse_number(headers.get(_DEADLINE_HEADER, ""), _DEFAULT_DEADLINE_MS)
         deadline_ms = started_ms + min(wait_ms, queue.timeout_ms) - _RESPONSE_MARGIN_MS
         # A process that stops gives up sooner than a caller.
         deadline_ms = self._calls.limit_ms(deadline_ms)
