--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -6,6 +6,8 @@
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
     OWNERS_PREFIX,
+    SHARDS_PREFIX,
+    SYSTEM_PREFIX,
     Member,
     Owner,
     decode_member,
@@ -53,13 +55,16 @@
             OPERATOR_WATCH_WAIT_MS,
         )
         self.system_mirror = PrefixMirror(
-            store, "sys/", clock, self._system_changed, SYSTEM_WATCH_WAIT_MS
+            store, SYSTEM_PREFIX, clock, self._system_changed, SYSTEM_WATCH_WAIT_MS
         )
         self.config: Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.waves: dict[int, Wave] = {}
         self._members: dict[str, Member] = {}
         self._owners: dict[str, tuple[Item, Owner | None]] = {}
+        self._stored_shards: dict[str, Item] = {}
+        # Services that the configurations seen so far have given to a queue.
+        self._services_of: dict[str, set[str]] = {}
         self._log = structlog.get_logger()
 
     def config_age_ms(self) -> int | None:
@@ -94,6 +99,8 @@
             "configuration", version=config.version, n_queues=len(config.queues)
         )
         self.config = config
+        for queue in config.queues:
+            self._services_of.setdefault(queue.name, set()).add(queue.service)
 
     def _apply_wave(self, item: Item) -> None:
         try:
@@ -109,22 +116,29 @@
             self._log.info("wave", number=number, n_machines=len(wave.machines))
         self.waves[number] = wave
 
+    def apply(self, item: Item) -> None:
+        """Apply a change of a key that instances write, before a watch delivers it."""
+        if item.key.startswith(SYSTEM_PREFIX):
+            self.system_mirror.adopt(item)
+
     def _system_changed(self, items: tuple[Item, ...]) -> None:
         for item in items:
-            self.apply(item)
-
-    def apply(self, item: Item) -> None:
-        """Apply a change of a key that instances write."""
-        if item.key.startswith(OWNERS_PREFIX):
-            self._apply_owner(item)
-        elif item.key.startswith(MEMBERS_PREFIX):
-            self._apply_member(item)
+            if item.key.startswith(OWNERS_PREFIX):
+                self._apply_owner(item)
+            elif item.key.startswith(MEMBERS_PREFIX):
+                self._apply_member(item)
+            elif item.key.startswith(SHARDS_PREFIX):
+                self._apply_shard(item)
+
+    def _apply_shard(self, item: Item) -> None:
+        service = item.key[len(SHARDS_PREFIX) :]
+        if item.value is None:
+            self._stored_shards.pop(service, None)
+            return
+        self._stored_shards[service] = item
 
     def _apply_owner(self, item: Item) -> None:
         shard = item.key[len(OWNERS_PREFIX) :]
-        known = self._owners.get(shard)
-        if known is not None and known[0].revision > item.revision > 0:
-            return
         if item.value is None:
             self._owners.pop(shard, None)
             return
@@ -149,7 +163,48 @@
         """Return the names of all shards, none before the first configuration."""
         if self.config is None or not self.system_mirror.loaded.is_set():
             return ()
-        return (*self.config.working_services, FLEET_SHARD)
+        return (*self.services(), FLEET_SHARD)
+
+    def services(self) -> tuple[str, ...]:
+        """Return the services that have a shard, none before the first configuration.
+
+        A service whose last queue has left keeps its shard until its jobs have ended.
+        """
+        if self.config is None:
+            return ()
+        return tuple(sorted({*self.config.working_services, *self._stored_shards}))
+
+    def former_services(self, queue: str, service: str) -> tuple[str, ...]:
+        """Return other services that may have jobs of a queue.
+
+        Parameters
+        ----------
+        queue : str
+            Name of the queue.
+        service : str
+            Service of the queue by the configuration.
+
+        Returns
+        -------
+        tuple of str
+            Services that a configuration has given to the queue, as far as this
+            process has seen it, and those that no queue uses any more.
+        """
+        if self.config is None:
+            return ()
+        seen = self._services_of.get(queue, set())
+        return tuple(
+            sorted(
+                name
+                for name in self._stored_shards
+                if name != service
+                and (name in seen or name not in self.config.used_services)
+            )
+        )
+
+    def shard_item(self, service: str) -> Item | None:
+        """Return the key that says that a service may have unfinished jobs."""
+        return self._stored_shards.get(service)
 
     def owner_item(self, shard: str) -> Item | None:
         """Return the owner key of a shard, None if the shard has no owner."""
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -45,7 +45,8 @@
 # the part of it after which the process is gone.
 _ANSWER_FRACTION = 5 / 6
 _EXIT_FRACTION = 11 / 12
-_LEASE_REVOKE_TIMEOUT_S = 1.0
+# Within the wait for the load balancer.
+_LEAVE_TIMEOUT_S = 2.0
 
 
 def _first_cause(group: BaseExceptionGroup) -> BaseException:
@@ -271,7 +272,7 @@
         self._election.is_draining = True
         answer_ms = int(_ANSWER_FRACTION * shutdown_ms)
         self._calls.end_by(self._clock.now_ms + answer_ms)
-        nursery.start_soon(self._revoke_lease)
+        nursery.start_soon(self._leave)
         # The last request that the balancer sends needs time for its answer too.
         await trio.sleep(min(BALANCER_LAG_S, answer_ms / 2000))
         server.stop()
@@ -279,9 +280,11 @@
         self._log.warning("stop_timeout", n_connections=server.n_connections)
         nursery.cancel_scope.cancel()
 
-    async def _revoke_lease(self) -> None:
-        with trio.move_on_after(_LEASE_REVOKE_TIMEOUT_S):
-            await self._lease.revoke()
+    async def _leave(self) -> None:
+        with trio.move_on_after(_LEAVE_TIMEOUT_S) as scope:
+            await self._election.leave()
+        if scope.cancelled_caught:
+            self._lease.abandon()
 
 
 def main() -> None:
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -26,8 +26,10 @@
     load_jobs,
     read_prefix,
 )
+from apricotgap.instance.shard_retirement import ShardRetirement
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
+from apricotgap.instance.tenure import TenureMark
 from apricotgap.instance.ticket_requests import TicketRequests
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
@@ -102,6 +104,7 @@
             settings.bounds.max_lease_ms,
             settings.bounds.stop_timeout_ms,
             settings.bounds.contact_ms,
+            ownership.inherited_lease_ms,
         )
         self._shard.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._scheduler = Scheduler(self._shard)
@@ -138,7 +141,11 @@
             clock,
             settings.bounds.status_retention_ms,
         )
+        self._retirement = ShardRetirement(
+            self._shard, ownership, store, cluster_view, clock
+        )
         self._roster = RosterWriter(self._shard, ownership, store)
+        self._tenure_mark = TenureMark(ownership, store, clock)
         self._limits = TeamLimitUpdater(
             self._shard,
             ownership,
@@ -193,8 +200,10 @@
             if self._tickets is not None:
                 nursery.start_soon(self._tickets.run)
             nursery.start_soon(self._roster.run)
+            nursery.start_soon(self._tenure_mark.run)
             nursery.start_soon(self._tick_loop)
             nursery.start_soon(self._cleanup.run)
+            nursery.start_soon(self._retirement.run)
             nursery.start_soon(self._limits.run)
             self.ready.set()
 
@@ -292,10 +301,7 @@
 
     def n_pending(self, queue: str) -> int:
         """Return the number of jobs of a queue without a started task."""
-        return sum(
-            job.spec.queue == queue and job.progress.phase is JobPhase.PENDING
-            for job in self._shard.open_jobs.values()
-        )
+        return self._shard.n_pending(queue)
 
     def report(
         self, reserved: Iterable[str], ended: Iterable[str], share: int | None = None
