--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -10,9 +10,10 @@
 import trio
 
 from apricotgap.clock import Clock
-from apricotgap.instance.cluster_view import ClusterView
+from apricotgap.instance.cluster_view import FLEET_SHARD, ClusterView
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
+    SHARD_OPEN,
     Member,
     Owner,
     decode_owner,
@@ -20,9 +21,12 @@
     encode_owner,
     epoch_key,
     owner_key,
+    shard_key,
+    tenure_key,
 )
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.ownership import Ownership
+from apricotgap.instance.tenure import inherited_lease_ms
 from apricotgap.platform.store import (
     Conflict,
     Item,
@@ -48,6 +52,9 @@
 # An owner key of this process for a shard that it does not run is left over from giving
 # up the shard. Unless the key disappears within this time, the shard is claimed again.
 RECLAIM_DELAY_MS = 500
+# An owner that gave up its shard for good removes the shard's key within this time,
+# unless it finds a job or ends.
+CLOSING_DELAY_MS = 2_000
 
 
 class Election:
@@ -79,6 +86,7 @@
         self._clock = clock
         self._run_shard = run_shard
         self._vacant_since_ms: dict[str, int] = {}
+        self._unmarked_since_ms: dict[str, int] = {}
         self._ownerships: dict[str, tuple[Ownership, trio.CancelScope]] = {}
         self._member_lease: Lease | None = None
         self._overloaded_since_ms: int | None = None
@@ -101,6 +109,7 @@
                     continue
                 await self._register(lease)
                 await self._hand_over()
+                await self._mark_shards()
                 for shard in self._cluster_view.shards():
                     await self._claim_if_vacant(shard, nursery)
 
@@ -131,14 +140,41 @@
             current[1].cancel()
             del self._ownerships[ownership.shard]
 
-    async def resign(self, ownership: Ownership, why: str) -> None:
-        """Give up a shard and delete its owner key so that others may claim it."""
+    async def resign(self, ownership: Ownership, why: str) -> bool:
+        """Give up a shard and delete its owner key so that others may claim it.
+
+        Returns whether the key is known to be gone.
+        """
         self.step_down(ownership, why)
-        write = Write(owner_key(ownership.shard), expected_revision=ownership.revision)
-        outcome = await self._store.write((write,))
-        self._log.info(
-            "resigned", shard=ownership.shard, outcome=type(outcome).__name__
+        shard = ownership.shard
+        outcome = await self._store.write(
+            (
+                Write(owner_key(shard), expected_revision=ownership.revision),
+                Write(tenure_key(shard)),
+            )
         )
+        self._log.info("resigned", shard=shard, outcome=type(outcome).__name__)
+        return isinstance(outcome, Stored | Conflict)
+
+    async def leave(self) -> None:
+        """Give up all shards and the membership, so that others take over at once.
+
+        A shard that could not be given up goes when the lease ends. To revoke the lease
+        would remove its owner key and leave the mark of its tenure.
+        """
+        self.is_draining = True
+        are_gone: list[bool] = []
+
+        async def resign(ownership: Ownership) -> None:
+            are_gone.append(await self.resign(ownership, "the instance stops"))
+
+        async with trio.open_nursery() as nursery:
+            for ownership, _ in list(self._ownerships.values()):
+                nursery.start_soon(resign, ownership)
+        if all(are_gone):
+            await self._lease.revoke()
+            return
+        self._lease.abandon()
 
     async def _register(self, lease: Lease) -> None:
         if self._member_lease == lease:
@@ -152,6 +188,29 @@
             return
         self._log.warning("member_not_registered", outcome=repr(outcome))
 
+    async def _mark_shards(self) -> None:
+        """Write the shard keys that owners of an earlier build do not write.
+
+        If its last queue left, such a shard would have no next owner.
+        """
+        now_ms = self._clock.now_ms
+        unmarked = self._cluster_view.unmarked_shards()
+        self._unmarked_since_ms = {
+            shard: self._unmarked_since_ms.get(shard, now_ms) for shard in unmarked
+        }
+        for shard, since_ms in self._unmarked_since_ms.items():
+            item = self._cluster_view.owner_item(shard)
+            delay_ms = (1 + self._rank(shard)) * RANK_DELAY_MS
+            if item is None or now_ms - since_ms < delay_ms:
+                continue
+            outcome = await self._store.write(
+                (
+                    Write(item.key, expected_revision=item.revision, check_only=True),
+                    Write(shard_key(shard), SHARD_OPEN, expected_revision=0),
+                )
+            )
+            self._log.info("shard_marked", shard=shard, outcome=type(outcome).__name__)
+
     async def _claim_if_vacant(self, shard: str, nursery: trio.Nursery) -> None:
         if shard in self._ownerships or self._usable_lease is None:
             return
@@ -170,6 +229,8 @@
             delay_ms = 0
         else:
             delay_ms = RECLAIM_DELAY_MS
+        if self._cluster_view.is_closing(shard):
+            delay_ms += CLOSING_DELAY_MS
         if now_ms - since_ms < delay_ms:
             return
         ownership = await self._claim(shard, item.revision if item else 0)
@@ -230,6 +291,7 @@
     async def _claim(self, shard: str, revision: int) -> Ownership | None:
         try:
             counter = await self._store.read_key(epoch_key(shard))
+            mark = await self._store.read_key(tenure_key(shard))
         except StoreError as error:
             self._log.warning("claim_failed", shard=shard, reason=str(error))
             return None
@@ -237,38 +299,44 @@
         if lease is None:
             self._log.info("claim_dropped", shard=shard, is_draining=self.is_draining)
             return None
-        epoch = int(counter.value or b"0") + 1
+        last_epoch = int(counter.value or b"0")
+        epoch = last_epoch + 1
         me = self._identity
         owner = Owner(me.name, me.incarnation, me.address, epoch)
-        outcome = await self._store.write(
-            (
-                Write(
-                    owner_key(shard),
-                    encode_owner(owner),
-                    expected_revision=revision,
-                    lease=lease,
-                ),
-                Write(
-                    epoch_key(shard),
-                    str(epoch).encode(),
-                    expected_revision=counter.revision,
-                ),
-            )
-        )
+        writes = [
+            Write(
+                owner_key(shard),
+                encode_owner(owner),
+                expected_revision=revision,
+                lease=lease,
+            ),
+            Write(
+                epoch_key(shard),
+                str(epoch).encode(),
+                expected_revision=counter.revision,
+            ),
+        ]
+        if shard != FLEET_SHARD:
+            # Whatever the owner accepts has a successor, even without a queue.
+            writes.append(Write(shard_key(shard), SHARD_OPEN))
+        outcome = await self._store.write(tuple(writes))
         if isinstance(outcome, Unknown):
             outcome = await self._resolve_claim(shard, owner, outcome)
         self._log.info(
             "claim", shard=shard, epoch=epoch, outcome=type(outcome).__name__
         )
         if isinstance(outcome, Stored):
-            revision = outcome.revision
+            inherited = inherited_lease_ms(
+                last_epoch, mark, revision > 0, self._lease.ttl_ms
+            )
+            stored = outcome.revision
             self._cluster_view.apply(
-                Item(owner_key(shard), encode_owner(owner), revision, revision)
+                Item(owner_key(shard), encode_owner(owner), stored, stored)
             )
             if self._usable_lease != lease:
                 # The key goes with its lease.
                 return None
-            return Ownership(shard, epoch, revision, lease.lease_id)
+            return Ownership(shard, epoch, stored, lease.lease_id, inherited)
         if isinstance(outcome, Conflict):
             for item in outcome.items:
                 self._cluster_view.apply(item)
--- a/apricotgap/instance/team_limit_updater.py
+++ b/apricotgap/instance/team_limit_updater.py
@@ -11,6 +11,7 @@
 from apricotgap.jobs.documents import DocumentError, decode_split, encode_split
 from apricotgap.jobs.model import NO_RESOURCES
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.team_demand import team_demand
 from apricotgap.jobs.team_limits import LimitChange
 from apricotgap.platform.store import (
     Conflict,
@@ -88,9 +89,9 @@
             if self._lease_until_ms() < now_ms or self._store.is_down:
                 await trio.sleep(_RETRY_S)
                 continue
-            demand = self._shard.team_demand(now_ms)
+            demand = team_demand(self._shard, now_ms)
             limits = self._shard.team_limits
-            for change in limits.changes(demand, now_ms):
+            for change in limits.changes(demand, now_ms, self._shard.team_usage):
                 await self._write_limit(change)
             if now_ms - self._last_read_ms >= READ_INTERVAL_MS:
                 self._last_read_ms = now_ms
@@ -124,9 +125,11 @@
             self._ownership.check(outcome)
             self._apply_conflict(change.team, outcome)
             now_ms = self._clock.now_ms
-            demand = self._shard.team_demand(now_ms)
+            demand = team_demand(self._shard, now_ms)
             new_changes = limits.changes(
-                {change.team: demand.get(change.team, NO_RESOURCES)}, now_ms
+                {change.team: demand.get(change.team, NO_RESOURCES)},
+                now_ms,
+                self._shard.team_usage,
             )
             own_changes = [other for other in new_changes if other.team == change.team]
             if not own_changes:
@@ -144,12 +147,13 @@
 
     def _apply_conflict(self, team: str, conflict: Conflict) -> None:
         key = limit_key(team)
-        for item in conflict.items:
-            if item.key == key:
-                self._apply_item(team, item)
+        found = [item for item in conflict.items if item.key == key]
+        # A conflict shows no key that does not exist.
+        self._apply_item(team, found[0] if found else Item(key, None, 0))
 
     def _apply_item(self, team: str, item: Item) -> None:
         if item.value is None:
+            self._shard.team_limits.record_split(team, {}, 0)
             return
         try:
             split = decode_split(item.value)
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -1,18 +1,35 @@
 """State of a worker at its shard: capacity, lease, clock and failure history."""
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from enum import Enum
 
 from apricotgap.jobs import limits
+from apricotgap.jobs.events import EndReport
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.model import NO_RESOURCES, Resources, RunEnd, TaskName
 from apricotgap.jobs.runs import Run
 
-__all__ = ["Worker"]
+__all__ = ["Obstacle", "Worker"]
 
 RunKey = tuple[TaskName, int]
 
 
+class Obstacle(Enum):
+    """Why a worker may not be given new work."""
+
+    UNACQUIRED = "unacquired"
+    UNLISTED = "unlisted"
+    RESERVED = "reserved"
+    UNRECORDED = "unrecorded"
+    DRAINING = "draining"
+    BLOCKED = "blocked"
+    SILENT = "silent"
+    UNACKNOWLEDGED = "unacknowledged"
+    SUSPECT = "suspect"
+
+
 @dataclass(slots=True)
 class Worker:
     """One incarnation of a worker.
@@ -28,6 +45,9 @@
     `silent_since_ms` is the time of the first poll that failed since the last response,
     None if none has.
 
+    `withheld_since_ms` is the time since which each list of the worker has held ends
+    that are acknowledged, None if the last one held none.
+
     An acquired worker has responded to a poll of this owner. An unverified one may
     still have runs of a previous owner. Only a worker recorded in the stored roster,
     where the next owner finds it, gets work.
@@ -48,6 +68,7 @@
     clock_at_ms: int = 0
     last_applied: int = 0
     acknowledged: int = 0
+    withheld_since_ms: int | None = None
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
     n_serving: int = 0
@@ -84,6 +105,10 @@
         """Whether a task that was started last may have yet to start up."""
         return at_ms - self.last_start_ms <= limits.CRASH_SIGN_MS
 
+    def has_just_answered(self, at_ms: int) -> bool:
+        """Whether the worker is unlikely to have crashed since its last answer."""
+        return at_ms - self.answered_ms <= limits.FRESH_ANSWER_MS
+
     @property
     def n_possible_runs(self) -> int:
         """Number of known runs; at least 1 while runs of a previous owner may exist."""
@@ -100,6 +125,15 @@
         elapsed = max(0, at_ms - self.clock_at_ms)
         return self.clock_ms + int(elapsed * (1 - limits.CLOCK_DRIFT))
 
+    def record_clock(self, at_ms: int, clock_ms: int) -> None:
+        """Raise the lower bound of the worker's clock.
+
+        A response that was long on its way had left it too low, and starts that were
+        sent by it come too late.
+        """
+        if self.clock_at_ms and clock_ms > self.clock_now_ms(at_ms):
+            self.clock_ms, self.clock_at_ms = clock_ms, at_ms
+
     @staticmethod
     def lease_bound_ms(at_ms: int, lease_ms: int) -> int:
         """Return the latest end of a lease on the clock of the instance.
@@ -125,9 +159,27 @@
     def last_seen(self) -> int:
         """Number of the last end that the worker may drop at the next poll.
 
-        After silence another incarnation may respond, whose numbers begin anew.
+        Another incarnation may respond, whose numbers begin anew: after silence, or
+        while a start may have reached it. Then the worker must not drop any end.
         """
-        return self.acknowledged if self.silent_since_ms is None else 0
+        if self.silent_since_ms is not None:
+            return 0
+        if any(run.may_be_in_next_incarnation for run in self.runs.values()):
+            return 0
+        return self.acknowledged
+
+    def record_listed_ends(self, at_ms: int, ends: Sequence[EndReport]) -> None:
+        """Record whether the worker still lists ends that are acknowledged."""
+        if not any(end.number <= self.acknowledged for end in ends):
+            self.withheld_since_ms = None
+        elif self.withheld_since_ms is None:
+            self.withheld_since_ms = at_ms
+
+    def awaits_acknowledgement(self, at_ms: int) -> bool:
+        """Whether the starts of the worker keep it from dropping ends for too long."""
+        if self.withheld_since_ms is None:
+            return False
+        return at_ms - self.withheld_since_ms > limits.MAX_WITHHELD_MS
 
     def record_failed_poll(self, at_ms: int) -> None:
         """Record that a poll of the worker got no response."""
@@ -197,18 +249,30 @@
 
     def accepts(self, at_ms: int) -> bool:
         """Whether the worker may be given new work now."""
-        if not self.is_acquired or not self.is_listed:
-            return False
-        if self.is_reserved(at_ms) or not self.is_recorded:
-            return False
-        if self.entry.is_draining or at_ms < self.blocked_until_ms:
-            return False
+        return self.obstacle(at_ms) is None
+
+    def obstacle(self, at_ms: int) -> Obstacle | None:
+        """Return why the worker may not be given new work now, None if it may."""
+        if not self.is_acquired:
+            return Obstacle.UNACQUIRED
+        if not self.is_listed:
+            return Obstacle.UNLISTED
+        if self.is_reserved(at_ms):
+            return Obstacle.RESERVED
+        if not self.is_recorded:
+            return Obstacle.UNRECORDED
+        if self.entry.is_draining:
+            return Obstacle.DRAINING
+        if at_ms < self.blocked_until_ms:
+            return Obstacle.BLOCKED
+        if self.awaits_acknowledgement(at_ms):
+            return Obstacle.UNACKNOWLEDGED
         if self.silent_since_ms is not None:
             # It may have crashed, and a start there could not be told from the cause.
-            return False
+            return Obstacle.SILENT
         if at_ms - self.answered_ms > limits.SILENT_WORKER_MS:
-            return False
+            return Obstacle.SILENT
         if self.suspect_since_ms is None:
-            return True
+            return None
         on_probation = at_ms - self.suspect_since_ms > limits.PROBATION_MS
-        return on_probation and not self.runs
+        return None if on_probation and not self.runs else Obstacle.SUSPECT
--- a/proof/model_check.py
+++ b/proof/model_check.py
@@ -4,6 +4,7 @@
 
 import click
 
+from proof.acknowledgements import Acknowledgements
 from proof.allotments import (
     AllotmentHolders,
     AllotmentLateWrites,
@@ -15,11 +16,13 @@
 from proof.configuration import ConfigurationView
 from proof.incarnations import Incarnations
 from proof.runs import Runs
+from proof.service_shards import ServiceShards
 from proof.waves import WaveGrants
 
 __all__ = ["main"]
 
 SPECIFICATIONS: tuple[type[Specification], ...] = (
+    Acknowledgements,
     AllotmentLimits,
     AllotmentHolders,
     AllotmentLateWrites,
@@ -28,6 +31,7 @@
     ConfigurationView,
     Incarnations,
     Runs,
+    ServiceShards,
     WaveGrants,
 )
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -5,8 +5,9 @@
 import trio.testing
 
 from apricotgap.clock import FakeClock
-from apricotgap.instance.cluster_view import ClusterView
+from apricotgap.instance.cluster_view import FLEET_SHARD, ClusterView
 from apricotgap.instance.election import (
+    CLOSING_DELAY_MS,
     HANDOVER_DELAY_MS,
     RANK_DELAY_MS,
     RECLAIM_DELAY_MS,
@@ -15,11 +16,15 @@
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
     OWNERS_PREFIX,
+    SHARD_CLOSING,
+    SHARD_OPEN,
     Member,
     Owner,
     encode_member,
     encode_owner,
     owner_key,
+    shard_key,
+    tenure_key,
 )
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.platform.store import Item, Lease, Stored, Unavailable
@@ -41,6 +46,8 @@
             return Unavailable("busy")
         self.revision += 1
         for write in writes:
+            if write.check_only:
+                continue
             item = Item(write.key, write.value, self.revision)
             self.cluster_view.apply(item)
         return Stored(self.revision)
@@ -50,9 +57,20 @@
     """A lease that never expires."""
 
     lease_id = 1
+    ttl_ms = 3_000
     is_valid = True
     current = Lease(1)
 
+    def __init__(self):
+        self.ended = []
+
+    async def revoke(self):
+        self.ended.append("revoked")
+
+    def abandon(self):
+        self.ended.append("abandoned")
+        return 1
+
 
 class TwoShardView(ClusterView):
     """A cluster view with two shards that watches no store."""
@@ -71,10 +89,11 @@
         self.store.cluster_view = self.cluster_view
         self.me = Member("me", "i1", "10.0.0.1:1", "a", speed_milli)
         self.running = []
+        self.lease = EndlessLease()
         self.election = Election(
             self.me,
             self.store,
-            EndlessLease(),
+            self.lease,
             self.cluster_view,
             self.clock,
             self._run_shard,
@@ -84,6 +103,18 @@
         self.running.append(ownership.shard)
         await trio.sleep_forever()
 
+    def record_writes(self):
+        """Return a list that gets the writes of each transaction from now on."""
+        writes = []
+        write = self.store.write
+
+        async def record(transaction):
+            writes.append(transaction)
+            return await write(transaction)
+
+        self.store.write = record
+        return writes
+
     def add(self, name, speed_milli, *owned):
         member = Member(name, "i1", "10.0.0.2:1", "a", speed_milli)
         self.cluster_view.apply(Item(MEMBERS_PREFIX + name, encode_member(member), 1))
@@ -132,6 +163,44 @@
     run(check, speed_milli=500)
 
 
+def test_claim_says_that_the_shard_may_have_jobs():
+    """Guards against jobs without a next owner once their route has left."""
+
+    async def check(rig):
+        await rig.advance(1_000)
+        assert {rig.cluster_view.shard_item(s).value for s in ("s1", "s2")} == {b"open"}
+
+    run(check)
+
+
+@pytest.mark.parametrize("is_closing, n_claimed", [(True, 1), (False, 2)])
+def test_shard_that_is_given_up_is_left_until_its_key_is_removed(is_closing, n_claimed):
+    """Guards against a claim that keeps an unused shard alive, again and again."""
+
+    async def check(rig):
+        value = SHARD_CLOSING if is_closing else SHARD_OPEN
+        rig.cluster_view.apply(Item(shard_key("s1"), value, 5))
+        await rig.advance(CLOSING_DELAY_MS - 500)
+        assert len(rig.running) == n_claimed
+        await rig.advance(1_000)
+        assert len(rig.running) == 2
+
+    run(check)
+
+
+def test_shard_of_an_earlier_build_is_marked_by_another_instance():
+    """Guards against jobs that an upgrade loses with the route of their service."""
+
+    async def check(rig):
+        rig.add("old", 1_000, "s1", FLEET_SHARD)
+        await rig.advance(3 * RANK_DELAY_MS)
+        assert rig.cluster_view.owner("s1").name == "old"
+        assert rig.cluster_view.shard_item("s1").value == b"open"
+        assert rig.cluster_view.shard_item(FLEET_SHARD) is None
+
+    run(check)
+
+
 def test_slow_owner_hands_a_shard_over_to_a_fast_instance_that_joins_later():
     """Guards against shards that stay on a slow instance."""
 
@@ -323,3 +392,48 @@
         assert rig.running == []
 
     run_claiming(check)
+
+
+def test_shard_that_is_given_up_loses_the_mark_of_its_tenure():
+    """Guards against a successor that takes a key that was removed for one that went
+    with its lease, and then does not wait for leases that were given just before.
+    """
+
+    async def check(rig):
+        await rig.advance(500)
+        writes = rig.record_writes()
+        ownership = rig.election._ownerships["s1"][0]
+        await rig.election.resign(ownership, "test")
+        assert {write.key for write in writes[-1] if write.value is None} == {
+            owner_key("s1"),
+            tenure_key("s1"),
+        }
+
+    run(check)
+
+
+def test_lease_with_a_shard_that_could_not_be_given_up_is_not_revoked():
+    """Guards against an owner key that is removed with its lease while the mark of the
+    tenure stays.
+    """
+
+    async def check(rig):
+        await rig.advance(500)
+        rig.store.refuses_removals = True
+        await rig.election.leave()
+        assert rig.lease.ended == ["abandoned"]
+
+    run(check)
+
+
+def test_instance_that_stops_gives_up_its_shards_and_its_lease():
+    """Guards against shards that wait until the lease of a stopped instance ends."""
+
+    async def check(rig):
+        await rig.advance(500)
+        await rig.election.leave()
+        assert rig.election.n_owned == 0
+        assert rig.cluster_view.owner("s1") is None
+        assert rig.lease.ended == ["revoked"]
+
+    run(check)
