Soak: instances listen on a loopback address of the run

Change: the instances of a run listen on a random address of 127.0.0.0/8. The report has the longest time in which a task could run and did not.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -62,7 +62,8 @@
         f" calls={report.n_calls} starts={report.n_starts}"
         f" faults={report.faults.total()} unanswered={dict(report.endings)}"
         f" max_lag_ms={report.max_lag_ms}"
-        f" longest_outage_ms={report.longest_outage_ms} {verdict}"
+        f" longest_outage_ms={report.longest_outage_ms}"
+        f" unhindered_ms={report.longest_unhindered_ms} {verdict}"
     ]
     return "\n  ".join(lines + report.problems)
 
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -61,6 +61,11 @@
 # random, so that runs side by side do not count up through the same ports.
 _PORTS = range(12_000, 32_000)
 _RANDOM = SystemRandom()
+# A loopback address of its own, so that no other program takes the ports of an
+# instance while it is down.
+_IP = (
+    f"127.{_RANDOM.randint(1, 254)}.{_RANDOM.randint(0, 255)}.{_RANDOM.randint(1, 254)}"
+)
 _given: set[int] = set()
 
 
@@ -73,8 +78,8 @@
             continue
         with closing(socket.socket()) as first, closing(socket.socket()) as second:
             try:
-                first.bind(("127.0.0.1", port))
-                second.bind(("127.0.0.1", port + 1))
+                first.bind((_IP, port))
+                second.bind((_IP, port + 1))
             except OSError:
                 continue
         _given.update((port, port + 1))
@@ -92,9 +97,9 @@
         self.data_centre = data_centre
         self.bounds = dict(bounds)
         self._client, self._ready, self._peer = free_ports(3)
-        self.address = f"127.0.0.1:{self._client}"
-        self.readiness = f"127.0.0.1:{self._ready}"
-        self.metrics = f"127.0.0.1:{self._peer + 1}"
+        self.address = f"{_IP}:{self._client}"
+        self.readiness = f"{_IP}:{self._ready}"
+        self.metrics = f"{_IP}:{self._peer + 1}"
         self.log = Path(folder) / f"{name}.log"
         self._path = Path(folder) / f"{name}.toml"
         self._platform = platform
@@ -116,7 +121,7 @@
                 "platform": {"address": self._store_address, "minTtlMs": 1_000},
             },
             nodeName=self.name,
-            ip="127.0.0.1",
+            ip=_IP,
             zone=self.data_centre,
             internalPorts=[self._peer, self._peer + 1],
             heartbeatMs=500,
--- a/soak/monitors.py
+++ b/soak/monitors.py
@@ -83,6 +83,8 @@
         self._state = state
         self._outages: dict[str, TaskOutage] = {}
         self.longest_ms = 0
+        # Without the time in which the task could not run.
+        self.longest_unhindered_ms = 0
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -141,7 +143,9 @@
             return
         if not self._may_run(job, task, room, usage):
             outage.hindered_ms = now
+        unhindered_ms = now - max(outage.away_ms, outage.hindered_ms)
         self.longest_ms = max(self.longest_ms, now - outage.away_ms)
+        self.longest_unhindered_ms = max(self.longest_unhindered_ms, unhindered_ms)
         recovery_ms = _RECOVERY_MS if job.plan.is_lasting else 0
         is_overdue = now - outage.away_ms >= recovery_ms + _STALL_MS
         is_stalled = now - outage.hindered_ms >= _STALL_MS
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -52,6 +52,7 @@
     timeline: list[str] = field(default_factory=list)
     max_lag_ms: int = 0
     longest_outage_ms: int = 0
+    longest_unhindered_ms: int = 0
 
 
 async def play(seed: int, folder: str, plan: Plan) -> Report:
@@ -81,6 +82,7 @@
             watchers.cancel_scope.cancel()
         report = _report(seed, state)
         report.max_lag_ms, report.longest_outage_ms = lag.max_ms, stalls.longest_ms
+        report.longest_unhindered_ms = stalls.longest_unhindered_ms
     return report
 
 
