--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,5 +1,6 @@
 """Command line of the soak."""
 
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -41,6 +42,8 @@
         chosen = tuple(choose_faults(faults))
     except ValueError as error:
         raise click.BadParameter(str(error)) from error
+    # An end by SIGTERM must stop the instances too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     plan = Plan(LAYOUTS[size], chosen, length_s, burst_s, calm_s, series)
     n_failed = 0
     for current in range(seed, seed + seeds):
