--- a/tests/test_team_limit_updater.py
+++ b/tests/test_team_limit_updater.py
@@ -34,7 +34,7 @@
         store = ConditionalStore()
         updater = TeamLimitUpdater(
             rig.shard,
-            Ownership(SERVICE, 1, 5, 1),
+            Ownership(SERVICE, 1, 5, 1, 6_500),
             store,
             TrioClock(),
             lambda: FAR_MS * 1_000,
