Void the part of a team's limit of services that have left

What callers see: work of a team starts although a service that has left the configuration held a part of the limit. Before, it held it for ever.

Cause: only the owner of a shard lowers its row of the split. A service that has left has no owner, or one that ended before it lowered the row.

Change: a row whose service has had neither a shard nor an owner for as long as a worker's lease can last no longer counts, and the next write drops it. The owner of a service that returns reads that its row is gone, starts nothing by it, and stores what it uses.

Evidence: test_row_of_a_service_without_a_shard_holds_no_limit_for_ever; before the change no code looked at the services of the rows.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -151,6 +151,11 @@
             return ()
         return (*self.config.working_services, FLEET_SHARD)
 
+    def has_shard(self, service: str) -> bool:
+        """Whether a service has a shard or an owner, as far as this is known."""
+        shards = self.shards()
+        return not shards or service in shards or service in self._owners
+
     def owner_item(self, shard: str) -> Item | None:
         """Return the owner key of a shard, None if the shard has no owner."""
         known = self._owners.get(shard)
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -150,6 +150,7 @@
             store,
             clock,
             lambda: self._lease_until_ms,
+            cluster_view.has_shard,
             self._request_pass,
         )
         self._effects = EffectRunner(
--- a/apricotgap/instance/team_limit_updater.py
+++ b/apricotgap/instance/team_limit_updater.py
@@ -9,10 +9,12 @@
 from apricotgap.instance.keys import limit_key
 from apricotgap.instance.ownership import Ownership
 from apricotgap.jobs.documents import DocumentError, decode_split, encode_split
+from apricotgap.jobs.limits import START_WINDOW_MS
 from apricotgap.jobs.model import NO_RESOURCES
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.team_demand import team_demand
 from apricotgap.jobs.team_limits import LimitChange
+from apricotgap.jobs.workers import Worker
 from apricotgap.platform.store import (
     Conflict,
     Item,
@@ -44,6 +46,8 @@
         Dependencies.
     lease_until_ms : callable
         Returns the end of the lease of the ownership.
+    has_shard : callable
+        Returns whether a service has a shard, with or without an owner.
     on_change : callable
         Called when blocked tasks may be able to start.
     """
@@ -55,6 +59,7 @@
         store: StoreClient,
         clock: Clock,
         lease_until_ms: Callable[[], int],
+        has_shard: Callable[[str], bool],
         on_change: Callable[[], None],
     ) -> None:
         self._shard = shard
@@ -62,6 +67,11 @@
         self._store = store
         self._clock = clock
         self._lease_until_ms = lease_until_ms
+        self._has_shard = has_shard
+        # Without an owner the leases of workers end, and with them their runs.
+        self._row_retention_ms = (
+            Worker.lease_bound_ms(0, shard.max_lease_ms) + START_WINDOW_MS
+        )
         self._on_change = on_change
         self._wakeup = trio.Event()
         self._last_read_ms = -1_000_000
@@ -91,6 +101,7 @@
                 continue
             demand = team_demand(self._shard, now_ms)
             limits = self._shard.team_limits
+            limits.record_shards(self._has_shard, now_ms, self._row_retention_ms)
             for change in limits.changes(demand, now_ms, self._shard.team_usage):
                 await self._write_limit(change)
             if now_ms - self._last_read_ms >= READ_INTERVAL_MS:
--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -5,7 +5,7 @@
 than the other allowances leave of the limit.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
 
@@ -73,6 +73,9 @@
         self._splits: dict[str, tuple[Split, int]] = {}
         self._allowances: dict[str, Resources] = {}
         self._surplus_since_ms: dict[str, int] = {}
+        # Services with a row and without a shard, and those whose rows are void.
+        self._absent_since_ms: dict[str, int] = {}
+        self._void: frozenset[str] = frozenset()
 
     def set_configuration(self, config: Configuration) -> None:
         """Set the limits; a lowered limit lowers the allowance at once."""
@@ -100,6 +103,32 @@
         split, _ = self._splits.get(team, ({}, 0))
         return {service: amount.cpu for service, amount in split.items()}
 
+    def record_shards(
+        self, has_shard: Callable[[str], bool], at_ms: int, retention_ms: int
+    ) -> None:
+        """Void the rows of services that have had no shard for a while.
+
+        Parameters
+        ----------
+        has_shard : callable
+            Returns whether a service has a shard, with or without an owner.
+        at_ms : int
+            Current time.
+        retention_ms : int
+            Time after which no task of a service without a shard can run.
+        """
+        services = {service for split, _ in self._splits.values() for service in split}
+        self._absent_since_ms = {
+            service: self._absent_since_ms.get(service, at_ms)
+            for service in services
+            if service != self._service and not has_shard(service)
+        }
+        self._void = frozenset(
+            service
+            for service, since_ms in self._absent_since_ms.items()
+            if at_ms - since_ms > retention_ms
+        )
+
     def record_split(self, team: str, split: Split, revision: int) -> None:
         """Apply a split that was read from the store."""
         self._splits[team] = (split, revision)
@@ -120,7 +149,7 @@
         split, _ = self._splits.get(team, ({}, 0))
         others = NO_RESOURCES
         for service, amount in split.items():
-            if service != self._service:
+            if service != self._service and service not in self._void:
                 others = others + amount
         return others
 
@@ -168,7 +197,12 @@
             row = allowance.elementwise_max(used)
             split, revision = self._splits.get(team, ({}, 0))
             if row != split.get(self._service, NO_RESOURCES):
-                new_split = {**split, self._service: row}
+                new_split = {
+                    service: amount
+                    for service, amount in split.items()
+                    if service not in self._void
+                }
+                new_split[self._service] = row
                 found.append(LimitChange(team, new_split, revision))
         return found
 
--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -210,3 +210,54 @@
     (change,) = one.changes({"bakers": Resources(600, 500)}, 0)
     assert change.split["one"].memory_mb > 100
     assert change.split["one"].cpu >= before > 0
+
+
+RETENTION_MS = 8_000
+
+
+def record_shards(limits, names, at_ms):
+    limits.record_shards(lambda service: service in names, at_ms, RETENTION_MS)
+
+
+def test_row_of_a_service_without_a_shard_holds_no_limit_for_ever():
+    """Guards against accepted work that waits since a service that has left the
+    configuration, and has no owner that could lower its row, holds the limit.
+    """
+    store, one, left = Store(), team_limits("one"), team_limits("left")
+    request_allowance(left, store, 900)
+    request_allowance(one, store, 500)
+    assert one.allowed("bakers").cpu < 500
+    for at_ms in range(0, RETENTION_MS + 500, 250):
+        record_shards(one, ("one", "two"), at_ms)
+        request_allowance(one, store, 500, at_ms)
+    assert one.allowed("bakers").cpu >= 500
+    assert set(store.split) == {"one"}
+
+
+def test_row_counts_while_tasks_of_its_service_may_run():
+    """Guards against a team above its limit: tasks of a service that has just lost its
+    shard run on until the leases of its workers end.
+    """
+    store, one, left = Store(), team_limits("one"), team_limits("left")
+    request_allowance(left, store, 900)
+    for at_ms in range(0, RETENTION_MS + 1, 250):
+        record_shards(one, ("one",), at_ms)
+        request_allowance(one, store, 500, at_ms)
+        assert one.allowed("bakers").cpu <= 1000 - store.split["left"].cpu
+    # It has a shard again before its row was void.
+    record_shards(one, ("one", "left"), RETENTION_MS + 1)
+    record_shards(one, ("one",), RETENTION_MS + 2)
+    request_allowance(one, store, 500, RETENTION_MS + 2)
+    assert "left" in store.split
+
+
+def test_owner_whose_row_is_gone_stores_what_it_uses():
+    """Guards against a service that returns and uses a limit that no row shows."""
+    store, back = Store(), team_limits("back")
+    request_allowance(back, store, 500)
+    store.split, store.revision = {}, store.revision + 1
+    back.record_split("bakers", store.split, store.revision)
+    assert back.allowed("bakers") == NO_RESOURCES
+    usage = {"bakers": Resources(300)}
+    (change,) = back.changes(usage, 0, usage)
+    assert change.split["back"].cpu >= 300
