Let suspect workers with tasks that last try again

What callers see: a pool takes work again after jobs that cannot be done. Before, it could take none for ever: two such jobs made a worker suspect, and a suspect worker got a task on probation only once it had no runs at all, which one task that lasts prevents.

Cause: the only exit from suspicion was a task that ends well on an empty worker. Within one pass a suspect worker also got many tasks, not a single one.

Change: runs from before the suspicion do not count, and a task on probation counts for 3 s at most. A suspect worker leaves the candidates of a pass with its task. While more than half of a pool is suspect, its workers get a task after 0.5 s; if all are, jobs that have failed elsewhere go last.

--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -28,8 +28,11 @@
 RETRY_BACKOFF_MS = 200
 # Failures of several jobs within this window make a worker suspect.
 SUSPECT_WINDOW_MS = 5_000
-# A suspect worker gets a single task as a trial after this time.
+# A suspect worker gets a single task as a trial after this time, and another one when
+# that has ended or run as long.
 PROBATION_MS = 3_000
+# With more than half of a pool suspect, each worker gets one after this time.
+POOL_PROBATION_MS = 500
 # A run that a worker still lists this long after its start has started up.
 START_UP_MS = 150
 # A crash shows by the first poll of the worker that fails. If that is later than this
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -82,7 +82,7 @@
         self.hit_start_limit = False
         has_unverified_workers = shard.has_unverified_workers
         may_start_long_running = shard.knows_reservations(at_ms)
-        for job in self._order(current.unix_ms):
+        for job in self._order(current):
             if current.n_starts >= limits.MAX_STARTS_PER_PASS:
                 self.hit_start_limit = True
                 break
@@ -96,13 +96,22 @@
             self._start_job(job, current)
         return [*current.effects, *current.log_lines.values()]
 
-    def _order(self, unix_ms: int) -> list[JobState]:
-        def rank(job: JobState) -> tuple[bool, bool, int, int]:
+    def _order(self, current: _Pass) -> list[JobState]:
+        unix_ms = current.unix_ms
+        all_suspect = all(
+            worker.suspect_since_ms is not None for worker in current.workers
+        )
+
+        def rank(job: JobState) -> tuple[bool, bool, bool, int, int]:
             spec = job.spec
+            # A job that has failed elsewhere tells little of a suspect worker, and may
+            # be what made it suspect.
+            is_doubtful = all_suspect and bool(job.avoided_workers)
             if spec.is_long_running:
-                return (False, False, spec.priority, spec.submitted_ms)
+                return (is_doubtful, False, False, spec.priority, spec.submitted_ms)
             # A job that cannot make it in time would only delay those that still can.
-            return (True, job.is_late(unix_ms), spec.priority, job.objective_ms)
+            is_late = job.is_late(unix_ms)
+            return (is_doubtful, True, is_late, spec.priority, job.objective_ms)
 
         waiting = [
             job for job in self._shard.open_jobs.values() if any(job.waiting.values())
@@ -241,6 +250,8 @@
         """Whether a worker fits one more task beside the gang members placed on it."""
         n_placed = len(placed.get(worker.worker_id, ())) if placed else 0
         if n_placed:
+            if worker.suspect_since_ms is not None:
+                return False
             required = step.allocation
             for _ in range(n_placed):
                 required = required + step.allocation
@@ -333,6 +344,9 @@
             clock_ms=worker.clock_now_ms(at_ms),
         )
         self._shard.add_run(job, worker, run)
+        if worker.suspect_since_ms is not None:
+            # It gets a single task.
+            current.workers = [each for each in current.workers if each is not worker]
         worker.record_start(at_ms)
         current.n_starts += 1
         current.effects.append(
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -72,12 +72,21 @@
         return at_ms - self.list_fresh_ms <= self._max_list_age_ms
 
     def accepting_workers(self, at_ms: int) -> list[Worker]:
-        """Return the workers that may be given new work now."""
-        return [
+        """Return the workers that may be given new work now.
+
+        While more than half of the pool is suspect, a suspect worker may try again
+        sooner: rather the jobs are at fault than so many workers.
+        """
+        workers = [
             worker
             for worker in self.workers.values()
-            if worker.accepts(at_ms) and worker.entry.data_centre not in self.evacuated
+            if worker.entry.data_centre not in self.evacuated
         ]
+        accepting = [worker for worker in workers if worker.accepts(at_ms)]
+        n_suspect = sum(worker.suspect_since_ms is not None for worker in workers)
+        if 2 * n_suspect <= len(workers):
+            return accepting
+        return accepting + [each for each in workers if each.is_only_suspect(at_ms)]
 
     def is_within_team_limit(self, team: str, allocation: Resources) -> bool:
         """Whether a team may use this much more in this shard."""
--- a/apricotgap/jobs/team_demand.py
+++ b/apricotgap/jobs/team_demand.py
@@ -62,11 +62,7 @@
     waiting = _waiting_tasks(shard, at_ms)
     if not waiting:
         return demand
-    workers = [
-        worker
-        for worker in shard.workers.values()
-        if _is_open(worker, at_ms, shard.evacuated)
-    ]
+    workers = _open_workers(shard, at_ms)
     room = NO_RESOURCES
     for worker in workers:
         room = room + worker.free.elementwise_max(NO_RESOURCES)
@@ -92,11 +88,18 @@
     return waiting
 
 
-def _is_open(worker: Worker, at_ms: int, evacuated: frozenset[str]) -> bool:
-    """Whether tasks may start on a worker now, or once it has answered a call."""
-    if worker.is_reserved(at_ms) or worker.entry.data_centre in evacuated:
-        return False
-    return worker.accepts(at_ms) or worker.is_usable(at_ms, evacuated)
+def _open_workers(shard: Shard, at_ms: int) -> list[Worker]:
+    """Return the workers that take tasks now, or once they have answered a call."""
+    accepting = shard.accepting_workers(at_ms)
+    known = {worker.worker_id for worker in accepting}
+    pausing = [
+        worker
+        for worker in shard.workers.values()
+        if worker.worker_id not in known
+        and worker.is_usable(at_ms, shard.evacuated)
+        and not worker.is_reserved(at_ms)
+    ]
+    return accepting + pausing
 
 
 def _times(amount: Resources, n_times: int) -> Resources:
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -234,6 +234,31 @@
             return False
         return at_ms - self.answered_ms <= limits.SILENT_WORKER_MS
 
+    def _may_try_again(self, at_ms: int) -> bool:
+        """Whether a suspect worker gets a task: one at a time, or after a while.
+
+        Runs from before do not count, and no run counts for long: tasks that last have
+        no end that could clear the worker.
+        """
+        if self.suspect_since_ms is None:
+            return True
+        if at_ms - self.suspect_since_ms <= limits.PROBATION_MS:
+            return False
+        return self._has_no_trial or at_ms - self.last_start_ms > limits.PROBATION_MS
+
+    @property
+    def _has_no_trial(self) -> bool:
+        """Whether a suspect worker has no task from after it became suspect."""
+        since_ms = self.suspect_since_ms or 0
+        return all(run.sent_ms <= since_ms for run in self.runs.values())
+
+    def is_only_suspect(self, at_ms: int) -> bool:
+        """Whether nothing but a suspicion of a while ago keeps the worker from work."""
+        if self.suspect_since_ms is None or not self._has_no_trial:
+            return False
+        is_due = at_ms - self.suspect_since_ms > limits.POOL_PROBATION_MS
+        return is_due and self.obstacle(at_ms) is Obstacle.SUSPECT
+
     def accepts(self, at_ms: int) -> bool:
         """Whether the worker may be given new work now."""
         return self.obstacle(at_ms) is None
@@ -261,5 +286,4 @@
             return Obstacle.SILENT
         if self.suspect_since_ms is None:
             return None
-        on_probation = at_ms - self.suspect_since_ms > limits.PROBATION_MS
-        return None if on_probation and not self.runs else Obstacle.SUSPECT
+        return None if self._may_try_again(at_ms) else Obstacle.SUSPECT
--- a/tests/test_shard_days.py
+++ b/tests/test_shard_days.py
@@ -90,6 +90,15 @@
         world.at(some(world)[0], world.end_lasting)
 
 
+def hopeless(world):
+    """Let many jobs fail that cannot be done, so that all workers become suspect."""
+    world.submit(8, lasts=True)
+    for _ in range(2):
+        at_ms, _ = some(world)
+        for _ in range(5):
+            world.at(at_ms, world.submit, 2, False, False, True)
+
+
 def limits(world):
     """Lower and raise the limit of the team, which another shard uses too."""
     world.limit_team(world.rng.choice((30_000, 60_000)))
@@ -116,8 +125,8 @@
 
 def all_at_once(world):
     """Draw three kinds of trouble that overlap."""
-    kinds = (take_overs, losses, draining, resizes, lasting_ends, limits, outages)
-    for trouble in world.rng.sample((*kinds, crashes), 3):
+    kinds = (*TROUBLES[:-1], outages, crashes)
+    for trouble in world.rng.sample(kinds, 3):
         trouble(world)
 
 
@@ -128,6 +137,7 @@
     draining,
     resizes,
     lasting_ends,
+    hopeless,
     limits,
     all_at_once,
 ]
