Bound the restarts of a task that is longer than estimated

What callers see: a task that takes far longer than estimated, on every worker, ends. Before, it was stopped at the same age again and again and could never end.

Cause: a run is late at three times the estimate, or stalled without progress for 1.2 s; neither looked at what earlier restarts had lost.

Change: a task that was restarted is restarted again only at twice the age.

--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -45,6 +45,8 @@
         self.runs: dict[TaskName, list[Run]] = {}
         self.last_run: dict[TaskName, int] = {}
         self.durations_ms: dict[StepKey, list[int]] = {}
+        # Greatest age at which a run of a task was stopped as too slow.
+        self.restarted_at_age_ms: dict[TaskName, int] = {}
         self.avoided_workers: dict[TaskName, set[str]] = {}
         # Numbers of the crashes that were charged to tasks, in all and as stored.
         self.n_crashes = self.n_stored_crashes = 0
--- a/apricotgap/jobs/stragglers.py
+++ b/apricotgap/jobs/stragglers.py
@@ -17,6 +17,8 @@
 # Without finished tasks there is only the estimate, which is rough: allow more time.
 LATE_FACTOR_ESTIMATED = 3.0
 MIN_ESTIMATE_MS = 500
+# A run of a task that was restarted before is late at this multiple of the age then.
+RESTART_BACKOFF = 2
 # A worker with a straggler is given new tasks last for this long.
 SLOW_WORKER_MS = 4_000
 
@@ -62,6 +64,11 @@
         is_late = age_ms > factor * typical_ms and left_ms > typical_ms
         if not is_stalled and not is_late:
             return
+        # A task may be longer than all that is known of it. With this back-off its
+        # restarts lose less than twice its length.
+        restarted_ms = job.restarted_at_age_ms.get(run.name, 0)
+        if age_ms < RESTART_BACKOFF * restarted_ms:
+            return
         worker.slow_until_ms = at_ms + SLOW_WORKER_MS
         if len(job.runs.get(run.name, ())) > 1:
             return
@@ -76,6 +83,7 @@
             job.waiting[run.name.occurrence, run.name.step].add(run.name.number)
             yield LogDecision("run_copied", line)
             return
+        job.restarted_at_age_ms[run.name] = max(restarted_ms, age_ms)
         job.avoided_workers.setdefault(run.name, set()).add(worker.worker_id)
         yield LogDecision("run_restarted", line)
         yield from self._shard.stop(run, at_ms)
