Let no repeated stop put off the end of a run that is gone

What callers see: a task starts again although its worker answers no stop. Before, it waited for as long as the worker rejected stops and went on answering polls, as an unhealthy one does, with nothing running: LOST of the third kind.

Cause: a run that is to stop is known to be gone by a list that was asked for late enough after the stop. Each repetition, every 0.5 s, moved that time further, and with stops of over 0.3 s it never came.

Change: only the first stop sets that time. A list beside a recent repetition takes one more wait, since that one may be under way.

Evidence: tests/test_bounded_waits.py: three of its cases failed before (start without an answer, and stops without an answer of a run that has begun or not). The others show what does not happen: waits without an end after a refused start, of a trial, of a reservation, and of the slots for first saves.

--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -88,11 +88,12 @@
         worker = self.workers.get(run.worker_id)
         if worker is None:
             return
-        run.phase = RunPhase.STOPPING
+        if run.phase is not RunPhase.STOPPING:
+            # A repeated stop must not put off the list that proves the run gone.
+            run.phase = RunPhase.STOPPING
+            visible_from_ms = at_ms + self.stop_listing_delay_ms
+            run.visible_from_ms = max(run.visible_from_ms, visible_from_ms)
         run.stop_sent_ms = at_ms
-        run.visible_from_ms = max(
-            run.visible_from_ms, at_ms + self.stop_listing_delay_ms
-        )
         yield StopRun(
             worker.worker_id,
             worker.entry.address,
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -316,7 +316,8 @@
     def _absent(self, worker: Worker, run: Run, at_ms: int) -> Iterable[Effect]:
         """Drop a run that the worker no longer lists, unless it may be stopping it."""
         is_stop_open = run.phase is RunPhase.STOPPING and not run.is_stopped
-        if is_stop_open and run.has_begun:
+        is_recent = at_ms - run.stop_sent_ms <= self.stop_listing_delay_ms
+        if is_stop_open and (run.has_begun or is_recent):
             # The worker has given no answer to the stop, and may have carried it out
             # late. Until the end is listed, the run is in no list.
             run.is_stopped = True
