--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -10,31 +10,22 @@
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.effect_runner import EffectRunner
 from apricotgap.instance.job_cleanup import JobCleanup
-from apricotgap.instance.keys import (
-    jobs_prefix,
-    progress_prefix,
-    roster_key,
-)
+from apricotgap.instance.keys import jobs_prefix, progress_prefix, roster_key
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.poll_loops import PollLoops
 from apricotgap.instance.progress_writer import ProgressWriter
 from apricotgap.instance.roster import RosterWriter
-from apricotgap.instance.shard_loader import (
-    add_found_jobs,
-    load_jobs,
-    read_prefix,
-)
+from apricotgap.instance.shard_loader import add_found_jobs, load_jobs, read_prefix
 from apricotgap.instance.shard_retirement import ShardRetirement, ShardUnusedError
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
+from apricotgap.instance.tenure import TenureMark
 from apricotgap.instance.ticket_requests import TicketRequests
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
-from apricotgap.jobs.events import (
-    WorkersListed,
-)
+from apricotgap.jobs.events import WorkersListed
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.limits import (
     LEASE_MARGIN_MS,
@@ -103,6 +94,7 @@
             settings.bounds.max_lease_ms,
             settings.bounds.stop_timeout_ms,
             settings.bounds.contact_ms,
+            ownership.inherited_lease_ms,
         )
         self._shard.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._scheduler = Scheduler(self._shard)
@@ -143,6 +135,7 @@
             self._shard, ownership, store, cluster_view, clock
         )
         self._roster = RosterWriter(self._shard, ownership, store)
+        self._tenure_mark = TenureMark(ownership, store, clock)
         self._limits = TeamLimitUpdater(
             self._shard,
             ownership,
@@ -198,6 +191,7 @@
                 if self._tickets is not None:
                     nursery.start_soon(self._tickets.run)
                 nursery.start_soon(self._roster.run)
+                nursery.start_soon(self._tenure_mark.run)
                 nursery.start_soon(self._tick_loop)
                 nursery.start_soon(self._cleanup.run)
                 nursery.start_soon(self._retirement.run, jobs)
--- a/apricotgap/instance/shard_retirement.py
+++ b/apricotgap/instance/shard_retirement.py
@@ -13,6 +13,7 @@
     jobs_prefix,
     owner_key,
     shard_key,
+    tenure_key,
 )
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.ownership import Ownership
@@ -117,6 +118,7 @@
         shard = self._ownership.shard
         closing = await self._write(
             Write(owner_key(shard), expected_revision=self._ownership.revision),
+            Write(tenure_key(shard)),
             Write(shard_key(shard), SHARD_CLOSING),
         )
         if closing is None:
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -31,13 +31,24 @@
         As for `ShardCrashes`.
     max_lease_ms : int
         Maximum length of a worker's lease.
+    inherited_lease_ms : int or None
+        Maximum time for which leases last that previous owners gave, None for
+        `max_lease_ms`.
     """
 
     def __init__(
-        self, service: str, epoch: int, max_lease_ms: int, stop_ms: int
+        self,
+        service: str,
+        epoch: int,
+        max_lease_ms: int,
+        stop_ms: int,
+        inherited_lease_ms: int | None = None,
     ) -> None:
         super().__init__(service, epoch, stop_ms)
         self.max_lease_ms = max_lease_ms
+        if inherited_lease_ms is None:
+            inherited_lease_ms = max_lease_ms
+        self._inherited_lease_ms = min(max_lease_ms, inherited_lease_ms)
         self.config: Configuration | None = None
         # Ended incarnations that the platform may still list, by worker and start.
         self._ended_incarnations: set[tuple[str, int]] = set()
@@ -47,12 +58,9 @@
         self.list_fresh_ms = -1_000_000
 
     def add_inherited_worker(self, entry: WorkerEntry, at_ms: int) -> None:
-        """Add a worker on which a previous owner may have started runs.
-
-        It has to be assumed that its lease was renewed just now.
-        """
+        """Add a worker on which a previous owner may have started runs."""
         worker = self._add_worker(entry, at_ms)
-        worker.lease_until_ms = worker.lease_bound_ms(at_ms, self.max_lease_ms)
+        worker.lease_until_ms = worker.lease_bound_ms(at_ms, self._inherited_lease_ms)
         worker.is_listed = False
         worker.is_unverified = True
 
@@ -83,7 +91,10 @@
                 if entry.born_ms < worker.entry.born_ms:
                     continue
                 yield from self._begin_incarnation(
-                    worker, entry, event.at_ms, _may_have_started_later
+                    worker,
+                    entry,
+                    event.at_ms,
+                    lambda run: run.may_be_in_next_incarnation,
                 )
                 continue
             if entry.is_draining and not worker.entry.is_draining:
@@ -196,7 +207,13 @@
 
         Workers' leases end at most WORKER_LEASE_TAIL_MS after the owner's lease, which
         bounds how long the next owner waits for a worker that it cannot reach.
+
+        A silent worker is offered none: it may take each poll although none of its
+        answers arrives, and its runs would then be away for good.
         """
+        if worker.silent_since_ms is not None:
+            worker.offered_until_ms = 0
+            return 0
         left_ms = lease_until_ms + limits.WORKER_LEASE_TAIL_MS - at_ms
         lease_ms = min(self.max_lease_ms, left_ms)
         if not worker.clock_at_ms or lease_ms <= 0:
@@ -266,10 +283,10 @@
                     "n_running": len(event.running),
                 },
             )
-        if not worker.offered_until_ms:
+        if not worker.is_acquired and not worker.offered_until_ms:
             # The first poll offers no lease; one of a previous owner may be valid.
             worker.offered_until_ms = worker.lease_bound_ms(
-                event.at_ms, self.max_lease_ms
+                event.at_ms, self._inherited_lease_ms
             )
         self._resolve_lease_offer(worker, True)
         self._found_alive(worker)
@@ -281,6 +298,7 @@
         worker.silent_since_ms = None
         worker.clock_ms = event.clock_ms
         worker.clock_at_ms = event.at_ms
+        worker.record_listed_ends(event.at_ms, event.ends)
         for end in event.ends:
             if end.number > worker.last_applied:
                 worker.last_applied = end.number
@@ -330,7 +348,8 @@
             if (run.name, run.run_id) in listed:
                 run.has_begun = run.is_in_next_incarnation = True
                 return True
-            return run.visible_from_ms >= event.sent_ms and _may_have_started_later(run)
+            is_provable = run.visible_from_ms < event.sent_ms
+            return run.may_be_in_next_incarnation and not is_provable
 
         # The poll of the ended incarnation has failed: its crash shows only now.
         worker.record_failed_poll(event.at_ms)
@@ -417,8 +436,3 @@
             self._remove(worker)
             return
         yield from self._expire(worker, event.at_ms)
-
-
-def _may_have_started_later(run: Run) -> bool:
-    """Whether a start may have reached the next incarnation of its worker."""
-    return run.is_in_next_incarnation or not run.has_begun
--- a/tests/test_unused_services.py
+++ b/tests/test_unused_services.py
@@ -20,6 +20,7 @@
     job_writes,
     owner_key,
     shard_key,
+    tenure_key,
 )
 from apricotgap.instance.ownership import Ownership
 from apricotgap.instance.shard_retirement import (
@@ -106,7 +107,7 @@
         self.store._put(owner_key(SERVICE), b"owner")
         self.store._put(shard_key(SERVICE), SHARD_OPEN)
         self.shard = Shard(SERVICE, 1, MAX_LEASE_MS)
-        self.ownership = Ownership(SERVICE, 1, self.store.revision, 1)
+        self.ownership = Ownership(SERVICE, 1, self.store.revision, 1, 0)
         self.stored = SimpleNamespace(items={})
         self.retirement = ShardRetirement(
             self.shard,
@@ -194,8 +195,10 @@
 
     async def check(owner):
         assert not await owner.advance(UNUSED_DELAY_MS // 2)
+        owner.store._put(tenure_key(SERVICE), b"1")
         await owner.retire()
         assert not owner.has_keys
+        assert tenure_key(SERVICE) not in owner.store.items
         assert owner.view.services() == ()
 
     run(check)
