--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -51,6 +51,7 @@
         self._shard = shard
         self.is_team_blocked = False
         self.hit_start_limit = False
+        self.awaits_fresh_answer = False
 
     def run(self, at_ms: int, lease_until_ms: int) -> list[Effect]:
         """Decide which tasks start now.
@@ -74,16 +75,13 @@
             return []
         if not shard.knows_capacities(at_ms):
             return []
-        workers = [
-            worker
-            for worker in shard.workers.values()
-            if worker.accepts(at_ms) and worker.entry.data_centre not in shard.evacuated
-        ]
+        workers = shard.accepting_workers(at_ms)
         if not workers:
             return []
         current = _Pass(at_ms, shard.unix_of(at_ms), workers, [])
         self.is_team_blocked = False
         self.hit_start_limit = False
+        self.awaits_fresh_answer = False
         has_unverified_workers = shard.has_unverified_workers
         may_start_long_running = shard.knows_reservations(at_ms)
         for job in self._order(current.unix_ms):
@@ -138,10 +136,10 @@
                     continue
                 worker = self._choose_worker(job, name, step, current, {})
                 if worker is None:
+                    if name in job.avoided_workers or job.needs_fresh_answer(name):
+                        continue
                     # Tasks of a step are identical, so the others do not fit either.
-                    if name not in job.avoided_workers:
-                        break
-                    continue
+                    break
                 run_id = self._shard.next_run_id(job, [name])
                 self._start(job, name, step, worker, run_id, current)
 
@@ -206,9 +204,10 @@
             return None
         if not self._is_within_team_limit(job, allocation):
             return None
-        needs_ticket = self._needs_ticket(job)
+        needs_ticket = self._shard.needs_ticket(job.spec.queue)
         has_room = False
         is_suspect = job.is_suspect(name)
+        needs_fresh_answer = job.needs_fresh_answer(name)
         avoided = job.avoided_workers.get(name, ())
         used = {run.worker_id for run in job.runs.get(name, ())}
         best: Worker | None = None
@@ -220,6 +219,9 @@
             if step.required_label and step.required_label not in entry.labels:
                 continue
             has_room = True
+            if needs_fresh_answer and not worker.has_just_answered(current.at_ms):
+                self.awaits_fresh_answer = True
+                continue
             if entry.worker_id in used or (rack is not None and entry.rack != rack):
                 continue
             if not self._fits_step(name, step, worker, placed):
@@ -300,21 +302,12 @@
             cost += 0.3 * self._n_in_rack(worker.entry.rack, name)
         return cost
 
-    def _needs_ticket(self, job: JobState) -> bool:
-        config = self._shard.config
-        queue = config.queue_by_name.get(job.spec.queue) if config else None
-        return queue is not None and queue.needs_ticket
-
     def _ticket(self, name: TaskName, worker: Worker, current: _Pass) -> str:
         step = StepName.of(name)
         return self._shard.tickets.find(step, worker, current.at_ms) or ""
 
     def _is_within_team_limit(self, job: JobState, allocation: Resources) -> bool:
-        limit = self._shard.team_limits.allowed(job.spec.team)
-        if limit is None:
-            return True
-        usage = self._shard.team_usage.get(job.spec.team, NO_RESOURCES)
-        if (usage + allocation).fits(limit):
+        if self._shard.is_within_team_limit(job.spec.team, allocation):
             return True
         self.is_team_blocked = True
         return False
@@ -330,6 +323,7 @@
     ) -> None:
         at_ms = current.at_ms
         record = job.progress.tasks.get(name)
+        needs_ticket = self._shard.needs_ticket(job.spec.queue)
         run = Run(
             name,
             run_id,
@@ -357,7 +351,7 @@
                 job.spec.content,
                 run.clock_ms + limits.START_WINDOW_MS,
                 run.checkpoint,
-                self._ticket(name, worker, current) if self._needs_ticket(job) else "",
+                self._ticket(name, worker, current) if needs_ticket else "",
             )
         )
         self._log_start(name, run_id, worker, current)
--- a/apricotgap/jobs/shard_jobs.py
+++ b/apricotgap/jobs/shard_jobs.py
@@ -7,7 +7,7 @@
 from apricotgap.jobs.documents import Progress, encode_progress
 from apricotgap.jobs.effects import LogDecision
 from apricotgap.jobs.job_state import JobState
-from apricotgap.jobs.model import NO_RESOURCES, JobPhase, JobSpec, Resources
+from apricotgap.jobs.model import JobPhase, JobSpec, Resources
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["SaveBatch", "ShardJobs"]
@@ -106,22 +106,6 @@
             for job in self.open_jobs.values()
         )
 
-    def team_demand(self, at_ms: int) -> dict[str, Resources]:
-        """Return the resources that each team uses or could use now."""
-        demand = dict(self.team_usage)
-        unix_ms = self.unix_of(at_ms)
-        for job in self.open_jobs.values():
-            team = job.spec.team
-            for key in job.open_steps(unix_ms):
-                allocation = job.spec.steps[key[1]].allocation
-                n_tasks = len(job.waiting[key])
-                demand[team] = demand.get(team, NO_RESOURCES) + Resources(
-                    allocation.cpu * n_tasks,
-                    allocation.memory_mb * n_tasks,
-                    allocation.gpus * n_tasks,
-                )
-        return demand
-
     def backlog_core_ms(self, unix_ms: int, priority: int) -> tuple[float, float]:
         """Return the estimated work left, in core-ms: in time, and of late jobs.
 
@@ -172,6 +156,15 @@
             self._pending_first_saves.add(job.spec.job_id)
             self._dirty.add(job.spec.job_id)
 
+    def is_first_save_pending(self, job: JobState) -> bool:
+        """Whether the first save of a job has been requested and is not complete."""
+        return job.spec.job_id in self._pending_first_saves
+
+    @property
+    def n_pending_first_saves(self) -> int:
+        """Number of jobs whose first progress is being stored."""
+        return len(self._pending_first_saves)
+
     def begin_save(self) -> SaveBatch:
         """Return the documents that changed since the last save."""
         documents = tuple(
@@ -192,8 +185,23 @@
             {job_id: job.n_crashes for job_id, job in jobs.items()},
         )
 
-    def saved(self, batch: SaveBatch, revisions: dict[str, int]) -> None:
-        """Apply the result of a save; a partial one acknowledges no ends."""
+    def saved(
+        self,
+        batch: SaveBatch,
+        revisions: dict[str, int],
+        is_complete: bool | None = None,
+    ) -> None:
+        """Apply the result of a save; an incomplete one acknowledges no ends.
+
+        Parameters
+        ----------
+        batch : SaveBatch
+            What was to be stored.
+        revisions : dict of str to int
+            Store revisions of the documents that are stored, by job id.
+        is_complete : bool, optional
+            Whether no document is left to be stored soon, by default whether all are.
+        """
         self._pending_first_saves.difference_update(revisions)
         for job_id, revision in revisions.items():
             job = self.jobs.get(job_id)
@@ -202,7 +210,9 @@
                 job.saved_phase = batch.phases[job_id]
                 job.n_stored_crashes = batch.n_crashes[job_id]
         self._is_saving = False
-        if len(revisions) < len(batch.documents):
+        if is_complete is None:
+            is_complete = len(revisions) == len(batch.documents)
+        if not is_complete:
             return
         for (worker_id, born_ms), last_applied in batch.last_applied.items():
             worker = self.workers.get(worker_id)
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from enum import Enum
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.events import EndReport
@@ -10,11 +11,25 @@
 from apricotgap.jobs.model import NO_RESOURCES, Resources, RunEnd, TaskName
 from apricotgap.jobs.runs import Run
 
-__all__ = ["Worker"]
+__all__ = ["Obstacle", "Worker"]
 
 RunKey = tuple[TaskName, int]
 
 
+class Obstacle(Enum):
+    """Why a worker may not be given new work."""
+
+    UNACQUIRED = "unacquired"
+    UNLISTED = "unlisted"
+    RESERVED = "reserved"
+    UNRECORDED = "unrecorded"
+    DRAINING = "draining"
+    BLOCKED = "blocked"
+    SILENT = "silent"
+    UNACKNOWLEDGED = "unacknowledged"
+    SUSPECT = "suspect"
+
+
 @dataclass(slots=True)
 class Worker:
     """One incarnation of a worker.
@@ -90,6 +105,10 @@
         """Whether a task that was started last may have yet to start up."""
         return at_ms - self.last_start_ms <= limits.CRASH_SIGN_MS
 
+    def has_just_answered(self, at_ms: int) -> bool:
+        """Whether the worker is unlikely to have crashed since its last answer."""
+        return at_ms - self.answered_ms <= limits.FRESH_ANSWER_MS
+
     @property
     def n_possible_runs(self) -> int:
         """Number of known runs; at least 1 while runs of a previous owner may exist."""
@@ -106,6 +125,15 @@
         elapsed = max(0, at_ms - self.clock_at_ms)
         return self.clock_ms + int(elapsed * (1 - limits.CLOCK_DRIFT))
 
+    def record_clock(self, at_ms: int, clock_ms: int) -> None:
+        """Raise the lower bound of the worker's clock.
+
+        A response that was long on its way had left it too low, and starts that were
+        sent by it come too late.
+        """
+        if self.clock_at_ms and clock_ms > self.clock_now_ms(at_ms):
+            self.clock_ms, self.clock_at_ms = clock_ms, at_ms
+
     @staticmethod
     def lease_bound_ms(at_ms: int, lease_ms: int) -> int:
         """Return the latest end of a lease on the clock of the instance.
@@ -221,20 +249,30 @@
 
     def accepts(self, at_ms: int) -> bool:
         """Whether the worker may be given new work now."""
-        if not self.is_acquired or not self.is_listed:
-            return False
-        if self.is_reserved(at_ms) or not self.is_recorded:
-            return False
-        if self.entry.is_draining or at_ms < self.blocked_until_ms:
-            return False
+        return self.obstacle(at_ms) is None
+
+    def obstacle(self, at_ms: int) -> Obstacle | None:
+        """Return why the worker may not be given new work now, None if it may."""
+        if not self.is_acquired:
+            return Obstacle.UNACQUIRED
+        if not self.is_listed:
+            return Obstacle.UNLISTED
+        if self.is_reserved(at_ms):
+            return Obstacle.RESERVED
+        if not self.is_recorded:
+            return Obstacle.UNRECORDED
+        if self.entry.is_draining:
+            return Obstacle.DRAINING
+        if at_ms < self.blocked_until_ms:
+            return Obstacle.BLOCKED
         if self.awaits_acknowledgement(at_ms):
-            return False
+            return Obstacle.UNACKNOWLEDGED
         if self.silent_since_ms is not None:
             # It may have crashed, and a start there could not be told from the cause.
-            return False
+            return Obstacle.SILENT
         if at_ms - self.answered_ms > limits.SILENT_WORKER_MS:
-            return False
+            return Obstacle.SILENT
         if self.suspect_since_ms is None:
-            return True
+            return None
         on_probation = at_ms - self.suspect_since_ms > limits.PROBATION_MS
-        return on_probation and not self.runs
+        return None if on_probation and not self.runs else Obstacle.SUSPECT
--- a/tests/test_ingress_reload.py
+++ b/tests/test_ingress_reload.py
@@ -7,6 +7,7 @@
 import trio
 
 from apricotgap.clock import FakeClock
+from apricotgap.drivers.timed_calls import TimedCalls
 from apricotgap.jobs.model import JobPhase
 from apricotgap.jobs.service import CancelResult, SubmitOutcome, SubmitResult
 from apricotgap.metrics import Metrics
@@ -70,9 +71,12 @@
         self.view = View()
         self.jobs = SlowJobs()
         self.clock = FakeClock(50_000)
-        self.app = IngressApp(
+
+    def _app(self, nursery):
+        return IngressApp(
             self.view,
             self.jobs,
+            TimedCalls(nursery, self.clock),
             Metrics("i1"),
             self.clock,
             5_000,
@@ -100,7 +104,8 @@
         async def send(message):
             sent.append(message)
 
-        await self.app(scope, receive, send)
+        async with trio.open_nursery() as nursery:
+            await self._app(nursery)(scope, receive, send)
         assert not sent[-1].get("more_body")
         data = b"".join(message.get("body", b"") for message in sent)
         return sent[0]["status"], json.loads(data)
--- a/tests/test_unused_services.py
+++ b/tests/test_unused_services.py
@@ -107,7 +107,7 @@
         self.store._put(owner_key(SERVICE), b"owner")
         self.store._put(shard_key(SERVICE), SHARD_OPEN)
         self.shard = Shard(SERVICE, 1, MAX_LEASE_MS)
-        self.ownership = Ownership(SERVICE, 1, self.store.revision, 1, 0)
+        self.ownership = Ownership(SERVICE, 1, self.store.revision, 1, 6_500)
         self.stored = SimpleNamespace(items={})
         self.retirement = ShardRetirement(
             self.shard,
