A service that returns is claimed in the order of ranks again

What callers see: nothing. When a service without an owner left and came back, all instances claimed it at one moment, and a slow one could win.

Cause: the time since which a shard is vacant outlived the shard.

Change: it is dropped with the shard.

Evidence: test_shard_that_returns_is_left_to_a_fast_instance_once_more fails without the change.

--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -110,7 +110,10 @@
                 await self._register(lease)
                 await self._hand_over()
                 await self._mark_shards()
-                for shard in self._cluster_view.shards():
+                shards = self._cluster_view.shards()
+                for shard in set(self._vacant_since_ms).difference(shards):
+                    del self._vacant_since_ms[shard]
+                for shard in shards:
                     await self._claim_if_vacant(shard, nursery)
 
     @property
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -75,8 +75,10 @@
 class TwoShardView(ClusterView):
     """A cluster view with two shards that watches no store."""
 
+    offered = ("s1", "s2")
+
     def shards(self):
-        return ("s1", "s2")
+        return self.offered
 
 
 class Rig:
@@ -201,6 +203,23 @@
     run(check)
 
 
+def test_shard_that_returns_is_left_to_a_fast_instance_once_more():
+    """Guards against all instances that claim a returning service at one moment."""
+
+    async def check(rig):
+        rig.add("fast", 2_150)
+        await rig.advance(RANK_DELAY_MS // 2)
+        rig.cluster_view.offered = ()
+        await rig.advance(4 * RANK_DELAY_MS)
+        rig.cluster_view.offered = ("s1",)
+        await rig.advance(RANK_DELAY_MS // 2)
+        assert rig.running == []
+        await rig.advance(4 * RANK_DELAY_MS)
+        assert rig.running == ["s1"]
+
+    run(check, speed_milli=500)
+
+
 def test_slow_owner_hands_a_shard_over_to_a_fast_instance_that_joins_later():
     """Guards against shards that stay on a slow instance."""
 
