An unused pool keeps its least workers until its jobs are removed

What callers see: a route that leaves and returns while the state of ended jobs is still kept finds workers in its pool.

Cause: a pool without queue wanted no workers as soon as its last job had ended. With configurations in quick succession it would have been emptied and filled again, with no room for the first jobs.

Evidence: test_unused_service_without_jobs_wants_no_workers has the case of an ended job; it fails without the change.

--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -115,7 +115,8 @@
         config = self._shard.config
         if config is None or self._shard.service in config.used_services:
             return MIN_WORKERS
-        return MIN_WORKERS if self._shard.open_jobs else 0
+        # Ended jobs are kept for a while, in which the queue may return.
+        return MIN_WORKERS if self._shard.jobs else 0
 
     def wanted_for_late_jobs(self, at_ms: int) -> int:
         """Return the number of further workers for jobs that can only end late."""
--- a/tests/test_unused_services.py
+++ b/tests/test_unused_services.py
@@ -367,6 +367,9 @@
     rig.shard.config = UNUSED
     rig.submit(job())
     assert demand.wanted(rig.now) == MIN_WORKERS
+    rig.shard.cancel(job().job_id, 0, rig.now)
+    rig.now += 10_000
+    assert demand.wanted(rig.now) == MIN_WORKERS
     rig.shard.forget(job().job_id)
     rig.now += 10_000
     assert demand.wanted(rig.now) == 0
