--- a/apricotgap/instance/shard_retirement.py
+++ b/apricotgap/instance/shard_retirement.py
@@ -118,6 +118,7 @@
         shard = self._ownership.shard
         closing = await self._write(
             Write(owner_key(shard), expected_revision=self._ownership.revision),
+            Write(tenure_key(shard)),
             Write(shard_key(shard), SHARD_CLOSING),
             Write(tenure_key(shard)),
         )
