Reads and cancellations are tried until the caller's deadline, also through others

Callers see: 503 for the state of an accepted job, 504 for its cancellation, after 1.4 s or less of the 3 s that they wait, while its owner is gone and the store answers late or refuses this one instance.

Only submissions went through other instances.

Evidence: 8 of the 12 tests of tests/test_unreachable_reads.py failed before: state, count, cancellation and an unknown job, with a frozen owner and a store that answers again after 1.6 s, or that only another instance reaches. The other 4 show that a job that cannot be looked for is not answered by 410.

Change: one loop for the three calls: owner, store, one other instance, again. Instances that relay these calls say so in their incarnation; those of an earlier build would not answer at all and are not asked. Earlier builds still take the incarnation as one of the second protocol. Odd answers of owners and relays count as none. The calls to owners and the relays have modules of their own.

Measured: 88 passed in test_unreachable_reads.py, test_instance_process.py, test_pending_count.py, test_election.py, test_instance_peers.py and test_odd_requests.py; tests/test_relays.py passes.

--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -117,12 +117,16 @@
 # Instances with this prefix of their incarnation know the calls of the second version
 # of the peer protocol. During an upgrade, instances of both versions run side by side.
 _SECOND_PROTOCOL_PREFIX = "2-"
+# Instances with this suffix also relay reads and cancellations. Those without it would
+# not answer such a call at all.
+_RELAYED_READS_SUFFIX = "-r"
 
 
 def new_incarnation() -> str:
     """Return an identifier for this run of the process."""
     started_ms = time.time_ns() // 1_000_000
-    return f"{_SECOND_PROTOCOL_PREFIX}{started_ms:x}{secrets.token_hex(4)}"
+    run = f"{started_ms:x}{secrets.token_hex(4)}"
+    return f"{_SECOND_PROTOCOL_PREFIX}{run}{_RELAYED_READS_SUFFIX}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +143,11 @@
     data_centre: str
     speed_milli: int
 
+    @property
+    def relays_reads(self) -> bool:
+        """Whether it relays reads and cancellations besides submissions."""
+        return self.incarnation.endswith(_RELAYED_READS_SUFFIX)
+
 
 @dataclass(frozen=True, slots=True)
 class Owner:
--- /dev/null
+++ b/apricotgap/instance/owner_calls.py
@@ -0,0 +1,144 @@
+"""Calls to the owners of shards, in this instance or another one."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import structlog
+
+from apricotgap.clock import Clock
+from apricotgap.instance.cluster_view import ClusterView
+from apricotgap.instance.ownership import OwnershipLostError
+from apricotgap.instance.peers import PeerCallError, PeerClient
+from apricotgap.instance.pool_reports import encode_first_report, encode_pool_report
+from apricotgap.instance.shard_owner import ShardOwner
+from apricotgap.jobs.documents import decode_job
+
+__all__ = ["PEER_TIMEOUT_MS", "OwnerCallError", "OwnerCalls"]
+
+PEER_TIMEOUT_MS = 700
+# Names of calls to owners with the second version of the protocol, which answer more.
+_SECOND_OPERATIONS = {"submit": "submit-job", "report": "pool-report"}
+
+
+class OwnerCallError(Exception):
+    """No owner of the shard answered.
+
+    `may_have_executed` tells whether the call was sent to one.
+    """
+
+    def __init__(self, may_have_executed: bool) -> None:
+        super().__init__(may_have_executed)
+        self.may_have_executed = may_have_executed
+
+
+class OwnerCalls:
+    """Calls owners, and answers calls of other instances to the owners of this one.
+
+    Parameters
+    ----------
+    owners : mapping of str to ShardOwner
+        The shards that this instance owns, updated by the caller.
+    cluster_view, peers, clock
+        Dependencies.
+    """
+
+    def __init__(
+        self,
+        owners: Mapping[str, ShardOwner],
+        cluster_view: ClusterView,
+        peers: PeerClient,
+        clock: Clock,
+    ) -> None:
+        self._owners = owners
+        self._cluster_view = cluster_view
+        self._peers = peers
+        self._clock = clock
+        self._log = structlog.get_logger()
+
+    async def call(
+        self, service: str, operation: str, argument: Any, deadline_ms: int
+    ) -> Any:
+        """Call the owner of a shard, locally if it is this instance.
+
+        Raises
+        ------
+        OwnerCallError
+            No owner answered.
+        """
+        local_owner = self._owners.get(service)
+        if local_owner is not None and local_owner.ready.is_set():
+            try:
+                return await self._execute(
+                    local_owner,
+                    _SECOND_OPERATIONS.get(operation, operation),
+                    argument,
+                    deadline_ms,
+                )
+            except OwnershipLostError as error:
+                raise OwnerCallError(False) from error
+        owner = self._cluster_view.owner(service)
+        if owner is None or local_owner is not None:
+            raise OwnerCallError(False)
+        left_ms = min(PEER_TIMEOUT_MS, deadline_ms - self._clock.now_ms)
+        if owner.has_second_protocol:
+            operation = _SECOND_OPERATIONS.get(operation, operation)
+        elif operation == "report":
+            argument = argument[:2]
+        try:
+            answer = await self._peers.call(
+                owner.address,
+                operation,
+                [service, argument, max(0, left_ms)],
+                max(1, left_ms),
+            )
+        except PeerCallError as error:
+            self._log.info(
+                "owner_unreachable",
+                shard=service,
+                owner=owner.name,
+                reason=str(error),
+            )
+            raise OwnerCallError(True) from error
+        if not isinstance(answer, list) or len(answer) != 2:
+            raise OwnerCallError(True)
+        if answer[0] != "ok":
+            raise OwnerCallError(False)
+        return answer[1]
+
+    async def handle(self, operation: str, argument: Any) -> list[Any]:
+        """Answer a peer's call on a shard of this instance."""
+        service, payload, left_ms = argument
+        local_owner = self._owners.get(service)
+        if local_owner is None or not local_owner.ready.is_set():
+            return ["not owner", None]
+        deadline_ms = self._clock.now_ms + int(left_ms)
+        try:
+            return [
+                "ok",
+                await self._execute(local_owner, operation, payload, deadline_ms),
+            ]
+        except OwnershipLostError:
+            return ["not owner", None]
+
+    @staticmethod
+    async def _execute(
+        owner: ShardOwner, operation: str, argument: Any, deadline_ms: int
+    ) -> Any:
+        if operation in ("submit", "submit-job"):
+            outcome = await owner.submit(decode_job(argument), deadline_ms)
+            if operation == "submit":
+                return outcome.result.value
+            return [outcome.result.value, outcome.retry_after_ms, outcome.reason]
+        if operation == "phase":
+            phase = owner.phase(argument)
+            return phase.value if phase else None
+        if operation == "cancel":
+            return await owner.cancel(argument, deadline_ms)
+        if operation == "pending":
+            return owner.n_pending(argument)
+        if operation == "report":
+            return encode_first_report(owner.report(*argument[:2]))
+        if operation == "pool-report":
+            reserved, ended, share = argument
+            return encode_pool_report(owner.report(reserved, ended, int(share)))
+        raise ValueError(f"unknown operation {operation}")
