Submissions: an owner that lost its shard may have stored the job

Callers see: 503, which promises that the job never runs, for one that runs.

Cause: the owner's first write took effect and its answer was lost; the second one shows another owner. That counted as not executed, and where the store then turns this instance away, the answer was 503.

Change: only an instance that did not begin to execute the call answers "not owner".

--- a/apricotgap/instance/owner_calls.py
+++ b/apricotgap/instance/owner_calls.py
@@ -18,6 +18,10 @@
 PEER_TIMEOUT_MS = 700
 # Names of calls to owners with the second version of the protocol, which answer more.
 _SECOND_OPERATIONS = {"submit": "submit-job", "report": "pool-report"}
+# Answers of an instance that did not begin to execute the call, and of one that lost the
+# shard while it did: an earlier write of it may have been stored.
+_NOT_OWNER = "not owner"
+_OWNERSHIP_LOST = "ownership lost"
 
 
 class OwnerCallError(Exception):
@@ -75,7 +79,7 @@
                     deadline_ms,
                 )
             except OwnershipLostError as error:
-                raise OwnerCallError(False) from error
+                raise OwnerCallError(True) from error
         owner = self._cluster_view.owner(service)
         if owner is None or local_owner is not None:
             raise OwnerCallError(False)
@@ -102,7 +106,7 @@
         if not isinstance(answer, list) or len(answer) != 2:
             raise OwnerCallError(True)
         if answer[0] != "ok":
-            raise OwnerCallError(False)
+            raise OwnerCallError(answer[0] != _NOT_OWNER)
         return answer[1]
 
     async def handle(self, operation: str, argument: Any) -> list[Any]:
@@ -110,7 +114,7 @@
         service, payload, left_ms = argument
         local_owner = self._owners.get(service)
         if local_owner is None or not local_owner.ready.is_set():
-            return ["not owner", None]
+            return [_NOT_OWNER, None]
         deadline_ms = self._clock.now_ms + int(left_ms)
         try:
             return [
@@ -118,7 +122,7 @@
                 await self._execute(local_owner, operation, payload, deadline_ms),
             ]
         except OwnershipLostError:
-            return ["not owner", None]
+            return [_OWNERSHIP_LOST, None]
 
     @staticmethod
     async def _execute(
