Test: instances that stop in turn answer all that they read

Three instances stop and start again twice, a second apart, while 30 clients submit jobs on connections that they keep and shards move between owners that stop. No path answers later than the caller's deadline, and accepted jobs end.

--- a/tests/test_instance_stop.py
+++ b/tests/test_instance_stop.py
@@ -238,3 +238,89 @@
         assert not read & set().union(*(client.unanswered for client in clients))
 
     run(check, tmp_path, n_instances=1)
+
+
+class Submitter:
+    """A client that submits jobs on connections that it keeps."""
+
+    def __init__(self, number, instances):
+        self._number = number
+        self._instances = instances
+        self._random = Random(number)
+        self.answers = {}
+        self.unanswered = {}
+
+    async def run(self):
+        n_sent = 0
+        while True:
+            instance = self._random.choice(self._instances)
+            try:
+                stream = await connect(instance.address)
+            except OSError:
+                await trio.sleep(0.05)
+                continue
+            async with aclosing(stream):
+                is_open = True
+                while is_open:
+                    job_id = f"{self._number:08x}{n_sent:08x}"
+                    n_sent += 1
+                    is_open = await self._submit(stream, instance, job_id)
+                    await trio.sleep(self._random.random())
+
+    async def _submit(self, stream, instance, job_id):
+        data = request_bytes("POST", f"/plans/{job_id}", json.dumps(JOB).encode())
+        started_s = trio.current_time()
+        response = None
+        try:
+            await stream.send_all(data)
+            response = await receive_response(stream)
+        except trio.BrokenResourceError:
+            pass
+        if response is None:
+            self.unanswered[job_id] = instance
+            return False
+        self.answers[job_id] = (response[0], trio.current_time() - started_s)
+        return b"connection: close" not in response[1]
+
+
+def test_instances_that_stop_in_turn_answer_all_that_they_read(tmp_path):
+    """Guards against a submission in flight to an owner that leaves, and its loss.
+
+    Shards move while their next owners stop too.
+    """
+
+    async def check(cluster):
+        clients = [Submitter(n, cluster.instances) for n in range(30)]
+        async with trio.open_nursery() as nursery:
+            for client in clients:
+                nursery.start_soon(client.run)
+            for _ in range(2):
+                for instance in cluster.instances:
+                    await trio.sleep(1.0)
+                    instance.signal(SIGTERM)
+                    # Its successor may stop before this one has ended.
+                    nursery.start_soon(restart_when_ended, instance)
+            await trio.sleep(6)
+            nursery.cancel_scope.cancel()
+        answers = {}
+        for client in clients:
+            answers |= client.answers
+        assert len(answers) > 200
+        slowest_s = max(took_s for _, took_s in answers.values())
+        assert slowest_s < 3.2
+        assert {status for status, _ in answers.values()} <= {200, 503, 504}
+        for client in clients:
+            for job_id, instance in client.unanswered.items():
+                paths = {line["path"] for line in instance.lines("call")}
+                assert f"/plans/{job_id}" not in paths
+        for job_id, (status, _) in answers.items():
+            if status == 200:
+                await cluster.until_succeeded(cluster.instances[0], job_id, 20)
+
+    run(check, tmp_path, n_instances=3, n_workers=4)
+
+
+async def restart_when_ended(instance):
+    while instance.is_running:
+        await trio.sleep(0.05)
+    instance.start()
