Wait for the next incarnation of a worker of the roster as well

Callers saw a task run twice after a takeover: its first run was in the next incarnation of a worker that had restarted just before its owner was lost.

Cause: starts name the id only. The list of workers showed the successor of a roster's worker, which counted as verified from the first, so that tasks of the previous owner started elsewhere before any list of it.

Change: the successor of an unverified worker is unverified too, for as long as the lease of the one that it replaces may last.

--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -121,13 +121,18 @@
         Starts and polls name the id only. Those that were meant for the incarnation
         that has ended may have reached the next one: runs for which that is possible
         are kept until a list of the next one disproves them, and its lease may already
-        be as long as a lease can be.
+        be as long as a lease can be. The starts of a previous owner may have reached it
+        as well.
         """
+        was_unverified, inherited_until_ms = worker.is_unverified, worker.lease_until_ms
         survivors = [run for run in worker.runs.values() if is_possible(run)]
         yield from self._mark_crashed(worker, at_ms, "restarted", survivors)
         self._ended_incarnations.add((worker.worker_id, worker.entry.born_ms))
         successor = self._add_worker(entry, at_ms)
         successor.lease_until_ms = successor.lease_bound_ms(at_ms, self.max_lease_ms)
+        if was_unverified:
+            successor.is_unverified = True
+            successor.lease_until_ms = inherited_until_ms
         for run in survivors:
             successor.add(run)
 
