--- a/apricotgap/instance/poll_loops.py
+++ b/apricotgap/instance/poll_loops.py
@@ -47,6 +47,8 @@
         Executes effects.
     on_change : callable
         Called when waiting tasks may be able to start.
+    awaits_answer : callable
+        Returns whether a task waits for a worker that has just answered.
     speed_milli : int
         Processor capacity of this machine in thousandths of a core.
     """
@@ -61,6 +63,7 @@
         lease_until_ms: Callable[[], int],
         execute: Callable[[Iterable[Effect]], None],
         on_change: Callable[[], None],
+        awaits_answer: Callable[[], bool],
         speed_milli: int,
     ) -> None:
         self._shard = shard
@@ -71,6 +74,7 @@
         self._lease_until_ms = lease_until_ms
         self._execute = execute
         self._on_change = on_change
+        self._awaits_answer = awaits_answer
         self._speed_milli = speed_milli
         self._active: set[tuple[str, int, str]] = set()
         self._log = structlog.get_logger().bind(
@@ -147,7 +151,7 @@
                 )
             )
         )
-        if worker.last_applied != seen_before:
+        if worker.last_applied != seen_before or self._awaits_answer():
             self._on_change()
         if worker.last_applied > worker.acknowledged:
             if self._shard.is_stored:
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -26,8 +26,10 @@
     load_jobs,
     read_prefix,
 )
+from apricotgap.instance.shard_retirement import ShardRetirement
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
+from apricotgap.instance.tenure import TenureMark
 from apricotgap.instance.ticket_requests import TicketRequests
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
@@ -37,6 +39,7 @@
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.limits import (
     LEASE_MARGIN_MS,
+    TICK_INTERVAL_MS,
 )
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
@@ -45,6 +48,7 @@
 from apricotgap.jobs.service import SubmitOutcome
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.stragglers import StragglerDetector
+from apricotgap.jobs.wait_log import WaitLog
 from apricotgap.metrics import Metrics
 from apricotgap.platform.advice import AdviceClient
 from apricotgap.platform.settings import PlatformSettings
@@ -53,7 +57,6 @@
 
 __all__ = ["ShardOwner"]
 
-_TICK_INTERVAL_S = 0.1
 # Watch of the jobs and cancellations that other instances write to the store directly:
 # longest wait of one watch, and pause after one that returned changes.
 JOB_WATCH_WAIT_MS = 4_000
@@ -102,6 +105,7 @@
             settings.bounds.max_lease_ms,
             settings.bounds.stop_timeout_ms,
             settings.bounds.contact_ms,
+            ownership.inherited_lease_ms,
         )
         self._shard.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._scheduler = Scheduler(self._shard)
@@ -109,6 +113,7 @@
         self._demand = Demand(self._shard)
         self._stragglers = StragglerDetector(self._shard)
         self._migrator = Migrator(self._shard)
+        self._wait_log = WaitLog(self._shard)
         self._pass_requested = trio.Event()
         self._writer = ProgressWriter(self._shard, ownership, store)
         self._submissions = Submissions(
@@ -138,7 +143,11 @@
             clock,
             settings.bounds.status_retention_ms,
         )
+        self._retirement = ShardRetirement(
+            self._shard, ownership, store, cluster_view, clock
+        )
         self._roster = RosterWriter(self._shard, ownership, store)
+        self._tenure_mark = TenureMark(ownership, store, clock)
         self._limits = TeamLimitUpdater(
             self._shard,
             ownership,
@@ -166,6 +175,7 @@
             lambda: self._lease_until_ms,
             self._effects.execute,
             self._request_pass,
+            lambda: self._scheduler.awaits_fresh_answer,
             settings.speed_milli,
         )
         self._log = structlog.get_logger().bind(
@@ -193,8 +203,10 @@
             if self._tickets is not None:
                 nursery.start_soon(self._tickets.run)
             nursery.start_soon(self._roster.run)
+            nursery.start_soon(self._tenure_mark.run)
             nursery.start_soon(self._tick_loop)
             nursery.start_soon(self._cleanup.run)
+            nursery.start_soon(self._retirement.run)
             nursery.start_soon(self._limits.run)
             self.ready.set()
 
@@ -292,10 +304,7 @@
 
     def n_pending(self, queue: str) -> int:
         """Return the number of jobs of a queue without a started task."""
-        return sum(
-            job.spec.queue == queue and job.progress.phase is JobPhase.PENDING
-            for job in self._shard.open_jobs.values()
-        )
+        return self._shard.n_pending(queue)
 
     def report(
         self, reserved: Iterable[str], ended: Iterable[str], share: int | None = None
@@ -360,9 +369,10 @@
                 self._effects.execute(self._migrator.run(now_ms))
             self._effects.execute(self._pacer.run(now_ms))
             self._effects.execute(self._stragglers.run(now_ms))
+            self._effects.execute(self._wait_log.run(now_ms, self._lease_until_ms))
             self._poll_loops.start(self._nursery)
             self._pass_requested.set()
-            await trio.sleep(_TICK_INTERVAL_S)
+            await trio.sleep(TICK_INTERVAL_MS / 1000)
 
     def _apply_configuration(self) -> None:
         config = self._cluster_view.config
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -10,8 +10,10 @@
     StopAnswered,
     WorkersListed,
 )
+from apricotgap.jobs.model import NO_RESOURCES, Resources
 from apricotgap.jobs.shard_workers import ShardWorkers
 from apricotgap.jobs.team_limits import TeamLimits
+from apricotgap.jobs.workers import Worker
 
 __all__ = ["Shard"]
 
@@ -34,6 +36,9 @@
     max_list_age_ms : int
         Maximum age of the list of workers by which tasks start on workers that do not
         check admission.
+    inherited_lease_ms : int, optional
+        Maximum time for which leases of workers last that previous owners gave, by
+        default `max_lease_ms`.
     """
 
     def __init__(
@@ -43,8 +48,9 @@
         max_lease_ms: int,
         stop_ms: int = 1_000,
         max_list_age_ms: int = 3_000,
+        inherited_lease_ms: int | None = None,
     ) -> None:
-        super().__init__(service, epoch, max_lease_ms, stop_ms)
+        super().__init__(service, epoch, max_lease_ms, stop_ms, inherited_lease_ms)
         self._max_list_age_ms = max_list_age_ms
         self.evacuated: frozenset[str] = frozenset()
         self.team_limits = TeamLimits(service)
@@ -65,6 +71,26 @@
             return True
         return at_ms - self.list_fresh_ms <= self._max_list_age_ms
 
+    def accepting_workers(self, at_ms: int) -> list[Worker]:
+        """Return the workers that may be given new work now."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.accepts(at_ms) and worker.entry.data_centre not in self.evacuated
+        ]
+
+    def is_within_team_limit(self, team: str, allocation: Resources) -> bool:
+        """Whether a team may use this much more in this shard."""
+        limit = self.team_limits.allowed(team)
+        if limit is None:
+            return True
+        return (self.team_usage.get(team, NO_RESOURCES) + allocation).fits(limit)
+
+    def needs_ticket(self, queue: str) -> bool:
+        """Whether starts of a queue's tasks need a ticket of the advice service."""
+        spec = self.config.queue_by_name.get(queue) if self.config else None
+        return spec is not None and spec.needs_ticket
+
     def step(self, event: object) -> list[Effect]:
         """Apply an event and return its effects."""
         return list(self._handlers[type(event)](event))
--- a/apricotgap/jobs/shard_jobs.py
+++ b/apricotgap/jobs/shard_jobs.py
@@ -7,7 +7,7 @@
 from apricotgap.jobs.documents import Progress, encode_progress
 from apricotgap.jobs.effects import LogDecision
 from apricotgap.jobs.job_state import JobState
-from apricotgap.jobs.model import NO_RESOURCES, JobPhase, JobSpec, Resources
+from apricotgap.jobs.model import JobPhase, JobSpec, Resources
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["SaveBatch", "ShardJobs"]
@@ -99,21 +99,12 @@
         self._pending_first_saves.discard(job_id)
         self._dirty.discard(job_id)
 
-    def team_demand(self, at_ms: int) -> dict[str, Resources]:
-        """Return the resources that each team uses or could use now."""
-        demand = dict(self.team_usage)
-        unix_ms = self.unix_of(at_ms)
-        for job in self.open_jobs.values():
-            team = job.spec.team
-            for key in job.open_steps(unix_ms):
-                allocation = job.spec.steps[key[1]].allocation
-                n_tasks = len(job.waiting[key])
-                demand[team] = demand.get(team, NO_RESOURCES) + Resources(
-                    allocation.cpu * n_tasks,
-                    allocation.memory_mb * n_tasks,
-                    allocation.gpus * n_tasks,
-                )
-        return demand
+    def n_pending(self, queue: str) -> int:
+        """Return the number of jobs of a queue of which no task has been started."""
+        return sum(
+            job.spec.queue == queue and not job.has_begun
+            for job in self.open_jobs.values()
+        )
 
     def backlog_core_ms(self, unix_ms: int, priority: int) -> tuple[float, float]:
         """Return the estimated work left, in core-ms: in time, and of late jobs.
@@ -165,6 +156,15 @@
             self._pending_first_saves.add(job.spec.job_id)
             self._dirty.add(job.spec.job_id)
 
+    def is_first_save_pending(self, job: JobState) -> bool:
+        """Whether the first save of a job has been requested and is not complete."""
+        return job.spec.job_id in self._pending_first_saves
+
+    @property
+    def n_pending_first_saves(self) -> int:
+        """Number of jobs whose first progress is being stored."""
+        return len(self._pending_first_saves)
+
     def begin_save(self) -> SaveBatch:
         """Return the documents that changed since the last save."""
         documents = tuple(
