--- a/tests/test_team_limit_updater.py
+++ b/tests/test_team_limit_updater.py
@@ -10,7 +10,7 @@
 from apricotgap.jobs.configuration import Team
 from apricotgap.jobs.model import Resources
 from tests.conditional_store import ConditionalStore
-from tests.jobs_harness import FAR_MS, SERVICE, Rig, configuration, job
+from tests.jobs_harness import FAR_MS, MAX_LEASE_MS, SERVICE, Rig, configuration, job
 
 LIMIT = Resources(4000, 0, 0)
 KEY = limit_key("bakers")
@@ -34,7 +34,7 @@
         store = ConditionalStore()
         updater = TeamLimitUpdater(
             rig.shard,
-            Ownership(SERVICE, 1, 5, 1),
+            Ownership(SERVICE, 1, 5, 1, MAX_LEASE_MS),
             store,
             TrioClock(),
             lambda: FAR_MS * 1_000,
