--- a/tests/shard_takeovers.py
+++ b/tests/shard_takeovers.py
@@ -1,5 +1,6 @@
 """A shard in virtual time whose owner is lost and replaced."""
 
+from apricotgap.jobs import limits
 from apricotgap.jobs.documents import Progress, decode_progress, encode_progress
 from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.jobs.scheduling import Scheduler
@@ -64,7 +65,13 @@
             return
         self.epoch += 1
         self.is_owned = True
-        self.shard = Shard(SERVICE, self.epoch, MAX_LEASE_MS, STOP_MS)
+        self.shard = Shard(
+            SERVICE,
+            self.epoch,
+            MAX_LEASE_MS,
+            STOP_MS,
+            inherited_lease_ms=limits.WORKER_LEASE_TAIL_MS,
+        )
         self._record_saves()
         self.shard.config = configuration()
         self.shard.reported_ms = self.shard.loaded_ms = self.now
