Give a long-running task up after three crashes at its start

Callers saw a task of a long-running job away for good beside workers that go down and up by turns: two of them went down by chance within 250 ms of its starts.

Cause: a crash at a start counts two of four points, for a task that is never started again as for one whose job ends.

Change: a crash during the trial of a long-running task counts one point.

Evidence: test_lasting_task_takes_one_crash_more failed before.

--- a/apricotgap/jobs/crashes.py
+++ b/apricotgap/jobs/crashes.py
@@ -30,6 +30,9 @@
 # fewer: of the runs that had started up, at most one is the cause.
 CRASH_AT_START_POINTS = 2
 CRASH_AT_WORK_POINTS = 1
+# Points for a crash during a trial of a long-running task. They are fewer, since it
+# never runs again once it is given up.
+CRASH_OF_LASTING_TRIAL_POINTS = 1
 # A task with as many points starts on trial.
 SUSPECT_POINTS = CRASH_AT_START_POINTS
 # A task with as many points is given up: after two to four crashes.
@@ -98,7 +101,7 @@
     runs = [run for run in worker.runs.values() if _was_sent_before(run, worker)]
     begun = [run for run in runs if run.has_begun]
     at_start = [run for run in begun if _was_starting(run, worker)]
-    lost = [LostTask(run.name, CRASH_AT_START_POINTS) for run in at_start]
+    lost = [LostTask(run.name, _points_at_start(run)) for run in at_start]
     lost += [
         LostTask(run.name, 0, is_unconfirmed=True)
         for run in runs
@@ -123,6 +126,13 @@
     return worker.silent_since_ms - run.sent_ms <= limits.CRASH_SIGN_MS
 
 
+def _points_at_start(run: Run) -> int:
+    """Return the points of a crash that a run may have caused at its start."""
+    if run.step.is_long_running and run.is_on_trial:
+        return CRASH_OF_LASTING_TRIAL_POINTS
+    return CRASH_AT_START_POINTS
+
+
 def _lost_at_work(run: Run, worker: Worker) -> LostTask:
     if not run.step.is_long_running:
         return LostTask(run.name, CRASH_AT_WORK_POINTS)
--- a/tests/test_worker_flaps.py
+++ b/tests/test_worker_flaps.py
@@ -91,3 +91,26 @@
         rig.now += limits.FRESH_ANSWER_MS + 1
         assert {start.name.number for start in rig.schedule()} == {1, 2}
         assert state.progress.phase is JobPhase.RUNNING
+
+
+def test_lasting_task_takes_one_crash_more():
+    """Guards against a lasting task that never runs again since two workers went down
+    by chance just after they had started it; three still end the trials.
+    """
+    rig = Rig()
+    rig.ready()
+    rig.shard.reported_ms = rig.now
+    lasting = (StepSpec(1, Resources(1000, 100), is_long_running=True),)
+    state = rig.submit(job(steps=lasting))
+    n_starts = 0
+    for born_ms in range(2, 9):
+        for start in rig.schedule():
+            n_starts += 1
+            assert not state.is_given_up(start.name)
+            rig.answer(start)
+        rig.list_workers(entry("w1", born_ms=born_ms))
+        rig.record_all()
+        rig.poll("w1", born_ms=born_ms)
+        rig.save()
+    assert n_starts == 3
+    assert state.is_given_up(task(0))
