Send one start at a time to a worker that answers none

Callers saw jobs with nothing running although workers had room, beside workers that answer polls while no start of theirs is ever answered: the same tasks were started there again and again, eight at a time, each for 1.3 s or more.

Cause: after a start without an answer its worker was blocked for 0.6 s, less than it takes until the run is known to be absent; so the cheapest place was the same worker again, for the same task and for all others.

Change: the task prefers another worker next. The worker is blocked for 0.6 s, then for twice as long each time up to 4.8 s; until a start is answered it gets one at a time, and only where others have no room.

--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -29,6 +29,10 @@
 # A worker that answered within this time is unlikely to have crashed since. The time
 # spans two ticks, so that each answer is seen by a scheduling pass.
 FRESH_ANSWER_MS = 150
+# A worker that gives no answer to a start gets none for this long, after each further
+# one in a row for twice as long, up to the maximum. It may answer polls all the while.
+UNANSWERED_BLOCK_MS = 600
+MAX_UNANSWERED_MS = 4_800
 # Failures of several jobs within this window make a worker suspect.
 SUSPECT_WINDOW_MS = 5_000
 # A suspect worker gets a single task as a trial after this time.
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -289,7 +289,7 @@
             cost += worker.n_long_running + 3 * worker.has_recent_start(at_ms)
         if step.data_rack and worker.entry.rack != step.data_rack:
             cost += 2
-        if worker.suspect_since_ms is not None:
+        if worker.suspect_since_ms is not None or worker.n_unanswered_starts:
             cost += 5
         if at_ms < worker.slow_until_ms:
             cost += 3
--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -112,6 +112,7 @@
         kind = event.result.kind
         if kind == "ok":
             run.has_begun = True
+            worker.record_answered_start()
             if 0 < event.result.clock_ms < run.clock_ms - limits.CLOCK_SLACK_MS:
                 run.is_in_next_incarnation = True
                 worker.record_failed_poll(event.at_ms)
@@ -133,7 +134,8 @@
             if run.phase is RunPhase.STARTING:
                 # The stop prevents a start that is still in flight from taking effect.
                 yield from self.stop(run, event.at_ms)
-            worker.block(event.at_ms + limits.RETRY_BACKOFF_MS * 3)
+            worker.record_unanswered_start(event.at_ms)
+            self._avoid(event.name, worker)
             return
         self._drop_run(run)
         if kind == "busy":
@@ -142,11 +144,16 @@
             self.tickets.discard_ticket(StepName.of(event.name), worker)
         elif kind == "old":
             # A run with a higher number has ended there; other workers know of none.
-            job = self.jobs[event.name.job_id]
-            job.avoided_workers.setdefault(event.name, set()).add(worker.worker_id)
+            self._avoid(event.name, worker)
         else:
             worker.block(event.at_ms + limits.RETRY_BACKOFF_MS)
 
+    def _avoid(self, name: TaskName, worker: Worker) -> None:
+        """Start a task on another worker next time, if one has room."""
+        job = self.jobs.get(name.job_id)
+        if job is not None:
+            job.avoided_workers.setdefault(name, set()).add(worker.worker_id)
+
     def _stop_answered(self, event: StopAnswered) -> Iterable[Effect]:
         worker = self.workers.get(event.worker_id)
         if worker is None or worker.entry.born_ms != event.born_ms:
@@ -182,7 +189,7 @@
         if end.end is not RunEnd.FAILED:
             self._dirty.add(job.spec.job_id)
             return
-        job.avoided_workers.setdefault(end.name, set()).add(worker.worker_id)
+        self._avoid(end.name, worker)
         if step.is_long_running or end.run_id in record.failed_runs:
             return
         record.failed_runs.append(end.run_id)
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -74,6 +74,7 @@
     n_serving: int = 0
     n_long_running: int = 0
     blocked_until_ms: int = -1_000_000
+    n_unanswered_starts: int = 0
     slow_until_ms: int = -1_000_000
     suspect_since_ms: int | None = None
     recent_ends: deque[tuple[int, str, bool]] = field(default_factory=deque)
@@ -96,11 +97,21 @@
         self.free = total - self.used
 
     def is_on_trial(self, at_ms: int) -> bool:
-        """Whether a task that may crash the worker has yet to start up."""
+        """Whether a start has to show first that others may follow.
+
+        It is one of a task that may crash the worker, or the first after one that got
+        no answer.
+        """
+        if self.n_unanswered_starts and self._has_unconfirmed_start:
+            return True
         if self.trial is None or self.trial.is_started_up:
             return False
         return at_ms - self.trial.sent_ms <= limits.CRASH_SIGN_MS
 
+    @property
+    def _has_unconfirmed_start(self) -> bool:
+        return any(not run.has_begun for run in self.runs.values())
+
     def has_recent_start(self, at_ms: int) -> bool:
         """Whether a task that was started last may have yet to start up."""
         return at_ms - self.last_start_ms <= limits.CRASH_SIGN_MS
@@ -190,6 +201,22 @@
         """Start nothing on the worker until then."""
         self.blocked_until_ms = max(self.blocked_until_ms, until_ms)
 
+    def record_unanswered_start(self, at_ms: int) -> None:
+        """Start nothing for a while, each time twice as long up to a maximum.
+
+        Starts that were sent at one time count once.
+        """
+        if at_ms < self.blocked_until_ms:
+            return
+        factor = 2**self.n_unanswered_starts
+        block_ms = min(limits.UNANSWERED_BLOCK_MS * factor, limits.MAX_UNANSWERED_MS)
+        self.n_unanswered_starts += 1
+        self.block(at_ms + block_ms)
+
+    def record_answered_start(self) -> None:
+        """Record that the worker has carried out a start."""
+        self.n_unanswered_starts = 0
+
     def add(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.name, run.run_id] = run
