--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -52,6 +52,9 @@
 # An owner key of this process for a shard that it does not run is left over from giving
 # up the shard. Unless the key disappears within this time, the shard is claimed again.
 RECLAIM_DELAY_MS = 500
+# An owner that gave up its shard for good removes the shard's key within this time,
+# unless it finds a job or ends.
+CLOSING_DELAY_MS = 2_000
 
 
 class Election:
@@ -83,6 +86,7 @@
         self._clock = clock
         self._run_shard = run_shard
         self._vacant_since_ms: dict[str, int] = {}
+        self._unmarked_since_ms: dict[str, int] = {}
         self._ownerships: dict[str, tuple[Ownership, trio.CancelScope]] = {}
         self._member_lease: Lease | None = None
         self._overloaded_since_ms: int | None = None
@@ -105,6 +109,7 @@
                     continue
                 await self._register(lease)
                 await self._hand_over()
+                await self._mark_shards()
                 for shard in self._cluster_view.shards():
                     await self._claim_if_vacant(shard, nursery)
 
@@ -183,6 +188,29 @@
             return
         self._log.warning("member_not_registered", outcome=repr(outcome))
 
+    async def _mark_shards(self) -> None:
+        """Write the shard keys that owners of an earlier build do not write.
+
+        If its last queue left, such a shard would have no next owner.
+        """
+        now_ms = self._clock.now_ms
+        unmarked = self._cluster_view.unmarked_shards()
+        self._unmarked_since_ms = {
+            shard: self._unmarked_since_ms.get(shard, now_ms) for shard in unmarked
+        }
+        for shard, since_ms in self._unmarked_since_ms.items():
+            item = self._cluster_view.owner_item(shard)
+            delay_ms = (1 + self._rank(shard)) * RANK_DELAY_MS
+            if item is None or now_ms - since_ms < delay_ms:
+                continue
+            outcome = await self._store.write(
+                (
+                    Write(item.key, expected_revision=item.revision, check_only=True),
+                    Write(shard_key(shard), SHARD_OPEN, expected_revision=0),
+                )
+            )
+            self._log.info("shard_marked", shard=shard, outcome=type(outcome).__name__)
+
     async def _claim_if_vacant(self, shard: str, nursery: trio.Nursery) -> None:
         if shard in self._ownerships or self._usable_lease is None:
             return
@@ -201,6 +229,8 @@
             delay_ms = 0
         else:
             delay_ms = RECLAIM_DELAY_MS
+        if self._cluster_view.is_closing(shard):
+            delay_ms += CLOSING_DELAY_MS
         if now_ms - since_ms < delay_ms:
             return
         ownership = await self._claim(shard, item.revision if item else 0)
