Raise an allowance again although the store still has the higher value

Callers saw a task of a lasting job away for good, with room and limit free (LOST, third kind).

Cause: a lower allowance counts at once. If its write fails and the demand returns, the raise equals the stored value, so that nothing was written and the lower value in memory stayed.

Change: a raise is written even if the store has the value, which also lets a late write of the lower one find another revision. The new test failed before.

--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -196,7 +196,11 @@
             # says so, or the others would start tasks for what it still uses.
             row = allowance.elementwise_max(used)
             split, revision = self._splits.get(team, ({}, 0))
-            if row != split.get(self._service, NO_RESOURCES):
+            is_stored = row == split.get(self._service, NO_RESOURCES)
+            # A lower allowance counts before it is stored. To raise it again takes a
+            # write even to the stored value, or that lower one could still arrive.
+            is_raised = not allowance.fits(self._allowances.get(team, NO_RESOURCES))
+            if not is_stored or is_raised:
                 new_split = {
                     service: amount
                     for service, amount in split.items()
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -208,7 +208,9 @@
     def services(self):
         """Services that run tasks."""
         document = self.get("op/config")
-        return [each["name"] for each in document["services"] if not each.get("standby")]
+        return [
+            each["name"] for each in document["services"] if not each.get("standby")
+        ]
 
     def put(self, key, document):
         """Write a document as the operator does."""
--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -261,3 +261,19 @@
     usage = {"bakers": Resources(300)}
     (change,) = back.changes(usage, 0, usage)
     assert change.split["back"].cpu >= 300
+
+
+def test_allowance_whose_reduction_was_not_stored_is_raised_again():
+    """Guards against a team that waits for good because its allowance was lowered here
+    and not in the store, where it is as high as it should be again.
+    """
+    store, one = Store(), team_limits("one")
+    request_allowance(one, store, 400)
+    for at_ms in (0, LOWER_AFTER_MS):
+        lowered = one.changes({"bakers": Resources(100)}, at_ms)
+    assert lowered and one.allowed("bakers").cpu < 400
+    # The write fails, and the team wants what it had.
+    request_allowance(one, store, 400, LOWER_AFTER_MS + 100)
+    assert one.allowed("bakers").cpu >= 400
+    # The reduction, executed late, must find another revision.
+    assert not store.write(one, lowered[0])
