Keep the orders of the fleet owner before the last one in the list

Cause: a fleet owner reads the machines that its predecessor ordered, and its first order replaces the list by its own. An owner that follows soon doesn't know of the first one's orders.

Change: the machines that were read stay in the list for the exclusion time. The new test failed before.

--- a/apricotgap/instance/fleet_order_store.py
+++ b/apricotgap/instance/fleet_order_store.py
@@ -69,10 +69,13 @@
         if item.value is None:
             return frozenset()
         try:
-            return frozenset(map(str, decode_cbor(item.value)))
+            machines = frozenset(map(str, decode_cbor(item.value)))
         except (ValueError, TypeError) as error:
             self._log.error("fleet_orders_unreadable", error=str(error))
             return None
+        # They stay in the list for the next owner, who may follow soon.
+        self._ordered_ms = dict.fromkeys(machines, self._clock.now_ms)
+        return machines
 
     async def record(self, machines: Iterable[str]) -> bool:
         """Store machines; return False unless they are known to be stored.
--- a/tests/test_fleet_order_store.py
+++ b/tests/test_fleet_order_store.py
@@ -57,6 +57,25 @@
     run(check)
 
 
+def test_owner_after_the_next_reads_the_recent_orders_too():
+    """Guards against orders of two owners for one machine while owners follow each
+    other quickly: the one between them stores a list of its own.
+    """
+
+    async def check(rig):
+        first = rig.owner(1)
+        await first.load()
+        await first.record(["m0"])
+        first.record_sent("m0")
+        rig.clock.advance(EXCLUSION_MS // 4)
+        second = rig.owner(2)
+        await second.load()
+        await second.record(["m1"])
+        assert await rig.owner(3).load() == {"m0", "m1"}
+
+    run(check)
+
+
 def test_machines_with_old_orders_are_removed_from_the_list():
     """Guards against a list that grows to contain all machines."""
 
