--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -74,6 +74,7 @@
     n_serving: int = 0
     n_long_running: int = 0
     blocked_until_ms: int = -1_000_000
+    n_unanswered_starts: int = 0
     slow_until_ms: int = -1_000_000
     suspect_since_ms: int | None = None
     recent_ends: deque[tuple[int, str, bool]] = field(default_factory=deque)
@@ -96,11 +97,21 @@
         self.free = total - self.used
 
     def is_on_trial(self, at_ms: int) -> bool:
-        """Whether a task that may crash the worker has yet to start up."""
+        """Whether a start has to show first that others may follow.
+
+        It is one of a task that may crash the worker, or the first after one that got
+        no answer.
+        """
+        if self.n_unanswered_starts and self._has_unconfirmed_start:
+            return True
         if self.trial is None or self.trial.is_started_up:
             return False
         return at_ms - self.trial.sent_ms <= limits.CRASH_SIGN_MS
 
+    @property
+    def _has_unconfirmed_start(self) -> bool:
+        return any(not run.has_begun for run in self.runs.values())
+
     def has_recent_start(self, at_ms: int) -> bool:
         """Whether a task that was started last may have yet to start up."""
         return at_ms - self.last_start_ms <= limits.CRASH_SIGN_MS
@@ -190,6 +201,22 @@
         """Start nothing on the worker until then."""
         self.blocked_until_ms = max(self.blocked_until_ms, until_ms)
 
+    def record_unanswered_start(self, at_ms: int) -> None:
+        """Start nothing for a while, each time twice as long up to a maximum.
+
+        Starts that were sent at one time count once.
+        """
+        if at_ms < self.blocked_until_ms:
+            return
+        factor = 2**self.n_unanswered_starts
+        block_ms = min(limits.UNANSWERED_BLOCK_MS * factor, limits.MAX_UNANSWERED_MS)
+        self.n_unanswered_starts += 1
+        self.block(at_ms + block_ms)
+
+    def record_answered_start(self) -> None:
+        """Record that the worker has carried out a start."""
+        self.n_unanswered_starts = 0
+
     def add(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.name, run.run_id] = run
@@ -247,6 +274,31 @@
             return False
         return at_ms - self.answered_ms <= limits.SILENT_WORKER_MS
 
+    def _may_try_again(self, at_ms: int) -> bool:
+        """Whether a suspect worker gets a task: one at a time, or after a while.
+
+        Runs from before do not count, and no run counts for long: tasks that last have
+        no end that could clear the worker.
+        """
+        if self.suspect_since_ms is None:
+            return True
+        if at_ms - self.suspect_since_ms <= limits.PROBATION_MS:
+            return False
+        return self._has_no_trial or at_ms - self.last_start_ms > limits.PROBATION_MS
+
+    @property
+    def _has_no_trial(self) -> bool:
+        """Whether a suspect worker has no task from after it became suspect."""
+        since_ms = self.suspect_since_ms or 0
+        return all(run.sent_ms <= since_ms for run in self.runs.values())
+
+    def is_only_suspect(self, at_ms: int) -> bool:
+        """Whether nothing but a suspicion of a while ago keeps the worker from work."""
+        if self.suspect_since_ms is None or not self._has_no_trial:
+            return False
+        is_due = at_ms - self.suspect_since_ms > limits.POOL_PROBATION_MS
+        return is_due and self.obstacle(at_ms) is Obstacle.SUSPECT
+
     def accepts(self, at_ms: int) -> bool:
         """Whether the worker may be given new work now."""
         return self.obstacle(at_ms) is None
@@ -274,5 +326,4 @@
             return Obstacle.SILENT
         if self.suspect_since_ms is None:
             return None
-        on_probation = at_ms - self.suspect_since_ms > limits.PROBATION_MS
-        return None if on_probation and not self.runs else Obstacle.SUSPECT
+        return None if self._may_try_again(at_ms) else Obstacle.SUSPECT
--- a/tests/test_route_changes.py
+++ b/tests/test_route_changes.py
@@ -5,7 +5,6 @@
 import pytest
 import trio
 
-import soak.cluster
 from soak.cluster import SERVICE, SIGKILL, SIGTERM, configuration, open_cluster
 
 OTHER = "tally"
@@ -99,16 +98,26 @@
     run(check, tmp_path)
 
 
-def test_service_without_route_is_left_once_its_jobs_have_ended(tmp_path, monkeypatch):
+async def restart_with_short_retention(cluster):
+    """Let the instances keep the state of ended jobs for one second only."""
+    for instance in cluster.instances:
+        settings = instance._path.read_text()
+        assert "status_s = 120" in settings
+        instance.stop()
+        instance._path.write_text(settings.replace("status_s = 120", "status_s = 1"))
+        instance.start()
+    await cluster.until_ready()
+
+
+def test_service_without_route_is_left_once_its_jobs_have_ended(tmp_path):
     """Guards against an owner and a key that stay for good after the last job.
 
     The caller cancels by a path that belongs to another service by then.
     """
-    settings = soak.cluster._SETTINGS.replace("status_s = 120", "status_s = 1")
-    monkeypatch.setattr(soak.cluster, "_SETTINGS", settings)
     keys = {f"sys/owners/{SERVICE}", f"sys/shards/{SERVICE}"}
 
     async def check(cluster):
+        await restart_with_short_retention(cluster)
         await submit(cluster)
         put_route(cluster, 2, OTHER)
         await trio.sleep(1)
