--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 import tempfile
+from dataclasses import replace
 from pathlib import Path
 
 import click
@@ -17,6 +18,7 @@
 @click.option("--seed", type=int, default=1, help="First seed.")
 @click.option("--seeds", type=int, default=1, help="Number of seeds.")
 @click.option("--size", type=click.Choice(sorted(LAYOUTS)), default="small")
+@click.option("--instances", type=int, help="Number of instances, if not the size's.")
 @click.option("--faults", default="all", help="Names or scopes; '' for none.")
 @click.option("--length-s", type=float, default=20.0, help="Time of traffic in a seed.")
 @click.option("--burst-s", type=float, default=10.0, help="Length of a round.")
@@ -27,6 +29,7 @@
     seed: int,
     seeds: int,
     size: str,
+    instances: int | None,
     faults: str,
     length_s: float,
     burst_s: float,
@@ -44,7 +47,9 @@
         raise click.BadParameter(str(error)) from error
     # An end by SIGTERM must stop the instances too.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    plan = Plan(LAYOUTS[size], chosen, length_s, burst_s, calm_s, series)
+    layout = LAYOUTS[size]
+    layout = replace(layout, n_instances=instances or layout.n_instances)
+    plan = Plan(layout, chosen, length_s, burst_s, calm_s, series)
     n_failed = 0
     for current in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as temporary:
--- a/soak/monitors.py
+++ b/soak/monitors.py
@@ -12,7 +12,7 @@
 __all__ = ["LagMonitor", "ProcessMonitor", "StalledTaskMonitor", "TaskOutage"]
 
 _INTERVAL_S = 0.25
-_MAX_LAG_MS = 400
+_MAX_LAG_MS = 200
 _RESTART_S = 0.3
 # A task that lasts may be away this long, and must then be at work within the rest.
 _RECOVERY_MS = 6_000
