Soak: a late soak is no reason for a cut request

Cause: with 36 instances that start at once on a busy machine the soak itself is late for some hundred milliseconds, and each such stretch excused all requests that were cut around it. A process that had not started yet was told to stop and ended by the signal, which counted as a fault.

Change: a cut counts if it came later than lossSlackMs and the time for which the soak was late. How a process ends counts only if it was ready before.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -120,12 +120,15 @@
         slack_ms = state.layout.bound_ms("lossSlackMs")
         contact_ms = state.layout.bound_ms("contactMs")
         for call in state.unanswered:
-            if call.ending is not Ending.CUT or call.ended_ms - call.sent_ms < slack_ms:
+            if call.ending is not Ending.CUT:
+                continue
+            # A late soak sees the end late; it is no reason for one.
+            if call.ended_ms - call.sent_ms < slack_ms + _late_ms(state, call):
                 continue
             impairments = state.timeline.unplanned(
                 call.sent_ms - contact_ms, call.ended_ms
             )
-            if impairments:
+            if any(span.scope != Scope.SOAK for span in impairments):
                 continue
             planned = sorted({span.name for span in _planned(state, call)})
             yield (
@@ -135,6 +138,15 @@
             )
 
 
+def _late_ms(state: SoakState, call: CallResult) -> float:
+    """Return for how long the soak was late during a call."""
+    return sum(
+        span.end_ms - span.start_ms
+        for span in state.timeline.unplanned(call.sent_ms, call.ended_ms)
+        if span.scope == Scope.SOAK
+    )
+
+
 def _planned(state: SoakState, call: CallResult) -> Iterator[Span]:
     """Yield the planned work around which a call must not be cut."""
     layout = state.layout
--- a/soak/faults/planned_stops.py
+++ b/soak/faults/planned_stops.py
@@ -13,8 +13,6 @@
 __all__: list[str] = []
 
 _RESTART_S = 0.3
-# A process that starts has no handlers yet, takes no calls and may end by the signal.
-_START_S = 1.5
 _REVOKE_MS = (4_500, 5_000, 5_500)
 
 
@@ -25,11 +23,12 @@
     later: tuple[tuple[float, int], ...] = (),
 ) -> None:
     """Stop and restart an instance; `later` are times and numbers of more signals."""
+    # A process that starts has no handlers yet and may end by the signal.
+    was_ready = await state.cluster.is_ready(instance)
     if not instance.is_wanted or not instance.is_running:
         return
     span.instances.add(instance.name)
     process = instance.process
-    is_starting = instance.age_s < _START_S
     # One span for each stop, so that the window of each is known.
     with state.timeline.span("term", Scope.STOP, True, instance.name) as term:
         instance.is_wanted = False
@@ -42,7 +41,7 @@
         grace_s = state.layout.bound_ms("graceS") / 1_000 - waited_s
         try:
             code = await trio.to_thread.run_sync(process.wait, grace_s)
-            is_clean = code == 0 or is_starting
+            is_clean = code == 0 or not was_ready
             if not is_clean and not _is_impaired(state, instance, term):
                 state.seen.append(f"STOP: {instance.name} ended with {code}")
         except subprocess.TimeoutExpired:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,6 +47,7 @@
 
 
 TERM = Span("term", Scope.STOP, True, 10_000, 13_000, {"i1"})
+LAG = Span("lag", Scope.SOAK, False, 10_600, 11_100)
 KILL = Span("kill", Scope.INSTANCE, False, 9_000, 9_500, {"i2"})
 
 
@@ -59,6 +60,8 @@
         (cut(10_500, 10_800, Ending.UNREAD), [TERM], 0),
         (cut(10_500, 10_800), [TERM, KILL], 0),
         (cut(14_000, 14_300), [TERM, KILL], 1),
+        (cut(10_500, 11_400), [TERM, LAG], 1),
+        (cut(10_500, 11_100), [TERM, LAG], 0),
     ],
 )
 def test_request_that_was_read_and_cut_is_a_problem(call, spans, n_problems):
