Let an owner that fails resign

Cause: it resigns within its own scope, which giving the shard up cancels first, so that the write was cancelled; the same instance claimed again and failed again.

--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -150,12 +150,14 @@
         """
         self.step_down(ownership, why)
         shard = ownership.shard
-        outcome = await self._store.write(
-            (
-                Write(owner_key(shard), expected_revision=ownership.revision),
-                Write(tenure_key(shard)),
+        # An owner that fails calls this within the scope that is cancelled now.
+        with trio.CancelScope(shield=True):
+            outcome = await self._store.write(
+                (
+                    Write(owner_key(shard), expected_revision=ownership.revision),
+                    Write(tenure_key(shard)),
+                )
             )
-        )
         self._log.info("resigned", shard=shard, outcome=type(outcome).__name__)
         return isinstance(outcome, Stored | Conflict)
 
