Wait longer for workers that restarted under their id

A call that was meant for the incarnation before may have given a worker the longest lease of all: its end on the old clock is far ahead on the new one.

The stored roster tells which incarnations are settled: not known to have replaced another within the longest lease. All others keep the longest bound, also those of a roster that an earlier build wrote. What remains: a restart that no owner saw, of a worker that then is cut off together with the loss of its owner. test_successor_waits_for_a_worker_that_restarted_before_its_start failed before.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -136,7 +136,7 @@
         self._retirement = ShardRetirement(
             self._shard, ownership, store, cluster_view, clock
         )
-        self._roster = RosterWriter(self._shard, ownership, store)
+        self._roster = RosterWriter(self._shard, ownership, store, clock)
         self._tenure_mark = TenureMark(ownership, store, clock)
         self._limits = TeamLimitUpdater(
             self._shard,
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -57,10 +57,19 @@
         # Time of which the list of workers shows the state.
         self.list_fresh_ms = -1_000_000
 
-    def add_inherited_worker(self, entry: WorkerEntry, at_ms: int) -> None:
-        """Add a worker on which a previous owner may have started runs."""
+    def add_inherited_worker(
+        self, entry: WorkerEntry, at_ms: int, is_settled: bool = False
+    ) -> None:
+        """Add a worker on which a previous owner may have started runs.
+
+        One that the previous owner did not know as settled may hold a lease as long as
+        a lease can be.
+        """
         worker = self._add_worker(entry, at_ms)
-        worker.lease_until_ms = worker.lease_bound_ms(at_ms, self._inherited_lease_ms)
+        lease_ms = self._inherited_lease_ms if is_settled else self.max_lease_ms
+        worker.lease_until_ms = worker.lease_bound_ms(at_ms, lease_ms)
+        if not is_settled:
+            worker.longest_lease_until_ms = worker.lease_until_ms
         worker.is_listed = False
         worker.is_unverified = True
 
@@ -132,15 +141,14 @@
         be as long as a lease can be. The starts of a previous owner may have reached it
         as well.
         """
-        was_unverified, inherited_until_ms = worker.is_unverified, worker.lease_until_ms
+        was_unverified = worker.is_unverified
         survivors = [run for run in worker.runs.values() if is_possible(run)]
         yield from self._mark_crashed(worker, at_ms, "restarted", survivors)
         self._ended_incarnations.add((worker.worker_id, worker.entry.born_ms))
         successor = self._add_worker(entry, at_ms)
         successor.lease_until_ms = successor.lease_bound_ms(at_ms, self.max_lease_ms)
-        if was_unverified:
-            successor.is_unverified = True
-            successor.lease_until_ms = inherited_until_ms
+        successor.longest_lease_until_ms = successor.lease_until_ms
+        successor.is_unverified = was_unverified
         for run in survivors:
             successor.add(run)
 
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -42,6 +42,10 @@
     would set. `last_applied` is the number of the last end applied by the shard,
     `acknowledged` that of the last end in the store.
 
+    `longest_lease_until_ms` is the latest end of a lease from a call that was meant for
+    the incarnation before: an end on the clock of that one may be far ahead on the
+    clock of this one.
+
     `silent_since_ms` is the time of the first poll that failed since the last response,
     None if none has.
 
@@ -68,6 +72,7 @@
     clock_at_ms: int = 0
     last_applied: int = 0
     acknowledged: int = 0
+    longest_lease_until_ms: int = -1_000_000
     withheld_since_ms: int | None = None
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
@@ -158,6 +163,10 @@
         """
         return at_ms + int(lease_ms * limits.WORKER_LEASE_STRETCH) + 100
 
+    def is_settled(self, at_ms: int) -> bool:
+        """Whether all leases follow those of owners, whatever came before."""
+        return at_ms > self.longest_lease_until_ms
+
     def record_start(self, at_ms: int) -> None:
         """Record that a start was sent; it extends the lease to the end of its window.
 
