--- a/apricotgap/instance/team_limit_updater.py
+++ b/apricotgap/instance/team_limit_updater.py
@@ -1,6 +1,6 @@
 """Moves a team's limit between the shards as their demand changes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import structlog
 import trio
@@ -10,7 +10,7 @@
 from apricotgap.instance.ownership import Ownership
 from apricotgap.jobs.documents import DocumentError, decode_split, encode_split
 from apricotgap.jobs.limits import START_WINDOW_MS
-from apricotgap.jobs.model import NO_RESOURCES
+from apricotgap.jobs.model import NO_RESOURCES, Resources
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.team_demand import team_demand
 from apricotgap.jobs.team_limits import LimitChange
@@ -102,7 +102,7 @@
             demand = team_demand(self._shard, now_ms)
             limits = self._shard.team_limits
             limits.record_shards(self._has_shard, now_ms, self._row_retention_ms)
-            for change in limits.changes(demand, now_ms, self._shard.team_usage):
+            for change in self._changes(demand, now_ms):
                 await self._write_limit(change)
             if now_ms - self._last_read_ms >= READ_INTERVAL_MS:
                 self._last_read_ms = now_ms
@@ -111,6 +111,15 @@
             self._on_change()
             await trio.sleep(MIN_PASS_INTERVAL_S)
 
+    def _changes(
+        self, demand: Mapping[str, Resources], now_ms: int
+    ) -> list[LimitChange]:
+        # A worker that has not answered yet may run tasks of the previous owner.
+        may_lower = not self._shard.has_unverified_workers
+        return self._shard.team_limits.changes(
+            demand, now_ms, self._shard.team_usage, may_lower
+        )
+
     async def _write_limit(self, change: LimitChange) -> None:
         limits = self._shard.team_limits
         for _ in range(MAX_ATTEMPTS):
@@ -137,10 +146,8 @@
             self._apply_conflict(change.team, outcome)
             now_ms = self._clock.now_ms
             demand = team_demand(self._shard, now_ms)
-            new_changes = limits.changes(
-                {change.team: demand.get(change.team, NO_RESOURCES)},
-                now_ms,
-                self._shard.team_usage,
+            new_changes = self._changes(
+                {change.team: demand.get(change.team, NO_RESOURCES)}, now_ms
             )
             own_changes = [other for other in new_changes if other.team == change.team]
             if not own_changes:
--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -173,6 +173,7 @@
         demand: Mapping[str, Resources],
         at_ms: int,
         usage: Mapping[str, Resources] = NO_USAGE,
+        may_lower: bool = True,
     ) -> list[LimitChange]:
         """Return the splits to write now; reductions take effect at once.
 
@@ -184,6 +185,8 @@
             Current time.
         usage : mapping of str to Resources, optional
             Resources that each team uses in this shard.
+        may_lower : bool, optional
+            Whether the shard knows all that the teams use. If not, it lowers none.
         """
         found = []
         for team in self._limits:
@@ -191,7 +194,7 @@
                 continue
             used = usage.get(team, NO_RESOURCES)
             wanted = demand.get(team, NO_RESOURCES)
-            allowance = self._next_allowance(team, wanted, at_ms)
+            allowance = self._next_allowance(team, wanted, at_ms, may_lower)
             # After a limit was lowered a shard may use more than its allowance. Its row
             # says so, or the others would start tasks for what it still uses.
             row = allowance.elementwise_max(used)
@@ -223,7 +226,9 @@
                 found.append(team)
         return found
 
-    def _next_allowance(self, team: str, demand: Resources, at_ms: int) -> Resources:
+    def _next_allowance(
+        self, team: str, demand: Resources, at_ms: int, may_lower: bool
+    ) -> Resources:
         """Return the allowance to have next; a lower one takes effect at once."""
         limit = self._limits[team]
         allowance = self._allowances.get(team, NO_RESOURCES)
@@ -233,7 +238,7 @@
             self._surplus_since_ms.pop(team, None)
             remaining = limit - self._others(team)
             return wanted.elementwise_min(remaining).elementwise_max(allowance)
-        if allowance.fits(_scaled(wanted, LOWER_FACTOR)):
+        if not may_lower or allowance.fits(_scaled(wanted, LOWER_FACTOR)):
             self._surplus_since_ms.pop(team, None)
             return allowance
         since_ms = self._surplus_since_ms.setdefault(team, at_ms)
