--- a/apricotgap/drivers/http_exchange.py
+++ b/apricotgap/drivers/http_exchange.py
@@ -126,7 +126,7 @@
     async def send(self, message: Any) -> None:
         """Send a part of the response, given as an ASGI message."""
         if message["type"] == "http.response.start":
-            headers = [*message.get("headers", ()), (b"date", _date())]
+            headers = [*self._response_headers(message), (b"date", _date())]
             self._head = h11.Response(status_code=message["status"], headers=headers)
             return
         # Head and body in one piece cost one system call and one packet.
@@ -141,6 +141,13 @@
             parts.append(h11.EndOfMessage())
         await self._send(*parts)
 
+    def _response_headers(self, message: Any) -> list[tuple[bytes, bytes]]:
+        """Return the headers; a request that has arrived is answered as well."""
+        headers = list(message.get("headers", ()))
+        if not self._connection.trailing_data[0]:
+            return headers
+        return [header for header in headers if header[0].lower() != b"connection"]
+
     async def _send(self, *events: h11.Event) -> None:
         data = b"".join(self._connection.send(event) or b"" for event in events)
         if data:
--- a/apricotgap/drivers/http_server.py
+++ b/apricotgap/drivers/http_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server for an ASGI application that stops without cutting a request."""
 
+import errno
 import socket
 from collections.abc import Awaitable, Callable, Sequence
 
@@ -20,6 +21,9 @@
 # A client that still sends a refused body must read the response before the connection
 # is reset.
 _LINGER_S = 1.0
+# Errors of a process or machine that has no room for another connection now.
+_EXHAUSTED_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS}
+_ACCEPT_RETRY_S = 0.1
 _CONNECTION_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -40,7 +44,7 @@
     def __init__(self, application: Application, addresses: Sequence[str]) -> None:
         self._application = application
         self._addresses = addresses
-        self._listening = trio.CancelScope()
+        self._accepting: set[trio.CancelScope] = set()
         self._idle: set[trio.CancelScope] = set()
         self._is_stopping = False
         self._n_connections = 0
@@ -52,10 +56,12 @@
         return self._n_connections
 
     def stop(self) -> None:
-        """Accept no more connections and close each one once it is idle."""
+        """Accept no more connections and close each one once it is idle.
+
+        What has arrived by now is still accepted and answered.
+        """
         self._is_stopping = True
-        self._listening.cancel()
-        for scope in self._idle:
+        for scope in self._accepting | self._idle:
             scope.cancel()
 
     async def run(self) -> None:
@@ -73,10 +79,32 @@
                 int(port), host=host, backlog=_BACKLOG
             )
         async with trio.open_nursery() as connections:
-            with self._listening:
-                await trio.serve_listeners(
-                    self._serve_connection, listeners, handler_nursery=connections
-                )
+            for listener in listeners:
+                connections.start_soon(self._accept, listener, connections)
+
+    async def _accept(
+        self, listener: trio.SocketListener, connections: trio.Nursery
+    ) -> None:
+        async with listener:
+            with trio.CancelScope() as scope:
+                self._accepting.add(scope)
+                while not self._is_stopping:
+                    await self._accept_one(listener, connections)
+            while listener.socket.is_readable():
+                await self._accept_one(listener, connections)
+
+    async def _accept_one(
+        self, listener: trio.SocketListener, connections: trio.Nursery
+    ) -> None:
+        try:
+            stream = await listener.accept()
+        except OSError as error:
+            if error.errno not in _EXHAUSTED_ERRORS:
+                raise
+            self._log.error("accept_failed", error=str(error))
+            await trio.sleep(_ACCEPT_RETRY_S)
+            return
+        connections.start_soon(self._serve_connection, stream)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         self._n_connections += 1
@@ -119,16 +147,17 @@
         self, stream: trio.SocketStream, exchange: HttpExchange
     ) -> bool:
         """Wait for the next request; False if there will be none."""
-        if self._is_stopping:
-            return False
         with trio.move_on_after(_KEEP_ALIVE_TIMEOUT_S) as scope:
             self._idle.add(scope)
+            if self._is_stopping:
+                scope.cancel()
             try:
                 # Either returns bytes or is cancelled, so that none are read in vain.
                 return await exchange.receive_bytes()
             finally:
                 self._idle.discard(scope)
-        return False
+        # A request may have arrived that the event loop has not seen yet.
+        return stream.socket.is_readable() and await exchange.receive_bytes()
 
     async def _answer(self, exchange: HttpExchange) -> None:
         assert exchange.scope is not None
