--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -168,7 +168,9 @@
         would remove its owner key and leave the mark of its tenure.
         """
         self.is_draining = True
-        are_gone: list[bool] = []
+        n_keys = self._cluster_view.n_owned_by(self._identity.name)
+        # A shard that has failed may still have its key.
+        are_gone = [n_keys <= len(self._ownerships)]
 
         async def resign(ownership: Ownership) -> None:
             are_gone.append(await self.resign(ownership, "the instance stops"))
--- a/tests/test_review_lost.py
+++ b/tests/test_review_lost.py
@@ -454,3 +454,138 @@
         assert client.n_polls <= 20
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.001))
+
+
+def test_raise_of_a_limit_whose_answer_is_lost_takes_effect():
+    """Guards against a task that waits for good within its team's limit: the raise for
+    it was stored and its answer lost, so that the row needs no change any more.
+    """
+
+    class Store(StoreWithConditions):
+        """Carries out one write and loses its answer."""
+
+        loses_answer = False
+
+        async def write(self, writes, timeout_ms=0):
+            outcome = await super().write(writes)
+            if isinstance(outcome, Stored) and self.loses_answer:
+                self.loses_answer = False
+                return Unknown("timeout")
+            return outcome
+
+    async def main():
+        clock = TrioClock()
+        rig = Rig()
+        rig.now = clock.now_ms
+        rig.list_workers(entry("w1"))
+        rig.ready()
+        rig.shard.team_limits.set_configuration(limited())
+        store = Store()
+        store.put(owner_key(SERVICE), b"me")
+        ownership = Ownership(SERVICE, 1, store.revision, 1, 6_500)
+        updater = TeamLimitUpdater(
+            rig.shard,
+            ownership,
+            store,
+            clock,
+            lambda: FAR_MS * 1_000,
+            lambda service: True,
+            lambda: None,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(updater.run)
+            await trio.sleep(1)
+            store.loses_answer = True
+            rig.submit(job(steps=(StepSpec(1, Resources(2000, 100), 9_000),)))
+            for _ in range(50):
+                rig.now = clock.now_ms
+                rig.poll()
+                await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        assert not store.loses_answer
+        assert len(rig.schedule()) == 1
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.001))
+
+
+def test_lowering_of_a_limit_that_is_not_stored_is_no_end_of_it():
+    """Guards against a task that waits for good within its team's limit: the lower row
+    after the last task was not stored, so that the next one needs no other row.
+    """
+
+    class Store(StoreWithConditions):
+        """Rejects one write."""
+
+        is_busy = False
+
+        async def write(self, writes, timeout_ms=0):
+            if self.is_busy:
+                self.is_busy = False
+                return Unavailable("busy")
+            return await super().write(writes)
+
+    async def main():
+        clock = TrioClock()
+        rig = Rig()
+        rig.now = clock.now_ms
+        rig.list_workers(entry("w1"))
+        rig.ready()
+        steps = (StepSpec(1, Resources(2000, 100), 9_000),)
+        rig.submit(job("a" * 16, steps=steps))
+        rig.shard.team_limits.set_configuration(limited())
+        store = Store()
+        store.put(owner_key(SERVICE), b"me")
+        ownership = Ownership(SERVICE, 1, store.revision, 1, 6_500)
+        updater = TeamLimitUpdater(
+            rig.shard,
+            ownership,
+            store,
+            clock,
+            lambda: FAR_MS * 1_000,
+            lambda service: True,
+            lambda: None,
+        )
+
+        async def play(span_ms):
+            for _ in range(span_ms // 100):
+                await trio.sleep(0.1)
+                rig.now = clock.now_ms
+                rig.poll()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(updater.run)
+            await play(1_000)
+            rig.shard.cancel("a" * 16, 0, rig.now)
+            store.is_busy = True
+            while store.is_busy:
+                await play(100)
+            rig.submit(job("b" * 16, steps=steps))
+            await play(5_000)
+            nursery.cancel_scope.cancel()
+        assert len(rig.schedule()) == 1
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.001))
+
+
+def test_lease_is_not_revoked_while_the_key_of_a_failed_owner_is_there():
+    """Guards against a second run: the owner of a shard has failed, its instance stops,
+    and the end of its lease removes the owner key but not the mark, as if the lease had
+    expired.
+    """
+
+    async def check(rig):
+        owned = {}
+
+        async def run_shard(ownership):
+            owned[ownership.shard] = ownership
+            await trio.sleep_forever()
+
+        rig.election._run_shard = run_shard
+        await rig.advance(500)
+        rig.election.step_down(owned["s1"], "it failed")
+        writes = rig.record_writes()
+        await rig.election.leave()
+        removed = {each.key for txn in writes for each in txn if each.value is None}
+        assert tenure_key("s1") in removed or "revoked" not in rig.lease.ended
+
+    run_election(check)
