--- a/tests/test_unused_services.py
+++ b/tests/test_unused_services.py
@@ -377,16 +377,22 @@
     assert demand.wanted(rig.now) == MIN_WORKERS
 
 
+@pytest.mark.parametrize("config", [UNUSED, WITHOUT_SERVICE])
 @pytest.mark.parametrize("services, n_orders", [((SERVICE,), 0), ((), 1)])
-def test_wave_spares_machines_of_a_dropped_service_with_jobs(services, n_orders):
-    """Guards against maintenance that ends tasks of a service that left."""
+def test_wave_spares_machines_of_an_unused_service_with_jobs(
+    config, services, n_orders
+):
+    """Guards against maintenance that ends tasks of a service that left.
+
+    Without jobs, nobody reports the pool, and its machines go down at once.
+    """
     planner = FleetPlanner(1_500, 2_000)
     machine = Machine("m1", SERVICE, "up", "a", ("k", "r1"), Resources(8000), "w1")
     planner.set_waves([Wave(1, ("m1",), 60_000, 1)], {}, 100_000)
     orders, _ = planner.plan(
         100_000,
         100_000,
-        WITHOUT_SERVICE,
+        config,
         {"m1": machine},
         {},
         frozenset(),
