--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -29,10 +29,17 @@
 # A worker that answered within this time is unlikely to have crashed since. The time
 # spans two ticks, so that each answer is seen by a scheduling pass.
 FRESH_ANSWER_MS = 150
+# A worker that gives no answer to a start gets none for this long, after each further
+# one in a row for twice as long, up to the maximum. It may answer polls all the while.
+UNANSWERED_BLOCK_MS = 600
+MAX_UNANSWERED_MS = 4_800
 # Failures of several jobs within this window make a worker suspect.
 SUSPECT_WINDOW_MS = 5_000
-# A suspect worker gets a single task as a trial after this time.
+# A suspect worker gets a single task as a trial after this time, and another one when
+# that has ended or run as long.
 PROBATION_MS = 3_000
+# With more than half of a pool suspect, each worker gets one after this time.
+POOL_PROBATION_MS = 500
 # A run that a worker still lists this long after its start has started up.
 START_UP_MS = 150
 # A crash shows by the first poll of the worker that fails. If that is later than this
