--- a/tests/test_route_changes.py
+++ b/tests/test_route_changes.py
@@ -30,7 +30,9 @@
     """Send the queue to a service; its name, host and prefix stay."""
     document = configuration(version)
     document["routes"][0]["service"] = service
-    document["services"].append({"name": OTHER, "admissionCheck": True})
+    document["services"].append(
+        {"name": OTHER, "admissionCheck": True, "standby": False}
+    )
     cluster.platform.put("op/config", document)
 
 
