--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,7 +1,9 @@
 """Command line of the soak."""
 
+import signal
 import sys
 import tempfile
+from dataclasses import replace
 from pathlib import Path
 
 import click
@@ -16,6 +18,7 @@
 @click.option("--seed", type=int, default=1, help="First seed.")
 @click.option("--seeds", type=int, default=1, help="Number of seeds.")
 @click.option("--size", type=click.Choice(sorted(LAYOUTS)), default="small")
+@click.option("--instances", type=int, help="Number of instances, if not the size's.")
 @click.option("--faults", default="all", help="Names or scopes; '' for none.")
 @click.option("--length-s", type=float, default=20.0, help="Time of traffic in a seed.")
 @click.option("--burst-s", type=float, default=10.0, help="Length of a round.")
@@ -26,6 +29,7 @@
     seed: int,
     seeds: int,
     size: str,
+    instances: int | None,
     faults: str,
     length_s: float,
     burst_s: float,
@@ -41,7 +45,11 @@
         chosen = tuple(choose_faults(faults))
     except ValueError as error:
         raise click.BadParameter(str(error)) from error
-    plan = Plan(LAYOUTS[size], chosen, length_s, burst_s, calm_s, series)
+    # An end by SIGTERM must stop the instances too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    layout = LAYOUTS[size]
+    layout = replace(layout, n_instances=instances or layout.n_instances)
+    plan = Plan(layout, chosen, length_s, burst_s, calm_s, series)
     n_failed = 0
     for current in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as temporary:
@@ -62,7 +70,8 @@
         f" calls={report.n_calls} starts={report.n_starts}"
         f" faults={report.faults.total()} unanswered={dict(report.endings)}"
         f" max_lag_ms={report.max_lag_ms}"
-        f" longest_outage_ms={report.longest_outage_ms} {verdict}"
+        f" longest_outage_ms={report.longest_outage_ms}"
+        f" unhindered_ms={report.longest_unhindered_ms} {verdict}"
     ]
     return "\n  ".join(lines + report.problems)
 
