Leave the workers of a mostly suspect pool in it

What callers see: a pool whose workers jobs that cannot be done have made suspect goes on with other jobs. Before, all of its workers were reserved to leave, got no task that could clear them, and those with tasks that last could only leave one task at a time, with nowhere to go.

Cause: every machine with a suspect worker was reserved for the spare pool, however many there were, and stayed so.

Change: while more than half of the machines of a pool that are up are excluded, those that are only suspect are not reserved, and reservations not ordered yet are cancelled. Machines of evacuated data centres leave as before.

Evidence: test_pool_of_suspect_workers_is_not_emptied and test_reservations_end_when_most_of_a_pool_has_become_suspect failed before.

--- a/apricotgap/jobs/fleet_view.py
+++ b/apricotgap/jobs/fleet_view.py
@@ -111,6 +111,11 @@
             return False
         return machine.data_centre in self.evacuated or worker.is_suspect
 
+    def is_only_suspect(self, machine: Machine) -> bool:
+        """Whether a machine gets no work for nothing but a suspicion of its worker."""
+        is_evacuated = machine.data_centre in self.evacuated
+        return self.is_excluded(machine) and not is_evacuated
+
     def is_serving(self, machine: Machine) -> bool:
         """Whether a machine is in service; assumed for a pool without a report."""
         if machine.pool not in self.reports:
--- a/apricotgap/jobs/pool_sizes.py
+++ b/apricotgap/jobs/pool_sizes.py
@@ -155,13 +155,33 @@
                 self._tracker.reserved[name] = MachineOrder(name, pool)
 
     def _reserve_excluded(self, pool: str, view: FleetView) -> None:
-        """Reserve machines that cost money but get no work, to move them out."""
-        for name, machine in view.machines.items():
-            if machine.pool != pool or not view.is_excluded(machine):
-                continue
-            if self._tracker.is_idle(name, view.at_ms):
+        """Reserve machines that cost money but get no work, to move them out.
+
+        While most workers of a pool are suspect, they stay and may try other jobs:
+        rather the jobs are at fault than so many workers.
+        """
+        in_pool = [
+            machine
+            for machine in view.machines.values()
+            if machine.pool == pool and machine.state == "up"
+        ]
+        excluded = [machine for machine in in_pool if view.is_excluded(machine)]
+        stay = set()
+        if 2 * len(excluded) > len(in_pool):
+            stay = {each.name for each in excluded if view.is_only_suspect(each)}
+        for machine in excluded:
+            name = machine.name
+            if name in stay:
+                self._cancel_move(name)
+            elif self._tracker.is_idle(name, view.at_ms):
                 self._tracker.reserved[name] = MachineOrder(name, view.spare_pool)
 
+    def _cancel_move(self, name: str) -> None:
+        """Cancel the reservation of a machine for a move that is not ordered yet."""
+        order = self._tracker.reserved.get(name)
+        if order is not None and order.pool and name not in self._tracker.pending:
+            del self._tracker.reserved[name]
+
     def _choose_spare(
         self,
         pool: str,
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -295,3 +295,40 @@
     assert not rig.plan()
     rig.now += JOIN_TIMEOUT_MS
     assert rig.plan()
+
+
+def test_pool_of_suspect_workers_is_not_emptied():
+    """Guards against accepted work beside free workers: jobs that cannot be done made
+    all workers suspect, and reserved as they were, none could try another job.
+    """
+    rig = Rig(*(machine(f"m{n}") for n in range(3)))
+    rig.wanted = 3
+    rig.suspect = {"m0", "m1", "m2"}
+    rig.runs = dict.fromkeys(rig.machines, (1, 1))
+    rig.plan()
+    assert rig.planner.reserved_workers(rig.machines) == {}
+
+
+def test_reservations_end_when_most_of_a_pool_has_become_suspect():
+    """Guards against workers that stay reserved since they became suspect first."""
+    rig = Rig(*(machine(f"m{n}") for n in range(3)))
+    rig.wanted = 3
+    rig.runs = dict.fromkeys(rig.machines, (1, 1))
+    rig.suspect = {"m0"}
+    rig.plan()
+    assert rig.planner.reserved_workers(rig.machines) == {SERVICE: ["w-m0"]}
+    rig.suspect = {"m0", "m1"}
+    rig.plan()
+    assert rig.planner.reserved_workers(rig.machines) == {}
+
+
+def test_evacuated_pool_of_suspect_workers_is_emptied():
+    """Guards against machines of an evacuated data centre that stay in their pool."""
+    rig = Rig(*(machine(f"m{n}") for n in range(3)))
+    rig.suspect = {"m0", "m1", "m2"}
+    rig.evacuated = frozenset({"a"})
+    rig.plan()
+    rig.now += JOIN_TIMEOUT_MS
+    rig.plan()
+    reserved = rig.planner.reserved_workers(rig.machines)
+    assert reserved == {SERVICE: ["w-m0", "w-m1", "w-m2"]}
