--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -13,6 +13,9 @@
     "FLEET_ORDERS_KEY",
     "MEMBERS_PREFIX",
     "OWNERS_PREFIX",
+    "SHARDS_PREFIX",
+    "SHARD_CLOSING",
+    "SHARD_OPEN",
     "SYSTEM_PREFIX",
     "Member",
     "Owner",
@@ -32,12 +35,18 @@
     "progress_key",
     "progress_prefix",
     "roster_key",
+    "shard_key",
     "tenure_key",
 ]
 
 SYSTEM_PREFIX = "sys/"
 MEMBERS_PREFIX = "sys/members/"
 OWNERS_PREFIX = "sys/owners/"
+# Services that may have unfinished jobs, whether a queue uses them or not.
+SHARDS_PREFIX = "sys/shards/"
+# Values of these keys. While a shard is closing, its owner checks that no job is left.
+SHARD_OPEN = b"open"
+SHARD_CLOSING = b"closing"
 # Machines that were recently named in an order of the fleet owner.
 FLEET_ORDERS_KEY = "orders/fleet"
 
@@ -47,6 +56,11 @@
     return f"{OWNERS_PREFIX}{shard}"
 
 
+def shard_key(service: str) -> str:
+    """Return the key that exists while a service may have unfinished jobs."""
+    return f"{SHARDS_PREFIX}{service}"
+
+
 def epoch_key(shard: str) -> str:
     """Return the key of the number of owners that a shard has had."""
     return f"epochs/{shard}"
@@ -103,12 +117,16 @@
 # Instances with this prefix of their incarnation know the calls of the second version
 # of the peer protocol. During an upgrade, instances of both versions run side by side.
 _SECOND_PROTOCOL_PREFIX = "2-"
+# Instances with this suffix also relay reads and cancellations. Those without it would
+# not answer such a call at all.
+_RELAYED_READS_SUFFIX = "-r"
 
 
 def new_incarnation() -> str:
     """Return an identifier for this run of the process."""
     started_ms = time.time_ns() // 1_000_000
-    return f"{_SECOND_PROTOCOL_PREFIX}{started_ms:x}{secrets.token_hex(4)}"
+    run = f"{started_ms:x}{secrets.token_hex(4)}"
+    return f"{_SECOND_PROTOCOL_PREFIX}{run}{_RELAYED_READS_SUFFIX}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +143,11 @@
     data_centre: str
     speed_milli: int
 
+    @property
+    def relays_reads(self) -> bool:
+        """Whether it relays reads and cancellations besides submissions."""
+        return self.incarnation.endswith(_RELAYED_READS_SUFFIX)
+
 
 @dataclass(frozen=True, slots=True)
 class Owner:
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -10,31 +10,22 @@
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.effect_runner import EffectRunner
 from apricotgap.instance.job_cleanup import JobCleanup
-from apricotgap.instance.keys import (
-    jobs_prefix,
-    progress_prefix,
-    roster_key,
-)
+from apricotgap.instance.keys import jobs_prefix, progress_prefix, roster_key
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.poll_loops import PollLoops
 from apricotgap.instance.progress_writer import ProgressWriter
 from apricotgap.instance.roster import RosterWriter
-from apricotgap.instance.shard_loader import (
-    add_found_jobs,
-    load_jobs,
-    read_prefix,
-)
+from apricotgap.instance.shard_loader import add_found_jobs, load_jobs, read_prefix
+from apricotgap.instance.shard_retirement import ShardRetirement, ShardUnusedError
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
 from apricotgap.instance.tenure import TenureMark
 from apricotgap.instance.ticket_requests import TicketRequests
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
-from apricotgap.jobs.events import (
-    WorkersListed,
-)
+from apricotgap.jobs.events import WorkersListed
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.limits import (
     LEASE_MARGIN_MS,
@@ -142,6 +133,9 @@
             clock,
             settings.bounds.status_retention_ms,
         )
+        self._retirement = ShardRetirement(
+            self._shard, ownership, store, cluster_view, clock
+        )
         self._roster = RosterWriter(self._shard, ownership, store)
         self._tenure_mark = TenureMark(ownership, store, clock)
         self._limits = TeamLimitUpdater(
@@ -172,6 +166,7 @@
             lambda: self._lease_until_ms,
             self._effects.execute,
             self._request_pass,
+            lambda: self._scheduler.awaits_fresh_answer,
             settings.speed_milli,
         )
         self._log = structlog.get_logger().bind(
@@ -187,23 +182,30 @@
         Raises
         ------
         OwnershipLostError
-            The store shows another owner.
+            The store shows another owner, or the shard was given up for good.
         """
         jobs = await self._load()
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            self._effects.open(nursery)
-            nursery.start_soon(jobs.run)
-            nursery.start_soon(self._schedule_loop)
-            nursery.start_soon(self._writer.run)
-            if self._tickets is not None:
-                nursery.start_soon(self._tickets.run)
-            nursery.start_soon(self._roster.run)
-            nursery.start_soon(self._tenure_mark.run)
-            nursery.start_soon(self._tick_loop)
-            nursery.start_soon(self._cleanup.run)
-            nursery.start_soon(self._limits.run)
-            self.ready.set()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                self._effects.open(nursery)
+                nursery.start_soon(jobs.run)
+                nursery.start_soon(self._schedule_loop)
+                nursery.start_soon(self._writer.run)
+                if self._tickets is not None:
+                    nursery.start_soon(self._tickets.run)
+                nursery.start_soon(self._roster.run)
+                nursery.start_soon(self._tenure_mark.run)
+                nursery.start_soon(self._tick_loop)
+                nursery.start_soon(self._cleanup.run)
+                nursery.start_soon(self._retirement.run, jobs)
+                nursery.start_soon(self._limits.run)
+                self.ready.set()
+        except* ShardUnusedError as group:
+            await self._retirement.retire()
+            raise OwnershipLostError(
+                "the service has neither queue nor jobs"
+            ) from group
 
     # Loading
 
@@ -299,10 +301,7 @@
 
     def n_pending(self, queue: str) -> int:
         """Return the number of jobs of a queue without a started task."""
-        return sum(
-            job.spec.queue == queue and job.progress.phase is JobPhase.PENDING
-            for job in self._shard.open_jobs.values()
-        )
+        return self._shard.n_pending(queue)
 
     def report(
         self, reserved: Iterable[str], ended: Iterable[str], share: int | None = None
--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -42,6 +42,7 @@
         self.revision = revision
         self.is_inherited = is_inherited
         self.saved_phase = self.progress.phase
+        self._has_begun = self.progress.phase.has_begun
         self.runs: dict[TaskName, list[Run]] = {}
         self.last_run: dict[TaskName, int] = {}
         self.durations_ms: dict[StepKey, list[int]] = {}
@@ -76,6 +77,17 @@
         """Whether progress is stored, so that the next owner expects running tasks."""
         return self.revision > 0
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a worker has started a task; a rejected start does not count."""
+        return self._has_begun or any(
+            run.has_begun for runs in self.runs.values() for run in runs
+        )
+
+    def record_begun(self) -> None:
+        """Record that a worker has started a task."""
+        self._has_begun = True
+
     @property
     def is_final(self) -> bool:
         """Whether the job has ended, so that no more tasks start."""
@@ -102,6 +114,18 @@
         record = self.progress.tasks.get(name)
         return record is not None and crashes.is_suspect(record)
 
+    def needs_fresh_answer(self, name: TaskName) -> bool:
+        """Whether a task may start only on a worker that has answered just now.
+
+        Its earlier starts got no answer before their workers crashed. On a worker that
+        is already down the next one would count against the task as well. Members of a
+        gang start together, on workers that do not all answer at one time.
+        """
+        if self.spec.steps[name.step].is_gang:
+            return False
+        record = self.progress.tasks.get(name)
+        return record is not None and record.n_unconfirmed_crashes > 0
+
     def is_given_up(self, name: TaskName) -> bool:
         """Whether a task must not start again since workers crashed under it."""
         record = self.progress.tasks.get(name)
@@ -160,6 +184,7 @@
 
     def remove_run(self, run: Run) -> None:
         """Remove a run; its task waits again if it is to be started once more."""
+        self._has_begun = self._has_begun or run.has_begun
         left = [other for other in self.runs.get(run.name, ()) if other is not run]
         if left:
             self.runs[run.name] = left
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -51,6 +51,7 @@
         self._shard = shard
         self.is_team_blocked = False
         self.hit_start_limit = False
+        self.awaits_fresh_answer = False
 
     def run(self, at_ms: int, lease_until_ms: int) -> list[Effect]:
         """Decide which tasks start now.
@@ -70,7 +71,7 @@
         if at_ms > lease_until_ms - limits.LEASE_MARGIN_MS:
             return []
         shard = self._shard
-        if shard.config is None or shard.service not in shard.config.service_by_name:
+        if shard.config is None:
             return []
         if not shard.knows_capacities(at_ms):
             return []
@@ -80,6 +81,7 @@
         current = _Pass(at_ms, shard.unix_of(at_ms), workers, [])
         self.is_team_blocked = False
         self.hit_start_limit = False
+        self.awaits_fresh_answer = False
         has_unverified_workers = shard.has_unverified_workers
         may_start_long_running = shard.knows_reservations(at_ms)
         for job in self._order(current):
@@ -143,10 +145,10 @@
                     continue
                 worker = self._choose_worker(job, name, step, current, {})
                 if worker is None:
+                    if name in job.avoided_workers or job.needs_fresh_answer(name):
+                        continue
                     # Tasks of a step are identical, so the others do not fit either.
-                    if name not in job.avoided_workers:
-                        break
-                    continue
+                    break
                 run_id = self._shard.next_run_id(job, [name])
                 self._start(job, name, step, worker, run_id, current)
 
@@ -214,6 +216,7 @@
         needs_ticket = self._shard.needs_ticket(job.spec.queue)
         has_room = False
         is_suspect = job.is_suspect(name)
+        needs_fresh_answer = job.needs_fresh_answer(name)
         avoided = job.avoided_workers.get(name, ())
         used = {run.worker_id for run in job.runs.get(name, ())}
         best: Worker | None = None
@@ -225,6 +228,9 @@
             if step.required_label and step.required_label not in entry.labels:
                 continue
             has_room = True
+            if needs_fresh_answer and not worker.has_just_answered(current.at_ms):
+                self.awaits_fresh_answer = True
+                continue
             if entry.worker_id in used or (rack is not None and entry.rack != rack):
                 continue
             if not self._fits_step(name, step, worker, placed):
@@ -294,7 +300,7 @@
             cost += worker.n_long_running + 3 * worker.has_recent_start(at_ms)
         if step.data_rack and worker.entry.rack != step.data_rack:
             cost += 2
-        if worker.suspect_since_ms is not None:
+        if worker.suspect_since_ms is not None or worker.n_unanswered_starts:
             cost += 5
         if at_ms < worker.slow_until_ms:
             cost += 3
--- a/proof/model_check.py
+++ b/proof/model_check.py
@@ -16,6 +16,7 @@
 from proof.configuration import ConfigurationView
 from proof.incarnations import Incarnations
 from proof.runs import Runs
+from proof.service_shards import ServiceShards
 from proof.waves import WaveGrants
 
 __all__ = ["main"]
@@ -30,6 +31,7 @@
     ConfigurationView,
     Incarnations,
     Runs,
+    ServiceShards,
     WaveGrants,
 )
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -5,8 +5,9 @@
 import trio.testing
 
 from apricotgap.clock import FakeClock
-from apricotgap.instance.cluster_view import ClusterView
+from apricotgap.instance.cluster_view import FLEET_SHARD, ClusterView
 from apricotgap.instance.election import (
+    CLOSING_DELAY_MS,
     HANDOVER_DELAY_MS,
     RANK_DELAY_MS,
     RECLAIM_DELAY_MS,
@@ -15,11 +16,14 @@
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
     OWNERS_PREFIX,
+    SHARD_CLOSING,
+    SHARD_OPEN,
     Member,
     Owner,
     encode_member,
     encode_owner,
     owner_key,
+    shard_key,
     tenure_key,
 )
 from apricotgap.instance.lease import InstanceLease
@@ -42,6 +46,8 @@
             return Unavailable("busy")
         self.revision += 1
         for write in writes:
+            if write.check_only:
+                continue
             item = Item(write.key, write.value, self.revision)
             self.cluster_view.apply(item)
         return Stored(self.revision)
@@ -69,8 +75,10 @@
 class TwoShardView(ClusterView):
     """A cluster view with two shards that watches no store."""
 
+    offered = ("s1", "s2")
+
     def shards(self):
-        return ("s1", "s2")
+        return self.offered
 
 
 class Rig:
@@ -157,6 +165,61 @@
     run(check, speed_milli=500)
 
 
+def test_claim_says_that_the_shard_may_have_jobs():
+    """Guards against jobs without a next owner once their route has left."""
+
+    async def check(rig):
+        await rig.advance(1_000)
+        assert {rig.cluster_view.shard_item(s).value for s in ("s1", "s2")} == {b"open"}
+
+    run(check)
+
+
+@pytest.mark.parametrize("is_closing, n_claimed", [(True, 1), (False, 2)])
+def test_shard_that_is_given_up_is_left_until_its_key_is_removed(is_closing, n_claimed):
+    """Guards against a claim that keeps an unused shard alive, again and again."""
+
+    async def check(rig):
+        value = SHARD_CLOSING if is_closing else SHARD_OPEN
+        rig.cluster_view.apply(Item(shard_key("s1"), value, 5))
+        await rig.advance(CLOSING_DELAY_MS - 500)
+        assert len(rig.running) == n_claimed
+        await rig.advance(1_000)
+        assert len(rig.running) == 2
+
+    run(check)
+
+
+def test_shard_of_an_earlier_build_is_marked_by_another_instance():
+    """Guards against jobs that an upgrade loses with the route of their service."""
+
+    async def check(rig):
+        rig.add("old", 1_000, "s1", FLEET_SHARD)
+        await rig.advance(3 * RANK_DELAY_MS)
+        assert rig.cluster_view.owner("s1").name == "old"
+        assert rig.cluster_view.shard_item("s1").value == b"open"
+        assert rig.cluster_view.shard_item(FLEET_SHARD) is None
+
+    run(check)
+
+
+def test_shard_that_returns_is_left_to_a_fast_instance_once_more():
+    """Guards against all instances that claim a returning service at one moment."""
+
+    async def check(rig):
+        rig.add("fast", 2_150)
+        await rig.advance(RANK_DELAY_MS // 2)
+        rig.cluster_view.offered = ()
+        await rig.advance(4 * RANK_DELAY_MS)
+        rig.cluster_view.offered = ("s1",)
+        await rig.advance(RANK_DELAY_MS // 2)
+        assert rig.running == []
+        await rig.advance(4 * RANK_DELAY_MS)
+        assert rig.running == ["s1"]
+
+    run(check, speed_milli=500)
+
+
 def test_slow_owner_hands_a_shard_over_to_a_fast_instance_that_joins_later():
     """Guards against shards that stay on a slow instance."""
 
