--- a/tests/test_team_limit_updater.py
+++ b/tests/test_team_limit_updater.py
@@ -38,6 +38,7 @@
             store,
             TrioClock(),
             lambda: FAR_MS * 1_000,
+            lambda service: True,
             lambda: None,
         )
         async with trio.open_nursery() as nursery:
