Name waits for a fresh answer of a worker

Tasks whose starts got no answer now wait for a worker that has answered just now; the log of waits named no reason for it. A case in tests/test_job_waits.py.

--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -245,6 +245,20 @@
         return {"workers": [w.worker_id for w in on_trial[:_MAX_NAMED_WORKERS]]}
 
 
+class NoFreshAnswer(WaitReason):
+    """Earlier starts got no answer, and no worker with room has answered just now."""
+
+    name = "no_fresh_answer"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        if not all(map(case.job.needs_fresh_answer, case.names)):
+            return None
+        if any(w.has_just_answered(case.at_ms) for w in case.candidates):
+            return None
+        ages = [case.at_ms - worker.answered_ms for worker in case.candidates]
+        return {"n_with_room": len(ages), "answer_age_ms": min(ages)}
+
+
 class WorkerShare(WaitReason):
     """Workers with room already run as many tasks of the step as one may."""
 
@@ -316,6 +330,7 @@
     NoRoom(),
     MissingLabel(),
     WorkersOnTrial(),
+    NoFreshAnswer(),
     WorkerShare(),
     NoTicket(),
     FirstSave(),
--- a/tests/test_job_waits.py
+++ b/tests/test_job_waits.py
@@ -173,6 +173,13 @@
     return rig, {"workers": ["w1"]}
 
 
+def no_fresh_answer():
+    rig = ready_rig()
+    rig.shard.jobs[JOB].record(task(0)).n_unconfirmed_crashes = 1
+    rig.now += 500
+    return rig, {"n_with_room": 1, "answer_age_ms": 500}
+
+
 def worker_share():
     rig = ready_rig(StepSpec(2, SIZE, 800, max_per_worker=1))
     return rig, {"max_per_worker": 1, "n_with_room": 1}
@@ -219,6 +226,7 @@
     (no_room_for_a_gang, (0, 0), 100),
     (missing_label, (0, 0), 100),
     (workers_on_trial, (0, 0), 100),
+    (no_fresh_answer, (0, 0), 100),
     (worker_share, (0, 0), 100),
     (no_ticket, (0, 0), 100),
     (first_save, (0, 0), 100),
