Leave room to a gang that has waited

What callers see: a gang starts in a full pool. Before, it waited for as long as single tasks came: each took the place that became free, and the gang never had room for all of its members at once.

Change: a gang that has had no room for 2 s gets workers held for it, those with the fewest tasks that end, for 2 s, then single tasks go on for 2 s, and so on. Later jobs only; one gang at a time; only if it fits beside the tasks that last. Waits of others name it (`held_for_gang`).

Evidence: test_gang_starts_although_single_tasks_keep_taking_room failed before (not started within 30 s); test_single_tasks_go_on_beside_a_gang_that_waits: single tasks go on while the gang has no room for long.

--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -1,12 +1,12 @@
 """Scheduler: which waiting tasks start next, and on which workers."""
 
-from dataclasses import dataclass, field
-
 from apricotgap.jobs import limits
-from apricotgap.jobs.effects import Effect, LogDecision, StartRun
+from apricotgap.jobs.effects import Effect, StartRun
+from apricotgap.jobs.gang_holds import GangHolds
 from apricotgap.jobs.job_state import JobState, StepKey
 from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec, TaskName
 from apricotgap.jobs.runs import Run, RunPhase
+from apricotgap.jobs.scheduling_pass import SchedulingPass
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.tickets import StepName
 from apricotgap.jobs.workers import Worker
@@ -14,26 +14,6 @@
 __all__ = ["Scheduler"]
 
 
-@dataclass(slots=True)
-class _Pass:
-    """State of one scheduling pass: candidate workers and the starts decided."""
-
-    at_ms: int
-    unix_ms: int
-    workers: list[Worker]
-    effects: list[Effect]
-    n_starts: int = 0
-    log_lines: dict[tuple[str, StepKey], LogDecision] = field(default_factory=dict)
-    too_large: dict[str, list[Resources]] = field(default_factory=dict)
-
-    def is_too_large(self, label: str, allocation: Resources) -> bool:
-        """Whether an allocation of this size or smaller has failed in this pass.
-
-        Free capacity only shrinks during a pass, so another search would fail too.
-        """
-        return any(other.fits(allocation) for other in self.too_large.get(label, ()))
-
-
 class Scheduler:
     """Starts waiting tasks of a shard.
 
@@ -49,6 +29,7 @@
 
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
+        self._gang_holds = GangHolds()
         self.is_team_blocked = False
         self.hit_start_limit = False
         self.awaits_fresh_answer = False
@@ -68,9 +49,10 @@
         list of Effect
             Starts and log lines; the shard already counts the runs as started.
         """
+        shard = self._shard
+        shard.held_workers = frozenset()
         if at_ms > lease_until_ms - limits.LEASE_MARGIN_MS:
             return []
-        shard = self._shard
         if shard.config is None:
             return []
         if not shard.knows_capacities(at_ms):
@@ -78,10 +60,11 @@
         workers = shard.accepting_workers(at_ms)
         if not workers:
             return []
-        current = _Pass(at_ms, shard.unix_of(at_ms), workers, [])
+        current = SchedulingPass(at_ms, shard.unix_of(at_ms), workers, [])
         self.is_team_blocked = False
         self.hit_start_limit = False
         self.awaits_fresh_answer = False
+        self._gang_holds.forget_others(shard.open_jobs)
         has_unverified_workers = shard.has_unverified_workers
         may_start_long_running = shard.knows_reservations(at_ms)
         for job in self._order(current):
@@ -98,7 +81,7 @@
             self._start_job(job, current)
         return [*current.effects, *current.log_lines.values()]
 
-    def _order(self, current: _Pass) -> list[JobState]:
+    def _order(self, current: SchedulingPass) -> list[JobState]:
         unix_ms = current.unix_ms
         all_suspect = all(
             worker.suspect_since_ms is not None for worker in current.workers
@@ -120,7 +103,7 @@
         ]
         return sorted(waiting, key=rank)
 
-    def _request_first_save(self, job: JobState, current: _Pass) -> None:
+    def _request_first_save(self, job: JobState, current: SchedulingPass) -> None:
         """Request the first save of a job once a worker has room for its first task."""
         for key in job.open_steps(current.unix_ms):
             step = job.spec.steps[key[1]]
@@ -129,7 +112,7 @@
                 self._shard.request_first_save(job)
                 return
 
-    def _start_job(self, job: JobState, current: _Pass) -> None:
+    def _start_job(self, job: JobState, current: SchedulingPass) -> None:
         for key in job.open_steps(current.unix_ms):
             step = job.spec.steps[key[1]]
             if step.is_gang:
@@ -153,7 +136,7 @@
                 self._start(job, name, step, worker, run_id, current)
 
     def _start_gang(
-        self, job: JobState, key: StepKey, step: StepSpec, current: _Pass
+        self, job: JobState, key: StepKey, step: StepSpec, current: SchedulingPass
     ) -> None:
         """Start all members of a gang, or none."""
         if len(job.waiting[key]) < step.n_tasks or job.has_unsaved_crash:
@@ -174,14 +157,26 @@
             for name, worker in zip(names, placements, strict=True):
                 job.record(name).checkpoint = saved
                 self._start(job, name, step, worker, run_id, current)
+            self._gang_holds.started(job, key)
             return
+        self._hold_workers(job, key, current)
+
+    def _hold_workers(
+        self, job: JobState, key: StepKey, current: SchedulingPass
+    ) -> None:
+        """Leave workers to a gang that has no room, one gang in a pass."""
+        if not current.has_hold:
+            held = self._gang_holds.choose(job, key, current.workers, current.at_ms)
+            current.has_hold = bool(held)
+            current.exclude(held)
+            self._shard.held_workers = frozenset(held)
 
     def _place_gang(
         self,
         job: JobState,
         names: list[TaskName],
         step: StepSpec,
-        current: _Pass,
+        current: SchedulingPass,
         rack: str | None,
     ) -> list[Worker] | None:
         placed: dict[str, list[TaskName]] = {}
@@ -204,7 +199,7 @@
         job: JobState,
         name: TaskName,
         step: StepSpec,
-        current: _Pass,
+        current: SchedulingPass,
         placed: dict[str, list[TaskName]],
         rack: str | None = None,
     ) -> Worker | None:
@@ -313,7 +308,7 @@
             cost += 0.3 * self._n_in_rack(worker.entry.rack, name)
         return cost
 
-    def _ticket(self, name: TaskName, worker: Worker, current: _Pass) -> str:
+    def _ticket(self, name: TaskName, worker: Worker, current: SchedulingPass) -> str:
         step = StepName.of(name)
         return self._shard.tickets.find(step, worker, current.at_ms) or ""
 
@@ -330,7 +325,7 @@
         step: StepSpec,
         worker: Worker,
         run_id: int,
-        current: _Pass,
+        current: SchedulingPass,
     ) -> None:
         at_ms = current.at_ms
         record = job.progress.tasks.get(name)
@@ -352,7 +347,7 @@
         self._shard.add_run(job, worker, run)
         if worker.suspect_since_ms is not None:
             # It gets a single task.
-            current.workers = [each for each in current.workers if each is not worker]
+            current.exclude({worker.worker_id})
         worker.record_start(at_ms)
         current.n_starts += 1
         current.effects.append(
@@ -368,29 +363,4 @@
                 self._ticket(name, worker, current) if needs_ticket else "",
             )
         )
-        self._log_start(name, run_id, worker, current)
-
-    @staticmethod
-    def _log_start(name: TaskName, run_id: int, worker: Worker, current: _Pass) -> None:
-        """Add a start to the log line of its step: one line for each step and pass."""
-        key = (name.job_id, (name.occurrence, name.step))
-        line = current.log_lines.get(key)
-        if line is None:
-            line = current.log_lines[key] = LogDecision(
-                "runs_started",
-                {
-                    "task": f"{name.job_id}.{name.occurrence}.{name.step}",
-                    "numbers": [],
-                    "runs": [],
-                    "workers": [],
-                    "free_cpu": [],
-                    "answer_age_ms": 0,
-                },
-            )
-        fields = line.fields
-        fields["numbers"].append(name.number)
-        fields["runs"].append(run_id)
-        fields["workers"].append(worker.worker_id)
-        fields["free_cpu"].append(worker.free.cpu)
-        age_ms = current.at_ms - worker.answered_ms
-        fields["answer_age_ms"] = max(fields["answer_age_ms"], age_ms)
+        current.log_start(name, run_id, worker)
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -53,6 +53,8 @@
         super().__init__(service, epoch, max_lease_ms, stop_ms, inherited_lease_ms)
         self._max_list_age_ms = max_list_age_ms
         self.evacuated: frozenset[str] = frozenset()
+        # Ids of the workers that the last scheduling pass left to a gang.
+        self.held_workers: frozenset[str] = frozenset()
         self.team_limits = TeamLimits(service)
         self._handlers: dict[type, Callable[..., Iterable[Effect]]] = {
             WorkersListed: self._workers_listed,
--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -245,6 +245,18 @@
         return {"workers": [w.worker_id for w in on_trial[:_MAX_NAMED_WORKERS]]}
 
 
+class HeldForGang(WaitReason):
+    """All workers with room are left to a gang that has waited for longer."""
+
+    name = "held_for_gang"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        held = case.shard.held_workers
+        if not all(worker.worker_id in held for worker in case.candidates):
+            return None
+        return {"n_with_room": len(case.candidates)}
+
+
 class NoFreshAnswer(WaitReason):
     """Earlier starts got no answer, and no worker with room has answered just now."""
 
@@ -330,6 +342,7 @@
     NoRoom(),
     MissingLabel(),
     WorkersOnTrial(),
+    HeldForGang(),
     NoFreshAnswer(),
     WorkerShare(),
     NoTicket(),
--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -3,8 +3,8 @@
 import pytest
 
 from apricotgap.jobs import limits
-from apricotgap.jobs.model import Resources, StepSpec
-from tests.jobs_harness import Rig, job, running, task
+from apricotgap.jobs.model import Resources, RunEnd, StepSpec
+from tests.jobs_harness import Rig, ended, job, running, task
 
 SIZE = Resources(1000, 100)
 ONE_TASK = (StepSpec(1, SIZE, 400),)
@@ -137,3 +137,67 @@
     for number in range(limits.MAX_PENDING_FIRST_SAVES + 1):
         rig.shard.forget(f"{number:016x}")
     assert rig.shard.n_pending_first_saves == 0
+
+
+def test_gang_starts_although_single_tasks_keep_taking_room():
+    """Guards against a gang that waits for ever: each time a part of its room is free,
+    a single task takes it.
+    """
+    rig = Rig().ready()
+    gang = StepSpec(6, SIZE, 400, is_gang=True)
+    n_jobs = n_ends = 0
+    runs = []
+
+    def submit_single():
+        nonlocal n_jobs
+        n_jobs += 1
+        rig.submit(job(f"{n_jobs:016x}", ONE_TASK))
+
+    for _ in range(12):
+        submit_single()
+    runs += [(start, rig.now) for start in rig.schedule()]
+    rig.submit(job("f" * 16, (gang,)))
+    began_ms = rig.now
+    while rig.now - began_ms < 30_000:
+        # One task ends each 100 ms, and one job arrives.
+        rig.now += 100
+        submit_single()
+        (oldest, _), *runs = runs
+        n_ends += 1
+        listed = [running(start, 50) for start, _ in runs]
+        rig.poll(running=listed, ends=[ended(n_ends, oldest, RunEnd.DONE)])
+        starts = rig.schedule()
+        for start in starts:
+            rig.answer(start)
+        if any(start.name.job_id == "f" * 16 for start in starts):
+            return
+        runs += [(start, rig.now) for start in starts]
+    raise AssertionError("the gang has not started")
+
+
+def test_single_tasks_go_on_beside_a_gang_that_waits():
+    """Guards against workers held for ever for a gang that has no room for long."""
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.submit(job("a" * 16, (StepSpec(2, Resources(5_000), 60_000),)))
+    places = {start.worker_id: start for start in rig.schedule()}
+    for start in places.values():
+        rig.answer(start)
+    rig.submit(job("f" * 16, (StepSpec(2, Resources(8_000), 400, is_gang=True),)))
+    numbers = dict.fromkeys(places, 0)
+    n_done = 0
+    for number in range(24):
+        rig.submit(job(f"{number:016x}", ONE_TASK))
+        starts = rig.schedule()
+        for start in starts:
+            rig.answer(start)
+        rig.now += 500
+        for worker_id, long_run in places.items():
+            ends = []
+            for start in starts:
+                if start.worker_id == worker_id:
+                    numbers[worker_id] += 1
+                    ends.append(ended(numbers[worker_id], start, RunEnd.DONE))
+            n_done += len(ends)
+            rig.poll(worker_id, running=[running(long_run, 1)], ends=ends)
+    assert n_done >= 20
+    assert not rig.shard.jobs["f" * 16].runs
