--- a/apricotgap/jobs/gang_holds.py
+++ b/apricotgap/jobs/gang_room.py
@@ -6,17 +6,17 @@
 from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec
 from apricotgap.jobs.workers import Worker
 
-__all__ = ["GangHolds"]
+__all__ = ["GangRoom"]
 
 # A gang without room waits this long while single tasks take what becomes free, then as
-# long with workers held for it, and so on: tasks there may be long.
-HOLD_MS = 2_000
+# long with workers kept for it, and so on: tasks there may be long.
+KEEP_MS = 2_000
 
 
-class GangHolds:
+class GangRoom:
     """Chooses the workers that later jobs leave to a gang that has waited.
 
-    Without a hold, in a full pool single tasks take each place that becomes free.
+    Without them, in a full pool single tasks take each place that becomes free.
     """
 
     def __init__(self) -> None:
@@ -38,21 +38,21 @@
     def choose(
         self, job: JobState, key: StepKey, workers: Iterable[Worker], at_ms: int
     ) -> set[str]:
-        """Return the workers to hold now for a gang that has no room, if any."""
+        """Return the workers to keep now for a gang that has no room, if any."""
         step = job.spec.steps[key[1]]
         since_ms = self._since_ms.setdefault((job.spec.job_id, key), at_ms)
-        if (at_ms - since_ms) % (2 * HOLD_MS) < HOLD_MS:
+        if (at_ms - since_ms) % (2 * KEEP_MS) < KEEP_MS:
             return set()
-        held: set[str] = set()
+        kept: set[str] = set()
         n_places = 0
         suited = [worker for worker in workers if _may_run(worker, step)]
         for worker in sorted(suited, key=_n_ending):
             n_here = _n_places(worker, step)
             if n_here:
-                held.add(worker.worker_id)
+                kept.add(worker.worker_id)
                 n_places += n_here
             if n_places >= step.n_tasks:
-                return held
+                return kept
         return set()
 
 
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -2,7 +2,7 @@
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import Effect, StartRun
-from apricotgap.jobs.gang_holds import GangHolds
+from apricotgap.jobs.gang_room import GangRoom
 from apricotgap.jobs.job_state import JobState, StepKey
 from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec, TaskName
 from apricotgap.jobs.runs import Run, RunPhase
@@ -29,7 +29,7 @@
 
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
-        self._gang_holds = GangHolds()
+        self._gang_room = GangRoom()
         self.is_team_blocked = False
         self.hit_start_limit = False
         self.awaits_fresh_answer = False
@@ -50,7 +50,7 @@
             Starts and log lines; the shard already counts the runs as started.
         """
         shard = self._shard
-        shard.held_workers = frozenset()
+        shard.kept_workers = frozenset()
         if at_ms > lease_until_ms - limits.LEASE_MARGIN_MS:
             return []
         if shard.config is None:
@@ -64,7 +64,7 @@
         self.is_team_blocked = False
         self.hit_start_limit = False
         self.awaits_fresh_answer = False
-        self._gang_holds.forget_others(shard.open_jobs)
+        self._gang_room.forget_others(shard.open_jobs)
         has_unverified_workers = shard.has_unverified_workers
         may_start_long_running = shard.knows_reservations(at_ms)
         for job in self._order(current):
@@ -157,19 +157,19 @@
             for name, worker in zip(names, placements, strict=True):
                 job.record(name).checkpoint = saved
                 self._start(job, name, step, worker, run_id, current)
-            self._gang_holds.started(job, key)
+            self._gang_room.started(job, key)
             return
-        self._hold_workers(job, key, current)
+        self._keep_workers(job, key, current)
 
-    def _hold_workers(
+    def _keep_workers(
         self, job: JobState, key: StepKey, current: SchedulingPass
     ) -> None:
         """Leave workers to a gang that has no room, one gang in a pass."""
-        if not current.has_hold:
-            held = self._gang_holds.choose(job, key, current.workers, current.at_ms)
-            current.has_hold = bool(held)
-            current.exclude(held)
-            self._shard.held_workers = frozenset(held)
+        if not current.has_kept_workers:
+            kept = self._gang_room.choose(job, key, current.workers, current.at_ms)
+            current.has_kept_workers = bool(kept)
+            current.exclude(kept)
+            self._shard.kept_workers = frozenset(kept)
 
     def _place_gang(
         self,
--- a/apricotgap/jobs/scheduling_pass.py
+++ b/apricotgap/jobs/scheduling_pass.py
@@ -20,7 +20,7 @@
     workers: list[Worker]
     effects: list[Effect]
     n_starts: int = 0
-    has_hold: bool = False
+    has_kept_workers: bool = False
     log_lines: dict[tuple[str, StepKey], LogDecision] = field(default_factory=dict)
     too_large: dict[str, list[Resources]] = field(default_factory=dict)
 
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -54,7 +54,7 @@
         self._max_list_age_ms = max_list_age_ms
         self.evacuated: frozenset[str] = frozenset()
         # Ids of the workers that the last scheduling pass left to a gang.
-        self.held_workers: frozenset[str] = frozenset()
+        self.kept_workers: frozenset[str] = frozenset()
         self.team_limits = TeamLimits(service)
         self._handlers: dict[type, Callable[..., Iterable[Effect]]] = {
             WorkersListed: self._workers_listed,
--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -245,14 +245,14 @@
         return {"workers": [w.worker_id for w in on_trial[:_MAX_NAMED_WORKERS]]}
 
 
-class HeldForGang(WaitReason):
+class KeptForGang(WaitReason):
     """All workers with room are left to a gang that has waited for longer."""
 
-    name = "held_for_gang"
+    name = "kept_for_gang"
 
     def inputs(self, case: WaitCase) -> dict[str, Any] | None:
-        held = case.shard.held_workers
-        if not all(worker.worker_id in held for worker in case.candidates):
+        kept = case.shard.kept_workers
+        if not all(worker.worker_id in kept for worker in case.candidates):
             return None
         return {"n_with_room": len(case.candidates)}
 
@@ -342,7 +342,7 @@
     NoRoom(),
     MissingLabel(),
     WorkersOnTrial(),
-    HeldForGang(),
+    KeptForGang(),
     NoFreshAnswer(),
     WorkerShare(),
     NoTicket(),
--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -176,7 +176,7 @@
 
 
 def test_single_tasks_go_on_beside_a_gang_that_waits():
-    """Guards against workers held for ever for a gang that has no room for long."""
+    """Guards against workers kept for ever for a gang that has no room for long."""
     rig = Rig(workers=("w1", "w2")).ready()
     rig.submit(job("a" * 16, (StepSpec(2, Resources(5_000), 60_000),)))
     places = {start.worker_id: start for start in rig.schedule()}
--- a/tests/test_job_waits.py
+++ b/tests/test_job_waits.py
@@ -8,7 +8,7 @@
 from apricotgap.jobs import limits
 from apricotgap.jobs.configuration import Team
 from apricotgap.jobs.documents import Progress, TaskRecord
-from apricotgap.jobs.gang_holds import HOLD_MS
+from apricotgap.jobs.gang_room import KEEP_MS
 from apricotgap.jobs.model import JobPhase, Resources, RunEnd, StepSpec
 from apricotgap.jobs.tickets import StepName
 from apricotgap.jobs.wait_log import FIRST_LINE_MS, MAX_LINES_PER_LOOK, WaitLog
@@ -174,7 +174,7 @@
     return rig, {"workers": ["w1"]}
 
 
-def held_for_gang():
+def kept_for_gang():
     """A gang has waited for as long as single tasks go first."""
     rig = ready_rig(StepSpec(1, Resources(1_000, 100), 60_000), job_id="a" * 16)
     (start,) = rig.schedule()
@@ -182,7 +182,7 @@
     gang = StepSpec(1, Resources(8_000, 100), 400, is_gang=True)
     rig.submit(job("b" * 16, (gang,)))
     rig.schedule()
-    rig.now += HOLD_MS
+    rig.now += KEEP_MS
     rig.poll(running=[running(start, 1)])
     rig.submit(job())
     return rig, {"n_with_room": 1}
@@ -241,7 +241,7 @@
     (no_room_for_a_gang, (0, 0), 100),
     (missing_label, (0, 0), 100),
     (workers_on_trial, (0, 0), 100),
-    (held_for_gang, (0, 0), 100),
+    (kept_for_gang, (0, 0), 100),
     (no_fresh_answer, (0, 0), 100),
     (worker_share, (0, 0), 100),
     (no_ticket, (0, 0), 100),
