Keep a run that is being stopped when the answer of its start comes late

What callers see: no second run of a task beside one that its worker still stops (TWICE), where the answer of the start arrives after the stop.

Cause: the answer set the time from which a list proves the run gone to its own arrival, although a stop had moved it to the end of the stop.

Change: only runs that are not to stop get that time from the answer.

--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -117,8 +117,8 @@
             if 0 < event.result.clock_ms < run.clock_ms - limits.CLOCK_SLACK_MS:
                 run.is_in_next_incarnation = True
                 worker.record_failed_poll(event.at_ms)
-            run.visible_from_ms = min(run.visible_from_ms, event.at_ms)
             if run.phase is not RunPhase.STOPPING:
+                run.visible_from_ms = min(run.visible_from_ms, event.at_ms)
                 run.phase = RunPhase.RUNNING
                 run.started_ms = run.last_progress_ms = event.at_ms
             return
