Lower an allowance once for a lowered limit

What callers see: a team does not wait far below a limit that was lowered.

Cause: while the store had not taken the lower rows, each read lowered the allowance in proportion again.

Change: the proportion is taken of the stored row, not of the allowance.

--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -82,7 +82,7 @@
         self._n_services = max(1, len(config.working_services))
         self._limits = {team.name: _with_unlimited(team.limit) for team in config.teams}
         for team, allowance in self._allowances.items():
-            self._allowances[team] = self._fair(team, allowance)
+            self._allowances[team] = allowance.elementwise_min(self._fair_row(team))
 
     def allowed(self, team: str) -> Resources | None:
         """Return the allowance of a team in this shard, None without a limit."""
@@ -132,17 +132,15 @@
     def record_split(self, team: str, split: Split, revision: int) -> None:
         """Apply a split that was read from the store."""
         self._splits[team] = (split, revision)
-        allowance = split.get(self._service, NO_RESOURCES)
-        if team in self._allowances:
-            # Never above the stored value, nor above what is left after a reduction.
-            allowance = allowance.elementwise_min(self._allowances[team])
-        self._allowances[team] = self._fair(team, allowance)
+        row = self._fair_row(team)
+        # Never above the stored value, nor above what is left after a reduction.
+        allowance = self._allowances.get(team, row)
+        self._allowances[team] = allowance.elementwise_min(row)
 
     def record_written(self, change: LimitChange, revision: int) -> None:
         """Apply a split that this shard has written to the store."""
         self._splits[change.team] = (change.split, revision)
-        allowance = change.split[self._service]
-        self._allowances[change.team] = self._fair(change.team, allowance)
+        self._allowances[change.team] = self._fair_row(change.team)
 
     def _others(self, team: str) -> Resources:
         """Return the sum of the stored allowances of the other shards."""
@@ -153,19 +151,18 @@
                 others = others + amount
         return others
 
-    def _fair(self, team: str, allowance: Resources) -> Resources:
-        """Lower an allowance in proportion if the stored ones exceed the limit."""
+    def _fair_row(self, team: str) -> Resources:
+        """Return the stored row, in proportion if all rows exceed a lowered limit."""
         split, _ = self._splits.get(team, ({}, 0))
+        row = split.get(self._service, NO_RESOURCES)
         limit = self._limits.get(team)
         if limit is None:
-            return allowance
-        stored = self._others(team) + split.get(self._service, NO_RESOURCES)
-        if stored.fits(limit):
-            return allowance
+            return row
+        stored = self._others(team) + row
         return Resources(
-            _in_proportion(allowance.cpu, limit.cpu, stored.cpu),
-            _in_proportion(allowance.memory_mb, limit.memory_mb, stored.memory_mb),
-            _in_proportion(allowance.gpus, limit.gpus, stored.gpus),
+            _in_proportion(row.cpu, limit.cpu, stored.cpu),
+            _in_proportion(row.memory_mb, limit.memory_mb, stored.memory_mb),
+            _in_proportion(row.gpus, limit.gpus, stored.gpus),
         )
 
     def changes(
--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -277,3 +277,21 @@
     assert one.allowed("bakers").cpu >= 400
     # The reduction, executed late, must find another revision.
     assert not store.write(one, lowered[0])
+
+
+def test_allowance_is_lowered_once_for_a_lowered_limit():
+    """Guards against an allowance that falls to nothing, read by read, while the store
+    has not taken the lower rows yet, so that a team waits far below its limit.
+    """
+    store, one, two = Store(), team_limits("one"), team_limits("two")
+    request_allowance(one, store, 450)
+    request_allowance(two, store, 300)
+    rows = dict(store.split)
+    for limits in (one, two):
+        limits.set_configuration(config(Resources(500)))
+    one.record_split("bakers", rows, store.revision)
+    (before,) = one.changes({"bakers": Resources(450)}, 0)
+    assert before.split["one"].cpu >= 200
+    for _ in range(20):
+        one.record_split("bakers", rows, store.revision)
+    assert one.changes({"bakers": Resources(450)}, 0) == [before]
