--- a/tests/shard_days.py
+++ b/tests/shard_days.py
@@ -25,6 +25,7 @@
 # A worker that is gone for good leaves the list after this time.
 LIST_LEASE_MS = 3_000
 LIMIT_CHECK_MS = 250
+RESERVE_INTERVAL_MS = 300
 LASTING_MS = 10_000_000
 
 
@@ -228,8 +229,9 @@
     def _move_limits(self):
         demand = team_demand(self.shard, self.now)
         self._move_limit(self.shard.team_limits, demand, self.shard.team_usage)
-        other = {TEAM: Resources(self.other_cpu)}
-        self._move_limit(self.other_limits, other, other)
+        wanted = Resources(self.other_cpu)
+        used = wanted.elementwise_min(self.other_limits.allowed(TEAM) or wanted)
+        self._move_limit(self.other_limits, {TEAM: wanted}, {TEAM: used})
 
     def _move_limit(self, limits, demand, usage):
         for change in limits.changes(demand, self.now, usage):
@@ -286,6 +288,13 @@
         self.entries[worker_id] = replace(self.entries[worker_id], free=free)
         self._list_workers()
 
+    def reserve(self, worker_id, until_ms):
+        """Let the owner of the fleet reserve a worker until then."""
+        self.troubled_ms = self.now
+        self.shard.reserve([worker_id], self.now)
+        if self.now < until_ms:
+            self.at(RESERVE_INTERVAL_MS, self.reserve, worker_id, until_ms)
+
     def add_worker(self):
         """Add an empty worker."""
         worker_id = f"w{self._n_added}"
--- a/tests/shard_walker.py
+++ b/tests/shard_walker.py
@@ -5,7 +5,7 @@
     RESERVATION_MS,
     START_WINDOW_MS,
 )
-from apricotgap.jobs.model import TaskName
+from apricotgap.jobs.model import NO_RESOURCES, Resources, TaskName
 from apricotgap.jobs.runs import RunPhase
 from apricotgap.jobs.waiting import WaitCase, explain_wait
 from tests.jobs_harness import MAX_LEASE_MS
@@ -43,6 +43,7 @@
         self._startable_since = {}
         self._idle_since = {}
         self._phases = {}
+        self._blocked_since_ms = None
         self._reported = set()
 
     @staticmethod
@@ -63,6 +64,7 @@
             self._check_waits(job, startable_since)
         self._check_transitions()
         self._check_idle()
+        self._check_other_shard()
 
     def _break(self, kind, what, detail):
         if (kind, what) not in self._reported:
@@ -150,6 +152,21 @@
                     self._break("IDLE", unit, self._why(job))
         self._idle_since = idle
 
+    def _check_other_shard(self):
+        """The other shard gets what it wants while the team runs less than half."""
+        world = self._world
+        allowed = world.other_limits.allowed("bakers")
+        is_calm = world.now - world.troubled_ms >= CALM_MS and world.is_store_up
+        wanted = Resources(world.other_cpu)
+        usage = world.shard.team_usage.get("bakers", NO_RESOURCES) + wanted
+        is_owed = allowed is not None and 2 * usage.cpu < world.limit_cpu
+        if not is_calm or not is_owed or wanted.fits(allowed):
+            self._blocked_since_ms = None
+        elif self._blocked_since_ms is None:
+            self._blocked_since_ms = world.now
+        elif world.now - self._blocked_since_ms > MAX_WAIT_MS:
+            self._break("BLOCKED", "other shard", f"{allowed.cpu} of {wanted.cpu}")
+
     def _why(self, job):
         world = self._world
         cases = [
--- a/tests/test_shard_days.py
+++ b/tests/test_shard_days.py
@@ -75,6 +75,14 @@
         world.at(at_ms + 500, world.add_worker)
 
 
+def reservations(world):
+    """Let the owner of the fleet reserve workers, which stay after all."""
+    for worker_id in world.rng.sample(list(world.workers), 3):
+        at_ms, _ = some(world)
+        until_ms = world.now + at_ms + world.rng.randint(300, 4_000)
+        world.at(at_ms, world.reserve, worker_id, until_ms)
+
+
 def resizes(world):
     """Let capacities shrink and grow."""
     for _ in range(3):
@@ -110,6 +118,15 @@
     world.at(DAY_MS, world.limit_team, 60_000)
 
 
+def backlog(world):
+    """Fill the pool for long while another shard of the team gets work, too."""
+    world.limit_team(130_000)
+    world.other_cpu = 1_000
+    for _ in range(100):
+        world.at(1_000, world.submit, 3)
+    world.at(3_000, setattr, world, "other_cpu", 24_000)
+
+
 def outages(world):
     """Let the store be down for 0.5 to 6 s."""
     world.at(some(world)[0], world.outage, world.rng.randint(2, 24) * 250)
@@ -135,10 +152,12 @@
     losses,
     hangs,
     draining,
+    reservations,
     resizes,
     lasting_ends,
     hopeless,
     limits,
+    backlog,
     all_at_once,
 ]
 
