--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -245,6 +245,32 @@
         return {"workers": [w.worker_id for w in on_trial[:_MAX_NAMED_WORKERS]]}
 
 
+class KeptForGang(WaitReason):
+    """All workers with room are left to a gang that has waited for longer."""
+
+    name = "kept_for_gang"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        kept = case.shard.kept_workers
+        if not all(worker.worker_id in kept for worker in case.candidates):
+            return None
+        return {"n_with_room": len(case.candidates)}
+
+
+class NoFreshAnswer(WaitReason):
+    """Earlier starts got no answer, and no worker with room has answered just now."""
+
+    name = "no_fresh_answer"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        if not all(map(case.job.needs_fresh_answer, case.names)):
+            return None
+        if any(w.has_just_answered(case.at_ms) for w in case.candidates):
+            return None
+        ages = [case.at_ms - worker.answered_ms for worker in case.candidates]
+        return {"n_with_room": len(ages), "answer_age_ms": min(ages)}
+
+
 class WorkerShare(WaitReason):
     """Workers with room already run as many tasks of the step as one may."""
 
@@ -316,6 +342,8 @@
     NoRoom(),
     MissingLabel(),
     WorkersOnTrial(),
+    KeptForGang(),
+    NoFreshAnswer(),
     WorkerShare(),
     NoTicket(),
     FirstSave(),
