--- a/apricotgap/instance/owner_calls.py
+++ b/apricotgap/instance/owner_calls.py
@@ -18,8 +18,8 @@
 PEER_TIMEOUT_MS = 700
 # Names of calls to owners with the second version of the protocol, which answer more.
 _SECOND_OPERATIONS = {"submit": "submit-job", "report": "pool-report"}
-# Answers of an instance that did not begin to execute the call, and of one that lost the
-# shard while it did: an earlier write of it may have been stored.
+# Answers of an instance that did not begin to execute the call, and of one that lost
+# the shard while it did: an earlier write of it may have been stored.
 _NOT_OWNER = "not owner"
 _OWNERSHIP_LOST = "ownership lost"
 
