--- a/apricotgap/instance/team_limit_updater.py
+++ b/apricotgap/instance/team_limit_updater.py
@@ -9,9 +9,12 @@
 from apricotgap.instance.keys import limit_key
 from apricotgap.instance.ownership import Ownership
 from apricotgap.jobs.documents import DocumentError, decode_split, encode_split
+from apricotgap.jobs.limits import START_WINDOW_MS
 from apricotgap.jobs.model import NO_RESOURCES
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.team_demand import team_demand
 from apricotgap.jobs.team_limits import LimitChange
+from apricotgap.jobs.workers import Worker
 from apricotgap.platform.store import (
     Conflict,
     Item,
@@ -43,6 +46,8 @@
         Dependencies.
     lease_until_ms : callable
         Returns the end of the lease of the ownership.
+    has_shard : callable
+        Returns whether a service has a shard, with or without an owner.
     on_change : callable
         Called when blocked tasks may be able to start.
     """
@@ -54,6 +59,7 @@
         store: StoreClient,
         clock: Clock,
         lease_until_ms: Callable[[], int],
+        has_shard: Callable[[str], bool],
         on_change: Callable[[], None],
     ) -> None:
         self._shard = shard
@@ -61,6 +67,11 @@
         self._store = store
         self._clock = clock
         self._lease_until_ms = lease_until_ms
+        self._has_shard = has_shard
+        # Without an owner the leases of workers end, and with them their runs.
+        self._row_retention_ms = (
+            Worker.lease_bound_ms(0, shard.max_lease_ms) + START_WINDOW_MS
+        )
         self._on_change = on_change
         self._wakeup = trio.Event()
         self._last_read_ms = -1_000_000
@@ -88,9 +99,10 @@
             if self._lease_until_ms() < now_ms or self._store.is_down:
                 await trio.sleep(_RETRY_S)
                 continue
-            demand = self._shard.team_demand(now_ms)
+            demand = team_demand(self._shard, now_ms)
             limits = self._shard.team_limits
-            for change in limits.changes(demand, now_ms):
+            limits.record_shards(self._has_shard, now_ms, self._row_retention_ms)
+            for change in limits.changes(demand, now_ms, self._shard.team_usage):
                 await self._write_limit(change)
             if now_ms - self._last_read_ms >= READ_INTERVAL_MS:
                 self._last_read_ms = now_ms
@@ -124,9 +136,11 @@
             self._ownership.check(outcome)
             self._apply_conflict(change.team, outcome)
             now_ms = self._clock.now_ms
-            demand = self._shard.team_demand(now_ms)
+            demand = team_demand(self._shard, now_ms)
             new_changes = limits.changes(
-                {change.team: demand.get(change.team, NO_RESOURCES)}, now_ms
+                {change.team: demand.get(change.team, NO_RESOURCES)},
+                now_ms,
+                self._shard.team_usage,
             )
             own_changes = [other for other in new_changes if other.team == change.team]
             if not own_changes:
@@ -144,12 +158,13 @@
 
     def _apply_conflict(self, team: str, conflict: Conflict) -> None:
         key = limit_key(team)
-        for item in conflict.items:
-            if item.key == key:
-                self._apply_item(team, item)
+        found = [item for item in conflict.items if item.key == key]
+        # A conflict shows no key that does not exist.
+        self._apply_item(team, found[0] if found else Item(key, None, 0))
 
     def _apply_item(self, team: str, item: Item) -> None:
         if item.value is None:
+            self._shard.team_limits.record_split(team, {}, 0)
             return
         try:
             split = decode_split(item.value)
--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -1,5 +1,8 @@
 """Limits and timeouts of job scheduling."""
 
+# An owner checks its leases and looks at all waiting tasks at least this often.
+TICK_INTERVAL_MS = 100
+
 # A worker rejects a start that arrives later than this, so that the state of a start
 # without a response is known soon.
 START_WINDOW_MS = 1_000
@@ -23,10 +26,20 @@
 # Base delay of retries: a worker whose start failed gets no start for a multiple of it.
 # It is also added to the times after which a run missing from a list counts as absent.
 RETRY_BACKOFF_MS = 200
+# A worker that answered within this time is unlikely to have crashed since. The time
+# spans two ticks, so that each answer is seen by a scheduling pass.
+FRESH_ANSWER_MS = 150
+# A worker that gives no answer to a start gets none for this long, after each further
+# one in a row for twice as long, up to the maximum. It may answer polls all the while.
+UNANSWERED_BLOCK_MS = 600
+MAX_UNANSWERED_MS = 4_800
 # Failures of several jobs within this window make a worker suspect.
 SUSPECT_WINDOW_MS = 5_000
-# A suspect worker gets a single task as a trial after this time.
+# A suspect worker gets a single task as a trial after this time, and another one when
+# that has ended or run as long.
 PROBATION_MS = 3_000
+# With more than half of a pool suspect, each worker gets one after this time.
+POOL_PROBATION_MS = 500
 # A run that a worker still lists this long after its start has started up.
 START_UP_MS = 150
 # A crash shows by the first poll of the worker that fails. If that is later than this
--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -88,11 +88,12 @@
         worker = self.workers.get(run.worker_id)
         if worker is None:
             return
-        run.phase = RunPhase.STOPPING
+        if run.phase is not RunPhase.STOPPING:
+            # A repeated stop must not put off the list that proves the run gone.
+            run.phase = RunPhase.STOPPING
+            visible_from_ms = at_ms + self.stop_listing_delay_ms
+            run.visible_from_ms = max(run.visible_from_ms, visible_from_ms)
         run.stop_sent_ms = at_ms
-        run.visible_from_ms = max(
-            run.visible_from_ms, at_ms + self.stop_listing_delay_ms
-        )
         yield StopRun(
             worker.worker_id,
             worker.entry.address,
@@ -105,12 +106,14 @@
         worker = self.workers.get(event.worker_id)
         if worker is None or worker.entry.born_ms != event.born_ms:
             return
+        worker.record_clock(event.at_ms, event.result.clock_ms)
         run = worker.runs.get((event.name, event.run_id))
         if run is None or run.phase is RunPhase.RUNNING:
             return
         kind = event.result.kind
         if kind == "ok":
             run.has_begun = True
+            worker.record_answered_start()
             if 0 < event.result.clock_ms < run.clock_ms - limits.CLOCK_SLACK_MS:
                 run.is_in_next_incarnation = True
                 worker.record_failed_poll(event.at_ms)
@@ -132,15 +135,25 @@
             if run.phase is RunPhase.STARTING:
                 # The stop prevents a start that is still in flight from taking effect.
                 yield from self.stop(run, event.at_ms)
-            worker.block(event.at_ms + limits.RETRY_BACKOFF_MS * 3)
+            worker.record_unanswered_start(event.at_ms)
+            self._avoid(event.name, worker)
             return
         self._drop_run(run)
         if kind == "busy":
             worker.block(event.at_ms + limits.RETRY_BACKOFF_MS * 5)
-        elif kind == "room":
-            worker.block(event.at_ms + limits.RETRY_BACKOFF_MS)
         elif kind == "ticket":
             self.tickets.discard_ticket(StepName.of(event.name), worker)
+        elif kind == "old":
+            # A run with a higher number has ended there; other workers know of none.
+            self._avoid(event.name, worker)
+        else:
+            worker.block(event.at_ms + limits.RETRY_BACKOFF_MS)
+
+    def _avoid(self, name: TaskName, worker: Worker) -> None:
+        """Start a task on another worker next time, if one has room."""
+        job = self.jobs.get(name.job_id)
+        if job is not None:
+            job.avoided_workers.setdefault(name, set()).add(worker.worker_id)
 
     def _stop_answered(self, event: StopAnswered) -> Iterable[Effect]:
         worker = self.workers.get(event.worker_id)
@@ -177,7 +190,7 @@
         if end.end is not RunEnd.FAILED:
             self._dirty.add(job.spec.job_id)
             return
-        job.avoided_workers.setdefault(end.name, set()).add(worker.worker_id)
+        self._avoid(end.name, worker)
         if step.is_long_running or end.run_id in record.failed_runs:
             return
         record.failed_runs.append(end.run_id)
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -129,13 +129,18 @@
         Starts and polls name the id only. Those that were meant for the incarnation
         that has ended may have reached the next one: runs for which that is possible
         are kept until a list of the next one disproves them, and its lease may already
-        be as long as a lease can be.
+        be as long as a lease can be. The starts of a previous owner may have reached it
+        as well.
         """
+        was_unverified, inherited_until_ms = worker.is_unverified, worker.lease_until_ms
         survivors = [run for run in worker.runs.values() if is_possible(run)]
         yield from self._mark_crashed(worker, at_ms, "restarted", survivors)
         self._ended_incarnations.add((worker.worker_id, worker.entry.born_ms))
         successor = self._add_worker(entry, at_ms)
         successor.lease_until_ms = successor.lease_bound_ms(at_ms, self.max_lease_ms)
+        if was_unverified:
+            successor.is_unverified = True
+            successor.lease_until_ms = inherited_until_ms
         for run in survivors:
             successor.add(run)
 
@@ -316,7 +321,8 @@
     def _absent(self, worker: Worker, run: Run, at_ms: int) -> Iterable[Effect]:
         """Drop a run that the worker no longer lists, unless it may be stopping it."""
         is_stop_open = run.phase is RunPhase.STOPPING and not run.is_stopped
-        if is_stop_open and run.has_begun:
+        is_recent = at_ms - run.stop_sent_ms <= self.stop_listing_delay_ms
+        if is_stop_open and (run.has_begun or is_recent):
             # The worker has given no answer to the stop, and may have carried it out
             # late. Until the end is listed, the run is in no list.
             run.is_stopped = True
