Tests of closing connections wait for enough answers instead of for a time

Beside load (6 busy processes, load average 20) one of 181 tests had 42 answers where it wanted 200 before it stopped the server; all else passed. The check itself is unchanged.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -183,9 +183,9 @@
         async with trio.open_nursery() as nursery:
             for number in range(100):
                 nursery.start_soon(call_repeatedly, number, address)
-            await trio.sleep(0.5 + random.random() / 10)
+            while len(answered) < 300:
+                await trio.sleep(random.random() / 10)
             server.stop()
-        assert len(answered) > 200
         assert not read & unanswered
 
     run(answer, check)
--- a/tests/test_instance_stop.py
+++ b/tests/test_instance_stop.py
@@ -224,16 +224,15 @@
         instance = cluster.instances[0]
         # Below the rate at which log lines are dropped.
         clients = [Client(n, instance.address, seed * 1000 + n) for n in range(80)]
-        with trio.move_on_after(8):
+        with trio.fail_after(30):
             async with trio.open_nursery() as nursery:
                 for client in clients:
                     nursery.start_soon(client.run)
-                await trio.sleep(0.5 + 0.1 * seed)
+                while sum(len(client.answered) for client in clients) < 200:
+                    await trio.sleep(0.1 * seed)
                 instance.signal(SIGTERM)
         assert instance.wait(1) == 0
         assert not instance.lines("log_lines_dropped")
-        n_answered = sum(len(client.answered) for client in clients)
-        assert n_answered > 200
         read = {line["path"] for line in instance.lines("call")}
         assert not read & set().union(*(client.unanswered for client in clients))
 
