--- a/apricotgap/drivers/http_exchange.py
+++ b/apricotgap/drivers/http_exchange.py
@@ -14,7 +14,6 @@
 
 _READ_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
-_CLOSE = (b"connection", b"close")
 
 
 class RequestError(ApricotgapError):
@@ -58,12 +57,6 @@
             return False
         return True
 
-    @property
-    def _has_read_another_request(self) -> bool:
-        """Whether the connection must stay open for a request that was read early."""
-        connection = self._connection
-        return connection.their_state is h11.DONE and bool(connection.trailing_data[0])
-
     async def receive_bytes(self) -> bool:
         """Receive bytes of the client; False at the end of the connection."""
         data = await self._stream.receive_some(_READ_BYTES)
@@ -134,8 +127,6 @@
         """Send a part of the response, given as an ASGI message."""
         if message["type"] == "http.response.start":
             headers = [*message.get("headers", ()), (b"date", _date())]
-            if self._has_read_another_request:
-                headers = [field for field in headers if field != _CLOSE]
             self._head = h11.Response(status_code=message["status"], headers=headers)
             return
         # Head and body in one piece cost one system call and one packet.
@@ -169,7 +160,7 @@
             return
         headers = [
             (b"content-length", b"0"),
-            _CLOSE,
+            (b"connection", b"close"),
             (b"date", _date()),
         ]
         await self._send(
