--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -226,13 +226,13 @@
         raise StoreError(f"cancellation not stored: {outcome}")
 
     async def _cancel_at(self, service: str, job_id: str, deadline_ms: int) -> bool:
+        # An owner that loses its shard stores nothing more and does not say so.
+        limit_ms = min(deadline_ms, self._clock.now_ms + PEER_TIMEOUT_MS)
         try:
-            return (
-                await self._owner_calls.call(service, "cancel", job_id, deadline_ms)
-                is True
-            )
+            answer = await self._owner_calls.call(service, "cancel", job_id, limit_ms)
         except OwnerCallError:
             return False
+        return answer is True
 
     async def n_pending(self, service: str, queue: str, deadline_ms: int) -> int:
         """Return the number of jobs of a queue without a started task.
--- a/tests/test_instance_stop.py
+++ b/tests/test_instance_stop.py
@@ -239,6 +239,37 @@
     run(check, tmp_path, n_instances=1)
 
 
+def test_cancellations_at_an_owner_that_leaves_are_stored(tmp_path):
+    """Guards against a cancellation that waits at a former owner for its deadline.
+
+    Nothing stores the progress of the jobs at that owner any more.
+    """
+
+    async def check(cluster):
+        owner = cluster.owner()
+        job_ids = [f"{n:016x}" for n in range(20)]
+        body = json.dumps({**JOB, "steps": [{**JOB["steps"][0], "count": 4}]}).encode()
+        for job_id in job_ids:
+            data = request_bytes("POST", f"/plans/{job_id}", body)
+            assert (await answer_of(owner, data))[0] == 200
+        answers = []
+
+        async def cancel(number, job_id):
+            await trio.sleep(0.015 * number)
+            data = request_bytes("DELETE", f"/plans/{job_id}")
+            answers.append(await answer_of(owner, data))
+
+        async with trio.open_nursery() as nursery:
+            for number, job_id in enumerate(job_ids):
+                nursery.start_soon(cancel, number, job_id)
+            await trio.sleep(0.15)
+            owner.signal(SIGTERM)
+        assert {status for status, _ in answers} == {200}
+        assert max(took_s for _, took_s in answers) < 2
+
+    run(check, tmp_path, task_ms=60_000)
+
+
 class Submitter:
     """A client that submits jobs on connections that it keeps."""
 
