A cancellation whose owner ends beneath it goes to the store

Callers see: 500 instead of 200.

Cause: the stops of a cancelled job are started in the nursery of the owner, which may be closed by then; the RuntimeError was answered by 500.

--- a/apricotgap/instance/effect_runner.py
+++ b/apricotgap/instance/effect_runner.py
@@ -7,7 +7,7 @@
 import trio
 
 from apricotgap.clock import Clock
-from apricotgap.instance.ownership import Ownership
+from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.jobs.effects import Effect, LogDecision, PaceRun, StartRun, StopRun
 from apricotgap.jobs.events import StartAnswered, StopAnswered
 from apricotgap.jobs.pacing import Pacer
@@ -87,7 +87,11 @@
         # While the shard loads, jobs can end but no runs are known, so nothing is sent.
         if self._nursery is None:
             raise RuntimeError(f"call to a worker while the shard loads: {effect}")
-        self._nursery.start_soon(send, effect)
+        try:
+            self._nursery.start_soon(send, effect)
+        except RuntimeError as error:
+            # A call that began before the owner ended; the nursery is closed.
+            raise OwnershipLostError("the owner has ended") from error
 
     async def _send_start(self, effect: StartRun) -> None:
         result = await self._client.start(effect, self._epoch)
