--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -150,12 +150,14 @@
         """
         self.step_down(ownership, why)
         shard = ownership.shard
-        outcome = await self._store.write(
-            (
-                Write(owner_key(shard), expected_revision=ownership.revision),
-                Write(tenure_key(shard)),
+        # An owner that fails calls this within the scope that is cancelled now.
+        with trio.CancelScope(shield=True):
+            outcome = await self._store.write(
+                (
+                    Write(owner_key(shard), expected_revision=ownership.revision),
+                    Write(tenure_key(shard)),
+                )
             )
-        )
         self._log.info("resigned", shard=shard, outcome=type(outcome).__name__)
         return isinstance(outcome, Stored | Conflict)
 
@@ -166,7 +168,9 @@
         would remove its owner key and leave the mark of its tenure.
         """
         self.is_draining = True
-        are_gone: list[bool] = []
+        n_keys = self._cluster_view.n_owned_by(self._identity.name)
+        # A shard that has failed may still have its key.
+        are_gone = [n_keys <= len(self._ownerships)]
 
         async def resign(ownership: Ownership) -> None:
             are_gone.append(await self.resign(ownership, "the instance stops"))
@@ -318,6 +322,8 @@
                 str(epoch).encode(),
                 expected_revision=counter.revision,
             ),
+            # Its owner may remove the mark beside this claim.
+            Write(tenure_key(shard), expected_revision=mark.revision, check_only=True),
         ]
         if shard != FLEET_SHARD:
             # Whatever the owner accepts has a successor, even without a queue.
