Leave time between stops for a list that proves their effect

Callers saw a job running for good with nothing at work: a start of one of its tasks got no answer, and neither did any stop of it.

Cause: a stop may hide its run from lists for a while, so that only a list asked for later proves that the run does not exist. Each stop is repeated after 0.5 s; polls last a second, and no list was ever asked for late enough.

Change: a stop is repeated after 0.5, 1, 2 and then every 4 s.

Evidence: test_task_starts_again_although_no_stop_is_answered failed before.

--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -53,6 +53,7 @@
     pace: int = 100
     started_ms: int = 0
     stop_sent_ms: int = -1_000_000
+    n_stops: int = 0
     is_stopped: bool = False
     has_begun: bool = False
     is_started_up: bool = False
--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -90,6 +90,7 @@
             return
         run.phase = RunPhase.STOPPING
         run.stop_sent_ms = at_ms
+        run.n_stops += 1
         run.visible_from_ms = max(
             run.visible_from_ms, at_ms + self.stop_listing_delay_ms
         )
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -19,7 +19,11 @@
 
 __all__ = ["ShardWorkers"]
 
+# A stop without an answer is repeated after this time, then after twice as long each
+# time up to the maximum. Each stop may hide its run from lists for a while; the maximum
+# leaves time for two polls, of which the second proves what became of the run.
 _STOP_RETRY_MS = 500
+_MAX_STOP_RETRY_MS = 4_000
 
 
 class ShardWorkers(ShardCrashes):
@@ -166,7 +170,7 @@
         for worker in list(self.workers.values()):
             effects.extend(self._expire(worker, at_ms))
             for run in list(worker.runs.values()):
-                is_due = at_ms - run.stop_sent_ms > _STOP_RETRY_MS
+                is_due = at_ms - run.stop_sent_ms > _stop_retry_ms(run)
                 if run.phase is RunPhase.STOPPING and is_due and not run.is_stopped:
                     effects.extend(self.stop(run, at_ms))
         return effects
@@ -441,3 +445,8 @@
             self._remove(worker)
             return
         yield from self._expire(worker, event.at_ms)
+
+
+def _stop_retry_ms(run: Run) -> int:
+    n_retries = max(0, run.n_stops - 1)
+    return min(_STOP_RETRY_MS * 2**n_retries, _MAX_STOP_RETRY_MS)
--- a/tests/test_unanswered_starts.py
+++ b/tests/test_unanswered_starts.py
@@ -121,3 +121,25 @@
     rig.poll("w2")
     (second,) = rig.schedule()
     assert second.worker_id != first.worker_id
+
+
+def test_task_starts_again_although_no_stop_is_answered():
+    """Guards against a task that waits for good: each repeated stop hides the run from
+    lists for a while, and no list was asked for after that time.
+    """
+    rig = Rig()
+    rig.ready()
+    rig.submit(job(steps=(StepSpec(1, Resources(1000, 100), 800),)))
+    (start,) = rig.schedule()
+    rig.now += CALL_TIMEOUT_MS
+    rig.answer(start, "unknown")
+    polled_ms = rig.now
+    n_starts = 0
+    for _ in range(100):
+        rig.now += 100
+        rig.shard.tick(rig.now)
+        if rig.now - polled_ms >= limits.POLL_WAIT_MS:
+            rig.poll(sent_ms=polled_ms)
+            polled_ms = rig.now
+        n_starts += len(rig.schedule())
+    assert n_starts >= 1
