Let a suspect task wait for a worker on which it has not failed

Callers saw a job running for good beside free workers: one of its tasks was started only on two workers that answer polls but no start.

Cause: after a start without an answer such a task starts only on a worker that has just answered. The list that disproves the start is that of the same worker, which was therefore the only place at that moment, each time.

Change: while a worker with room on which the task has not failed is only waiting to answer, the task waits for it.

--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -210,6 +210,7 @@
         needs_fresh_answer = job.needs_fresh_answer(name)
         avoided = job.avoided_workers.get(name, ())
         used = {run.worker_id for run in job.runs.get(name, ())}
+        awaits_better = False
         best: Worker | None = None
         best_cost = float("inf")
         for worker in current.workers:
@@ -219,14 +220,14 @@
             if step.required_label and step.required_label not in entry.labels:
                 continue
             has_room = True
-            if needs_fresh_answer and not worker.has_just_answered(current.at_ms):
-                self.awaits_fresh_answer = True
-                continue
             if entry.worker_id in used or (rack is not None and entry.rack != rack):
                 continue
-            if not self._fits_step(name, step, worker, placed):
+            lacks_ticket = needs_ticket and not self._ticket(name, worker, current)
+            if lacks_ticket or not self._fits_step(name, step, worker, placed):
                 continue
-            if needs_ticket and not self._ticket(name, worker, current):
+            if needs_fresh_answer and not worker.has_just_answered(current.at_ms):
+                self.awaits_fresh_answer = True
+                awaits_better |= entry.worker_id not in avoided
                 continue
             cost = self._cost(worker, name, step, current.at_ms, is_suspect)
             if entry.worker_id in avoided:
@@ -235,6 +236,8 @@
                 best, best_cost = worker, cost
         if not has_room:
             current.too_large.setdefault(step.required_label, []).append(allocation)
+        if awaits_better and best is not None and best.worker_id in avoided:
+            return None
         return best
 
     def _fits_step(
--- a/tests/test_worker_flaps.py
+++ b/tests/test_worker_flaps.py
@@ -70,6 +70,18 @@
         rig.poll("w2")
         assert [start.worker_id for start in rig.schedule()] == ["w2"]
 
+    def test_it_waits_for_a_worker_on_which_it_has_not_failed(self):
+        """Guards against a task that starts on one mute worker without end: the list
+        that disproves a start there is the only answer that has just come.
+        """
+        rig, state = self.suspect()
+        state.avoided_workers[task(0)] = {"w1"}
+        rig.now += limits.FRESH_ANSWER_MS + 1
+        rig.poll("w1")
+        assert rig.schedule() == []
+        rig.poll("w2")
+        assert [start.worker_id for start in rig.schedule()] == ["w2"]
+
     def test_one_start_counts_for_one_crash(self):
         """Guards against a job that fails after one start: the start got no answer and
         was kept for each next incarnation of a worker that restarts again and again.
