Stop a start without an answer in the next incarnation too

Callers saw a task run twice: a start arrived seconds late in the next incarnation of its worker, after the task had started again.

Cause: a start that gets no answer is stopped, which bars it from taking effect later. A start that is kept for the next incarnation was not: its answer named the incarnation before. The window of a start binds only the incarnation by whose clock it was sent.

Change: once such a start has had no answer, a stop is sent to the present incarnation.

--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -104,23 +104,21 @@
 
     def _start_answered(self, event: StartAnswered) -> Iterable[Effect]:
         worker = self.workers.get(event.worker_id)
-        if worker is None or worker.entry.born_ms != event.born_ms:
+        if worker is None:
             return
-        worker.record_clock(event.at_ms, event.result.clock_ms)
+        kind = event.result.kind
         run = worker.runs.get((event.name, event.run_id))
+        if worker.entry.born_ms != event.born_ms:
+            if kind == "unknown" and run is not None and run.phase is RunPhase.STARTING:
+                # The window of a start binds only the incarnation it was sent to. A
+                # stop prevents it from taking effect later in this one.
+                yield from self.stop(run, event.at_ms)
+            return
+        worker.record_clock(event.at_ms, event.result.clock_ms)
         if run is None or run.phase is RunPhase.RUNNING:
             return
-        kind = event.result.kind
         if kind == "ok":
-            run.has_begun = True
-            worker.record_answered_start()
-            if 0 < event.result.clock_ms < run.clock_ms - limits.CLOCK_SLACK_MS:
-                run.is_in_next_incarnation = True
-                worker.record_failed_poll(event.at_ms)
-            run.visible_from_ms = min(run.visible_from_ms, event.at_ms)
-            if run.phase is not RunPhase.STOPPING:
-                run.phase = RunPhase.RUNNING
-                run.started_ms = run.last_progress_ms = event.at_ms
+            self._start_confirmed(worker, run, event)
             return
         yield LogDecision(
             "start_refused",
@@ -149,6 +147,18 @@
         else:
             worker.block(event.at_ms + limits.RETRY_BACKOFF_MS)
 
+    @staticmethod
+    def _start_confirmed(worker: Worker, run: Run, event: StartAnswered) -> None:
+        run.has_begun = True
+        worker.record_answered_start()
+        if 0 < event.result.clock_ms < run.clock_ms - limits.CLOCK_SLACK_MS:
+            run.is_in_next_incarnation = True
+            worker.record_failed_poll(event.at_ms)
+        run.visible_from_ms = min(run.visible_from_ms, event.at_ms)
+        if run.phase is not RunPhase.STOPPING:
+            run.phase = RunPhase.RUNNING
+            run.started_ms = run.last_progress_ms = event.at_ms
+
     def _avoid(self, name: TaskName, worker: Worker) -> None:
         """Start a task on another worker next time, if one has room."""
         job = self.jobs.get(name.job_id)
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -3,6 +3,7 @@
 import pytest
 
 from apricotgap.jobs import limits
+from apricotgap.jobs.effects import StopRun
 from apricotgap.jobs.events import PollFailed, StartAnswered, StartResult
 from apricotgap.jobs.model import JobPhase, Resources, StepSpec
 from tests.jobs_harness import MAX_LEASE_MS, Rig, ended, entry, job, running
@@ -94,6 +95,23 @@
     assert rig.is_started_again(other)
 
 
+def test_start_without_an_answer_is_stopped_in_the_next_incarnation():
+    """Guards against a second run of a task: the start arrives seconds late in the next
+    incarnation, whose clock its window does not bind, after it started elsewhere.
+    """
+    rig = IncarnationsRig()
+    start, _ = rig.start_one()
+    rig.now += 5
+    rig.list_next(start.worker_id)
+    rig.now += 500
+    stops = [
+        effect for effect in rig.answer(start, "unknown") if isinstance(effect, StopRun)
+    ]
+    assert [(stop.run_id, stop.born_ms) for stop in stops] == [
+        (start.run_id, NEXT_BORN_MS)
+    ]
+
+
 def test_start_confirmed_by_the_next_incarnations_clock_is_not_lost():
     """Guards against a second run of a task that the next incarnation confirmed: its
     clock starts anew, so that it is behind the clock by which the start was sent.
