--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -223,6 +223,11 @@
             if shard != FLEET_SHARD and shard not in self._stored_shards
         )
 
+    def has_shard(self, service: str) -> bool:
+        """Whether a service has a shard or an owner, as far as this is known."""
+        shards = self.shards()
+        return not shards or service in shards or service in self._owners
+
     def owner_item(self, shard: str) -> Item | None:
         """Return the owner key of a shard, None if the shard has no owner."""
         known = self._owners.get(shard)
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -10,22 +10,14 @@
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.effect_runner import EffectRunner
 from apricotgap.instance.job_cleanup import JobCleanup
-from apricotgap.instance.keys import (
-    jobs_prefix,
-    progress_prefix,
-    roster_key,
-)
+from apricotgap.instance.keys import jobs_prefix, progress_prefix, roster_key
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.poll_loops import PollLoops
 from apricotgap.instance.progress_writer import ProgressWriter
 from apricotgap.instance.roster import RosterWriter
-from apricotgap.instance.shard_loader import (
-    add_found_jobs,
-    load_jobs,
-    read_prefix,
-)
+from apricotgap.instance.shard_loader import add_found_jobs, load_jobs, read_prefix
 from apricotgap.instance.shard_retirement import ShardRetirement, ShardUnusedError
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
@@ -33,9 +25,7 @@
 from apricotgap.instance.ticket_requests import TicketRequests
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
-from apricotgap.jobs.events import (
-    WorkersListed,
-)
+from apricotgap.jobs.events import WorkersListed
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.limits import (
     LEASE_MARGIN_MS,
@@ -154,6 +144,7 @@
             store,
             clock,
             lambda: self._lease_until_ms,
+            cluster_view.has_shard,
             self._request_pass,
         )
         self._effects = EffectRunner(
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -19,11 +19,7 @@
 
 __all__ = ["ShardWorkers"]
 
-# A stop without an answer is repeated after this time, then after twice as long each
-# time up to the maximum. Each stop may hide its run from lists for a while; the maximum
-# leaves time for two polls, of which the second proves what became of the run.
 _STOP_RETRY_MS = 500
-_MAX_STOP_RETRY_MS = 4_000
 
 
 class ShardWorkers(ShardCrashes):
@@ -170,7 +166,7 @@
         for worker in list(self.workers.values()):
             effects.extend(self._expire(worker, at_ms))
             for run in list(worker.runs.values()):
-                is_due = at_ms - run.stop_sent_ms > _stop_retry_ms(run)
+                is_due = at_ms - run.stop_sent_ms > _STOP_RETRY_MS
                 if run.phase is RunPhase.STOPPING and is_due and not run.is_stopped:
                     effects.extend(self.stop(run, at_ms))
         return effects
@@ -325,7 +321,8 @@
     def _absent(self, worker: Worker, run: Run, at_ms: int) -> Iterable[Effect]:
         """Drop a run that the worker no longer lists, unless it may be stopping it."""
         is_stop_open = run.phase is RunPhase.STOPPING and not run.is_stopped
-        if is_stop_open and run.has_begun:
+        is_recent = at_ms - run.stop_sent_ms <= self.stop_listing_delay_ms
+        if is_stop_open and (run.has_begun or is_recent):
             # The worker has given no answer to the stop, and may have carried it out
             # late. Until the end is listed, the run is in no list.
             run.is_stopped = True
@@ -445,8 +442,3 @@
             self._remove(worker)
             return
         yield from self._expire(worker, event.at_ms)
-
-
-def _stop_retry_ms(run: Run) -> int:
-    n_retries = max(0, run.n_stops - 1)
-    return min(_STOP_RETRY_MS * 2**n_retries, _MAX_STOP_RETRY_MS)
--- a/tests/test_unused_services.py
+++ b/tests/test_unused_services.py
@@ -20,6 +20,7 @@
     job_writes,
     owner_key,
     shard_key,
+    tenure_key,
 )
 from apricotgap.instance.ownership import Ownership
 from apricotgap.instance.shard_retirement import (
@@ -194,8 +195,10 @@
 
     async def check(owner):
         assert not await owner.advance(UNUSED_DELAY_MS // 2)
+        owner.store._put(tenure_key(SERVICE), b"1")
         await owner.retire()
         assert not owner.has_keys
+        assert tenure_key(SERVICE) not in owner.store.items
         assert owner.view.services() == ()
 
     run(check)
@@ -364,6 +367,9 @@
     rig.shard.config = UNUSED
     rig.submit(job())
     assert demand.wanted(rig.now) == MIN_WORKERS
+    rig.shard.cancel(job().job_id, 0, rig.now)
+    rig.now += 10_000
+    assert demand.wanted(rig.now) == MIN_WORKERS
     rig.shard.forget(job().job_id)
     rig.now += 10_000
     assert demand.wanted(rig.now) == 0
