Test that a job found late starts although its progress is stored

Shows that it does not happen: an accepted job whose write had no answer, found in the store with its first progress, starts.

--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -4,11 +4,13 @@
 import trio
 import trio.testing
 
-from apricotgap.instance.keys import owner_key, progress_key
+from apricotgap.instance.keys import job_key, owner_key, progress_key
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.progress_writer import REJECTED_RETRY_S, ProgressWriter
+from apricotgap.instance.shard_loader import add_found_jobs
+from apricotgap.jobs.documents import encode_job
 from apricotgap.jobs.model import JobPhase
-from apricotgap.platform.store import Conflict, Stored
+from apricotgap.platform.store import Conflict, Item, Stored
 from tests.conditional_store import ConditionalStore
 from tests.jobs_harness import SERVICE, Rig, ended, job
 
@@ -161,3 +163,24 @@
             assert rig.shard.jobs[self.BAD].saved_phase is JobPhase.CANCELLED
 
         run(check, ConditionalStore)
+
+    def test_job_that_is_found_late_starts_although_its_document_exists(self):
+        """Guards against an accepted job that never starts: the answer to the write of
+        it and its first progress was lost, and it was found in the store.
+        """
+
+        async def check(rig, store, writer):
+            store.revisions[progress_key(SERVICE, self.BAD)] = 42
+            add_found_jobs(
+                rig.shard,
+                [Item(job_key(SERVICE, self.BAD), encode_job(job(self.BAD)), 42)],
+            )
+            assert rig.schedule() == []
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(writer.run)
+                writer.wake()
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+            assert len(rig.schedule()) == 2
+
+        run(check, ConditionalStore)
