--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -265,7 +265,13 @@
     def inputs(self, case: WaitCase) -> dict[str, Any] | None:
         if not all(map(case.job.needs_fresh_answer, case.names)):
             return None
-        if any(w.has_just_answered(case.at_ms) for w in case.candidates):
+        avoided = case.job.avoided_workers.get(case.names[0], ())
+        fresh = [w for w in case.candidates if w.has_just_answered(case.at_ms)]
+        stale = [w for w in case.candidates if not w.has_just_answered(case.at_ms)]
+        awaits_better = any(w.worker_id not in avoided for w in stale)
+        if any(w.worker_id not in avoided for w in fresh):
+            return None
+        if fresh and not awaits_better:
             return None
         ages = [case.at_ms - worker.answered_ms for worker in case.candidates]
         return {"n_with_room": len(ages), "answer_age_ms": min(ages)}
--- a/tests/test_job_waits.py
+++ b/tests/test_job_waits.py
@@ -195,6 +195,16 @@
     return rig, {"n_with_room": 1, "answer_age_ms": 500}
 
 
+def no_fresh_answer_of_a_better_worker():
+    """The worker that has just answered is one that the task avoids."""
+    rig = ready_rig(workers=("w1", "w2"))
+    rig.shard.jobs[JOB].record(task(0)).n_unconfirmed_crashes = 1
+    rig.shard.jobs[JOB].avoided_workers[task(0)] = {"w1"}
+    rig.now += 500
+    rig.poll("w1")
+    return rig, {"n_with_room": 2, "answer_age_ms": 0}
+
+
 def worker_share():
     rig = ready_rig(StepSpec(2, SIZE, 800, max_per_worker=1))
     return rig, {"max_per_worker": 1, "n_with_room": 1}
@@ -243,12 +253,19 @@
     (workers_on_trial, (0, 0), 100),
     (kept_for_gang, (0, 0), 100),
     (no_fresh_answer, (0, 0), 100),
+    (no_fresh_answer_of_a_better_worker, (0, 0), 100),
     (worker_share, (0, 0), 100),
     (no_ticket, (0, 0), 100),
     (first_save, (0, 0), 100),
 ]
 
 
+def reason_of(build):
+    """Return the reason that a case shows, the first part of its name."""
+    name = build.__name__
+    return name.removesuffix("_for_a_gang").removesuffix("_of_a_better_worker")
+
+
 @pytest.mark.parametrize(
     ("build", "key", "next_look_in_ms"), CASES, ids=[case[0].__name__ for case in CASES]
 )
@@ -259,7 +276,7 @@
     rig, expected = build()
     until_ms = rig.now + 1_000 if build is lease_ending else FAR_MS
     wait = waits(rig, key, lease_until_ms=until_ms)
-    assert wait.reason == build.__name__.removesuffix("_for_a_gang")
+    assert wait.reason == reason_of(build)
     assert {name: wait.inputs[name] for name in expected} == expected
     assert wait.next_look_ms - rig.now == next_look_in_ms
 
@@ -274,7 +291,7 @@
 
 def test_each_reason_has_a_case():
     """Guards against a reason that no test shows."""
-    cases = {case[0].__name__.removesuffix("_for_a_gang") for case in CASES}
+    cases = {reason_of(case[0]) for case in CASES}
     assert {reason.name for reason in REASONS} == cases | {"next_pass"}
 
 
