--- a/apricotgap/drivers/http_exchange.py
+++ b/apricotgap/drivers/http_exchange.py
@@ -144,8 +144,7 @@
     def _response_headers(self, message: Any) -> list[tuple[bytes, bytes]]:
         """Return the headers; a request that has arrived is answered as well."""
         headers = list(message.get("headers", ()))
-        connection = self._connection
-        if connection.their_state is not h11.DONE or not connection.trailing_data[0]:
+        if not self.finish_request() or not self._connection.trailing_data[0]:
             return headers
         return [header for header in headers if header[0].lower() != b"connection"]
 
