--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -458,3 +458,23 @@
         assert rig.lease.ended == ["revoked"]
 
     run(check)
+
+
+def test_service_that_has_left_has_a_shard_as_long_as_it_has_an_owner():
+    """Guards against a part of a team's limit that is given away under a running owner,
+    or held for a service that nobody owns.
+    """
+    view = Rig(1_000).cluster_view
+    assert view.has_shard("s1")
+    assert not view.has_shard("left")
+    owner = encode_owner(Owner("other", "i1", "10.0.0.2:1", 1))
+    view.apply(Item(owner_key("left"), owner, 2))
+    assert view.has_shard("left")
+    view.apply(Item(owner_key("left"), None, 3))
+    assert not view.has_shard("left")
+
+
+def test_all_services_have_a_shard_before_the_first_configuration():
+    """Guards against rows of a split that are void since nothing is known yet."""
+    view = ClusterView(Store(), FakeClock())
+    assert view.has_shard("s1")
