--- a/tests/shard_takeovers.py
+++ b/tests/shard_takeovers.py
@@ -76,8 +76,8 @@
         self.shard.config = configuration()
         self.shard.reported_ms = self.shard.loaded_ms = self.now
         self.owner_until_ms = self.now + OWNER_LEASE_MS
-        for each in self.roster.values():
-            self.shard.add_inherited_worker(each, self.now)
+        for each, is_settled in self.roster.values():
+            self.shard.add_inherited_worker(each, self.now, is_settled)
             self.shard.workers[each.worker_id].is_recorded = True
         for job_id, spec in self.specs.items():
             data = self.stored.get(job_id)
@@ -119,7 +119,7 @@
         super()._tick()
         if self.is_store_up:
             self.roster = {
-                worker.worker_id: worker.entry
+                worker.worker_id: (worker.entry, worker.is_settled(self.now))
                 for worker in self.shard.workers.values()
                 if worker.is_recorded
             }
