--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -1,4 +1,4 @@
-"""Workers of a shard: their leases, their polls and the runs that they list."""
+"""Workers of a shard: their polls and the runs that they list."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import replace
@@ -14,7 +14,7 @@
 )
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.runs import Run, RunPhase
-from apricotgap.jobs.shard_crashes import ShardCrashes
+from apricotgap.jobs.shard_leases import ShardLeases
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["ShardWorkers"]
@@ -22,18 +22,13 @@
 _STOP_RETRY_MS = 500
 
 
-class ShardWorkers(ShardCrashes):
+class ShardWorkers(ShardLeases):
     """State of the workers of one service.
 
     Parameters
     ----------
-    service, epoch, stop_ms
-        As for `ShardCrashes`.
-    max_lease_ms : int
-        Maximum length of a worker's lease.
-    inherited_lease_ms : int or None
-        Maximum time for which leases last that previous owners gave, None for
-        `max_lease_ms`.
+    service, epoch, max_lease_ms, stop_ms, inherited_lease_ms
+        As for `ShardLeases`.
     """
 
     def __init__(
@@ -44,11 +39,7 @@
         stop_ms: int,
         inherited_lease_ms: int | None = None,
     ) -> None:
-        super().__init__(service, epoch, stop_ms)
-        self.max_lease_ms = max_lease_ms
-        if inherited_lease_ms is None:
-            inherited_lease_ms = max_lease_ms
-        self._inherited_lease_ms = min(max_lease_ms, inherited_lease_ms)
+        super().__init__(service, epoch, max_lease_ms, stop_ms, inherited_lease_ms)
         self.config: Configuration | None = None
         # Ended incarnations that the platform may still list, by worker and start.
         self._ended_incarnations: set[tuple[str, int]] = set()
@@ -57,27 +48,6 @@
         # Time of which the list of workers shows the state.
         self.list_fresh_ms = -1_000_000
 
-    def add_inherited_worker(
-        self, entry: WorkerEntry, at_ms: int, is_settled: bool = False
-    ) -> None:
-        """Add a worker on which a previous owner may have started runs.
-
-        One that the previous owner did not know as settled may hold a lease as long as
-        a lease can be.
-        """
-        worker = self._add_worker(entry, at_ms)
-        lease_ms = self._inherited_lease_ms if is_settled else self.max_lease_ms
-        worker.lease_until_ms = worker.lease_bound_ms(at_ms, lease_ms)
-        if not is_settled:
-            worker.longest_lease_until_ms = worker.lease_until_ms
-        worker.is_listed = False
-        worker.is_unverified = True
-
-    def _add_worker(self, entry: WorkerEntry, at_ms: int) -> Worker:
-        worker = Worker(entry, entry.free, at_ms)
-        self.workers[entry.worker_id] = worker
-        return worker
-
     def _workers_listed(self, event: WorkersListed) -> Iterable[Effect]:
         listed = {
             entry.worker_id: entry
@@ -152,21 +122,6 @@
         for run in survivors:
             successor.add(run)
 
-    def _expire(self, worker: Worker, at_ms: int) -> Iterable[Effect]:
-        """Drop the runs of a worker whose lease must have ended.
-
-        A worker that the platform no longer lists is removed as well.
-        """
-        if at_ms <= max(worker.lease_until_ms, worker.offered_until_ms):
-            return
-        if worker.runs:
-            yield from self._mark_silent(worker, at_ms)
-        worker.is_acquired = False
-        worker.is_unverified = False
-        if not worker.is_listed:
-            self.workers.pop(worker.worker_id, None)
-            yield LogDecision("worker_gone", {"worker": worker.worker_id})
-
     def tick(self, at_ms: int) -> list[Effect]:
         """Expire the leases of silent workers and repeat unanswered stops."""
         effects: list[Effect] = []
@@ -215,49 +170,6 @@
             if worker is not None:
                 worker.reserved_until_ms = at_ms + limits.RESERVATION_MS
 
-    def offer_lease(self, worker: Worker, at_ms: int, lease_until_ms: int) -> int:
-        """Return the lease end to request, on the worker's clock, or 0 for none.
-
-        Workers' leases end at most WORKER_LEASE_TAIL_MS after the owner's lease, which
-        bounds how long the next owner waits for a worker that it cannot reach.
-
-        A silent worker is offered none: it may take each poll although none of its
-        answers arrives, and its runs would then be away for good.
-        """
-        if worker.silent_since_ms is not None:
-            worker.offered_until_ms = 0
-            return 0
-        left_ms = lease_until_ms + limits.WORKER_LEASE_TAIL_MS - at_ms
-        lease_ms = min(self.max_lease_ms, left_ms)
-        if not worker.clock_at_ms or lease_ms <= 0:
-            return 0
-        worker.offered_until_ms = worker.lease_bound_ms(at_ms, lease_ms)
-        return worker.clock_now_ms(at_ms) + lease_ms
-
-    @staticmethod
-    def poll_wait_ms(worker: Worker, at_ms: int) -> int:
-        """Return how long a worker may delay its response to a poll sent now.
-
-        A worker whose lease is about to end must be polled again before: the owner may
-        have renewed its own lease meanwhile, and can then offer a longer one.
-        """
-        if not worker.is_acquired or not worker.clock_at_ms:
-            return 0
-        lease_ms = max(0, worker.offered_until_ms - at_ms)
-        wait_ms = int(lease_ms * limits.POLL_WAIT_LEASE_FRACTION)
-        return max(limits.MIN_POLL_WAIT_MS, min(limits.POLL_WAIT_MS, wait_ms))
-
-    @staticmethod
-    def _resolve_lease_offer(worker: Worker, was_sent: bool) -> None:
-        if was_sent:
-            worker.lease_until_ms = max(worker.lease_until_ms, worker.offered_until_ms)
-        worker.offered_until_ms = 0
-
-    @property
-    def has_unverified_workers(self) -> bool:
-        """Whether runs of a previous owner may exist on workers not acquired yet."""
-        return any(worker.is_unverified for worker in self.workers.values())
-
     def _poll_answered(self, event: PollAnswered) -> Iterable[Effect]:
         """Apply a response, judged by the incarnation that it comes from."""
         worker = self.workers.get(event.worker_id)
