Hand over no shard while runs of earlier owners may be unknown

Change: a shard is handed over for balance only once each worker of earlier owners has answered or its lease has ended. The new test failed before.

--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -68,6 +68,8 @@
         Dependencies.
     run_shard : callable
         Runs one shard until cancelled.
+    may_hand_over : callable
+        Returns whether a shard that this instance owns may be given up for balance.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         cluster_view: ClusterView,
         clock: Clock,
         run_shard: Callable[[Ownership], Awaitable[None]],
+        may_hand_over: Callable[[str], bool],
     ) -> None:
         self._identity = identity
         self._store = store
@@ -85,6 +88,7 @@
         self._cluster_view = cluster_view
         self._clock = clock
         self._run_shard = run_shard
+        self._may_hand_over = may_hand_over
         self._vacant_since_ms: dict[str, int] = {}
         self._unmarked_since_ms: dict[str, int] = {}
         self._ownerships: dict[str, tuple[Ownership, trio.CancelScope]] = {}
@@ -289,8 +293,10 @@
             self._overloaded_since_ms = now_ms
         if now_ms - self._overloaded_since_ms < HANDOVER_DELAY_MS:
             return
+        shard = min(filter(self._may_hand_over, self._ownerships), default=None)
+        if shard is None:
+            return
         self._overloaded_since_ms = None
-        shard = min(self._ownerships)
         await self.resign(
             self._ownerships[shard][0], "another instance has more spare capacity"
         )
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -106,6 +106,7 @@
             self._cluster_view,
             self._clock,
             self._run_shard,
+            self._may_hand_over,
         )
         self._log = structlog.get_logger()
 
@@ -173,6 +174,11 @@
         nursery.start_soon(self._handle_signals, signals, server, nursery)
         await server.run()
 
+    def _may_hand_over(self, shard: str) -> bool:
+        """Whether a successor would not begin anew to wait for earlier workers."""
+        owner = self._owners.get(shard)
+        return owner is None or owner.knows_all_runs
+
     async def _run_shard(self, ownership: Ownership) -> None:
         if ownership.shard == FLEET_SHARD:
             await self._run_fleet(ownership)
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -207,6 +207,11 @@
                 "the service has neither queue nor jobs"
             ) from group
 
+    @property
+    def knows_all_runs(self) -> bool:
+        """Whether no worker may have runs of a previous owner that are not known."""
+        return self.ready.is_set() and not self._shard.has_unverified_workers
+
     # Loading
 
     async def _load(self) -> PrefixMirror:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -94,6 +94,7 @@
         self.me = Member("me", "i1", "10.0.0.1:1", "a", speed_milli)
         self.running = []
         self.lease = EndlessLease()
+        self.settled = {"s1", "s2"}
         self.election = Election(
             self.me,
             self.store,
@@ -101,6 +102,7 @@
             self.cluster_view,
             self.clock,
             self._run_shard,
+            lambda shard: shard in self.settled,
         )
 
     async def _run_shard(self, ownership):
@@ -235,6 +237,24 @@
     run(check, speed_milli=500)
 
 
+def test_shard_whose_earlier_workers_are_unknown_is_not_handed_over():
+    """Guards against tasks that wait for a lost worker again and again: each new owner
+    begins to wait anew.
+    """
+
+    async def check(rig):
+        rig.settled = set()
+        await rig.advance(500)
+        rig.add("fast", 2_150)
+        await rig.advance(HANDOVER_DELAY_MS + 1_000)
+        assert rig.election.n_owned == 2
+        rig.settled = {"s2"}
+        await rig.advance(200)
+        assert rig.cluster_view.owner("s2") is None
+
+    run(check, speed_milli=500)
+
+
 def test_shard_is_claimed_again_after_a_failed_resignation():
     """Guards against a shard that has an owner key but that no instance runs.
 
@@ -324,6 +344,7 @@
             self.cluster_view,
             self.clock,
             self._run_shard,
+            lambda shard: True,
         )
 
 
--- a/tests/test_review_lost.py
+++ b/tests/test_review_lost.py
@@ -123,7 +123,9 @@
 
     async def main():
         me = Member("me", "2-i1", "10.0.0.1:1", "a", 1_000)
-        election = Election(me, store, EndlessLease(), view, clock, run_shard)
+        election = Election(
+            me, store, EndlessLease(), view, clock, run_shard, lambda shard: True
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(election.run)
             for _ in range(30):
