--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -60,13 +60,9 @@
         wave = {"wave": 3, "machines": names, "durationS": 20, "maxCount": 2}
         cluster.platform.put("op/wave/3", wave)
         await until(lambda: any(order.wave for order in service.orders))
-        claims = [
-            (line["epoch"], instance)
-            for instance in cluster.instances
-            for line in instance.lines("claim")
-            if line["shard"] != SERVICE and line["outcome"] == "Stored"
-        ]
-        max(claims, key=lambda claim: claim[0])[1].signal(SIGKILL)
+        # Instances write their log lines with a delay.
+        await until(lambda: _fleet_claims(cluster))
+        max(_fleet_claims(cluster), key=lambda claim: claim[0])[1].signal(SIGKILL)
         await until(
             lambda: (
                 (cluster.platform.get("status/wave/3") or {}).get("state")
@@ -80,6 +76,16 @@
     run(check, tmp_path, n_instances=3, n_workers=2, n_spare=4)
 
 
+def _fleet_claims(cluster):
+    """Return the epochs and instances of the fleet's owners so far."""
+    return [
+        (line["epoch"], instance)
+        for instance in cluster.instances
+        for line in instance.lines("claim")
+        if line["shard"] != SERVICE and line["outcome"] == "Stored"
+    ]
+
+
 def _check_holders(orders):
     """Check that no machine gets orders of two owners within one holder lease."""
     by_machine = {}
