--- a/apricotgap/instance/poll_loops.py
+++ b/apricotgap/instance/poll_loops.py
@@ -23,10 +23,6 @@
 __all__ = ["PollLoops"]
 
 _RETRY_S = 0.15
-# Longest wait of a poll for the answers to starts, and interval of the checks for them.
-# A start is usually answered within some milliseconds.
-_START_ANSWER_WAIT_S = 0.03
-_START_ANSWER_CHECK_S = 0.005
 # Retry interval of a worker that has not responded for a while.
 SILENT_RETRY_S = 0.4
 # Pause between two polls of a worker while ended runs that it lists are not stored yet:
@@ -117,7 +113,6 @@
 
     async def _poll(self, worker: Worker) -> None:
         entry = worker.entry
-        await self._wait_for_starts(worker)
         sent_ms = self._clock.now_ms
         deadline_ms = self._shard.offer_lease(worker, sent_ms, self._lease_until_ms())
         wait_ms = self._shard.poll_wait_ms(worker, sent_ms)
@@ -163,17 +158,6 @@
         if response.ends:
             await trio.sleep(self._pause_s)
 
-    @staticmethod
-    async def _wait_for_starts(worker: Worker) -> None:
-        """Wait shortly for answers to starts, without which no end is acknowledged.
-
-        A worker whose ends are not acknowledged answers the poll at once, and the ends
-        that follow are seen only after the next pause.
-        """
-        with trio.move_on_after(_START_ANSWER_WAIT_S):
-            while worker.is_acknowledgement_withheld:
-                await trio.sleep(_START_ANSWER_CHECK_S)
-
     def _poll_failed(self, worker: Worker, error: WorkerError) -> None:
         entry = worker.entry
         silent_ms = self._clock.now_ms - worker.answered_ms
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -188,11 +188,6 @@
             return 0
         return self.acknowledged
 
-    @property
-    def is_acknowledgement_withheld(self) -> bool:
-        """Whether starts without an answer keep the worker from dropping ends."""
-        return self.silent_since_ms is None and self.last_seen < self.acknowledged
-
     def record_listed_ends(self, at_ms: int, ends: Sequence[EndReport]) -> None:
         """Record whether the worker still lists ends that are acknowledged."""
         if not any(end.number <= self.acknowledged for end in ends):
