Demo: wait for the winner of two plans before the next plan is made

Cause: of the two plans that race, the winner drains an instance, and nobody waited for it. Each step of an active plan raises the configuration's revision (traced by polling the status: revisions 19 and 20, the step's end and the plan's end, came 4.5 and 6 s after the confirmation). The next plan was made 0.5 s later, so on a slower machine the end of the race's plan fell between planning and confirming. The refusal is right: plan again is its remedy.

Change: the demo waits until the winner's plan is done, and checks it, which it did not before.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -187,16 +187,21 @@
         kind = ("intent", "plan", "drain-instance")
         first = await self.operator.must(*kind, "villach-slots-1")
         second = await self.operator.must(*kind, "villach-slots-2")
-        results: list[int] = []
+        results: dict[str, int] = {}
 
         async def confirm(plan_id: str) -> None:
             code, _ = await self.operator.run("intent", "confirm", plan_id)
-            results.append(code)
+            results[plan_id] = code
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(confirm, first["plan_id"])
             nursery.start_soon(confirm, second["plan_id"])
-        self.check(sorted(results) == [0, 3], f"one of two plans wins: {results}")
+        codes = sorted(results.values())
+        self.check(codes == [0, 3], f"one of two plans wins: {codes}")
+        # Each step of an active plan raises the revision, so a plan made meanwhile
+        # could not be confirmed.
+        for plan_id in (id_ for id_, code in results.items() if code == 0):
+            self.check(await self._wait_plan(plan_id, 15), "the instance is drained")
 
     async def _withdraw_key(self) -> None:
         key = hashlib.sha256(self.keys["fairs"].encode()).hexdigest()
