--- a/tests/conditional_store.py
+++ b/tests/conditional_store.py
@@ -43,3 +43,42 @@
     async def read_key(self, key):
         revision = self.revisions.get(key, 0)
         return Item(key, b"x" if revision else None, revision)
+
+
+class ValueStore:
+    """Keeps values, and shows them to a view of the cluster if there is one."""
+
+    is_down = False
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 10
+        self.cluster_view = None
+        self.before_write = None
+
+    def put(self, key, value):
+        self.revision += 1
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = Item(key, value, self.revision)
+        if self.cluster_view is not None:
+            self.cluster_view.apply(Item(key, value, self.revision))
+
+    async def read_key(self, key):
+        return self.items.get(key, Item(key, None, 0))
+
+    async def write(self, writes, timeout_ms=0):
+        await trio.sleep(0.005)
+        if self.before_write is not None:
+            self.before_write(writes)
+        checked = [each for each in writes if each.expected_revision is not None]
+        found = tuple(self.items[w.key] for w in checked if w.key in self.items)
+        for each in checked:
+            item = self.items.get(each.key)
+            if (item.revision if item else 0) != each.expected_revision:
+                return Conflict(found)
+        for each in writes:
+            if not each.check_only:
+                self.put(each.key, each.value)
+        return Stored(self.revision)
--- a/tests/jobs_harness.py
+++ b/tests/jobs_harness.py
@@ -1,7 +1,7 @@
 """Builders and a harness shared by the tests of job scheduling."""
 
 from apricotgap.jobs.configuration import Configuration, QueueSpec, ServiceSpec, Team
-from apricotgap.jobs.effects import StartRun
+from apricotgap.jobs.effects import StartRun, StopRun
 from apricotgap.jobs.events import (
     EndReport,
     PollAnswered,
@@ -152,3 +152,8 @@
 def task(number, job_id="j" * 16):
     """Return the name of a task of the first step."""
     return TaskName(job_id, 0, 0, number)
+
+
+def stops(effects):
+    """Return the orders to stop a run."""
+    return [effect for effect in effects if isinstance(effect, StopRun)]
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,8 @@
 """HTTP server of the instances: requests, malformed bytes and the end of the server."""
 
+import os
+import socket
+import time
 from random import Random
 
 import pytest
@@ -15,6 +18,16 @@
     return await trio.open_tcp_stream(host, int(port))
 
 
+async def read_all(stream):
+    data = b""
+    try:
+        while chunk := await stream.receive_some(65_536):
+            data += chunk
+    except trio.BrokenResourceError:
+        pass
+    return data
+
+
 async def exchange(stream, data):
     """Send bytes and return the status of the answer, None if there is none."""
     await stream.send_all(data)
@@ -49,6 +62,10 @@
     await send_response(send, 200, body or b"ok", "text/plain")
 
 
+async def ok(scope, receive, send):
+    await send_response(send, 200, b"ok", "text/plain")
+
+
 GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -206,3 +223,45 @@
             assert await stream.receive_some() == b""
 
     run(echo, check)
+
+
+@pytest.mark.parametrize("is_new", [False, True])
+def test_request_that_waits_in_the_socket_is_answered_by_a_server_that_stops(is_new):
+    """Guards against a request that is cut by a stop: it arrived while the event loop
+    was busy, longer ago than a cut is excused.
+    """
+
+    async def check(server, address):
+        host, _, port = address.partition(":")
+        if is_new:
+            client = socket.create_connection((host, int(port)))
+            client.setblocking(False)
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(client))
+        else:
+            stream = await trio.open_tcp_stream(host, int(port))
+            await stream.send_all(GET)
+            assert await stream.receive_some(65_536)
+            client = socket.socket(fileno=os.dup(stream.socket.fileno()))
+        # From here to the stop the event loop serves nothing.
+        client.send(GET)
+        time.sleep(0.3)
+        server.stop()
+        assert (await read_all(stream)).startswith(b"HTTP/1.1 200")
+
+    run(ok, check)
+
+
+def test_second_request_of_a_pipeline_is_answered():
+    """Guards against a request that was read together with the one before and is
+    dropped, since the answer to that one closes the connection.
+    """
+
+    async def closing(scope, receive, send):
+        await send_response(send, 200, b"ok", "text/plain", {"connection": "close"})
+
+    async def check(server, address):
+        stream = await connect(address)
+        await stream.send_all(GET + GET)
+        assert (await read_all(stream)).count(b"HTTP/1.1 200") == 2
+
+    run(closing, check)
