Let all waiting gangs share the periods in which workers are kept

Each gang had periods of its own: 2 s without, 2 s with workers kept for it. A gang that began to wait while the first one kept none could keep the workers in the other half, so that a job behind both found no free worker for 3.7 s beside four empty ones (in virtual time; 2.0 s at most now).

--- a/apricotgap/jobs/gang_room.py
+++ b/apricotgap/jobs/gang_room.py
@@ -9,7 +9,8 @@
 __all__ = ["GangRoom"]
 
 # A gang without room waits this long while single tasks take what becomes free, then as
-# long with workers kept for it, and so on: tasks there may be long.
+# long with workers kept for it, and so on: tasks there may be long. All gangs that wait
+# share these periods, or together they could keep the workers all the time.
 KEEP_MS = 2_000
 
 
@@ -21,6 +22,7 @@
 
     def __init__(self) -> None:
         self._since_ms: dict[tuple[str, StepKey], int] = {}
+        self._periods_begin_ms = 0
 
     def forget_others(self, open_jobs: Iterable[str]) -> None:
         """Forget the gangs of jobs that have ended."""
@@ -40,8 +42,12 @@
     ) -> set[str]:
         """Return the workers to keep now for a gang that has no room, if any."""
         step = job.spec.steps[key[1]]
+        if not self._since_ms:
+            self._periods_begin_ms = at_ms
         since_ms = self._since_ms.setdefault((job.spec.job_id, key), at_ms)
-        if (at_ms - since_ms) % (2 * KEEP_MS) < KEEP_MS:
+        if at_ms - since_ms < KEEP_MS:
+            return set()
+        if (at_ms - self._periods_begin_ms) % (2 * KEEP_MS) < KEEP_MS:
             return set()
         kept: set[str] = set()
         n_places = 0
--- /dev/null
+++ b/tests/test_gang_room.py
@@ -0,0 +1,41 @@
+"""Workers that are kept for gangs, and the jobs that leave them these workers."""
+
+from apricotgap.jobs.gang_room import KEEP_MS
+from apricotgap.jobs.model import Resources, StepSpec
+from tests.jobs_harness import FREE, Rig, job, running
+
+WORKERS = ("w1", "w2", "w3", "w4", "w5")
+ROOM_BOUND_MS = 3_000
+
+
+def test_gangs_that_wait_at_different_times_leave_room_to_other_jobs_in_turn():
+    """Guards against a job that waits beside free workers because one gang after
+    another has them kept: the second gang began to wait while the first one kept none.
+    """
+    rig = Rig(workers=WORKERS).ready()
+    occupied = StepSpec(1, FREE, 60_000)
+    rig.submit(job("1" * 16, (occupied,)))
+    (start,) = rig.schedule()
+    rig.answer(start)
+    gang = StepSpec(5, FREE, 800, is_gang=True)
+    rig.submit(job("2" * 16, (gang,)))
+    begun_ms = rig.now
+    is_second_gang_there = is_small_job_there = False
+    while rig.now < begun_ms + 12 * KEEP_MS:
+        rig.now += 100
+        for worker in WORKERS:
+            is_occupied = worker == start.worker_id
+            rig.poll(worker, running=[running(start, 1)] if is_occupied else ())
+        waited_ms = rig.now - begun_ms
+        if not is_second_gang_there and waited_ms >= KEEP_MS - 200:
+            rig.submit(job("3" * 16, (gang,)))
+            is_second_gang_there = True
+        if not is_small_job_there and waited_ms > 3 * KEEP_MS:
+            small = StepSpec(1, Resources(100, 100), 100)
+            rig.submit(job("4" * 16, (small,), priority=1))
+            is_small_job_there = True
+            submitted_ms = rig.now
+        starts = rig.schedule()
+        if is_small_job_there and starts:
+            break
+    assert rig.now - submitted_ms < ROOM_BOUND_MS
