Keep no workers for a gang that its team's limit does not allow

Workers were kept for each gang that did not start, also for one that lacks nothing but its team's limit: five free workers stayed empty every other 2 s for as long as the job was open, for good if the gang is larger than the limit. They are kept only where the limit leaves the gang its part, here or after a raise. The test failed before (no start beside five free workers).

--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -159,7 +159,15 @@
                 self._start(job, name, step, worker, run_id, current)
             self._gang_room.started(job, key)
             return
-        self._keep_workers(job, key, current)
+        if self._may_get_allowance(job, step):
+            self._keep_workers(job, key, current)
+
+    def _may_get_allowance(self, job: JobState, step: StepSpec) -> bool:
+        """Whether the team's limit leaves enough for a gang, here or to be moved."""
+        required = self._shard.team_usage.get(job.spec.team, NO_RESOURCES)
+        for _ in range(step.n_tasks):
+            required = required + step.allocation
+        return self._shard.team_limits.may_allow(job.spec.team, required)
 
     def _keep_workers(
         self, job: JobState, key: StepKey, current: SchedulingPass
--- a/tests/test_gang_room.py
+++ b/tests/test_gang_room.py
@@ -1,8 +1,10 @@
 """Workers that are kept for gangs, and the jobs that leave them these workers."""
 
+from dataclasses import replace
+
 from apricotgap.jobs.gang_room import KEEP_MS
 from apricotgap.jobs.model import Resources, StepSpec
-from tests.jobs_harness import FREE, Rig, job, running
+from tests.jobs_harness import FREE, SERVICE, Rig, job, running
 
 WORKERS = ("w1", "w2", "w3", "w4", "w5")
 ROOM_BOUND_MS = 3_000
@@ -39,3 +41,22 @@
         if is_small_job_there and starts:
             break
     assert rig.now - submitted_ms < ROOM_BOUND_MS
+
+
+def test_gang_beyond_the_limit_of_its_team_keeps_no_workers():
+    """Guards against free workers that other jobs must leave to a gang which could not
+    start on them.
+    """
+    rig = Rig(workers=WORKERS).ready()
+    limit = replace(rig.shard.config.teams[0], limit=FREE)
+    rig.shard.config = replace(rig.shard.config, teams=(limit,))
+    rig.shard.team_limits.set_configuration(rig.shard.config)
+    rig.shard.team_limits.record_split("bakers", {SERVICE: FREE}, 1)
+    rig.submit(job("2" * 16, (StepSpec(5, FREE, 800, is_gang=True),)))
+    assert not rig.schedule()
+    rig.now += KEEP_MS
+    for worker in WORKERS:
+        rig.poll(worker)
+    small = StepSpec(1, Resources(100, 100), 100)
+    rig.submit(job("4" * 16, (small,), priority=1))
+    assert rig.schedule()
