Acknowledge ends although a list full of them cannot prove a run gone

A list of 500 ends proves no run gone, since the run's own end may come later. While a run is open whose start got no answer, no end is acknowledged, so that the list stayed full: the worker took no start any more, and the task of the lost start never started again. The test: 1,000 ends and one start without an answer; after 10 s nothing was acknowledged.

Such a run is marked when a list that would show it lacks it, as an absent run is dropped when all ends are listed. It no longer counts as a start that may reach the next incarnation, and stays open until its end is listed or proved absent.

--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -34,6 +34,8 @@
     `clock_ms` is a lower bound of the worker's clock at the time of the start. A start
     that is confirmed at an earlier time of that clock reached the next incarnation of
     the worker: then `is_in_next_incarnation` is set until a list shows the run.
+    `is_unlisted` is set once a list that would show the run lacks it, but lacks ends
+    too: the run has ended or never began, and does not begin any more.
     `is_charged` is set once a crash was charged to an unconfirmed start that is kept
     for the next incarnation: one start causes one crash at most.
     """
@@ -59,6 +61,7 @@
     is_on_trial: bool = False
     clock_ms: int = 0
     is_in_next_incarnation: bool = False
+    is_unlisted: bool = False
     is_charged: bool = False
 
     @property
@@ -69,4 +72,4 @@
     @property
     def may_be_in_next_incarnation(self) -> bool:
         """Whether the start may have reached the next incarnation of its worker."""
-        return self.is_in_next_incarnation or not self.has_begun
+        return self.is_in_next_incarnation or not (self.has_begun or self.is_unlisted)
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -232,13 +232,14 @@
         for report in event.running:
             listed.add((report.name, report.run_id))
             yield from self._listed(worker, report, event)
-        if len(event.ends) >= limits.MAX_LISTED_ENDS:
-            return
+        has_all_ends = len(event.ends) < limits.MAX_LISTED_ENDS
         for key, run in list(worker.runs.items()):
             if key not in listed and run.visible_from_ms < event.sent_ms:
-                yield from self._absent(worker, run, event.at_ms)
+                yield from self._absent(worker, run, event.at_ms, has_all_ends)
 
-    def _absent(self, worker: Worker, run: Run, at_ms: int) -> Iterable[Effect]:
+    def _absent(
+        self, worker: Worker, run: Run, at_ms: int, has_all_ends: bool
+    ) -> Iterable[Effect]:
         """Drop a run that the worker no longer lists, unless it may be stopping it."""
         is_stop_open = run.phase is RunPhase.STOPPING and not run.is_stopped
         is_recent = at_ms - run.stop_sent_ms <= self.stop_listing_delay_ms
@@ -248,6 +249,10 @@
             run.is_stopped = True
             run.visible_from_ms = at_ms + self.stop_listing_delay_ms
             return
+        if not has_all_ends:
+            # Its end may come in a later list, once these ends are acknowledged.
+            run.is_unlisted = True
+            return
         self._drop_run(run)
         yield LogDecision(
             "run_absent",
--- a/tests/test_worker_acknowledgements.py
+++ b/tests/test_worker_acknowledgements.py
@@ -3,7 +3,7 @@
 from apricotgap.jobs import limits
 from apricotgap.jobs.events import StartAnswered, StartResult
 from apricotgap.jobs.model import Resources, RunEnd, StepSpec
-from tests.jobs_harness import Rig, ended, job
+from tests.jobs_harness import Rig, ended, job, running
 
 MANY_TASKS = (StepSpec(40, Resources(1000, 100), 800),)
 ACKNOWLEDGED = 57
@@ -79,3 +79,29 @@
         rig.now += 100
     assert n_ends > ACKNOWLEDGED + 40
     assert longest_ms <= limits.MAX_WITHHELD_MS + 1_000
+
+
+def test_full_list_of_ends_does_not_hold_up_a_start_without_an_answer():
+    """Guards against a worker that gets no task any more: a list that is full of ends
+    proves no run gone, and while a run is open none of the ends is acknowledged.
+    """
+    rig = AcknowledgementsRig()
+    lost, *others = rig.schedule()
+    for other in others:
+        rig.answer(other)
+    rig.now += limits.START_WINDOW_MS
+    rig.answer(lost, "unknown")
+    n_ends = ACKNOWLEDGED + 2 * limits.MAX_LISTED_ENDS
+    ends = [
+        ended(number, others[0], RunEnd.STOPPED)
+        for number in range(ACKNOWLEDGED + 1, n_ends + 1)
+    ]
+    for _ in range(100):
+        rig.now += 100
+        rig.shard.tick(rig.now)
+        last_seen = rig.worker.last_seen
+        ends = [end for end in ends if end.number > last_seen]
+        rig.poll(running=map(running, others[1:]), ends=ends[: limits.MAX_LISTED_ENDS])
+        rig.worker.acknowledged = rig.worker.last_applied
+    assert not ends
+    assert (lost.name, lost.run_id) not in rig.worker.runs
