Stop a run again in the next incarnation of its worker

A worker answered the stop of a start that had got no answer, and restarted under its id; the start reached the next incarnation, which listed the run. It counted as stopped by the earlier answer, so that no stop was repeated: when the one stop that follows a cancellation was lost, the run went on.

--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -120,6 +120,8 @@
         successor.longest_lease_until_ms = successor.lease_until_ms
         successor.is_unverified = was_unverified
         for run in survivors:
+            # An answer of the last incarnation to a stop does not bind this one.
+            run.is_stopped = False
             successor.add(run)
 
     def tick(self, at_ms: int) -> list[Effect]:
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -4,7 +4,12 @@
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import StopRun
-from apricotgap.jobs.events import PollFailed, StartAnswered, StartResult
+from apricotgap.jobs.events import (
+    PollFailed,
+    StartAnswered,
+    StartResult,
+    StopAnswered,
+)
 from apricotgap.jobs.model import JobPhase, Resources, StepSpec
 from tests.jobs_harness import MAX_LEASE_MS, Rig, ended, entry, job, running
 
@@ -236,3 +241,29 @@
     assert worker.last_seen == 0
     rig.poll("w1")
     assert worker.last_seen == 57
+
+
+def test_stop_that_an_ended_incarnation_answered_is_sent_to_the_next_one():
+    """Guards against a run that goes on although its job is cancelled: the incarnation
+    that answered the stop has ended, the start reached the next one, and the stop that
+    follows the cancellation is lost.
+    """
+    rig = Rig().ready()
+    rig.submit(job(steps=(StepSpec(1, Resources(1000, 100), 60_000),)))
+    (start,) = rig.schedule()
+    rig.now += limits.START_WINDOW_MS
+    rig.answer(start, "unknown")
+    rig.shard.step(
+        StopAnswered(rig.now, "w1", start.born_ms, start.name, start.run_id, True)
+    )
+    rig.now += 100
+    rig.list_workers(entry(born_ms=NEXT_BORN_MS))
+    rig.poll(running=[running(start)], born_ms=NEXT_BORN_MS)
+    rig.shard.cancel("j" * 16, 0, rig.now)
+    stops = []
+    for _ in range(20):
+        rig.now += 100
+        effects = rig.shard.tick(rig.now)
+        stops += [effect for effect in effects if isinstance(effect, StopRun)]
+        rig.poll(running=[running(start)], born_ms=NEXT_BORN_MS)
+    assert stops
