Count a crash that the probe of a lost task shows first

A backend server that restarted is found by its status report or by the probe of a task that lost its connection. Only the report counted the crash against the body; after a probe the task was released, and the report found nothing to count. A body could crash a server with each of its requests and was never quarantined. Both ways count it now, once. The test failed before (two crashes seen by probes, no quarantine); five others show that one request is started twice, or four times where its connections stay silent, and then ends.

--- a/apricotgap/core/quarantine.py
+++ b/apricotgap/core/quarantine.py
@@ -7,9 +7,20 @@
 from apricotgap.core.limits import MAX_QUARANTINE_DIGESTS, QUARANTINE_KILLS
 
 if TYPE_CHECKING:
+    from apricotgap.core.placement import Task
     from apricotgap.core.state import EntryState
 
-__all__ = ["is_quarantined", "record_worker_crash"]
+__all__ = ["is_quarantined", "record_crash_under", "record_worker_crash"]
+
+
+def record_crash_under(state: EntryState, task: Task) -> None:
+    """Record once that the worker of a task crashed, for its request and its body."""
+    if task.crash_recorded:
+        return
+    task.crash_recorded = True
+    if task.pending_request is not None:
+        task.pending_request.n_worker_crashes += 1
+    record_worker_crash(state, task.body_digest)
 
 
 def record_worker_crash(state: EntryState, body_digest: str) -> None:
--- a/apricotgap/core/task_loss.py
+++ b/apricotgap/core/task_loss.py
@@ -3,7 +3,15 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from apricotgap.core import claims, fair_queue, placement, preemption, retry, usage
+from apricotgap.core import (
+    claims,
+    fair_queue,
+    placement,
+    preemption,
+    quarantine,
+    retry,
+    usage,
+)
 from apricotgap.core.effects import Count, Effect, StopTask
 from apricotgap.core.worker_index import index_of
 from apricotgap.model import NotRun, Outcome, OutcomeUnknown, RefusalKind
@@ -48,6 +56,7 @@
     state: "EntryState", task: "Task", at_ms: int
 ) -> list[Effect]:
     """Handle a task whose server restarted, which does not prove that it never ran."""
+    quarantine.record_crash_under(state, task)
     effects: list[Effect] = []
     pending, message = task.pending_request, "the backend server restarted"
     if pending is not None and task.idempotent:
--- a/apricotgap/core/worker_events.py
+++ b/apricotgap/core/worker_events.py
@@ -24,7 +24,6 @@
     WorkerReported,
     WorkerUnreachable,
 )
-from apricotgap.core.placement import Task
 from apricotgap.core.reducer import Handler
 from apricotgap.core.state import EntryState
 
@@ -40,15 +39,6 @@
 LIST_INTERVAL_MS_PER_INSTANCE = 10
 
 
-def _record_crash(state: EntryState, task: Task) -> None:
-    if task.crash_recorded:
-        return
-    task.crash_recorded = True
-    if task.pending_request is not None:
-        task.pending_request.n_worker_crashes += 1
-    quarantine.record_worker_crash(state, task.body_digest)
-
-
 class HandleWorkerReported(Handler):
     """Processes a status report."""
 
@@ -96,7 +86,6 @@
         for task in list(tasks.values()):
             if task.boot_id == event.boot_id:
                 continue
-            _record_crash(state, task)
             yield from task_loss.handle_server_restart(state, task, event.at_ms)
 
 
@@ -124,7 +113,7 @@
         yield DropConnections(event.instance, instance.address)
         tasks = state.placement.by_instance.get(event.instance, {})
         for task in list(tasks.values()):
-            _record_crash(state, task)
+            quarantine.record_crash_under(state, task)
             if task.connection_lost:
                 continue
             if not task.idempotent:
