Quarantine no body whose task has completed since its crashes

A crash counts against the bodies of all tasks on the backend server. A sound request that ran beside a request that crashes its servers was refused for good after two such crashes, however often its body had completed, and with it each later request with that body at this entry. A completed task now clears the count of its body. The test failed before (refused after three crashes, with a completed task after each).

--- a/apricotgap/core/quarantine.py
+++ b/apricotgap/core/quarantine.py
@@ -10,7 +10,12 @@
     from apricotgap.core.placement import Task
     from apricotgap.core.state import EntryState
 
-__all__ = ["is_quarantined", "record_crash_under", "record_worker_crash"]
+__all__ = [
+    "is_quarantined",
+    "record_completion",
+    "record_crash_under",
+    "record_worker_crash",
+]
 
 
 def record_crash_under(state: EntryState, task: Task) -> None:
@@ -41,6 +46,11 @@
         del crashes[next(iter(crashes))]
 
 
+def record_completion(state: EntryState, body_digest: str) -> None:
+    """Forget the crashes under tasks with this body: one has run to its end."""
+    state.claims.worker_crashes.pop(body_digest, None)
+
+
 def is_quarantined(state: EntryState, body_digest: str) -> bool:
     """Tell whether requests with this body are refused."""
     return state.claims.worker_crashes.get(body_digest, 0) >= QUARANTINE_KILLS
--- a/apricotgap/core/task_events.py
+++ b/apricotgap/core/task_events.py
@@ -11,6 +11,7 @@
     health,
     placement,
     preemption,
+    quarantine,
     task_loss,
     usage,
     worker_index,
@@ -80,6 +81,7 @@
             yield from health.record_failure(state, task.instance, event.at_ms)
         else:
             health.record_success(state, task.instance, event.at_ms)
+            quarantine.record_completion(state, task.body_digest)
             if pending is not None:
                 estimates.record_run_time(
                     state, pending.request, task.team, event.run_ms
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,6 +5,7 @@
 from apricotgap.core import quarantine
 from apricotgap.core.effects import Dispatch
 from apricotgap.core.events import (
+    TaskCompleted,
     TaskFailed,
     TaskProbed,
     TaskState,
@@ -91,3 +92,15 @@
         fleet.step(TaskProbed, start.task_id, TaskState.UNKNOWN, now_ms, "b2")
         fleet.report(*SERVERS, boot_id=f"after {server}")
     assert quarantine.is_quarantined(fleet.state, "bad")
+
+
+def test_body_that_completes_is_not_refused_for_crashes_beside_it(monkeypatch):
+    """Guards against sound requests that are refused for good because their tasks ran
+    beside another request, which crashed the servers.
+    """
+    fleet = fleet_of_servers(monkeypatch, slots=2)
+    for request in ("a0", "a1", "a2"):
+        start = dispatched(fleet.submit(request, body_digest="good", idempotent=True))
+        again = dispatched(restart(fleet, start))
+        fleet.step(TaskCompleted, again.task_id, 200, 1, 5)
+    assert not quarantine.is_quarantined(fleet.state, "good")
