Quarantine no requests without a body

Bodies are told apart by their digest, and that of an empty body was one of them: after two crashes of backend servers beside requests without a body, an entry refused each request without one, of all teams and queues, until it was restarted. They are told apart by what the entry does not see (path, headers), so that their crashes count for the request alone, which ends after two.

--- a/apricotgap/core/quarantine.py
+++ b/apricotgap/core/quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hashlib import sha256
 from typing import TYPE_CHECKING
 
 from apricotgap.core.limits import MAX_QUARANTINE_DIGESTS, QUARANTINE_KILLS
@@ -17,6 +18,9 @@
     "record_worker_crash",
 ]
 
+# Requests without a body differ in what the entry does not see.
+_NO_BODY_DIGESTS = frozenset({"", sha256(b"").hexdigest()})
+
 
 def record_crash_under(state: EntryState, task: Task) -> None:
     """Record once that the worker of a task crashed, for its request and its body."""
@@ -36,9 +40,9 @@
     state : EntryState
         State of the entry instance.
     body_digest : str
-        Hex SHA-256 of the body; empty is ignored.
+        Hex SHA-256 of the body; requests without one are ignored.
     """
-    if not body_digest:
+    if body_digest in _NO_BODY_DIGESTS:
         return
     crashes = state.claims.worker_crashes
     crashes[body_digest] = crashes.pop(body_digest, 0) + 1
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,5 +1,7 @@
 """Requests that crash the backend servers that run them, and those beside them."""
 
+from hashlib import sha256
+
 import pytest
 
 from apricotgap.core import quarantine
@@ -104,3 +106,12 @@
         again = dispatched(restart(fleet, start))
         fleet.step(TaskCompleted, again.task_id, 200, 1, 5)
     assert not quarantine.is_quarantined(fleet.state, "good")
+
+
+def test_requests_without_a_body_are_not_taken_for_one_another(monkeypatch):
+    """Guards against two crashes after which no request without a body is accepted."""
+    fleet = fleet_of_servers(monkeypatch)
+    no_body = sha256(b"").hexdigest()
+    for request in ("a0", "a1"):
+        restart(fleet, dispatched(fleet.submit(request, body_digest=no_body)))
+    assert not quarantine.is_quarantined(fleet.state, no_body)
