--- a/apricotgap/platform/job_wire.py
+++ b/apricotgap/platform/job_wire.py
@@ -2,9 +2,10 @@
 
 import msgspec
 
+from apricotgap.decoding import Integer
 from apricotgap.jobs.configuration import QueueSpec
 from apricotgap.jobs.model import JobSpec, Resources, StepSpec
-from apricotgap.platform.wire import Integer, WireError, decode
+from apricotgap.platform.wire import WireError, decode
 
 __all__ = ["decode_job"]
 
--- a/apricotgap/platform/wire.py
+++ b/apricotgap/platform/wire.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from apricotgap.decoding import DecodeError, decode_json
+from apricotgap.decoding import DecodeError, Integer, decode_json
 from apricotgap.jobs.configuration import (
     Configuration,
     QueueSpec,
@@ -21,7 +21,6 @@
 from apricotgap.jobs.model import Resources
 
 __all__ = [
-    "Integer",
     "WireError",
     "decode_configuration",
     "decode",
@@ -30,16 +29,12 @@
     "decode_worker",
 ]
 
-# Largest integer on which JSON implementations agree. JSON itself has no limit, and
-# calculations with much larger numbers overflow.
-MAX_INTEGER = 2**53 - 1
 _MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
 # Values of other writers are quoted in messages up to this length.
 _MAX_QUOTED = 80
 MAX_WAVE_S = 10 * 366 * 24 * 3_600
 
-Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 _T = TypeVar("_T")
 
 
--- a/apricotgap/platform/workers.py
+++ b/apricotgap/platform/workers.py
@@ -2,12 +2,11 @@
 
 import msgspec
 
-from apricotgap.decoding import DecodeError, decode_json
+from apricotgap.decoding import DecodeError, Integer, decode_json
 from apricotgap.jobs.effects import PaceRun, StartRun, StopRun
 from apricotgap.jobs.events import EndReport, RunReport, StartResult
 from apricotgap.jobs.model import RunEnd, TaskName
 from apricotgap.platform.http import HttpClient, NoResponseError
-from apricotgap.platform.wire import Integer
 
 __all__ = [
     "FencedError",
