Election: odd members and epochs are errors of the record

Cause: members and owners were decoded without a check of their fields, and the counter of a shard's epochs without any typed error. A member with a speed of 0 or as text, or a counter that is no number, raised ZeroDivisionError, TypeError or ValueError in the loop of the election and so ended the process of every instance. An empty counter gave epoch 1, a negative one a negative epoch: fencing tokens that were in use before.

Change: typed rows; `decode_epoch` raises DecodeError. An unreadable counter is replaced by the revision of its key: each owner raises the epoch by one in a transaction of its own, so that no epoch is above it.

--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -10,12 +10,14 @@
 import trio
 
 from apricotgap.clock import Clock
+from apricotgap.decoding import DecodeError
 from apricotgap.instance.cluster_view import FLEET_SHARD, ClusterView
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
     SHARD_OPEN,
     Member,
     Owner,
+    decode_epoch,
     decode_owner,
     encode_member,
     encode_owner,
@@ -312,7 +314,7 @@
         if lease is None:
             self._log.info("claim_dropped", shard=shard, is_draining=self.is_draining)
             return None
-        last_epoch = int(counter.value or b"0")
+        last_epoch = self._last_epoch(shard, counter)
         epoch = last_epoch + 1
         me = self._identity
         owner = Owner(me.name, me.incarnation, me.address, epoch)
@@ -357,6 +359,17 @@
                 self._cluster_view.apply(item)
         return None
 
+    def _last_epoch(self, shard: str, counter: Item) -> int:
+        """Return an epoch that is not below that of any earlier owner."""
+        try:
+            return decode_epoch(counter)
+        except DecodeError as error:
+            self._log.error("epoch_unreadable", shard=shard, error=str(error))
+        # Each owner has raised the epoch by one in a transaction of its own, so that
+        # none was above the revision at that time.
+        owner = self._cluster_view.owner(shard)
+        return max(counter.revision, owner.epoch if owner else 0)
+
     async def _resolve_claim(
         self, shard: str, owner: Owner, outcome: Unknown
     ) -> Stored | Unknown:
@@ -375,5 +388,5 @@
         return False
     try:
         return decode_owner(item.value) == owner
-    except ValueError:
+    except DecodeError:
         return False
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -3,11 +3,13 @@
 import secrets
 import time
 from dataclasses import dataclass
+from typing import Annotated
 
 import cbor2
+import msgspec
 
-from apricotgap.decoding import decode_cbor
-from apricotgap.platform.store import Write
+from apricotgap.decoding import MAX_INTEGER, Count, DecodeError, decode_cbor
+from apricotgap.platform.store import Item, Write
 
 __all__ = [
     "FLEET_ORDERS_KEY",
@@ -20,6 +22,7 @@
     "Member",
     "Owner",
     "cancel_key",
+    "decode_epoch",
     "decode_member",
     "decode_owner",
     "encode_member",
@@ -50,6 +53,14 @@
 # Machines that were recently named in an order of the fleet owner.
 FLEET_ORDERS_KEY = "orders/fleet"
 
+# Name, incarnation, address, data centre and speed of a member, which divides its load.
+_MemberRow = tuple[
+    str, str, str, str, Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+]
+# Name, incarnation, address and epoch of an owner.
+_OwnerRow = tuple[str, str, str, Count]
+_MAX_EPOCH_DIGITS = 15
+
 
 def owner_key(shard: str) -> str:
     """Return the key of a shard's owner."""
@@ -182,10 +193,10 @@
 
     Raises
     ------
-    ValueError
+    DecodeError
         The bytes are malformed.
     """
-    return Member(*_decode_fields(data, 5))
+    return Member(*decode_cbor(data, _MemberRow))
 
 
 def encode_owner(owner: Owner) -> bytes:
@@ -198,17 +209,25 @@
 
     Raises
     ------
-    ValueError
+    DecodeError
         The bytes are malformed.
     """
-    return Owner(*_decode_fields(data, 4))
+    return Owner(*decode_cbor(data, _OwnerRow))
+
 
+def decode_epoch(item: Item) -> int:
+    """Return the number of owners that a shard has had, 0 for a missing key.
 
-def _decode_fields(data: bytes, n_fields: int) -> list:
-    row = decode_cbor(data)
-    if not isinstance(row, list) or len(row) != n_fields:
-        raise ValueError(f"expected a list of {n_fields} fields")
-    return row
+    Raises
+    ------
+    DecodeError
+        The value is not a number in decimal digits.
+    """
+    if item.value is None:
+        return 0
+    if not item.value.isdigit() or len(item.value) > _MAX_EPOCH_DIGITS:
+        raise DecodeError(f"malformed epoch of {len(item.value)} bytes")
+    return int(item.value)
 
 
 def job_writes(service: str, job_id: str, document: bytes) -> tuple[Write, Write]:
