Stored jobs, progress and splits: decode typed fields

Cause: the fields of stored documents were taken as they came. A job with a step of 10^12 tasks took the memory of its owner at the load, one with text as a priority raised in each scheduling pass, a split with text raised when the limit was compared: owner after owner of the shard ended.

Change: each document has a typed row; out of range or of another type is a DocumentError. What a job may ask for is checked in one place, `jobs/job_check.py`, for submissions and stored jobs alike.

--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -59,7 +59,8 @@
 ]
 # Name, incarnation, address and epoch of an owner.
 _OwnerRow = tuple[str, str, str, Count]
-_MAX_EPOCH_DIGITS = 15
+# A run id is up to a thousand times an epoch, and must fit an integer.
+_MAX_EPOCH_DIGITS = 12
 
 
 def owner_key(shard: str) -> str:
--- a/apricotgap/jobs/documents.py
+++ b/apricotgap/jobs/documents.py
@@ -1,10 +1,13 @@
 """Encoding of stored documents: jobs, their progress and splits of team limits."""
 
 from dataclasses import dataclass, field
+from typing import Any, TypeVar
 
 import cbor2
+import msgspec
 
-from apricotgap.decoding import decode_cbor
+from apricotgap.decoding import Count, DecodeError, Integer, Number, decode_cbor
+from apricotgap.jobs.job_check import find_defect
 from apricotgap.jobs.model import JobPhase, JobSpec, Resources, StepSpec, TaskName
 
 __all__ = [
@@ -21,6 +24,8 @@
 
 _VERSION = 1
 
+_T = TypeVar("_T")
+
 
 class DocumentError(ValueError):
     """Stored data is malformed or has an unknown version."""
@@ -96,30 +101,118 @@
     )
 
 
+class _ResourcesRow(msgspec.Struct, array_like=True):
+    cpu: Count = 0
+    memory_mb: Count = 0
+    gpus: Count = 0
+
+    def resources(self) -> Resources:
+        return Resources(self.cpu, self.memory_mb, self.gpus)
+
+
+class _StepRow(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    n_tasks: Count
+    resources: _ResourcesRow
+    estimated_ms: Count = 0
+    after: tuple[Count, ...] = ()
+    checkpoints: bool = False
+    is_gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_worker: Integer = 0
+    allows_duplicates: bool = False
+    is_long_running: bool = False
+    image: str = ""
+    target_ms: Integer = 0
+    is_best_effort: bool = False
+    max_unavailable: Integer = 0
+
+    def step(self) -> StepSpec:
+        fields = msgspec.structs.asdict(self)
+        return StepSpec(**fields | {"resources": self.resources.resources()})
+
+
+class _JobRow(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    version: Integer
+    job_id: str
+    queue: str
+    service: str
+    team: str
+    content: str
+    steps: tuple[_StepRow, ...]
+    submitted_ms: Integer
+    max_attempts: Integer = 3
+    priority: Integer = 0
+    slack_factor: Number = 2.0
+    target_latency_ms: Integer = 1000
+    n_occurrences: Count = 0
+    start_ms: Count = 0
+    interval_ms: Count = 0
+
+    def job(self) -> JobSpec:
+        fields = msgspec.structs.asdict(self)
+        del fields["version"]
+        return JobSpec(**fields | {"steps": tuple(step.step() for step in self.steps)})
+
+
+class _TaskRow(msgspec.Struct, array_like=True):
+    # Documents of earlier builds have no crash points, or no unconfirmed crashes.
+    occurrence: Count
+    step: Count
+    number: Count
+    done: bool
+    failed_runs: list[Integer]
+    checkpoint: str
+    crash_points: Count = 0
+    n_unconfirmed_crashes: Count = 0
+
+    def record(self) -> TaskRecord:
+        return TaskRecord(
+            self.done,
+            self.failed_runs,
+            self.checkpoint,
+            self.crash_points,
+            self.n_unconfirmed_crashes,
+        )
+
+
+class _ProgressRow(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    version: Integer
+    phase: JobPhase
+    tasks: list[_TaskRow]
+    finished_ms: Integer
+
+
+class _SplitRow(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    version: Integer
+    parts: dict[str, _ResourcesRow]
+
+
+def _decode(data: bytes, shape: type[_T]) -> _T:
+    """Decode a document of this version."""
+    try:
+        row: Any = decode_cbor(data, shape)
+    except DecodeError as error:
+        raise DocumentError(str(error)) from error
+    if row.version != _VERSION:
+        raise DocumentError(f"unknown version {row.version}")
+    return row
+
+
 def decode_job(data: bytes) -> JobSpec:
     """Decode the stored form of a job.
 
     Raises
     ------
     DocumentError
-        The data is not a job document of this version.
+        The data is not a job document of this version, or no caller could have
+        submitted the job.
     """
-    try:
-        version, *fields = decode_cbor(data)
-        if version != _VERSION:
-            raise DocumentError(f"unknown job version {version}")
-        steps = tuple(_step(row) for row in fields[5])
-        fields[5] = steps
-        return JobSpec(*fields)
-    except DocumentError:
-        raise
-    except (ValueError, TypeError, IndexError) as error:
-        raise DocumentError(f"malformed job: {error}") from error
-
-
-def _step(row: list) -> StepSpec:
-    n_tasks, resources, estimated_ms, after, *rest = row
-    return StepSpec(n_tasks, Resources(*resources), estimated_ms, tuple(after), *rest)
+    job = _decode(data, _JobRow).job()
+    if defect := find_defect(job):
+        raise DocumentError(defect)
+    return job
 
 
 def encode_progress(progress: Progress) -> bytes:
@@ -152,22 +245,12 @@
     DocumentError
         The data is not a progress document of this version.
     """
-    try:
-        version, phase, rows, finished_ms = decode_cbor(data)
-        if version != _VERSION:
-            raise DocumentError(f"unknown progress version {version}")
-        tasks = {TaskName(job_id, *row[:3]): _task_record(row[3:]) for row in rows}
-        return Progress(JobPhase(phase), tasks, finished_ms)
-    except DocumentError:
-        raise
-    except (ValueError, TypeError, IndexError) as error:
-        raise DocumentError(f"malformed progress: {error}") from error
-
-
-def _task_record(row: list) -> TaskRecord:
-    # Documents of earlier builds have no crash points, or no unconfirmed crashes.
-    done, failed_runs, checkpoint, *rest = row
-    return TaskRecord(bool(done), list(failed_runs), checkpoint, *rest[:2])
+    row = _decode(data, _ProgressRow)
+    tasks = {
+        TaskName(job_id, task.occurrence, task.step, task.number): task.record()
+        for task in row.tasks
+    }
+    return Progress(row.phase, tasks, row.finished_ms)
 
 
 def encode_split(split: dict[str, Resources]) -> bytes:
@@ -186,12 +269,5 @@
     DocumentError
         The data is not a split document of this version.
     """
-    try:
-        version, rows = decode_cbor(data)
-        if version != _VERSION:
-            raise DocumentError(f"unknown split version {version}")
-        return {service: Resources(*row) for service, row in rows.items()}
-    except DocumentError:
-        raise
-    except (ValueError, TypeError, AttributeError) as error:
-        raise DocumentError(f"malformed split: {error}") from error
+    parts = _decode(data, _SplitRow).parts
+    return {service: part.resources() for service, part in parts.items()}
--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -83,3 +83,6 @@
 # After a takeover long-running tasks start only once the fleet owner has requested a
 # report, which names the reserved workers, or this time has passed.
 FIRST_REPORT_TIMEOUT_MS = 800
+# Maximum number of tasks of a job over all its occurrences. The owner of the shard
+# keeps each task in memory.
+MAX_JOB_TASKS = 20_000
--- a/apricotgap/platform/job_wire.py
+++ b/apricotgap/platform/job_wire.py
@@ -4,15 +4,13 @@
 
 from apricotgap.decoding import Integer
 from apricotgap.jobs.configuration import QueueSpec
+from apricotgap.jobs.job_check import find_defect
 from apricotgap.jobs.model import JobSpec, Resources, StepSpec
 from apricotgap.platform.wire import WireError, decode
 
 __all__ = ["decode_job"]
 
 MAX_SPEC_BYTES = 4_000
-# Limit on the tasks of a job over all its occurrences. The owner of the shard keeps
-# each task in memory.
-MAX_TASKS = 20_000
 
 
 class _Step(
@@ -90,23 +88,6 @@
     interval_ms: Integer = 0
 
 
-def _check_job(wire: _Job) -> None:
-    if len(wire.content.encode()) > MAX_SPEC_BYTES:
-        raise WireError(f"spec has more than {MAX_SPEC_BYTES} bytes; shorten it")
-    if not wire.steps or any(step.n_tasks <= 0 for step in wire.steps):
-        raise WireError("a job needs steps with at least one task each")
-    if min(wire.n_occurrences, wire.start_ms, wire.interval_ms) < 0:
-        raise WireError("repetitions and times must not be negative")
-    n_tasks = sum(step.n_tasks for step in wire.steps) * max(1, wire.n_occurrences)
-    if n_tasks > MAX_TASKS:
-        raise WireError(f"a job has at most {MAX_TASKS} tasks; submit several jobs")
-    for index, step in enumerate(wire.steps):
-        if min(step.cpu, step.memory_mb, step.gpus, step.estimated_ms) < 0:
-            raise WireError(f"step {index} has a negative resource or duration")
-        if any(not 0 <= earlier < index for earlier in step.after):
-            raise WireError(f"step {index} depends on a step that is not before it")
-
-
 def decode_job(
     data: bytes, job_id: str, queue: QueueSpec, team: str, now_ms: int
 ) -> JobSpec:
@@ -131,9 +112,10 @@
         The body is malformed, or the job exceeds a limit.
     """
     wire = decode(_Job, data)
-    _check_job(wire)
+    if len(wire.content.encode()) > MAX_SPEC_BYTES:
+        raise WireError(f"spec has more than {MAX_SPEC_BYTES} bytes; shorten it")
     steps = tuple(step.step() for step in wire.steps)
-    return JobSpec(
+    job = JobSpec(
         job_id,
         queue.name,
         queue.service,
@@ -149,3 +131,6 @@
         wire.start_ms,
         wire.interval_ms,
     )
+    if defect := find_defect(job):
+        raise WireError(defect)
+    return job
