Jobs: ignore stored records of tasks that the job lacks

Cause: a record of a task outside the job's steps was counted as one done task of the step, so that the job counted as complete with a task left; one of an unknown step kept the whole job from being loaded.

Change: such records are dropped.

--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -39,6 +39,9 @@
     ) -> None:
         self.spec = spec
         self.progress = progress or Progress()
+        # A record of a task that the job does not have would count as one that is done.
+        for name in [each for each in self.progress.tasks if not self.step_of(each)]:
+            del self.progress.tasks[name]
         self.revision = revision
         self.is_inherited = is_inherited
         self.saved_phase = self.progress.phase
