--- a/apricotgap/jobs/documents.py
+++ b/apricotgap/jobs/documents.py
@@ -1,7 +1,7 @@
 """Encoding of stored documents: jobs, their progress and splits of team limits."""
 
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import cbor2
 import msgspec
@@ -184,9 +184,13 @@
     finished_ms: Integer
 
 
+# Parts of a limit may be without bound, see `UNLIMITED` of the team limits.
+_Amount = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+
+
 class _SplitRow(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
     version: Integer
-    parts: dict[str, _ResourcesRow]
+    parts: dict[str, tuple[_Amount, _Amount, _Amount]]
 
 
 def _decode(data: bytes, shape: type[_T]) -> _T:
@@ -270,4 +274,4 @@
         The data is not a split document of this version.
     """
     parts = _decode(data, _SplitRow).parts
-    return {service: part.resources() for service, part in parts.items()}
+    return {service: Resources(*part) for service, part in parts.items()}
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -16,6 +16,7 @@
 )
 from apricotgap.jobs.limits import MAX_JOB_TASKS
 from apricotgap.jobs.model import JobPhase, Resources, StepSpec, TaskName
+from apricotgap.jobs.team_limits import UNLIMITED
 from tests.jobs_harness import job
 
 ID = "a" * 16
@@ -137,6 +138,8 @@
     data = cbor2.dumps(PROGRESS)
     assert encode_progress(decode_progress(ID, data)) == data
     assert encode_split(decode_split(cbor2.dumps(SPLIT))) == cbor2.dumps(SPLIT)
+    unlimited = {"bakery": Resources(1, UNLIMITED, UNLIMITED)}
+    assert decode_split(encode_split(unlimited)) == unlimited
 
 
 def test_documents_of_earlier_builds_are_read():
