Roster, orders and waves: odd rows are errors of the row

Cause: the stored roster was decoded as a whole and without types: one odd row made the owner forget all workers of the owners before, and a row with an address that is none, or a capacity as text, was taken and raised later. Names of machines were made of any value by str, which raises for numbers of 5,000 digits.

Change: `decode_roster` returns the readable rows and the errors of the others; orders and waves have typed decoders.

--- a/apricotgap/decoding.py
+++ b/apricotgap/decoding.py
@@ -16,6 +16,7 @@
     "DecodeError",
     "Integer",
     "Number",
+    "convert",
     "decode_cbor",
     "decode_json",
 ]
@@ -111,11 +112,23 @@
             max_depth=MAX_DEPTH,
             strict_hashable_types=True,
         )
-        if shape is Any:
-            return value
-        return msgspec.convert(value, shape, builtin_types=(bytes,))
     except _FAILURES as error:
         raise _failure("CBOR", error) from error
+    return value if shape is Any else convert(value, shape)
+
+
+def convert(value: Any, shape: Any) -> Any:
+    """Return a decoded value as one of a type, with what it contains.
+
+    Raises
+    ------
+    DecodeError
+        The value is not of that type.
+    """
+    try:
+        return msgspec.convert(value, shape, builtin_types=(bytes,))
+    except _FAILURES as error:
+        raise _failure("value", error) from error
 
 
 def _refuse_tag(*_args: Any) -> NoReturn:
--- a/apricotgap/instance/fleet_order_store.py
+++ b/apricotgap/instance/fleet_order_store.py
@@ -6,7 +6,7 @@
 import structlog
 
 from apricotgap.clock import Clock
-from apricotgap.decoding import decode_cbor
+from apricotgap.decoding import DecodeError, decode_cbor
 from apricotgap.instance.keys import FLEET_ORDERS_KEY
 from apricotgap.instance.ownership import Ownership
 from apricotgap.platform.store import (
@@ -18,7 +18,18 @@
     Write,
 )
 
-__all__ = ["FleetOrderStore"]
+__all__ = ["FleetOrderStore", "decode_orders"]
+
+
+def decode_orders(data: bytes) -> frozenset[str]:
+    """Decode the list of the machines that recent orders name.
+
+    Raises
+    ------
+    DecodeError
+        The data is malformed.
+    """
+    return frozenset(decode_cbor(data, list[str]))
 
 
 class FleetOrderStore:
@@ -69,8 +80,8 @@
         if item.value is None:
             return frozenset()
         try:
-            machines = frozenset(map(str, decode_cbor(item.value)))
-        except (ValueError, TypeError) as error:
+            machines = decode_orders(item.value)
+        except DecodeError as error:
             self._log.error("fleet_orders_unreadable", error=str(error))
             return None
         # They stay in the list for the next owner, who may follow soon.
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -32,7 +32,7 @@
     Write,
 )
 
-__all__ = ["FleetOwner", "WAVE_PROGRESS_PREFIX"]
+__all__ = ["FleetOwner", "WAVE_PROGRESS_PREFIX", "decode_wave_progress"]
 
 WAVE_PROGRESS_PREFIX = "waves/"
 _CYCLE_INTERVAL_S = 0.3
@@ -46,6 +46,17 @@
 ]
 
 
+def decode_wave_progress(data: bytes) -> tuple[str, ...]:
+    """Decode the names of the machines that a wave has had maintained.
+
+    Raises
+    ------
+    DecodeError
+        The data is malformed.
+    """
+    return decode_cbor(data, tuple[str, ...])
+
+
 class FleetOwner:
     """Runs the fleet shard for the duration of one ownership.
 
@@ -120,8 +131,8 @@
         for item in snapshot.items:
             try:
                 number = int(item.key[len(WAVE_PROGRESS_PREFIX) :])
-                self._stored_done[number] = tuple(decode_cbor(item.value or b""))
-            except (ValueError, TypeError) as error:
+                self._stored_done[number] = decode_wave_progress(item.value or b"")
+            except ValueError as error:
                 self._log.error("wave_unreadable", key=item.key, error=str(error))
 
     async def _load_recent_orders(self, until_ms: int) -> None:
--- a/apricotgap/instance/roster.py
+++ b/apricotgap/instance/roster.py
@@ -1,13 +1,20 @@
 """Stored list (roster) of the workers that may run tasks of a shard."""
 
 from collections.abc import Iterable
+from typing import Any
 
 import cbor2
 import structlog
 import trio
 
 from apricotgap.clock import Clock
-from apricotgap.decoding import decode_cbor
+from apricotgap.decoding import (
+    Count,
+    DecodeError,
+    Integer,
+    convert,
+    decode_cbor,
+)
 from apricotgap.instance.keys import roster_key
 from apricotgap.instance.ownership import Ownership
 from apricotgap.jobs.fleet import WorkerEntry
@@ -24,11 +31,14 @@
     Unknown,
     Write,
 )
+from apricotgap.platform.wire import is_address
 
-__all__ = ["RosterWriter"]
+__all__ = ["RosterWriter", "decode_roster", "decode_settled"]
 
 # Id of a worker and start of its incarnation.
 Incarnation = tuple[str, int]
+# Id, address, machine, labels, start of the incarnation and capacity of a worker.
+_WorkerRow = tuple[str, str, str, tuple[str, ...], Integer, tuple[Count, Count, Count]]
 
 _INTERVAL_S = 0.05
 _RETRY_S = 0.15
@@ -72,13 +82,7 @@
             if item.key != self._key or item.value is None:
                 continue
             self._revision = item.revision
-            try:
-                rows = decode_cbor(item.value)
-                entries = [_decode_entry(self._shard.service, row) for row in rows]
-            except (ValueError, TypeError) as error:
-                self._log.error("roster_unreadable", error=str(error))
-                continue
-            for entry in entries:
+            for entry in self._decode_entries(item.value):
                 is_settled = (entry.worker_id, entry.born_ms) in settled
                 self._shard.add_inherited_worker(entry, at_ms, is_settled)
                 self._shard.workers[entry.worker_id].is_recorded = True
@@ -138,11 +142,22 @@
             if worker.is_settled(now_ms)
         }
 
+    def _decode_entries(self, value: bytes) -> list[WorkerEntry]:
+        try:
+            entries, unreadable = decode_roster(self._shard.service, value)
+        except DecodeError as error:
+            self._log.error("roster_unreadable", error=str(error))
+            return []
+        if unreadable:
+            self._log.error(
+                "roster_rows_unreadable", n=len(unreadable), error=str(unreadable[0])
+            )
+        return entries
+
     def _decode_settled(self, item: Item) -> set[Incarnation]:
         try:
-            rows = decode_cbor(item.value or b"")
-            return {(str(worker_id), int(born_ms)) for worker_id, born_ms in rows}
-        except (ValueError, TypeError) as error:
+            return decode_settled(item.value or b"")
+        except DecodeError as error:
             self._log.error("settled_workers_unreadable", error=str(error))
             return set()
 
@@ -165,9 +180,49 @@
     ]
 
 
-def _decode_entry(service: str, row: list) -> WorkerEntry:
-    worker_id, address, machine, labels, born_ms, total = row
+def decode_roster(
+    service: str, data: bytes
+) -> tuple[list[WorkerEntry], list[DecodeError]]:
+    """Decode a roster.
+
+    Returns
+    -------
+    entries : list of WorkerEntry
+        The workers in the readable rows.
+    unreadable : list of DecodeError
+        Why the other rows are unreadable.
+
+    Raises
+    ------
+    DecodeError
+        The data is not a roster.
+    """
+    entries = []
+    unreadable = []
+    for row in decode_cbor(data, list[Any]):
+        try:
+            entries.append(_decode_entry(service, row))
+        except DecodeError as error:
+            unreadable.append(error)
+    return entries, unreadable
+
+
+def _decode_entry(service: str, row: Any) -> WorkerEntry:
+    worker_id, address, machine, labels, born_ms, total = convert(row, _WorkerRow)
+    if not is_address(address):
+        raise DecodeError("malformed address of a worker")
     free = Resources(*total)
     return WorkerEntry(
-        worker_id, service, address, "", machine, False, free, tuple(labels), born_ms
+        worker_id, service, address, "", machine, False, free, labels, born_ms
     )
+
+
+def decode_settled(data: bytes) -> set[Incarnation]:
+    """Decode the workers on which no run of an earlier owner is left.
+
+    Raises
+    ------
+    DecodeError
+        The data is malformed.
+    """
+    return set(decode_cbor(data, list[tuple[str, Integer]]))
--- a/apricotgap/platform/wire.py
+++ b/apricotgap/platform/wire.py
@@ -27,6 +27,7 @@
     "decode_machines",
     "decode_wave",
     "decode_worker",
+    "is_address",
 ]
 
 _MAX_PORT = 65_535
@@ -203,7 +204,7 @@
     )
 
 
-def _is_address(address: str) -> bool:
+def is_address(address: str) -> bool:
     """Whether a connection to ``IPV4:PORT`` can be tried without a name lookup."""
     host, _, port = address.rpartition(":")
     if not (port.isascii() and port.isdigit() and len(port) <= _MAX_PORT_DIGITS):
@@ -226,7 +227,7 @@
     wire = decode(_Worker, data)
     if wire.state not in ("ready", "draining"):
         raise WireError(f"unknown state {wire.state[:_MAX_QUOTED]!r}")
-    if not _is_address(wire.address):
+    if not is_address(wire.address):
         quoted = repr(wire.address[:_MAX_QUOTED])
         raise WireError(f"address is not IPV4:PORT: {quoted}")
     return WorkerEntry(
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -3,15 +3,24 @@
 import cbor2
 import pytest
 
+from apricotgap.clock import FakeClock
+from apricotgap.decoding import DecodeError
 from apricotgap.instance.election import RANK_DELAY_MS
+from apricotgap.instance.fleet_order_store import decode_orders
+from apricotgap.instance.fleet_owner import decode_wave_progress
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
     OWNERS_PREFIX,
     decode_member,
     decode_owner,
     epoch_key,
+    roster_key,
 )
-from apricotgap.platform.store import Item
+from apricotgap.instance.ownership import Ownership
+from apricotgap.instance.roster import RosterWriter, decode_settled
+from apricotgap.jobs.shard import Shard
+from apricotgap.platform.store import Item, Snapshot
+from tests.jobs_harness import MAX_LEASE_MS, SERVICE
 from tests.test_election import run
 
 SOUND_MEMBER = ["other", "2-i", "10.0.0.2:1", "a", 1_000]
@@ -26,7 +35,13 @@
         for index in range(len(sound))
         for odd in ODD_FIELDS
     ]
-    return [*changed, [*sound, 1], sound[:-1], dict(enumerate(sound)), 1]
+    return [
+        *changed,
+        [*sound, 1],
+        sound[:-1],
+        {str(n): field for n, field in enumerate(sound)},
+        1,
+    ]
 
 
 @pytest.mark.parametrize("row", odd_rows(SOUND_MEMBER), ids=repr)
@@ -90,3 +105,47 @@
         assert rig.cluster_view.owner("s1").epoch == 21
 
     run(check)
+
+
+SOUND_ROW = ["w1", "10.0.0.1:8001", "m1", ["k"], 1, [8000, 8000, 0]]
+# A worker without labels, and one whose clock was behind.
+UNUSUAL_ROWS = (
+    [*SOUND_ROW[:3], [], *SOUND_ROW[4:]],
+    [*SOUND_ROW[:4], -1, SOUND_ROW[5]],
+)
+
+
+def load_roster(*rows):
+    shard = Shard(SERVICE, 2, MAX_LEASE_MS)
+    ownership = Ownership(SERVICE, 2, 1, 1, MAX_LEASE_MS)
+    roster = RosterWriter(shard, ownership, None, FakeClock())
+    value = cbor2.dumps(list(rows))
+    roster.load(Snapshot((Item(roster_key(SERVICE), value, 5),), 5), 0)
+    return shard
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        *(row for row in odd_rows(SOUND_ROW) if row not in UNUSUAL_ROWS),
+        ["w1", "10.0.0.1:99999", "m1", [], 1, [1, 1, 1]],
+        ["w1", "x" * 300, "m1", [], 1, [1, 1, 1]],
+        ["w1", "10.0.0.1:8001", "m1", [], 1, [1, 1, -1]],
+        [["w1"], *SOUND_ROW[1:]],
+    ],
+    ids=repr,
+)
+def test_odd_row_of_a_roster_leaves_the_others(odd):
+    """Guards against an owner that ends, or forgets its workers, by one odd row."""
+    other = ["w2", *SOUND_ROW[1:]]
+    assert list(load_roster(odd, other).workers) == ["w2"]
+
+
+@pytest.mark.parametrize(
+    "data", [b"", cbor2.dumps(5), cbor2.dumps({"m": 1}), cbor2.dumps(["m", 10**5000])]
+)
+def test_odd_orders_and_waves_are_typed_errors(data):
+    """Guards against machine names that are none, or can't be printed."""
+    for decode in (decode_orders, decode_wave_progress, decode_settled):
+        with pytest.raises(DecodeError):
+            decode(data)
