Shard: set a job aside whose scheduling raises

Cause: an error that one job's state raised in a scheduling pass, or in the looks of the tick at waits, demand, late runs and migrations, ended the owner of the shard. The next owner loaded the same job and ended by it, so that no job of the service ran. Only the loading of jobs was isolated.

Change: each of these loops handles a job in a context that records the error as that of the job. Its runs go on, it can be cancelled, and it still counts as pending.

--- a/apricotgap/instance/effect_runner.py
+++ b/apricotgap/instance/effect_runner.py
@@ -21,6 +21,7 @@
 _COUNTERS = {
     "worker_lost": "workers_lost",
     "crash_charged": "crashes_charged",
+    "job_set_aside": "jobs_set_aside",
     "task_given_up": "tasks_given_up",
 }
 
@@ -71,7 +72,8 @@
         """Execute effects; the answers to calls are applied to the shard."""
         for effect in effects:
             if isinstance(effect, LogDecision):
-                self._log.info(effect.event, **effect.fields)
+                write = self._log.error if effect.is_error else self._log.info
+                write(effect.event, **effect.fields)
                 if effect.event in _COUNTERS:
                     self._metrics.count(_COUNTERS[effect.event], shard=self._service)
             elif isinstance(effect, StartRun):
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from math import ceil
 
+from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.model import JobSpec
 from apricotgap.jobs.shard import Shard
 
@@ -207,14 +208,21 @@
         unix_ms = self._shard.unix_of(at_ms)
         in_time = late = 0.0
         for job in self._shard.open_jobs.values():
-            work = 0.0
-            for key in job.open_steps(unix_ms):
-                step = job.spec.steps[key[1]]
-                if not step.is_long_running:
-                    tasks_ms = len(job.waiting[key]) * step.estimated_ms
-                    work += tasks_ms * step.allocation.core_equivalents
-            if job.is_late(unix_ms):
-                late += work
-            else:
-                in_time += work
+            with self._shard.guard(job):
+                work = _startable_core_ms(job, unix_ms)
+                if job.is_late(unix_ms):
+                    late += work
+                else:
+                    in_time += work
         return in_time, late
+
+
+def _startable_core_ms(job: JobState, unix_ms: int) -> float:
+    """Return the work of a job that could start now, but for long-running steps."""
+    work = 0.0
+    for key in job.open_steps(unix_ms):
+        step = job.spec.steps[key[1]]
+        if not step.is_long_running:
+            tasks_ms = len(job.waiting[key]) * step.estimated_ms
+            work += tasks_ms * step.allocation.core_equivalents
+    return work
--- a/apricotgap/jobs/effects.py
+++ b/apricotgap/jobs/effects.py
@@ -55,6 +55,7 @@
 
     event: str
     fields: dict[str, Any]
+    is_error: bool = False
 
 
 Effect = StartRun | StopRun | PaceRun | LogDecision
--- a/apricotgap/jobs/migration.py
+++ b/apricotgap/jobs/migration.py
@@ -2,6 +2,7 @@
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import Effect, LogDecision
+from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.shard import Shard
 
@@ -44,7 +45,13 @@
             for run in list(worker.runs.values()):
                 if run.phase is not RunPhase.RUNNING or not run.step.is_long_running:
                     continue
-                if not self._may_interrupt(run, at_ms):
+                job = shard.jobs.get(run.name.job_id)
+                if job is None:
+                    continue
+                may_interrupt = False
+                with shard.guard(job):
+                    may_interrupt = self._may_interrupt(job, run, at_ms)
+                if not may_interrupt:
                     continue
                 effects.extend(shard.stop(run, at_ms))
                 line: dict[str, object] = {
@@ -54,10 +61,9 @@
                 effects.append(LogDecision("run_migrated", line))
         return effects
 
-    def _may_interrupt(self, run: Run, at_ms: int) -> bool:
+    def _may_interrupt(self, job: JobState, run: Run, at_ms: int) -> bool:
         """Whether a run may be stopped within the unavailability budget of its step."""
-        job = self._shard.jobs.get(run.name.job_id)
-        if job is None or job.is_final:
+        if job.is_final:
             return False
         n_unavailable = 0
         for index in range(run.step.n_tasks):
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -1,5 +1,7 @@
 """Scheduler: which waiting tasks start next, and on which workers."""
 
+from operator import itemgetter
+
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import Effect, StartRun
 from apricotgap.jobs.gang_room import GangRoom
@@ -75,11 +77,13 @@
                 continue
             if job.spec.is_long_running and not may_start_long_running:
                 continue
-            if not job.may_start:
-                self._request_first_save(job, current)
-                continue
-            self._start_job(job, current)
-        return [*current.effects, *current.log_lines.values()]
+            with shard.guard(job):
+                if job.may_start:
+                    self._start_job(job, current)
+                else:
+                    self._request_first_save(job, current)
+        failures = shard.set_failed_aside(at_ms)
+        return [*current.effects, *current.log_lines.values(), *failures]
 
     def _order(self, current: SchedulingPass) -> list[JobState]:
         unix_ms = current.unix_ms
@@ -98,10 +102,13 @@
             is_late = job.is_late(unix_ms)
             return (is_doubtful, True, is_late, spec.priority, job.objective_ms)
 
-        waiting = [
-            job for job in self._shard.open_jobs.values() if any(job.waiting.values())
-        ]
-        return sorted(waiting, key=rank)
+        ranked = []
+        for job in self._shard.open_jobs.values():
+            with self._shard.guard(job):
+                if any(job.waiting.values()):
+                    ranked.append((rank(job), job))
+        ranked.sort(key=itemgetter(0))
+        return [job for _, job in ranked]
 
     def _request_first_save(self, job: JobState, current: SchedulingPass) -> None:
         """Request the first save of a job once a worker has room for its first task."""
--- a/apricotgap/jobs/shard_jobs.py
+++ b/apricotgap/jobs/shard_jobs.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import chain
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.documents import Progress, encode_progress
-from apricotgap.jobs.effects import LogDecision
+from apricotgap.jobs.effects import Effect, LogDecision
+from apricotgap.jobs.failed_jobs import FailedJobs, JobGuard
 from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.model import JobPhase, JobSpec, Resources
 from apricotgap.jobs.workers import Worker
@@ -42,6 +44,9 @@
         self.jobs: dict[str, JobState] = {}
         # Jobs that have not ended, a small part: ended ones are kept for much longer.
         self.open_jobs: dict[str, JobState] = {}
+        # Those among them that pause after an error, which no loop looks at.
+        self._set_aside: dict[str, JobState] = {}
+        self._failed = FailedJobs()
         self.team_usage: dict[str, Resources] = {}
         self._dirty: set[str] = set()
         self._pending_first_saves: set[str] = set()
@@ -92,10 +97,32 @@
             },
         )
 
+    def guard(self, job: JobState) -> JobGuard:
+        """Return a context in which an error is that of the job alone."""
+        return self._failed.guard(job.spec.job_id)
+
+    def set_failed_aside(self, at_ms: int) -> list[Effect]:
+        """Let the jobs with new errors pause, and return their log lines."""
+        effects: list[Effect] = []
+        for job_id in self._failed.set_aside(at_ms):
+            job = self.open_jobs.pop(job_id, None)
+            if job is not None:
+                self._set_aside[job_id] = job
+                effects.append(self._failed.describe(job_id))
+        return effects
+
+    def _resume_failed(self, at_ms: int) -> None:
+        for job_id in self._failed.take_due(at_ms):
+            job = self._set_aside.pop(job_id, None)
+            if job is not None and not job.is_final:
+                self.open_jobs[job_id] = job
+
     def forget(self, job_id: str) -> None:
         """Remove a job that has ended."""
         self.jobs.pop(job_id, None)
         self.open_jobs.pop(job_id, None)
+        self._set_aside.pop(job_id, None)
+        self._failed.forget(job_id)
         self._pending_first_saves.discard(job_id)
         self._dirty.discard(job_id)
 
@@ -103,7 +130,7 @@
         """Return the number of jobs of a queue of which no task has been started."""
         return sum(
             job.spec.queue == queue and not job.has_begun
-            for job in self.open_jobs.values()
+            for job in chain(self.open_jobs.values(), self._set_aside.values())
         )
 
     def backlog_core_ms(self, unix_ms: int, priority: int) -> tuple[float, float]:
@@ -115,10 +142,11 @@
         for job in self.open_jobs.values():
             if job.spec.priority > priority or job.spec.is_long_running:
                 continue
-            if job.is_late(unix_ms):
-                late += job.remaining_core_ms()
-            else:
-                in_time += job.remaining_core_ms()
+            with self.guard(job):
+                if job.is_late(unix_ms):
+                    late += job.remaining_core_ms()
+                else:
+                    in_time += job.remaining_core_ms()
         return in_time, late
 
     # Progress
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -124,7 +124,8 @@
 
     def tick(self, at_ms: int) -> list[Effect]:
         """Expire the leases of silent workers and repeat unanswered stops."""
-        effects: list[Effect] = []
+        effects = self.set_failed_aside(at_ms)
+        self._resume_failed(at_ms)
         self._forget_old_losses(at_ms)
         for worker in list(self.workers.values()):
             effects.extend(self._expire(worker, at_ms))
--- a/apricotgap/jobs/stragglers.py
+++ b/apricotgap/jobs/stragglers.py
@@ -46,13 +46,17 @@
             if at_ms - worker.answered_ms > limits.SILENT_WORKER_MS:
                 continue
             for run in list(worker.runs.values()):
-                if run.phase is RunPhase.RUNNING and not run.step.is_long_running:
-                    effects.extend(self._check_run(run, worker, at_ms))
+                job = self._shard.jobs.get(run.name.job_id)
+                if job is None or run.phase is not RunPhase.RUNNING:
+                    continue
+                with self._shard.guard(job):
+                    effects.extend(self._check_run(job, run, worker, at_ms))
         return effects
 
-    def _check_run(self, run: Run, worker: Worker, at_ms: int) -> Iterable[Effect]:
-        job = self._shard.jobs.get(run.name.job_id)
-        if job is None or job.is_final or run.step.is_gang:
+    def _check_run(
+        self, job: JobState, run: Run, worker: Worker, at_ms: int
+    ) -> Iterable[Effect]:
+        if job.is_final or run.step.is_gang or run.step.is_long_running:
             return
         typical_ms, factor = self._typical_duration(job, run)
         # The state of the run is as old as the last response of its worker.
--- a/apricotgap/jobs/team_demand.py
+++ b/apricotgap/jobs/team_demand.py
@@ -82,9 +82,10 @@
     unix_ms = shard.unix_of(at_ms)
     waiting: Counter[tuple[str, _Shape]] = Counter()
     for job in shard.open_jobs.values():
-        for key in job.open_steps(unix_ms):
-            shape = _Shape.of(job.spec.steps[key[1]])
-            waiting[job.spec.team, shape] += len(job.waiting[key])
+        with shard.guard(job):
+            for key in job.open_steps(unix_ms):
+                shape = _Shape.of(job.spec.steps[key[1]])
+                waiting[job.spec.team, shape] += len(job.waiting[key])
     return waiting
 
 
--- a/apricotgap/jobs/wait_log.py
+++ b/apricotgap/jobs/wait_log.py
@@ -53,12 +53,14 @@
         self._last_look_ms = at_ms
         started = self._since_ms
         self._since_ms = {}
-        waiting = [
-            found
-            for job in self._shard.open_jobs.values()
-            for found in self._waits_of(job, started, at_ms)
-            if at_ms - found.since_ms >= FIRST_LINE_MS
-        ]
+        waiting: list[_Waiting] = []
+        for job in self._shard.open_jobs.values():
+            with self._shard.guard(job):
+                waiting += [
+                    found
+                    for found in self._waits_of(job, started, at_ms)
+                    if at_ms - found.since_ms >= FIRST_LINE_MS
+                ]
         logged = self._logged_ms
         units = {(each.job.spec.job_id, each.key): each for each in waiting}
         self._logged_ms = {unit: logged[unit] for unit in units if unit in logged}
@@ -71,7 +73,8 @@
         lines = []
         for each in due[:MAX_LINES_PER_LOOK]:
             self._logged_ms[each.job.spec.job_id, each.key] = at_ms
-            lines.append(self._line(each, at_ms, lease_until_ms, len(waiting)))
+            with self._shard.guard(each.job):
+                lines.append(self._line(each, at_ms, lease_until_ms, len(waiting)))
         return lines
 
     def _waits_of(
