HTTP client: upgrades, interim and second responses are no answer

Cause: httptools reports an upgrade by an exception that is not among its parser errors. A program at a worker's old address that answers 101 ended the owner of the shard, or the process. An interim response (1xx) was taken as that of the call and its connection reused, so that the next call got the answer of this one. Two responses in one read were joined to one body. The size of a body was not bounded.

--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -13,6 +13,8 @@
 import httptools
 import trio
 
+from apricotgap.decoding import MAX_DOCUMENT_BYTES
+
 __all__ = ["HttpClient", "HttpResponse", "NoResponseError"]
 
 # Zero linger resets the connection on close and drops unsent data, so that bytes of
@@ -28,6 +30,7 @@
 # that the request was not sent.
 _CONNECT_TIMEOUT_FRACTION = 0.6
 _READ_BYTES = 65_536
+_MAX_INTERIM_STATUS = 199
 
 
 class NoResponseError(Exception):
@@ -63,13 +66,36 @@
         self.is_complete = False
         self.is_reusable = False
         self._body: list[bytes] = []
+        self._n_bytes = 0
+
+    def on_message_begin(self) -> None:
+        """Check that there is only one response: any of two could be that of the call.
+
+        Raises
+        ------
+        ValueError
+            The response is complete already.
+        """
+        if self.is_complete:
+            raise ValueError("a second response to one call")
 
     def on_body(self, body: bytes) -> None:
-        """Append a chunk of the body."""
+        """Append a chunk of the body.
+
+        Raises
+        ------
+        ValueError
+            The body is too large.
+        """
+        self._n_bytes += len(body)
+        if self._n_bytes > MAX_DOCUMENT_BYTES:
+            raise ValueError(f"a body of more than {MAX_DOCUMENT_BYTES} bytes")
         self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Record the end of the response, before the parser resets its state."""
+        if self.parser.get_status_code() <= _MAX_INTERIM_STATUS:
+            return
         self.is_complete = True
         self.is_reusable = self.parser.should_keep_alive()
 
@@ -116,7 +142,10 @@
                 raise ConnectionResetError(
                     errno.ECONNRESET, "closed before the response"
                 )
-            reader.parser.feed_data(data)
+            try:
+                reader.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as error:
+                raise httptools.HttpParserError("an upgrade") from error
         return reader.response(), reader.is_reusable
 
     def close(self) -> None:
