Store client: an odd value is an error of its key

Cause: a value that is no base64 raised binascii.Error, which the copies of the store's keys don't expect: one record ended each process that watches it. A range whose pages repeat was read for good.

Change: such a value is logged and read as empty, so that the key still exists and its reader reports the value; the watch goes on. A range without end is a StoreError.

--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -1,14 +1,33 @@
 """Client of the platform's key-value store."""
 
-from base64 import b64decode, b64encode
-from dataclasses import dataclass
-from typing import TypeVar
+from base64 import b64encode
 from urllib.parse import quote
 
 import msgspec
 
-from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.platform.http import HttpClient, HttpResponse, NoResponseError
+from apricotgap.platform.store_answers import (
+    decode_changes,
+    decode_item,
+    decode_lease,
+    decode_page,
+    decode_revision,
+)
+from apricotgap.platform.store_types import (
+    Conflict,
+    HistoryLostError,
+    Item,
+    Lease,
+    LeaseGone,
+    Rejected,
+    Snapshot,
+    Stored,
+    StoreError,
+    Unavailable,
+    Unknown,
+    Write,
+    WriteOutcome,
+)
 
 __all__ = [
     "Conflict",
@@ -27,8 +46,6 @@
     "WriteOutcome",
 ]
 
-_T = TypeVar("_T")
-
 CALL_TIMEOUT_MS = 1000
 MAX_TXN_ENTRIES = 32
 # A single response can be lost although the store is up, so that one failure does not
@@ -37,152 +54,6 @@
 _OVERLOAD_STATUSES = (429, 503)
 
 
-class StoreError(Exception):
-    """A call other than a write got no usable response."""
-
-
-class HistoryLostError(StoreError):
-    """The store has dropped the history after the revision of a watch."""
-
-
-@dataclass(frozen=True, slots=True)
-class Item:
-    """A key with its value, None if the key was removed, and last revision.
-
-    `created` is the revision at which the key was created.
-    """
-
-    key: str
-    value: bytes | None
-    revision: int
-    created: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Snapshot:
-    """Items and the store revision at which they were read."""
-
-    items: tuple[Item, ...]
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Lease:
-    """A lease that the store has granted.
-
-    Raises
-    ------
-    ValueError
-        The id is 0, which the store takes as no lease: the key would stay for good.
-    """
-
-    lease_id: int
-
-    def __post_init__(self) -> None:
-        if self.lease_id <= 0:
-            raise ValueError(f"{self.lease_id} is not the id of a lease")
-
-
-@dataclass(frozen=True, slots=True)
-class Write:
-    """Write and condition on one key of a transaction.
-
-    `expected_revision` is None for no condition and 0 for a key that must not
-    exist. A `value` of None removes the key, unless `check_only` is set. `lease` is
-    the lease to which the key is attached, None for a key that stays.
-    """
-
-    key: str
-    value: bytes | None = None
-    expected_revision: int | None = None
-    lease: Lease | None = None
-    check_only: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Stored:
-    """The transaction was committed at `revision`."""
-
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Conflict:
-    """A condition failed; `items` are the existing keys among those checked."""
-
-    items: tuple[Item, ...]
-
-    def revision_of(self, key: str) -> int:
-        """Return the revision of a checked key, 0 if it does not exist."""
-        return next((item.revision for item in self.items if item.key == key), 0)
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseGone:
-    """The lease to which a key was to be attached has ended."""
-
-
-@dataclass(frozen=True, slots=True)
-class Unavailable:
-    """The transaction was not committed."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class Rejected(Unavailable):
-    """The transaction was not committed, and no retry of it would be."""
-
-
-@dataclass(frozen=True, slots=True)
-class Unknown:
-    """The transaction may have been committed or may yet be."""
-
-    reason: str
-
-
-WriteOutcome = Stored | Conflict | LeaseGone | Unavailable | Unknown
-
-
-class _WireItem(msgspec.Struct):
-    key: str
-    revision: int = 0
-    value: str | None = None
-    created: int = 0
-    tombstone: bool = False
-
-    def item(self) -> Item:
-        if self.tombstone or self.value is None:
-            return Item(self.key, None, self.revision)
-        return Item(self.key, b64decode(self.value), self.revision, self.created)
-
-
-class _WireRange(msgspec.Struct):
-    at: int = 0
-    items: list[_WireItem] = []
-    hasMore: bool = False  # noqa: N815
-
-
-class _WireWatch(msgspec.Struct):
-    at: int
-    events: list[_WireItem] = []
-
-
-class _WireRevision(msgspec.Struct):
-    revision: int
-
-
-class _WireLease(msgspec.Struct):
-    ttlMs: int  # noqa: N815
-    lease: int = 0
-
-
-_RANGE_DECODER = msgspec.json.Decoder(_WireRange)
-_WATCH_DECODER = msgspec.json.Decoder(_WireWatch)
-_REVISION_DECODER = msgspec.json.Decoder(_WireRevision)
-_LEASE_DECODER = msgspec.json.Decoder(_WireLease)
-
-
 class StoreClient:
     """Reads, transactions, leases and watches on the key-value store.
 
@@ -239,7 +110,7 @@
             return Item(key, None, 0)
         if status != 200:
             raise StoreError(f"status {status}")
-        return _decode(msgspec.json.Decoder(_WireItem), body).item()
+        return decode_item(body)
 
     async def read_prefix(
         self, prefix: str, timeout_ms: int = CALL_TIMEOUT_MS
@@ -257,6 +128,7 @@
         items: list[Item] = []
         revision = None
         after = ""
+        seen: set[str] = set()
         while True:
             target = f"/v1/kv-range?prefix={quote(prefix, safe='')}"
             if after:
@@ -264,12 +136,15 @@
             status, body = await self._read(target, timeout_ms)
             if status != 200:
                 raise StoreError(f"status {status}")
-            page = _decode(_RANGE_DECODER, body)
-            revision = page.at if revision is None else revision
-            items.extend(wire.item() for wire in page.items)
-            if not page.hasMore or not page.items:
+            page, has_more = decode_page(body)
+            revision = page.revision if revision is None else revision
+            items.extend(page.items)
+            if not has_more or not page.items:
                 return Snapshot(tuple(items), revision)
             after = page.items[-1].key
+            if after in seen:
+                raise StoreError("malformed response: the pages have no end")
+            seen.add(after)
 
     async def watch(self, prefix: str, after: int, wait_ms: int) -> Snapshot:
         """Wait for changes of keys with a prefix.
@@ -305,8 +180,7 @@
             raise HistoryLostError("history lost")
         if status != 200:
             raise StoreError(f"status {status}")
-        changes = _decode(_WATCH_DECODER, body)
-        return Snapshot(tuple(wire.item() for wire in changes.events), changes.at)
+        return decode_changes(body)
 
     async def write(
         self, writes: tuple[Write, ...], timeout_ms: int = CALL_TIMEOUT_MS
@@ -367,10 +241,7 @@
         )
         if status != 200:
             raise StoreError(f"status {status}")
-        wire = _decode(_LEASE_DECODER, body)
-        if wire.lease <= 0:
-            raise StoreError("malformed response: no id of a lease")
-        return wire.lease, wire.ttlMs
+        return decode_lease(body)
 
     async def renew_lease(self, lease: int, timeout_ms: int) -> bool:
         """Renew a lease; False if it has ended.
@@ -415,10 +286,9 @@
 
 def _parse_write_outcome(status: int, body: bytes) -> WriteOutcome:
     if status == 200:
-        return Stored(_decode(_REVISION_DECODER, body).revision)
+        return Stored(decode_revision(body))
     if status == 412:
-        checked = _decode(_RANGE_DECODER, body)
-        return Conflict(tuple(wire.item() for wire in checked.items))
+        return Conflict(decode_page(body)[0].items)
     if status == 404:
         return LeaseGone()
     if status >= 500 and status != 503:
@@ -426,10 +296,3 @@
     if status not in _OVERLOAD_STATUSES:
         return Rejected(f"status {status}")
     return Unavailable(f"status {status}")
-
-
-def _decode(decoder: "msgspec.json.Decoder[_T]", body: bytes) -> _T:
-    try:
-        return decode_json(body, decoder)
-    except DecodeError as error:
-        raise StoreError(f"malformed response: {error}") from error
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -15,7 +15,7 @@
 from apricotgap.instance.keys import decode_member, decode_owner
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs import documents
-from apricotgap.platform import advice, machines, store, workers
+from apricotgap.platform import advice, machines, store, store_answers, workers
 from apricotgap.platform.job_wire import decode_job
 from apricotgap.platform.wire import (
     decode_configuration,
@@ -48,7 +48,7 @@
     "machines": decode_machines,
     "job": lambda data: decode_job(data, "a" * 16, configuration().queues[0], "", 0),
     "poll": workers.decode_poll,
-    "store": partial(store._decode, store._WATCH_DECODER),
+    "store": store_answers.decode_changes,
     "advice": advice.decode_approval,
     "member": decode_member,
     "owner": decode_owner,
