Machines: an odd row is an error of its machine

Cause: one row of another type made the whole list of machines unreadable: the fleet's owner went on with its last list, and one without any ordered nothing. Pages whose token repeats were read for good, and the token was not quoted.

Change: the readable machines are taken; the number of others is logged when it changes. A repeated token is a MachineListError.

--- a/apricotgap/platform/machines.py
+++ b/apricotgap/platform/machines.py
@@ -1,6 +1,9 @@
 """Client of the platform's machine interface."""
 
+from urllib.parse import quote
+
 import msgspec
+import structlog
 
 from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.jobs.fleet import Machine
@@ -32,9 +35,11 @@
         self._address = address
         self._holder = holder
         self._http = HttpClient()
+        self._n_unreadable = 0
+        self._log = structlog.get_logger()
 
     async def machines(self) -> dict[str, Machine]:
-        """Return all machines by name.
+        """Return all readable machines by name.
 
         Raises
         ------
@@ -42,9 +47,13 @@
             No usable response.
         """
         machines_by_name: dict[str, Machine] = {}
+        unreadable: list[WireError] = []
         page_token = ""
+        seen_tokens = {page_token}
         while True:
-            target = "/v1/machines" + (f"?pageToken={page_token}" if page_token else "")
+            target = "/v1/machines"
+            if page_token:
+                target += f"?pageToken={quote(page_token, safe='')}"
             try:
                 response = await self._http.call(
                     "GET", self._address, target, timeout_ms=CALL_TIMEOUT_MS
@@ -54,12 +63,27 @@
             if response.status != 200:
                 raise MachineListError(f"status {response.status}")
             try:
-                machines, page_token = decode_machines(response.body)
+                machines, page_token = decode_machines(response.body, unreadable.append)
             except WireError as error:
                 raise MachineListError(str(error)) from error
             machines_by_name.update((machine.name, machine) for machine in machines)
             if not page_token:
+                self._log_unreadable(unreadable)
                 return machines_by_name
+            if page_token in seen_tokens:
+                raise MachineListError("the pages of the list have no end")
+            seen_tokens.add(page_token)
+
+    def _log_unreadable(self, errors: list[WireError]) -> None:
+        """Log unreadable machines when their number changes."""
+        if len(errors) == self._n_unreadable:
+            return
+        self._n_unreadable = len(errors)
+        self._log.error(
+            "machines_unreadable",
+            n=len(errors),
+            error=str(errors[0]) if errors else "",
+        )
 
     async def send_order(self, order: MachineOrder, token: int) -> str:
         """Send an order.
--- a/apricotgap/platform/wire.py
+++ b/apricotgap/platform/wire.py
@@ -4,12 +4,19 @@
 ``rename``.
 """
 
+from collections.abc import Callable
 from ipaddress import IPv4Address
 from typing import Annotated, Any, TypeVar
 
 import msgspec
 
-from apricotgap.decoding import DecodeError, Integer, decode_json
+from apricotgap.decoding import (
+    MAX_INTEGER,
+    DecodeError,
+    Integer,
+    Number,
+    decode_json,
+)
 from apricotgap.jobs.configuration import (
     Configuration,
     QueueSpec,
@@ -70,7 +77,7 @@
     target_latency_ms: Integer = 1000
     priority: Integer = 0
     max_attempts: Integer = 3
-    slack_factor: float = 2.0
+    slack_factor: Number = 2.0
     is_open: bool = False
     advice: dict[str, Any] | None = None
 
@@ -89,7 +96,7 @@
 ):
     name: str
     keys: list[str] = []
-    share: float = 1.0
+    share: Number = 1.0
     limit: _Resources = msgspec.field(default_factory=_Resources)
 
 
@@ -141,12 +148,13 @@
 
 
 class _MachinePage(msgspec.Struct, rename={"next_page": "nextPageToken"}):
-    machines: list[_Machine]
+    machines: list[msgspec.Raw]
     next_page: str | None = None
 
 
 class _Wave(msgspec.Struct, rename={"number": "wave", "max_down": "maxCount"}):
-    number: Integer
+    # An order of wave 0 is a move.
+    number: Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
     machines: list[str]
     durationS: Annotated[float, msgspec.Meta(ge=0, le=MAX_WAVE_S)]  # noqa: N815
     max_down: Integer = 1
@@ -243,13 +251,26 @@
     )
 
 
-def decode_machines(data: bytes) -> tuple[list[Machine], str]:
+def _ignore(_error: WireError) -> None:
+    pass
+
+
+def decode_machines(
+    data: bytes, on_unreadable: Callable[[WireError], None] = _ignore
+) -> tuple[list[Machine], str]:
     """Decode one page of the list of machines.
 
+    Parameters
+    ----------
+    data : bytes
+        The page.
+    on_unreadable : callable, optional
+        Called with the error of each machine that cannot be decoded, which is left out.
+
     Returns
     -------
     machines : list of Machine
-        Machines on this page.
+        Readable machines on this page.
     next_page : str
         Token of the next page, empty on the last one.
 
@@ -258,20 +279,27 @@
     WireError
         The response cannot be decoded.
     """
-    wire = decode(_MachinePage, data)
-    machines = [
-        Machine(
-            machine.name,
-            machine.pool,
-            machine.state,
-            machine.data_centre,
-            tuple(machine.labels),
-            machine.free.resources(),
-            machine.worker_id or "",
-        )
-        for machine in wire.machines
-    ]
-    return machines, wire.next_page or ""
+    page = decode(_MachinePage, data)
+    machines = []
+    for row in page.machines:
+        try:
+            machines.append(_decode_machine(bytes(row)))
+        except WireError as error:
+            on_unreadable(error)
+    return machines, page.next_page or ""
+
+
+def _decode_machine(data: bytes) -> Machine:
+    machine = decode(_Machine, data)
+    return Machine(
+        machine.name,
+        machine.pool,
+        machine.state,
+        machine.data_centre,
+        tuple(machine.labels),
+        machine.free.resources(),
+        machine.worker_id or "",
+    )
 
 
 def decode_wave(data: bytes) -> Wave:
