Decoders: numbers out of range are errors of the document

Cause: floats and some integers of documents were not bounded.

Change: `Number` and `Integer` bound them; task names have three numbers of ASCII digits.

--- a/apricotgap/jobs/model.py
+++ b/apricotgap/jobs/model.py
@@ -14,6 +14,10 @@
     "TaskName",
 ]
 
+_MAX_INDEX_DIGITS = 9
+# Names of other writers are quoted in messages up to this length.
+_MAX_QUOTED = 80
+
 
 @dataclass(frozen=True, slots=True)
 class Resources:
@@ -90,8 +94,15 @@
         ValueError
             The text is not a task name.
         """
-        job_id, occurrence, step, number = text.split(".")
-        return cls(job_id, int(occurrence), int(step), int(number))
+        job_id, *numbers = text.split(".")
+        if len(numbers) != 3 or not all(map(_is_index, numbers)):
+            raise ValueError(f"not a task name: {text[:_MAX_QUOTED]!r}")
+        return cls(job_id, *map(int, numbers))
+
+
+def _is_index(text: str) -> bool:
+    # Digits of other scripts are digits too, for str.isdigit.
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_INDEX_DIGITS
 
 
 class JobPhase(Enum):
--- a/apricotgap/platform/advice.py
+++ b/apricotgap/platform/advice.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from apricotgap.decoding import DecodeError, decode_json
+from apricotgap.decoding import DecodeError, Integer, decode_json
 from apricotgap.platform.http import HttpClient, NoResponseError
 
 __all__ = ["AdviceClient", "AdviceError"]
@@ -17,7 +17,7 @@
 
 class _Approval(msgspec.Struct, rename={"validity_ms": "validityMs"}):
     approved: list[tuple[str, str]] = []
-    validity_ms: int = 0
+    validity_ms: Integer = 0
 
 
 class AdviceClient:
--- a/apricotgap/platform/workers.py
+++ b/apricotgap/platform/workers.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from apricotgap.decoding import DecodeError, Integer, decode_json
+from apricotgap.decoding import DecodeError, Integer, Number, decode_json
 from apricotgap.jobs.effects import PaceRun, StartRun, StopRun
 from apricotgap.jobs.events import EndReport, RunReport, StartResult
 from apricotgap.jobs.model import RunEnd, TaskName
@@ -63,8 +63,8 @@
     name: str
     run_id: Integer
     checkpoint: str
-    percent: float
-    usage: float = 0.0
+    percent: Number
+    usage: Number = 0.0
 
     def report(self) -> RunReport:
         name = TaskName.parse(self.name)
