--- a/apricotgap/platform/wire.py
+++ b/apricotgap/platform/wire.py
@@ -4,12 +4,19 @@
 ``rename``.
 """
 
+from collections.abc import Callable
 from ipaddress import IPv4Address
 from typing import Annotated, Any, TypeVar
 
 import msgspec
 
-from apricotgap.decoding import DecodeError, decode_json
+from apricotgap.decoding import (
+    MAX_INTEGER,
+    DecodeError,
+    Integer,
+    Number,
+    decode_json,
+)
 from apricotgap.jobs.configuration import (
     Configuration,
     QueueSpec,
@@ -21,25 +28,21 @@
 from apricotgap.jobs.model import Resources
 
 __all__ = [
-    "Integer",
     "WireError",
     "decode_configuration",
     "decode",
     "decode_machines",
     "decode_wave",
     "decode_worker",
+    "is_address",
 ]
 
-# Largest integer on which JSON implementations agree. JSON itself has no limit, and
-# calculations with much larger numbers overflow.
-MAX_INTEGER = 2**53 - 1
 _MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
 # Values of other writers are quoted in messages up to this length.
 _MAX_QUOTED = 80
 MAX_WAVE_S = 10 * 366 * 24 * 3_600
 
-Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 _T = TypeVar("_T")
 
 
@@ -74,7 +77,7 @@
     target_latency_ms: Integer = 1000
     priority: Integer = 0
     max_attempts: Integer = 3
-    slack_factor: float = 2.0
+    slack_factor: Number = 2.0
     is_open: bool = False
     advice: dict[str, Any] | None = None
 
@@ -93,7 +96,7 @@
 ):
     name: str
     keys: list[str] = []
-    share: float = 1.0
+    share: Number = 1.0
     limit: _Resources = msgspec.field(default_factory=_Resources)
 
 
@@ -145,12 +148,13 @@
 
 
 class _MachinePage(msgspec.Struct, rename={"next_page": "nextPageToken"}):
-    machines: list[_Machine]
+    machines: list[msgspec.Raw]
     next_page: str | None = None
 
 
 class _Wave(msgspec.Struct, rename={"number": "wave", "max_down": "maxCount"}):
-    number: Integer
+    # An order of wave 0 is a move.
+    number: Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
     machines: list[str]
     durationS: Annotated[float, msgspec.Meta(ge=0, le=MAX_WAVE_S)]  # noqa: N815
     max_down: Integer = 1
@@ -208,7 +212,7 @@
     )
 
 
-def _is_address(address: str) -> bool:
+def is_address(address: str) -> bool:
     """Whether a connection to ``IPV4:PORT`` can be tried without a name lookup."""
     host, _, port = address.rpartition(":")
     if not (port.isascii() and port.isdigit() and len(port) <= _MAX_PORT_DIGITS):
@@ -231,7 +235,7 @@
     wire = decode(_Worker, data)
     if wire.state not in ("ready", "draining"):
         raise WireError(f"unknown state {wire.state[:_MAX_QUOTED]!r}")
-    if not _is_address(wire.address):
+    if not is_address(wire.address):
         quoted = repr(wire.address[:_MAX_QUOTED])
         raise WireError(f"address is not IPV4:PORT: {quoted}")
     return WorkerEntry(
@@ -247,13 +251,26 @@
     )
 
 
-def decode_machines(data: bytes) -> tuple[list[Machine], str]:
+def _ignore(_error: WireError) -> None:
+    pass
+
+
+def decode_machines(
+    data: bytes, on_unreadable: Callable[[WireError], None] = _ignore
+) -> tuple[list[Machine], str]:
     """Decode one page of the list of machines.
 
+    Parameters
+    ----------
+    data : bytes
+        The page.
+    on_unreadable : callable, optional
+        Called with the error of each machine that cannot be decoded, which is left out.
+
     Returns
     -------
     machines : list of Machine
-        Machines on this page.
+        Readable machines on this page.
     next_page : str
         Token of the next page, empty on the last one.
 
@@ -262,20 +279,27 @@
     WireError
         The response cannot be decoded.
     """
-    wire = decode(_MachinePage, data)
-    machines = [
-        Machine(
-            machine.name,
-            machine.pool,
-            machine.state,
-            machine.data_centre,
-            tuple(machine.labels),
-            machine.free.resources(),
-            machine.worker_id or "",
-        )
-        for machine in wire.machines
-    ]
-    return machines, wire.next_page or ""
+    page = decode(_MachinePage, data)
+    machines = []
+    for row in page.machines:
+        try:
+            machines.append(_decode_machine(bytes(row)))
+        except WireError as error:
+            on_unreadable(error)
+    return machines, page.next_page or ""
+
+
+def _decode_machine(data: bytes) -> Machine:
+    machine = decode(_Machine, data)
+    return Machine(
+        machine.name,
+        machine.pool,
+        machine.state,
+        machine.data_centre,
+        tuple(machine.labels),
+        machine.free.resources(),
+        machine.worker_id or "",
+    )
 
 
 def decode_wave(data: bytes) -> Wave:
--- a/apricotgap/platform/workers.py
+++ b/apricotgap/platform/workers.py
@@ -2,12 +2,11 @@
 
 import msgspec
 
-from apricotgap.decoding import DecodeError, decode_json
+from apricotgap.decoding import DecodeError, Integer, Number, decode_json
 from apricotgap.jobs.effects import PaceRun, StartRun, StopRun
 from apricotgap.jobs.events import EndReport, RunReport, StartResult
 from apricotgap.jobs.model import RunEnd, TaskName
 from apricotgap.platform.http import HttpClient, NoResponseError
-from apricotgap.platform.wire import Integer
 
 __all__ = [
     "FencedError",
@@ -64,8 +63,8 @@
     name: str
     run_id: Integer
     checkpoint: str
-    percent: float
-    usage: float = 0.0
+    percent: Number
+    usage: Number = 0.0
 
     def report(self) -> RunReport:
         name = TaskName.parse(self.name)
