Soak: submit a lasting job until it is accepted

Cause: each lasting job was submitted five times within 1.5 s, and the store was busy for 2.5 s from the start of the traffic on. The report did not show it.

Change: a lasting job is submitted until it is accepted or the traffic ends, and a report tells the number of accepted ones (lasting=N).

Evidence: test_lasting_job_is_submitted_until_it_is_accepted failed before, with the earlier arguments: the job was not accepted.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -84,10 +84,12 @@
             else:
                 await self.ask(self._random.choice(self._jobs))
 
-    async def submit_lasting(self, queue: Queue) -> None:
-        """Submit a job whose tasks last; nobody cancels it."""
+    async def submit_lasting(self, queue: Queue, until_ms: int) -> None:
+        """Submit a job whose tasks last until it is accepted; nobody cancels it."""
         plan = lasting_job(self._state.layout.n_lasting_tasks)
-        await self.submit(queue, plan)
+        job = self._new_job(queue, plan)
+        while job.accepted_ms is None and now_ms() < until_ms:
+            await self._submit(job)
 
     def _finite_queue(self) -> Queue:
         queues = [each for each in self._state.layout.queues if not each.is_lasting]
@@ -95,11 +97,17 @@
 
     async def submit(self, queue: Queue, plan: JobPlan) -> None:
         """Submit a job, again after an unknown outcome."""
+        await self._submit(self._new_job(queue, plan))
+
+    def _new_job(self, queue: Queue, plan: JobPlan) -> JobRecord:
         job_id = f"{self._random.getrandbits(64):016x}"
         job = JobRecord(job_id, self._team, queue, plan)
         self._state.jobs[job_id] = job
         self._state.work.plans[job_id] = plan
-        body = plan.document(time.time_ns() // 1_000_000)
+        return job
+
+    async def _submit(self, job: JobRecord) -> None:
+        body = job.plan.document(time.time_ns() // 1_000_000)
         for _ in range(_MAX_SUBMISSIONS):
             result = await self._call("POST", job, body)
             if result is not None and result.status == 200:
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -43,6 +43,7 @@
 
     seed: int
     n_accepted: int = 0
+    n_lasting: int = 0
     n_calls: int = 0
     n_starts: int = 0
     faults: Counter[str] = field(default_factory=Counter)
@@ -94,18 +95,21 @@
         for number in range(plan.layout.n_clients):
             client = Client(state, balancer, number, Random(random.random()))
             nursery.start_soon(client.run, until_ms)
-        nursery.start_soon(_submit_lasting, state, balancer, Random(random.random()))
+        lasting = Random(random.random())
+        nursery.start_soon(_submit_lasting, state, balancer, lasting, until_ms)
         nursery.start_soon(_inject_rounds, state, Random(random.random()), plan)
     state.end_ms = now_ms()
 
 
-async def _submit_lasting(state: SoakState, balancer: Balancer, random: Random) -> None:
+async def _submit_lasting(
+    state: SoakState, balancer: Balancer, random: Random, until_ms: int
+) -> None:
     async with trio.open_nursery() as nursery:
         for queue in state.layout.queues:
             for _ in range(state.layout.n_lasting_jobs if queue.is_lasting else 0):
                 number = random.randrange(state.layout.n_teams)
                 client = Client(state, balancer, number, Random(random.random()))
-                nursery.start_soon(client.submit_lasting, queue)
+                nursery.start_soon(client.submit_lasting, queue, until_ms)
 
 
 async def _inject_rounds(state: SoakState, random: Random, plan: Plan) -> None:
@@ -131,9 +135,11 @@
 
 def _report(seed: int, state: SoakState) -> Report:
     spans = state.timeline.spans
+    accepted = [job for job in state.jobs.values() if job.accepted_ms is not None]
     return Report(
         seed,
-        n_accepted=sum(job.accepted_ms is not None for job in state.jobs.values()),
+        n_accepted=len(accepted),
+        n_lasting=sum(job.plan.is_lasting for job in accepted),
         n_calls=state.n_calls,
         n_starts=sum(len(worker.starts) for worker in state.cluster.workers),
         faults=Counter(span.name for span in spans),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,15 +1,19 @@
 """A short seeded run of the soak, and its checks on runs that broke a promise."""
 
+from random import Random
+
 import pytest
 import trio
+import trio.testing
 
 from soak.checks import CHECKS
+from soak.clients import Client
 from soak.connections import CallResult, Ending
 from soak.faults import FAULTS, choose_faults
 from soak.layout import LAYOUTS
 from soak.scenario import Plan, play
 from soak.state import JobRecord, JobState, SoakState
-from soak.timeline import Scope, Span, Timeline
+from soak.timeline import Scope, Span, Timeline, now_ms
 from soak.work import JobPlan, StepPlan, WorkCatalogue
 
 LENGTH_S = 8.0
@@ -70,6 +74,31 @@
     assert len(problems("answered", state)) == n_problems
 
 
+def test_lasting_job_is_submitted_until_it_is_accepted(monkeypatch):
+    """Guards against a run that watches no lasting task, since the store was busy as
+    the lasting jobs were submitted.
+    """
+    state = SoakState(LAYOUTS["small"], None, None, WorkCatalogue())
+    client = Client(state, None, 0, Random(1))
+    statuses = [None] * 7 + [503] * 7 + [200]
+
+    async def answer(method, job, body=None):
+        status = statuses.pop(0)
+        if status is None:
+            return None
+        times = (now_ms(), now_ms())
+        return CallResult("i1", method, "/x", Ending.ANSWERED, *times, status)
+
+    async def main():
+        monkeypatch.setattr(client, "_call", answer)
+        await client.submit_lasting(state.layout.queues[1], now_ms() + 60_000)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    (job,) = state.jobs.values()
+    assert job.accepted_ms is not None
+    assert not statuses
+
+
 def denial(state, at_ms):
     result = CallResult("i1", "GET", "/x", Ending.ANSWERED, at_ms - 5, at_ms)
     return JobState(JOB_ID, state, result)
