Entry program: answer what has been read before the exit

Callers of the older entry program (`apricotgap entry`) saw a connection that ended without an answer to a request of which a part had been read, as the process stopped.

Cause: the server was cancelled as soon as the instance had handed back its allotments, with every request that the reducer did not know yet: one whose body was still arriving. Besides, hypercorn reads requests from connections that it is closing.

Change: the entry program serves with drivers/http_server.py, as instances on the platform do. After the hand-over the server stops, and what has been read is answered within 5 s, while the reducer still runs; the log tells when that was too short. The server has TLS, the limit of a request's head and the keep-alive time as options now, and tells an application when its client leaves (hypercorn did; the entry program drops the request then). HTTP/2 and WebSocket, which hypercorn offered and nobody used, are gone; a client that offers HTTP/2 in the TLS handshake gets HTTP/1.1.

The tests of disconnects, pipelined requests, the head's limit and TLS in test_http_server.py are new with the options. Cost of a request was not measured.

tests/data/loopback.pem is a certificate with its key for 127.0.0.1, made for the tests and of no use elsewhere.

--- a/apricotgap/drivers/http_exchange.py
+++ b/apricotgap/drivers/http_exchange.py
@@ -13,7 +13,8 @@
 __all__ = ["HttpExchange", "RequestError"]
 
 _READ_BYTES = 65_536
-_MAX_HEAD_BYTES = 65_536
+# Bytes of later requests that are kept while one is answered.
+_MAX_PIPELINED_BYTES = 65_536
 
 
 class RequestError(ApricotgapError):
@@ -28,14 +29,20 @@
 
     Parameters
     ----------
-    stream : trio.SocketStream
+    stream : trio.SocketStream or trio.SSLStream
         The connection.
+    max_head_bytes : int
+        Largest size of a request's head.
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream | trio.SSLStream[trio.SocketStream],
+        max_head_bytes: int,
+    ) -> None:
         self._stream = stream
         self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=_MAX_HEAD_BYTES
+            h11.SERVER, max_incomplete_event_size=max_head_bytes
         )
         self._head: h11.Response | None = None
         self._has_unread_bytes = False
@@ -60,7 +67,7 @@
     async def receive_bytes(self) -> bool:
         """Receive bytes of the client; False at the end of the connection."""
         data = await self._stream.receive_some(_READ_BYTES)
-        self._connection.receive_data(data)
+        self._connection.receive_data(bytes(data))
         return bool(data)
 
     async def receive_head(self) -> None:
@@ -90,24 +97,31 @@
 
     def _scope_of(self, request: h11.Request) -> Scope:
         path, _, query = request.target.partition(b"?")
+        transport, scheme = self._stream, "http"
+        if isinstance(transport, trio.SSLStream):
+            transport, scheme = transport.transport_stream, "https"
         return {
             "type": "http",
             "asgi": {"version": "3.0", "spec_version": "2.3"},
             "http_version": request.http_version.decode("ascii"),
             "method": request.method.decode("ascii"),
-            "scheme": "http",
+            "scheme": scheme,
             "path": unquote(path.decode("latin-1")),
             "raw_path": path,
             "query_string": query,
             "root_path": "",
             "headers": list(request.headers),
-            "client": self._stream.socket.getpeername()[:2],
-            "server": self._stream.socket.getsockname()[:2],
+            "client": transport.socket.getpeername()[:2],
+            "server": transport.socket.getsockname()[:2],
         }
 
     async def receive(self) -> dict[str, Any]:
-        """Receive the next part of the body, as an ASGI message."""
+        """Receive the next part of the body, as an ASGI message.
+
+        After the body, wait until the client closes the connection.
+        """
         if self._connection.their_state is not h11.SEND_BODY:
+            await self._wait_for_disconnect()
             return {"type": "http.disconnect"}
         try:
             event = await self._next_event()
@@ -123,6 +137,18 @@
             return {"type": "http.request", "body": b"", "more_body": False}
         return {"type": "http.disconnect"}
 
+    async def _wait_for_disconnect(self) -> None:
+        connection = self._connection
+        if connection.their_state is h11.ERROR:
+            return
+        try:
+            while len(connection.trailing_data[0]) < _MAX_PIPELINED_BYTES:
+                if not await self.receive_bytes():
+                    return
+        except trio.BrokenResourceError:
+            return
+        await trio.sleep_forever()
+
     async def send(self, message: Any) -> None:
         """Send a part of the response, given as an ASGI message."""
         if message["type"] == "http.response.start":
--- a/apricotgap/drivers/http_server.py
+++ b/apricotgap/drivers/http_server.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+import ssl
 from collections.abc import Awaitable, Callable, Sequence
 
 import structlog
@@ -13,14 +14,19 @@
 __all__ = ["Application", "HttpServer"]
 
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+Stream = trio.SocketStream | trio.SSLStream[trio.SocketStream]
 
 _BACKLOG = 1024
 _KEEP_ALIVE_TIMEOUT_S = 30.0
+_MAX_HEAD_BYTES = 65_536
 # For the rest of a request's head once its first bytes have arrived.
 _HEAD_TIMEOUT_S = 3.0
 # A client that still sends a refused body must read the response before the connection
 # is reset.
 _LINGER_S = 1.0
+_HANDSHAKE_TIMEOUT_S = 10.0
+# The TLS layer does not tell whether it holds bytes that have arrived.
+_TLS_LAST_READ_S = 0.05
 # Errors of a process or machine that has no room for another connection now.
 _EXHAUSTED_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS}
 _ACCEPT_RETRY_S = 0.1
@@ -39,11 +45,28 @@
         ASGI application.
     addresses : sequence of str
         Addresses to listen on, as ``HOST:PORT``.
+    tls : ssl.SSLContext or None
+        Certificate and key, None to serve without TLS.
+    max_head_bytes : int
+        Largest size of a request's head.
+    keep_alive_timeout_s : float
+        Time in seconds after which an idle connection is closed.
     """
 
-    def __init__(self, application: Application, addresses: Sequence[str]) -> None:
+    def __init__(
+        self,
+        application: Application,
+        addresses: Sequence[str],
+        *,
+        tls: ssl.SSLContext | None = None,
+        max_head_bytes: int = _MAX_HEAD_BYTES,
+        keep_alive_timeout_s: float = _KEEP_ALIVE_TIMEOUT_S,
+    ) -> None:
         self._application = application
         self._addresses = addresses
+        self._tls = tls
+        self._max_head_bytes = max_head_bytes
+        self._keep_alive_timeout_s = keep_alive_timeout_s
         self._accepting: set[trio.CancelScope] = set()
         self._idle: set[trio.CancelScope] = set()
         self._is_stopping = False
@@ -64,7 +87,9 @@
         for scope in self._accepting | self._idle:
             scope.cancel()
 
-    async def run(self) -> None:
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Serve until `stop` was called and the last request has been answered.
 
         Raises
@@ -76,8 +101,9 @@
         for address in self._addresses:
             host, _, port = address.rpartition(":")
             listeners += await trio.open_tcp_listeners(
-                int(port), host=host, backlog=_BACKLOG
+                int(port), host=host.strip("[]"), backlog=_BACKLOG
             )
+        task_status.started()
         async with trio.open_nursery() as connections:
             for listener in listeners:
                 connections.start_soon(self._accept, listener, connections)
@@ -106,10 +132,13 @@
             return
         connections.start_soon(self._serve_connection, stream)
 
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+    async def _serve_connection(self, transport: trio.SocketStream) -> None:
         self._n_connections += 1
+        stream: Stream = transport
         try:
-            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            transport.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._tls is not None:
+                stream = await self._open_tls(transport, self._tls)
             await self._serve_requests(stream)
         except _CONNECTION_ERRORS:
             # The client has left; there is nobody to answer.
@@ -118,10 +147,20 @@
             self._log.exception("connection_failed")
         finally:
             self._n_connections -= 1
-            await trio.aclose_forcefully(stream)
-
-    async def _serve_requests(self, stream: trio.SocketStream) -> None:
-        exchange = HttpExchange(stream)
+            with trio.move_on_after(_LINGER_S):
+                await stream.aclose()
+
+    async def _open_tls(
+        self, transport: trio.SocketStream, context: ssl.SSLContext
+    ) -> Stream:
+        stream = trio.SSLStream(transport, context, server_side=True)
+        with trio.move_on_after(_HANDSHAKE_TIMEOUT_S):
+            await stream.do_handshake()
+            return stream
+        raise trio.BrokenResourceError("the client did not complete the TLS handshake")
+
+    async def _serve_requests(self, stream: Stream) -> None:
+        exchange = HttpExchange(stream, self._max_head_bytes)
         while True:
             if not exchange.has_unread_bytes and not await self._wait_for_bytes(
                 stream, exchange
@@ -143,11 +182,9 @@
             if not exchange.start_next():
                 return
 
-    async def _wait_for_bytes(
-        self, stream: trio.SocketStream, exchange: HttpExchange
-    ) -> bool:
+    async def _wait_for_bytes(self, stream: Stream, exchange: HttpExchange) -> bool:
         """Wait for the next request; False if there will be none."""
-        with trio.move_on_after(_KEEP_ALIVE_TIMEOUT_S) as scope:
+        with trio.move_on_after(self._keep_alive_timeout_s) as scope:
             self._idle.add(scope)
             if self._is_stopping:
                 scope.cancel()
@@ -157,7 +194,11 @@
             finally:
                 self._idle.discard(scope)
         # A request may have arrived that the event loop has not seen yet.
-        return stream.socket.is_readable() and await exchange.receive_bytes()
+        if isinstance(stream, trio.SocketStream):
+            return stream.socket.is_readable() and await exchange.receive_bytes()
+        with trio.move_on_after(_TLS_LAST_READ_S):
+            return await exchange.receive_bytes()
+        return False
 
     async def _answer(self, exchange: HttpExchange) -> None:
         assert exchange.scope is not None
@@ -170,9 +211,10 @@
             self._log.exception("request_failed", path=exchange.scope["path"])
             await exchange.fail()
 
-    async def _linger(self, stream: trio.SocketStream) -> None:
+    async def _linger(self, stream: Stream) -> None:
         """Discard the rest of a request whose response has been sent."""
         with trio.move_on_after(_LINGER_S):
-            await stream.send_eof()
+            if isinstance(stream, trio.SocketStream):
+                await stream.send_eof()
             while await stream.receive_some():
                 pass
--- a/apricotgap/entry.py
+++ b/apricotgap/entry.py
@@ -1,6 +1,5 @@
 """The daemon of an entry instance: runs the reducer with its drivers."""
 
-import logging
 import secrets
 import signal
 import ssl
@@ -9,11 +8,8 @@
 from random import Random
 from typing import Any
 
-import hypercorn.trio
 import structlog
 import trio
-from hypercorn.config import Config
-from hypercorn.logging import Logger as HypercornLogger
 
 import apricotgap.core.handlers  # noqa: F401  registers every handler
 from apricotgap.clock import TrioClock
@@ -36,6 +32,7 @@
 from apricotgap.drivers.etcd_store import EtcdStore
 from apricotgap.drivers.forwarded_bodies import BodyDriver
 from apricotgap.drivers.http import Receive, Scope, Send, send_json
+from apricotgap.drivers.http_server import HttpServer
 from apricotgap.drivers.instances import InstancesDriver
 from apricotgap.drivers.operators import OperatorApp
 from apricotgap.drivers.peers import PeerDriver
@@ -48,6 +45,11 @@
 
 __all__ = ["EntryDaemon", "main"]
 
+# Longer than the idle timeout of usual load balancers.
+_KEEP_ALIVE_TIMEOUT_S = 75.0
+# For the answers to requests that have been read when the instance has handed back.
+_ANSWER_TIMEOUT_S = 5.0
+
 
 class EntryDaemon:
     """One entry instance.
@@ -125,6 +127,13 @@
             server_tls=_tls_context(settings.peers.tls, server=True),
             client_tls=_tls_context(settings.peers.tls, server=False),
         )
+        self._http = HttpServer(
+            self._application,
+            (settings.entry.http_address,),
+            tls=_tls_context(settings.tls, server=True),
+            max_head_bytes=settings.limits.max_headers,
+            keep_alive_timeout_s=_KEEP_ALIVE_TIMEOUT_S,
+        )
         self._register_runners()
 
     def _send_to_peer(self, peer: str, message: PeerMessage) -> None:
@@ -158,13 +167,18 @@
             await nursery.start(self._backends.run)
             await nursery.start(self._bodies.run)
             await nursery.start(self._peers.run)
-            addresses: list[str] = await nursery.start(self._serve_http)
-            self._log.info("listening", http=addresses)
-            nursery.start_soon(self._watch_signals)
-            self._runtime.post(Started(self._clock.now_ms))
-            nursery.start_soon(self._runtime.tick)
-            task_status.started()
-            await self._stopped.wait()
+            async with trio.open_nursery() as serving:
+                await serving.start(self._http.run)
+                self._log.info("listening", http=self._settings.entry.http_address)
+                nursery.start_soon(self._watch_signals)
+                self._runtime.post(Started(self._clock.now_ms))
+                nursery.start_soon(self._runtime.tick)
+                task_status.started()
+                await self._stopped.wait()
+                self._http.stop()
+                serving.cancel_scope.deadline = trio.current_time() + _ANSWER_TIMEOUT_S
+            if serving.cancel_scope.cancelled_caught:
+                self._log.warning("stop_timeout", timeout_s=_ANSWER_TIMEOUT_S)
             self._log.info("stopped")
             nursery.cancel_scope.cancel()
 
@@ -172,24 +186,8 @@
         """Start a graceful shutdown."""
         self._runtime.post(StopRequested(self._clock.now_ms))
 
-    async def _serve_http(
-        self, task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        config = _http_config(self._settings)
-        await hypercorn.trio.serve(
-            self._application,  # type: ignore[arg-type]
-            config,
-            shutdown_trigger=self._stopped.wait,
-            task_status=task_status,
-            mode="asgi",
-        )
-
     async def _application(self, scope: Scope, receive: Receive, send: Send) -> None:
-        if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
-        elif scope["type"] != "http":
-            await send({"type": "websocket.close", "code": 1000})
-        elif scope["path"].startswith("/v1/operator/"):
+        if scope["path"].startswith("/v1/operator/"):
             await self._operators(scope, receive, send)
         elif scope["path"] == "/metrics":
             await send_json(send, 200, self._telemetry.snapshot())
@@ -207,39 +205,6 @@
                 self.stop()
 
 
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
-class _QuietLogger(HypercornLogger):
-    """Discards the access and error logs of hypercorn, including tracebacks."""
-
-    def __init__(self, config: Config) -> None:
-        super().__init__(config)
-        self.access_logger = None
-        self.error_logger = logging.getLogger("hypercorn.quiet")
-        self.error_logger.addHandler(logging.NullHandler())
-        self.error_logger.propagate = False
-
-
-def _http_config(settings: Settings) -> Config:
-    config = Config()
-    config.bind = [settings.entry.http_address]
-    config.h11_max_incomplete_size = settings.limits.max_headers
-    config.include_server_header = False
-    config.logger_class = _QuietLogger
-    config.keep_alive_timeout = 75
-    config.graceful_timeout = 5
-    if settings.tls is not None:
-        config.certfile = settings.tls.certificate
-        config.keyfile = settings.tls.key
-    return config
-
-
 def _peer_seeds(settings: Settings) -> dict[str, str]:
     return {
         name: str(address)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,9 @@
 """HTTP server of the instances: requests, malformed bytes and the end of the server."""
 
+import socket
+import ssl
+import struct
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -27,10 +31,10 @@
     return int(received.split()[1]) if received else None
 
 
-def run(application, check):
+def run(application, check, **options):
     async def main():
         address = f"127.0.0.1:{free_port()}"
-        server = HttpServer(application, [address])
+        server = HttpServer(application, [address], **options)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(server.run)
             await trio.sleep(0.05)
@@ -49,6 +53,7 @@
     await send_response(send, 200, body or b"ok", "text/plain")
 
 
+CERTIFICATE = Path(__file__).parent / "data" / "loopback.pem"
 GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -206,3 +211,104 @@
             assert await stream.receive_some() == b""
 
     run(echo, check)
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_application_learns_that_the_client_has_left(is_reset):
+    """Guards against work for a caller that is gone, and against a request that is
+    taken for abandoned while its caller waits.
+    """
+    left = trio.Event()
+
+    async def wait(scope, receive, send):
+        await read_body(headers_of(scope), receive, 1_000, 3_000)
+        assert (await receive())["type"] == "http.disconnect"
+        left.set()
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            await stream.send_all(GET)
+            await trio.sleep(0.3)
+            assert not left.is_set()
+            if is_reset:
+                linger = struct.pack("ii", 1, 0)
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await left.wait()
+
+    run(wait, check)
+
+
+def test_request_that_arrives_while_another_waits_is_answered():
+    """Guards against the bytes of a request that are lost to the watch for the end
+    of the connection.
+    """
+
+    async def watch(scope, receive, send):
+        with trio.move_on_after(0.2):
+            while True:
+                await receive()
+        await send_response(send, 200, b"ok", "text/plain")
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            await stream.send_all(GET)
+            await trio.sleep(0.1)
+            await stream.send_all(GET * 2)
+            received = b""
+            while received.count(b"HTTP/1.1 200") < 3:
+                received += await stream.receive_some(65_536)
+
+    run(watch, check)
+
+
+def test_head_beyond_the_limit_is_refused():
+    """Guards against a limit in the settings that has no effect."""
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            assert await exchange(stream, b"GET /" + b"a" * 2_000) in (400, 431)
+
+    run(echo, check, max_head_bytes=1_000)
+
+
+async def connect_tls(address):
+    context = ssl.create_default_context(cafile=CERTIFICATE)
+    return trio.SSLStream(await connect(address), context, server_hostname="127.0.0.1")
+
+
+def test_requests_over_tls_are_answered_until_the_end():
+    """Guards against a request that waits in the TLS layer as the server stops."""
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(CERTIFICATE)
+    schemes = []
+
+    async def answer(scope, receive, send):
+        schemes.append(scope["scheme"])
+        await echo(scope, receive, send)
+
+    async def check(server, address):
+        idle, stream = await connect_tls(address), await connect_tls(address)
+        assert await exchange(idle, GET) == 200
+        assert await exchange(stream, GET) == 200
+        await stream.send_all(GET)
+        server.stop()
+        assert await exchange(stream, b"") == 200
+        # The end is announced, so that a client knows that nothing is missing.
+        assert await idle.receive_some() == b""
+        assert await stream.receive_some() == b""
+        assert schemes == ["https"] * 3
+
+    run(answer, check, tls=context)
+
+
+def test_client_without_tls_does_not_stop_a_server_with_tls():
+    """Guards against bytes of one client that end the server."""
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(CERTIFICATE)
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            assert await exchange(stream, GET) is None
+        assert await exchange(await connect_tls(address), GET) == 200
+
+    run(echo, check, tls=context)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -161,6 +161,41 @@
     run_check(tmp_path, check)
 
 
+async def is_listening(address):
+    host, port = address.split(":")
+    try:
+        await (await trio.open_tcp_stream(host, int(port))).aclose()
+    except OSError:
+        return False
+    return True
+
+
+@pytest.mark.timeout(90)
+def test_request_that_arrives_while_the_process_exits_is_answered(tmp_path):
+    """Guards against a stop that cuts a request of which a part has been read."""
+
+    async def check(deployment):
+        host, port = deployment.address.split(":")
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            head = f"POST /v1/queues/q/requests HTTP/1.1\r\nHost: {host}\r\n"
+            head += (
+                f"Authorization: Bearer {deployment.key}\r\nContent-Length: 2\r\n\r\n"
+            )
+            await stream.send_all(head.encode() + b"{")
+            await trio.sleep(0.2)
+            deployment.fleet.entries["a-1"].send(signal.SIGTERM)
+            while await is_listening(deployment.address):
+                await trio.sleep(0.05)
+            await stream.send_all(b"}")
+            with trio.move_on_after(3):
+                received = await stream.receive_some(65_536)
+        assert received.split()[1:2] == [b"503"]
+        assert b'"kind": "stopping"' in received
+        assert await deployment.fleet.entries["a-1"].wait() == 0
+
+    run_check(tmp_path, check)
+
+
 @pytest.mark.timeout(90)
 def test_entry_paused_beyond_its_lease_recovers(tmp_path):
     """Guards against an entry instance that stays unready after a long pause.
