Mirror: a late answer lowers no revision that was adopted

Cause: adopt() overwrote the revision below which older reads and events of a key are ignored. Of two answers that tell of changes of one key, the older one may be applied last; an event between the two then brought a removed key back. Change: the higher of the two revisions stays. Measured: the new test of tests/test_prefix_mirror.py failed before, the file passes (8 tests).

--- a/apricotgap/instance/mirror.py
+++ b/apricotgap/instance/mirror.py
@@ -118,7 +118,8 @@
 
         Older reads and events do not undo it.
         """
-        self._adopted[item.key] = item.revision
+        adopted = self._adopted.get(item.key, 0)
+        self._adopted[item.key] = max(adopted, item.revision)
         self._apply((item,))
 
     def _apply(self, items: tuple[Item, ...]) -> None:
--- a/tests/test_prefix_mirror.py
+++ b/tests/test_prefix_mirror.py
@@ -96,3 +96,13 @@
     assert name_of(view) is None
     watch(view, store, Item(KEY, owner("c"), 13))
     assert name_of(view) == "c"
+
+
+def test_late_answer_with_an_older_change_does_not_undo_a_newer_one(view, store):
+    """Guards against a removed owner that seems to be back: of two answers, the older
+    one is applied last and lowers the revision below which events are ignored.
+    """
+    view.apply(Item(KEY, None, 14))
+    view.apply(Item(KEY, owner("a"), 12))
+    watch(view, store, Item(KEY, owner("b"), 13))
+    assert name_of(view) is None
