Job clean-up: a read that began before brings no removed job back

Cause: after the store has dropped its history, an owner reads all its jobs again. If it removed an ended job while that read was under way, the answer still listed the job; the shard no longer knew it, took it for one that another instance had stored, and ran it again with its progress gone (TWICE). Change: the removal is told to the copy of the stored jobs, which then ignores what is older. Measured: the new test failed before (log: job_removed, then job_found); tests/test_job_cleanup.py passes (10 tests).

--- a/apricotgap/instance/job_cleanup.py
+++ b/apricotgap/instance/job_cleanup.py
@@ -4,11 +4,18 @@
 import trio
 
 from apricotgap.clock import Clock
-from apricotgap.instance.keys import cancel_key, index_key, job_key, progress_key
+from apricotgap.instance.keys import (
+    cancel_key,
+    index_key,
+    job_key,
+    jobs_prefix,
+    progress_key,
+)
+from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.ownership import Ownership
 from apricotgap.jobs.limits import RETENTION_MARGIN_MS
 from apricotgap.jobs.shard import Shard
-from apricotgap.platform.store import StoreClient, Stored, Write
+from apricotgap.platform.store import Item, StoreClient, Stored, Write
 
 __all__ = ["JobCleanup"]
 
@@ -43,8 +50,15 @@
             shard=ownership.shard, epoch=ownership.epoch
         )
 
-    async def run(self) -> None:
-        """Remove expired jobs until cancelled."""
+    async def run(self, stored: PrefixMirror) -> None:
+        """Remove expired jobs until cancelled.
+
+        Parameters
+        ----------
+        stored : PrefixMirror
+            Copy of the keys of the service's jobs, from which the shard adds the jobs
+            that it lacks.
+        """
         while True:
             await trio.sleep(CLEANUP_INTERVAL_S)
             unix_ms = self._shard.unix_of(self._clock.now_ms)
@@ -58,9 +72,9 @@
                 and unix_ms - job.progress.finished_ms > keep_ms
             ]
             for job_id in expired:
-                await self._remove(job_id)
+                await self._remove(job_id, stored)
 
-    async def _remove(self, job_id: str) -> None:
+    async def _remove(self, job_id: str, stored: PrefixMirror) -> None:
         keys = (
             job_key(self._shard.service, job_id),
             progress_key(self._shard.service, job_id),
@@ -72,6 +86,10 @@
         )
         if isinstance(outcome, Stored):
             self._shard.forget(job_id)
+            # A read that began before the removal must not bring the job back.
+            for key in keys:
+                if key.startswith(jobs_prefix(self._shard.service)):
+                    stored.adopt(Item(key, None, outcome.revision))
             self._log.info("job_removed", job=job_id)
             return
         self._log.warning("job_not_removed", job=job_id, outcome=repr(outcome))
