Pacing: the pace of a run of an earlier owner is not known

Cause: an owner that takes a shard over believed each adopted run at full pace. A best-effort task that the owner before it had throttled, even to nothing, was never sped up again: the next pace equalled the believed one, so no order was sent. A task that lasts stood still for good, as no straggler check covers it. Change: the pace of an adopted run is unknown until an order sets it. Measured: the new test failed before; tests/test_jobs_scheduling.py passes.

--- a/apricotgap/jobs/pacing.py
+++ b/apricotgap/jobs/pacing.py
@@ -2,7 +2,7 @@
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import Effect, LogDecision, PaceRun
-from apricotgap.jobs.runs import Run, RunPhase
+from apricotgap.jobs.runs import FULL_PACE, Run, RunPhase
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.workers import Worker
 
@@ -80,10 +80,11 @@
 
     @staticmethod
     def _next_pace(run: Run, ratio: float) -> int:
+        current = FULL_PACE if run.pace is None else run.pace
         if ratio > limits.PACE_DOWN_AT:
-            pace = int(run.pace * _DECREASE_FACTOR)
+            pace = int(current * _DECREASE_FACTOR)
             return pace if pace >= 5 else 0
-        return min(100, run.pace + _INCREASE_PERCENT)
+        return min(FULL_PACE, current + _INCREASE_PERCENT)
 
     def handle_response(self, order: PaceRun, ok: bool) -> None:
         """Handle the response to an order; unless `ok`, it may not have arrived."""
--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -5,7 +5,10 @@
 
 from apricotgap.jobs.model import Resources, StepSpec, TaskName
 
-__all__ = ["Run", "RunPhase"]
+__all__ = ["FULL_PACE", "Run", "RunPhase"]
+
+# Pace of a run as it starts, in percent.
+FULL_PACE = 100
 
 
 class RunPhase(Enum):
@@ -36,6 +39,9 @@
     the worker: then `is_in_next_incarnation` is set until a list shows the run.
     `is_charged` is set once a crash was charged to an unconfirmed start that is kept
     for the next incarnation: one start causes one crash at most.
+
+    `pace` is the share of its work that the run was ordered to do, in percent, None if
+    an earlier owner may have changed it.
     """
 
     name: TaskName
@@ -50,7 +56,7 @@
     last_progress_ms: int = 0
     usage: float = 0.0
     checkpoint: str = ""
-    pace: int = 100
+    pace: int | None = FULL_PACE
     started_ms: int = 0
     stop_sent_ms: int = -1_000_000
     is_stopped: bool = False
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -343,6 +343,7 @@
             report.usage,
             report.checkpoint,
         )
+        run.pace = None
         run.started_ms = at_ms
         run.has_begun = run.is_started_up = True
         record = job.progress.tasks.get(report.name)
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -184,6 +184,22 @@
     assert sped_up.percent > 50
 
 
+def test_task_that_an_earlier_owner_has_throttled_is_sped_up():
+    """Guards against a best-effort task that stands still after a takeover: its owner
+    has stopped its work, and the next one believes it at full pace.
+    """
+    rig = Rig(epoch=2).ready()
+    filling = replace(ONE, is_long_running=True, is_best_effort=True)
+    spec = rig.submit(job(steps=(filling,))).spec
+    adopted = RunReport(task(0, spec.job_id), 1, "", 40, 0)
+    rig.poll(running=[adopted])
+    rig.now += limits.PACE_INTERVAL_MS
+    (order,) = effects_of(PaceRun, Pacer(rig.shard).run(rig.now))
+    assert (order.name, order.run_id, order.percent) == (adopted.name, 1, 100)
+    rig.now += limits.PACE_INTERVAL_MS
+    assert not effects_of(PaceRun, Pacer(rig.shard).run(rig.now))
+
+
 def test_queue_with_placement_policy_starts_only_with_a_ticket():
     """Guards against a start that the advice service has not approved."""
     rig = Rig().ready()
