Leases: late polls of the last incarnation may have renewed the next one

Cause: a poll that was under way as its worker restarted may be carried out by the next incarnation, which takes the longest lease from it. If the platform listed that incarnation first, a late answer moved its lease but not the time from which the roster calls it settled, so that a successor waited for too short a time; a poll without an answer moved neither (TWICE). Change: both move both, by the same rule as the incarnation's first record.

--- a/apricotgap/jobs/shard_leases.py
+++ b/apricotgap/jobs/shard_leases.py
@@ -60,6 +60,16 @@
         self.workers[entry.worker_id] = worker
         return worker
 
+    def _record_longest_lease(self, worker: Worker, at_ms: int) -> None:
+        """Record that a call for the last incarnation may have reached this one.
+
+        An end on the clock of that one may be far ahead on the clock of this one, which
+        cuts the lease to the maximum from the arrival of the call on.
+        """
+        until_ms = worker.lease_bound_ms(at_ms, self.max_lease_ms)
+        worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+        worker.longest_lease_until_ms = worker.lease_until_ms
+
     def offer_lease(self, worker: Worker, at_ms: int, lease_until_ms: int) -> int:
         """Return the lease end to request, on the worker's clock, or 0 for none.
 
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -116,8 +116,7 @@
         yield from self._mark_crashed(worker, at_ms, "restarted", survivors)
         self._ended_incarnations.add((worker.worker_id, worker.entry.born_ms))
         successor = self._add_worker(entry, at_ms)
-        successor.lease_until_ms = successor.lease_bound_ms(at_ms, self.max_lease_ms)
-        successor.longest_lease_until_ms = successor.lease_until_ms
+        self._record_longest_lease(successor, at_ms)
         successor.is_unverified = was_unverified
         for run in survivors:
             successor.add(run)
@@ -179,8 +178,7 @@
             # A late response to a poll of an earlier incarnation. Its lists prove
             # nothing; if this one sent them, it also took the lease.
             if event.born_ms == worker.entry.born_ms:
-                until_ms = worker.lease_bound_ms(event.at_ms, self.max_lease_ms)
-                worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+                self._record_longest_lease(worker, event.at_ms)
             return
         if event.born_ms and event.born_ms < worker.entry.born_ms:
             yield from self._poll_failed(
@@ -354,7 +352,11 @@
 
     def _poll_failed(self, event: PollFailed) -> Iterable[Effect]:
         worker = self.workers.get(event.worker_id)
-        if worker is None or worker.entry.born_ms != event.born_ms:
+        if worker is None:
+            return
+        if worker.entry.born_ms != event.born_ms:
+            if event.was_sent and not event.is_other_incarnation:
+                self._record_longest_lease(worker, event.at_ms)
             return
         worker.record_failed_poll(event.at_ms)
         self._resolve_lease_offer(worker, event.was_sent)
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -236,3 +236,35 @@
     assert worker.last_seen == 0
     rig.poll("w1")
     assert worker.last_seen == 57
+
+
+def test_late_answer_of_the_next_incarnation_lengthens_the_wait_of_a_successor():
+    """Guards against a task that runs twice: the next incarnation has taken a lease
+    from a poll for the last one, and the roster calls it settled before its end.
+    """
+    rig = IncarnationsRig()
+    rig.list_next("w1")
+    rig.now += MAX_LEASE_MS // 2
+    rig.poll("w1", born_ms=NEXT_BORN_MS, polled=1)
+    worker = rig.shard.workers["w1"]
+    until_ms = worker.lease_bound_ms(rig.now, MAX_LEASE_MS)
+    assert worker.lease_until_ms == until_ms
+    assert not worker.is_settled(until_ms)
+
+
+def test_poll_of_the_last_incarnation_without_an_answer_may_have_renewed_the_next():
+    """Guards against a task that runs twice: a poll that was under way as the worker
+    restarted got no answer, and may have given its lease to the next incarnation.
+    """
+    rig = IncarnationsRig()
+    rig.poll("w1", born_ms=1)
+    rig.list_next("w1")
+    rig.now += 1_000
+    worker = rig.shard.workers["w1"]
+    before_ms = worker.lease_until_ms
+    rig.shard.step(PollFailed(rig.now, "w1", 1, "reset", was_sent=False))
+    assert worker.lease_until_ms == before_ms
+    rig.shard.step(PollFailed(rig.now, "w1", 1, "timeout"))
+    until_ms = worker.lease_bound_ms(rig.now, MAX_LEASE_MS)
+    assert worker.lease_until_ms == until_ms
+    assert not worker.is_settled(until_ms)
