Leases: a start of the last incarnation may have extended the next one's

Cause: the end of a start's window is on the clock of the incarnation that it was meant for. The next one takes it as the longest lease. Neither the answer that shows this (a clock from before the start) nor a late answer after the platform had listed the next incarnation moved the time from which the worker counts as settled; and a roster that called a worker settled was not written again when it was settled no more (TWICE, if the owner was lost then). Change: both answers record the longest lease; the roster follows both ways.

--- a/apricotgap/instance/roster.py
+++ b/apricotgap/instance/roster.py
@@ -98,7 +98,7 @@
             has_unrecorded = any(not worker.is_recorded for worker in workers.values())
             settled = self._settled(workers.values())
             is_recorded = (
-                workers.keys() == self._recorded and settled <= self._recorded_settled
+                workers.keys() == self._recorded and settled == self._recorded_settled
             )
             if not has_unrecorded and is_recorded:
                 continue
--- a/apricotgap/jobs/events.py
+++ b/apricotgap/jobs/events.py
@@ -79,6 +79,10 @@
     was_sent: bool = True
 
 
+# Results of starts that a worker has rejected before it looked at their window.
+_NO_EFFECT = frozenset({"busy", "fence", "late", "other life"})
+
+
 @dataclass(frozen=True, slots=True)
 class StartResult:
     """Result of a start: ``ok``, ``unknown``, ``busy`` or the worker's reason."""
@@ -86,6 +90,11 @@
     kind: str
     clock_ms: int = 0
 
+    @property
+    def may_extend_lease(self) -> bool:
+        """Whether the worker may have taken a lease from the start."""
+        return self.kind not in _NO_EFFECT
+
 
 @dataclass(frozen=True, slots=True)
 class StartAnswered:
--- a/apricotgap/jobs/shard_leases.py
+++ b/apricotgap/jobs/shard_leases.py
@@ -4,6 +4,7 @@
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import Effect, LogDecision
+from apricotgap.jobs.events import StartAnswered
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.shard_crashes import ShardCrashes
 from apricotgap.jobs.workers import Worker
@@ -70,6 +71,16 @@
         worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
         worker.longest_lease_until_ms = worker.lease_until_ms
 
+    def _start_answered(self, event: StartAnswered) -> Iterable[Effect]:
+        yield from super()._start_answered(event)
+        worker = self.workers.get(event.worker_id)
+        if worker is None or not event.result.may_extend_lease:
+            return
+        run = worker.runs.get((event.name, event.run_id))
+        is_later = run is not None and run.is_in_next_incarnation
+        if is_later or worker.entry.born_ms != event.born_ms:
+            self._record_longest_lease(worker, event.at_ms)
+
     def offer_lease(self, worker: Worker, at_ms: int, lease_until_ms: int) -> int:
         """Return the lease end to request, on the worker's clock, or 0 for none.
 
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -268,3 +268,36 @@
     until_ms = worker.lease_bound_ms(rig.now, MAX_LEASE_MS)
     assert worker.lease_until_ms == until_ms
     assert not worker.is_settled(until_ms)
+
+
+def test_start_confirmed_by_the_next_incarnation_lengthens_the_wait_of_a_successor():
+    """Guards against a task that runs twice: its owner is lost before a list shows the
+    next incarnation, which has taken the longest lease from the start.
+    """
+    rig = IncarnationsRig()
+    start, _ = rig.start_one()
+    worker = rig.shard.workers[start.worker_id]
+    assert worker.is_settled(rig.now)
+    result = StartResult("ok", clock_ms=40)
+    rig.shard.step(
+        StartAnswered(rig.now, start.worker_id, 1, start.name, start.run_id, result)
+    )
+    until_ms = worker.lease_bound_ms(rig.now, MAX_LEASE_MS)
+    assert worker.lease_until_ms == until_ms
+    assert not worker.is_settled(until_ms)
+
+
+@pytest.mark.parametrize("kind", ["ok", "unknown", "old", "room"])
+def test_start_for_the_last_incarnation_may_have_renewed_the_next(kind):
+    """Guards against a task that runs twice: the platform listed the next incarnation
+    before the answer of a start that gave it the longest lease.
+    """
+    rig = IncarnationsRig()
+    start, _ = rig.start_one()
+    rig.list_next(start.worker_id)
+    rig.now += limits.START_WINDOW_MS
+    rig.answer(start, kind)
+    worker = rig.shard.workers[start.worker_id]
+    until_ms = worker.lease_bound_ms(rig.now, MAX_LEASE_MS)
+    assert worker.lease_until_ms == until_ms
+    assert not worker.is_settled(until_ms)
