Reservations hold for a worker's later incarnations

Cause: a reservation was a field of one incarnation. A reserved worker that restarted accepted tasks until the next report repeated the reservation, while the machine order that relied on it was on its way and ended them. The same held for a worker that the shard had not listed yet. Change: the shard keeps the ends of reservations by worker id and gives them to each incarnation that it adds.

--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -43,6 +43,8 @@
         self.config: Configuration | None = None
         # Ended incarnations that the platform may still list, by worker and start.
         self._ended_incarnations: set[tuple[str, int]] = set()
+        # Ends of reservations. They hold for the machine, whatever runs there.
+        self._reserved_until_ms: dict[str, int] = {}
         self.loaded_ms = -1_000_000
         self.reported_ms = -1_000_000
         # Time of which the list of workers shows the state.
@@ -163,11 +165,28 @@
         return at_ms - self.loaded_ms > limits.FIRST_REPORT_TIMEOUT_MS
 
     def reserve(self, worker_ids: Iterable[str], at_ms: int) -> None:
-        """Give these workers no new work; expires unless the caller repeats it."""
+        """Give these workers no new work; expires unless the caller repeats it.
+
+        It holds for later incarnations of a worker too, and for one not listed yet.
+        """
+        self._reserved_until_ms = {
+            worker_id: until_ms
+            for worker_id, until_ms in self._reserved_until_ms.items()
+            if until_ms > at_ms
+        }
+        until_ms = at_ms + limits.RESERVATION_MS
         for worker_id in worker_ids:
+            self._reserved_until_ms[worker_id] = until_ms
             worker = self.workers.get(worker_id)
             if worker is not None:
-                worker.reserved_until_ms = at_ms + limits.RESERVATION_MS
+                worker.reserved_until_ms = until_ms
+
+    def _add_worker(self, entry: WorkerEntry, at_ms: int) -> Worker:
+        worker = super()._add_worker(entry, at_ms)
+        until_ms = self._reserved_until_ms.get(entry.worker_id)
+        if until_ms is not None:
+            worker.reserved_until_ms = until_ms
+        return worker
 
     def _poll_answered(self, event: PollAnswered) -> Iterable[Effect]:
         """Apply a response, judged by the incarnation that it comes from."""
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -301,3 +301,37 @@
     until_ms = worker.lease_bound_ms(rig.now, MAX_LEASE_MS)
     assert worker.lease_until_ms == until_ms
     assert not worker.is_settled(until_ms)
+
+
+@pytest.mark.parametrize("is_listed_first", [True, False])
+def test_reserved_worker_that_restarts_stays_reserved(is_listed_first):
+    """Guards against tasks that a machine order ends: its worker was empty and reserved
+    as the order was planned, restarted, and got new tasks before the order arrived.
+    """
+    rig = Rig(workers=("w1",)).ready()
+    rig.shard.reserve(["w1"], rig.now)
+    if is_listed_first:
+        rig.list_workers(entry("w1", born_ms=NEXT_BORN_MS))
+    else:
+        failed = PollFailed(rig.now, "w1", 1, "other", is_other_incarnation=True)
+        rig.shard.step(failed)
+        rig.list_workers(entry("w1", born_ms=NEXT_BORN_MS))
+    rig.record_all()
+    rig.poll("w1", born_ms=NEXT_BORN_MS)
+    rig.submit(job(steps=ONE_TASK))
+    assert rig.schedule() == []
+    rig.now += limits.RESERVATION_MS
+    rig.poll("w1", born_ms=NEXT_BORN_MS)
+    assert len(rig.schedule()) == 1
+
+
+def test_worker_that_is_reserved_before_its_shard_lists_it_gets_no_work():
+    """Guards against tasks on a worker that the owner of the fleet has asked to leave
+    alone: the list of workers of the shard's owner was older than the order.
+    """
+    rig = Rig(workers=())
+    rig.shard.reserve(["w1"], rig.now)
+    rig.list_workers(entry("w1"))
+    rig.ready()
+    rig.submit(job(steps=ONE_TASK))
+    assert rig.schedule() == []
