Fleet orders: a repeated order needs an empty, reserved worker again

Cause: an order without an answer was sent again after 0.6 s whatever the reports said. A reservation lasts 2 s from a report; while a pool's owner does not report, or after the wave of the order has gone, the worker takes up tasks and the repeated order ends them (AVAIL). Change: it waits for a report that shows the worker reserved and without runs, unless the machine has another worker or none, or is in no shard's pool. Workers of unresolved orders stay reserved.

--- a/apricotgap/jobs/fleet_orders.py
+++ b/apricotgap/jobs/fleet_orders.py
@@ -110,9 +110,15 @@
         return list(self._ended)
 
     def reserved_workers(self, machines: Mapping[str, Machine]) -> dict[str, list[str]]:
-        """Return the ids of workers on reserved machines, by pool."""
+        """Return the ids of workers on reserved machines, by pool.
+
+        Those of machines whose order has no result yet are among them.
+        """
+        unresolved = (
+            name for name, pending in self.pending.items() if not pending.done_ms
+        )
         found: dict[str, list[str]] = {}
-        for name in self.reserved:
+        for name in dict.fromkeys((*self.reserved, *unresolved)):
             machine = machines.get(name)
             if machine is not None and machine.worker_id:
                 found.setdefault(machine.pool, []).append(machine.worker_id)
@@ -192,18 +198,36 @@
         else:
             self._ended[worker_id] = at_ms
 
-    def retries(self, at_ms: int) -> list[MachineOrder]:
+    def retries(self, view: FleetView) -> list[MachineOrder]:
         """Return the orders without a response that are due to be sent again."""
         orders = []
         for pending in self.pending.values():
             if pending.is_in_flight or pending.done_ms:
                 continue
-            if at_ms - pending.sent_ms > ORDER_RETRY_MS:
-                pending.sent_ms = at_ms
+            is_due = view.at_ms - pending.sent_ms > ORDER_RETRY_MS
+            if is_due and not self._may_interrupt(pending, view):
+                pending.sent_ms = view.at_ms
                 pending.is_in_flight = True
                 orders.append(pending.order)
         return orders
 
+    @staticmethod
+    def _may_interrupt(pending: PendingOrder, view: FleetView) -> bool:
+        """Whether an order that is sent again may end tasks.
+
+        Its worker may have taken up work if the reports that reserve it were lost. One
+        that is not the worker of the order is safe: the order has been carried out.
+        """
+        machine = view.machines.get(pending.order.machine)
+        if machine is None or machine.state != "up" or view.has_no_shard(machine):
+            return False
+        if machine.worker_id != pending.worker_id:
+            return False
+        if machine.pool not in view.reports:
+            return True
+        worker = view.worker(machine)
+        return worker is not None and (worker.n_runs > 0 or not worker.is_reserved)
+
     def order(self, order: MachineOrder, view: FleetView) -> MachineOrder:
         """Add an order as pending at once, so that this pass already counts it."""
         worker_id = view.machines[order.machine].worker_id
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -102,7 +102,7 @@
             services = config.working_services
         view = FleetView(at_ms, config, machines, reports, evacuated, services)
         self._tracker.prune(listed_ms, view, self._waves.is_obsolete)
-        orders = self._tracker.retries(at_ms)
+        orders = self._tracker.retries(view)
         orders += self._waves.plan(view)
         orders += self._sizes.plan(view)
         orders += self._plan_reserved(view)
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -45,6 +45,7 @@
         self.suspect = set()
         self.evacuated = frozenset()
         self.unusable = False
+        self.has_report = True
         self.now = 100_000
 
     def plan(self, *waves, listed_ms=None):
@@ -62,15 +63,15 @@
             for each in self.machines.values()
             if each.worker_id and each.state == "up"
         )
+        reports = {OTHER: PoolReport(self.other_wanted, ())}
+        if self.has_report:
+            reports[SERVICE] = PoolReport(self.wanted, workers)
         orders, _ = self.planner.plan(
             self.now,
             self.now if listed_ms is None else listed_ms,
             CONFIGURATION,
             self.machines,
-            {
-                SERVICE: PoolReport(self.wanted, workers),
-                OTHER: PoolReport(self.other_wanted, ()),
-            },
+            reports,
             self.evacuated,
         )
         return orders
@@ -123,6 +124,62 @@
     assert rig.plan(wave("m0")) == [MachineOrder("m0", wave=1)]
 
 
+def unanswered_maintenance():
+    """Return a rig and an order for a machine of a pool that got no answer."""
+    rig = Rig(machine("m0"), machine("m1"), machine("m2"))
+    rig.wanted = 3
+    rig.plan(wave("m0"))
+    (order,) = rig.plan(wave("m0"))
+    rig.answer(order, "unknown")
+    rig.now += ORDER_RETRY_MS + 1
+    return rig, order
+
+
+def test_repeated_order_waits_until_the_machine_is_empty_again():
+    """Guards against an order that ends tasks: it got no answer, and the worker took up
+    work after its reservation had ended.
+    """
+    rig, order = unanswered_maintenance()
+    rig.runs["m0"] = (1, 0)
+    assert rig.plan(wave("m0")) == []
+    rig.runs["m0"] = (0, 0)
+    rig.reserved.clear()
+    assert rig.plan(wave("m0")) == [order]
+
+
+def test_repeated_order_waits_for_a_report_of_the_pool():
+    """Guards against an order that ends tasks of which the owner of the fleet has not
+    heard, since the shard has no owner that reports.
+    """
+    rig, order = unanswered_maintenance()
+    rig.has_report = False
+    assert rig.plan(wave("m0")) == []
+    rig.has_report = True
+    assert rig.plan(wave("m0")) == [order]
+
+
+def test_order_whose_machine_has_another_worker_is_repeated_at_once():
+    """Guards against a wave that waits for tasks to end although the order has been
+    carried out: the platform only confirms it.
+    """
+    rig, order = unanswered_maintenance()
+    rig.machines["m0"] = replace(rig.machines["m0"], worker_id="w-next")
+    rig.runs["m0"] = (1, 0)
+    assert rig.plan(wave("m0")) == [order]
+
+
+def test_worker_stays_reserved_while_its_order_is_unresolved():
+    """Guards against an order that is never resolved: its wave has gone, and a worker
+    that is not reserved is never empty.
+    """
+    rig, order = unanswered_maintenance()
+    rig.runs["m0"] = (1, 0)
+    rig.plan()
+    assert rig.planner.reserved_workers(rig.machines) == {SERVICE: ["w-m0"]}
+    rig.runs["m0"] = (0, 0)
+    assert rig.plan() == [order]
+
+
 def ordered_maintenance():
     """Return a rig and its confirmed order for a machine of a pool."""
     rig = Rig(machine("m0"), machine("m1"), machine("m2"))
