Fleet orders: a rejected repetition leaves the first order open

Cause: an order without an answer may have been carried out. When its repetition was not sent or was answered busy, the order was forgotten, and its machine no longer counted as down for its wave while the list still showed it up: another one could be taken down beside it (LIMIT). Change: such an order stays open until it is confirmed, rejected for good, or a later list shows its machine down or gone. Measured: the two cases of the first new test failed before; the second guards the new end of an open order. tests/test_fleet_plan.py passes (36).

--- a/apricotgap/jobs/fleet_orders.py
+++ b/apricotgap/jobs/fleet_orders.py
@@ -17,6 +17,8 @@
 ENDED_REPORT_MS = 6_000
 # No new order for this long after the platform did not carry one out.
 BUSY_BACKOFF_MS = 1_500
+# Results that say only that this order was not carried out, not that none was.
+_NOT_DONE = frozenset({"busy", "unavailable"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +44,11 @@
 
 @dataclass(slots=True)
 class PendingOrder:
-    """An order that was sent; `done_ms` is when it was confirmed, 0 until then."""
+    """An order that was sent; `done_ms` is when it was confirmed, 0 until then.
+
+    `may_be_done` is set once it got no answer. What a repetition did not do tells
+    nothing of it then.
+    """
 
     order: MachineOrder
     sent_ms: int
@@ -50,6 +56,7 @@
     is_in_flight: bool = True
     done_ms: int = 0
     is_up_again: bool = False
+    may_be_done: bool = False
 
 
 class OrderTracker:
@@ -132,6 +139,9 @@
             return False
         pending.is_in_flight = False
         if result.kind == "unknown":
+            pending.may_be_done = True
+            return True
+        if pending.may_be_done and result.kind in _NOT_DONE:
             return True
         if result.kind == "ok":
             pending.done_ms = result.at_ms
@@ -159,12 +169,15 @@
         for machine in machines.values():
             self.kinds.setdefault(machine.pool, set()).add(machine.kind)
         for name, pending in list(self.pending.items()):
+            listed = machines.get(name)
+            is_gone = listed is None or listed.state == "down"
             if not pending.done_ms:
+                if pending.may_be_done and is_gone and listed_ms > pending.sent_ms:
+                    del self.pending[name]
                 continue
             unavailable_ms = (
                 self._maintenance_ms if pending.order.wave else self._move_ms
             )
-            listed = machines.get(name)
             self._record_end(pending.worker_id, listed, view.at_ms)
             if listed is None or listed.state == "down":
                 del self.pending[name]
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -158,6 +158,41 @@
     assert rig.plan(wave("m0")) == [order]
 
 
+@pytest.mark.parametrize("kind", ["unavailable", "busy"])
+def test_repeated_order_that_is_not_carried_out_leaves_the_first_one_open(kind):
+    """Guards against too many machines down: the first order got no answer and was
+    carried out, and the answer to the second one tells nothing of it.
+    """
+    names = ("m0", "m1", "m2")
+    rig = Rig(*(machine(name, "spare") for name in names))
+    (order,) = rig.plan(wave(*names, max_down=1))
+    rig.answer(order, "unknown")
+    rig.now += ORDER_RETRY_MS + 1
+    assert rig.plan(wave(*names, max_down=1)) == [order]
+    rig.answer(order, kind)
+    assert rig.plan(wave(*names, max_down=1)) == []
+    rig.now += ORDER_RETRY_MS + 1
+    assert rig.plan(wave(*names, max_down=1)) == [order]
+    rig.answer(order)
+    assert rig.planner.waves[1].done == {"m0"}
+
+
+@pytest.mark.parametrize("state", ["down", None])
+def test_unanswered_order_ends_with_its_machine(state):
+    """Guards against a pool that waits for a machine that crashed or left for good."""
+    rig = Rig(machine("m0", "spare"), machine("m1", "spare"))
+    waves = wave("m0", "m1", max_down=1)
+    (order,) = rig.plan(waves)
+    rig.answer(order, "unknown")
+    if state is None:
+        del rig.machines["m0"]
+    else:
+        rig.machines["m0"] = replace(rig.machines["m0"], state=state)
+    assert rig.plan(waves, listed_ms=rig.now - 100) == []
+    rig.now += 100
+    assert [each.machine for each in rig.plan(waves)] == ["m1"]
+
+
 def test_order_whose_machine_has_another_worker_is_repeated_at_once():
     """Guards against a wave that waits for tasks to end although the order has been
     carried out: the platform only confirms it.
