Fleet orders: an order arrives while its worker is reserved

Cause: a shard keeps a reserved worker empty for 2 s from its report. The order that relies on this went out after reports of other pools (0.7 s), the list of orders in the store (1 s) and any pause of the process, with 1.5 s for the call: up to 3.2 s after the report the worker may have tasks again, which the order ends (AVAIL). Change: the permission ends 2 s after the reports were requested; it is checked just before the order is sent, after the last wait, and bounds the call.

--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -16,6 +16,7 @@
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult
 from apricotgap.jobs.fleet_plan import FleetPlanner
 from apricotgap.jobs.fleet_view import PoolReport
+from apricotgap.jobs.limits import RESERVATION_MS
 from apricotgap.metrics import Metrics
 from apricotgap.platform.keys import encode_wave_status, wave_status_key
 from apricotgap.platform.machines import (
@@ -40,6 +41,8 @@
 LIST_INTERVAL_MS = 900
 # Interval of lists while orders are in progress.
 BUSY_LIST_INTERVAL_MS = 450
+# An order is not sent with less time than this for its answer.
+MIN_TIMEOUT_MS = 100
 
 RequestPoolReport = Callable[
     [str, list[str], list[str], int], Awaitable[PoolReport | None]
@@ -160,6 +163,8 @@
         ended = self._planner.ended_workers(now_ms)
         services = self._cluster_view.services()
         reports: dict[str, PoolReport] = {}
+        # A shard that reports keeps its reserved workers empty at least until then.
+        reserved_until_ms = now_ms + RESERVATION_MS
 
         async def request(pool: str) -> None:
             report = await self._request_pool_report(
@@ -188,7 +193,7 @@
         is_recorded = await self._order_store.record(order.machine for order in orders)
         for order in orders:
             if is_recorded:
-                nursery.start_soon(self._send, order)
+                nursery.start_soon(self._send, order, reserved_until_ms)
             else:
                 self._handle_response(order, "unavailable")
         await self._store_waves()
@@ -211,12 +216,17 @@
         except MachineListError as error:
             self._log.warning("machines_not_listed", reason=str(error))
 
-    async def _send(self, order: MachineOrder) -> None:
+    async def _send(self, order: MachineOrder, reserved_until_ms: int) -> None:
         kind = "unavailable"
-        # The order must arrive before another owner may send one.
-        if self._has_lease(CALL_TIMEOUT_MS):
+        left_ms = reserved_until_ms - self._clock.now_ms
+        timeout_ms = min(CALL_TIMEOUT_MS, left_ms)
+        # The order must arrive before another owner may send one, and before the worker
+        # of its machine may get tasks again.
+        if timeout_ms >= MIN_TIMEOUT_MS and self._has_lease(timeout_ms):
             self._order_store.record_sent(order.machine)
-            kind = await self._client.send_order(order, self._ownership.epoch)
+            kind = await self._client.send_order(
+                order, self._ownership.epoch, timeout_ms
+            )
             self._order_store.record_sent(order.machine)
         self._handle_response(order, kind)
 
--- a/apricotgap/platform/machines.py
+++ b/apricotgap/platform/machines.py
@@ -61,7 +61,9 @@
             if not page_token:
                 return machines_by_name
 
-    async def send_order(self, order: MachineOrder, token: int) -> str:
+    async def send_order(
+        self, order: MachineOrder, token: int, timeout_ms: int = CALL_TIMEOUT_MS
+    ) -> str:
         """Send an order.
 
         Parameters
@@ -70,6 +72,8 @@
             A move, or maintenance if it names a wave.
         token : int
             Fencing token.
+        timeout_ms : int
+            Limit for the whole call, in milliseconds.
 
         Returns
         -------
@@ -96,7 +100,7 @@
                 self._address,
                 path,
                 msgspec.json.encode(body),
-                CALL_TIMEOUT_MS,
+                timeout_ms,
                 headers,
             )
         except NoResponseError as error:
