Waves: machines of a previous owner count as down until a later list

Cause: a new owner of the fleet counts the machines of its predecessor's last orders as down for one lease, then goes by the list. While the platform answers no list, that list may be older than the orders and show their machines up: another one was taken down beside them (LIMIT). Change: they count until a list that was requested after that time.

--- a/apricotgap/jobs/fleet_orders.py
+++ b/apricotgap/jobs/fleet_orders.py
@@ -96,11 +96,14 @@
         for name in self._inherited_machines:
             self._backoff_until_ms[name] = until_ms
 
-    def inherited(self, at_ms: int) -> frozenset[str]:
-        """Return the machines that a previous owner may have taken down."""
+    def inherited(self, view: FleetView) -> frozenset[str]:
+        """Return the machines that a previous owner may have taken down.
+
+        A list from before its last order may still show them up.
+        """
         return (
             self._inherited_machines
-            if at_ms < self._inherited_until_ms
+            if view.listed_ms < self._inherited_until_ms
             else frozenset()
         )
 
@@ -154,16 +157,13 @@
         return True
 
     def prune(
-        self,
-        listed_ms: int,
-        view: FleetView,
-        is_obsolete: Callable[[str, MachineOrder], bool],
+        self, view: FleetView, is_obsolete: Callable[[str, MachineOrder], bool]
     ) -> None:
         """Drop orders whose machine is in service again, and obsolete reservations.
 
-        A machine counts as back only when it is up in a list requested at `listed_ms`,
-        at least half its unavailable time after the order was confirmed: an older list
-        may still show it up from before.
+        A machine counts as back only when it is up in a list requested at least half
+        its unavailable time after the order was confirmed: an older list may still show
+        it up from before.
         """
         machines = view.machines
         for machine in machines.values():
@@ -172,7 +172,7 @@
             listed = machines.get(name)
             is_gone = listed is None or listed.state == "down"
             if not pending.done_ms:
-                if pending.may_be_done and is_gone and listed_ms > pending.sent_ms:
+                if pending.may_be_done and is_gone and view.listed_ms > pending.sent_ms:
                     del self.pending[name]
                 continue
             unavailable_ms = (
@@ -182,7 +182,7 @@
             if listed is None or listed.state == "down":
                 del self.pending[name]
                 continue
-            is_new = listed_ms > pending.done_ms + unavailable_ms // 2
+            is_new = view.listed_ms > pending.done_ms + unavailable_ms // 2
             pending.is_up_again = pending.is_up_again or (
                 is_new and listed.state == "up"
             )
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -100,8 +100,10 @@
         """
         if services is None:
             services = config.working_services
-        view = FleetView(at_ms, config, machines, reports, evacuated, services)
-        self._tracker.prune(listed_ms, view, self._waves.is_obsolete)
+        view = FleetView(
+            at_ms, listed_ms, config, machines, reports, evacuated, services
+        )
+        self._tracker.prune(view, self._waves.is_obsolete)
         orders = self._tracker.retries(view)
         orders += self._waves.plan(view)
         orders += self._sizes.plan(view)
--- a/apricotgap/jobs/fleet_view.py
+++ b/apricotgap/jobs/fleet_view.py
@@ -42,6 +42,8 @@
     ----------
     at_ms : int
         Current time.
+    listed_ms : int
+        When the list of machines was requested.
     config : Configuration
         Source of the pools and which of them is spare.
     machines : mapping of str to Machine
@@ -57,6 +59,7 @@
     def __init__(
         self,
         at_ms: int,
+        listed_ms: int,
         config: Configuration,
         machines: Mapping[str, Machine],
         reports: Mapping[str, PoolReport],
@@ -64,6 +67,7 @@
         services: Iterable[str],
     ) -> None:
         self.at_ms = at_ms
+        self.listed_ms = listed_ms
         self.machines = machines
         self.reports = reports
         self.evacuated = evacuated
--- a/apricotgap/jobs/maintenance_waves.py
+++ b/apricotgap/jobs/maintenance_waves.py
@@ -178,6 +178,6 @@
             for name in state.wave.machines
             if name in view.machines and view.machines[name].state == "upkeep"
         )
-        inherited = self._tracker.inherited(view.at_ms)
+        inherited = self._tracker.inherited(view)
         down.update(inherited & (set(state.wave.machines) - state.done))
         return len(down)
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -474,3 +474,17 @@
     rig.plan()
     reserved = rig.planner.reserved_workers(rig.machines)
     assert reserved == {SERVICE: ["w-m0", "w-m1", "w-m2"]}
+
+
+def test_machine_that_a_previous_owner_took_down_counts_until_a_later_list():
+    """Guards against too many machines down: the list is from before the last order of
+    the previous owner, and the platform lists none for longer than its lease.
+    """
+    rig = Rig(*(machine(f"m{n}", "spare") for n in range(3)))
+    waves = wave("m0", "m1", "m2", max_down=1)
+    listed_ms = rig.now
+    until_ms = rig.now + 3_000
+    rig.planner.inherit({"m0"}, until_ms)
+    rig.now = until_ms + 500
+    assert rig.plan(waves, listed_ms=listed_ms) == []
+    assert len(rig.plan(waves, listed_ms=until_ms)) == 1
