Fleet orders: a reservation counts only if this cycle's reports have renewed it

Cause: a machine whose reservation was given up and planned anew was ordered by what was left of the earlier reservation, which may end before the order arrives. Change: the plan orders machines that were reserved as the reports were requested.

--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -103,11 +103,12 @@
         view = FleetView(
             at_ms, listed_ms, config, machines, reports, evacuated, services
         )
+        reserved = frozenset(self._tracker.reserved)
         self._tracker.prune(view, self._waves.is_obsolete)
         orders = self._tracker.retries(view)
         orders += self._waves.plan(view)
         orders += self._sizes.plan(view)
-        orders += self._plan_reserved(view)
+        orders += self._plan_reserved(view, reserved)
         for order in orders:
             view.log_lines.append(
                 LogDecision(
@@ -122,10 +123,18 @@
             )
         return orders, view.log_lines
 
-    def _plan_reserved(self, view: FleetView) -> list[MachineOrder]:
-        """Return the orders for reserved machines that have become empty."""
+    def _plan_reserved(
+        self, view: FleetView, reserved: frozenset[str]
+    ) -> list[MachineOrder]:
+        """Return the orders for reserved machines that have become empty.
+
+        Those that are reserved only since the reports were requested come later: a
+        report may show the end of an earlier reservation.
+        """
         orders = []
         for name, order in self._tracker.reserved.items():
+            if name not in reserved:
+                continue
             machine = view.machines[name]
             worker = view.worker(machine)
             if name in self._tracker.pending or worker is None:
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -488,3 +488,14 @@
     rig.now = until_ms + 500
     assert rig.plan(waves, listed_ms=listed_ms) == []
     assert len(rig.plan(waves, listed_ms=until_ms)) == 1
+
+
+def test_machine_that_is_reserved_anew_is_not_ordered_by_its_last_reservation():
+    """Guards against an order that ends tasks: the worker's last reservation was given
+    up and ends before the order arrives.
+    """
+    rig = Rig(machine("m0"), machine("m1"), machine("m2"))
+    rig.wanted = 3
+    rig.reserved = {"w-m0"}
+    assert rig.plan(wave("m0")) == []
+    assert len(rig.plan(wave("m0"))) == 1
