Instance lease: a renewal in flight changes nothing after the lease is given up

Cause: the state was not read again after the wait for a renewal. Its answer set the end of a lease that the stopping instance had abandoned, and if the lease had ended the instance requested a new one. Change: the answer counts only while the instance still holds the lease. Measured: the two new tests failed before; tests of the lease, the election and the tenure pass (34).

--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -80,7 +80,10 @@
     async def _renew_or_acquire(self) -> None:
         sent_ms = self._clock.now_ms
         if self.lease_id:
-            if await self._store.renew_lease(self.lease_id, _RENEW_TIMEOUT_MS):
+            is_renewed = await self._store.renew_lease(self.lease_id, _RENEW_TIMEOUT_MS)
+            if self._is_revoked:
+                return
+            if is_renewed:
                 self.valid_until_ms = sent_ms + self._ttl_ms
                 return
             self._log.warning("lease_ended", lease=self.lease_id)
--- a/tests/test_instance_lease.py
+++ b/tests/test_instance_lease.py
@@ -4,7 +4,11 @@
 import trio.testing
 
 from apricotgap.clock import FakeClock
-from apricotgap.instance.lease import LEASE_TTL_MS, InstanceLease
+from apricotgap.instance.lease import (
+    LEASE_TTL_MS,
+    RENEW_INTERVAL_MS,
+    InstanceLease,
+)
 from apricotgap.platform.store import StoreError
 
 
@@ -15,6 +19,7 @@
         self.alive = set()
         self.n_granted = 0
         self.is_down = False
+        self.answer_delay_s = 0.0
 
     async def grant_lease(self, ttl_ms):
         self.n_granted += 1
@@ -24,6 +29,7 @@
     async def renew_lease(self, lease, timeout_ms):
         if self.is_down:
             raise StoreError("down")
+        await trio.sleep(self.answer_delay_s)
         return lease in self.alive
 
     async def revoke_lease(self, lease):
@@ -81,3 +87,35 @@
         assert store.n_granted == 1
 
     run(check)
+
+
+def test_renewal_in_flight_does_not_revive_an_abandoned_lease():
+    """Guards against an instance that stops and counts on its lease again, as the
+    answer of a renewal comes after it has given up its shards.
+    """
+
+    async def check(store, clock, lease):
+        store.answer_delay_s = 0.3
+        await trio.sleep(RENEW_INTERVAL_MS / 1000 + 0.1)
+        lease_id = lease.abandon()
+        await trio.sleep(5)
+        assert lease.valid_until_ms == 0
+        assert lease.valid_until_ms_of(lease_id) == lease.valid_until_ms_of(0) == 0
+        assert store.n_granted == 1
+
+    run(check)
+
+
+def test_no_lease_is_requested_after_a_renewal_that_finds_it_ended():
+    """Guards against a stopping instance that acquires one more lease."""
+
+    async def check(store, clock, lease):
+        store.alive.clear()
+        store.answer_delay_s = 0.3
+        await trio.sleep(RENEW_INTERVAL_MS / 1000 + 0.1)
+        lease.abandon()
+        await trio.sleep(5)
+        assert not lease.is_valid
+        assert store.n_granted == 1
+
+    run(check)
