Cancel: a caller does not wait for an owner that has given up its shard

Cause: the wait for the stored cancellation read the state of the job again and again, but not whether its owner still stores anything. Change: the writer of the progress ends these waits as it ends. Measured: the wait ends within one store write for a handover and a takeover (tests/test_progress_writer.py); tests of owner calls, peers and instance processes pass.

--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -226,7 +226,7 @@
         raise StoreError(f"cancellation not stored: {outcome}")
 
     async def _cancel_at(self, service: str, job_id: str, deadline_ms: int) -> bool:
-        # An owner that loses its shard stores nothing more and does not say so.
+        # The store is written to if the owner's own writes take too long.
         limit_ms = min(deadline_ms, self._clock.now_ms + PEER_TIMEOUT_MS)
         try:
             answer = await self._owner_calls.call(service, "cancel", job_id, limit_ms)
--- a/apricotgap/instance/progress_writer.py
+++ b/apricotgap/instance/progress_writer.py
@@ -6,7 +6,8 @@
 import trio
 
 from apricotgap.instance.keys import progress_key
-from apricotgap.instance.ownership import Ownership
+from apricotgap.instance.ownership import Ownership, OwnershipLostError
+from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.shard_jobs import SaveBatch
 from apricotgap.platform.store import (
@@ -63,6 +64,7 @@
         self._ownership = ownership
         self._store = store
         self._dirty = trio.Event()
+        self._has_ended = False
         self.saved = trio.Event()
         # Jobs whose documents are written in transactions of their own.
         self._isolated: set[str] = set()
@@ -84,6 +86,26 @@
         OwnershipLostError
             The store shows another owner.
         """
+        try:
+            await self._run()
+        finally:
+            self._has_ended = True
+            self.saved.set()
+
+    async def wait_for_phase(self, job: JobState) -> None:
+        """Wait until the phase of a job is stored.
+
+        Raises
+        ------
+        OwnershipLostError
+            The owner has ended and stores nothing more.
+        """
+        while job.saved_phase is not job.progress.phase:
+            if self._has_ended:
+                raise OwnershipLostError("the owner of the shard has ended")
+            await self.saved.wait()
+
+    async def _run(self) -> None:
         while True:
             await self._wait_for_changes()
             if not self._shard.has_unsaved:
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -26,7 +26,7 @@
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.events import WorkersListed
-from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
+from apricotgap.jobs.fleet_view import PoolReport
 from apricotgap.jobs.limits import (
     LEASE_MARGIN_MS,
     TICK_INTERVAL_MS,
@@ -285,17 +285,20 @@
 
         Returns None for an unknown job and False if the cancellation is not stored by
         the deadline.
+
+        Raises
+        ------
+        OwnershipLostError
+            The owner has ended before.
         """
         if job_id not in self._shard.jobs:
             return None
         self._cancel(job_id)
-        job = self._shard.jobs[job_id]
-        while job.saved_phase is not job.progress.phase:
-            if self._clock.now_ms > deadline_ms:
-                return False
-            with trio.move_on_after(0.2):
-                await self._writer.saved.wait()
-        return True
+        left_ms = max(0, deadline_ms - self._clock.now_ms)
+        with trio.move_on_after(left_ms / 1000):
+            await self._writer.wait_for_phase(self._shard.jobs[job_id])
+            return True
+        return False
 
     def _cancel(self, job_id: str) -> None:
         if job_id not in self._shard.jobs:
@@ -338,17 +341,7 @@
             self._demand.record_share(share)
         return PoolReport(
             self._demand.wanted(now_ms),
-            tuple(
-                WorkerReport(
-                    worker.worker_id,
-                    worker.n_possible_runs,
-                    worker.n_long_running,
-                    worker.is_usable(now_ms, self._shard.evacuated),
-                    worker.is_reserved(now_ms),
-                    worker.suspect_since_ms is not None,
-                )
-                for worker in self._shard.workers.values()
-            ),
+            self._shard.report_workers(now_ms),
             self._demand.wanted_for_late_jobs(now_ms),
         )
 
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -10,6 +10,7 @@
     StopAnswered,
     WorkersListed,
 )
+from apricotgap.jobs.fleet_view import WorkerReport
 from apricotgap.jobs.model import NO_RESOURCES, Resources
 from apricotgap.jobs.shard_workers import ShardWorkers
 from apricotgap.jobs.team_limits import TeamLimits
@@ -90,6 +91,20 @@
             return accepting
         return accepting + [each for each in workers if each.is_only_suspect(at_ms)]
 
+    def report_workers(self, at_ms: int) -> tuple[WorkerReport, ...]:
+        """Return the state of the workers for the owner of the fleet."""
+        return tuple(
+            WorkerReport(
+                worker.worker_id,
+                worker.n_possible_runs,
+                worker.n_long_running,
+                worker.is_usable(at_ms, self.evacuated),
+                worker.is_reserved(at_ms),
+                worker.suspect_since_ms is not None,
+            )
+            for worker in self.workers.values()
+        )
+
     def is_within_team_limit(self, team: str, allocation: Resources) -> bool:
         """Whether a team may use this much more in this shard."""
         limit = self.team_limits.allowed(team)
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -83,6 +83,58 @@
     run(check)
 
 
+@pytest.mark.parametrize("ends_by", ["handover", "takeover"])
+def test_wait_for_a_save_ends_with_the_owner(ends_by):
+    """Guards against a cancellation that waits for its deadline beside a handover: the
+    owner has given up its shard and stores nothing more.
+    """
+
+    async def check(rig, store, writer):
+        cancel_jobs(rig, 1)
+        store.is_taken_over = ends_by == "takeover"
+
+        async def wait():
+            with pytest.raises(OwnershipLostError), trio.fail_after(2 * WRITE_S):
+                await writer.wait_for_phase(rig.shard.jobs[f"{0:016x}"])
+
+        async def own(task_status):
+            with trio.CancelScope() as scope:
+                task_status.started(scope)
+                try:
+                    await writer.run()
+                except* OwnershipLostError:
+                    assert ends_by == "takeover"
+
+        async with trio.open_nursery() as nursery:
+            scope = await nursery.start(own)
+            nursery.start_soon(wait)
+            writer.wake()
+            if ends_by == "handover":
+                await trio.sleep(WRITE_S / 2)
+                scope.cancel()
+        # A caller that comes later does not wait either.
+        await wait()
+
+    run(check)
+
+
+def test_wait_for_a_save_ends_with_the_save():
+    """Guards against a cancellation that is stored and not confirmed."""
+
+    async def check(rig, store, writer):
+        cancel_jobs(rig, 1)
+        state = rig.shard.jobs[f"{0:016x}"]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(writer.run)
+            writer.wake()
+            with trio.fail_after(2 * WRITE_S):
+                await writer.wait_for_phase(state)
+            assert state.saved_phase is JobPhase.CANCELLED
+            nursery.cancel_scope.cancel()
+
+    run(check)
+
+
 class TestDocumentThatFails:
     """One document that can't be written, among those of other jobs."""
 
