Runner role: take it again under the lease that the first write names

Cause: after a write of the role without an answer, a candidate that read the key as absent requested a second lease. The first write could still take effect under the first lease, which nobody renewed, and the candidate found its own document and held the role: its key would go while it acts on. Change: it keeps the lease that it has. Measured: the new test failed before; tests/test_waves.py passes (91 together).

--- a/apricotgap/core/runner_role.py
+++ b/apricotgap/core/runner_role.py
@@ -244,7 +244,9 @@
 def _role_read(state: "EntryState", value: bytes, at_ms: int) -> Iterator[Effect]:
     role = state.waves.role
     if not value:
-        yield from _call(state, RolePhase.LEASE, at_ms)
+        # A write whose answer was lost may take effect late, under the present lease.
+        phase = RolePhase.READ_GRANTS if role.lease_id else RolePhase.LEASE
+        yield from _call(state, phase, at_ms)
         return
     try:
         holder = decode_json(value, RoleDocument)
