--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -257,6 +257,22 @@
     assert starts[1] > limits.RUNS_PER_EPOCH
 
 
+def test_run_numbers_increase_after_an_owner_with_many_refused_starts():
+    """Guards against starts that workers reject as old: the numbers of the owner before
+    reach into those of this one, since its workers refused a task again and again.
+    """
+    rig = Rig().ready()
+    rig.submit(job(steps=(StepSpec(1, Resources(1000, 100), 800),)))
+    worker = rig.shard.workers["w1"]
+    for _ in range(2_000):
+        worker.blocked_until_ms = 0
+        (start,) = rig.schedule()
+        rig.answer(start, "room")
+    successor = Rig(epoch=2).ready()
+    successor.submit(job())
+    assert successor.schedule()[0].run_id > start.run_id
+
+
 def test_run_of_an_unknown_job_is_stopped():
     """Guards against a run that continues although its job is gone."""
     rig = Rig().ready()
