Store driver: a lease without an id is an error

Cause: the older program's clients passed on an answer with lease 0 as a lease. The store takes 0 as no lease, so that a role or claim would stay for good. Change: no lease can be made with that id; the answer is an error of the call. Measured: the new test failed before; tests of the driver and the store contract pass.

--- a/apricotgap/drivers/store_api.py
+++ b/apricotgap/drivers/store_api.py
@@ -39,11 +39,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Lease:
-    """A granted lease; `ttl_ms` counts from the time at which the call was sent."""
+    """A granted lease; `ttl_ms` counts from the time at which the call was sent.
+
+    Raises
+    ------
+    ValueError
+        The id is 0, which the store takes as no lease: a key would stay for good.
+    """
 
     lease_id: int
     ttl_ms: int
 
+    def __post_init__(self) -> None:
+        if self.lease_id <= 0:
+            raise ValueError(f"{self.lease_id} is not the id of a lease")
+
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
--- a/tests/test_store_driver.py
+++ b/tests/test_store_driver.py
@@ -27,6 +27,7 @@
 from apricotgap.drivers.instances import InstancesDriver
 from apricotgap.drivers.memory_store import MemoryStore
 from apricotgap.drivers.store import EtcdStore, StoreCallError, StoreDriver
+from apricotgap.drivers.store_api import Lease
 from standins.platform import Platform
 from standins.serving import Listener
 from tests.loopback import call
@@ -235,6 +236,25 @@
     trio.run(main)
 
 
+def test_lease_without_an_id_is_no_lease():
+    """Guards against a key that stays for good: a write under lease 0 has none."""
+
+    async def main():
+        async def answer(exchange):
+            await exchange.answer_json(200, {"ID": "0", "TTL": "5"})
+
+        listener = Listener(answer)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(listener.run)
+            with pytest.raises(StoreCallError):
+                await EtcdStore([f"http://{listener.address}"]).grant_lease(1)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    with pytest.raises(ValueError, match="not the id of a lease"):
+        Lease(0, 1_000)
+
+
 def test_reads_and_unsent_writes_fail_over():
     """Guards against one unreachable endpoint that fails all calls."""
 
