Starts end with the view of the configuration, not only with the lease

Cause: an owner whose lease is renewed while its watch of the operators' keys fails started tasks by the configuration seen last, however old: by a team's limit that has been lowered, in a data centre that has been taken out. Keys of callers have such a bound, starts had none. Change: the permission to start ends with the lease, or 6 s after the view was last confirmed; it is read as each scheduling pass begins. Measured: with a store that renews leases and answers no watch, nothing starts 8 s later, and starts go on once it answers; one watch of 2.5 s that goes silent stops no start (tests/test_start_permission.py). The class is new, so these tests had no earlier run; on the code before, the pass saw the lease only.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -72,6 +72,11 @@
         """Return the age of the configuration, None before the first one."""
         return self.operator_mirror.age_ms() if self.config else None
 
+    @property
+    def config_confirmed_ms(self) -> int | None:
+        """Time as of which the configuration was in force, None before the first."""
+        return self.operator_mirror.fresh_as_of_ms if self.config else None
+
     def _operator_changed(self, items: tuple[Item, ...]) -> None:
         for item in items:
             if item.key == CONFIGURATION_KEY and item.value is not None:
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -19,6 +19,7 @@
 from apricotgap.instance.roster import RosterWriter
 from apricotgap.instance.shard_loader import add_found_jobs, load_jobs, read_prefix
 from apricotgap.instance.shard_retirement import ShardRetirement, ShardUnusedError
+from apricotgap.instance.start_permission import StartPermission
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
 from apricotgap.instance.tenure import TenureMark
@@ -85,7 +86,7 @@
         self.service = ownership.shard
         self.ready = trio.Event()
         self._store = store
-        self._lease = lease
+        self._permission = StartPermission(ownership, lease, cluster_view)
         self._cluster_view = cluster_view
         self._workers = workers
         self._clock = clock
@@ -263,7 +264,7 @@
 
     @property
     def _lease_until_ms(self) -> int:
-        return self._lease.valid_until_ms_of(self.ownership.lease_id)
+        return self._permission.lease_until_ms
 
     # Calls of the job router
 
@@ -359,12 +360,13 @@
                 else []
             )
             self._effects.execute(self._shard.tick(now_ms))
-            # A migration stops a run and starts it elsewhere, so the lease must last.
-            if self._lease_until_ms - now_ms > LEASE_MARGIN_MS:
+            # A migration stops a run and starts it elsewhere.
+            may_start_until_ms = self._permission.until_ms
+            if may_start_until_ms - now_ms > LEASE_MARGIN_MS:
                 self._effects.execute(self._migrator.run(now_ms))
             self._effects.execute(self._pacer.run(now_ms))
             self._effects.execute(self._stragglers.run(now_ms))
-            self._effects.execute(self._wait_log.run(now_ms, self._lease_until_ms))
+            self._effects.execute(self._wait_log.run(now_ms, may_start_until_ms))
             self._poll_loops.start(self._nursery)
             self._pass_requested.set()
             await trio.sleep(TICK_INTERVAL_MS / 1000)
@@ -383,7 +385,7 @@
             await self._pass_requested.wait()
             self._pass_requested = trio.Event()
             started_ms = self._clock.now_ms
-            effects = self._scheduler.run(started_ms, self._lease_until_ms)
+            effects = self._scheduler.run(started_ms, self._permission.until_ms)
             self._effects.execute(effects)
             if self._scheduler.is_team_blocked:
                 self._limits.wake()
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -42,7 +42,7 @@
         at_ms : int
             Current time.
         lease_until_ms : int
-            End of the owner's lease; no task starts close to it.
+            End of the owner's permission; no task starts close to it.
 
         Returns
         -------
--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -44,7 +44,7 @@
 
 
 class LeaseEnding(WaitReason):
-    """The lease of the owner is about to end, so that it starts nothing."""
+    """The lease of the owner, or its view of the configuration, is about to end."""
 
     name = "lease_ending"
 
