--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -19,6 +19,7 @@
 from apricotgap.instance.roster import RosterWriter
 from apricotgap.instance.shard_loader import add_found_jobs, load_jobs, read_prefix
 from apricotgap.instance.shard_retirement import ShardRetirement, ShardUnusedError
+from apricotgap.instance.start_permission import StartPermission
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
 from apricotgap.instance.tenure import TenureMark
@@ -26,7 +27,7 @@
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.events import WorkersListed
-from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
+from apricotgap.jobs.fleet_view import PoolReport
 from apricotgap.jobs.limits import (
     LEASE_MARGIN_MS,
     TICK_INTERVAL_MS,
@@ -85,7 +86,7 @@
         self.service = ownership.shard
         self.ready = trio.Event()
         self._store = store
-        self._lease = lease
+        self._permission = StartPermission(ownership, lease, cluster_view)
         self._cluster_view = cluster_view
         self._workers = workers
         self._clock = clock
@@ -197,7 +198,7 @@
                 nursery.start_soon(self._roster.run)
                 nursery.start_soon(self._tenure_mark.run)
                 nursery.start_soon(self._tick_loop)
-                nursery.start_soon(self._cleanup.run)
+                nursery.start_soon(self._cleanup.run, jobs)
                 nursery.start_soon(self._retirement.run, jobs)
                 nursery.start_soon(self._limits.run)
                 self.ready.set()
@@ -263,7 +264,7 @@
 
     @property
     def _lease_until_ms(self) -> int:
-        return self._lease.valid_until_ms_of(self.ownership.lease_id)
+        return self._permission.lease_until_ms
 
     # Calls of the job router
 
@@ -285,17 +286,20 @@
 
         Returns None for an unknown job and False if the cancellation is not stored by
         the deadline.
+
+        Raises
+        ------
+        OwnershipLostError
+            The owner has ended before.
         """
         if job_id not in self._shard.jobs:
             return None
         self._cancel(job_id)
-        job = self._shard.jobs[job_id]
-        while job.saved_phase is not job.progress.phase:
-            if self._clock.now_ms > deadline_ms:
-                return False
-            with trio.move_on_after(0.2):
-                await self._writer.saved.wait()
-        return True
+        left_ms = max(0, deadline_ms - self._clock.now_ms)
+        with trio.move_on_after(left_ms / 1000):
+            await self._writer.wait_for_phase(self._shard.jobs[job_id])
+            return True
+        return False
 
     def _cancel(self, job_id: str) -> None:
         if job_id not in self._shard.jobs:
@@ -338,17 +342,7 @@
             self._demand.record_share(share)
         return PoolReport(
             self._demand.wanted(now_ms),
-            tuple(
-                WorkerReport(
-                    worker.worker_id,
-                    worker.n_possible_runs,
-                    worker.n_long_running,
-                    worker.is_usable(now_ms, self._shard.evacuated),
-                    worker.is_reserved(now_ms),
-                    worker.suspect_since_ms is not None,
-                )
-                for worker in self._shard.workers.values()
-            ),
+            self._shard.report_workers(now_ms),
             self._demand.wanted_for_late_jobs(now_ms),
         )
 
@@ -366,12 +360,13 @@
                 else []
             )
             self._effects.execute(self._shard.tick(now_ms))
-            # A migration stops a run and starts it elsewhere, so the lease must last.
-            if self._lease_until_ms - now_ms > LEASE_MARGIN_MS:
+            # A migration stops a run and starts it elsewhere.
+            may_start_until_ms = self._permission.until_ms
+            if may_start_until_ms - now_ms > LEASE_MARGIN_MS:
                 self._effects.execute(self._migrator.run(now_ms))
             self._effects.execute(self._pacer.run(now_ms))
             self._effects.execute(self._stragglers.run(now_ms))
-            self._effects.execute(self._wait_log.run(now_ms, self._lease_until_ms))
+            self._effects.execute(self._wait_log.run(now_ms, may_start_until_ms))
             self._poll_loops.start(self._nursery)
             self._pass_requested.set()
             await trio.sleep(TICK_INTERVAL_MS / 1000)
@@ -390,7 +385,7 @@
             await self._pass_requested.wait()
             self._pass_requested = trio.Event()
             started_ms = self._clock.now_ms
-            effects = self._scheduler.run(started_ms, self._lease_until_ms)
+            effects = self._scheduler.run(started_ms, self._permission.until_ms)
             self._effects.execute(effects)
             if self._scheduler.is_team_blocked:
                 self._limits.wake()
--- a/apricotgap/jobs/fleet_orders.py
+++ b/apricotgap/jobs/fleet_orders.py
@@ -17,6 +17,8 @@
 ENDED_REPORT_MS = 6_000
 # No new order for this long after the platform did not carry one out.
 BUSY_BACKOFF_MS = 1_500
+# Results that say only that this order was not carried out, not that none was.
+_NOT_DONE = frozenset({"busy", "unavailable"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +44,11 @@
 
 @dataclass(slots=True)
 class PendingOrder:
-    """An order that was sent; `done_ms` is when it was confirmed, 0 until then."""
+    """An order that was sent; `done_ms` is when it was confirmed, 0 until then.
+
+    `may_be_done` is set once it got no answer. What a repetition did not do tells
+    nothing of it then.
+    """
 
     order: MachineOrder
     sent_ms: int
@@ -50,6 +56,7 @@
     is_in_flight: bool = True
     done_ms: int = 0
     is_up_again: bool = False
+    may_be_done: bool = False
 
 
 class OrderTracker:
@@ -89,11 +96,14 @@
         for name in self._inherited_machines:
             self._backoff_until_ms[name] = until_ms
 
-    def inherited(self, at_ms: int) -> frozenset[str]:
-        """Return the machines that a previous owner may have taken down."""
+    def inherited(self, view: FleetView) -> frozenset[str]:
+        """Return the machines that a previous owner may have taken down.
+
+        A list from before its last order may still show them up.
+        """
         return (
             self._inherited_machines
-            if at_ms < self._inherited_until_ms
+            if view.listed_ms < self._inherited_until_ms
             else frozenset()
         )
 
@@ -110,9 +120,15 @@
         return list(self._ended)
 
     def reserved_workers(self, machines: Mapping[str, Machine]) -> dict[str, list[str]]:
-        """Return the ids of workers on reserved machines, by pool."""
+        """Return the ids of workers on reserved machines, by pool.
+
+        Those of machines whose order has no result yet are among them.
+        """
+        unresolved = (
+            name for name, pending in self.pending.items() if not pending.done_ms
+        )
         found: dict[str, list[str]] = {}
-        for name in self.reserved:
+        for name in dict.fromkeys((*self.reserved, *unresolved)):
             machine = machines.get(name)
             if machine is not None and machine.worker_id:
                 found.setdefault(machine.pool, []).append(machine.worker_id)
@@ -126,6 +142,9 @@
             return False
         pending.is_in_flight = False
         if result.kind == "unknown":
+            pending.may_be_done = True
+            return True
+        if pending.may_be_done and result.kind in _NOT_DONE:
             return True
         if result.kind == "ok":
             pending.done_ms = result.at_ms
@@ -138,32 +157,32 @@
         return True
 
     def prune(
-        self,
-        listed_ms: int,
-        view: FleetView,
-        is_obsolete: Callable[[str, MachineOrder], bool],
+        self, view: FleetView, is_obsolete: Callable[[str, MachineOrder], bool]
     ) -> None:
         """Drop orders whose machine is in service again, and obsolete reservations.
 
-        A machine counts as back only when it is up in a list requested at `listed_ms`,
-        at least half its unavailable time after the order was confirmed: an older list
-        may still show it up from before.
+        A machine counts as back only when it is up in a list requested at least half
+        its unavailable time after the order was confirmed: an older list may still show
+        it up from before.
         """
         machines = view.machines
         for machine in machines.values():
             self.kinds.setdefault(machine.pool, set()).add(machine.kind)
         for name, pending in list(self.pending.items()):
+            listed = machines.get(name)
+            is_gone = listed is None or listed.state == "down"
             if not pending.done_ms:
+                if pending.may_be_done and is_gone and view.listed_ms > pending.sent_ms:
+                    del self.pending[name]
                 continue
             unavailable_ms = (
                 self._maintenance_ms if pending.order.wave else self._move_ms
             )
-            listed = machines.get(name)
             self._record_end(pending.worker_id, listed, view.at_ms)
             if listed is None or listed.state == "down":
                 del self.pending[name]
                 continue
-            is_new = listed_ms > pending.done_ms + unavailable_ms // 2
+            is_new = view.listed_ms > pending.done_ms + unavailable_ms // 2
             pending.is_up_again = pending.is_up_again or (
                 is_new and listed.state == "up"
             )
@@ -192,18 +211,36 @@
         else:
             self._ended[worker_id] = at_ms
 
-    def retries(self, at_ms: int) -> list[MachineOrder]:
+    def retries(self, view: FleetView) -> list[MachineOrder]:
         """Return the orders without a response that are due to be sent again."""
         orders = []
         for pending in self.pending.values():
             if pending.is_in_flight or pending.done_ms:
                 continue
-            if at_ms - pending.sent_ms > ORDER_RETRY_MS:
-                pending.sent_ms = at_ms
+            is_due = view.at_ms - pending.sent_ms > ORDER_RETRY_MS
+            if is_due and not self._may_interrupt(pending, view):
+                pending.sent_ms = view.at_ms
                 pending.is_in_flight = True
                 orders.append(pending.order)
         return orders
 
+    @staticmethod
+    def _may_interrupt(pending: PendingOrder, view: FleetView) -> bool:
+        """Whether an order that is sent again may end tasks.
+
+        Its worker may have taken up work if the reports that reserve it were lost. One
+        that is not the worker of the order is safe: the order has been carried out.
+        """
+        machine = view.machines.get(pending.order.machine)
+        if machine is None or machine.state != "up" or view.has_no_shard(machine):
+            return False
+        if machine.worker_id != pending.worker_id:
+            return False
+        if machine.pool not in view.reports:
+            return True
+        worker = view.worker(machine)
+        return worker is not None and (worker.n_runs > 0 or not worker.is_reserved)
+
     def order(self, order: MachineOrder, view: FleetView) -> MachineOrder:
         """Add an order as pending at once, so that this pass already counts it."""
         worker_id = view.machines[order.machine].worker_id
--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -5,7 +5,10 @@
 
 from apricotgap.jobs.model import Resources, StepSpec, TaskName
 
-__all__ = ["Run", "RunPhase"]
+__all__ = ["FULL_PACE", "Run", "RunPhase"]
+
+# Pace of a run as it starts, in percent.
+FULL_PACE = 100
 
 
 class RunPhase(Enum):
@@ -38,6 +41,9 @@
     too: the run has ended or never began, and does not begin any more.
     `is_charged` is set once a crash was charged to an unconfirmed start that is kept
     for the next incarnation: one start causes one crash at most.
+
+    `pace` is the share of its work that the run was ordered to do, in percent, None if
+    an earlier owner may have changed it.
     """
 
     name: TaskName
@@ -52,7 +58,7 @@
     last_progress_ms: int = 0
     usage: float = 0.0
     checkpoint: str = ""
-    pace: int = 100
+    pace: int | None = FULL_PACE
     started_ms: int = 0
     stop_sent_ms: int = -1_000_000
     is_stopped: bool = False
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -43,6 +43,8 @@
         self.config: Configuration | None = None
         # Ended incarnations that the platform may still list, by worker and start.
         self._ended_incarnations: set[tuple[str, int]] = set()
+        # Ends of reservations. They hold for the machine, whatever runs there.
+        self._reserved_until_ms: dict[str, int] = {}
         self.loaded_ms = -1_000_000
         self.reported_ms = -1_000_000
         # Time of which the list of workers shows the state.
@@ -116,8 +118,7 @@
         yield from self._mark_crashed(worker, at_ms, "restarted", survivors)
         self._ended_incarnations.add((worker.worker_id, worker.entry.born_ms))
         successor = self._add_worker(entry, at_ms)
-        successor.lease_until_ms = successor.lease_bound_ms(at_ms, self.max_lease_ms)
-        successor.longest_lease_until_ms = successor.lease_until_ms
+        self._record_longest_lease(successor, at_ms)
         successor.is_unverified = was_unverified
         for run in survivors:
             # An answer of the last incarnation to a stop does not bind this one.
@@ -167,11 +168,28 @@
         return at_ms - self.loaded_ms > limits.FIRST_REPORT_TIMEOUT_MS
 
     def reserve(self, worker_ids: Iterable[str], at_ms: int) -> None:
-        """Give these workers no new work; expires unless the caller repeats it."""
+        """Give these workers no new work; expires unless the caller repeats it.
+
+        It holds for later incarnations of a worker too, and for one not listed yet.
+        """
+        self._reserved_until_ms = {
+            worker_id: until_ms
+            for worker_id, until_ms in self._reserved_until_ms.items()
+            if until_ms > at_ms
+        }
+        until_ms = at_ms + limits.RESERVATION_MS
         for worker_id in worker_ids:
+            self._reserved_until_ms[worker_id] = until_ms
             worker = self.workers.get(worker_id)
             if worker is not None:
-                worker.reserved_until_ms = at_ms + limits.RESERVATION_MS
+                worker.reserved_until_ms = until_ms
+
+    def _add_worker(self, entry: WorkerEntry, at_ms: int) -> Worker:
+        worker = super()._add_worker(entry, at_ms)
+        until_ms = self._reserved_until_ms.get(entry.worker_id)
+        if until_ms is not None:
+            worker.reserved_until_ms = until_ms
+        return worker
 
     def _poll_answered(self, event: PollAnswered) -> Iterable[Effect]:
         """Apply a response, judged by the incarnation that it comes from."""
@@ -182,8 +200,7 @@
             # A late response to a poll of an earlier incarnation. Its lists prove
             # nothing; if this one sent them, it also took the lease.
             if event.born_ms == worker.entry.born_ms:
-                until_ms = worker.lease_bound_ms(event.at_ms, self.max_lease_ms)
-                worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+                self._record_longest_lease(worker, event.at_ms)
             return
         if event.born_ms and event.born_ms < worker.entry.born_ms:
             yield from self._poll_failed(
@@ -351,6 +368,7 @@
             report.usage,
             report.checkpoint,
         )
+        run.pace = None
         run.started_ms = at_ms
         run.has_begun = run.is_started_up = True
         record = job.progress.tasks.get(report.name)
@@ -361,7 +379,11 @@
 
     def _poll_failed(self, event: PollFailed) -> Iterable[Effect]:
         worker = self.workers.get(event.worker_id)
-        if worker is None or worker.entry.born_ms != event.born_ms:
+        if worker is None:
+            return
+        if worker.entry.born_ms != event.born_ms:
+            if event.was_sent and not event.is_other_incarnation:
+                self._record_longest_lease(worker, event.at_ms)
             return
         worker.record_failed_poll(event.at_ms)
         self._resolve_lease_offer(worker, event.was_sent)
--- a/apricotgap/platform/machines.py
+++ b/apricotgap/platform/machines.py
@@ -85,7 +85,9 @@
             error=str(errors[0]) if errors else "",
         )
 
-    async def send_order(self, order: MachineOrder, token: int) -> str:
+    async def send_order(
+        self, order: MachineOrder, token: int, timeout_ms: int = CALL_TIMEOUT_MS
+    ) -> str:
         """Send an order.
 
         Parameters
@@ -94,6 +96,8 @@
             A move, or maintenance if it names a wave.
         token : int
             Fencing token.
+        timeout_ms : int
+            Limit for the whole call, in milliseconds.
 
         Returns
         -------
@@ -120,7 +124,7 @@
                 self._address,
                 path,
                 msgspec.json.encode(body),
-                CALL_TIMEOUT_MS,
+                timeout_ms,
                 headers,
             )
         except NoResponseError as error:
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -267,3 +267,102 @@
         stops += [effect for effect in effects if isinstance(effect, StopRun)]
         rig.poll(running=[running(start)], born_ms=NEXT_BORN_MS)
     assert stops
+
+
+def test_late_answer_of_the_next_incarnation_lengthens_the_wait_of_a_successor():
+    """Guards against a task that runs twice: the next incarnation has taken a lease
+    from a poll for the last one, and the roster calls it settled before its end.
+    """
+    rig = IncarnationsRig()
+    rig.list_next("w1")
+    rig.now += MAX_LEASE_MS // 2
+    rig.poll("w1", born_ms=NEXT_BORN_MS, polled=1)
+    worker = rig.shard.workers["w1"]
+    until_ms = worker.lease_bound_ms(rig.now, MAX_LEASE_MS)
+    assert worker.lease_until_ms == until_ms
+    assert not worker.is_settled(until_ms)
+
+
+def test_poll_of_the_last_incarnation_without_an_answer_may_have_renewed_the_next():
+    """Guards against a task that runs twice: a poll that was under way as the worker
+    restarted got no answer, and may have given its lease to the next incarnation.
+    """
+    rig = IncarnationsRig()
+    rig.poll("w1", born_ms=1)
+    rig.list_next("w1")
+    rig.now += 1_000
+    worker = rig.shard.workers["w1"]
+    before_ms = worker.lease_until_ms
+    rig.shard.step(PollFailed(rig.now, "w1", 1, "reset", was_sent=False))
+    assert worker.lease_until_ms == before_ms
+    rig.shard.step(PollFailed(rig.now, "w1", 1, "timeout"))
+    until_ms = worker.lease_bound_ms(rig.now, MAX_LEASE_MS)
+    assert worker.lease_until_ms == until_ms
+    assert not worker.is_settled(until_ms)
+
+
+def test_start_confirmed_by_the_next_incarnation_lengthens_the_wait_of_a_successor():
+    """Guards against a task that runs twice: its owner is lost before a list shows the
+    next incarnation, which has taken the longest lease from the start.
+    """
+    rig = IncarnationsRig()
+    start, _ = rig.start_one()
+    worker = rig.shard.workers[start.worker_id]
+    assert worker.is_settled(rig.now)
+    result = StartResult("ok", clock_ms=40)
+    rig.shard.step(
+        StartAnswered(rig.now, start.worker_id, 1, start.name, start.run_id, result)
+    )
+    until_ms = worker.lease_bound_ms(rig.now, MAX_LEASE_MS)
+    assert worker.lease_until_ms == until_ms
+    assert not worker.is_settled(until_ms)
+
+
+@pytest.mark.parametrize("kind", ["ok", "unknown", "old", "room"])
+def test_start_for_the_last_incarnation_may_have_renewed_the_next(kind):
+    """Guards against a task that runs twice: the platform listed the next incarnation
+    before the answer of a start that gave it the longest lease.
+    """
+    rig = IncarnationsRig()
+    start, _ = rig.start_one()
+    rig.list_next(start.worker_id)
+    rig.now += limits.START_WINDOW_MS
+    rig.answer(start, kind)
+    worker = rig.shard.workers[start.worker_id]
+    until_ms = worker.lease_bound_ms(rig.now, MAX_LEASE_MS)
+    assert worker.lease_until_ms == until_ms
+    assert not worker.is_settled(until_ms)
+
+
+@pytest.mark.parametrize("is_listed_first", [True, False])
+def test_reserved_worker_that_restarts_stays_reserved(is_listed_first):
+    """Guards against tasks that a machine order ends: its worker was empty and reserved
+    as the order was planned, restarted, and got new tasks before the order arrived.
+    """
+    rig = Rig(workers=("w1",)).ready()
+    rig.shard.reserve(["w1"], rig.now)
+    if is_listed_first:
+        rig.list_workers(entry("w1", born_ms=NEXT_BORN_MS))
+    else:
+        failed = PollFailed(rig.now, "w1", 1, "other", is_other_incarnation=True)
+        rig.shard.step(failed)
+        rig.list_workers(entry("w1", born_ms=NEXT_BORN_MS))
+    rig.record_all()
+    rig.poll("w1", born_ms=NEXT_BORN_MS)
+    rig.submit(job(steps=ONE_TASK))
+    assert rig.schedule() == []
+    rig.now += limits.RESERVATION_MS
+    rig.poll("w1", born_ms=NEXT_BORN_MS)
+    assert len(rig.schedule()) == 1
+
+
+def test_worker_that_is_reserved_before_its_shard_lists_it_gets_no_work():
+    """Guards against tasks on a worker that the owner of the fleet has asked to leave
+    alone: the list of workers of the shard's owner was older than the order.
+    """
+    rig = Rig(workers=())
+    rig.shard.reserve(["w1"], rig.now)
+    rig.list_workers(entry("w1"))
+    rig.ready()
+    rig.submit(job(steps=ONE_TASK))
+    assert rig.schedule() == []
