Revert "Run numbers: room for the starts that workers refuse"

With 100,000 numbers an owner, an owner of the build before that follows one of this build (a rolling upgrade, or its rollback) would give numbers far below those that the workers have seen, and they would refuse its starts as old for good. The fault that shows stays, and mends itself: a task that is refused 1,000 times under one owner, 200 s at the least, is refused by the same workers under the next one until that owner has used as many numbers as the one before exceeded its own. Found by reading; both builds were not run together.

--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -61,9 +61,8 @@
 # capacity under overload remain known as never started. A save takes 0.3 s while the
 # store is slow.
 MAX_PENDING_FIRST_SAVES = 30
-# Run numbers that one owner may assign to a task. Each start that a worker refuses
-# takes one, and there may be five a second.
-RUNS_PER_EPOCH = 100_000
+# Run numbers that one owner may assign to a task.
+RUNS_PER_EPOCH = 1_000
 # A job that has ended is kept for this long beyond the retention time that the
 # platform requires.
 RETENTION_MARGIN_MS = 10_000
