Add no job again that was removed during a read of all jobs

After the store has dropped its history the owner reads all jobs of the service again. A job that the cleanup removed meanwhile is still in that answer: it was taken for a new one, and an ended job ran again. The removal is adopted by the copy of the jobs now, so that an older read does not undo it.

--- a/apricotgap/instance/job_cleanup.py
+++ b/apricotgap/instance/job_cleanup.py
@@ -5,10 +5,11 @@
 
 from apricotgap.clock import Clock
 from apricotgap.instance.keys import cancel_key, index_key, job_key, progress_key
+from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.ownership import Ownership
 from apricotgap.jobs.limits import RETENTION_MARGIN_MS
 from apricotgap.jobs.shard import Shard
-from apricotgap.platform.store import StoreClient, Stored, Write
+from apricotgap.platform.store import Item, StoreClient, Stored, Write
 
 __all__ = ["JobCleanup"]
 
@@ -43,8 +44,14 @@
             shard=ownership.shard, epoch=ownership.epoch
         )
 
-    async def run(self) -> None:
-        """Remove expired jobs until cancelled."""
+    async def run(self, stored: PrefixMirror) -> None:
+        """Remove expired jobs until cancelled.
+
+        Parameters
+        ----------
+        stored : PrefixMirror
+            Copy of the keys of the service's jobs.
+        """
         while True:
             await trio.sleep(CLEANUP_INTERVAL_S)
             unix_ms = self._shard.unix_of(self._clock.now_ms)
@@ -58,11 +65,12 @@
                 and unix_ms - job.progress.finished_ms > keep_ms
             ]
             for job_id in expired:
-                await self._remove(job_id)
+                await self._remove(job_id, stored)
 
-    async def _remove(self, job_id: str) -> None:
+    async def _remove(self, job_id: str, stored: PrefixMirror) -> None:
+        key = job_key(self._shard.service, job_id)
         keys = (
-            job_key(self._shard.service, job_id),
+            key,
             progress_key(self._shard.service, job_id),
             cancel_key(self._shard.service, job_id),
             index_key(job_id),
@@ -72,6 +80,8 @@
         )
         if isinstance(outcome, Stored):
             self._shard.forget(job_id)
+            # A read under way may still show the job, which would then run again.
+            stored.adopt(Item(key, None, outcome.revision))
             self._log.info("job_removed", job=job_id)
             return
         self._log.warning("job_not_removed", job=job_id, outcome=repr(outcome))
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -197,7 +197,7 @@
                 nursery.start_soon(self._roster.run)
                 nursery.start_soon(self._tenure_mark.run)
                 nursery.start_soon(self._tick_loop)
-                nursery.start_soon(self._cleanup.run)
+                nursery.start_soon(self._cleanup.run, jobs)
                 nursery.start_soon(self._retirement.run, jobs)
                 nursery.start_soon(self._limits.run)
                 self.ready.set()
