Order the pace of runs that were adopted from an earlier owner

Workers do not list the pace of a run, and an adopted run counted as one at full pace. A best-effort task that the earlier owner had halted beside a serving task was never sped up again: one that lasts stood still for good, another one until it was restarted as stalled. The pace of an adopted run is unknown now, so that it is ordered once.

--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -5,7 +5,10 @@
 
 from apricotgap.jobs.model import Resources, StepSpec, TaskName
 
-__all__ = ["Run", "RunPhase"]
+__all__ = ["UNKNOWN_PACE", "Run", "RunPhase"]
+
+# Workers do not list the pace of a run. This one differs from all that are ordered.
+UNKNOWN_PACE = 101
 
 
 class RunPhase(Enum):
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -13,7 +13,7 @@
     WorkersListed,
 )
 from apricotgap.jobs.fleet import WorkerEntry
-from apricotgap.jobs.runs import Run, RunPhase
+from apricotgap.jobs.runs import UNKNOWN_PACE, Run, RunPhase
 from apricotgap.jobs.shard_leases import ShardLeases
 from apricotgap.jobs.workers import Worker
 
@@ -351,6 +351,7 @@
             report.checkpoint,
         )
         run.started_ms = at_ms
+        run.pace = UNKNOWN_PACE
         run.has_begun = run.is_started_up = True
         record = job.progress.tasks.get(report.name)
         is_surplus = report.name in job.runs and not step.allows_duplicates
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -268,3 +268,20 @@
     rig.now += 60_000
     assert estimator.wanted(rig.now) == demand.MIN_WORKERS
     assert estimator.wanted_for_late_jobs(rig.now) > 1
+
+
+def test_pace_that_an_earlier_owner_has_set_is_lifted():
+    """Guards against a task that stands still for good: the owner that had halted it
+    beside a serving task is gone, and its successor takes the task to be at full pace.
+    """
+    filler = StepSpec(
+        1, Resources(1000, 100), is_long_running=True, is_best_effort=True
+    )
+    rig = Rig().ready()
+    rig.submit(job(steps=(filler,)))
+    earlier = RunReport(task(0), 7, "", 100, 0.0)
+    rig.poll(running=[earlier])
+    orders = effects_of(PaceRun, Pacer(rig.shard).run(rig.now))
+    assert [(order.run_id, order.percent) for order in orders] == [(7, 100)]
+    rig.now += limits.PACE_INTERVAL_MS
+    assert not effects_of(PaceRun, Pacer(rig.shard).run(rig.now))
