--- a/apricotgap/jobs/model.py
+++ b/apricotgap/jobs/model.py
@@ -37,6 +37,10 @@
             self.gpus - other.gpus,
         )
 
+    def times(self, number: int) -> "Resources":
+        """Return the resources of as many equal parts."""
+        return Resources(self.cpu * number, self.memory_mb * number, self.gpus * number)
+
     def fits(self, capacity: "Resources") -> bool:
         """Whether no kind of resource exceeds `capacity`."""
         return (
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -164,9 +164,8 @@
 
     def _may_get_allowance(self, job: JobState, step: StepSpec) -> bool:
         """Whether the team's limit leaves enough for a gang, here or to be moved."""
-        required = self._shard.team_usage.get(job.spec.team, NO_RESOURCES)
-        for _ in range(step.n_tasks):
-            required = required + step.allocation
+        usage = self._shard.team_usage.get(job.spec.team, NO_RESOURCES)
+        required = usage + step.allocation.times(step.n_tasks)
         return self._shard.team_limits.may_allow(job.spec.team, required)
 
     def _keep_workers(
@@ -195,10 +194,7 @@
                 return None
             placed.setdefault(worker.worker_id, []).append(name)
             placements.append(worker)
-        allocation = NO_RESOURCES
-        for _ in names:
-            allocation = allocation + step.allocation
-        if not self._is_within_team_limit(job, allocation):
+        if not self._is_within_team_limit(job, step.allocation.times(len(names))):
             return None
         return placements
 
--- a/apricotgap/jobs/team_demand.py
+++ b/apricotgap/jobs/team_demand.py
@@ -69,7 +69,7 @@
     startable: dict[str, Resources] = {}
     for (team, shape), n_tasks in waiting.items():
         n_startable = shape.n_places(workers, n_tasks)
-        size = _times(shape.allocation, n_startable)
+        size = shape.allocation.times(n_startable)
         startable[team] = startable.get(team, NO_RESOURCES) + size
     for team, amount in startable.items():
         used = demand.get(team, NO_RESOURCES)
@@ -100,9 +100,3 @@
         and not worker.is_reserved(at_ms)
     ]
     return accepting + pausing
-
-
-def _times(amount: Resources, n_times: int) -> Resources:
-    return Resources(
-        amount.cpu * n_times, amount.memory_mb * n_times, amount.gpus * n_times
-    )
--- a/apricotgap/jobs/wait_case.py
+++ b/apricotgap/jobs/wait_case.py
@@ -8,7 +8,7 @@
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.job_state import JobState, StepKey
-from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec, TaskName
+from apricotgap.jobs.model import Resources, StepSpec, TaskName
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.workers import Worker
 
@@ -55,12 +55,8 @@
     @property
     def required(self) -> Resources:
         """Resources that the next start takes: of one task, or of a whole gang."""
-        allocation = self.step.allocation
         n_tasks = self.step.n_tasks if self.step.is_gang else 1
-        total = NO_RESOURCES
-        for _ in range(n_tasks):
-            total = total + allocation
-        return total
+        return self.step.allocation.times(n_tasks)
 
     @cached_property
     def accepting(self) -> list[Worker]:
