Keep no workers that a gang may not run on

Workers were kept for a gang also where the placement policy of its queue denies them: for a gang that it denies everywhere, five free workers stayed empty every other 2 s for as long as the job was open. Denied workers do not count any more. The test failed before.

--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -172,11 +172,17 @@
         self, job: JobState, key: StepKey, current: SchedulingPass
     ) -> None:
         """Leave workers to a gang that has no room, one gang in a pass."""
-        if not current.has_kept_workers:
-            kept = self._gang_room.choose(job, key, current.workers, current.at_ms)
-            current.has_kept_workers = bool(kept)
-            current.exclude(kept)
-            self._shard.kept_workers = frozenset(kept)
+        if current.has_kept_workers:
+            return
+        step = StepName(job.spec.job_id, *key)
+        tickets = self._shard.tickets
+        allowed = [
+            each for each in current.workers if not tickets.is_denied(step, each)
+        ]
+        kept = self._gang_room.choose(job, key, allowed, current.at_ms)
+        current.has_kept_workers = bool(kept)
+        current.exclude(kept)
+        self._shard.kept_workers = frozenset(kept)
 
     def _place_gang(
         self,
--- a/tests/test_gang_room.py
+++ b/tests/test_gang_room.py
@@ -4,6 +4,7 @@
 
 from apricotgap.jobs.gang_room import KEEP_MS
 from apricotgap.jobs.model import Resources, StepSpec
+from apricotgap.jobs.tickets import StepName
 from tests.jobs_harness import FREE, SERVICE, Rig, job, running
 
 WORKERS = ("w1", "w2", "w3", "w4", "w5")
@@ -60,3 +61,25 @@
     small = StepSpec(1, Resources(100, 100), 100)
     rig.submit(job("4" * 16, (small,), priority=1))
     assert rig.schedule()
+
+
+def test_gang_that_no_worker_may_run_keeps_no_workers():
+    """Guards against free workers that other jobs must leave to a gang which the
+    placement policy of its queue allows on none of them.
+    """
+    rig = Rig(workers=WORKERS).ready()
+    (queue,) = rig.shard.config.queues
+    strict = replace(queue, name="strict", needs_ticket=True)
+    rig.shard.config = replace(rig.shard.config, queues=(queue, strict))
+    gang = StepSpec(5, FREE, 800, is_gang=True)
+    rig.submit(replace(job("2" * 16, (gang,)), queue="strict"))
+    assert not rig.schedule()
+    step = StepName("2" * 16, 0, 0)
+    rig.shard.tickets.handle_response(step, rig.shard.workers.values(), {}, 0)
+    assert not rig.schedule()
+    rig.now += KEEP_MS
+    for worker in WORKERS:
+        rig.poll(worker)
+    small = StepSpec(1, Resources(100, 100), 100)
+    rig.submit(job("4" * 16, (small,), priority=1))
+    assert rig.schedule()
