Compare a waiting gang with its team's whole limit only

The split is read again only for a gang that has room, so that a gang in a full pool could wait by an old split, with no workers kept for it.

--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -4,7 +4,7 @@
 from apricotgap.jobs.effects import Effect, StartRun
 from apricotgap.jobs.gang_room import GangRoom
 from apricotgap.jobs.job_state import JobState, StepKey
-from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec, TaskName
+from apricotgap.jobs.model import Resources, StepSpec, TaskName
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.scheduling_pass import SchedulingPass
 from apricotgap.jobs.shard import Shard
@@ -159,15 +159,10 @@
                 self._start(job, name, step, worker, run_id, current)
             self._gang_room.started(job, key)
             return
-        if self._may_get_allowance(job, step):
+        required = step.allocation.times(step.n_tasks)
+        if self._shard.team_limits.may_allow(job.spec.team, required):
             self._keep_workers(job, key, current)
 
-    def _may_get_allowance(self, job: JobState, step: StepSpec) -> bool:
-        """Whether the team's limit leaves enough for a gang, here or to be moved."""
-        usage = self._shard.team_usage.get(job.spec.team, NO_RESOURCES)
-        required = usage + step.allocation.times(step.n_tasks)
-        return self._shard.team_limits.may_allow(job.spec.team, required)
-
     def _keep_workers(
         self, job: JobState, key: StepKey, current: SchedulingPass
     ) -> None:
--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -86,24 +86,18 @@
 
     def allowed(self, team: str) -> Resources | None:
         """Return the allowance of a team in this shard, None without a limit."""
-        left = self._left(team)
-        if left is None:
-            return None
-        return self._allowances.get(team, NO_RESOURCES).elementwise_min(left)
-
-    def may_allow(self, team: str, amount: Resources) -> bool:
-        """Whether the allowance of a team could be raised to an amount now."""
-        left = self._left(team)
-        return left is None or amount.fits(left)
-
-    def _left(self, team: str) -> Resources | None:
-        """Return what other shards leave of a team's limit, None without a limit."""
         limit = self._limits.get(team)
         if limit is None or limit.cpu == limit.memory_mb == limit.gpus == UNLIMITED:
             return None
         # Another shard may not have stored yet that its allowance is lower, or may use
         # more than a lowered limit leaves it.
-        return (limit - self._others(team)).elementwise_max(NO_RESOURCES)
+        left = (limit - self._others(team)).elementwise_max(NO_RESOURCES)
+        return self._allowances.get(team, NO_RESOURCES).elementwise_min(left)
+
+    def may_allow(self, team: str, amount: Resources) -> bool:
+        """Whether the allowance of a team may ever be as high as an amount."""
+        limit = self._limits.get(team)
+        return limit is None or amount.fits(limit)
 
     def limit(self, team: str) -> Resources:
         """Return the limit of a team over all shards."""
