--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -6,7 +6,7 @@
 from apricotgap.jobs.effects import Effect, StartRun
 from apricotgap.jobs.gang_room import GangRoom
 from apricotgap.jobs.job_state import JobState, StepKey
-from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec, TaskName
+from apricotgap.jobs.model import Resources, StepSpec, TaskName
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.scheduling_pass import SchedulingPass
 from apricotgap.jobs.shard import Shard
@@ -166,25 +166,25 @@
                 self._start(job, name, step, worker, run_id, current)
             self._gang_room.started(job, key)
             return
-        if self._may_get_allowance(job, step):
+        required = step.allocation.times(step.n_tasks)
+        if self._shard.team_limits.may_allow(job.spec.team, required):
             self._keep_workers(job, key, current)
 
-    def _may_get_allowance(self, job: JobState, step: StepSpec) -> bool:
-        """Whether the team's limit leaves enough for a gang, here or to be moved."""
-        required = self._shard.team_usage.get(job.spec.team, NO_RESOURCES)
-        for _ in range(step.n_tasks):
-            required = required + step.allocation
-        return self._shard.team_limits.may_allow(job.spec.team, required)
-
     def _keep_workers(
         self, job: JobState, key: StepKey, current: SchedulingPass
     ) -> None:
         """Leave workers to a gang that has no room, one gang in a pass."""
-        if not current.has_kept_workers:
-            kept = self._gang_room.choose(job, key, current.workers, current.at_ms)
-            current.has_kept_workers = bool(kept)
-            current.exclude(kept)
-            self._shard.kept_workers = frozenset(kept)
+        if current.has_kept_workers:
+            return
+        step = StepName(job.spec.job_id, *key)
+        tickets = self._shard.tickets
+        allowed = [
+            each for each in current.workers if not tickets.is_denied(step, each)
+        ]
+        kept = self._gang_room.choose(job, key, allowed, current.at_ms)
+        current.has_kept_workers = bool(kept)
+        current.exclude(kept)
+        self._shard.kept_workers = frozenset(kept)
 
     def _place_gang(
         self,
@@ -202,10 +202,7 @@
                 return None
             placed.setdefault(worker.worker_id, []).append(name)
             placements.append(worker)
-        allocation = NO_RESOURCES
-        for _ in names:
-            allocation = allocation + step.allocation
-        if not self._is_within_team_limit(job, allocation):
+        if not self._is_within_team_limit(job, step.allocation.times(len(names))):
             return None
         return placements
 
