Peers: typed calls and answers

Cause: the calls and answers of other instances were taken apart by hand in four modules, each with its own errors: a result that is a list raised TypeError where ValueError is expected, a time to come back as text reached the caller's answer, -1 and True were numbers of jobs, the time left of a call had no bound, and an error of a report repeated it in full (1 MB). A stored service that is no text raised UnicodeDecodeError (500).

Change: one module decodes them, `instance/peer_documents.py`, and raises DecodeError; the service is a StoreError of the job (503).

--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -7,16 +7,23 @@
 import structlog
 
 from apricotgap.clock import Clock
+from apricotgap.decoding import DecodeError
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.direct_submissions import DirectSubmissions
-from apricotgap.instance.keys import (
-    cancel_key,
-)
+from apricotgap.instance.keys import cancel_key
 from apricotgap.instance.owner_calls import (
     PEER_TIMEOUT_MS,
     OwnerCallError,
     OwnerCalls,
 )
+from apricotgap.instance.peer_documents import (
+    decode_cancel_result,
+    decode_count,
+    decode_outcome,
+    decode_phase,
+    decode_relay_call,
+    decode_relayed_names,
+)
 from apricotgap.instance.peers import PeerCallError, PeerClient
 from apricotgap.instance.pool_reports import decode_pool_report
 from apricotgap.instance.relays import RELAY_MARGIN_MS, Relays
@@ -88,12 +95,12 @@
             if deadline_ms - self._clock.now_ms <= 0:
                 break
             try:
-                relayed = SubmitResult(
+                relayed = decode_outcome(
                     await self._relays.call(
                         member, "submit", document, deadline_ms, PEER_TIMEOUT_MS
                     )
-                )
-            except (PeerCallError, ValueError):
+                ).result
+            except (PeerCallError, DecodeError):
                 result = SubmitResult.UNKNOWN
                 continue
             if relayed is SubmitResult.ACCEPTED:
@@ -111,7 +118,7 @@
         """
         may_be_stored = False
         try:
-            outcome = _decode_outcome(
+            outcome = decode_outcome(
                 await self._owner_calls.call(
                     job.service, "submit", document, deadline_ms
                 )
@@ -121,7 +128,7 @@
             may_be_stored = True
         except OwnerCallError as error:
             may_be_stored = error.may_have_executed
-        except (TypeError, ValueError) as error:
+        except DecodeError as error:
             self._log.error("owner_answer_odd", shard=job.service, error=str(error))
             may_be_stored = True
         result = await self._direct_submissions.submit(job, document, deadline_ms)
@@ -129,9 +136,9 @@
             result = SubmitResult.UNKNOWN
         return SubmitOutcome(result)
 
-    async def _handle_relay(self, operation: str, argument: list[Any]) -> list[Any]:
-        payload, left_ms = argument
-        deadline_ms = self._clock.now_ms + int(left_ms) - RELAY_MARGIN_MS
+    async def _handle_relay(self, operation: str, argument: Any) -> list[Any]:
+        payload, left_ms = decode_relay_call(argument)
+        deadline_ms = self._clock.now_ms + left_ms - RELAY_MARGIN_MS
         if operation == "relay-submit":
             job = decode_job(payload)
             outcome = await self._submit_without_relay(job, payload, deadline_ms)
@@ -142,9 +149,9 @@
             return ["not reached", None]
 
     async def _relayed(
-        self, operation: str, payload: list[str], deadline_ms: int
+        self, operation: str, payload: Any, deadline_ms: int
     ) -> str | int | None:
-        service, name = payload
+        service, name = decode_relayed_names(payload)
         if operation == "relay-phase":
             phase = await self._phase(service, name, deadline_ms)
             return phase.value if phase else None
@@ -168,7 +175,7 @@
             "phase",
             [service, job_id],
             partial(self._phase, service, job_id, deadline_ms),
-            _decode_phase,
+            decode_phase,
             deadline_ms,
         )
 
@@ -189,10 +196,10 @@
         self, service: str, job_id: str, deadline_ms: int
     ) -> JobPhase | None:
         try:
-            return _decode_phase(
+            return decode_phase(
                 await self._owner_calls.call(service, "phase", job_id, deadline_ms)
             )
-        except (OwnerCallError, ValueError):
+        except (OwnerCallError, DecodeError):
             return await self._stored_jobs.phase_of(service, job_id)
 
     async def cancel(self, service: str, job_id: str, deadline_ms: int) -> CancelResult:
@@ -202,7 +209,7 @@
                 "cancel",
                 [service, job_id],
                 partial(self._cancel, service, job_id, deadline_ms),
-                _decode_cancel_result,
+                decode_cancel_result,
                 deadline_ms,
             )
         except UnreadableError as error:
@@ -248,7 +255,7 @@
             "pending",
             [service, queue],
             partial(self._n_pending, service, queue, deadline_ms),
-            _decode_count,
+            decode_count,
             deadline_ms,
         )
 
@@ -263,10 +270,10 @@
 
     async def _n_pending_of(self, service: str, queue: str, deadline_ms: int) -> int:
         try:
-            return _decode_count(
+            return decode_count(
                 await self._owner_calls.call(service, "pending", queue, deadline_ms)
             )
-        except (OwnerCallError, ValueError):
+        except (OwnerCallError, DecodeError):
             return await self._stored_jobs.n_pending(service, queue)
 
     async def pool_report(
@@ -296,7 +303,7 @@
             return decode_pool_report(data)
         except OwnerCallError:
             return None
-        except ValueError as error:
+        except DecodeError as error:
             self._log.error("pool_report_unreadable", shard=service, error=str(error))
             return None
 
@@ -305,27 +312,3 @@
         if operation.startswith("relay-"):
             return await self._handle_relay(operation, argument)
         return await self._owner_calls.handle(operation, argument)
-
-
-def _decode_phase(value: Any) -> JobPhase | None:
-    return JobPhase(value) if value is not None else None
-
-
-def _decode_cancel_result(name: Any) -> CancelResult:
-    if name not in CancelResult.__members__:
-        raise ValueError(f"unknown result {name!r}")
-    return CancelResult[name]
-
-
-def _decode_count(value: Any) -> int:
-    if not isinstance(value, int):
-        raise ValueError(f"{value!r} is not a number of jobs")
-    return value
-
-
-def _decode_outcome(answer: Any) -> SubmitOutcome:
-    """Decode the answer of an owner; the first protocol has only the result."""
-    if isinstance(answer, str):
-        return SubmitOutcome(SubmitResult(answer))
-    value, retry_after_ms, reason = answer
-    return SubmitOutcome(SubmitResult(value), retry_after_ms, reason)
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -25,6 +25,7 @@
     "decode_epoch",
     "decode_member",
     "decode_owner",
+    "decode_service",
     "encode_member",
     "encode_owner",
     "epoch_key",
@@ -231,6 +232,20 @@
     return int(item.value)
 
 
+def decode_service(data: bytes) -> str:
+    """Return the service that a job was accepted for.
+
+    Raises
+    ------
+    DecodeError
+        The value is no text.
+    """
+    try:
+        return data.decode()
+    except ValueError as error:
+        raise DecodeError(f"malformed service of {len(data)} bytes") from error
+
+
 def job_writes(service: str, job_id: str, document: bytes) -> tuple[Write, Write]:
     """Return the writes that accept a job; they fail if its id is in use."""
     return (
--- a/apricotgap/instance/owner_calls.py
+++ b/apricotgap/instance/owner_calls.py
@@ -6,8 +6,10 @@
 import structlog
 
 from apricotgap.clock import Clock
+from apricotgap.decoding import convert
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.ownership import OwnershipLostError
+from apricotgap.instance.peer_documents import decode_owner_call, decode_report_call
 from apricotgap.instance.peers import PeerCallError, PeerClient
 from apricotgap.instance.pool_reports import encode_first_report, encode_pool_report
 from apricotgap.instance.shard_owner import ShardOwner
@@ -111,11 +113,11 @@
 
     async def handle(self, operation: str, argument: Any) -> list[Any]:
         """Answer a peer's call on a shard of this instance."""
-        service, payload, left_ms = argument
+        service, payload, left_ms = decode_owner_call(argument)
         local_owner = self._owners.get(service)
         if local_owner is None or not local_owner.ready.is_set():
             return [_NOT_OWNER, None]
-        deadline_ms = self._clock.now_ms + int(left_ms)
+        deadline_ms = self._clock.now_ms + left_ms
         try:
             return [
                 "ok",
@@ -129,20 +131,22 @@
         owner: ShardOwner, operation: str, argument: Any, deadline_ms: int
     ) -> Any:
         if operation in ("submit", "submit-job"):
-            outcome = await owner.submit(decode_job(argument), deadline_ms)
+            outcome = await owner.submit(
+                decode_job(convert(argument, bytes)), deadline_ms
+            )
             if operation == "submit":
                 return outcome.result.value
             return [outcome.result.value, outcome.retry_after_ms, outcome.reason]
         if operation == "phase":
-            phase = owner.phase(argument)
+            phase = owner.phase(convert(argument, str))
             return phase.value if phase else None
         if operation == "cancel":
-            return await owner.cancel(argument, deadline_ms)
+            return await owner.cancel(convert(argument, str), deadline_ms)
         if operation == "pending":
-            return owner.n_pending(argument)
+            return owner.n_pending(convert(argument, str))
         if operation == "report":
-            return encode_first_report(owner.report(*argument[:2]))
+            reserved, ended, _ = decode_report_call([*argument, 0])
+            return encode_first_report(owner.report(reserved, ended))
         if operation == "pool-report":
-            reserved, ended, share = argument
-            return encode_pool_report(owner.report(reserved, ended, int(share)))
+            return encode_pool_report(owner.report(*decode_report_call(argument)))
         raise ValueError(f"unknown operation {operation}")
--- a/apricotgap/instance/peers.py
+++ b/apricotgap/instance/peers.py
@@ -11,7 +11,7 @@
 from websockets.trio.client import connect
 from websockets.trio.server import serve
 
-from apricotgap.decoding import decode_cbor
+from apricotgap.instance.peer_documents import decode_answer, decode_call
 
 __all__ = ["PeerCallError", "PeerClient", "serve_peers"]
 
@@ -52,7 +52,7 @@
     async def answer(socket: Any, data: bytes) -> None:
         operation = None
         try:
-            call_id, operation, argument = decode_cbor(data)
+            call_id, operation, argument = decode_call(data)
             message = cbor2.dumps([call_id, await handler(operation, argument)])
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             log.warning("peer_call_malformed", error=repr(error)[:_MAX_ERROR_CHARS])
@@ -105,12 +105,7 @@
         if isinstance(data, str):
             raise ValueError("received a text message, expected a binary one")
         self.received_s = trio.current_time()
-        message = decode_cbor(data)
-        if not isinstance(message, list) or len(message) != 2:
-            raise ValueError("received no pair of a call and its result")
-        call_id, result = message
-        if not isinstance(call_id, int):
-            raise ValueError("received an answer without the number of its call")
+        call_id, result = decode_answer(data)
         pending_call = self.pending_calls.get(call_id)
         if pending_call is not None:
             pending_call[1].append(result)
--- a/apricotgap/instance/pool_reports.py
+++ b/apricotgap/instance/pool_reports.py
@@ -3,11 +3,29 @@
 from dataclasses import astuple
 from typing import Any
 
+import msgspec
+
+from apricotgap.decoding import Count, convert
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 
 __all__ = ["decode_pool_report", "encode_first_report", "encode_pool_report"]
 
 
+class _WorkerRow(msgspec.Struct, array_like=True):
+    worker_id: str
+    n_runs: Count
+    n_long_running: Count
+    is_usable: bool
+    is_reserved: bool
+    is_suspect: bool = False
+
+
+class _Report(msgspec.Struct):
+    wanted: Count
+    workers: list[_WorkerRow]
+    wanted_late: Count = 0
+
+
 def encode_pool_report(report: PoolReport) -> dict[str, Any]:
     """Encode a report; readers ignore fields that they do not know."""
     return {
@@ -30,32 +48,14 @@
 
     Raises
     ------
-    ValueError
+    DecodeError
         The report is malformed.
     """
-    try:
-        if isinstance(data, dict):
-            wanted, rows = data["wanted"], data["workers"]
-            wanted_late = data.get("wanted_late", 0)
-        else:
-            (wanted, rows), wanted_late = data, 0
-        return PoolReport(
-            _number(wanted), tuple(map(_worker_report, rows)), _number(wanted_late)
-        )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"malformed pool report: {error!r}") from error
-
-
-def _worker_report(row: Any) -> WorkerReport:
-    worker_id, n_runs, n_long_running, *flags = row
-    if not isinstance(worker_id, str):
-        raise TypeError(f"a worker's id is not text: {worker_id!r}")
-    return WorkerReport(
-        worker_id, _number(n_runs), _number(n_long_running), *map(bool, flags)
+    if isinstance(data, dict):
+        report = convert(data, _Report)
+    else:
+        report = _Report(*convert(data, tuple[Count, list[_WorkerRow]]))
+    workers = tuple(
+        WorkerReport(*msgspec.structs.astuple(row)) for row in report.workers
     )
-
-
-def _number(value: Any) -> int:
-    if not isinstance(value, int) or value < 0:
-        raise ValueError(f"malformed pool report: {value!r} is no number of anything")
-    return value
+    return PoolReport(report.wanted, workers, report.wanted_late)
--- a/apricotgap/instance/stored_jobs.py
+++ b/apricotgap/instance/stored_jobs.py
@@ -4,7 +4,9 @@
 
 import structlog
 
+from apricotgap.decoding import DecodeError
 from apricotgap.instance.keys import (
+    decode_service,
     index_key,
     jobs_prefix,
     progress_key,
@@ -38,7 +40,13 @@
         The configuration may have changed the service of its queue since.
         """
         item = await self._store.read_key(index_key(job_id), _STORE_TIMEOUT_MS)
-        return item.value.decode() if item.value is not None else None
+        if item.value is None:
+            return None
+        try:
+            return decode_service(item.value)
+        except DecodeError as error:
+            self._log.error("service_unreadable", job=job_id, error=str(error))
+            raise StoreError("the stored service of the job is unreadable") from error
 
     async def phase_of(self, service: str, job_id: str) -> JobPhase | None:
         """Read the phase of a job, None for one without stored progress."""
