Soak: workers that flap each by itself, and may be lost meanwhile

Kind 2 of LOST (an accepted job shown as failed without cause) needs tasks whose starts meet workers that are down, several times for one task. Workers of flap_workers go down together, one to three times, and seldom give that.

flap_workers ended the whole soak with a KeyError if a machine was lost between two of its flaps; a machine that is gone is left alone now.

Evidence: test_worker_that_flaps_may_be_lost_meanwhile[flap_workers] failed before.

--- a/soak/faults/worker_faults.py
+++ b/soak/faults/worker_faults.py
@@ -7,13 +7,14 @@
 from soak.faults.base import Fault
 from soak.fleet import new_machine
 from soak.state import SoakState
-from soak.timeline import Scope, Span
+from soak.timeline import Scope, Span, now_ms
 from standins.machine_service import StandinMachine
 
 __all__: list[str] = []
 
 # No fault takes a pool below this number of machines.
 _MIN_WORKERS = 4
+_SHARE_FLAPPING = 1 / 3
 _LINGER_MS = 2_000
 
 
@@ -35,6 +36,12 @@
     return random.sample(up, max(0, n_chosen))
 
 
+def _flap(state: SoakState, machine: StandinMachine, down_ms: int) -> None:
+    """Let a worker go down and up unless its machine is down or gone."""
+    if machine in _up(state, machine.pool):
+        state.cluster.platform.machines.flap(machine.name, down_ms)
+
+
 async def _join(state: SoakState, service: str, random: Random) -> None:
     place = random.choice(state.layout.data_centres)
     machine = new_machine(state.layout, state.work, service, place)
@@ -81,11 +88,36 @@
         for _ in range(random.randint(1, 3)):
             down_ms = random.randint(300, 1_500)
             for machine in chosen:
-                if machine.state == "up" and machine.worker.state == "ready":
-                    state.cluster.platform.machines.flap(machine.name, down_ms)
+                _flap(state, machine, down_ms)
             await trio.sleep(down_ms / 1_000 + random.uniform(0.5, 1.5))
 
 
+class FlapApart(Fault):
+    """Lets a third of a pool go down and up for seconds, each worker by itself.
+
+    Starts meet workers that are down already, again and again for some tasks.
+    """
+
+    name = "flap_apart"
+    scope = Scope.WORKER
+
+    async def inject(self, state: SoakState, random: Random, span: Span) -> None:
+        """Inject the fault once."""
+        until_ms = now_ms() + random.randint(4_000, 10_000)
+        async with trio.open_nursery() as nursery:
+            for machine in _choose(state, random, _SHARE_FLAPPING):
+                own = Random(random.random())
+                nursery.start_soon(self._flap_until, state, machine, own, until_ms)
+
+    async def _flap_until(
+        self, state: SoakState, machine: StandinMachine, random: Random, until_ms: int
+    ) -> None:
+        while now_ms() < until_ms:
+            down_ms = random.randint(100, 1_500)
+            _flap(state, machine, down_ms)
+            await trio.sleep((down_ms + random.randint(300, 1_500)) / 1_000)
+
+
 class LoseWorkers(Fault):
     """Takes a part of a pool away for good; others replace it after a while."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,8 +8,10 @@
 
 from soak.checks import CHECKS
 from soak.clients import Client
+from soak.cluster import Cluster, Platform
 from soak.connections import CallResult, Ending
 from soak.faults import FAULTS, choose_faults
+from soak.fleet import new_machine
 from soak.layout import LAYOUTS
 from soak.scenario import Plan, play
 from soak.state import JobRecord, JobState, SoakState
@@ -136,3 +138,30 @@
     assert {fault.scope for fault in choose_faults("store")} == {Scope.STORE}
     with pytest.raises(ValueError, match="unknown fault"):
         choose_faults("no-such-fault")
+
+
+@pytest.mark.parametrize("name", ["flap_workers", "flap_apart"])
+def test_worker_that_flaps_may_be_lost_meanwhile(name):
+    """Guards against faults that overlap and end the soak itself."""
+    layout = LAYOUTS["small"]
+    work = WorkCatalogue()
+
+    async def main():
+        machines = [new_machine(layout, work, "shop", "a") for _ in range(6)]
+        platform = Platform(layout.configuration(), machines, layout.spare_pool)
+        for machine in machines:
+            platform.machines.add(machine)
+        state = SoakState(layout, Cluster(platform, [], []), None, work)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(platform.machines.run)
+            async with trio.open_nursery() as faults:
+                span = Span(name, Scope.WORKER, False, 0)
+                faults.start_soon(FAULTS[name].inject, state, Random(3), span)
+                await trio.sleep(0.05)
+                for machine in machines:
+                    while machine.state != "up":
+                        await trio.sleep(0.05)
+                    platform.machines.lose(machine.name)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.001))
