Soak: gangs, whose members the stand-ins of workers run together

No run of the soak had a gang; the stand-ins of workers ran each member by itself.

Change: a tenth of the jobs is a gang of two to four tasks. Workers that share `GangRuns` let its members work from the moment when all are present, end them together, as `broken` with the end of another member, or as `alone` after `gangTimeoutMs`. A member that is done stands for all. A run that ends `alone` in a time with nothing but changes of the configuration is a problem (GANG), and a gang that waits needs twice its whole room to count as LOST 3.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -67,6 +67,24 @@
                 yield f"REFUSED: {job.job_id} was refused and ran"
 
 
+class GangsStartTogether(Check):
+    """No member of a gang waits in vain for the others in calm times."""
+
+    name = "gangs"
+
+    def problems(self, state: SoakState) -> Iterator[str]:
+        """Yield what is wrong at the end of a run."""
+        contact_ms = state.layout.bound_ms("contactMs")
+        for worker in state.cluster.workers:
+            for run in worker.starts:
+                job = state.jobs[run.task[:16]]
+                if run.end != "alone" or job.cancel_sent_ms is not None:
+                    continue
+                spans = state.timeline.during(run.started_ms - contact_ms, run.at_ms)
+                if all(span.scope == Scope.CONFIGURATION for span in spans):
+                    yield f"GANG: {run.task} waited in vain, from {run.started_ms} on"
+
+
 class HoldersTakeTurns(Check):
     """Orders of two holders for a machine are a lease apart, with a rising token."""
 
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -345,10 +345,11 @@
     def finished_tasks(self):
         """Return the tasks of which an instance may know that they ended as done."""
         return {
-            run.task
+            task
             for worker in self.workers
             for run in worker.starts
             if run.end in ("done", "listed")
+            for task in run.represented
         }
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -29,6 +29,7 @@
         f"w{number}",
         cpu=layout.worker_cpu,
         work=work,
+        gangs=work.gangs,
         zone=data_centre,
         rack=f"r-{data_centre}-{number % _N_RACKS}",
         machine=name,
@@ -42,6 +43,7 @@
         for pool in layout.pools
         for number in range(pool.n_workers)
     ]
+    work.gangs.timeout_ms = layout.bound_ms("gangTimeoutMs")
     platform = Platform(layout.configuration(), machines, layout.spare_pool)
     platform.machines.page_size = _PAGE_SIZE
     platform.machines.silence_ms = _SILENCE_MS
--- a/soak/monitors.py
+++ b/soak/monitors.py
@@ -167,12 +167,13 @@
     ) -> bool:
         # A queue that was taken away may still run what it accepted.
         state, step = self._state, self._state.work.step(task)
+        n_starts = step.n_members or 1
         now = now_ms()
         for document in state.operator.in_force(now - _STALL_MS, now):
             limit = document["tenants"][job.team]["maxCount"]["cpu"]
-            if 2 * (usage[job.team] + step.cpu) > limit:
+            if 2 * (usage[job.team] + n_starts * step.cpu) > limit:
                 return False
-        return room.n_free(task, step.cpu) >= 2
+        return room.n_free(task, step.cpu) >= 2 * n_starts
 
 
 class _Room:
--- a/soak/work.py
+++ b/soak/work.py
@@ -5,10 +5,20 @@
 from random import Random
 from typing import Any
 
-__all__ = ["JobPlan", "StepPlan", "WorkCatalogue", "finite_job", "lasting_job"]
+from standins.gangs import GangRuns
+
+__all__ = [
+    "JobPlan",
+    "StepPlan",
+    "WorkCatalogue",
+    "finite_job",
+    "gang_job",
+    "lasting_job",
+]
 
 _MAX_OCCURRENCES = 3
 _SHARE_TIMED = 0.15
+_SHARE_GANGS = 0.1
 
 
 @dataclass(frozen=True)
@@ -21,6 +31,12 @@
     after: tuple[int, ...] = ()
     max_per_worker: int = 0
     max_unavailable: int = 0
+    is_gang: bool = False
+
+    @property
+    def n_members(self) -> int:
+        """Number of tasks of a gang, 0 if the tasks work by themselves."""
+        return self.n_tasks if self.is_gang else 0
 
     @property
     def is_lasting(self) -> bool:
@@ -39,6 +55,8 @@
             document["after"] = list(self.after)
         if self.max_per_worker:
             document["antiAffinity"] = self.max_per_worker
+        if self.is_gang:
+            document["gang"] = True
         if self.is_lasting:
             document |= {"longRunning": True, "mayMiss": self.max_unavailable}
         return document
@@ -94,6 +112,9 @@
 
     plans: dict[str, JobPlan] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.gangs = GangRuns(self.n_members)
+
     def step(self, task: str) -> StepPlan:
         """Return the step of a task."""
         job_id, _, number, _ = task.split(".")
@@ -103,13 +124,19 @@
         """Return how long a task works, infinity for one that lasts."""
         return self.step(task).duration_ms
 
+    def n_members(self, task: str) -> int:
+        """Return the number of tasks of the task's gang, 0 if it has none."""
+        return self.step(task).n_members
+
     def cpu(self, task: str) -> int:
         """Return what a task takes in thousandths of a core."""
         return self.step(task).cpu
 
 
 def finite_job(random: Random) -> JobPlan:
-    """Return a job of one to three steps, at times a timed one."""
+    """Return a job of one to three steps, at times a gang or a timed one."""
+    if random.random() < _SHARE_GANGS:
+        return gang_job(random)
     steps = tuple(
         StepPlan(
             random.randint(1, 6),
@@ -127,6 +154,13 @@
     )
 
 
+def gang_job(random: Random) -> JobPlan:
+    """Return a job whose tasks work only together."""
+    duration_ms = random.uniform(400, 1_600)
+    step = StepPlan(random.randint(2, 4), 1_000, duration_ms, is_gang=True)
+    return JobPlan((step,))
+
+
 def lasting_job(n_tasks: int) -> JobPlan:
     """Return a job whose tasks last and of which a tenth may be away."""
     step = StepPlan(
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from standins.gangs import GangRuns
 from standins.serving import Exchange, Listener, now_ms
 
 __all__ = ["StartedRun", "TaskWorker", "Work"]
@@ -24,7 +25,10 @@
 
 @dataclass
 class StartedRun:
-    """A run that the worker has begun; `done_ms` is its work up to `at_ms`."""
+    """A run that the worker has begun; `done_ms` is its work up to `at_ms`.
+
+    `n_members` is the number of tasks of its gang, 0 for a single task.
+    """
 
     task: str
     run_id: int
@@ -34,6 +38,14 @@
     percent: int = 100
     done_ms: float = 0.0
     at_ms: int = 0
+    n_members: int = 0
+
+    @property
+    def represented(self) -> list[str]:
+        """Tasks that are done when this run is."""
+        step = self.task.rpartition(".")[0]
+        members = [f"{step}.{number}" for number in range(self.n_members)]
+        return members or [self.task]
 
 
 @dataclass
@@ -44,6 +56,7 @@
     `is_failing` fail at once. `checkpoint_ms` is the work between two checkpoints, 0
     for none. With `accepts_ticket` a start needs a ticket for which that says yes. The
     start of a task for which `is_deadly` says yes crashes the worker by `crash`.
+    Workers that share `gangs` run the members of a gang together.
     """
 
     worker_id: str
@@ -62,6 +75,7 @@
     machine: str = ""
     state: str = "ready"
     is_failing: bool = False
+    gangs: GangRuns = field(default_factory=lambda: GangRuns(lambda task: 0))
 
     def __post_init__(self) -> None:
         self._running: dict[str, StartedRun] = {}
@@ -138,6 +152,8 @@
                 self._work(run)
                 if now_ms() > self._until_ms:
                     self._end(run, "lapsed")
+                elif how := self.gangs.end_of(run, now_ms()):
+                    self._end(run, how)
                 elif self.is_failing:
                     self._end(run, "failed")
                 elif run.done_ms >= self._duration_ms(run.task):
@@ -147,7 +163,8 @@
         return self.work.duration_ms(task) if self.work else self.task_ms
 
     def _work(self, run: StartedRun) -> None:
-        run.done_ms += (now_ms() - run.at_ms) * run.percent / 100
+        if self.gangs.is_complete(run):
+            run.done_ms += (now_ms() - run.at_ms) * run.percent / 100
         run.at_ms = now_ms()
         if self.checkpoint_ms:
             n_saved = int(run.done_ms // self.checkpoint_ms)
@@ -209,6 +226,8 @@
         saved = body.get("checkpoint", "")
         done_ms = float(saved or 0)
         run = StartedRun(task, run_id, now_ms(), "", saved, 100, done_ms, now_ms())
+        run.n_members = self.gangs.n_members(task)
+        self.gangs.add(run)
         self.starts.append(run)
         self._running[task] = run
         await exchange.answer_json(200, {"clockMs": now_ms()})
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
 from soak.state import JobRecord, JobState, SoakState
 from soak.timeline import Scope, Span, Timeline, now_ms
 from soak.work import JobPlan, StepPlan, WorkCatalogue
+from standins.task_worker import StartedRun, TaskWorker
 
 LENGTH_S = 8.0
 JOB_ID = "a" * 16
@@ -131,6 +132,39 @@
     assert len(problems("known", state)) == n_problems
 
 
+@pytest.mark.parametrize(
+    ("spans", "cancel_sent_ms", "n_problems"),
+    [
+        ([], None, 1),
+        ([Span("limit", Scope.CONFIGURATION, True, 10_000, 11_000)], None, 1),
+        ([KILL], None, 0),
+        ([TERM], None, 0),
+        ([], 9_000, 0),
+    ],
+)
+def test_half_a_gang_in_calm_times_is_a_problem(spans, cancel_sent_ms, n_problems):
+    """Guards against gangs that never get together unseen by the soak."""
+    state = state_of(spans)
+    state.jobs[JOB_ID].cancel_sent_ms = cancel_sent_ms
+    worker = TaskWorker("w1")
+    run = StartedRun(f"{JOB_ID}.0.0.0", 1, 10_000, "alone", at_ms=14_000, n_members=2)
+    worker.starts.append(run)
+    state.cluster = Cluster(Platform({}, []), [], [])
+    state.cluster.workers = [worker]
+    assert len(problems("gangs", state)) == n_problems
+
+
+def test_one_member_of_a_gang_stands_for_all():
+    """Guards against a finished job that is taken for lost, with its worker."""
+    worker = TaskWorker("w1")
+    for number, end in enumerate(("done", "killed")):
+        run = StartedRun(f"{JOB_ID}.0.0.{number}", 1, 0, end, n_members=2)
+        worker.starts.append(run)
+    cluster = Cluster(Platform({}, []), [], [])
+    cluster.workers = [worker]
+    assert cluster.finished_tasks() == {f"{JOB_ID}.0.0.0", f"{JOB_ID}.0.0.1"}
+
+
 def test_faults_are_chosen_by_name_scope_and_plan():
     """Guards against a command line that plays other faults than it names."""
     assert [fault.name for fault in choose_faults("kill,wave")] == ["kill", "wave"]
