--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -28,8 +28,7 @@
 KEY = "k-bakers"
 
 _READY_TIMEOUT_S = 30
-# Interpreters that start at the same time share the cores of a busy machine.
-_START_TIMEOUT_S = 2  # for each instance
+_START_TIMEOUT_S = 2  # more for each instance: they share the cores of a machine
 
 _BOUNDS = {"maxHoldMs": 6_000, "revokeMs": 5_000, "status_s": 120}
 
@@ -300,8 +299,8 @@
 
     async def until_ready(self):
         """Wait until all instances are ready and the services have owners."""
-        timeout_s = _READY_TIMEOUT_S + _START_TIMEOUT_S * len(self.instances)
-        with trio.fail_after(timeout_s):
+        start_s = _START_TIMEOUT_S * len(self.instances)
+        with trio.fail_after(_READY_TIMEOUT_S + start_s):
             for instance in self.instances:
                 while not await self.is_ready(instance):
                     await trio.sleep(0.05)
