Soak: half of the flaps of flap_apart are silent

A worker that flapped refused connections, so that starts counted as not sent, and no task was ever charged with a start without an answer (kind 2 of LOST).

Change: in half of its flaps a worker of flap_apart takes calls and answers none, as a lost process often does, until it is back under its id. A long poll that waits at a worker that falls silent is not answered either.

Evidence: test_a_worker_that_flaps_in_silence_answers_no_call; the poll was answered before.

--- a/soak/faults/worker_faults.py
+++ b/soak/faults/worker_faults.py
@@ -15,6 +15,7 @@
 # No fault takes a pool below this number of machines.
 _MIN_WORKERS = 4
 _SHARE_FLAPPING = 1 / 3
+_SHARE_SILENT = 0.5
 _LINGER_MS = 2_000
 
 
@@ -36,10 +37,12 @@
     return random.sample(up, max(0, n_chosen))
 
 
-def _flap(state: SoakState, machine: StandinMachine, down_ms: int) -> None:
+def _flap(
+    state: SoakState, machine: StandinMachine, down_ms: int, is_silent: bool = False
+) -> None:
     """Let a worker go down and up unless its machine is down or gone."""
     if machine in _up(state, machine.pool):
-        state.cluster.platform.machines.flap(machine.name, down_ms)
+        state.cluster.platform.machines.flap(machine.name, down_ms, is_silent)
 
 
 async def _join(state: SoakState, service: str, random: Random) -> None:
@@ -95,7 +98,8 @@
 class FlapApart(Fault):
     """Lets a third of a pool go down and up for seconds, each worker by itself.
 
-    Starts meet workers that are down already, again and again for some tasks.
+    Starts meet workers that are down already, again and again for some tasks, and get
+    no answer from those that are silent.
     """
 
     name = "flap_apart"
@@ -114,7 +118,7 @@
     ) -> None:
         while now_ms() < until_ms:
             down_ms = random.randint(100, 1_500)
-            _flap(state, machine, down_ms)
+            _flap(state, machine, down_ms, random.random() < _SHARE_SILENT)
             await trio.sleep((down_ms + random.randint(300, 1_500)) / 1_000)
 
 
--- a/standins/machine_service.py
+++ b/standins/machine_service.py
@@ -87,10 +87,17 @@
         away_ms = self.upkeep_ms if down_ms is None else down_ms
         self._returning[name] = now_ms() + away_ms
 
-    def flap(self, name: str, down_ms: int) -> None:
-        """End the worker of a machine; it starts again under its id."""
+    def flap(self, name: str, down_ms: int, is_silent: bool = False) -> None:
+        """End the worker of a machine; it starts again under its id.
+
+        Meanwhile it refuses connections, or takes them and says nothing if it
+        `is_silent`.
+        """
         machine = self.machines[name]
-        machine.worker.listener.close()
+        if is_silent:
+            machine.worker.is_unanswering = True
+        else:
+            machine.worker.listener.close()
         machine.worker.restart(machine.worker.worker_id)
         machine.state = "down"
         self._returning[name] = now_ms() + down_ms
@@ -135,6 +142,7 @@
             for name in _take_due(self._returning):
                 machine = self.machines[name]
                 machine.state = "up"
+                machine.worker.is_unanswering = False
                 machine.worker.listener.reopen()
                 self._list_worker(machine)
 
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -256,6 +256,9 @@
         if not self._ends:
             with trio.move_on_after(body.get("waitMs", 0) / 1000):
                 await self._ended.wait()
+        if self.is_unanswering:
+            await exchange.until_disconnected()
+            return
         running = [
             [run.task, run.run_id, run.checkpoint, run.percent, 0.5]
             for run in self._running.values()
--- a/tests/test_task_worker_standin.py
+++ b/tests/test_task_worker_standin.py
@@ -5,7 +5,9 @@
 import trio
 
 from soak.cluster import Cluster
+from standins.machine_service import MachineService, StandinMachine
 from standins.task_worker import TaskWorker
+from standins.transactional_store import TransactionalStore
 from tests.loopback import call
 
 START = {"task": "a" * 16 + ".0.0.0", "runId": 1, "spec": "x", "fencingToken": 1}
@@ -102,3 +104,31 @@
             assert cluster_of(worker).done_runs() == [START["task"]]
 
     trio.run(main)
+
+
+def test_a_worker_that_flaps_in_silence_answers_no_call():
+    """Guards against a soak whose starts are all answered, or refused unsent, so that
+    no task is ever charged with a worker that went down.
+    """
+
+    async def main():
+        async with open_worker() as worker:
+            service = MachineService(TransactionalStore(), "spare")
+            service.add(StandinMachine("m", "pool", worker))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(service.run)
+                with trio.move_on_after(0.2) as waiting:
+                    async with trio.open_nursery() as calls:
+                        calls.start_soon(hold, worker, 0, 2_000)
+                        await trio.sleep(0.05)
+                        service.flap("m", 400, is_silent=True)
+                assert waiting.cancelled_caught
+                with trio.move_on_after(0.1) as starting:
+                    await start(worker)
+                assert starting.cancelled_caught
+                await trio.sleep(0.3)
+                assert (await hold(worker, 0))[1]["born"] == 2
+                assert worker.starts == []
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
