--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -78,7 +78,8 @@
 
 
 def _describe(report: Report) -> str:
-    return "\n".join([_summary(report), "", *report.timeline, ""])
+    longest = f"longest unhindered: {report.longest_unhindered}"
+    return "\n".join([_summary(report), longest, "", *report.timeline, ""])
 
 
 main()
--- a/soak/monitors.py
+++ b/soak/monitors.py
@@ -85,6 +85,8 @@
         self.longest_ms = 0
         # Without the time in which the task could not run.
         self.longest_unhindered_ms = 0
+        # The task of that time and when it ended.
+        self.longest_unhindered = ""
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -145,7 +147,9 @@
             outage.hindered_ms = now
         unhindered_ms = now - max(outage.away_ms, outage.hindered_ms)
         self.longest_ms = max(self.longest_ms, now - outage.away_ms)
-        self.longest_unhindered_ms = max(self.longest_unhindered_ms, unhindered_ms)
+        if unhindered_ms > self.longest_unhindered_ms:
+            self.longest_unhindered_ms = unhindered_ms
+            self.longest_unhindered = f"{task} at {now}"
         recovery_ms = _RECOVERY_MS if job.plan.is_lasting else 0
         is_overdue = now - outage.away_ms >= recovery_ms + _STALL_MS
         is_stalled = now - outage.hindered_ms >= _STALL_MS
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -54,6 +54,7 @@
     max_lag_ms: int = 0
     longest_outage_ms: int = 0
     longest_unhindered_ms: int = 0
+    longest_unhindered: str = ""
 
 
 async def play(seed: int, folder: str, plan: Plan) -> Report:
@@ -84,6 +85,7 @@
         report = _report(seed, state)
         report.max_lag_ms, report.longest_outage_ms = lag.max_ms, stalls.longest_ms
         report.longest_unhindered_ms = stalls.longest_unhindered_ms
+        report.longest_unhindered = stalls.longest_unhindered
     return report
 
 
