--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -28,8 +28,7 @@
 KEY = "k-bakers"
 
 _READY_TIMEOUT_S = 30
-# Interpreters that start at the same time share the cores of a busy machine.
-_START_TIMEOUT_S = 2  # for each instance
+_START_TIMEOUT_S = 2  # more for each instance: they share the cores of a machine
 
 _BOUNDS = {"maxHoldMs": 6_000, "revokeMs": 5_000, "status_s": 120}
 
@@ -300,8 +299,8 @@
 
     async def until_ready(self):
         """Wait until all instances are ready and the services have owners."""
-        timeout_s = _READY_TIMEOUT_S + _START_TIMEOUT_S * len(self.instances)
-        with trio.fail_after(timeout_s):
+        start_s = _START_TIMEOUT_S * len(self.instances)
+        with trio.fail_after(_READY_TIMEOUT_S + start_s):
             for instance in self.instances:
                 while not await self.is_ready(instance):
                     await trio.sleep(0.05)
@@ -345,10 +344,11 @@
     def finished_tasks(self):
         """Return the tasks of which an instance may know that they ended as done."""
         return {
-            run.task
+            task
             for worker in self.workers
             for run in worker.starts
             if run.end in ("done", "listed")
+            for task in run.represented
         }
 
 
--- a/soak/monitors.py
+++ b/soak/monitors.py
@@ -85,6 +85,8 @@
         self.longest_ms = 0
         # Without the time in which the task could not run.
         self.longest_unhindered_ms = 0
+        # The task of that time and when it ended.
+        self.longest_unhindered = ""
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -145,7 +147,9 @@
             outage.hindered_ms = now
         unhindered_ms = now - max(outage.away_ms, outage.hindered_ms)
         self.longest_ms = max(self.longest_ms, now - outage.away_ms)
-        self.longest_unhindered_ms = max(self.longest_unhindered_ms, unhindered_ms)
+        if unhindered_ms > self.longest_unhindered_ms:
+            self.longest_unhindered_ms = unhindered_ms
+            self.longest_unhindered = f"{task} at {now}"
         recovery_ms = _RECOVERY_MS if job.plan.is_lasting else 0
         is_overdue = now - outage.away_ms >= recovery_ms + _STALL_MS
         is_stalled = now - outage.hindered_ms >= _STALL_MS
@@ -167,12 +171,13 @@
     ) -> bool:
         # A queue that was taken away may still run what it accepted.
         state, step = self._state, self._state.work.step(task)
+        n_starts = step.n_members or 1
         now = now_ms()
         for document in state.operator.in_force(now - _STALL_MS, now):
             limit = document["tenants"][job.team]["maxCount"]["cpu"]
-            if 2 * (usage[job.team] + step.cpu) > limit:
+            if 2 * (usage[job.team] + n_starts * step.cpu) > limit:
                 return False
-        return room.n_free(task, step.cpu) >= 2
+        return room.n_free(task, step.cpu) >= 2 * n_starts
 
 
 class _Room:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,13 +8,16 @@
 
 from soak.checks import CHECKS
 from soak.clients import Client
+from soak.cluster import Cluster, Platform
 from soak.connections import CallResult, Ending
 from soak.faults import FAULTS, choose_faults
+from soak.fleet import new_machine
 from soak.layout import LAYOUTS
 from soak.scenario import Plan, play
 from soak.state import JobRecord, JobState, SoakState
 from soak.timeline import Scope, Span, Timeline, now_ms
 from soak.work import JobPlan, StepPlan, WorkCatalogue
+from standins.task_worker import StartedRun, TaskWorker
 
 LENGTH_S = 8.0
 JOB_ID = "a" * 16
@@ -129,6 +132,39 @@
     assert len(problems("known", state)) == n_problems
 
 
+@pytest.mark.parametrize(
+    ("spans", "cancel_sent_ms", "n_problems"),
+    [
+        ([], None, 1),
+        ([Span("limit", Scope.CONFIGURATION, True, 10_000, 11_000)], None, 1),
+        ([KILL], None, 0),
+        ([TERM], None, 0),
+        ([], 9_000, 0),
+    ],
+)
+def test_half_a_gang_in_calm_times_is_a_problem(spans, cancel_sent_ms, n_problems):
+    """Guards against gangs that never get together unseen by the soak."""
+    state = state_of(spans)
+    state.jobs[JOB_ID].cancel_sent_ms = cancel_sent_ms
+    worker = TaskWorker("w1")
+    run = StartedRun(f"{JOB_ID}.0.0.0", 1, 10_000, "alone", at_ms=14_000, n_members=2)
+    worker.starts.append(run)
+    state.cluster = Cluster(Platform({}, []), [], [])
+    state.cluster.workers = [worker]
+    assert len(problems("gangs", state)) == n_problems
+
+
+def test_one_member_of_a_gang_stands_for_all():
+    """Guards against a finished job that is taken for lost, with its worker."""
+    worker = TaskWorker("w1")
+    for number, end in enumerate(("done", "killed")):
+        run = StartedRun(f"{JOB_ID}.0.0.{number}", 1, 0, end, n_members=2)
+        worker.starts.append(run)
+    cluster = Cluster(Platform({}, []), [], [])
+    cluster.workers = [worker]
+    assert cluster.finished_tasks() == {f"{JOB_ID}.0.0.0", f"{JOB_ID}.0.0.1"}
+
+
 def test_faults_are_chosen_by_name_scope_and_plan():
     """Guards against a command line that plays other faults than it names."""
     assert [fault.name for fault in choose_faults("kill,wave")] == ["kill", "wave"]
@@ -136,3 +172,30 @@
     assert {fault.scope for fault in choose_faults("store")} == {Scope.STORE}
     with pytest.raises(ValueError, match="unknown fault"):
         choose_faults("no-such-fault")
+
+
+@pytest.mark.parametrize("name", ["flap_workers", "flap_apart"])
+def test_worker_that_flaps_may_be_lost_meanwhile(name):
+    """Guards against faults that overlap and end the soak itself."""
+    layout = LAYOUTS["small"]
+    work = WorkCatalogue()
+
+    async def main():
+        machines = [new_machine(layout, work, "shop", "a") for _ in range(6)]
+        platform = Platform(layout.configuration(), machines, layout.spare_pool)
+        for machine in machines:
+            platform.machines.add(machine)
+        state = SoakState(layout, Cluster(platform, [], []), None, work)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(platform.machines.run)
+            async with trio.open_nursery() as faults:
+                span = Span(name, Scope.WORKER, False, 0)
+                faults.start_soon(FAULTS[name].inject, state, Random(3), span)
+                await trio.sleep(0.05)
+                for machine in machines:
+                    while machine.state != "up":
+                        await trio.sleep(0.05)
+                    platform.machines.lose(machine.name)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.001))
