Ended workers: a report does not end the next incarnation

Cause: the owner of the fleet reports ended workers by id, for 6 s and by a list of machines that may be late. A worker that came back under its id was ended in its turn: its runs started elsewhere while it went on (TWICE), and it got no more work as long as it was listed. Change: soon after an incarnation has ended, such reports mean that one; each repetition extends this. Measured: the two new cases failed before; tests of incarnations, the shard, takeovers, sequences, crashes, flaps and bounded waits pass (278).

--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -14,7 +14,7 @@
 )
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.runs import Run, RunPhase
-from apricotgap.jobs.shard_leases import ShardLeases
+from apricotgap.jobs.shard_orders import ShardOrders
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["ShardWorkers"]
@@ -22,13 +22,13 @@
 _STOP_RETRY_MS = 500
 
 
-class ShardWorkers(ShardLeases):
+class ShardWorkers(ShardOrders):
     """State of the workers of one service.
 
     Parameters
     ----------
     service, epoch, max_lease_ms, stop_ms, inherited_lease_ms
-        As for `ShardLeases`.
+        As for `ShardOrders`.
     """
 
     def __init__(
@@ -41,12 +41,6 @@
     ) -> None:
         super().__init__(service, epoch, max_lease_ms, stop_ms, inherited_lease_ms)
         self.config: Configuration | None = None
-        # Ended incarnations that the platform may still list, by worker and start.
-        self._ended_incarnations: set[tuple[str, int]] = set()
-        # Ends of reservations. They hold for the machine, whatever runs there.
-        self._reserved_until_ms: dict[str, int] = {}
-        self.loaded_ms = -1_000_000
-        self.reported_ms = -1_000_000
         # Time of which the list of workers shows the state.
         self.list_fresh_ms = -1_000_000
 
@@ -116,7 +110,7 @@
         was_unverified = worker.is_unverified
         survivors = [run for run in worker.runs.values() if is_possible(run)]
         yield from self._mark_crashed(worker, at_ms, "restarted", survivors)
-        self._ended_incarnations.add((worker.worker_id, worker.entry.born_ms))
+        self._remove(worker, at_ms)
         successor = self._add_worker(entry, at_ms)
         self._record_longest_lease(successor, at_ms)
         successor.is_unverified = was_unverified
@@ -135,21 +129,6 @@
                     effects.extend(self.stop(run, at_ms))
         return effects
 
-    def end_workers(self, worker_ids: Iterable[str], at_ms: int) -> list[Effect]:
-        """Remove workers whose machines were moved or taken down."""
-        effects: list[Effect] = []
-        for worker_id in worker_ids:
-            worker = self.workers.get(worker_id)
-            if worker is not None:
-                effects.extend(self._mark_ordered_away(worker, at_ms))
-                self._remove(worker)
-        return effects
-
-    def _remove(self, worker: Worker) -> None:
-        """Remove an incarnation that has ended."""
-        del self.workers[worker.worker_id]
-        self._ended_incarnations.add((worker.worker_id, worker.entry.born_ms))
-
     @property
     def has_admission_check(self) -> bool:
         """Whether the workers reject runs that exceed their capacity."""
@@ -158,36 +137,6 @@
         spec = self.config.service_by_name.get(self.service)
         return spec is not None and spec.has_admission_check
 
-    def knows_reservations(self, at_ms: int) -> bool:
-        """Whether the fleet owner has had time to reserve workers for its orders."""
-        if self.reported_ms >= self.loaded_ms:
-            return True
-        return at_ms - self.loaded_ms > limits.FIRST_REPORT_TIMEOUT_MS
-
-    def reserve(self, worker_ids: Iterable[str], at_ms: int) -> None:
-        """Give these workers no new work; expires unless the caller repeats it.
-
-        It holds for later incarnations of a worker too, and for one not listed yet.
-        """
-        self._reserved_until_ms = {
-            worker_id: until_ms
-            for worker_id, until_ms in self._reserved_until_ms.items()
-            if until_ms > at_ms
-        }
-        until_ms = at_ms + limits.RESERVATION_MS
-        for worker_id in worker_ids:
-            self._reserved_until_ms[worker_id] = until_ms
-            worker = self.workers.get(worker_id)
-            if worker is not None:
-                worker.reserved_until_ms = until_ms
-
-    def _add_worker(self, entry: WorkerEntry, at_ms: int) -> Worker:
-        worker = super()._add_worker(entry, at_ms)
-        until_ms = self._reserved_until_ms.get(entry.worker_id)
-        if until_ms is not None:
-            worker.reserved_until_ms = until_ms
-        return worker
-
     def _poll_answered(self, event: PollAnswered) -> Iterable[Effect]:
         """Apply a response, judged by the incarnation that it comes from."""
         worker = self.workers.get(event.worker_id)
@@ -381,6 +330,6 @@
         self._resolve_lease_offer(worker, event.was_sent)
         if event.is_other_incarnation:
             yield from self._mark_crashed(worker, event.at_ms, event.reason)
-            self._remove(worker)
+            self._remove(worker, event.at_ms)
             return
         yield from self._expire(worker, event.at_ms)
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -5,6 +5,7 @@
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import StopRun
 from apricotgap.jobs.events import PollFailed, StartAnswered, StartResult
+from apricotgap.jobs.fleet_orders import ENDED_REPORT_MS
 from apricotgap.jobs.model import JobPhase, Resources, StepSpec
 from tests.jobs_harness import MAX_LEASE_MS, Rig, ended, entry, job, running
 
@@ -335,3 +336,29 @@
     rig.ready()
     rig.submit(job(steps=ONE_TASK))
     assert rig.schedule() == []
+
+
+@pytest.mark.parametrize("is_reported_first", [True, False])
+def test_report_of_an_ended_worker_spares_its_next_incarnation(is_reported_first):
+    """Guards against a task that runs twice, and a worker that gets no more work: the
+    list of machines is late, so that the worker of an order is reported as ended while
+    the next one runs tasks under its id.
+    """
+    rig = Rig(workers=("w1",)).ready()
+    if is_reported_first:
+        rig.shard.end_workers(["w1"], rig.now)
+        assert not rig.shard.workers
+    rig.list_workers(entry("w1", born_ms=NEXT_BORN_MS))
+    rig.record_all()
+    rig.poll("w1", born_ms=NEXT_BORN_MS)
+    rig.submit(job(steps=ONE_TASK))
+    (start,) = rig.schedule()
+    rig.answer(start)
+    for _ in range(30):
+        rig.now += 300
+        rig.poll("w1", [running(start)], born_ms=NEXT_BORN_MS)
+        assert rig.shard.end_workers(["w1"], rig.now) == []
+        assert rig.shard.workers["w1"].runs
+    rig.now += ENDED_REPORT_MS + 1
+    rig.shard.end_workers(["w1"], rig.now)
+    assert not rig.shard.workers
