Reboots: a failed call is repeated only while its runner may act

Cause: the driver of the older program repeated a failed reboot with each read of the list of instances, for good, also after its entry instance had lost the role of the runner. Another runner may have finished the step meanwhile, the server having restarted by itself, and the instance serves again: the platform does not know the step id and reboots it, outside all budgets. Change: the effect carries the end of the runner's lease. The driver checks it before each call, and it bounds the call.

--- a/apricotgap/core/effects/workers.py
+++ b/apricotgap/core/effects/workers.py
@@ -113,7 +113,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RebootInstance(Effect):
-    """Asks the platform to reboot a drained instance; idempotent by `step_id`."""
+    """Asks the platform to reboot a drained instance; idempotent by `step_id`.
+
+    Must not be sent from `until_ms` on: the lease of the runner may have ended, another
+    one may have finished the step, and the instance may serve again.
+    """
 
     instance: str
     step_id: str
+    until_ms: int
--- a/apricotgap/core/waves.py
+++ b/apricotgap/core/waves.py
@@ -328,7 +328,9 @@
         ):
             # Delays the probe, since the server may still report its old boot.
             waves.last_call_ms["probe", step.target] = at_ms
-            yield RebootInstance(step.target, _step_id(plan_id, step))
+            yield RebootInstance(
+                step.target, _step_id(plan_id, step), waves.role.expires_ms
+            )
 
 
 def _step_id(plan_id: str, step: Step) -> str:
--- a/apricotgap/drivers/instances.py
+++ b/apricotgap/drivers/instances.py
@@ -27,7 +27,8 @@
     """Runs `ReadInstanceList` and `RebootInstance`.
 
     A failed read is retried by the next `ReadInstanceList`. So is a failed reboot,
-    which is safe because the platform deduplicates reboots by step id.
+    which the platform deduplicates by its step id, until the permission of the runner
+    ends.
 
     Parameters
     ----------
@@ -105,8 +106,10 @@
     def _start_reboot(self, nursery: trio.Nursery, effect: RebootInstance) -> None:
         if effect.step_id in self._reboots_in_flight:
             return
-        self._reboots_in_flight.add(effect.step_id)
         self._failed_reboots.pop(effect.step_id, None)
+        if self._clock.now_ms >= effect.until_ms:
+            return
+        self._reboots_in_flight.add(effect.step_id)
         nursery.start_soon(self._reboot, effect)
 
     async def _read(self) -> None:
@@ -129,17 +132,22 @@
         path = f"/v1/instances/{quote(effect.instance, safe='')}/reboot"
         body = json.dumps({"step_id": effect.step_id}).encode()
         try:
-            await self._call("POST", path, body)
+            await self._call("POST", path, body, effect.until_ms - self._clock.now_ms)
         except _PlatformCallError as error:
             self._failed_reboots[effect.step_id] = effect
             self._record_failure(error)
         finally:
             self._reboots_in_flight.discard(effect.step_id)
 
-    async def _call(self, method: str, path: str, body: bytes) -> bytes:
+    async def _call(
+        self, method: str, path: str, body: bytes, left_ms: int | None = None
+    ) -> bytes:
         url = self._base_url + path
+        timeout_ms = self._timeout_ms
+        if left_ms is not None:
+            timeout_ms = max(0, min(timeout_ms, left_ms))
         try:
-            with trio.fail_after(self._timeout_ms / 1000):
+            with trio.fail_after(timeout_ms / 1000):
                 response = await self._pool.request(
                     method, url, headers=self._headers, content=body
                 )
--- a/tests/test_store_driver.py
+++ b/tests/test_store_driver.py
@@ -32,6 +32,8 @@
 from standins.serving import Listener
 from tests.loopback import call
 
+FAR_MS = 10_000_000_000_000
+
 
 def run_with_driver(check, **options):
     """Run a check on a driver with an in-memory store in virtual time."""
@@ -309,6 +311,27 @@
     run_with_platform(check)
 
 
+def test_failed_reboot_is_not_repeated_after_the_permission_of_its_runner():
+    """Guards against a reboot of an instance that serves again: its step has ended
+    under another runner, and this entry instance repeats its own failed call.
+    """
+
+    async def check(platform, nursery):
+        address, clock = platform.platform.address, TrioClock()
+        driver = InstancesDriver(f"http://{address}", lambda event: None, clock, "e1")
+        await nursery.start(driver.serve)
+        driver.run(RebootInstance("b1", "step-1", clock.now_ms + 300))
+        await trio.sleep(0.2)
+        assert driver.n_failed == 1
+        await trio.sleep(0.2)
+        driver.run(ReadInstanceList())
+        driver.run(RebootInstance("b1", "step-2", clock.now_ms))
+        await trio.sleep(0.2)
+        assert driver.n_failed == 1
+
+    run_with_platform(check)
+
+
 def test_instance_list_lags_and_failures_are_retried():
     """Guards against a lost reboot and against a stand-in list without lag."""
 
@@ -319,7 +342,7 @@
         register = {"instances": [{"name": "b1"}, {"name": "b2", "state": "leaving"}]}
         await call("POST", address, "/standin/instances", register)
         driver.run(ReadInstanceList())
-        driver.run(RebootInstance("b1", "step-1"))
+        driver.run(RebootInstance("b1", "step-1", FAR_MS))
         await trio.sleep(0.2)
         assert events[0].live == frozenset()
         assert driver.n_failed == 1
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -5,7 +5,12 @@
 
 from apricotgap.clock import FakeClock
 from apricotgap.core import budgets
-from apricotgap.core.effects import LogChange, ProbeWorker, RevokeLease
+from apricotgap.core.effects import (
+    LogChange,
+    ProbeWorker,
+    RebootInstance,
+    RevokeLease,
+)
 from apricotgap.core.events import CasFinished, CasResult, Tick, WorkerReported
 from apricotgap.core.fleet_facts import WorkerFacts
 from apricotgap.core.plan_steps import (
@@ -190,6 +195,32 @@
     assert not role.is_held(cluster.now_ms)
 
 
+def test_reboot_carries_the_end_of_the_runners_lease(cluster):
+    """Guards against a reboot that is sent, or sent again, by a runner that is one no
+    more.
+    """
+    cluster.confirm("roll_pool", "a")
+    reboots = []
+    for entry in cluster.entries:
+        step = entry.step
+
+        def record(event, entry=entry, step=step):
+            effects = step(event)
+            expires_ms = entry.state.waves.role.expires_ms
+            reboots.extend(
+                (effect, expires_ms)
+                for effect in effects
+                if isinstance(effect, RebootInstance)
+            )
+            return effects
+
+        entry.step = record
+    cluster.run(60_000, lambda: len(reboots) > 1)
+    assert reboots
+    for effect, expires_ms in reboots:
+        assert effect.until_ms == expires_ms > 0
+
+
 def test_lapsed_lease_stops_the_runner_before_its_next_step(cluster):
     """Guards against a runner that continues without its role."""
     cluster.confirm("roll_pool", "a")
