Tests of guards that no test showed

Found by removing guards on a scratch copy: the tests named for them passed without the age limit of the keys' view (a silent store answers 503 anyway), the last check of the fleet owner's lease, the condition of late writes of the progress and of the fleet's orders, the condition on a shard's key for a job written by an instance whose view is behind, and in five more places. No earlier test is changed but for parameters of the harnesses.

--- a/tests/conditional_store.py
+++ b/tests/conditional_store.py
@@ -3,7 +3,7 @@
 import trio
 
 from apricotgap.instance.keys import owner_key
-from apricotgap.platform.store import Conflict, Item, Rejected, Stored
+from apricotgap.platform.store import Conflict, Item, Rejected, Stored, Unknown
 from tests.jobs_harness import SERVICE
 
 
@@ -43,3 +43,31 @@
     async def read_key(self, key):
         revision = self.revisions.get(key, 0)
         return Item(key, b"x" if revision else None, revision)
+
+
+class LateStore(ConditionalStore):
+    """Loses the answer of its first write, which takes effect after the second.
+
+    It does so only if its conditions still hold then. `values` holds what is stored.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.values = {}
+        self._late = None
+
+    async def write(self, writes):
+        if self._late is None:
+            self._late = writes
+            return Unknown("timeout")
+        outcome = await self._apply(writes)
+        late, self._late = self._late, ()
+        if late:
+            await self._apply(late)
+        return outcome
+
+    async def _apply(self, writes):
+        outcome = await super().write(writes)
+        if isinstance(outcome, Stored):
+            self.values |= {write.key: write.value for write in writes if write.value}
+        return outcome
--- a/tests/test_fleet_order_store.py
+++ b/tests/test_fleet_order_store.py
@@ -4,11 +4,14 @@
 import trio
 
 from apricotgap.clock import FakeClock
+from apricotgap.decoding import decode_cbor
 from apricotgap.instance.fleet_order_store import FleetOrderStore
 from apricotgap.instance.keys import FLEET_ORDERS_KEY, owner_key
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.platform.store import StoreClient
 from standins.transactional_store import TransactionalStore
+from tests.conditional_store import LateStore
+from tests.jobs_harness import SERVICE
 
 SHARD = "fleet"
 EXCLUSION_MS = 3_000
@@ -117,6 +120,23 @@
     run(check)
 
 
+def test_write_that_takes_effect_late_replaces_no_later_one():
+    """Guards against an order that the next owner does not know of: an earlier write of
+    the list takes effect after the one that names its machine.
+    """
+
+    async def main():
+        store = LateStore()
+        ownership = Ownership(SERVICE, 1, store.revisions[owner_key(SERVICE)], 1, 6_500)
+        orders = FleetOrderStore(ownership, store, FakeClock(10_000), EXCLUSION_MS)
+        await orders.load()
+        assert not await orders.record(["m0"])
+        assert await orders.record(["m1"])
+        assert decode_cbor(store.values[FLEET_ORDERS_KEY]) == ["m1"]
+
+    trio.run(main)
+
+
 def test_unreadable_list_is_reported_as_unknown():
     """Guards against an unreadable list that is taken for an empty one."""
 
--- a/tests/test_fleet_owner.py
+++ b/tests/test_fleet_owner.py
@@ -22,6 +22,7 @@
 SHARD = "~fleet"
 NAMES = ("m0", "m1", "m2")
 EXCLUSION_MS = 3_000
+FAR_MS = 10_000_000
 
 
 class SlowStore:
@@ -80,11 +81,8 @@
         return PoolReport(3, workers)
 
 
-@pytest.mark.parametrize("write_ms", [5, 900, 1_900, 2_500])
-def test_order_arrives_while_its_worker_is_reserved(monkeypatch, write_ms):
-    """Guards against an order that ends tasks: the store is slow, so that the worker's
-    reservation ends before the order arrives, and its shard starts tasks there.
-    """
+def play(monkeypatch, write_ms, check, lease_until_ms=FAR_MS):
+    """Run the owner of the fleet for a while, and check the orders that it has sent."""
 
     async def main():
         clock = TrioClock()
@@ -97,7 +95,7 @@
             Ownership(SHARD, 1, 1, 1, 6_500),
             SimpleNamespace(fleet_address="", name="me", bounds=bounds),
             SlowStore(write_ms),
-            SimpleNamespace(valid_until_ms_of=lambda lease_id: clock.now_ms + 3_000),
+            SimpleNamespace(valid_until_ms_of=lambda lease_id: lease_until_ms),
             SimpleNamespace(
                 config=configuration(),
                 waves={1: Wave(1, NAMES, 20_000, 2)},
@@ -112,6 +110,31 @@
             await owner.run()
         assert fleet.orders
         for arrives_ms, reserved_ms in fleet.orders:
-            assert arrives_ms <= reserved_ms
+            check(arrives_ms, reserved_ms)
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("write_ms", [5, 900, 1_900, 2_500])
+def test_order_arrives_while_its_worker_is_reserved(monkeypatch, write_ms):
+    """Guards against an order that ends tasks: the store is slow, so that the worker's
+    reservation ends before the order arrives, and its shard starts tasks there.
+    """
+
+    def check(arrives_ms, reserved_ms):
+        assert arrives_ms <= reserved_ms
+
+    play(monkeypatch, write_ms, check)
+
+
+def test_order_arrives_before_the_lease_of_its_owner_ends(monkeypatch):
+    """Guards against two owners of the fleet that order one machine by turns: the lease
+    of the first ends while its order is on the way.
+    """
+    # It ends at some moment of the cycles in which orders are sent.
+    for lease_until_ms in range(6_000, 12_000, 300):
+
+        def check(arrives_ms, _reserved_ms, until_ms=lease_until_ms):
+            assert arrives_ms <= until_ms
+
+        play(monkeypatch, 5, check, lease_until_ms)
--- a/tests/test_ingress_reload.py
+++ b/tests/test_ingress_reload.py
@@ -1,4 +1,4 @@
-"""Calls in progress while the operator changes the configuration."""
+"""Calls beside changes of the configuration, and by a view of it that is too old."""
 
 import json
 from dataclasses import replace
@@ -15,6 +15,7 @@
 from tests.jobs_harness import SERVICE, configuration
 
 PORT = 80
+REVOKE_MS = 5_000
 PATH = f"/plans/{'a' * 16}"
 JOB = {"spec": "x", "steps": [{"count": 1, "cpu": 500, "estimatedMs": 100}]}
 
@@ -59,9 +60,10 @@
 
     def __init__(self):
         self.config = with_queue(1)
+        self.age_ms = 0
 
     def config_age_ms(self):
-        return 0
+        return self.age_ms
 
 
 class Rig:
@@ -79,16 +81,20 @@
             TimedCalls(nursery, self.clock),
             Metrics("i1"),
             self.clock,
-            5_000,
+            REVOKE_MS,
             lambda: False,
             PORT + 1,
             PORT + 2,
         )
 
-    async def call(self, method, path=PATH):
-        """Return the status and the document of a complete answer."""
+    async def call(self, method, path=PATH, key="", on_receive=lambda: None):
+        """Return the status and the document of a complete answer.
+
+        `on_receive` is called as the body of the request arrives.
+        """
         body = json.dumps(JOB).encode() if method == "POST" else b""
         headers = [(b"host", b"h.example"), (b"content-length", b"%d" % len(body))]
+        headers += [(b"api-key", key.encode())] if key else []
         scope = {
             "type": "http",
             "server": ("127.0.0.1", PORT),
@@ -99,6 +105,7 @@
         sent = []
 
         async def receive():
+            on_receive()
             return {"type": "http.request", "body": body, "more_body": False}
 
         async def send(message):
@@ -173,3 +180,30 @@
         assert rig.clock.now_ms < deadline_ms < rig.clock.now_ms + 200
 
     trio.run(main)
+
+
+def test_key_is_checked_by_a_view_that_is_young_as_the_body_has_arrived():
+    """Guards against a withdrawn key that still works: the view grew old, or the
+    process was paused, while the body of the request was on its way.
+    """
+
+    async def main():
+        rig = Rig()
+        rig.view.config = configuration(1)
+        rig.jobs.has_changed.set()
+
+        def grow_old():
+            rig.view.age_ms = REVOKE_MS
+
+        status, _ = await rig.call("POST", key="key")
+        assert status == 200
+        status, _ = await rig.call("POST", key="key", on_receive=grow_old)
+        assert status == 503
+        status, _ = await rig.call("GET", key="key")
+        assert status == 503
+        rig.view.age_ms = None
+        status, _ = await rig.call("DELETE", key="key")
+        assert status == 503
+        assert len(rig.jobs.calls) == 1
+
+    trio.run(main)
--- a/tests/test_prefix_mirror.py
+++ b/tests/test_prefix_mirror.py
@@ -1,11 +1,15 @@
 """Local copies of the store's keys, beside what other answers of the store tell."""
 
+import json
+
 import pytest
 
 from apricotgap.clock import FakeClock
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.keys import Owner, encode_owner, owner_key
+from apricotgap.platform.keys import CONFIGURATION_KEY
 from apricotgap.platform.store import Item, Snapshot
+from soak.cluster import configuration
 
 SHARD = "bakery"
 KEY = owner_key(SHARD)
@@ -106,3 +110,20 @@
     view.apply(Item(KEY, owner("a"), 12))
     watch(view, store, Item(KEY, owner("b"), 13))
     assert name_of(view) is None
+
+
+def test_older_configuration_does_not_come_into_force(view):
+    """Guards against a key that is accepted again after it was withdrawn: an item with
+    an older version is read after that of a newer one.
+    """
+
+    def read(version, revision):
+        document = json.dumps(configuration(version)).encode()
+        item = Item(CONFIGURATION_KEY, document, revision)
+        view.operator_mirror.replace(Snapshot((item,), revision))
+
+    read(7, 11)
+    read(5, 12)
+    assert view.config.version == 7
+    read(9, 13)
+    assert view.config.version == 9
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -6,12 +6,16 @@
 
 from apricotgap.instance.keys import job_key, owner_key, progress_key
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
-from apricotgap.instance.progress_writer import REJECTED_RETRY_S, ProgressWriter
+from apricotgap.instance.progress_writer import (
+    REJECTED_RETRY_S,
+    URGENT_SAVE_DELAY_S,
+    ProgressWriter,
+)
 from apricotgap.instance.shard_loader import add_found_jobs
-from apricotgap.jobs.documents import encode_job
+from apricotgap.jobs.documents import decode_progress, encode_job
 from apricotgap.jobs.model import JobPhase
 from apricotgap.platform.store import Conflict, Item, Stored
-from tests.conditional_store import ConditionalStore
+from tests.conditional_store import ConditionalStore, LateStore
 from tests.jobs_harness import SERVICE, Rig, ended, job
 
 WRITE_S = 0.25
@@ -135,6 +139,28 @@
     run(check)
 
 
+def test_write_that_takes_effect_late_does_not_undo_a_later_one():
+    """Guards against a job that is shown as running for good, or runs again: a write
+    whose answer was lost takes effect after the one that stored its end.
+    """
+
+    async def check(rig, store, writer):
+        state = rig.shard.submit(job())
+        rig.shard.request_first_save(state)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(writer.run)
+            writer.wake()
+            await trio.sleep(2 * URGENT_SAVE_DELAY_S)
+            rig.shard.cancel(job().job_id, 0, rig.now)
+            writer.wake()
+            await writer.wait_for_phase(state)
+            nursery.cancel_scope.cancel()
+        document = store.values[progress_key(SERVICE, job().job_id)]
+        assert decode_progress(job().job_id, document).phase is JobPhase.CANCELLED
+
+    run(check, LateStore)
+
+
 class TestDocumentThatFails:
     """One document that can't be written, among those of other jobs."""
 
--- /dev/null
+++ b/tests/test_shard_owner.py
@@ -0,0 +1,51 @@
+"""Owner of a shard beside the end of its lease."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from apricotgap.clock import FakeClock
+from apricotgap.instance.ownership import Ownership, OwnershipLostError
+from apricotgap.instance.shard_owner import ShardOwner
+from apricotgap.jobs.limits import LEASE_MARGIN_MS
+from apricotgap.metrics import Metrics
+from tests.jobs_harness import MAX_LEASE_MS, SERVICE
+
+LEASE_ID = 7
+NOW_MS = 10_000
+
+
+def owner_with(lease_left_ms):
+    """Return an owner whose lease ends then, and that of another one much later."""
+    bounds = SimpleNamespace(
+        max_lease_ms=MAX_LEASE_MS,
+        stop_timeout_ms=900,
+        contact_ms=3_000,
+        status_retention_ms=120_000,
+    )
+    ends = {LEASE_ID: NOW_MS + lease_left_ms}
+    return ShardOwner(
+        Ownership(SERVICE, 1, 5, LEASE_ID, MAX_LEASE_MS),
+        SimpleNamespace(bounds=bounds, advice_address="", speed_milli=1_000),
+        SimpleNamespace(),
+        SimpleNamespace(valid_until_ms_of=lambda lease_id: ends.get(lease_id, 0)),
+        SimpleNamespace(has_shard=lambda service: True),
+        SimpleNamespace(),
+        SimpleNamespace(),
+        FakeClock(NOW_MS),
+        Metrics("me"),
+    )
+
+
+@pytest.mark.parametrize("lease_left_ms", [-1, 0, LEASE_MARGIN_MS - 1])
+def test_owner_whose_lease_ends_reports_no_worker_as_empty(lease_left_ms):
+    """Guards against a machine order that ends tasks: a successor may have started them
+    on a worker that this owner believes empty.
+    """
+    with pytest.raises(OwnershipLostError):
+        owner_with(lease_left_ms).report([], [])
+
+
+def test_owner_with_a_valid_lease_reports():
+    """Guards against a pool that is never resized."""
+    assert owner_with(LEASE_MARGIN_MS).report([], []).workers == ()
--- a/tests/test_unused_services.py
+++ b/tests/test_unused_services.py
@@ -311,6 +311,30 @@
     run(check)
 
 
+def test_job_written_by_an_instance_whose_view_is_behind_keeps_the_shard():
+    """Guards against a job that is accepted and has no owner: the instance that writes
+    it still sees the shard as open, while its owner has looked for jobs.
+    """
+
+    async def check(owner):
+        behind = ClusterView(owner.store, owner.clock)
+        behind.config = owner.view.config
+        behind.apply(owner.view.shard_item(SERVICE))
+        router = JobRouter("other", {}, behind, owner.store, None, owner.clock)
+
+        async def submit():
+            assert behind.shard_item(SERVICE).value == SHARD_OPEN
+            outcome = await router.submit(job(), owner.clock.now_ms + 1_000)
+            assert outcome.result is SubmitResult.ACCEPTED
+
+        owner.store.after_read = submit
+        await owner.retire()
+        assert job_key(SERVICE, job().job_id) in owner.store.items
+        assert owner.store.items[shard_key(SERVICE)].value == SHARD_OPEN
+
+    run(check)
+
+
 def test_job_written_after_its_shard_was_given_up_opens_it_again():
     """Guards against an accepted job of a service that no instance looks at."""
 
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -61,6 +61,26 @@
     assert rig.schedule() == []
 
 
+@pytest.mark.parametrize("polled", [1, NEXT_BORN_MS])
+def test_list_of_the_last_incarnation_disproves_no_run_of_the_next(polled):
+    """Guards against a run that is started twice: the answer to a poll comes from the
+    incarnation before, long after the run has started in the present one.
+    """
+    rig = IncarnationsRig()
+    for worker_id in ("w1", "w2"):
+        rig.list_workers(*(entry(w, born_ms=NEXT_BORN_MS) for w in ("w1", "w2")))
+        rig.poll(worker_id, born_ms=NEXT_BORN_MS)
+    rig.record_all()
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.now += 2 * limits.START_WINDOW_MS
+    rig.poll(start.worker_id, [running(start)], born_ms=NEXT_BORN_MS)
+    rig.now += limits.START_WINDOW_MS
+    rig.poll(start.worker_id, born_ms=1, polled=polled)
+    worker = rig.shard.workers[start.worker_id]
+    assert list(worker.runs) == [(start.name, start.run_id)]
+
+
 @pytest.mark.parametrize("is_answered", [False, True])
 def test_start_that_reached_the_next_incarnation_is_found_in_its_list(is_answered):
     """Guards against a second run of a task whose start was meant for a worker that had
@@ -362,3 +382,39 @@
     rig.now += ENDED_REPORT_MS + 1
     rig.shard.end_workers(["w1"], rig.now)
     assert not rig.shard.workers
+
+
+def test_old_list_does_not_bring_the_last_incarnation_back():
+    """Guards against a run that is started elsewhere although it goes on: a list from
+    before the restart of its worker is applied after a newer one.
+    """
+    rig = IncarnationsRig()
+    rig.list_next("w1")
+    rig.list_next("w2")
+    rig.list_workers(*(entry(w, born_ms=NEXT_BORN_MS) for w in ("w1", "w2")))
+    for worker_id in ("w1", "w2"):
+        rig.poll(worker_id, born_ms=NEXT_BORN_MS)
+    rig.record_all()
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.list_workers(entry("w1"), entry("w2"))
+    worker = rig.shard.workers[start.worker_id]
+    assert worker.entry.born_ms == NEXT_BORN_MS
+    assert worker.runs
+
+
+def test_late_answer_of_a_start_does_not_set_the_clock_of_the_next_incarnation():
+    """Guards against starts and leases by the clock of the last incarnation, which is
+    far ahead: their windows would bind nothing.
+    """
+    rig = IncarnationsRig()
+    start, _ = rig.start_one()
+    rig.list_next(start.worker_id)
+    rig.poll(start.worker_id, born_ms=NEXT_BORN_MS)
+    worker = rig.shard.workers[start.worker_id]
+    before_ms = worker.clock_now_ms(rig.now)
+    result = StartResult("ok", clock_ms=10**9)
+    rig.shard.step(
+        StartAnswered(rig.now, start.worker_id, 1, start.name, start.run_id, result)
+    )
+    assert worker.clock_now_ms(rig.now) == before_ms
--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -4,7 +4,7 @@
 from apricotgap.jobs.events import PollAnswered, PollFailed
 from apricotgap.jobs.limits import WORKER_LEASE_TAIL_MS
 from apricotgap.jobs.model import Resources, StepSpec
-from tests.jobs_harness import MAX_LEASE_MS, Rig, job, running
+from tests.jobs_harness import FAR_MS, MAX_LEASE_MS, Rig, job, running
 
 ONE_TASK = (StepSpec(1, Resources(1000, 100), 3_000),)
 
@@ -128,3 +128,29 @@
     rig.poll("w2")
     (again,) = rig.schedule()
     assert (again.worker_id, again.name) == ("w2", start.name)
+
+
+def test_one_unsent_poll_does_not_extend_the_lease():
+    """Guards against a task that is away for a lease too long: its worker was lost, and
+    a poll that never left counts as its last renewal.
+    """
+    rig = Rig().ready()
+    worker = rig.shard.workers["w1"]
+    rig.poll()
+    before_ms = worker.lease_until_ms
+    rig.now += 1_000
+    assert rig.shard.offer_lease(worker, rig.now, FAR_MS)
+    failed = PollFailed(rig.now, "w1", 1, "no connection", was_sent=False)
+    rig.shard.step(failed)
+    assert worker.lease_until_ms == before_ms
+
+
+def test_one_poll_without_an_answer_may_have_extended_the_lease():
+    """Guards against a task that runs twice: the worker has taken the poll."""
+    rig = Rig().ready()
+    worker = rig.shard.workers["w1"]
+    rig.poll()
+    rig.now += 1_000
+    rig.shard.offer_lease(worker, rig.now, FAR_MS)
+    rig.shard.step(PollFailed(rig.now, "w1", 1, "timeout"))
+    assert worker.lease_until_ms == worker.lease_bound_ms(rig.now, MAX_LEASE_MS)
