--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -10,6 +10,7 @@
     StartResult,
     StopAnswered,
 )
+from apricotgap.jobs.fleet_orders import ENDED_REPORT_MS
 from apricotgap.jobs.model import JobPhase, Resources, StepSpec
 from tests.jobs_harness import MAX_LEASE_MS, Rig, ended, entry, job, running
 
@@ -65,6 +66,26 @@
     assert rig.schedule() == []
 
 
+@pytest.mark.parametrize("polled", [1, NEXT_BORN_MS])
+def test_list_of_the_last_incarnation_disproves_no_run_of_the_next(polled):
+    """Guards against a run that is started twice: the answer to a poll comes from the
+    incarnation before, long after the run has started in the present one.
+    """
+    rig = IncarnationsRig()
+    for worker_id in ("w1", "w2"):
+        rig.list_workers(*(entry(w, born_ms=NEXT_BORN_MS) for w in ("w1", "w2")))
+        rig.poll(worker_id, born_ms=NEXT_BORN_MS)
+    rig.record_all()
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.now += 2 * limits.START_WINDOW_MS
+    rig.poll(start.worker_id, [running(start)], born_ms=NEXT_BORN_MS)
+    rig.now += limits.START_WINDOW_MS
+    rig.poll(start.worker_id, born_ms=1, polled=polled)
+    worker = rig.shard.workers[start.worker_id]
+    assert list(worker.runs) == [(start.name, start.run_id)]
+
+
 @pytest.mark.parametrize("is_answered", [False, True])
 def test_start_that_reached_the_next_incarnation_is_found_in_its_list(is_answered):
     """Guards against a second run of a task whose start was meant for a worker that had
@@ -366,3 +387,65 @@
     rig.ready()
     rig.submit(job(steps=ONE_TASK))
     assert rig.schedule() == []
+
+
+@pytest.mark.parametrize("is_reported_first", [True, False])
+def test_report_of_an_ended_worker_spares_its_next_incarnation(is_reported_first):
+    """Guards against a task that runs twice, and a worker that gets no more work: the
+    list of machines is late, so that the worker of an order is reported as ended while
+    the next one runs tasks under its id.
+    """
+    rig = Rig(workers=("w1",)).ready()
+    if is_reported_first:
+        rig.shard.end_workers(["w1"], rig.now)
+        assert not rig.shard.workers
+    rig.list_workers(entry("w1", born_ms=NEXT_BORN_MS))
+    rig.record_all()
+    rig.poll("w1", born_ms=NEXT_BORN_MS)
+    rig.submit(job(steps=ONE_TASK))
+    (start,) = rig.schedule()
+    rig.answer(start)
+    for _ in range(30):
+        rig.now += 300
+        rig.poll("w1", [running(start)], born_ms=NEXT_BORN_MS)
+        assert rig.shard.end_workers(["w1"], rig.now) == []
+        assert rig.shard.workers["w1"].runs
+    rig.now += ENDED_REPORT_MS + 1
+    rig.shard.end_workers(["w1"], rig.now)
+    assert not rig.shard.workers
+
+
+def test_old_list_does_not_bring_the_last_incarnation_back():
+    """Guards against a run that is started elsewhere although it goes on: a list from
+    before the restart of its worker is applied after a newer one.
+    """
+    rig = IncarnationsRig()
+    rig.list_next("w1")
+    rig.list_next("w2")
+    rig.list_workers(*(entry(w, born_ms=NEXT_BORN_MS) for w in ("w1", "w2")))
+    for worker_id in ("w1", "w2"):
+        rig.poll(worker_id, born_ms=NEXT_BORN_MS)
+    rig.record_all()
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.list_workers(entry("w1"), entry("w2"))
+    worker = rig.shard.workers[start.worker_id]
+    assert worker.entry.born_ms == NEXT_BORN_MS
+    assert worker.runs
+
+
+def test_late_answer_of_a_start_does_not_set_the_clock_of_the_next_incarnation():
+    """Guards against starts and leases by the clock of the last incarnation, which is
+    far ahead: their windows would bind nothing.
+    """
+    rig = IncarnationsRig()
+    start, _ = rig.start_one()
+    rig.list_next(start.worker_id)
+    rig.poll(start.worker_id, born_ms=NEXT_BORN_MS)
+    worker = rig.shard.workers[start.worker_id]
+    before_ms = worker.clock_now_ms(rig.now)
+    result = StartResult("ok", clock_ms=10**9)
+    rig.shard.step(
+        StartAnswered(rig.now, start.worker_id, 1, start.name, start.run_id, result)
+    )
+    assert worker.clock_now_ms(rig.now) == before_ms
