--- a/proof/fake_store.py
+++ b/proof/fake_store.py
@@ -5,14 +5,11 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from apricotgap.core import effects as fx
 from apricotgap.core import events as ev
 from apricotgap.core.limits import CAS_TIMEOUT_MS
-
-if TYPE_CHECKING:
-    from proof.harness import Schedule
+from proof.schedule import Schedule
 
 __all__ = ["FakeStore"]
 
--- a/proof/fake_worker.py
+++ b/proof/fake_worker.py
@@ -4,14 +4,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from apricotgap.core import effects as fx
 from apricotgap.core import events as ev
 from apricotgap.core.events import TaskRefusal, TaskState
-
-if TYPE_CHECKING:
-    from proof.harness import Schedule
+from proof.schedule import Schedule
 
 __all__ = ["FakeWorker", "Run"]
 
