--- a/proof/allotments.py
+++ b/proof/allotments.py
@@ -1,11 +1,11 @@
 """Specification of upper limits with faults."""
 
-from collections.abc import Hashable, Iterator
-from typing import ClassVar, NamedTuple, cast
+from collections.abc import Iterator
+from typing import ClassVar
 
-from proof import allotment_documents as documents
 from proof.allotment_documents import NO_ROW, Cell, Fleet, Rows
-from proof.checker import Specification
+from proof.allotment_steps import AllotmentSpecification
+from proof.allotment_world import Entry, World
 
 __all__ = [
     "AllotmentHolders",
@@ -14,377 +14,8 @@
     "AllotmentLimits",
 ]
 
-FLEET = "fleet"
 
-
-class Write(NamedTuple):
-    """A compare-and-swap under way; `landed` is None while it may still land."""
-
-    key: str
-    document: Rows | Fleet
-    row: Cell | None
-    landed: bool | None = None
-    renews: bool = False
-
-
-class Entry(NamedTuple):
-    """What one incarnation knows and runs."""
-
-    holder: str
-    data_centre: str
-    view: int = 0
-    lease: str = "valid"
-    confirmed: bool = True
-    row: Cell = NO_ROW
-    lost: tuple[Cell, ...] = ()
-    cap: Cell = NO_ROW
-    share: Cell = NO_ROW
-    write: Write | None = None
-    n_dispatched: int = 0
-    n_running: int = 0
-
-    @property
-    def load(self) -> int:
-        """Tasks that run or may still start."""
-        return self.n_dispatched + self.n_running
-
-
-class World(NamedTuple):
-    """Store, entries and what may still go wrong."""
-
-    fleet: Fleet
-    rows: tuple[tuple[str, Rows], ...]
-    entries: tuple[Entry, ...]
-    limits: tuple[int, ...]
-    bound: int
-    proven: tuple[str, ...] = ()
-    late: tuple[tuple[str, Write], ...] = ()
-    n_lost: int = 0
-    n_lapses: int = 0
-    n_restarts: int = 0
-    n_raises: int = 0
-
-
-Step = tuple[str, World]
-
-
-class _Allotments(Specification):
-    invariants = (
-        "I5: no team runs more than its upper limit",
-        "the shares, caps and rows of a team fit into each other",
-    )
-
-    def steps(self, state: Hashable) -> Iterator[Step]:
-        """Return what can happen next."""
-        world = cast(World, state)
-        yield from _late_writes(world)
-        yield from self._configuration(world)
-        for i, entry in enumerate(world.entries):
-            if entry.write is not None:
-                yield from self._settle(world, i, entry, entry.write)
-            if not self.moves_caps:
-                yield from self._tasks(world, i, entry)
-            yield from self._lease(world, i, entry)
-            if entry.lease == "valid":
-                yield from self._views(world, i, entry)
-                if entry.write is None:
-                    yield from self._writes(world, i, entry)
-
-    def violated(self, state: Hashable) -> str | None:
-        """Return the invariant that a state breaks."""
-        world = cast(World, state)
-        if sum(entry.load for entry in world.entries) > world.bound:
-            return self.invariants[0]
-        for data_centre, rows in world.rows:
-            if not documents.sound(world.fleet, data_centre, rows):
-                return self.invariants[1]
-        return None
-
-    def _configuration(self, world: World) -> Iterator[Step]:
-        limits = world.limits
-        if len(limits) > 1:
-            bound = max(world.bound, limits[1])
-            entries = tuple(e._replace(view=e.view + 1) for e in world.entries)
-            changed = world._replace(limits=limits[1:], bound=bound, entries=entries)
-            yield f"limit becomes {limits[1]}", changed
-        if world.bound > limits[0] and self._in_force(world):
-            yield "limit in force", world._replace(bound=limits[0])
-
-    def _in_force(self, world: World) -> bool:
-        load = sum(entry.load for entry in world.entries)
-        return load <= world.limits[0] and all(
-            (entry.view == 0 or entry.lease != "valid")
-            and (entry.load <= self._usable(entry, world.limits[0]) or not entry.load)
-            for entry in world.entries
-        )
-
-    def _limit(self, world: World, entry: Entry) -> int:
-        if entry.view == 0:
-            return world.limits[0]
-        return self.history[len(self.history) - len(world.limits) - entry.view]
-
-    history: ClassVar[tuple[int, ...]] = (2,)
-    moves_caps: ClassVar[bool] = False
-    delays_starts: ClassVar[bool] = False
-
-    def _usable(self, entry: Entry, limit: int) -> int:
-        rows = [entry.row, *entry.lost]
-        write = entry.write
-        if write is not None and write.row is not None:
-            rows.append(write.row)
-        if not self.guarded("scale with the limit"):
-            return min(row.n for row in rows)
-        if not self.guarded("use a raise once stored"):
-            return max(row.usable(limit) for row in rows)
-        return min(row.usable(limit) for row in rows)
-
-    def _tasks(self, world: World, i: int, entry: Entry) -> Iterator[Step]:
-        who = entry.holder
-        checks = entry.lease == "valid" or (
-            entry.lease == "lapsed" and not self.guarded("check the own lease")
-        )
-        usable = self._usable(entry, self._limit(world, entry))
-        if checks and entry.confirmed and entry.load < usable:
-            if self.delays_starts:
-                started = entry._replace(n_dispatched=entry.n_dispatched + 1)
-            else:
-                started = entry._replace(n_running=entry.n_running + 1)
-            yield f"{who} dispatches", _put(world, i, started)
-        if entry.n_dispatched:
-            started = entry._replace(
-                n_dispatched=entry.n_dispatched - 1, n_running=entry.n_running + 1
-            )
-            yield f"a task of {who} starts", _put(world, i, started)
-        if entry.n_running:
-            ended = entry._replace(n_running=entry.n_running - 1)
-            yield f"a task of {who} ends", _put(world, i, ended)
-
-    def _lease(self, world: World, i: int, entry: Entry) -> Iterator[Step]:
-        who = entry.holder
-        if entry.lease == "valid" and world.n_lapses:
-            lapsed = entry._replace(lease="lapsed")
-            yield (
-                f"{who} pauses past its lease",
-                _put(world, i, lapsed)._replace(n_lapses=world.n_lapses - 1),
-            )
-        if entry.lease == "valid" and world.n_restarts:
-            yield f"{who} restarts", self._restart(world, i, entry)
-        if entry.lease in ("lapsed", "dead") and who not in world.proven:
-            yield f"{who} is proven gone", self._prove(world, i, entry)
-        if entry.lease == "lapsed":
-            confirmed = not self.guarded("read after a lapse")
-            newest = self.guarded("newest configuration after a lapse")
-            view = 0 if newest else entry.view
-            back = entry._replace(lease="valid", confirmed=confirmed, view=view)
-            yield f"{who} resumes", _put(world, i, back)
-
-    def _prove(self, world: World, i: int, entry: Entry) -> World:
-        """Pass the grace time, after which deadlines and task leases are over."""
-        if self.guarded("start deadline"):
-            entry = entry._replace(n_dispatched=0)
-        if self.guarded("renew tasks only under a lease"):
-            entry = entry._replace(n_running=0)
-        proven = tuple(sorted({*world.proven, entry.holder}))
-        return _put(world, i, entry)._replace(proven=proven)
-
-    def _restart(self, world: World, i: int, entry: Entry) -> World:
-        fresh = Entry(entry.holder + "'", entry.data_centre)
-        if not self.guarded("new incarnation starts empty"):
-            fresh = fresh._replace(row=entry.row)
-        world = _put(world, i, entry._replace(lease="dead", view=0))
-        return world._replace(
-            entries=(*world.entries, fresh), n_restarts=world.n_restarts - 1
-        )
-
-    def _views(self, world: World, i: int, entry: Entry) -> Iterator[Step]:
-        who = entry.holder
-        if entry.view:
-            seen = entry._replace(view=entry.view - 1)
-            yield f"{who} sees the configuration", _put(world, i, seen)
-        share = documents.share_of(world.fleet, entry.data_centre)
-        if share != entry.share:
-            yield f"{who} reads the shares", _put(world, i, entry._replace(share=share))
-        if entry.write is None:
-            yield f"{who} reads its rows", _put(world, i, self._read(world, entry))
-
-    def _read(self, world: World, entry: Entry) -> Entry:
-        rows = dict(world.rows)[entry.data_centre]
-        pending = tuple(
-            write.row
-            for holder, write in world.late
-            if holder == entry.holder and write.row is not None
-        )
-        lost = pending if self.guarded("count a lost write until it is over") else ()
-        row = documents.row_of(rows, entry.holder)
-        gone = entry.holder in world.proven and row.n
-        confirmed = (
-            entry.confirmed or not gone or not self.guarded("renew after a lapse")
-        )
-        return entry._replace(row=row, cap=rows.cap, lost=lost, confirmed=confirmed)
-
-    def _settle(
-        self, world: World, i: int, entry: Entry, write: Write
-    ) -> Iterator[Step]:
-        who = entry.holder
-        if write.landed is None:
-            yield f"the write of {who} lands", _land(world, i, write)
-        elif entry.lease == "valid":
-            answered = entry._replace(write=None)
-            if write.landed and write.key != FLEET and write.row is not None:
-                rows = cast(Rows, write.document)
-                answered = answered._replace(row=write.row, cap=rows.cap)
-                if write.renews:
-                    answered = answered._replace(confirmed=True)
-            elif write.landed:
-                share = documents.share_of(
-                    cast(Fleet, write.document), entry.data_centre
-                )
-                answered = answered._replace(share=share)
-            else:
-                answered = self._read(world, answered)
-            yield f"{who} hears of its write", _put(world, i, answered)
-        if world.n_lost:
-            row = (write.row,) if write.row is not None else ()
-            unsure = entry._replace(write=None, lost=(*entry.lost, *row))
-            late = world.late
-            if write.landed is None:
-                late = tuple(sorted((*late, (who, write)), key=repr))
-            yield (
-                f"the answer to {who} is lost",
-                _put(world, i, unsure)._replace(late=late, n_lost=world.n_lost - 1),
-            )
-
-    def _writes(self, world: World, i: int, entry: Entry) -> Iterator[Step]:
-        rows = dict(world.rows)[entry.data_centre]
-        limit = self._limit(world, entry)
-        for label, key, after in (
-            *self._row_writes(world, entry, rows, limit),
-            *(self._cap_writes(entry, rows, limit) if self.moves_caps else ()),
-            *(self._share_writes(world, entry, rows, limit) if self.moves_caps else ()),
-        ):
-            before = world.fleet if key == FLEET else rows
-            if after == before:
-                continue
-            renews = label == "renews its row"
-            row = None
-            if key != FLEET:
-                row = documents.row_of(cast(Rows, after), entry.holder)
-            write = Write(key, after, row, renews=renews)
-            sent = _put(world, i, entry._replace(write=write))
-            if label == "raises the share":
-                sent = sent._replace(n_raises=world.n_raises - 1)
-            yield f"{entry.holder} {label}", sent
-
-    def _row_writes(
-        self, world: World, entry: Entry, rows: Rows, limit: int
-    ) -> Iterator[tuple[str, str, Rows]]:
-        key, who = entry.data_centre, entry.holder
-        if not entry.confirmed:
-            if dict(rows.rows).get(who) is not None:
-                yield "renews its row", key, documents.renew(rows, who)
-            return
-        counted = self.guarded("keep a row above the running tasks")
-        n_kept = entry.load if counted else 0
-        if self.guarded("take only what is free"):
-            yield "takes", key, documents.take_unit(rows, who, limit, n_kept)
-        else:
-            grown = documents.row_of(rows, who)._replace(
-                n=documents.row_of(rows, who).usable(limit) + 1,
-                basis=limit,
-            )
-            if grown.n <= limit:
-                after = {**dict(rows.rows), who: grown}
-                yield "takes", key, Rows(rows.cap, tuple(sorted(after.items())))
-        if documents.row_of(rows, who).n:
-            yield "returns", key, documents.return_unit(rows, who, limit, n_kept)
-        for holder, _ in rows.rows:
-            other = next(e for e in world.entries if e.holder == holder)
-            proven = holder in world.proven
-            if not self.guarded("reclaim on proof"):
-                proven = other.lease in ("lapsed", "dead")
-            if proven and holder != who:
-                yield f"reclaims {holder}", key, documents.reclaim(rows, holder)
-
-    def _cap_writes(
-        self, entry: Entry, rows: Rows, limit: int
-    ) -> Iterator[tuple[str, str, Rows]]:
-        if not entry.confirmed:
-            return
-        key, share = entry.data_centre, entry.share
-        if not self.guarded("use a raise once"):
-            share = share._replace(generation=max(99, rows.cap.generation + 1))
-            after = documents.raise_cap(rows, share)
-            cap = after.cap._replace(generation=entry.share.generation)
-            yield "raises the cap", key, after._replace(cap=cap)
-        else:
-            yield "raises the cap", key, documents.raise_cap(rows, share)
-        if not self.guarded("raise the share before the cap"):
-            higher = Cell(min(limit, rows.cap.usable(limit) + 1), limit, generation=9)
-            if rows.cap.generation < 9:
-                yield "raises the cap early", key, documents.raise_cap(rows, higher)
-        generation = entry.share.generation
-        yield "lowers the cap", key, documents.lower_cap(rows, limit, generation)
-
-    def _share_writes(
-        self, world: World, entry: Entry, rows: Rows, limit: int
-    ) -> Iterator[tuple[str, str, Fleet]]:
-        if not entry.confirmed:
-            return
-        if world.n_raises:
-            raised = documents.raise_share(world.fleet, entry.data_centre, limit)
-            yield "raises the share", FLEET, raised
-        cap = entry.cap
-        if not self.guarded("lower the cap before the share"):
-            generation = max(cap.generation, entry.share.generation)
-            cap = Cell(max(0, cap.n - 1), cap.basis, generation=generation)
-        lowered = documents.lower_share(world.fleet, entry.data_centre, cap)
-        yield "lowers the share", FLEET, lowered
-
-
-def _put(world: World, i: int, entry: Entry) -> World:
-    entries = world.entries
-    return world._replace(entries=(*entries[:i], entry, *entries[i + 1 :]))
-
-
-def _land(world: World, i: int, write: Write) -> World:
-    entry = world.entries[i]
-    world = _put(world, i, entry._replace(write=write._replace(landed=True)))
-    return _store(world, write, entry.holder)
-
-
-def _store(world: World, write: Write, holder: str) -> World:
-    """Store a document; every other write that expected the old one fails.
-
-    A change of its row starts the proof that a holder is gone again.
-    """
-    if write.key != FLEET and write.row != documents.row_of(
-        dict(world.rows)[write.key], holder
-    ):
-        proven = tuple(name for name in world.proven if name != holder)
-        world = world._replace(proven=proven)
-    if write.key == FLEET:
-        world = world._replace(fleet=cast(Fleet, write.document))
-    else:
-        rows = {**dict(world.rows), write.key: cast(Rows, write.document)}
-        world = world._replace(rows=tuple(sorted(rows.items())))
-    entries = tuple(
-        entry._replace(write=entry.write._replace(landed=False))
-        if entry.write is not None
-        and entry.write.key == write.key
-        and entry.write.landed is None
-        else entry
-        for entry in world.entries
-    )
-    late = tuple(item for item in world.late if item[1].key != write.key)
-    return world._replace(entries=entries, late=late)
-
-
-def _late_writes(world: World) -> Iterator[Step]:
-    for holder, write in world.late:
-        yield f"the lost write of {holder} lands", _store(world, write, holder)
-
-
-class AllotmentLevels(_Allotments):
+class AllotmentLevels(AllotmentSpecification):
     """Shares and caps of two data centres; every row runs what it holds."""
 
     name = "allotments, shares and caps"
@@ -425,7 +56,7 @@
     return World(Fleet(1, (("x", cap),)), rows, entries, (2,), 2)
 
 
-class AllotmentLimits(_Allotments):
+class AllotmentLimits(AllotmentSpecification):
     """Rows of one data centre while the limit changes."""
 
     name = "allotments, limit changes"
@@ -445,7 +76,7 @@
         yield _one_data_centre()._replace(limits=(1, 2), n_lost=1, bound=2)
 
 
-class AllotmentHolders(_Allotments):
+class AllotmentHolders(AllotmentSpecification):
     """Rows of one data centre while holders pause, restart and are reclaimed."""
 
     name = "allotments, gone holders"
@@ -474,7 +105,7 @@
         yield world._replace(entries=world.entries[:1], n_lapses=1, limits=(2, 1))
 
 
-class AllotmentLateWrites(_Allotments):
+class AllotmentLateWrites(AllotmentSpecification):
     """Lost writes that take effect around a pause and a reclaim."""
 
     name = "allotments, late writes"
