--- a/tests/shard_world.py
+++ b/tests/shard_world.py
@@ -9,6 +9,7 @@
 import random
 from dataclasses import dataclass, field
 
+from apricotgap.jobs import limits
 from apricotgap.jobs.effects import StartRun, StopRun
 from apricotgap.jobs.events import (
     EndReport,
@@ -424,7 +425,8 @@
             return
         listed = tuple(RunReport(*key, "", 50, 0.0) for key in worker.running)
         clock_ms = worker.clock(self.now)
-        reply((born_ms, clock_ms, listed, tuple(worker.ends)))
+        ends = tuple(worker.ends[: limits.MAX_LISTED_ENDS])
+        reply((born_ms, clock_ms, listed, ends))
 
     def crash(self, worker_id, down_ms):
         """End a worker; it is back under its id, and listed some time later."""
--- a/tests/test_shard_sequences.py
+++ b/tests/test_shard_sequences.py
@@ -4,12 +4,15 @@
 
 import pytest
 
+from apricotgap.jobs import limits
 from tests.shard_world import World
 
 # More seeds by hand: SHARD_SEEDS=2000 python -m pytest tests/test_shard_sequences.py
 N_SEEDS = int(os.environ.get("SHARD_SEEDS", "25"))
 N_JOBS = 40
 SETTLE_MS = 30_000
+# In lists as short as this each day has ends that are not listed yet.
+N_LISTED_ENDS = 5
 
 
 def play(seed, trouble):
@@ -58,3 +61,13 @@
 def test_no_task_runs_twice_and_each_job_ends(trouble, seed):
     """Guards against tasks that run twice, and jobs that never end or fail untrue."""
     assert play(seed, trouble)[:3] == []
+
+
+@pytest.mark.parametrize("seed", range(max(1, N_SEEDS // 5)))
+@pytest.mark.parametrize("trouble", [nothing, both])
+def test_each_job_ends_beside_lists_full_of_ends(monkeypatch, trouble, seed):
+    """Guards against workers whose lists stay full, so that nothing is proved gone and
+    nothing is acknowledged.
+    """
+    monkeypatch.setattr(limits, "MAX_LISTED_ENDS", N_LISTED_ENDS)
+    assert play(seed, trouble)[:3] == []
