Let suspect workers take several members of a gang

A suspect worker took one member of a gang at most. In a pool whose workers are all suspect, with fewer of them than the gang has members, the gang never started, although the pool was empty: no other job was there to clear a worker. The test failed before.

--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -258,14 +258,9 @@
     ) -> bool:
         """Whether a worker fits one more task beside the gang members placed on it."""
         n_placed = len(placed.get(worker.worker_id, ())) if placed else 0
-        if n_placed:
-            if worker.suspect_since_ms is not None:
-                return False
-            required = step.allocation
-            for _ in range(n_placed):
-                required = required + step.allocation
-            if not required.fits(worker.free):
-                return False
+        # A suspect worker takes several members too: they end together, as one trial.
+        if n_placed and not step.allocation.times(n_placed + 1).fits(worker.free):
+            return False
         if not step.max_per_worker:
             return True
         return self._n_of_step(worker, name) + n_placed < step.max_per_worker
--- a/tests/test_suspect_workers.py
+++ b/tests/test_suspect_workers.py
@@ -115,3 +115,19 @@
     world.play(30_000)
     world.check_jobs()
     assert world.broken[:3] == []
+
+
+def test_gang_starts_on_suspect_workers_that_must_take_several_members():
+    """Guards against a gang that never starts in an empty pool: all workers are
+    suspect and would have to take several members, and no other job clears them.
+    """
+    rig = SuspectRig()
+    rig.submit(job(steps=(StepSpec(3, SIZE, 400, is_gang=True),)))
+    assert rig.schedule() == []
+    rig.wait(limits.PROBATION_MS + 100)
+    starts = rig.schedule()
+    assert len(starts) == 3
+    for start in starts:
+        rig.answer(start)
+    rig.end(starts[0], RunEnd.DONE)
+    assert rig.shard.workers["w1"].suspect_since_ms is None
