Name the wait of a gang that others' kept workers leave too little room

A gang whose members fit only with workers that are kept for another gang was logged as next_pass, as if nothing kept it from a start. The first case of the test shows the number of kept workers too; the second one failed before.

--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -193,7 +193,7 @@
     name = "no_room"
 
     def inputs(self, case: WaitCase) -> dict[str, Any] | None:
-        if case.roomy and not self._lacks_gang_room(case):
+        if _has_room(case, case.roomy):
             return None
         allocation = case.step.allocation
         free = [worker.free for worker in case.accepting]
@@ -207,20 +207,6 @@
             "obstacles": case.obstacles(),
         }
 
-    @staticmethod
-    def _lacks_gang_room(case: WaitCase) -> bool:
-        if not case.step.is_gang:
-            return False
-        allocation = case.step.allocation
-        n_places = 0
-        for worker in case.roomy:
-            free = worker.free - allocation
-            n_places += 1
-            while n_places < case.step.n_tasks and allocation.fits(free):
-                free = free - allocation
-                n_places += 1
-        return n_places < case.step.n_tasks
-
 
 class MissingLabel(WaitReason):
     """No worker with room has the required label."""
@@ -246,15 +232,16 @@
 
 
 class KeptForGang(WaitReason):
-    """All workers with room are left to a gang that has waited for longer."""
+    """Workers are left to a gang that has waited for longer; others lack room."""
 
     name = "kept_for_gang"
 
     def inputs(self, case: WaitCase) -> dict[str, Any] | None:
         kept = case.shard.kept_workers
-        if not all(worker.worker_id in kept for worker in case.candidates):
+        others = [w for w in case.candidates if w.worker_id not in kept]
+        if not kept or _has_room(case, others):
             return None
-        return {"n_with_room": len(case.candidates)}
+        return {"n_with_room": len(case.candidates), "n_kept": len(kept)}
 
 
 class NoFreshAnswer(WaitReason):
@@ -357,6 +344,20 @@
 )
 
 
+def _has_room(case: WaitCase, workers: list[Worker]) -> bool:
+    """Whether workers with room for a task have room for all members of a gang."""
+    if not case.step.is_gang:
+        return bool(workers)
+    allocation = case.step.allocation
+    n_places = 0
+    for worker in workers:
+        free = worker.free
+        while n_places < case.step.n_tasks and allocation.fits(free):
+            free = free - allocation
+            n_places += 1
+    return n_places >= case.step.n_tasks
+
+
 def explain_wait(case: WaitCase) -> Wait:
     """Return the first reason that explains the wait of a step."""
     for reason in REASONS:
--- a/tests/test_job_waits.py
+++ b/tests/test_job_waits.py
@@ -185,7 +185,24 @@
     rig.now += KEEP_MS
     rig.poll(running=[running(start, 1)])
     rig.submit(job())
-    return rig, {"n_with_room": 1}
+    return rig, {"n_with_room": 1, "n_kept": 1}
+
+
+def kept_for_gang_for_a_gang():
+    """The worker that is not kept has room for some members only."""
+    occupied = StepSpec(2, Resources(5_000, 100), 60_000)
+    rig = ready_rig(occupied, job_id="a" * 16, workers=("w1", "w2"))
+    starts = rig.schedule()
+    for start in starts:
+        rig.answer(start)
+    first = StepSpec(1, Resources(8_000, 100), 400, is_gang=True)
+    rig.submit(job("b" * 16, (first,)))
+    rig.schedule()
+    rig.now += KEEP_MS
+    for start in starts:
+        rig.poll(start.worker_id, running=[running(start, 1)])
+    rig.submit(job(steps=(StepSpec(4, Resources(1_000, 100), 800, is_gang=True),)))
+    return rig, {"n_with_room": 2, "n_kept": 1}
 
 
 def no_fresh_answer():
@@ -252,6 +269,7 @@
     (missing_label, (0, 0), 100),
     (workers_on_trial, (0, 0), 100),
     (kept_for_gang, (0, 0), 100),
+    (kept_for_gang_for_a_gang, (0, 0), 100),
     (no_fresh_answer, (0, 0), 100),
     (no_fresh_answer_of_a_better_worker, (0, 0), 100),
     (worker_share, (0, 0), 100),
