Specify tenures and elections, tied to the product's code

No specification had the leases of owners and of the workers behind them in time, late renewals, the mark of a tenure, or a stop during a claim.

`tenures` asks the product for each lease, bound and wait; `elections` plays the product's own claims and renewals against a store whose answers come late or not at all. The checker also finds states from which a shard never gets an owner again.

--- a/proof/checker.py
+++ b/proof/checker.py
@@ -15,6 +15,9 @@
     is the specification with one guard removed. States must be immutable, and their
     number finite.
 
+    With a `goal`, each state must also lead to one in which the goal is `reached`, by
+    steps that are no faults.
+
     Parameters
     ----------
     without : str or None
@@ -25,6 +28,7 @@
     bounds: ClassVar[str]
     invariants: ClassVar[tuple[str, ...]]
     guards: ClassVar[dict[str, str]]
+    goal: ClassVar[str | None] = None
 
     def __init__(self, without: str | None = None) -> None:
         if without is not None and without not in self.guards:
@@ -47,6 +51,14 @@
     def violated(self, state: Hashable) -> str | None:
         """Return the invariant that a state breaks, None if there is none."""
 
+    def reached(self, state: Hashable) -> bool:
+        """Return whether the goal is reached in a state."""
+        return True
+
+    def is_fault(self, label: str) -> bool:
+        """Return whether a step is one on which the goal must not rely."""
+        return False
+
 
 @dataclass(frozen=True, slots=True)
 class Result:
@@ -78,10 +90,13 @@
         if broken is not None:
             return Result(len(came_from), 0, broken)
     depth = 0
+    before: dict[Hashable, list[Hashable]] = {}
     while level:
         following = []
         for state in level:
             for label, after in specification.steps(state):
+                if specification.goal and not specification.is_fault(label):
+                    before.setdefault(after, []).append(state)
                 if after in came_from:
                     continue
                 came_from[after] = (state, label)
@@ -92,9 +107,30 @@
                 following.append(after)
         level = following
         depth += bool(level)
+    if specification.goal:
+        stuck = _first_stuck(specification, came_from, before)
+        if stuck is not None:
+            trace = _trace(came_from, stuck)
+            return Result(len(came_from), len(trace), specification.goal, trace)
     return Result(len(came_from), depth)
 
 
+def _first_stuck(
+    specification: Specification,
+    states: Iterable[Hashable],
+    before: dict[Hashable, list[Hashable]],
+) -> Hashable | None:
+    """Return the first state from which no steps lead to the goal."""
+    leading = {state for state in states if specification.reached(state)}
+    pending = list(leading)
+    while pending:
+        for state in before.get(pending.pop(), ()):
+            if state not in leading:
+                leading.add(state)
+                pending.append(state)
+    return next((state for state in states if state not in leading), None)
+
+
 def _trace(
     came_from: dict[Hashable, tuple[Hashable, str] | None], state: Hashable
 ) -> tuple[str, ...]:
--- a/proof/model_check.py
+++ b/proof/model_check.py
@@ -1,8 +1,10 @@
 """Checks every specification and every mutant of it."""
 
+import logging
 import time
 
 import click
+import structlog
 
 from proof.acknowledgements import Acknowledgements
 from proof.allotments import (
@@ -14,9 +16,11 @@
 from proof.checker import Result, Specification, explore
 from proof.claims import Claims
 from proof.configuration import ConfigurationView
+from proof.elections import Elections
 from proof.incarnations import Incarnations
 from proof.runs import Runs
 from proof.service_shards import ServiceShards
+from proof.tenures import Tenures
 from proof.waves import WaveGrants
 
 __all__ = ["main"]
@@ -29,9 +33,11 @@
     AllotmentLevels,
     Claims,
     ConfigurationView,
+    Elections,
     Incarnations,
     Runs,
     ServiceShards,
+    Tenures,
     WaveGrants,
 )
 
@@ -48,6 +54,8 @@
     click.echo(f"\n{specification.name}: {specification.bounds}")
     for invariant in specification.invariants:
         click.echo(f"  invariant  {invariant}")
+    if specification.goal is not None:
+        click.echo(f"  goal       {specification.goal}")
     verdict = "holds" if result.violation is None else f"VIOLATED {result.violation}"
     click.echo(f"  states {result.n_states}, depth {result.depth}: {verdict}")
     if result.violation is not None:
@@ -70,6 +78,10 @@
 @click.option("--only", default="", help="Check specifications whose name has this.")
 def main(trace: bool, only: str) -> None:
     """Check the core protocol exhaustively within the stated bounds."""
+    # Classes of the product that a specification plays write no log lines.
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
     chosen = [spec for spec in SPECIFICATIONS if only in spec.name]
     if not chosen:
         raise click.UsageError(f"no specification is named {only!r}")
