--- a/tests/shard_days.py
+++ b/tests/shard_days.py
@@ -17,7 +17,9 @@
 from apricotgap.jobs.team_limits import TeamLimits
 from tests.jobs_harness import MAX_LEASE_MS, SERVICE, configuration, entry, job
 from tests.shard_walker import Walker
-from tests.shard_world import N_PLACES, STOP_MS, SimWorker, World
+from tests.shard_world import World
+from tests.sim_worker import SimWorker
+from tests.worker_pool import N_PLACES, STOP_MS
 
 TASK_SIZE = Resources(1000, 100)
 OTHER_SERVICE = "mill"
--- a/tests/shard_takeovers.py
+++ b/tests/shard_takeovers.py
@@ -6,7 +6,8 @@
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.shard import Shard
 from tests.jobs_harness import MAX_LEASE_MS, SERVICE, configuration, job
-from tests.shard_world import OWNER_LEASE_MS, STOP_MS, World
+from tests.shard_world import OWNER_LEASE_MS, World
+from tests.worker_pool import STOP_MS
 
 # A successor is elected at most this long after the lease of the owner has ended.
 MAX_ELECTION_MS = 1_500
