--- /dev/null
+++ b/tests/test_owner_days.py
@@ -0,0 +1,55 @@
+"""Seeded days of a service whose instances, workers and store are in trouble at once.
+
+The owners are the product's own; an observer that asks none of them checks that an
+accepted job ends once and whole, that no task runs twice or without a permission, that
+tasks that last are at work again in time and that cancelled jobs end.
+"""
+
+import os
+
+import pytest
+import trio
+
+from tests.day_troubles import DAY_MS, Trouble
+from tests.owner_world import play_day
+
+# More seeds by hand: DAY_SEEDS=500 python -m pytest tests/test_owner_days.py
+N_SEEDS = int(os.environ.get("DAY_SEEDS", "1"))
+N_JOBS = 24
+N_KINDS = 4
+SETTLE_S = 24
+
+
+def play(seed, *kinds):
+    """Play a day with some kinds of trouble, four that are drawn without any."""
+
+    async def day(world):
+        rng = world.rng
+        names = kinds or rng.sample(sorted(Trouble.registry), N_KINDS)
+        world.has_late_calls = "late_answers" in names or rng.random() < 0.5
+        world.submit(3, lasts=True)
+        await trio.sleep(1)
+        for name in names:
+            Trouble.registry[name].plan(world)
+        for _ in range(N_JOBS):
+            world.submit(rng.randint(1, 3), lasts=rng.random() < 0.1)
+            await trio.sleep(rng.randint(50, 2 * DAY_MS // N_JOBS) / 1000)
+        await trio.sleep(SETTLE_S / 2)
+        world.has_late_calls = False
+        await trio.sleep(SETTLE_S)
+        world.observer.check_end()
+
+    return play_day(seed, day)
+
+
+@pytest.mark.parametrize("seed", range(N_SEEDS))
+@pytest.mark.parametrize("kind", sorted(Trouble.registry))
+def test_promises_hold_beside_one_kind_of_trouble(kind, seed):
+    """Guards against work that is lost, runs twice or stands still beside it."""
+    assert play(seed, kind).broken[:3] == []
+
+
+@pytest.mark.parametrize("seed", range(4 * N_SEEDS))
+def test_promises_hold_beside_four_kinds_of_trouble(seed):
+    """Guards against faults that need several kinds of trouble at a time."""
+    assert play(seed).broken[:3] == []
--- /dev/null
+++ b/tests/virtual_links.py
@@ -0,0 +1,128 @@
+"""What an instance calls, in virtual time: the store, workers and its peers."""
+
+import json
+
+import cbor2
+import trio
+
+from apricotgap.instance.peers import PeerCallError
+from apricotgap.platform.http import HttpResponse, NoResponseError
+from tests.virtual_store import LINK_MS
+
+TARGET_HEADER = "X-Apricotgap-Target-Instance"
+# A write that arrives late does so within this time.
+MAX_LATE_WRITE_MS = 2_500
+
+
+class Link:
+    """Calls of one process. One that has been killed sends nothing more.
+
+    Parameters
+    ----------
+    world : OwnerWorld
+        What is called.
+    process : InstanceProcess
+        The caller.
+    """
+
+    def __init__(self, world, process):
+        self._world = world
+        self._process = process
+
+    def _begin(self, target):
+        self._process.note_step(target)
+        if self._process.is_killed:
+            raise NoResponseError("killed", sent=False)
+
+    async def aclose(self):
+        """Close nothing: there are no connections."""
+
+
+class StoreLink(Link):
+    """Stands in for the HTTP client of a `StoreClient`."""
+
+    async def call(self, method, address, target, body, timeout_ms):
+        """Call the store; a call that was sent is carried out whoever waits for it."""
+        self._begin(_store_step(target, body))
+        results = []
+        answered = trio.Event()
+
+        async def carry_out():
+            await trio.sleep((LINK_MS + self._late_ms(target)) / 1000)
+            try:
+                results.append(await self._world.store.answer(method, target, body))
+            except NoResponseError as error:
+                results.append(error)
+            if self._world.rng.random() >= self._world.store.lost_share:
+                await trio.sleep(LINK_MS / 1000)
+                answered.set()
+
+        self._world.nursery.start_soon(carry_out)
+        with trio.move_on_after(timeout_ms / 1000):
+            await answered.wait()
+        if not answered.is_set():
+            raise NoResponseError("timeout", sent=True)
+        if isinstance(results[0], NoResponseError):
+            raise results[0]
+        return results[0]
+
+    def _late_ms(self, target):
+        """A write may take effect after its caller has given it up."""
+        rng = self._world.rng
+        is_late = target == "/v1/kv-txn" and rng.random() < self._world.store.lost_share
+        return rng.randrange(MAX_LATE_WRITE_MS) if is_late else 0
+
+
+class WorkerLink(Link):
+    """Stands in for the HTTP clients of a `WorkerClient`."""
+
+    async def call(self, method, address, target, body, timeout_ms, headers=()):
+        """Call the worker at an address."""
+        self._begin(target)
+        worker_id = dict(headers)[TARGET_HEADER]
+        status, document = await self._world.call_worker(
+            address, worker_id, target, json.loads(body), timeout_ms
+        )
+        return HttpResponse(status, json.dumps(document).encode())
+
+    async def close_connections(self, address):
+        """Close nothing: there are no connections."""
+
+
+class PeerLink(Link):
+    """Stands in for a `PeerClient`."""
+
+    async def call(self, address, operation, argument, timeout_ms):
+        """Call another instance, which serves calls until its process is gone."""
+        peer = self._world.process_at(address)
+        if peer is None or not peer.is_up or self._process.is_killed:
+            raise PeerCallError("no connection")
+        results = []
+        answered = trio.Event()
+
+        async def serve():
+            encoded = cbor2.loads(cbor2.dumps(argument))
+            results.append(await peer.router.handle_peer_call(operation, encoded))
+            answered.set()
+
+        await trio.sleep(LINK_MS / 1000)
+        if not peer.is_up:
+            raise PeerCallError("connection closed")
+        peer.nursery.start_soon(serve)
+        with trio.move_on_after(timeout_ms / 1000):
+            await answered.wait()
+        if not results:
+            raise PeerCallError("timed out")
+        return cbor2.loads(cbor2.dumps(results[0]))
+
+
+def _store_step(target, body):
+    """Return what a call to the store does, with the keys that it names."""
+    if target != "/v1/kv-txn":
+        return target
+    document = json.loads(body)
+    keys = [row["key"] for row in document["setKeys"]] + document["remove"]
+    return " ".join(["write", *keys])
+
+
+__all__ = ["PeerLink", "StoreLink", "WorkerLink"]
