Count a worker as verified only once stops of earlier owners have ended

Cause: a run that is being stopped is in no list until its end is listed. A successor that had the first list of each worker within that time (an owner resigned 30 ms after a stop, its successor had all lists 80 ms later) took the run for gone and started its task elsewhere: TWICE for up to the stop time. Change: a worker of an earlier owner is verified by a list that was asked for after its first response and the time of a stop; it is polled again just then. Tasks of earlier jobs that no list shows wait that much longer after a takeover. Two older tests that took the first list as proof now ask for the second one.

--- a/apricotgap/jobs/shard_leases.py
+++ b/apricotgap/jobs/shard_leases.py
@@ -83,13 +83,17 @@
         """Return how long a worker may delay its response to a poll sent now.
 
         A worker whose lease is about to end must be polled again before: the owner may
-        have renewed its own lease meanwhile, and can then offer a longer one.
+        have renewed its own lease meanwhile, and can then offer a longer one. One that
+        is stopping runs of a previous owner is polled again when they have ended.
         """
         if not worker.is_acquired or not worker.clock_at_ms:
             return 0
         lease_ms = max(0, worker.offered_until_ms - at_ms)
         wait_ms = int(lease_ms * limits.POLL_WAIT_LEASE_FRACTION)
-        return max(limits.MIN_POLL_WAIT_MS, min(limits.POLL_WAIT_MS, wait_ms))
+        wait_ms = max(limits.MIN_POLL_WAIT_MS, min(limits.POLL_WAIT_MS, wait_ms))
+        if worker.is_unverified and worker.stops_until_ms is not None:
+            return min(wait_ms, max(0, worker.stops_until_ms - at_ms))
+        return wait_ms
 
     @staticmethod
     def _resolve_lease_offer(worker: Worker, was_sent: bool) -> None:
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -216,9 +216,8 @@
         self._resolve_lease_offer(worker, True)
         self._found_alive(worker)
         if worker.is_unverified:
-            self._wait_for_stops(worker, event.at_ms)
+            self._verify(worker, event)
         worker.is_acquired = True
-        worker.is_unverified = False
         worker.answered_ms = event.at_ms
         worker.silent_since_ms = None
         worker.clock_ms = event.clock_ms
@@ -284,11 +283,21 @@
         self.workers[event.worker_id].is_listed = False
         yield from self._poll_answered(replace(event, polled_born_ms=event.born_ms))
 
+    def _verify(self, worker: Worker, event: PollAnswered) -> None:
+        """Verify a worker once the runs that a previous owner stopped have ended.
+
+        They are in no list meanwhile. From its first response to this owner on, the
+        worker rejects the stops of previous owners.
+        """
+        if worker.stops_until_ms is None:
+            worker.stops_until_ms = event.at_ms + self.stop_listing_delay_ms
+            self._wait_for_stops(worker, event.at_ms)
+        worker.is_unverified = event.sent_ms < worker.stops_until_ms
+
     def _wait_for_stops(self, worker: Worker, at_ms: int) -> None:
         """Start nothing until runs of unknown size that are being stopped have ended.
 
-        They are in no list meanwhile. A worker that checks admission rejects what does
-        not fit beside them.
+        A worker that checks admission rejects what does not fit beside them.
         """
         if not self.has_admission_check:
             worker.block(at_ms + self.stop_listing_delay_ms)
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -53,8 +53,9 @@
     that are acknowledged, None if the last one held none.
 
     An acquired worker has responded to a poll of this owner. An unverified one may
-    still have runs of a previous owner. Only a worker recorded in the stored roster,
-    where the next owner finds it, gets work.
+    still have runs of a previous owner: those that it was told to stop are in no list
+    until `stops_until_ms`, set by its first response. Only a worker recorded in the
+    stored roster, where the next owner finds it, gets work.
     """
 
     entry: WorkerEntry
@@ -64,6 +65,7 @@
     is_listed: bool = True
     is_acquired: bool = False
     is_unverified: bool = False
+    stops_until_ms: int | None = None
     is_recorded: bool = False
     reserved_until_ms: int = -1_000_000
     answered_ms: int = -1_000_000
--- a/tests/test_jobs_shard.py
+++ b/tests/test_jobs_shard.py
@@ -546,6 +546,10 @@
     worker = rig.shard.workers["w1"]
     assert worker.n_possible_runs == 1
     rig.poll()
+    # A run that the previous owner has just stopped is in no list.
+    assert worker.n_possible_runs == 1
+    rig.now += rig.shard.stop_listing_delay_ms
+    rig.poll()
     assert worker.n_possible_runs == 0
 
 
--- a/tests/test_shard_takeovers.py
+++ b/tests/test_shard_takeovers.py
@@ -57,6 +57,9 @@
     rig.shard.step(WorkersListed(rig.now, (entry("w1", born_ms=2), entry("w2"))))
     assert rig.schedule() == []
     rig.poll("w1", born_ms=2)
+    assert rig.schedule() == []
+    rig.now += rig.shard.stop_listing_delay_ms
+    rig.poll("w1", born_ms=2)
     assert len(rig.schedule()) == 2
     assert state.is_inherited
 
