--- a/tests/day_process.py
+++ b/tests/day_process.py
@@ -134,6 +134,7 @@
         """Start a process, unless one runs."""
         if not self.is_up:
             self.is_up = True
+            self._world.troubled()
             self._world.nursery.start_soon(self._run)
 
     async def _run(self):
--- a/tests/day_troubles.py
+++ b/tests/day_troubles.py
@@ -152,10 +152,11 @@
 
     def plan(self, world):
         for _ in range(self.N_REPLACEMENTS):
-            world.at(_moment(world), _replace_owner, world)
+            world.at(_moment(world), replace_owner, world)
 
 
-def _replace_owner(world):
+def replace_owner(world):
+    """Kill the owner or send it SIGTERM, and start its instance again."""
     process = world.owner()
     if process is not None:
         _replace(world, process, world.rng.random() < 0.5)
@@ -186,7 +187,7 @@
 
     def plan(self, world):
         stop_owner_at_step(world, world.rng.randrange(N_TAKEOVER_STEPS), self.N_STOPS)
-        world.at(world.rng.randrange(2_000), _replace_owner, world)
+        world.at(world.rng.randrange(2_000), replace_owner, world)
 
 
 def stop_owner_at_step(world, step, n_stops, is_kill=None):
@@ -222,9 +223,12 @@
     MAX_GAP_MS = 3_000
 
     def plan(self, world):
-        at_ms = _moment(world)
-        world.at(at_ms, self._lose_worker, world)
         gap_ms = world.rng.randrange(0, self.MAX_GAP_MS, 50)
+        self.plan_at(world, _moment(world), gap_ms)
+
+    def plan_at(self, world, at_ms, gap_ms):
+        """Lose a worker at a time, and the owner `gap_ms` later."""
+        world.at(at_ms, self._lose_worker, world)
         world.at(at_ms + gap_ms, self._kill_owner, world)
 
     @staticmethod
@@ -290,4 +294,14 @@
             world.cancel(world.rng.choice(jobs[-6:]))
 
 
-__all__ = ["DAY_MS", "Trouble", "outage_at_phase", "stop_owner_at_step"]
+__all__ = [
+    "DAY_MS",
+    "LEASE_PHASES_MS",
+    "N_TAKEOVER_STEPS",
+    "OUTAGE_SPANS_MS",
+    "OwnerAfterWorker",
+    "Trouble",
+    "outage_at_phase",
+    "replace_owner",
+    "stop_owner_at_step",
+]
