Settings, headers, logs and parts: typed errors for odd texts

Cause: settings with a list as a key, a date that doesn't exist, a number of 5,000 digits or deep nesting ended the command with a traceback; so did a nested response for the client and a nested line for the diagnosis. A step in a stored part whose key is no number raised ValueError. Numbers of headers took digits of other scripts, and errors of headers, arguments and parts repeated the value in full.

Change: each is a typed error of its module, of bounded length.

--- a/apricotgap/client.py
+++ b/apricotgap/client.py
@@ -1,5 +1,6 @@
 """Client of the operator API, for programs and the command line."""
 
+import contextlib
 import hashlib
 import json
 import secrets
@@ -10,10 +11,14 @@
 import httpcore
 
 from apricotgap import errors
+from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.errors import ApricotgapError, UnavailableError, ValidationError
 
 __all__ = ["OperatorClient", "make_key"]
 
+# Of an error that an entry instance reports.
+_MAX_MESSAGE_CHARS = 2_000
+
 CONNECT_TIMEOUT_S = 2.0
 # Longer than an entry instance waits for the result of a call.
 READ_TIMEOUT_S = 20.0
@@ -138,10 +143,9 @@
 
 
 def _parse_response(entry: str, status: int, response: bytes) -> dict[str, Any]:
-    try:
-        document = json.loads(response)
-    except ValueError:
-        document = None
+    document: Any = None
+    with contextlib.suppress(DecodeError):
+        document = decode_json(response, Any)
     if not isinstance(document, dict):
         raise UnavailableError(
             f"{entry} returned status {status} without a JSON object",
@@ -151,8 +155,8 @@
         return document
     error_type = _ERROR_TYPE_BY_KIND.get(str(document.get("kind")), ApricotgapError)
     raise error_type(
-        str(document.get("message", f"status {status}")),
-        str(document.get("remedy", "see the log of the entry")),
+        str(document.get("message", f"status {status}"))[:_MAX_MESSAGE_CHARS],
+        str(document.get("remedy", "see the log of the entry"))[:_MAX_MESSAGE_CHARS],
     )
 
 
--- a/apricotgap/core/arguments.py
+++ b/apricotgap/core/arguments.py
@@ -6,12 +6,14 @@
 
 import msgspec
 
-from apricotgap.errors import ValidationError
+from apricotgap.errors import ValidationError, quoted
 
 __all__ = ["Arguments", "convert", "reject_unknown"]
 
 T = TypeVar("T")
 
+# Names of unknown fields are quoted in messages up to this length.
+_MAX_FIELD_CHARS = 80
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _AT_FIELD = re.compile(r"(?P<what>.*?)(?: - at `\$\.?(?P<field>.*)`)?")
@@ -29,7 +31,7 @@
     unknown = sorted(set(given) - set(allowed))
     if unknown:
         raise ValidationError(
-            f"{path}{unknown[0]}: unknown field",
+            f"{path}{unknown[0][:_MAX_FIELD_CHARS]}: unknown field",
             f"use only {', '.join(allowed) or 'no fields'}",
         )
 
@@ -73,7 +75,7 @@
         value = self._values.get(field, default)
         if not isinstance(value, str) or (default is None and not value):
             raise ValidationError(
-                f"{field}: expected a non-empty string, got {value!r}",
+                f"{field}: expected a non-empty string, got {quoted(value)}",
                 f"give {field}",
             )
         return value
@@ -83,7 +85,7 @@
         value = self.text(field)
         if not _NAME.fullmatch(value):
             raise ValidationError(
-                f"{field}: {value!r} is not a name",
+                f"{field}: {quoted(value)} is not a name",
                 "use up to 63 letters, digits, dots, hyphens and underscores",
             )
         return value
@@ -105,7 +107,7 @@
             return None
         if not isinstance(value, int) or isinstance(value, bool) or value < 0:
             raise ValidationError(
-                f"if_revision: expected a whole number, got {value!r}",
+                f"if_revision: expected a whole number, got {quoted(value)}",
                 "use the revision that a list action returned",
             )
         return value
--- a/apricotgap/core/config_codec.py
+++ b/apricotgap/core/config_codec.py
@@ -240,12 +240,19 @@
     return Configuration(revision, active_plans=plans, **maps)
 
 
+def _step_number(key: str) -> tuple[int, str]:
+    # As numbers, without the conversion, which fails for 5,000 digits.
+    return len(key.lstrip("0")), key.lstrip("0")
+
+
 def _steps(snapshot: Snapshot, plan_id: str) -> tuple[Step, ...]:
     steps: list[Step] = []
     while group := snapshot.groups.get(
         f"steps/{len(steps) // limits.N_STEPS_PER_PART}/{plan_id}"
     ):
-        steps.extend(group[key] for key in sorted(group, key=int))
+        if not all(key.isascii() and key.isdigit() for key in group):
+            raise malformed(f"plans/{plan_id}", "a step whose key is no number")
+        steps.extend(group[key] for key in sorted(group, key=_step_number))
         if len(group) < limits.N_STEPS_PER_PART:
             break
     n_parts = sum(
--- a/apricotgap/core/part_codec.py
+++ b/apricotgap/core/part_codec.py
@@ -9,7 +9,7 @@
 
 from apricotgap.core import limits
 from apricotgap.decoding import DecodeError, decode_cbor
-from apricotgap.errors import ValidationError
+from apricotgap.errors import ValidationError, quoted
 from apricotgap.model import (
     Budget,
     DataCentre,
@@ -60,6 +60,7 @@
 _ID_FIELDS = {"keys": "digest", "plans": "plan_id"}
 PLAIN_KINDS = tuple(kind for kind in KIND_TYPES if kind not in ("plans", "steps"))
 Group = dict[str, Any]
+_MAX_CAUSE = 200
 
 
 def sha256_hex(blob: bytes) -> str:
@@ -183,6 +184,6 @@
 def malformed(name: str, cause: str) -> ValidationError:
     """Return the error for a malformed document."""
     return ValidationError(
-        f"configuration document {name!r} is malformed: {cause}",
+        f"configuration document {quoted(name)} is malformed: {cause[:_MAX_CAUSE]}",
         "restore the document from a peer or a backup of the store",
     )
--- a/apricotgap/drivers/request_headers.py
+++ b/apricotgap/drivers/request_headers.py
@@ -3,12 +3,13 @@
 import hashlib
 from typing import Any
 
-from apricotgap.errors import ValidationError
+from apricotgap.errors import ValidationError, quoted
 from apricotgap.model import Priority, Request, Resources
 
 __all__ = ["key_digest", "parse_request"]
 
 _MAX_KEY_LENGTH = 256
+_MAX_DIGITS = 12
 _PRIORITIES = {"urgent": Priority.URGENT, "batch": Priority.BATCH}
 _BOOLEANS = {"true": True, "false": False}
 
@@ -62,7 +63,7 @@
         return default
     if value.lower() not in choices:
         raise ValidationError(
-            f"header {name} is {value!r}", f"use one of {', '.join(choices)}"
+            f"header {name} is {quoted(value)}", f"use one of {', '.join(choices)}"
         )
     return choices[value.lower()]
 
@@ -71,8 +72,9 @@
     value = headers.get(name)
     if value is None:
         return default
-    if not value.isdecimal() or len(value) > 12:
-        raise ValidationError(f"header {name} is {value!r}", "use a whole number")
+    # Digits of other scripts are digits too, for str.isdigit.
+    if not (value.isascii() and value.isdigit()) or len(value) > _MAX_DIGITS:
+        raise ValidationError(f"header {name} is {quoted(value)}", "use a whole number")
     return int(value)
 
 
--- a/apricotgap/errors.py
+++ b/apricotgap/errors.py
@@ -11,8 +11,17 @@
     "SettingsError",
     "UnavailableError",
     "ValidationError",
+    "quoted",
 ]
 
+# Values of callers and other writers are quoted in messages up to this length.
+_MAX_QUOTED = 80
+
+
+def quoted(value: object) -> str:
+    """Return a value for a message, cut to a short text."""
+    return repr(value)[:_MAX_QUOTED]
+
 
 class ApricotgapError(Exception):
     """Base class of all errors reported to callers and operators.
--- a/apricotgap/explain.py
+++ b/apricotgap/explain.py
@@ -1,9 +1,11 @@
 """Timeline of one request, reconstructed from the log lines of all instances."""
 
-import json
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import datetime
+from typing import Any
+
+from apricotgap.decoding import decode_json
 
 __all__ = ["TimelineEntry", "explain"]
 
@@ -93,9 +95,9 @@
         if start < 0:
             continue
         try:
-            row = json.loads(line[start:])
+            row: Any = decode_json(line[start:].encode(errors="replace"), Any)
             at_s = datetime.fromisoformat(row["timestamp"]).timestamp()
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, OverflowError):
             # Log files may contain lines of other programs.
             continue
         if "event" in row:
--- a/apricotgap/settings.py
+++ b/apricotgap/settings.py
@@ -2,6 +2,7 @@
 
 import re
 import typing
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -232,6 +233,11 @@
         seen = set()
         for key_node, _ in node.value:
             key = self.construct_object(key_node, deep=True)  # type: ignore[no-untyped-call]
+            if not isinstance(key, Hashable):
+                raise yaml.MarkedYAMLError(
+                    problem="a key that is a list or a mapping",
+                    problem_mark=key_node.start_mark,
+                )
             if key in seen:
                 raise yaml.MarkedYAMLError(
                     problem=f"the key {key!r} is duplicated",
@@ -265,6 +271,11 @@
         what = getattr(error, "problem", None) or "unreadable"
         reader.add_problem(place, what, "valid YAML", "correct the syntax there")
         return None, reader.problems
+    except (ValueError, OverflowError, RecursionError) as error:
+        # A date that does not exist, a number that is none, or deep nesting.
+        what = str(error) or type(error).__name__
+        reader.add_problem("file", what, "valid YAML", "correct the value")
+        return None, reader.problems
     settings = reader.read("", data, Settings)
     if settings is None:
         return None, reader.problems
