--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 SOURCES := apricotgap standins simulation demo proof measures bench soak tests
 
-.PHONY: setup lint format test demo simulation model-check fault-matrix measures bench soak binary ci
+.PHONY: setup lint format test demo simulation model-check fault-matrix measures bench soak fuzz binary ci
 
 setup: $(VENV)/.installed
 
@@ -49,5 +49,10 @@
 	$(PY) -m pip install -q --no-deps --target build/site .
 	$(PY) -m shiv -q -c apricotgap -o dist/apricotgap --site-packages build/site -r requirements/runtime.txt
 
+# New inputs for every decoder, ten minutes in all unless FUZZ_S says otherwise.
+fuzz: setup
+	FUZZ_S=$(or $(FUZZ_S),600) FUZZ_SEED=$(or $(FUZZ_SEED),0) \
+		$(PY) -m pytest tests/test_decoder_fuzz.py -k returns_its_type -s
+
 soak: setup
 	$(PY) -m soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),10)
