Metrics: count the documents that are refused

Each document that the decoding functions refuse is counted by its format (documents_refused_total), whichever reader logs it.

tests/test_decoder_limits.py: 2 new cases; the counter did not exist.

--- a/apricotgap/decoding.py
+++ b/apricotgap/decoding.py
@@ -4,6 +4,7 @@
 that document alone: its reader reports it and goes on with the others.
 """
 
+from collections import Counter
 from typing import Annotated, Any, NoReturn, TypeVar
 
 import cbor2
@@ -19,6 +20,7 @@
     "convert",
     "decode_cbor",
     "decode_json",
+    "refused_documents",
 ]
 
 _T = TypeVar("_T")
@@ -57,10 +59,18 @@
 )
 
 
+_n_refused: Counter[str] = Counter()
+
+
 class DecodeError(ValueError):
     """Bytes are not a valid document."""
 
 
+def refused_documents() -> dict[str, int]:
+    """Return how many documents this process has refused, by their format."""
+    return dict(_n_refused)
+
+
 def decode_json(data: bytes, shape: "type[_T] | msgspec.json.Decoder[_T]") -> _T:
     """Decode a JSON document.
 
@@ -76,7 +86,7 @@
     DecodeError
         The document is malformed, too large, nested too deeply or of another type.
     """
-    _check_size(data)
+    _check_size("JSON", data)
     try:
         if isinstance(shape, msgspec.json.Decoder):
             return shape.decode(data)
@@ -103,7 +113,7 @@
     DecodeError
         The document is malformed, too large, nested too deeply or of another type.
     """
-    _check_size(data)
+    _check_size("CBOR", data)
     try:
         value = cbor2.loads(
             data,
@@ -138,11 +148,9 @@
 _TAG_DECODERS = dict.fromkeys(_TAGS, _refuse_tag)
 
 
-def _check_size(data: bytes) -> None:
+def _check_size(what: str, data: bytes) -> None:
     if len(data) > MAX_DOCUMENT_BYTES:
-        raise DecodeError(
-            f"document of {len(data)} bytes, more than {MAX_DOCUMENT_BYTES}"
-        )
+        raise _failure(what, f"{len(data)} bytes, more than {MAX_DOCUMENT_BYTES}")
 
 
 def _check_depth(value: Any) -> None:
@@ -156,8 +164,9 @@
         ]
         if not level:
             return
-    raise DecodeError(f"document with more than {MAX_DEPTH} levels")
+    raise _failure("JSON", f"more than {MAX_DEPTH} levels")
 
 
-def _failure(what: str, error: BaseException) -> DecodeError:
+def _failure(what: str, error: object) -> DecodeError:
+    _n_refused[what] += 1
     return DecodeError(f"malformed {what}: {error}"[:_MAX_REASON_CHARS])
--- a/apricotgap/metrics.py
+++ b/apricotgap/metrics.py
@@ -2,11 +2,14 @@
 
 from typing import Any
 
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from opentelemetry.sdk.resources import Resource
 
+from apricotgap.decoding import refused_documents
+
 __all__ = ["Metrics"]
 
 # Upper bounds of the histogram buckets.
@@ -35,6 +38,9 @@
             ],
         )
         self._meter = provider.get_meter("apricotgap")
+        self._meter.create_observable_counter(
+            "documents_refused_total", callbacks=[_observe_refused_documents]
+        )
         self._counters: dict[str, Any] = {}
         self._histograms: dict[str, Any] = {}
 
@@ -66,6 +72,10 @@
         return "\n".join(lines) + "\n"
 
 
+def _observe_refused_documents(_options: CallbackOptions) -> list[Observation]:
+    return [Observation(n, {"format": each}) for each, n in refused_documents().items()]
+
+
 def _render_point(name: str, point: Any) -> list[str]:
     labels = ",".join(
         f'{label}="{value}"' for label, value in sorted(point.attributes.items())
--- a/tests/test_decoder_limits.py
+++ b/tests/test_decoder_limits.py
@@ -10,8 +10,10 @@
     DecodeError,
     decode_cbor,
     decode_json,
+    refused_documents,
 )
 from apricotgap.drivers import peer_codec
+from apricotgap.metrics import Metrics
 
 N_LEVELS = 300
 LONG_NUMBER = 10**5_000
@@ -62,6 +64,22 @@
         decode(b"0" * (MAX_DOCUMENT_BYTES + 1))
 
 
+@pytest.mark.parametrize(
+    ("decode", "name"),
+    [(lambda data: decode_json(data, Any), "JSON"), (decode_cbor, "CBOR")],
+)
+def test_refused_documents_are_counted(decode, name):
+    """Guards against unreadable records that no counter shows."""
+    before = refused_documents().get(name, 0)
+    for data in (b"", b"\xff", b"0" * (MAX_DOCUMENT_BYTES + 1)):
+        with pytest.raises(DecodeError):
+            decode(data)
+    decode(b"\x30" if name == "JSON" else b"\x01")
+    assert refused_documents()[name] == before + 3
+    line = f'apricotgap_documents_refused_total{{format="{name}"}} {before + 3}'
+    assert line in Metrics("i").render().splitlines()
+
+
 @pytest.mark.parametrize("field", ["v", "type"])
 def test_long_number_in_a_peer_message_is_a_typed_error(field):
     """Guards against a number that the error of the message can't print."""
