Logs: a line with an odd or long value raises nothing

Cause: the encoding of a log line raised UnicodeEncodeError for half a surrogate and RecursionError for a list that contains itself, in whoever logs, which is often the handler of an odd input. Lines had no bound.

Change: such a line, and one of more than 16,000 bytes, is written with its values as cut texts.

--- a/apricotgap/instance/logs.py
+++ b/apricotgap/instance/logs.py
@@ -9,13 +9,15 @@
 import structlog
 import trio
 
-__all__ = ["LogBuffer", "configure"]
+__all__ = ["MAX_FIELD_CHARS", "LogBuffer", "configure", "encode_line"]
 
 # Lines buffered while standard output is blocked; further ones are dropped and counted.
 MAX_BUFFERED_LINES = 2_000
 # Token bucket: average rate of lines, and the burst that unused tokens allow.
 MAX_LINES_PER_S = 400
 MAX_BURST_LINES = 800
+# Of a value in a line that is longer. Tracebacks fit.
+MAX_FIELD_CHARS = 16_000
 _FLUSH_INTERVAL_S = 0.2
 # Some readers of a pipe truncate a single write at 8 KiB.
 _WRITE_BYTES = 4_096
@@ -74,8 +76,24 @@
             self.flush()
 
 
-def _to_json(fields: dict[str, Any], **_options: Any) -> str:
-    return msgspec.json.encode(fields, enc_hook=repr).decode()
+def encode_line(fields: dict[str, Any], **_options: Any) -> str:
+    """Return a log line as JSON; values that are too long or odd are cut texts."""
+    try:
+        line = msgspec.json.encode(fields, enc_hook=repr)
+    except (ValueError, TypeError, RecursionError):
+        line = b""
+    if line and len(line) <= MAX_FIELD_CHARS:
+        return line.decode()
+    return msgspec.json.encode(
+        {name: _bounded(value) for name, value in fields.items()}
+    ).decode()
+
+
+def _bounded(value: Any) -> Any:
+    if value is None or isinstance(value, bool | int | float):
+        return value
+    text = value if isinstance(value, str) else ascii(value)
+    return text[:MAX_FIELD_CHARS].encode(errors="replace").decode()
 
 
 def configure(instance: str) -> LogBuffer:
@@ -92,7 +110,7 @@
             structlog.processors.add_log_level,
             structlog.processors.format_exc_info,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.JSONRenderer(serializer=_to_json),
+            structlog.processors.JSONRenderer(serializer=encode_line),
         ],
         logger_factory=factory,
         cache_logger_on_first_use=True,
--- /dev/null
+++ b/tests/test_log_limits.py
@@ -0,0 +1,33 @@
+"""Log lines made of what callers and other writers say."""
+
+import json
+
+import pytest
+
+from apricotgap.instance.logs import MAX_FIELD_CHARS, encode_line
+
+CYCLIC = []
+CYCLIC.append(CYCLIC)
+
+
+@pytest.mark.parametrize(
+    "value", ["\ud800", CYCLIC, {"a": "\udfff"}, object()], ids=ascii
+)
+def test_line_with_an_odd_value_is_written(value):
+    """Guards against a process that ends because it can't write a log line."""
+    line = json.loads(encode_line({"event": "odd", "value": value}))
+    assert line["event"] == "odd"
+
+
+@pytest.mark.parametrize("value", ["x" * 10**6, b"x" * 10**6, ["x" * 10**6] * 2])
+def test_length_of_a_line_is_limited(value):
+    """Guards against a request whose path of 64 KB is repeated in the log."""
+    line = encode_line({"event": "call", "path": value, "status": 404})
+    assert len(line) < MAX_FIELD_CHARS + 100
+    assert json.loads(line)["status"] == 404
+
+
+def test_usual_line_is_unchanged():
+    """Guards against a bound that changes the lines that the diagnosis reads."""
+    fields = {"event": "runs_started", "runs": [1, 2], "workers": ["a"], "x": None}
+    assert json.loads(encode_line(fields)) == fields
