--- a/apricotgap/platform/ingress.py
+++ b/apricotgap/platform/ingress.py
@@ -46,6 +46,9 @@
 _LATE_CALL_MS = 75
 MAX_BODY_BYTES = 262_144
 _BODY_TIMEOUT_MS = 3_000
+_METHODS = frozenset({"GET", "POST", "DELETE"})
+# Label of metrics for all methods that are not served.
+OTHER_METHOD = "other"
 _HEX_DIGITS = frozenset("0123456789abcdef")
 
 
@@ -156,7 +159,8 @@
         except BodyIncompleteError:
             response = _Response(408, reason="body incomplete")
         took_ms = self._clock.now_ms - started_ms
-        self._metrics.observe_ms("call", took_ms, method=method, status=response.status)
+        label = method if method in _METHODS else OTHER_METHOD
+        self._metrics.observe_ms("call", took_ms, method=label, status=response.status)
         if method != "GET" or response.status not in (200, 410):
             self._log.info(
                 "call",
--- a/tests/test_ingress_reload.py
+++ b/tests/test_ingress_reload.py
@@ -71,13 +71,14 @@
         self.view = View()
         self.jobs = SlowJobs()
         self.clock = FakeClock(50_000)
+        self.metrics = Metrics("i1")
 
     def _app(self, nursery):
         return IngressApp(
             self.view,
             self.jobs,
             TimedCalls(nursery, self.clock),
-            Metrics("i1"),
+            self.metrics,
             self.clock,
             5_000,
             lambda: False,
