Shard: adopt no run with a number that no owner assigns

Cause: an owner took over any run that a worker lists, and numbered the next run of its task after it. After the number 2^53 - 1 the next one was beyond what an answer may hold: each worker that got the task gave answers that could not be read, counted as silent, lost its tasks and passed the task on.

Change: a run with a number above 2^52 or below 1 is stopped, as one of an unknown job is.

tests/test_odd_run_ids.py: 3 of 4 cases failed before, all pass.

--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -63,6 +63,9 @@
 MAX_PENDING_FIRST_SAVES = 30
 # Run numbers that one owner may assign to a task.
 RUNS_PER_EPOCH = 1_000
+# A run with a greater number is none of an owner. Numbers count on from those that are
+# taken over, and must stay within what answers of workers may hold.
+MAX_ADOPTED_RUN_ID = 2**52
 # A job that has ended is kept for this long beyond the retention time that the
 # platform requires.
 RETENTION_MARGIN_MS = 10_000
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -320,7 +320,8 @@
         """Adopt a run of a previous owner, or stop one that must not exist."""
         job = self.jobs.get(report.name.job_id)
         step = job.step_of(report.name) if job else None
-        if job is None or step is None:
+        is_numbered = 0 < report.run_id <= limits.MAX_ADOPTED_RUN_ID
+        if job is None or step is None or not is_numbered:
             self._wait_for_stops(worker, at_ms)
             yield StopRun(
                 worker.worker_id,
