--- a/tests/decoder_registry.py
+++ b/tests/decoder_registry.py
@@ -68,6 +68,7 @@
 from tests.jobs_harness import configuration, job
 
 ID = "a" * 16
+MAX_HEAD_BYTES = 65_536
 
 
 @dataclass(frozen=True)
@@ -315,7 +316,7 @@
 
 
 def _receive_request(data: bytes) -> str:
-    exchange = HttpExchange(OneRead(data))
+    exchange = HttpExchange(OneRead(data), MAX_HEAD_BYTES)
     finish(exchange.receive_head())
     if exchange.scope is None:
         return ""
