Want the workers that a gang needs at once

The demand of a pool follows work over time, and spread counted for tasks that last only. A gang that needs more workers at once than its work asks for (a short one, or one with few members for each worker) never started in a pool of two, while machines were spare. Its workers are a floor of the demand now, apart for jobs that can only end late. The four cases of the test failed before (2 or 3 wanted of 4).

The count of parts that fit stood in the teams' demand too; both use one method.

--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -103,7 +103,10 @@
             return least
         cores = self._required_cores(at_ms)
         target = max(
-            least, ceil(cores * HEADROOM / worker_cores), self._n_spread_workers()
+            least,
+            ceil(cores * HEADROOM / worker_cores),
+            self._n_spread_workers(),
+            self._n_gang_workers(at_ms, is_late=False),
         )
         self._targets.append((at_ms, target))
         while self._targets[0][0] < at_ms - SCALE_DOWN_DELAY_MS:
@@ -124,7 +127,10 @@
         if not worker_cores:
             return 0
         cores = self._running_cores(at_ms)[2] + self._backlog(at_ms)[1] / LATE_CLEAR_MS
-        return ceil(cores * HEADROOM / worker_cores)
+        n_gang_workers = self._n_gang_workers(at_ms, is_late=True)
+        return max(
+            ceil(cores * HEADROOM / worker_cores), n_gang_workers - self._min_workers()
+        )
 
     def _worker_cores(self) -> float:
         return max(
@@ -188,6 +194,27 @@
             default=0,
         )
 
+    def _n_gang_workers(self, at_ms: int, is_late: bool) -> int:
+        """Return the workers that the largest gang needs at once, however short it is.
+
+        Gangs of jobs that can only end late count apart from those of the others.
+        """
+        unix_ms = self._shard.unix_of(at_ms)
+        capacities = {worker.total for worker in self._shard.workers.values()}
+        n_workers = 0
+        for job in self._shard.open_jobs.values():
+            for key in job.open_steps(unix_ms):
+                step = job.spec.steps[key[1]]
+                if not step.is_gang or job.is_late(unix_ms) is not is_late:
+                    continue
+                most = step.max_per_worker or step.n_tasks
+                n_fitting = max(
+                    step.allocation.n_fitting(each, most) for each in capacities
+                )
+                if n_fitting:
+                    n_workers = max(n_workers, ceil(step.n_tasks / n_fitting))
+        return n_workers
+
     def _arrival_cores(self, at_ms: int) -> float:
         """Return the cores that keep up with the recent arrival rate."""
         arrivals = self._arrivals
--- a/apricotgap/jobs/model.py
+++ b/apricotgap/jobs/model.py
@@ -41,6 +41,15 @@
         """Return the resources of as many equal parts."""
         return Resources(self.cpu * number, self.memory_mb * number, self.gpus * number)
 
+    def n_fitting(self, capacity: "Resources", most: int) -> int:
+        """Return how many parts of this size fit into `capacity`, `most` at most."""
+        kinds = (
+            (capacity.cpu, self.cpu),
+            (capacity.memory_mb, self.memory_mb),
+            (capacity.gpus, self.gpus),
+        )
+        return min((most, *(max(0, there) // size for there, size in kinds if size)))
+
     def fits(self, capacity: "Resources") -> bool:
         """Whether no kind of resource exceeds `capacity`."""
         return (
--- a/apricotgap/jobs/team_demand.py
+++ b/apricotgap/jobs/team_demand.py
@@ -39,17 +39,8 @@
         return n_places - n_places % self.n_members
 
     def _n_on(self, worker: Worker, n_wanted: int) -> int:
-        free, size = worker.free, self.allocation
-        kinds = (
-            (free.cpu, size.cpu),
-            (free.memory_mb, size.memory_mb),
-            (free.gpus, size.gpus),
-        )
-        n_fitting = min(
-            (max(0, there) // needed for there, needed in kinds if needed),
-            default=n_wanted,
-        )
-        return min(n_fitting, self.max_per_worker or n_fitting)
+        most = min(n_wanted, self.max_per_worker or n_wanted)
+        return self.allocation.n_fitting(worker.free, most)
 
 
 def team_demand(shard: Shard, at_ms: int) -> dict[str, Resources]:
--- a/tests/test_gang_room.py
+++ b/tests/test_gang_room.py
@@ -2,6 +2,9 @@
 
 from dataclasses import replace
 
+import pytest
+
+from apricotgap.jobs.demand import RATE_WINDOW_MS, SCALE_DOWN_DELAY_MS, Demand
 from apricotgap.jobs.gang_room import KEEP_MS
 from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.jobs.tickets import StepName
@@ -83,3 +86,28 @@
     small = StepSpec(1, Resources(100, 100), 100)
     rig.submit(job("4" * 16, (small,), priority=1))
     assert rig.schedule()
+
+
+@pytest.mark.parametrize("is_late", [False, True])
+@pytest.mark.parametrize(
+    "gang",
+    [
+        StepSpec(4, Resources(100, 100), 100, is_gang=True, max_per_worker=1),
+        StepSpec(4, FREE, 100, is_gang=True),
+    ],
+)
+def test_pool_grows_to_the_workers_that_a_gang_needs_at_once(gang, is_late):
+    """Guards against a gang that never starts, since the pool has too few workers for
+    its members and the work of the gang is too little to ask for more.
+    """
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.shard.unix_offset_ms = 1_000_000
+    submitted_ms = 0 if is_late else rig.shard.unix_of(rig.now)
+    wide = replace(job("2" * 16, (gang,)), submitted_ms=submitted_ms)
+    wide = replace(wide, target_latency_ms=30_000)
+    rig.submit(wide)
+    demand = Demand(rig.shard)
+    demand.record_job(wide, rig.now)
+    rig.now += RATE_WINDOW_MS + SCALE_DOWN_DELAY_MS
+    assert rig.schedule() == []
+    assert demand.wanted(rig.now) + demand.wanted_for_late_jobs(rig.now) >= 4
