Name the wait of a gang for room beside its limit for each worker

Room for a gang was counted without the limit of members for each worker, so that a gang that is spread was logged as next_pass in a pool with too few workers. The new case of the test failed before.

--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -348,14 +348,10 @@
     """Whether workers with room for a task have room for all members of a gang."""
     if not case.step.is_gang:
         return bool(workers)
-    allocation = case.step.allocation
-    n_places = 0
-    for worker in workers:
-        free = worker.free
-        while n_places < case.step.n_tasks and allocation.fits(free):
-            free = free - allocation
-            n_places += 1
-    return n_places >= case.step.n_tasks
+    step = case.step
+    most = step.max_per_worker or step.n_tasks
+    n_places = sum(step.allocation.n_fitting(each.free, most) for each in workers)
+    return n_places >= step.n_tasks
 
 
 def explain_wait(case: WaitCase) -> Wait:
--- a/tests/test_job_waits.py
+++ b/tests/test_job_waits.py
@@ -162,6 +162,13 @@
     return rig, {"n_tasks": 5, "required_cpu": 2_000, "free_cpu": 8_000}
 
 
+def no_room_for_a_gang_that_is_spread():
+    rig = ready_rig(
+        StepSpec(2, Resources(100, 100), 800, is_gang=True, max_per_worker=1)
+    )
+    return rig, {"n_accepting": 1, "n_tasks": 2}
+
+
 def missing_label():
     rig = ready_rig(StepSpec(1, SIZE, 800, required_label="gpu"))
     return rig, {"label": "gpu", "n_with_room": 1}
@@ -266,6 +273,7 @@
     (team_limit, (0, 0), 100),
     (no_room, (0, 0), 100),
     (no_room_for_a_gang, (0, 0), 100),
+    (no_room_for_a_gang_that_is_spread, (0, 0), 100),
     (missing_label, (0, 0), 100),
     (workers_on_trial, (0, 0), 100),
     (kept_for_gang, (0, 0), 100),
@@ -280,7 +288,7 @@
 
 def reason_of(build):
     """Return the reason that a case shows, the first part of its name."""
-    name = build.__name__
+    name = build.__name__.removesuffix("_that_is_spread")
     return name.removesuffix("_for_a_gang").removesuffix("_of_a_better_worker")
 
 
