--- a/tests/shard_days.py
+++ b/tests/shard_days.py
@@ -74,13 +74,27 @@
         else:
             step = StepSpec(n_tasks, TASK_SIZE, 400, is_gang=is_gang)
             steps = (step, replace(step, after=(0,)))
-        spec = self.specs[job_id] = job(job_id, steps)
+        spec = job(job_id, steps)
         if is_hopeless:
             self.hopeless.add(job_id)
         elif not lasts:
             self._submitted.append(job_id)
         for worker in self.workers.values():
             worker.hopeless = self.hopeless
+        self._accept(spec)
+
+    def submit_gang(self, n_tasks, priority, max_per_worker=0):
+        """Submit a job of two gangs, one after the other."""
+        job_id = f"{len(self.specs):016x}"
+        step = StepSpec(
+            n_tasks, TASK_SIZE, 400, is_gang=True, max_per_worker=max_per_worker
+        )
+        steps = (step, replace(step, after=(0,)))
+        self._submitted.append(job_id)
+        self._accept(job(job_id, steps, priority=priority))
+
+    def _accept(self, spec):
+        self.specs[spec.job_id] = spec
         if self.is_owner_up:
             self.shard.submit(spec)
 
--- a/tests/test_shard_days.py
+++ b/tests/test_shard_days.py
@@ -127,6 +127,18 @@
     world.at(3_000, setattr, world, "other_cpu", 24_000)
 
 
+def gangs(world):
+    """Let gangs of several sizes and priorities come at one time, twice a day."""
+    for _ in range(2):
+        at_ms, _ = some(world)
+        for _ in range(6):
+            shape = world.rng.choice(((2, 0), (4, 1), (8, 0), (20, 0), (20, 4)))
+            n_tasks, max_per_worker = shape
+            priority = world.rng.choice((0, 1, 2))
+            world.at(at_ms, world.submit_gang, n_tasks, priority, max_per_worker)
+    hopeless(world)
+
+
 def outages(world):
     """Let the store be down for 0.5 to 6 s."""
     world.at(some(world)[0], world.outage, world.rng.randint(2, 24) * 250)
@@ -158,6 +170,7 @@
     hopeless,
     limits,
     backlog,
+    gangs,
     all_at_once,
 ]
 
