Count the room beside tasks that last for a gang's workers

A pool with as many workers as a gang needs, some of them full of tasks that last, was taken for large enough. Those workers count with the room that they leave, and empty ones for the rest. The test failed before (wanted fewer than 2 full and 4 empty workers).

--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from math import ceil
 
-from apricotgap.jobs.model import JobSpec
+from apricotgap.jobs.gang_room import n_places
+from apricotgap.jobs.model import JobSpec, StepSpec
 from apricotgap.jobs.shard import Shard
 
 __all__ = ["Demand"]
@@ -200,20 +201,27 @@
         Gangs of jobs that can only end late count apart from those of the others.
         """
         unix_ms = self._shard.unix_of(at_ms)
-        capacities = {worker.total for worker in self._shard.workers.values()}
-        n_workers = 0
-        for job in self._shard.open_jobs.values():
-            for key in job.open_steps(unix_ms):
-                step = job.spec.steps[key[1]]
-                if not step.is_gang or job.is_late(unix_ms) is not is_late:
-                    continue
-                most = step.max_per_worker or step.n_tasks
-                n_fitting = max(
-                    step.allocation.n_fitting(each, most) for each in capacities
-                )
-                if n_fitting:
-                    n_workers = max(n_workers, ceil(step.n_tasks / n_fitting))
-        return n_workers
+        return max(
+            (
+                self._n_workers_of_gang(job.spec.steps[key[1]])
+                for job in self._shard.open_jobs.values()
+                for key in job.open_steps(unix_ms)
+                if job.spec.steps[key[1]].is_gang and job.is_late(unix_ms) is is_late
+            ),
+            default=0,
+        )
+
+    def _n_workers_of_gang(self, step: StepSpec) -> int:
+        """Return the workers that a gang needs beside the tasks that last."""
+        workers = self._shard.workers.values()
+        most = step.max_per_worker or step.n_tasks
+        capacities = {worker.total for worker in workers}
+        n_on_empty = max(step.allocation.n_fitting(each, most) for each in capacities)
+        if not n_on_empty:
+            return 0
+        occupied = [worker for worker in workers if worker.n_long_running]
+        n_left = step.n_tasks - sum(n_places(worker, step) for worker in occupied)
+        return len(occupied) + max(0, ceil(n_left / n_on_empty))
 
     def _arrival_cores(self, at_ms: int) -> float:
         """Return the cores that keep up with the recent arrival rate."""
--- a/apricotgap/jobs/gang_room.py
+++ b/apricotgap/jobs/gang_room.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable
 
 from apricotgap.jobs.job_state import JobState, StepKey
-from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec
+from apricotgap.jobs.model import NO_RESOURCES, StepSpec
 from apricotgap.jobs.workers import Worker
 
-__all__ = ["GangRoom"]
+__all__ = ["GangRoom", "n_places"]
 
 # A gang without room waits this long while single tasks take what becomes free, then as
 # long with workers kept for it, and so on: tasks there may be long. All gangs that wait
@@ -50,14 +50,14 @@
         if (at_ms - self._periods_begin_ms) % (2 * KEEP_MS) < KEEP_MS:
             return set()
         kept: set[str] = set()
-        n_places = 0
+        n_kept = 0
         suited = [worker for worker in workers if _may_run(worker, step)]
         for worker in sorted(suited, key=_n_ending):
-            n_here = _n_places(worker, step)
+            n_here = n_places(worker, step)
             if n_here:
                 kept.add(worker.worker_id)
-                n_places += n_here
-            if n_places >= step.n_tasks:
+                n_kept += n_here
+            if n_kept >= step.n_tasks:
                 return kept
         return set()
 
@@ -72,17 +72,11 @@
     return len(worker.runs) - worker.n_long_running
 
 
-def _n_places(worker: Worker, step: StepSpec) -> int:
+def n_places(worker: Worker, step: StepSpec) -> int:
     """Return how many members fit once the tasks that end have ended."""
     lasting = NO_RESOURCES
     for run in worker.runs.values():
         if run.step.is_long_running:
             lasting = lasting + run.allocation
-    left: Resources = worker.total - lasting
-    n_places = 0
-    while n_places < (step.max_per_worker or step.n_tasks):
-        left = left - step.allocation
-        if not NO_RESOURCES.fits(left):
-            break
-        n_places += 1
-    return n_places
+    most = step.max_per_worker or step.n_tasks
+    return step.allocation.n_fitting(worker.total - lasting, most)
--- a/tests/test_gang_room.py
+++ b/tests/test_gang_room.py
@@ -111,3 +111,18 @@
     rig.now += RATE_WINDOW_MS + SCALE_DOWN_DELAY_MS
     assert rig.schedule() == []
     assert demand.wanted(rig.now) + demand.wanted_for_late_jobs(rig.now) >= 4
+
+
+def test_workers_full_of_tasks_that_last_do_not_count_for_a_gang():
+    """Guards against a gang that never starts beside tasks that last: the pool has as
+    many workers as the gang needs, but not as much room.
+    """
+    rig = Rig(workers=("w1", "w2")).ready()
+    lasting = StepSpec(2, FREE, is_long_running=True)
+    rig.shard.reported_ms = rig.now
+    rig.submit(job("1" * 16, (lasting,)))
+    for start in rig.schedule():
+        rig.answer(start)
+    rig.submit(job("2" * 16, (StepSpec(4, FREE, 100, is_gang=True),)))
+    demand = Demand(rig.shard)
+    assert demand.wanted(rig.now) + demand.wanted_for_late_jobs(rig.now) >= 6
