Want no workers for a gang that can never start

The floor of the demand for gangs counted one beyond its team's whole limit or with a label that no worker of the pool has, and would have kept machines in the pool for it. The test failed before.

--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -201,19 +201,30 @@
         Gangs of jobs that can only end late count apart from those of the others.
         """
         unix_ms = self._shard.unix_of(at_ms)
-        return max(
-            (
-                self._n_workers_of_gang(job.spec.steps[key[1]])
-                for job in self._shard.open_jobs.values()
-                for key in job.open_steps(unix_ms)
-                if job.spec.steps[key[1]].is_gang and job.is_late(unix_ms) is is_late
-            ),
-            default=0,
-        )
+        may_allow = self._shard.team_limits.may_allow
+        n_workers = 0
+        for job in self._shard.open_jobs.values():
+            for key in job.open_steps(unix_ms):
+                step = job.spec.steps[key[1]]
+                if not step.is_gang or job.is_late(unix_ms) is not is_late:
+                    continue
+                if may_allow(job.spec.team, step.allocation.times(step.n_tasks)):
+                    n_workers = max(n_workers, self._n_workers_of_gang(step))
+        return n_workers
 
     def _n_workers_of_gang(self, step: StepSpec) -> int:
-        """Return the workers that a gang needs beside the tasks that last."""
-        workers = self._shard.workers.values()
+        """Return the workers that a gang needs beside the tasks that last.
+
+        0 if no worker of the pool could run a member.
+        """
+        label = step.required_label
+        workers = [
+            worker
+            for worker in self._shard.workers.values()
+            if not label or label in worker.entry.labels
+        ]
+        if not workers:
+            return 0
         most = step.max_per_worker or step.n_tasks
         capacities = {worker.total for worker in workers}
         n_on_empty = max(step.allocation.n_fitting(each, most) for each in capacities)
--- a/tests/test_gang_room.py
+++ b/tests/test_gang_room.py
@@ -126,3 +126,20 @@
     rig.submit(job("2" * 16, (StepSpec(4, FREE, 100, is_gang=True),)))
     demand = Demand(rig.shard)
     assert demand.wanted(rig.now) + demand.wanted_for_late_jobs(rig.now) >= 6
+
+
+def test_pool_grows_for_no_gang_that_can_never_start():
+    """Guards against machines that are kept in a pool for a gang which the limit of its
+    team, or the labels of the workers, rule out.
+    """
+    rig = Rig(workers=("w1", "w2")).ready()
+    limit = replace(rig.shard.config.teams[0], limit=FREE)
+    rig.shard.config = replace(rig.shard.config, teams=(limit,))
+    rig.shard.team_limits.set_configuration(rig.shard.config)
+    gang = StepSpec(40, Resources(1, 1), 100, is_gang=True, max_per_worker=1)
+    rig.submit(job("1" * 16, (replace(gang, resources=FREE),)))
+    rig.submit(job("2" * 16, (replace(gang, required_label="gpu"),)))
+    demand = Demand(rig.shard)
+    assert demand.wanted_for_late_jobs(rig.now) < 20
+    rig.submit(job("3" * 16, (gang,)))
+    assert demand.wanted_for_late_jobs(rig.now) >= 38
