--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass
 from math import ceil
 
+from apricotgap.jobs.gang_room import n_places
 from apricotgap.jobs.job_state import JobState
-from apricotgap.jobs.model import JobSpec
+from apricotgap.jobs.model import JobSpec, StepSpec
 from apricotgap.jobs.shard import Shard
 
 __all__ = ["Demand"]
@@ -104,7 +105,10 @@
             return least
         cores = self._required_cores(at_ms)
         target = max(
-            least, ceil(cores * HEADROOM / worker_cores), self._n_spread_workers()
+            least,
+            ceil(cores * HEADROOM / worker_cores),
+            self._n_spread_workers(),
+            self._n_gang_workers(at_ms, is_late=False),
         )
         self._targets.append((at_ms, target))
         while self._targets[0][0] < at_ms - SCALE_DOWN_DELAY_MS:
@@ -125,7 +129,10 @@
         if not worker_cores:
             return 0
         cores = self._running_cores(at_ms)[2] + self._backlog(at_ms)[1] / LATE_CLEAR_MS
-        return ceil(cores * HEADROOM / worker_cores)
+        n_gang_workers = self._n_gang_workers(at_ms, is_late=True)
+        return max(
+            ceil(cores * HEADROOM / worker_cores), n_gang_workers - self._min_workers()
+        )
 
     def _worker_cores(self) -> float:
         return max(
@@ -189,6 +196,46 @@
             default=0,
         )
 
+    def _n_gang_workers(self, at_ms: int, is_late: bool) -> int:
+        """Return the workers that the largest gang needs at once, however short it is.
+
+        Gangs of jobs that can only end late count apart from those of the others.
+        """
+        unix_ms = self._shard.unix_of(at_ms)
+        may_allow = self._shard.team_limits.may_allow
+        n_workers = 0
+        for job in self._shard.open_jobs.values():
+            with self._shard.guard(job):
+                for key in job.open_steps(unix_ms):
+                    step = job.spec.steps[key[1]]
+                    if not step.is_gang or job.is_late(unix_ms) is not is_late:
+                        continue
+                    if may_allow(job.spec.team, step.allocation.times(step.n_tasks)):
+                        n_workers = max(n_workers, self._n_workers_of_gang(step))
+        return n_workers
+
+    def _n_workers_of_gang(self, step: StepSpec) -> int:
+        """Return the workers that a gang needs beside the tasks that last.
+
+        0 if no worker of the pool could run a member.
+        """
+        label = step.required_label
+        workers = [
+            worker
+            for worker in self._shard.workers.values()
+            if not label or label in worker.entry.labels
+        ]
+        if not workers:
+            return 0
+        most = step.max_per_worker or step.n_tasks
+        capacities = {worker.total for worker in workers}
+        n_on_empty = max(step.allocation.n_fitting(each, most) for each in capacities)
+        if not n_on_empty:
+            return 0
+        occupied = [worker for worker in workers if worker.n_long_running]
+        n_left = step.n_tasks - sum(n_places(worker, step) for worker in occupied)
+        return len(occupied) + max(0, ceil(n_left / n_on_empty))
+
     def _arrival_cores(self, at_ms: int) -> float:
         """Return the cores that keep up with the recent arrival rate."""
         arrivals = self._arrivals
--- a/tests/test_gang_room.py
+++ b/tests/test_gang_room.py
@@ -2,6 +2,9 @@
 
 from dataclasses import replace
 
+import pytest
+
+from apricotgap.jobs.demand import RATE_WINDOW_MS, SCALE_DOWN_DELAY_MS, Demand
 from apricotgap.jobs.gang_room import KEEP_MS
 from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.jobs.tickets import StepName
@@ -83,3 +86,60 @@
     small = StepSpec(1, Resources(100, 100), 100)
     rig.submit(job("4" * 16, (small,), priority=1))
     assert rig.schedule()
+
+
+@pytest.mark.parametrize("is_late", [False, True])
+@pytest.mark.parametrize(
+    "gang",
+    [
+        StepSpec(4, Resources(100, 100), 100, is_gang=True, max_per_worker=1),
+        StepSpec(4, FREE, 100, is_gang=True),
+    ],
+)
+def test_pool_grows_to_the_workers_that_a_gang_needs_at_once(gang, is_late):
+    """Guards against a gang that never starts, since the pool has too few workers for
+    its members and the work of the gang is too little to ask for more.
+    """
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.shard.unix_offset_ms = 1_000_000
+    submitted_ms = 0 if is_late else rig.shard.unix_of(rig.now)
+    wide = replace(job("2" * 16, (gang,)), submitted_ms=submitted_ms)
+    wide = replace(wide, target_latency_ms=30_000)
+    rig.submit(wide)
+    demand = Demand(rig.shard)
+    demand.record_job(wide, rig.now)
+    rig.now += RATE_WINDOW_MS + SCALE_DOWN_DELAY_MS
+    assert rig.schedule() == []
+    assert demand.wanted(rig.now) + demand.wanted_for_late_jobs(rig.now) >= 4
+
+
+def test_workers_full_of_tasks_that_last_do_not_count_for_a_gang():
+    """Guards against a gang that never starts beside tasks that last: the pool has as
+    many workers as the gang needs, but not as much room.
+    """
+    rig = Rig(workers=("w1", "w2")).ready()
+    lasting = StepSpec(2, FREE, is_long_running=True)
+    rig.shard.reported_ms = rig.now
+    rig.submit(job("1" * 16, (lasting,)))
+    for start in rig.schedule():
+        rig.answer(start)
+    rig.submit(job("2" * 16, (StepSpec(4, FREE, 100, is_gang=True),)))
+    demand = Demand(rig.shard)
+    assert demand.wanted(rig.now) + demand.wanted_for_late_jobs(rig.now) >= 6
+
+
+def test_pool_grows_for_no_gang_that_can_never_start():
+    """Guards against machines that are kept in a pool for a gang which the limit of its
+    team, or the labels of the workers, rule out.
+    """
+    rig = Rig(workers=("w1", "w2")).ready()
+    limit = replace(rig.shard.config.teams[0], limit=FREE)
+    rig.shard.config = replace(rig.shard.config, teams=(limit,))
+    rig.shard.team_limits.set_configuration(rig.shard.config)
+    gang = StepSpec(40, Resources(1, 1), 100, is_gang=True, max_per_worker=1)
+    rig.submit(job("1" * 16, (replace(gang, resources=FREE),)))
+    rig.submit(job("2" * 16, (replace(gang, required_label="gpu"),)))
+    demand = Demand(rig.shard)
+    assert demand.wanted_for_late_jobs(rig.now) < 20
+    rig.submit(job("3" * 16, (gang,)))
+    assert demand.wanted_for_late_jobs(rig.now) >= 38
