Count unknown runs of earlier owners against a team's limit

What callers see: a team stays within its limit while a worker is lost together with the owner of its shard.

Cause: a new owner counted only runs that it knew. Until a worker out of reach had answered or its lease had ended, a job accepted after the takeover started beside runs for which the limit was already used up.

Change: tasks of earlier jobs that wait, up to what the workers that have not answered hold, count as used, and towards the allowance to ask for.

Evidence: two tests of tests/test_inherited_usage.py failed before (4 cores started beside 4 of a limit of 4).

--- a/apricotgap/jobs/model.py
+++ b/apricotgap/jobs/model.py
@@ -37,6 +37,12 @@
             self.gpus - other.gpus,
         )
 
+    def times(self, n_times: int) -> "Resources":
+        """Return as much as several of the same size need."""
+        return Resources(
+            self.cpu * n_times, self.memory_mb * n_times, self.gpus * n_times
+        )
+
     def fits(self, capacity: "Resources") -> bool:
         """Whether no kind of resource exceeds `capacity`."""
         return (
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -3,6 +3,7 @@
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import Effect, StartRun
 from apricotgap.jobs.gang_room import GangRoom
+from apricotgap.jobs.inherited_usage import inherited_usage
 from apricotgap.jobs.job_state import JobState, StepKey
 from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec, TaskName
 from apricotgap.jobs.runs import Run, RunPhase
@@ -51,6 +52,7 @@
         """
         shard = self._shard
         shard.kept_workers = frozenset()
+        shard.inherited_usage = inherited_usage(shard)
         if at_ms > lease_until_ms - limits.LEASE_MARGIN_MS:
             return []
         if shard.config is None:
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -56,6 +56,8 @@
         # Ids of the workers that the last scheduling pass left to a gang.
         self.kept_workers: frozenset[str] = frozenset()
         self.team_limits = TeamLimits(service)
+        # What unknown runs of earlier owners may use, as of the last scheduling pass.
+        self.inherited_usage: dict[str, Resources] = {}
         self._handlers: dict[type, Callable[..., Iterable[Effect]]] = {
             WorkersListed: self._workers_listed,
             PollAnswered: self._poll_answered,
@@ -95,7 +97,12 @@
         limit = self.team_limits.allowed(team)
         if limit is None:
             return True
-        return (self.team_usage.get(team, NO_RESOURCES) + allocation).fits(limit)
+        return (self.possible_usage_of(team) + allocation).fits(limit)
+
+    def possible_usage_of(self, team: str) -> Resources:
+        """Return the most that a team uses, by known and by unknown runs."""
+        known = self.team_usage.get(team, NO_RESOURCES)
+        return known + self.inherited_usage.get(team, NO_RESOURCES)
 
     def needs_ticket(self, queue: str) -> bool:
         """Whether starts of a queue's tasks need a ticket of the advice service."""
--- a/apricotgap/jobs/team_demand.py
+++ b/apricotgap/jobs/team_demand.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from apricotgap.jobs.inherited_usage import possible_usage
 from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.workers import Worker
@@ -58,7 +59,7 @@
     Tasks for which no worker has room do not count. An allowance for them would be
     kept from other shards, where tasks of the team could start.
     """
-    demand = dict(shard.team_usage)
+    demand = possible_usage(shard)
     waiting = _waiting_tasks(shard, at_ms)
     if not waiting:
         return demand
@@ -69,7 +70,7 @@
     startable: dict[str, Resources] = {}
     for (team, shape), n_tasks in waiting.items():
         n_startable = shape.n_places(workers, n_tasks)
-        size = _times(shape.allocation, n_startable)
+        size = shape.allocation.times(n_startable)
         startable[team] = startable.get(team, NO_RESOURCES) + size
     for team, amount in startable.items():
         used = demand.get(team, NO_RESOURCES)
@@ -100,9 +101,3 @@
         and not worker.is_reserved(at_ms)
     ]
     return accepting + pausing
-
-
-def _times(amount: Resources, n_times: int) -> Resources:
-    return Resources(
-        amount.cpu * n_times, amount.memory_mb * n_times, amount.gpus * n_times
-    )
--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -176,7 +176,7 @@
             return None
         limits_of_team = case.shard.team_limits
         allowance = limits_of_team.allowed(team) or NO_RESOURCES
-        usage = case.shard.team_usage.get(team, NO_RESOURCES)
+        usage = case.shard.possible_usage_of(team)
         return {
             "team": team,
             "required_cpu": case.required.cpu,
