Keep the row of a lowered limit above what unknown runs may use

Cause: a row is never below what the shard uses, or other shards would take it; after a takeover the shard did not count runs on workers that had not answered, and gave their part of a lowered limit away.

Change: the row follows the usage with such runs.

Evidence: test_row_of_a_lowered_limit_says_what_unknown_runs_may_use failed before (a row of 2000 with 4000 in use).

--- a/apricotgap/instance/team_limit_updater.py
+++ b/apricotgap/instance/team_limit_updater.py
@@ -9,6 +9,7 @@
 from apricotgap.instance.keys import limit_key
 from apricotgap.instance.ownership import Ownership
 from apricotgap.jobs.documents import DocumentError, decode_split, encode_split
+from apricotgap.jobs.inherited_usage import possible_usage
 from apricotgap.jobs.limits import START_WINDOW_MS
 from apricotgap.jobs.model import NO_RESOURCES, Resources
 from apricotgap.jobs.shard import Shard
@@ -117,7 +118,7 @@
         # A worker that has not answered yet may run tasks of the previous owner.
         may_lower = not self._shard.has_unverified_workers
         return self._shard.team_limits.changes(
-            demand, now_ms, self._shard.team_usage, may_lower
+            demand, now_ms, possible_usage(self._shard), may_lower
         )
 
     async def _write_limit(self, change: LimitChange) -> None:
--- a/tests/test_inherited_usage.py
+++ b/tests/test_inherited_usage.py
@@ -1,10 +1,20 @@
 """What a team may use while runs of an earlier owner are unknown."""
 
-from apricotgap.jobs.documents import Progress
+from dataclasses import replace
+
+import trio
+import trio.testing
+
+from apricotgap.clock import TrioClock
+from apricotgap.instance.keys import limit_key, owner_key
+from apricotgap.instance.ownership import Ownership
+from apricotgap.instance.team_limit_updater import TeamLimitUpdater
+from apricotgap.jobs.documents import Progress, decode_split, encode_split
 from apricotgap.jobs.events import RunReport
 from apricotgap.jobs.model import Resources, StepSpec
-from tests.jobs_harness import SERVICE, Rig, entry, job, task
-from tests.test_team_limit_updater import limited
+from tests.jobs_harness import FAR_MS, SERVICE, Rig, entry, job, task
+from tests.test_review_lost import StoreWithConditions
+from tests.test_team_limit_updater import LIMIT, limited
 
 FOUR_TASKS = (StepSpec(4, Resources(1000, 100), 9_000),)
 
@@ -52,3 +62,37 @@
     worker.set_total(Resources(1000, 8000))
     rig.submit(job("k" * 16, steps=FOUR_TASKS))
     assert len(rig.schedule()) == 3
+
+
+def test_row_of_a_lowered_limit_says_what_unknown_runs_may_use():
+    """Guards against another shard that takes, of a lowered limit, what runs of the
+    earlier owner still use.
+    """
+
+    async def main():
+        clock = TrioClock()
+        rig = lost_worker_rig(clock)
+        store = StoreWithConditions()
+        store.put(owner_key(SERVICE), b"me")
+        ownership = Ownership(SERVICE, 2, store.revision, 1, 6_500)
+        key = limit_key("bakers")
+        store.put(key, encode_split({SERVICE: LIMIT}))
+        half = replace(limited(), version=2)
+        teams = (replace(half.teams[0], limit=Resources(2000)),)
+        rig.shard.team_limits.set_configuration(replace(half, teams=teams))
+        updater = TeamLimitUpdater(
+            rig.shard,
+            ownership,
+            store,
+            clock,
+            lambda: FAR_MS * 1_000,
+            lambda service: True,
+            lambda: None,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(updater.run)
+            await trio.sleep(2)
+            nursery.cancel_scope.cancel()
+        assert decode_split(store.items[key].value)[SERVICE].cpu >= LIMIT.cpu
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.001))
