Start nothing under a lowered limit before the split is read

What callers see: a team stays within a limit that was lowered.

Cause: a shard that lacked nothing did not read the split, and knew the rows of the others from long ago. Under a lowered limit it then started tasks that the rows of the others left no room for; found while the split was specified. Owners that did not know of the lower limit yet could also raise their rows after such a read.

--- a/apricotgap/instance/team_limit_updater.py
+++ b/apricotgap/instance/team_limit_updater.py
@@ -107,7 +107,8 @@
                 await self._write_limit(change)
             if now_ms - self._last_read_ms >= READ_INTERVAL_MS:
                 self._last_read_ms = now_ms
-                for team in limits.unmet(demand):
+                teams = (*limits.unmet(demand), *limits.outdated(now_ms))
+                for team in dict.fromkeys(teams):
                     await self._read(team)
             self._on_change()
             await trio.sleep(MIN_PASS_INTERVAL_S)
--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -25,6 +25,9 @@
 # Share of the limit that all shards together keep without demand, so that a first task
 # does not wait for a raise.
 IDLE_SHARE = 0.2
+# After a limit was lowered the split is read for this long, since other owners may not
+# know of it yet and still raise their rows by the one before.
+LOWERED_READ_MS = 10_000
 
 Split = dict[str, Resources]
 NO_USAGE: Mapping[str, Resources] = MappingProxyType({})
@@ -73,6 +76,10 @@
         self._splits: dict[str, tuple[Split, int]] = {}
         self._allowances: dict[str, Resources] = {}
         self._surplus_since_ms: dict[str, int] = {}
+        # Teams whose limits were lowered: those whose splits are older than that, and
+        # the times at which this was noticed.
+        self._unread: set[str] = set()
+        self._lowered_ms: dict[str, int | None] = {}
         # Services with a row and without a shard, and those whose rows are void.
         self._absent_since_ms: dict[str, int] = {}
         self._void: frozenset[str] = frozenset()
@@ -80,7 +87,12 @@
     def set_configuration(self, config: Configuration) -> None:
         """Set the limits; a lowered limit lowers the allowance at once."""
         self._n_services = max(1, len(config.working_services))
-        self._limits = {team.name: _with_unlimited(team.limit) for team in config.teams}
+        limits = {team.name: _with_unlimited(team.limit) for team in config.teams}
+        for team, limit in self._limits.items():
+            if team in limits and not limit.fits(limits[team]):
+                self._unread.add(team)
+                self._lowered_ms[team] = None
+        self._limits = limits
         for team, allowance in self._allowances.items():
             self._allowances[team] = allowance.elementwise_min(self._fair_row(team))
 
@@ -89,6 +101,9 @@
         limit = self._limits.get(team)
         if limit is None or limit.cpu == limit.memory_mb == limit.gpus == UNLIMITED:
             return None
+        if team in self._unread:
+            # The others may use more than the lowered limit leaves.
+            return NO_RESOURCES
         # Another shard may not have stored yet that its allowance is lower, or may use
         # more than a lowered limit leaves it.
         left = (limit - self._others(team)).elementwise_max(NO_RESOURCES)
@@ -132,6 +147,7 @@
     def record_split(self, team: str, split: Split, revision: int) -> None:
         """Apply a split that was read from the store."""
         self._splits[team] = (split, revision)
+        self._unread.discard(team)
         row = self._fair_row(team)
         # Never above the stored value, nor above what is left after a reduction.
         allowance = self._allowances.get(team, row)
@@ -140,6 +156,7 @@
     def record_written(self, change: LimitChange, revision: int) -> None:
         """Apply a split that this shard has written to the store."""
         self._splits[change.team] = (change.split, revision)
+        self._unread.discard(change.team)
         self._allowances[change.team] = self._fair_row(change.team)
 
     def _others(self, team: str) -> Resources:
@@ -223,6 +240,21 @@
                 found.append(team)
         return found
 
+    def outdated(self, at_ms: int) -> list[str]:
+        """Return the teams whose splits are to be read since a limit was lowered.
+
+        Parameters
+        ----------
+        at_ms : int
+            Current time.
+        """
+        self._lowered_ms = {
+            team: at_ms if since_ms is None else since_ms
+            for team, since_ms in self._lowered_ms.items()
+            if since_ms is None or at_ms - since_ms < LOWERED_READ_MS
+        }
+        return list(self._lowered_ms)
+
     def _next_allowance(
         self, team: str, demand: Resources, at_ms: int, may_lower: bool
     ) -> Resources:
--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -4,7 +4,7 @@
 
 from apricotgap.jobs.configuration import Team
 from apricotgap.jobs.model import NO_RESOURCES, Resources
-from apricotgap.jobs.team_limits import LOWER_AFTER_MS, TeamLimits
+from apricotgap.jobs.team_limits import LOWER_AFTER_MS, LOWERED_READ_MS, TeamLimits
 from tests.jobs_harness import configuration
 
 LIMIT = Resources(1000, 0, 0)
@@ -295,3 +295,35 @@
     for _ in range(20):
         one.record_split("bakers", rows, store.revision)
     assert one.changes({"bakers": Resources(450)}, 0) == [before]
+
+
+def test_start_under_a_lowered_limit_waits_for_the_rows_of_the_others():
+    """Guards against a team above a lowered limit: a shard that has not read the split
+    for long starts a task, while another one runs all that the limit allows.
+    """
+    store, one, two = Store(), team_limits("one"), team_limits("two")
+    request_allowance(one, store, 50)
+    request_allowance(two, store, 600)
+    for limits in (one, two):
+        limits.set_configuration(config(Resources(500)))
+    usage = {"bakers": Resources(600)}
+    for change in two.changes(usage, 0, usage):
+        store.write(two, change)
+    assert one.allowed("bakers").cpu == 0
+    assert one.unmet({"bakers": Resources(50)}) == ["bakers"]
+    one.record_split("bakers", store.split, store.revision)
+    assert one.allowed("bakers").cpu == 0
+
+
+def test_split_is_read_for_a_while_after_a_limit_was_lowered():
+    """Guards against a row that another shard has raised under the limit before, and
+    that a shard which lacks nothing does not notice.
+    """
+    store, one = Store(), team_limits("one")
+    request_allowance(one, store, 50)
+    assert one.outdated(50_000) == []
+    one.set_configuration(config(Resources(500)))
+    assert one.outdated(50_000) == ["bakers"]
+    one.record_split("bakers", store.split, store.revision)
+    assert one.outdated(50_000 + LOWERED_READ_MS - 1) == ["bakers"]
+    assert one.outdated(50_000 + LOWERED_READ_MS) == []
