--- a/apricotgap/jobs/team_demand.py
+++ b/apricotgap/jobs/team_demand.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from apricotgap.jobs.inherited_usage import possible_usage
 from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.workers import Worker
@@ -49,7 +50,7 @@
     Tasks for which no worker has room do not count. An allowance for them would be
     kept from other shards, where tasks of the team could start.
     """
-    demand = dict(shard.team_usage)
+    demand = possible_usage(shard)
     waiting = _waiting_tasks(shard, at_ms)
     if not waiting:
         return demand
