Count the wait for a process that has ended from its end, not from a claim

Cause: an instance that finds the owner key of its own earlier process waited for that one's leases from the claim on. After an outage in which it had restarted, that was 6.3 s after the return of the store, for leases that had long ended. Change: the wait counts from the start of the process: its ports show that no earlier process of the instance runs.

--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -96,6 +96,7 @@
         self._overloaded_since_ms: int | None = None
         # Shards whose owner key this process may have written without owning them.
         self._open_claims: set[str] = set()
+        self._started_ms = 0
         self._log = structlog.get_logger()
         self.is_draining = False
 
@@ -106,6 +107,7 @@
 
     async def run(self) -> None:
         """Take part in the election until cancelled."""
+        self._started_ms = self._clock.now_ms
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(_SCAN_INTERVAL_S)
@@ -305,6 +307,7 @@
         )
 
     async def _claim(self, shard: str, revision: int) -> Ownership | None:
+        predecessor_gone_ms = self._predecessor_gone_ms(shard)
         try:
             counter = await self._store.read_key(epoch_key(shard))
             mark = await self._store.read_key(tenure_key(shard))
@@ -320,7 +323,7 @@
         me = self._identity
         owner = Owner(me.name, me.incarnation, me.address, epoch)
         inherited = inherited_lease_ms(
-            last_epoch, mark, revision > 0, self._lease.ttl_ms
+            last_epoch, mark, predecessor_gone_ms, self._lease.ttl_ms
         )
         lease_left_ms = self._lease.valid_until_ms - self._clock.now_ms
         writes = [
@@ -369,6 +372,19 @@
                 self._cluster_view.apply(item)
         return None
 
+    def _predecessor_gone_ms(self, shard: str) -> int | None:
+        """Return for how long the process that wrote the owner key has been gone.
+
+        Returns None without a key, and 0 if this process wrote it.
+        """
+        if self._cluster_view.owner_item(shard) is None:
+            return None
+        owner = self._cluster_view.owner(shard)
+        if owner is None or owner.incarnation == self._identity.incarnation:
+            return 0
+        # Processes of an instance have the same ports, and no two run at a time.
+        return self._clock.now_ms - self._started_ms
+
     async def _resolve_claim(
         self, shard: str, owner: Owner, outcome: Unknown
     ) -> Stored | Unknown:
--- a/apricotgap/instance/tenure.py
+++ b/apricotgap/instance/tenure.py
@@ -15,7 +15,7 @@
 from apricotgap.clock import Clock
 from apricotgap.instance.keys import tenure_key
 from apricotgap.instance.ownership import Ownership
-from apricotgap.jobs.limits import WORKER_LEASE_TAIL_MS
+from apricotgap.jobs.limits import WORKER_LEASE_STRETCH, WORKER_LEASE_TAIL_MS
 from apricotgap.jobs.workers import Worker
 from apricotgap.platform.store import Conflict, Item, StoreClient, Stored, Write
 
@@ -29,7 +29,7 @@
 
 
 def inherited_lease_ms(
-    last_epoch: int, mark: Item, has_owner_key: bool, owner_ttl_ms: int
+    last_epoch: int, mark: Item, predecessor_gone_ms: int | None, owner_ttl_ms: int
 ) -> int:
     """Return how long leases of earlier owners' workers may last after a claim.
 
@@ -39,15 +39,21 @@
         Epoch of the last owner.
     mark : Item
         Mark of a tenure, which may be that of an owner before the last one.
-    has_owner_key : bool
-        Whether the key of the last owner is still there: it belongs to an earlier
-        process of the instance that claims the shard, whose lease may be valid.
+    predecessor_gone_ms : int or None
+        If the key of the last owner is still there, for how long the process that wrote
+        it has been gone: it was a process of the instance that claims the shard, and
+        its lease was valid at most until it ended. None if there is no key.
     owner_ttl_ms : int
         Length of an instance's lease, in milliseconds.
     """
+    longest_ms = WORKER_LEASE_TAIL_MS + owner_ttl_ms
+    if predecessor_gone_ms is not None:
+        # The clocks of workers may have been slow meanwhile.
+        passed_ms = int(predecessor_gone_ms / WORKER_LEASE_STRETCH)
+        return max(CLOCK_SLACK_MS, longest_ms - passed_ms)
     earlier_ms = _earlier_ms(mark, last_epoch)
-    if earlier_ms is None or has_owner_key:
-        return WORKER_LEASE_TAIL_MS + owner_ttl_ms
+    if earlier_ms is None:
+        return longest_ms
     return max(WORKER_LEASE_TAIL_MS, earlier_ms) + CLOCK_SLACK_MS
 
 
--- a/tests/test_owner_sweeps.py
+++ b/tests/test_owner_sweeps.py
@@ -76,3 +76,22 @@
     """Guards against tasks that wait for a lost worker by each owner anew."""
     trouble = Trouble.registry["owner_after_worker"]
     assert play(gap_ms, lambda world: trouble.plan_at(world, 100, gap_ms))[:3] == []
+
+
+@pytest.mark.parametrize("span_ms", some(range(6_000, 12_001, 250), 3))
+def test_promises_hold_when_an_owner_restarts_early_in_an_outage(span_ms):
+    """Guards against a wait for leases of a process that ended long before the claim of
+    its successor, which finds the owner key of its own instance.
+    """
+
+    def plan(world):
+        owner = world.owner()
+        worker_id = max(
+            world.entries, key=lambda each: len(world.workers[each].running)
+        )
+        world.end_worker(worker_id)
+        world.outage(span_ms, "silent", pauses_leases=True)
+        owner.kill()
+        world.at(300, owner.start)
+
+    assert play(span_ms, plan)[:3] == []
