--- a/tests/day_troubles.py
+++ b/tests/day_troubles.py
@@ -180,6 +180,24 @@
     world.at(delay_ms + 100, start)
 
 
+class Handovers(Trouble):
+    """All instances but one are replaced; that one hands shards over for balance."""
+
+    name = "handovers"
+    N_ROUNDS = 2
+
+    def plan(self, world):
+        for _ in range(self.N_ROUNDS):
+            world.at(_moment(world), self._leave_one, world)
+
+    @staticmethod
+    def _leave_one(world):
+        processes = [each for each in world.instances if each.is_up]
+        for process in world.rng.sample(processes, max(0, len(processes) - 1)):
+            process.terminate()
+            _start_again(world, process, 3_000)
+
+
 class TakeoverStops(Trouble):
     """A new owner gets SIGTERM, or is killed, at a step of its takeover."""
 
