Say when a wait for stops of an earlier owner ends

Cause: job_waits gave the end of a worker's lease as the next look, which each poll renews, while the owner waits for the longest stop only. Change: it gives the end of that, as long as the worker answers. The test saw the end of the lease before.

--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -94,10 +94,14 @@
         }
 
     def next_look_ms(self, case: WaitCase) -> int:
-        return max(
-            max(worker.lease_until_ms, worker.offered_until_ms)
-            for worker in self._unverified(case)
-        )
+        return max(map(self._known_ms, self._unverified(case)))
+
+    @staticmethod
+    def _known_ms(worker: Worker) -> int:
+        """Return when the runs of a worker are known, or its lease has ended."""
+        if worker.stops_until_ms is None or worker.silent_since_ms is not None:
+            return max(worker.lease_until_ms, worker.offered_until_ms)
+        return worker.stops_until_ms
 
     @staticmethod
     def _unverified(case: WaitCase) -> list[Worker]:
--- a/tests/test_stops_of_earlier_owners.py
+++ b/tests/test_stops_of_earlier_owners.py
@@ -1,7 +1,8 @@
 """Runs that an earlier owner told a worker to stop, seen by its successor."""
 
 from apricotgap.jobs.documents import Progress
-from tests.jobs_harness import Rig, entry, job
+from apricotgap.jobs.waiting import WaitCase, explain_wait
+from tests.jobs_harness import FAR_MS, Rig, entry, job
 from tests.test_owner_days import play
 
 # The owner gets SIGTERM 30 ms after it has stopped two slow runs, and its successor
@@ -55,6 +56,18 @@
     assert rig.shard.poll_wait_ms(worker, rig.now) == 0
 
 
+def test_wait_for_a_stop_tells_when_it_must_have_ended():
+    """Guards against a log that says the task waits for the lease of a worker, which
+    each poll renews.
+    """
+    rig = taken_over()
+    rig.ready()
+    case = WaitCase(rig.shard, rig.shard.jobs[job().job_id], (0, 0), rig.now, FAR_MS)
+    wait = explain_wait(case)
+    assert wait.reason == "previous_owner"
+    assert wait.next_look_ms == rig.now + rig.shard.stop_listing_delay_ms
+
+
 def test_no_task_runs_twice_when_an_owner_resigns_while_runs_stop():
     """Guards against the same with real owners."""
     assert play(STOP_BEFORE_RESIGNATION_SEED, "replacements").broken[:3] == []
