--- a/tests/day_troubles.py
+++ b/tests/day_troubles.py
@@ -131,14 +131,15 @@
             at_ms += world.rng.randrange(500, 4_000)
             world.at(at_ms, world.configure, {"flour": OTHER_SERVICE})
             if world.rng.random() < 0.5:
-                world.at(at_ms, self._cancel_lasting, world)
+                world.at(at_ms, self.cancel_lasting, world)
             at_ms += world.rng.choice((300, 2_000, 10_500, 12_000, 14_000))
             world.at(at_ms, world.configure, self.ROUTES)
             world.at(at_ms + 300, world.submit, 2, True)
             world.at(at_ms + world.rng.randrange(300, 3_000), world.submit, 2)
 
     @staticmethod
-    def _cancel_lasting(world):
+    def cancel_lasting(world):
+        """Cancel all jobs that last."""
         for spec in list(world.observer.jobs.values()):
             if spec.is_long_running:
                 world.cancel(spec.job_id)
@@ -179,6 +180,24 @@
     world.at(delay_ms + 100, start)
 
 
+class Handovers(Trouble):
+    """All instances but one are replaced; that one hands shards over for balance."""
+
+    name = "handovers"
+    N_ROUNDS = 2
+
+    def plan(self, world):
+        for _ in range(self.N_ROUNDS):
+            world.at(_moment(world), self._leave_one, world)
+
+    @staticmethod
+    def _leave_one(world):
+        processes = [each for each in world.instances if each.is_up]
+        for process in world.rng.sample(processes, max(0, len(processes) - 1)):
+            process.terminate()
+            _start_again(world, process, 3_000)
+
+
 class TakeoverStops(Trouble):
     """A new owner gets SIGTERM, or is killed, at a step of its takeover."""
 
--- a/tests/test_takeover_waits.py
+++ b/tests/test_takeover_waits.py
@@ -31,7 +31,7 @@
 def inherited_ms():
     """Return the wait of a successor of a marked owner whose key went."""
     mark = Item(tenure_key(SERVICE), b"1", 7)
-    return inherited_lease_ms(1, mark, False, TTL_MS)
+    return inherited_lease_ms(1, mark, None, TTL_MS)
 
 
 def test_mark_that_its_owner_removes_beside_a_claim_shortens_no_wait():
