Logs: warnings of libraries are lines of the bounded log

Cause: the WebSocket library logs a traceback for a connection that breaks off its handshake.

Change: a handler writes them as lines of the process, one per warning, with the error cut to 200 characters, within the rate of all lines.

The new case of tests/test_log_limits.py failed before, passes.

--- a/apricotgap/instance/logs.py
+++ b/apricotgap/instance/logs.py
@@ -1,5 +1,6 @@
 """Structured logging to standard output through a bounded, non-blocking buffer."""
 
+import logging
 import os
 import sys
 from collections import deque
@@ -18,6 +19,7 @@
 MAX_BURST_LINES = 800
 # Of a value in a line that is longer. Tracebacks fit.
 MAX_FIELD_CHARS = 16_000
+_MAX_LIBRARY_CHARS = 200
 _FLUSH_INTERVAL_S = 0.2
 # Some readers of a pipe truncate a single write at 8 KiB.
 _WRITE_BYTES = 4_096
@@ -96,6 +98,24 @@
     return text[:MAX_FIELD_CHARS].encode(errors="replace").decode()
 
 
+class LibraryHandler(logging.Handler):
+    """Writes warnings of libraries as log lines of the process.
+
+    By default they go to standard error with their tracebacks, without a bound, and
+    block the process when nobody reads it. A connection of an odd client is enough.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line."""
+        error = record.exc_info[1] if record.exc_info else None
+        structlog.get_logger().warning(
+            "library_warning",
+            library=record.name,
+            text=record.getMessage()[:_MAX_LIBRARY_CHARS],
+            error=repr(error)[:_MAX_LIBRARY_CHARS] if error else "",
+        )
+
+
 def configure(instance: str) -> LogBuffer:
     """Make structlog write JSON lines to a buffer and return the buffer."""
     buffer = LogBuffer()
@@ -116,4 +136,5 @@
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(instance=instance)
+    logging.basicConfig(level=logging.WARNING, handlers=[LibraryHandler()], force=True)
     return buffer
--- a/tests/test_log_limits.py
+++ b/tests/test_log_limits.py
@@ -1,6 +1,8 @@
 """Log lines made of what callers and other writers say."""
 
 import json
+import subprocess
+import sys
 
 import pytest
 
@@ -31,3 +33,29 @@
     """Guards against a bound that changes the lines that the diagnosis reads."""
     fields = {"event": "runs_started", "runs": [1, 2], "workers": ["a"], "x": None}
     assert json.loads(encode_line(fields)) == fields
+
+
+LOG_OF_A_LIBRARY = """
+import logging
+from apricotgap.instance import logs
+buffer = logs.configure("i")
+error = ValueError("x" * 10**5)
+for _ in range(10_000):
+    logging.getLogger("websockets.server").error("odd", exc_info=error)
+buffer.flush()
+"""
+
+
+def test_warnings_of_libraries_are_bounded_lines():
+    """Guards against odd connections that fill standard error and so block the process.
+
+    The library for connections between instances logs a traceback for each.
+    """
+    command = [sys.executable, "-c", LOG_OF_A_LIBRARY]
+    done = subprocess.run(command, capture_output=True, check=True, timeout=30)
+    assert done.stderr == b""
+    lines = done.stdout.splitlines()
+    assert 0 < len(lines) < 1_000
+    line = json.loads(lines[0])
+    assert line["library"] == "websockets.server"
+    assert len(lines[0]) < 1_000
