--- a/tests/test_decoder_fuzz.py
+++ b/tests/test_decoder_fuzz.py
@@ -12,7 +12,7 @@
 import pytest
 from hypothesis import HealthCheck, given, seed, settings
 
-from tests.decoder_registry import DECODERS, WITHOUT_ENTRY
+from tests.decoders import DECODERS, WITHOUT_ENTRY
 from tests.typed_values import find_mistyped
 
 N_EXAMPLES = 150
