Tenure: an odd time in a mark is not waited for

Cause: the time in the mark of a tenure, new with, was taken as it stands. One of 5,000 digits raised ValueError in the loop of the election, and one longer than any lease made the successor wait as long.

Change: at most nine digits are read, and the wait is never longer than that without a mark, which covers any lease that an earlier owner can have given.

The two new cases of test_leases_of_an_owner_that_may_have_had_a_valid_lease failed before.

--- a/apricotgap/instance/tenure.py
+++ b/apricotgap/instance/tenure.py
@@ -25,6 +25,7 @@
 CLOCK_SLACK_MS = 500
 # Between the epoch and the milliseconds of a mark.
 _SEPARATOR = b" "
+_MAX_SPAN_DIGITS = 9
 _RETRY_S = 0.5
 
 
@@ -54,7 +55,7 @@
     earlier_ms = _earlier_ms(mark, last_epoch)
     if earlier_ms is None:
         return longest_ms
-    return max(WORKER_LEASE_TAIL_MS, earlier_ms) + CLOCK_SLACK_MS
+    return min(longest_ms, max(WORKER_LEASE_TAIL_MS, earlier_ms) + CLOCK_SLACK_MS)
 
 
 def new_mark(epoch: int, inherited_ms: int, lease_left_ms: int) -> bytes:
@@ -84,7 +85,8 @@
         return None
     if not span:
         return 0
-    return int(span) if span.isdigit() else None
+    is_number = span.isdigit() and len(span) <= _MAX_SPAN_DIGITS
+    return int(span) if is_number else None
 
 
 def _encode(epoch: int) -> bytes:
--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -44,6 +44,9 @@
         (Item(KEY, b"\xff", 7), None),
         (Item(KEY, b"4 x", 7), None),
         (Item(KEY, b"3 100", 7), None),
+        # Of another writer: too long for a number, and longer than any lease.
+        (Item(KEY, b"4 " + b"9" * 5_000, 7), None),
+        (Item(KEY, b"4 99999999", 7), None),
         (Item(KEY, b"4 100", 7), 0),
     ],
 )
