--- a/tests/test_inherited_usage.py
+++ b/tests/test_inherited_usage.py
@@ -12,8 +12,8 @@
 from apricotgap.jobs.documents import Progress, decode_split, encode_split
 from apricotgap.jobs.events import RunReport
 from apricotgap.jobs.model import Resources, StepSpec
+from tests.conditional_store import ValueStore
 from tests.jobs_harness import FAR_MS, SERVICE, Rig, entry, job, task
-from tests.test_review_lost import StoreWithConditions
 from tests.test_team_limit_updater import LIMIT, limited
 
 FOUR_TASKS = (StepSpec(4, Resources(1000, 100), 9_000),)
@@ -72,7 +72,7 @@
     async def main():
         clock = TrioClock()
         rig = lost_worker_rig(clock)
-        store = StoreWithConditions()
+        store = ValueStore()
         store.put(owner_key(SERVICE), b"me")
         ownership = Ownership(SERVICE, 2, store.revision, 1, 6_500)
         key = limit_key("bakers")
