Tests: runs of an earlier owner are known once its stops have ended

The test asked for starts after the first list; it now checks that there are none, and asks for them after the second one.

--- a/tests/test_inherited_usage.py
+++ b/tests/test_inherited_usage.py
@@ -52,6 +52,10 @@
     rig.submit(job("k" * 16, steps=FOUR_TASKS))
     listed = [RunReport(task(number), 1, "", 50.0, 0.0) for number in (0, 1)]
     rig.poll("w1", running=listed)
+    # The other two may be stopping, in no list.
+    assert rig.schedule() == []
+    rig.now += rig.shard.stop_listing_delay_ms
+    rig.poll("w1", running=listed)
     assert len(rig.schedule()) == 2
 
 
