Specify the rows of a team's limit in two shards

The fixes of accepted-and-lost in the split of limits had no mutant: raise by a write, keep a row above the usage, count runs that are unknown.

`team limits` plays the product's TeamLimits beside late writes, a takeover and a limit that is lowered.

--- a/proof/model_check.py
+++ b/proof/model_check.py
@@ -20,6 +20,7 @@
 from proof.incarnations import Incarnations
 from proof.runs import Runs
 from proof.service_shards import ServiceShards
+from proof.team_limits import TeamLimitRows
 from proof.tenures import Tenures
 from proof.waves import WaveGrants
 
@@ -37,6 +38,7 @@
     Incarnations,
     Runs,
     ServiceShards,
+    TeamLimitRows,
     Tenures,
     WaveGrants,
 )
