Give up a part of a team's limit that is too small for what waits

Cause: a shard raised its row by what the others left, even if that did not suffice, and kept it as long as its demand was not met. Two shards that did so blocked each other.

Change: a shard whose use and reach stay the same for 1.5 s, and once as long for each shard before it, gives up what it does not use for 1 s; each time in vain it waits twice as long, up to eight times.

--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
+from apricotgap.jobs.blocked_demand import BlockedDemand
 from apricotgap.jobs.configuration import Configuration
 from apricotgap.jobs.model import NO_RESOURCES, Resources
 
@@ -60,6 +61,15 @@
     return amount * limit // stored if stored > limit else amount
 
 
+def _has_surplus(allowance: Resources, used: Resources, limit: Resources) -> bool:
+    """Return whether an allowance exceeds what is used of a limited resource."""
+    return (
+        (limit.cpu < UNLIMITED and allowance.cpu > used.cpu)
+        or (limit.memory_mb < UNLIMITED and allowance.memory_mb > used.memory_mb)
+        or (limit.gpus < UNLIMITED and allowance.gpus > used.gpus)
+    )
+
+
 class TeamLimits:
     """Allowances of one shard, by team.
 
@@ -76,6 +86,7 @@
         self._splits: dict[str, tuple[Split, int]] = {}
         self._allowances: dict[str, Resources] = {}
         self._surplus_since_ms: dict[str, int] = {}
+        self._blocked = BlockedDemand()
         # Teams whose limits were lowered: those whose splits are older than that, and
         # the times at which this was noticed.
         self._unread: set[str] = set()
@@ -168,6 +179,11 @@
                 others = others + amount
         return others
 
+    def _rank(self, team: str) -> int:
+        """Return how many shards with a row come before this one."""
+        split, _ = self._splits.get(team, ({}, 0))
+        return sum(service < self._service for service in split)
+
     def _fair_row(self, team: str) -> Resources:
         """Return the stored row, in proportion if all rows exceed a lowered limit."""
         split, _ = self._splits.get(team, ({}, 0))
@@ -208,7 +224,7 @@
                 continue
             used = usage.get(team, NO_RESOURCES)
             wanted = demand.get(team, NO_RESOURCES)
-            allowance = self._next_allowance(team, wanted, at_ms, may_lower)
+            allowance = self._next_allowance(team, wanted, used, at_ms, may_lower)
             # After a limit was lowered a shard may use more than its allowance. Its row
             # says so, or the others would start tasks for what it still uses.
             row = allowance.elementwise_max(used)
@@ -256,7 +272,12 @@
         return list(self._lowered_ms)
 
     def _next_allowance(
-        self, team: str, demand: Resources, at_ms: int, may_lower: bool
+        self,
+        team: str,
+        demand: Resources,
+        used: Resources,
+        at_ms: int,
+        may_lower: bool,
     ) -> Resources:
         """Return the allowance to have next; a lower one takes effect at once."""
         limit = self._limits[team]
@@ -265,8 +286,21 @@
         wanted = _scaled(demand, RAISE_FACTOR).elementwise_max(idle_allowance)
         if not demand.elementwise_max(idle_allowance).fits(allowance):
             self._surplus_since_ms.pop(team, None)
+            if self._blocked.is_released(team, at_ms):
+                return allowance
             remaining = limit - self._others(team)
-            return wanted.elementwise_min(remaining).elementwise_max(allowance)
+            raised = wanted.elementwise_min(remaining).elementwise_max(allowance)
+            if demand.fits(raised):
+                self._blocked.clear(team)
+                return raised
+            if not may_lower or not _has_surplus(allowance, used, limit):
+                return raised
+            rank = self._rank(team)
+            if not self._blocked.should_release(team, used, raised, rank, at_ms):
+                return raised
+            self._allowances[team] = used.elementwise_min(allowance)
+            return self._allowances[team]
+        self._blocked.clear(team)
         if not may_lower or allowance.fits(_scaled(wanted, LOWER_FACTOR)):
             self._surplus_since_ms.pop(team, None)
             return allowance
--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from apricotgap.jobs.configuration import Team
 from apricotgap.jobs.model import NO_RESOURCES, Resources
 from apricotgap.jobs.team_limits import LOWER_AFTER_MS, LOWERED_READ_MS, TeamLimits
@@ -327,3 +329,24 @@
     one.record_split("bakers", store.split, store.revision)
     assert one.outdated(50_000 + LOWERED_READ_MS - 1) == ["bakers"]
     assert one.outdated(50_000 + LOWERED_READ_MS) == []
+
+
+@pytest.mark.parametrize("n_shards", [2, 3])
+def test_shards_that_each_hold_less_than_a_task_do_not_block_each_other(n_shards):
+    """Guards against tasks that wait for good within their team's limit: each shard
+    holds a part of it that is too small for a task, and none lets go.
+    """
+    store = Store()
+    shards = [team_limits(name) for name in ("one", "two", "three")[:n_shards]]
+    for limits, cpu in zip(shards, (450, 300, 300), strict=False):
+        request_allowance(limits, store, cpu)
+    demand = {"bakers": Resources(600)}
+    held = []
+    for at_ms in range(0, 15_000, 100):
+        for limits in shards:
+            for change in limits.changes(demand, at_ms):
+                store.write(limits, change)
+            limits.record_split("bakers", store.split, store.revision)
+        assert total(store) <= 1000
+        held.append(max(limits.allowed("bakers").cpu for limits in shards))
+    assert max(held) >= 600
