Hand over no shard for balance while one of its workers is silent

Cause: only workers of earlier owners kept a shard from being handed over. Given up 0.4 s after a worker was lost, it left its successor to wait anew for the lease of that worker. Change: a silent worker with runs keeps the shard too, until its lease has ended. The test failed before, as there was nothing to ask.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -209,8 +209,8 @@
 
     @property
     def knows_all_runs(self) -> bool:
-        """Whether no worker may have runs of a previous owner that are not known."""
-        return self.ready.is_set() and not self._shard.has_unverified_workers
+        """Whether no worker may have runs that a successor would have to wait for."""
+        return self.ready.is_set() and not self._shard.awaits_leases
 
     # Loading
 
--- a/apricotgap/jobs/shard_leases.py
+++ b/apricotgap/jobs/shard_leases.py
@@ -106,6 +106,14 @@
         """Whether runs of a previous owner may exist on workers not acquired yet."""
         return any(worker.is_unverified for worker in self.workers.values())
 
+    @property
+    def awaits_leases(self) -> bool:
+        """Whether a successor would begin anew to wait for the lease of a worker."""
+        return self.has_unverified_workers or any(
+            worker.silent_since_ms is not None and worker.runs
+            for worker in self.workers.values()
+        )
+
     def _expire(self, worker: Worker, at_ms: int) -> Iterable[Effect]:
         """Drop the runs of a worker whose lease must have ended.
 
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -115,3 +115,19 @@
     with trio.fail_after(timeout_s):
         while not condition():
             await trio.sleep(0.05)
+
+
+def test_runs_of_a_silent_worker_are_not_left_to_a_successor():
+    """Guards against a shard that is handed over for balance just after a worker was
+    lost: its successor begins anew to wait for the end of the worker's lease.
+    """
+    rig = Rig().ready()
+    rig.submit(job())
+    for start in rig.schedule():
+        rig.answer(start)
+    assert not rig.shard.awaits_leases
+    rig.shard.step(PollFailed(rig.now, "w1", 1, "timeout"))
+    assert rig.shard.awaits_leases
+    rig.now += MAX_LEASE_MS * 2
+    rig.shard.tick(rig.now)
+    assert not rig.shard.awaits_leases
