--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -34,6 +34,7 @@
     "limit_key",
     "job_writes",
     "jobs_prefix",
+    "names_owner",
     "new_incarnation",
     "owner_key",
     "progress_key",
@@ -246,6 +247,16 @@
         raise DecodeError(f"malformed service of {len(data)} bytes") from error
 
 
+def names_owner(value: bytes | None, owner: Owner) -> bool:
+    """Whether the value of an owner key names an owner; it is None without a key."""
+    if value is None:
+        return False
+    try:
+        return decode_owner(value) == owner
+    except DecodeError:
+        return False
+
+
 def job_writes(service: str, job_id: str, document: bytes) -> tuple[Write, Write]:
     """Return the writes that accept a job; they fail if its id is in use."""
     return (
--- a/tests/test_prefix_mirror.py
+++ b/tests/test_prefix_mirror.py
@@ -3,12 +3,14 @@
 import json
 
 import pytest
+import trio
+import trio.testing
 
 from apricotgap.clock import FakeClock
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.keys import Owner, encode_owner, owner_key
 from apricotgap.platform.keys import CONFIGURATION_KEY
-from apricotgap.platform.store import Item, Snapshot
+from apricotgap.platform.store import Item, Snapshot, StoreError
 from soak.cluster import configuration
 
 SHARD = "bakery"
@@ -127,3 +129,27 @@
     assert view.config.version == 7
     read(9, 13)
     assert view.config.version == 9
+
+
+def test_watch_after_a_failed_one_is_short(view):
+    """Guards against a view that is stale for 5 s after an outage: a watch that was
+    sent while the store gave no answer keeps it from asking again.
+    """
+    waits_ms = []
+
+    class SilentStore:
+        async def watch(self, prefix, after, wait_ms):
+            waits_ms.append(wait_ms)
+            if len(waits_ms) < 3:
+                raise StoreError("timeout")
+            await trio.sleep_forever()
+
+    async def main():
+        mirror = view.system_mirror
+        mirror._store = SilentStore()
+        with trio.move_on_after(2):
+            await mirror.run()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert waits_ms[0] >= 4_000
+    assert max(waits_ms[1:]) <= 300
