Owner: a stored cancellation that raises is an error of its job

Cause: an error while a stored cancellation was applied passed through the watch of the shard's jobs and ended the owner. The key stays until it is processed, so that the next owner ended by it as well.

Change: found cancellations are applied beside the found jobs, each as that of its job; one that raises sets the job aside.

--- a/apricotgap/instance/shard_loader.py
+++ b/apricotgap/instance/shard_loader.py
@@ -16,11 +16,12 @@
     decode_job,
     decode_progress,
 )
+from apricotgap.jobs.effects import Effect
 from apricotgap.jobs.model import JobSpec
 from apricotgap.jobs.shard import Shard
 from apricotgap.platform.store import Item, Snapshot, StoreClient, StoreError
 
-__all__ = ["add_found_jobs", "load_jobs", "read_prefix"]
+__all__ = ["add_found_jobs", "cancel_found_jobs", "load_jobs", "read_prefix"]
 
 _RETRY_S = 0.15
 
@@ -83,6 +84,20 @@
         log.info("job_found", job=job.job_id, shard=job.service)
 
 
+def cancel_found_jobs(shard: Shard, items: Iterable[Item], at_ms: int) -> list[Effect]:
+    """Cancel the jobs whose cancellation other instances wrote to the store."""
+    effects: list[Effect] = []
+    for item in items:
+        parts = item.key.split("/")
+        if item.value is None or len(parts) != 4 or parts[3] != "cancel":
+            continue
+        job = shard.jobs.get(parts[2])
+        if job is not None:
+            with shard.guard(job):
+                effects += shard.cancel(parts[2], shard.unix_of(at_ms), at_ms)
+    return effects
+
+
 def _log_not_loaded(job: JobSpec) -> None:
     """Log a job that the running exception keeps out of its shard."""
     log = structlog.get_logger()
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -17,7 +17,12 @@
 from apricotgap.instance.poll_loops import PollLoops
 from apricotgap.instance.progress_writer import ProgressWriter
 from apricotgap.instance.roster import RosterWriter
-from apricotgap.instance.shard_loader import add_found_jobs, load_jobs, read_prefix
+from apricotgap.instance.shard_loader import (
+    add_found_jobs,
+    cancel_found_jobs,
+    load_jobs,
+    read_prefix,
+)
 from apricotgap.instance.shard_retirement import ShardRetirement, ShardUnusedError
 from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.team_limit_updater import TeamLimitUpdater
@@ -27,10 +32,7 @@
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.events import WorkersListed
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
-from apricotgap.jobs.limits import (
-    LEASE_MARGIN_MS,
-    TICK_INTERVAL_MS,
-)
+from apricotgap.jobs.limits import LEASE_MARGIN_MS, TICK_INTERVAL_MS
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.pacing import Pacer
@@ -255,10 +257,7 @@
         known = self._shard.jobs
         new = [item for item in items if item.key.rpartition("/")[2] not in known]
         add_found_jobs(self._shard, new)
-        for item in items:
-            parts = item.key.split("/")
-            if item.value is not None and len(parts) == 4 and parts[3] == "cancel":
-                self._cancel(parts[2])
+        self._effects.execute(cancel_found_jobs(self._shard, items, self._clock.now_ms))
         self._pass_requested.set()
 
     @property
@@ -286,10 +285,12 @@
         Returns None for an unknown job and False if the cancellation is not stored by
         the deadline.
         """
-        if job_id not in self._shard.jobs:
+        job = self._shard.jobs.get(job_id)
+        if job is None:
             return None
-        self._cancel(job_id)
-        job = self._shard.jobs[job_id]
+        now_ms = self._clock.now_ms
+        unix_ms = self._shard.unix_of(now_ms)
+        self._effects.execute(self._shard.cancel(job_id, unix_ms, now_ms))
         while job.saved_phase is not job.progress.phase:
             if self._clock.now_ms > deadline_ms:
                 return False
@@ -297,13 +298,6 @@
                 await self._writer.saved.wait()
         return True
 
-    def _cancel(self, job_id: str) -> None:
-        if job_id not in self._shard.jobs:
-            return
-        now_ms = self._clock.now_ms
-        unix_ms = self._shard.unix_of(now_ms)
-        self._effects.execute(self._shard.cancel(job_id, unix_ms, now_ms))
-
     def n_pending(self, queue: str) -> int:
         """Return the number of jobs of a queue without a started task."""
         return self._shard.n_pending(queue)
--- a/tests/test_shard_loader.py
+++ b/tests/test_shard_loader.py
@@ -4,8 +4,12 @@
 
 import pytest
 
-from apricotgap.instance.keys import job_key, progress_key
-from apricotgap.instance.shard_loader import add_found_jobs, load_jobs
+from apricotgap.instance.keys import cancel_key, job_key, progress_key
+from apricotgap.instance.shard_loader import (
+    add_found_jobs,
+    cancel_found_jobs,
+    load_jobs,
+)
 from apricotgap.jobs.documents import (
     Progress,
     TaskRecord,
@@ -93,3 +97,20 @@
         assert not shard.jobs[GOOD].is_complete
         shard.jobs[GOOD].mark_done(TaskName(GOOD, 0, 0, task))
     assert shard.jobs[GOOD].is_complete
+
+
+def test_found_cancellation_that_raises_leaves_the_others(monkeypatch):
+    """Guards against a stored cancellation that stops owner after owner."""
+    shard = Shard(SERVICE, 1, MAX_LEASE_MS)
+    add_found_jobs(shard, readable_jobs())
+
+    def fail(*_args):
+        raise RuntimeError("defect")
+
+    monkeypatch.setattr(shard.jobs[BAD], "finish", fail)
+    items = [Item(cancel_key(SERVICE, name), b"1", 2) for name in (BAD, GOOD, "c")]
+    cancel_found_jobs(shard, items, 0)
+    assert shard.jobs[GOOD].progress.phase is JobPhase.CANCELLED
+    shard.tick(0)
+    assert not shard.open_jobs
+    assert shard.n_pending("plans") == 1
