Orders: a refusal's reason is no result of another kind

Cause: the reason of a 409 became the kind of the result as it came. One that says "ok" counted as a start, or as a machine that was moved; "unknown" and "gone" changed what follows as well. The kind is also a label of metrics and was free text there.

Change: the reasons that the platform names are kept, any other is "conflict".

--- a/apricotgap/platform/machines.py
+++ b/apricotgap/platform/machines.py
@@ -14,6 +14,8 @@
 __all__ = ["MachineClient", "MachineListError"]
 
 CALL_TIMEOUT_MS = 1_500
+# Reasons of a refused order. Any other could be mistaken for a result of another kind.
+_ORDER_REFUSALS = frozenset({"busy", "fence", "wave"})
 
 
 class MachineListError(Exception):
@@ -142,6 +144,7 @@
 
 def _conflict_reason(body: bytes) -> str:
     try:
-        return decode_json(body, _Conflict).reason or "conflict"
+        reason = decode_json(body, _Conflict).reason
     except DecodeError:
         return "conflict"
+    return reason if reason in _ORDER_REFUSALS else "conflict"
--- a/apricotgap/platform/workers.py
+++ b/apricotgap/platform/workers.py
@@ -21,6 +21,8 @@
 STOP_TIMEOUT_MS = 500
 POLL_TIMEOUT_MARGIN_MS = 700
 _MISDIRECTED_REQUEST = 421
+# Reasons of a refused start. Any other could be mistaken for a result of another kind.
+_START_REFUSALS = frozenset({"fence", "late", "old", "room", "ticket"})
 
 
 class WorkerError(Exception):
@@ -227,7 +229,9 @@
         if response.status == 200:
             return StartResult("ok", outcome.clock_ms)
         if response.status == 409:
-            return StartResult(outcome.reason or "conflict", outcome.clock_ms)
+            is_known = outcome.reason in _START_REFUSALS
+            kind = outcome.reason if is_known else "conflict"
+            return StartResult(kind, outcome.clock_ms)
         if response.status in (429, 503):
             return StartResult("busy")
         if response.status == _MISDIRECTED_REQUEST:
