Worker list: forget odd entries that are gone

Cause: the names of odd entries were kept for good, to log each once: memory that only grows, and no line for an entry that is odd again after it was not.

Change: a name is forgotten with its entry, or once that is readable.

The new case of tests/test_decoding.py failed before, passes.

--- a/apricotgap/instance/worker_list.py
+++ b/apricotgap/instance/worker_list.py
@@ -77,9 +77,11 @@
             worker_id = item.key[len(WORKERS_PREFIX) :]
             if item.value is None:
                 self._entries.pop(worker_id, None)
+                self._unreadable.discard(worker_id)
                 continue
             try:
                 self._entries[worker_id] = decode_worker(worker_id, item.value)
+                self._unreadable.discard(worker_id)
             except WireError as error:
                 self._entries.pop(worker_id, None)
                 if worker_id not in self._unreadable:
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -137,6 +137,24 @@
     trio.run(main)
 
 
+def test_entries_that_are_gone_are_not_remembered():
+    """Guards against a set of odd entries' names that only grows."""
+
+    async def main():
+        items = [store.Item(f"servers/i-{n}", b"{", 1) for n in range(3)]
+        listed = WorkerList(WatchedStore(tuple(items)), FakeClock())
+        listed._changed(tuple(items))
+        sound = json.dumps(WORKER).encode()
+        later = (
+            store.Item("servers/i-0", None, 2),
+            store.Item("servers/i-1", sound, 2),
+        )
+        listed._changed(later)
+        assert listed._unreadable == {"i-2"}
+
+    trio.run(main)
+
+
 def test_long_values_are_not_repeated_in_errors():
     """Guards against log lines as long as the entries of other writers."""
     entry = {"service": "s", "address": "a" * 100_000, "state": "ready"}
