--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -17,7 +17,12 @@
 from apricotgap.instance.poll_loops import PollLoops
 from apricotgap.instance.progress_writer import ProgressWriter
 from apricotgap.instance.roster import RosterWriter
-from apricotgap.instance.shard_loader import add_found_jobs, load_jobs, read_prefix
+from apricotgap.instance.shard_loader import (
+    add_found_jobs,
+    cancel_found_jobs,
+    load_jobs,
+    read_prefix,
+)
 from apricotgap.instance.shard_retirement import ShardRetirement, ShardUnusedError
 from apricotgap.instance.start_permission import StartPermission
 from apricotgap.instance.submissions import Submissions
@@ -28,10 +33,7 @@
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.events import WorkersListed
 from apricotgap.jobs.fleet_view import PoolReport
-from apricotgap.jobs.limits import (
-    LEASE_MARGIN_MS,
-    TICK_INTERVAL_MS,
-)
+from apricotgap.jobs.limits import LEASE_MARGIN_MS, TICK_INTERVAL_MS
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.pacing import Pacer
@@ -256,10 +258,7 @@
         known = self._shard.jobs
         new = [item for item in items if item.key.rpartition("/")[2] not in known]
         add_found_jobs(self._shard, new)
-        for item in items:
-            parts = item.key.split("/")
-            if item.value is not None and len(parts) == 4 and parts[3] == "cancel":
-                self._cancel(parts[2])
+        self._effects.execute(cancel_found_jobs(self._shard, items, self._clock.now_ms))
         self._pass_requested.set()
 
     @property
@@ -292,21 +291,17 @@
         OwnershipLostError
             The owner has ended before.
         """
-        if job_id not in self._shard.jobs:
+        job = self._shard.jobs.get(job_id)
+        if job is None:
             return None
-        self._cancel(job_id)
-        left_ms = max(0, deadline_ms - self._clock.now_ms)
-        with trio.move_on_after(left_ms / 1000):
-            await self._writer.wait_for_phase(self._shard.jobs[job_id])
-            return True
-        return False
-
-    def _cancel(self, job_id: str) -> None:
-        if job_id not in self._shard.jobs:
-            return
         now_ms = self._clock.now_ms
         unix_ms = self._shard.unix_of(now_ms)
         self._effects.execute(self._shard.cancel(job_id, unix_ms, now_ms))
+        left_ms = max(0, deadline_ms - now_ms)
+        with trio.move_on_after(left_ms / 1000):
+            await self._writer.wait_for_phase(job)
+            return True
+        return False
 
     def n_pending(self, queue: str) -> int:
         """Return the number of jobs of a queue without a started task."""
--- a/tests/test_specifications.py
+++ b/tests/test_specifications.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import Hashable
-from dataclasses import replace
 from typing import ClassVar
 
 import pytest
@@ -10,6 +9,7 @@
 
 from apricotgap.instance import election, tenure
 from apricotgap.instance.election import Election
+from apricotgap.instance.keys import decode_owner
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.jobs import limits
 from apricotgap.jobs.shard_leases import ShardLeases
@@ -177,13 +177,12 @@
     "next lease": LEASE_FAULTS["next lease"],
     "earlier process": (
         election,
-        "decode_owner",
-        lambda data: replace(DECODE_OWNER(data), incarnation="i2", epoch=2),
+        "names_owner",
+        lambda value, owner: bool(value) and decode_owner(value).name == owner.name,
     ),
     "late renewal": (InstanceLease, "_renew_or_acquire", _count_from_answer),
     "ended lease": (InstanceLease, "_renew_or_acquire", _ignore_end),
 }
-DECODE_OWNER = election.decode_owner
 
 
 @pytest.mark.parametrize("fault", ELECTION_FAULTS)
