Specification of tenures: the mark that comes with the claim

It keeps the stored bytes now, asks the product for each mark, and knows how long the process has been gone whose key is there; instances of earlier builds claim without a mark.

--- a/proof/lease_bounds.py
+++ b/proof/lease_bounds.py
@@ -81,19 +81,22 @@
 
 
 @cache
-def inherited_ms(last_epoch: int, marked_epoch: int, has_owner_key: bool) -> int:
-    """Return how long leases of earlier owners may last; a mark of 0 stands for none.
+def inherited_ms(
+    last_epoch: int, mark: bytes | None, predecessor_gone_ms: int | None
+) -> int:
+    """Return how long leases of earlier owners may last after a claim.
 
     Parameters
     ----------
-    last_epoch, marked_epoch : int
-        Epochs of the last owner and of the mark.
-    has_owner_key : bool
-        Whether the key of the last owner is still there.
+    last_epoch : int
+        Epoch of the last owner.
+    mark : bytes or None
+        The mark as stored, None for none.
+    predecessor_gone_ms : int or None
+        How long the process has been gone whose owner key is there, None without a key.
     """
-    value = str(marked_epoch).encode() if marked_epoch else None
-    mark = Item("tenure", value, marked_epoch)
-    return inherited_lease_ms(last_epoch, mark, has_owner_key, OWNER_TTL_MS)
+    item = Item("tenure", mark, 1 if mark else 0)
+    return inherited_lease_ms(last_epoch, item, predecessor_gone_ms, OWNER_TTL_MS)
 
 
 @cache
--- a/proof/tenure_world.py
+++ b/proof/tenure_world.py
@@ -54,15 +54,17 @@
 
     key: int
     last_epoch: int
-    mark: int
+    mark: bytes | None
 
 
 class World(NamedTuple):
     """Store, processes, and the lease of the worker on its own clock.
 
     `key` is the epoch of the owner key, 0 for none, and `key_ms` what is left of its
-    lease in the store. `mark` is the epoch of the mark, `late_mark` that of one which
-    is on its way. `token` is the highest epoch that the worker has seen. `may_be_late`
+    lease in the store. `gone_ms` counts from the end of the process whose key is there.
+    `mark` is the mark as stored, `late_mark` the epoch of one that is on its way.
+    `token` is the highest epoch that the worker has seen. Instances of earlier builds,
+    if there are any, claim a shard without a mark. `may_be_late`
     tells whether processes, reads and writes may outlast the end of an ownership.
     """
 
@@ -70,7 +72,8 @@
     key: int = 1
     key_ms: int = OWNER_TTL_MS
     last_epoch: int = 1
-    mark: int = 1
+    gone_ms: int = 0
+    mark: bytes | None = b"1"
     late_mark: int = 0
     is_roster_settled: bool = True
     lease_ms: int = 0
@@ -81,6 +84,7 @@
     n_takeovers: int = 0
     n_late_renewals: int = 0
     n_restarts: int = 0
+    has_earlier_builds: bool = False
     may_be_late: bool = False
     may_fall_silent: bool = False
 
@@ -103,4 +107,4 @@
 
 def end_key(world: World) -> World:
     """Remove the owner key, as the store does at the end of its lease."""
-    return world._replace(key=0, key_ms=0)
+    return world._replace(key=0, key_ms=0, gone_ms=0)
--- a/proof/tenures.py
+++ b/proof/tenures.py
@@ -5,7 +5,7 @@
 
 from apricotgap.clock import FakeClock
 from apricotgap.instance.lease import InstanceLease
-from apricotgap.instance.tenure import CLOCK_SLACK_MS
+from apricotgap.instance.tenure import CLOCK_SLACK_MS, new_mark
 from apricotgap.jobs.limits import (
     LEASE_MARGIN_MS,
     SILENT_WORKER_MS,
@@ -34,16 +34,24 @@
 # What is left of an instance's lease as it claims the shard: just granted, or nearly
 # over.
 LEFT_AT_CLAIM_MS = (OWNER_TTL_MS, 1_000)
+# Of leases of earlier owners, after a moment at which one had a valid lease.
+LONGEST_MS = OWNER_TTL_MS + WORKER_LEASE_TAIL_MS
 _STORE = StoreClient("127.0.0.1:1")
 
 
+def _plain_mark(epoch: int) -> bytes:
+    """Return the mark of an owner that has seen the leases before it end."""
+    return str(epoch).encode()
+
+
 class Tenures(Specification):
     """One worker that may be out of reach at any moment, and owners of its shard."""
 
     name = "tenures"
     bounds = (
-        f"1 worker, steps of {TICK_MS} ms, 1 renewal each; 3 owners; or 2, late writes "
-        "and 1 late renewal; or 2 and 1 restart; or 1 and polls without answers"
+        f"1 worker, steps of {TICK_MS} ms, 1 renewal each; 3 owners, of this build or "
+        "some of earlier ones; or 2, late writes and 1 late renewal; or 2 and 1 "
+        "restart; or 1 and polls without answers"
     )
     invariants = (
         "no owner takes a lease for ended that a worker may still hold",
@@ -56,6 +64,9 @@
         "a mark beside an owner key does not count": "leases of a process just killed",
         "claim only with the mark that was read": "a mark that is removed beside it",
         "mark once earlier leases have ended": "leases of the owner before the last",
+        "a mark tells of leases before its owner": "a chain of short tenures",
+        "a mark counts from the end of its owner's lease": "a claim under an old lease",
+        "a process is gone from its own end on": "a wait that counts from before it",
         "mark under the ownership only": "a late mark of a shard that was given up",
         "remove the mark with the owner key": "leases given just before the end",
         "revoke no lease that holds an owner key": "a key that goes before its time",
@@ -81,8 +92,9 @@
         late = world._replace(n_takeovers=1, may_be_late=True)
         yield late._replace(n_late_renewals=1)
         unmarked = Owner(1, OWNER_TTL_MS, ACQUIRED, 0, 0)
-        yield late._replace(owner=unmarked, mark=0, n_renewals=0)
+        yield late._replace(owner=unmarked, mark=None, n_renewals=0)
         yield world._replace(n_takeovers=1, n_restarts=1)
+        yield world._replace(n_takeovers=2, has_earlier_builds=True)
         yield world._replace(may_fall_silent=True)
 
     def violated(self, state: Hashable) -> str | None:
@@ -94,11 +106,10 @@
         is_over = world.lease_ms > 0 and lease_bounds.is_over(owner.belief)
         if is_over or world.lease_ms > owner.belief.lease_ms:
             return self.invariants[0]
-        longest_ms = OWNER_TTL_MS + WORKER_LEASE_TAIL_MS
         if not owner.belief.longest_ms:
-            if owner.belief.lease_ms > lease_bounds.bound_ms(longest_ms):
+            if owner.belief.lease_ms > lease_bounds.bound_ms(LONGEST_MS):
                 return self.invariants[1]
-            is_over = owner.silent_ms > lease_bounds.bound_ms(longest_ms)
+            is_over = owner.silent_ms > lease_bounds.bound_ms(LONGEST_MS)
             if is_over and owner.belief.lease_ms > 0:
                 return self.invariants[2]
         return None
@@ -141,9 +152,12 @@
                 lease_ms=remaining_ms(former.lease_ms),
                 next_lease_ms=max(0, former.next_lease_ms - TICK_MS),
             )
+        is_gone = world.key and owner is None and former is None
+        gone_ms = min(world.gone_ms + TICK_MS, LONGEST_MS) if is_gone else 0
         return world._replace(
             owner=owner,
             former=former,
+            gone_ms=gone_ms,
             key_ms=max(0, world.key_ms - TICK_MS),
             lease_ms=max(0, world.lease_ms - TICK_MS),
         )
@@ -156,7 +170,8 @@
         )
         if is_due and world.key == owner.epoch:
             marked = world._replace(owner=owner._replace(mark_in_ms=None))
-            yield "the owner marks its tenure", marked._replace(mark=owner.epoch)
+            mark = _plain_mark(owner.epoch)
+            yield "the owner marks its tenure", marked._replace(mark=mark)
             if world.may_be_late:
                 yield "the mark is late", marked._replace(late_mark=owner.epoch)
         is_settled = owner.belief.is_settled or not self.guarded(
@@ -169,7 +184,7 @@
         is_owned = world.key == world.late_mark
         after = world._replace(late_mark=0)
         if is_owned or not self.guarded("mark under the ownership only"):
-            return after._replace(mark=world.late_mark)
+            return after._replace(mark=_plain_mark(world.late_mark))
         return after
 
     def _renew(self, world: World, owner: Owner) -> Iterator[Step]:
@@ -272,7 +287,8 @@
             yield "the owner is cut off from the store", gone._replace(former=former)
         if world.key != owner.epoch:
             return
-        mark = 0 if self.guarded("remove the mark with the owner key") else world.mark
+        is_removed = self.guarded("remove the mark with the owner key")
+        mark = None if is_removed else world.mark
         given_up = gone._replace(key=0, key_ms=0, mark=mark)
         if not self.guarded("give a shard up only once it is stopped"):
             runs_on = former._replace(next_lease_ms=OWNER_TTL_MS)
@@ -328,11 +344,15 @@
             yield "a claim fails", world
             return
         for lease_ms in LEFT_AT_CLAIM_MS:
-            yield "a claim lands", self._take_over(world, claim, lease_ms)
+            landed = self._take_over(world, claim, lease_ms)
+            yield "a claim lands", landed
+            if world.has_earlier_builds:
+                unmarked = landed._replace(mark=world.mark)
+                yield "a claim of an earlier build lands", unmarked
 
     def _take_over(self, world: World, claim: Claim, left_ms: int) -> World:
         epoch = claim.last_epoch + 1
-        span_ms = self._inherited_ms(claim)
+        span_ms = self._inherited_ms(world, claim)
         belief = lease_bounds.inherit(span_ms, world.is_roster_settled)
         if not self.guarded("allow for slow clocks of workers"):
             belief = belief._replace(lease_ms=span_ms)
@@ -345,19 +365,31 @@
             owner=owner,
             key=epoch,
             key_ms=left_ms,
+            gone_ms=0,
             last_epoch=epoch,
+            mark=self._new_mark(epoch, span_ms, left_ms),
             n_renewals=1,
             n_takeovers=world.n_takeovers - 1,
         )
 
-    def _inherited_ms(self, claim: Claim) -> int:
-        last_epoch, has_owner_key = claim.last_epoch, claim.key > 0
-        if not self.guarded("a mark counts for the last owner only") and claim.mark:
-            last_epoch = claim.mark
+    def _new_mark(self, epoch: int, span_ms: int, left_ms: int) -> bytes:
+        if not self.guarded("a mark tells of leases before its owner"):
+            return _plain_mark(epoch)
+        if not self.guarded("a mark counts from the end of its owner's lease"):
+            left_ms = OWNER_TTL_MS
+        return new_mark(epoch, span_ms, left_ms)
+
+    def _inherited_ms(self, world: World, claim: Claim) -> int:
+        last_epoch, mark = claim.last_epoch, claim.mark
+        gone_ms = world.gone_ms if claim.key else None
+        if not self.guarded("a process is gone from its own end on") and claim.key:
+            gone_ms = world.gone_ms + OWNER_TTL_MS
+        if not self.guarded("a mark counts for the last owner only") and mark:
+            last_epoch = int(mark.split()[0])
         if not self.guarded("a mark beside an owner key does not count"):
-            has_owner_key = False
-        span_ms = lease_bounds.inherited_ms(last_epoch, claim.mark, has_owner_key)
-        is_short = span_ms < OWNER_TTL_MS + WORKER_LEASE_TAIL_MS
+            gone_ms = None
+        span_ms = lease_bounds.inherited_ms(last_epoch, mark, gone_ms)
+        is_short = span_ms < LONGEST_MS
         if is_short and not self.guarded("allow for the difference of clocks"):
             return span_ms - CLOCK_SLACK_MS
         return span_ms
--- a/tests/test_specifications.py
+++ b/tests/test_specifications.py
@@ -15,7 +15,7 @@
 from apricotgap.jobs.shard_leases import ShardLeases
 from apricotgap.jobs.team_limits import TeamLimits
 from apricotgap.jobs.workers import Worker
-from proof import claim_replay, lease_bounds, team_limits
+from proof import claim_replay, lease_bounds, team_limits, tenures
 from proof.checker import Specification, explore
 from proof.elections import Elections
 from proof.team_limits import TeamLimitRows
@@ -102,18 +102,27 @@
     ADD_INHERITED(self, entry, at_ms, True)
 
 
-def _ignore_key(last_epoch, mark, has_owner_key, ttl_ms):
-    return INHERITED_LEASE_MS(last_epoch, mark, False, ttl_ms)
+def _ignore_key(last_epoch, mark, predecessor_gone_ms, ttl_ms):
+    return INHERITED_LEASE_MS(last_epoch, mark, None, ttl_ms)
 
 
-def _ignore_mark_epoch(last_epoch, mark, has_owner_key, ttl_ms):
-    epoch = int(mark.value) if mark.value else last_epoch
-    return INHERITED_LEASE_MS(epoch, mark, has_owner_key, ttl_ms)
+def _ignore_mark_epoch(last_epoch, mark, predecessor_gone_ms, ttl_ms):
+    epoch = int(mark.value.split()[0]) if mark.value else last_epoch
+    return INHERITED_LEASE_MS(epoch, mark, predecessor_gone_ms, ttl_ms)
+
+
+def _forget_earlier_leases(epoch, inherited_ms, lease_left_ms):
+    return NEW_MARK(epoch, 0, lease_left_ms)
+
+
+def _count_from_claim(epoch, inherited_ms, lease_left_ms):
+    return NEW_MARK(epoch, inherited_ms, lease_bounds.OWNER_TTL_MS)
 
 
 OFFER_LEASE = ShardLeases.offer_lease
 ADD_INHERITED = ShardLeases.add_inherited_worker
 INHERITED_LEASE_MS = tenure.inherited_lease_ms
+NEW_MARK = tenure.new_mark
 LEASE_FAULTS = {
     "slow clocks": (limits, "WORKER_LEASE_STRETCH", 1.0),
     "clocks of store and owner": (tenure, "CLOCK_SLACK_MS", 0),
@@ -132,6 +141,8 @@
     "starts": (Worker, "record_start", lambda self, at_ms: None),
     "key beside the mark": (lease_bounds, "inherited_lease_ms", _ignore_key),
     "mark of another": (lease_bounds, "inherited_lease_ms", _ignore_mark_epoch),
+    "earlier leases": (tenures, "new_mark", _forget_earlier_leases),
+    "lease at the claim": (tenures, "new_mark", _count_from_claim),
     "next lease": (
         InstanceLease,
         "valid_until_ms_of",
