--- a/soak/faults/base.py
+++ b/soak/faults/base.py
@@ -57,15 +57,19 @@
     """
     chosen: dict[str, Fault] = {}
     for word in filter(None, names.split(",")):
-        kind = {"planned": True, "unplanned": False}.get(word)
         found = {
             name: fault
             for name, fault in sorted(FAULTS.items())
-            if word == name
-            or not fault.is_by_name_only
-            and (word in ("all", fault.scope) or fault.is_planned is kind)
+            if word == name or _is_in_group(fault, word)
         }
         if not found:
             raise ValueError(f"unknown fault {word!r}; known: {', '.join(FAULTS)}")
         chosen |= found
     return list(chosen.values())
+
+
+def _is_in_group(fault: Fault, word: str) -> bool:
+    if fault.is_by_name_only:
+        return False
+    kind = {"planned": True, "unplanned": False}.get(word)
+    return word in ("all", fault.scope) or fault.is_planned is kind
