--- a/tests/owner_world.py
+++ b/tests/owner_world.py
@@ -17,17 +17,15 @@
 import trio
 import trio.testing
 
-from apricotgap.jobs.effects import StartRun
-from apricotgap.jobs.model import Resources, StepSpec, TaskName
+from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.jobs.service import CancelResult, SubmitResult
-from apricotgap.platform.http import NoResponseError
 from apricotgap.platform.keys import CONFIGURATION_KEY, WORKERS_PREFIX
+from tests.called_workers import CalledWorkers
 from tests.day_observer import Observer
 from tests.day_process import InstanceProcess
 from tests.jobs_harness import SERVICE, entry, job
 from tests.sim_worker import ZERO_MS, SimWorker
 from tests.virtual_store import VirtualStore
-from tests.worker_pool import WorkerPool
 
 UNIX_ZERO_MS = 1_700_000_000_000
 OTHER_SERVICE = "mill"
@@ -42,7 +40,7 @@
 ENTRY_BACK_MS = 2_000
 
 
-class OwnerWorld(WorkerPool):
+class OwnerWorld(CalledWorkers):
     """A service with its workers, and the instances that may own its shard.
 
     Parameters
@@ -57,9 +55,6 @@
         How long a job that has ended stays readable.
     """
 
-    # Long polls of many workers take most of a day's time.
-    HOLD_STEP_MS = 25
-
     def __init__(
         self,
         seed,
@@ -75,19 +70,9 @@
         self.log = []
         self.observer = Observer(self)
         self.instances = [InstanceProcess(self, n) for n in range(n_instances)]
-        # Workers that no call reaches, and those whose machine refuses connections.
-        self.unreachable = set()
-        self.refusing = set()
-        # Which worker listens at an address.
-        self.listening = {
-            each.address: each.worker_id for each in self.entries.values()
-        }
         self.troubled_ms = 0
         # Called with each step of an owner since its claim.
         self.on_step = None
-        # Late polls that acknowledged ends of an earlier incarnation.
-        self.n_foreign_acknowledgements = 0
-        self._tokens = {}
         self._queue = []
         self._order = itertools.count()
         self._earlier = trio.Event()
@@ -314,113 +299,8 @@
             self.entries[worker.worker_id] = replace(listed, born_ms=born_ms)
             self._list_workers()
 
-    async def call_worker(self, address, worker_id, path, body, timeout_ms):
-        """Call what listens at an address; return the status and the document.
-
-        Raises
-        ------
-        NoResponseError
-            No answer in time, or no connection.
-        """
-        listener = self.listening[address]
-        if listener in self.refusing and not self.workers[listener].is_up:
-            await trio.sleep(0.001)
-            raise NoResponseError("ECONNREFUSED", sent=False)
-        if listener in self.unreachable:
-            await trio.sleep(timeout_ms / 1000)
-            raise NoResponseError("connect timeout", sent=False)
-        results = []
-        answered = trio.Event()
-        sent_ms = self.now
-
-        def done(result):
-            results.append(result)
-            answered.set()
-
-        def serve(worker, reply):
-            # Such a poll drops ends unseen, and no owner can bar it: a known limit.
-            acknowledges_others = body.get("lastSeen", 0) > worker.n_ends
-            if acknowledges_others and self.now - sent_ms > timeout_ms:
-                self.n_foreign_acknowledgements += 1
-                return
-            self._serve(worker, worker_id, path, body, reply)
-
-        self._call(listener, timeout_ms, serve, done)
-        await answered.wait()
-        if results[0] is None:
-            raise NoResponseError("timeout", sent=True)
-        status, document = results[0]
-        if "finished" in document:
-            self._note_told(listener, document)
-        return status, document
-
-    def _note_told(self, worker_id, document):
-        incarnation = (worker_id, document["born"])
-        last = max((row[0] for row in document["finished"]), default=0)
-        self._told[incarnation] = max(self._told.get(incarnation, 0), last)
-
-    def _serve(self, worker, worker_id, path, body, reply):
-        if worker.worker_id != worker_id:
-            reply((421, {}))
-            return
-        clock_ms = worker.clock(self.now)
-        incarnation = (worker_id, worker.born_ms)
-        token = body["fencingToken"]
-        if token < self._tokens.get(incarnation, 0):
-            reply((409, {"clockMs": clock_ms, "reason": "fence"}))
-            return
-        self._tokens[incarnation] = token
-        if path == "/v1/hold":
-            self._serve_hold(worker, body, reply)
-        elif path == "/v1/run-start":
-            reply(self._serve_start(worker, body, token))
-        elif path == "/v1/run-stop":
-            key = (TaskName.parse(body["task"]), body["runId"])
-            self._stop_run(worker, key)
-            reply((200, {"clockMs": clock_ms}))
-        else:
-            reply((200, {"clockMs": clock_ms}))
-
-    def _serve_hold(self, worker, body, reply):
-        def answer(state):
-            born_ms, clock_ms, running, ends = state
-            document = {
-                "clockMs": clock_ms,
-                "born": born_ms,
-                "running": [
-                    [str(run.name), run.run_id, "", 50, 0.0] for run in running
-                ],
-                "finished": [
-                    [end.number, str(end.name), end.run_id, end.end.value, ""]
-                    for end in ends
-                ],
-            }
-            reply((200, document))
-
-        worker.extend(self.now, body.get("deadlineMs", 0))
-        self._note(worker, body["lastSeen"])
-        until_ms = self.now + body.get("waitMs", 0)
-        self._answer_hold(worker, worker.born_ms, until_ms, answer)
-
-    def _serve_start(self, worker, body, token):
-        order = StartRun(
-            worker.worker_id,
-            "",
-            worker.born_ms,
-            TaskName.parse(body["task"]),
-            body["runId"],
-            body["spec"],
-            body["deadlineMs"],
-            "",
-        )
-        is_new = (order.name, order.run_id) not in worker.running
-        kind = self._start_run(worker, order)
-        document = {"clockMs": worker.clock(self.now)}
-        if kind != "ok":
-            return 409, {**document, "reason": kind}
-        if is_new:
-            self.observer.started(order, worker, token)
-        return 200, document
+    def _started(self, order, worker, token):
+        self.observer.started(order, worker, token)
 
     def _duration_ms(self, order):
         if self._specs[order.name.job_id].is_long_running:
