Placement: no task lease is renewed after the own lease has ended

Cause: rule 9 of the allotments (docs/design.md) was written down, as may_renew, and only a fake of the tests kept it. An entry instance whose lease had ended went on to renew the leases of its tasks; after the grace time others reclaim its rows and start tasks under the same units, above the team's upper limit. Change: renew asks may_renew for tasks under a limit, and again each second. The harness of the scheduling tests has a lease of its own now.

--- a/apricotgap/core/placement.py
+++ b/apricotgap/core/placement.py
@@ -50,6 +50,8 @@
 # margin ensures that the server's clock has passed the start deadline as well.
 START_BOUND_MS = int(START_WINDOW_MS * DRIFT_FACTOR) + 50
 RENEW_INTERVAL_MS = TASK_LEASE_MS // 3
+# A task lease that must not be renewed now is looked at again after this time.
+RENEW_RETRY_MS = 1_000
 # Task probes detect silent connections earlier; this only bounds driver resources.
 MIN_TASK_TIMEOUT_MS = 600_000
 TIMEOUT_FACTOR = 10
@@ -330,13 +332,20 @@
 
 
 def renew(state: "EntryState", at_ms: int) -> Iterable[Effect]:
-    """Renew the leases of running tasks that are due."""
+    """Renew the leases of running tasks that are due.
+
+    Those of tasks under an upper limit end soon after the own lease: others may reclaim
+    the units that they run under.
+    """
     placement = state.placement
     while placement.renewals and placement.renewals[0][0] <= at_ms:
         _, task_id = heappop(placement.renewals)
         task = placement.tasks.get(task_id)
         if task is None or task.pending_request is None:
             continue
+        if task.team and not allotments.may_renew(state, at_ms):
+            heappush(placement.renewals, (at_ms + RENEW_RETRY_MS, task_id))
+            continue
         task.ends_by_ms = at_ms + int((START_WINDOW_MS + TASK_LEASE_MS) * DRIFT_FACTOR)
         heappush(placement.renewals, (at_ms + RENEW_INTERVAL_MS, task_id))
         yield RenewTask(task.task_id, task.instance, task.address)
--- a/tests/scheduling_harness.py
+++ b/tests/scheduling_harness.py
@@ -27,6 +27,8 @@
     Team,
 )
 
+# The own lease does not end unless a test says so.
+FAR_MS = 10_000_000
 HANDLERS = [getattr(m, n) for m in (tasks, workers) for n in m.__all__ if "Handle" in n]
 
 
@@ -60,6 +62,7 @@
         self.at_ms, self.effects = 1_000, []
         self.state = EntryState(Identity("e1", "e1.1", "d1"), Random(1))
         self.state.config = config or configuration()
+        self.state.members.lease_until_ms = FAR_MS
         self.reducer = Reducer(self.state, HANDLERS)
         monkeypatch.setattr(
             quarantine,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -33,7 +33,7 @@
     Resources,
 )
 from apricotgap.model.peers import Usage
-from tests.scheduling_harness import Fleet, configuration, dispatched, of_type
+from tests.scheduling_harness import FAR_MS, Fleet, configuration, dispatched, of_type
 
 
 def lost_task(fleet, boot_id="b1"):
@@ -304,6 +304,27 @@
     assert fleet.running["a"] == 0
 
 
+def test_no_task_lease_is_renewed_after_the_own_lease(monkeypatch):
+    """Guards against a team above its upper limit: an entry instance whose lease has
+    ended keeps its tasks running, while others reclaim its rows and start more.
+    """
+    fleet = Fleet(monkeypatch, configuration(n_workers=1, slots=2))
+    fleet.report("w0")
+    limited = dispatched(fleet.submit("r1", team="a"))
+    unlimited = dispatched(fleet.submit("r2", team=""))
+    fleet.state.members.lease_until_ms = fleet.at_ms + 100
+
+    def renewed(n_ticks):
+        effects = [r for _ in range(n_ticks) for r in of_type(fleet.tick(), RenewTask)]
+        return {effect.task_id for effect in effects}
+
+    ends_by_ms = fleet.state.placement.tasks[limited.task_id].ends_by_ms
+    assert renewed(60) == {unlimited.task_id}
+    assert fleet.state.placement.tasks[limited.task_id].ends_by_ms == ends_by_ms
+    fleet.state.members.lease_until_ms = FAR_MS
+    assert renewed(40) == {limited.task_id, unlimited.task_id}
+
+
 def test_running_tasks_keep_their_lease(monkeypatch):
     """Guards against a long task that its server stops when its lease expires."""
     fleet = Fleet(monkeypatch)
