Admission: a replaced process accepts no work in open queues either

Cause: whether this incarnation may take work was a function that only tests called. A process whose newer incarnation had registered refused requests with a key, since their check fails, but accepted those without one. Change: admission asks it first; the refusal says that the instance stops. The fake members of a test double have the field that is read now.

--- a/apricotgap/core/admission.py
+++ b/apricotgap/core/admission.py
@@ -7,6 +7,7 @@
     claims,
     config_view,
     fair_queue,
+    membership,
     outcomes,
     peer_requests,
     quarantine,
@@ -267,6 +268,8 @@
 
 
 def _is_stopping(state: EntryState, at_ms: int) -> bool:
+    if not membership.may_take_work(state):
+        return True
     stop_ms = state.lifecycle.stop_requested_ms
     return stop_ms is not None and at_ms - stop_ms >= state.lifecycle.balancer_lag_ms
 
--- a/tests/request_double.py
+++ b/tests/request_double.py
@@ -58,7 +58,9 @@
         state = EntryState(Identity(name, incarnation, data_centre), Random(7), CONFIG)
         state.queues = SimpleNamespace(waiting={})
         state.view = SimpleNamespace(case="linked", accepts=True)
-        state.members = SimpleNamespace(live=cluster.live, replaced=False)
+        state.members = SimpleNamespace(
+            live=cluster.live, replaced=False, deregistered=False
+        )
         self.reducer = Reducer(state, HANDLERS)
         self.state, self.cluster, self.name = state, cluster, name
         self.bodies, self.running, self.answers = {}, {}, {}
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -147,3 +147,17 @@
     entry.step(ev.CallerDisconnected, "r2")
     assert set(entry.state.claims.admissions) == {"r2"}
     assert not entry.state.queues.waiting
+
+
+@pytest.mark.parametrize("key_digest", [None, "k1"])
+def test_replaced_process_accepts_no_work(entry, key_digest):
+    """Guards against two processes of the same name that both accept work: open queues
+    have no key, by whose check the older one would refuse.
+    """
+    entry.submit("before", queue="open", key_digest=key_digest)
+    assert "before" in entry.state.claims.admissions
+    entry.state.members.replaced = True
+    entry.submit("r", queue="open", key_digest=key_digest)
+    outcome, _ = entry.answers["r"]
+    assert isinstance(outcome, NotRun)
+    assert outcome.kind is RefusalKind.STOPPING
