Cancel: a request that was cancelled while it ran is not tried again

Cause: that a caller has cancelled after dispatch was recorded, and asked for by tests only. When the attempt failed, was refused or was checkpointed, the request was queued again and another task started. That a request had been dispatched was recorded by a test double only, so that a look-up answered "waiting" for a running one. Change: both are read and recorded where attempts begin and end. Such a request ends as not run, or as unknown if an attempt may have run.

--- a/apricotgap/core/placement.py
+++ b/apricotgap/core/placement.py
@@ -7,6 +7,7 @@
 
 from apricotgap.core import (
     allotments,
+    claims,
     estimates,
     fair_queue,
     health,
@@ -271,6 +272,7 @@
         retry.record_first_attempt(state, instance.data_centre)
     pending.n_attempts += 1
     _track(state, task)
+    claims.record_dispatched(state, request.request_id)
     allotments.note_started(state, pending.team)
     usage.charge(state, task.class_key, task.team, estimate_ms * task.n_slots)
     polling.record_use(state, instance.name, at_ms)
--- a/apricotgap/core/task_events.py
+++ b/apricotgap/core/task_events.py
@@ -190,7 +190,7 @@
             placement.release(state, task, event.at_ms)
             if pending is not None:
                 pending.may_have_run = True
-                task_loss.requeue_for_retry(state, pending, event.at_ms)
+                yield from task_loss.requeue_for_retry(state, pending, event.at_ms)
         yield from placement.schedule(state, event.at_ms)
 
 
--- a/apricotgap/core/task_loss.py
+++ b/apricotgap/core/task_loss.py
@@ -73,11 +73,12 @@
 ) -> Iterable[Effect]:
     pending.may_have_run = True
     if not retry.may_retry_failure(state, pending, task.data_centre):
-        return end_unknown(state, task, pending, message, at_ms)
+        yield from end_unknown(state, task, pending, message, at_ms)
+        return
     detach(state, task)
     pending.excluded.add(task.instance)
-    requeue_for_retry(state, pending, at_ms)
-    return (Count("retries", labels=(("data_centre", task.data_centre),)),)
+    yield from requeue_for_retry(state, pending, at_ms)
+    yield Count("retries", labels=(("data_centre", task.data_centre),))
 
 
 def end_unknown(
@@ -104,14 +105,22 @@
 
 def requeue_for_retry(
     state: "EntryState", pending: "PendingRequest", at_ms: int
-) -> None:
-    """Queue a request for another attempt."""
+) -> Iterable[Effect]:
+    """Queue a request for another attempt, or end it if it was cancelled meanwhile."""
+    request_id = pending.request.request_id
+    if claims.cancel_requested(state, request_id):
+        message = "the caller cancelled the request"
+        outcome: Outcome = NotRun(RefusalKind.CANCELLED, message)
+        if pending.may_have_run:
+            outcome = OutcomeUnknown(f"{message}; an earlier attempt may have run")
+        return claims.conclude(state, request_id, outcome, None, at_ms)
     queue = state.config.queues.get(pending.request.queue)
     if queue is not None:
         members = index_of(state).members.get(queue.pool, ())
         if len(pending.excluded) >= len(members):
             pending.excluded.clear()
     fair_queue.requeue(state, pending, at_ms)
+    return ()
 
 
 def handle_not_run(
@@ -125,8 +134,7 @@
     if pending is None:
         return ()
     if retry.may_retry_not_run(pending):
-        requeue_for_retry(state, pending, at_ms)
-        return ()
+        return requeue_for_retry(state, pending, at_ms)
     outcome: Outcome = NotRun(kind, message)
     if pending.may_have_run:
         outcome = OutcomeUnknown("an earlier attempt may have run; " + message)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,6 +3,7 @@
 import pytest
 
 from apricotgap.core import fair_queue, health, membership, placement
+from apricotgap.core.claim_state import Admission, Phase
 from apricotgap.core.effects import (
     CheckpointTask,
     Dispatch,
@@ -304,6 +305,47 @@
     assert fleet.running["a"] == 0
 
 
+def cancelled(fleet, request_id):
+    """Cancel a request that has been dispatched."""
+    request = Request(request_id, "q", idempotent=True)
+    found = Admission(request, "a", "digest", fleet.at_ms, cancel_requested=True)
+    fleet.state.claims.admissions[request_id] = found
+
+
+@pytest.mark.parametrize(
+    ("event", "args", "outcome"),
+    [
+        (TaskFailed, {"sent": True}, OutcomeUnknown),
+        (TaskFailed, {"sent": False}, NotRun),
+        (TaskRefused, {"reason": TaskRefusal.FULL}, NotRun),
+        (TaskCheckpointed, {"stopped": True}, OutcomeUnknown),
+    ],
+)
+def test_cancelled_request_is_not_tried_again(monkeypatch, event, args, outcome):
+    """Guards against a task that starts after its caller has cancelled the request: the
+    caller did so while an earlier attempt was running.
+    """
+    fleet = Fleet(monkeypatch, configuration(n_workers=2))
+    fleet.report("w0", "w1")
+    sent = dispatched(fleet.submit("r1", idempotent=True))
+    cancelled(fleet, "r1")
+    fleet.step(event, sent.task_id, **args)
+    fleet.tick()
+    assert not of_type(fleet.effects, Dispatch)
+    assert not fleet.state.queues.by_request
+    assert isinstance(fleet.outcomes["r1"], outcome)
+
+
+def test_request_counts_as_running_once_it_is_dispatched(monkeypatch):
+    """Guards against a caller who is told that a running request waits."""
+    fleet = Fleet(monkeypatch)
+    fleet.report("w0")
+    request = Request("r1", "q")
+    fleet.state.claims.admissions["r1"] = Admission(request, "a", "digest", 0)
+    fleet.submit("r1")
+    assert fleet.state.claims.admissions["r1"].phase is Phase.RUNNING
+
+
 def test_no_task_lease_is_renewed_after_the_own_lease(monkeypatch):
     """Guards against a team above its upper limit: an entry instance whose lease has
     ended keeps its tasks running, while others reclaim its rows and start more.
