Compare the shards of an instance that leaves, not their number

Cause: a stopping instance revokes its lease unless an owner key is left that it could not remove. It compared numbers, so that a key that was left went unnoticed beside a shard whose key was gone already; the next owner then takes it for expired and waits too short.

Change: the names are compared.

Evidence: test_lease_is_not_revoked_beside_the_loss_of_another_shard failed before.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -242,9 +242,14 @@
         """Return the registered instances."""
         return tuple(self._members.values())
 
+    def shards_of(self, name: str) -> frozenset[str]:
+        """Return the shards whose owner keys name an instance."""
+        return frozenset(
+            shard
+            for shard, (_, owner) in self._owners.items()
+            if owner is not None and owner.name == name
+        )
+
     def n_owned_by(self, name: str) -> int:
         """Return the number of shards that an instance owns."""
-        return sum(
-            owner is not None and owner.name == name
-            for _, owner in self._owners.values()
-        )
+        return len(self.shards_of(name))
--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -172,9 +172,9 @@
         would remove its owner key and leave the mark of its tenure.
         """
         self.is_draining = True
-        n_keys = self._cluster_view.n_owned_by(self._identity.name)
+        keys = self._cluster_view.shards_of(self._identity.name)
         # A shard that has failed may still have its key.
-        are_gone = [n_keys <= len(self._ownerships)]
+        are_gone = [keys <= self._ownerships.keys()]
 
         async def resign(ownership: Ownership) -> None:
             are_gone.append(await self.resign(ownership, "the instance stops"))
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -499,3 +499,21 @@
     """Guards against rows of a split that are void since nothing is known yet."""
     view = ClusterView(Store(), FakeClock())
     assert view.has_shard("s1")
+
+
+def test_lease_is_not_revoked_beside_the_loss_of_another_shard():
+    """Guards against an owner key that is removed with its lease while the mark of the
+    tenure stays: the key of one shard is left from a failure, and that of another one,
+    which still runs, is gone already.
+    """
+
+    async def check(rig):
+        await rig.advance(500)
+        rig.store.refuses_removals = True
+        await rig.election.resign(rig.election._ownerships["s1"][0], "a defect")
+        rig.store.refuses_removals = False
+        rig.cluster_view.apply(Item(owner_key("s2"), None, 50))
+        await rig.election.leave()
+        assert rig.lease.ended == ["abandoned"]
+
+    run(check)
