--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -178,10 +178,10 @@
         would remove its owner key and leave the mark of its tenure.
         """
         self.is_draining = True
-        n_keys = self._cluster_view.n_owned_by(self._identity.name)
+        keys = self._cluster_view.shards_of(self._identity.name)
         # A shard that has failed may still have its key, and one that is being claimed
         # may get it.
-        are_gone = [n_keys <= len(self._ownerships) and not self._open_claims]
+        are_gone = [keys <= self._ownerships.keys() and not self._open_claims]
 
         async def resign(ownership: Ownership) -> None:
             are_gone.append(await self.resign(ownership, "the instance stops"))
