--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -20,8 +20,8 @@
 from apricotgap.instance.roster import RosterWriter, decode_settled
 from apricotgap.jobs.shard import Shard
 from apricotgap.platform.store import Item, Snapshot
+from tests.election_harness import run
 from tests.jobs_harness import MAX_LEASE_MS, SERVICE
-from tests.test_election import run
 
 SOUND_MEMBER = ["other", "2-i", "10.0.0.2:1", "a", 1_000]
 SOUND_OWNER = ["other", "2-i", "10.0.0.2:1", 4]
--- a/tests/test_owner_failures.py
+++ b/tests/test_owner_failures.py
@@ -15,8 +15,8 @@
 from apricotgap.jobs.service import SubmitResult
 from apricotgap.metrics import Metrics
 from apricotgap.platform.store import Conflict, StoreError, Unavailable, Unknown
+from tests.election_harness import run as run_election
 from tests.jobs_harness import SERVICE, Rig, job
-from tests.test_election import run as run_election
 
 
 def test_owner_that_fails_resigns():
--- a/tests/test_takeover_waits.py
+++ b/tests/test_takeover_waits.py
@@ -21,8 +21,8 @@
 from apricotgap.jobs.shard import Shard
 from apricotgap.platform.store import Item
 from tests.conditional_store import ValueStore
+from tests.election_harness import EndlessLease, TwoShardView
 from tests.jobs_harness import SERVICE, Rig, entry, job
-from tests.test_election import EndlessLease, TwoShardView
 
 TTL_MS = 3_000
 ONE_TASK = (StepSpec(1, Resources(1000, 100), 800),)
