--- a/tests/decoders/drivers.py
+++ b/tests/decoders/drivers.py
@@ -1,6 +1,6 @@
 """Decoders of requests, responses, settings and log files."""
 
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +18,7 @@
 from apricotgap.model import Request
 from apricotgap.settings import check_settings
 from tests.decoders.entry import Decoder
+from tests.decoders.one_read import OneRead, finish
 from tests.document_strategies import (
     Inputs,
     bytes_like,
@@ -77,40 +78,6 @@
     return finish(read())
 
 
-class OneRead:
-    """A socket and a stream from which one piece of data arrives."""
-
-    def __init__(self, data: bytes) -> None:
-        self.pieces = [data]
-        self.socket = self
-
-    async def send(self, data: bytes) -> int:
-        """Take all data."""
-        return len(data)
-
-    async def recv(self, _n_bytes: int) -> bytes:
-        """Return the piece, then the end."""
-        return self.pieces.pop() if self.pieces else b""
-
-    send_all = send
-    receive_some = recv
-
-    def getpeername(self) -> tuple[str, int]:
-        """Return an address."""
-        return "10.0.0.1", 1
-
-    getsockname = getpeername
-
-
-def finish(call: Coroutine[Any, Any, Any]) -> Any:
-    """Run a coroutine that waits for nothing."""
-    try:
-        call.send(None)
-    except StopIteration as end:
-        return end.value
-    raise AssertionError("the coroutine waits")
-
-
 def _receive_request(data: bytes) -> str:
     exchange = HttpExchange(OneRead(data), MAX_HEAD_BYTES)
     finish(exchange.receive_head())
--- a/tests/decoders/platform.py
+++ b/tests/decoders/platform.py
@@ -1,6 +1,5 @@
 """Decoders of what the platform and its workers send."""
 
-from collections.abc import Coroutine
 from typing import Any
 
 import httptools
@@ -15,6 +14,7 @@
 from apricotgap.platform.wire import WireError
 from apricotgap.platform.workers import PollResponse, WorkerError
 from tests.decoders.entry import Decoder
+from tests.decoders.one_read import OneRead, finish
 from tests.document_strategies import (
     bytes_like,
     json_documents,
@@ -92,40 +92,6 @@
     return store._parse_write_outcome(412, data)
 
 
-class OneRead:
-    """A socket and a stream from which one piece of data arrives."""
-
-    def __init__(self, data: bytes) -> None:
-        self.pieces = [data]
-        self.socket = self
-
-    async def send(self, data: bytes) -> int:
-        """Take all data."""
-        return len(data)
-
-    async def recv(self, _n_bytes: int) -> bytes:
-        """Return the piece, then the end."""
-        return self.pieces.pop() if self.pieces else b""
-
-    send_all = send
-    receive_some = recv
-
-    def getpeername(self) -> tuple[str, int]:
-        """Return an address."""
-        return "10.0.0.1", 1
-
-    getsockname = getpeername
-
-
-def finish(call: Coroutine[Any, Any, Any]) -> Any:
-    """Run a coroutine that waits for nothing."""
-    try:
-        call.send(None)
-    except StopIteration as end:
-        return end.value
-    raise AssertionError("the coroutine waits")
-
-
 def _exchange(data: bytes) -> Any:
     connection = platform_http._Connection(OneRead(data))
     return finish(connection.exchange(b"GET / HTTP/1.1\r\n\r\n"))
