Order finite jobs by a feasible set and the teams' shares

Cause: the earliest objective first serves every job just too late once a pool cannot hold what waits. Change: jobs that can end in time beside those before them go first, then deferred ones by their team's use for its share, then late ones, the shortest first.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -101,9 +101,9 @@
             ownership.inherited_lease_ms,
         )
         self._shard.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
-        self._scheduler = Scheduler(self._shard)
-        self._pacer = Pacer(self._shard)
         self._demand = Demand(self._shard)
+        self._scheduler = Scheduler(self._shard, self._demand)
+        self._pacer = Pacer(self._shard)
         self._stragglers = StragglerDetector(self._shard)
         self._migrator = Migrator(self._shard)
         self._wait_log = WaitLog(self._shard)
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from math import ceil
 
+from apricotgap.jobs.feasible_set import CapacityForecast
 from apricotgap.jobs.gang_room import n_places
 from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.model import JobSpec, StepSpec
@@ -78,6 +79,16 @@
         planned = self._share * self._worker_cores()
         return max(usable, planned) - self._running_cores(at_ms)[0]
 
+    def forecast(self, at_ms: int) -> CapacityForecast | None:
+        """Return the capacity of the pool for finite jobs, None if it is unknown.
+
+        Machines that are planned do not count: they may still have to be emptied.
+        """
+        if self._share is None or self._shard.has_unverified_workers:
+            return None
+        cores = max(0.0, self._usable_cores(at_ms) - self._running_cores(at_ms)[0])
+        return CapacityForecast(cores, cores, MOVE_IN_MS)
+
     def _usable_cores(self, at_ms: int) -> float:
         return sum(
             worker.total.core_equivalents
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -3,6 +3,8 @@
 from operator import itemgetter
 
 from apricotgap.jobs import limits
+from apricotgap.jobs.configuration import Configuration
+from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.effects import Effect, StartRun
 from apricotgap.jobs.gang_room import GangRoom
 from apricotgap.jobs.inherited_usage import inherited_usage
@@ -10,7 +12,9 @@
 from apricotgap.jobs.model import Resources, StepSpec, TaskName
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.scheduling_pass import SchedulingPass
+from apricotgap.jobs.service_order import ServiceOrder
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.team_shares import TeamShares
 from apricotgap.jobs.tickets import StepName
 from apricotgap.jobs.workers import Worker
 
@@ -20,18 +24,23 @@
 class Scheduler:
     """Starts waiting tasks of a shard.
 
-    Long-running jobs come first, then jobs that can still meet their latency objective,
-    then late ones. Within each group, jobs are ordered by the priority of their queue,
-    then by earlier objective (long-running ones by time of submission).
+    Long-running jobs come first, by the priority of their queue and the time of
+    submission, then finite jobs in the order of service.
 
     Parameters
     ----------
     shard : Shard
         State of the shard, updated by a pass.
+    demand : Demand, optional
+        Source of the pool's capacity; without it no job is deferred.
     """
 
-    def __init__(self, shard: Shard) -> None:
+    def __init__(self, shard: Shard, demand: Demand | None = None) -> None:
         self._shard = shard
+        self._demand = demand
+        self.shares = TeamShares()
+        self.service_order = ServiceOrder(shard, self.shares)
+        self._config: Configuration | None = None
         self._gang_room = GangRoom()
         self.is_team_blocked = False
         self.hit_start_limit = False
@@ -88,21 +97,20 @@
         return [*current.effects, *current.log_lines.values(), *failures]
 
     def _order(self, current: SchedulingPass) -> list[JobState]:
-        unix_ms = current.unix_ms
         all_suspect = all(
             worker.suspect_since_ms is not None for worker in current.workers
         )
 
-        def rank(job: JobState) -> tuple[bool, bool, bool, int, int]:
+        self._update_service_order(current.at_ms)
+
+        def rank(job: JobState) -> tuple[float, ...]:
             spec = job.spec
             # A job that has failed elsewhere tells little of a suspect worker, and may
             # be what made it suspect.
             is_doubtful = all_suspect and bool(job.avoided_workers)
             if spec.is_long_running:
                 return (is_doubtful, False, False, spec.priority, spec.submitted_ms)
-            # A job that cannot make it in time would only delay those that still can.
-            is_late = job.is_late(unix_ms)
-            return (is_doubtful, True, is_late, spec.priority, job.objective_ms)
+            return (is_doubtful, True, *self.service_order.key(job))
 
         ranked = []
         for job in self._shard.open_jobs.values():
@@ -112,6 +120,14 @@
         ranked.sort(key=itemgetter(0))
         return [job for _, job in ranked]
 
+    def _update_service_order(self, at_ms: int) -> None:
+        config = self._shard.config
+        if config is not None and config is not self._config:
+            self._config = config
+            self.shares.set_configuration(config)
+        forecast = self._demand.forecast(at_ms) if self._demand else None
+        self.service_order.update(at_ms, forecast)
+
     def _request_first_save(self, job: JobState, current: SchedulingPass) -> None:
         """Request the first save of a job once a worker has room for its first task."""
         for key in job.open_steps(current.unix_ms):
@@ -357,6 +373,9 @@
             clock_ms=worker.clock_now_ms(at_ms),
         )
         self._shard.add_run(job, worker, run)
+        if not step.is_long_running:
+            work = step.allocation.core_equivalents * step.estimated_ms
+            self.shares.record_start(job.spec.team, work, at_ms)
         if worker.suspect_since_ms is not None:
             # It gets a single task.
             current.exclude({worker.worker_id})
