Empty leaving machines at once and divide machines by priority

Cause: a pool whose peak begins waits for the machines of the pool whose peak has passed until their last task has ended. Both pools get the same number of machines although the queues of one are more urgent.

Change: on reserved workers, runs of steps with checkpoints are stopped as soon as the reservation arrives, unless they end sooner than a stop or their job would become late by it. Runs of late jobs are stopped if the machine leaves for jobs in time. Machines are chosen by the longest time to empty them (`drain_ms` in the report). Shards report what they want by priority, and the fleet owner meets the most urgent priority of all pools first. It asks every 0.1 s while machines are emptied for another pool. A fourth element of the report call (options) goes only to owners whose last report says that they read it.

--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -1,6 +1,6 @@
 """Owner of the fleet shard: moves machines between pools and runs waves."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import cbor2
 import structlog
@@ -37,6 +37,8 @@
 
 WAVE_PROGRESS_PREFIX = "waves/"
 _CYCLE_INTERVAL_S = 0.3
+# Interval of the cycles while workers are being emptied for a pool that lacks machines.
+_DRAIN_CYCLE_INTERVAL_S = 0.1
 _RETRY_S = 0.3
 LIST_INTERVAL_MS = 900
 # Interval of lists while orders are in progress.
@@ -45,7 +47,7 @@
 MIN_TIMEOUT_MS = 100
 
 RequestPoolReport = Callable[
-    [str, list[str], list[str], int], Awaitable[PoolReport | None]
+    [str, list[str], list[str], int, Mapping[str, int]], Awaitable[PoolReport | None]
 ]
 
 
@@ -70,9 +72,10 @@
     settings, store, lease, cluster_view, clock, metrics
         Dependencies.
     request_pool_report : callable
-        Called with a pool, its workers to reserve, the workers that orders have ended
-        and the number of machines planned for the pool; returns the report of the
-        pool's owner, None without an answer.
+        Called with a pool, its workers to reserve, the workers that orders have ended,
+        the number of machines planned for the pool and the priority of the jobs for
+        which machines of its workers leave; returns the report of the pool's owner,
+        None without an answer.
     """
 
     def __init__(
@@ -121,7 +124,10 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await self._cycle(nursery)
-                await trio.sleep(_CYCLE_INTERVAL_S)
+                is_draining = self._planner.is_draining
+                await trio.sleep(
+                    _DRAIN_CYCLE_INTERVAL_S if is_draining else _CYCLE_INTERVAL_S
+                )
 
     async def _load(self) -> None:
         while True:
@@ -172,6 +178,7 @@
         )
         reserved = self._planner.reserved_workers(self._machines)
         ended = self._planner.ended_workers(now_ms)
+        urgent = self._planner.urgent_workers(self._machines)
         services = self._cluster_view.services()
         reports: dict[str, PoolReport] = {}
         # A shard that reports keeps its reserved workers empty at least until then.
@@ -179,7 +186,11 @@
 
         async def request(pool: str) -> None:
             report = await self._request_pool_report(
-                pool, reserved.get(pool, []), ended, self._planner.shares.get(pool, 0)
+                pool,
+                reserved.get(pool, []),
+                ended,
+                self._planner.shares.get(pool, 0),
+                urgent.get(pool, {}),
             )
             if report is not None:
                 reports[pool] = report
--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -81,6 +81,8 @@
         self._repeated = RepeatedCalls(self._relays, clock)
         self._stored_jobs = StoredJobs(store)
         self._direct_submissions = DirectSubmissions(cluster_view, store, clock)
+        # Services whose owners read requests for reports with options.
+        self._takes_options: set[str] = set()
         self._clock = clock
         self._log = structlog.get_logger()
 
@@ -277,7 +279,12 @@
             return await self._stored_jobs.n_pending(service, queue)
 
     async def pool_report(
-        self, service: str, reserved: list[str], ended: list[str], share: int
+        self,
+        service: str,
+        reserved: list[str],
+        ended: list[str],
+        share: int,
+        urgent: Mapping[str, int],
     ) -> PoolReport | None:
         """Send a shard owner the plan for its pool and return its report.
 
@@ -289,6 +296,9 @@
             Workers to drain, and workers that orders have ended.
         share : int
             Number of machines planned for the pool.
+        urgent : mapping of str to int
+            Most urgent priority of the jobs in time for which the machines of reserved
+            workers leave, by worker.
 
         Returns
         -------
@@ -296,11 +306,19 @@
             None if no owner gave a usable answer.
         """
         deadline_ms = self._clock.now_ms + PEER_TIMEOUT_MS
+        argument: list[Any] = [reserved, ended, share]
+        if service in self._takes_options:
+            argument.append({"urgent": dict(urgent)})
+        # An owner of another build may have replaced the last one.
+        self._takes_options.discard(service)
         try:
             data = await self._owner_calls.call(
-                service, "report", [reserved, ended, share], deadline_ms
+                service, "report", argument, deadline_ms
             )
-            return decode_pool_report(data)
+            report = decode_pool_report(data)
+            if report.takes_options:
+                self._takes_options.add(service)
+            return report
         except OwnerCallError:
             return None
         except DecodeError as error:
--- a/apricotgap/instance/owner_calls.py
+++ b/apricotgap/instance/owner_calls.py
@@ -145,7 +145,7 @@
         if operation == "pending":
             return owner.n_pending(convert(argument, str))
         if operation == "report":
-            reserved, ended, _ = decode_report_call([*argument, 0])
+            reserved, ended, *_ = decode_report_call([*argument, 0])
             return encode_first_report(owner.report(reserved, ended))
         if operation == "pool-report":
             return encode_pool_report(owner.report(*decode_report_call(argument)))
--- a/apricotgap/instance/peer_documents.py
+++ b/apricotgap/instance/peer_documents.py
@@ -45,9 +45,27 @@
     return convert(argument, tuple[str, Any, _LeftMs])
 
 
-def decode_report_call(payload: Any) -> tuple[list[str], list[str], int]:
-    """Decode a request for a report: reserved and ended workers, and the share."""
-    return convert(payload, tuple[list[str], list[str], Count])
+class _ReportOptions(msgspec.Struct):
+    urgent: dict[str, Count] = {}
+
+
+class _ReportCall(msgspec.Struct, array_like=True):
+    reserved: list[str]
+    ended: list[str]
+    share: Count
+    options: _ReportOptions = msgspec.field(default_factory=_ReportOptions)
+
+
+def decode_report_call(
+    payload: Any,
+) -> tuple[list[str], list[str], int, dict[str, int]]:
+    """Decode a request for a report.
+
+    Returns reserved and ended workers, the share, and the priority of the demand for
+    which machines of workers leave. Earlier builds send no options.
+    """
+    call = convert(payload, _ReportCall)
+    return call.reserved, call.ended, call.share, call.options.urgent
 
 
 def decode_relay_call(argument: Any) -> tuple[Any, int]:
--- a/apricotgap/instance/pool_reports.py
+++ b/apricotgap/instance/pool_reports.py
@@ -18,12 +18,16 @@
     is_usable: bool
     is_reserved: bool
     is_suspect: bool = False
+    drain_ms: Count = 0
 
 
 class _Report(msgspec.Struct):
     wanted: Count
     workers: list[_WorkerRow]
     wanted_late: Count = 0
+    takes_options: bool = False
+    wanted_first: Count = 0
+    wanted_by_priority: list[tuple[Count, Count]] = []
 
 
 def encode_pool_report(report: PoolReport) -> dict[str, Any]:
@@ -31,6 +35,9 @@
     return {
         "wanted": report.wanted,
         "wanted_late": report.wanted_late,
+        "takes_options": report.takes_options,
+        "wanted_first": report.wanted_first,
+        "wanted_by_priority": [list(pair) for pair in report.wanted_by_priority],
         "workers": [list(astuple(worker)) for worker in report.workers],
     }
 
@@ -58,4 +65,11 @@
     workers = tuple(
         WorkerReport(*msgspec.structs.astuple(row)) for row in report.workers
     )
-    return PoolReport(report.wanted, workers, report.wanted_late)
+    return PoolReport(
+        report.wanted,
+        workers,
+        report.wanted_late,
+        report.takes_options,
+        report.wanted_first,
+        tuple(report.wanted_by_priority),
+    )
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -1,7 +1,7 @@
 """Owner of a service's shard: loads it, runs its loops and serves calls on it."""
 
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import structlog
 import trio
@@ -308,7 +308,11 @@
         return self._shard.n_pending(queue)
 
     def report(
-        self, reserved: Iterable[str], ended: Iterable[str], share: int | None = None
+        self,
+        reserved: Iterable[str],
+        ended: Iterable[str],
+        share: int | None = None,
+        urgent: Mapping[str, int] | None = None,
     ) -> PoolReport:
         """Reserve workers and report the demand and the workers of the pool.
 
@@ -320,6 +324,8 @@
             Workers whose machines have been moved or taken down.
         share : int, optional
             Number of machines planned for the pool, None if it is unknown.
+        urgent : mapping of str to int, optional
+            Priority of the jobs for which machines of reserved workers leave.
 
         Raises
         ------
@@ -333,13 +339,10 @@
         self._shard.reported_ms = now_ms
         self._effects.execute(self._shard.end_workers(ended, now_ms))
         self._shard.reserve(reserved, now_ms)
-        if share is not None:
-            self._demand.record_share(share)
-        return PoolReport(
-            self._demand.wanted(now_ms),
-            self._shard.report_workers(now_ms),
-            self._demand.wanted_for_late_jobs(now_ms),
-        )
+        self._migrator.record_urgent(urgent or {}, now_ms)
+        self._migrate(now_ms)
+        workers = self._shard.report_workers(now_ms, self._migrator.drain_ms)
+        return self._demand.report(workers, share, now_ms)
 
     # Loops
 
@@ -355,17 +358,19 @@
                 else []
             )
             self._effects.execute(self._shard.tick(now_ms))
-            # A migration stops a run and starts it elsewhere.
-            may_start_until_ms = self._permission.until_ms
-            if may_start_until_ms - now_ms > LEASE_MARGIN_MS:
-                self._effects.execute(self._migrator.run(now_ms))
+            self._migrate(now_ms)
             self._effects.execute(self._pacer.run(now_ms))
             self._effects.execute(self._stragglers.run(now_ms))
-            self._effects.execute(self._wait_log.run(now_ms, may_start_until_ms))
+            self._effects.execute(self._wait_log.run(now_ms, self._permission.until_ms))
             self._poll_loops.start(self._nursery)
             self._pass_requested.set()
             await trio.sleep(TICK_INTERVAL_MS / 1000)
 
+    def _migrate(self, now_ms: int) -> None:
+        # A migration stops a run and starts it elsewhere.
+        if self._permission.until_ms - now_ms > LEASE_MARGIN_MS:
+            self._effects.execute(self._migrator.run(now_ms))
+
     def _apply_configuration(self) -> None:
         config = self._cluster_view.config
         self._shard.evacuated = self._cluster_view.evacuated
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -1,14 +1,16 @@
 """Autoscaling demand: the number of workers that a shard needs."""
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 from math import ceil
 
 from apricotgap.jobs.feasible_set import CapacityForecast
+from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.gang_room import n_places
-from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.model import JobSpec, StepSpec
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.shard_work import ShardWork, collect_work
 
 __all__ = ["Demand"]
 
@@ -38,6 +40,11 @@
 MIN_WORKERS = 2
 
 
+# Numbers of workers for the jobs up to a priority, by that priority in its order. The
+# first number, without a priority, is for no finite jobs.
+_Levels = list[tuple[int | None, int]]
+
+
 @dataclass(frozen=True, slots=True)
 class _Arrival:
     """Work of an accepted job in core-ms, and the cores of its widest step."""
@@ -45,6 +52,7 @@
     at_ms: int
     work: float
     width: float
+    priority: int
 
 
 class Demand:
@@ -59,7 +67,7 @@
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
         self._arrivals: deque[_Arrival] = deque()
-        self._targets: deque[tuple[int, int]] = deque()
+        self._targets: deque[tuple[int, _Levels]] = deque()
         self._excess_since_ms: int | None = None
         self._share: int | None = None
 
@@ -77,7 +85,7 @@
             return None
         usable = self._usable_cores(at_ms)
         planned = self._share * self._worker_cores()
-        return max(usable, planned) - self._running_cores(at_ms)[0]
+        return max(usable, planned) - self._long_running_cores()
 
     def forecast(self, at_ms: int) -> CapacityForecast | None:
         """Return the capacity of the pool for finite jobs, None if it is unknown.
@@ -86,7 +94,7 @@
         """
         if self._share is None or self._shard.has_unverified_workers:
             return None
-        cores = max(0.0, self._usable_cores(at_ms) - self._running_cores(at_ms)[0])
+        cores = max(0.0, self._usable_cores(at_ms) - self._long_running_cores())
         return CapacityForecast(cores, cores, MOVE_IN_MS)
 
     def _usable_cores(self, at_ms: int) -> float:
@@ -106,25 +114,74 @@
         width = max(
             step.n_tasks * step.allocation.core_equivalents for step in spec.steps
         )
-        self._arrivals.append(_Arrival(at_ms, work, width))
+        self._arrivals.append(_Arrival(at_ms, work, width, spec.priority))
+
+    def report(
+        self, workers: tuple[WorkerReport, ...], share: int | None, at_ms: int
+    ) -> PoolReport:
+        """Record the plan for the pool and return its report to the fleet owner."""
+        if share is not None:
+            self.record_share(share)
+        first, by_priority = self.wanted_by_priority(at_ms)
+        return PoolReport(
+            first + sum(n for _, n in by_priority),
+            workers,
+            self.wanted_for_late_jobs(at_ms),
+            takes_options=True,
+            wanted_first=first,
+            wanted_by_priority=by_priority,
+        )
 
     def wanted(self, at_ms: int) -> int:
         """Return the number of workers for the jobs that can end in time."""
+        first, by_priority = self.wanted_by_priority(at_ms)
+        return first + sum(n for _, n in by_priority)
+
+    def wanted_by_priority(self, at_ms: int) -> tuple[int, tuple[tuple[int, int], ...]]:
+        """Return what `wanted` returns by the priority of the jobs.
+
+        Returns
+        -------
+        tuple
+            The minimum and the workers for long-running tasks, and pairs of a priority
+            and the number of further workers for its jobs.
+        """
+        self._targets.append((at_ms, self._target(at_ms)))
+        while self._targets[0][0] < at_ms - SCALE_DOWN_DELAY_MS:
+            self._targets.popleft()
+        n_so_far = first = max(levels[0][1] for _, levels in self._targets)
+        by_priority: list[tuple[int, int]] = []
+        found = {level for _, levels in self._targets for level, _ in levels[1:]}
+        for priority in sorted(level for level in found if level is not None):
+            n_workers = max(_at_level(levels, priority) for _, levels in self._targets)
+            if n_workers > n_so_far:
+                by_priority.append((priority, n_workers - n_so_far))
+                n_so_far = n_workers
+        return first, tuple(by_priority)
+
+    def _target(self, at_ms: int) -> _Levels:
         worker_cores = self._worker_cores()
         least = self._min_workers()
         if not worker_cores:
-            return least
-        cores = self._required_cores(at_ms)
-        target = max(
+            return [(None, least)]
+        work = collect_work(self._shard, at_ms)
+        self._forget_arrivals(at_ms)
+        self._record_excess(work, at_ms)
+        n_workers = max(
             least,
-            ceil(cores * HEADROOM / worker_cores),
+            ceil(work.long_running * HEADROOM / worker_cores),
             self._n_spread_workers(),
-            self._n_gang_workers(at_ms, is_late=False),
         )
-        self._targets.append((at_ms, target))
-        while self._targets[0][0] < at_ms - SCALE_DOWN_DELAY_MS:
-            self._targets.popleft()
-        return max(target for _, target in self._targets)
+        levels: _Levels = [(None, n_workers)]
+        for priority in self._priorities(work):
+            cores = self._required_cores(work, priority, at_ms)
+            n_workers = max(
+                n_workers,
+                ceil(cores * HEADROOM / worker_cores),
+                self._n_gang_workers(at_ms, is_late=False, priority=priority),
+            )
+            levels.append((priority, n_workers))
+        return levels
 
     def _min_workers(self) -> int:
         """Return the workers without demand, 0 if the service has no work to expect."""
@@ -139,7 +196,8 @@
         worker_cores = self._worker_cores()
         if not worker_cores:
             return 0
-        cores = self._running_cores(at_ms)[2] + self._backlog(at_ms)[1] / LATE_CLEAR_MS
+        work = collect_work(self._shard, at_ms)
+        cores = work.running_late + work.backlog_late / LATE_CLEAR_MS
         n_gang_workers = self._n_gang_workers(at_ms, is_late=True)
         return max(
             ceil(cores * HEADROOM / worker_cores), n_gang_workers - self._min_workers()
@@ -151,45 +209,41 @@
             default=0.0,
         )
 
-    def _running_cores(self, at_ms: int) -> tuple[float, float, float]:
-        """Return the cores of long-running runs, of jobs in time and of late jobs."""
-        unix_ms = self._shard.unix_of(at_ms)
-        long_running = in_time = late = 0.0
-        is_late: dict[str, bool] = {}
-        for worker in self._shard.workers.values():
-            for run in worker.runs.values():
-                cores = run.allocation.core_equivalents
-                if run.step.is_long_running:
-                    long_running += cores
-                    continue
-                job_id = run.name.job_id
-                if job_id not in is_late:
-                    job = self._shard.jobs.get(job_id)
-                    is_late[job_id] = job is None or job.is_late(unix_ms)
-                if is_late[job_id]:
-                    late += cores
-                else:
-                    in_time += cores
-        return long_running, in_time, late
-
-    def _required_cores(self, at_ms: int) -> float:
-        arriving = self._arrival_cores(at_ms)
-        long_running, running, _ = self._running_cores(at_ms)
-        usable = self._usable_cores(at_ms)
-        backlog = self._backlog(at_ms)[0]
-        backlog += self._expected_backlog(arriving + long_running - usable, at_ms)
-        present = long_running + max(arriving, running)
+    def _long_running_cores(self) -> float:
+        return sum(
+            run.allocation.core_equivalents
+            for worker in self._shard.workers.values()
+            for run in worker.runs.values()
+            if run.step.is_long_running
+        )
+
+    def _required_cores(self, work: ShardWork, priority: int, at_ms: int) -> float:
+        """Return the cores for long-running tasks and jobs up to a priority."""
+        arriving = self._arrival_cores(at_ms, priority)
+        running = _up_to(work.running, priority)
+        excess = arriving + work.long_running - self._usable_cores(at_ms)
+        backlog = _up_to(work.backlog, priority)
+        backlog += max(0.0, excess) * self._move_in_left_ms(at_ms)
+        present = work.long_running + max(arriving, running)
         return present + min(backlog / BACKLOG_CLEAR_MS, MAX_BACKLOG_SHARE * present)
 
-    def _expected_backlog(self, excess: float, at_ms: int) -> float:
-        """Return the backlog, in core-ms, until machines ordered now can serve."""
-        if excess <= 0:
+    def _record_excess(self, work: ShardWork, at_ms: int) -> None:
+        """Record since when the pool has been too small for what arrives."""
+        arriving = self._arrival_cores(at_ms, max(self._priorities(work), default=0))
+        if arriving + work.long_running <= self._usable_cores(at_ms):
             self._excess_since_ms = None
-            return 0.0
-        if self._excess_since_ms is None:
+        elif self._excess_since_ms is None:
             self._excess_since_ms = at_ms
-        left_ms = self._excess_since_ms + MOVE_IN_MS - at_ms
-        return excess * max(0, left_ms)
+
+    def _move_in_left_ms(self, at_ms: int) -> int:
+        """Return for how long a backlog grows until machines ordered now can serve."""
+        if self._excess_since_ms is None:
+            return 0
+        return max(0, self._excess_since_ms + MOVE_IN_MS - at_ms)
+
+    def _priorities(self, work: ShardWork) -> list[int]:
+        found = {each.priority for each in self._arrivals}
+        return sorted(found | set(work.running) | set(work.backlog))
 
     def _n_spread_workers(self) -> int:
         """Return the workers that the tasks of a long-running step must spread over.
@@ -207,15 +261,20 @@
             default=0,
         )
 
-    def _n_gang_workers(self, at_ms: int, is_late: bool) -> int:
+    def _n_gang_workers(
+        self, at_ms: int, is_late: bool, priority: int | None = None
+    ) -> int:
         """Return the workers that the largest gang needs at once, however short it is.
 
         Gangs of jobs that can only end late count apart from those of the others.
+        Gangs of less urgent jobs than a priority do not count.
         """
         unix_ms = self._shard.unix_of(at_ms)
         may_allow = self._shard.team_limits.may_allow
         n_workers = 0
         for job in self._shard.open_jobs.values():
+            if priority is not None and job.spec.priority > priority:
+                continue
             with self._shard.guard(job):
                 for key in job.open_steps(unix_ms):
                     step = job.spec.steps[key[1]]
@@ -247,11 +306,13 @@
         n_left = step.n_tasks - sum(n_places(worker, step) for worker in occupied)
         return len(occupied) + max(0, ceil(n_left / n_on_empty))
 
-    def _arrival_cores(self, at_ms: int) -> float:
-        """Return the cores that keep up with the recent arrival rate."""
-        arrivals = self._arrivals
-        while arrivals and arrivals[0].at_ms < at_ms - RATE_WINDOW_MS:
-            arrivals.popleft()
+    def _forget_arrivals(self, at_ms: int) -> None:
+        while self._arrivals and self._arrivals[0].at_ms < at_ms - RATE_WINDOW_MS:
+            self._arrivals.popleft()
+
+    def _arrival_cores(self, at_ms: int, priority: int) -> float:
+        """Return the cores that keep up with recent arrivals up to a priority."""
+        arrivals = [each for each in self._arrivals if each.priority <= priority]
         # At the start of a burst the window is not filled yet.
         window_ms = RATE_WINDOW_MS
         if len(arrivals) >= MIN_BURST_JOBS:
@@ -261,26 +322,11 @@
         width = sum(each.width for each in arrivals)
         return min(rate, width * max(1.0, len(arrivals) / MIN_RATE_JOBS))
 
-    def _backlog(self, at_ms: int) -> tuple[float, float]:
-        """Return the work that could start now, in core-ms, in time and late."""
-        unix_ms = self._shard.unix_of(at_ms)
-        in_time = late = 0.0
-        for job in self._shard.open_jobs.values():
-            with self._shard.guard(job):
-                work = _startable_core_ms(job, unix_ms)
-                if job.is_late(unix_ms):
-                    late += work
-                else:
-                    in_time += work
-        return in_time, late
-
-
-def _startable_core_ms(job: JobState, unix_ms: int) -> float:
-    """Return the work of a job that could start now, but for long-running steps."""
-    work = 0.0
-    for key in job.open_steps(unix_ms):
-        step = job.spec.steps[key[1]]
-        if not step.is_long_running:
-            tasks_ms = len(job.waiting[key]) * step.estimated_ms
-            work += tasks_ms * step.allocation.core_equivalents
-    return work
+
+def _up_to(amounts: Mapping[int, float], priority: int) -> float:
+    return sum(amount for level, amount in amounts.items() if level <= priority)
+
+
+def _at_level(levels: _Levels, priority: int) -> int:
+    """Return the number of workers for the jobs up to a priority."""
+    return max(n for level, n in levels if level is None or level <= priority)
--- a/apricotgap/jobs/fleet_orders.py
+++ b/apricotgap/jobs/fleet_orders.py
@@ -1,7 +1,7 @@
 """Pending machine orders, and machines reserved to be emptied for one."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_view import FleetView
@@ -23,11 +23,17 @@
 
 @dataclass(frozen=True, slots=True)
 class MachineOrder:
-    """Move a machine to `pool` or, if `wave` is not 0, take it down for maintenance."""
+    """Move a machine to `pool` or, if `wave` is not 0, take it down for maintenance.
+
+    `why` and `for_level`, the level of the demand that a move serves, are for operators
+    and make no different order.
+    """
 
     machine: str
     pool: str = ""
     wave: int = 0
+    why: str = field(default="", compare=False)
+    for_level: int | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -42,6 +42,20 @@
         """Number of machines that the last pass planned for each pool."""
         return self._sizes.shares
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether machines are reserved for pools that lack them."""
+        return self._sizes.is_draining
+
+    def urgent_workers(
+        self, machines: Mapping[str, Machine]
+    ) -> dict[str, dict[str, int]]:
+        """Return the priority of the jobs for which workers' machines leave, by pool.
+
+        Machines that leave for no other pool, or for late jobs only, are left out.
+        """
+        return self._sizes.urgent_workers(machines)
+
     def inherit(self, machines: Iterable[str], until_ms: int) -> None:
         """Order nothing until then for machines with orders of a previous owner."""
         self._tracker.inherit(machines, until_ms)
@@ -117,6 +131,8 @@
                         "machine": order.machine,
                         "pool": order.pool,
                         "wave": order.wave,
+                        "why": order.why or ("maintenance" if order.wave else ""),
+                        "for_priority": order.for_level,
                         "list_age_ms": at_ms - listed_ms,
                     },
                 )
--- a/apricotgap/jobs/fleet_view.py
+++ b/apricotgap/jobs/fleet_view.py
@@ -6,13 +6,23 @@
 from apricotgap.jobs.configuration import Configuration
 from apricotgap.jobs.effects import LogDecision
 from apricotgap.jobs.fleet import Machine
+from apricotgap.jobs.pool_shares import (
+    FIRST_LEVEL,
+    LATE_LEVEL,
+    LEAST_URGENT,
+    PoolWants,
+)
 
 __all__ = ["FleetView", "PoolReport", "WorkerReport"]
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
-    """State of a worker reported by its shard; a suspect one failed several jobs."""
+    """State of a worker reported by its shard; a suspect one failed several jobs.
+
+    `drain_ms` is how long it takes to empty it of finite runs, 0 in reports of earlier
+    builds.
+    """
 
     worker_id: str
     n_runs: int
@@ -20,19 +30,40 @@
     is_usable: bool
     is_reserved: bool
     is_suspect: bool = False
+    drain_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class PoolReport:
     """Number of workers that a shard needs, and the workers that it has.
 
-    `wanted` are needed for jobs that can end in time. `wanted_late` more are of use to
-    jobs that can only end late, if no other pool needs them.
+    `wanted` are needed for long-running tasks, as the minimum and for jobs that can end
+    in time: `wanted_first` for the first two and further ones by priority, each a pair
+    of the priority and a number, in `wanted_by_priority`. Reports of earlier builds
+    lack this division. `wanted_late` more are of use to
+    jobs that can only end late, if no other pool needs them. With `takes_options` the
+    shard's owner reads requests with options; those of earlier builds reject them.
     """
 
     wanted: int
     workers: tuple[WorkerReport, ...]
     wanted_late: int = 0
+    takes_options: bool = False
+    wanted_first: int = 0
+    wanted_by_priority: tuple[tuple[int, int], ...] = ()
+
+    @property
+    def wants(self) -> PoolWants:
+        """What the pool wants by level; undivided demand counts as least urgent."""
+        by_level = {FIRST_LEVEL: self.wanted_first, LATE_LEVEL: self.wanted_late}
+        n_divided = self.wanted_first
+        for priority, n in self.wanted_by_priority:
+            level = min(priority, LEAST_URGENT)
+            by_level[level] = by_level.get(level, 0) + n
+            n_divided += n
+        n_undivided = max(0, self.wanted - n_divided)
+        by_level[LEAST_URGENT] = by_level.get(LEAST_URGENT, 0) + n_undivided
+        return PoolWants(by_level)
 
 
 class FleetView:
@@ -139,7 +170,9 @@
         worker = self.worker(machine)
         return worker.n_long_running if worker else 0
 
-    def drain_cost(self, machine: Machine) -> tuple[int, int]:
-        """Return a sort key: the runs that emptying a machine would displace."""
+    def drain_cost(self, machine: Machine) -> tuple[int, int, int]:
+        """Return a sort key: how long and how many runs keep a machine from leaving."""
         worker = self.worker(machine)
-        return (worker.n_long_running, worker.n_runs) if worker else (0, 0)
+        if worker is None:
+            return (0, 0, 0)
+        return (worker.n_long_running, worker.drain_ms, worker.n_runs)
--- a/apricotgap/jobs/migration.py
+++ b/apricotgap/jobs/migration.py
@@ -1,19 +1,34 @@
-"""Migration of long-running runs off workers that are to be emptied."""
+"""Migration of runs off workers that are to be emptied."""
+
+from collections.abc import Mapping
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import Effect, LogDecision
 from apricotgap.jobs.job_state import JobState
+from apricotgap.jobs.model import TaskName
+from apricotgap.jobs.remaining_time import remaining_ms
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.workers import Worker
 
 __all__ = ["Migrator"]
 
+# A task is not stopped again for this long: the workers that it resumes on may be
+# reserved in turn. A stop and a resumption take up to 1.7 s, in which it does nothing.
+RESTOP_DELAY_MS = 3_000
+# A run resumes from its checkpoint within this time.
+RESUME_MS = 600
+
 
 class Migrator:
-    """Stops long-running runs on reserved and draining workers.
+    """Stops runs on reserved and draining workers.
 
-    A run is stopped only while fewer than `max_unavailable` other tasks of its step
-    (at least one is allowed) are unavailable. The scheduler starts the task elsewhere.
+    A long-running run is stopped only while fewer than `max_unavailable` other tasks of
+    its step (at least one is allowed) are unavailable. Finite runs leave reserved
+    workers if they lose nothing, or nothing of use: those of steps with checkpoints
+    whose job does not become late by it, and those of late jobs whose machine leaves
+    for more urgent demand. Runs that end before a stop would are left alone. The
+    scheduler starts the tasks elsewhere.
 
     Parameters
     ----------
@@ -23,6 +38,25 @@
 
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
+        self._stopped_ms: dict[TaskName, int] = {}
+        # Priority of the demand that a worker's machine leaves for, until a time.
+        self._urgent: dict[str, tuple[int, int]] = {}
+
+    def record_urgent(self, priorities: Mapping[str, int], at_ms: int) -> None:
+        """Record the workers whose machines leave for jobs that can end in time.
+
+        Parameters
+        ----------
+        priorities : mapping of str to int
+            Most urgent priority of these jobs by worker.
+        at_ms : int
+            Current time; the record ends along with the reservations.
+        """
+        until_ms = at_ms + limits.RESERVATION_MS
+        self._urgent = {
+            worker_id: (priority, until_ms)
+            for worker_id, priority in priorities.items()
+        }
 
     def run(self, at_ms: int) -> list[Effect]:
         """Return the stops that are due now."""
@@ -34,6 +68,7 @@
         ):
             # Stops sent by a previous owner may still be in flight.
             return effects
+        self._forget_stops(at_ms)
         leaving = [
             worker
             for worker in shard.workers.values()
@@ -43,28 +78,97 @@
         leaving.sort(key=lambda worker: not worker.entry.is_draining)
         for worker in leaving:
             for run in list(worker.runs.values()):
-                if run.phase is not RunPhase.RUNNING or not run.step.is_long_running:
-                    continue
                 job = shard.jobs.get(run.name.job_id)
-                if job is None:
+                if job is None or run.phase is not RunPhase.RUNNING:
                     continue
-                may_interrupt = False
+                why = ""
                 with shard.guard(job):
-                    may_interrupt = self._may_interrupt(job, run, at_ms)
-                if not may_interrupt:
+                    why = self._reason(job, run, worker, at_ms)
+                if not why:
                     continue
+                self._stopped_ms[run.name] = at_ms
                 effects.extend(shard.stop(run, at_ms))
                 line: dict[str, object] = {
                     "task": str(run.name),
                     "worker": worker.worker_id,
+                    "why": why,
+                    "percent": run.percent,
                 }
                 effects.append(LogDecision("run_migrated", line))
         return effects
 
+    def _forget_stops(self, at_ms: int) -> None:
+        self._stopped_ms = {
+            name: stopped_ms
+            for name, stopped_ms in self._stopped_ms.items()
+            if at_ms - stopped_ms < RESTOP_DELAY_MS
+        }
+
+    def _reason(self, job: JobState, run: Run, worker: Worker, at_ms: int) -> str:
+        """Return why to stop a run on a leaving worker, "" to leave it alone."""
+        if job.is_final:
+            return ""
+        if run.step.is_long_running:
+            return "long_running" if self._may_interrupt(job, run, at_ms) else ""
+        if not worker.is_reserved(at_ms) or run.name in self._stopped_ms:
+            return ""
+        left_ms = remaining_ms(run, worker.answered_ms, at_ms)
+        if left_ms <= self._shard.stop_listing_delay_ms:
+            return ""
+        return self._reason_to_displace(job, run, worker, left_ms, at_ms)
+
+    def _reason_to_displace(
+        self, job: JobState, run: Run, worker: Worker, left_ms: int, at_ms: int
+    ) -> str:
+        """Return why to stop a finite run that would not end soon."""
+        if run.step.is_gang:
+            # It would resume only once there is room for all its members.
+            return ""
+        due_ms = job.spec.due_ms(run.name.occurrence)
+        objective_ms = job.objective_ms + max(0, due_ms - job.spec.submitted_ms)
+        spare_ms = objective_ms - self._shard.unix_of(at_ms) - left_ms
+        spare_ms -= max(0, job.critical_path_ms() - run.step.estimated_ms)
+        priority = self._urgent_priority(worker, at_ms)
+        if run.step.checkpoints:
+            stop_ms = self._shard.stop_listing_delay_ms + RESUME_MS
+            if spare_ms < 0 or spare_ms >= stop_ms:
+                return "resumable"
+            is_behind = priority is not None and priority < job.spec.priority
+            return "resumable" if is_behind else ""
+        return "late" if spare_ms < 0 and priority is not None else ""
+
+    def _urgent_priority(self, worker: Worker, at_ms: int) -> int | None:
+        """Return the priority of the demand that a machine leaves for, None if low."""
+        priority, until_ms = self._urgent.get(worker.worker_id, (0, 0))
+        return priority if at_ms < until_ms else None
+
+    def drain_ms(self, worker: Worker, at_ms: int) -> int:
+        """Return how long it takes to empty a worker of its finite runs.
+
+        A run that can be stopped takes no longer than its stop.
+        """
+        return max(
+            (self._run_drain_ms(run, worker, at_ms) for run in worker.runs.values()),
+            default=0,
+        )
+
+    def _run_drain_ms(self, run: Run, worker: Worker, at_ms: int) -> int:
+        stop_ms = self._shard.stop_listing_delay_ms
+        if run.phase is RunPhase.STOPPING:
+            return stop_ms
+        if run.step.is_long_running:
+            return 0
+        left_ms = remaining_ms(run, worker.answered_ms, at_ms)
+        job = self._shard.jobs.get(run.name.job_id)
+        if left_ms <= stop_ms or job is None or run.name in self._stopped_ms:
+            return left_ms
+        why = ""
+        with self._shard.guard(job):
+            why = self._reason_to_displace(job, run, worker, left_ms, at_ms)
+        return stop_ms if why else left_ms
+
     def _may_interrupt(self, job: JobState, run: Run, at_ms: int) -> bool:
         """Whether a run may be stopped within the unavailability budget of its step."""
-        if job.is_final:
-            return False
         n_unavailable = 0
         for index in range(run.step.n_tasks):
             if index != run.name.number:
--- a/apricotgap/jobs/pool_shares.py
+++ b/apricotgap/jobs/pool_shares.py
@@ -1,8 +1,74 @@
 """Division of the machines among pools that together want more than there are."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 
-__all__ = ["divide"]
+__all__ = [
+    "FIRST_LEVEL",
+    "LATE_LEVEL",
+    "LEAST_URGENT",
+    "PoolShare",
+    "PoolWants",
+    "divide",
+    "divide_by_level",
+]
+
+# Levels of demand: that of long-running tasks and the minimum of a pool, then the
+# priorities of jobs in time from 0 on, then jobs that can only end late.
+FIRST_LEVEL = -1
+LEAST_URGENT = 999_999
+LATE_LEVEL = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class PoolWants:
+    """Number of machines that a pool wants by level."""
+
+    by_level: Mapping[int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class PoolShare:
+    """Number of machines planned for a pool by level, the most urgent level first."""
+
+    by_level: tuple[tuple[int, int], ...] = ()
+
+    @property
+    def total(self) -> int:
+        """Number of machines over all levels."""
+        return sum(n for _, n in self.by_level)
+
+    def levels_from(self, n_available: int) -> Iterator[int]:
+        """Yield the level of each machine that the pool lacks, given what it has.
+
+        The machines that it has serve its most urgent levels.
+        """
+        n_left = n_available
+        for level, n in self.by_level:
+            yield from [level] * max(0, n - n_left)
+            n_left = max(0, n_left - n)
+
+
+def divide_by_level(
+    wants: Mapping[str, PoolWants], n_machines: int
+) -> dict[str, PoolShare]:
+    """Return the share of each pool: level by level, by max-min fairness within one.
+
+    Parameters
+    ----------
+    wants : mapping of str to PoolWants
+        What each pool wants.
+    n_machines : int
+        Machines in all pools and ready to be moved to them.
+    """
+    granted: dict[str, list[tuple[int, int]]] = {pool: [] for pool in wants}
+    n_left = n_machines
+    for level in sorted({level for each in wants.values() for level in each.by_level}):
+        wanted = {pool: each.by_level.get(level, 0) for pool, each in wants.items()}
+        for pool, n in divide(wanted, n_left).items():
+            granted[pool].append((level, n))
+            n_left -= n
+    return {pool: PoolShare(tuple(levels)) for pool, levels in granted.items()}
 
 
 def divide(wanted: Mapping[str, int], n_machines: int) -> dict[str, int]:
--- a/apricotgap/jobs/pool_sizes.py
+++ b/apricotgap/jobs/pool_sizes.py
@@ -1,5 +1,8 @@
 """Planning of pool sizes: which machines move to which pool."""
 
+from collections import Counter
+from collections.abc import Mapping
+
 from apricotgap.jobs.effects import LogDecision
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import (
@@ -9,7 +12,7 @@
 )
 from apricotgap.jobs.fleet_view import FleetView
 from apricotgap.jobs.maintenance_waves import MaintenanceWaves
-from apricotgap.jobs.pool_shares import divide
+from apricotgap.jobs.pool_shares import LATE_LEVEL, PoolShare, divide_by_level
 
 __all__ = ["PoolSizes"]
 
@@ -44,37 +47,62 @@
             and machine.data_centre not in view.evacuated
         ]
         waiting = self._waves.waiting()
-        orders: list[MachineOrder] = []
-        missing_by_pool: dict[str, int] = {}
+        missing: dict[str, list[int]] = {}
         available = {pool: self._n_available(pool, view) for pool in view.reports}
-        shares = self.shares = self._shares(available, len(spare), view)
+        divided = self._divide(available, len(spare), view)
+        shares = self.shares = {pool: share.total for pool, share in divided.items()}
         for pool, report in sorted(view.reports.items()):
             if self._is_starting(pool, view):
                 continue
             n_available = available[pool]
-            missing = shares[pool] - n_available
+            n_missing = shares[pool] - n_available
             self._log_size_change(
                 pool, report.wanted, shares[pool], n_available, len(spare), view
             )
-            if missing > 0:
-                missing -= self._cancel_reservations(pool, missing, view)
-            while missing > 0:
-                machine = self._choose_spare(pool, spare, waiting, view)
-                if machine is None:
-                    break
-                missing -= 1
-                spare.remove(machine)
-                order = MachineOrder(machine.name, pool)
-                orders.append(self._tracker.order(order, view))
-            if missing > 0:
-                missing_by_pool[pool] = missing
-            if missing < 0 and view.spare_pool:
-                self._reserve_surplus(pool, -missing, view)
+            if n_missing > 0:
+                n_kept = self._cancel_reservations(pool, n_missing, view)
+                missing[pool] = list(divided[pool].levels_from(n_available + n_kept))
+            if n_missing < 0 and view.spare_pool:
+                self._reserve_surplus(pool, -n_missing, view)
             if view.spare_pool:
                 self._reserve_excluded(pool, view)
-        self._redirect(missing_by_pool, view)
+        orders: list[MachineOrder] = []
+        still_lacking: list[tuple[int, str]] = []
+        for level, pool in _in_turn(missing):
+            machine = self._choose_spare(pool, spare, waiting, view) if spare else None
+            if machine is None:
+                still_lacking.append((level, pool))
+                continue
+            spare.remove(machine)
+            order = MachineOrder(machine.name, pool, why="demand", for_level=level)
+            orders.append(self._tracker.order(order, view))
+        self._redirect(still_lacking, view)
         return orders
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether machines are being emptied for a pool that lacks them."""
+        return any(
+            order.for_level is not None and name not in self._tracker.pending
+            for name, order in self._tracker.reserved.items()
+        )
+
+    def urgent_workers(
+        self, machines: Mapping[str, Machine]
+    ) -> dict[str, dict[str, int]]:
+        """Return the priority of the jobs for which workers' machines leave, by pool.
+
+        Machines that leave for no other pool, or for late jobs only, are left out.
+        """
+        found: dict[str, dict[str, int]] = {}
+        for name, order in self._tracker.reserved.items():
+            machine = machines.get(name)
+            level = order.for_level
+            if machine is None or level is None or level >= LATE_LEVEL:
+                continue
+            found.setdefault(machine.pool, {})[machine.worker_id] = max(0, level)
+        return found
+
     def _is_starting(self, pool: str, view: FleetView) -> bool:
         """Whether the owner of a pool is still about to acquire its workers.
 
@@ -91,24 +119,19 @@
         since_ms = self._empty_since_ms.setdefault(pool, view.at_ms)
         return view.at_ms - since_ms < JOIN_TIMEOUT_MS
 
-    def _shares(
+    def _divide(
         self, available: dict[str, int], n_spare: int, view: FleetView
-    ) -> dict[str, int]:
-        """Divide the machines by what jobs in time need, and the rest by late ones."""
+    ) -> dict[str, PoolShare]:
+        """Divide the machines by what the pools want, the most urgent jobs first."""
         n_leaving = sum(
             bool(order.pool) and not view.is_excluded(view.machines[name])
             for name, order in self._tracker.reserved.items()
             if name not in self._tracker.pending and name in view.machines
         )
         n_machines = n_spare + n_leaving + sum(available.values())
-        shares = divide(
-            {pool: report.wanted for pool, report in view.reports.items()}, n_machines
-        )
-        late_shares = divide(
-            {pool: report.wanted_late for pool, report in view.reports.items()},
-            n_machines - sum(shares.values()),
+        return divide_by_level(
+            {pool: report.wants for pool, report in view.reports.items()}, n_machines
         )
-        return {pool: share + late_shares[pool] for pool, share in shares.items()}
 
     def _log_size_change(
         self,
@@ -132,27 +155,32 @@
         }
         view.log_lines.append(LogDecision("pool_size", fields))
 
-    def _redirect(self, missing_by_pool: dict[str, int], view: FleetView) -> None:
+    def _redirect(self, lacking: list[tuple[int, str]], view: FleetView) -> None:
         """Send machines that leave a pool directly to a pool that lacks machines.
 
-        A move by way of the spare pool would take two moves.
+        A move by way of the spare pool would take two moves. The pools come in the
+        order of their demand, and those that are first get what leaves soonest.
         """
-        for name, order in self._tracker.reserved.items():
-            if order.pool:
-                self._tracker.reserved[name] = MachineOrder(name, view.spare_pool)
-        for pool, n_missing in missing_by_pool.items():
+        reserved = self._tracker.reserved
+        leaving: list[str] = []
+        for name, order in reserved.items():
+            if not order.pool:
+                continue
+            is_excluded = view.is_excluded(view.machines[name])
+            why = "excluded" if is_excluded else "surplus"
+            reserved[name] = MachineOrder(name, view.spare_pool, why=why)
+            if name not in self._tracker.pending and not is_excluded:
+                leaving.append(name)
+        leaving.sort(key=lambda name: view.drain_cost(view.machines[name]))
+        for level, pool in lacking:
             kinds = self._tracker.kinds.get(pool)
-            leaving = [
-                name
-                for name, order in self._tracker.reserved.items()
-                if order.pool == view.spare_pool
-                and name not in self._tracker.pending
-                and not view.is_excluded(view.machines[name])
-                and (kinds is None or view.machines[name].kind in kinds)
-            ]
-            leaving.sort(key=lambda name: view.drain_cost(view.machines[name]))
-            for name in leaving[:n_missing]:
-                self._tracker.reserved[name] = MachineOrder(name, pool)
+            for name in leaving:
+                if kinds is None or view.machines[name].kind in kinds:
+                    leaving.remove(name)
+                    reserved[name] = MachineOrder(
+                        name, pool, why="demand", for_level=level
+                    )
+                    break
 
     def _reserve_excluded(self, pool: str, view: FleetView) -> None:
         """Reserve machines that cost money but get no work, to move them out.
@@ -224,7 +252,8 @@
     def _cancel_reservations(self, pool: str, n: int, view: FleetView) -> int:
         """Cancel up to `n` reservations of machines that would leave the pool.
 
-        Returns the number of reservations cancelled.
+        Those that would take longest to empty come first. Returns the number of
+        reservations cancelled.
         """
         names = [
             name
@@ -232,10 +261,11 @@
             if order.pool
             and view.machines[name].pool == pool
             and not view.is_excluded(view.machines[name])
-        ][:n]
-        for name in names:
+        ]
+        names.sort(key=lambda name: view.drain_cost(view.machines[name]), reverse=True)
+        for name in names[:n]:
             del self._tracker.reserved[name]
-        return len(names)
+        return len(names[:n])
 
     def _reserve_surplus(self, pool: str, n: int, view: FleetView) -> None:
         candidates = [
@@ -247,5 +277,17 @@
             machine for machine in candidates if not view.n_long_running(machine)
         ]
         for machine in sorted(candidates, key=view.drain_cost)[:n]:
-            order = MachineOrder(machine.name, view.spare_pool)
+            order = MachineOrder(machine.name, view.spare_pool, why="surplus")
             self._tracker.reserved[machine.name] = order
+
+
+def _in_turn(missing: Mapping[str, list[int]]) -> list[tuple[int, str]]:
+    """Return level and pool of each missing machine, the most urgent level first.
+
+    Within a level the pools take turns.
+    """
+    turns: list[tuple[int, int, str]] = []
+    for pool, levels in missing.items():
+        for level, n in Counter(levels).items():
+            turns.extend((level, turn, pool) for turn in range(n))
+    return [(level, pool) for level, _, pool in sorted(turns)]
--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -42,6 +42,9 @@
     `is_charged` is set once a crash was charged to an unconfirmed start that is kept
     for the next incarnation: one start causes one crash at most.
 
+    `measured_from` is a time and the percentage that the run had then, from which its
+    speed is derived; a run that resumes from a checkpoint does not begin at 0.
+
     `pace` is the share of its work that the run was ordered to do, in percent, None if
     an earlier owner may have changed it.
     """
@@ -69,6 +72,7 @@
     is_in_next_incarnation: bool = False
     is_unlisted: bool = False
     is_charged: bool = False
+    measured_from: tuple[int, float] | None = None
 
     @property
     def allocation(self) -> Resources:
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -93,8 +93,18 @@
             return accepting
         return accepting + [each for each in workers if each.is_only_suspect(at_ms)]
 
-    def report_workers(self, at_ms: int) -> tuple[WorkerReport, ...]:
-        """Return the state of the workers for the owner of the fleet."""
+    def report_workers(
+        self, at_ms: int, drain_ms: Callable[[Worker, int], int]
+    ) -> tuple[WorkerReport, ...]:
+        """Return the state of the workers for the owner of the fleet.
+
+        Parameters
+        ----------
+        at_ms : int
+            Current time.
+        drain_ms : callable
+            Returns how long it takes to empty a worker from a time on.
+        """
         return tuple(
             WorkerReport(
                 worker.worker_id,
@@ -103,6 +113,7 @@
                 worker.is_usable(at_ms, self.evacuated),
                 worker.is_reserved(at_ms),
                 worker.suspect_since_ms is not None,
+                drain_ms(worker, at_ms),
             )
             for worker in self.workers.values()
         )
--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -158,6 +158,8 @@
             run.visible_from_ms = min(run.visible_from_ms, event.at_ms)
             run.phase = RunPhase.RUNNING
             run.started_ms = run.last_progress_ms = event.at_ms
+            if not run.checkpoint:
+                run.measured_from = (event.at_ms, 0.0)
 
     def _avoid(self, name: TaskName, worker: Worker) -> None:
         """Start a task on another worker next time, if one has room."""
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -295,6 +295,8 @@
         if report.percent != run.percent:
             run.percent = report.percent
             run.last_progress_ms = event.at_ms
+        if run.measured_from is None:
+            run.measured_from = (event.at_ms, report.percent)
         run.usage = report.usage
         run.checkpoint = report.checkpoint or run.checkpoint
 
@@ -329,6 +331,7 @@
         )
         run.pace = None
         run.started_ms = at_ms
+        run.measured_from = (at_ms, report.percent)
         run.has_begun = run.is_started_up = True
         record = job.progress.tasks.get(report.name)
         is_surplus = report.name in job.runs and not step.allows_duplicates
--- a/tests/decoders/instance.py
+++ b/tests/decoders/instance.py
@@ -136,8 +136,8 @@
     Decoder(
         ("instance.peer_documents:decode_report_call",),
         peer_documents.decode_report_call,
-        values([["w"], ["v"], 5]),
-        tuple[list[str], list[str], int],
+        values([["w"], ["v"], 5], [["w"], ["v"], 5, {"urgent": {"w": 1}}]),
+        tuple[list[str], list[str], int, dict[str, int]],
         (DecodeError,),
     ),
     Decoder(
@@ -187,6 +187,7 @@
         pool_reports.decode_pool_report,
         values(
             {"wanted": 1, "workers": [["w", 1, 0, True, False, True]]},
+            {"wanted": 1, "workers": [["w", 1, 0, True, False, True, 900]]},
             [1, [["w", 1, 0, True, False]]],
         ),
         PoolReport,
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -113,3 +113,100 @@
         assert rig.schedule() == []
         rig.shard.reported_ms = rig.now
         assert len(rig.schedule()) == 1
+
+
+class TestDrain:
+    """Finite runs leave a worker whose machine the owner of the fleet reserves."""
+
+    def rig(self, estimated_ms=4_000, at_percent=10, **changes):
+        """Return a rig with one run that has been going for a while on a worker."""
+        rig = Rig(workers=("w1", "w2")).ready()
+        step = StepSpec(1, Resources(1000, 100), estimated_ms, **changes)
+        rig.submit(job(steps=(step,), slack_factor=3.0))
+        rig.shard.unix_offset_ms = -rig.now
+        (self.start,) = rig.schedule()
+        rig.answer(self.start)
+        rig.now += 400
+        rig.poll(self.start.worker_id, running=[running(self.start, at_percent)])
+        self.migrator = Migrator(rig.shard)
+        return rig
+
+    def stopped(self, rig, level=None):
+        worker_id = self.start.worker_id
+        rig.shard.reserve([worker_id], rig.now)
+        urgent = {} if level is None else {worker_id: level}
+        self.migrator.record_urgent(urgent, rig.now)
+        return [stop.name for stop in stops(self.migrator.run(rig.now))]
+
+    def drain_ms(self, rig):
+        worker = rig.shard.workers[self.start.worker_id]
+        return self.migrator.drain_ms(worker, rig.now)
+
+    def test_run_with_checkpoints_is_stopped_at_once(self):
+        """Guards against a peak that waits for runs that could resume elsewhere."""
+        rig = self.rig(checkpoints=True)
+        assert self.drain_ms(rig) == rig.shard.stop_listing_delay_ms
+        assert self.stopped(rig) == [self.start.name]
+
+    def test_run_without_checkpoints_keeps_its_work(self):
+        """Guards against lost work of a job that can end in time."""
+        rig = self.rig()
+        assert self.stopped(rig, level=0) == []
+        assert self.drain_ms(rig) == 3_600
+
+    def test_run_that_is_about_to_end_is_left_alone(self):
+        """Guards against a stop that takes longer than the run."""
+        rig = self.rig(checkpoints=True, estimated_ms=500, at_percent=30)
+        assert self.drain_ms(rig) == 933
+        assert self.stopped(rig) == []
+
+    def test_straggler_is_stopped_although_its_estimate_has_passed(self):
+        """Guards against a machine that waits for a run far slower than estimated."""
+        rig = self.rig(checkpoints=True, estimated_ms=500, at_percent=10)
+        assert self.stopped(rig, level=0) == [self.start.name]
+
+    def test_job_does_not_become_late_by_a_stop_for_no_more_urgent_demand(self):
+        """Guards against a job in time that ends late so that a machine may leave."""
+        rig = self.rig(checkpoints=True)
+        rig.now += 8_000
+        rig.poll(self.start.worker_id, running=[running(self.start, 70)])
+        assert self.stopped(rig, level=0) == []
+
+    def test_late_run_is_stopped_only_for_demand_in_time(self):
+        """Guards against lost work of a late job when no other pool needs machines."""
+        rig = self.rig()
+        rig.now += 11_000
+        rig.poll(self.start.worker_id, running=[running(self.start, 70)])
+        assert self.stopped(rig) == []
+        assert self.stopped(rig, level=1) == [self.start.name]
+
+    def test_resumed_run_is_not_stopped_again_at_once(self):
+        """Guards against a task that makes no progress while machines leave in turn."""
+        rig = self.rig(checkpoints=True)
+        assert self.stopped(rig) == [self.start.name]
+        other = "w2" if self.start.worker_id == "w1" else "w1"
+        rig.poll(self.start.worker_id, ends=[ended(1, self.start, RunEnd.STOPPED)])
+        (self.start,) = rig.schedule()
+        assert self.start.worker_id == other
+        rig.answer(self.start)
+        rig.poll(other, running=[running(self.start, 10)])
+        assert self.stopped(rig) == []
+
+    def test_worker_that_gives_no_answer_to_a_stop_is_not_empty(self):
+        """Guards against an order that ends a run which goes on despite its stop."""
+        rig = self.rig(checkpoints=True)
+        (name,) = self.stopped(rig)
+        rig.now += 1_500
+        (report,) = (
+            each
+            for each in rig.shard.report_workers(rig.now, self.migrator.drain_ms)
+            if each.worker_id == self.start.worker_id
+        )
+        assert report.n_runs == 1
+        assert [stop.name for stop in stops(rig.shard.tick(rig.now))] == [name]
+
+    def test_nothing_is_stopped_right_after_a_takeover(self):
+        """Guards against a second stop besides one that the previous owner has sent."""
+        rig = self.rig(checkpoints=True)
+        rig.shard.loaded_ms = rig.now
+        assert self.stopped(rig) == []
