Simulation: workers that stop, save and resume runs; the drain of machines

Cause: the simulation emptied machines only by the ends of their runs.

Change: simulated runs progress, take 550 ms to stop, and resume from their checkpoint. The pools report and drain with the code of the product.

--- a/simulation/__main__.py
+++ b/simulation/__main__.py
@@ -18,6 +18,7 @@
         deployment = scenario.play(seed)
         print(
             f"{name} seed {seed}: {deployment.n_moves} moves, "
+            f"{deployment.n_stops} stops, "
             f"{deployment.paid_ms / 1000:.0f} machine-seconds paid"
         )
         found = figures_by_queue(deployment.records.values())
--- a/simulation/deployment.py
+++ b/simulation/deployment.py
@@ -6,7 +6,7 @@
 
 import heapq
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from itertools import count
 
@@ -15,9 +15,7 @@
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.effects import Effect, StartRun, StopRun
 from apricotgap.jobs.events import (
-    EndReport,
     PollAnswered,
-    RunReport,
     StartAnswered,
     StartResult,
     WorkersListed,
@@ -25,18 +23,18 @@
 from apricotgap.jobs.fleet import Machine, WorkerEntry
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult
 from apricotgap.jobs.fleet_plan import FleetPlanner
-from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
+from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import (
     JobPhase,
     JobSpec,
     Resources,
     RunEnd,
     StepSpec,
-    TaskName,
 )
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.shard import Shard
 from simulation.load import SimulatedJob
+from simulation.workers import RunKey, SimulatedWorker
 
 __all__ = ["Deployment", "JobRecord", "Sizes"]
 
@@ -47,6 +45,9 @@
 PASS_INTERVAL_MS = 10
 TICK_MS = 100
 FLEET_CYCLE_MS = 300
+DRAIN_CYCLE_MS = 100
+# Time that a worker takes to stop a run.
+STOP_MS = 550
 POLL_INTERVAL_MS = 1_000
 # Time from the registration of a worker to its first answered poll.
 JOIN_MS = 150
@@ -78,14 +79,6 @@
         return None if self.finished_ms is None else self.finished_ms - self.job.at_ms
 
 
-@dataclass(slots=True)
-class _SimulatedWorker:
-    entry: WorkerEntry
-    n_ends: int = 0
-    unacknowledged: list[EndReport] = field(default_factory=list)
-    running: dict[tuple[TaskName, int], RunReport] = field(default_factory=dict)
-
-
 class _Pool:
     """The owner of one service and the simulated workers of its pool."""
 
@@ -95,7 +88,8 @@
         self.scheduler = Scheduler(self.shard)
         self.demand = Demand(self.shard)
         self.admission = Admission(self.shard, self.demand)
-        self.workers: dict[str, _SimulatedWorker] = {}
+        self.migrator = Migrator(self.shard)
+        self.workers: dict[str, SimulatedWorker] = {}
         self.needs_pass = False
 
 
@@ -128,6 +122,7 @@
         self.now_ms = 0
         self.records: dict[str, JobRecord] = {}
         self.n_moves = 0
+        self.n_stops = 0
         self.paid_ms = 0.0
         self.useful_core_ms = 0.0
         services = [name for name, _ in sizes.pools]
@@ -198,13 +193,12 @@
             if isinstance(effect, StartRun):
                 self._after(CALL_MS, partial(self._start, pool, effect))
             elif isinstance(effect, StopRun):
-                key = (effect.name, effect.run_id)
-                end = partial(self._end, pool, effect.worker_id, key, RunEnd.STOPPED)
-                self._after(CALL_MS, end)
+                self._after(CALL_MS, partial(self._stop, pool, effect))
 
     def _tick(self) -> None:
         for pool in self.pools.values():
             self._execute(pool, pool.shard.tick(self.now_ms))
+            self._execute(pool, pool.migrator.run(self.now_ms))
             for worker_id, worker in list(pool.workers.items()):
                 known = pool.shard.workers.get(worker_id)
                 if known and self.now_ms - known.answered_ms >= POLL_INTERVAL_MS:
@@ -223,7 +217,7 @@
                     record.finished_ms = job.progress.finished_ms
                 pool.shard.forget(job_id)
 
-    def _poll(self, pool: _Pool, worker: _SimulatedWorker) -> None:
+    def _poll(self, pool: _Pool, worker: SimulatedWorker) -> None:
         known = pool.shard.workers.get(worker.entry.worker_id)
         if known is None:
             return
@@ -239,7 +233,7 @@
                 worker.entry.born_ms,
                 self.now_ms,
                 self.now_ms + 1,
-                tuple(worker.running.values()),
+                worker.listed(self.now_ms),
                 ends,
             )
         )
@@ -255,7 +249,9 @@
         if worker is None:
             return
         key = (start.name, start.run_id)
-        worker.running[key] = RunReport(start.name, start.run_id, "", 100, 0.0)
+        record = self.records.get(start.name.job_id)
+        duration_ms = record.job.durations_ms[start.name.step] if record else None
+        end_ms = worker.start(key, duration_ms, start.checkpoint, self.now_ms)
         effects = pool.shard.step(
             StartAnswered(
                 self.now_ms,
@@ -267,24 +263,28 @@
             )
         )
         self._execute(pool, effects)
-        record = self.records.get(start.name.job_id)
-        if record is not None:
-            duration_ms = record.job.durations_ms[start.name.step]
+        if end_ms is not None:
             self._after(
-                duration_ms,
-                lambda: self._end(pool, start.worker_id, key, RunEnd.DONE),
+                end_ms, partial(self._end, pool, start.worker_id, key, RunEnd.DONE)
             )
 
-    def _end(
-        self, pool: _Pool, worker_id: str, key: tuple[TaskName, int], how: RunEnd
-    ) -> None:
-        worker = pool.workers.get(worker_id)
-        if worker is None or worker.running.pop(key, None) is None:
+    def _stop(self, pool: _Pool, stop: StopRun) -> None:
+        worker = pool.workers.get(stop.worker_id)
+        key = (stop.name, stop.run_id)
+        if worker is None or not worker.begin_stop(key):
             return
-        worker.n_ends += 1
-        name, run_id = key
-        worker.unacknowledged.append(EndReport(worker.n_ends, name, run_id, how, ""))
+        self.n_stops += 1
+        self._after(
+            STOP_MS, partial(self._end, pool, stop.worker_id, key, RunEnd.STOPPED)
+        )
+
+    def _end(self, pool: _Pool, worker_id: str, key: RunKey, how: RunEnd) -> None:
+        worker = pool.workers.get(worker_id)
+        name = key[0]
         record = self.records.get(name.job_id)
+        saves = record is not None and record.job.spec.steps[name.step].checkpoints
+        if worker is None or not worker.end(key, how, saves, self.now_ms):
+            return
         if record is not None and how is RunEnd.DONE:
             step = record.job.spec.steps[name.step]
             duration_ms = record.job.durations_ms[name.step]
@@ -332,7 +332,7 @@
             machine.labels,
             1,
         )
-        worker = pool.workers[worker_id] = _SimulatedWorker(entry)
+        worker = pool.workers[worker_id] = SimulatedWorker(entry)
 
         def register() -> None:
             entries = tuple(each.entry for each in pool.workers.values())
@@ -344,13 +344,17 @@
     def _fleet_cycle(self) -> None:
         reserved = self._planner.reserved_workers(self._machines)
         ended = self._planner.ended_workers(self.now_ms)
+        urgent = self._planner.urgent_workers(self._machines)
         reports = {}
         for name, pool in self.pools.items():
             self._execute(pool, pool.shard.end_workers(ended, self.now_ms))
             pool.shard.reported_ms = self.now_ms
             pool.shard.reserve(reserved.get(name, ()), self.now_ms)
-            pool.demand.record_share(self._planner.shares.get(name, 0))
-            reports[name] = self._report(pool)
+            pool.migrator.record_urgent(urgent.get(name, {}), self.now_ms)
+            self._execute(pool, pool.migrator.run(self.now_ms))
+            share = self._planner.shares.get(name, 0)
+            workers = pool.shard.report_workers(self.now_ms, pool.migrator.drain_ms)
+            reports[name] = pool.demand.report(workers, share, self.now_ms)
         orders, _ = self._planner.plan(
             self.now_ms,
             self.now_ms,
@@ -361,24 +365,9 @@
         )
         for order in orders:
             self._after(2 * CALL_MS, partial(self._move, order))
-        self._after(FLEET_CYCLE_MS, self._fleet_cycle)
-
-    def _report(self, pool: _Pool) -> PoolReport:
-        workers = tuple(
-            WorkerReport(
-                worker.worker_id,
-                worker.n_possible_runs,
-                worker.n_long_running,
-                worker.is_usable(self.now_ms, frozenset()),
-                worker.is_reserved(self.now_ms),
-            )
-            for worker in pool.shard.workers.values()
-        )
-        return PoolReport(
-            pool.demand.wanted(self.now_ms),
-            workers,
-            pool.demand.wanted_for_late_jobs(self.now_ms),
-        )
+        is_draining = self._planner.is_draining
+        cycle_ms = DRAIN_CYCLE_MS if is_draining else FLEET_CYCLE_MS
+        self._after(cycle_ms, self._fleet_cycle)
 
     def _move(self, order: MachineOrder) -> None:
         self.n_moves += 1
--- a/simulation/load.py
+++ b/simulation/load.py
@@ -30,6 +30,7 @@
     memory_mb: int = 1_000
     slack_factor: float = 1.6
     target_latency_ms: int = 600
+    checkpoints: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +125,7 @@
                 Resources(max(100, min(3 * kind.cpu, cpu)), kind.memory_mb),
                 estimate,
                 (index - 1,) if index else (),
+                kind.checkpoints,
             )
         )
         durations.append(duration)
