Take machines from jobs in time only for demand that lasts

Cause: in a load of peaks of 4 s that pass from pool to pool, a pool of priority 0 took the machines on which jobs in time of priority 1 ran. It had them for the last second of its peak, and the jobs became late. Its demand also counted a backlog that cannot wait for a machine.

Change: a waiting job counts towards further machines only if it can still end in time after the move; on machines that are there, all jobs in time count. Shards report how many machines jobs in time use (`n_busy`). These count with the most urgent demand until a pool has been short of them for 5 s.

Tests: test_migration, test_fleet_plan, test_fleet_owner, test_pool_report_versions, test_pool_shares, test_jobs_scheduling, test_gang_room, test_unused_services and test_load_patterns pass.

--- a/apricotgap/instance/pool_reports.py
+++ b/apricotgap/instance/pool_reports.py
@@ -28,6 +28,7 @@
     takes_options: bool = False
     wanted_first: Count = 0
     wanted_by_priority: list[tuple[Count, Count]] = []
+    n_busy: Count = 0
 
 
 def encode_pool_report(report: PoolReport) -> dict[str, Any]:
@@ -38,6 +39,7 @@
         "takes_options": report.takes_options,
         "wanted_first": report.wanted_first,
         "wanted_by_priority": [list(pair) for pair in report.wanted_by_priority],
+        "n_busy": report.n_busy,
         "workers": [list(astuple(worker)) for worker in report.workers],
     }
 
@@ -72,4 +74,5 @@
         report.takes_options,
         report.wanted_first,
         tuple(report.wanted_by_priority),
+        report.n_busy,
     )
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -53,6 +53,7 @@
     work: float
     width: float
     priority: int
+    slack_ms: int
 
 
 class Demand:
@@ -70,6 +71,8 @@
         self._targets: deque[tuple[int, _Levels]] = deque()
         self._excess_since_ms: int | None = None
         self._share: int | None = None
+        # Numbers of workers that jobs in time used, over the same window.
+        self._busy: deque[tuple[int, int]] = deque()
 
     def record_share(self, n_workers: int) -> None:
         """Set the number of workers that the fleet owner has planned for the pool."""
@@ -114,7 +117,9 @@
         width = max(
             step.n_tasks * step.allocation.core_equivalents for step in spec.steps
         )
-        self._arrivals.append(_Arrival(at_ms, work, width, spec.priority))
+        slack_ms = spec.objective_span_ms - spec.critical_path_ms
+        arrival = _Arrival(at_ms, work, width, spec.priority, slack_ms)
+        self._arrivals.append(arrival)
 
     def report(
         self, workers: tuple[WorkerReport, ...], share: int | None, at_ms: int
@@ -130,6 +135,7 @@
             takes_options=True,
             wanted_first=first,
             wanted_by_priority=by_priority,
+            n_busy=max((n for _, n in self._busy), default=0),
         )
 
     def wanted(self, at_ms: int) -> int:
@@ -149,6 +155,8 @@
         self._targets.append((at_ms, self._target(at_ms)))
         while self._targets[0][0] < at_ms - SCALE_DOWN_DELAY_MS:
             self._targets.popleft()
+        while self._busy and self._busy[0][0] < at_ms - SCALE_DOWN_DELAY_MS:
+            self._busy.popleft()
         n_so_far = first = max(levels[0][1] for _, levels in self._targets)
         by_priority: list[tuple[int, int]] = []
         found = {level for _, levels in self._targets for level, _ in levels[1:]}
@@ -164,7 +172,7 @@
         least = self._min_workers()
         if not worker_cores:
             return [(None, least)]
-        work = collect_work(self._shard, at_ms)
+        work = collect_work(self._shard, at_ms, MOVE_IN_MS)
         self._forget_arrivals(at_ms)
         self._record_excess(work, at_ms)
         n_workers = max(
@@ -172,6 +180,9 @@
             ceil(work.long_running * HEADROOM / worker_cores),
             self._n_spread_workers(),
         )
+        busy = min(sum(work.running.values()), self._kept_cores(at_ms))
+        n_busy = ceil((work.long_running + busy) * HEADROOM / worker_cores)
+        self._busy.append((at_ms, n_busy))
         levels: _Levels = [(None, n_workers)]
         for priority in self._priorities(work):
             cores = self._required_cores(work, priority, at_ms)
@@ -196,7 +207,7 @@
         worker_cores = self._worker_cores()
         if not worker_cores:
             return 0
-        work = collect_work(self._shard, at_ms)
+        work = collect_work(self._shard, at_ms, MOVE_IN_MS)
         cores = work.running_late + work.backlog_late / LATE_CLEAR_MS
         n_gang_workers = self._n_gang_workers(at_ms, is_late=True)
         return max(
@@ -221,11 +232,18 @@
         """Return the cores for long-running tasks and jobs up to a priority."""
         arriving = self._arrival_cores(at_ms, priority)
         running = _up_to(work.running, priority)
-        excess = arriving + work.long_running - self._usable_cores(at_ms)
-        backlog = _up_to(work.backlog, priority)
-        backlog += max(0.0, excess) * self._move_in_left_ms(at_ms)
         present = work.long_running + max(arriving, running)
-        return present + min(backlog / BACKLOG_CLEAR_MS, MAX_BACKLOG_SHARE * present)
+
+        def with_backlog(core_ms: float) -> float:
+            extra = min(core_ms / BACKLOG_CLEAR_MS, MAX_BACKLOG_SHARE * present)
+            return present + extra
+
+        excess = arriving + work.long_running - self._usable_cores(at_ms)
+        expected = max(0.0, excess) * self._move_in_left_ms(at_ms, priority)
+        needed = with_backlog(_up_to(work.backlog_ahead, priority) + expected)
+        # Other jobs cannot wait for a machine, but those that are here may serve them.
+        usable_now = with_backlog(_up_to(work.backlog, priority))
+        return max(needed, min(usable_now, self._kept_cores(at_ms)))
 
     def _record_excess(self, work: ShardWork, at_ms: int) -> None:
         """Record since when the pool has been too small for what arrives."""
@@ -235,11 +253,25 @@
         elif self._excess_since_ms is None:
             self._excess_since_ms = at_ms
 
-    def _move_in_left_ms(self, at_ms: int) -> int:
-        """Return for how long a backlog grows until machines ordered now can serve."""
+    def _move_in_left_ms(self, at_ms: int, priority: int) -> int:
+        """Return for how long a backlog grows until machines ordered now can serve.
+
+        What arrives before that and cannot wait so long is left out.
+        """
         if self._excess_since_ms is None:
             return 0
-        return max(0, self._excess_since_ms + MOVE_IN_MS - at_ms)
+        slacks = [each.slack_ms for each in self._arrivals if each.priority <= priority]
+        slack_ms = sum(slacks) // len(slacks) if slacks else 0
+        left_ms = self._excess_since_ms + MOVE_IN_MS - at_ms
+        return max(0, min(left_ms, slack_ms))
+
+    def _kept_cores(self, at_ms: int) -> float:
+        return sum(
+            worker.total.core_equivalents
+            for worker in self._shard.workers.values()
+            if worker.is_usable(at_ms, self._shard.evacuated)
+            and not worker.is_reserved(at_ms)
+        )
 
     def _priorities(self, work: ShardWork) -> list[int]:
         found = {each.priority for each in self._arrivals}
--- a/apricotgap/jobs/fleet_view.py
+++ b/apricotgap/jobs/fleet_view.py
@@ -40,9 +40,10 @@
     `wanted` are needed for long-running tasks, as the minimum and for jobs that can end
     in time: `wanted_first` for the first two and further ones by priority, each a pair
     of the priority and a number, in `wanted_by_priority`. Reports of earlier builds
-    lack this division. `wanted_late` more are of use to
-    jobs that can only end late, if no other pool needs them. With `takes_options` the
-    shard's owner reads requests with options; those of earlier builds reject them.
+    lack this division. `n_busy` of them jobs in time use now. `wanted_late` more are of
+    use to jobs that can only end late, if no other pool needs them. With
+    `takes_options` the shard's owner reads requests with options; those of earlier
+    builds reject them.
     """
 
     wanted: int
@@ -51,6 +52,7 @@
     takes_options: bool = False
     wanted_first: int = 0
     wanted_by_priority: tuple[tuple[int, int], ...] = ()
+    n_busy: int = 0
 
     @property
     def wants(self) -> PoolWants:
@@ -63,7 +65,7 @@
             n_divided += n
         n_undivided = max(0, self.wanted - n_divided)
         by_level[LEAST_URGENT] = by_level.get(LEAST_URGENT, 0) + n_undivided
-        return PoolWants(by_level)
+        return PoolWants(by_level, self.n_busy)
 
 
 class FleetView:
--- a/apricotgap/jobs/pool_shares.py
+++ b/apricotgap/jobs/pool_shares.py
@@ -7,6 +7,7 @@
     "FIRST_LEVEL",
     "LATE_LEVEL",
     "LEAST_URGENT",
+    "MOST_URGENT",
     "PoolShare",
     "PoolWants",
     "divide",
@@ -16,15 +17,34 @@
 # Levels of demand: that of long-running tasks and the minimum of a pool, then the
 # priorities of jobs in time from 0 on, then jobs that can only end late.
 FIRST_LEVEL = -1
+MOST_URGENT = 0
 LEAST_URGENT = 999_999
 LATE_LEVEL = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
 class PoolWants:
-    """Number of machines that a pool wants by level."""
+    """Number of machines that a pool wants by level.
+
+    `n_busy` is how many of them jobs in time are using now. Emptying these costs their
+    work twice: until they are empty, and until the move is done.
+    """
 
     by_level: Mapping[int, int]
+    n_busy: int = 0
+
+    @property
+    def with_busy_first(self) -> "PoolWants":
+        """The same number with machines in use counted as most urgent demand."""
+        by_level = dict(self.by_level)
+        n_urgent = sum(n for level, n in by_level.items() if level <= MOST_URGENT)
+        n_raised = 0
+        for level in sorted(level for level in by_level if level > MOST_URGENT):
+            n = min(by_level[level], max(0, self.n_busy - n_urgent - n_raised))
+            by_level[level] -= n
+            n_raised += n
+        by_level[MOST_URGENT] = by_level.get(MOST_URGENT, 0) + n_raised
+        return PoolWants(by_level, self.n_busy)
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricotgap/jobs/pool_sizes.py
+++ b/apricotgap/jobs/pool_sizes.py
@@ -16,6 +16,10 @@
 
 __all__ = ["PoolSizes"]
 
+# Demand that has lasted this long is expected to last as long again, twice what it
+# takes to empty and move a machine. Peaks of 4 s do not reach it.
+LASTING_MS = 5_000
+
 
 class PoolSizes:
     """Plans moves of machines between the pools and the spare pool.
@@ -35,6 +39,8 @@
         # Number of machines planned for each pool.
         self.shares: dict[str, int] = {}
         self._empty_since_ms: dict[str, int] = {}
+        # Since when a pool wants machines that less urgent jobs in time use elsewhere.
+        self._outranks_since_ms: dict[str, int] = {}
 
     def plan(self, view: FleetView) -> list[MachineOrder]:
         """Return the moves to order now, and reserve surplus machines."""
@@ -122,16 +128,29 @@
     def _divide(
         self, available: dict[str, int], n_spare: int, view: FleetView
     ) -> dict[str, PoolShare]:
-        """Divide the machines by what the pools want, the most urgent jobs first."""
+        """Divide the machines by what the pools want, the most urgent jobs first.
+
+        Machines in use for jobs in time are taken only for demand that lasts: they
+        would serve nobody for longer than a short peak gains by them.
+        """
         n_leaving = sum(
             bool(order.pool) and not view.is_excluded(view.machines[name])
             for name, order in self._tracker.reserved.items()
             if name not in self._tracker.pending and name in view.machines
         )
         n_machines = n_spare + n_leaving + sum(available.values())
-        return divide_by_level(
-            {pool: report.wants for pool, report in view.reports.items()}, n_machines
+        wants = {pool: report.wants for pool, report in view.reports.items()}
+        strict = divide_by_level(wants, n_machines)
+        sparing = divide_by_level(
+            {pool: each.with_busy_first for pool, each in wants.items()}, n_machines
         )
+        self._outranks_since_ms = {
+            pool: self._outranks_since_ms.get(pool, view.at_ms)
+            for pool, share in strict.items()
+            if share.total > sparing[pool].total
+        }
+        since_ms = min(self._outranks_since_ms.values(), default=view.at_ms)
+        return strict if view.at_ms - since_ms >= LASTING_MS else sparing
 
     def _log_size_change(
         self,
--- a/simulation/load.py
+++ b/simulation/load.py
@@ -90,6 +90,20 @@
         return n_queues - (n_queues - 1) * self.QUIET_FACTOR
 
 
+class Peaks(ArrivalPattern):
+    """Each queue in turn peaks for 4 s, again and again."""
+
+    name = "peaks"
+    PEAK_MS = 4_000
+    QUIET_FACTOR = 0.05
+
+    def factor(self, index: int, n_queues: int, at_ms: int, length_ms: int) -> float:
+        """Return the quiet factor, or what makes up for it during a peak."""
+        if at_ms // self.PEAK_MS % n_queues != index:
+            return self.QUIET_FACTOR
+        return n_queues - (n_queues - 1) * self.QUIET_FACTOR
+
+
 class Surge(ArrivalPattern):
     """All queues exceed their mean rate at the same time, for a quarter of it."""
 
@@ -103,7 +117,7 @@
 
 
 ARRIVALS: dict[str, ArrivalPattern] = {
-    pattern.name: pattern() for pattern in (Steady, Turns, Surge)
+    pattern.name: pattern() for pattern in (Steady, Turns, Peaks, Surge)
 }
 
 
--- a/simulation/scenarios.py
+++ b/simulation/scenarios.py
@@ -72,6 +72,19 @@
     "turns",
     tuple((service, 5, 1_000) for service in _SERVICES),
 )
+_PEAKS = Scenario(
+    "peaks",
+    Sizes(tuple((service, 11) for service in _SERVICES), 4, Resources(16_000, 32_768)),
+    _two_of_a_kind(
+        JobKind("quick", "", 15, 1.6, 8, 800, 750, 0),
+        JobKind("heavy", "", 7, 2.0, 8, 800, 1_700, 1, checkpoints=True),
+        _SERVICES,
+    ),
+    "peaks",
+    tuple((service, 3, 1_000) for service in _SERVICES),
+    length_ms=32_000,
+    settle_ms=12_000,
+)
 SCENARIOS: dict[str, Scenario] = {
-    scenario.name: scenario for scenario in (_OVERLOAD, _ROUNDS)
+    scenario.name: scenario for scenario in (_OVERLOAD, _ROUNDS, _PEAKS)
 }
