--- a/apricotgap/jobs/fleet_orders.py
+++ b/apricotgap/jobs/fleet_orders.py
@@ -13,6 +13,9 @@
 # A machine in its new pool counts as on its way for at most this long, while its shard
 # discovers and acquires the worker.
 JOIN_TIMEOUT_MS = 3_000
+# A machine stays in its new pool for at least this long, unless another pool lacks
+# machines: a shorter stay costs more than it serves. It is what a move takes.
+MIN_STAY_MS = 1_500
 # Workers ended by an order are reported to the shards for this long.
 ENDED_REPORT_MS = 6_000
 # No new order for this long after the platform did not carry one out.
@@ -86,6 +89,8 @@
         self.pending: dict[str, PendingOrder] = {}
         self.reserved: dict[str, MachineOrder] = {}
         self.kinds: dict[str, set[str]] = {}
+        # When machines were last ordered to another pool.
+        self._moved_ms: dict[str, int] = {}
 
     def inherit(self, machines: Iterable[str], until_ms: int) -> None:
         """Order nothing for machines with recent orders of a previous owner.
@@ -172,6 +177,7 @@
         it up from before.
         """
         machines = view.machines
+        self._moved_ms = {n: ms for n, ms in self._moved_ms.items() if n in machines}
         for machine in machines.values():
             self.kinds.setdefault(machine.pool, set()).add(machine.kind)
         for name, pending in list(self.pending.items()):
@@ -250,9 +256,16 @@
     def order(self, order: MachineOrder, view: FleetView) -> MachineOrder:
         """Add an order as pending at once, so that this pass already counts it."""
         worker_id = view.machines[order.machine].worker_id
+        if order.pool:
+            self._moved_ms[order.machine] = view.at_ms
         self.pending[order.machine] = PendingOrder(order, view.at_ms, worker_id)
         return order
 
+    def has_just_moved(self, name: str, at_ms: int) -> bool:
+        """Whether a machine has hardly served since it was ordered to its pool."""
+        moved_ms = self._moved_ms.get(name)
+        return moved_ms is not None and at_ms - moved_ms < self._move_ms + MIN_STAY_MS
+
     def is_backing_off(self, name: str, at_ms: int) -> bool:
         """Whether a machine must not be ordered yet after an earlier order."""
         return self._backoff_until_ms.get(name, 0) > at_ms
--- a/apricotgap/jobs/pool_sizes.py
+++ b/apricotgap/jobs/pool_sizes.py
@@ -57,6 +57,7 @@
         available = {pool: self._n_available(pool, view) for pool in view.reports}
         divided = self._divide(available, len(spare), view)
         shares = self.shares = {pool: share.total for pool, share in divided.items()}
+        is_short = any(shares[pool] > n for pool, n in available.items())
         for pool, report in sorted(view.reports.items()):
             if self._is_starting(pool, view):
                 continue
@@ -69,7 +70,7 @@
                 n_kept = self._cancel_reservations(pool, n_missing, view)
                 missing[pool] = list(divided[pool].levels_from(n_available + n_kept))
             if n_missing < 0 and view.spare_pool:
-                self._reserve_surplus(pool, -n_missing, view)
+                self._reserve_surplus(pool, -n_missing, is_short, view)
             if view.spare_pool:
                 self._reserve_excluded(pool, view)
         orders: list[MachineOrder] = []
@@ -286,7 +287,13 @@
             del self._tracker.reserved[name]
         return len(names[:n])
 
-    def _reserve_surplus(self, pool: str, n: int, view: FleetView) -> None:
+    def _reserve_surplus(
+        self, pool: str, n: int, is_short: bool, view: FleetView
+    ) -> None:
+        """Reserve up to `n` machines that a pool does not need, soonest empty first.
+
+        Those that have just moved in come last, and only if a pool lacks machines.
+        """
         candidates = [
             view.machines[name]
             for name in view.usable(pool)
@@ -295,7 +302,15 @@
         candidates = [
             machine for machine in candidates if not view.n_long_running(machine)
         ]
-        for machine in sorted(candidates, key=view.drain_cost)[:n]:
+        moved = {
+            machine.name
+            for machine in candidates
+            if self._tracker.has_just_moved(machine.name, view.at_ms)
+        }
+        if not is_short:
+            candidates = [each for each in candidates if each.name not in moved]
+        candidates.sort(key=lambda each: (each.name in moved, *view.drain_cost(each)))
+        for machine in candidates[:n]:
             order = MachineOrder(machine.name, view.spare_pool, why="surplus")
             self._tracker.reserved[machine.name] = order
 
