Carry the use of the teams between shards by the pool reports

Cause: each shard knew only the use of the teams by its own tasks, so that a team could use its whole share in each service. Change: a pool report carries the mean cores of each team, the next request for one the sums of the other shards. Earlier builds reject a request with four elements, so those get three; the mark of the incarnation tells them apart. A request is one data class.

--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -15,8 +15,9 @@
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult
 from apricotgap.jobs.fleet_plan import FleetPlanner
-from apricotgap.jobs.fleet_view import PoolReport
+from apricotgap.jobs.fleet_view import PoolReport, ReportRequest
 from apricotgap.jobs.limits import RESERVATION_MS
+from apricotgap.jobs.team_totals import TeamTotals
 from apricotgap.metrics import Metrics
 from apricotgap.platform.keys import encode_wave_status, wave_status_key
 from apricotgap.platform.machines import (
@@ -44,9 +45,7 @@
 # An order is not sent with less time than this for its answer.
 MIN_TIMEOUT_MS = 100
 
-RequestPoolReport = Callable[
-    [str, list[str], list[str], int], Awaitable[PoolReport | None]
-]
+RequestPoolReport = Callable[[str, ReportRequest], Awaitable[PoolReport | None]]
 
 
 def decode_wave_progress(data: bytes) -> tuple[str, ...]:
@@ -70,9 +69,8 @@
     settings, store, lease, cluster_view, clock, metrics
         Dependencies.
     request_pool_report : callable
-        Called with a pool, its workers to reserve, the workers that orders have ended
-        and the number of machines planned for the pool; returns the report of the
-        pool's owner, None without an answer.
+        Called with a pool and what its owner is told; returns the report of the owner,
+        None without an answer.
     """
 
     def __init__(
@@ -95,6 +93,7 @@
         self._request_pool_report = request_pool_report
         self._client = MachineClient(settings.fleet_address, settings.name)
         self._planner = FleetPlanner(settings.bounds.move_ms, settings.bounds.upkeep_ms)
+        self._team_totals = TeamTotals()
         self._holder_lease_ms = settings.bounds.holder_lease_ms
         self._order_store = FleetOrderStore(
             ownership, store, clock, self._holder_lease_ms
@@ -178,11 +177,16 @@
         reserved_until_ms = now_ms + RESERVATION_MS
 
         async def request(pool: str) -> None:
-            report = await self._request_pool_report(
-                pool, reserved.get(pool, []), ended, self._planner.shares.get(pool, 0)
+            request = ReportRequest(
+                reserved.get(pool, []),
+                ended,
+                self._planner.shares.get(pool, 0),
+                self._team_totals.others(pool, now_ms),
             )
+            report = await self._request_pool_report(pool, request)
             if report is not None:
                 reports[pool] = report
+                self._team_totals.record(pool, report.team_cores, now_ms)
 
         async with trio.open_nursery() as request_nursery:
             for pool in services:
--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -25,13 +25,13 @@
     decode_relayed_names,
 )
 from apricotgap.instance.peers import PeerCallError, PeerClient
-from apricotgap.instance.pool_reports import decode_pool_report
+from apricotgap.instance.pool_reports import decode_pool_report, encode_report_call
 from apricotgap.instance.relays import RELAY_MARGIN_MS, Relays
 from apricotgap.instance.repeated_calls import RepeatedCalls
 from apricotgap.instance.shard_owner import ShardOwner
 from apricotgap.instance.stored_jobs import StoredJobs
 from apricotgap.jobs.documents import decode_job, encode_job
-from apricotgap.jobs.fleet_view import PoolReport
+from apricotgap.jobs.fleet_view import PoolReport, ReportRequest
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.service import (
     CancelResult,
@@ -277,7 +277,7 @@
             return await self._stored_jobs.n_pending(service, queue)
 
     async def pool_report(
-        self, service: str, reserved: list[str], ended: list[str], share: int
+        self, service: str, request: ReportRequest
     ) -> PoolReport | None:
         """Send a shard owner the plan for its pool and return its report.
 
@@ -285,10 +285,8 @@
         ----------
         service : str
             Service of the shard.
-        reserved, ended : list of str
-            Workers to drain, and workers that orders have ended.
-        share : int
-            Number of machines planned for the pool.
+        request : ReportRequest
+            The plan, and the use of the teams in other shards.
 
         Returns
         -------
@@ -298,7 +296,7 @@
         deadline_ms = self._clock.now_ms + PEER_TIMEOUT_MS
         try:
             data = await self._owner_calls.call(
-                service, "report", [reserved, ended, share], deadline_ms
+                service, "report", encode_report_call(request), deadline_ms
             )
             return decode_pool_report(data)
         except OwnerCallError:
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -134,13 +134,16 @@
 # Instances with this suffix also relay reads and cancellations. Those without it would
 # not answer such a call at all.
 _RELAYED_READS_SUFFIX = "-r"
+# Instances with this mark, too, accept the use of the teams in a call for a report. The
+# others reject such a call.
+_TEAM_USE_SUFFIX = f"-u{_RELAYED_READS_SUFFIX}"
 
 
 def new_incarnation() -> str:
     """Return an identifier for this run of the process."""
     started_ms = time.time_ns() // 1_000_000
     run = f"{started_ms:x}{secrets.token_hex(4)}"
-    return f"{_SECOND_PROTOCOL_PREFIX}{run}{_RELAYED_READS_SUFFIX}"
+    return f"{_SECOND_PROTOCOL_PREFIX}{run}{_TEAM_USE_SUFFIX}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,6 +180,11 @@
         """Whether it knows the calls of the second version of the peer protocol."""
         return self.incarnation.startswith(_SECOND_PROTOCOL_PREFIX)
 
+    @property
+    def accepts_team_use(self) -> bool:
+        """Whether a call for a report may carry the use of the teams."""
+        return self.incarnation.endswith(_TEAM_USE_SUFFIX)
+
 
 def encode_member(member: Member) -> bytes:
     """Encode for the store."""
--- a/apricotgap/instance/owner_calls.py
+++ b/apricotgap/instance/owner_calls.py
@@ -8,6 +8,7 @@
 from apricotgap.clock import Clock
 from apricotgap.decoding import convert
 from apricotgap.instance.cluster_view import ClusterView
+from apricotgap.instance.keys import Owner
 from apricotgap.instance.ownership import OwnershipLostError
 from apricotgap.instance.peer_documents import decode_owner_call, decode_report_call
 from apricotgap.instance.peers import PeerCallError, PeerClient
@@ -86,10 +87,10 @@
         if owner is None or local_owner is not None:
             raise OwnerCallError(False)
         left_ms = min(PEER_TIMEOUT_MS, deadline_ms - self._clock.now_ms)
+        if operation == "report":
+            argument = argument[: _n_report_elements(owner)]
         if owner.has_second_protocol:
             operation = _SECOND_OPERATIONS.get(operation, operation)
-        elif operation == "report":
-            argument = argument[:2]
         try:
             answer = await self._peers.call(
                 owner.address,
@@ -145,8 +146,14 @@
         if operation == "pending":
             return owner.n_pending(convert(argument, str))
         if operation == "report":
-            reserved, ended, _ = decode_report_call([*argument, 0])
-            return encode_first_report(owner.report(reserved, ended))
+            return encode_first_report(owner.report(decode_report_call(argument)))
         if operation == "pool-report":
-            return encode_pool_report(owner.report(*decode_report_call(argument)))
+            return encode_pool_report(owner.report(decode_report_call(argument)))
         raise ValueError(f"unknown operation {operation}")
+
+
+def _n_report_elements(owner: Owner) -> int:
+    """Return how many elements of a call for a report an owner accepts."""
+    if owner.accepts_team_use:
+        return 4
+    return 3 if owner.has_second_protocol else 2
--- a/apricotgap/instance/peer_documents.py
+++ b/apricotgap/instance/peer_documents.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from apricotgap.decoding import Count, DecodeError, Integer, convert, decode_cbor
+from apricotgap.instance.pool_reports import Cores
+from apricotgap.jobs.fleet_view import ReportRequest
 from apricotgap.jobs.model import JobPhase
 from apricotgap.jobs.service import CancelResult, SubmitOutcome, SubmitResult
 
@@ -30,6 +32,13 @@
 _LeftMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_LEFT_MS)]
 
 
+class _ReportCall(msgspec.Struct, array_like=True):
+    reserved: list[str]
+    ended: list[str]
+    share: Count | None = None
+    other_use: dict[str, Cores] | None = None
+
+
 def decode_call(data: bytes) -> tuple[int, str, Any]:
     """Decode a call: its number, the operation and its argument."""
     return decode_cbor(data, tuple[Integer, str, Any])
@@ -45,9 +54,10 @@
     return convert(argument, tuple[str, Any, _LeftMs])
 
 
-def decode_report_call(payload: Any) -> tuple[list[str], list[str], int]:
-    """Decode a request for a report: reserved and ended workers, and the share."""
-    return convert(payload, tuple[list[str], list[str], Count])
+def decode_report_call(payload: Any) -> ReportRequest:
+    """Decode a request for a report; elements that a later build adds are ignored."""
+    request = convert(convert(payload, list[Any])[:4], _ReportCall)
+    return ReportRequest(*msgspec.structs.astuple(request))
 
 
 def decode_relay_call(argument: Any) -> tuple[Any, int]:
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -1,7 +1,6 @@
 """Owner of a service's shard: loads it, runs its loops and serves calls on it."""
 
 import time
-from collections.abc import Iterable
 
 import structlog
 import trio
@@ -32,7 +31,7 @@
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.events import WorkersListed
-from apricotgap.jobs.fleet_view import PoolReport
+from apricotgap.jobs.fleet_view import PoolReport, ReportRequest
 from apricotgap.jobs.limits import LEASE_MARGIN_MS, TICK_INTERVAL_MS
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
@@ -41,6 +40,7 @@
 from apricotgap.jobs.service import SubmitOutcome
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.stragglers import StragglerDetector
+from apricotgap.jobs.team_use import team_use
 from apricotgap.jobs.wait_log import WaitLog
 from apricotgap.metrics import Metrics
 from apricotgap.platform.advice import AdviceClient
@@ -103,6 +103,7 @@
         self._shard.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._demand = Demand(self._shard)
         self._scheduler = Scheduler(self._shard, self._demand)
+        self._shares = self._scheduler.shares
         self._pacer = Pacer(self._shard)
         self._stragglers = StragglerDetector(self._shard)
         self._migrator = Migrator(self._shard)
@@ -307,20 +308,9 @@
         """Return the number of jobs of a queue without a started task."""
         return self._shard.n_pending(queue)
 
-    def report(
-        self, reserved: Iterable[str], ended: Iterable[str], share: int | None = None
-    ) -> PoolReport:
+    def report(self, request: ReportRequest) -> PoolReport:
         """Reserve workers and report the demand and the workers of the pool.
 
-        Parameters
-        ----------
-        reserved : iterable of str
-            Workers to drain: they get no new work.
-        ended : iterable of str
-            Workers whose machines have been moved or taken down.
-        share : int, optional
-            Number of machines planned for the pool, None if it is unknown.
-
         Raises
         ------
         OwnershipLostError
@@ -331,14 +321,17 @@
         if self._lease_until_ms - now_ms < LEASE_MARGIN_MS:
             raise OwnershipLostError("the lease of the instance may have ended")
         self._shard.reported_ms = now_ms
-        self._effects.execute(self._shard.end_workers(ended, now_ms))
-        self._shard.reserve(reserved, now_ms)
-        if share is not None:
-            self._demand.record_share(share)
+        self._effects.execute(self._shard.end_workers(request.ended, now_ms))
+        self._shard.reserve(request.reserved, now_ms)
+        if request.share is not None:
+            self._demand.record_share(request.share)
+        if request.other_use is not None:
+            self._shares.record_totals(request.other_use, now_ms)
         return PoolReport(
             self._demand.wanted(now_ms),
             self._shard.report_workers(now_ms),
             self._demand.wanted_for_late_jobs(now_ms),
+            self._shares.uses(now_ms),
         )
 
     # Loops
@@ -355,6 +348,7 @@
                 else []
             )
             self._effects.execute(self._shard.tick(now_ms))
+            self._shares.record_running(team_use(self._shard), now_ms)
             # A migration stops a run and starts it elsewhere.
             may_start_until_ms = self._permission.until_ms
             if may_start_until_ms - now_ms > LEASE_MARGIN_MS:
--- a/apricotgap/jobs/fleet_view.py
+++ b/apricotgap/jobs/fleet_view.py
@@ -1,13 +1,13 @@
 """Snapshot of the machines and the reports of the pools for one planning pass."""
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
 
 from apricotgap.jobs.configuration import Configuration
 from apricotgap.jobs.effects import LogDecision
 from apricotgap.jobs.fleet import Machine
 
-__all__ = ["FleetView", "PoolReport", "WorkerReport"]
+__all__ = ["FleetView", "PoolReport", "ReportRequest", "WorkerReport"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,12 +27,30 @@
     """Number of workers that a shard needs, and the workers that it has.
 
     `wanted` are needed for jobs that can end in time. `wanted_late` more are of use to
-    jobs that can only end late, if no other pool needs them.
+    jobs that can only end late, if no other pool needs them. `team_cores` has the mean
+    use of each team in the shard, in cores.
     """
 
     wanted: int
     workers: tuple[WorkerReport, ...]
     wanted_late: int = 0
+    team_cores: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ReportRequest:
+    """What the owner of the fleet tells a shard when it requests a report.
+
+    `reserved` workers are to be drained: they get no new work. The machines of `ended`
+    workers have been moved or taken down. `share` is the number of machines planned for
+    the pool, `other_use` the cores that each team uses in the other shards; each is
+    None in a request of an earlier build.
+    """
+
+    reserved: Sequence[str]
+    ended: Sequence[str]
+    share: int | None = None
+    other_use: Mapping[str, float] | None = None
 
 
 class FleetView:
--- a/tests/decoders/instance.py
+++ b/tests/decoders/instance.py
@@ -11,7 +11,7 @@
 from apricotgap.jobs import documents
 from apricotgap.jobs.documents import DocumentError, Progress, TaskRecord
 from apricotgap.jobs.fleet import WorkerEntry
-from apricotgap.jobs.fleet_view import PoolReport
+from apricotgap.jobs.fleet_view import PoolReport, ReportRequest
 from apricotgap.jobs.model import JobPhase, JobSpec, Resources, StepSpec, TaskName
 from apricotgap.jobs.service import CancelResult, SubmitOutcome
 from apricotgap.platform.store import Item
@@ -136,8 +136,8 @@
     Decoder(
         ("instance.peer_documents:decode_report_call",),
         peer_documents.decode_report_call,
-        values([["w"], ["v"], 5]),
-        tuple[list[str], list[str], int],
+        values([["w"], ["v"], 5, {"t": 1.5}], [["w"], ["v"], 5]),
+        ReportRequest,
         (DecodeError,),
     ),
     Decoder(
@@ -186,7 +186,11 @@
         ("instance.pool_reports:decode_pool_report",),
         pool_reports.decode_pool_report,
         values(
-            {"wanted": 1, "workers": [["w", 1, 0, True, False, True]]},
+            {
+                "wanted": 1,
+                "workers": [["w", 1, 0, True, False, True]],
+                "team_cores": {"t": 1.5},
+            },
             [1, [["w", 1, 0, True, False]]],
         ),
         PoolReport,
--- a/tests/test_fleet_owner.py
+++ b/tests/test_fleet_owner.py
@@ -64,9 +64,9 @@
         self.orders.append((arrives_ms, self.reserved_until_ms[f"w-{order.machine}"]))
         return "unavailable"
 
-    async def report(self, pool, reserved, ended, share):
+    async def report(self, pool, request):
         now_ms = self.clock.now_ms
-        for worker_id in reserved:
+        for worker_id in request.reserved:
             self.reserved_until_ms[worker_id] = now_ms + RESERVATION_MS
         workers = tuple(
             WorkerReport(
--- a/tests/test_pool_report_versions.py
+++ b/tests/test_pool_report_versions.py
@@ -1,15 +1,26 @@
 """Pool reports between instances of this build and of the one before."""
 
+from dataclasses import replace
+from types import SimpleNamespace
+
 import pytest
+import trio
 
+from apricotgap.clock import FakeClock
+from apricotgap.instance import pool_reports
+from apricotgap.instance.keys import Owner, new_incarnation
+from apricotgap.instance.owner_calls import OwnerCalls
+from apricotgap.instance.peer_documents import decode_report_call
 from apricotgap.instance.pool_reports import (
     decode_pool_report,
     encode_first_report,
     encode_pool_report,
+    encode_report_call,
 )
-from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
+from apricotgap.jobs.fleet_view import PoolReport, ReportRequest, WorkerReport
 
-REPORT = PoolReport(4, (WorkerReport("w1", 2, 1, True, False, True),), 3)
+REPORT = PoolReport(4, (WorkerReport("w1", 2, 1, True, False, True),), 3, {"a": 1.5})
+REQUEST = ReportRequest(["w1"], ["w2"], 5, {"a": 2.25})
 
 
 def test_report_round_trip():
@@ -30,6 +41,54 @@
     assert decode_pool_report({**encode_pool_report(REPORT), "new": 1}) == REPORT
 
 
+def test_report_of_an_earlier_build_has_no_use():
+    """Guards against a fleet owner that cannot read the reports of earlier builds."""
+    data = encode_pool_report(REPORT)
+    del data["team_cores"]
+    assert decode_pool_report(data) == replace(REPORT, team_cores={})
+
+
+def test_request_round_trip():
+    """Guards against a request that loses an element on its way."""
+    assert decode_report_call(encode_report_call(REQUEST)) == REQUEST
+
+
+def test_elements_that_a_later_build_adds_to_a_request_are_ignored():
+    """Guards against a shard that reports nothing to a fleet owner of a later build."""
+    assert decode_report_call([*encode_report_call(REQUEST), "new"]) == REQUEST
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "n_elements"),
+    [("ab12", 2), ("2-ab12", 3), ("2-ab12-r", 3), (new_incarnation(), 4)],
+)
+def test_request_has_only_the_elements_that_its_receiver_accepts(
+    incarnation, n_elements
+):
+    """Guards against a shard owner of an earlier build, which rejects a longer call."""
+    sent = []
+
+    class Peers:
+        async def call(self, address, operation, argument, timeout_ms):
+            sent.append(argument[1])
+            return ["ok", None]
+
+    view = SimpleNamespace(owner=lambda service: Owner("o", incarnation, "o:1", 3))
+    calls = OwnerCalls({}, view, Peers(), FakeClock())
+    trio.run(calls.call, "s", "report", encode_report_call(REQUEST), 1_000)
+    assert sent == [encode_report_call(REQUEST)[:n_elements]]
+    assert decode_report_call(sent[0]).reserved == ["w1"]
+
+
+def test_use_in_a_message_is_bounded():
+    """Guards against messages that grow with each team, also with those at rest."""
+    many = {f"team-{n}": n / 10 for n in range(2 * pool_reports.MAX_TEAMS)}
+    sent = encode_report_call(replace(REQUEST, other_use=many))[3]
+    assert len(sent) == pool_reports.MAX_TEAMS
+    assert min(sent.values()) >= pool_reports.MAX_TEAMS / 10
+    assert encode_report_call(replace(REQUEST, other_use={"a": 0.001}))[3] == {}
+
+
 @pytest.mark.parametrize(
     "data",
     [
@@ -43,6 +102,10 @@
         [-1, []],
         {"wanted": 1, "workers": [["w", "x", 0, True, True]]},
         {"wanted": 1, "workers": [], "wanted_late": None},
+        {"wanted": 1, "workers": [], "team_cores": {"a": -1}},
+        {"wanted": 1, "workers": [], "team_cores": {"a": float("nan")}},
+        {"wanted": 1, "workers": [], "team_cores": {"a": float("inf")}},
+        {"wanted": 1, "workers": [], "team_cores": ["a"]},
     ],
 )
 def test_malformed_report_is_rejected(data):
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -7,6 +7,7 @@
 from apricotgap.clock import FakeClock
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.shard_owner import ShardOwner
+from apricotgap.jobs.fleet_view import ReportRequest
 from apricotgap.jobs.limits import LEASE_MARGIN_MS
 from apricotgap.metrics import Metrics
 from tests.jobs_harness import MAX_LEASE_MS, SERVICE
@@ -43,9 +44,9 @@
     on a worker that this owner believes empty.
     """
     with pytest.raises(OwnershipLostError):
-        owner_with(lease_left_ms).report([], [])
+        owner_with(lease_left_ms).report(ReportRequest([], []))
 
 
 def test_owner_with_a_valid_lease_reports():
     """Guards against a pool that is never resized."""
-    assert owner_with(LEASE_MARGIN_MS).report([], []).workers == ()
+    assert owner_with(LEASE_MARGIN_MS).report(ReportRequest([], [])).workers == ()
