Tell the place that a job would have in the order of service

Cause: admission needs the standing of a job that is not accepted yet, and a place for jobs that are being stored or were refused. Small jobs passed a larger one of their queue that did not fit, and scheduled jobs counted as expired once their first occurrence had passed. Change: `ServiceOrder.would_stand`, `hold` and `release`; a ranking per update in a module of its own; no job passes a larger one of its queue that is left out for its size alone; each occurrence has an objective of its own. A job whose ranking raises starts nothing in that pass: the test names the methods that a pass calls now in place of `is_late`, which it no longer calls. Tests: test_jobs_scheduling, test_load_patterns, test_failing_jobs and test_shard_days pass; lint passes.

--- a/apricotgap/jobs/feasible_set.py
+++ b/apricotgap/jobs/feasible_set.py
@@ -1,6 +1,8 @@
 """Feasible set: work that a pool can complete by its due times."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import accumulate
 
 __all__ = ["CapacityForecast", "FeasibleSet"]
 
@@ -22,6 +24,15 @@
         early_ms = min(after_ms, self.later_ms)
         return self.now_cores * early_ms + self.later_cores * (after_ms - early_ms)
 
+    def time_for(self, core_ms: float) -> int | None:
+        """Return the time that the pool takes for some work, None without capacity."""
+        early_core_ms = self.now_cores * self.later_ms
+        if core_ms <= early_core_ms:
+            return int(core_ms / self.now_cores) if core_ms else 0
+        if self.later_cores <= 0:
+            return None
+        return self.later_ms + int((core_ms - early_core_ms) / self.later_cores)
+
 
 class FeasibleSet:
     """Accepts work as long as all accepted work can be completed by its due time.
@@ -33,16 +44,33 @@
     ----------
     forecast : CapacityForecast
         Capacity of the pool.
+    horizon_ms : int, optional
+        Latest due time of any work that is to be limited. Later slots would only have
+        more capacity left.
+    reserved : iterable of tuple of float and int, optional
+        Work that is in the set already, with its due times.
     """
 
-    def __init__(self, forecast: CapacityForecast) -> None:
+    def __init__(
+        self,
+        forecast: CapacityForecast,
+        horizon_ms: int = HORIZON_MS,
+        reserved: Iterable[tuple[float, int]] = (),
+    ) -> None:
+        horizon_ms = max(SLOT_MS, min(horizon_ms, HORIZON_MS))
+        n_slots = -(-horizon_ms // SLOT_MS)
+        due = [0.0] * n_slots
+        for core_ms, due_in_ms in reserved:
+            first = _first_slot(due_in_ms)
+            if first < n_slots:
+                due[first] += core_ms
         self._slack = [
-            forecast.core_ms_until(end_ms)
-            for end_ms in range(SLOT_MS, HORIZON_MS + SLOT_MS, SLOT_MS)
+            forecast.core_ms_until(SLOT_MS * (slot + 1)) - taken
+            for slot, taken in enumerate(accumulate(due))
         ]
 
-    def add(self, core_ms: float, due_in_ms: int) -> bool:
-        """Accept work that is due after a time, unless it would make some of it late.
+    def has_room(self, core_ms: float, due_in_ms: int) -> bool:
+        """Whether work fits that is due after a time.
 
         Parameters
         ----------
@@ -51,15 +79,35 @@
         due_in_ms : int
             Time from now within which it has to be completed.
         """
-        first = max(0, due_in_ms // SLOT_MS - 1)
+        first = _first_slot(due_in_ms)
         if first >= len(self._slack):
             return True
-        if min(self._slack[first:]) < core_ms:
+        return min(self._slack[first:]) >= core_ms
+
+    def add(self, core_ms: float, due_in_ms: int) -> bool:
+        """Accept work that is due after a time, unless it would make some of it late.
+
+        Parameters
+        ----------
+        core_ms : float
+            The work.
+        due_in_ms : int
+            Time from now within which it has to be completed.
+        """
+        if not self.has_room(core_ms, due_in_ms):
             return False
         self.reserve(core_ms, due_in_ms)
         return True
 
     def reserve(self, core_ms: float, due_in_ms: int) -> None:
         """Take capacity for work that is done in any case."""
-        first = max(0, due_in_ms // SLOT_MS - 1)
+        first = _first_slot(due_in_ms)
         self._slack[first:] = [slack - core_ms for slack in self._slack[first:]]
+
+
+def _first_slot(due_in_ms: int) -> int:
+    """Return the last slot that ends by a due time; the first one covers overdue work.
+
+    Work that is due within the first slot may use all of it.
+    """
+    return max(0, due_in_ms // SLOT_MS - 1)
--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -229,12 +229,28 @@
         """Whether the job can no longer end by its objective."""
         return unix_ms + self.critical_path_ms() > self.objective_ms
 
-    def remaining_core_ms(self) -> float:
-        """Return the estimated work left; runs in progress count as half done."""
+    @property
+    def first_unfinished_occurrence(self) -> int:
+        """Number of the first occurrence with unfinished tasks, 0 if all are done."""
+        return min(
+            (occurrence for (occurrence, _), n in self._n_remaining.items() if n),
+            default=0,
+        )
+
+    def remaining_core_ms(self, occurrence: int | None = None) -> float:
+        """Return the estimated work left; runs in progress count as half done.
+
+        Parameters
+        ----------
+        occurrence : int, optional
+            Number of the only occurrence to count, by default all count.
+        """
         work = 0.0
-        for (occurrence, index), n_left in self._n_remaining.items():
-            step = self.spec.steps[index]
-            n_waiting = len(self.waiting[occurrence, index])
+        for key, n_left in self._n_remaining.items():
+            if not n_left or occurrence not in (None, key[0]):
+                continue
+            step = self.spec.steps[key[1]]
+            n_waiting = len(self.waiting[key])
             n_tasks = n_waiting + (n_left - n_waiting) / 2
             work += n_tasks * step.estimated_ms * step.allocation.core_equivalents
         return work
--- /dev/null
+++ b/apricotgap/jobs/job_work.py
@@ -0,0 +1,97 @@
+"""Work of a finite job, as the order of service sees it."""
+
+from typing import NamedTuple
+
+from apricotgap.jobs.job_state import JobState
+from apricotgap.jobs.model import JobSpec
+
+__all__ = ["JobWork", "remaining_work", "whole_work"]
+
+# A job is of no use to its caller after this multiple of its objective.
+USEFUL_FACTOR = 3.0
+
+
+class JobWork(NamedTuple):
+    """Work left of a job, in core-ms, and the Unix times that bound it.
+
+    `path_ms` is the time of the longest chain of steps that is left, `running_core_ms`
+    the part of the work that runs now.
+    """
+
+    job_id: str
+    queue: str
+    team: str
+    priority: int
+    objective_ms: int
+    useful_until_ms: float
+    path_ms: int
+    core_ms: float
+    running_core_ms: float
+    has_begun: bool
+
+    def is_late(self, unix_ms: int) -> bool:
+        """Whether the job can no longer end by its objective."""
+        return unix_ms + self.path_ms > self.objective_ms
+
+    def is_expired(self, unix_ms: int) -> bool:
+        """Whether the job can no longer end while it is of use."""
+        return unix_ms + self.path_ms > self.useful_until_ms
+
+
+def whole_work(spec: JobSpec) -> JobWork:
+    """Return the work of a job that has not begun."""
+    core_ms = sum(
+        step.n_tasks * step.estimated_ms * step.allocation.core_equivalents
+        for step in spec.steps
+    )
+    path_ms = spec.critical_path_ms
+    return _work(spec, spec.submitted_ms, path_ms, core_ms, 0.0, has_begun=False)
+
+
+def remaining_work(job: JobState, unix_ms: int) -> JobWork | None:
+    """Return the work left of a job, None if its next occurrence is not due yet.
+
+    Runs in progress count as half done. Each occurrence of a scheduled job has the
+    objective of a job that is submitted when it is due.
+    """
+    spec = job.spec
+    running_core_ms = 0.0
+    if job.runs:
+        running_core_ms = sum(
+            run.allocation.core_equivalents * run.step.estimated_ms / 2
+            for runs in job.runs.values()
+            for run in runs
+        )
+    if not spec.n_occurrences:
+        begin_ms, path_ms = spec.submitted_ms, job.critical_path_ms()
+        core_ms = job.remaining_core_ms()
+    else:
+        occurrence = job.first_unfinished_occurrence
+        begin_ms, path_ms = spec.due_ms(occurrence), spec.critical_path_ms
+        if unix_ms < begin_ms:
+            return None
+        core_ms = job.remaining_core_ms(occurrence)
+    return _work(spec, begin_ms, path_ms, core_ms, running_core_ms, job.has_begun)
+
+
+def _work(
+    spec: JobSpec,
+    begin_ms: int,
+    path_ms: int,
+    core_ms: float,
+    running_core_ms: float,
+    has_begun: bool,
+) -> JobWork:
+    span_ms = spec.objective_span_ms
+    return JobWork(
+        spec.job_id,
+        spec.queue,
+        spec.team,
+        spec.priority,
+        begin_ms + span_ms,
+        begin_ms + USEFUL_FACTOR * span_ms,
+        path_ms,
+        core_ms,
+        running_core_ms,
+        has_begun,
+    )
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -102,6 +102,8 @@
         )
 
         self._update_service_order(current.at_ms)
+        # A job that could not be ranked starts nothing in this pass either.
+        current.effects += self._shard.set_failed_aside(current.at_ms)
 
         def rank(job: JobState) -> tuple[float, ...]:
             spec = job.spec
--- a/apricotgap/jobs/service_order.py
+++ b/apricotgap/jobs/service_order.py
@@ -1,51 +1,19 @@
 """Order of service: which jobs go first when a pool cannot hold what waits."""
 
-from dataclasses import dataclass
-from enum import IntEnum
-
-from apricotgap.jobs.feasible_set import CapacityForecast, FeasibleSet
+from apricotgap.jobs.feasible_set import CapacityForecast
 from apricotgap.jobs.job_state import JobState
+from apricotgap.jobs.job_work import JobWork, remaining_work, whole_work
+from apricotgap.jobs.model import JobSpec
+from apricotgap.jobs.ranking import Ranking
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.standing import Outlook, SortKey, Standing
 from apricotgap.jobs.team_shares import TeamShares
 
-__all__ = ["ServiceOrder", "SortKey", "Standing"]
+__all__ = ["Outlook", "ServiceOrder", "SortKey", "Standing"]
 
 UPDATE_INTERVAL_MS = 100
-# A job is of no use to its caller after this multiple of its objective.
-USEFUL_FACTOR = 3.0
-# Share of the cores that tasks of different sizes fill.
-PACKING = 0.9
-
-SortKey = tuple[float, ...]
-
-
-class Standing(IntEnum):
-    """Standing of a job; jobs with a lower value are served first.
-
-    ON_TIME: it can end by its objective, beside all that go first. DEFERRED: it could
-    end by its objective only if others did not. LATE: it can end while it is still of
-    use. EXPIRED: it cannot.
-    """
-
-    ON_TIME = 0
-    DEFERRED = 1
-    LATE = 2
-    EXPIRED = 3
-
-
-@dataclass(frozen=True, slots=True)
-class _Place:
-    standing: Standing
-    key: SortKey
-
-
-@dataclass(frozen=True, slots=True)
-class _Candidate:
-    """A job that could still end by its objective, and its place among them."""
-
-    rank: tuple[int, bool, float]
-    core_ms: float
-    job: JobState
+# Maximum number of jobs that are not accepted yet and keep a place.
+MAX_HELD = 512
 
 
 class ServiceOrder:
@@ -62,8 +30,10 @@
     def __init__(self, shard: Shard, shares: TeamShares) -> None:
         self._shard = shard
         self._shares = shares
-        self._places: dict[str, _Place] = {}
+        self._ranking = Ranking((), shares, None, 0, 0)
         self._updated_ms = -1_000_000
+        # Places of jobs that are not accepted yet, and until when they last.
+        self._held: dict[str, tuple[JobWork, int]] = {}
 
     def update(self, at_ms: int, forecast: CapacityForecast | None) -> None:
         """Rank all open jobs anew, unless that was done just before.
@@ -79,84 +49,61 @@
             return
         self._updated_ms = at_ms
         unix_ms = self._shard.unix_of(at_ms)
-        places: dict[str, _Place] = {}
-        candidates, late = self._split(at_ms, unix_ms)
-        feasible = FeasibleSet(forecast) if forecast else None
-        if feasible is not None:
-            for job in late:
-                feasible.reserve(_running_core_ms(job), 0)
-        for candidate in candidates:
-            job = candidate.job
-            due_in_ms = job.objective_ms - unix_ms
-            core_ms = candidate.core_ms / PACKING
-            if feasible is None or feasible.add(core_ms, due_in_ms):
-                places[job.spec.job_id] = self._default_place(job)
+        works = [*self._open_works(unix_ms), *self._held_works(at_ms)]
+        self._ranking = Ranking(works, self._shares, forecast, at_ms, unix_ms)
+
+    def _open_works(self, unix_ms: int) -> list[JobWork]:
+        works = []
+        for job in self._shard.open_jobs.values():
+            if job.spec.is_long_running:
                 continue
-            key = (Standing.DEFERRED, job.spec.priority, candidate.rank[-1])
-            places[job.spec.job_id] = _Place(Standing.DEFERRED, key)
-        for job in late:
             with self._shard.guard(job):
-                places[job.spec.job_id] = _late_place(job, unix_ms)
-        self._places = places
-
-    def _split(
-        self, at_ms: int, unix_ms: int
-    ) -> tuple[list[_Candidate], list[JobState]]:
-        """Return the jobs that could end in time, in their order, and the others."""
-        candidates: list[_Candidate] = []
-        late: list[JobState] = []
-        queued: dict[tuple[str, int], float] = {}
-        jobs = [
-            job
-            for job in self._shard.open_jobs.values()
-            if not job.spec.is_long_running
-        ]
-        jobs.sort(key=lambda job: (not job.has_begun, job.objective_ms))
-        for job in jobs:
-            with self._shard.guard(job):
-                if job.is_late(unix_ms):
-                    late.append(job)
-                    continue
-                team, priority = job.spec.team, job.spec.priority
-                core_ms = job.remaining_core_ms()
-                ahead = queued.get((team, priority), 0.0) + core_ms
-                queued[team, priority] = ahead
-                tag = self._shares.tag(team, ahead, at_ms)
-                # What a started job has used would be lost to its caller.
-                rank = (priority, not job.has_begun, tag)
-                candidates.append(_Candidate(rank, core_ms, job))
-        candidates.sort(key=lambda candidate: candidate.rank)
-        return candidates, late
-
-    @staticmethod
-    def _default_place(job: JobState) -> _Place:
-        key = (Standing.ON_TIME, job.spec.priority, job.objective_ms)
-        return _Place(Standing.ON_TIME, key)
+                work = remaining_work(job, unix_ms)
+                if work is not None:
+                    works.append(work)
+        return works
+
+    def _held_works(self, at_ms: int) -> list[JobWork]:
+        jobs = self._shard.jobs
+        self._held = {
+            job_id: held
+            for job_id, held in self._held.items()
+            if at_ms < held[1] and job_id not in jobs
+        }
+        return [work for work, _ in self._held.values()]
 
     def key(self, job: JobState) -> SortKey:
         """Return the sort key of a job; one that is not ranked yet is on time."""
-        place = self._places.get(job.spec.job_id) or self._default_place(job)
-        return place.key
+        place = self._ranking.places.get(job.spec.job_id)
+        if place is not None:
+            return place.key
+        return (Standing.ON_TIME, job.spec.priority, job.objective_ms)
 
     def standing(self, job: JobState) -> Standing:
         """Return the standing of a job."""
-        place = self._places.get(job.spec.job_id)
+        place = self._ranking.places.get(job.spec.job_id)
         return place.standing if place else Standing.ON_TIME
 
+    def would_stand(self, spec: JobSpec, at_ms: int) -> Outlook:
+        """Return the place that a job would have if it were accepted now.
 
-def _running_core_ms(job: JobState) -> float:
-    """Return the work left of a job's runs, each of which counts as half done."""
-    return sum(
-        run.allocation.core_equivalents * run.step.estimated_ms / 2
-        for runs in job.runs.values()
-        for run in runs
-    )
+        The answer is for the load of the last update and what was held since.
+        """
+        return self._ranking.outlook(whole_work(spec), at_ms)
 
+    def hold(self, spec: JobSpec, at_ms: int, until_ms: int) -> None:
+        """Count a job that is not accepted yet as an open one for a while.
 
-def _late_place(job: JobState, unix_ms: int) -> _Place:
-    spec = job.spec
-    useful_until_ms = spec.submitted_ms + USEFUL_FACTOR * spec.objective_span_ms
-    is_expired = unix_ms + job.critical_path_ms() > useful_until_ms
-    standing = Standing.EXPIRED if is_expired else Standing.LATE
-    # Among late jobs the shortest first: it keeps the fewest callers waiting.
-    return _Place(standing, (standing, spec.priority, job.remaining_core_ms()))
+        This covers a job while it is being stored, and one that was refused until its
+        caller returns.
+        """
+        if spec.job_id not in self._held and len(self._held) >= MAX_HELD:
+            return
+        work = whole_work(spec)
+        if spec.job_id not in self._ranking.places:
+            self._ranking.add(work, at_ms)
+        self._held[spec.job_id] = (work, until_ms)
+
+    def release(self, job_id: str) -> None:
+        """Count a job that was held no longer, as of the next update."""
+        self._held.pop(job_id, None)
