Refuse jobs by the order of service, and keep the places of refused callers

Cause: admission counted machines that were still in other pools as if they served already, and all work in time as before any job, so that a team's burst had jobs of other teams refused. Callers that returned had to stand behind newcomers. Change: a job is refused if it cannot end while it is of use behind the jobs that go before it by ServiceOrder.would_stand, with planned machines counted from when they can be there, and not while capacity is idle. Retry-After is the time until there is capacity after the refused jobs of the team that are still away. A refused job holds its place around its return. backlog_core_ms had no caller left; its two cases in test_failing_jobs are replaced by those of the functions that took its place.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -115,6 +115,7 @@
             ownership,
             store,
             self._demand,
+            self._scheduler.service_order,
             clock,
             metrics,
             self._job_accepted,
--- a/apricotgap/instance/submissions.py
+++ b/apricotgap/instance/submissions.py
@@ -14,6 +14,7 @@
 from apricotgap.jobs.documents import Progress, encode_job, encode_progress
 from apricotgap.jobs.model import JobSpec
 from apricotgap.jobs.service import SubmitOutcome, SubmitResult
+from apricotgap.jobs.service_order import ServiceOrder
 from apricotgap.jobs.shard import Shard
 from apricotgap.metrics import Metrics
 from apricotgap.platform.store import (
@@ -37,7 +38,7 @@
 
     Parameters
     ----------
-    shard, ownership, store, demand, clock, metrics
+    shard, ownership, store, demand, order, clock, metrics
         Dependencies.
     on_accepted : callable
         Called with each job that has been stored and added to the shard.
@@ -49,6 +50,7 @@
         ownership: Ownership,
         store: StoreClient,
         demand: Demand,
+        order: ServiceOrder,
         clock: Clock,
         metrics: Metrics,
         on_accepted: Callable[[JobSpec], None],
@@ -57,7 +59,7 @@
         self._ownership = ownership
         self._store = store
         self._demand = demand
-        self._admission = Admission(shard, demand)
+        self._admission = Admission(shard, demand, order)
         self._clock = clock
         self._metrics = metrics
         self._on_accepted = on_accepted
@@ -88,7 +90,11 @@
         refusal = self._admission.decide(job, self._clock.now_ms)
         if refusal is not None:
             return await self._refuse(job, refusal)
-        return await self._store_job(job, deadline_ms)
+        self._admission.record_accepted(job, self._clock.now_ms)
+        outcome = await self._store_job(job, deadline_ms)
+        if outcome.result is SubmitResult.REFUSED:
+            self._admission.record_not_stored(job.job_id)
+        return outcome
 
     async def _refuse(self, job: JobSpec, refusal: Refusal) -> SubmitOutcome:
         """Refuse a job unless an earlier submission of it has been stored."""
@@ -99,7 +105,9 @@
             return SubmitOutcome(SubmitResult.UNKNOWN)
         if item.value is not None:
             return _ACCEPTED
-        self._log.info("job_refused", job=job.job_id, **asdict(refusal))
+        self._log.info(
+            "job_refused", job=job.job_id, queue=job.queue, **asdict(refusal)
+        )
         self._metrics.count("jobs_refused", queue=job.queue)
         return SubmitOutcome(
             SubmitResult.REFUSED, refusal.retry_after_ms, "cannot be served in time"
@@ -141,6 +149,5 @@
             await trio.sleep(_RETRY_S)
         self._shard.submit(job, revision)
         self._demand.record_job(job, self._clock.now_ms)
-        self._admission.record_accepted(job)
         self._on_accepted(job)
         return _ACCEPTED
--- a/apricotgap/jobs/admission.py
+++ b/apricotgap/jobs/admission.py
@@ -1,87 +1,85 @@
 """Admission of jobs: which ones a shard can still serve, and when to come back."""
 
 import hashlib
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from apricotgap.jobs.demand import Demand
+from apricotgap.jobs.feasible_set import CapacityForecast
+from apricotgap.jobs.idle_capacity import has_idle_capacity
+from apricotgap.jobs.job_work import JobWork, whole_work
 from apricotgap.jobs.model import JobSpec
+from apricotgap.jobs.ranking import PACKING
+from apricotgap.jobs.refused_jobs import RefusedJobs
+from apricotgap.jobs.service_order import ServiceOrder
 from apricotgap.jobs.shard import Shard
 
 __all__ = ["Admission", "Refusal"]
 
-# A job is of no use to its caller after this multiple of its objective.
-USEFUL_FACTOR = 3.0
-# The load is determined again after this time.
-LOAD_INTERVAL_MS = 100
 MIN_RETRY_AFTER_MS = 1_000
 MAX_RETRY_AFTER_MS = 10_000
-# Refused jobs whose first submission is remembered, and for how long.
-MAX_REFUSED = 4_096
-REFUSED_MEMORY_MS = 60_000
 # Callers that are refused together return spread over this share of the delay.
-RETRY_SPREAD = 0.5
+RETRY_SPREAD = 0.25
+# An accepted job counts for this long until the shard has it.
+STORING_MS = 1_000
+# Refused jobs that hold a place around the return of their callers at the same time.
+MAX_RESERVED = 64
 
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """A job that cannot be served in time, and what the decision is based on.
+    """A job that cannot be served while it is of use, and why.
 
-    `wait_ms` is the estimated time until the job's first task could start.
+    `wait_ms` is the time until the pool has done the `ahead_core_ms` of work of the
+    jobs that go first. `team_cores` and `share` are the use and the weight of the team,
+    `n_refusals` how often the job has been refused by now.
     """
 
     retry_after_ms: int
+    team: str
+    priority: int
+    standing: str
     wait_ms: int
-    backlog_core_ms: int
+    ahead_core_ms: int
     cores: float
-
-
-@dataclass(slots=True)
-class _Load:
-    """Cores for finite jobs, and work before a new one: in time, and late ones."""
-
-    at_ms: int
-    cores: float | None
-    in_time: float
-    late: float
+    team_cores: float
+    share: float
+    n_refusals: int
 
 
 class Admission:
     """Refuses jobs that would end too late to be of use.
 
-    The estimate is the work of the jobs that come first, divided by the cores that
-    the pool has or is about to get.
+    The order of service tells the work of the jobs that go first. A job behind them
+    that could not end within the multiple of its objective after which it is of no use
+    is refused at once, unless capacity is idle. Since teams that use more than their
+    share come last, they are the first to have jobs refused.
 
     Parameters
     ----------
     shard : Shard
         State of the shard.
     demand : Demand
-        Capacity that the pool is expected to have.
+        Capacity that the pool has and is expected to have.
+    order : ServiceOrder
+        Order in which the shard serves its jobs.
     """
 
-    def __init__(self, shard: Shard, demand: Demand) -> None:
+    def __init__(self, shard: Shard, demand: Demand, order: ServiceOrder) -> None:
         self._shard = shard
         self._demand = demand
-        # In the order of the first refusal.
-        self._first_refused_ms: dict[str, int] = {}
-        self._loads: dict[int, _Load] = {}
+        self._order = order
+        self._refused = RefusedJobs()
+        # Reservations of refused jobs and when they end.
+        self._reserved: dict[str, int] = {}
+        # Accepted jobs that the shard may not have yet, and how long they count.
+        self._being_stored: dict[str, tuple[JobSpec, int]] = {}
 
     def keep_place(self, spec: JobSpec) -> JobSpec:
         """Return a job with the time of its first refused submission.
 
         A caller that comes back keeps its place before those that came later.
         """
-        first_ms = self._first_refused_ms.get(spec.job_id)
-        return spec if first_ms is None else replace(spec, submitted_ms=first_ms)
-
-    def _record_refused(self, spec: JobSpec, unix_ms: int) -> None:
-        refused = self._first_refused_ms
-        while refused and (
-            len(refused) >= MAX_REFUSED
-            or next(iter(refused.values())) < unix_ms - REFUSED_MEMORY_MS
-        ):
-            refused.pop(next(iter(refused)))
-        refused.setdefault(spec.job_id, spec.submitted_ms)
+        return self._refused.keep_place(spec)
 
     def decide(self, spec: JobSpec, at_ms: int) -> Refusal | None:
         """Return a refusal, None if the job can be served.
@@ -90,54 +88,94 @@
         """
         if spec.is_long_running or spec.n_occurrences:
             return None
-        unix_ms = self._shard.unix_of(at_ms)
-        load = self._load(spec.priority, at_ms)
-        cores = load.cores
-        if cores is None or cores <= 0:
+        self._order.update(at_ms, self._demand.forecast(at_ms))
+        self._reserve_returning(at_ms)
+        forecast = self._demand.planned_forecast(at_ms)
+        if forecast is None:
             return None
-        path_ms = spec.critical_path_ms
-        in_time, late = load.in_time, load.late
-        wait_ms = int(in_time / cores)
-        if unix_ms + wait_ms + path_ms <= spec.submitted_ms + spec.objective_span_ms:
+        work = whole_work(spec)
+        outlook = self._order.would_stand(spec, at_ms)
+        ahead = outlook.ahead_core_ms
+        wait_ms = forecast.time_for(ahead / PACKING)
+        done_ms = forecast.time_for((ahead + work.core_ms) / PACKING)
+        if wait_ms is None or done_ms is None:
             return None
-        # It would wait behind all others, since it can only end late.
-        backlog = in_time + late
-        wait_ms = int(backlog / cores)
-        useful_until_ms = spec.submitted_ms + int(
-            USEFUL_FACTOR * spec.objective_span_ms
-        )
-        excess_ms = unix_ms + wait_ms + path_ms - useful_until_ms
-        if excess_ms <= 0:
+        end_ms = self._shard.unix_of(at_ms) + max(wait_ms + work.path_ms, done_ms)
+        if end_ms <= work.useful_until_ms or self._has_idle_capacity(spec, at_ms):
             return None
-        self._record_refused(spec, unix_ms)
+        retry_after_ms = self._retry_after_ms(spec, work, ahead, forecast)
+        self._record_refused(spec, at_ms, retry_after_ms)
+        shares = self._order.shares
         return Refusal(
-            self._retry_after_ms(spec.job_id, excess_ms), wait_ms, int(backlog), cores
+            retry_after_ms,
+            spec.team,
+            spec.priority,
+            outlook.standing.name.lower(),
+            wait_ms,
+            int(ahead),
+            round(forecast.now_cores, 1),
+            round(shares.total_cores(spec.team, at_ms), 1),
+            shares.share(spec.team),
+            self._refused.n_refusals(spec.job_id),
         )
 
-    def record_accepted(self, spec: JobSpec) -> None:
-        """Add a job to the load, until that is determined anew."""
-        work = sum(
-            step.n_tasks * step.estimated_ms * step.allocation.core_equivalents
-            for step in spec.steps
-            if not step.is_long_running
-        )
-        for priority, load in self._loads.items():
-            if spec.priority <= priority:
-                load.in_time += work
-
-    def _load(self, priority: int, at_ms: int) -> _Load:
-        load = self._loads.get(priority)
-        if load is None or at_ms - load.at_ms > LOAD_INTERVAL_MS:
-            unix_ms = self._shard.unix_of(at_ms)
-            in_time, late = self._shard.backlog_core_ms(unix_ms, priority)
-            cores = self._demand.expected_cores(at_ms)
-            load = self._loads[priority] = _Load(at_ms, cores, in_time, late)
-        return load
-
-    @staticmethod
-    def _retry_after_ms(job_id: str, excess_ms: int) -> int:
-        """Return when the backlog should have shrunk enough, spread by job."""
-        digest = hashlib.blake2b(job_id.encode(), digest_size=2).digest()
+    def record_accepted(self, spec: JobSpec, at_ms: int) -> None:
+        """Count a job from its acceptance on, while it is being stored."""
+        self._refused.record_returned(spec.job_id)
+        self._reserved.pop(spec.job_id, None)
+        while self._being_stored:
+            oldest, (_, until_ms) = next(iter(self._being_stored.items()))
+            if at_ms < until_ms:
+                break
+            del self._being_stored[oldest]
+        self._being_stored[spec.job_id] = (spec, at_ms + STORING_MS)
+        self._order.hold(spec, at_ms, at_ms + STORING_MS)
+
+    def record_not_stored(self, job_id: str) -> None:
+        """Count a job no longer that could not be stored."""
+        self._being_stored.pop(job_id, None)
+        self._order.release(job_id)
+
+    def _has_idle_capacity(self, spec: JobSpec, at_ms: int) -> bool:
+        jobs = self._shard.jobs
+        being_stored = [
+            other
+            for job_id, (other, until_ms) in self._being_stored.items()
+            if at_ms < until_ms and job_id not in jobs
+        ]
+        return has_idle_capacity(self._shard, spec, being_stored, at_ms)
+
+    def _record_refused(self, spec: JobSpec, at_ms: int, retry_after_ms: int) -> None:
+        if self._reserved.pop(spec.job_id, None) is not None:
+            self._order.release(spec.job_id)
+        # Callers are told whole seconds.
+        return_ms = at_ms - (-retry_after_ms // 1_000) * 1_000
+        self._refused.record(spec, at_ms, return_ms)
+
+    def _reserve_returning(self, at_ms: int) -> None:
+        """Count the refused jobs whose callers are expected now, before newcomers."""
+        self._reserved = {
+            job_id: until_ms
+            for job_id, until_ms in self._reserved.items()
+            if at_ms < until_ms
+        }
+        for spec, until_ms in self._refused.take_returning(at_ms):
+            if len(self._reserved) >= MAX_RESERVED:
+                continue
+            self._reserved[spec.job_id] = until_ms
+            self._order.hold(spec, at_ms, until_ms)
+
+    def _retry_after_ms(
+        self, spec: JobSpec, work: JobWork, ahead: float, forecast: CapacityForecast
+    ) -> int:
+        """Return when there is capacity for a job after what goes before it.
+
+        Jobs of the team that were refused before it and are still away go before it.
+        """
+        ahead += self._refused.away_core_ms(spec)
+        free_ms = forecast.time_for((ahead + work.core_ms) / PACKING)
+        longest_ms = int(MAX_RETRY_AFTER_MS / (1 + RETRY_SPREAD))
+        free_ms = longest_ms if free_ms is None else min(longest_ms, free_ms)
+        digest = hashlib.blake2b(spec.job_id.encode(), digest_size=2).digest()
         spread = 1 + RETRY_SPREAD * int.from_bytes(digest, "big") / 0xFFFF
-        longest_ms = MAX_RETRY_AFTER_MS / (1 + RETRY_SPREAD)
-        return int(min(longest_ms, max(MIN_RETRY_AFTER_MS, excess_ms)) * spread)
+        return int(max(MIN_RETRY_AFTER_MS, free_ms) * spread)
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -25,6 +25,9 @@
 # A machine that is moved into the pool serves after this time; until then the backlog
 # grows.
 MOVE_IN_MS = 1_800
+# A machine that is planned for the pool has to be emptied before it is moved in. In the
+# days of both deployments this takes about as long as the move itself.
+DRAIN_MS = 1_500
 # The backlog should be cleared within this time, but a pool grows for it by at most
 # this share of its current demand: a backlog is short-lived and machines expensive.
 BACKLOG_CLEAR_MS = 2_000
@@ -67,17 +70,19 @@
         """Set the number of workers that the fleet owner has planned for the pool."""
         self._share = n_workers
 
-    def expected_cores(self, at_ms: int) -> float | None:
-        """Return the cores for finite jobs that the pool has or is about to get.
+    def planned_forecast(self, at_ms: int) -> CapacityForecast | None:
+        """Return the capacity for finite jobs with the machines that are planned.
 
-        None as long as they are unknown after a takeover: workers of the previous owner
-        have not answered, or the fleet owner has not told its plan.
+        They count from when they can be there. None as long as it is unknown after a
+        takeover: workers of the previous owner have not answered, or the fleet owner
+        has not told its plan.
         """
-        if self._share is None or self._shard.has_unverified_workers:
+        present = self.forecast(at_ms)
+        if present is None or self._share is None:
             return None
-        usable = self._usable_cores(at_ms)
-        planned = self._share * self._worker_cores()
-        return max(usable, planned) - self._running_cores(at_ms)[0]
+        planned = self._share * self._worker_cores() - self._running_cores(at_ms)[0]
+        later = max(present.now_cores, planned)
+        return CapacityForecast(present.now_cores, later, DRAIN_MS + MOVE_IN_MS)
 
     def forecast(self, at_ms: int) -> CapacityForecast | None:
         """Return the capacity of the pool for finite jobs, None if it is unknown.
--- a/apricotgap/jobs/service_order.py
+++ b/apricotgap/jobs/service_order.py
@@ -29,7 +29,7 @@
 
     def __init__(self, shard: Shard, shares: TeamShares) -> None:
         self._shard = shard
-        self._shares = shares
+        self.shares = shares
         self._ranking = Ranking((), shares, None, 0, 0)
         self._updated_ms = -1_000_000
         # Places of jobs that are not accepted yet, and until when they last.
@@ -50,7 +50,7 @@
         self._updated_ms = at_ms
         unix_ms = self._shard.unix_of(at_ms)
         works = [*self._open_works(unix_ms), *self._held_works(at_ms)]
-        self._ranking = Ranking(works, self._shares, forecast, at_ms, unix_ms)
+        self._ranking = Ranking(works, self.shares, forecast, at_ms, unix_ms)
 
     def _open_works(self, unix_ms: int) -> list[JobWork]:
         works = []
--- a/apricotgap/jobs/shard_jobs.py
+++ b/apricotgap/jobs/shard_jobs.py
@@ -133,22 +133,6 @@
             for job in chain(self.open_jobs.values(), self._set_aside.values())
         )
 
-    def backlog_core_ms(self, unix_ms: int, priority: int) -> tuple[float, float]:
-        """Return the estimated work left, in core-ms: in time, and of late jobs.
-
-        Long-running jobs and those of less urgent queues do not count.
-        """
-        in_time = late = 0.0
-        for job in self.open_jobs.values():
-            if job.spec.priority > priority or job.spec.is_long_running:
-                continue
-            with self.guard(job):
-                if job.is_late(unix_ms):
-                    late += job.remaining_core_ms()
-                else:
-                    in_time += job.remaining_core_ms()
-        return in_time, late
-
     # Progress
 
     @property
--- a/apricotgap/jobs/team_shares.py
+++ b/apricotgap/jobs/team_shares.py
@@ -146,8 +146,8 @@
         float
             Core-ms by weight; the team with the least is served first.
         """
-        cores = self.own_cores(team, at_ms) + self.other_cores(team, at_ms)
-        return (cores * MEMORY_MS + core_ms) / self.share(team)
+        used = self.total_cores(team, at_ms) * MEMORY_MS
+        return (used + core_ms) / self.share(team)
 
     def own_cores(self, team: str, at_ms: int) -> float:
         """Return the mean use of a team in this shard."""
@@ -159,6 +159,10 @@
         cores, reported_ms = self._totals.get(team, (0.0, at_ms))
         return cores if at_ms - reported_ms <= TOTAL_MAX_AGE_MS else 0.0
 
+    def total_cores(self, team: str, at_ms: int) -> float:
+        """Return the mean use of a team in all shards."""
+        return self.own_cores(team, at_ms) + self.other_cores(team, at_ms)
+
     def uses(self, at_ms: int) -> dict[str, float]:
         """Return the mean use in this shard of the teams that have any."""
         found = {team: each.cores(at_ms) for team, each in self._accounts.items()}
--- a/simulation/deployment.py
+++ b/simulation/deployment.py
@@ -92,9 +92,11 @@
     def __init__(self, service: str, configuration: Configuration) -> None:
         self.shard = Shard(service, 1, _MAX_LEASE_MS)
         self.shard.config = configuration
-        self.scheduler = Scheduler(self.shard)
         self.demand = Demand(self.shard)
-        self.admission = Admission(self.shard, self.demand)
+        self.scheduler = Scheduler(self.shard, self.demand)
+        self.admission = Admission(
+            self.shard, self.demand, self.scheduler.service_order
+        )
         self.workers: dict[str, _SimulatedWorker] = {}
         self.needs_pass = False
 
@@ -164,16 +166,17 @@
         def submit() -> None:
             record = self.records.setdefault(job.spec.job_id, JobRecord(job))
             pool = self.pools[job.spec.service]
-            refusal = pool.admission.decide(job.spec, self.now_ms)
+            spec = pool.admission.keep_place(job.spec)
+            refusal = pool.admission.decide(spec, self.now_ms)
             if isinstance(refusal, Refusal):
                 record.n_refusals += 1
                 if record.n_refusals <= self._max_retries:
                     self._after(refusal.retry_after_ms, submit)
                 return
             record.is_accepted = True
-            pool.shard.submit(job.spec, revision=1)
-            pool.demand.record_job(job.spec, self.now_ms)
-            pool.admission.record_accepted(job.spec)
+            pool.admission.record_accepted(spec, self.now_ms)
+            pool.shard.submit(spec, revision=1)
+            pool.demand.record_job(spec, self.now_ms)
             self._request_pass(pool)
 
         return submit
--- a/tests/test_failing_jobs.py
+++ b/tests/test_failing_jobs.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from apricotgap.jobs.admission import Admission
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.effects import LogDecision
 from apricotgap.jobs.failed_jobs import FIRST_RETRY_MS, MAX_RETRY_MS
+from apricotgap.jobs.idle_capacity import has_idle_capacity
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.jobs.stragglers import StragglerDetector
@@ -128,6 +130,12 @@
     log.run(rig.now, FAR_MS)
 
 
+def ask_for_admission(rig):
+    demand = Demand(rig.shard)
+    demand.record_share(1)
+    Admission(rig.shard, demand, rig.scheduler.service_order).decide(job(), rig.now)
+
+
 @pytest.mark.parametrize(
     ("methods", "call"),
     [
@@ -135,10 +143,10 @@
         (["open_steps"], lambda rig: team_demand(rig.shard, rig.now)),
         (["is_late"], lambda rig: Demand(rig.shard).wanted(rig.now)),
         (["open_steps"], lambda rig: Demand(rig.shard).wanted_for_late_jobs(rig.now)),
-        (["is_late"], lambda rig: rig.shard.backlog_core_ms(0, 9)),
-        (["remaining_core_ms"], lambda rig: rig.shard.backlog_core_ms(0, 9)),
+        (["open_steps"], lambda rig: has_idle_capacity(rig.shard, job(), (), rig.now)),
+        (["remaining_core_ms"], ask_for_admission),
     ],
-    ids=["waits", "team demand", "demand", "late demand", "backlog", "work left"],
+    ids=["waits", "team demand", "demand", "late demand", "idle", "admission"],
 )
 def test_other_looks_at_a_job_that_raises_go_on(methods, call):
     """Guards against a defect that ends the owner outside its scheduling passes."""
--- a/tests/test_owner_failures.py
+++ b/tests/test_owner_failures.py
@@ -104,6 +104,7 @@
             Ownership(SERVICE, 1, 5, 1, 6_500),
             store,
             Demand(rig.shard),
+            rig.scheduler.service_order,
             clock,
             Metrics("me"),
             lambda job: None,
