--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -25,9 +25,6 @@
 # A machine that is moved into the pool serves after this time; until then the backlog
 # grows.
 MOVE_IN_MS = 1_800
-# A machine that is planned for the pool has to be emptied before it is moved in. In the
-# days of both deployments this takes about as long as the move itself.
-DRAIN_MS = 1_500
 # The backlog should be cleared within this time, but a pool grows for it by at most
 # this share of its current demand: a backlog is short-lived and machines expensive.
 BACKLOG_CLEAR_MS = 2_000
@@ -82,7 +79,7 @@
             return None
         planned = self._share * self._worker_cores() - self._running_cores(at_ms)[0]
         later = max(present.now_cores, planned)
-        return CapacityForecast(present.now_cores, later, DRAIN_MS + MOVE_IN_MS)
+        return CapacityForecast(present.now_cores, later, MOVE_IN_MS)
 
     def forecast(self, at_ms: int) -> CapacityForecast | None:
         """Return the capacity of the pool for finite jobs, None if it is unknown.
