--- a/tests/test_team_shares.py
+++ b/tests/test_team_shares.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from apricotgap.jobs.configuration import Team
 from apricotgap.jobs.model import Resources, StepSpec
@@ -23,6 +25,31 @@
     return shares
 
 
+def serve(shares, sizes, n_jobs, cores, at_ms=NOW_MS):
+    """Serve busy teams one job after the other; return the work of each over time.
+
+    `sizes` has the sizes of each team's jobs, which repeat.
+    """
+    served = dict.fromkeys(sizes, 0.0)
+    n_served = dict.fromkeys(sizes, 0)
+    history = [(at_ms, dict(served))]
+    for _ in range(n_jobs):
+        following = {
+            team: each[n_served[team] % len(each)] for team, each in sizes.items()
+        }
+        waiting = {
+            team: TeamUse(next_core_ms=core_ms) for team, core_ms in following.items()
+        }
+        shares.record_running(waiting, at_ms)
+        team = min(sizes, key=lambda team: shares.tag(team, following[team], at_ms))
+        shares.record_start(team, following[team], at_ms)
+        served[team] += following[team]
+        n_served[team] += 1
+        at_ms += int(following[team] / cores)
+        history.append((at_ms, dict(served)))
+    return history
+
+
 def test_team_without_use_goes_first():
     """Guards against a team that waits behind the burst of another one."""
     shares = shares_of(quiet=1, busy=1)
@@ -157,3 +184,45 @@
     shares = shares_of(a=1)
     shares.record_start("a", 1_000, NOW_MS)
     assert shares.tag("a", 0, NOW_MS - 60_000) == 1_000
+
+
+SIZES = st.lists(st.integers(100, 20_000), min_size=1, max_size=4)
+WEIGHTS = st.sampled_from([0.5, 1.0, 1.5, 2.0, 4.0])
+
+
+@given(st.lists(st.tuples(WEIGHTS, SIZES), min_size=2, max_size=6))
+def test_shares_of_busy_teams_are_within_one_job_of_their_due(teams):
+    """Guards against a team that gets less than its share while all are busy.
+
+    Load pattern: all teams have jobs waiting throughout, of sizes and shares as drawn.
+    """
+    weights = {f"t{n}": weight for n, (weight, _) in enumerate(teams)}
+    sizes = {f"t{n}": each for n, (_, each) in enumerate(teams)}
+    history = serve(shares_of(**weights), sizes, 200, 40)
+    total_weight = sum(weights.values())
+    for at_ms, served in history:
+        total = sum(served.values())
+        for team, amount in served.items():
+            due = total * weights[team] / total_weight
+            assert amount >= due - max(sizes[team]) - 1, (at_ms, team)
+
+
+@given(
+    st.tuples(WEIGHTS, SIZES),
+    st.tuples(WEIGHTS, SIZES),
+    st.integers(0, 150),
+    st.integers(1, 150),
+)
+def test_two_busy_teams_are_within_one_job_of_each_other_over_any_span(
+    first, second, n_before, n_jobs
+):
+    """Guards against a span in which one of two busy teams is ahead of its share by
+    more than one job of each, as after the use of the past has decayed.
+    """
+    weights = {"a": first[0], "b": second[0]}
+    sizes = {"a": first[1], "b": second[1]}
+    history = serve(shares_of(**weights), sizes, n_before + n_jobs, 40)
+    (_, begin), (_, end) = history[n_before], history[n_before + n_jobs]
+    by_weight = {team: (end[team] - begin[team]) / weights[team] for team in sizes}
+    bound = sum(max(sizes[team]) / weights[team] for team in sizes)
+    assert abs(by_weight["a"] - by_weight["b"]) <= bound + 1
