Refuse what waits behind the newcomers of other teams too long

Cause: a job that does not end by its objective counted only the work that was there already as ahead of it. In a burst of one team none of its jobs was refused, and they ended after more than three times their objective. Change: the wait of such a job is that beside the rate at which jobs arrive that go before it, at most the time until its team has its share. The simulation accounts use and exchanges it between the pools. Tests: job admission, load patterns, failing jobs: passed.

--- a/apricotgap/jobs/admission.py
+++ b/apricotgap/jobs/admission.py
@@ -3,15 +3,17 @@
 import hashlib
 from dataclasses import dataclass
 
+from apricotgap.jobs.arrival_rates import ArrivalRates
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.feasible_set import CapacityForecast
 from apricotgap.jobs.idle_capacity import has_idle_capacity
-from apricotgap.jobs.job_work import JobWork, whole_work
+from apricotgap.jobs.job_work import USEFUL_FACTOR, JobWork, whole_work
 from apricotgap.jobs.model import JobSpec
 from apricotgap.jobs.ranking import PACKING
 from apricotgap.jobs.refused_jobs import RefusedJobs
 from apricotgap.jobs.service_order import ServiceOrder
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.standing import Standing
 
 __all__ = ["Admission", "Refusal"]
 
@@ -19,6 +21,9 @@
 MAX_RETRY_AFTER_MS = 10_000
 # Callers that are refused together return spread over this share of the delay.
 RETRY_SPREAD = 0.25
+# Part of the capacity that is left at least to a job behind those that arrive later, as
+# the rate of these is measured over a few seconds only.
+MIN_LEFT = 0.05
 # An accepted job counts for this long until the shard has it.
 STORING_MS = 1_000
 # Refused jobs that hold a place around the return of their callers at the same time.
@@ -69,6 +74,7 @@
         self._demand = demand
         self._order = order
         self._refused = RefusedJobs()
+        self._rates = ArrivalRates()
         # Reservations of refused jobs and when they end.
         self._reserved: dict[str, int] = {}
         # Accepted jobs that the shard may not have yet, and how long they count.
@@ -100,8 +106,11 @@
         done_ms = forecast.time_for((ahead + work.core_ms) / PACKING)
         if wait_ms is None or done_ms is None:
             return None
+        if outlook.standing is not Standing.ON_TIME:
+            wait_ms = max(wait_ms, self._wait_behind_newcomers(work, ahead, at_ms))
         end_ms = self._shard.unix_of(at_ms) + max(wait_ms + work.path_ms, done_ms)
-        if end_ms <= work.useful_until_ms or self._has_idle_capacity(spec, at_ms):
+        useful_until_ms = spec.submitted_ms + USEFUL_FACTOR * spec.objective_span_ms
+        if end_ms <= useful_until_ms or self._has_idle_capacity(spec, at_ms):
             return None
         retry_after_ms = self._retry_after_ms(spec, work, ahead, forecast)
         self._record_refused(spec, at_ms, retry_after_ms)
@@ -130,12 +139,59 @@
             del self._being_stored[oldest]
         self._being_stored[spec.job_id] = (spec, at_ms + STORING_MS)
         self._order.hold(spec, at_ms, at_ms + STORING_MS)
+        self._rates.record(whole_work(spec), at_ms)
 
     def record_not_stored(self, job_id: str) -> None:
         """Count a job no longer that could not be stored."""
         self._being_stored.pop(job_id, None)
         self._order.release(job_id)
 
+    def _wait_behind_newcomers(self, work: JobWork, ahead: float, at_ms: int) -> int:
+        """Return the wait of a job that does not end by its objective.
+
+        Jobs that arrive later go before it if their queue is more urgent or the tag of
+        their team is lower. They do so only until the team of the job has got less than
+        its share.
+        """
+        forecast = self._demand.planned_forecast(at_ms)
+        cores = forecast.later_cores * PACKING if forecast else 0.0
+        if cores <= 0:
+            return 0
+        shares = self._order.shares
+        share = shares.share(work.team)
+        tag = shares.tag(work.team, 0.0, at_ms)
+        urgent = before = 0.0
+        tags: dict[str, float] = {}
+        for team, priority, arriving in self._rates.cores(at_ms):
+            if team == work.team or priority > work.priority:
+                continue
+            tags[team] = shares.tag(team, 0.0, at_ms)
+            if priority < work.priority:
+                urgent += arriving
+            elif tags[team] < tag:
+                before += arriving
+        left = max(MIN_LEFT * cores, cores - urgent - before)
+        wait_ms = ahead / left
+        other_share = sum(map(shares.share, tags))
+        if other_share:
+            mean_tag = sum(shares.share(team) * tags[team] for team in tags)
+            excess = max(0.0, tag - mean_tag / other_share) * share
+            own = self._queued_core_ms(work) + excess
+            due = max(MIN_LEFT * cores, cores - urgent) * share / (share + other_share)
+            wait_ms = min(wait_ms, own / due)
+        return int(wait_ms)
+
+    def _queued_core_ms(self, work: JobWork) -> float:
+        """Return the work of the open jobs of a job's team and priority."""
+        found = 0.0
+        for job in self._shard.open_jobs.values():
+            spec = job.spec
+            is_same = spec.team == work.team and spec.priority == work.priority
+            if is_same and not spec.is_long_running:
+                with self._shard.guard(job):
+                    found += job.remaining_core_ms()
+        return found
+
     def _has_idle_capacity(self, spec: JobSpec, at_ms: int) -> bool:
         jobs = self._shard.jobs
         being_stored = [
--- a/simulation/deployment.py
+++ b/simulation/deployment.py
@@ -5,7 +5,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
@@ -36,6 +36,8 @@
 )
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.team_totals import TeamTotals
+from apricotgap.jobs.team_use import team_use
 from simulation.load import SimulatedJob
 
 __all__ = ["Deployment", "JobRecord", "Sizes"]
@@ -114,6 +116,8 @@
         Number of tasks and milli-cores of the lasting job of a service.
     max_retries : int
         How often a caller comes back after a refusal.
+    shares : mapping of str to float, optional
+        Shares of the teams, 1 for those without an entry.
     """
 
     def __init__(
@@ -122,6 +126,7 @@
         jobs: Iterable[SimulatedJob],
         long_running: dict[str, tuple[int, int]] | None = None,
         max_retries: int = 4,
+        shares: Mapping[str, float] | None = None,
     ) -> None:
         self._sizes = sizes
         self._max_retries = max_retries
@@ -133,9 +138,10 @@
         self.paid_ms = 0.0
         self.useful_core_ms = 0.0
         services = [name for name, _ in sizes.pools]
-        self._configuration = _configuration(services, jobs := list(jobs))
+        self._configuration = _configuration(services, jobs := list(jobs), shares or {})
         self.pools = {name: _Pool(name, self._configuration) for name in services}
         self._planner = FleetPlanner(sizes.move_ms, 2_000)
+        self._totals = TeamTotals()
         self._machines: dict[str, Machine] = {}
         self._lives = count(1)
         self._add_machines()
@@ -208,6 +214,7 @@
     def _tick(self) -> None:
         for pool in self.pools.values():
             self._execute(pool, pool.shard.tick(self.now_ms))
+            pool.scheduler.shares.record_running(team_use(pool.shard), self.now_ms)
             for worker_id, worker in list(pool.workers.items()):
                 known = pool.shard.workers.get(worker_id)
                 if known and self.now_ms - known.answered_ms >= POLL_INTERVAL_MS:
@@ -352,6 +359,7 @@
             self._execute(pool, pool.shard.end_workers(ended, self.now_ms))
             pool.shard.reported_ms = self.now_ms
             pool.shard.reserve(reserved.get(name, ()), self.now_ms)
+            self._exchange_use(name, pool)
             pool.demand.record_share(self._planner.shares.get(name, 0))
             reports[name] = self._report(pool)
         orders, _ = self._planner.plan(
@@ -383,6 +391,12 @@
             pool.demand.wanted_for_late_jobs(self.now_ms),
         )
 
+    def _exchange_use(self, name: str, pool: _Pool) -> None:
+        """Tell a shard what the teams use in the others, and the others its use."""
+        shares = pool.scheduler.shares
+        shares.record_totals(self._totals.others(name, self.now_ms), self.now_ms)
+        self._totals.record(name, shares.uses(self.now_ms), self.now_ms)
+
     def _move(self, order: MachineOrder) -> None:
         self.n_moves += 1
         machine = self._machines[order.machine]
@@ -410,7 +424,9 @@
         self.pools[service].shard.submit(spec, revision=1)
 
 
-def _configuration(services: list[str], jobs: list[SimulatedJob]) -> Configuration:
+def _configuration(
+    services: list[str], jobs: list[SimulatedJob], shares: Mapping[str, float]
+) -> Configuration:
     queues = {job.spec.queue: job.spec for job in jobs}
     return Configuration(
         1,
@@ -434,5 +450,8 @@
             *(ServiceSpec(service, True, False) for service in services),
             ServiceSpec(SPARE, True, True),
         ),
-        (Team("team-0", frozenset(), 1.0, Resources()),),
+        tuple(
+            Team(name, frozenset(), shares.get(name, 1.0), Resources())
+            for name in sorted({"team-0", *(job.spec.team for job in jobs)})
+        ),
     )
--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -188,12 +188,16 @@
     """Guards against a job that is accepted for machines that come after it has become
     useless.
     """
-    rig, _ = overloaded()
+    rig = Rig().ready()
+    step = replace(STEP, estimated_ms=200)
+    for n in range(40):
+        rig.submit(new_job(f"{n:016x}", (step,), target_latency_ms=200))
     gate = gate_of(rig, share=40)
-    short = replace(
-        new_job(), steps=(replace(STEP, estimated_ms=200),), target_latency_ms=200
-    )
+    rig.schedule()
+    short = new_job("a" * 16, (step,), target_latency_ms=200)
     assert gate.decide(short, rig.now) is not None
+    long = new_job("b" * 16, (step,), target_latency_ms=2_000)
+    assert gate.decide(long, rig.now) is None
 
 
 def test_callers_refused_first_return_first():
