Log the use of the teams beside their due, and refusals by team

Cause: an operator could not tell whether a refusal came from the load of the team or from a shortage of the fleet. Tests: share log, shard owner, log limits, metric labels: passed.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -39,6 +39,7 @@
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.service import SubmitOutcome
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.share_log import ShareLog
 from apricotgap.jobs.stragglers import StragglerDetector
 from apricotgap.jobs.team_use import team_use
 from apricotgap.jobs.wait_log import WaitLog
@@ -108,6 +109,7 @@
         self._stragglers = StragglerDetector(self._shard)
         self._migrator = Migrator(self._shard)
         self._wait_log = WaitLog(self._shard)
+        self._share_log = ShareLog(self._shard, self._shares)
         self._pass_requested = trio.Event()
         self._writer = ProgressWriter(self._shard, ownership, store)
         self._submissions = Submissions(
@@ -350,6 +352,7 @@
             )
             self._effects.execute(self._shard.tick(now_ms))
             self._shares.record_running(team_use(self._shard), now_ms)
+            self._effects.execute(self._share_log.run(now_ms))
             # A migration stops a run and starts it elsewhere.
             may_start_until_ms = self._permission.until_ms
             if may_start_until_ms - now_ms > LEASE_MARGIN_MS:
--- a/apricotgap/instance/submissions.py
+++ b/apricotgap/instance/submissions.py
@@ -108,7 +108,7 @@
         self._log.info(
             "job_refused", job=job.job_id, queue=job.queue, **asdict(refusal)
         )
-        self._metrics.count("jobs_refused", queue=job.queue)
+        self._metrics.count("jobs_refused", queue=job.queue, team=job.team)
         return SubmitOutcome(
             SubmitResult.REFUSED, refusal.retry_after_ms, "cannot be served in time"
         )
