Keep newcomers behind the refused jobs of their team that are away

Cause: while a refused caller was away, newcomers of its team were accepted in its place; and Retry-After did not count the newcomers of other teams that go before. Change: one estimate of the wait for refusal and Retry-After (service_wait.py); a newcomer that would not end by its objective counts the refused work of its team. Tests: job admission, failing jobs: passed.

--- a/apricotgap/jobs/admission.py
+++ b/apricotgap/jobs/admission.py
@@ -9,11 +9,11 @@
 from apricotgap.jobs.idle_capacity import has_idle_capacity
 from apricotgap.jobs.job_work import USEFUL_FACTOR, JobWork, whole_work
 from apricotgap.jobs.model import JobSpec
-from apricotgap.jobs.ranking import PACKING
 from apricotgap.jobs.refused_jobs import RefusedJobs
 from apricotgap.jobs.service_order import ServiceOrder
+from apricotgap.jobs.service_wait import ServiceWait, newcomers_ahead
 from apricotgap.jobs.shard import Shard
-from apricotgap.jobs.standing import Standing
+from apricotgap.jobs.standing import Outlook, Standing
 
 __all__ = ["Admission", "Refusal"]
 
@@ -21,9 +21,6 @@
 MAX_RETRY_AFTER_MS = 10_000
 # Callers that are refused together return spread over this share of the delay.
 RETRY_SPREAD = 0.25
-# Part of the capacity that is left at least to a job behind those that arrive later, as
-# the rate of these is measured over a few seconds only.
-MIN_LEFT = 0.05
 # An accepted job counts for this long until the shard has it.
 STORING_MS = 1_000
 # Refused jobs that hold a place around the return of their callers at the same time.
@@ -101,18 +98,18 @@
             return None
         work = whole_work(spec)
         outlook = self._order.would_stand(spec, at_ms)
-        ahead = outlook.ahead_core_ms
-        wait_ms = forecast.time_for(ahead / PACKING)
-        done_ms = forecast.time_for((ahead + work.core_ms) / PACKING)
+        wait = self._wait(work, outlook, forecast, at_ms)
+        wait_ms, done_ms = wait.until(), wait.until(work.core_ms)
         if wait_ms is None or done_ms is None:
             return None
-        if outlook.standing is not Standing.ON_TIME:
-            wait_ms = max(wait_ms, self._wait_behind_newcomers(work, ahead, at_ms))
         end_ms = self._shard.unix_of(at_ms) + max(wait_ms + work.path_ms, done_ms)
         useful_until_ms = spec.submitted_ms + USEFUL_FACTOR * spec.objective_span_ms
         if end_ms <= useful_until_ms or self._has_idle_capacity(spec, at_ms):
             return None
-        retry_after_ms = self._retry_after_ms(spec, work, ahead, forecast)
+        # Jobs of the team that were refused before and are still away go before it.
+        away_core_ms = self._refused.away_core_ms(work)
+        free_ms = wait.until(work.core_ms + away_core_ms) or done_ms
+        retry_after_ms = _retry_after_ms(spec.job_id, free_ms)
         self._record_refused(spec, at_ms, retry_after_ms)
         shares = self._order.shares
         return Refusal(
@@ -121,7 +118,7 @@
             spec.priority,
             outlook.standing.name.lower(),
             wait_ms,
-            int(ahead),
+            int(outlook.ahead_core_ms),
             round(forecast.now_cores, 1),
             round(shares.total_cores(spec.team, at_ms), 1),
             shares.share(spec.team),
@@ -146,51 +143,24 @@
         self._being_stored.pop(job_id, None)
         self._order.release(job_id)
 
-    def _wait_behind_newcomers(self, work: JobWork, ahead: float, at_ms: int) -> int:
-        """Return the wait of a job that does not end by its objective.
-
-        Jobs that arrive later go before it if their queue is more urgent or the tag of
-        their team is lower. They do so only until the team of the job has got less than
-        its share.
-        """
-        forecast = self._demand.planned_forecast(at_ms)
-        cores = forecast.later_cores * PACKING if forecast else 0.0
-        if cores <= 0:
-            return 0
-        shares = self._order.shares
-        share = shares.share(work.team)
-        tag = shares.tag(work.team, 0.0, at_ms)
-        urgent = before = 0.0
-        tags: dict[str, float] = {}
-        for team, priority, arriving in self._rates.cores(at_ms):
-            if team == work.team or priority > work.priority:
-                continue
-            tags[team] = shares.tag(team, 0.0, at_ms)
-            if priority < work.priority:
-                urgent += arriving
-            elif tags[team] < tag:
-                before += arriving
-        left = max(MIN_LEFT * cores, cores - urgent - before)
-        wait_ms = ahead / left
-        other_share = sum(map(shares.share, tags))
-        if other_share:
-            mean_tag = sum(shares.share(team) * tags[team] for team in tags)
-            excess = max(0.0, tag - mean_tag / other_share) * share
-            own = self._queued_core_ms(work) + excess
-            due = max(MIN_LEFT * cores, cores - urgent) * share / (share + other_share)
-            wait_ms = min(wait_ms, own / due)
-        return int(wait_ms)
-
-    def _queued_core_ms(self, work: JobWork) -> float:
-        """Return the work of the open jobs of a job's team and priority."""
-        found = 0.0
-        for job in self._shard.open_jobs.values():
-            spec = job.spec
-            is_same = spec.team == work.team and spec.priority == work.priority
-            if is_same and not spec.is_long_running:
-                with self._shard.guard(job):
-                    found += job.remaining_core_ms()
-        return found
+    def _wait(
+        self, work: JobWork, outlook: Outlook, forecast: CapacityForecast, at_ms: int
+    ) -> ServiceWait:
+        ahead = outlook.ahead_core_ms
+        if outlook.standing is Standing.ON_TIME:
+            return ServiceWait(forecast, ahead)
+        if not self._refused.n_refusals(work.job_id):
+            # A newcomer takes no place of those that were refused before it.
+            ahead += self._refused.away_core_ms(work)
+        newcomers = newcomers_ahead(
+            self._shard,
+            self._order.shares,
+            self._rates,
+            work,
+            forecast.later_cores,
+            at_ms,
+        )
+        return ServiceWait(forecast, ahead, newcomers)
 
     def _has_idle_capacity(self, spec: JobSpec, at_ms: int) -> bool:
         jobs = self._shard.jobs
@@ -221,17 +191,10 @@
             self._reserved[spec.job_id] = until_ms
             self._order.hold(spec, at_ms, until_ms)
 
-    def _retry_after_ms(
-        self, spec: JobSpec, work: JobWork, ahead: float, forecast: CapacityForecast
-    ) -> int:
-        """Return when there is capacity for a job after what goes before it.
 
-        Jobs of the team that were refused before it and are still away go before it.
-        """
-        ahead += self._refused.away_core_ms(spec)
-        free_ms = forecast.time_for((ahead + work.core_ms) / PACKING)
-        longest_ms = int(MAX_RETRY_AFTER_MS / (1 + RETRY_SPREAD))
-        free_ms = longest_ms if free_ms is None else min(longest_ms, free_ms)
-        digest = hashlib.blake2b(spec.job_id.encode(), digest_size=2).digest()
-        spread = 1 + RETRY_SPREAD * int.from_bytes(digest, "big") / 0xFFFF
-        return int(max(MIN_RETRY_AFTER_MS, free_ms) * spread)
+def _retry_after_ms(job_id: str, free_ms: int) -> int:
+    """Return when to come back for capacity that is free after a time."""
+    longest_ms = int(MAX_RETRY_AFTER_MS / (1 + RETRY_SPREAD))
+    digest = hashlib.blake2b(job_id.encode(), digest_size=2).digest()
+    spread = 1 + RETRY_SPREAD * int.from_bytes(digest, "big") / 0xFFFF
+    return int(max(MIN_RETRY_AFTER_MS, min(longest_ms, free_ms)) * spread)
--- a/apricotgap/jobs/refused_jobs.py
+++ b/apricotgap/jobs/refused_jobs.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
-from apricotgap.jobs.job_work import whole_work
+from apricotgap.jobs.job_work import JobWork, whole_work
 from apricotgap.jobs.model import JobSpec
 
 __all__ = ["RefusedJobs"]
@@ -57,14 +57,14 @@
         known = self._refused.get(job_id)
         return known.n_refusals if known else 0
 
-    def away_core_ms(self, spec: JobSpec) -> float:
+    def away_core_ms(self, work: JobWork) -> float:
         """Return the work of refused jobs of the same team and priority that return.
 
         The job itself and those that hold a place again do not count.
         """
-        known = self._refused.get(spec.job_id)
+        known = self._refused.get(work.job_id)
         own = known.away_core_ms if known else 0.0
-        return max(0.0, self._away.get((spec.team, spec.priority), 0.0) - own)
+        return max(0.0, self._away.get((work.team, work.priority), 0.0) - own)
 
     def record(self, spec: JobSpec, at_ms: int, return_ms: int) -> None:
         """Add a refusal of a job whose caller is expected back at `return_ms`."""
