--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -25,13 +25,13 @@
     decode_relayed_names,
 )
 from apricotgap.instance.peers import PeerCallError, PeerClient
-from apricotgap.instance.pool_reports import decode_pool_report
+from apricotgap.instance.pool_reports import decode_pool_report, encode_report_call
 from apricotgap.instance.relays import RELAY_MARGIN_MS, Relays
 from apricotgap.instance.repeated_calls import RepeatedCalls
 from apricotgap.instance.shard_owner import ShardOwner
 from apricotgap.instance.stored_jobs import StoredJobs
 from apricotgap.jobs.documents import decode_job, encode_job
-from apricotgap.jobs.fleet_view import PoolReport
+from apricotgap.jobs.fleet_view import PoolReport, ReportRequest
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.service import (
     CancelResult,
@@ -81,8 +81,6 @@
         self._repeated = RepeatedCalls(self._relays, clock)
         self._stored_jobs = StoredJobs(store)
         self._direct_submissions = DirectSubmissions(cluster_view, store, clock)
-        # Services whose owners read requests for reports with options.
-        self._takes_options: set[str] = set()
         self._clock = clock
         self._log = structlog.get_logger()
 
@@ -279,12 +277,7 @@
             return await self._stored_jobs.n_pending(service, queue)
 
     async def pool_report(
-        self,
-        service: str,
-        reserved: list[str],
-        ended: list[str],
-        share: int,
-        urgent: Mapping[str, int],
+        self, service: str, request: ReportRequest
     ) -> PoolReport | None:
         """Send a shard owner the plan for its pool and return its report.
 
@@ -292,13 +285,8 @@
         ----------
         service : str
             Service of the shard.
-        reserved, ended : list of str
-            Workers to drain, and workers that orders have ended.
-        share : int
-            Number of machines planned for the pool.
-        urgent : mapping of str to int
-            Most urgent priority of the jobs in time for which the machines of reserved
-            workers leave, by worker.
+        request : ReportRequest
+            The plan, and the use of the teams in other shards.
 
         Returns
         -------
@@ -306,19 +294,11 @@
             None if no owner gave a usable answer.
         """
         deadline_ms = self._clock.now_ms + PEER_TIMEOUT_MS
-        argument: list[Any] = [reserved, ended, share]
-        if service in self._takes_options:
-            argument.append({"urgent": dict(urgent)})
-        # An owner of another build may have replaced the last one.
-        self._takes_options.discard(service)
         try:
             data = await self._owner_calls.call(
-                service, "report", argument, deadline_ms
+                service, "report", encode_report_call(request), deadline_ms
             )
-            report = decode_pool_report(data)
-            if report.takes_options:
-                self._takes_options.add(service)
-            return report
+            return decode_pool_report(data)
         except OwnerCallError:
             return None
         except DecodeError as error:
--- a/apricotgap/instance/peer_documents.py
+++ b/apricotgap/instance/peer_documents.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from apricotgap.decoding import Count, DecodeError, Integer, convert, decode_cbor
+from apricotgap.instance.pool_reports import Cores
+from apricotgap.jobs.fleet_view import ReportRequest
 from apricotgap.jobs.model import JobPhase
 from apricotgap.jobs.service import CancelResult, SubmitOutcome, SubmitResult
 
@@ -30,6 +32,18 @@
 _LeftMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_LEFT_MS)]
 
 
+class _ReportOptions(msgspec.Struct):
+    other_use: dict[str, Cores] | None = None
+    urgent: dict[str, Count] = {}
+
+
+class _ReportCall(msgspec.Struct, array_like=True):
+    reserved: list[str]
+    ended: list[str]
+    share: Count | None = None
+    options: _ReportOptions = msgspec.field(default_factory=_ReportOptions)
+
+
 def decode_call(data: bytes) -> tuple[int, str, Any]:
     """Decode a call: its number, the operation and its argument."""
     return decode_cbor(data, tuple[Integer, str, Any])
@@ -45,27 +59,13 @@
     return convert(argument, tuple[str, Any, _LeftMs])
 
 
-class _ReportOptions(msgspec.Struct):
-    urgent: dict[str, Count] = {}
-
-
-class _ReportCall(msgspec.Struct, array_like=True):
-    reserved: list[str]
-    ended: list[str]
-    share: Count
-    options: _ReportOptions = msgspec.field(default_factory=_ReportOptions)
-
-
-def decode_report_call(
-    payload: Any,
-) -> tuple[list[str], list[str], int, dict[str, int]]:
-    """Decode a request for a report.
-
-    Returns reserved and ended workers, the share, and the priority of the demand for
-    which machines of workers leave. Earlier builds send no options.
-    """
+def decode_report_call(payload: Any) -> ReportRequest:
+    """Decode a request for a report; options that are not known are ignored."""
     call = convert(payload, _ReportCall)
-    return call.reserved, call.ended, call.share, call.options.urgent
+    options = call.options
+    return ReportRequest(
+        call.reserved, call.ended, call.share, options.other_use, options.urgent
+    )
 
 
 def decode_relay_call(argument: Any) -> tuple[Any, int]:
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -1,7 +1,7 @@
 """Owner of a service's shard: loads it, runs its loops and serves calls on it."""
 
 import time
-from collections.abc import Iterable, Mapping
+from dataclasses import replace
 
 import structlog
 import trio
@@ -32,7 +32,7 @@
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.events import WorkersListed
-from apricotgap.jobs.fleet_view import PoolReport
+from apricotgap.jobs.fleet_view import PoolReport, ReportRequest
 from apricotgap.jobs.limits import LEASE_MARGIN_MS, TICK_INTERVAL_MS
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
@@ -40,7 +40,9 @@
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.service import SubmitOutcome
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.share_log import ShareLog
 from apricotgap.jobs.stragglers import StragglerDetector
+from apricotgap.jobs.team_use import team_use
 from apricotgap.jobs.wait_log import WaitLog
 from apricotgap.metrics import Metrics
 from apricotgap.platform.advice import AdviceClient
@@ -103,10 +105,12 @@
         self._shard.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._demand = Demand(self._shard)
         self._scheduler = Scheduler(self._shard, self._demand)
+        self._shares = self._scheduler.shares
         self._pacer = Pacer(self._shard)
         self._stragglers = StragglerDetector(self._shard)
         self._migrator = Migrator(self._shard)
         self._wait_log = WaitLog(self._shard)
+        self._share_log = ShareLog(self._shard, self._shares)
         self._pass_requested = trio.Event()
         self._writer = ProgressWriter(self._shard, ownership, store)
         self._submissions = Submissions(
@@ -114,6 +118,7 @@
             ownership,
             store,
             self._demand,
+            self._scheduler.service_order,
             clock,
             metrics,
             self._job_accepted,
@@ -307,26 +312,9 @@
         """Return the number of jobs of a queue without a started task."""
         return self._shard.n_pending(queue)
 
-    def report(
-        self,
-        reserved: Iterable[str],
-        ended: Iterable[str],
-        share: int | None = None,
-        urgent: Mapping[str, int] | None = None,
-    ) -> PoolReport:
+    def report(self, request: ReportRequest) -> PoolReport:
         """Reserve workers and report the demand and the workers of the pool.
 
-        Parameters
-        ----------
-        reserved : iterable of str
-            Workers to drain: they get no new work.
-        ended : iterable of str
-            Workers whose machines have been moved or taken down.
-        share : int, optional
-            Number of machines planned for the pool, None if it is unknown.
-        urgent : mapping of str to int, optional
-            Priority of the jobs for which machines of reserved workers leave.
-
         Raises
         ------
         OwnershipLostError
@@ -337,12 +325,15 @@
         if self._lease_until_ms - now_ms < LEASE_MARGIN_MS:
             raise OwnershipLostError("the lease of the instance may have ended")
         self._shard.reported_ms = now_ms
-        self._effects.execute(self._shard.end_workers(ended, now_ms))
-        self._shard.reserve(reserved, now_ms)
-        self._migrator.record_urgent(urgent or {}, now_ms)
+        self._effects.execute(self._shard.end_workers(request.ended, now_ms))
+        self._shard.reserve(request.reserved, now_ms)
+        self._migrator.record_urgent(request.urgent, now_ms)
         self._migrate(now_ms)
+        if request.other_use is not None:
+            self._shares.record_totals(request.other_use, now_ms)
         workers = self._shard.report_workers(now_ms, self._migrator.drain_ms)
-        return self._demand.report(workers, share, now_ms)
+        report = self._demand.report(workers, request.share, now_ms)
+        return replace(report, team_cores=self._shares.uses(now_ms))
 
     # Loops
 
@@ -358,6 +349,8 @@
                 else []
             )
             self._effects.execute(self._shard.tick(now_ms))
+            self._shares.record_running(team_use(self._shard), now_ms)
+            self._effects.execute(self._share_log.run(now_ms))
             self._migrate(now_ms)
             self._effects.execute(self._pacer.run(now_ms))
             self._effects.execute(self._stragglers.run(now_ms))
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -78,17 +78,19 @@
         """Set the number of workers that the fleet owner has planned for the pool."""
         self._share = n_workers
 
-    def expected_cores(self, at_ms: int) -> float | None:
-        """Return the cores for finite jobs that the pool has or is about to get.
+    def planned_forecast(self, at_ms: int) -> CapacityForecast | None:
+        """Return the capacity for finite jobs with the machines that are planned.
 
-        None as long as they are unknown after a takeover: workers of the previous owner
-        have not answered, or the fleet owner has not told its plan.
+        They count from when they can be there. None as long as it is unknown after a
+        takeover: workers of the previous owner have not answered, or the fleet owner
+        has not told its plan.
         """
-        if self._share is None or self._shard.has_unverified_workers:
+        present = self.forecast(at_ms)
+        if present is None or self._share is None:
             return None
-        usable = self._usable_cores(at_ms)
-        planned = self._share * self._worker_cores()
-        return max(usable, planned) - self._long_running_cores()
+        planned = self._share * self._worker_cores() - self._long_running_cores()
+        later = max(present.now_cores, planned)
+        return CapacityForecast(present.now_cores, later, MOVE_IN_MS)
 
     def forecast(self, at_ms: int) -> CapacityForecast | None:
         """Return the capacity of the pool for finite jobs, None if it is unknown.
@@ -132,7 +134,6 @@
             first + sum(n for _, n in by_priority),
             workers,
             self.wanted_for_late_jobs(at_ms),
-            takes_options=True,
             wanted_first=first,
             wanted_by_priority=by_priority,
             n_busy=max((n for _, n in self._busy), default=0),
--- a/apricotgap/jobs/fleet_view.py
+++ b/apricotgap/jobs/fleet_view.py
@@ -1,7 +1,7 @@
 """Snapshot of the machines and the reports of the pools for one planning pass."""
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
 
 from apricotgap.jobs.configuration import Configuration
 from apricotgap.jobs.effects import LogDecision
@@ -13,7 +13,7 @@
     PoolWants,
 )
 
-__all__ = ["FleetView", "PoolReport", "WorkerReport"]
+__all__ = ["FleetView", "PoolReport", "ReportRequest", "WorkerReport"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,18 +41,17 @@
     in time: `wanted_first` for the first two and further ones by priority, each a pair
     of the priority and a number, in `wanted_by_priority`. Reports of earlier builds
     lack this division. `n_busy` of them jobs in time use now. `wanted_late` more are of
-    use to jobs that can only end late, if no other pool needs them. With
-    `takes_options` the shard's owner reads requests with options; those of earlier
-    builds reject them.
+    use to jobs that can only end late, if no other pool needs them. `team_cores` has
+    the mean use of each team in the shard, in cores.
     """
 
     wanted: int
     workers: tuple[WorkerReport, ...]
     wanted_late: int = 0
-    takes_options: bool = False
     wanted_first: int = 0
     wanted_by_priority: tuple[tuple[int, int], ...] = ()
     n_busy: int = 0
+    team_cores: Mapping[str, float] = field(default_factory=dict)
 
     @property
     def wants(self) -> PoolWants:
@@ -68,6 +67,24 @@
         return PoolWants(by_level, self.n_busy)
 
 
+@dataclass(frozen=True, slots=True)
+class ReportRequest:
+    """What the owner of the fleet tells a shard when it requests a report.
+
+    `reserved` workers are to be drained: they get no new work. The machines of `ended`
+    workers have been moved or taken down. `share` is the number of machines planned for
+    the pool, `other_use` the cores that each team uses in the other shards; each is
+    None in a request of an earlier build. `urgent` has, by worker, the most urgent
+    priority of the jobs in time for which machines of reserved workers leave.
+    """
+
+    reserved: Sequence[str]
+    ended: Sequence[str]
+    share: int | None = None
+    other_use: Mapping[str, float] | None = None
+    urgent: Mapping[str, int] = field(default_factory=dict)
+
+
 class FleetView:
     """Lookups for one planning pass, and the log lines that it collects.
 
--- a/simulation/deployment.py
+++ b/simulation/deployment.py
@@ -5,7 +5,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
 from itertools import count
@@ -33,6 +33,8 @@
 )
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.team_totals import TeamTotals
+from apricotgap.jobs.team_use import team_use
 from simulation.load import SimulatedJob
 from simulation.workers import RunKey, SimulatedWorker
 
@@ -85,9 +87,11 @@
     def __init__(self, service: str, configuration: Configuration) -> None:
         self.shard = Shard(service, 1, _MAX_LEASE_MS)
         self.shard.config = configuration
-        self.scheduler = Scheduler(self.shard)
         self.demand = Demand(self.shard)
-        self.admission = Admission(self.shard, self.demand)
+        self.scheduler = Scheduler(self.shard, self.demand)
+        self.admission = Admission(
+            self.shard, self.demand, self.scheduler.service_order
+        )
         self.migrator = Migrator(self.shard)
         self.workers: dict[str, SimulatedWorker] = {}
         self.needs_pass = False
@@ -106,6 +110,8 @@
         Number of tasks and milli-cores of the lasting job of a service.
     max_retries : int
         How often a caller comes back after a refusal.
+    shares : mapping of str to float, optional
+        Shares of the teams, 1 for those without an entry.
     """
 
     def __init__(
@@ -114,6 +120,7 @@
         jobs: Iterable[SimulatedJob],
         long_running: dict[str, tuple[int, int]] | None = None,
         max_retries: int = 4,
+        shares: Mapping[str, float] | None = None,
     ) -> None:
         self._sizes = sizes
         self._max_retries = max_retries
@@ -126,9 +133,10 @@
         self.paid_ms = 0.0
         self.useful_core_ms = 0.0
         services = [name for name, _ in sizes.pools]
-        self._configuration = _configuration(services, jobs := list(jobs))
+        self._configuration = _configuration(services, jobs := list(jobs), shares or {})
         self.pools = {name: _Pool(name, self._configuration) for name in services}
         self._planner = FleetPlanner(sizes.move_ms, 2_000)
+        self._totals = TeamTotals()
         self._machines: dict[str, Machine] = {}
         self._lives = count(1)
         self._add_machines()
@@ -159,16 +167,17 @@
         def submit() -> None:
             record = self.records.setdefault(job.spec.job_id, JobRecord(job))
             pool = self.pools[job.spec.service]
-            refusal = pool.admission.decide(job.spec, self.now_ms)
+            spec = pool.admission.keep_place(job.spec)
+            refusal = pool.admission.decide(spec, self.now_ms)
             if isinstance(refusal, Refusal):
                 record.n_refusals += 1
                 if record.n_refusals <= self._max_retries:
                     self._after(refusal.retry_after_ms, submit)
                 return
             record.is_accepted = True
-            pool.shard.submit(job.spec, revision=1)
-            pool.demand.record_job(job.spec, self.now_ms)
-            pool.admission.record_accepted(job.spec)
+            pool.admission.record_accepted(spec, self.now_ms)
+            pool.shard.submit(spec, revision=1)
+            pool.demand.record_job(spec, self.now_ms)
             self._request_pass(pool)
 
         return submit
@@ -198,6 +207,7 @@
     def _tick(self) -> None:
         for pool in self.pools.values():
             self._execute(pool, pool.shard.tick(self.now_ms))
+            pool.scheduler.shares.record_running(team_use(pool.shard), self.now_ms)
             self._execute(pool, pool.migrator.run(self.now_ms))
             for worker_id, worker in list(pool.workers.items()):
                 known = pool.shard.workers.get(worker_id)
@@ -350,6 +360,7 @@
             self._execute(pool, pool.shard.end_workers(ended, self.now_ms))
             pool.shard.reported_ms = self.now_ms
             pool.shard.reserve(reserved.get(name, ()), self.now_ms)
+            self._exchange_use(name, pool)
             pool.migrator.record_urgent(urgent.get(name, {}), self.now_ms)
             self._execute(pool, pool.migrator.run(self.now_ms))
             share = self._planner.shares.get(name, 0)
@@ -369,6 +380,12 @@
         cycle_ms = DRAIN_CYCLE_MS if is_draining else FLEET_CYCLE_MS
         self._after(cycle_ms, self._fleet_cycle)
 
+    def _exchange_use(self, name: str, pool: _Pool) -> None:
+        """Tell a shard what the teams use in the others, and the others its use."""
+        shares = pool.scheduler.shares
+        shares.record_totals(self._totals.others(name, self.now_ms), self.now_ms)
+        self._totals.record(name, shares.uses(self.now_ms), self.now_ms)
+
     def _move(self, order: MachineOrder) -> None:
         self.n_moves += 1
         machine = self._machines[order.machine]
@@ -396,7 +413,9 @@
         self.pools[service].shard.submit(spec, revision=1)
 
 
-def _configuration(services: list[str], jobs: list[SimulatedJob]) -> Configuration:
+def _configuration(
+    services: list[str], jobs: list[SimulatedJob], shares: Mapping[str, float]
+) -> Configuration:
     queues = {job.spec.queue: job.spec for job in jobs}
     return Configuration(
         1,
@@ -420,5 +439,8 @@
             *(ServiceSpec(service, True, False) for service in services),
             ServiceSpec(SPARE, True, True),
         ),
-        (Team("team-0", frozenset(), 1.0, Resources()),),
+        tuple(
+            Team(name, frozenset(), shares.get(name, 1.0), Resources())
+            for name in sorted({"team-0", *(job.spec.team for job in jobs)})
+        ),
     )
