Copy tasks of silent workers before the leases there end

Cause: tasks on workers that are cut off waited for leases of up to 6.5 s, even if their steps allow duplicates. Change: a worker that has not answered for 700 ms and whose pending poll is 250 ms overdue, or has failed, counts as silent when two ticks in a row find it so. Its tasks start elsewhere if their steps allow duplicates. Workers with such tasks are polled at least every 450 ms instead of every second, so that a missed answer shows in time.

--- a/apricotgap/instance/poll_loops.py
+++ b/apricotgap/instance/poll_loops.py
@@ -116,6 +116,7 @@
         sent_ms = self._clock.now_ms
         deadline_ms = self._shard.offer_lease(worker, sent_ms, self._lease_until_ms())
         wait_ms = self._shard.poll_wait_ms(worker, sent_ms)
+        worker.record_poll(sent_ms, wait_ms)
         try:
             response = await self._client.poll(
                 entry.address,
--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -23,6 +23,15 @@
 MIN_POLL_WAIT_MS = 200
 # A worker that has not responded for this long gets no new work.
 SILENT_WORKER_MS = 1_500
+# A run on a worker that has not answered for this long, and that has missed an answer,
+# gets a copy if its step allows duplicates.
+COPY_SILENT_MS = 700
+# An answer to a poll is missed this long after the worker had to respond. It covers the
+# way there and back, and the pauses of a loaded owner.
+MISSED_ANSWER_MS = 250
+# A worker with runs that may be copied responds to a poll after at most this time, so
+# that a missed answer shows within COPY_SILENT_MS.
+COPYABLE_POLL_WAIT_MS = COPY_SILENT_MS - MISSED_ANSWER_MS
 # Base delay of retries: a worker whose start failed gets no start for a multiple of it.
 # It is also added to the times after which a run missing from a list counts as absent.
 RETRY_BACKOFF_MS = 200
--- a/apricotgap/jobs/model.py
+++ b/apricotgap/jobs/model.py
@@ -180,6 +180,11 @@
     is_best_effort: bool = False
     max_unavailable: int = 0
 
+    @property
+    def may_be_copied(self) -> bool:
+        """Whether a second run may start beside one that is late or out of reach."""
+        return self.allows_duplicates and not (self.is_long_running or self.is_gang)
+
     @property
     def allocation(self) -> Resources:
         """Resources of a worker that a task reserves; no CPU for best-effort tasks."""
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -188,7 +188,7 @@
             self._verify(worker, event)
         worker.is_acquired = True
         worker.answered_ms = event.at_ms
-        worker.silent_since_ms = None
+        worker.silent_since_ms = worker.answer_due_ms = None
         worker.clock_ms = event.clock_ms
         worker.clock_at_ms = event.at_ms
         worker.record_listed_ends(event.at_ms, event.ends)
--- a/apricotgap/jobs/stragglers.py
+++ b/apricotgap/jobs/stragglers.py
@@ -7,6 +7,7 @@
 from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.silent_copies import SilentCopies
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["StragglerDetector"]
@@ -34,14 +35,15 @@
 
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
+        self._silent_copies = SilentCopies(shard)
         self._last_check_ms = -1_000_000
 
     def run(self, at_ms: int) -> list[Effect]:
         """Check all runs and return the stops and log lines for late ones."""
+        effects = self._silent_copies.run(at_ms)
         if at_ms - self._last_check_ms < _INTERVAL_MS:
-            return []
+            return effects
         self._last_check_ms = at_ms
-        effects: list[Effect] = []
         for worker in self._shard.workers.values():
             if at_ms - worker.answered_ms > limits.SILENT_WORKER_MS:
                 continue
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -49,6 +49,9 @@
     `silent_since_ms` is the time of the first poll that failed since the last response,
     None if none has.
 
+    `answer_due_ms` is the time by which the worker responds to a pending poll, unless
+    something is wrong; None if no poll is pending.
+
     `withheld_since_ms` is the time since which each list of the worker has held ends
     that are acknowledged, None if the last one held none.
 
@@ -70,6 +73,7 @@
     reserved_until_ms: int = -1_000_000
     answered_ms: int = -1_000_000
     silent_since_ms: int | None = None
+    answer_due_ms: int | None = None
     clock_ms: int = 0
     clock_at_ms: int = 0
     last_applied: int = 0
@@ -80,6 +84,7 @@
     used: Resources = NO_RESOURCES
     n_serving: int = 0
     n_long_running: int = 0
+    n_copyable: int = 0
     blocked_until_ms: int = -1_000_000
     n_unanswered_starts: int = 0
     slow_until_ms: int = -1_000_000
@@ -208,6 +213,22 @@
         if self.silent_since_ms is None:
             self.silent_since_ms = at_ms
 
+    def record_poll(self, sent_ms: int, wait_ms: int) -> None:
+        """Record that a poll was sent that may wait this long for its response."""
+        self.answer_due_ms = sent_ms + wait_ms
+
+    def has_missed_answer(self, at_ms: int) -> bool:
+        """Whether the worker has not answered although it should have.
+
+        Polls wait for a run to end, so the age of the last answer alone says nothing.
+        """
+        if not self.is_acquired or at_ms - self.answered_ms < limits.COPY_SILENT_MS:
+            return False
+        if self.silent_since_ms is not None:
+            return True
+        due_ms = self.answer_due_ms
+        return due_ms is not None and at_ms - due_ms >= limits.MISSED_ANSWER_MS
+
     def block(self, until_ms: int) -> None:
         """Start nothing on the worker until then."""
         self.blocked_until_ms = max(self.blocked_until_ms, until_ms)
@@ -238,6 +259,7 @@
             self.trial = run
         self.n_serving += run.step.target_ms > 0
         self.n_long_running += run.step.is_long_running
+        self.n_copyable += run.step.may_be_copied
 
     def remove(self, run: Run) -> None:
         """Remove a run and release its resources."""
@@ -249,6 +271,7 @@
         self.free = self.total - self.used
         self.n_serving -= run.step.target_ms > 0
         self.n_long_running -= run.step.is_long_running
+        self.n_copyable -= run.step.may_be_copied
 
     def record_end(self, at_ms: int, job_id: str, end: RunEnd) -> bool:
         """Add the end of a run to the history; returns whether this made it suspect.
--- a/tests/shard_world.py
+++ b/tests/shard_world.py
@@ -215,6 +215,7 @@
         sent_ms = self.now
         deadline = self.shard.offer_lease(worker, sent_ms, self.owner_until_ms)
         wait_ms = self.shard.poll_wait_ms(worker, sent_ms)
+        worker.record_poll(sent_ms, wait_ms)
         last_seen = worker.last_seen
 
         def done(answer):
