Place the tasks of a job in few failure domains

Cause: tasks of a job were placed by the use of machines alone, over several data centres once a pool is well used, so that the loss of one hit most jobs. Change: the costs of a placement move to PlacementCost, with a term for a machine, rack or data centre that the job does not use yet. A step begins in the data centre with the most room, and there in the fullest rack and on the fullest machine that hold it whole. Later steps prefer the place of the earlier ones. What a job uses is found once per job and pass.

Tests: test_placement_domains, test_jobs_scheduling, test_gang_room, test_suspect_workers, test_job_waits, test_load_patterns, test_worker_crashes, test_shard_workers, test_worker_capacity, test_gang_standin, test_worker_flaps, test_stragglers, test_unanswered_starts pass; lint passes.

--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -52,6 +52,8 @@
         # Greatest age at which a run of a task was stopped as too slow.
         self.restarted_at_age_ms: dict[TaskName, int] = {}
         self.avoided_workers: dict[TaskName, set[str]] = {}
+        # Data centre, rack and worker with which the last step began.
+        self.home: tuple[str, str, str] | None = None
         # Numbers of the crashes that were charged to tasks, in all and as stored.
         self.n_crashes = self.n_stored_crashes = 0
         self.waiting: dict[StepKey, set[int]] = {}
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -10,6 +10,7 @@
 from apricotgap.jobs.inherited_usage import inherited_usage
 from apricotgap.jobs.job_state import JobState, StepKey
 from apricotgap.jobs.model import Resources, StepSpec, TaskName
+from apricotgap.jobs.placement_cost import PlacementCost, n_of_step
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.scheduling_pass import SchedulingPass
 from apricotgap.jobs.service_order import ServiceOrder
@@ -42,6 +43,7 @@
         self.service_order = ServiceOrder(shard, self.shares)
         self._config: Configuration | None = None
         self._gang_room = GangRoom()
+        self._cost = PlacementCost(shard)
         self.is_team_blocked = False
         self.hit_start_limit = False
         self.awaits_fresh_answer = False
@@ -78,6 +80,7 @@
         self.hit_start_limit = False
         self.awaits_fresh_answer = False
         self._gang_room.forget_others(shard.open_jobs)
+        self._cost.begin_pass(workers)
         has_unverified_workers = shard.has_unverified_workers
         may_start_long_running = shard.knows_reservations(at_ms)
         for job in self._order(current):
@@ -263,7 +266,7 @@
                 self.awaits_fresh_answer = True
                 awaits_better |= entry.worker_id not in avoided
                 continue
-            cost = self._cost(worker, name, step, current.at_ms, is_suspect)
+            cost = self._cost.of(worker, job, name, step, current.at_ms, is_suspect)
             if entry.worker_id in avoided:
                 cost += 10
             if cost < best_cost:
@@ -288,53 +291,7 @@
             return False
         if not step.max_per_worker:
             return True
-        return self._n_of_step(worker, name) + n_placed < step.max_per_worker
-
-    @staticmethod
-    def _n_of_step(worker: Worker, name: TaskName) -> int:
-        return sum(key[0][:3] == name[:3] for key in worker.runs)
-
-    def _n_in_rack(self, rack: str, name: TaskName) -> int:
-        return sum(
-            self._n_of_step(worker, name)
-            for worker in self._shard.workers.values()
-            if worker.entry.rack == rack
-        )
-
-    def _cost(
-        self,
-        worker: Worker,
-        name: TaskName,
-        step: StepSpec,
-        at_ms: int,
-        is_suspect: bool,
-    ) -> float:
-        """Return the cost of placing a task on a worker; the lowest cost wins."""
-        total = worker.total
-        cost = worker.used.cpu / total.cpu if total.cpu else 1.0
-        ends_soon = not step.is_long_running and not step.is_best_effort
-        if ends_soon and not is_suspect:
-            # Tasks that end soon are packed, so that other workers become empty and
-            # their machines can move at once.
-            cost = 1 - cost
-        if is_suspect:
-            # Another crash would interrupt long-running tasks, and could not be told
-            # from one by a task that started just before.
-            cost += worker.n_long_running + 3 * worker.has_recent_start(at_ms)
-        if step.data_rack and worker.entry.rack != step.data_rack:
-            cost += 2
-        if worker.suspect_since_ms is not None or worker.n_unanswered_starts:
-            cost += 5
-        if at_ms < worker.slow_until_ms:
-            cost += 3
-        if step.is_best_effort:
-            cost += worker.n_serving
-        if step.is_long_running:
-            # A long-running task keeps its machine in the pool. Such tasks are packed
-            # on few machines, two of a step per machine, and spread over racks.
-            cost += self._n_of_step(worker, name) - 2.0 * (worker.n_long_running > 0)
-            cost += 0.3 * self._n_in_rack(worker.entry.rack, name)
-        return cost
+        return n_of_step(worker, name) + n_placed < step.max_per_worker
 
     def _ticket(self, name: TaskName, worker: Worker, current: SchedulingPass) -> str:
         step = StepName.of(name)
@@ -373,6 +330,7 @@
             clock_ms=worker.clock_now_ms(at_ms),
         )
         self._shard.add_run(job, worker, run)
+        self._cost.record_start(job, worker)
         if not step.is_long_running:
             work = step.allocation.core_equivalents * step.estimated_ms
             self.shares.record_start(job.spec.team, work, at_ms)
