Tell long tasks from slow workers by their progress

Cause: a run was restarted at twice the mean duration of its step. 3 tasks in 100 take seven times as long on any worker, so that restarts discarded their work and gained nothing. Change: RunProgress keeps the rate of each run from the percentages of each list, RunTimes the durations by queue, image and step size as ratios to the estimate. A worker is slow if a run there has lost speed, or if three or more runs are slow and none is normal or has ended normally beside them. Only then, and where it is undecided for copies and steps with checkpoints, is a run started elsewhere: into idle room, and only if the rest takes longer than a new run with what is lost. Runs without progress, or without an end long after their percentages promised one, are restarted as before.

--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -1,9 +1,10 @@
 """Active runs of tasks."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, auto
 
 from apricotgap.jobs.model import Resources, StepSpec, TaskName
+from apricotgap.jobs.run_progress import RunProgress
 
 __all__ = ["FULL_PACE", "Run", "RunPhase"]
 
@@ -42,6 +43,9 @@
     `is_charged` is set once a crash was charged to an unconfirmed start that is kept
     for the next incarnation: one start causes one crash at most.
 
+    `is_partial` means that the time since its start is not that of a whole run: it
+    resumed from a checkpoint, or an earlier owner started it.
+
     `pace` is the share of its work that the run was ordered to do, in percent, None if
     an earlier owner may have changed it.
     """
@@ -69,6 +73,11 @@
     is_in_next_incarnation: bool = False
     is_unlisted: bool = False
     is_charged: bool = False
+    is_partial: bool = field(init=False)
+    progress: RunProgress = field(default_factory=RunProgress)
+
+    def __post_init__(self) -> None:
+        self.is_partial = bool(self.checkpoint)
 
     @property
     def allocation(self) -> Resources:
--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -7,6 +7,7 @@
 from apricotgap.jobs.events import EndReport, StartAnswered, StopAnswered
 from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.model import NO_RESOURCES, JobPhase, RunEnd, TaskName
+from apricotgap.jobs.run_times import RunTimes
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.shard_jobs import ShardJobs
 from apricotgap.jobs.tickets import StepName, Tickets
@@ -34,6 +35,7 @@
         # While a worker stops a run, the run is in no list until its end is listed.
         self.stop_listing_delay_ms = int(stop_ms * 1.03) + limits.RETRY_BACKOFF_MS
         self.tickets = Tickets()
+        self.run_times = RunTimes()
 
     def cancel(self, job_id: str, unix_ms: int, at_ms: int) -> list[Effect]:
         """Cancel a job; a job that has ended is left unchanged."""
@@ -190,8 +192,7 @@
             yield LogDecision("worker_suspect", {"worker": worker.worker_id})
         if end.end is RunEnd.DONE and not step.is_long_running:
             if run is not None and run.started_ms:
-                key = (end.name.occurrence, end.name.step)
-                job.durations_ms.setdefault(key, []).append(at_ms - run.started_ms)
+                self._record_duration(job, worker, run, at_ms)
             yield from self._task_done(job, end, at_ms)
             return
         record = job.record(end.name)
@@ -217,6 +218,19 @@
         if len(record.failed_runs) >= job.spec.max_attempts:
             yield from self._finish(job, JobPhase.FAILED, self.unix_of(at_ms), at_ms)
 
+    def _record_duration(
+        self, job: JobState, worker: Worker, run: Run, at_ms: int
+    ) -> None:
+        """Record how long a run took that is done."""
+        if run.is_partial:
+            return
+        key = (run.name.occurrence, run.name.step)
+        duration_ms = at_ms - run.started_ms
+        if duration_ms <= self.run_times.late_in_job_ms(job, key):
+            worker.normal_end_ms = at_ms
+        job.durations_ms.setdefault(key, []).append(duration_ms)
+        self.run_times.record(job.spec.queue, run.step, duration_ms)
+
     def _task_done(self, job: JobState, end: EndReport, at_ms: int) -> Iterable[Effect]:
         step = job.spec.steps[end.name.step]
         names = [end.name]
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -292,6 +292,9 @@
             run.phase = RunPhase.RUNNING
             run.visible_from_ms = event.sent_ms
             run.started_ms = run.last_progress_ms = event.at_ms
+        if not run.progress.has_begun and not run.is_partial:
+            run.progress.begin(run.started_ms, 0)
+        run.progress.record(event.at_ms, report.percent)
         if report.percent != run.percent:
             run.percent = report.percent
             run.last_progress_ms = event.at_ms
@@ -328,6 +331,7 @@
             report.checkpoint,
         )
         run.pace = None
+        run.is_partial = True
         run.started_ms = at_ms
         run.has_begun = run.is_started_up = True
         record = job.progress.tasks.get(report.name)
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -55,6 +55,9 @@
     `withheld_since_ms` is the time since which each list of the worker has held ends
     that are acknowledged, None if the last one held none.
 
+    `normal_end_ms` is the time of the last end of a run that was done after no unusual
+    time, `found_slow_ms` the last time at which its runs showed that it is slow.
+
     An acquired worker has responded to a poll of this owner. An unverified one may
     still have runs of a previous owner: those that it was told to stop are in no list
     until `stops_until_ms`, set by its first response. Only a worker recorded in the
@@ -88,6 +91,8 @@
     blocked_until_ms: int = -1_000_000
     n_unanswered_starts: int = 0
     slow_until_ms: int = -1_000_000
+    normal_end_ms: int = -1_000_000
+    found_slow_ms: int = -1_000_000
     suspect_since_ms: int | None = None
     recent_ends: deque[tuple[int, str, bool]] = field(default_factory=deque)
     paced_ms: int = -1_000_000
