Try one task alone in a job that may never succeed

All of its tasks ran up to the maximum of attempts. Change: once a task has failed on two workers, its job starts no other task until that one is done or the job has failed. Running tasks go on. After a takeover, stored failures count as those of another worker. Log line `job_probed`, reason `probing` of waits.

Tests: test_probing, test_job_waits, test_jobs_scheduling, test_jobs_shard, test_suspect_workers, test_worker_crashes, test_shard_runs, test_log_limits pass; lint passes.

--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -3,6 +3,7 @@
 from apricotgap.jobs import crashes
 from apricotgap.jobs.documents import Progress, TaskRecord
 from apricotgap.jobs.model import JobPhase, JobSpec, StepSpec, TaskName
+from apricotgap.jobs.probing import choose_probe
 from apricotgap.jobs.runs import Run
 
 __all__ = ["JobState", "StepKey"]
@@ -52,6 +53,10 @@
         # Greatest age at which a run of a task was stopped as too slow.
         self.restarted_at_age_ms: dict[TaskName, int] = {}
         self.avoided_workers: dict[TaskName, set[str]] = {}
+        # Workers on which runs of a task have failed, one for each failure.
+        self.failed_on: dict[TaskName, list[str]] = {}
+        # The only task that may start, None if all may.
+        self.probe = choose_probe(self.progress, self.failed_on)
         # Data centre, rack and worker with which the last step began.
         self.home: tuple[str, str, str] | None = None
         # Numbers of the crashes that were charged to tasks, in all and as stored.
@@ -200,6 +205,24 @@
         if not is_done and not self.is_given_up(run.name):
             self.waiting[run.name.occurrence, run.name.step].add(run.name.number)
 
+    def record_failure(self, name: TaskName, run_id: int, worker_id: str) -> None:
+        """Record that a run of a task has failed."""
+        self.record(name).failed_runs.append(run_id)
+        self.failed_on.setdefault(name, []).append(worker_id)
+        self.probe = choose_probe(self.progress, self.failed_on)
+
+    def may_start_beside_probe(self, key: StepKey, number: int) -> bool:
+        """Whether a task may start although one that fails may end the job.
+
+        The members of a gang start together.
+        """
+        probe = self.probe
+        if probe is None:
+            return True
+        if (probe.occurrence, probe.step) != key:
+            return False
+        return number == probe.number or self.spec.steps[key[1]].is_gang
+
     def mark_done(self, name: TaskName) -> bool:
         """Mark a task as done; returns False when it was done before."""
         record = self.record(name)
@@ -207,6 +230,8 @@
             return False
         record.done = True
         record.checkpoint = ""
+        if name == self.probe:
+            self.probe = choose_probe(self.progress, self.failed_on)
         key = (name.occurrence, name.step)
         self._n_remaining[key] -= 1
         self._critical_path_ms = None
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -143,10 +143,15 @@
     def _start_job(self, job: JobState, current: SchedulingPass) -> None:
         for key in job.open_steps(current.unix_ms):
             step = job.spec.steps[key[1]]
-            if step.is_gang:
+            indices = [
+                index
+                for index in sorted(job.waiting[key])
+                if job.may_start_beside_probe(key, index)
+            ]
+            if step.is_gang and indices:
                 self._start_gang(job, key, step, current)
                 continue
-            for index in sorted(job.waiting[key]):
+            for index in indices:
                 if current.n_starts >= limits.MAX_STARTS_PER_PASS:
                     return
                 name = TaskName(job.spec.job_id, *key, index)
--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -204,7 +204,8 @@
         self._avoid(end.name, worker)
         if step.is_long_running or end.run_id in record.failed_runs:
             return
-        record.failed_runs.append(end.run_id)
+        probe = job.probe
+        job.record_failure(end.name, end.run_id, worker.worker_id)
         self._dirty.add(job.spec.job_id)
         yield LogDecision(
             "run_failed",
@@ -215,7 +216,18 @@
                 "n_failed": len(record.failed_runs),
             },
         )
-        if len(record.failed_runs) >= job.spec.max_attempts:
+        is_last = len(record.failed_runs) >= job.spec.max_attempts
+        if job.probe is not None and job.probe != probe and not is_last:
+            yield LogDecision(
+                "job_probed",
+                {
+                    "job": job.spec.job_id,
+                    "task": str(job.probe),
+                    "n_failed": len(job.record(job.probe).failed_runs),
+                    "n_waiting": sum(map(len, job.waiting.values())),
+                },
+            )
+        if is_last:
             yield from self._finish(job, JobPhase.FAILED, self.unix_of(at_ms), at_ms)
 
     def _record_duration(
--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -149,6 +149,24 @@
         return {"n_waiting": n_waiting, "n_tasks": case.step.n_tasks}
 
 
+class Probing(WaitReason):
+    """Another task has failed on several workers, and is tried before all others."""
+
+    name = "probing"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        probe = case.job.probe
+        if probe is None or any(
+            case.job.may_start_beside_probe(case.key, name.number)
+            for name in case.names
+        ):
+            return None
+        return {
+            "probe": str(probe),
+            "n_failed": len(case.job.record(probe).failed_runs),
+        }
+
+
 class NoWorkerAccepts(WaitReason):
     """No worker of the pool takes new work."""
 
@@ -334,6 +352,7 @@
     ReservationsUnknown(),
     CrashUnsaved(),
     GangIncomplete(),
+    Probing(),
     NoWorkerAccepts(),
     TeamLimit(),
     NoRoom(),
--- a/tests/test_job_waits.py
+++ b/tests/test_job_waits.py
@@ -104,6 +104,15 @@
     return rig, {"n_waiting": 1, "n_tasks": 2}
 
 
+def probing():
+    """Task 0 has failed on two workers and runs on the first; task 1 waits."""
+    rig = ready_rig(StepSpec(2, SIZE, 800), workers=("w1", "w2"), max_attempts=5)
+    state = rig.shard.jobs[JOB]
+    for run_id, worker_id in enumerate(("w1", "w2"), 1):
+        state.record_failure(task(0), run_id, worker_id)
+    return rig, {"probe": str(task(0)), "n_failed": 2}
+
+
 def no_worker_accepts():
     """Each worker has another cause, but for the one that is evacuated."""
     names = [f"w{number}" for number in range(10)]
@@ -269,6 +278,7 @@
     (reservations_unknown, (0, 0), 801),
     (crash_unsaved, (0, 0), 100),
     (gang_incomplete, (0, 0), 100),
+    (probing, (0, 0), 100),
     (no_worker_accepts, (0, 0), 700),
     (team_limit, (0, 0), 100),
     (no_room, (0, 0), 100),
