Copy tasks of silent workers after a takeover, too

Cause: a new owner starts no task of an inherited job while any worker of the previous owner is out of reach. In a cut of a data centre the owner is replaced after 2.3 s, and all jobs wait for leases. Change: 700 ms after loading, once all workers have answered or missed a poll, tasks whose steps allow duplicates start beside unknown runs. Those of teams with a limit wait as before.

A limit also did not count that a known task may have unknown copies on workers of the previous owner. Inherited usage now counts three runs for each open task of a step that allows duplicates, as many as a task may have. The new test fails without this.

The detector finds the typical duration of a step once per check.

--- a/apricotgap/jobs/inherited_usage.py
+++ b/apricotgap/jobs/inherited_usage.py
@@ -1,5 +1,6 @@
 """What a team may use through runs of earlier owners that are not known yet."""
 
+from apricotgap.jobs import limits
 from apricotgap.jobs.model import NO_RESOURCES, Resources
 from apricotgap.jobs.shard import Shard
 
@@ -10,7 +11,7 @@
     """Return the most that unknown runs of earlier owners use, by team.
 
     They are tasks that wait here, on workers that have not answered this owner yet, and
-    use no more than these workers hold.
+    use no more than these workers hold. Tasks that may be copied may have several.
     """
     capacity = NO_RESOURCES
     for worker in shard.workers.values():
@@ -23,8 +24,14 @@
         if not job.is_inherited:
             continue
         team = job.spec.team
-        for (_, index), waiting in job.waiting.items():
-            size = job.spec.steps[index].allocation.times(len(waiting))
+        for (occurrence, index), waiting in job.waiting.items():
+            step = job.spec.steps[index]
+            n_runs = len(waiting)
+            if step.may_be_copied:
+                # Known runs may have unknown copies.
+                n_open = job.n_open_tasks((occurrence, index))
+                n_runs = n_open * limits.MAX_RUNS_PER_TASK
+            size = step.allocation.times(n_runs)
             found[team] = found.get(team, NO_RESOURCES) + size
     return {team: size.elementwise_min(capacity) for team, size in found.items()}
 
--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -166,6 +166,10 @@
             return None
         return step if 0 <= name.number < step.n_tasks else None
 
+    def n_open_tasks(self, key: StepKey) -> int:
+        """Return the number of tasks of a step that are not done."""
+        return self._n_remaining[key]
+
     def is_open(self, key: StepKey, unix_ms: int) -> bool:
         """Whether tasks of a step may start now."""
         occurrence, index = key
--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -29,6 +29,9 @@
 # An answer to a poll is missed this long after the worker had to respond. It covers the
 # way there and back, and the pauses of a loaded owner.
 MISSED_ANSWER_MS = 250
+# Most runs of a task at one time, if its step allows duplicates. The worker of a copy
+# may fall silent as well.
+MAX_RUNS_PER_TASK = 3
 # A worker with runs that may be copied responds to a poll after at most this time, so
 # that a missed answer shows within COPY_SILENT_MS.
 COPYABLE_POLL_WAIT_MS = COPY_SILENT_MS - MISSED_ANSWER_MS
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -82,18 +82,21 @@
         self._gang_room.forget_others(shard.open_jobs)
         self._cost.begin_pass(workers)
         has_unverified_workers = shard.has_unverified_workers
+        lacks_only_silent = shard.lacks_only_silent_workers(at_ms)
         may_start_long_running = shard.knows_reservations(at_ms)
         for job in self._order(current):
             if current.n_starts >= limits.MAX_STARTS_PER_PASS:
                 self.hit_start_limit = True
                 break
-            if has_unverified_workers and job.is_inherited:
+            is_unsure = has_unverified_workers and job.is_inherited
+            may_copy = lacks_only_silent and shard.may_copy_unknown_runs(job)
+            if is_unsure and not may_copy:
                 continue
             if job.spec.is_long_running and not may_start_long_running:
                 continue
             with shard.guard(job):
                 if job.may_start:
-                    self._start_job(job, current)
+                    self._start_job(job, current, is_unsure)
                 else:
                     self._request_first_save(job, current)
         failures = shard.set_failed_aside(at_ms)
@@ -140,9 +143,14 @@
                 self._shard.request_first_save(job)
                 return
 
-    def _start_job(self, job: JobState, current: SchedulingPass) -> None:
+    def _start_job(
+        self, job: JobState, current: SchedulingPass, is_unsure: bool
+    ) -> None:
+        """Start tasks of a job; those that may be copied only, if `is_unsure`."""
         for key in job.open_steps(current.unix_ms):
             step = job.spec.steps[key[1]]
+            if is_unsure and not step.may_be_copied:
+                continue
             indices = [
                 index
                 for index in sorted(job.waiting[key])
--- a/apricotgap/jobs/shard.py
+++ b/apricotgap/jobs/shard.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from apricotgap.jobs import limits
 from apricotgap.jobs.effects import Effect
 from apricotgap.jobs.events import (
     PollAnswered,
@@ -11,6 +12,7 @@
     WorkersListed,
 )
 from apricotgap.jobs.fleet_view import WorkerReport
+from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.model import NO_RESOURCES, Resources
 from apricotgap.jobs.shard_workers import ShardWorkers
 from apricotgap.jobs.team_limits import TeamLimits
@@ -119,6 +121,25 @@
         known = self.team_usage.get(team, NO_RESOURCES)
         return known + self.inherited_usage.get(team, NO_RESOURCES)
 
+    def lacks_only_silent_workers(self, at_ms: int) -> bool:
+        """Whether all workers have answered this owner that have not missed a poll."""
+        if at_ms - self.loaded_ms < limits.COPY_SILENT_MS:
+            return False
+        return all(
+            worker.is_acquired or worker.has_missed_poll(at_ms)
+            for worker in self.workers.values()
+            if worker.is_unverified
+        )
+
+    def may_copy_unknown_runs(self, job: JobState) -> bool:
+        """Whether tasks of a job may start beside unknown runs of an earlier owner.
+
+        A team with a limit might exceed it by them.
+        """
+        if self.team_limits.allowed(job.spec.team) is not None:
+            return False
+        return any(step.may_be_copied for step in job.spec.steps)
+
     def needs_ticket(self, queue: str) -> bool:
         """Whether starts of a queue's tasks need a ticket of the advice service."""
         spec = self.config.queue_by_name.get(queue) if self.config else None
--- a/apricotgap/jobs/silent_copies.py
+++ b/apricotgap/jobs/silent_copies.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from apricotgap.jobs import limits
 from apricotgap.jobs.effects import Effect, LogDecision
 from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.model import TaskName
@@ -9,10 +10,7 @@
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.workers import Worker
 
-__all__ = ["MAX_RUNS", "SilentCopies"]
-
-# Most runs of a task at one time. The worker of a copy may fall silent as well.
-MAX_RUNS = 3
+__all__ = ["SilentCopies"]
 
 
 class SilentCopies:
@@ -90,7 +88,7 @@
         runs = job.runs.get(name, ())
         if len(runs) > 1 and not all(each.is_started_up for each in runs):
             return False
-        return len(runs) < MAX_RUNS and self._is_out_of_reach(job, name)
+        return len(runs) < limits.MAX_RUNS_PER_TASK and self._is_out_of_reach(job, name)
 
     def _is_out_of_reach(self, job: JobState, name: TaskName) -> bool:
         """Whether all workers with a run of a task have missed an answer."""
--- a/apricotgap/jobs/stragglers.py
+++ b/apricotgap/jobs/stragglers.py
@@ -6,7 +6,7 @@
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import Effect, LogDecision
 from apricotgap.jobs.idle_room import IdleRoom
-from apricotgap.jobs.job_state import JobState
+from apricotgap.jobs.job_state import JobState, StepKey
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.silent_copies import SilentCopies
@@ -63,6 +63,9 @@
         self._shard = shard
         self._silent_copies = SilentCopies(shard)
         self._last_check_ms = -1_000_000
+        # Typical and late duration of each step in this check, and whether they are
+        # more than an estimate: a step may have thousands of finished tasks.
+        self._references: dict[tuple[str, StepKey], tuple[int, int, bool]] = {}
 
     def run(self, at_ms: int) -> list[Effect]:
         """Check all runs and return the stops and log lines for stragglers."""
@@ -71,6 +74,7 @@
             return effects
         self._last_check_ms = at_ms
         room = IdleRoom(self._shard, at_ms)
+        self._references.clear()
         for worker in self._shard.workers.values():
             if at_ms - worker.answered_ms > limits.SILENT_WORKER_MS:
                 continue
@@ -101,15 +105,16 @@
 
     def _speed(self, job: JobState, run: Run) -> RunSpeed:
         key = (run.name.occurrence, run.name.step)
-        times = self._shard.run_times
-        return RunSpeed(
-            job,
-            run,
-            run.progress.total_ms,
-            times.typical_in_job_ms(job, key),
-            times.late_in_job_ms(job, key),
-            times.is_calibrated(job, key),
-        )
+        reference = self._references.get((run.name.job_id, key))
+        if reference is None:
+            times = self._shard.run_times
+            reference = (
+                times.typical_in_job_ms(job, key),
+                times.late_in_job_ms(job, key),
+                times.is_calibrated(job, key),
+            )
+            self._references[run.name.job_id, key] = reference
+        return RunSpeed(job, run, run.progress.total_ms, *reference)
 
     def _check(
         self,
--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -85,7 +85,7 @@
         if not case.job.is_inherited:
             return None
         unverified = self._unverified(case)
-        if not unverified:
+        if not unverified or self._may_be_copied(case):
             return None
         return {
             "n_workers": len(unverified),
@@ -96,6 +96,13 @@
     def next_look_ms(self, case: WaitCase) -> int:
         return max(map(self._known_ms, self._unverified(case)))
 
+    @staticmethod
+    def _may_be_copied(case: WaitCase) -> bool:
+        shard = case.shard
+        if not (case.step.may_be_copied and shard.may_copy_unknown_runs(case.job)):
+            return False
+        return shard.lacks_only_silent_workers(case.at_ms)
+
     @staticmethod
     def _known_ms(worker: Worker) -> int:
         """Return when the runs of a worker are known, or its lease has ended."""
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -229,6 +229,10 @@
         """
         if not self.is_acquired or at_ms - self.answered_ms < limits.COPY_SILENT_MS:
             return False
+        return self.has_missed_poll(at_ms)
+
+    def has_missed_poll(self, at_ms: int) -> bool:
+        """Whether the last poll has failed or is overdue."""
         if self.silent_since_ms is not None:
             return True
         due_ms = self.answer_due_ms
--- a/tests/test_inherited_usage.py
+++ b/tests/test_inherited_usage.py
@@ -46,6 +46,18 @@
     assert rig.schedule() == []
 
 
+def test_copies_of_the_earlier_owner_count_too():
+    """Guards against a team above its limit by copies on workers out of reach: two
+    tasks of the earlier owner's job may have two runs each there.
+    """
+    rig = lost_worker_rig()
+    steps = (replace(FOUR_TASKS[0], n_tasks=2, allows_duplicates=True),)
+    del rig.shard.jobs["j" * 16], rig.shard.open_jobs["j" * 16]
+    rig.shard.load(job(steps=steps), Progress(), 1)
+    rig.submit(job("k" * 16, steps=FOUR_TASKS))
+    assert rig.schedule() == []
+
+
 def test_new_job_starts_once_the_runs_of_the_earlier_owner_are_known():
     """Guards against a wait that outlasts the doubt."""
     rig = lost_worker_rig()
--- a/tests/test_inherited_work.py
+++ b/tests/test_inherited_work.py
@@ -20,6 +20,9 @@
     running,
     task,
 )
+from tests.test_team_limit_updater import limited
+
+SIZE = Resources(1000, 100)
 
 
 def test_inherited_job_waits_for_workers_that_a_previous_owner_used():
@@ -38,6 +41,61 @@
     assert "j" * 16 in {start.name.job_id for start in rig.schedule()}
 
 
+def takeover_rig(allows_duplicates, team_limit=None):
+    """Return a new owner's rig; the last one used a worker that gives no answer."""
+    rig = Rig(epoch=2)
+    rig.shard.loaded_ms = rig.now
+    rig.shard.add_inherited_worker(entry("w9"), rig.now)
+    rig.record_all()
+    rig.poll("w1")
+    steps = (StepSpec(2, SIZE, 800, allows_duplicates=allows_duplicates),)
+    rig.shard.load(job(steps=steps), Progress(), 1)
+    if team_limit is not None:
+        rig.shard.team_limits.set_configuration(team_limit)
+        row = rig.shard.team_limits.limit("bakers")
+        rig.shard.team_limits.record_split("bakers", {SERVICE: row}, 1)
+    rig.shard.workers["w9"].record_poll(rig.now, 0)
+    return rig
+
+
+def starts_after(rig, duration_ms):
+    rig.now += duration_ms
+    rig.poll("w1")
+    return rig.schedule()
+
+
+def test_inherited_tasks_that_may_be_copied_do_not_wait_for_silent_workers():
+    """Guards against jobs that wait for leases of up to 6.5 s after a data centre was
+    lost with the owner, although their steps allow duplicates.
+    """
+    rig = takeover_rig(allows_duplicates=True)
+    assert starts_after(rig, limits.COPY_SILENT_MS - 100) == []
+    assert len(starts_after(rig, 100)) == 2
+
+
+def test_inherited_tasks_without_duplicates_wait_for_silent_workers():
+    """Guards against a second run while the first may go on, out of reach."""
+    rig = takeover_rig(allows_duplicates=False)
+    assert starts_after(rig, limits.COPY_SILENT_MS) == []
+    assert starts_after(rig, 2_000) == []
+
+
+def test_inherited_tasks_wait_for_workers_whose_answer_is_not_due():
+    """Guards against copies of all tasks by an owner that has just begun to poll."""
+    rig = takeover_rig(allows_duplicates=True)
+    rig.now += limits.COPY_SILENT_MS
+    rig.shard.workers["w9"].record_poll(rig.now, 0)
+    assert starts_after(rig, limits.MISSED_ANSWER_MS - 1) == []
+    assert len(starts_after(rig, 1)) == 2
+
+
+def test_inherited_tasks_of_a_team_with_a_limit_wait_for_silent_workers():
+    """Guards against a team above its limit by runs that this owner does not know."""
+    rig = takeover_rig(allows_duplicates=True, team_limit=limited())
+    assert starts_after(rig, limits.COPY_SILENT_MS) == []
+    assert starts_after(rig, 2_000) == []
+
+
 def test_run_of_a_previous_owner_is_adopted():
     """Guards against a second run of a task that still runs after a takeover."""
     rig = Rig(epoch=2)
--- a/tests/test_silent_copies.py
+++ b/tests/test_silent_copies.py
@@ -3,7 +3,6 @@
 from apricotgap.jobs import limits
 from apricotgap.jobs.events import PollFailed
 from apricotgap.jobs.model import Resources, StepSpec
-from apricotgap.jobs.silent_copies import MAX_RUNS
 from apricotgap.jobs.stragglers import StragglerDetector
 from tests.jobs_harness import Rig, entry, job, running
 
@@ -139,7 +138,7 @@
         rig.silent.update(start.worker_id for start in rig.starts)
         rig.silent_for(900)
         rig.answer_polls()
-    assert 2 <= len(rig.starts) <= MAX_RUNS
+    assert 2 <= len(rig.starts) <= limits.MAX_RUNS_PER_TASK
 
 
 def test_refused_connections_count_as_missed_answers():
