--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -215,17 +215,20 @@
         self.failed_on.setdefault(name, []).append(worker_id)
         self.probe = choose_probe(self.progress, self.failed_on)
 
-    def may_start_beside_probe(self, key: StepKey, number: int) -> bool:
-        """Whether a task may start although one that fails may end the job.
+    def startable(self, key: StepKey) -> list[int]:
+        """Return the waiting tasks of a step that may start beside the probe.
 
         The members of a gang start together.
         """
+        waiting = sorted(self.waiting[key])
         probe = self.probe
         if probe is None:
-            return True
+            return waiting
         if (probe.occurrence, probe.step) != key:
-            return False
-        return number == probe.number or self.spec.steps[key[1]].is_gang
+            return []
+        if self.spec.steps[key[1]].is_gang:
+            return waiting
+        return [number for number in waiting if number == probe.number]
 
     def mark_done(self, name: TaskName) -> bool:
         """Mark a task as done; returns False when it was done before."""
--- a/apricotgap/jobs/placement_cost.py
+++ b/apricotgap/jobs/placement_cost.py
@@ -5,7 +5,7 @@
 another domain before it waits.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from apricotgap.jobs.job_state import JobState
@@ -31,26 +31,46 @@
     return sum(key[0][:3] == name[:3] for key in worker.runs)
 
 
+@dataclass(slots=True)
+class _Rack:
+    """Candidates in one rack, and the CPU that they have free together."""
+
+    data_centre: str
+    rack: str
+    workers: dict[str, Worker] = field(default_factory=dict)
+    free_cpu: int = 0
+
+
 @dataclass(slots=True)
 class _Footprint:
-    """Failure domains that a job uses, or is to use."""
+    """Failure domains that a job uses, or is to use.
+
+    `costs` holds the cost of each candidate while the domains stay the same.
+    """
 
     data_centres: set[str] = field(default_factory=set)
     racks: set[str] = field(default_factory=set)
     workers: set[str] = field(default_factory=set)
+    costs: dict[str, float] = field(default_factory=dict)
 
     def add(self, worker: Worker) -> None:
-        self.data_centres.add(worker.entry.data_centre)
-        self.racks.add(worker.entry.rack)
-        self.workers.add(worker.worker_id)
-
-    def cost(self, worker: Worker) -> float:
         entry = worker.entry
         if entry.worker_id in self.workers:
-            return 0.0
-        if entry.data_centre not in self.data_centres:
-            return MACHINE_COST + RACK_COST + DATA_CENTRE_COST
-        return MACHINE_COST + (entry.rack not in self.racks) * RACK_COST
+            return
+        self.data_centres.add(entry.data_centre)
+        self.racks.add(entry.rack)
+        self.workers.add(entry.worker_id)
+        self.costs = {}
+
+    def find_costs(self, racks: Iterable[_Rack]) -> None:
+        for each in racks:
+            cost = MACHINE_COST
+            if each.rack not in self.racks:
+                cost += RACK_COST
+            if each.data_centre not in self.data_centres:
+                cost += DATA_CENTRE_COST
+            self.costs.update(dict.fromkeys(each.workers, cost))
+        self.costs.update(dict.fromkeys(self.workers, 0.0))
 
 
 class PlacementCost:
@@ -68,38 +88,81 @@
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
         self._workers: list[Worker] = []
+        self._racks: dict[tuple[str, str], _Rack] = {}
         self._footprints: dict[str, _Footprint] = {}
 
     def begin_pass(self, workers: list[Worker]) -> None:
         """Begin a scheduling pass with these candidates."""
         self._workers = workers
+        self._racks.clear()
         self._footprints.clear()
 
-    def record_start(self, job: JobState, worker: Worker) -> None:
+    def record_start(self, job: JobState, worker: Worker, cpu: int) -> None:
         """Record that a task of a job starts on a worker."""
+        rack = self._racks.get((worker.entry.data_centre, worker.entry.rack))
+        if rack is not None:
+            rack.free_cpu -= cpu
         footprint = self._footprints.get(job.spec.job_id)
         if footprint is not None:
             footprint.add(worker)
 
+    def domain_costs(
+        self, job: JobState, name: TaskName, step: StepSpec
+    ) -> Mapping[str, float]:
+        """Return the costs of the failure domain of each candidate, by its id.
+
+        They are empty for steps that are spread, and for those that last.
+        """
+        if step.is_long_running or step.is_best_effort or step.max_per_worker:
+            return {}
+        if not self._racks:
+            self._find_racks()
+        footprint = self._footprint(job, name, step)
+        if not footprint.costs:
+            footprint.find_costs(self._racks.values())
+        return footprint.costs
+
+    def _find_racks(self) -> None:
+        for worker in self._workers:
+            entry = worker.entry
+            key = (entry.data_centre, entry.rack)
+            rack = self._racks.get(key)
+            if rack is None:
+                rack = self._racks[key] = _Rack(*key)
+            rack.workers[entry.worker_id] = worker
+            rack.free_cpu += max(0, worker.free.cpu)
+
     def of(
         self,
         worker: Worker,
-        job: JobState,
         name: TaskName,
         step: StepSpec,
         at_ms: int,
         is_suspect: bool,
+        domain_costs: Mapping[str, float],
     ) -> float:
-        """Return the cost of placing a task on a worker."""
+        """Return the cost of placing a task on a worker.
+
+        Parameters
+        ----------
+        worker : Worker
+            Candidate.
+        name, step
+            The task.
+        at_ms : int
+            Current time.
+        is_suspect : bool
+            Whether the task may crash its worker.
+        domain_costs : mapping of str to float
+            Result of `domain_costs` for the job.
+        """
         total = worker.total
         cost = worker.used.cpu / total.cpu if total.cpu else 1.0
         ends_soon = not step.is_long_running and not step.is_best_effort
         if ends_soon and not is_suspect:
             # Tasks that end soon are packed, so that other workers become empty and
             # their machines can move at once.
-            cost = 1 - cost
-            if not step.max_per_worker:
-                cost += self._footprint(job, name, step).cost(worker)
+            cost = 1 - cost + domain_costs.get(worker.entry.worker_id, 0.0)
         if is_suspect:
             # Another crash would interrupt long-running tasks, and could not be told
             # from one by a task that started just before.
@@ -132,12 +195,12 @@
         if footprint is not None:
             return footprint
         footprint = _Footprint()
-        candidates = {worker.worker_id: worker for worker in self._workers}
         for runs in job.runs.values():
             for run in runs:
-                # Others may be out of reach, with all of their data centre.
-                if run.worker_id in candidates:
-                    footprint.add(candidates[run.worker_id])
+                worker = self._shard.workers.get(run.worker_id)
+                # Workers that take no work may be out of reach with their data centre.
+                if worker is not None and self._is_candidate(worker):
+                    footprint.add(worker)
         if not footprint.workers:
             n_waiting = len(job.waiting[name.occurrence, name.step])
             home = self._choose_home(job, step, n_waiting)
@@ -147,6 +210,10 @@
         self._footprints[job.spec.job_id] = footprint
         return footprint
 
+    def _is_candidate(self, worker: Worker) -> bool:
+        rack = self._racks.get((worker.entry.data_centre, worker.entry.rack))
+        return rack is not None and worker.worker_id in rack.workers
+
     def _choose_home(
         self, job: JobState, step: StepSpec, n_tasks: int
     ) -> Worker | None:
@@ -156,48 +223,40 @@
         to the fullest rack and machine that hold it whole. If none does, it goes to
         those that hold the most of it.
         """
-        rooms = [
-            (worker, step.allocation.n_fitting(worker.free, n_tasks))
-            for worker in self._workers
-            if not step.required_label or step.required_label in worker.entry.labels
-        ]
-        rooms = [(worker, room) for worker, room in rooms if room]
-        if not rooms:
-            return None
         last_centre, last_rack, last_worker = job.home or ("", "", "")
-        by_centre = _sums((worker.entry.data_centre, room) for worker, room in rooms)
-        data_centre = max(
-            by_centre,
-            key=lambda each: (
-                min(by_centre[each], n_tasks),
-                each == last_centre,
-                by_centre[each],
-            ),
-        )
-        rooms = [each for each in rooms if each[0].entry.data_centre == data_centre]
-        by_rack = _sums((worker.entry.rack, room) for worker, room in rooms)
-        rack = max(
-            by_rack,
-            key=lambda each: (
-                min(by_rack[each], n_tasks),
-                each == last_rack,
-                -by_rack[each],
-            ),
-        )
-        rooms = [each for each in rooms if each[0].entry.rack == rack]
-        home, _ = max(
-            rooms,
-            key=lambda each: (
-                each[1],
-                each[0].worker_id == last_worker,
-                -each[0].free.cpu,
-            ),
-        )
-        return home
+        required_cpu = n_tasks * step.allocation.cpu
+        free: dict[str, int] = {}
+        for rack in self._racks.values():
+            free[rack.data_centre] = free.get(rack.data_centre, 0) + rack.free_cpu
 
+        def rank(rack: _Rack) -> tuple[float, ...]:
+            return (
+                -min(free[rack.data_centre], required_cpu),
+                rack.rack != step.data_rack,
+                rack.data_centre != last_centre,
+                -free[rack.data_centre],
+                -min(rack.free_cpu, required_cpu),
+                rack.rack != last_rack,
+                rack.free_cpu,
+            )
 
-def _sums(rooms: Iterable[tuple[str, int]]) -> dict[str, int]:
-    sums: dict[str, int] = {}
-    for domain, room in rooms:
-        sums[domain] = sums.get(domain, 0) + room
-    return sums
+        for rack in sorted(self._racks.values(), key=rank):
+            fitting = [
+                worker
+                for worker in rack.workers.values()
+                if step.allocation.fits(worker.free)
+                and (
+                    not step.required_label
+                    or step.required_label in worker.entry.labels
+                )
+            ]
+            if fitting:
+                return max(
+                    fitting,
+                    key=lambda worker: (
+                        step.allocation.n_fitting(worker.free, n_tasks),
+                        worker.worker_id == last_worker,
+                        -worker.free.cpu,
+                    ),
+                )
+        return None
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -151,11 +151,7 @@
             step = job.spec.steps[key[1]]
             if is_unsure and not step.may_be_copied:
                 continue
-            indices = [
-                index
-                for index in sorted(job.waiting[key])
-                if job.may_start_beside_probe(key, index)
-            ]
+            indices = job.startable(key)
             if step.is_gang and indices:
                 self._start_gang(job, key, step, current)
                 continue
@@ -261,6 +257,7 @@
         avoided = job.avoided_workers.get(name, ())
         used = {run.worker_id for run in job.runs.get(name, ())}
         awaits_better = False
+        domain_costs = self._cost.domain_costs(job, name, step)
         best: Worker | None = None
         best_cost = float("inf")
         for worker in current.workers:
@@ -279,7 +276,9 @@
                 self.awaits_fresh_answer = True
                 awaits_better |= entry.worker_id not in avoided
                 continue
-            cost = self._cost.of(worker, job, name, step, current.at_ms, is_suspect)
+            cost = self._cost.of(
+                worker, name, step, current.at_ms, is_suspect, domain_costs
+            )
             if entry.worker_id in avoided:
                 cost += 10
             if cost < best_cost:
@@ -343,7 +342,7 @@
             clock_ms=worker.clock_now_ms(at_ms),
         )
         self._shard.add_run(job, worker, run)
-        self._cost.record_start(job, worker)
+        self._cost.record_start(job, worker, run.allocation.cpu)
         if not step.is_long_running:
             work = step.allocation.core_equivalents * step.estimated_ms
             self.shares.record_start(job.spec.team, work, at_ms)
--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -163,10 +163,7 @@
 
     def inputs(self, case: WaitCase) -> dict[str, Any] | None:
         probe = case.job.probe
-        if probe is None or any(
-            case.job.may_start_beside_probe(case.key, name.number)
-            for name in case.names
-        ):
+        if probe is None or case.job.startable(case.key):
             return None
         return {
             "probe": str(probe),
