Look closer only at runs that may be stragglers

Cause: a check of 1,200 runs on 150 workers took 13.7 ms, each 300 ms. Change: the reason is found before the run is looked at with its job.

Tests: test_slow_workers, test_stragglers, test_jobs_scheduling, test_silent_copies pass; lint passes.

--- a/apricotgap/jobs/stragglers.py
+++ b/apricotgap/jobs/stragglers.py
@@ -86,8 +86,13 @@
                 worker.found_slow_ms = at_ms
                 worker.slow_until_ms = at_ms + SLOW_WORKER_MS
             for each in speeds:
+                reason = self._reason(each, worker, worker_speed)
+                if reason is None:
+                    continue
                 with self._shard.guard(each.job):
-                    effects += self._check(each, worker, worker_speed, room, at_ms)
+                    effects += self._relieve(
+                        each, worker, worker_speed, reason, room, at_ms
+                    )
         return effects
 
     def _speeds(self, worker: Worker) -> list[RunSpeed]:
@@ -116,22 +121,21 @@
             self._references[run.name.job_id, key] = reference
         return RunSpeed(job, run, run.progress.total_ms, *reference)
 
-    def _check(
+    def _relieve(
         self,
         speed: RunSpeed,
         worker: Worker,
         worker_speed: WorkerSpeed,
+        reason: Reason,
         room: IdleRoom,
         at_ms: int,
     ) -> Iterable[Effect]:
+        """Copy or restart a run, if that gains anything."""
         job, run = speed.job, speed.run
         if len(job.runs.get(run.name, ())) > 1:
             return
         # The state of the run is as old as the last response of its worker.
         age_ms = worker.answered_ms - run.started_ms
-        reason = self._reason(speed, worker, worker_speed)
-        if reason is None:
-            return
         # A task may be longer than all that is known of it. With this back-off its
         # restarts lose less than twice its length.
         restarted_ms = job.restarted_at_age_ms.get(run.name, 0)
