Bound the percentages that runs are compared by

Cause: a worker may list any number as a percentage. One of -1e308 raised an error in the comparison of a run, which set its job aside. Best-effort runs get what others leave idle, and throttled ones stand still by order. Change: percentages are clamped; best-effort runs say nothing of their worker, and throttled ones are left alone.

--- a/apricotgap/jobs/run_progress.py
+++ b/apricotgap/jobs/run_progress.py
@@ -4,7 +4,7 @@
 
 from apricotgap.jobs import limits
 
-__all__ = ["RunProgress"]
+__all__ = ["RunProgress", "clamped"]
 
 # Shortest time over which a rate is taken. Lists are under way for up to 100 ms, which
 # is a quarter of it.
@@ -15,6 +15,11 @@
 MIN_CLAIM_PERCENT = 1.0
 
 
+def clamped(percent: float) -> float:
+    """Return a percentage that a worker has listed, which may be any number."""
+    return min(max(percent, 0.0), 100.0)
+
+
 @dataclass(slots=True)
 class RunProgress:
     """Rates of a run in percent per ms, and how long it claims to take.
@@ -43,6 +48,7 @@
 
     def record(self, at_ms: int, percent: float) -> None:
         """Record a percentage that a worker has listed."""
+        percent = clamped(percent)
         if self._anchor_ms is None or percent < self._anchor_percent:
             self.begin(at_ms, percent)
             return
@@ -69,7 +75,7 @@
         """Return the time that the rest takes at the present rate, None if unknown."""
         if self.rate is None:
             return None
-        return max(0.0, 100 - percent) / self.rate if self.rate else float("inf")
+        return (100 - clamped(percent)) / self.rate if self.rate else float("inf")
 
     @property
     def total_ms(self) -> float | None:
--- a/apricotgap/jobs/stragglers.py
+++ b/apricotgap/jobs/stragglers.py
@@ -7,7 +7,8 @@
 from apricotgap.jobs.effects import Effect, LogDecision
 from apricotgap.jobs.idle_room import IdleRoom
 from apricotgap.jobs.job_state import JobState, StepKey
-from apricotgap.jobs.runs import Run, RunPhase
+from apricotgap.jobs.run_progress import clamped
+from apricotgap.jobs.runs import FULL_PACE, Run, RunPhase
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.silent_copies import SilentCopies
 from apricotgap.jobs.worker_speed import RunSpeed, WorkerSpeed, judge_worker
@@ -99,7 +100,8 @@
         speeds = []
         for run in worker.runs.values():
             step = run.step
-            if step.is_gang or step.is_long_running or step.is_best_effort:
+            if step.is_gang or step.is_long_running or run.pace != FULL_PACE:
+                # A throttled run is slow, or stands still, by order.
                 continue
             job = self._shard.open_jobs.get(run.name.job_id)
             if job is None or run.phase is not RunPhase.RUNNING:
@@ -119,7 +121,9 @@
                 times.is_calibrated(job, key),
             )
             self._references[run.name.job_id, key] = reference
-        return RunSpeed(job, run, run.progress.total_ms, *reference)
+        # A best-effort run is as fast as what others leave idle.
+        total_ms = None if run.step.is_best_effort else run.progress.total_ms
+        return RunSpeed(job, run, total_ms, *reference)
 
     def _relieve(
         self,
@@ -198,7 +202,7 @@
         if not speed.run.step.checkpoints:
             return stop_ms + speed.typical_ms
         # The stop saves what is done.
-        left = max(0.0, 100 - speed.run.percent) / 100
+        left = 1 - clamped(speed.run.percent) / 100
         return stop_ms + RESUME_MS + int(left * speed.typical_ms)
 
 
--- a/tests/test_poll_loops.py
+++ b/tests/test_poll_loops.py
@@ -8,6 +8,7 @@
 from apricotgap.clock import TrioClock
 from apricotgap.instance.ownership import Ownership
 from apricotgap.instance.poll_loops import PollLoops
+from apricotgap.jobs import limits
 from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.platform.workers import PollResponse
 from tests.jobs_harness import FAR_MS, SERVICE, Rig, ended, entry, job, task
@@ -90,3 +91,36 @@
     answer no end is acknowledged, and the worker answers each poll at once.
     """
     assert len(acknowledgements(1)) <= 20
+
+
+def test_worker_that_does_not_answer_a_poll_has_missed_an_answer():
+    """Guards against an owner that does not record when it polls a worker: a missed
+    answer shows only once the call has timed out.
+    """
+
+    async def main():
+        # At time 0 the clock of the worker would count as unknown.
+        await trio.sleep(1)
+        rig = PolledRig()
+        worker = rig.shard.workers["w1"]
+        loops = rig.loops()
+        loops._client = _SilentClient()
+        async with trio.open_nursery() as nursery:
+            loops.start(nursery)
+            await trio.sleep(limits.POLL_WAIT_MS / 1_000)
+            early = worker.has_missed_answer(rig.clock.now_ms)
+            await trio.sleep(limits.MISSED_ANSWER_MS / 1_000)
+            late = worker.has_missed_answer(rig.clock.now_ms)
+            nursery.cancel_scope.cancel()
+        return early, late
+
+    clock = trio.testing.MockClock(autojump_threshold=0.001)
+    assert trio.run(main, clock=clock) == (False, True)
+
+
+class _SilentClient:
+    async def poll(self, *_):
+        await trio.sleep_forever()
+
+    async def close_connections(self, address):
+        pass
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -26,6 +26,21 @@
         }
     ],
 }
+COPYABLE_JOB = {
+    "spec": "x",
+    "steps": [
+        {
+            "count": 1,
+            "cpu": 500,
+            "memMb": 10,
+            "estimatedMs": 100_000,
+            "allowDuplicates": True,
+        }
+    ],
+}
+# Silence shows after 700 ms at two ticks, and by the failure of the poll after 1.2 s. A
+# lease lasts for much longer.
+COPY_LIMIT_S = 2
 # A lasting task may be away for 6 s after its last run, and 3 s more.
 AWAY_LIMIT_S = 9
 
@@ -111,6 +126,29 @@
     trio.run(main)
 
 
+def test_task_that_allows_duplicates_is_copied_soon(tmp_path):
+    """Guards against a task that waits for the lease of a silent worker although a
+    second run is allowed.
+    """
+
+    async def check(cluster):
+        instance = cluster.instances[0]
+        assert (await cluster.request(instance, "POST", JOB_ID, COPYABLE_JOB))[0] == 200
+        await _until(lambda: len(cluster.starts_of(JOB_ID)) == 1, 5)
+        silent = next(worker for worker in cluster.workers if worker.starts)
+        other = next(worker for worker in cluster.workers if worker is not silent)
+        # The poll that is pending may have begun before the task, and waits for 1 s.
+        await trio.sleep(limits.POLL_WAIT_MS / 1000)
+        silent.is_unanswering = True
+        await _until(lambda: other.starts, COPY_LIMIT_S)
+
+    async def main():
+        async with open_cluster(tmp_path, n_workers=2, task_ms=1_000_000) as cluster:
+            await check(cluster)
+
+    trio.run(main)
+
+
 async def _until(condition, timeout_s):
     with trio.fail_after(timeout_s):
         while not condition():
--- a/tests/test_slow_workers.py
+++ b/tests/test_slow_workers.py
@@ -99,8 +99,8 @@
         for key, start in self.live.items():
             if start.worker_id == worker_id:
                 percent = 100 * self.done_ms[key] / self.work_ms[start.name]
-                shown = self.report.get(worker_id, lambda each: each)(percent)
-                rows.append(running(start, int(shown)))
+                shown = self.report.get(worker_id, int)(percent)
+                rows.append(running(start, shown))
         self.poll(worker_id, running=rows, ends=ends)
 
     def _poll_all(self):
@@ -227,6 +227,34 @@
     assert took_ms < 2 * 10 * TASK_MS
 
 
+@pytest.mark.parametrize("checkpoints", [False, True])
+def test_odd_percentages_set_no_job_aside(checkpoints):
+    """Guards against a worker whose percentages are no shares of anything, and break
+    the comparison of its runs.
+    """
+    world = World()
+    odd = iter([-1e308, 1e308, 0, 1e308, -5, 100.5, -1e308, 1e-320] * 500)
+    world.report = {each: lambda _: next(odd) for each in world.speed}
+    world.begin(job_id(0), (replace(STEP, checkpoints=checkpoints),), lambda: 9_000)
+    world.play(9_500)
+    assert world.decisions("job_set_aside") == []
+
+
+def test_throttled_run_is_not_restarted():
+    """Guards against restarts of a best-effort task that is throttled to a stop, and
+    against judging a worker by tasks that get what others leave idle.
+    """
+    world = World()
+    world.begin(job_id(0), (replace(STEP, is_best_effort=True),), lambda: 4_000)
+    world.play(TICK_MS)
+    for worker in world.shard.workers.values():
+        for run in worker.runs.values():
+            run.pace = 0
+    world.speed = dict.fromkeys(world.speed, 0.0)
+    world.play(5_000)
+    assert world.decisions("run_restarted") == []
+
+
 def test_run_times_leave_out_the_few_long_tasks():
     """Guards against a typical duration that few long tasks raise."""
     times = RunTimes()
