--- a/apricotgap/jobs/runs.py
+++ b/apricotgap/jobs/runs.py
@@ -1,9 +1,10 @@
 """Active runs of tasks."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, auto
 
 from apricotgap.jobs.model import Resources, StepSpec, TaskName
+from apricotgap.jobs.run_progress import RunProgress
 
 __all__ = ["FULL_PACE", "Run", "RunPhase"]
 
@@ -44,6 +45,8 @@
 
     `measured_from` is a time and the percentage that the run had then, from which its
     speed is derived; a run that resumes from a checkpoint does not begin at 0.
+    `is_partial` means that the time since its start is not that of a whole run: it
+    resumed from a checkpoint, or an earlier owner started it.
 
     `pace` is the share of its work that the run was ordered to do, in percent, None if
     an earlier owner may have changed it.
@@ -73,6 +76,11 @@
     is_unlisted: bool = False
     is_charged: bool = False
     measured_from: tuple[int, float] | None = None
+    is_partial: bool = field(init=False)
+    progress: RunProgress = field(default_factory=RunProgress)
+
+    def __post_init__(self) -> None:
+        self.is_partial = bool(self.checkpoint)
 
     @property
     def allocation(self) -> Resources:
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -10,6 +10,7 @@
 from apricotgap.jobs.inherited_usage import inherited_usage
 from apricotgap.jobs.job_state import JobState, StepKey
 from apricotgap.jobs.model import Resources, StepSpec, TaskName
+from apricotgap.jobs.placement_cost import PlacementCost, n_of_step
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.scheduling_pass import SchedulingPass
 from apricotgap.jobs.service_order import ServiceOrder
@@ -42,6 +43,7 @@
         self.service_order = ServiceOrder(shard, self.shares)
         self._config: Configuration | None = None
         self._gang_room = GangRoom()
+        self._cost = PlacementCost(shard)
         self.is_team_blocked = False
         self.hit_start_limit = False
         self.awaits_fresh_answer = False
@@ -78,19 +80,23 @@
         self.hit_start_limit = False
         self.awaits_fresh_answer = False
         self._gang_room.forget_others(shard.open_jobs)
+        self._cost.begin_pass(workers)
         has_unverified_workers = shard.has_unverified_workers
+        lacks_only_silent = shard.lacks_only_silent_workers(at_ms)
         may_start_long_running = shard.knows_reservations(at_ms)
         for job in self._order(current):
             if current.n_starts >= limits.MAX_STARTS_PER_PASS:
                 self.hit_start_limit = True
                 break
-            if has_unverified_workers and job.is_inherited:
+            is_unsure = has_unverified_workers and job.is_inherited
+            may_copy = lacks_only_silent and shard.may_copy_unknown_runs(job)
+            if is_unsure and not may_copy:
                 continue
             if job.spec.is_long_running and not may_start_long_running:
                 continue
             with shard.guard(job):
                 if job.may_start:
-                    self._start_job(job, current)
+                    self._start_job(job, current, is_unsure)
                 else:
                     self._request_first_save(job, current)
         failures = shard.set_failed_aside(at_ms)
@@ -139,13 +145,19 @@
                 self._shard.request_first_save(job)
                 return
 
-    def _start_job(self, job: JobState, current: SchedulingPass) -> None:
+    def _start_job(
+        self, job: JobState, current: SchedulingPass, is_unsure: bool
+    ) -> None:
+        """Start tasks of a job; those that may be copied only, if `is_unsure`."""
         for key in job.open_steps(current.unix_ms):
             step = job.spec.steps[key[1]]
-            if step.is_gang:
+            if is_unsure and not step.may_be_copied:
+                continue
+            indices = job.startable(key)
+            if step.is_gang and indices:
                 self._start_gang(job, key, step, current)
                 continue
-            for index in sorted(job.waiting[key]):
+            for index in indices:
                 if current.n_starts >= limits.MAX_STARTS_PER_PASS:
                     return
                 name = TaskName(job.spec.job_id, *key, index)
@@ -247,6 +259,7 @@
         avoided = job.avoided_workers.get(name, ())
         used = {run.worker_id for run in job.runs.get(name, ())}
         awaits_better = False
+        domain_costs = self._cost.domain_costs(job, name, step)
         best: Worker | None = None
         best_cost = float("inf")
         for worker in current.workers:
@@ -265,7 +278,9 @@
                 self.awaits_fresh_answer = True
                 awaits_better |= entry.worker_id not in avoided
                 continue
-            cost = self._cost(worker, name, step, current.at_ms, is_suspect)
+            cost = self._cost.of(
+                worker, name, step, current.at_ms, is_suspect, domain_costs
+            )
             if entry.worker_id in avoided:
                 cost += 10
             if cost < best_cost:
@@ -290,53 +305,7 @@
             return False
         if not step.max_per_worker:
             return True
-        return self._n_of_step(worker, name) + n_placed < step.max_per_worker
-
-    @staticmethod
-    def _n_of_step(worker: Worker, name: TaskName) -> int:
-        return sum(key[0][:3] == name[:3] for key in worker.runs)
-
-    def _n_in_rack(self, rack: str, name: TaskName) -> int:
-        return sum(
-            self._n_of_step(worker, name)
-            for worker in self._shard.workers.values()
-            if worker.entry.rack == rack
-        )
-
-    def _cost(
-        self,
-        worker: Worker,
-        name: TaskName,
-        step: StepSpec,
-        at_ms: int,
-        is_suspect: bool,
-    ) -> float:
-        """Return the cost of placing a task on a worker; the lowest cost wins."""
-        total = worker.total
-        cost = worker.used.cpu / total.cpu if total.cpu else 1.0
-        ends_soon = not step.is_long_running and not step.is_best_effort
-        if ends_soon and not is_suspect:
-            # Tasks that end soon are packed, so that other workers become empty and
-            # their machines can move at once.
-            cost = 1 - cost
-        if is_suspect:
-            # Another crash would interrupt long-running tasks, and could not be told
-            # from one by a task that started just before.
-            cost += worker.n_long_running + 3 * worker.has_recent_start(at_ms)
-        if step.data_rack and worker.entry.rack != step.data_rack:
-            cost += 2
-        if worker.suspect_since_ms is not None or worker.n_unanswered_starts:
-            cost += 5
-        if at_ms < worker.slow_until_ms:
-            cost += 3
-        if step.is_best_effort:
-            cost += worker.n_serving
-        if step.is_long_running:
-            # A long-running task keeps its machine in the pool. Such tasks are packed
-            # on few machines, two of a step per machine, and spread over racks.
-            cost += self._n_of_step(worker, name) - 2.0 * (worker.n_long_running > 0)
-            cost += 0.3 * self._n_in_rack(worker.entry.rack, name)
-        return cost
+        return n_of_step(worker, name) + n_placed < step.max_per_worker
 
     def _ticket(self, name: TaskName, worker: Worker, current: SchedulingPass) -> str:
         step = StepName.of(name)
@@ -375,6 +344,7 @@
             clock_ms=worker.clock_now_ms(at_ms),
         )
         self._shard.add_run(job, worker, run)
+        self._cost.record_start(job, worker, run.allocation.cpu)
         if not step.is_long_running:
             work = step.allocation.core_equivalents * step.estimated_ms
             self.shares.record_start(job.spec.team, work, at_ms)
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -188,7 +188,7 @@
             self._verify(worker, event)
         worker.is_acquired = True
         worker.answered_ms = event.at_ms
-        worker.silent_since_ms = None
+        worker.silent_since_ms = worker.answer_due_ms = None
         worker.clock_ms = event.clock_ms
         worker.clock_at_ms = event.at_ms
         worker.record_listed_ends(event.at_ms, event.ends)
@@ -292,6 +292,9 @@
             run.phase = RunPhase.RUNNING
             run.visible_from_ms = event.sent_ms
             run.started_ms = run.last_progress_ms = event.at_ms
+        if not run.progress.has_begun and not run.is_partial:
+            run.progress.begin(run.started_ms, 0)
+        run.progress.record(event.at_ms, report.percent)
         if report.percent != run.percent:
             run.percent = report.percent
             run.last_progress_ms = event.at_ms
@@ -330,6 +333,7 @@
             report.checkpoint,
         )
         run.pace = None
+        run.is_partial = True
         run.started_ms = at_ms
         run.measured_from = (at_ms, report.percent)
         run.has_begun = run.is_started_up = True
--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -85,7 +85,7 @@
         if not case.job.is_inherited:
             return None
         unverified = self._unverified(case)
-        if not unverified:
+        if not unverified or self._may_be_copied(case):
             return None
         return {
             "n_workers": len(unverified),
@@ -96,6 +96,13 @@
     def next_look_ms(self, case: WaitCase) -> int:
         return max(map(self._known_ms, self._unverified(case)))
 
+    @staticmethod
+    def _may_be_copied(case: WaitCase) -> bool:
+        shard = case.shard
+        if not (case.step.may_be_copied and shard.may_copy_unknown_runs(case.job)):
+            return False
+        return shard.lacks_only_silent_workers(case.at_ms)
+
     @staticmethod
     def _known_ms(worker: Worker) -> int:
         """Return when the runs of a worker are known, or its lease has ended."""
@@ -149,6 +156,21 @@
         return {"n_waiting": n_waiting, "n_tasks": case.step.n_tasks}
 
 
+class Probing(WaitReason):
+    """Another task has failed on several workers, and is tried before all others."""
+
+    name = "probing"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        probe = case.job.probe
+        if probe is None or case.job.startable(case.key):
+            return None
+        return {
+            "probe": str(probe),
+            "n_failed": len(case.job.record(probe).failed_runs),
+        }
+
+
 class NoWorkerAccepts(WaitReason):
     """No worker of the pool takes new work."""
 
@@ -334,6 +356,7 @@
     ReservationsUnknown(),
     CrashUnsaved(),
     GangIncomplete(),
+    Probing(),
     NoWorkerAccepts(),
     TeamLimit(),
     NoRoom(),
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -49,9 +49,15 @@
     `silent_since_ms` is the time of the first poll that failed since the last response,
     None if none has.
 
+    `answer_due_ms` is the time by which the worker responds to a pending poll, unless
+    something is wrong; None if no poll is pending.
+
     `withheld_since_ms` is the time since which each list of the worker has held ends
     that are acknowledged, None if the last one held none.
 
+    `normal_end_ms` is the time of the last end of a run that was done after no unusual
+    time, `found_slow_ms` the last time at which its runs showed that it is slow.
+
     An acquired worker has responded to a poll of this owner. An unverified one may
     still have runs of a previous owner: those that it was told to stop are in no list
     until `stops_until_ms`, set by its first response. Only a worker recorded in the
@@ -70,6 +76,7 @@
     reserved_until_ms: int = -1_000_000
     answered_ms: int = -1_000_000
     silent_since_ms: int | None = None
+    answer_due_ms: int | None = None
     clock_ms: int = 0
     clock_at_ms: int = 0
     last_applied: int = 0
@@ -80,9 +87,12 @@
     used: Resources = NO_RESOURCES
     n_serving: int = 0
     n_long_running: int = 0
+    n_copyable: int = 0
     blocked_until_ms: int = -1_000_000
     n_unanswered_starts: int = 0
     slow_until_ms: int = -1_000_000
+    normal_end_ms: int = -1_000_000
+    found_slow_ms: int = -1_000_000
     suspect_since_ms: int | None = None
     recent_ends: deque[tuple[int, str, bool]] = field(default_factory=deque)
     paced_ms: int = -1_000_000
@@ -208,6 +218,26 @@
         if self.silent_since_ms is None:
             self.silent_since_ms = at_ms
 
+    def record_poll(self, sent_ms: int, wait_ms: int) -> None:
+        """Record that a poll was sent that may wait this long for its response."""
+        self.answer_due_ms = sent_ms + wait_ms
+
+    def has_missed_answer(self, at_ms: int) -> bool:
+        """Whether the worker has not answered although it should have.
+
+        Polls wait for a run to end, so the age of the last answer alone says nothing.
+        """
+        if not self.is_acquired or at_ms - self.answered_ms < limits.COPY_SILENT_MS:
+            return False
+        return self.has_missed_poll(at_ms)
+
+    def has_missed_poll(self, at_ms: int) -> bool:
+        """Whether the last poll has failed or is overdue."""
+        if self.silent_since_ms is not None:
+            return True
+        due_ms = self.answer_due_ms
+        return due_ms is not None and at_ms - due_ms >= limits.MISSED_ANSWER_MS
+
     def block(self, until_ms: int) -> None:
         """Start nothing on the worker until then."""
         self.blocked_until_ms = max(self.blocked_until_ms, until_ms)
@@ -238,6 +268,7 @@
             self.trial = run
         self.n_serving += run.step.target_ms > 0
         self.n_long_running += run.step.is_long_running
+        self.n_copyable += run.step.may_be_copied
 
     def remove(self, run: Run) -> None:
         """Remove a run and release its resources."""
@@ -249,6 +280,7 @@
         self.free = self.total - self.used
         self.n_serving -= run.step.target_ms > 0
         self.n_long_running -= run.step.is_long_running
+        self.n_copyable -= run.step.may_be_copied
 
     def record_end(self, at_ms: int, job_id: str, end: RunEnd) -> bool:
         """Add the end of a run to the history; returns whether this made it suspect.
