Stop runs that keep a job on time from starting

Cause: an urgent job waited for tasks of 20 s of less urgent or late jobs to end, although their steps save their progress when they are stopped. Change: once a stop just comes in time for a waiting job that stands before them, its owner stops as many runs as let its tasks start, the newest first. Runs of late jobs that can be stopped no longer count as used capacity, and the others take only their cores and not the whole pool.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -37,6 +37,7 @@
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.pacing import Pacer
+from apricotgap.jobs.preemption import Preemptor
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.service import SubmitOutcome
 from apricotgap.jobs.shard import Shard
@@ -106,6 +107,7 @@
         self._pacer = Pacer(self._shard)
         self._stragglers = StragglerDetector(self._shard)
         self._migrator = Migrator(self._shard)
+        self._preemptor = Preemptor(self._shard, self._scheduler.service_order)
         self._wait_log = WaitLog(self._shard)
         self._pass_requested = trio.Event()
         self._writer = ProgressWriter(self._shard, ownership, store)
@@ -355,10 +357,11 @@
                 else []
             )
             self._effects.execute(self._shard.tick(now_ms))
-            # A migration stops a run and starts it elsewhere.
+            # A migration or a preemption stops a run and starts another one.
             may_start_until_ms = self._permission.until_ms
             if may_start_until_ms - now_ms > LEASE_MARGIN_MS:
                 self._effects.execute(self._migrator.run(now_ms))
+                self._effects.execute(self._preemptor.run(now_ms))
             self._effects.execute(self._pacer.run(now_ms))
             self._effects.execute(self._stragglers.run(now_ms))
             self._effects.execute(self._wait_log.run(now_ms, may_start_until_ms))
--- a/apricotgap/jobs/feasible_set.py
+++ b/apricotgap/jobs/feasible_set.py
@@ -104,6 +104,15 @@
         first = _first_slot(due_in_ms)
         self._slack[first:] = [slack - core_ms for slack in self._slack[first:]]
 
+    def occupy(self, n_cores: float, core_ms: float) -> None:
+        """Take cores for runs that go on until they have done some work."""
+        if not core_ms:
+            return
+        self._slack = [
+            slack - min(core_ms, n_cores * SLOT_MS * (slot + 1))
+            for slot, slack in enumerate(self._slack)
+        ]
+
 
 def _first_slot(due_in_ms: int) -> int:
     """Return the last slot that ends by a due time; the first one covers overdue work.
--- a/apricotgap/jobs/job_work.py
+++ b/apricotgap/jobs/job_work.py
@@ -18,8 +18,8 @@
     """Work left of a job, in core-ms, and the Unix times that bound it.
 
     `span_ms` is the time from the submission to the objective, `path_ms` that of the
-    longest chain of steps that is left. `running_core_ms` is the part of the work that
-    runs now.
+    longest chain of steps that is left. `held_cores` are the cores of runs that cannot
+    be stopped without loss, and `held_core_ms` is the work left of them.
     """
 
     job_id: str
@@ -30,7 +30,8 @@
     span_ms: int
     path_ms: int
     core_ms: float
-    running_core_ms: float
+    held_cores: float
+    held_core_ms: float
     has_begun: bool
 
     def is_late(self, unix_ms: int) -> bool:
@@ -69,8 +70,20 @@
         step.n_tasks * step.estimated_ms * step.allocation.core_equivalents
         for step in spec.steps
     )
-    path_ms = spec.critical_path_ms
-    return _work(spec, spec.submitted_ms, path_ms, core_ms, 0.0, has_begun=False)
+    span_ms = spec.objective_span_ms
+    return JobWork(
+        spec.job_id,
+        spec.queue,
+        spec.team,
+        spec.priority,
+        spec.submitted_ms + span_ms,
+        span_ms,
+        spec.critical_path_ms,
+        core_ms,
+        held_cores=0.0,
+        held_core_ms=0.0,
+        has_begun=False,
+    )
 
 
 def remaining_work(job: JobState, unix_ms: int) -> JobWork | None:
@@ -80,13 +93,13 @@
     objective of a job that is submitted when it is due.
     """
     spec = job.spec
-    running_core_ms = 0.0
-    if job.runs:
-        running_core_ms = sum(
-            run.allocation.core_equivalents * run.step.estimated_ms / 2
-            for runs in job.runs.values()
-            for run in runs
-        )
+    held_cores = held_core_ms = 0.0
+    for runs in job.runs.values():
+        for run in runs:
+            if not run.step.checkpoints:
+                cores = run.allocation.core_equivalents
+                held_cores += cores
+                held_core_ms += cores * run.step.estimated_ms / 2
     if not spec.n_occurrences:
         begin_ms, path_ms = spec.submitted_ms, job.critical_path_ms()
         core_ms = job.remaining_core_ms()
@@ -96,27 +109,16 @@
         if unix_ms < begin_ms:
             return None
         core_ms = job.remaining_core_ms(occurrence)
-    return _work(spec, begin_ms, path_ms, core_ms, running_core_ms, job.has_begun)
-
-
-def _work(
-    spec: JobSpec,
-    begin_ms: int,
-    path_ms: int,
-    core_ms: float,
-    running_core_ms: float,
-    has_begun: bool,
-) -> JobWork:
-    span_ms = spec.objective_span_ms
     return JobWork(
         spec.job_id,
         spec.queue,
         spec.team,
         spec.priority,
-        begin_ms + span_ms,
-        span_ms,
+        begin_ms + spec.objective_span_ms,
+        spec.objective_span_ms,
         path_ms,
         core_ms,
-        running_core_ms,
-        has_begun,
+        held_cores,
+        held_core_ms,
+        job.has_begun,
     )
--- a/apricotgap/jobs/ranking.py
+++ b/apricotgap/jobs/ranking.py
@@ -79,11 +79,12 @@
         self._added: list[tuple[SortKey, float]] = []
         ahead: dict[tuple[str, int], float] = {}
         in_time: list[tuple[_Rank, JobWork]] = []
-        # Runs of late jobs go on, whatever waits.
-        self._late_running = 0.0
+        # Runs of late jobs that go on, whatever waits.
+        self._held_cores = self._held_core_ms = 0.0
         for work in sorted(works, key=self._turn):
             if work.is_late(unix_ms):
-                self._late_running += work.running_core_ms
+                self._held_cores += work.held_cores
+                self._held_core_ms += work.held_core_ms
                 self._place(work, self._late_place(work))
                 continue
             group = (work.team, work.priority)
@@ -125,7 +126,7 @@
         if self._forecast is not None:
             last_ms = max((work.objective_ms for _, work in in_time), default=0)
             feasible = FeasibleSet(self._forecast, last_ms - self._unix_ms)
-            feasible.reserve(self._late_running, 0)
+            feasible.occupy(self._held_cores, self._held_core_ms)
         # Work of the largest job that was left out, by queue.
         left_out: dict[str, float] = {}
         for rank, work in in_time:
@@ -166,23 +167,32 @@
 
     def _candidate_place(self, candidate: _Candidate) -> Place:
         rank, work = candidate.rank, candidate.work
-        slack_ms = work.objective_ms - self._unix_ms - work.path_ms
-        if candidate.is_accepted:
-            # The tasks of a wide job take longer to start.
-            width_ms = work.core_ms / self._n_cores if self._n_cores else 0.0
-            begin_ms = work.objective_ms - width_ms
-            key: SortKey = (Standing.ON_TIME, work.priority, begin_ms)
-            return Place(Standing.ON_TIME, key, slack_ms, rank.tag)
-        key = (Standing.DEFERRED, work.priority, rank.lacks_margin, rank.tag)
-        return Place(Standing.DEFERRED, key, slack_ms, rank.tag)
+        if not candidate.is_accepted:
+            key: SortKey = (
+                Standing.DEFERRED,
+                work.priority,
+                rank.lacks_margin,
+                rank.tag,
+            )
+            return self._place_at(work, Standing.DEFERRED, key, rank.tag)
+        # The tasks of a wide job take longer to start.
+        width_ms = work.core_ms / self._n_cores if self._n_cores else 0.0
+        key = (Standing.ON_TIME, work.priority, work.objective_ms - width_ms)
+        return self._place_at(work, Standing.ON_TIME, key, rank.tag)
 
     def _late_place(self, work: JobWork) -> Place:
         is_expired = work.is_expired(self._unix_ms, self._n_cores)
         standing = Standing.EXPIRED if is_expired else Standing.LATE
         # The oldest first: by size, the large jobs of a queue would starve.
         key = (standing, work.priority, not work.has_begun, work.objective_ms)
-        slack_ms = work.objective_ms - self._unix_ms - work.path_ms
-        return Place(standing, key, slack_ms, 0.0)
+        return self._place_at(work, standing, key, 0.0)
+
+    def _place_at(
+        self, work: JobWork, standing: Standing, key: SortKey, tag: float
+    ) -> Place:
+        slack_ms = work.objective_ms - work.path_ms - self._unix_ms
+        spare_ms = int(work.latest_start_ms(self._n_cores)) - self._unix_ms
+        return Place(standing, key, slack_ms, spare_ms, tag)
 
     def _place(self, work: JobWork, place: Place) -> None:
         self.places[work.job_id] = place
@@ -193,7 +203,7 @@
         ahead = self._until[bisect_left(self._keys, key)]
         ahead += sum(core_ms for other, core_ms in self._added if other < key)
         if key[0] < Standing.LATE:
-            ahead += self._late_running
+            ahead += self._held_core_ms
         return ahead
 
     def outlook(self, work: JobWork, at_ms: int) -> Outlook:
@@ -239,7 +249,7 @@
         self, work: JobWork, rank: _Rank, due_in_ms: int, forecast: CapacityForecast
     ) -> bool:
         """Whether work is accepted in its turn, after that of a lower rank."""
-        reserved = [(self._late_running, 0)]
+        reserved = []
         last_ms = due_in_ms
         left_out = 0.0
         for each in self._candidates:
@@ -251,6 +261,7 @@
             elif each.work.queue == work.queue and self._needs_room(each):
                 left_out = max(left_out, each.work.core_ms)
         feasible = FeasibleSet(forecast, last_ms, reserved)
+        feasible.occupy(self._held_cores, self._held_core_ms)
         return feasible.has_room(_required_core_ms(work, left_out) / PACKING, due_in_ms)
 
 
--- a/apricotgap/jobs/service_order.py
+++ b/apricotgap/jobs/service_order.py
@@ -6,7 +6,7 @@
 from apricotgap.jobs.model import JobSpec
 from apricotgap.jobs.ranking import Ranking
 from apricotgap.jobs.shard import Shard
-from apricotgap.jobs.standing import Outlook, SortKey, Standing
+from apricotgap.jobs.standing import Outlook, Place, SortKey, Standing
 from apricotgap.jobs.team_shares import TeamShares
 
 __all__ = ["Outlook", "ServiceOrder", "SortKey", "Standing"]
@@ -79,6 +79,10 @@
             return place.key
         return (Standing.ON_TIME, job.spec.priority, job.objective_ms)
 
+    def place(self, job: JobState) -> Place | None:
+        """Return the place of a job as of the last update, None if it has none yet."""
+        return self._ranking.places.get(job.spec.job_id)
+
     def standing(self, job: JobState) -> Standing:
         """Return the standing of a job."""
         place = self._ranking.places.get(job.spec.job_id)
--- a/apricotgap/jobs/standing.py
+++ b/apricotgap/jobs/standing.py
@@ -26,12 +26,14 @@
 class Place:
     """Place of a job: its standing, its sort key and its team's tag.
 
-    `slack_ms` is the time by which the job may still be delayed.
+    `slack_ms` is the time by which the job may still be delayed if it takes no longer
+    than estimated, `spare_ms` the part of it beyond the margin for the estimate.
     """
 
     standing: Standing
     key: SortKey
     slack_ms: int
+    spare_ms: int
     team_tag: float
 
 
--- a/tests/test_feasible_set.py
+++ b/tests/test_feasible_set.py
@@ -80,6 +80,16 @@
     assert not feasible.add(1, 3_000)
 
 
+def test_runs_that_go_on_leave_the_other_cores():
+    """Guards against one long run of a late job by which all others are deferred."""
+    feasible = FeasibleSet(CapacityForecast(8.0, 8.0, 0))
+    feasible.occupy(2.0, 20_000)
+    assert not feasible.has_room(6_001, 1_000)
+    assert feasible.add(6_000, 1_000)
+    assert feasible.add(6 * 9_000 + 8 * 1_000, 11_000)
+    assert not feasible.add(1, 11_000)
+
+
 @pytest.mark.parametrize("due_ms", [HORIZON_MS + 100, 10 * HORIZON_MS])
 def test_work_beyond_the_horizon_is_not_limited(due_ms):
     """Guards against an error, or a refusal, of a job with a distant objective."""
