--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -37,6 +37,7 @@
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.pacing import Pacer
+from apricotgap.jobs.preemption import Preemptor
 from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.service import SubmitOutcome
 from apricotgap.jobs.shard import Shard
@@ -109,6 +110,7 @@
         self._pacer = Pacer(self._shard)
         self._stragglers = StragglerDetector(self._shard)
         self._migrator = Migrator(self._shard)
+        self._preemptor = Preemptor(self._shard, self._scheduler.service_order)
         self._wait_log = WaitLog(self._shard)
         self._share_log = ShareLog(self._shard, self._shares)
         self._pass_requested = trio.Event()
@@ -360,9 +362,10 @@
             await trio.sleep(TICK_INTERVAL_MS / 1000)
 
     def _migrate(self, now_ms: int) -> None:
-        # A migration stops a run and starts it elsewhere.
+        # A migration or a preemption stops a run and starts another one.
         if self._permission.until_ms - now_ms > LEASE_MARGIN_MS:
             self._effects.execute(self._migrator.run(now_ms))
+            self._effects.execute(self._preemptor.run(now_ms))
 
     def _apply_configuration(self) -> None:
         config = self._cluster_view.config
