--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -61,6 +61,10 @@
         self.config: Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.waves: dict[int, Wave] = {}
+        # When this instance saw the order of each wave. It may become the owner of the
+        # fleet halfway through a wave.
+        self.waves_begun_ms: dict[int, int] = {}
+        self._clock = clock
         self._members: dict[str, Member] = {}
         self._owners: dict[str, tuple[Item, Owner | None]] = {}
         self._stored_shards: dict[str, Item] = {}
@@ -113,6 +117,7 @@
             number = int(item.key[len(WAVES_PREFIX) :])
             if item.value is None:
                 self.waves.pop(number, None)
+                self.waves_begun_ms.pop(number, None)
                 return
             wave = decode_wave(item.value)
         except (WireError, ValueError) as error:
@@ -121,6 +126,7 @@
         if wave != self.waves.get(number):
             self._log.info("wave", number=number, n_machines=len(wave.machines))
         self.waves[number] = wave
+        self.waves_begun_ms.setdefault(number, self._clock.now_ms)
 
     def apply(self, item: Item) -> None:
         """Apply a change of a key that instances write, before a watch delivers it."""
--- a/apricotgap/instance/fleet_order_store.py
+++ b/apricotgap/instance/fleet_order_store.py
@@ -115,7 +115,13 @@
         if isinstance(outcome, Stored):
             self._revision = outcome.revision
             self._stored = names
-            self._ordered_ms = {name: self._ordered_ms[name] for name in recent}
+            # Their orders may be refused until the store has answered, and sent later
+            # without another write. A slow store must not undo that for the next ones.
+            stored_ms = self._clock.now_ms
+            self._ordered_ms = {
+                name: self._ordered_ms[name] if name in recent else stored_ms
+                for name in names
+            }
             return True
         self._log.warning("fleet_orders_not_stored", outcome=repr(outcome)[:200])
         if isinstance(outcome, Conflict):
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -168,7 +168,10 @@
             return
         now_ms = self._clock.now_ms
         self._planner.set_waves(
-            self._cluster_view.waves.values(), self._stored_done, now_ms
+            self._cluster_view.waves.values(),
+            self._stored_done,
+            now_ms,
+            self._cluster_view.waves_begun_ms,
         )
         reserved = self._planner.reserved_workers(self._machines)
         ended = self._planner.ended_workers(now_ms)
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -55,10 +55,26 @@
         return self._tracker.reserved_workers(machines)
 
     def set_waves(
-        self, waves: Iterable[Wave], done: Mapping[int, Iterable[str]], at_ms: int
+        self,
+        waves: Iterable[Wave],
+        done: Mapping[int, Iterable[str]],
+        at_ms: int,
+        begun_ms: Mapping[int, int] | None = None,
     ) -> None:
-        """Replace the waves; `done` holds the stored names of maintained machines."""
-        self._waves.replace(waves, done, at_ms)
+        """Replace the waves.
+
+        Parameters
+        ----------
+        waves : iterable of Wave
+            All waves in force.
+        done : mapping of int to iterable of str
+            Stored names of the maintained machines, by wave.
+        at_ms : int
+            Current time.
+        begun_ms : mapping of int to int, optional
+            When the waves were ordered; those without an entry begin now.
+        """
+        self._waves.replace(waves, done, at_ms, begun_ms or {})
 
     def pop_finished(self) -> list[int]:
         """Return the waves that have finished since the last call."""
--- a/tests/test_fleet_owner.py
+++ b/tests/test_fleet_owner.py
@@ -99,6 +99,7 @@
             SimpleNamespace(
                 config=configuration(),
                 waves={1: Wave(1, NAMES, 20_000, 2)},
+                waves_begun_ms={},
                 evacuated=frozenset(),
                 services=lambda: (SERVICE,),
             ),
