Refuse submissions at once while owner and store cannot be reached

Cause: an instance that was cut off sent each submission to its owner, then to the store, and answered "unknown" although nothing had been delivered.

Change: NoResponseError and PeerCallError tell whether a byte was written. StoreReachability decides from the outcomes of all store calls whether the store counts as unreachable; StoreMonitor probes it every 200 ms then. Meanwhile no submission is sent to it, and one is sent to an owner elsewhere only if that answers a ping. Otherwise it is refused at once. A submission of which a byte was sent without an answer stays unknown for 10 s, also if the same job is submitted again, here or at its owner.

Tests: lint, and test_platform_http, test_instance_peers, test_owner_calls, test_relays, test_owner_failures, test_unused_services, test_store_answers, test_roster, test_instance_lease, test_peers_driver, test_instance_stop, test_unreachable_reads and test_owner_days pass.

--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -22,6 +22,7 @@
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.peers import PeerClient, serve_peers
 from apricotgap.instance.shard_owner import ShardOwner
+from apricotgap.instance.store_monitor import StoreMonitor
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.metrics import Metrics
 from apricotgap.platform.ingress import IngressApp
@@ -90,6 +91,7 @@
         self._workers = WorkerList(self._store, self._clock)
         self._client = WorkerClient()
         self._metrics = Metrics(settings.name)
+        self._store_monitor = StoreMonitor(self._store, self._clock, self._metrics)
         self._owners: dict[str, ShardOwner] = {}
         self._is_draining = False
         self._identity = Member(
@@ -154,6 +156,7 @@
         nursery.start_soon(self._cluster_view.operator_mirror.run)
         nursery.start_soon(self._cluster_view.system_mirror.run)
         nursery.start_soon(self._workers.run)
+        nursery.start_soon(self._store_monitor.run)
         nursery.start_soon(self._lease.run)
         nursery.start_soon(self._election.run)
         nursery.start_soon(
--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -30,6 +30,7 @@
 from apricotgap.instance.repeated_calls import RepeatedCalls
 from apricotgap.instance.shard_owner import ShardOwner
 from apricotgap.instance.stored_jobs import StoredJobs
+from apricotgap.instance.unresolved_submissions import UnresolvedSubmissions
 from apricotgap.jobs.documents import decode_job, encode_job
 from apricotgap.jobs.fleet_view import PoolReport
 from apricotgap.jobs.model import JobPhase, JobSpec
@@ -81,16 +82,25 @@
         self._repeated = RepeatedCalls(self._relays, clock)
         self._stored_jobs = StoredJobs(store)
         self._direct_submissions = DirectSubmissions(cluster_view, store, clock)
+        self._unresolved = UnresolvedSubmissions(clock)
         self._clock = clock
         self._log = structlog.get_logger()
 
     async def submit(self, job: JobSpec, deadline_ms: int) -> SubmitOutcome:
         """Accept a job; REFUSED guarantees that it never runs."""
+        return await self._unresolved.run(
+            job.job_id, partial(self._submit, job, deadline_ms)
+        )
+
+    async def _submit(self, job: JobSpec, deadline_ms: int) -> SubmitOutcome:
         document = encode_job(job)
         outcome = await self._submit_without_relay(job, document, deadline_ms)
         if outcome.result is SubmitResult.ACCEPTED or outcome.reason:
             return outcome
         result = outcome.result
+        if result is SubmitResult.REFUSED and self._store.is_down:
+            # Nothing was sent. The caller finds another instance sooner than this one.
+            return outcome
         for member in self._relays.choose(job.service):
             if deadline_ms - self._clock.now_ms <= 0:
                 break
@@ -100,7 +110,11 @@
                         member, "submit", document, deadline_ms, PEER_TIMEOUT_MS
                     )
                 ).result
-            except (PeerCallError, DecodeError):
+            except PeerCallError as error:
+                if error.sent:
+                    result = SubmitResult.UNKNOWN
+                continue
+            except DecodeError:
                 result = SubmitResult.UNKNOWN
                 continue
             if relayed is SubmitResult.ACCEPTED:
@@ -120,7 +134,11 @@
         try:
             outcome = decode_outcome(
                 await self._owner_calls.call(
-                    job.service, "submit", document, deadline_ms
+                    job.service,
+                    "submit",
+                    document,
+                    deadline_ms,
+                    is_verified=self._store.is_down,
                 )
             )
             if outcome.result is not SubmitResult.UNKNOWN:
--- a/apricotgap/instance/owner_calls.py
+++ b/apricotgap/instance/owner_calls.py
@@ -8,6 +8,7 @@
 from apricotgap.clock import Clock
 from apricotgap.decoding import convert
 from apricotgap.instance.cluster_view import ClusterView
+from apricotgap.instance.keys import Owner
 from apricotgap.instance.ownership import OwnershipLostError
 from apricotgap.instance.peer_documents import decode_owner_call, decode_report_call
 from apricotgap.instance.peers import PeerCallError, PeerClient
@@ -62,10 +63,25 @@
         self._log = structlog.get_logger()
 
     async def call(
-        self, service: str, operation: str, argument: Any, deadline_ms: int
+        self,
+        service: str,
+        operation: str,
+        argument: Any,
+        deadline_ms: int,
+        *,
+        is_verified: bool = False,
     ) -> Any:
         """Call the owner of a shard, locally if it is this instance.
 
+        Parameters
+        ----------
+        service, operation, argument
+            The call.
+        deadline_ms : int
+            When to give up, on the clock of the instance.
+        is_verified : bool
+            Whether to send nothing unless the owner's instance can be reached now.
+
         Raises
         ------
         OwnerCallError
@@ -85,6 +101,11 @@
         owner = self._cluster_view.owner(service)
         if owner is None or local_owner is not None:
             raise OwnerCallError(False)
+        if is_verified:
+            try:
+                await self._peers.verify(owner.address)
+            except PeerCallError as error:
+                raise self._unreachable(service, owner, error) from error
         left_ms = min(PEER_TIMEOUT_MS, deadline_ms - self._clock.now_ms)
         if owner.has_second_protocol:
             operation = _SECOND_OPERATIONS.get(operation, operation)
@@ -98,19 +119,25 @@
                 max(1, left_ms),
             )
         except PeerCallError as error:
-            self._log.info(
-                "owner_unreachable",
-                shard=service,
-                owner=owner.name,
-                reason=str(error),
-            )
-            raise OwnerCallError(True) from error
+            raise self._unreachable(service, owner, error) from error
         if not isinstance(answer, list) or len(answer) != 2:
             raise OwnerCallError(True)
         if answer[0] != "ok":
             raise OwnerCallError(answer[0] != _NOT_OWNER)
         return answer[1]
 
+    def _unreachable(
+        self, service: str, owner: Owner, error: PeerCallError
+    ) -> OwnerCallError:
+        self._log.info(
+            "owner_unreachable",
+            shard=service,
+            owner=owner.name,
+            reason=str(error),
+            sent=error.sent,
+        )
+        return OwnerCallError(error.sent)
+
     async def handle(self, operation: str, argument: Any) -> list[Any]:
         """Answer a peer's call on a shard of this instance."""
         service, payload, left_ms = decode_owner_call(argument)
--- a/apricotgap/instance/peers.py
+++ b/apricotgap/instance/peers.py
@@ -8,6 +8,7 @@
 import structlog
 import trio
 from websockets.exceptions import WebSocketException
+from websockets.protocol import State
 from websockets.trio.client import connect
 from websockets.trio.server import serve
 
@@ -19,6 +20,11 @@
 
 _CONNECT_TIMEOUT_S = 0.4
 _CLOSE_TIMEOUT_S = 0.2
+# A link that was heard within this time is not pinged before a call that must not get
+# lost, and one that failed within this time is not tried again for such a call.
+_LINK_CHECK_MS = 200
+# Instances answer pings at once, also to one in another data centre.
+_PING_TIMEOUT_S = 0.25
 _MAX_MESSAGE_BYTES = 1 << 20
 # Messages of errors may repeat the input.
 _MAX_ERROR_CHARS = 200
@@ -34,7 +40,19 @@
 
 
 class PeerCallError(Exception):
-    """A peer did not answer; it may have executed the call."""
+    """A peer did not answer.
+
+    Parameters
+    ----------
+    reason : str
+        What failed.
+    sent : bool
+        Whether a byte of the call was written, so that the peer may execute it.
+    """
+
+    def __init__(self, reason: str, sent: bool = True) -> None:
+        super().__init__(reason)
+        self.sent = sent
 
 
 async def serve_peers(host: str, port: int, handler: Handler) -> None:
@@ -125,6 +143,7 @@
         self._nursery = nursery
         self._connections: dict[str, _Connection] = {}
         self._locks: dict[str, trio.Lock] = {}
+        self._failed_s: dict[str, float] = {}
         self._call_ids = itertools.count(1)
 
     async def call(
@@ -138,6 +157,7 @@
             No answer within `timeout_ms`, or the connection failed.
         """
         connection = None
+        is_sent = False
         started_s = trio.current_time()
         try:
             with trio.fail_after(timeout_ms / 1000):
@@ -147,9 +167,10 @@
                 results: list[Any] = []
                 connection.pending_calls[call_id] = (answered, results)
                 try:
-                    await connection.socket.send(
-                        cbor2.dumps([call_id, operation, argument])
-                    )
+                    message = cbor2.dumps([call_id, operation, argument])
+                    # A socket in any other state writes nothing.
+                    is_sent = connection.socket.state is State.OPEN
+                    await connection.socket.send(message)
                     await answered.wait()
                 finally:
                     connection.pending_calls.pop(call_id, None)
@@ -158,18 +179,46 @@
             # next call opens a new one. Other calls go on if the peer is only slow.
             if connection is not None and connection.received_s < started_s:
                 self._close(address, connection)
-            raise PeerCallError("timed out") from error
+            raise PeerCallError("timed out", is_sent) from error
         except _CONNECTION_ERRORS as error:
             if connection is not None:
                 self._close(address, connection)
-            raise PeerCallError(repr(error)) from error
+            raise PeerCallError(repr(error), is_sent) from error
         except (ValueError, TypeError, ExceptionGroup) as error:
             # The address is malformed, or the argument has no encoding.
-            raise PeerCallError(repr(error)[:_MAX_ERROR_CHARS]) from error
+            raise PeerCallError(repr(error)[:_MAX_ERROR_CHARS], is_sent) from error
         if not results:
-            raise PeerCallError("connection closed before the answer")
+            raise PeerCallError("connection closed before the answer", is_sent)
         return results[0]
 
+    async def verify(self, address: str) -> None:
+        """Check that a peer can be reached now, without a call to it.
+
+        Raises
+        ------
+        PeerCallError
+            It cannot; nothing that it might execute was sent.
+        """
+        now_s = trio.current_time()
+        failed_s = self._failed_s.get(address)
+        if failed_s is not None and now_s - failed_s < _LINK_CHECK_MS / 1000:
+            raise PeerCallError("not reached before", sent=False)
+        connection = None
+        try:
+            with trio.fail_after(_PING_TIMEOUT_S):
+                connection = await self._get_connection(address)
+                if now_s - connection.received_s >= _LINK_CHECK_MS / 1000:
+                    pong = await connection.socket.ping()
+                    await pong.wait()
+                    connection.received_s = trio.current_time()
+        except (*_CONNECTION_ERRORS, ValueError, TypeError, ExceptionGroup) as error:
+            # Calls that are under way may get their answers if the peer is only slow.
+            if connection is not None and not connection.pending_calls:
+                self._close(address, connection)
+            self._failed_s[address] = trio.current_time()
+            raise PeerCallError(f"not reached: {error!r}", sent=False) from error
+        self._failed_s.pop(address, None)
+
     async def _get_connection(self, address: str) -> _Connection:
         lock = self._locks.setdefault(address, trio.Lock())
         async with lock:
--- a/apricotgap/instance/relays.py
+++ b/apricotgap/instance/relays.py
@@ -82,7 +82,7 @@
                 member.address, f"relay-{operation}", [argument, left_ms], left_ms
             )
             if not isinstance(answer, list) or len(answer) != 2 or answer[0] != "ok":
-                raise PeerCallError(f"answered {answer!r}"[:100])
+                raise PeerCallError(f"answered {answer!r}"[:100], sent=True)
         except PeerCallError as error:
             self._log.info(
                 "relay_failed", peer=member.name, call=operation, reason=str(error)
--- a/apricotgap/instance/submissions.py
+++ b/apricotgap/instance/submissions.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import asdict
+from functools import partial
 
 import structlog
 import trio
@@ -9,6 +10,7 @@
 from apricotgap.clock import Clock
 from apricotgap.instance.keys import index_key, job_writes, progress_key
 from apricotgap.instance.ownership import Ownership
+from apricotgap.instance.unresolved_submissions import UnresolvedSubmissions
 from apricotgap.jobs.admission import Admission, Refusal
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.documents import Progress, encode_job, encode_progress
@@ -61,6 +63,7 @@
         self._clock = clock
         self._metrics = metrics
         self._on_accepted = on_accepted
+        self._unresolved = UnresolvedSubmissions(clock)
         self._log = structlog.get_logger().bind(
             shard=ownership.shard, epoch=ownership.epoch
         )
@@ -80,6 +83,11 @@
         SubmitOutcome
             REFUSED only if no write of the job can still take effect.
         """
+        return await self._unresolved.run(
+            job.job_id, partial(self._submit, job, deadline_ms)
+        )
+
+    async def _submit(self, job: JobSpec, deadline_ms: int) -> SubmitOutcome:
         if job.job_id in self._shard.jobs:
             return _ACCEPTED
         if self._store.is_down:
--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -41,7 +41,7 @@
     reason : str
         Kind of failure, such as ``timeout`` or an errno name.
     sent : bool
-        Whether the server may have executed the call.
+        Whether a byte of the call was written, so that the server may execute it.
     """
 
     def __init__(self, reason: str, sent: bool) -> None:
@@ -110,6 +110,8 @@
     def __init__(self, sock: trio.socket.SocketType) -> None:
         self._sock = sock
         self.idle_since_s = 0.0
+        # Whether the kernel has taken a byte of the present request.
+        self.has_sent = False
 
     @classmethod
     async def open(cls, address: str) -> "_Connection":
@@ -132,9 +134,13 @@
 
     async def exchange(self, request: bytes) -> tuple[HttpResponse, bool]:
         """Return the response and whether the connection can be reused."""
+        self.has_sent = False
         unsent = memoryview(request)
         while unsent:
-            unsent = unsent[await self._sock.send(unsent) :]
+            # A send that fails or is cancelled has taken no byte.
+            n_taken = await self._sock.send(unsent)
+            self.has_sent = True
+            unsent = unsent[n_taken:]
         reader = _ResponseReader()
         while not reader.is_complete:
             data = await self._sock.recv(_READ_BYTES)
@@ -153,6 +159,10 @@
         self._sock.close()
 
 
+def _has_sent(connection: _Connection | None) -> bool:
+    return connection is not None and connection.has_sent
+
+
 class _Pool:
     """Connections to one address."""
 
@@ -163,13 +173,11 @@
         self._is_closed = False
 
     async def call(self, request: bytes, timeout_ms: int) -> HttpResponse:
-        is_sent = False
         connection: _Connection | None = None
         try:
             with trio.fail_after(timeout_ms / 1000):
                 async with self._semaphore:
                     connection = await self._acquire(timeout_ms)
-                    is_sent = True
                     response, is_reusable = await connection.exchange(request)
                     if is_reusable and not self._is_closed:
                         connection.idle_since_s = trio.current_time()
@@ -177,14 +185,18 @@
                         connection = None
                     return response
         except trio.TooSlowError:
-            raise NoResponseError("timeout", is_sent) from None
+            raise NoResponseError("timeout", _has_sent(connection)) from None
         except OSError as error:
             reason = errno.errorcode.get(error.errno or 0, type(error).__name__)
-            raise NoResponseError(reason, is_sent) from error
+            raise NoResponseError(reason, _has_sent(connection)) from error
         except (httptools.HttpParserError, trio.ClosedResourceError) as error:
-            raise NoResponseError(type(error).__name__, is_sent) from error
+            raise NoResponseError(
+                type(error).__name__, _has_sent(connection)
+            ) from error
         except (ValueError, OverflowError) as error:
-            raise NoResponseError(f"address {self._address}", is_sent) from error
+            raise NoResponseError(
+                f"address {self._address}", _has_sent(connection)
+            ) from error
         finally:
             if connection is not None:
                 connection.close()
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from apricotgap.platform.call_observer import CallKind, CallObserver, NoObserver
 from apricotgap.platform.http import HttpClient, HttpResponse, NoResponseError
 from apricotgap.platform.store_answers import (
     decode_changes,
@@ -67,31 +68,51 @@
         self._address = address
         self._http = HttpClient(max_connections=48)
         self._n_consecutive_failures = 0
+        self._observer: CallObserver = NoObserver()
+
+    def observe_calls(self, observer: CallObserver) -> None:
+        """Set the observer that is told of all further calls."""
+        self._observer = observer
 
     @property
     def is_down(self) -> bool:
-        """Whether the last calls all failed, so that another is not worth trying."""
-        return self._n_consecutive_failures >= DOWN_AFTER_FAILURES
+        """Whether the last calls had no answer, so that another is not worth trying."""
+        if self._n_consecutive_failures >= DOWN_AFTER_FAILURES:
+            return True
+        return self._observer.is_unreachable
 
     async def _call(
-        self, method: str, target: str, body: bytes, timeout_ms: int
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_ms: int,
+        kind: CallKind = CallKind.PROMPT,
     ) -> HttpResponse:
+        call_id = self._observer.record_start(kind)
         try:
             response = await self._http.call(
                 method, self._address, target, body, timeout_ms
             )
         except NoResponseError:
             self._n_consecutive_failures += 1
+            self._observer.record_failure(call_id)
+            raise
+        except BaseException:
+            self._observer.record_cancellation(call_id)
             raise
+        self._observer.record_answer(call_id)
         if response.status in _OVERLOAD_STATUSES:
             self._n_consecutive_failures += 1
         else:
             self._n_consecutive_failures = 0
         return response
 
-    async def _read(self, target: str, timeout_ms: int) -> tuple[int, bytes]:
+    async def _read(
+        self, target: str, timeout_ms: int, kind: CallKind = CallKind.PROMPT
+    ) -> tuple[int, bytes]:
         try:
-            response = await self._call("GET", target, b"", timeout_ms)
+            response = await self._call("GET", target, b"", timeout_ms, kind)
         except NoResponseError as error:
             raise StoreError(error.reason) from error
         return response.status, response.body
@@ -175,7 +196,9 @@
             f"/v1/kv-watch?prefix={quote(prefix, safe='')}"
             f"&after={after}&waitMs={wait_ms}"
         )
-        status, body = await self._read(target, wait_ms + CALL_TIMEOUT_MS)
+        status, body = await self._read(
+            target, wait_ms + CALL_TIMEOUT_MS, CallKind.WATCH
+        )
         if status == 410:
             raise HistoryLostError("history lost")
         if status != 200:
@@ -252,7 +275,7 @@
             No usable response.
         """
         status, _ = await self._send_lease_request(
-            "POST", f"/v1/kv-keep/{lease}", b"", timeout_ms
+            "POST", f"/v1/kv-keep/{lease}", b"", timeout_ms, CallKind.RENEWAL
         )
         if status == 404:
             return False
@@ -271,10 +294,15 @@
         await self._send_lease_request("DELETE", f"/v1/kv-lease-end/{lease}", b"")
 
     async def _send_lease_request(
-        self, method: str, target: str, body: bytes, timeout_ms: int = CALL_TIMEOUT_MS
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+        kind: CallKind = CallKind.PROMPT,
     ) -> tuple[int, bytes]:
         try:
-            response = await self._call(method, target, body, timeout_ms)
+            response = await self._call(method, target, body, timeout_ms, kind)
         except NoResponseError as error:
             raise StoreError(error.reason) from error
         return response.status, response.body
--- a/tests/day_process.py
+++ b/tests/day_process.py
@@ -61,6 +61,7 @@
             self._cluster_view.operator_mirror.run,
             self._cluster_view.system_mirror.run,
             self._workers.run,
+            self._store_monitor.run,
             self._lease.run,
             self._election.run,
         )
--- a/tests/virtual_links.py
+++ b/tests/virtual_links.py
@@ -92,11 +92,20 @@
 class PeerLink(Link):
     """Stands in for a `PeerClient`."""
 
-    async def call(self, address, operation, argument, timeout_ms):
-        """Call another instance, which serves calls until its process is gone."""
+    def _peer_at(self, address):
         peer = self._world.process_at(address)
         if peer is None or not peer.is_up or self._process.is_killed:
-            raise PeerCallError("no connection")
+            raise PeerCallError("no connection", sent=False)
+        return peer
+
+    async def verify(self, address):
+        """Check that another instance can be reached."""
+        self._peer_at(address)
+        await trio.sleep(2 * LINK_MS / 1000)
+
+    async def call(self, address, operation, argument, timeout_ms):
+        """Call another instance, which serves calls until its process is gone."""
+        peer = self._peer_at(address)
         results = []
         answered = trio.Event()
 
