--- a/apricotgap/instance/store_monitor.py
+++ b/apricotgap/instance/store_monitor.py
@@ -82,7 +82,12 @@
         self._metrics.count("store_unreachable")
         if is_logged:
             self._logged_ms = since_ms
-            self._log.warning("store_unreachable")
+            why = (
+                "lease_renewal"
+                if self._reachability.has_failed_renewal
+                else "silent_calls"
+            )
+            self._log.warning("store_unreachable", why=why)
         while self.is_unreachable:
             # The next probe does not wait for the answer of a slow store.
             nursery.start_soon(self._probe)
--- a/apricotgap/instance/store_reachability.py
+++ b/apricotgap/instance/store_reachability.py
@@ -60,6 +60,11 @@
             self.record_failure(call_id)
         self._pending.pop(call_id, None)
 
+    @property
+    def has_failed_renewal(self) -> bool:
+        """Whether a lease renewal has failed since the last answer."""
+        return self._has_failed_renewal
+
     def is_unreachable(self, at_ms: int) -> bool:
         """Whether the store counts as unreachable."""
         if self._has_failed_renewal:
