--- a/tests/test_wave_plans.py
+++ b/tests/test_wave_plans.py
@@ -1,10 +1,13 @@
 """Maintenance waves over pools with long-running tasks, in simulated time."""
 
+import json
 from dataclasses import replace
 from random import Random
 
 import pytest
 
+from apricotgap.clock import FakeClock
+from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.jobs.configuration import ServiceSpec, Wave
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import OrderResult
@@ -12,6 +15,7 @@
 from apricotgap.jobs.fleet_view import FleetView, PoolReport, WorkerReport
 from apricotgap.jobs.model import Resources
 from apricotgap.jobs.wave_reservations import WaveReservations
+from apricotgap.platform.store import Item
 from tests.jobs_harness import configuration
 
 CYCLE_MS = 300
@@ -313,3 +317,18 @@
             at_ms, at_ms, CONFIGURATION, machines, reports, frozenset(), POOLS
         )
     assert sorted((each.machine, each.wave) for each in made) == [("m0", 1), ("m1", 1)]
+
+
+def test_instance_notes_when_a_wave_was_ordered():
+    """Guards against a new owner that counts the time of a wave from its takeover."""
+    clock = FakeClock(5_000)
+    view = ClusterView(None, clock)
+    value = json.dumps(
+        {"wave": 1, "machines": ["m1"], "durationS": 25, "maxCount": 1}
+    ).encode()
+    for _ in range(2):
+        view._operator_changed((Item("op/wave/1", value, 3),))
+        clock.advance(4_000)
+    assert view.waves_begun_ms == {1: 5_000}
+    view._operator_changed((Item("op/wave/1", None, 4),))
+    assert view.waves_begun_ms == {}
