--- a/apricotgap/instance/owner_calls.py
+++ b/apricotgap/instance/owner_calls.py
@@ -63,10 +63,25 @@
         self._log = structlog.get_logger()
 
     async def call(
-        self, service: str, operation: str, argument: Any, deadline_ms: int
+        self,
+        service: str,
+        operation: str,
+        argument: Any,
+        deadline_ms: int,
+        *,
+        is_verified: bool = False,
     ) -> Any:
         """Call the owner of a shard, locally if it is this instance.
 
+        Parameters
+        ----------
+        service, operation, argument
+            The call.
+        deadline_ms : int
+            When to give up, on the clock of the instance.
+        is_verified : bool
+            Whether to send nothing unless the owner's instance can be reached now.
+
         Raises
         ------
         OwnerCallError
@@ -86,6 +101,11 @@
         owner = self._cluster_view.owner(service)
         if owner is None or local_owner is not None:
             raise OwnerCallError(False)
+        if is_verified:
+            try:
+                await self._peers.verify(owner.address)
+            except PeerCallError as error:
+                raise self._unreachable(service, owner, error) from error
         left_ms = min(PEER_TIMEOUT_MS, deadline_ms - self._clock.now_ms)
         if operation == "report":
             argument = argument[: _n_report_elements(owner)]
@@ -99,19 +119,25 @@
                 max(1, left_ms),
             )
         except PeerCallError as error:
-            self._log.info(
-                "owner_unreachable",
-                shard=service,
-                owner=owner.name,
-                reason=str(error),
-            )
-            raise OwnerCallError(True) from error
+            raise self._unreachable(service, owner, error) from error
         if not isinstance(answer, list) or len(answer) != 2:
             raise OwnerCallError(True)
         if answer[0] != "ok":
             raise OwnerCallError(answer[0] != _NOT_OWNER)
         return answer[1]
 
+    def _unreachable(
+        self, service: str, owner: Owner, error: PeerCallError
+    ) -> OwnerCallError:
+        self._log.info(
+            "owner_unreachable",
+            shard=service,
+            owner=owner.name,
+            reason=str(error),
+            sent=error.sent,
+        )
+        return OwnerCallError(error.sent)
+
     async def handle(self, operation: str, argument: Any) -> list[Any]:
         """Answer a peer's call on a shard of this instance."""
         service, payload, left_ms = decode_owner_call(argument)
