Poll workers sooner while a long-running task starts up

Cause: a task of a step with an availability budget moves only once the one before is known to be at work, and a poll without an end waits for a second. Change: such a worker answers a poll within 300 ms.

--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -35,6 +35,9 @@
 # A worker with runs that may be copied responds to a poll after at most this time, so
 # that a missed answer shows within COPY_SILENT_MS.
 COPYABLE_POLL_WAIT_MS = COPY_SILENT_MS - MISSED_ANSWER_MS
+# A worker with a long-running task that is not at work yet responds after at most this
+# time: the migration of the next task of the step waits for it.
+STARTING_POLL_WAIT_MS = 300
 # Base delay of retries: a worker whose start failed gets no start for a multiple of it.
 # It is also added to the times after which a run missing from a list counts as absent.
 RETRY_BACKOFF_MS = 200
--- a/apricotgap/jobs/shard_leases.py
+++ b/apricotgap/jobs/shard_leases.py
@@ -106,7 +106,8 @@
         A worker whose lease is about to end must be polled again before: the owner may
         have renewed its own lease meanwhile, and can then offer a longer one. One that
         is stopping runs of a previous owner is polled again when they have ended. One
-        whose runs may be copied is polled more often, so that its silence shows soon.
+        whose runs may be copied is polled more often, so that its silence shows soon,
+        and one on which a long-running task is about to be at work.
         """
         if not worker.is_acquired or not worker.clock_at_ms:
             return 0
@@ -115,6 +116,8 @@
         longest_ms = limits.POLL_WAIT_MS
         if worker.n_copyable:
             longest_ms = limits.COPYABLE_POLL_WAIT_MS
+        if worker.has_starting_long_running:
+            longest_ms = limits.STARTING_POLL_WAIT_MS
         wait_ms = max(limits.MIN_POLL_WAIT_MS, min(longest_ms, wait_ms))
         if worker.is_unverified and worker.stops_until_ms is not None:
             return min(wait_ms, max(0, worker.stops_until_ms - at_ms))
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -137,6 +137,15 @@
         """Whether the worker is unlikely to have crashed since its last answer."""
         return at_ms - self.answered_ms <= limits.FRESH_ANSWER_MS
 
+    @property
+    def has_starting_long_running(self) -> bool:
+        """Whether a long-running run is not at work yet."""
+        if not self.n_long_running:
+            return False
+        return any(
+            run.step.is_long_running and run.percent < 100 for run in self.runs.values()
+        )
+
     @property
     def n_possible_runs(self) -> int:
         """Number of known runs; at least 1 while runs of a previous owner may exist."""
--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -107,6 +107,28 @@
         assert rig.shard.poll_wait_ms(worker, rig.now) == limits.POLL_WAIT_MS
 
 
+def test_worker_is_polled_soon_while_a_long_running_task_starts_up():
+    """Guards against a wave that misses its end: the next task of a step moves only
+    once this one is known to be at work.
+    """
+    rig = Rig(workers=("w1",)).ready()
+    rig.shard.reported_ms = rig.now
+    lasting = StepSpec(1, Resources(1000, 100), 800, is_long_running=True)
+    rig.submit(job(steps=(lasting,)))
+    (start,) = rig.schedule()
+    rig.answer(start)
+    worker = rig.shard.workers["w1"]
+
+    def wait_ms(percent):
+        rig.now += limits.START_UP_MS
+        rig.poll(running=(running(start, percent),))
+        rig.shard.offer_lease(worker, rig.now, rig.now + 3_000)
+        return rig.shard.poll_wait_ms(worker, rig.now)
+
+    assert wait_ms(50) <= limits.STARTING_POLL_WAIT_MS
+    assert wait_ms(100) == limits.POLL_WAIT_MS
+
+
 def test_lease_of_a_worker_that_hangs_ends():
     """Guards against tasks that wait for ever since their worker takes each poll, and
     a lease with it, but hangs and answers none.
