Compute the latest start of a job once for each ranking

Change: the latest start is part of the work of a job, and the span is taken from the state. Tests: test_preemption, test_feasible_set, test_service_order and test_failing_jobs pass.

--- a/apricotgap/jobs/ranking.py
+++ b/apricotgap/jobs/ranking.py
@@ -2,7 +2,6 @@
 
 from bisect import bisect_left
 from collections.abc import Iterable
-from dataclasses import dataclass
 from itertools import accumulate
 from typing import NamedTuple
 
@@ -32,8 +31,7 @@
     latest_start_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class _Candidate:
+class _Candidate(NamedTuple):
     """A job that could still end by its objective, in the order of acceptance."""
 
     rank: _Rank
@@ -105,7 +103,7 @@
             not work.has_begun,
             # Without the job's own work: large jobs of a queue would come last.
             self._shares.tag(work.team, ahead_core_ms, at_ms),
-            work.latest_start_ms(self._n_cores),
+            work.latest_start_ms,
         )
 
     def _turn(self, work: JobWork) -> tuple[bool, bool, float]:
@@ -113,13 +111,13 @@
         return (
             self._lacks_margin(work),
             not work.has_begun,
-            work.latest_start_ms(self._n_cores),
+            work.latest_start_ms,
         )
 
     def _lacks_margin(self, work: JobWork) -> bool:
         if work.has_begun:
             return False
-        return self._unix_ms > work.latest_start_ms(self._n_cores)
+        return self._unix_ms > work.latest_start_ms
 
     def _accept(self, in_time: list[tuple[_Rank, JobWork]]) -> None:
         feasible = None
@@ -163,7 +161,7 @@
         if work.has_begun:
             return work.objective_ms - self._unix_ms
         width_ms = work.core_ms / self._n_cores if self._n_cores else 0
-        return int(work.latest_start_ms(self._n_cores) + width_ms) - self._unix_ms
+        return int(work.latest_start_ms + width_ms) - self._unix_ms
 
     def _candidate_place(self, candidate: _Candidate) -> Place:
         rank, work = candidate.rank, candidate.work
@@ -181,7 +179,7 @@
         return self._place_at(work, Standing.ON_TIME, key, rank.tag)
 
     def _late_place(self, work: JobWork) -> Place:
-        is_expired = work.is_expired(self._unix_ms, self._n_cores)
+        is_expired = work.is_expired(self._unix_ms)
         standing = Standing.EXPIRED if is_expired else Standing.LATE
         # The oldest first: by size, the large jobs of a queue would starve.
         key = (standing, work.priority, not work.has_begun, work.objective_ms)
@@ -191,7 +189,7 @@
         self, work: JobWork, standing: Standing, key: SortKey, tag: float
     ) -> Place:
         slack_ms = work.objective_ms - work.path_ms - self._unix_ms
-        spare_ms = int(work.latest_start_ms(self._n_cores)) - self._unix_ms
+        spare_ms = int(work.latest_start_ms) - self._unix_ms
         return Place(standing, key, slack_ms, spare_ms, tag)
 
     def _place(self, work: JobWork, place: Place) -> None:
--- a/apricotgap/jobs/service_order.py
+++ b/apricotgap/jobs/service_order.py
@@ -32,6 +32,7 @@
         self._shares = shares
         self._ranking = Ranking((), shares, None, 0, 0)
         self._updated_ms = -1_000_000
+        self._n_cores = 0.0
         # Places of jobs that are not accepted yet, and until when they last.
         self._held: dict[str, tuple[JobWork, int]] = {}
 
@@ -49,6 +50,7 @@
             return
         self._updated_ms = at_ms
         unix_ms = self._shard.unix_of(at_ms)
+        self._n_cores = forecast.later_cores if forecast else 0.0
         works = [*self._open_works(unix_ms), *self._held_works(at_ms)]
         self._ranking = Ranking(works, self._shares, forecast, at_ms, unix_ms)
 
@@ -58,7 +60,7 @@
             if job.spec.is_long_running:
                 continue
             with self._shard.guard(job):
-                work = remaining_work(job, unix_ms)
+                work = remaining_work(job, unix_ms, self._n_cores)
                 if work is not None:
                     works.append(work)
         return works
@@ -93,7 +95,7 @@
 
         The answer is for the load of the last update and what was held since.
         """
-        return self._ranking.outlook(whole_work(spec), at_ms)
+        return self._ranking.outlook(whole_work(spec, self._n_cores), at_ms)
 
     def hold(self, spec: JobSpec, at_ms: int, until_ms: int) -> None:
         """Count a job that is not accepted yet as an open one for a while.
@@ -103,7 +105,7 @@
         """
         if spec.job_id not in self._held and len(self._held) >= MAX_HELD:
             return
-        work = whole_work(spec)
+        work = whole_work(spec, self._n_cores)
         if spec.job_id not in self._ranking.places:
             self._ranking.add(work, at_ms)
         self._held[spec.job_id] = (work, until_ms)
--- a/apricotgap/jobs/standing.py
+++ b/apricotgap/jobs/standing.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import NamedTuple
 
 __all__ = ["Outlook", "Place", "SortKey", "Standing"]
 
@@ -22,8 +23,7 @@
     EXPIRED = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
+class Place(NamedTuple):
     """Place of a job: its standing, its sort key and its team's tag.
 
     `slack_ms` is the time by which the job may still be delayed if it takes no longer
