Look for runs to stop once for all waiting tasks

Cause: each waiting task searched all workers and runs for room, in each tick of the owner. Change: one list of stoppable runs, the newest first, and no further search for a size that has found no room.

--- a/apricotgap/jobs/preemption.py
+++ b/apricotgap/jobs/preemption.py
@@ -24,21 +24,60 @@
 
 
 class _Room:
-    """Room on the workers once the stops under way and the next ends are done."""
+    """Room on the workers once the stops under way and the next ends are done.
+
+    Parameters
+    ----------
+    workers : list of Worker
+        Workers that may be given new work.
+    stop_ms : int
+        Time that a stop takes.
+    at_ms : int
+        Current time.
+    """
 
     def __init__(self, workers: list[Worker], stop_ms: int, at_ms: int) -> None:
         self.workers = workers
         self.free: dict[str, Resources] = {}
+        self.stoppable: list[tuple[Run, Worker]] = []
+        # Sizes of tasks for which no worker had room.
+        self._too_large: dict[str, list[Resources]] = {}
         for worker in workers:
             free = worker.free
             for run in worker.runs.values():
                 if _ends_within(run, worker, stop_ms, at_ms):
                     free = free + run.allocation
+                elif _is_stoppable(run, at_ms):
+                    self.stoppable.append((run, worker))
             self.free[worker.worker_id] = free
+        self.stoppable.sort(key=lambda each: -each[0].started_ms)
+
+    def take(self, job: JobState, name: TaskName, step: StepSpec) -> bool:
+        """Take room for a task, if there is any without a further stop."""
+        allocation = step.allocation
+        too_large = self._too_large.setdefault(step.required_label, [])
+        if any(other.fits(allocation) for other in too_large):
+            return False
+        has_room = False
+        for worker in self.workers:
+            free = self.free[worker.worker_id]
+            if not allocation.fits(free):
+                continue
+            has_room = True
+            if _may_start(job, name, step, worker):
+                self.free[worker.worker_id] = free - allocation
+                return True
+        if not has_room:
+            too_large.append(allocation)
+        return False
 
-    def take(self, worker: Worker, allocation: Resources) -> None:
-        """Use room of a worker."""
-        self.free[worker.worker_id] = self.free[worker.worker_id] - allocation
+    def stop(self, number: int, allocation: Resources) -> Run:
+        """Stop a run, and take the room for a task from what it leaves."""
+        run, worker = self.stoppable.pop(number)
+        free = self.free[worker.worker_id] + run.allocation
+        self.free[worker.worker_id] = free - allocation
+        self._too_large.clear()
+        return run
 
 
 class Preemptor:
@@ -82,9 +121,9 @@
                 for name, step in self._waiting_tasks(job, at_ms):
                     if n_stops >= MAX_STOPS_PER_RUN:
                         return effects
-                    if self._has_room(job, name, step, room):
+                    if room.take(job, name, step):
                         continue
-                    run = self._victim(job, name, step, room, at_ms)
+                    run = self._stop_for(job, name, step, room)
                     if run is None:
                         # Tasks of a step are identical.
                         break
@@ -137,49 +176,20 @@
                     return
                 yield name, step
 
-    def _has_room(
+    def _stop_for(
         self, job: JobState, name: TaskName, step: StepSpec, room: _Room
-    ) -> bool:
-        """Take room for a task if there is any without a further stop."""
-        for worker in room.workers:
-            fits = step.allocation.fits(room.free[worker.worker_id])
-            if fits and _may_start(job, name, step, worker):
-                room.take(worker, step.allocation)
-                return True
-        return False
-
-    def _victim(
-        self, job: JobState, name: TaskName, step: StepSpec, room: _Room, at_ms: int
     ) -> Run | None:
-        """Return the newest run whose end lets a task start, and take its room."""
-        if not self._is_urgent(job):
+        """Return the newest run whose end lets a task start, None if there is none."""
+        if not room.stoppable or not self._is_urgent(job):
             return None
-        newest: Run | None = None
-        for worker in room.workers:
-            if not _may_start(job, name, step, worker):
+        for number, (run, worker) in enumerate(room.stoppable):
+            other = self._shard.jobs.get(run.name.job_id)
+            if other is None or other.is_final or not self._is_behind(other, job):
                 continue
-            free = room.free[worker.worker_id]
-            for run in worker.runs.values():
-                if newest is not None and run.started_ms <= newest.started_ms:
-                    continue
-                fits = step.allocation.fits(free + run.allocation)
-                if fits and self._may_stop(run, worker, job, at_ms):
-                    newest = run
-        if newest is not None:
-            worker = self._shard.workers[newest.worker_id]
-            room.take(worker, step.allocation - newest.allocation)
-        return newest
-
-    def _may_stop(self, run: Run, worker: Worker, job: JobState, at_ms: int) -> bool:
-        step = run.step
-        if not step.checkpoints or step.is_long_running or step.is_gang:
-            return False
-        if run.phase is not RunPhase.RUNNING or at_ms - run.started_ms < MIN_RUN_MS:
-            return False
-        other = self._shard.jobs.get(run.name.job_id)
-        if other is None or other.is_final or not self._is_behind(other, job):
-            return False
-        return not _ends_within(run, worker, self._shard.stop_listing_delay_ms, at_ms)
+            free = room.free[worker.worker_id] + run.allocation
+            if step.allocation.fits(free) and _may_start(job, name, step, worker):
+                return room.stop(number, step.allocation)
+        return None
 
     def _is_behind(self, other: JobState, job: JobState) -> bool:
         """Whether a job is less urgent than another, or as urgent and not on time."""
@@ -203,6 +213,14 @@
         yield from self._shard.stop(run, at_ms)
 
 
+def _is_stoppable(run: Run, at_ms: int) -> bool:
+    """Whether a run may be stopped without loss of its work."""
+    step = run.step
+    if not step.checkpoints or step.is_long_running or step.is_gang:
+        return False
+    return run.phase is RunPhase.RUNNING and at_ms - run.started_ms >= MIN_RUN_MS
+
+
 def _may_start(job: JobState, name: TaskName, step: StepSpec, worker: Worker) -> bool:
     """Whether a task may start on a worker once there is room."""
     if step.required_label and step.required_label not in worker.entry.labels:
