--- a/soak/clients.py
+++ b/soak/clients.py
@@ -23,6 +23,11 @@
 # A client keeps its connection this many calls at least, on average.
 _SHARE_RECONNECT = 0.02
 _SHARE_OTHER_KEY = 0.5
+# One team calls at six times its usual rate for a part of each period.
+_BURST_TEAM = 0
+_BURST_FACTOR = 6
+_BURST_MS = 4_000
+_BURST_PERIOD_MS = 12_000
 
 
 class Balancer:
@@ -73,9 +78,8 @@
 
     async def run(self, until_ms: int) -> None:
         """Call until a time."""
-        think_s = self._state.layout.think_s
         while now_ms() < until_ms:
-            await trio.sleep(self._random.uniform(0.3, 1.7) * think_s)
+            await trio.sleep(self._random.uniform(0.3, 1.7) * self._think_s())
             choice = self._random.random()
             if choice < _SHARE_CANCEL and self._jobs:
                 await self.cancel(self._random.choice(self._jobs))
@@ -84,6 +88,14 @@
             else:
                 await self.ask(self._random.choice(self._jobs))
 
+    def _think_s(self) -> float:
+        """Return the mean time between two calls now."""
+        think_s = self._state.layout.think_s
+        is_burst = now_ms() % _BURST_PERIOD_MS < _BURST_MS
+        if self._team == _BURST_TEAM and is_burst:
+            return think_s / _BURST_FACTOR
+        return think_s
+
     async def submit_lasting(self, queue: Queue, until_ms: int) -> None:
         """Submit a job whose tasks last until it is accepted; nobody cancels it."""
         plan = lasting_job(self._state.layout.n_lasting_tasks)
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -171,7 +171,7 @@
         return {
             "name": f"team-{number}",
             "apiKeys": self.keys(number),
-            "weight": 1,
+            "weight": 1 + number % 3,
             "maxCount": {"cpu": self.team_cpu, "memMb": 0, "gpus": 0},
         }
 
