Test that a request that reserves workers empties them at once

Cause: the owner of a shard acts on a reservation in `report`, which had no test beside the end of its lease. The view in that test has no time of confirmation, which `report` now needs for its permission to stop runs.

--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -7,9 +7,12 @@
 from apricotgap.clock import FakeClock
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.shard_owner import ShardOwner
+from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.limits import LEASE_MARGIN_MS
+from apricotgap.jobs.migration import Migrator
+from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.metrics import Metrics
-from tests.jobs_harness import MAX_LEASE_MS, SERVICE
+from tests.jobs_harness import MAX_LEASE_MS, SERVICE, Rig, job, running, stops
 
 LEASE_ID = 7
 NOW_MS = 10_000
@@ -29,7 +32,7 @@
         SimpleNamespace(bounds=bounds, advice_address="", speed_milli=1_000),
         SimpleNamespace(),
         SimpleNamespace(valid_until_ms_of=lambda lease_id: ends.get(lease_id, 0)),
-        SimpleNamespace(has_shard=lambda service: True),
+        SimpleNamespace(has_shard=lambda service: True, config_confirmed_ms=NOW_MS),
         SimpleNamespace(),
         SimpleNamespace(),
         FakeClock(NOW_MS),
@@ -49,3 +52,30 @@
 def test_owner_with_a_valid_lease_reports():
     """Guards against a pool that is never resized."""
     assert owner_with(LEASE_MARGIN_MS).report([], []).workers == ()
+
+
+@pytest.mark.parametrize(
+    ("lease_left_ms", "n_stops"), [(MAX_LEASE_MS, 1), (LEASE_MARGIN_MS, 0)]
+)
+def test_request_that_reserves_a_worker_stops_its_runs_at_once(lease_left_ms, n_stops):
+    """Guards against a machine that waits for the next tick of its shard to be emptied,
+    and against stops whose tasks this owner may not start elsewhere.
+    """
+    rig = Rig().ready()
+    rig.shard.unix_offset_ms = -rig.now
+    step = StepSpec(1, Resources(1000, 100), 9_000, checkpoints=True)
+    rig.submit(job(steps=(step,)))
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.poll(running=[running(start, 10)])
+    owner = owner_with(lease_left_ms)
+    effects = []
+    owner._effects = SimpleNamespace(execute=effects.extend)
+    owner._shard, owner._clock = rig.shard, FakeClock(rig.now)
+    owner._migrator, owner._demand = Migrator(rig.shard), Demand(rig.shard)
+    report = owner.report(["w1"], [], 1, {"w1": 0})
+    assert len(stops(effects)) == n_stops
+    (worker,) = report.workers
+    assert worker.is_reserved
+    assert worker.n_runs == 1
+    assert worker.drain_ms == rig.shard.stop_listing_delay_ms
