--- a/apricotgap/jobs/admission.py
+++ b/apricotgap/jobs/admission.py
@@ -96,7 +96,7 @@
         forecast = self._demand.planned_forecast(at_ms)
         if forecast is None:
             return None
-        work = whole_work(spec)
+        work = whole_work(spec, forecast.later_cores)
         outlook = self._order.would_stand(spec, at_ms)
         wait = self._wait(work, outlook, forecast, at_ms)
         wait_ms, done_ms = wait.until(), wait.until(work.core_ms)
@@ -136,7 +136,7 @@
             del self._being_stored[oldest]
         self._being_stored[spec.job_id] = (spec, at_ms + STORING_MS)
         self._order.hold(spec, at_ms, at_ms + STORING_MS)
-        self._rates.record(whole_work(spec), at_ms)
+        self._rates.record(whole_work(spec, 0.0), at_ms)
 
     def record_not_stored(self, job_id: str) -> None:
         """Count a job no longer that could not be stored."""
--- a/apricotgap/jobs/refused_jobs.py
+++ b/apricotgap/jobs/refused_jobs.py
@@ -81,7 +81,7 @@
         known.refused_ms = at_ms
         known.n_refusals += 1
         known.return_ms = return_ms
-        known.away_core_ms = whole_work(spec).core_ms
+        known.away_core_ms = whole_work(spec, 0.0).core_ms
         self._away[known.group] += known.away_core_ms
         self._refused[spec.job_id] = known
         entry = (return_ms - RESERVED_BEFORE_MS, spec.job_id, return_ms)
