List all errors of a configuration document

Cause: the decoder reports the first error only and ignores misspelt names of fields. Change: `read_configuration` lists every wrong type by its path in the platform's names; the decoder of the instances still decides whether the document is accepted. Tests: test_decoder_fuzz with the new entry and test_cli pass.

--- a/apricotgap/platform/wire.py
+++ b/apricotgap/platform/wire.py
@@ -28,6 +28,7 @@
 from apricotgap.jobs.model import Resources
 
 __all__ = [
+    "ConfigurationDocument",
     "WireError",
     "decode_configuration",
     "decode",
@@ -100,7 +101,11 @@
     limit: _Resources = msgspec.field(default_factory=_Resources)
 
 
-class _Configuration(msgspec.Struct, rename={"queues": "routes", "teams": "tenants"}):
+class ConfigurationDocument(
+    msgspec.Struct, rename={"queues": "routes", "teams": "tenants"}
+):
+    """The operators' configuration with the platform's names."""
+
     version: Integer
     queues: list[_Queue] = []
     services: list[_Service] = []
@@ -182,7 +187,7 @@
     WireError
         The document cannot be decoded.
     """
-    wire = decode(_Configuration, data)
+    wire = decode(ConfigurationDocument, data)
     return Configuration(
         wire.version,
         tuple(
--- a/tests/decoders/platform.py
+++ b/tests/decoders/platform.py
@@ -7,7 +7,15 @@
 from apricotgap.jobs.configuration import Configuration, Wave
 from apricotgap.jobs.fleet import Machine, WorkerEntry
 from apricotgap.jobs.model import JobSpec
-from apricotgap.platform import advice, machines, store, store_answers, wire, workers
+from apricotgap.platform import (
+    advice,
+    configuration_errors,
+    machines,
+    store,
+    store_answers,
+    wire,
+    workers,
+)
 from apricotgap.platform import http as platform_http
 from apricotgap.platform.job_wire import decode_job
 from apricotgap.platform.store import Item, Snapshot, StoreError
@@ -112,6 +120,16 @@
         Configuration,
         (WireError,),
     ),
+    Decoder(
+        (
+            "platform.configuration_errors:read_configuration",
+            "platform.configuration_errors:_find_field_errors",
+        ),
+        configuration_errors.read_configuration,
+        json_documents(CONFIGURATION),
+        configuration_errors.Reading,
+        (),
+    ),
     Decoder(
         ("platform.wire:decode_wave",),
         wire.decode_wave,
