--- a/apricotgap/cli/__init__.py
+++ b/apricotgap/cli/__init__.py
@@ -6,7 +6,7 @@
 import click
 
 from apricotgap import __version__
-from apricotgap.cli import diagnosis, intents, objects
+from apricotgap.cli import configuration, diagnosis, intents, objects
 from apricotgap.cli.context import CommandContext, ErrorGroup
 
 __all__ = ["main"]
@@ -49,6 +49,7 @@
 objects.add_commands(main)
 intents.add_commands(main)
 diagnosis.add_commands(main)
+configuration.add_commands(main)
 if importlib.util.find_spec(_DAEMON_COMMANDS) is not None:
     daemon = importlib.import_module(_DAEMON_COMMANDS)
     main.add_command(daemon.entry)
