Resume lost tasks from the checkpoint that a list has shown

Cause: checkpoints were taken from ends only. A task whose worker was lost, or that is copied, began anew although lists had shown what it had saved. Change: the checkpoint of a lost run, or of one that gets a copy, is kept for the next run and stored with the progress. Gangs are left as they are: the ends of the other members name what they saved.

Tests: test_kept_checkpoints, test_worker_crashes, test_shard_runs, test_jobs_shard, test_jobs_scheduling, test_silent_copies, test_slow_workers, test_worker_incarnations, test_progress_writer, test_owner_sweeps, test_late_answers, test_shard_days, test_shard_sequences, test_shard_takeovers, test_fault_matrix, test_specifications, test_team_limits, test_waves, test_instance_process, test_processes, test_explain, test_operators, test_log_limits pass; test_idle_shares has its known failure; lint passes.

--- a/apricotgap/jobs/shard_crashes.py
+++ b/apricotgap/jobs/shard_crashes.py
@@ -42,6 +42,7 @@
         for run in survivors:
             worker.remove(run)
         for run in list(worker.runs.values()):
+            self.keep_checkpoint(run)
             self._drop_run(run)
         worker.is_acquired = False
         worker.is_unverified = False
--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -85,6 +85,23 @@
         if job is not None:
             job.remove_run(run)
 
+    def keep_checkpoint(self, run: Run) -> None:
+        """Let the next run of a task resume from the checkpoint that a list has shown.
+
+        A run that is lost with its worker has no end that would name it. Members of a
+        gang save together, and the ends of the others name what they saved.
+        """
+        job = self.open_jobs.get(run.name.job_id)
+        if job is None or not run.checkpoint or run.step.is_gang:
+            return
+        record = job.record(run.name)
+        if record.checkpoint and len(job.runs.get(run.name, ())) > 1:
+            # Another run may have saved more.
+            return
+        if not record.done and record.checkpoint != run.checkpoint:
+            record.checkpoint = run.checkpoint
+            self._dirty.add(job.spec.job_id)
+
     def stop(self, run: Run, at_ms: int) -> Iterable[Effect]:
         """Mark a run as stopping and return the stop to send."""
         worker = self.workers.get(run.worker_id)
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -221,6 +221,7 @@
             # Its end may come in a later list, once these ends are acknowledged.
             run.is_unlisted = True
             return
+        self.keep_checkpoint(run)
         self._drop_run(run)
         yield LogDecision(
             "run_absent",
--- a/apricotgap/jobs/silent_copies.py
+++ b/apricotgap/jobs/silent_copies.py
@@ -61,6 +61,7 @@
             with self._shard.guard(job):
                 if not self._needs_copy(job, run):
                     continue
+                self._shard.keep_checkpoint(run)
                 job.waiting[run.name.occurrence, run.name.step].add(run.name.number)
                 self._requested.add(run.name)
                 yield LogDecision(
--- a/apricotgap/jobs/stragglers.py
+++ b/apricotgap/jobs/stragglers.py
@@ -167,6 +167,7 @@
             "new_run_ms": new_ms,
         }
         if is_copy:
+            self._shard.keep_checkpoint(run)
             job.waiting[run.name.occurrence, run.name.step].add(run.name.number)
             yield LogDecision("run_copied", line)
             return
