Test of a second submission at an owner whose first write is unknown

Cause: only the router's record of unresolved submissions was tested through its caller.

Change: the test, and a more exact docstring of a wave test.

Tests: test_undelivered_submissions, test_wave_plans and lint pass.

--- a/tests/test_undelivered_submissions.py
+++ b/tests/test_undelivered_submissions.py
@@ -1,5 +1,6 @@
 """Submissions that reach neither their owner nor the store."""
 
+from dataclasses import replace
 from functools import partial
 from types import SimpleNamespace
 
@@ -10,18 +11,22 @@
 from apricotgap.clock import FakeClock
 from apricotgap.instance.job_router import JobRouter
 from apricotgap.instance.keys import Member, Owner, new_incarnation
+from apricotgap.instance.ownership import Ownership
 from apricotgap.instance.peers import PeerCallError, PeerClient, serve_peers
+from apricotgap.instance.submissions import Submissions
 from apricotgap.instance.unresolved_submissions import (
     MAX_SUBMISSIONS,
     RETENTION_MS,
     UnresolvedSubmissions,
 )
+from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.service import SubmitOutcome, SubmitResult
+from apricotgap.metrics import Metrics
 from apricotgap.platform import http
 from apricotgap.platform.http import HttpClient, NoResponseError
 from apricotgap.platform.store import Stored, Unavailable, Unknown
 from soak.proxy import FaultyProxy
-from tests.jobs_harness import job
+from tests.jobs_harness import SERVICE, Rig, job
 from tests.loopback import free_port
 
 ACCEPTED, REFUSED, UNKNOWN = (
@@ -142,6 +147,38 @@
     assert trio.run(main) == [UNKNOWN, UNKNOWN, UNKNOWN, ACCEPTED]
 
 
+def test_owner_never_refuses_a_job_that_it_may_have_stored():
+    """Guards against "not run" from an owner whose first write may take effect, also if
+    the second try of the caller came through another instance.
+    """
+    rig, clock = Rig().ready(), FakeClock()
+    store = Store(Unknown("timeout"))
+
+    async def main():
+        submissions = Submissions(
+            rig.shard,
+            Ownership(SERVICE, 1, 5, 1, 6_500),
+            store,
+            Demand(rig.shard),
+            clock,
+            Metrics("me"),
+            lambda job: None,
+        )
+        first = await submissions.submit(job(), clock.now_ms - 1)
+        other = replace(job(), job_id="b" * 16)
+        return [
+            each.result
+            for each in (
+                first,
+                await submissions.submit(job(), clock.now_ms),
+                await submissions.submit(other, clock.now_ms),
+            )
+        ]
+
+    assert trio.run(main) == [UNKNOWN, UNKNOWN, REFUSED]
+    assert store.n_writes == 1
+
+
 def test_job_is_not_refused_while_another_submission_of_it_is_under_way():
     """Guards against "not run" for a job that the first of two calls has sent."""
     unresolved = UnresolvedSubmissions(FakeClock())
--- a/tests/test_wave_plans.py
+++ b/tests/test_wave_plans.py
@@ -212,7 +212,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_wave_ends_in_time_although_the_fleet_owner_is_replaced(seed):
-    """Guards against a new owner that plans as if the wave had just begun.
+    """Guards against a wave that keeps no time for a takeover.
 
     The owner of the fleet fails halfway, and another one takes over after 4 s.
     """
