Plan with all unassigned spare machines; refuse nothing by a stale plan

Cause: after a takeover of the fleet the machines that were ordered shortly before count neither as spare nor as planned, for 3 s. Change: the plan counts them, and a plan older than 1 s refuses nothing. Tests of admission and plans pass.

--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -38,6 +38,9 @@
 # Workers that a pool keeps without demand: they run the long-running tasks and absorb
 # the start of a burst until more machines have been moved in.
 MIN_WORKERS = 2
+# The plan of the fleet owner comes every 300 ms. An older one says nothing of what the
+# pool will get, since its owner is being replaced.
+PLAN_VALID_MS = 1_000
 
 
 # Numbers of workers for the jobs up to a priority, by that priority in its order. The
@@ -71,6 +74,7 @@
         self._targets: deque[tuple[int, _Levels]] = deque()
         self._excess_since_ms: int | None = None
         self._share: int | None = None
+        self._planned_ms: int | None = None
         self._last_work: tuple[int, ShardWork] | None = None
         # Numbers of workers that jobs in time used, over the same window.
         self._busy: deque[tuple[int, int]] = deque()
@@ -84,11 +88,13 @@
 
         They count from when they can be there. None as long as it is unknown after a
         takeover: workers of the previous owner have not answered, or the fleet owner
-        has not told its plan.
+        has not told its plan for a while.
         """
         present = self.forecast(at_ms)
         if present is None or self._share is None:
             return None
+        if self._planned_ms is not None and at_ms - self._planned_ms > PLAN_VALID_MS:
+            return None
         planned = self._share * self._worker_cores() - self._long_running_cores()
         later = max(present.now_cores, planned)
         return CapacityForecast(present.now_cores, later, MOVE_IN_MS)
@@ -130,6 +136,7 @@
         """Record the plan for the pool and return its report to the fleet owner."""
         if share is not None:
             self.record_share(share)
+            self._planned_ms = at_ms
         first, by_priority = self.wanted_by_priority(at_ms)
         return PoolReport(
             first + sum(n for _, n in by_priority),
--- a/apricotgap/jobs/fleet_orders.py
+++ b/apricotgap/jobs/fleet_orders.py
@@ -272,6 +272,8 @@
 
     def is_idle(self, name: str, at_ms: int) -> bool:
         """Whether a machine may be ordered or reserved."""
-        if name in self.pending or name in self.reserved:
-            return False
-        return not self.is_backing_off(name, at_ms)
+        return self.is_unassigned(name) and not self.is_backing_off(name, at_ms)
+
+    def is_unassigned(self, name: str) -> bool:
+        """Whether a machine has no order and is not reserved for one."""
+        return name not in self.pending and name not in self.reserved
--- a/apricotgap/jobs/pool_sizes.py
+++ b/apricotgap/jobs/pool_sizes.py
@@ -44,18 +44,25 @@
 
     def plan(self, view: FleetView) -> list[MachineOrder]:
         """Return the moves to order now, and reserve surplus machines."""
-        spare = [
+        unassigned = [
             machine
             for machine in view.machines.values()
             if view.is_spare(machine.pool)
             and machine.state == "up"
-            and self._tracker.is_idle(machine.name, view.at_ms)
+            and self._tracker.is_unassigned(machine.name)
             and machine.data_centre not in view.evacuated
         ]
+        spare = [
+            machine
+            for machine in unassigned
+            if self._tracker.is_idle(machine.name, view.at_ms)
+        ]
         waiting = self._waves.waiting()
         missing: dict[str, list[int]] = {}
         available = {pool: self._n_available(pool, view) for pool in view.reports}
-        divided = self._divide(available, len(spare), view)
+        # Machines that must not be ordered yet are part of the plan: after a takeover
+        # that is most of the spare pool for a while.
+        divided = self._divide(available, len(unassigned), view)
         shares = self.shares = {pool: share.total for pool, share in divided.items()}
         is_short = any(shares[pool] > n for pool, n in available.items())
         for pool, report in sorted(view.reports.items()):
--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -67,6 +67,17 @@
     assert gate.decide(new_job(), rig.now) is None
 
 
+def test_nothing_is_refused_by_the_plan_of_a_fleet_owner_that_is_away():
+    """Guards against refusals in a peak that begins while the fleet owner is replaced:
+    the last plan is that of the time before.
+    """
+    rig, gate = overloaded()
+    gate._demand.report((), 1, rig.now)
+    assert gate.decide(new_job(), rig.now) is not None
+    rig.now += 2_000
+    assert gate.decide(new_job("b" * 16), rig.now) is None
+
+
 def test_nothing_is_refused_while_inherited_workers_have_not_answered():
     """Guards against refusals by a new owner that knows a part of its workers."""
     rig, gate = overloaded()
--- a/tests/test_machine_moves.py
+++ b/tests/test_machine_moves.py
@@ -55,7 +55,7 @@
         )
         wanted = sum(n for _, n in self.wants[pool])
         return PoolReport(
-            wanted, workers, self.late[pool], True, 0, self.wants[pool], self.busy[pool]
+            wanted, workers, self.late[pool], 0, self.wants[pool], self.busy[pool]
         )
 
     def plan(self):
