Rank a job that comes between two updates at once

Cause: until the next update a newcomer counted as on time and started before the deferred jobs that waited longer. Change: it is ranked when its key is first asked for.

--- a/apricotgap/jobs/service_order.py
+++ b/apricotgap/jobs/service_order.py
@@ -88,19 +88,27 @@
         return [work for work, _ in self._held.values()]
 
     def key(self, job: JobState) -> SortKey:
-        """Return the sort key of a job; one that is not ranked yet is on time."""
-        place = self._ranking.places.get(job.spec.job_id)
-        if place is not None:
-            return place.key
-        return (Standing.ON_TIME, job.spec.priority, job.objective_ms)
+        """Return the sort key of a job; one that came after the update is ranked now.
+
+        On time until the next update, it would go before those that wait already.
+        """
+        place = self.place(job)
+        if place is None:
+            unix_ms = self._shard.unix_of(self._updated_ms)
+            work = remaining_work(job, unix_ms, self._n_cores)
+            if work is None:
+                return (Standing.ON_TIME, job.spec.priority, job.objective_ms)
+            self._ranking.add(work, self._updated_ms)
+            place = self._ranking.places[job.spec.job_id]
+        return place.key
 
     def place(self, job: JobState) -> Place | None:
         """Return the place of a job as of the last update, None if it has none yet."""
         return self._ranking.places.get(job.spec.job_id)
 
     def standing(self, job: JobState) -> Standing:
-        """Return the standing of a job."""
-        place = self._ranking.places.get(job.spec.job_id)
+        """Return the standing of a job; one that is not ranked yet is on time."""
+        place = self.place(job)
         return place.standing if place else Standing.ON_TIME
 
     def would_stand(self, spec: JobSpec, at_ms: int) -> Outlook:
--- a/tests/test_service_order.py
+++ b/tests/test_service_order.py
@@ -162,6 +162,14 @@
     assert [state.spec.submitted_ms for state in states] == list(range(8))
 
 
+def test_job_that_comes_between_two_updates_is_ranked_at_once():
+    """Guards against newcomers of a peak that start before deferred jobs."""
+    order, states = order_of(*(spec(f"{n:016x}", 0) for n in range(4)))
+    newcomer = order._shard.submit(spec("f" * 16, 0), revision=1)
+    assert order.key(newcomer) > max(order.key(state) for state in states)
+    assert order.standing(newcomer) is Standing.DEFERRED
+
+
 def test_urgent_jobs_take_the_capacity_first():
     """Guards against an urgent job that is deferred for a less urgent, older one."""
     older = [spec(f"{n:016x}", 0, priority=1) for n in range(8)]
