Expect the machines that the fleet owner has not decided on yet

Cause: test_fleet_process refused a sixth job at the start of a burst: the plan of the pool did not respond to the first five yet, and seven machines were spare. Change: what a pool wants since its last report counts like planned machines, unless the pool got less than it asked for. A job that ends by its objective needs no estimate.

--- a/apricotgap/jobs/admission.py
+++ b/apricotgap/jobs/admission.py
@@ -93,11 +93,13 @@
             return None
         self._order.update(at_ms, self._demand.forecast(at_ms))
         self._reserve_returning(at_ms)
+        outlook = self._order.would_stand(spec, at_ms)
+        if outlook.standing is Standing.ON_TIME:
+            return None
         forecast = self._demand.planned_forecast(at_ms)
         if forecast is None:
             return None
         work = whole_work(spec)
-        outlook = self._order.would_stand(spec, at_ms)
         wait = self._wait(work, outlook, forecast, at_ms)
         wait_ms, done_ms = wait.until(), wait.until(work.core_ms)
         if wait_ms is None or done_ms is None:
@@ -147,8 +149,6 @@
         self, work: JobWork, outlook: Outlook, forecast: CapacityForecast, at_ms: int
     ) -> ServiceWait:
         ahead = outlook.ahead_core_ms
-        if outlook.standing is Standing.ON_TIME:
-            return ServiceWait(forecast, ahead)
         if not self._refused.n_refusals(work.job_id):
             # A newcomer takes no place of those that were refused before it.
             ahead += self._refused.away_core_ms(work)
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -62,22 +62,33 @@
         self._targets: deque[tuple[int, int]] = deque()
         self._excess_since_ms: int | None = None
         self._share: int | None = None
+        # What the last report has asked for, and the one that the share responds to.
+        self._reported: int | None = None
+        self._decided: int | None = None
 
     def record_share(self, n_workers: int) -> None:
-        """Set the number of workers that the fleet owner has planned for the pool."""
+        """Set the number of workers that the fleet owner has planned for the pool.
+
+        The plan responds to the last report.
+        """
         self._share = n_workers
+        self._decided = self._reported
 
     def planned_forecast(self, at_ms: int) -> CapacityForecast | None:
         """Return the capacity for finite jobs with the machines that are planned.
 
-        They count from when they can be there. None as long as it is unknown after a
-        takeover: workers of the previous owner have not answered, or the fleet owner
-        has not told its plan.
+        They count from when they can be there. Machines that the pool wants since its
+        last report are expected too, unless the pool got less than it asked for. None
+        as long as the capacity is unknown after a takeover: workers of the previous
+        owner have not answered, or the fleet owner has not told its plan.
         """
         present = self.forecast(at_ms)
         if present is None or self._share is None:
             return None
-        planned = self._share * self._worker_cores() - self._running_cores(at_ms)[0]
+        n_workers = self._share
+        if self._decided is None or self._share >= self._decided:
+            n_workers = max(n_workers, self._wanted(at_ms))
+        planned = n_workers * self._worker_cores() - self._running_cores(at_ms)[0]
         later = max(present.now_cores, planned)
         return CapacityForecast(present.now_cores, later, MOVE_IN_MS)
 
@@ -111,7 +122,11 @@
         self._arrivals.append(_Arrival(at_ms, work, width))
 
     def wanted(self, at_ms: int) -> int:
-        """Return the number of workers for the jobs that can end in time."""
+        """Return the number of workers to report, for jobs that can end in time."""
+        self._reported = self._wanted(at_ms)
+        return self._reported
+
+    def _wanted(self, at_ms: int) -> int:
         worker_cores = self._worker_cores()
         least = self._min_workers()
         if not worker_cores:
--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -35,6 +35,8 @@
     """
     demand = Demand(rig.shard)
     if share is not None:
+        # The plan responds to a report; a pool of one worker got less than it wants.
+        demand.wanted(rig.now)
         demand.record_share(share)
     rig.scheduler = Scheduler(rig.shard, demand)
     return Admission(rig.shard, demand, rig.scheduler.service_order)
@@ -200,6 +202,29 @@
     assert gate.decide(long, rig.now) is None
 
 
+def test_machines_that_the_fleet_owner_has_not_decided_on_are_expected():
+    """Guards against refusals at the start of a burst, when the plan for the pool does
+    not respond to the burst yet; and against a burst that is accepted for machines that
+    the fleet does not have.
+    """
+    step = StepSpec(24, Resources(1_000, 10), 400)
+    specs = [
+        new_job(f"{n:016x}", (step,), slack_factor=1.6, target_latency_ms=600)
+        for n in range(40)
+    ]
+    for share, least, most in ((2, 6, 40), (1, 1, 5)):
+        rig = Rig(workers=("w1", "w2")).ready()
+        gate = gate_of(rig, share=share)
+        n_accepted = 0
+        for spec in specs:
+            if gate.decide(spec, rig.now) is None:
+                gate.record_accepted(spec, rig.now)
+                rig.submit(spec)
+                gate._demand.record_job(spec, rig.now)
+                n_accepted += 1
+        assert least <= n_accepted <= most
+
+
 def test_callers_refused_first_return_first():
     """Guards against a later caller that is told to come back before an earlier one,
     and against callers who return before there is capacity for all of them.
