--- a/apricotgap/jobs/admission.py
+++ b/apricotgap/jobs/admission.py
@@ -91,7 +91,7 @@
         """
         if spec.is_long_running or spec.n_occurrences:
             return None
-        self._order.update(at_ms, self._demand.forecast(at_ms))
+        self._order.refresh(at_ms, self._demand.forecast(at_ms))
         self._reserve_returning(at_ms)
         outlook = self._order.would_stand(spec, at_ms)
         if outlook.standing is Standing.ON_TIME:
@@ -99,7 +99,7 @@
         forecast = self._demand.planned_forecast(at_ms)
         if forecast is None:
             return None
-        work = whole_work(spec)
+        work = whole_work(spec, 0.0)
         wait = self._wait(work, outlook, forecast, at_ms)
         wait_ms, done_ms = wait.until(), wait.until(work.core_ms)
         if wait_ms is None or done_ms is None:
@@ -138,7 +138,7 @@
             del self._being_stored[oldest]
         self._being_stored[spec.job_id] = (spec, at_ms + STORING_MS)
         self._order.hold(spec, at_ms, at_ms + STORING_MS)
-        self._rates.record(whole_work(spec), at_ms)
+        self._rates.record(whole_work(spec, 0.0), at_ms)
 
     def record_not_stored(self, job_id: str) -> None:
         """Count a job no longer that could not be stored."""
--- a/apricotgap/jobs/standing.py
+++ b/apricotgap/jobs/standing.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import NamedTuple
 
 __all__ = ["Outlook", "Place", "SortKey", "Standing"]
 
@@ -22,16 +23,17 @@
     EXPIRED = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
+class Place(NamedTuple):
     """Place of a job: its standing, its sort key and its team's tag.
 
-    `slack_ms` is the time by which the job may still be delayed.
+    `slack_ms` is the time by which the job may still be delayed if it takes no longer
+    than estimated, `spare_ms` the part of it beyond the margin for the estimate.
     """
 
     standing: Standing
     key: SortKey
     slack_ms: int
+    spare_ms: int
     team_tag: float
 
 
