--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -42,6 +42,8 @@
 # The plan of the fleet owner comes every 300 ms. An older one says nothing of what the
 # pool will get, since its owner is being replaced.
 PLAN_VALID_MS = 1_000
+# Between two reports the target is determined no more often than this.
+TARGET_INTERVAL_MS = 100
 
 
 # Numbers of workers for the jobs up to a priority, by that priority in its order. The
@@ -75,28 +77,41 @@
         self._targets: deque[tuple[int, _Levels]] = deque()
         self._excess_since_ms: int | None = None
         self._share: int | None = None
+        # What the last report has asked for, and the one that the share responds to.
+        self._reported: int | None = None
+        self._decided: int | None = None
         self._planned_ms: int | None = None
+        # A recent target and when it was determined.
+        self._recent_target: tuple[int, int] | None = None
         self._last_work: tuple[int, ShardWork] | None = None
         # Numbers of workers that jobs in time used, over the same window.
         self._busy: deque[tuple[int, int]] = deque()
 
     def record_share(self, n_workers: int) -> None:
-        """Set the number of workers that the fleet owner has planned for the pool."""
+        """Set the number of workers that the fleet owner has planned for the pool.
+
+        The plan responds to the last report.
+        """
         self._share = n_workers
+        self._decided = self._reported
 
     def planned_forecast(self, at_ms: int) -> CapacityForecast | None:
         """Return the capacity for finite jobs with the machines that are planned.
 
-        They count from when they can be there. None as long as it is unknown after a
-        takeover: workers of the previous owner have not answered, or the fleet owner
-        has not told its plan for a while.
+        They count from when they can be there. Machines that the pool wants since its
+        last report are expected too, unless the pool got less than it asked for. None
+        as long as the capacity is unknown after a takeover: workers of the previous
+        owner have not answered, or the fleet owner has not told its plan for a while.
         """
         present = self.forecast(at_ms)
         if present is None or self._share is None:
             return None
         if self._planned_ms is not None and at_ms - self._planned_ms > PLAN_VALID_MS:
             return None
-        planned = self._share * self._worker_cores() - self._long_running_cores()
+        n_workers = self._share
+        if self._decided is None or self._share >= self._decided:
+            n_workers = max(n_workers, self._lately_wanted(at_ms))
+        planned = n_workers * self._worker_cores() - self._long_running_cores()
         later = max(present.now_cores, planned)
         return CapacityForecast(present.now_cores, later, MOVE_IN_MS)
 
@@ -139,8 +154,9 @@
             self.record_share(share)
             self._planned_ms = at_ms
         first, by_priority = self.wanted_by_priority(at_ms)
+        self._reported = first + sum(n for _, n in by_priority)
         return PoolReport(
-            first + sum(n for _, n in by_priority),
+            self._reported,
             workers,
             self.wanted_for_late_jobs(at_ms),
             wanted_first=first,
@@ -153,6 +169,14 @@
         first, by_priority = self.wanted_by_priority(at_ms)
         return first + sum(n for _, n in by_priority)
 
+    def _lately_wanted(self, at_ms: int) -> int:
+        """Return the target of now or shortly before, for frequent use."""
+        recent = self._recent_target
+        if recent is None or at_ms - recent[0] > TARGET_INTERVAL_MS:
+            target = max(n for _, n in self._target(at_ms))
+            recent = self._recent_target = at_ms, target
+        return recent[1]
+
     def wanted_by_priority(self, at_ms: int) -> tuple[int, tuple[tuple[int, int], ...]]:
         """Return what `wanted` returns by the priority of the jobs.
 
--- a/apricotgap/jobs/service_order.py
+++ b/apricotgap/jobs/service_order.py
@@ -38,6 +38,7 @@
         self._updated_ms = -1_000_000
         self._n_cores = 0.0
         self._log = StandingLog()
+        self._changes: list[Effect] = []
         # Places of jobs that are not accepted yet, and until when they last.
         self._held: dict[str, tuple[JobWork, int]] = {}
 
@@ -56,16 +57,22 @@
         list of Effect
             Log lines and counts for jobs whose standing has changed.
         """
+        self.refresh(at_ms, forecast)
+        changes, self._changes = self._changes, []
+        return changes
+
+    def refresh(self, at_ms: int, forecast: CapacityForecast | None) -> None:
+        """Rank like `update`, which returns the changes when it is called next."""
         jobs = self._shard.open_jobs
         interval_ms = max(UPDATE_INTERVAL_MS, INTERVAL_MS_PER_JOB * len(jobs))
         if at_ms - self._updated_ms < interval_ms:
-            return []
+            return
         self._updated_ms = at_ms
         unix_ms = self._shard.unix_of(at_ms)
         self._n_cores = forecast.later_cores if forecast else 0.0
         works = [*self._open_works(unix_ms), *self._held_works(at_ms)]
         self._ranking = Ranking(works, self.shares, forecast, at_ms, unix_ms)
-        return self._log.compare(jobs, self._ranking)
+        self._changes += self._log.compare(jobs, self._ranking)
 
     def _open_works(self, unix_ms: int) -> list[JobWork]:
         works = []
