--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -82,7 +82,7 @@
         self._decided: int | None = None
         self._planned_ms: int | None = None
         # A recent target and when it was determined.
-        self._recent_target: tuple[int, int] | None = None
+        self._recent_target: tuple[int, float] | None = None
         self._last_work: tuple[int, ShardWork] | None = None
         # Numbers of workers that jobs in time used, over the same window.
         self._busy: deque[tuple[int, int]] = deque()
@@ -108,7 +108,7 @@
             return None
         if self._planned_ms is not None and at_ms - self._planned_ms > PLAN_VALID_MS:
             return None
-        n_workers = self._share
+        n_workers: float = self._share
         if self._decided is None or self._share >= self._decided:
             n_workers = max(n_workers, self._lately_wanted(at_ms))
         planned = n_workers * self._worker_cores() - self._long_running_cores()
@@ -143,6 +143,7 @@
             step.n_tasks * step.allocation.core_equivalents for step in spec.steps
         )
         slack_ms = spec.objective_span_ms - spec.critical_path_ms
+        self._add_to_recent_target(work)
         arrival = _Arrival(at_ms, work, width, spec.priority, slack_ms)
         self._arrivals.append(arrival)
 
@@ -165,18 +166,27 @@
         )
 
     def wanted(self, at_ms: int) -> int:
-        """Return the number of workers for the jobs that can end in time."""
+        """Return the number of workers to report, for jobs that can end in time."""
         first, by_priority = self.wanted_by_priority(at_ms)
-        return first + sum(n for _, n in by_priority)
+        self._reported = first + sum(n for _, n in by_priority)
+        return self._reported
 
-    def _lately_wanted(self, at_ms: int) -> int:
-        """Return the target of now or shortly before, for frequent use."""
+    def _lately_wanted(self, at_ms: int) -> float:
+        """Return the target of shortly before and what the jobs since then add to it."""
         recent = self._recent_target
         if recent is None or at_ms - recent[0] > TARGET_INTERVAL_MS:
             target = max(n for _, n in self._target(at_ms))
             recent = self._recent_target = at_ms, target
         return recent[1]
 
+    def _add_to_recent_target(self, core_ms: float) -> None:
+        worker_cores = self._worker_cores()
+        if self._recent_target is None or not worker_cores:
+            return
+        at_ms, target = self._recent_target
+        n_workers = core_ms / BACKLOG_CLEAR_MS * HEADROOM / worker_cores
+        self._recent_target = at_ms, target + n_workers
+
     def wanted_by_priority(self, at_ms: int) -> tuple[int, tuple[tuple[int, int], ...]]:
         """Return what `wanted` returns by the priority of the jobs.
 
