--- a/apricotgap/jobs/ranking.py
+++ b/apricotgap/jobs/ranking.py
@@ -14,10 +14,6 @@
 
 # Share of the cores that tasks of different sizes fill.
 PACKING = 0.9
-# A job passes a larger one of its queue that was left out only where this part of the
-# larger one would fit as well. Otherwise small jobs would take each gap, and the large
-# ones of a queue would be served less than half as often as all.
-LARGE_PART = 0.75
 
 
 class _Rank(NamedTuple):
@@ -267,7 +263,9 @@
     """Return the work that has to fit for a job to be accepted.
 
     `left_out` is the work of the largest job of its queue that was left out before it.
+    A smaller one may pass it only where it would fit as well. Otherwise small jobs
+    would take each gap, and the large ones would be served less than half as often.
     """
     if work.has_begun:
         return work.core_ms
-    return max(work.core_ms, LARGE_PART * left_out)
+    return max(work.core_ms, left_out)
--- a/tests/test_service_order.py
+++ b/tests/test_service_order.py
@@ -63,7 +63,7 @@
     assert len(in_time) > 0.75 * n_fitting(4_000)
 
 
-@pytest.mark.parametrize("teams", ["a", "abc"])
+@pytest.mark.parametrize("teams", ["a", "abc", "aaaaaab"])
 def test_large_jobs_are_served_at_least_half_as_often_as_all(teams):
     """Guards against small jobs that take each gap while the large ones wait.
 
