--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -172,7 +172,7 @@
         return self._reported
 
     def _lately_wanted(self, at_ms: int) -> float:
-        """Return the target of shortly before and what the jobs since then add to it."""
+        """Return a recent target, with what the jobs since then add to it."""
         recent = self._recent_target
         if recent is None or at_ms - recent[0] > TARGET_INTERVAL_MS:
             target = max(n for _, n in self._target(at_ms))
