--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -7,8 +7,8 @@
 
 from apricotgap.jobs.feasible_set import CapacityForecast
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
-from apricotgap.jobs.gang_room import n_places
-from apricotgap.jobs.model import JobSpec, StepSpec
+from apricotgap.jobs.gang_demand import n_gang_workers
+from apricotgap.jobs.model import JobSpec
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.shard_work import ShardWork, collect_work
 
@@ -233,7 +233,7 @@
             n_workers = max(
                 n_workers,
                 ceil(cores * HEADROOM / worker_cores),
-                self._n_gang_workers(at_ms, is_late=False, priority=priority),
+                n_gang_workers(self._shard, at_ms, is_late=False, priority=priority),
             )
             levels.append((priority, n_workers))
         return levels
@@ -260,9 +260,9 @@
             return 0
         work = self._work(at_ms)
         cores = work.running_late + work.backlog_late / LATE_CLEAR_MS
-        n_gang_workers = self._n_gang_workers(at_ms, is_late=True)
+        n_for_gangs = n_gang_workers(self._shard, at_ms, is_late=True)
         return max(
-            ceil(cores * HEADROOM / worker_cores), n_gang_workers - self._min_workers()
+            ceil(cores * HEADROOM / worker_cores), n_for_gangs - self._min_workers()
         )
 
     def _worker_cores(self) -> float:
@@ -344,53 +344,6 @@
             default=0,
         )
 
-    def _n_gang_workers(
-        self, at_ms: int, is_late: bool, priority: int | None = None
-    ) -> int:
-        """Return the workers that the largest gang needs at once, however short it is.
-
-        Gangs of jobs that can only end late count apart from those of the others.
-        Gangs of less urgent jobs than a priority do not count.
-        """
-        unix_ms = self._shard.unix_of(at_ms)
-        may_allow = self._shard.team_limits.may_allow
-        n_workers = 0
-        for job in self._shard.open_jobs.values():
-            if priority is not None and job.spec.priority > priority:
-                continue
-            if not any(step.is_gang for step in job.spec.steps):
-                continue
-            with self._shard.guard(job):
-                for key in job.open_steps(unix_ms):
-                    step = job.spec.steps[key[1]]
-                    if not step.is_gang or job.is_late(unix_ms) is not is_late:
-                        continue
-                    if may_allow(job.spec.team, step.allocation.times(step.n_tasks)):
-                        n_workers = max(n_workers, self._n_workers_of_gang(step))
-        return n_workers
-
-    def _n_workers_of_gang(self, step: StepSpec) -> int:
-        """Return the workers that a gang needs beside the tasks that last.
-
-        0 if no worker of the pool could run a member.
-        """
-        label = step.required_label
-        workers = [
-            worker
-            for worker in self._shard.workers.values()
-            if not label or label in worker.entry.labels
-        ]
-        if not workers:
-            return 0
-        most = step.max_per_worker or step.n_tasks
-        capacities = {worker.total for worker in workers}
-        n_on_empty = max(step.allocation.n_fitting(each, most) for each in capacities)
-        if not n_on_empty:
-            return 0
-        occupied = [worker for worker in workers if worker.n_long_running]
-        n_left = step.n_tasks - sum(n_places(worker, step) for worker in occupied)
-        return len(occupied) + max(0, ceil(n_left / n_on_empty))
-
     def _forget_arrivals(self, at_ms: int) -> None:
         while self._arrivals and self._arrivals[0].at_ms < at_ms - RATE_WINDOW_MS:
             self._arrivals.popleft()
