--- a/apricotgap/jobs/gang_room.py
+++ b/apricotgap/jobs/gang_room.py
@@ -74,9 +74,9 @@
 
 def n_places(worker: Worker, step: StepSpec) -> int:
     """Return how many members fit once the tasks that end have ended."""
-    lasting = NO_RESOURCES
+    long_running = NO_RESOURCES
     for run in worker.runs.values():
         if run.step.is_long_running:
-            lasting = lasting + run.allocation
+            long_running = long_running + run.allocation
     most = step.max_per_worker or step.n_tasks
-    return step.allocation.n_fitting(worker.total - lasting, most)
+    return step.allocation.n_fitting(worker.total - long_running, most)
--- a/apricotgap/jobs/pool_sizes.py
+++ b/apricotgap/jobs/pool_sizes.py
@@ -18,7 +18,7 @@
 
 # Demand that has lasted this long is expected to last as long again, twice what it
 # takes to empty and move a machine. Peaks of 4 s do not reach it.
-LASTING_MS = 5_000
+SUSTAINED_MS = 5_000
 
 
 class PoolSizes:
@@ -158,7 +158,7 @@
             if share.total > sparing[pool].total
         }
         since_ms = min(self._outranks_since_ms.values(), default=view.at_ms)
-        return strict if view.at_ms - since_ms >= LASTING_MS else sparing
+        return strict if view.at_ms - since_ms >= SUSTAINED_MS else sparing
 
     def _log_size_change(
         self,
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -88,15 +88,15 @@
             if current.n_starts >= limits.MAX_STARTS_PER_PASS:
                 self.hit_start_limit = True
                 break
-            is_unsure = has_unverified_workers and job.is_inherited
+            may_be_running = has_unverified_workers and job.is_inherited
             may_copy = lacks_only_silent and shard.may_copy_unknown_runs(job)
-            if is_unsure and not may_copy:
+            if may_be_running and not may_copy:
                 continue
             if job.spec.is_long_running and not may_start_long_running:
                 continue
             with shard.guard(job):
                 if job.may_start:
-                    self._start_job(job, current, is_unsure)
+                    self._start_job(job, current, may_be_running)
                 else:
                     self._request_first_save(job, current)
         failures = shard.set_failed_aside(at_ms)
@@ -115,10 +115,10 @@
             spec = job.spec
             # A job that has failed elsewhere tells little of a suspect worker, and may
             # be what made it suspect.
-            is_doubtful = all_suspect and bool(job.avoided_workers)
+            is_inconclusive = all_suspect and bool(job.avoided_workers)
             if spec.is_long_running:
-                return (is_doubtful, False, False, spec.priority, spec.submitted_ms)
-            return (is_doubtful, True, *self.service_order.key(job))
+                return (is_inconclusive, False, False, spec.priority, spec.submitted_ms)
+            return (is_inconclusive, True, *self.service_order.key(job))
 
         ranked = []
         for job in self._shard.open_jobs.values():
@@ -146,12 +146,12 @@
                 return
 
     def _start_job(
-        self, job: JobState, current: SchedulingPass, is_unsure: bool
+        self, job: JobState, current: SchedulingPass, may_be_running: bool
     ) -> None:
-        """Start tasks of a job; those that may be copied only, if `is_unsure`."""
+        """Start tasks of a job; those that may be copied only, if `may_be_running`."""
         for key in job.open_steps(current.unix_ms):
             step = job.spec.steps[key[1]]
-            if is_unsure and not step.may_be_copied:
+            if may_be_running and not step.may_be_copied:
                 continue
             indices = job.startable(key)
             if step.is_gang and indices:
--- a/apricotgap/jobs/wait_log.py
+++ b/apricotgap/jobs/wait_log.py
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True)
 class _Waiting:
-    """A job or a step that waits; a step that lasts waits with its oldest task."""
+    """A job or a step that waits; a long-running step waits with its oldest task."""
 
     job: JobState
     key: StepKey
@@ -31,7 +31,7 @@
 
 
 class WaitLog:
-    """Logs why jobs with nothing running wait, and tasks that last.
+    """Logs why jobs with nothing running wait, and long-running tasks.
 
     Parameters
     ----------
--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -121,8 +121,8 @@
     name = "reservations_unknown"
 
     def inputs(self, case: WaitCase) -> dict[str, Any] | None:
-        lasts = case.job.spec.is_long_running
-        if not lasts or case.shard.knows_reservations(case.at_ms):
+        is_long_running = case.job.spec.is_long_running
+        if not is_long_running or case.shard.knows_reservations(case.at_ms):
             return None
         return {"since_load_ms": case.at_ms - case.shard.loaded_ms}
 
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -329,8 +329,8 @@
     def _may_try_again(self, at_ms: int) -> bool:
         """Whether a suspect worker gets a task: one at a time, or after a while.
 
-        Runs from before do not count, and no run counts for long: tasks that last have
-        no end that could clear the worker.
+        Runs from before do not count, and no run counts for long: long-running tasks
+        have no end that could clear the worker.
         """
         if self.suspect_since_ms is None:
             return True
--- a/proof/runs.py
+++ b/proof/runs.py
@@ -26,14 +26,14 @@
 
 
 class Owner(NamedTuple):
-    """What one owner knows; `doubtful` are workers that may run earlier orders."""
+    """What one owner knows; `unverified` are workers that may run earlier orders."""
 
     epoch: int
     task: str = "waiting"
     worker: int = -1
     run: int = 0
     taken: frozenset[int] = frozenset()
-    doubtful: frozenset[int] = frozenset()
+    unverified: frozenset[int] = frozenset()
     recorded: frozenset[int] = frozenset()
 
 
@@ -122,7 +122,7 @@
 
     def _talk(self, world: World, k: int, owner: Owner, n: int) -> Iterator[Step]:
         worker = world.workers[n]
-        if n in owner.doubtful or owner.worker == n:
+        if n in owner.unverified or owner.worker == n:
             is_over = worker.is_cut and worker.has_lapsed
             if worker.is_cut and not self.guarded(
                 "wait for the lease of a cut-off worker"
@@ -160,7 +160,7 @@
             return False
         if owner.epoch < world.epoch and self.guarded("start within the own lease"):
             return False
-        if owner.doubtful and self.guarded("take every recorded worker first"):
+        if owner.unverified and self.guarded("take every recorded worker first"):
             return False
         is_recorded = n in owner.recorded
         return is_recorded or not self.guarded("record a worker before its first start")
@@ -182,7 +182,9 @@
 
     def _hold(self, world: World, k: int, n: int) -> World:
         owner, worker = world.owners[k], world.workers[n]
-        owner = owner._replace(taken=owner.taken | {n}, doubtful=owner.doubtful - {n})
+        owner = owner._replace(
+            taken=owner.taken | {n}, unverified=owner.unverified - {n}
+        )
         if worker.listed_end and owner.task != "saved":
             owner = owner._replace(task="done")
         elif worker.run and owner.task in ("waiting", "starting"):
@@ -231,7 +233,7 @@
 def _take_over(world: World) -> World:
     epoch = world.epoch + 1
     task = "saved" if world.is_done_stored else "waiting"
-    owner = Owner(epoch, task, doubtful=world.roster, recorded=world.roster)
+    owner = Owner(epoch, task, unverified=world.roster, recorded=world.roster)
     return world._replace(epoch=epoch, owners=(*world.owners, owner))
 
 
@@ -246,7 +248,7 @@
 
 def _give_up(world: World, k: int, n: int) -> World:
     owner = world.owners[k]
-    owner = owner._replace(doubtful=owner.doubtful - {n}, taken=owner.taken - {n})
+    owner = owner._replace(unverified=owner.unverified - {n}, taken=owner.taken - {n})
     if owner.worker == n and owner.task in ("starting", "running"):
         owner = owner._replace(task="waiting", worker=-1)
     return _put(world, k, owner)
--- a/simulation/deployment.py
+++ b/simulation/deployment.py
@@ -107,7 +107,7 @@
     jobs : iterable of SimulatedJob
         Jobs with their times of submission.
     long_running : mapping of str to (int, int)
-        Number of tasks and milli-cores of the lasting job of a service.
+        Number of tasks and milli-cores of the long-running job of a service.
     max_retries : int
         How often a caller comes back after a refusal.
     shares : mapping of str to float, optional
@@ -408,8 +408,8 @@
         step = StepSpec(
             n_tasks, Resources(cpu, 1_000), is_long_running=True, max_unavailable=1
         )
-        job_id = f"lasting-{service}"
-        spec = JobSpec(job_id, "lasting", service, "team-0", "x", (step,), 0)
+        job_id = f"long-running-{service}"
+        spec = JobSpec(job_id, "long-running", service, "team-0", "x", (step,), 0)
         self.pools[service].shard.submit(spec, revision=1)
 
 
--- a/simulation/scenarios.py
+++ b/simulation/scenarios.py
@@ -13,8 +13,8 @@
 class Scenario:
     """A deployment, its kinds of jobs and how their rate changes.
 
-    `long_running` gives the number of tasks and the milli-cores of the lasting job of
-    a service. After `length_ms` no more jobs arrive; what waits is played to its end.
+    `long_running` gives the number of tasks and the milli-cores of the long-running job
+    of a service. After `length_ms` no more jobs arrive; what waits is played to its end.
     """
 
     name: str
@@ -28,8 +28,8 @@
     def play(self, seed: int) -> Deployment:
         """Play the scenario to its end."""
         jobs = jobs_of(self.kinds, ARRIVALS[self.arrivals], self.length_ms, seed)
-        lasting = {service: (n, cpu) for service, n, cpu in self.long_running}
-        deployment = Deployment(self.sizes, jobs, lasting)
+        long_running = {service: (n, cpu) for service, n, cpu in self.long_running}
+        deployment = Deployment(self.sizes, jobs, long_running)
         deployment.run(self.length_ms + self.settle_ms)
         return deployment
 
--- a/simulation/workers.py
+++ b/simulation/workers.py
@@ -44,7 +44,7 @@
     def start(
         self, key: RunKey, duration_ms: int | None, checkpoint: str, at_ms: int
     ) -> int | None:
-        """Add a run; returns the time until its end, None for a lasting one."""
+        """Add a run; returns the time until its end, None for a long-running one."""
         done_ms = int(checkpoint or 0)
         delay_ms = RESUME_MS if done_ms else 0
         self.runs[key] = _SimulatedRun(at_ms + delay_ms, duration_ms, done_ms)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -67,7 +67,7 @@
     verdict = "failed" if report.problems else "ok"
     lines = [
         f"soak: seed={report.seed} accepted={report.n_accepted}"
-        f" lasting={report.n_lasting}"
+        f" long_running={report.n_long_running}"
         f" calls={report.n_calls} starts={report.n_starts}"
         f" faults={report.faults.total()} unanswered={dict(report.endings)}"
         f" max_lag_ms={report.max_lag_ms}"
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True)
 class Queue:
-    """A queue and whether its jobs have tasks that last."""
+    """A queue and whether its jobs have long-running tasks."""
 
     name: str
     service: str
@@ -97,7 +97,7 @@
     think_s : float
         Mean time between two calls of a client, in seconds.
     n_lasting_jobs : int
-        Jobs with tasks that last in each service.
+        Jobs with long-running tasks in each service.
     n_lasting_tasks : int
         Tasks of such a job.
     worker_cpu : int
@@ -134,9 +134,9 @@
     def queues(self) -> tuple[Queue, ...]:
         """Queues of the first configuration."""
         return tuple(
-            Queue(f"{service}-{kind}", service, kind == "lasting")
+            Queue(f"{service}-{kind}", service, kind == "long-running")
             for service in self.services
-            for kind in ("finite", "lasting")
+            for kind in ("finite", "long-running")
         )
 
     def bound_ms(self, name: str) -> int:
--- a/soak/monitors.py
+++ b/soak/monitors.py
@@ -14,7 +14,7 @@
 _INTERVAL_S = 0.25
 _MAX_LAG_MS = 200
 _RESTART_S = 0.3
-# A task that lasts may be away this long, and must then be at work within the rest.
+# A long-running task may be away this long, and must then be at work within the rest.
 _RECOVERY_MS = 6_000
 _STALL_MS = 3_000
 _CALM_MS = 4_000
@@ -77,7 +77,7 @@
 
 
 class StalledTaskMonitor:
-    """Finds tasks that last, and jobs without any running task, that wait in vain."""
+    """Finds long-running tasks, and jobs without a running task, that wait in vain."""
 
     def __init__(self, state: SoakState) -> None:
         self._state = state
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -43,7 +43,7 @@
 
     seed: int
     n_accepted: int = 0
-    n_lasting: int = 0
+    n_long_running: int = 0
     n_calls: int = 0
     n_starts: int = 0
     faults: Counter[str] = field(default_factory=Counter)
@@ -97,13 +97,15 @@
         for number in range(plan.layout.n_clients):
             client = Client(state, balancer, number, Random(random.random()))
             nursery.start_soon(client.run, until_ms)
-        lasting = Random(random.random())
-        nursery.start_soon(_submit_lasting, state, balancer, lasting, until_ms)
+        long_running = Random(random.random())
+        nursery.start_soon(
+            _submit_long_running, state, balancer, long_running, until_ms
+        )
         nursery.start_soon(_inject_rounds, state, Random(random.random()), plan)
     state.end_ms = now_ms()
 
 
-async def _submit_lasting(
+async def _submit_long_running(
     state: SoakState, balancer: Balancer, random: Random, until_ms: int
 ) -> None:
     async with trio.open_nursery() as nursery:
@@ -141,7 +143,7 @@
     return Report(
         seed,
         n_accepted=len(accepted),
-        n_lasting=sum(job.plan.is_lasting for job in accepted),
+        n_long_running=sum(job.plan.is_lasting for job in accepted),
         n_calls=state.n_calls,
         n_starts=sum(len(worker.starts) for worker in state.cluster.workers),
         faults=Counter(span.name for span in spans),
--- a/soak/work.py
+++ b/soak/work.py
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True)
 class StepPlan:
-    """A step; `duration_ms` is infinite for tasks that last."""
+    """A step; `duration_ms` is infinite for long-running tasks."""
 
     n_tasks: int
     cpu: int
@@ -121,7 +121,7 @@
         return self.plans[job_id].steps[int(number)]
 
     def duration_ms(self, task: str) -> float:
-        """Return how long a task works, infinity for one that lasts."""
+        """Return how long a task works, infinity for a long-running one."""
         return self.step(task).duration_ms
 
     def n_members(self, task: str) -> int:
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -17,7 +17,7 @@
     """What the tasks of each job need, as workers know it without being told."""
 
     def duration_ms(self, task: str) -> float:
-        """Return how long a task works, infinity for one that lasts."""
+        """Return how long a task works, infinity for a long-running one."""
 
     def cpu(self, task: str) -> int:
         """Return what a task takes in thousandths of a core."""
--- a/tests/day_observer.py
+++ b/tests/day_observer.py
@@ -10,8 +10,8 @@
 from tests.jobs_harness import SERVICE
 from tests.worker_pool import N_PLACES, STOP_MS
 
-# A task that lasts is back at work this long after its last run at most, the last part
-# of that time in calm.
+# A long-running task is back at work this long after its last run at most, the last
+# part of that time in calm.
 MAX_AWAY_MS = 9_000
 CALM_MS = 7_000
 # What runs of a cancelled job ends within this time of calm after its acknowledgement.
@@ -34,7 +34,7 @@
     def __init__(self, world):
         self._world = world
         self.jobs = {}
-        # Longest time that a task that lasts was away in calm, beside room for it.
+        # Longest time that a long-running task was away in calm, beside room for it.
         self.longest_away_ms = 0
         self._at_work_ms = {}
         self._room_since_ms = None
--- a/tests/day_troubles.py
+++ b/tests/day_troubles.py
@@ -297,7 +297,7 @@
 
 
 class Cancellations(Trouble):
-    """Jobs are cancelled, lasting ones too."""
+    """Jobs are cancelled, long-running ones too."""
 
     name = "cancellations"
     N_CANCELLATIONS = 8
--- a/tests/owner_world.py
+++ b/tests/owner_world.py
@@ -31,7 +31,7 @@
 OTHER_SERVICE = "mill"
 TASK_SIZE = Resources(1000, 100)
 TASK_MS = 400
-LASTING_MS = 10_000_000
+SUSTAINED_MS = 10_000_000
 CHECK_MS = 100
 # A client gives up a call after this time, and makes this many.
 CALL_MS = 3_000
@@ -161,10 +161,10 @@
 
     # Clients
 
-    def submit(self, n_tasks, lasts=False):
+    def submit(self, n_tasks, is_long_running=False):
         """Hand a job in."""
         job_id = f"{len(self._specs):016x}"
-        if lasts:
+        if is_long_running:
             steps = (StepSpec(n_tasks, TASK_SIZE, is_long_running=True),)
         else:
             steps = (
@@ -286,7 +286,7 @@
     def end_worker(self, worker_id):
         """End a worker for good."""
         self.troubled()
-        self.crash(worker_id, LASTING_MS)
+        self.crash(worker_id, SUSTAINED_MS)
 
     def crash(self, worker_id, down_ms):
         """End a worker; it is back under its id, and listed some time later."""
@@ -304,7 +304,7 @@
 
     def _duration_ms(self, order):
         if self._specs[order.name.job_id].is_long_running:
-            return LASTING_MS
+            return SUSTAINED_MS
         return super()._duration_ms(order)
 
 
--- a/tests/shard_days.py
+++ b/tests/shard_days.py
@@ -1,8 +1,8 @@
 """A shard's world with what real days have: take-overs, leaving workers, limits.
 
 It adds to `World` an owner that is replaced and loads what is stored, workers that
-leave for good, drain or change their capacity, tasks that last, gangs, jobs that cannot
-be done, and a team limit that is shared with another shard.
+leave for good, drain or change their capacity, long-running tasks, gangs, jobs that
+cannot be done, and a team limit that is shared with another shard.
 """
 
 from dataclasses import replace
@@ -28,7 +28,7 @@
 LIST_LEASE_MS = 3_000
 LIMIT_CHECK_MS = 250
 RESERVE_INTERVAL_MS = 300
-LASTING_MS = 10_000_000
+SUSTAINED_MS = 10_000_000
 
 
 class LivingWorld(World):
@@ -68,10 +68,10 @@
 
     # Jobs
 
-    def submit(self, n_tasks, is_gang=False, lasts=False, is_hopeless=False):
+    def submit(self, n_tasks, is_gang=False, is_long_running=False, is_hopeless=False):
         """Submit a job whose first progress is not stored yet."""
         job_id = f"{len(self.specs):016x}"
-        if lasts:
+        if is_long_running:
             steps = (StepSpec(n_tasks, TASK_SIZE, is_long_running=True),)
         else:
             step = StepSpec(n_tasks, TASK_SIZE, 400, is_gang=is_gang)
@@ -79,7 +79,7 @@
         spec = job(job_id, steps)
         if is_hopeless:
             self.hopeless.add(job_id)
-        elif not lasts:
+        elif not is_long_running:
             self._submitted.append(job_id)
         for worker in self.workers.values():
             worker.hopeless = self.hopeless
@@ -101,7 +101,7 @@
             self.shard.submit(spec)
 
     def check_jobs(self):
-        """Each job has succeeded, and each task that lasts is at work."""
+        """Each job has succeeded, and each long-running task is at work."""
         super().check_jobs()
         running = {
             name
@@ -118,7 +118,7 @@
                     self.broken.append(f"LOST {name} lasts and is not at work")
 
     def end_lasting(self):
-        """End a task that lasts, in any way."""
+        """End a long-running task, in any way."""
         found = [
             (worker, key)
             for worker in self.workers.values()
@@ -134,7 +134,7 @@
     def _duration_ms(self, order):
         spec = self.specs[order.name.job_id]
         if spec.is_long_running:
-            return LASTING_MS
+            return SUSTAINED_MS
         duration_ms = super()._duration_ms(order)
         if spec.steps[0].is_gang:
             # Its members end together.
@@ -144,7 +144,7 @@
 
     def _note(self, worker, last_seen):
         super()._note(worker, last_seen)
-        # Tasks that last start again however they end.
+        # Long-running tasks start again however they end.
         self._noted = {
             name for name in self._noted if not self.specs[name.job_id].is_long_running
         }
@@ -277,7 +277,7 @@
     def lose(self, worker_id):
         """Lose a worker for good."""
         worker = self.workers[worker_id]
-        self.crash(worker_id, LASTING_MS)
+        self.crash(worker_id, SUSTAINED_MS)
         worker.is_up = False
         self.leaving.add(worker_id)
         self.at(LIST_LEASE_MS, self._unlist, worker_id)
--- a/tests/test_gang_room.py
+++ b/tests/test_gang_room.py
@@ -114,13 +114,13 @@
 
 
 def test_workers_full_of_tasks_that_last_do_not_count_for_a_gang():
-    """Guards against a gang that never starts beside tasks that last: the pool has as
-    many workers as the gang needs, but not as much room.
+    """Guards against a gang that never starts beside long-running tasks: the pool has
+    as many workers as the gang needs, but not as much room.
     """
     rig = Rig(workers=("w1", "w2")).ready()
-    lasting = StepSpec(2, FREE, is_long_running=True)
+    long_running = StepSpec(2, FREE, is_long_running=True)
     rig.shard.reported_ms = rig.now
-    rig.submit(job("1" * 16, (lasting,)))
+    rig.submit(job("1" * 16, (long_running,)))
     for start in rig.schedule():
         rig.answer(start)
     rig.submit(job("2" * 16, (StepSpec(4, FREE, 100, is_gang=True),)))
--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -88,10 +88,10 @@
 
 
 def test_long_running_and_scheduled_jobs_are_never_refused():
-    """Guards against a lasting job that is refused because others wait."""
+    """Guards against a long-running job that is refused because others wait."""
     rig, gate = overloaded()
-    lasting = replace(new_job(), steps=(replace(STEP, is_long_running=True),))
-    assert gate.decide(lasting, rig.now) is None
+    long_running = replace(new_job(), steps=(replace(STEP, is_long_running=True),))
+    assert gate.decide(long_running, rig.now) is None
     assert gate.decide(new_job(n_occurrences=3), rig.now) is None
 
 
--- a/tests/test_machine_moves.py
+++ b/tests/test_machine_moves.py
@@ -6,7 +6,7 @@
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.limits import RESERVATION_MS
 from apricotgap.jobs.model import Resources
-from apricotgap.jobs.pool_sizes import LASTING_MS
+from apricotgap.jobs.pool_sizes import SUSTAINED_MS
 from tests.jobs_harness import SERVICE, Rig
 from tests.test_fleet_plan import CONFIGURATION, MAINTENANCE_MS, MOVE_MS, OTHER
 
@@ -139,7 +139,7 @@
     pools.busy[SERVICE] = 4
     pools.runs = dict.fromkeys(pools.machines, (1, 900))
     began_ms = pools.now
-    while pools.now - began_ms < LASTING_MS:
+    while pools.now - began_ms < SUSTAINED_MS:
         assert pools.leaving() == []
         pools.plan()
     pools.plan()
--- a/tests/test_owner_days.py
+++ b/tests/test_owner_days.py
@@ -2,7 +2,7 @@
 
 The owners are the product's own; an observer that asks none of them checks that an
 accepted job ends once and whole, that no task runs twice or without a permission, that
-tasks that last are at work again in time and that cancelled jobs end.
+long-running tasks are at work again in time and that cancelled jobs end.
 """
 
 import os
@@ -34,12 +34,12 @@
         rng = world.rng
         names = kinds or rng.sample(sorted(Trouble.registry), N_KINDS)
         world.has_late_calls = "late_answers" in names or rng.random() < 0.5
-        world.submit(3, lasts=True)
+        world.submit(3, is_long_running=True)
         await trio.sleep(1)
         for name in names:
             Trouble.registry[name].plan(world)
         for _ in range(N_JOBS):
-            world.submit(rng.randint(1, 3), lasts=rng.random() < 0.1)
+            world.submit(rng.randint(1, 3), is_long_running=rng.random() < 0.1)
             await trio.sleep(rng.randint(50, 2 * DAY_MS // N_JOBS) / 1000)
         await trio.sleep(SETTLE_S / 2)
         world.end_late_calls()
--- a/tests/test_owner_routes.py
+++ b/tests/test_owner_routes.py
@@ -1,7 +1,7 @@
 """Seeded days on which the route of a service goes and comes back several times.
 
 The shard is given up for good and taken up again between, instances are replaced and
-shards handed over for balance, and tasks that last go on or are cancelled.
+shards handed over for balance, and long-running tasks go on or are cancelled.
 """
 
 import os
@@ -35,7 +35,7 @@
     rng = world.rng
     world.has_late_calls = rng.random() < 0.5
     for _ in range(N_CHANGES):
-        world.submit(3, lasts=True)
+        world.submit(3, is_long_running=True)
         for _ in range(4):
             world.submit(rng.randint(1, 3))
             await trio.sleep(rng.randint(100, 800) / 1000)
--- a/tests/test_owner_sweeps.py
+++ b/tests/test_owner_sweeps.py
@@ -34,7 +34,7 @@
 
     async def day(world):
         world.has_late_calls = False
-        world.submit(4, lasts=True)
+        world.submit(4, is_long_running=True)
         await trio.sleep(1)
         plan(world)
         for _ in range(N_JOBS):
--- a/tests/test_route_changes.py
+++ b/tests/test_route_changes.py
@@ -10,7 +10,7 @@
 OTHER = "tally"
 JOB_ID = "a" * 16
 N_TASKS = 3
-LASTING = {
+LONG_RUNNING = {
     "spec": "x",
     "steps": [{"count": N_TASKS, "cpu": 500, "memMb": 10, "longRunning": True}],
 }
@@ -48,13 +48,13 @@
 
 async def submit(cluster):
     instance = cluster.instances[0]
-    assert (await cluster.request(instance, "POST", JOB_ID, LASTING))[0] == 200
+    assert (await cluster.request(instance, "POST", JOB_ID, LONG_RUNNING))[0] == 200
     await until(lambda: n_at_work(cluster) == N_TASKS, 5)
 
 
 @pytest.mark.parametrize("number", [SIGTERM, SIGKILL])
 def test_lasting_job_goes_on_without_its_route_after_its_owner_ends(tmp_path, number):
-    """Guards against a job that lasts and ends with the route of its service."""
+    """Guards against a long-running job that ends with the route of its service."""
 
     async def check(cluster):
         await submit(cluster)
--- a/tests/test_shard_days.py
+++ b/tests/test_shard_days.py
@@ -24,7 +24,7 @@
     world.has_late_calls = world.rng.random() < 0.5
     world.start()
     world.play(2_000)
-    world.submit(3, lasts=True)
+    world.submit(3, is_long_running=True)
     for trouble in troubles:
         trouble(world)
     for number in range(N_JOBS):
@@ -92,15 +92,15 @@
 
 
 def lasting_ends(world):
-    """End tasks that last in any way."""
-    world.submit(4, lasts=True)
+    """End long-running tasks in any way."""
+    world.submit(4, is_long_running=True)
     for _ in range(6):
         world.at(some(world)[0], world.end_lasting)
 
 
 def hopeless(world):
     """Let many jobs fail that cannot be done, so that all workers become suspect."""
-    world.submit(8, lasts=True)
+    world.submit(8, is_long_running=True)
     for _ in range(2):
         at_ms, _ = some(world)
         for _ in range(5):
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -8,7 +8,7 @@
 from soak.cluster import open_cluster
 from tests.jobs_harness import MAX_LEASE_MS, Rig, job, running
 
-LASTING = (StepSpec(1, Resources(1000, 100), 3_000, is_long_running=True),)
+LONG_RUNNING = (StepSpec(1, Resources(1000, 100), 3_000, is_long_running=True),)
 OWNER_LEASE_MS = 3_000
 POLL_TIMEOUT_MS = limits.POLL_WAIT_MS + 700
 POLL_PAUSE_MS = 400
@@ -41,7 +41,7 @@
 # Silence shows after 700 ms at two ticks, and by the failure of the poll after 1.2 s. A
 # lease lasts for much longer.
 COPY_LIMIT_S = 2
-# A lasting task may be away for 6 s after its last run, and 3 s more.
+# A long-running task may be away for 6 s after its last run, and 3 s more.
 AWAY_LIMIT_S = 9
 
 
@@ -51,7 +51,7 @@
     def __init__(self):
         super().__init__(workers=("w1", "w2"))
         self.ready()
-        self.submit(job(steps=LASTING))
+        self.submit(job(steps=LONG_RUNNING))
         self.shard.loaded_ms = self.shard.reported_ms = self.now
         (self.start,) = self.schedule()
         self.answer(self.start)
@@ -105,7 +105,7 @@
 
 
 def test_lasting_task_is_back_at_work_while_its_worker_answers_no_call(tmp_path):
-    """Guards against a lasting task that is away as long as its worker is silent.
+    """Guards against a long-running task that is away as long as its worker is silent.
 
     The worker takes each connection, as a stopped process or a proxy does.
     """
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -79,8 +79,8 @@
 
 
 def test_lasting_job_is_submitted_until_it_is_accepted(monkeypatch):
-    """Guards against a run that watches no lasting task, since the store was busy as
-    the lasting jobs were submitted.
+    """Guards against a run that watches no long-running task, since the store was busy
+    as the long-running jobs were submitted.
     """
     state = SoakState(LAYOUTS["small"], None, None, WorkCatalogue())
     client = Client(state, None, 0, Random(1))
--- a/tests/test_suspect_workers.py
+++ b/tests/test_suspect_workers.py
@@ -6,22 +6,22 @@
 from tests.shard_days import LivingWorld
 
 SIZE = Resources(1000, 100)
-LASTING = StepSpec(1, SIZE, is_long_running=True)
+LONG_RUNNING = StepSpec(1, SIZE, is_long_running=True)
 SHORT = (StepSpec(1, SIZE, 400),)
 
 
 class SuspectRig(Rig):
-    """A pool of one worker with a task that lasts, suspect after two hopeless jobs."""
+    """A pool of one worker with a long-running task, suspect after two failed jobs."""
 
     def __init__(self):
         super().__init__()
         self.ready()
         self.shard.loaded_ms = self.shard.reported_ms = self.now
         self.n_ends = 0
-        self.submit(job("a" * 16, (LASTING,)))
-        (lasting,) = self.schedule()
-        self.answer(lasting)
-        self.listed = [running(lasting)]
+        self.submit(job("a" * 16, (LONG_RUNNING,)))
+        (long_running,) = self.schedule()
+        self.answer(long_running)
+        self.listed = [running(long_running)]
         self.now += 1_000
         self.poll(running=self.listed)
         for job_id in ("b" * 16, "c" * 16):
@@ -50,7 +50,7 @@
 
 def test_suspect_worker_with_a_task_that_lasts_gets_a_task_on_probation():
     """Guards against a pool that takes nothing for ever: a suspect worker got a task
-    on probation only once it was empty, which a task that lasts prevents.
+    on probation only once it was empty, which a long-running task prevents.
     """
     rig = SuspectRig()
     rig.submit(job(steps=SHORT))
@@ -75,7 +75,7 @@
 def test_task_on_probation_that_lasts_does_not_keep_others_away():
     """Guards against a suspect worker whose task on probation has no end."""
     rig = SuspectRig()
-    rig.submit(job(steps=(LASTING,)))
+    rig.submit(job(steps=(LONG_RUNNING,)))
     rig.submit(job("d" * 16, SHORT))
     rig.wait(limits.PROBATION_MS + 100)
     first = rig.start()
@@ -97,13 +97,13 @@
 
 def test_pool_that_hopeless_jobs_have_made_suspect_recovers():
     """Guards against accepted work beside free workers after jobs that can't be done,
-    in a pool whose workers all have tasks that last.
+    in a pool whose workers all have long-running tasks.
     """
     world = LivingWorld(0)
     world.has_late_calls = False
     world.start()
     world.play(2_000)
-    world.submit(10, lasts=True)
+    world.submit(10, is_long_running=True)
     world.play(1_000)
     for _ in range(12):
         world.submit(3, is_hopeless=True)
--- a/tests/test_team_load.py
+++ b/tests/test_team_load.py
@@ -121,18 +121,18 @@
 def test_use_in_another_service_counts():
     """Guards against a team that gets its whole share in each service.
 
-    Load pattern: team f holds as much as one pool has in another pool, with lasting
-    tasks; in this one it competes with team a, each with more than the capacity.
+    Load pattern: team f holds as much as one pool has in another pool, with
+    long-running tasks; in this one it competes with team a, each with more than the capacity.
     """
     sizes = replace(SIZES, pools=(("s", 12), ("t", 14)))
-    lasting = replace(
+    long_running = replace(
         job("f", 0, 0, "t", StepSpec(90, Resources(1_000, 100), is_long_running=True)),
         durations_ms=(10**6,),
     )
     jobs = burst("a", 1, jobs_per_s=20) + burst("f", 1, jobs_per_s=20)
     span = (BURST[0] + 1_000, BURST[0] + 6_000)
     apart = play([*jobs], sizes=sizes)
-    together = play([lasting, *jobs], sizes=sizes)
+    together = play([long_running, *jobs], sizes=sizes)
     equal = served_core_s(apart, "f", *span) / served_core_s(apart, "a", *span)
     assert 0.6 <= equal <= 1.6
     assert served_core_s(together, "f", *span) < served_core_s(together, "a", *span) / 3
--- a/tests/test_team_shares.py
+++ b/tests/test_team_shares.py
@@ -79,8 +79,8 @@
 
 
 def test_long_running_tasks_count_at_once():
-    """Guards against a team that holds half of the capacity with lasting tasks and gets
-    half of the rest.
+    """Guards against a team that holds half of the capacity with long-running tasks and
+    gets half of the rest.
     """
     shares = shares_of(a=1, b=1)
     shares.record_running({"a": TeamUse(long_running=30)}, NOW_MS)
@@ -147,9 +147,9 @@
     """Guards against an owner replaced in a shortage after which the team with the
     burst is first again.
     """
-    lasting = StepSpec(1, Resources(2_000, 100), is_long_running=True)
+    long_running = StepSpec(1, Resources(2_000, 100), is_long_running=True)
     finite = StepSpec(4, Resources(1_000, 100), 800)
-    specs = [job("a" * 16, (lasting,)), job("b" * 16, (finite,))]
+    specs = [job("a" * 16, (long_running,)), job("b" * 16, (finite,))]
     first = Rig(epoch=1).ready()
     for spec in specs:
         first.submit(spec)
--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -17,8 +17,8 @@
 
 TTL_MS = 3_000
 KEY = tenure_key(SERVICE)
-LASTING = (StepSpec(1, Resources(1000, 100), 3_000, is_long_running=True),)
-# A lasting task may be away for 6 s after its last run, and 3 s more.
+LONG_RUNNING = (StepSpec(1, Resources(1000, 100), 3_000, is_long_running=True),)
+# A long-running task may be away for 6 s after its last run, and 3 s more.
 AWAY_LIMIT_MS = 9_000
 
 
@@ -110,7 +110,7 @@
     rig.shard.add_inherited_worker(entry("w9"), rig.now, is_settled=True)
     rig.list_workers(entry("w1"))
     rig.ready_only("w1")
-    rig.shard.load(job(steps=LASTING), Progress(), 1)
+    rig.shard.load(job(steps=LONG_RUNNING), Progress(), 1)
     assert rig.schedule() == []
     while not rig.schedule():
         rig.now += 100
--- a/tests/test_unused_services.py
+++ b/tests/test_unused_services.py
@@ -218,7 +218,7 @@
 
 
 def test_unused_shard_with_a_job_is_kept():
-    """Guards against a job that lasts and loses its owner with its queue."""
+    """Guards against a long-running job that loses its owner with its queue."""
 
     async def check(owner):
         owner.shard.submit(job())
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -336,8 +336,8 @@
     """Guards against long-running tasks interrupted by one crash after another."""
     rig = CrashRig(n_workers=2)
     rig.shard.reported_ms = rig.now
-    lasting = (StepSpec(1, Resources(1000, 100), is_long_running=True),)
-    rig.submit(job("l" * 16, steps=lasting))
+    long_running = (StepSpec(1, Resources(1000, 100), is_long_running=True),)
+    rig.submit(job("l" * 16, steps=long_running))
     (long_running,) = rig.start_and_answer()
     other = "w1" if long_running.worker_id == "w0" else "w0"
     busy = (StepSpec(6, Resources(1000, 100), 800),)
@@ -382,7 +382,7 @@
         assert len(rig.schedule()) == 1
 
     def test_long_running_task_goes_on_after_two_such_crashes(self):
-        """Guards against a lasting task that is silently never started again."""
+        """Guards against a long-running task that is silently never started again."""
         steps = (StepSpec(1, Resources(1000), is_long_running=True),)
         rig, state, _ = self.play(n_crashes=2, steps=steps)
         rig.shard.reported_ms = rig.now
@@ -422,7 +422,7 @@
         assert stored.tasks[task(0)].n_unconfirmed_crashes == 4
 
     def test_task_that_starts_up_is_no_longer_suspect(self):
-        """Guards against lasting tasks that collect such crashes over weeks."""
+        """Guards against long-running tasks that collect such crashes over weeks."""
         rig, state, _ = self.play(n_crashes=4)
         (start,) = rig.start_and_answer()
         rig.advance(2 * limits.START_UP_MS)
--- a/tests/test_worker_flaps.py
+++ b/tests/test_worker_flaps.py
@@ -106,14 +106,14 @@
 
 
 def test_lasting_task_takes_one_crash_more():
-    """Guards against a lasting task that never runs again since two workers went down
-    by chance just after they had started it; three still end the trials.
+    """Guards against a long-running task that never runs again since two workers went
+    down by chance just after they had started it; three still end the trials.
     """
     rig = Rig()
     rig.ready()
     rig.shard.reported_ms = rig.now
-    lasting = (StepSpec(1, Resources(1000, 100), is_long_running=True),)
-    state = rig.submit(job(steps=lasting))
+    long_running = (StepSpec(1, Resources(1000, 100), is_long_running=True),)
+    state = rig.submit(job(steps=long_running))
     n_starts = 0
     for born_ms in range(2, 9):
         for start in rig.schedule():
--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -113,8 +113,8 @@
     """
     rig = Rig(workers=("w1",)).ready()
     rig.shard.reported_ms = rig.now
-    lasting = StepSpec(1, Resources(1000, 100), 800, is_long_running=True)
-    rig.submit(job(steps=(lasting,)))
+    long_running = StepSpec(1, Resources(1000, 100), 800, is_long_running=True)
+    rig.submit(job(steps=(long_running,)))
     (start,) = rig.schedule()
     rig.answer(start)
     worker = rig.shard.workers["w1"]
