Remove machines from the stored list of orders once they may be ordered

Cause: the list was rewritten with new orders only. Change: the owner removes expired names within a second. Tests of the list and of the owner pass.

--- a/apricotgap/instance/fleet_order_store.py
+++ b/apricotgap/instance/fleet_order_store.py
@@ -20,6 +20,9 @@
 
 __all__ = ["FleetOrderStore", "decode_orders"]
 
+# The list is rewritten without new orders at most this often.
+PRUNE_INTERVAL_MS = 1_000
+
 
 def decode_orders(data: bytes) -> frozenset[str]:
     """Decode the list of the machines that recent orders name.
@@ -58,6 +61,7 @@
         self._revision = 0
         self._stored: frozenset[str] = frozenset()
         self._ordered_ms: dict[str, int] = {}
+        self._written_ms = clock.now_ms
         self._log = structlog.get_logger().bind(
             shard=ownership.shard, epoch=ownership.epoch
         )
@@ -96,15 +100,41 @@
         OwnershipLostError
             The store shows another owner.
         """
-        now_ms = self._clock.now_ms
         wanted = frozenset(machines)
         if wanted <= self._stored:
+            # They may be ordered from now on, so they must not be pruned just before.
+            self._ordered_ms.update(dict.fromkeys(wanted, self._clock.now_ms))
             return True
-        recent = {
+        return await self._write(wanted, self._recent())
+
+    async def prune(self) -> None:
+        """Remove the machines whose exclusion has ended, unless that was done lately.
+
+        The next owner may order them at once. After the end of a peak they are most of
+        the spare machines, and the next peak would wait for them.
+
+        Raises
+        ------
+        OwnershipLostError
+            The store shows another owner.
+        """
+        if self._clock.now_ms - self._written_ms < PRUNE_INTERVAL_MS:
+            return
+        recent = self._recent()
+        if not self._stored <= recent:
+            await self._write(frozenset(), recent)
+
+    def _recent(self) -> frozenset[str]:
+        now_ms = self._clock.now_ms
+        return frozenset(
             name
             for name, ordered_ms in self._ordered_ms.items()
             if now_ms - ordered_ms <= self._exclusion_ms
-        }
+        )
+
+    async def _write(self, wanted: frozenset[str], recent: frozenset[str]) -> bool:
+        """Store new and recent machines; return False unless that is known."""
+        self._written_ms = self._clock.now_ms
         names = wanted | recent
         write = Write(
             FLEET_ORDERS_KEY,
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -221,6 +221,7 @@
                 nursery.start_soon(self._send, order, reserved_until_ms)
             else:
                 self._handle_response(order, "unavailable")
+        await self._order_store.prune()
         await self._store_waves()
 
     def _has_lease(self, span_ms: int) -> bool:
--- a/simulation/scenarios.py
+++ b/simulation/scenarios.py
@@ -14,7 +14,8 @@
     """A deployment, its kinds of jobs and how their rate changes.
 
     `long_running` gives the number of tasks and the milli-cores of the long-running job
-    of a service. After `length_ms` no more jobs arrive; what waits is played to its end.
+    of a service. After `length_ms` no more jobs arrive; what waits is played to its
+    end.
     """
 
     name: str
--- a/tests/test_fleet_order_store.py
+++ b/tests/test_fleet_order_store.py
@@ -94,6 +94,47 @@
     run(check)
 
 
+def test_old_orders_are_removed_without_a_new_one():
+    """Guards against a new owner that must not order most machines for a while, since
+    the list still names those that were moved after the last peak.
+    """
+
+    async def check(rig):
+        first = rig.owner(1)
+        await first.load()
+        assert await first.record(["m0"])
+        first.record_sent("m0")
+        rig.clock.advance(EXCLUSION_MS // 2)
+        await first.prune()
+        assert await rig.owner(2).load() == {"m0"}
+        rig.clock.advance(EXCLUSION_MS)
+        first = rig.owner(3)
+        await first.load()
+        assert await first.record(["m1"])
+        rig.clock.advance(EXCLUSION_MS + 1)
+        await first.prune()
+        assert await rig.owner(4).load() == frozenset()
+
+    run(check)
+
+
+def test_machine_that_is_about_to_be_ordered_stays_in_the_list():
+    """Guards against an order that is sent long after it was stored, as when the lease
+    was short, while the list drops its machine.
+    """
+
+    async def check(rig):
+        first = rig.owner(1)
+        await first.load()
+        assert await first.record(["m0"])
+        rig.clock.advance(EXCLUSION_MS + 1)
+        assert await first.record(["m0"])
+        await first.prune()
+        assert await rig.owner(2).load() == {"m0"}
+
+    run(check)
+
+
 def test_replaced_owner_cannot_store_a_new_order():
     """Guards against orders of an owner that was replaced without noticing."""
 
--- a/tests/test_team_load.py
+++ b/tests/test_team_load.py
@@ -122,7 +122,8 @@
     """Guards against a team that gets its whole share in each service.
 
     Load pattern: team f holds as much as one pool has in another pool, with
-    long-running tasks; in this one it competes with team a, each with more than the capacity.
+    long-running tasks; in this one it competes with team a, each with more than the
+    capacity.
     """
     sizes = replace(SIZES, pools=(("s", 12), ("t", 14)))
     long_running = replace(
