--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -39,7 +39,7 @@
 WAVE_PROGRESS_PREFIX = "waves/"
 _CYCLE_INTERVAL_S = 0.3
 # Interval of the cycles while workers are being emptied for a pool that lacks machines.
-_DRAIN_CYCLE_INTERVAL_S = 0.1
+_DRAIN_CYCLE_INTERVAL_S = 0.2
 _RETRY_S = 0.3
 LIST_INTERVAL_MS = 900
 # Interval of lists while orders are in progress.
