--- a/apricotgap/jobs/migration.py
+++ b/apricotgap/jobs/migration.py
@@ -125,8 +125,16 @@
         left_ms = remaining_ms(run, worker.answered_ms, at_ms)
         if left_ms <= self._shard.stop_listing_delay_ms:
             return ""
+        if self._urgent_priority(worker, at_ms) is None and not self._is_late(
+            job, at_ms
+        ):
+            # No other pool needs the machine, but a caller waits for the job.
+            return ""
         return self._reason_to_displace(job, run, worker, left_ms, at_ms)
 
+    def _is_late(self, job: JobState, at_ms: int) -> bool:
+        return job.is_late(self._shard.unix_of(at_ms))
+
     def _reason_to_displace(
         self, job: JobState, run: Run, worker: Worker, left_ms: int, at_ms: int
     ) -> str:
