Mend what a read-through of the change found

An order that is repeated beside a new one kept its old time in the stored list, so that the list could drop a machine that was about to be ordered. Admission left out the more urgent work of the job's own team. The rest are names, comments and notes.

--- a/apricotgap/instance/fleet_order_store.py
+++ b/apricotgap/instance/fleet_order_store.py
@@ -145,11 +145,11 @@
         if isinstance(outcome, Stored):
             self._revision = outcome.revision
             self._stored = names
-            # Their orders may be refused until the store has answered, and sent later
+            # Orders may be refused until the store has answered, and sent later
             # without another write. A slow store must not undo that for the next ones.
             stored_ms = self._clock.now_ms
             self._ordered_ms = {
-                name: self._ordered_ms[name] if name in recent else stored_ms
+                name: self._ordered_ms[name] if name in recent - wanted else stored_ms
                 for name in names
             }
             return True
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -315,7 +315,7 @@
         return self._shard.n_pending(queue)
 
     def report(self, request: ReportRequest) -> PoolReport:
-        """Reserve workers and report the demand and the workers of the pool.
+        """Reserve workers, stop runs that are to leave them, and report on the pool.
 
         Raises
         ------
@@ -330,7 +330,7 @@
         self._effects.execute(self._shard.end_workers(request.ended, now_ms))
         self._shard.reserve(request.reserved, now_ms)
         self._migrator.record_urgent(request.urgent, now_ms)
-        self._migrate(now_ms)
+        self._stop_displaced_runs(now_ms)
         if request.other_use is not None:
             self._shares.record_totals(request.other_use, now_ms)
         workers = self._shard.report_workers(now_ms, self._migrator.drain_ms)
@@ -353,7 +353,7 @@
             self._effects.execute(self._shard.tick(now_ms))
             self._shares.record_running(team_use(self._shard), now_ms)
             self._effects.execute(self._share_log.run(now_ms))
-            self._migrate(now_ms)
+            self._stop_displaced_runs(now_ms)
             self._effects.execute(self._pacer.run(now_ms))
             self._effects.execute(self._stragglers.run(now_ms))
             self._effects.execute(self._wait_log.run(now_ms, self._permission.until_ms))
@@ -361,7 +361,7 @@
             self._pass_requested.set()
             await trio.sleep(TICK_INTERVAL_MS / 1000)
 
-    def _migrate(self, now_ms: int) -> None:
+    def _stop_displaced_runs(self, now_ms: int) -> None:
         # A migration or a preemption stops a run and starts another one.
         if self._permission.until_ms - now_ms > LEASE_MARGIN_MS:
             self._effects.execute(self._migrator.run(now_ms))
--- a/apricotgap/instance/unresolved_submissions.py
+++ b/apricotgap/instance/unresolved_submissions.py
@@ -1,6 +1,6 @@
 """Submissions of which it is unknown whether they have taken effect."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Awaitable, Callable
 
 from apricotgap.clock import Clock
@@ -29,6 +29,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._until_ms: OrderedDict[str, int] = OrderedDict()
+        self._n_running: Counter[str] = Counter()
 
     async def run(
         self, job_id: str, submit: Callable[[], Awaitable[SubmitOutcome]]
@@ -37,16 +38,21 @@
 
         A cancelled submission stays unresolved.
         """
-        had_earlier = self._has(job_id)
-        if not had_earlier:
-            self._add(job_id)
-        outcome = await submit()
-        if outcome.result is SubmitResult.UNKNOWN:
-            self._add(job_id)
-        elif outcome.result is SubmitResult.REFUSED and had_earlier:
-            return SubmitOutcome(SubmitResult.UNKNOWN)
-        else:
+        outcome: SubmitOutcome | None = None
+        self._n_running[job_id] += 1
+        try:
+            outcome = await submit()
+        finally:
+            self._n_running[job_id] -= 1
+            if not self._n_running[job_id]:
+                del self._n_running[job_id]
+            if outcome is None or outcome.result is SubmitResult.UNKNOWN:
+                self._add(job_id)
+        if outcome.result is SubmitResult.ACCEPTED:
             self._until_ms.pop(job_id, None)
+            return outcome
+        if self._has(job_id) or job_id in self._n_running:
+            return SubmitOutcome(SubmitResult.UNKNOWN)
         return outcome
 
     def _add(self, job_id: str) -> None:
--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -39,8 +39,8 @@
 # Workers that a pool keeps without demand: they run the long-running tasks and absorb
 # the start of a burst until more machines have been moved in.
 MIN_WORKERS = 2
-# The plan of the fleet owner comes every 300 ms. An older one says nothing of what the
-# pool will get, since its owner is being replaced.
+# The fleet owner sends a plan every 300 ms. An older plan is ignored, since its owner
+# may be about to be replaced.
 PLAN_VALID_MS = 1_000
 # Between two reports the target is determined no more often than this.
 TARGET_INTERVAL_MS = 100
@@ -77,7 +77,7 @@
         self._targets: deque[tuple[int, _Levels]] = deque()
         self._excess_since_ms: int | None = None
         self._share: int | None = None
-        # What the last report has asked for, and the one that the share responds to.
+        # Number of workers in the last report, and in the report that the plan answers.
         self._reported: int | None = None
         self._decided: int | None = None
         self._planned_ms: int | None = None
--- a/apricotgap/jobs/fleet_orders.py
+++ b/apricotgap/jobs/fleet_orders.py
@@ -28,8 +28,9 @@
 class MachineOrder:
     """Move a machine to `pool` or, if `wave` is not 0, take it down for maintenance.
 
-    `why` and `for_level`, the level of the demand that a move serves, are for operators
-    and make no different order.
+    `why` is the reason that is logged. `for_level` is the level of the demand that a
+    move serves, None for other moves. Neither takes part in comparisons: an order to
+    the same pool is the same order.
     """
 
     machine: str
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -148,7 +148,7 @@
                         "pool": order.pool,
                         "wave": order.wave,
                         "why": order.why or ("maintenance" if order.wave else ""),
-                        "for_priority": order.for_level,
+                        "for_level": order.for_level,
                         "list_age_ms": at_ms - listed_ms,
                     },
                 )
--- a/apricotgap/jobs/idle_room.py
+++ b/apricotgap/jobs/idle_room.py
@@ -27,7 +27,7 @@
     def take(self, run: Run) -> bool:
         """Take room for another run of a task; returns whether there was any.
 
-        A worker holds one in a check, which is enough: checks are frequent.
+        At most one run per worker is placed in a check.
         """
         if not self._shard.is_within_team_limit(run.team, run.allocation):
             return False
--- a/apricotgap/jobs/placement_cost.py
+++ b/apricotgap/jobs/placement_cost.py
@@ -16,8 +16,9 @@
 __all__ = ["PlacementCost", "n_of_step"]
 
 # Costs of placing a task of a job where it has none: on another machine, beside that in
-# another rack, and beside that in another data centre. The use of a machine counts 0 to
-# 1. Together they stay below DATA_RACK_COST: a step runs fastest where its data are.
+# another rack, and beside that in another data centre. They add up to less than
+# DATA_RACK_COST, since a step runs fastest where its data are. The use of a machine, 0
+# to 1, is added to them.
 MACHINE_COST = 0.5
 RACK_COST = 0.4
 DATA_CENTRE_COST = 0.9
--- a/apricotgap/jobs/service_wait.py
+++ b/apricotgap/jobs/service_wait.py
@@ -82,14 +82,15 @@
     urgent = before = other_share = other_use = 0.0
     seen: set[str] = set()
     for team, priority, arriving in rates.cores(at_ms):
-        if team == work.team or priority > work.priority:
+        is_own = team == work.team
+        if priority > work.priority or (is_own and priority == work.priority):
             continue
         other_tag = shares.tag(team, 0.0, at_ms)
         if priority < work.priority:
             urgent += arriving
         elif other_tag < tag:
             before += arriving
-        if team not in seen:
+        if not is_own and team not in seen:
             seen.add(team)
             other_share += shares.share(team)
             other_use += shares.share(team) * other_tag
--- a/tests/test_machine_moves.py
+++ b/tests/test_machine_moves.py
@@ -98,7 +98,7 @@
     assert pools.plan() == [MachineOrder(last, OTHER)]
     (line,) = pools.log
     assert line.fields["why"] == "demand"
-    assert line.fields["for_priority"] == 0
+    assert line.fields["for_level"] == 0
 
 
 def test_shard_is_told_for_which_priority_its_machines_leave():
--- a/tests/test_undelivered_submissions.py
+++ b/tests/test_undelivered_submissions.py
@@ -20,6 +20,7 @@
     UnresolvedSubmissions,
 )
 from apricotgap.jobs.demand import Demand
+from apricotgap.jobs.scheduling import Scheduler
 from apricotgap.jobs.service import SubmitOutcome, SubmitResult
 from apricotgap.metrics import Metrics
 from apricotgap.platform import http
@@ -155,11 +156,13 @@
     store = Store(Unknown("timeout"))
 
     async def main():
+        demand = Demand(rig.shard)
         submissions = Submissions(
             rig.shard,
             Ownership(SERVICE, 1, 5, 1, 6_500),
             store,
-            Demand(rig.shard),
+            demand,
+            Scheduler(rig.shard, demand).service_order,
             clock,
             Metrics("me"),
             lambda job: None,
@@ -205,6 +208,35 @@
     assert results == [UNKNOWN, ACCEPTED, UNKNOWN]
 
 
+def test_overlapping_submissions_that_end_unknown_stay_unresolved():
+    """Guards against a refusal of the first of two overlapping submissions that drops
+    the record of the second: its write may still take effect.
+    """
+    unresolved = UnresolvedSubmissions(FakeClock())
+    first_may_end = trio.Event()
+    results = []
+
+    async def end(result, may_end=None):
+        if may_end is not None:
+            await may_end.wait()
+        return SubmitOutcome(result)
+
+    async def submit(result, may_end=None):
+        outcome = await unresolved.run("a" * 16, partial(end, result, may_end))
+        results.append(outcome.result)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(submit, REFUSED, first_may_end)
+            await trio.testing.wait_all_tasks_blocked()
+            await submit(UNKNOWN)
+            first_may_end.set()
+        await submit(REFUSED)
+
+    trio.run(main)
+    assert results == [UNKNOWN, UNKNOWN, UNKNOWN]
+
+
 def test_record_of_unresolved_jobs_is_bounded():
     """Guards against memory that grows with each outage."""
     clock = FakeClock()
