--- a/tests/test_placement_domains.py
+++ b/tests/test_placement_domains.py
@@ -5,7 +5,7 @@
 import pytest
 
 from apricotgap.jobs.model import Resources, StepSpec
-from tests.jobs_harness import Rig, ended, entry, job
+from tests.jobs_harness import Rig, ended, entry, job, running
 
 SIZE = Resources(1000, 100)
 N_MACHINES_PER_RACK = 4
@@ -46,7 +46,12 @@
             start = self.starts.pop(name)
             worker_id = start.worker_id
             self.n_ends[worker_id] = number = self.n_ends.get(worker_id, 0) + 1
-            self.poll(worker_id, ends=[ended(number, start)])
+            others = [
+                running(other)
+                for other in self.starts.values()
+                if other.worker_id == worker_id
+            ]
+            self.poll(worker_id, others, [ended(number, start)])
 
     def domains(self, job_id, field):
         """Return the domains in which a job has runs."""
--- a/tests/test_share_failures.py
+++ b/tests/test_share_failures.py
@@ -64,6 +64,7 @@
             SimpleNamespace(
                 config=configuration(),
                 waves={},
+                waves_begun_ms={},
                 evacuated=frozenset(),
                 services=lambda: tuple(POOLS),
             ),
