--- a/apricotgap/jobs/migration.py
+++ b/apricotgap/jobs/migration.py
@@ -39,8 +39,9 @@
         State of the shard.
     """
 
-    def __init__(self, shard: Shard) -> None:
+    def __init__(self, shard: Shard, stops_finite_runs: bool = True) -> None:
         self._shard = shard
+        self._stops_finite_runs = stops_finite_runs
         self._stopped_ms: dict[TaskName, int] = {}
         # Time of the last estimate and its result, by worker.
         self._drains: dict[str, tuple[int, int]] = {}
@@ -120,6 +121,8 @@
             return ""
         if run.step.is_long_running:
             return "long_running" if self._may_interrupt(job, run, at_ms) else ""
+        if not self._stops_finite_runs:
+            return ""
         if not worker.is_reserved(at_ms) or run.name in self._stopped_ms:
             return ""
         left_ms = remaining_ms(run, worker.answered_ms, at_ms)
--- a/apricotgap/jobs/placement_cost.py
+++ b/apricotgap/jobs/placement_cost.py
@@ -86,8 +86,9 @@
         State of the shard.
     """
 
-    def __init__(self, shard: Shard) -> None:
+    def __init__(self, shard: Shard, packs_domains: bool = True) -> None:
         self._shard = shard
+        self._packs_domains = packs_domains
         self._workers: list[Worker] = []
         self._racks: dict[tuple[str, str], _Rack] = {}
         self._footprints: dict[str, _Footprint] = {}
@@ -114,6 +115,8 @@
 
         They are empty for steps that are spread, and for those that last.
         """
+        if not self._packs_domains:
+            return {}
         if step.is_long_running or step.is_best_effort or step.max_per_worker:
             return {}
         if not self._racks:
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -34,16 +34,27 @@
         State of the shard, updated by a pass.
     demand : Demand, optional
         Source of the pool's capacity; without it no job is deferred.
+    starts_by_standing : bool, optional
+        Whether tasks start in the order of service, or by the earliest objective.
+    packs_domains : bool, optional
+        Whether the tasks of a job are kept within few failure domains.
     """
 
-    def __init__(self, shard: Shard, demand: Demand | None = None) -> None:
+    def __init__(
+        self,
+        shard: Shard,
+        demand: Demand | None = None,
+        starts_by_standing: bool = True,
+        packs_domains: bool = True,
+    ) -> None:
         self._shard = shard
         self._demand = demand
         self.shares = TeamShares()
         self.service_order = ServiceOrder(shard, self.shares)
         self._config: Configuration | None = None
         self._gang_room = GangRoom()
-        self._cost = PlacementCost(shard)
+        self._cost = PlacementCost(shard, packs_domains)
+        self._starts_by_standing = starts_by_standing
         self.is_team_blocked = False
         self.hit_start_limit = False
         self.awaits_fresh_answer = False
@@ -118,7 +129,10 @@
             is_inconclusive = all_suspect and bool(job.avoided_workers)
             if spec.is_long_running:
                 return (is_inconclusive, False, False, spec.priority, spec.submitted_ms)
-            return (is_inconclusive, True, *self.service_order.key(job))
+            if self._starts_by_standing:
+                return (is_inconclusive, True, *self.service_order.key(job))
+            is_late = job.is_late(current.unix_ms)
+            return (is_inconclusive, True, is_late, spec.priority, job.objective_ms)
 
         ranked = []
         for job in self._shard.open_jobs.values():
