--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -22,9 +22,8 @@
 # Number of jobs in the long window that shows a lasting rate.
 MIN_RATE_JOBS = 3
 # The demand is the maximum over this window, so that a pool does not shrink between
-# two jobs. It spans two reports to the fleet owner; 1 s kept the machines of a peak
-# that had passed from the next one.
-SCALE_DOWN_DELAY_MS = 400
+# two jobs.
+SCALE_DOWN_DELAY_MS = 1_000
 # A machine that is moved into the pool serves after this time; until then the backlog
 # grows.
 MOVE_IN_MS = 1_800
