--- a/apricotgap/jobs/run_times.py
+++ b/apricotgap/jobs/run_times.py
@@ -14,8 +14,7 @@
 MAX_KINDS = 512
 # Fewer durations say less than the estimate.
 MIN_DURATIONS = 8
-# Three tasks in 100 take several times as long as the others. The quantile leaves them
-# out.
+# A heavy tail of rare long tasks must not raise what counts as usual.
 HIGH_QUANTILE = 0.95
 # Least duration that is expected by the estimate alone.
 MIN_ESTIMATE_MS = 500
--- a/tests/test_owner_routes.py
+++ b/tests/test_owner_routes.py
@@ -27,7 +27,7 @@
 WITHOUT_ROUTE = {queue: ROUTES[queue] for queue in ROUTES if queue != "plans"}
 SETTLE_S = 20
 # A day on which the shard is given up for good and taken up again.
-RETIRING_SEED = 5
+RETIRING_SEED = 4
 
 
 async def change_routes(world):
