--- a/tests/test_takeover_waits.py
+++ b/tests/test_takeover_waits.py
@@ -22,7 +22,7 @@
 from apricotgap.platform.store import Item
 from tests.conditional_store import ValueStore
 from tests.election_harness import EndlessLease, TwoShardView
-from tests.jobs_harness import SERVICE, Rig, entry, job
+from tests.jobs_harness import SERVICE, Rig, entry, job, running
 
 TTL_MS = 3_000
 ONE_TASK = (StepSpec(1, Resources(1000, 100), 800),)
@@ -133,3 +133,71 @@
     rig.ready_only("w2")
     rig.shard.load(job(steps=ONE_TASK), Progress(), 1)
     assert rig.schedule() == []
+
+
+def takeover_of_a_lost_worker(*entries):
+    """Return a successor that finds a job, `w1` in the roster and these entries."""
+    rig = Rig(epoch=2, workers=())
+    rig.shard.loaded_ms = rig.shard.reported_ms = rig.now
+    rig.shard.add_inherited_worker(entry("w1", machine="m1"), rig.now, True)
+    rig.list_workers(entry("w2"), *entries)
+    rig.ready_only("w2")
+    rig.shard.load(job(steps=ONE_TASK), Progress(), 1)
+    return rig
+
+
+def test_successor_does_not_wait_for_a_worker_whose_machine_was_moved():
+    """Guards against work that is away until the end of a lease that no worker holds:
+    machines were moved to another pool just before the owner was lost, and its
+    successor waits for all jobs as if the workers that ran there were out of reach.
+    """
+    moved = entry("w3", born_ms=2, machine="m1", service="spare")
+    rig = takeover_of_a_lost_worker(moved)
+    assert [start.worker_id for start in rig.schedule()] == ["w2"]
+    assert "w1" not in rig.shard.workers
+
+
+def test_successor_does_not_wait_for_a_worker_that_was_replaced_in_its_pool():
+    """Guards against the same wait after maintenance: the next worker of the machine
+    has another id.
+    """
+    rig = takeover_of_a_lost_worker(entry("w3", born_ms=2, machine="m1"))
+    assert [start.worker_id for start in rig.schedule()] == ["w2"]
+    assert "w1" not in rig.shard.workers
+
+
+def test_entry_that_proves_no_later_worker_on_the_machine_ends_no_wait():
+    """Guards against a second run beside one on a worker that is only out of reach: the
+    entry is of an earlier worker, of none that the configuration names, of another
+    machine, or without one.
+    """
+    for other in (
+        entry("w3", born_ms=0, machine="m1", service="spare"),
+        entry("w3", born_ms=1, machine="m1", service="spare"),
+        entry("w3", born_ms=2, machine="m1", service="unnamed"),
+        entry("w3", born_ms=2, machine="m3", service="spare"),
+        entry("w3", born_ms=2, machine="", service="spare"),
+    ):
+        rig = takeover_of_a_lost_worker(other)
+        assert rig.schedule() == []
+        assert rig.shard.workers["w1"].is_unverified
+
+
+def test_task_of_a_moved_worker_starts_elsewhere_at_once():
+    """Guards against a task that waits for the lease of a worker that its machine no
+    longer runs: the answer to the order to move it was lost, and no report names it.
+    """
+    rig = Rig(workers=("w1",)).ready()
+    rig.submit(job(steps=ONE_TASK))
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.poll(running=[running(start)])
+    moved = entry("w3", born_ms=2, machine="mw1", service="spare")
+    rig.list_workers(entry("w1"), entry("w2"), moved)
+    rig.ready_only("w2")
+    assert [each.worker_id for each in rig.schedule()] == ["w2"]
+    # A moved machine is no crash of its worker.
+    assert not rig.shard.jobs["j" * 16].n_crashes
+    # Its entry is still listed for a while.
+    rig.list_workers(entry("w1"), entry("w2"), moved)
+    assert "w1" not in rig.shard.workers
