End a worker whose machine runs a later one

Callers saw long-running tasks away for more than 7 s after the loss of all power, 1 to 2 s short of what counts as lost, and all accepted jobs of a service waiting as long.

Cause: the new owner of a shard waits for the lease of each worker in the stored roster that it cannot reach. Machines move between pools all the time. The owner of the fleet tells the owner of a shard which workers its orders have ended, but both are lost with the power, and their successors know only the roster. The same holds for an order whose answer is lost.

A machine runs one worker at a time, and each worker names its machine in its entry. A later worker of any configured service on the same machine proves that the earlier one has ended, with all that ran there. Its tasks start again at once. A machine that shows up in another pool was moved; in the same pool the worker counts as crashed, as before, unless a report has named it.

--- a/apricotgap/jobs/shard_orders.py
+++ b/apricotgap/jobs/shard_orders.py
@@ -83,6 +83,11 @@
                 self._remove(worker, at_ms)
         return effects
 
+    def _was_reported_ended(self, worker: Worker, at_ms: int) -> bool:
+        """Whether a report may have meant this incarnation of a worker."""
+        ended_ms = self._ended_ms.get(worker.worker_id)
+        return ended_ms is not None and at_ms - ended_ms <= ENDED_REPORT_MS
+
     def _remove(self, worker: Worker, at_ms: int) -> None:
         """Remove an incarnation that has ended."""
         del self.workers[worker.worker_id]
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -53,6 +53,7 @@
         self._ended_incarnations &= {
             (entry.worker_id, entry.born_ms) for entry in listed.values()
         }
+        yield from self._end_replaced(event)
         for worker_id, entry in listed.items():
             yield from self._found_successor(entry, event.at_ms)
             worker = self.workers.get(worker_id)
@@ -92,6 +93,41 @@
                 worker.is_listed = False
                 yield from self._expire(worker, event.at_ms)
 
+    def _end_replaced(self, event: WorkersListed) -> Iterable[Effect]:
+        """Remove workers whose machines run a later worker, of any service.
+
+        A machine runs one worker at a time, so that nothing runs on the earlier one,
+        whatever is left of its lease.
+        """
+        latest = self._latest_workers(event.entries)
+        for worker in list(self.workers.values()):
+            later = latest.get(worker.entry.machine)
+            if later is None or later.worker_id == worker.worker_id:
+                continue
+            if later.born_ms <= worker.entry.born_ms:
+                continue
+            is_moved = later.service != self.service
+            if is_moved or self._was_reported_ended(worker, event.at_ms):
+                yield from self._mark_ordered_away(worker, event.at_ms)
+            else:
+                yield from self._mark_crashed(worker, event.at_ms, "machine restarted")
+            self._remove(worker, event.at_ms)
+
+    def _latest_workers(self, entries: Iterable[WorkerEntry]) -> dict[str, WorkerEntry]:
+        """Return the latest worker of each machine, of those the configuration names.
+
+        Any other entry may have been written by something that is no worker.
+        """
+        services = self.config.service_by_name if self.config else {}
+        latest: dict[str, WorkerEntry] = {}
+        for entry in entries:
+            if not entry.machine or entry.service not in services:
+                continue
+            known = latest.get(entry.machine)
+            if known is None or entry.born_ms > known.born_ms:
+                latest[entry.machine] = entry
+        return latest
+
     def _begin_incarnation(
         self,
         worker: Worker,
