Count the whole time since the earlier process ended towards its workers' leases

Callers saw long-running tasks away for more than 8 s after the loss of all power, where some workers never came back: the new process of the owner's instance waits for their leases.

Cause: the time since the earlier process ended was counted from the start of the election, after all imports, which take most of a second on a slow machine; and it was taken off the longest lease that an owner gives (6.5 s), so that where workers take no lease above 6 s the first half second of it had no effect.

The time counts from the first lines of the process now, and is taken off the shorter of the two. Both tests fail without the change.

--- a/apricotgap/__main__.py
+++ b/apricotgap/__main__.py
@@ -3,6 +3,8 @@
 import signal
 import sys
 
+import apricotgap.process_start  # noqa: F401 - it reads the clock when imported
+
 if sys.argv[1:2] == ["serve"]:
     # Imports take a while, and a SIGHUP must not end a process that does not handle
     # it yet.
--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -72,6 +72,11 @@
         Runs one shard until cancelled.
     may_hand_over : callable
         Returns whether a shard that this instance owns may be given up for balance.
+    max_lease_ms : int or None
+        Longest lease that a worker takes, in milliseconds; None if it takes any.
+    started_ms : int or None
+        Time at which this process started, by default that of `run`. No earlier process
+        of this instance ran later.
     """
 
     def __init__(
@@ -83,6 +88,8 @@
         clock: Clock,
         run_shard: Callable[[Ownership], Awaitable[None]],
         may_hand_over: Callable[[str], bool],
+        max_lease_ms: int | None = None,
+        started_ms: int | None = None,
     ) -> None:
         self._identity = identity
         self._store = store
@@ -98,7 +105,8 @@
         self._overloaded_since_ms: int | None = None
         # Shards whose owner key this process may have written without owning them.
         self._open_claims: set[str] = set()
-        self._started_ms = 0
+        self._max_lease_ms = max_lease_ms
+        self._started_ms = started_ms
         self._log = structlog.get_logger()
         self.is_draining = False
 
@@ -109,7 +117,8 @@
 
     async def run(self) -> None:
         """Take part in the election until cancelled."""
-        self._started_ms = self._clock.now_ms
+        if self._started_ms is None:
+            self._started_ms = self._clock.now_ms
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(_SCAN_INTERVAL_S)
@@ -325,7 +334,11 @@
         me = self._identity
         owner = Owner(me.name, me.incarnation, me.address, epoch)
         inherited = inherited_lease_ms(
-            last_epoch, mark, predecessor_gone_ms, self._lease.ttl_ms
+            last_epoch,
+            mark,
+            predecessor_gone_ms,
+            self._lease.ttl_ms,
+            self._max_lease_ms,
         )
         lease_left_ms = self._lease.valid_until_ms - self._clock.now_ms
         writes = [
@@ -399,7 +412,8 @@
         if owner is None or owner.incarnation == self._identity.incarnation:
             return 0
         # Processes of an instance have the same ports, and no two run at a time.
-        return self._clock.now_ms - self._started_ms
+        now_ms = self._clock.now_ms
+        return now_ms - (now_ms if self._started_ms is None else self._started_ms)
 
     async def _resolve_claim(
         self, shard: str, owner: Owner, outcome: Unknown
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -33,6 +33,7 @@
 )
 from apricotgap.platform.store import StoreClient
 from apricotgap.platform.workers import WorkerClient
+from apricotgap.process_start import PROCESS_STARTED_MS
 
 __all__ = ["Instance", "main"]
 
@@ -77,10 +78,15 @@
         Validated settings.
     file_version : tuple of int
         Version of the settings file, taken before it was read.
+    started_ms : int or None
+        Time on the boot clock at which this process started, by default that of `run`.
     """
 
     def __init__(
-        self, settings: PlatformSettings, file_version: tuple[int, int]
+        self,
+        settings: PlatformSettings,
+        file_version: tuple[int, int],
+        started_ms: int | None = None,
     ) -> None:
         self._settings = settings
         self._file_version = file_version
@@ -109,6 +115,8 @@
             self._clock,
             self._run_shard,
             self._may_hand_over,
+            settings.bounds.max_lease_ms,
+            started_ms,
         )
         self._log = structlog.get_logger()
 
@@ -312,7 +320,7 @@
     async def run() -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(buffer.run)
-            await Instance(settings, file_version).run()
+            await Instance(settings, file_version, PROCESS_STARTED_MS).run()
             nursery.cancel_scope.cancel()
 
     try:
--- a/apricotgap/instance/tenure.py
+++ b/apricotgap/instance/tenure.py
@@ -30,7 +30,11 @@
 
 
 def inherited_lease_ms(
-    last_epoch: int, mark: Item, predecessor_gone_ms: int | None, owner_ttl_ms: int
+    last_epoch: int,
+    mark: Item,
+    predecessor_gone_ms: int | None,
+    owner_ttl_ms: int,
+    max_lease_ms: int | None = None,
 ) -> int:
     """Return how long leases of earlier owners' workers may last after a claim.
 
@@ -46,8 +50,12 @@
         its lease was valid at most until it ended. None if there is no key.
     owner_ttl_ms : int
         Length of an instance's lease, in milliseconds.
+    max_lease_ms : int or None
+        Longest lease that a worker takes, in milliseconds; None if it takes any.
     """
     longest_ms = WORKER_LEASE_TAIL_MS + owner_ttl_ms
+    if max_lease_ms is not None:
+        longest_ms = min(longest_ms, max_lease_ms)
     if predecessor_gone_ms is not None:
         # The clocks of workers may have been slow meanwhile.
         passed_ms = int(predecessor_gone_ms / WORKER_LEASE_STRETCH)
--- a/tests/test_takeover_waits.py
+++ b/tests/test_takeover_waits.py
@@ -77,6 +77,46 @@
     assert ownership.inherited_lease_ms >= TTL_MS + WORKER_LEASE_TAIL_MS
 
 
+def test_time_that_a_process_takes_to_start_counts_as_time_without_predecessor():
+    """Guards against a wait that begins only once a slow machine has started its
+    process: the earlier process of the same instance ended before that.
+    """
+    claimed = []
+    clock = FakeClock(100_000)
+    store = ValueStore()
+    view = TwoShardView(store, FakeClock())
+    earlier = Owner("me", "2-i0", "10.0.0.1:1", 4)
+    store.put(owner_key("s1"), encode_owner(earlier))
+    view.apply(Item(owner_key("s1"), encode_owner(earlier), 1))
+
+    async def run_shard(ownership):
+        claimed.append(ownership)
+        await trio.sleep_forever()
+
+    async def main():
+        me = Member("me", "2-i1", "10.0.0.1:1", "a", 1_000)
+        election = Election(
+            me,
+            store,
+            EndlessLease(),
+            view,
+            clock,
+            run_shard,
+            lambda shard: True,
+            max_lease_ms=6_000,
+            started_ms=98_000,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(election.run)
+            for _ in range(5):
+                await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.001))
+    (ownership,) = [each for each in claimed if each.shard == "s1"]
+    assert 4_000 < ownership.inherited_lease_ms < 4_100
+
+
 def test_successor_waits_for_a_worker_that_restarted_before_its_start():
     """Guards against a second run: a start reached the next incarnation of its worker,
     whose clock had begun anew, and so gave it the longest lease, beyond the tail that
--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -95,6 +95,20 @@
     assert spans_ms[2] < 1_000
 
 
+def test_time_since_the_predecessor_ended_counts_in_full_for_short_leases():
+    """Guards against a successor that waits as long as if its predecessor had just
+    ended, since the longest lease of the workers is shorter than that of the owner.
+    """
+    max_lease_ms = TTL_MS + WORKER_LEASE_TAIL_MS - 500
+    spans_ms = [
+        inherited_lease_ms(4, NO_MARK, gone_ms, TTL_MS, max_lease_ms)
+        for gone_ms in (0, 2_000)
+    ]
+    assert spans_ms[0] == max_lease_ms
+    # It counts all of that time on the slow clock of a worker.
+    assert max_lease_ms - 2_000 < spans_ms[1] < max_lease_ms - 1_900
+
+
 def test_task_of_a_worker_that_is_lost_with_its_owner_is_back_in_time():
     """Guards against earlier jobs that wait for the longest lease of all, 10 s on some
     deployments, because one worker of the roster is gone.
