Ask for a worker where a waiting task fits on none

Cause: the demand of a pool counts the cores of what runs and of finite work that waits. Long-running tasks that wait are not counted, and memory is not. Nothing ended the wait but the demand of other jobs. The same holds for a finite task that fits beside the long-running tasks of no worker, and for long-running tasks that have to leave a worker which is to be maintained.

The demand now covers the workers that long-running tasks need so that each has room, if one of them waits or has to leave, and one more where a finite task fits on none of these. A task that fits on no empty worker, and one beyond the limit of its team, ask for none.

--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -9,6 +9,7 @@
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.gang_demand import n_gang_workers
 from apricotgap.jobs.model import JobSpec
+from apricotgap.jobs.room_demand import room_demand
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.shard_work import ShardWork, collect_work
 
@@ -218,10 +219,12 @@
         work = self._work(at_ms, is_new=True)
         self._forget_arrivals(at_ms)
         self._record_excess(work, at_ms)
+        room = room_demand(self._shard, at_ms)
         n_workers = max(
             least,
             ceil(work.long_running * HEADROOM / worker_cores),
             self._n_spread_workers(),
+            room.n_long_running,
         )
         busy = min(sum(work.running.values()), self._kept_cores(at_ms))
         n_busy = ceil((work.long_running + busy) * HEADROOM / worker_cores)
@@ -233,6 +236,7 @@
                 n_workers,
                 ceil(cores * HEADROOM / worker_cores),
                 n_gang_workers(self._shard, at_ms, is_late=False, priority=priority),
+                room.n_workers(priority),
             )
             levels.append((priority, n_workers))
         return levels
@@ -259,9 +263,12 @@
             return 0
         work = self._work(at_ms)
         cores = work.running_late + work.backlog_late / LATE_CLEAR_MS
-        n_for_gangs = n_gang_workers(self._shard, at_ms, is_late=True)
+        n_at_once = max(
+            n_gang_workers(self._shard, at_ms, is_late=True),
+            room_demand(self._shard, at_ms).n_late,
+        )
         return max(
-            ceil(cores * HEADROOM / worker_cores), n_for_gangs - self._min_workers()
+            ceil(cores * HEADROOM / worker_cores), n_at_once - self._min_workers()
         )
 
     def _worker_cores(self) -> float:
--- /dev/null
+++ b/apricotgap/jobs/room_demand.py
@@ -0,0 +1,169 @@
+"""Workers that a pool needs so that each waiting task has room on one.
+
+Demand in cores does not show it. Memory may be what is used up, a task may need more
+than is left on any one worker, and long-running tasks never end.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from math import ceil
+
+from apricotgap.jobs.job_state import JobState, StepKey
+from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec
+from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.workers import Worker
+
+__all__ = ["RoomDemand", "room_demand"]
+
+
+@dataclass(frozen=True, slots=True)
+class RoomDemand:
+    """Numbers of workers with room for the waiting tasks of a shard.
+
+    `n_occupied` workers have long-running tasks, and `n_more` are needed for those that
+    wait or must leave their workers. `beside` has the priorities of the jobs in time
+    with a task that needs another worker beside them, and `late` tells whether a late
+    job has one.
+    """
+
+    n_occupied: int = 0
+    n_more: int = 0
+    beside: frozenset[int] = frozenset()
+    late: bool = False
+
+    @property
+    def n_long_running(self) -> int:
+        """Number of workers for the long-running tasks, 0 if each has its room."""
+        return self.n_occupied + self.n_more if self.n_more else 0
+
+    def n_workers(self, priority: int) -> int:
+        """Return the workers for jobs in time up to a priority, 0 if they have room."""
+        if not any(each <= priority for each in self.beside):
+            return 0
+        return self.n_occupied + self.n_more + 1
+
+    @property
+    def n_late(self) -> int:
+        """Number of workers for the late jobs, 0 if they have room."""
+        return self.n_occupied + self.n_more + 1 if self.late else 0
+
+
+class _Room:
+    """What workers with long-running tasks have left for other tasks."""
+
+    def __init__(self, workers: Collection[Worker]) -> None:
+        self._left = [
+            (worker, _beside_long_running(worker))
+            for worker in workers
+            if worker.n_long_running
+        ]
+
+    @property
+    def n_workers(self) -> int:
+        """Number of workers with long-running tasks."""
+        return len(self._left)
+
+    def fits(self, step: StepSpec) -> bool:
+        """Whether a task of a step fits on one of the workers."""
+        return any(
+            _is_suited(worker, step) and step.allocation.fits(left)
+            for worker, left in self._left
+        )
+
+    def take(self, step: StepSpec, n_tasks: int) -> int:
+        """Place tasks of a step; return the number of those that do not fit."""
+        most = step.max_per_worker or n_tasks
+        for index, (worker, left) in enumerate(self._left):
+            if not _is_suited(worker, step):
+                continue
+            n_here = min(n_tasks, step.allocation.n_fitting(left, most))
+            self._left[index] = (worker, left - step.allocation.times(n_here))
+            n_tasks -= n_here
+        return n_tasks
+
+
+def room_demand(shard: Shard, at_ms: int) -> RoomDemand:
+    """Return the demand for room of a shard; that of gangs is determined elsewhere.
+
+    Parameters
+    ----------
+    shard : Shard
+        State of the shard.
+    at_ms : int
+        Current time.
+    """
+    kept = {
+        worker.worker_id: worker
+        for worker in shard.workers.values()
+        if worker.is_usable(at_ms, shard.evacuated) and not worker.is_reserved(at_ms)
+    }
+    capacities = {worker.total for worker in shard.workers.values()}
+    room = _Room(kept.values())
+    unix_ms = shard.unix_of(at_ms)
+    n_more = 0
+    beside: set[int] = set()
+    is_late = False
+    for job in shard.open_jobs.values():
+        if not job.spec.is_long_running:
+            continue
+        with shard.guard(job):
+            for key, n_tasks in _unplaced(job, kept, unix_ms).items():
+                step = job.spec.steps[key[1]]
+                n_on_empty = _n_on_empty(step, capacities)
+                if n_on_empty and _is_allowed(shard, job, step):
+                    n_more += ceil(room.take(step, n_tasks) / n_on_empty)
+    for job in shard.open_jobs.values():
+        if job.spec.is_long_running:
+            continue
+        with shard.guard(job):
+            for key in job.open_steps(unix_ms):
+                step = job.spec.steps[key[1]]
+                if step.is_gang or room.fits(step) or not _is_allowed(shard, job, step):
+                    continue
+                if not _n_on_empty(step, capacities):
+                    continue
+                if job.is_late(unix_ms):
+                    is_late = True
+                else:
+                    beside.add(job.spec.priority)
+    return RoomDemand(room.n_workers, n_more, frozenset(beside), is_late)
+
+
+def _unplaced(job: JobState, kept: Collection[str], unix_ms: int) -> dict[StepKey, int]:
+    """Return the long-running tasks that wait or must leave their workers, by step."""
+    numbers: dict[StepKey, int] = {}
+    for key in job.open_steps(unix_ms):
+        step = job.spec.steps[key[1]]
+        if step.is_long_running and not step.is_gang:
+            numbers[key] = len(job.waiting[key])
+    for name, runs in job.runs.items():
+        key = (name.occurrence, name.step)
+        step = job.spec.steps[key[1]]
+        is_placed = any(run.worker_id in kept for run in runs)
+        if step.is_long_running and not step.is_gang and not is_placed:
+            numbers[key] = numbers.get(key, 0) + 1
+    return numbers
+
+
+def _is_allowed(shard: Shard, job: JobState, step: StepSpec) -> bool:
+    return shard.is_within_team_limit(job.spec.team, step.allocation)
+
+
+def _n_on_empty(step: StepSpec, capacities: Collection[Resources]) -> int:
+    """Return how many tasks of a step fit on an empty worker of the pool."""
+    most = step.max_per_worker or step.n_tasks
+    return max(
+        (step.allocation.n_fitting(each, most) for each in capacities), default=0
+    )
+
+
+def _is_suited(worker: Worker, step: StepSpec) -> bool:
+    return not step.required_label or step.required_label in worker.entry.labels
+
+
+def _beside_long_running(worker: Worker) -> Resources:
+    used = NO_RESOURCES
+    for run in worker.runs.values():
+        if run.step.is_long_running:
+            used = used + run.allocation
+    return worker.total - used
--- /dev/null
+++ b/tests/test_room_demand.py
@@ -0,0 +1,103 @@
+"""Demand of tasks that fit on none of the workers that a pool keeps."""
+
+from dataclasses import replace
+
+from apricotgap.jobs.configuration import Team
+from apricotgap.jobs.demand import MIN_WORKERS, Demand
+from apricotgap.jobs.model import Resources, StepSpec
+from tests.jobs_harness import Rig, entry, job
+
+# Four of them fill the memory of a worker and a quarter of its cores.
+HEAVY = Resources(500, 2000)
+SERVICE_STEP = StepSpec(12, HEAVY, is_long_running=True)
+
+
+def rig_with(n_workers, *specs):
+    """Return a rig that has started what fits of these jobs."""
+    rig = Rig(workers=[f"w{number}" for number in range(1, n_workers + 1)]).ready()
+    rig.shard.loaded_ms = rig.shard.reported_ms = rig.now
+    rig.shard.unix_offset_ms = -rig.now
+    for spec in specs:
+        rig.submit(spec)
+    while rig.schedule():
+        pass
+    return rig
+
+
+def wanted(rig):
+    return Demand(rig.shard).wanted(rig.now)
+
+
+def wanted_late(rig):
+    return Demand(rig.shard).wanted_for_late_jobs(rig.now)
+
+
+def test_long_running_tasks_without_room_draw_workers():
+    """Guards against long-running tasks that wait for good beside spare machines: the
+    demand counts the cores of those that run, and the waiting ones lack memory.
+    """
+    rig = rig_with(2, job(steps=(SERVICE_STEP,)))
+    state = rig.shard.jobs["j" * 16]
+    assert len(state.waiting[0, 0]) == 4
+    assert wanted(rig) == 3
+    # One more worker is enough.
+    rig.list_workers(entry("w1"), entry("w2"), entry("w3"))
+    rig.ready()
+    assert wanted(rig) == 3
+    rig.schedule()
+    assert not state.waiting[0, 0]
+    assert wanted(rig) <= 3
+
+
+def test_finite_task_without_room_beside_long_running_ones_draws_a_worker():
+    """Guards against a job that never starts: long-running tasks use up the memory of
+    each worker, and its few cores ask for no other one.
+    """
+    finite = job("f" * 16, steps=(StepSpec(1, Resources(500, 1000), 100),))
+    full = job(steps=(replace(SERVICE_STEP, n_tasks=8),))
+    rig = rig_with(2, full, finite)
+    assert rig.shard.jobs["f" * 16].waiting[0, 0]
+    assert wanted(rig) == 3
+
+
+def test_late_task_without_room_beside_long_running_ones_draws_a_worker():
+    """Guards against the same wait of a job that can only end late."""
+    finite = job("f" * 16, steps=(StepSpec(1, Resources(500, 1000), 100),))
+    full = job(steps=(replace(SERVICE_STEP, n_tasks=8),))
+    rig = rig_with(2, full, finite)
+    rig.shard.unix_offset_ms += 1_000_000
+    assert wanted(rig) == MIN_WORKERS
+    assert wanted_late(rig) == 1
+
+
+def test_long_running_tasks_on_reserved_workers_draw_room_to_migrate_to():
+    """Guards against maintenance that ends late: no kept worker has the memory for the
+    long-running tasks of the workers that are to be emptied.
+    """
+    rig = rig_with(3, job(steps=(SERVICE_STEP,)))
+    rig.shard.reserve(["w2", "w3"], rig.now)
+    # One kept worker, and two for what the reserved ones run.
+    assert wanted(rig) == 3
+
+
+def test_tasks_that_no_worker_could_run_draw_none():
+    """Guards against a pool that grows without end for a task that fits nowhere."""
+    too_large = StepSpec(3, Resources(500, 9000), is_long_running=True)
+    too_large_finite = StepSpec(3, Resources(500, 9000), 100)
+    rig = rig_with(2, job(steps=(too_large,)), job("f" * 16, steps=(too_large_finite,)))
+    assert wanted(rig) == MIN_WORKERS
+    assert wanted_late(rig) == 0
+
+
+def test_tasks_beyond_the_limit_of_their_team_draw_none():
+    """Guards against machines that are paid for tasks that may not start."""
+    rig = Rig(workers=("w1", "w2"))
+    team = Team("bakers", frozenset({"key"}), 1.0, Resources(4000, 16_000))
+    rig.shard.config = replace(rig.shard.config, version=2, teams=(team,))
+    rig.shard.team_limits.set_configuration(rig.shard.config)
+    rig.ready()
+    rig.shard.loaded_ms = rig.shard.reported_ms = rig.now
+    rig.submit(job(steps=(SERVICE_STEP,)))
+    while rig.schedule():
+        pass
+    assert wanted(rig) == MIN_WORKERS
