--- a/tests/test_owner_routes.py
+++ b/tests/test_owner_routes.py
@@ -4,6 +4,7 @@
 shards handed over for balance, and long-running tasks go on or are cancelled.
 """
 
+import functools
 import os
 
 import pytest
@@ -26,8 +27,8 @@
 ROUTES = Trouble.registry["routes"].ROUTES
 WITHOUT_ROUTE = {queue: ROUTES[queue] for queue in ROUTES if queue != "plans"}
 SETTLE_S = 20
-# A day on which the shard is given up for good and taken up again.
-RETIRING_SEED = 4
+# Days of which at least one gives the shard up for good and takes it up again.
+N_PLAYED_SEEDS = 6
 
 
 async def change_routes(world):
@@ -61,6 +62,7 @@
     world.observer.check_end()
 
 
+@functools.cache
 def play(seed):
     """Play a day; returns its world."""
     return play_day(seed, change_routes, status_retention_ms=STATUS_RETENTION_MS)
@@ -72,9 +74,16 @@
     assert play(seed).broken[:3] == []
 
 
+def retires_and_returns(seed):
+    """Return whether the shard is given up for good and loaded again on a day."""
+    events = [
+        line["event"] for _, line in play(seed).log if line.get("shard") == SERVICE
+    ]
+    if "shard_retired" not in events:
+        return False
+    return "shard_loaded" in events[events.index("shard_retired") :]
+
+
 def test_days_have_shards_that_retire_and_are_claimed_again():
     """Guards against days that do not play what they are for."""
-    lines = [line for _, line in play(RETIRING_SEED).log]
-    events = [line["event"] for line in lines if line.get("shard") == SERVICE]
-    retired = events.index("shard_retired")
-    assert "shard_loaded" in events[retired:]
+    assert any(map(retires_and_returns, range(N_PLAYED_SEEDS)))
