--- a/apricotgap/instance/election.py
+++ b/apricotgap/instance/election.py
@@ -28,6 +28,7 @@
 )
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.ownership import Ownership
+from apricotgap.instance.shard_marks import ShardMarks
 from apricotgap.instance.tenure import inherited_lease_ms, new_mark
 from apricotgap.platform.store import (
     Conflict,
@@ -99,7 +100,7 @@
         self._run_shard = run_shard
         self._may_hand_over = may_hand_over
         self._vacant_since_ms: dict[str, int] = {}
-        self._unmarked_since_ms: dict[str, int] = {}
+        self._shard_marks = ShardMarks(store, cluster_view, clock)
         self._ownerships: dict[str, tuple[Ownership, trio.CancelScope]] = {}
         self._member_lease: Lease | None = None
         self._overloaded_since_ms: int | None = None
@@ -128,7 +129,7 @@
                     continue
                 await self._register(lease)
                 await self._hand_over()
-                await self._mark_shards()
+                await self._shard_marks.write(self._claim_delay_ms)
                 shards = self._cluster_view.shards()
                 for shard in set(self._vacant_since_ms).difference(shards):
                     del self._vacant_since_ms[shard]
@@ -215,29 +216,6 @@
             return
         self._log.warning("member_not_registered", outcome=repr(outcome))
 
-    async def _mark_shards(self) -> None:
-        """Write the shard keys that owners of an earlier build do not write.
-
-        If its last queue left, such a shard would have no next owner.
-        """
-        now_ms = self._clock.now_ms
-        unmarked = self._cluster_view.unmarked_shards()
-        self._unmarked_since_ms = {
-            shard: self._unmarked_since_ms.get(shard, now_ms) for shard in unmarked
-        }
-        for shard, since_ms in self._unmarked_since_ms.items():
-            item = self._cluster_view.owner_item(shard)
-            delay_ms = (1 + self._rank(shard)) * RANK_DELAY_MS
-            if item is None or now_ms - since_ms < delay_ms:
-                continue
-            outcome = await self._store.write(
-                (
-                    Write(item.key, expected_revision=item.revision, check_only=True),
-                    Write(shard_key(shard), SHARD_OPEN, expected_revision=0),
-                )
-            )
-            self._log.info("shard_marked", shard=shard, outcome=type(outcome).__name__)
-
     async def _claim_if_vacant(self, shard: str, nursery: trio.Nursery) -> None:
         if shard in self._ownerships or self._usable_lease is None:
             return
@@ -250,7 +228,7 @@
             return
         since_ms = self._vacant_since_ms.setdefault(shard, now_ms)
         if owner is None or not is_own:
-            delay_ms = self._rank(shard) * RANK_DELAY_MS
+            delay_ms = self._claim_delay_ms(shard)
         elif owner.incarnation != self._identity.incarnation:
             # An earlier process of this instance owned the shard; it no longer runs.
             delay_ms = 0
@@ -274,6 +252,10 @@
         with scope:
             await self._run_shard(ownership)
 
+    def _claim_delay_ms(self, shard: str) -> int:
+        """Return how long to leave a shard to the instances that rank before."""
+        return self._rank(shard) * RANK_DELAY_MS
+
     def _rank(self, shard: str) -> int:
         """Return the number of instances that should claim the shard first."""
 
