Ask for room by what a team's limit leaves, not by the allowance of the shard

Callers would see a task of a team with a limit wait for good in a full pool: the shard asks for an allowance only for tasks that have room, and it asked for room only for tasks within its allowance, so that it asked for neither. At its limit, a team's long-running tasks on workers that are to be maintained asked for no room to migrate to, although they count towards the limit already. Below it, a job of 40 tasks of which the limit allowed one more asked for 8 workers, not for one.

Cause: the check compared the allowance of the shard with the size of one task.

The demand now compares with what the rows of the other shards leave of the limit, takes off what each waiting task would use, and leaves out tasks that run already.

--- a/apricotgap/jobs/room_demand.py
+++ b/apricotgap/jobs/room_demand.py
@@ -82,6 +82,40 @@
         return n_tasks
 
 
+class _TeamBudget:
+    """What the teams may still use in a shard, by their limits over all shards.
+
+    The allowances of the shard say nothing about it: they are raised only for tasks
+    that have room.
+    """
+
+    def __init__(self, shard: Shard) -> None:
+        self._shard = shard
+        self._left: dict[str, Resources | None] = {}
+
+    def take(self, team: str, step: StepSpec, n_tasks: int) -> int:
+        """Use the budget of a team for tasks; return for how many it suffices."""
+        left = self._left_of(team)
+        if left is None:
+            return n_tasks
+        n_allowed = step.allocation.n_fitting(left, n_tasks)
+        self._left[team] = left - step.allocation.times(n_allowed)
+        return n_allowed
+
+    def allows(self, team: str, step: StepSpec) -> bool:
+        """Whether a team may run another task of a step."""
+        left = self._left_of(team)
+        return left is None or step.allocation.fits(left)
+
+    def _left_of(self, team: str) -> Resources | None:
+        if team not in self._left:
+            attainable = self._shard.team_limits.attainable(team)
+            if attainable is not None:
+                attainable = attainable - self._shard.possible_usage_of(team)
+            self._left[team] = attainable
+        return self._left[team]
+
+
 def room_demand(shard: Shard, at_ms: int) -> RoomDemand:
     """Return the demand for room of a shard; that of gangs is determined elsewhere.
 
@@ -99,6 +133,7 @@
     }
     capacities = {worker.total for worker in shard.workers.values()}
     room = _Room(kept.values())
+    budget = _TeamBudget(shard)
     unix_ms = shard.unix_of(at_ms)
     n_more = 0
     beside: set[int] = set()
@@ -107,10 +142,10 @@
         if not job.spec.is_long_running:
             continue
         with shard.guard(job):
-            for key, n_tasks in _unplaced(job, kept, unix_ms).items():
+            for key, n_tasks in _unplaced(job, kept, unix_ms, budget).items():
                 step = job.spec.steps[key[1]]
                 n_on_empty = _n_on_empty(step, capacities)
-                if n_on_empty and _is_allowed(shard, job, step):
+                if n_on_empty:
                     n_more += ceil(room.take(step, n_tasks) / n_on_empty)
     for job in shard.open_jobs.values():
         if job.spec.is_long_running:
@@ -118,10 +153,12 @@
         with shard.guard(job):
             for key in job.open_steps(unix_ms):
                 step = job.spec.steps[key[1]]
-                if step.is_gang or room.fits(step) or not _is_allowed(shard, job, step):
+                if step.is_gang or room.fits(step):
                     continue
                 if not _n_on_empty(step, capacities):
                     continue
+                if not budget.allows(job.spec.team, step):
+                    continue
                 if job.is_late(unix_ms):
                     is_late = True
                 else:
@@ -129,13 +166,18 @@
     return RoomDemand(room.n_workers, n_more, frozenset(beside), is_late)
 
 
-def _unplaced(job: JobState, kept: Collection[str], unix_ms: int) -> dict[StepKey, int]:
-    """Return the long-running tasks that wait or must leave their workers, by step."""
+def _unplaced(
+    job: JobState, kept: Collection[str], unix_ms: int, budget: _TeamBudget
+) -> dict[StepKey, int]:
+    """Return the long-running tasks that wait or must leave their workers, by step.
+
+    Tasks that wait for their team's limit do not count.
+    """
     numbers: dict[StepKey, int] = {}
     for key in job.open_steps(unix_ms):
         step = job.spec.steps[key[1]]
         if step.is_long_running and not step.is_gang:
-            numbers[key] = len(job.waiting[key])
+            numbers[key] = budget.take(job.spec.team, step, len(job.waiting[key]))
     for name, runs in job.runs.items():
         key = (name.occurrence, name.step)
         step = job.spec.steps[key[1]]
@@ -145,10 +187,6 @@
     return numbers
 
 
-def _is_allowed(shard: Shard, job: JobState, step: StepSpec) -> bool:
-    return shard.is_within_team_limit(job.spec.team, step.allocation)
-
-
 def _n_on_empty(step: StepSpec, capacities: Collection[Resources]) -> int:
     """Return how many tasks of a step fit on an empty worker of the pool."""
     most = step.max_per_worker or step.n_tasks
--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -109,15 +109,14 @@
 
     def allowed(self, team: str) -> Resources | None:
         """Return the allowance of a team in this shard, None without a limit."""
-        limit = self._limits.get(team)
-        if limit is None or limit.cpu == limit.memory_mb == limit.gpus == UNLIMITED:
+        left = self.attainable(team)
+        if left is None:
             return None
         if team in self._unread:
             # The others may use more than the lowered limit leaves.
             return NO_RESOURCES
         # Another shard may not have stored yet that its allowance is lower, or may use
         # more than a lowered limit leaves it.
-        left = (limit - self._others(team)).elementwise_max(NO_RESOURCES)
         return self._allowances.get(team, NO_RESOURCES).elementwise_min(left)
 
     def may_allow(self, team: str, amount: Resources) -> bool:
@@ -125,6 +124,16 @@
         limit = self._limits.get(team)
         return limit is None or amount.fits(limit)
 
+    def attainable(self, team: str) -> Resources | None:
+        """Return what the other shards leave of a team's limit, None without a limit.
+
+        The allowance is raised up to this amount once tasks have room.
+        """
+        limit = self._limits.get(team)
+        if limit is None or limit.cpu == limit.memory_mb == limit.gpus == UNLIMITED:
+            return None
+        return (limit - self._others(team)).elementwise_max(NO_RESOURCES)
+
     def limit(self, team: str) -> Resources:
         """Return the limit of a team over all shards."""
         return self._limits.get(team, NO_RESOURCES)
--- a/tests/test_room_demand.py
+++ b/tests/test_room_demand.py
@@ -5,7 +5,7 @@
 from apricotgap.jobs.configuration import Team
 from apricotgap.jobs.demand import MIN_WORKERS, Demand
 from apricotgap.jobs.model import Resources, StepSpec
-from tests.jobs_harness import Rig, entry, job
+from tests.jobs_harness import SERVICE, Rig, entry, job
 
 # Four of them fill the memory of a worker and a quarter of its cores.
 HEAVY = Resources(500, 2000)
@@ -101,3 +101,70 @@
     while rig.schedule():
         pass
     assert wanted(rig) == MIN_WORKERS
+
+
+def rig_with_limit(n_workers, limit, allowance, *specs):
+    """Return a rig whose team has a limit and a stored allowance in this shard."""
+    rig = Rig(workers=[f"w{number}" for number in range(1, n_workers + 1)])
+    team = Team("bakers", frozenset({"key"}), 1.0, limit)
+    others = Team("others", frozenset({"key2"}), 1.0, Resources())
+    rig.shard.config = replace(rig.shard.config, version=2, teams=(team, others))
+    rig.shard.team_limits.set_configuration(rig.shard.config)
+    rig.shard.team_limits.record_split("bakers", {SERVICE: allowance}, 1)
+    rig.ready()
+    rig.shard.loaded_ms = rig.shard.reported_ms = rig.now
+    rig.shard.unix_offset_ms = -rig.now
+    for spec in specs:
+        rig.submit(spec)
+    while rig.schedule():
+        pass
+    return rig
+
+
+def test_task_above_the_allowance_of_its_team_draws_room():
+    """Guards against a task that waits for good: the allowance of its team is raised
+    only for tasks that have room, and room was asked for only within the allowance.
+    """
+    full = replace(job(steps=(replace(SERVICE_STEP, n_tasks=8),)), team="others")
+    lasting = job("l" * 16, steps=(replace(SERVICE_STEP, n_tasks=1),))
+    finite = job("f" * 16, steps=(StepSpec(1, HEAVY, 100),))
+    limit, allowance = Resources(8000, 24_000), Resources(500, 1600)
+    for waiting in (lasting, finite):
+        rig = rig_with_limit(2, limit, allowance, full, waiting)
+        assert rig.shard.jobs[waiting.job_id].waiting[0, 0]
+        assert wanted(rig) == 3
+
+
+def test_waiting_tasks_draw_workers_up_to_the_limit_of_their_team_only():
+    """Guards against machines that are paid for and stay empty: the limit allows one
+    more task of the many that wait.
+    """
+    limit = Resources(8000, 18_000)
+    rig = rig_with_limit(
+        2, limit, limit, job(steps=(replace(SERVICE_STEP, n_tasks=40),))
+    )
+    assert len(rig.shard.jobs["j" * 16].runs) == 8
+    assert wanted(rig) == 3
+
+
+def test_reserved_tasks_of_a_team_at_its_limit_draw_room_to_migrate_to():
+    """Guards against maintenance that ends late: what the tasks use on the workers that
+    are to be emptied counts towards the limit already.
+    """
+    limit = Resources(8000, 24_000)
+    rig = rig_with_limit(3, limit, limit, job(steps=(SERVICE_STEP,)))
+    assert len(rig.shard.jobs["j" * 16].runs) == 12
+    rig.shard.reserve(["w2", "w3"], rig.now)
+    assert wanted(rig) == 3
+
+
+def test_limit_that_other_shards_have_taken_draws_no_worker():
+    """Guards against machines for tasks that only the share of other shards allows."""
+    rig = rig_with_limit(2, Resources(8000, 18_000), Resources(8000, 16_000))
+    split = {SERVICE: Resources(8000, 16_000), "other": Resources(0, 2000)}
+    rig.shard.team_limits.record_split("bakers", split, 2)
+    rig.submit(job(steps=(SERVICE_STEP,)))
+    while rig.schedule():
+        pass
+    assert len(rig.shard.jobs["j" * 16].runs) == 8
+    assert wanted(rig) == MIN_WORKERS
