Count new workers for long-running tasks across jobs, not for each job

Callers would see a pool take a machine for each waiting job: 20 long-running jobs of one small task each, which all fit on one worker, asked for 20 workers. That is what a new owner finds before the workers have answered it.

Cause: the workers were rounded up for each step, and what a new worker has left was used for no other step.

The demand now places the tasks on new workers of the pool's capacity one after the other, and counts these.

The test failed before.

--- a/apricotgap/jobs/room_demand.py
+++ b/apricotgap/jobs/room_demand.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass
-from math import ceil
 
 from apricotgap.jobs.job_state import JobState, StepKey
 from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec
@@ -49,37 +48,81 @@
 
 
 class _Room:
-    """What workers with long-running tasks have left for other tasks."""
+    """What workers have left beside long-running tasks, and new ones that are empty.
 
-    def __init__(self, workers: Collection[Worker]) -> None:
-        self._left = [
+    Parameters
+    ----------
+    workers : collection of Worker
+        Workers that the pool keeps; those without long-running tasks do not count.
+    capacities : collection of Resources
+        Capacities of the workers of the pool, which a new one may have.
+    """
+
+    def __init__(
+        self, workers: Collection[Worker], capacities: Collection[Resources]
+    ) -> None:
+        self._capacities = capacities
+        self._occupied = [
             (worker, _beside_long_running(worker))
             for worker in workers
             if worker.n_long_running
         ]
+        self._new: list[Resources] = []
 
     @property
-    def n_workers(self) -> int:
+    def n_occupied(self) -> int:
         """Number of workers with long-running tasks."""
-        return len(self._left)
+        return len(self._occupied)
+
+    @property
+    def n_new(self) -> int:
+        """Number of new workers that the placed tasks need."""
+        return len(self._new)
 
     def fits(self, step: StepSpec) -> bool:
         """Whether a task of a step fits on one of the workers."""
+        if any(step.allocation.fits(left) for left in self._new):
+            return True
         return any(
             _is_suited(worker, step) and step.allocation.fits(left)
-            for worker, left in self._left
+            for worker, left in self._occupied
         )
 
-    def take(self, step: StepSpec, n_tasks: int) -> int:
-        """Place tasks of a step; return the number of those that do not fit."""
+    def fits_on_empty(self, step: StepSpec) -> bool:
+        """Whether a task of a step fits on an empty worker of the pool."""
+        return any(step.allocation.fits(each) for each in self._capacities)
+
+    def take(self, step: StepSpec, n_tasks: int) -> None:
+        """Place tasks of a step, on new workers where the others have no room.
+
+        Tasks that fit on no empty worker are left out.
+        """
         most = step.max_per_worker or n_tasks
-        for index, (worker, left) in enumerate(self._left):
+        for index, (worker, left) in enumerate(self._occupied):
             if not _is_suited(worker, step):
                 continue
             n_here = min(n_tasks, step.allocation.n_fitting(left, most))
-            self._left[index] = (worker, left - step.allocation.times(n_here))
+            self._occupied[index] = worker, left - step.allocation.times(n_here)
+            n_tasks -= n_here
+        for index, left in enumerate(self._new):
+            n_here = min(n_tasks, step.allocation.n_fitting(left, most))
+            self._new[index] = left - step.allocation.times(n_here)
+            n_tasks -= n_here
+        self._add_workers(step, n_tasks, most)
+
+    def _add_workers(self, step: StepSpec, n_tasks: int, most: int) -> None:
+        n_on_empty, capacity = max(
+            (
+                (step.allocation.n_fitting(each, most), each)
+                for each in self._capacities
+            ),
+            key=lambda found: found[0],
+            default=(0, NO_RESOURCES),
+        )
+        while n_on_empty and n_tasks > 0:
+            n_here = min(n_tasks, n_on_empty)
+            self._new.append(capacity - step.allocation.times(n_here))
             n_tasks -= n_here
-        return n_tasks
 
 
 class _TeamBudget:
@@ -132,10 +175,9 @@
         if worker.is_usable(at_ms, shard.evacuated) and not worker.is_reserved(at_ms)
     }
     capacities = {worker.total for worker in shard.workers.values()}
-    room = _Room(kept.values())
+    room = _Room(kept.values(), capacities)
     budget = _TeamBudget(shard)
     unix_ms = shard.unix_of(at_ms)
-    n_more = 0
     beside: set[int] = set()
     is_late = False
     for job in shard.open_jobs.values():
@@ -143,19 +185,14 @@
             continue
         with shard.guard(job):
             for key, n_tasks in _unplaced(job, kept, unix_ms, budget).items():
-                step = job.spec.steps[key[1]]
-                n_on_empty = _n_on_empty(step, capacities)
-                if n_on_empty:
-                    n_more += ceil(room.take(step, n_tasks) / n_on_empty)
+                room.take(job.spec.steps[key[1]], n_tasks)
     for job in shard.open_jobs.values():
         if job.spec.is_long_running:
             continue
         with shard.guard(job):
             for key in job.open_steps(unix_ms):
                 step = job.spec.steps[key[1]]
-                if step.is_gang or room.fits(step):
-                    continue
-                if not _n_on_empty(step, capacities):
+                if step.is_gang or room.fits(step) or not room.fits_on_empty(step):
                     continue
                 if not budget.allows(job.spec.team, step):
                     continue
@@ -163,7 +200,7 @@
                     is_late = True
                 else:
                     beside.add(job.spec.priority)
-    return RoomDemand(room.n_workers, n_more, frozenset(beside), is_late)
+    return RoomDemand(room.n_occupied, room.n_new, frozenset(beside), is_late)
 
 
 def _unplaced(
@@ -187,14 +224,6 @@
     return numbers
 
 
-def _n_on_empty(step: StepSpec, capacities: Collection[Resources]) -> int:
-    """Return how many tasks of a step fit on an empty worker of the pool."""
-    most = step.max_per_worker or step.n_tasks
-    return max(
-        (step.allocation.n_fitting(each, most) for each in capacities), default=0
-    )
-
-
 def _is_suited(worker: Worker, step: StepSpec) -> bool:
     return not step.required_label or step.required_label in worker.entry.labels
 
--- a/tests/test_room_demand.py
+++ b/tests/test_room_demand.py
@@ -168,3 +168,15 @@
         pass
     assert len(rig.shard.jobs["j" * 16].runs) == 8
     assert wanted(rig) == MIN_WORKERS
+
+
+def test_small_long_running_tasks_share_the_workers_that_they_draw():
+    """Guards against a pool that takes a machine for each job, from others or paid for,
+    although all of them fit on one.
+    """
+    small = StepSpec(1, Resources(300, 300), is_long_running=True)
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.shard.loaded_ms = rig.shard.reported_ms = rig.now
+    for number in range(20):
+        rig.submit(job(f"{number:016d}", steps=(small,)))
+    assert wanted(rig) == MIN_WORKERS
