Determine the demand for room once a report and for each kind of task

Callers would see an owner answer late: with 600 open jobs on 150 workers whose memory is filled by long-running tasks, a report for the owner of the fleet took 119 ms of processor time, and one is made every 300 ms, on instances of half a core.

Cause: each waiting step was compared with each worker, twice a report.

Tasks of the same size and label are compared once, full workers are passed over, and the report uses one result. The test failed before.

--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -9,7 +9,7 @@
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.gang_demand import n_gang_workers
 from apricotgap.jobs.model import JobSpec
-from apricotgap.jobs.room_demand import room_demand
+from apricotgap.jobs.room_demand import RoomDemand, room_demand
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.shard_work import ShardWork, collect_work
 
@@ -84,6 +84,7 @@
         # A recent target and when it was determined.
         self._recent_target: tuple[int, float] | None = None
         self._last_work: tuple[int, ShardWork] | None = None
+        self._last_room: tuple[int, RoomDemand] | None = None
         # Numbers of workers that jobs in time used, over the same window.
         self._busy: deque[tuple[int, int]] = deque()
 
@@ -219,7 +220,7 @@
         work = self._work(at_ms, is_new=True)
         self._forget_arrivals(at_ms)
         self._record_excess(work, at_ms)
-        room = room_demand(self._shard, at_ms)
+        room = self._room(at_ms, is_new=True)
         n_workers = max(
             least,
             ceil(work.long_running * HEADROOM / worker_cores),
@@ -248,6 +249,12 @@
             self._last_work = (at_ms, work)
         return self._last_work[1]
 
+    def _room(self, at_ms: int, is_new: bool = False) -> RoomDemand:
+        """Return the demand for room; that of one time is determined once."""
+        if is_new or self._last_room is None or self._last_room[0] != at_ms:
+            self._last_room = (at_ms, room_demand(self._shard, at_ms))
+        return self._last_room[1]
+
     def _min_workers(self) -> int:
         """Return the workers without demand, 0 if the service has no work to expect."""
         config = self._shard.config
@@ -265,7 +272,7 @@
         cores = work.running_late + work.backlog_late / LATE_CLEAR_MS
         n_at_once = max(
             n_gang_workers(self._shard, at_ms, is_late=True),
-            room_demand(self._shard, at_ms).n_late,
+            self._room(at_ms).n_late,
         )
         return max(
             ceil(cores * HEADROOM / worker_cores), n_at_once - self._min_workers()
--- a/apricotgap/jobs/room_demand.py
+++ b/apricotgap/jobs/room_demand.py
@@ -99,15 +99,19 @@
         """
         most = step.max_per_worker or n_tasks
         for index, (worker, left) in enumerate(self._occupied):
-            if not _is_suited(worker, step):
-                continue
-            n_here = min(n_tasks, step.allocation.n_fitting(left, most))
-            self._occupied[index] = worker, left - step.allocation.times(n_here)
-            n_tasks -= n_here
+            if not n_tasks:
+                return
+            if step.allocation.fits(left) and _is_suited(worker, step):
+                n_here = min(n_tasks, step.allocation.n_fitting(left, most))
+                self._occupied[index] = worker, left - step.allocation.times(n_here)
+                n_tasks -= n_here
         for index, left in enumerate(self._new):
-            n_here = min(n_tasks, step.allocation.n_fitting(left, most))
-            self._new[index] = left - step.allocation.times(n_here)
-            n_tasks -= n_here
+            if not n_tasks:
+                return
+            if step.allocation.fits(left):
+                n_here = min(n_tasks, step.allocation.n_fitting(left, most))
+                self._new[index] = left - step.allocation.times(n_here)
+                n_tasks -= n_here
         self._add_workers(step, n_tasks, most)
 
     def _add_workers(self, step: StepSpec, n_tasks: int, most: int) -> None:
@@ -180,6 +184,8 @@
     unix_ms = shard.unix_of(at_ms)
     beside: set[int] = set()
     is_late = False
+    # Whether a kind of task has room beside the long-running ones, or never has any.
+    is_served: dict[tuple[Resources, str], bool] = {}
     for job in shard.open_jobs.values():
         if not job.spec.is_long_running:
             continue
@@ -192,7 +198,12 @@
         with shard.guard(job):
             for key in job.open_steps(unix_ms):
                 step = job.spec.steps[key[1]]
-                if step.is_gang or room.fits(step) or not room.fits_on_empty(step):
+                if step.is_gang:
+                    continue
+                kind = step.allocation, step.required_label
+                if kind not in is_served:
+                    is_served[kind] = room.fits(step) or not room.fits_on_empty(step)
+                if is_served[kind]:
                     continue
                 if not budget.allows(job.spec.team, step):
                     continue
--- a/tests/test_room_demand.py
+++ b/tests/test_room_demand.py
@@ -1,10 +1,12 @@
 """Demand of tasks that fit on none of the workers that a pool keeps."""
 
 from dataclasses import replace
+from unittest import mock
 
 from apricotgap.jobs.configuration import Team
 from apricotgap.jobs.demand import MIN_WORKERS, Demand
 from apricotgap.jobs.model import Resources, StepSpec
+from apricotgap.jobs.room_demand import _Room
 from tests.jobs_harness import SERVICE, Rig, entry, job
 
 # Four of them fill the memory of a worker and a quarter of its cores.
@@ -180,3 +182,20 @@
     for number in range(20):
         rig.submit(job(f"{number:016d}", steps=(small,)))
     assert wanted(rig) == MIN_WORKERS
+
+
+def test_tasks_of_one_kind_are_compared_with_the_workers_once():
+    """Guards against an owner that is busy with its demand: many jobs wait whose tasks
+    fit on no worker, and each was compared with each worker, twice a report.
+    """
+    full = job(steps=(replace(SERVICE_STEP, n_tasks=8),))
+    rig = rig_with(2, full)
+    for number in range(50):
+        waiting = StepSpec(1, Resources(500, 1000), 100)
+        rig.submit(job(f"{number:016d}", steps=(waiting,)))
+    with mock.patch.object(
+        _Room, "fits", autospec=True, side_effect=_Room.fits
+    ) as fits:
+        report = Demand(rig.shard).report((), None, rig.now)
+    assert report.wanted == 3
+    assert fits.call_count == 1
