Ask for a worker where tasks of a step may not share the ones with room

Callers would see a long-running task of a step with anti-affinity wait for good: the workers with room run as many tasks of the step as one may, and long-running tasks of other jobs fill the rest of the pool, which counts as large enough.

Cause: the demand for room did not count the runs of the step on a worker towards the most that one may run.

The test failed before.

--- a/apricotgap/jobs/room_demand.py
+++ b/apricotgap/jobs/room_demand.py
@@ -10,6 +10,7 @@
 from apricotgap.jobs.job_state import JobState, StepKey
 from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.tickets import StepName
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["RoomDemand", "room_demand"]
@@ -92,7 +93,7 @@
         """Whether a task of a step fits on an empty worker of the pool."""
         return any(step.allocation.fits(each) for each in self._capacities)
 
-    def take(self, step: StepSpec, n_tasks: int) -> None:
+    def take(self, step_name: StepName, step: StepSpec, n_tasks: int) -> None:
         """Place tasks of a step, on new workers where the others have no room.
 
         Tasks that fit on no empty worker are left out.
@@ -102,7 +103,8 @@
             if not n_tasks:
                 return
             if step.allocation.fits(left) and _is_suited(worker, step):
-                n_here = min(n_tasks, step.allocation.n_fitting(left, most))
+                n_more = most - _n_of_step(worker, step_name, step)
+                n_here = min(n_tasks, step.allocation.n_fitting(left, n_more))
                 self._occupied[index] = worker, left - step.allocation.times(n_here)
                 n_tasks -= n_here
         for index, left in enumerate(self._new):
@@ -191,7 +193,8 @@
             continue
         with shard.guard(job):
             for key, n_tasks in _unplaced(job, kept, unix_ms, budget).items():
-                room.take(job.spec.steps[key[1]], n_tasks)
+                step_name = StepName(job.spec.job_id, *key)
+                room.take(step_name, job.spec.steps[key[1]], n_tasks)
     for job in shard.open_jobs.values():
         if job.spec.is_long_running:
             continue
@@ -239,6 +242,13 @@
     return not step.required_label or step.required_label in worker.entry.labels
 
 
+def _n_of_step(worker: Worker, step_name: StepName, step: StepSpec) -> int:
+    """Return the runs of a step on a worker that its tasks may not share."""
+    if not step.max_per_worker:
+        return 0
+    return sum(name[:3] == step_name for name, _ in worker.runs)
+
+
 def _beside_long_running(worker: Worker) -> Resources:
     used = NO_RESOURCES
     for run in worker.runs.values():
--- a/tests/test_room_demand.py
+++ b/tests/test_room_demand.py
@@ -199,3 +199,19 @@
         report = Demand(rig.shard).report((), None, rig.now)
     assert report.wanted == 3
     assert fits.call_count == 1
+
+
+def test_long_running_task_that_may_not_share_a_worker_draws_one():
+    """Guards against a task that waits for good: the workers with room for it run as
+    many tasks of its step as one may, and the other one is full.
+    """
+    apart = StepSpec(3, Resources(100, 100), is_long_running=True, max_per_worker=1)
+    full = replace(SERVICE_STEP, n_tasks=4)
+    rig = rig_with(1, job(steps=(full,)))
+    rig.list_workers(entry("w1"), entry("w2"), entry("w3"))
+    rig.ready()
+    rig.submit(job("a" * 16, steps=(apart,)))
+    while rig.schedule():
+        pass
+    assert len(rig.shard.jobs["a" * 16].waiting[0, 0]) == 1
+    assert wanted(rig) == 4
