--- a/apricotgap/jobs/room_demand.py
+++ b/apricotgap/jobs/room_demand.py
@@ -6,11 +6,11 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass
-from math import ceil
 
 from apricotgap.jobs.job_state import JobState, StepKey
 from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.tickets import StepName
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["RoomDemand", "room_demand"]
@@ -49,37 +49,120 @@
 
 
 class _Room:
-    """What workers with long-running tasks have left for other tasks."""
+    """What workers have left beside long-running tasks, and new ones that are empty.
 
-    def __init__(self, workers: Collection[Worker]) -> None:
-        self._left = [
+    Parameters
+    ----------
+    workers : collection of Worker
+        Workers that the pool keeps; those without long-running tasks do not count.
+    capacities : collection of Resources
+        Capacities of the workers of the pool, which a new one may have.
+    """
+
+    def __init__(
+        self, workers: Collection[Worker], capacities: Collection[Resources]
+    ) -> None:
+        self._capacities = capacities
+        self._occupied = [
             (worker, _beside_long_running(worker))
             for worker in workers
             if worker.n_long_running
         ]
+        self._new: list[Resources] = []
 
     @property
-    def n_workers(self) -> int:
+    def n_occupied(self) -> int:
         """Number of workers with long-running tasks."""
-        return len(self._left)
+        return len(self._occupied)
+
+    @property
+    def n_new(self) -> int:
+        """Number of new workers that the placed tasks need."""
+        return len(self._new)
 
     def fits(self, step: StepSpec) -> bool:
         """Whether a task of a step fits on one of the workers."""
+        if any(step.allocation.fits(left) for left in self._new):
+            return True
         return any(
             _is_suited(worker, step) and step.allocation.fits(left)
-            for worker, left in self._left
+            for worker, left in self._occupied
         )
 
-    def take(self, step: StepSpec, n_tasks: int) -> int:
-        """Place tasks of a step; return the number of those that do not fit."""
+    def fits_on_empty(self, step: StepSpec) -> bool:
+        """Whether a task of a step fits on an empty worker of the pool."""
+        return any(step.allocation.fits(each) for each in self._capacities)
+
+    def take(self, step_name: StepName, step: StepSpec, n_tasks: int) -> None:
+        """Place tasks of a step, on new workers where the others have no room.
+
+        Tasks that fit on no empty worker are left out.
+        """
         most = step.max_per_worker or n_tasks
-        for index, (worker, left) in enumerate(self._left):
-            if not _is_suited(worker, step):
-                continue
-            n_here = min(n_tasks, step.allocation.n_fitting(left, most))
-            self._left[index] = (worker, left - step.allocation.times(n_here))
+        for index, (worker, left) in enumerate(self._occupied):
+            if not n_tasks:
+                return
+            if step.allocation.fits(left) and _is_suited(worker, step):
+                n_more = most - _n_of_step(worker, step_name, step)
+                n_here = min(n_tasks, step.allocation.n_fitting(left, n_more))
+                self._occupied[index] = worker, left - step.allocation.times(n_here)
+                n_tasks -= n_here
+        for index, left in enumerate(self._new):
+            if not n_tasks:
+                return
+            if step.allocation.fits(left):
+                n_here = min(n_tasks, step.allocation.n_fitting(left, most))
+                self._new[index] = left - step.allocation.times(n_here)
+                n_tasks -= n_here
+        self._add_workers(step, n_tasks, most)
+
+    def _add_workers(self, step: StepSpec, n_tasks: int, most: int) -> None:
+        n_on_empty, capacity = max(
+            (
+                (step.allocation.n_fitting(each, most), each)
+                for each in self._capacities
+            ),
+            key=lambda found: found[0],
+            default=(0, NO_RESOURCES),
+        )
+        while n_on_empty and n_tasks > 0:
+            n_here = min(n_tasks, n_on_empty)
+            self._new.append(capacity - step.allocation.times(n_here))
             n_tasks -= n_here
-        return n_tasks
+
+
+class _TeamBudget:
+    """What the teams may still use in a shard, by their limits over all shards.
+
+    The allowances of the shard say nothing about it: they are raised only for tasks
+    that have room.
+    """
+
+    def __init__(self, shard: Shard) -> None:
+        self._shard = shard
+        self._left: dict[str, Resources | None] = {}
+
+    def take(self, team: str, step: StepSpec, n_tasks: int) -> int:
+        """Use the budget of a team for tasks; return for how many it suffices."""
+        left = self._left_of(team)
+        if left is None:
+            return n_tasks
+        n_allowed = step.allocation.n_fitting(left, n_tasks)
+        self._left[team] = left - step.allocation.times(n_allowed)
+        return n_allowed
+
+    def allows(self, team: str, step: StepSpec) -> bool:
+        """Whether a team may run another task of a step."""
+        left = self._left_of(team)
+        return left is None or step.allocation.fits(left)
+
+    def _left_of(self, team: str) -> Resources | None:
+        if team not in self._left:
+            attainable = self._shard.team_limits.attainable(team)
+            if attainable is not None:
+                attainable = attainable - self._shard.possible_usage_of(team)
+            self._left[team] = attainable
+        return self._left[team]
 
 
 def room_demand(shard: Shard, at_ms: int) -> RoomDemand:
@@ -98,44 +181,54 @@
         if worker.is_usable(at_ms, shard.evacuated) and not worker.is_reserved(at_ms)
     }
     capacities = {worker.total for worker in shard.workers.values()}
-    room = _Room(kept.values())
+    room = _Room(kept.values(), capacities)
+    budget = _TeamBudget(shard)
     unix_ms = shard.unix_of(at_ms)
-    n_more = 0
     beside: set[int] = set()
     is_late = False
+    # Whether a kind of task has room beside the long-running ones, or never has any.
+    is_served: dict[tuple[Resources, str], bool] = {}
     for job in shard.open_jobs.values():
         if not job.spec.is_long_running:
             continue
         with shard.guard(job):
-            for key, n_tasks in _unplaced(job, kept, unix_ms).items():
-                step = job.spec.steps[key[1]]
-                n_on_empty = _n_on_empty(step, capacities)
-                if n_on_empty and _is_allowed(shard, job, step):
-                    n_more += ceil(room.take(step, n_tasks) / n_on_empty)
+            for key, n_tasks in _unplaced(job, kept, unix_ms, budget).items():
+                step_name = StepName(job.spec.job_id, *key)
+                room.take(step_name, job.spec.steps[key[1]], n_tasks)
     for job in shard.open_jobs.values():
         if job.spec.is_long_running:
             continue
         with shard.guard(job):
             for key in job.open_steps(unix_ms):
                 step = job.spec.steps[key[1]]
-                if step.is_gang or room.fits(step) or not _is_allowed(shard, job, step):
+                if step.is_gang:
+                    continue
+                kind = step.allocation, step.required_label
+                if kind not in is_served:
+                    is_served[kind] = room.fits(step) or not room.fits_on_empty(step)
+                if is_served[kind]:
                     continue
-                if not _n_on_empty(step, capacities):
+                if not budget.allows(job.spec.team, step):
                     continue
                 if job.is_late(unix_ms):
                     is_late = True
                 else:
                     beside.add(job.spec.priority)
-    return RoomDemand(room.n_workers, n_more, frozenset(beside), is_late)
+    return RoomDemand(room.n_occupied, room.n_new, frozenset(beside), is_late)
+
 
+def _unplaced(
+    job: JobState, kept: Collection[str], unix_ms: int, budget: _TeamBudget
+) -> dict[StepKey, int]:
+    """Return the long-running tasks that wait or must leave their workers, by step.
 
-def _unplaced(job: JobState, kept: Collection[str], unix_ms: int) -> dict[StepKey, int]:
-    """Return the long-running tasks that wait or must leave their workers, by step."""
+    Tasks that wait for their team's limit do not count.
+    """
     numbers: dict[StepKey, int] = {}
     for key in job.open_steps(unix_ms):
         step = job.spec.steps[key[1]]
         if step.is_long_running and not step.is_gang:
-            numbers[key] = len(job.waiting[key])
+            numbers[key] = budget.take(job.spec.team, step, len(job.waiting[key]))
     for name, runs in job.runs.items():
         key = (name.occurrence, name.step)
         step = job.spec.steps[key[1]]
@@ -145,22 +238,17 @@
     return numbers
 
 
-def _is_allowed(shard: Shard, job: JobState, step: StepSpec) -> bool:
-    return shard.is_within_team_limit(job.spec.team, step.allocation)
-
-
-def _n_on_empty(step: StepSpec, capacities: Collection[Resources]) -> int:
-    """Return how many tasks of a step fit on an empty worker of the pool."""
-    most = step.max_per_worker or step.n_tasks
-    return max(
-        (step.allocation.n_fitting(each, most) for each in capacities), default=0
-    )
-
-
 def _is_suited(worker: Worker, step: StepSpec) -> bool:
     return not step.required_label or step.required_label in worker.entry.labels
 
 
+def _n_of_step(worker: Worker, step_name: StepName, step: StepSpec) -> int:
+    """Return the runs of a step on a worker that its tasks may not share."""
+    if not step.max_per_worker:
+        return 0
+    return sum(name[:3] == step_name for name, _ in worker.runs)
+
+
 def _beside_long_running(worker: Worker) -> Resources:
     used = NO_RESOURCES
     for run in worker.runs.values():
--- a/tests/test_room_demand.py
+++ b/tests/test_room_demand.py
@@ -1,11 +1,13 @@
 """Demand of tasks that fit on none of the workers that a pool keeps."""
 
 from dataclasses import replace
+from unittest import mock
 
 from apricotgap.jobs.configuration import Team
 from apricotgap.jobs.demand import MIN_WORKERS, Demand
 from apricotgap.jobs.model import Resources, StepSpec
-from tests.jobs_harness import Rig, entry, job
+from apricotgap.jobs.room_demand import _Room
+from tests.jobs_harness import SERVICE, Rig, entry, job
 
 # Four of them fill the memory of a worker and a quarter of its cores.
 HEAVY = Resources(500, 2000)
@@ -101,3 +103,115 @@
     while rig.schedule():
         pass
     assert wanted(rig) == MIN_WORKERS
+
+
+def rig_with_limit(n_workers, limit, allowance, *specs):
+    """Return a rig whose team has a limit and a stored allowance in this shard."""
+    rig = Rig(workers=[f"w{number}" for number in range(1, n_workers + 1)])
+    team = Team("bakers", frozenset({"key"}), 1.0, limit)
+    others = Team("others", frozenset({"key2"}), 1.0, Resources())
+    rig.shard.config = replace(rig.shard.config, version=2, teams=(team, others))
+    rig.shard.team_limits.set_configuration(rig.shard.config)
+    rig.shard.team_limits.record_split("bakers", {SERVICE: allowance}, 1)
+    rig.ready()
+    rig.shard.loaded_ms = rig.shard.reported_ms = rig.now
+    rig.shard.unix_offset_ms = -rig.now
+    for spec in specs:
+        rig.submit(spec)
+    while rig.schedule():
+        pass
+    return rig
+
+
+def test_task_above_the_allowance_of_its_team_draws_room():
+    """Guards against a task that waits for good: the allowance of its team is raised
+    only for tasks that have room, and room was asked for only within the allowance.
+    """
+    full = replace(job(steps=(replace(SERVICE_STEP, n_tasks=8),)), team="others")
+    lasting = job("l" * 16, steps=(replace(SERVICE_STEP, n_tasks=1),))
+    finite = job("f" * 16, steps=(StepSpec(1, HEAVY, 100),))
+    limit, allowance = Resources(8000, 24_000), Resources(500, 1600)
+    for waiting in (lasting, finite):
+        rig = rig_with_limit(2, limit, allowance, full, waiting)
+        assert rig.shard.jobs[waiting.job_id].waiting[0, 0]
+        assert wanted(rig) == 3
+
+
+def test_waiting_tasks_draw_workers_up_to_the_limit_of_their_team_only():
+    """Guards against machines that are paid for and stay empty: the limit allows one
+    more task of the many that wait.
+    """
+    limit = Resources(8000, 18_000)
+    rig = rig_with_limit(
+        2, limit, limit, job(steps=(replace(SERVICE_STEP, n_tasks=40),))
+    )
+    assert len(rig.shard.jobs["j" * 16].runs) == 8
+    assert wanted(rig) == 3
+
+
+def test_reserved_tasks_of_a_team_at_its_limit_draw_room_to_migrate_to():
+    """Guards against maintenance that ends late: what the tasks use on the workers that
+    are to be emptied counts towards the limit already.
+    """
+    limit = Resources(8000, 24_000)
+    rig = rig_with_limit(3, limit, limit, job(steps=(SERVICE_STEP,)))
+    assert len(rig.shard.jobs["j" * 16].runs) == 12
+    rig.shard.reserve(["w2", "w3"], rig.now)
+    assert wanted(rig) == 3
+
+
+def test_limit_that_other_shards_have_taken_draws_no_worker():
+    """Guards against machines for tasks that only the share of other shards allows."""
+    rig = rig_with_limit(2, Resources(8000, 18_000), Resources(8000, 16_000))
+    split = {SERVICE: Resources(8000, 16_000), "other": Resources(0, 2000)}
+    rig.shard.team_limits.record_split("bakers", split, 2)
+    rig.submit(job(steps=(SERVICE_STEP,)))
+    while rig.schedule():
+        pass
+    assert len(rig.shard.jobs["j" * 16].runs) == 8
+    assert wanted(rig) == MIN_WORKERS
+
+
+def test_small_long_running_tasks_share_the_workers_that_they_draw():
+    """Guards against a pool that takes a machine for each job, from others or paid for,
+    although all of them fit on one.
+    """
+    small = StepSpec(1, Resources(300, 300), is_long_running=True)
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.shard.loaded_ms = rig.shard.reported_ms = rig.now
+    for number in range(20):
+        rig.submit(job(f"{number:016d}", steps=(small,)))
+    assert wanted(rig) == MIN_WORKERS
+
+
+def test_tasks_of_one_kind_are_compared_with_the_workers_once():
+    """Guards against an owner that is busy with its demand: many jobs wait whose tasks
+    fit on no worker, and each was compared with each worker, twice a report.
+    """
+    full = job(steps=(replace(SERVICE_STEP, n_tasks=8),))
+    rig = rig_with(2, full)
+    for number in range(50):
+        waiting = StepSpec(1, Resources(500, 1000), 100)
+        rig.submit(job(f"{number:016d}", steps=(waiting,)))
+    with mock.patch.object(
+        _Room, "fits", autospec=True, side_effect=_Room.fits
+    ) as fits:
+        report = Demand(rig.shard).report((), None, rig.now)
+    assert report.wanted == 3
+    assert fits.call_count == 1
+
+
+def test_long_running_task_that_may_not_share_a_worker_draws_one():
+    """Guards against a task that waits for good: the workers with room for it run as
+    many tasks of its step as one may, and the other one is full.
+    """
+    apart = StepSpec(3, Resources(100, 100), is_long_running=True, max_per_worker=1)
+    full = replace(SERVICE_STEP, n_tasks=4)
+    rig = rig_with(1, job(steps=(full,)))
+    rig.list_workers(entry("w1"), entry("w2"), entry("w3"))
+    rig.ready()
+    rig.submit(job("a" * 16, steps=(apart,)))
+    while rig.schedule():
+        pass
+    assert len(rig.shard.jobs["a" * 16].waiting[0, 0]) == 1
+    assert wanted(rig) == 4
