Crashes: give a task up only once two machines have crashed

Callers saw sound jobs shown as `failed` while single workers went down and up by turns. Cause: a task is given up at four points, and each crash at its start adds two, so that two crashes of one machine suffice; the task came back to the machine, which is the emptiest after its restart.

The record of a task now holds a digest of the machine for each crash under a run that may have caused it, five at most. Crashes of one machine raise the points to three at most, and the next start prefers a machine that has not crashed under the task. Five crashes still give a task up, whichever machines they were: a task that has crashed three workers may start twice more. The field is the last of a task's row and left out where there is none. An earlier build ignores it; a row without it counts each point as a crash of an unknown machine, so that an upgrade gives no new budget.

--- a/apricotgap/jobs/crashes.py
+++ b/apricotgap/jobs/crashes.py
@@ -1,9 +1,10 @@
 """Attribution of worker crashes to the tasks that may have caused them.
 
 A crashed worker says nothing of its runs. Each of them gets points for the crash, most
-of them those that had just started, and a task with too many points is given up. A task
-that is suspect by its points starts again on trial: until it has started up, nothing
-else starts on its worker, so that the next crash has one cause.
+of them those that had just started, and a task with too many points is given up. The
+crashes of one machine alone do not raise them that far. A task that is suspect by its
+points starts again on trial: until it has started up, nothing else starts on its
+worker, so that the next crash has one cause.
 
 A start that was never answered may have crashed its worker, or have found it down. Such
 crashes are counted apart, and weigh less than those under a run that began.
@@ -12,7 +13,7 @@
 from dataclasses import dataclass
 
 from apricotgap.jobs import limits
-from apricotgap.jobs.documents import TaskRecord
+from apricotgap.jobs.documents import MAX_CRASHED_MACHINES, TaskRecord
 from apricotgap.jobs.model import TaskName
 from apricotgap.jobs.runs import Run
 from apricotgap.jobs.workers import Worker
@@ -37,9 +38,12 @@
 SUSPECT_POINTS = CRASH_AT_START_POINTS
 # A task with as many points is given up: after two to four crashes.
 MAX_CRASH_POINTS = 4
-# Most crashes after starts of a task, whether these were answered or not. A task that
-# has crashed three workers may be started twice more.
-MAX_CRASHES = 5
+# So many machines have crashed under a task that has these points. One machine may go
+# down and up by turns for reasons of its own.
+MIN_CRASHED_MACHINES = 2
+# Most crashes after starts of a task, of whichever machines and whether the starts were
+# answered or not. A task that has crashed three workers may be started twice more.
+MAX_CRASHES = MAX_CRASHED_MACHINES
 # A long-running task that had run for this long is not the cause of a crash. It
 # may run for weeks, and would collect points by chance.
 PROVEN_RUN_MS = 10_000
@@ -49,8 +53,10 @@
 class LostTask:
     """A task whose run ended with its worker; points count if the worker crashed.
 
-    They raise the points of the task to `max_points` at most. `is_cleared` means that
-    the run proved the task harmless, `is_unconfirmed` that its start was not answered.
+    They raise the points of the task to `max_points` at most, and to less than
+    MAX_CRASH_POINTS while only one machine has crashed under it. `is_cleared` means
+    that the run proved the task harmless, `is_unconfirmed` that its start was not
+    answered.
     """
 
     name: TaskName
@@ -59,13 +65,20 @@
     is_cleared: bool = False
     is_unconfirmed: bool = False
 
-    def charge(self, record: TaskRecord) -> None:
-        """Add the crash of the worker to the record of the task."""
+    def charge(self, record: TaskRecord, machine_digest: str) -> None:
+        """Add the crash of the worker on a machine to the record of the task."""
         if self.is_cleared:
             record.crash_points = record.n_unconfirmed_crashes = 0
+            record.crashed_machines = ()
             return
         record.n_unconfirmed_crashes += self.is_unconfirmed
-        points = min(record.crash_points + self.points, self.max_points)
+        if self.points and self.max_points >= MAX_CRASH_POINTS:
+            machines = (*record.crashed_machines, machine_digest)
+            record.crashed_machines = machines[-MAX_CRASHED_MACHINES:]
+        max_points = self.max_points
+        if len(set(record.crashed_machines) - {""}) < MIN_CRASHED_MACHINES:
+            max_points = min(max_points, MAX_CRASH_POINTS - 1)
+        points = min(record.crash_points + self.points, max_points)
         record.crash_points = max(record.crash_points, points)
 
 
@@ -74,7 +87,7 @@
     """Tasks of a worker whose lease ended before it was known whether it crashed."""
 
     worker_id: str
-    machine: str
+    machine_digest: str
     born_ms: int
     lost_ms: int
     tasks: tuple[LostTask, ...]
@@ -89,7 +102,8 @@
     """Whether a task must not start again since workers crashed under it."""
     if record.crash_points >= MAX_CRASH_POINTS:
         return True
-    return record.crash_points + record.n_unconfirmed_crashes >= MAX_CRASHES
+    n_crashes = max(record.crash_points, len(record.crashed_machines))
+    return n_crashes + record.n_unconfirmed_crashes >= MAX_CRASHES
 
 
 def lost_tasks(worker: Worker) -> tuple[LostTask, ...]:
--- a/apricotgap/jobs/documents.py
+++ b/apricotgap/jobs/documents.py
@@ -11,6 +11,7 @@
 from apricotgap.jobs.model import JobPhase, JobSpec, Resources, StepSpec, TaskName
 
 __all__ = [
+    "MAX_CRASHED_MACHINES",
     "DocumentError",
     "Progress",
     "TaskRecord",
@@ -24,6 +25,9 @@
 
 _VERSION = 1
 
+# Most machines in the record of a task. One with as many crashes is given up.
+MAX_CRASHED_MACHINES = 5
+
 _T = TypeVar("_T")
 
 
@@ -39,6 +43,8 @@
     ends again to the next owner, which must not count them twice. `crash_points` say
     how likely the task crashes the workers that start it, `n_unconfirmed_crashes` how
     many crashed after a start that they never answered and that may not have arrived.
+    `crashed_machines` has a digest of the machine for each crash under a run that may
+    have caused it, an empty one where the machine is not known; the latest come last.
     """
 
     done: bool = False
@@ -46,6 +52,7 @@
     checkpoint: str = ""
     crash_points: int = 0
     n_unconfirmed_crashes: int = 0
+    crashed_machines: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -157,7 +164,8 @@
 
 
 class _TaskRow(msgspec.Struct, array_like=True):
-    # Documents of earlier builds have no crash points, or no unconfirmed crashes.
+    # Documents of earlier builds have no crash points, no unconfirmed crashes or no
+    # machines. Earlier builds ignore the fields that they do not know.
     occurrence: Count
     step: Count
     number: Count
@@ -166,6 +174,7 @@
     checkpoint: str
     crash_points: Count = 0
     n_unconfirmed_crashes: Count = 0
+    crashed_machines: tuple[str, ...] | None = None
 
     def record(self) -> TaskRecord:
         return TaskRecord(
@@ -174,8 +183,15 @@
             self.checkpoint,
             self.crash_points,
             self.n_unconfirmed_crashes,
+            self._known_machines(),
         )
 
+    def _known_machines(self) -> tuple[str, ...]:
+        """Return the machines that crashed; each point of an earlier build is one."""
+        if self.crashed_machines is None:
+            return ("",) * min(self.crash_points, MAX_CRASHED_MACHINES)
+        return self.crashed_machines[-MAX_CRASHED_MACHINES:]
+
 
 class _ProgressRow(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
     version: Integer
@@ -225,22 +241,26 @@
         [
             _VERSION,
             progress.phase.value,
-            [
-                [
-                    *name[1:],
-                    record.done,
-                    record.failed_runs,
-                    record.checkpoint,
-                    record.crash_points,
-                    record.n_unconfirmed_crashes,
-                ]
-                for name, record in progress.tasks.items()
-            ],
+            [_task_row(name, record) for name, record in progress.tasks.items()],
             progress.finished_ms,
         ]
     )
 
 
+def _task_row(name: TaskName, record: TaskRecord) -> list[Any]:
+    row: list[Any] = [
+        *name[1:],
+        record.done,
+        record.failed_runs,
+        record.checkpoint,
+        record.crash_points,
+        record.n_unconfirmed_crashes,
+    ]
+    if record.crash_points or record.crashed_machines:
+        row.append(record.crashed_machines)
+    return row
+
+
 def decode_progress(job_id: str, data: bytes) -> Progress:
     """Decode the stored form of a job's progress.
 
--- a/apricotgap/jobs/fleet.py
+++ b/apricotgap/jobs/fleet.py
@@ -1,11 +1,25 @@
 """Workers and machines as the platform reports them."""
 
+import hashlib
 from dataclasses import dataclass
+from functools import lru_cache
 
 from apricotgap.jobs.model import Resources
 
 __all__ = ["Machine", "WorkerEntry"]
 
+# Hexadecimal digits of the digest of a machine, enough to tell those of a pool apart.
+_N_DIGEST_DIGITS = 8
+# Digests that are kept, about as many as a large fleet has machines.
+_N_CACHED_DIGESTS = 4_096
+
+
+@lru_cache(maxsize=_N_CACHED_DIGESTS)
+def _digest(name: str) -> str:
+    # Surrogates have no UTF-8 form.
+    data = name.encode("utf-8", "surrogatepass")
+    return hashlib.sha256(data).hexdigest()[:_N_DIGEST_DIGITS]
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
@@ -26,6 +40,11 @@
     labels: tuple[str, ...]
     born_ms: int
 
+    @property
+    def machine_digest(self) -> str:
+        """Digest of what all incarnations of the worker have in common."""
+        return _digest(self.machine or self.worker_id)
+
     @property
     def rack(self) -> str:
         """Label of the rack, the second one by convention."""
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -271,6 +271,7 @@
         is_suspect = job.is_suspect(name)
         needs_fresh_answer = job.needs_fresh_answer(name)
         avoided = job.avoided_workers.get(name, ())
+        crashed = job.crashed_machines(name)
         used = {run.worker_id for run in job.runs.get(name, ())}
         awaits_better = False
         domain_costs = self._cost.domain_costs(job, name, step)
@@ -295,7 +296,9 @@
             cost = self._cost.of(
                 worker, name, step, current.at_ms, is_suspect, domain_costs
             )
-            if entry.worker_id in avoided:
+            if entry.worker_id in avoided or (
+                crashed and entry.machine_digest in crashed
+            ):
                 cost += 10
             if cost < best_cost:
                 best, best_cost = worker, cost
