Crashes: count crashes, not points, beside unanswered starts

Callers could see a job shown as `failed` after one worker had crashed under it. Cause: the bound of five crashes added the points of crashes under begun runs to the number of crashes after unanswered starts. One crash at a start is two points, so that three starts that met workers which were down gave the task up with it, after four crashes.

The bound now adds the number of crashes of both kinds. The fifth still gives the task up: after three crashes it may start twice more, and a start without an answer may have been the cause.

Evidence: test_one_confirmed_crash_and_three_others_are_not_enough failed before, with crash_points=2 and n_unconfirmed_crashes=3 of a FAILED job. It passes with exactly five starts until the task is given up.

--- a/apricotgap/jobs/crashes.py
+++ b/apricotgap/jobs/crashes.py
@@ -102,8 +102,8 @@
     """Whether a task must not start again since workers crashed under it."""
     if record.crash_points >= MAX_CRASH_POINTS:
         return True
-    n_crashes = max(record.crash_points, len(record.crashed_machines))
-    return n_crashes + record.n_unconfirmed_crashes >= MAX_CRASHES
+    n_crashes = len(record.crashed_machines) + record.n_unconfirmed_crashes
+    return n_crashes >= MAX_CRASHES
 
 
 def lost_tasks(worker: Worker) -> tuple[LostTask, ...]:
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -396,6 +396,27 @@
         rig.crash(start.worker_id)
         assert state.progress.phase is JobPhase.RUNNING
 
+    def test_one_confirmed_crash_and_three_others_are_not_enough(self):
+        """Guards against points that count as crashes beside unanswered starts: a job
+        fails after one worker has crashed under it and three that it may never have
+        reached.
+        """
+        rig, state, n_starts = self.play(n_crashes=3)
+        (start,) = rig.start_and_answer()
+        rig.crash(start.worker_id)
+        assert state.progress.phase is JobPhase.RUNNING
+        rig.save()
+        rig.advance(3_300)
+        n_starts += 1
+        for _ in range(6):
+            for start in rig.start_and_answer():
+                n_starts += 1
+                rig.crash(start.worker_id)
+            rig.save()
+            rig.advance(3_300)
+        assert n_starts == MAX_STARTS
+        assert state.progress.phase is JobPhase.FAILED
+
     def test_task_that_crashes_workers_before_they_answer_is_given_up(self):
         """Guards against a task that crashes worker after worker without an answer."""
         _, state, n_starts = self.play(n_crashes=12)
