Crashes: blame no machine for a run that may have ended before

Callers could see a job shown as `failed` although its runs had ended on the workers before these crashed. Cause: a worker that is cut off runs on, its runs end or their leases lapse, and a crash behind the cut was charged to them like one that was seen. Nobody can tell whether a run had ended, but a poll that timed out tells that it may have.

A crash after a first failed poll that timed out now counts with no machine: it adds points and counts among the five crashes that give a task up, but not among the two machines. A connection that is refused or breaks off dates the crash as before. `worker_lost` says `may_be_cut_off`.

A task that crashes workers whose calls time out is still given up after five starts.

--- a/apricotgap/instance/poll_loops.py
+++ b/apricotgap/instance/poll_loops.py
@@ -179,6 +179,7 @@
                     str(error),
                     is_other_incarnation=isinstance(error, MisdirectedError),
                     was_sent=error.sent,
+                    has_timed_out=error.has_timed_out,
                 )
             )
         )
--- a/apricotgap/jobs/crashes.py
+++ b/apricotgap/jobs/crashes.py
@@ -57,23 +57,27 @@
     MAX_CRASH_POINTS while only one machine has crashed under it. `is_cleared` means
     that the run proved the task harmless, `is_unconfirmed` that its start was not
     answered.
+
+    `machine_digest` tells which machine crashed. It is empty if the run may have ended
+    before the crash, which then says nothing of the machine.
     """
 
     name: TaskName
     points: int
+    machine_digest: str = ""
     max_points: int = MAX_CRASH_POINTS
     is_cleared: bool = False
     is_unconfirmed: bool = False
 
-    def charge(self, record: TaskRecord, machine_digest: str) -> None:
-        """Add the crash of the worker on a machine to the record of the task."""
+    def charge(self, record: TaskRecord) -> None:
+        """Add the crash of the worker to the record of the task."""
         if self.is_cleared:
             record.crash_points = record.n_unconfirmed_crashes = 0
             record.crashed_machines = ()
             return
         record.n_unconfirmed_crashes += self.is_unconfirmed
         if self.points and self.max_points >= MAX_CRASH_POINTS:
-            machines = (*record.crashed_machines, machine_digest)
+            machines = (*record.crashed_machines, self.machine_digest)
             record.crashed_machines = machines[-MAX_CRASHED_MACHINES:]
         max_points = self.max_points
         if len(set(record.crashed_machines) - {""}) < MIN_CRASHED_MACHINES:
@@ -87,7 +91,7 @@
     """Tasks of a worker whose lease ended before it was known whether it crashed."""
 
     worker_id: str
-    machine_digest: str
+    machine: str
     born_ms: int
     lost_ms: int
     tasks: tuple[LostTask, ...]
@@ -115,14 +119,17 @@
     runs = [run for run in worker.runs.values() if _was_sent_before(run, worker)]
     begun = [run for run in runs if run.has_begun]
     at_start = [run for run in begun if _was_starting(run, worker)]
-    lost = [LostTask(run.name, _points_at_start(run)) for run in at_start]
+    digest = "" if worker.may_be_cut_off else worker.entry.machine_digest
+    lost = [LostTask(run.name, _points_at_start(run), digest) for run in at_start]
     lost += [
         LostTask(run.name, 0, is_unconfirmed=True)
         for run in runs
         if not run.has_begun and not run.is_charged
     ]
     if worker.trial is None or worker.trial not in at_start:
-        lost += [_lost_at_work(run, worker) for run in begun if run not in at_start]
+        lost += [
+            _lost_at_work(run, worker, digest) for run in begun if run not in at_start
+        ]
     return tuple(lost)
 
 
@@ -147,9 +154,9 @@
     return CRASH_AT_START_POINTS
 
 
-def _lost_at_work(run: Run, worker: Worker) -> LostTask:
+def _lost_at_work(run: Run, worker: Worker, digest: str) -> LostTask:
     if not run.step.is_long_running:
-        return LostTask(run.name, CRASH_AT_WORK_POINTS)
+        return LostTask(run.name, CRASH_AT_WORK_POINTS, digest)
     if worker.answered_ms - run.sent_ms >= PROVEN_RUN_MS:
         return LostTask(run.name, 0, is_cleared=True)
     # It is tried by itself, but not given up: it has to run in spite of crashes.
--- a/apricotgap/jobs/events.py
+++ b/apricotgap/jobs/events.py
@@ -69,7 +69,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PollFailed:
-    """A poll got no usable response; unless `was_sent`, the lease was not renewed."""
+    """A poll got no usable response; unless `was_sent`, the lease was not renewed.
+
+    `has_timed_out` means that nothing told of a failure: the worker may be cut off.
+    """
 
     at_ms: int
     worker_id: str
@@ -77,6 +80,7 @@
     reason: str
     is_other_incarnation: bool = False
     was_sent: bool = True
+    has_timed_out: bool = False
 
 
 # Results of starts that a worker has rejected before it looked at their window.
--- a/apricotgap/jobs/shard_crashes.py
+++ b/apricotgap/jobs/shard_crashes.py
@@ -67,6 +67,7 @@
                 "runs": [run.run_id for run in recent],
                 "sent_before_ms": [at_ms - run.sent_ms for run in recent],
                 "silent_ms": at_ms - worker.answered_ms,
+                "may_be_cut_off": worker.may_be_cut_off,
             },
         )
 
@@ -91,9 +92,7 @@
             run.is_charged = run.is_charged or not run.has_begun
         yield from self._mark_lost(worker, at_ms, why, survivors)
         if not worker.entry.is_draining:
-            yield from self._charge_crash(
-                worker.worker_id, worker.entry.machine_digest, tasks, at_ms
-            )
+            yield from self._charge_crash(worker.worker_id, tasks, at_ms)
 
     def _mark_silent(self, worker: Worker, at_ms: int) -> Iterable[Effect]:
         """Drop the runs of a worker whose lease has ended."""
@@ -101,7 +100,7 @@
         if tasks and not worker.entry.is_draining:
             entry = worker.entry
             self._lost_runs[_key(entry)] = LostRuns(
-                entry.worker_id, entry.machine_digest, entry.born_ms, at_ms, tasks
+                entry.worker_id, entry.machine, entry.born_ms, at_ms, tasks
             )
         return self._mark_lost(worker, at_ms, "lease ended")
 
@@ -121,9 +120,7 @@
         lost = self._lost_runs.get(_key(entry))
         if lost is not None and lost.born_ms < entry.born_ms:
             del self._lost_runs[_key(entry)]
-            yield from self._charge_crash(
-                lost.worker_id, lost.machine_digest, lost.tasks, at_ms
-            )
+            yield from self._charge_crash(lost.worker_id, lost.tasks, at_ms)
 
     def _forget_old_losses(self, at_ms: int) -> None:
         for key, lost in list(self._lost_runs.items()):
@@ -131,11 +128,7 @@
                 del self._lost_runs[key]
 
     def _charge_crash(
-        self,
-        worker_id: str,
-        machine_digest: str,
-        tasks: tuple[LostTask, ...],
-        at_ms: int,
+        self, worker_id: str, tasks: tuple[LostTask, ...], at_ms: int
     ) -> Iterable[Effect]:
         """Add the points of a crash to its tasks and give up those with too many."""
         charged = []
@@ -146,7 +139,7 @@
             record = job.record(lost.name)
             if record.done:
                 continue
-            lost.charge(record, machine_digest)
+            lost.charge(record)
             job.n_crashes += 1
             self._dirty.add(job.spec.job_id)
             charged.append(
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -189,6 +189,7 @@
         worker.is_acquired = True
         worker.answered_ms = event.at_ms
         worker.silent_since_ms = worker.answer_due_ms = None
+        worker.may_be_cut_off = False
         worker.clock_ms = event.clock_ms
         worker.clock_at_ms = event.at_ms
         worker.record_listed_ends(event.at_ms, event.ends)
@@ -352,7 +353,7 @@
             if event.was_sent and not event.is_other_incarnation:
                 self._record_longest_lease(worker, event.at_ms)
             return
-        worker.record_failed_poll(event.at_ms)
+        worker.record_failed_poll(event.at_ms, event.has_timed_out)
         self._resolve_lease_offer(worker, event.was_sent)
         if event.is_other_incarnation:
             yield from self._mark_crashed(worker, event.at_ms, event.reason)
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -47,7 +47,8 @@
     clock of this one.
 
     `silent_since_ms` is the time of the first poll that failed since the last response,
-    None if none has.
+    None if none has. `may_be_cut_off` is set if that poll timed out: the worker may
+    have run on out of reach, and its runs may have ended before it crashed.
 
     `answer_due_ms` is the time by which the worker responds to a pending poll, unless
     something is wrong; None if no poll is pending.
@@ -76,6 +77,7 @@
     reserved_until_ms: int = -1_000_000
     answered_ms: int = -1_000_000
     silent_since_ms: int | None = None
+    may_be_cut_off: bool = False
     answer_due_ms: int | None = None
     clock_ms: int = 0
     clock_at_ms: int = 0
@@ -222,10 +224,11 @@
             return False
         return at_ms - self.withheld_since_ms > limits.MAX_WITHHELD_MS
 
-    def record_failed_poll(self, at_ms: int) -> None:
+    def record_failed_poll(self, at_ms: int, has_timed_out: bool = False) -> None:
         """Record that a poll of the worker got no response."""
         if self.silent_since_ms is None:
             self.silent_since_ms = at_ms
+            self.may_be_cut_off = has_timed_out
 
     def record_poll(self, sent_ms: int, wait_ms: int) -> None:
         """Record that a poll was sent that may wait this long for its response."""
--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -30,6 +30,8 @@
 # that the request was not sent.
 _CONNECT_TIMEOUT_FRACTION = 0.6
 _READ_BYTES = 65_536
+# Reason of a call that got neither a response nor an error in time.
+_TIMEOUT = "timeout"
 _MAX_INTERIM_STATUS = 199
 
 
@@ -49,6 +51,11 @@
         self.reason = reason
         self.sent = sent
 
+    @property
+    def has_timed_out(self) -> bool:
+        """Whether nothing told of a failure before the time was over."""
+        return self.reason == _TIMEOUT
+
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
@@ -185,7 +192,7 @@
                         connection = None
                     return response
         except trio.TooSlowError:
-            raise NoResponseError("timeout", _has_sent(connection)) from None
+            raise NoResponseError(_TIMEOUT, _has_sent(connection)) from None
         except OSError as error:
             reason = errno.errorcode.get(error.errno or 0, type(error).__name__)
             raise NoResponseError(reason, _has_sent(connection)) from error
--- a/apricotgap/platform/workers.py
+++ b/apricotgap/platform/workers.py
@@ -34,11 +34,16 @@
         Kind of failure.
     sent : bool
         Whether the worker may have received the call.
+    has_timed_out : bool
+        Whether nothing told of a failure before the time was over.
     """
 
-    def __init__(self, reason: str, sent: bool = True) -> None:
+    def __init__(
+        self, reason: str, sent: bool = True, has_timed_out: bool = False
+    ) -> None:
         super().__init__(reason)
         self.sent = sent
+        self.has_timed_out = has_timed_out
 
 
 class FencedError(WorkerError):
@@ -190,7 +195,7 @@
                 _target_header(worker_id),
             )
         except NoResponseError as error:
-            raise WorkerError(error.reason, error.sent) from error
+            raise WorkerError(error.reason, error.sent, error.has_timed_out) from error
         if response.status == _MISDIRECTED_REQUEST:
             raise MisdirectedError(
                 "a different worker or a later incarnation responded"
--- /dev/null
+++ b/tests/test_crashes_out_of_reach.py
@@ -0,0 +1,117 @@
+"""Crashes of workers that had been out of reach, and of machines ordered away."""
+
+import pytest
+
+from apricotgap.jobs import limits
+from apricotgap.jobs.events import PollFailed
+from apricotgap.jobs.model import JobPhase
+from tests.jobs_harness import MAX_LEASE_MS, entry, job, task
+from tests.test_worker_crashes import MAX_STARTS, ONE_TASK, CrashRig
+
+
+class CutRig(CrashRig):
+    """Workers that are cut off, run on and crash before they are reached again."""
+
+    def cut_off(self, worker_id):
+        """Let a poll of a worker time out."""
+        self.shard.step(
+            PollFailed(
+                self.now,
+                worker_id,
+                self.born_ms[worker_id],
+                "timeout",
+                has_timed_out=True,
+            )
+        )
+
+    def crash_out_of_reach(self, start):
+        """Let the run of a start end unseen, and its worker crash afterwards."""
+        self.advance(2 * limits.START_UP_MS)
+        self.cut_off(start.worker_id)
+        self.now += 2_000
+        self.crash(start.worker_id)
+        self.save()
+        self.advance(3_300)
+
+
+def test_runs_that_may_have_ended_out_of_reach_do_not_fail_the_job():
+    """Guards against a job that fails although its runs had ended on workers that were
+    cut off, before these crashed.
+    """
+    rig = CutRig()
+    state = rig.submit(job(steps=ONE_TASK))
+    for _ in range(4):
+        (start,) = rig.start_and_answer()
+        rig.crash_out_of_reach(start)
+    assert state.progress.phase is JobPhase.RUNNING
+    assert len(rig.schedule()) == 1
+
+
+def test_one_crash_beside_them_is_not_enough():
+    """Guards against a job that fails after one worker has crashed under it."""
+    rig = CutRig()
+    state = rig.submit(job(steps=ONE_TASK))
+    (start,) = rig.start_and_answer()
+    rig.crash(start.worker_id)
+    rig.save()
+    rig.advance(3_300)
+    for _ in range(2):
+        (start,) = rig.start_and_answer()
+        rig.crash_out_of_reach(start)
+    assert state.progress.phase is JobPhase.RUNNING
+
+
+def test_task_that_crashes_workers_which_no_call_reaches_is_given_up():
+    """Guards against crashes without end where a lost worker refuses no connection."""
+    rig = CutRig()
+    state = rig.submit(job(steps=ONE_TASK))
+    n_starts = 0
+    for _ in range(12):
+        for start in rig.start_and_answer():
+            n_starts += 1
+            rig.crash_out_of_reach(start)
+    assert n_starts == MAX_STARTS
+    assert state.progress.phase is JobPhase.FAILED
+
+
+def test_run_that_lapsed_before_the_crash_does_not_count_for_its_machine():
+    """Guards against a crash that is charged to a run whose lease had ended before."""
+    rig = CutRig(n_workers=1)
+    state = rig.submit(job(steps=ONE_TASK))
+    rig.start_and_answer()
+    rig.advance(2 * limits.START_UP_MS)
+    rig.cut_off("w0")
+    rig.now += 2 * MAX_LEASE_MS
+    rig.shard.tick(rig.now)
+    rig.crash("w0")
+    assert state.record(task(0)).crashed_machines == ("",)
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_refused_poll_dates_the_crash(is_silent):
+    """Guards against a task that crashes worker after worker as no crash is certain."""
+    rig = CutRig(n_workers=1)
+    state = rig.submit(job(steps=ONE_TASK))
+    rig.start_and_answer()
+    rig.advance(2 * limits.START_UP_MS)
+    rig.fail_poll("w0")
+    rig.cut_off("w0")
+    if is_silent:
+        rig.now += 2 * MAX_LEASE_MS
+        rig.shard.tick(rig.now)
+    rig.crash("w0")
+    digest = entry("w0").machine_digest
+    assert state.record(task(0)).crashed_machines == (digest,)
+
+
+def test_worker_that_is_reached_again_counts_by_its_last_silence():
+    """Guards against a crash that counts for less since the worker was once cut off."""
+    rig = CutRig(n_workers=1)
+    state = rig.submit(job(steps=ONE_TASK))
+    rig.start_and_answer()
+    rig.cut_off("w0")
+    rig.advance(2 * limits.START_UP_MS)
+    rig.fail_poll("w0")
+    rig.crash("w0")
+    digest = entry("w0").machine_digest
+    assert state.record(task(0)).crashed_machines == (digest,)
