Crashes: blame no machine for a crash that nothing dates

The same fault as with polls that time out, where no poll had failed: a worker that answers nothing for a second, and restarts before its poll times out, showed its crash only by its next incarnation or by the list of workers. Its runs may have ended in that second. A connection that breaks off when the response was overdue tells as little.

Evidence: on the code before, 3 of the 5 new cases of tests/test_crashes_out_of_reach.py fail: a machine counted. The other two guard the side of tasks that crash workers and passed before.

--- a/apricotgap/jobs/crashes.py
+++ b/apricotgap/jobs/crashes.py
@@ -110,8 +110,8 @@
     return n_crashes >= MAX_CRASHES
 
 
-def lost_tasks(worker: Worker) -> tuple[LostTask, ...]:
-    """Return the tasks of a lost worker with their points for a crash.
+def lost_tasks(worker: Worker, at_ms: int) -> tuple[LostTask, ...]:
+    """Return the tasks of a worker that was lost by now with their points for a crash.
 
     If a task on trial may have caused the crash, it counts only for that task and for
     other starts that the trial may have met under way.
@@ -119,7 +119,7 @@
     runs = [run for run in worker.runs.values() if _was_sent_before(run, worker)]
     begun = [run for run in runs if run.has_begun]
     at_start = [run for run in begun if _was_starting(run, worker)]
-    digest = "" if worker.may_be_cut_off else worker.entry.machine_digest
+    digest = "" if worker.may_have_run_on(at_ms) else worker.entry.machine_digest
     lost = [LostTask(run.name, _points_at_start(run), digest) for run in at_start]
     lost += [
         LostTask(run.name, 0, is_unconfirmed=True)
--- a/apricotgap/jobs/shard_crashes.py
+++ b/apricotgap/jobs/shard_crashes.py
@@ -67,7 +67,7 @@
                 "runs": [run.run_id for run in recent],
                 "sent_before_ms": [at_ms - run.sent_ms for run in recent],
                 "silent_ms": at_ms - worker.answered_ms,
-                "may_be_cut_off": worker.may_be_cut_off,
+                "may_be_cut_off": worker.may_have_run_on(at_ms),
             },
         )
 
@@ -83,7 +83,7 @@
             run.name for run in worker.runs.values() if run.is_in_next_incarnation
         }
         tasks = tuple(
-            lost for lost in lost_tasks(worker) if lost.name not in began_later
+            lost for lost in lost_tasks(worker, at_ms) if lost.name not in began_later
         )
         silent = self._lost_runs.pop(_key(worker.entry), None)
         if silent is not None and silent.born_ms == worker.entry.born_ms:
@@ -96,7 +96,7 @@
 
     def _mark_silent(self, worker: Worker, at_ms: int) -> Iterable[Effect]:
         """Drop the runs of a worker whose lease has ended."""
-        tasks = lost_tasks(worker)
+        tasks = lost_tasks(worker, at_ms)
         if tasks and not worker.entry.is_draining:
             entry = worker.entry
             self._lost_runs[_key(entry)] = LostRuns(
--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -353,7 +353,8 @@
             if event.was_sent and not event.is_other_incarnation:
                 self._record_longest_lease(worker, event.at_ms)
             return
-        worker.record_failed_poll(event.at_ms, event.has_timed_out)
+        is_silent = event.has_timed_out or event.is_other_incarnation
+        worker.record_failed_poll(event.at_ms, is_broken_off=not is_silent)
         self._resolve_lease_offer(worker, event.was_sent)
         if event.is_other_incarnation:
             yield from self._mark_crashed(worker, event.at_ms, event.reason)
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -47,8 +47,9 @@
     clock of this one.
 
     `silent_since_ms` is the time of the first poll that failed since the last response,
-    None if none has. `may_be_cut_off` is set if that poll timed out: the worker may
-    have run on out of reach, and its runs may have ended before it crashed.
+    None if none has. `may_be_cut_off` is set if it did not tell when the worker fell
+    silent: that may have run on out of reach, and its runs may have ended before it
+    crashed.
 
     `answer_due_ms` is the time by which the worker responds to a pending poll, unless
     something is wrong; None if no poll is pending.
@@ -224,11 +225,26 @@
             return False
         return at_ms - self.withheld_since_ms > limits.MAX_WITHHELD_MS
 
-    def record_failed_poll(self, at_ms: int, has_timed_out: bool = False) -> None:
-        """Record that a poll of the worker got no response."""
-        if self.silent_since_ms is None:
-            self.silent_since_ms = at_ms
-            self.may_be_cut_off = has_timed_out
+    def record_failed_poll(self, at_ms: int, is_broken_off: bool = False) -> None:
+        """Record that a poll of the worker got no response.
+
+        One that `is_broken_off` tells when the worker fell silent, unless the response
+        was overdue.
+        """
+        if self.silent_since_ms is not None:
+            return
+        is_dated = is_broken_off and not self.has_missed_poll(at_ms)
+        self.may_be_cut_off = not is_dated and self._has_been_silent(at_ms)
+        self.silent_since_ms = at_ms
+
+    def may_have_run_on(self, at_ms: int) -> bool:
+        """Whether runs may have ended unseen before the worker was found to be gone."""
+        if self.silent_since_ms is not None:
+            return self.may_be_cut_off
+        return self._has_been_silent(at_ms)
+
+    def _has_been_silent(self, at_ms: int) -> bool:
+        return at_ms - self.answered_ms > limits.CRASH_SIGN_MS
 
     def record_poll(self, sent_ms: int, wait_ms: int) -> None:
         """Record that a poll was sent that may wait this long for its response."""
--- a/tests/test_crashes_out_of_reach.py
+++ b/tests/test_crashes_out_of_reach.py
@@ -14,6 +14,7 @@
 
     def cut_off(self, worker_id):
         """Let a poll of a worker time out."""
+        self.now += 2 * limits.CRASH_SIGN_MS
         self.shard.step(
             PollFailed(
                 self.now,
@@ -115,3 +116,45 @@
     rig.crash("w0")
     digest = entry("w0").machine_digest
     assert state.record(task(0)).crashed_machines == (digest,)
+
+
+class TestCrashThatOnlyTheSuccessorShows:
+    """No poll fails: the list or the next incarnation tells of the crash."""
+
+    def crashed_machines(self, silent_ms, is_listed):
+        """Return what a task has for a crash found so long after the last answer."""
+        rig = CutRig(n_workers=1)
+        state = rig.submit(job(steps=ONE_TASK))
+        rig.start_and_answer()
+        rig.advance(2 * limits.START_UP_MS)
+        rig.now += silent_ms
+        if is_listed:
+            rig.crash("w0")
+        else:
+            rig.poll("w0", born_ms=2, polled=1)
+        return state.record(task(0)).crashed_machines
+
+    @pytest.mark.parametrize("is_listed", [False, True])
+    def test_long_after_the_last_answer_the_run_may_have_ended(self, is_listed):
+        """Guards against a machine that counts for a run which ended unseen."""
+        assert self.crashed_machines(limits.CRASH_SIGN_MS + 1, is_listed) == ("",)
+
+    @pytest.mark.parametrize("is_listed", [False, True])
+    def test_soon_after_the_last_answer_it_has_not(self, is_listed):
+        """Guards against crashes that count for no machine although they are dated."""
+        digest = entry("w0").machine_digest
+        assert self.crashed_machines(limits.CRASH_SIGN_MS, is_listed) == (digest,)
+
+
+def test_poll_that_breaks_off_when_it_is_overdue_dates_nothing():
+    """Guards against a machine that counts for a run which ended on a mute worker."""
+    rig = CutRig(n_workers=1)
+    state = rig.submit(job(steps=ONE_TASK))
+    rig.start_and_answer()
+    rig.advance(2 * limits.START_UP_MS)
+    worker = rig.shard.workers["w0"]
+    worker.record_poll(rig.now, limits.POLL_WAIT_MS)
+    rig.now += limits.POLL_WAIT_MS + limits.MISSED_ANSWER_MS
+    rig.fail_poll("w0")
+    rig.crash("w0")
+    assert state.record(task(0)).crashed_machines == ("",)
