Crashes: blame no machine that an order may have taken down

Callers could see a job shown as `failed` after machines were moved or taken down for maintenance. Cause: the owner of the fleet reports the workers that its orders end from memory. If it is replaced between an order and the report, the shard takes the end for a crash of the worker.

A worker that was reserved as it fell silent may have been ordered away. Orders go to workers without runs, so that this takes a run that the owner of the fleet did not know of.

Evidence: on the code before, both cases of test_its_runs_count_for_no_machine fail: the machine counted. An end of the reservation before the silence counts as a crash, as before.

--- a/apricotgap/jobs/crashes.py
+++ b/apricotgap/jobs/crashes.py
@@ -119,7 +119,7 @@
     runs = [run for run in worker.runs.values() if _was_sent_before(run, worker)]
     begun = [run for run in runs if run.has_begun]
     at_start = [run for run in begun if _was_starting(run, worker)]
-    digest = "" if worker.may_have_run_on(at_ms) else worker.entry.machine_digest
+    digest = _machine_to_blame(worker, at_ms)
     lost = [LostTask(run.name, _points_at_start(run), digest) for run in at_start]
     lost += [
         LostTask(run.name, 0, is_unconfirmed=True)
@@ -133,6 +133,18 @@
     return tuple(lost)
 
 
+def _machine_to_blame(worker: Worker, at_ms: int) -> str:
+    """Return the digest of a machine that crashed under its runs, empty if unknown.
+
+    A worker that was reserved as it fell silent may have been ordered away: the report
+    of it is lost if the owner of the fleet is.
+    """
+    gone_ms = at_ms if worker.silent_since_ms is None else worker.silent_since_ms
+    if worker.is_reserved(gone_ms) or worker.may_have_run_on(at_ms):
+        return ""
+    return worker.entry.machine_digest
+
+
 def _was_sent_before(run: Run, worker: Worker) -> bool:
     """Whether a start was sent before the worker fell silent."""
     return worker.silent_since_ms is None or run.sent_ms <= worker.silent_since_ms
--- a/tests/test_crashes_out_of_reach.py
+++ b/tests/test_crashes_out_of_reach.py
@@ -158,3 +158,36 @@
     rig.fail_poll("w0")
     rig.crash("w0")
     assert state.record(task(0)).crashed_machines == ("",)
+
+
+class TestMachineOrderedAwayWithoutAReport:
+    """The owner of the fleet was lost before it reported the end of the worker."""
+
+    def crashed_machines(self, reserved_before_ms, by_list):
+        """Return what a task has for the end of a worker that had been reserved."""
+        rig = CutRig(n_workers=1)
+        state = rig.submit(job(steps=ONE_TASK))
+        rig.start_and_answer()
+        rig.advance(2 * limits.START_UP_MS)
+        rig.shard.reserve(["w0"], rig.now - reserved_before_ms)
+        if not by_list:
+            rig.fail_poll("w0")
+            rig.now += 2 * MAX_LEASE_MS
+            rig.shard.tick(rig.now)
+        rig.crash("w0")
+        return state.record(task(0)).crashed_machines
+
+    @pytest.mark.parametrize("by_list", [False, True])
+    def test_its_runs_count_for_no_machine(self, by_list):
+        """Guards against a job that fails since machines were taken down for
+        maintenance while the owner of the fleet changed.
+        """
+        assert self.crashed_machines(0, by_list) == ("",)
+
+    @pytest.mark.parametrize("by_list", [False, True])
+    def test_worker_that_is_no_longer_reserved_has_crashed(self, by_list):
+        """Guards against crashes that count for no machine long after an order."""
+        before_ms = limits.RESERVATION_MS
+        assert self.crashed_machines(before_ms, by_list) == (
+            entry("w0").machine_digest,
+        )
