Crashes: start a task away from machines that may have crashed under it

A crash that may have come after the end of a run was recorded without its machine, so that the task came back to the same machine, the emptiest after its restart, and five crashes of one machine gave it up. The record now has the machine of such a crash too, marked as possible; it is avoided like the others and still is none of the two machines.

Evidence: test_task_starts_next_on_another_machine in tests/test_crashes_out_of_reach.py fails on the code before: the task starts on the machine that crashed. Other tests there now expect the marked machine instead of none.

--- a/apricotgap/jobs/crashes.py
+++ b/apricotgap/jobs/crashes.py
@@ -13,7 +13,11 @@
 from dataclasses import dataclass
 
 from apricotgap.jobs import limits
-from apricotgap.jobs.documents import MAX_CRASHED_MACHINES, TaskRecord
+from apricotgap.jobs.documents import (
+    MAX_CRASHED_MACHINES,
+    POSSIBLE_CRASH,
+    TaskRecord,
+)
 from apricotgap.jobs.model import TaskName
 from apricotgap.jobs.runs import Run
 from apricotgap.jobs.workers import Worker
@@ -58,8 +62,8 @@
     that the run proved the task harmless, `is_unconfirmed` that its start was not
     answered.
 
-    `machine_digest` tells which machine crashed. It is empty if the run may have ended
-    before the crash, which then says nothing of the machine.
+    `machine_digest` tells which machine crashed. It begins with POSSIBLE_CRASH if the
+    run may have ended before the crash.
     """
 
     name: TaskName
@@ -80,7 +84,7 @@
             machines = (*record.crashed_machines, self.machine_digest)
             record.crashed_machines = machines[-MAX_CRASHED_MACHINES:]
         max_points = self.max_points
-        if len(set(record.crashed_machines) - {""}) < MIN_CRASHED_MACHINES:
+        if record.n_proven_machines < MIN_CRASHED_MACHINES:
             max_points = min(max_points, MAX_CRASH_POINTS - 1)
         points = min(record.crash_points + self.points, max_points)
         record.crash_points = max(record.crash_points, points)
@@ -134,14 +138,14 @@
 
 
 def _machine_to_blame(worker: Worker, at_ms: int) -> str:
-    """Return the digest of a machine that crashed under its runs, empty if unknown.
+    """Return the digest of a machine, marked if its runs may have ended before.
 
     A worker that was reserved as it fell silent may have been ordered away: the report
     of it is lost if the owner of the fleet is.
     """
     gone_ms = at_ms if worker.silent_since_ms is None else worker.silent_since_ms
     if worker.is_reserved(gone_ms) or worker.may_have_run_on(at_ms):
-        return ""
+        return POSSIBLE_CRASH + worker.entry.machine_digest
     return worker.entry.machine_digest
 
 
--- a/apricotgap/jobs/documents.py
+++ b/apricotgap/jobs/documents.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "MAX_CRASHED_MACHINES",
+    "POSSIBLE_CRASH",
     "DocumentError",
     "Progress",
     "TaskRecord",
@@ -25,6 +26,8 @@
 
 _VERSION = 1
 
+# Mark of a machine that may have crashed after the run on it had ended.
+POSSIBLE_CRASH = "?"
 # Most machines in the record of a task. One with as many crashes is given up.
 MAX_CRASHED_MACHINES = 5
 
@@ -44,7 +47,8 @@
     how likely the task crashes the workers that start it, `n_unconfirmed_crashes` how
     many crashed after a start that they never answered and that may not have arrived.
     `crashed_machines` has a digest of the machine for each crash under a run that may
-    have caused it, an empty one where the machine is not known; the latest come last.
+    have caused it; the latest come last. Those of runs that may have ended before begin
+    with POSSIBLE_CRASH. An empty one stands for a machine that is not known.
     """
 
     done: bool = False
@@ -54,6 +58,19 @@
     n_unconfirmed_crashes: int = 0
     crashed_machines: tuple[str, ...] = ()
 
+    @property
+    def machines_to_avoid(self) -> frozenset[str]:
+        """Digests of the machines that have or may have crashed under the task."""
+        return frozenset(each.lstrip(POSSIBLE_CRASH) for each in self.crashed_machines)
+
+    @property
+    def n_proven_machines(self) -> int:
+        """Number of machines that have crashed while the task ran on them."""
+        return sum(
+            bool(each) and not each.startswith(POSSIBLE_CRASH)
+            for each in set(self.crashed_machines)
+        )
+
 
 @dataclass(slots=True)
 class Progress:
--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -136,10 +136,10 @@
         record = self.progress.tasks.get(name)
         return record is not None and record.n_unconfirmed_crashes > 0
 
-    def crashed_machines(self, name: TaskName) -> frozenset[str]:
-        """Return the digests of the machines that have crashed under a task."""
+    def machines_to_avoid(self, name: TaskName) -> frozenset[str]:
+        """Return the digests of the machines that may have crashed under a task."""
         record = self.progress.tasks.get(name)
-        return frozenset(record.crashed_machines) if record else frozenset()
+        return record.machines_to_avoid if record else frozenset()
 
     def is_given_up(self, name: TaskName) -> bool:
         """Whether a task must not start again since workers crashed under it."""
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -271,7 +271,7 @@
         is_suspect = job.is_suspect(name)
         needs_fresh_answer = job.needs_fresh_answer(name)
         avoided = job.avoided_workers.get(name, ())
-        crashed = job.crashed_machines(name)
+        crashed = job.machines_to_avoid(name)
         used = {run.worker_id for run in job.runs.get(name, ())}
         awaits_better = False
         domain_costs = self._cost.domain_costs(job, name, step)
--- a/tests/test_crashes_out_of_reach.py
+++ b/tests/test_crashes_out_of_reach.py
@@ -4,10 +4,12 @@
 
 from apricotgap.jobs import limits
 from apricotgap.jobs.events import PollFailed
-from apricotgap.jobs.model import JobPhase
+from apricotgap.jobs.model import JobPhase, Resources, StepSpec
 from tests.jobs_harness import MAX_LEASE_MS, entry, job, task
 from tests.test_worker_crashes import MAX_STARTS, ONE_TASK, CrashRig
 
+POSSIBLE = (f"?{entry('w0').machine_digest}",)
+
 
 class CutRig(CrashRig):
     """Workers that are cut off, run on and crash before they are reached again."""
@@ -85,7 +87,7 @@
     rig.now += 2 * MAX_LEASE_MS
     rig.shard.tick(rig.now)
     rig.crash("w0")
-    assert state.record(task(0)).crashed_machines == ("",)
+    assert state.record(task(0)).crashed_machines == POSSIBLE
 
 
 @pytest.mark.parametrize("is_silent", [False, True])
@@ -137,7 +139,7 @@
     @pytest.mark.parametrize("is_listed", [False, True])
     def test_long_after_the_last_answer_the_run_may_have_ended(self, is_listed):
         """Guards against a machine that counts for a run which ended unseen."""
-        assert self.crashed_machines(limits.CRASH_SIGN_MS + 1, is_listed) == ("",)
+        assert self.crashed_machines(limits.CRASH_SIGN_MS + 1, is_listed) == POSSIBLE
 
     @pytest.mark.parametrize("is_listed", [False, True])
     def test_soon_after_the_last_answer_it_has_not(self, is_listed):
@@ -157,7 +159,7 @@
     rig.now += limits.POLL_WAIT_MS + limits.MISSED_ANSWER_MS
     rig.fail_poll("w0")
     rig.crash("w0")
-    assert state.record(task(0)).crashed_machines == ("",)
+    assert state.record(task(0)).crashed_machines == POSSIBLE
 
 
 class TestMachineOrderedAwayWithoutAReport:
@@ -182,7 +184,7 @@
         """Guards against a job that fails since machines were taken down for
         maintenance while the owner of the fleet changed.
         """
-        assert self.crashed_machines(0, by_list) == ("",)
+        assert self.crashed_machines(0, by_list) == POSSIBLE
 
     @pytest.mark.parametrize("by_list", [False, True])
     def test_worker_that_is_no_longer_reserved_has_crashed(self, by_list):
@@ -191,3 +193,21 @@
         assert self.crashed_machines(before_ms, by_list) == (
             entry("w0").machine_digest,
         )
+
+
+def test_task_starts_next_on_another_machine():
+    """Guards against five possible crashes of one machine, the emptiest as it comes
+    back, which give the task up.
+    """
+    rig = CutRig(n_workers=2)
+    state = rig.submit(job(steps=ONE_TASK))
+    (start,) = rig.start_and_answer()
+    other = "w1" if start.worker_id == "w0" else "w0"
+    rig.shard.reserve([start.worker_id], rig.now)
+    rig.submit(job("b" * 16, steps=(StepSpec(4, Resources(1000, 100), 8_000),)))
+    assert {each.worker_id for each in rig.start_and_answer()} == {other}
+    rig.advance(limits.RESERVATION_MS)
+    # With the next crash it starts on the emptiest worker.
+    state.record(start.name).crash_points = 1
+    rig.crash_out_of_reach(start)
+    assert [each.worker_id for each in rig.start_and_answer()] == [other]
