Crashes: wait for the trial of another machine before going back

Callers could see a sound job shown as `failed` after five crashes of one machine. Cause: its task avoids the machine, but the others are on trial with other suspect tasks for a moment (250 ms) again and again, and the machine that flaps is the only one that takes it.

A task under which several crashes have come now waits while another machine with room is only on trial. The wait has its own reason, `other_machine_on_trial`. Tasks that were lost once do not wait: a crash may leave many, whose trials would take turns on the other machines.

Evidence: test_task_that_crashed_twice_waits_for_it and the case of test_job_waits fail without the wait.

--- a/apricotgap/jobs/job_state.py
+++ b/apricotgap/jobs/job_state.py
@@ -141,6 +141,17 @@
         record = self.progress.tasks.get(name)
         return record.machines_to_avoid if record else frozenset()
 
+    def awaits_other_machine(self, name: TaskName) -> bool:
+        """Whether a task waits for the trials of machines that it need not avoid.
+
+        Several crashes have come under it. The many that were lost with one machine do
+        not wait: their trials would take too long on the others alone.
+        """
+        if self.spec.steps[name.step].is_gang:
+            return False
+        record = self.progress.tasks.get(name)
+        return record is not None and len(record.crashed_machines) > 1
+
     def is_given_up(self, name: TaskName) -> bool:
         """Whether a task must not start again since workers crashed under it."""
         record = self.progress.tasks.get(name)
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -181,13 +181,20 @@
                     continue
                 worker = self._choose_worker(job, name, step, current, {})
                 if worker is None:
-                    if name in job.avoided_workers or job.needs_fresh_answer(name):
+                    if self._has_own_choice(job, name):
                         continue
                     # Tasks of a step are identical, so the others do not fit either.
                     break
                 run_id = self._shard.next_run_id(job, [name])
                 self._start(job, name, step, worker, run_id, current)
 
+    @staticmethod
+    def _has_own_choice(job: JobState, name: TaskName) -> bool:
+        """Whether a task may have to wait where others of its step start."""
+        if name in job.avoided_workers or job.needs_fresh_answer(name):
+            return True
+        return job.awaits_other_machine(name)
+
     def _start_gang(
         self, job: JobState, key: StepKey, step: StepSpec, current: SchedulingPass
     ) -> None:
@@ -272,39 +279,45 @@
         needs_fresh_answer = job.needs_fresh_answer(name)
         avoided = job.avoided_workers.get(name, ())
         crashed = job.machines_to_avoid(name)
+        awaits_other = job.awaits_other_machine(name)
         used = {run.worker_id for run in job.runs.get(name, ())}
         awaits_better = False
         domain_costs = self._cost.domain_costs(job, name, step)
         best: Worker | None = None
         best_cost = float("inf")
+        is_best_avoided = False
         for worker in current.workers:
-            if not allocation.fits(worker.free) or worker.is_on_trial(current.at_ms):
+            if not allocation.fits(worker.free):
                 continue
             entry = worker.entry
             if step.required_label and step.required_label not in entry.labels:
                 continue
-            has_room = True
+            is_on_trial = worker.is_on_trial(current.at_ms)
+            has_room |= not is_on_trial
             if entry.worker_id in used or (rack is not None and entry.rack != rack):
                 continue
             lacks_ticket = needs_ticket and not self._ticket(name, worker, current)
             if lacks_ticket or not self._fits_step(name, step, worker, placed):
                 continue
+            is_avoided = entry.worker_id in avoided or (
+                bool(crashed) and entry.machine_digest in crashed
+            )
+            if is_on_trial:
+                awaits_better |= awaits_other and not is_avoided
+                continue
             if needs_fresh_answer and not worker.has_just_answered(current.at_ms):
                 self.awaits_fresh_answer = True
-                awaits_better |= entry.worker_id not in avoided
+                awaits_better |= not is_avoided
                 continue
             cost = self._cost.of(
                 worker, name, step, current.at_ms, is_suspect, domain_costs
             )
-            if entry.worker_id in avoided or (
-                crashed and entry.machine_digest in crashed
-            ):
-                cost += 10
+            cost += 10 * is_avoided
             if cost < best_cost:
-                best, best_cost = worker, cost
+                best, best_cost, is_best_avoided = worker, cost, is_avoided
         if not has_room:
             current.too_large.setdefault(step.required_label, []).append(allocation)
-        if awaits_better and best is not None and best.worker_id in avoided:
+        if awaits_better and is_best_avoided:
             return None
         return best
 
--- a/apricotgap/jobs/waiting.py
+++ b/apricotgap/jobs/waiting.py
@@ -257,6 +257,21 @@
         return {"workers": [w.worker_id for w in on_trial[:_MAX_NAMED_WORKERS]]}
 
 
+class OtherMachineOnTrial(WaitReason):
+    """Only machines that have crashed under the tasks are not on trial."""
+
+    name = "other_machine_on_trial"
+
+    def inputs(self, case: WaitCase) -> dict[str, Any] | None:
+        if not all(map(case.job.awaits_other_machine, case.names)):
+            return None
+        avoided = case.job.machines_to_avoid(case.names[0])
+        others = [w for w in case.candidates if w.entry.machine_digest not in avoided]
+        if not others or not all(w.is_on_trial(case.at_ms) for w in others):
+            return None
+        return {"workers": [w.worker_id for w in others[:_MAX_NAMED_WORKERS]]}
+
+
 class KeptForGang(WaitReason):
     """Workers are left to a gang that has waited for longer; others lack room."""
 
@@ -362,6 +377,7 @@
     NoRoom(),
     MissingLabel(),
     WorkersOnTrial(),
+    OtherMachineOnTrial(),
     KeptForGang(),
     NoFreshAnswer(),
     WorkerShare(),
--- a/tests/test_crashed_machines.py
+++ b/tests/test_crashed_machines.py
@@ -193,3 +193,34 @@
         state = rig.shard.load(job(steps=ONE_TASK), without_machines(progress), 1)
         assert len(crash_starts(rig, 12)) <= MAX_STARTS - n_points
         assert state.progress.phase is JobPhase.FAILED
+
+
+class TestTrialOnTheOtherMachine:
+    """Tasks that have crashed one of two machines, and a trial on the other one."""
+
+    def started_on(self, n_crashes):
+        """Return the workers on which two such tasks start in one pass."""
+        rig = CrashRig(n_workers=2)
+        crashed = (entry("w0").machine_digest,) * n_crashes
+        suspects = {
+            task(number): TaskRecord(crash_points=2, crashed_machines=crashed)
+            for number in range(2)
+        }
+        progress = Progress(JobPhase.RUNNING, suspects)
+        steps = (StepSpec(2, Resources(1000, 100), 800),)
+        rig.shard.load(job(steps=steps), progress, 1)
+        first = [start.worker_id for start in rig.start_and_answer()]
+        rig.advance(2 * limits.START_UP_MS)
+        return first, [start.worker_id for start in rig.start_and_answer()]
+
+    def test_task_that_crashed_twice_waits_for_it(self):
+        """Guards against a sound job that fails since its task starts again and again
+        on one machine that flaps, while a trial keeps the others busy for a moment.
+        """
+        assert self.started_on(n_crashes=2) == (["w1"], ["w1"])
+
+    def test_tasks_that_were_lost_once_are_tried_on_both(self):
+        """Guards against many tasks of one crash whose trials take turns on few
+        machines.
+        """
+        assert self.started_on(n_crashes=1) == (["w1", "w0"], [])
--- a/tests/test_job_waits.py
+++ b/tests/test_job_waits.py
@@ -190,6 +190,19 @@
     return rig, {"workers": ["w1"]}
 
 
+def other_machine_on_trial():
+    """Both tasks have crashed one worker, and the first is on trial on the other."""
+    rig = Rig(workers=("w1", "w2")).ready()
+    crashed = (entry("w1").machine_digest,) * 2
+    suspects = {
+        task(number): TaskRecord(crash_points=3, crashed_machines=crashed)
+        for number in range(2)
+    }
+    progress = Progress(JobPhase.RUNNING, suspects)
+    rig.shard.load(job(steps=(StepSpec(2, SIZE, 800),)), progress, revision=1)
+    return rig, {"workers": ["w2"]}
+
+
 def kept_for_gang():
     """A gang has waited for as long as single tasks go first."""
     rig = ready_rig(StepSpec(1, Resources(1_000, 100), 60_000), job_id="a" * 16)
@@ -286,6 +299,7 @@
     (no_room_for_a_gang_that_is_spread, (0, 0), 100),
     (missing_label, (0, 0), 100),
     (workers_on_trial, (0, 0), 100),
+    (other_machine_on_trial, (0, 0), 100),
     (kept_for_gang, (0, 0), 100),
     (kept_for_gang_for_a_gang, (0, 0), 100),
     (no_fresh_answer, (0, 0), 100),
