--- a/tests/test_worker_flaps.py
+++ b/tests/test_worker_flaps.py
@@ -19,6 +19,37 @@
 UNANSWERED_SEEDS = (4, 42)
 
 
+class FlapWorld(World):
+    """A world that knows which workers crashed under begun runs of each task."""
+
+    def __init__(self, seed, n_workers):
+        super().__init__(seed, n_workers)
+        self._crashed_under = {}
+
+    def crash(self, worker_id, down_ms):
+        """End a worker; it is back under its id, and listed some time later."""
+        worker = self.workers[worker_id]
+        if worker.is_up:
+            worker.advance(self.now)
+            for name, _ in [*worker.running, *worker.stopping]:
+                self._crashed_under.setdefault(name, set()).add(worker_id)
+        super().crash(worker_id, down_ms)
+
+    def check_jobs(self):
+        """Each job has succeeded, but for those with two crashed workers of a task."""
+        super().check_jobs()
+        for job_id in self._submitted:
+            phase = self.shard.jobs[job_id].progress.phase
+            crashed = [
+                workers
+                for name, workers in self._crashed_under.items()
+                if name.job_id == job_id
+            ]
+            n_workers = max(map(len, crashed), default=0)
+            if phase is not JobPhase.SUCCEEDED and n_workers < 2:
+                self.broken.append(f"LOST {job_id} {phase} {n_workers} workers")
+
+
 def flap(world, worker_id):
     """Let a worker go down and up by turns."""
     at_ms = world.rng.randrange(2_000)
@@ -30,7 +61,7 @@
 
 def play(seed):
     """Play a day on which a third of the workers flap; returns the broken promises."""
-    world = World(seed, N_WORKERS)
+    world = FlapWorld(seed, N_WORKERS)
     world.start()
     world.play(2_000)
     for worker_id in list(world.workers)[::3]:
