--- a/tests/test_worker_flaps.py
+++ b/tests/test_worker_flaps.py
@@ -19,6 +19,37 @@
 UNANSWERED_SEEDS = (4, 42)
 
 
+class FlapWorld(World):
+    """A world that knows which workers crashed under begun runs of each task."""
+
+    def __init__(self, seed, n_workers):
+        super().__init__(seed, n_workers)
+        self._crashed_under = {}
+
+    def crash(self, worker_id, down_ms):
+        """End a worker; it is back under its id, and listed some time later."""
+        worker = self.workers[worker_id]
+        if worker.is_up:
+            worker.advance(self.now)
+            for name, _ in [*worker.running, *worker.stopping]:
+                self._crashed_under.setdefault(name, set()).add(worker_id)
+        super().crash(worker_id, down_ms)
+
+    def check_jobs(self):
+        """Each job has succeeded, but for those with two crashed workers of a task."""
+        super().check_jobs()
+        for job_id in self._submitted:
+            phase = self.shard.jobs[job_id].progress.phase
+            crashed = [
+                workers
+                for name, workers in self._crashed_under.items()
+                if name.job_id == job_id
+            ]
+            n_workers = max(map(len, crashed), default=0)
+            if phase is not JobPhase.SUCCEEDED and n_workers < 2:
+                self.broken.append(f"LOST {job_id} {phase} {n_workers} workers")
+
+
 def flap(world, worker_id):
     """Let a worker go down and up by turns."""
     at_ms = world.rng.randrange(2_000)
@@ -30,7 +61,7 @@
 
 def play(seed):
     """Play a day on which a third of the workers flap; returns the broken promises."""
-    world = World(seed, N_WORKERS)
+    world = FlapWorld(seed, N_WORKERS)
     world.start()
     world.play(2_000)
     for worker_id in list(world.workers)[::3]:
@@ -109,20 +140,23 @@
     """Guards against a long-running task that never runs again since two workers went
     down by chance just after they had started it; three still end the trials.
     """
-    rig = Rig()
+    rig = Rig(workers=("w1", "w2"))
     rig.ready()
     rig.shard.reported_ms = rig.now
     long_running = (StepSpec(1, Resources(1000, 100), is_long_running=True),)
     state = rig.submit(job(steps=long_running))
+    born = {"w1": 1, "w2": 1}
     n_starts = 0
-    for born_ms in range(2, 9):
+    for _ in range(7):
         for start in rig.schedule():
             n_starts += 1
             assert not state.is_given_up(start.name)
             rig.answer(start)
-        rig.list_workers(entry("w1", born_ms=born_ms))
+            born[start.worker_id] += 1
+        rig.list_workers(*(entry(each, born_ms=ms) for each, ms in born.items()))
         rig.record_all()
-        rig.poll("w1", born_ms=born_ms)
+        for each, ms in born.items():
+            rig.poll(each, born_ms=ms)
         rig.save()
     assert n_starts == 3
     assert state.is_given_up(task(0))
