Log requests that get no complete response and states that are denied

What callers saw: nothing new. A connection that ended with a request read and not answered left no line, and neither did a GET answered 410, so that the logs could not tell a request that was cut from one that was never read.

Change: the HTTP server writes request_unanswered with who ended the connection (client, instance, error) and how far the request was (body, work, response); the callers' interface writes state_denied. The timeline of a request shows both, and stop_timeout as a possible cause.

--- a/apricotgap/drivers/http_exchange.py
+++ b/apricotgap/drivers/http_exchange.py
@@ -8,6 +8,7 @@
 import trio
 
 from apricotgap.drivers.http import Scope
+from apricotgap.drivers.unanswered_requests import RequestStage
 from apricotgap.errors import ApricotgapError
 
 __all__ = ["HttpExchange", "RequestError"]
@@ -46,13 +47,27 @@
         )
         self._head: h11.Response | None = None
         self._has_unread_bytes = False
+        self._is_answered = False
         self.scope: Scope | None = None
+        # When the head of the current request had been read, on the clock of trio.
+        self.read_s = 0.0
 
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes of the next request have been received already."""
         return self._has_unread_bytes
 
+    @property
+    def unanswered_stage(self) -> RequestStage | None:
+        """How far the current request is, None if it has a complete response."""
+        if self.scope is None or self._is_answered:
+            return None
+        if self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return RequestStage.RESPONSE
+        if self._connection.their_state is h11.SEND_BODY:
+            return RequestStage.BODY
+        return RequestStage.WORK
+
     def finish_request(self) -> bool:
         """Skip a body that was not asked for; False if it has not arrived yet."""
         connection = self._connection
@@ -81,6 +96,8 @@
         self.scope = None
         event = await self._next_event()
         if isinstance(event, h11.Request):
+            self._is_answered = False
+            self.read_s = trio.current_time()
             self.scope = self._scope_of(event)
 
     async def _next_event(self) -> Any:
@@ -178,6 +195,8 @@
         data = b"".join(self._connection.send(event) or b"" for event in events)
         if data:
             await self._stream.send_all(data)
+        if any(isinstance(event, h11.EndOfMessage) for event in events):
+            self._is_answered = True
 
     async def refuse(self, error: RequestError) -> None:
         """Answer a request that could not be parsed."""
--- a/apricotgap/drivers/http_server.py
+++ b/apricotgap/drivers/http_server.py
@@ -10,6 +10,12 @@
 
 from apricotgap.drivers.http import Receive, Scope, Send
 from apricotgap.drivers.http_exchange import HttpExchange, RequestError
+from apricotgap.drivers.unanswered_requests import (
+    EndedBy,
+    RequestStage,
+    UnansweredLog,
+    UnansweredRequest,
+)
 
 __all__ = ["Application", "HttpServer"]
 
@@ -51,6 +57,9 @@
         Largest size of a request's head.
     keep_alive_timeout_s : float
         Time in seconds after which an idle connection is closed.
+    count_unanswered : callable
+        Called for each request whose connection ends without a complete response, with
+        who ended it and how far the request was.
     """
 
     def __init__(
@@ -61,6 +70,9 @@
         tls: ssl.SSLContext | None = None,
         max_head_bytes: int = _MAX_HEAD_BYTES,
         keep_alive_timeout_s: float = _KEEP_ALIVE_TIMEOUT_S,
+        count_unanswered: Callable[[EndedBy, RequestStage], None] = (
+            lambda _by, _stage: None
+        ),
     ) -> None:
         self._application = application
         self._addresses = addresses
@@ -71,6 +83,7 @@
         self._idle: set[trio.CancelScope] = set()
         self._is_stopping = False
         self._n_connections = 0
+        self._unanswered = UnansweredLog(count_unanswered)
         self._log = structlog.get_logger()
 
     @property
@@ -139,7 +152,9 @@
             transport.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._tls is not None:
                 stream = await self._open_tls(transport, self._tls)
-            await self._serve_requests(stream)
+            await self._serve_exchange(
+                stream, HttpExchange(stream, self._max_head_bytes)
+            )
         except _CONNECTION_ERRORS:
             # The client has left; there is nobody to answer.
             pass
@@ -159,8 +174,37 @@
             return stream
         raise trio.BrokenResourceError("the client did not complete the TLS handshake")
 
-    async def _serve_requests(self, stream: Stream) -> None:
-        exchange = HttpExchange(stream, self._max_head_bytes)
+    async def _serve_exchange(self, stream: Stream, exchange: HttpExchange) -> None:
+        """Serve a connection and record a request that it ends without a response."""
+        # Only the end of the server cancels a connection.
+        ended_by = EndedBy.INSTANCE
+        try:
+            await self._serve_requests(stream, exchange)
+            ended_by = EndedBy.ERROR
+        except _CONNECTION_ERRORS:
+            ended_by = EndedBy.CLIENT
+            raise
+        except Exception:
+            ended_by = EndedBy.ERROR
+            raise
+        finally:
+            self._record_unanswered(exchange, ended_by)
+
+    def _record_unanswered(self, exchange: HttpExchange, ended_by: EndedBy) -> None:
+        stage = exchange.unanswered_stage
+        if exchange.scope is None or stage is None:
+            return
+        now_s = trio.current_time()
+        request = UnansweredRequest(
+            exchange.scope["method"],
+            exchange.scope["path"],
+            ended_by,
+            stage,
+            int((now_s - exchange.read_s) * 1000),
+        )
+        self._unanswered.record(request, int(now_s * 1000))
+
+    async def _serve_requests(self, stream: Stream, exchange: HttpExchange) -> None:
         while True:
             if not exchange.has_unread_bytes and not await self._wait_for_bytes(
                 stream, exchange
--- a/apricotgap/explain.py
+++ b/apricotgap/explain.py
@@ -21,6 +21,7 @@
         "shard_loaded",
         "shard_lost",
         "started",
+        "stop_timeout",
         "stopping",
         "store_lost",
         "store_reachable_again",
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -173,6 +173,9 @@
                 settings.readiness_address,
                 f"{settings.ip}:{settings.metrics_port}",
             ),
+            count_unanswered=lambda by, stage: self._metrics.count(
+                "requests_unanswered", by=by.value, stage=stage.value
+            ),
         )
         nursery.start_soon(self._handle_signals, signals, server, nursery)
         await server.run()
--- a/apricotgap/platform/ingress.py
+++ b/apricotgap/platform/ingress.py
@@ -31,6 +31,7 @@
     SubmitResult,
     UnreadableError,
 )
+from apricotgap.line_limit import LineLimit
 from apricotgap.metrics import Metrics
 from apricotgap.platform.job_wire import decode_job
 from apricotgap.platform.wire import WireError
@@ -106,6 +107,7 @@
         self._is_draining = is_draining
         self._readiness_port = readiness_port
         self._metrics_port = metrics_port
+        self._denied_limit = LineLimit()
         self._log = structlog.get_logger()
 
     def set_revoke_ms(self, revoke_ms: int) -> None:
@@ -280,9 +282,25 @@
         except UnreadableError as error:
             return _Response(503, reason=f"state not readable: {error}")
         if phase is None:
+            self._record_denied(queue, job_id)
             return _Response(410, reason="no such job")
         return _Response(200, {"state": phase.value})
 
+    def _record_denied(self, queue: QueueSpec, job_id: str) -> None:
+        """Record a state that was answered with 410."""
+        self._metrics.count("states_denied", queue=queue.name)
+        n_omitted = self._denied_limit.admit(job_id, self._clock.now_ms)
+        if n_omitted is None:
+            return
+        self._log.info(
+            "state_denied",
+            job=job_id,
+            queue=queue.name,
+            shard=queue.service,
+            view_age_ms=self._view.config_age_ms(),
+            n_omitted=n_omitted,
+        )
+
     async def _cancel_job(
         self, queue: QueueSpec, job_id: str, deadline_ms: int
     ) -> _Response:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -73,3 +73,21 @@
     result = CliRunner().invoke(main, ["explain", "f" * 16, str(path)])
     assert result.exit_code == 1
     assert "give the logs of all instances" in result.output
+
+
+def test_timeline_tells_who_cut_a_request():
+    """Guards against a request without an answer whose end is not shown."""
+    lines = [
+        line(1, "stopping", shutdown_ms=6000),
+        line(5, "stop_timeout", n_connections=1),
+        line(5, "request_unanswered", path=f"/plans/{JOB}", by="instance"),
+        line(5, "request_unanswered", path="/plans/0000000000000000", by="client"),
+        line(6, "state_denied", job=JOB, shard="s1"),
+    ]
+    timeline = [(entry.event, entry.is_possible_cause) for entry in explain(lines, JOB)]
+    assert timeline == [
+        ("stopping", True),
+        ("stop_timeout", True),
+        ("request_unanswered", False),
+        ("state_denied", False),
+    ]
--- a/tests/test_ingress_reload.py
+++ b/tests/test_ingress_reload.py
@@ -75,7 +75,7 @@
         self.clock = FakeClock(50_000)
         self.metrics = Metrics("i1")
 
-    def _app(self, nursery):
+    def app(self, nursery):
         return IngressApp(
             self.view,
             self.jobs,
@@ -93,6 +93,12 @@
 
         `on_receive` is called as the body of the request arrives.
         """
+        async with trio.open_nursery() as nursery:
+            app = self.app(nursery)
+            return await self.call_app(app, method, path, key, on_receive)
+
+    async def call_app(self, app, method, path=PATH, key="", on_receive=lambda: None):
+        """Call an application that serves further calls too."""
         body = json.dumps(JOB).encode() if method == "POST" else b""
         headers = [(b"host", b"h.example"), (b"content-length", b"%d" % len(body))]
         headers += [(b"api-key", key.encode())] if key else []
@@ -112,8 +118,7 @@
         async def send(message):
             sent.append(message)
 
-        async with trio.open_nursery() as nursery:
-            await self._app(nursery)(scope, receive, send)
+        await app(scope, receive, send)
         assert not sent[-1].get("more_body")
         data = b"".join(message.get("body", b"") for message in sent)
         return sent[0]["status"], json.loads(data)
