Answer a request whose work fails with a connection error

What callers saw: a request that was read and whose connection ended without a response, in case a connection to a peer or the store failed in a way that its client does not expect. No such case is known in the present code.

Cause: the HTTP server took each OSError, BrokenResourceError and ClosedResourceError for the end of the client's connection, also one that the application raised.

Change: the exchange turns errors of the client's connection into ClientLeftError where they occur; all others are answered with 500.

Evidence: test_error_of_another_connection_is_answered failed before, for all three errors.

--- a/apricotgap/drivers/http_exchange.py
+++ b/apricotgap/drivers/http_exchange.py
@@ -11,11 +11,12 @@
 from apricotgap.drivers.unanswered_requests import RequestStage
 from apricotgap.errors import ApricotgapError
 
-__all__ = ["HttpExchange", "RequestError"]
+__all__ = ["ClientLeftError", "HttpExchange", "RequestError"]
 
 _READ_BYTES = 65_536
 # Bytes of later requests that are kept while one is answered.
 _MAX_PIPELINED_BYTES = 65_536
+_STREAM_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 class RequestError(ApricotgapError):
@@ -25,6 +26,10 @@
     http_status = 400
 
 
+class ClientLeftError(Exception):
+    """The connection to the client has failed, so that there is nobody to answer."""
+
+
 class HttpExchange:
     """The current request of a connection and its response.
 
@@ -80,8 +85,17 @@
         return True
 
     async def receive_bytes(self) -> bool:
-        """Receive bytes of the client; False at the end of the connection."""
-        data = await self._stream.receive_some(_READ_BYTES)
+        """Receive bytes of the client; False at the end of the connection.
+
+        Raises
+        ------
+        ClientLeftError
+            The connection has failed.
+        """
+        try:
+            data = await self._stream.receive_some(_READ_BYTES)
+        except _STREAM_ERRORS as error:
+            raise ClientLeftError(repr(error)) from error
         self._connection.receive_data(bytes(data))
         return bool(data)
 
@@ -92,6 +106,8 @@
         ------
         RequestError
             The head is malformed or too large.
+        ClientLeftError
+            The connection has failed.
         """
         self.scope = None
         event = await self._next_event()
@@ -117,6 +133,10 @@
         transport, scheme = self._stream, "http"
         if isinstance(transport, trio.SSLStream):
             transport, scheme = transport.transport_stream, "https"
+        try:
+            client = transport.socket.getpeername()[:2]
+        except OSError as error:
+            raise ClientLeftError(repr(error)) from error
         return {
             "type": "http",
             "asgi": {"version": "3.0", "spec_version": "2.3"},
@@ -128,7 +148,7 @@
             "query_string": query,
             "root_path": "",
             "headers": list(request.headers),
-            "client": transport.socket.getpeername()[:2],
+            "client": client,
             "server": transport.socket.getsockname()[:2],
         }
 
@@ -162,7 +182,7 @@
             while len(connection.trailing_data[0]) < _MAX_PIPELINED_BYTES:
                 if not await self.receive_bytes():
                     return
-        except trio.BrokenResourceError:
+        except ClientLeftError:
             return
         await trio.sleep_forever()
 
@@ -194,7 +214,10 @@
     async def _send(self, *events: h11.Event) -> None:
         data = b"".join(self._connection.send(event) or b"" for event in events)
         if data:
-            await self._stream.send_all(data)
+            try:
+                await self._stream.send_all(data)
+            except _STREAM_ERRORS as error:
+                raise ClientLeftError(repr(error)) from error
         if any(isinstance(event, h11.EndOfMessage) for event in events):
             self._is_answered = True
 
--- a/apricotgap/drivers/http_server.py
+++ b/apricotgap/drivers/http_server.py
@@ -9,7 +9,11 @@
 import trio
 
 from apricotgap.drivers.http import Receive, Scope, Send
-from apricotgap.drivers.http_exchange import HttpExchange, RequestError
+from apricotgap.drivers.http_exchange import (
+    ClientLeftError,
+    HttpExchange,
+    RequestError,
+)
 from apricotgap.drivers.unanswered_requests import (
     EndedBy,
     RequestStage,
@@ -155,7 +159,7 @@
             await self._serve_exchange(
                 stream, HttpExchange(stream, self._max_head_bytes)
             )
-        except _CONNECTION_ERRORS:
+        except (ClientLeftError, *_CONNECTION_ERRORS):
             # The client has left; there is nobody to answer.
             pass
         except Exception:
@@ -181,7 +185,7 @@
         try:
             await self._serve_requests(stream, exchange)
             ended_by = EndedBy.ERROR
-        except _CONNECTION_ERRORS:
+        except ClientLeftError:
             ended_by = EndedBy.CLIENT
             raise
         except Exception:
@@ -248,7 +252,7 @@
         assert exchange.scope is not None
         try:
             await self._application(exchange.scope, exchange.receive, exchange.send)
-        except _CONNECTION_ERRORS:
+        except ClientLeftError:
             raise
         except Exception:
             # An error in one request must not end the others.
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -160,6 +160,26 @@
     run(echo, check)
 
 
+@pytest.mark.parametrize(
+    "error",
+    [OSError("x"), trio.BrokenResourceError("x"), trio.ClosedResourceError("x")],
+    ids=repr,
+)
+def test_error_of_another_connection_is_answered(error):
+    """Guards against a request that gets no answer: an error of a connection to a peer
+    or the store was taken for the end of the client's own.
+    """
+
+    async def fail(scope, receive, send):
+        raise error
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            assert await exchange(stream, GET) == 500
+
+    run(fail, check)
+
+
 def test_refused_body_does_not_hide_the_answer():
     """Guards against a connection that is reset before its answer has been read."""
 
