Answer a request that waits in the socket behind one that closes

What callers saw: a client that sends its next request before it has the response to the one before gets a reset from an instance that stops. The request is lost, and on some networks the response before it too.

Cause: the server kept a connection open for a next request that it had already received, and did not look for one that waited in the socket. It then closed the connection with unread bytes, which resets it.

Change: before a response that would close the connection, the server receives what has arrived. A next request is answered, and the last response closes.

Evidence: test_request_that_waits_in_the_socket_is_answered_after_one_that_closes failed before with a reset.

--- a/apricotgap/drivers/http_exchange.py
+++ b/apricotgap/drivers/http_exchange.py
@@ -53,6 +53,7 @@
         self._head: h11.Response | None = None
         self._has_unread_bytes = False
         self._is_answered = False
+        self._is_receiving = False
         self.scope: Scope | None = None
         # When the head of the current request had been read, on the clock of trio.
         self.read_s = 0.0
@@ -92,10 +93,13 @@
         ClientLeftError
             The connection has failed.
         """
+        self._is_receiving = True
         try:
             data = await self._stream.receive_some(_READ_BYTES)
         except _STREAM_ERRORS as error:
             raise ClientLeftError(repr(error)) from error
+        finally:
+            self._is_receiving = False
         self._connection.receive_data(bytes(data))
         return bool(data)
 
@@ -189,6 +193,8 @@
     async def send(self, message: Any) -> None:
         """Send a part of the response, given as an ASGI message."""
         if message["type"] == "http.response.start":
+            if (b"connection", b"close") in message.get("headers", ()):
+                await self._receive_arrived()
             headers = [*self._response_headers(message), (b"date", _date())]
             self._head = h11.Response(status_code=message["status"], headers=headers)
             return
@@ -204,6 +210,20 @@
             parts.append(h11.EndOfMessage())
         await self._send(*parts)
 
+    async def _receive_arrived(self) -> None:
+        """Receive what has arrived of the next request, so that it is answered too.
+
+        A connection that is closed with unread bytes is reset, which may destroy the
+        response before.
+        """
+        stream = self._stream
+        if self._is_receiving or not isinstance(stream, trio.SocketStream):
+            return
+        if not self.finish_request() or self._connection.trailing_data[0]:
+            return
+        if stream.socket.is_readable():
+            await self.receive_bytes()
+
     def _response_headers(self, message: Any) -> list[tuple[bytes, bytes]]:
         """Return the headers; a request that has arrived is answered as well."""
         headers = list(message.get("headers", ()))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -291,6 +291,29 @@
     run(closing, check)
 
 
+def test_request_that_waits_in_the_socket_is_answered_after_one_that_closes():
+    """Guards against a request, and the response before it, that a reset destroys: its
+    bytes were unread as the connection was closed.
+    """
+
+    async def closing(scope, receive, send):
+        await trio.sleep(0.2)
+        await send_response(send, 200, b"ok", "text/plain", {"connection": "close"})
+
+    async def check(server, address):
+        stream = await connect(address)
+        for _ in range(3):
+            await stream.send_all(GET)
+            await trio.sleep(0.02)
+        received = b""
+        while data := await stream.receive_some(65_536):
+            received += data
+        assert received.count(b"HTTP/1.1 200") == 3
+        assert received.count(b"connection: close") == 1
+
+    run(closing, check)
+
+
 @pytest.mark.parametrize("is_reset", [False, True])
 def test_application_learns_that_the_client_has_left(is_reset):
     """Guards against work for a caller that is gone, and against a request that is
