Read the settings again at a start beside their change

Cause: a process that runs goes on with its settings and reads the file again; a process that starts ended at the first incomplete file.

Change: a process that starts tries for one second before it reports the error.

Evidence: test_process_starts_beside_a_change_of_its_file failed before.

--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import structlog
@@ -40,6 +41,9 @@
 BALANCER_LAG_S = 2.2
 # The settings file is polled too, since it may change without a SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 1.0
+# A settings file that is just being written is complete after this time.
+_SETTINGS_WRITE_S = 1.0
+_SETTINGS_RETRY_S = 0.05
 # Settings that a running process reloads; the others need a restart.
 _RELOADABLE = frozenset({"bounds.revoke_ms", "bounds.shutdown_ms"})
 # Part of the time between SIGTERM and SIGKILL in which all requests are answered, and
@@ -299,6 +303,17 @@
             self._lease.abandon()
 
 
+def _load_first_settings(path: str) -> PlatformSettings:
+    """Load the settings of a process that starts; the file may just be written."""
+    until_s = time.monotonic() + _SETTINGS_WRITE_S
+    while time.monotonic() < until_s:
+        try:
+            return load_platform_settings(path)
+        except SettingsError:
+            time.sleep(_SETTINGS_RETRY_S)
+    return load_platform_settings(path)
+
+
 def main() -> None:
     """Run an instance with the settings file that the environment names.
 
@@ -309,7 +324,7 @@
     """
     path = settings_path()
     file_version = _file_version(path)
-    settings = load_platform_settings(path)
+    settings = _load_first_settings(path)
     buffer = logs.configure(settings.name)
 
     async def run() -> None:
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -154,3 +154,39 @@
             assert (await cluster.request(instance, "GET", "f" * 16))[0] == 410
 
     trio.run(main)
+
+
+async def write_pipe(path, data):
+    """Write to a named pipe once it has a reader, until which the open fails."""
+    while True:
+        try:
+            pipe = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            break
+        except OSError:
+            await trio.sleep(0.01)
+    os.write(pipe, data)
+    os.close(pipe)
+
+
+def test_process_starts_beside_a_change_of_its_file(tmp_path):
+    """Guards against a process that ends at its start: it read a file that was just
+    being written. A named pipe has it read the cut file first.
+    """
+
+    async def main():
+        async with open_cluster(tmp_path, n_instances=1) as cluster:
+            instance = cluster.instances[0]
+            path = tmp_path / f"{instance.name}.toml"
+            whole = path.read_bytes()
+            instance.stop()
+            path.unlink()
+            os.mkfifo(path)
+            instance.start()
+            with trio.fail_after(20):
+                await write_pipe(path, whole[:20])
+                await write_pipe(path, whole)
+            (tmp_path / "whole").write_bytes(whole)
+            (tmp_path / "whole").rename(path)
+            await cluster.until_ready()
+
+    trio.run(main)
