Go on when the log cannot be written

All requests of an instance would be cut once the program that reads its log ends, or a disk is full.

Cause: the flush of the log expected no other error than a full pipe. A broken pipe ended the task, and with it the process.

Change: lines that cannot be written are dropped and counted.

Evidence: test_process_goes_on_when_nobody_reads_its_log failed before, as its process ended with BrokenPipeError.

--- a/apricotgap/instance/logs.py
+++ b/apricotgap/instance/logs.py
@@ -59,10 +59,17 @@
                 n_written += os.write(sys.stdout.fileno(), part)
         except BlockingIOError:
             pass
+        except OSError:
+            # The reader has ended, or the disk is full.
+            self._drop(data[n_written:])
+            return
         self._unwritten = data[n_written:]
         if len(self._unwritten) > 1_000_000:
-            self.n_dropped += self._unwritten.count(b"\n")
-            self._unwritten = b""
+            self._drop(self._unwritten)
+
+    def _drop(self, data: bytes) -> None:
+        self.n_dropped += data.count(b"\n")
+        self._unwritten = b""
 
     async def run(self) -> None:
         """Flush periodically until cancelled."""
--- a/tests/test_log_limits.py
+++ b/tests/test_log_limits.py
@@ -1,6 +1,7 @@
 """Log lines made of what callers and other writers say."""
 
 import json
+import os
 import subprocess
 import sys
 
@@ -59,3 +60,29 @@
     line = json.loads(lines[0])
     assert line["library"] == "websockets.server"
     assert len(lines[0]) < 1_000
+
+
+LOG_WITHOUT_A_READER = """
+import sys
+import structlog
+from apricotgap.instance import logs
+buffer = logs.configure("i")
+for _ in range(3):
+    structlog.get_logger().info("lost")
+    buffer.flush()
+print("runs", buffer.n_dropped, file=sys.stderr)
+"""
+
+
+def test_process_goes_on_when_nobody_reads_its_log():
+    """Guards against a process that ends, with all its requests, because the program
+    that reads its log has ended.
+    """
+    reader, writer = os.pipe()
+    os.close(reader)
+    command = [sys.executable, "-c", LOG_WITHOUT_A_READER]
+    done = subprocess.run(
+        command, stdout=writer, stderr=subprocess.PIPE, check=True, timeout=30
+    )
+    os.close(writer)
+    assert done.stderr.decode().split() == ["runs", "3"]
