--- a/apricotgap/drivers/http_exchange.py
+++ b/apricotgap/drivers/http_exchange.py
@@ -8,13 +8,15 @@
 import trio
 
 from apricotgap.drivers.http import Scope
+from apricotgap.drivers.unanswered_requests import RequestStage
 from apricotgap.errors import ApricotgapError
 
-__all__ = ["HttpExchange", "RequestError"]
+__all__ = ["ClientLeftError", "HttpExchange", "RequestError"]
 
 _READ_BYTES = 65_536
 # Bytes of later requests that are kept while one is answered.
 _MAX_PIPELINED_BYTES = 65_536
+_STREAM_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 class RequestError(ApricotgapError):
@@ -24,6 +26,10 @@
     http_status = 400
 
 
+class ClientLeftError(Exception):
+    """The connection to the client has failed, so that there is nobody to answer."""
+
+
 class HttpExchange:
     """The current request of a connection and its response.
 
@@ -46,13 +52,28 @@
         )
         self._head: h11.Response | None = None
         self._has_unread_bytes = False
+        self._is_answered = False
+        self._is_receiving = False
         self.scope: Scope | None = None
+        # When the head of the current request had been read, on the clock of trio.
+        self.read_s = 0.0
 
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes of the next request have been received already."""
         return self._has_unread_bytes
 
+    @property
+    def unanswered_stage(self) -> RequestStage | None:
+        """How far the current request is, None if it has a complete response."""
+        if self.scope is None or self._is_answered:
+            return None
+        if self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return RequestStage.RESPONSE
+        if self._connection.their_state is h11.SEND_BODY:
+            return RequestStage.BODY
+        return RequestStage.WORK
+
     def finish_request(self) -> bool:
         """Skip a body that was not asked for; False if it has not arrived yet."""
         connection = self._connection
@@ -65,8 +86,20 @@
         return True
 
     async def receive_bytes(self) -> bool:
-        """Receive bytes of the client; False at the end of the connection."""
-        data = await self._stream.receive_some(_READ_BYTES)
+        """Receive bytes of the client; False at the end of the connection.
+
+        Raises
+        ------
+        ClientLeftError
+            The connection has failed.
+        """
+        self._is_receiving = True
+        try:
+            data = await self._stream.receive_some(_READ_BYTES)
+        except _STREAM_ERRORS as error:
+            raise ClientLeftError(repr(error)) from error
+        finally:
+            self._is_receiving = False
         self._connection.receive_data(bytes(data))
         return bool(data)
 
@@ -77,10 +110,14 @@
         ------
         RequestError
             The head is malformed or too large.
+        ClientLeftError
+            The connection has failed.
         """
         self.scope = None
         event = await self._next_event()
         if isinstance(event, h11.Request):
+            self._is_answered = False
+            self.read_s = trio.current_time()
             self.scope = self._scope_of(event)
 
     async def _next_event(self) -> Any:
@@ -100,6 +137,10 @@
         transport, scheme = self._stream, "http"
         if isinstance(transport, trio.SSLStream):
             transport, scheme = transport.transport_stream, "https"
+        try:
+            client = transport.socket.getpeername()[:2]
+        except OSError as error:
+            raise ClientLeftError(repr(error)) from error
         return {
             "type": "http",
             "asgi": {"version": "3.0", "spec_version": "2.3"},
@@ -111,7 +152,7 @@
             "query_string": query,
             "root_path": "",
             "headers": list(request.headers),
-            "client": transport.socket.getpeername()[:2],
+            "client": client,
             "server": transport.socket.getsockname()[:2],
         }
 
@@ -145,13 +186,15 @@
             while len(connection.trailing_data[0]) < _MAX_PIPELINED_BYTES:
                 if not await self.receive_bytes():
                     return
-        except trio.BrokenResourceError:
+        except ClientLeftError:
             return
         await trio.sleep_forever()
 
     async def send(self, message: Any) -> None:
         """Send a part of the response, given as an ASGI message."""
         if message["type"] == "http.response.start":
+            if (b"connection", b"close") in message.get("headers", ()):
+                await self._receive_arrived()
             headers = [*self._response_headers(message), (b"date", _date())]
             self._head = h11.Response(status_code=message["status"], headers=headers)
             return
@@ -167,6 +210,20 @@
             parts.append(h11.EndOfMessage())
         await self._send(*parts)
 
+    async def _receive_arrived(self) -> None:
+        """Receive what has arrived of the next request, so that it is answered too.
+
+        A connection that is closed with unread bytes is reset, which may destroy the
+        response before.
+        """
+        stream = self._stream
+        if self._is_receiving or not isinstance(stream, trio.SocketStream):
+            return
+        if not self.finish_request() or self._connection.trailing_data[0]:
+            return
+        if stream.socket.is_readable():
+            await self.receive_bytes()
+
     def _response_headers(self, message: Any) -> list[tuple[bytes, bytes]]:
         """Return the headers; a request that has arrived is answered as well."""
         headers = list(message.get("headers", ()))
@@ -177,7 +234,12 @@
     async def _send(self, *events: h11.Event) -> None:
         data = b"".join(self._connection.send(event) or b"" for event in events)
         if data:
-            await self._stream.send_all(data)
+            try:
+                await self._stream.send_all(data)
+            except _STREAM_ERRORS as error:
+                raise ClientLeftError(repr(error)) from error
+        if any(isinstance(event, h11.EndOfMessage) for event in events):
+            self._is_answered = True
 
     async def refuse(self, error: RequestError) -> None:
         """Answer a request that could not be parsed."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -160,6 +160,26 @@
     run(echo, check)
 
 
+@pytest.mark.parametrize(
+    "error",
+    [OSError("x"), trio.BrokenResourceError("x"), trio.ClosedResourceError("x")],
+    ids=repr,
+)
+def test_error_of_another_connection_is_answered(error):
+    """Guards against a request that gets no answer: an error of a connection to a peer
+    or the store was taken for the end of the client's own.
+    """
+
+    async def fail(scope, receive, send):
+        raise error
+
+    async def check(server, address):
+        async with await connect(address) as stream:
+            assert await exchange(stream, GET) == 500
+
+    run(fail, check)
+
+
 def test_refused_body_does_not_hide_the_answer():
     """Guards against a connection that is reset before its answer has been read."""
 
@@ -271,6 +291,29 @@
     run(closing, check)
 
 
+def test_request_that_waits_in_the_socket_is_answered_after_one_that_closes():
+    """Guards against a request, and the response before it, that a reset destroys: its
+    bytes were unread as the connection was closed.
+    """
+
+    async def closing(scope, receive, send):
+        await trio.sleep(0.2)
+        await send_response(send, 200, b"ok", "text/plain", {"connection": "close"})
+
+    async def check(server, address):
+        stream = await connect(address)
+        for _ in range(3):
+            await stream.send_all(GET)
+            await trio.sleep(0.02)
+        received = b""
+        while data := await stream.receive_some(65_536):
+            received += data
+        assert received.count(b"HTTP/1.1 200") == 3
+        assert received.count(b"connection: close") == 1
+
+    run(closing, check)
+
+
 @pytest.mark.parametrize("is_reset", [False, True])
 def test_application_learns_that_the_client_has_left(is_reset):
     """Guards against work for a caller that is gone, and against a request that is
