Settings: read a YAML settings file of any dataclass

Cause: only the settings of an entry instance could be read from YAML; the parsing and its list of errors were tied to them, and a field that is true or false had no type.

Change: `settings_file.py` parses, checks and loads a document of any settings dataclass; `settings.py` keeps its fields and its checks across fields. The reader knows booleans.

Evidence: test_settings, test_odd_texts and test_decoder_fuzz pass unchanged but for the entry of the decoder, which has moved.

--- a/apricotgap/settings.py
+++ b/apricotgap/settings.py
@@ -2,14 +2,10 @@
 
 import re
 import typing
-from collections.abc import Hashable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
-import yaml
-
-from apricotgap.errors import SettingsError
+from apricotgap.settings_file import check_document, load_document
 from apricotgap.settings_reader import (
     Address,
     Bytes,
@@ -225,28 +221,6 @@
                 )
 
 
-class _StrictLoader(yaml.SafeLoader):
-    """YAML loader that rejects duplicate keys in a mapping."""
-
-    def construct_mapping(self, node: Any, deep: bool = False) -> Any:
-        """Construct a mapping after checking that its keys are unique."""
-        seen = set()
-        for key_node, _ in node.value:
-            key = self.construct_object(key_node, deep=True)  # type: ignore[no-untyped-call]
-            if not isinstance(key, Hashable):
-                raise yaml.MarkedYAMLError(
-                    problem="a key that is a list or a mapping",
-                    problem_mark=key_node.start_mark,
-                )
-            if key in seen:
-                raise yaml.MarkedYAMLError(
-                    problem=f"the key {key!r} is duplicated",
-                    problem_mark=key_node.start_mark,
-                )
-            seen.add(key)
-        return super().construct_mapping(node, deep)
-
-
 def check_settings(text: str) -> tuple[Settings | None, list[Problem]]:
     """Parse and validate a settings document.
 
@@ -262,25 +236,7 @@
     problems : list of Problem
         All errors found.
     """
-    reader = SettingsReader()
-    try:
-        data = yaml.load(text, Loader=_StrictLoader)  # noqa: S506
-    except yaml.YAMLError as error:
-        mark = getattr(error, "problem_mark", None)
-        place = f"line {mark.line + 1}" if mark else "file"
-        what = getattr(error, "problem", None) or "unreadable"
-        reader.add_problem(place, what, "valid YAML", "correct the syntax there")
-        return None, reader.problems
-    except (ValueError, OverflowError, RecursionError) as error:
-        # A date that does not exist, a number that is none, or deep nesting.
-        what = str(error) or type(error).__name__
-        reader.add_problem("file", what, "valid YAML", "correct the value")
-        return None, reader.problems
-    settings = reader.read("", data, Settings)
-    if settings is None:
-        return None, reader.problems
-    _check_consistency(settings, reader)
-    return (None if reader.problems else settings), reader.problems
+    return check_document(text, Settings, _check_consistency)
 
 
 def load_settings(path: str | Path) -> Settings:
@@ -301,15 +257,4 @@
     SettingsError
         The file cannot be read or has errors; the message lists all of them.
     """
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(
-            f"{path}: cannot be read ({getattr(error, 'strerror', None) or error})",
-            "name a readable UTF-8 file with --settings",
-        ) from None
-    settings, problems = check_settings(text)
-    if settings is None:
-        lines = "\n".join(f"  {problem}" for problem in problems)
-        raise SettingsError(f"{path}:\n{lines}\n", "correct the lines above")
-    return settings
+    return load_document(path, Settings, _check_consistency)
--- a/apricotgap/settings_reader.py
+++ b/apricotgap/settings_reader.py
@@ -165,6 +165,12 @@
             return self._address(path, value)
         if expected_type is Digest:
             return self._digest(path, value)
+        if expected_type is bool:
+            if isinstance(value, bool):
+                return value
+            return self.add_problem(
+                path, value, "true or false", "write true or false, without quotes"
+            )
         if expected_type is int:
             if isinstance(value, int) and not isinstance(value, bool) and value > 0:
                 return value
--- a/tests/decoders/drivers.py
+++ b/tests/decoders/drivers.py
@@ -156,7 +156,7 @@
         (),
     ),
     Decoder(
-        ("settings:check_settings",),
+        ("settings_file:check_document",),
         _check_settings,
         bytes_like(
             SETTINGS, b"? [a]\n: b\n", b"a: 2001-99-99\n", b"a: &a [*a]\n", b"a: 0b\n"
