Decisions under overload: one default, and tests that name their state

Cause: the scheduler, the placement cost and the migrator had defaults of True, while owners passed False. The tests guarded what was not in service.

Change: all three take `OverloadOptions`, whose default is the state in service (off). Tests of a decision switch it on by name.

Evidence: with the default off, 13 tests failed. Nine test a decision itself (stops of finite runs, packing in domains) and now name it; no assertion has changed. Four are guarantees for teams that the state in service does not hold: each passes with `starts_by_standing` alone, and none with either other decision alone.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -36,7 +36,10 @@
 from apricotgap.jobs.limits import LEASE_MARGIN_MS, TICK_INTERVAL_MS
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
-from apricotgap.jobs.overload_options import OverloadOptions
+from apricotgap.jobs.overload_options import (
+    DEFAULT_OVERLOAD_OPTIONS,
+    OverloadOptions,
+)
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.preemption import Preemptor
 from apricotgap.jobs.scheduling import Scheduler
@@ -60,8 +63,6 @@
 JOB_WATCH_PAUSE_MS = 1_000
 # Least time between two scheduling passes.
 MIN_PASS_INTERVAL_MS = 3
-# Off until a deployment can ask for them: small pools lost service by them.
-OVERLOAD_OPTIONS = OverloadOptions()
 # Pause after a pass as a multiple of its duration, and the longest pause.
 PASS_PAUSE_FACTOR = 3
 MAX_PASS_PAUSE_MS = 60
@@ -76,6 +77,8 @@
         Ownership of the shard.
     settings, store, lease, cluster_view, workers, client, clock, metrics
         Dependencies.
+    overload : OverloadOptions, optional
+        Which decisions under overload are taken.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         client: WorkerClient,
         clock: Clock,
         metrics: Metrics,
+        overload: OverloadOptions = DEFAULT_OVERLOAD_OPTIONS,
     ) -> None:
         self.ownership = ownership
         self.service = ownership.shard
@@ -108,16 +112,11 @@
         )
         self._shard.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._demand = Demand(self._shard)
-        self._scheduler = Scheduler(
-            self._shard,
-            self._demand,
-            OVERLOAD_OPTIONS.starts_by_standing,
-            OVERLOAD_OPTIONS.packs_domains,
-        )
+        self._scheduler = Scheduler(self._shard, self._demand, overload)
         self._shares = self._scheduler.shares
         self._pacer = Pacer(self._shard)
         self._stragglers = StragglerDetector(self._shard)
-        self._migrator = Migrator(self._shard, OVERLOAD_OPTIONS.stops_finite_runs)
+        self._migrator = Migrator(self._shard, overload)
         self._preemptor = Preemptor(self._shard, self._scheduler.service_order)
         self._wait_log = WaitLog(self._shard)
         self._share_log = ShareLog(self._shard, self._shares)
--- a/apricotgap/jobs/migration.py
+++ b/apricotgap/jobs/migration.py
@@ -6,6 +6,10 @@
 from apricotgap.jobs.effects import Effect, LogDecision
 from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.model import TaskName
+from apricotgap.jobs.overload_options import (
+    DEFAULT_OVERLOAD_OPTIONS,
+    OverloadOptions,
+)
 from apricotgap.jobs.remaining_time import remaining_ms
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.shard import Shard
@@ -27,21 +31,25 @@
     """Stops runs on reserved and draining workers.
 
     A long-running run is stopped only while fewer than `max_unavailable` other tasks of
-    its step (at least one is allowed) are unavailable. Finite runs leave reserved
-    workers if they lose nothing, or nothing of use: those of steps with checkpoints
-    whose job does not become late by it, and those of late jobs whose machine leaves
-    for more urgent demand. Runs that end before a stop would are left alone. The
-    scheduler starts the tasks elsewhere.
+    its step (at least one is allowed) are unavailable. With `stops_finite_runs`, finite
+    runs leave reserved workers if they lose nothing, or nothing of use: those of steps
+    with checkpoints whose job does not become late by it, and those of late jobs whose
+    machine leaves for more urgent demand. Runs that end before a stop would are left
+    alone. The scheduler starts the tasks elsewhere.
 
     Parameters
     ----------
     shard : Shard
         State of the shard.
+    overload : OverloadOptions, optional
+        Which decisions under overload are taken.
     """
 
-    def __init__(self, shard: Shard, stops_finite_runs: bool = True) -> None:
+    def __init__(
+        self, shard: Shard, overload: OverloadOptions = DEFAULT_OVERLOAD_OPTIONS
+    ) -> None:
         self._shard = shard
-        self._stops_finite_runs = stops_finite_runs
+        self._stops_finite_runs = overload.stops_finite_runs
         self._stopped_ms: dict[TaskName, int] = {}
         # Time of the last estimate and its result, by worker.
         self._drains: dict[str, tuple[int, int]] = {}
--- a/apricotgap/jobs/overload_options.py
+++ b/apricotgap/jobs/overload_options.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["OverloadOptions"]
+__all__ = ["DEFAULT_OVERLOAD_OPTIONS", "OverloadOptions"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,3 +17,6 @@
     starts_by_standing: bool = False
     packs_domains: bool = False
     stops_finite_runs: bool = False
+
+
+DEFAULT_OVERLOAD_OPTIONS = OverloadOptions()
--- a/apricotgap/jobs/placement_cost.py
+++ b/apricotgap/jobs/placement_cost.py
@@ -1,8 +1,8 @@
 """Costs of placing a task on a worker; the worker with the lowest cost gets it.
 
-The tasks of a finite job are kept within few failure domains: the loss of a machine, a
-rack or a data centre then hits few jobs. The terms are soft, so that a task goes to
-another domain before it waits.
+With `packs_domains` the tasks of a finite job are kept within few failure domains: the
+loss of a machine, a rack or a data centre then hits few jobs. The terms are soft, so
+that a task goes to another domain before it waits.
 """
 
 from collections.abc import Iterable, Mapping
@@ -10,6 +10,10 @@
 
 from apricotgap.jobs.job_state import JobState
 from apricotgap.jobs.model import StepSpec, TaskName
+from apricotgap.jobs.overload_options import (
+    DEFAULT_OVERLOAD_OPTIONS,
+    OverloadOptions,
+)
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.workers import Worker
 
@@ -84,11 +88,15 @@
     ----------
     shard : Shard
         State of the shard.
+    overload : OverloadOptions, optional
+        Which decisions under overload are taken.
     """
 
-    def __init__(self, shard: Shard, packs_domains: bool = True) -> None:
+    def __init__(
+        self, shard: Shard, overload: OverloadOptions = DEFAULT_OVERLOAD_OPTIONS
+    ) -> None:
         self._shard = shard
-        self._packs_domains = packs_domains
+        self._packs_domains = overload.packs_domains
         self._workers: list[Worker] = []
         self._racks: dict[tuple[str, str], _Rack] = {}
         self._footprints: dict[str, _Footprint] = {}
@@ -113,7 +121,8 @@
     ) -> Mapping[str, float]:
         """Return the costs of the failure domain of each candidate, by its id.
 
-        They are empty for steps that are spread, and for those that last.
+        They are empty for steps that are spread, for those that last, and for all
+        steps while `packs_domains` is off.
         """
         if not self._packs_domains:
             return {}
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -10,6 +10,10 @@
 from apricotgap.jobs.inherited_usage import inherited_usage
 from apricotgap.jobs.job_state import JobState, StepKey
 from apricotgap.jobs.model import Resources, StepSpec, TaskName
+from apricotgap.jobs.overload_options import (
+    DEFAULT_OVERLOAD_OPTIONS,
+    OverloadOptions,
+)
 from apricotgap.jobs.placement_cost import PlacementCost, n_of_step
 from apricotgap.jobs.runs import Run, RunPhase
 from apricotgap.jobs.scheduling_pass import SchedulingPass
@@ -26,7 +30,9 @@
     """Starts waiting tasks of a shard.
 
     Long-running jobs come first, by the priority of their queue and the time of
-    submission, then finite jobs in the order of service.
+    submission, then finite jobs in the order of service if
+    `starts_by_standing` is on, else those in time before late ones, by priority and
+    objective.
 
     Parameters
     ----------
@@ -34,18 +40,15 @@
         State of the shard, updated by a pass.
     demand : Demand, optional
         Source of the pool's capacity; without it no job is deferred.
-    starts_by_standing : bool, optional
-        Whether tasks start in the order of service, or by the earliest objective.
-    packs_domains : bool, optional
-        Whether the tasks of a job are kept within few failure domains.
+    overload : OverloadOptions, optional
+        Which decisions under overload are taken.
     """
 
     def __init__(
         self,
         shard: Shard,
         demand: Demand | None = None,
-        starts_by_standing: bool = True,
-        packs_domains: bool = True,
+        overload: OverloadOptions = DEFAULT_OVERLOAD_OPTIONS,
     ) -> None:
         self._shard = shard
         self._demand = demand
@@ -53,8 +56,8 @@
         self.service_order = ServiceOrder(shard, self.shares)
         self._config: Configuration | None = None
         self._gang_room = GangRoom()
-        self._cost = PlacementCost(shard, packs_domains)
-        self._starts_by_standing = starts_by_standing
+        self._cost = PlacementCost(shard, overload)
+        self._starts_by_standing = overload.starts_by_standing
         self.is_team_blocked = False
         self.hit_start_limit = False
         self.awaits_fresh_answer = False
--- a/tests/test_gang_room.py
+++ b/tests/test_gang_room.py
@@ -10,6 +10,8 @@
 from apricotgap.jobs.tickets import StepName
 from tests.jobs_harness import FREE, SERVICE, Rig, job, running
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 WORKERS = ("w1", "w2", "w3", "w4", "w5")
 ROOM_BOUND_MS = 3_000
 
--- a/tests/test_inherited_usage.py
+++ b/tests/test_inherited_usage.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import pytest
 import trio
 import trio.testing
 
@@ -16,6 +17,8 @@
 from tests.jobs_harness import FAR_MS, SERVICE, Rig, entry, job, task
 from tests.test_team_limit_updater import LIMIT, limited
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 FOUR_TASKS = (StepSpec(4, Resources(1000, 100), 9_000),)
 
 
--- a/tests/test_inherited_work.py
+++ b/tests/test_inherited_work.py
@@ -1,5 +1,7 @@
 """Jobs, runs and workers of a previous owner."""
 
+import pytest
+
 from apricotgap.instance.shard_loader import load_jobs
 from apricotgap.jobs import limits
 from apricotgap.jobs.documents import (
@@ -22,6 +24,8 @@
 )
 from tests.test_team_limit_updater import limited
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 SIZE = Resources(1000, 100)
 
 
--- a/tests/test_job_waits.py
+++ b/tests/test_job_waits.py
@@ -25,6 +25,8 @@
     task,
 )
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 SIZE = Resources(1000, 100)
 JOB = "j" * 16
 
--- a/tests/test_jobs_scheduling.py
+++ b/tests/test_jobs_scheduling.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 from math import ceil
 
+import pytest
+
 from apricotgap.jobs import demand, limits
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.effects import PaceRun, StopRun
@@ -22,6 +24,8 @@
     task,
 )
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 ONE = StepSpec(1, Resources(1000, 100), 800)
 
 
--- a/tests/test_kept_checkpoints.py
+++ b/tests/test_kept_checkpoints.py
@@ -10,6 +10,8 @@
 from apricotgap.jobs.stragglers import StragglerDetector
 from tests.jobs_harness import MAX_LEASE_MS, Rig, ended, job, running
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 STEP = StepSpec(1, Resources(1000, 100), 20_000, checkpoints=True)
 
 
--- a/tests/test_preemption_days.py
+++ b/tests/test_preemption_days.py
@@ -11,6 +11,8 @@
 from tests.jobs_harness import job
 from tests.shard_days import TASK_SIZE, LivingWorld
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 BATCH_MS = 5_000
 DAY_MS = 12_000
 SETTLE_MS = 40_000
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -8,6 +8,8 @@
 from apricotgap.jobs.probing import choose_probe
 from tests.jobs_harness import Rig, ended, job, task
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 JOB = "j" * 16
 SIZE = Resources(1000, 100)
 N_TASKS = 8
--- a/tests/test_refused_starts.py
+++ b/tests/test_refused_starts.py
@@ -6,6 +6,8 @@
 from apricotgap.jobs.model import Resources, StepSpec
 from tests.jobs_harness import Rig, job
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 ONE_TASK = (StepSpec(1, Resources(1000, 100), 800),)
 PASS_INTERVAL_MS = 5
 
--- a/tests/test_shard_days.py
+++ b/tests/test_shard_days.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests.overload_states import ALL_ON, current_overload
 from tests.shard_days import LivingWorld
 
 # More seeds by hand: SHARD_SEEDS=500 python -m pytest tests/test_shard_days.py
@@ -180,3 +181,13 @@
 def test_accepted_work_goes_on_or_waits_for_a_named_reason(trouble, seed):
     """Guards against accepted work that nothing wakes, or that waits beside room."""
     assert play(seed, trouble)[:3] == []
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_accepted_work_goes_on_with_all_decisions_under_overload(trouble):
+    """Guards against work that stands still once an operator turns them on."""
+    token = current_overload.set(ALL_ON)
+    try:
+        assert play(0, trouble)[:3] == []
+    finally:
+        current_overload.reset(token)
--- a/tests/test_shard_runs.py
+++ b/tests/test_shard_runs.py
@@ -1,5 +1,7 @@
 """Starts, stops and the lists that confirm or disprove runs."""
 
+import pytest
+
 from apricotgap.jobs import limits
 from apricotgap.jobs.effects import StartRun
 from apricotgap.jobs.events import StopAnswered
@@ -14,6 +16,8 @@
     task,
 )
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 
 def test_unanswered_start_is_stopped_before_the_task_starts_again():
     """Guards against two runs of a task when a start takes effect late."""
--- a/tests/test_shard_takeovers.py
+++ b/tests/test_shard_takeovers.py
@@ -11,6 +11,8 @@
 from tests.shard_takeovers import TakeoverWorld
 from tests.test_shard_sequences import both, nothing, outages, restarts
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 # More seeds by hand: SHARD_SEEDS=300 python -m pytest tests/test_shard_takeovers.py
 N_SEEDS = int(os.environ.get("SHARD_SEEDS", "10"))
 N_JOBS = 40
--- a/tests/test_shard_workers.py
+++ b/tests/test_shard_workers.py
@@ -1,5 +1,7 @@
 """Workers that are listed, restarted, lost and ordered away."""
 
+import pytest
+
 from apricotgap.jobs.events import PollFailed
 from apricotgap.jobs.model import Resources, RunEnd, StepSpec
 from tests.jobs_harness import (
@@ -11,6 +13,8 @@
     running,
 )
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 
 def test_nothing_starts_on_a_worker_that_is_not_in_the_roster():
     """Guards against a run on a worker that the next owner does not know of."""
--- a/tests/test_share_log.py
+++ b/tests/test_share_log.py
@@ -1,10 +1,14 @@
 """Log line with the use of the teams beside their shares."""
 
+import pytest
+
 from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.jobs.share_log import INTERVAL_MS, MAX_TEAMS, ShareLog
 from apricotgap.jobs.team_shares import TeamShares, TeamUse
 from tests.jobs_harness import Rig, job
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 
 def waiting_rig():
     """Return a rig with a task that waits."""
--- a/tests/test_silent_copies.py
+++ b/tests/test_silent_copies.py
@@ -1,11 +1,15 @@
 """Tests of the copies of tasks whose workers have fallen silent."""
 
+import pytest
+
 from apricotgap.jobs import limits
 from apricotgap.jobs.events import PollFailed
 from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.jobs.stragglers import StragglerDetector
 from tests.jobs_harness import Rig, entry, job, running
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 SIZE = Resources(1000, 100)
 COPYABLE = (StepSpec(4, SIZE, 10_000, allows_duplicates=True),)
 SINGLE = (StepSpec(4, SIZE, 10_000),)
--- a/tests/test_slow_workers.py
+++ b/tests/test_slow_workers.py
@@ -11,6 +11,8 @@
 from apricotgap.jobs.stragglers import StragglerDetector
 from tests.jobs_harness import Rig, ended, entry, job, running
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 SIZE = Resources(2000, 100)
 TASK_MS = 800
 STEP = StepSpec(8, SIZE, TASK_MS)
--- a/tests/test_stops_of_earlier_owners.py
+++ b/tests/test_stops_of_earlier_owners.py
@@ -1,10 +1,14 @@
 """Runs that an earlier owner told a worker to stop, seen by its successor."""
 
+import pytest
+
 from apricotgap.jobs.documents import Progress
 from apricotgap.jobs.waiting import WaitCase, explain_wait
 from tests.jobs_harness import FAR_MS, Rig, entry, job
 from tests.test_owner_days import play
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 # The owner gets SIGTERM 30 ms after it has stopped two slow runs, and its successor
 # has the lists of all workers 90 ms after that.
 STOP_BEFORE_RESIGNATION_SEED = 201
--- a/tests/test_suspect_workers.py
+++ b/tests/test_suspect_workers.py
@@ -1,10 +1,14 @@
 """Tests of workers that are suspect after failures of several jobs."""
 
+import pytest
+
 from apricotgap.jobs import limits
 from apricotgap.jobs.model import Resources, RunEnd, StepSpec
 from tests.jobs_harness import Rig, ended, job, running
 from tests.shard_days import LivingWorld
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 SIZE = Resources(1000, 100)
 LONG_RUNNING = StepSpec(1, SIZE, is_long_running=True)
 SHORT = (StepSpec(1, SIZE, 400),)
--- a/tests/test_takeover_waits.py
+++ b/tests/test_takeover_waits.py
@@ -1,5 +1,6 @@
 """Waits of a successor for the leases of the workers that it takes over."""
 
+import pytest
 import trio
 import trio.testing
 
@@ -24,6 +25,8 @@
 from tests.election_harness import EndlessLease, TwoShardView
 from tests.jobs_harness import SERVICE, Rig, entry, job
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 TTL_MS = 3_000
 ONE_TASK = (StepSpec(1, Resources(1000, 100), 800),)
 
--- a/tests/test_team_demand.py
+++ b/tests/test_team_demand.py
@@ -11,6 +11,8 @@
 from tests.shard_days import LivingWorld
 from tests.test_team_limits import Store, request_allowance, team_limits
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 CORE = Resources(1000, 100)
 # The limit of the team, far more than one worker has.
 LIMIT = Resources(40_000)
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -1,8 +1,12 @@
 """Tickets of the advice service: how long and for which incarnation they hold."""
 
+import pytest
+
 from apricotgap.jobs.tickets import VALIDITY_MARGIN_MS, StepName, Tickets
 from tests.jobs_harness import Rig, entry, task
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 STEP = StepName.of(task(0))
 VALIDITY_MS = 3_000
 
--- a/tests/test_unanswered_starts.py
+++ b/tests/test_unanswered_starts.py
@@ -8,6 +8,8 @@
 from tests.jobs_harness import Rig, job, running
 from tests.shard_world import CALL_TIMEOUT_MS, World
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 STEP = (StepSpec(8, Resources(1000, 100), 800),)
 N_SEEDS = 5
 N_JOBS = 60
--- a/tests/test_worker_acknowledgements.py
+++ b/tests/test_worker_acknowledgements.py
@@ -1,10 +1,14 @@
 """Ends that a worker may drop: the number that a poll acknowledges."""
 
+import pytest
+
 from apricotgap.jobs import limits
 from apricotgap.jobs.events import StartAnswered, StartResult
 from apricotgap.jobs.model import Resources, RunEnd, StepSpec
 from tests.jobs_harness import Rig, ended, job, running
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 MANY_TASKS = (StepSpec(40, Resources(1000, 100), 800),)
 ACKNOWLEDGED = 57
 
--- a/tests/test_worker_capacity.py
+++ b/tests/test_worker_capacity.py
@@ -14,6 +14,8 @@
     task,
 )
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 STEP = (StepSpec(8, Resources(1000, 100), 800),)
 
 
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -10,6 +10,8 @@
 from apricotgap.jobs.runs import RunPhase
 from tests.jobs_harness import MAX_LEASE_MS, Rig, entry, job, running, task
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 ONE_TASK = (StepSpec(1, Resources(1000, 100), 800),)
 # A task may be started twice more after three workers have crashed under it.
 MAX_STARTS = 5
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -14,6 +14,8 @@
 from apricotgap.jobs.model import JobPhase, Resources, StepSpec
 from tests.jobs_harness import MAX_LEASE_MS, Rig, ended, entry, job, running
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 ONE_TASK = (StepSpec(1, Resources(1000, 100), 800),)
 # Lists of workers have births; the first incarnation of each was born at 1.
 NEXT_BORN_MS = 2
--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -1,11 +1,15 @@
 """Leases of workers around an outage of the store."""
 
+import pytest
+
 from apricotgap.jobs import limits
 from apricotgap.jobs.events import PollAnswered, PollFailed
 from apricotgap.jobs.limits import WORKER_LEASE_TAIL_MS
 from apricotgap.jobs.model import Resources, StepSpec
 from tests.jobs_harness import FAR_MS, MAX_LEASE_MS, Rig, job, running
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 ONE_TASK = (StepSpec(1, Resources(1000, 100), 3_000),)
 
 
