Settings of an instance: turn decisions under overload on

Cause: three decisions landed switched off, and no setting turned them on.

The platform's file has fixed fields and stays as it is. Errors give path, value, expected and remedy, and end the start. The file is read at start only. The `started` line names the state of each decision. All three are off, as before. Processes of the tests and of the soak are started by the command of the deploy file.

Evidence: test_instance_settings: each field alone reaches the parsed options, the owner of a shard and the log line of a real process; nine kinds of invalid files are errors; the deployed file has the defaults that the tests run with.

--- a/apricotgap/cli/daemon.py
+++ b/apricotgap/cli/daemon.py
@@ -82,16 +82,25 @@
 
 
 @click.command()
-def serve() -> None:
+@click.option(
+    "--settings",
+    "settings_path",
+    type=click.Path(dir_okay=False),
+    help="Settings of this instance, in YAML; without it they have their defaults.",
+)
+def serve(settings_path: str | None) -> None:
     """Run an instance on the platform until SIGTERM.
 
-    The environment variable APRICOTGAP_NODE_FILE names the settings file.
+    The environment variable APRICOTGAP_NODE_FILE names the settings file that the
+    platform writes.
+
+    Example: apricotgap serve --settings deploy/instance.yaml
     """
     # Imported here because the other commands do not need the daemon's libraries.
     from apricotgap.instance.instance import main  # noqa: PLC0415
 
     try:
-        main()
+        main(settings_path)
     except SettingsError as error:
         click.echo(f"settings: {error}", err=True)
         sys.exit(error.exit_code)
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import asdict
 
 import structlog
 import trio
@@ -21,9 +22,14 @@
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.peers import PeerClient, serve_peers
+from apricotgap.instance.settings import load_instance_settings
 from apricotgap.instance.shard_owner import ShardOwner
 from apricotgap.instance.store_monitor import StoreMonitor
 from apricotgap.instance.worker_list import WorkerList
+from apricotgap.jobs.overload_options import (
+    DEFAULT_OVERLOAD_OPTIONS,
+    OverloadOptions,
+)
 from apricotgap.metrics import Metrics
 from apricotgap.platform.ingress import IngressApp
 from apricotgap.platform.settings import (
@@ -77,12 +83,18 @@
         Validated settings.
     file_version : tuple of int
         Version of the settings file, taken before it was read.
+    overload : OverloadOptions, optional
+        Which decisions under overload the owners of its shards take.
     """
 
     def __init__(
-        self, settings: PlatformSettings, file_version: tuple[int, int]
+        self,
+        settings: PlatformSettings,
+        file_version: tuple[int, int],
+        overload: OverloadOptions = DEFAULT_OVERLOAD_OPTIONS,
     ) -> None:
         self._settings = settings
+        self._overload = overload
         self._file_version = file_version
         self._clock = BootClock()
         self._store = StoreClient(settings.store_address)
@@ -120,6 +132,7 @@
             incarnation=self._identity.incarnation,
             data_centre=settings.data_centre,
             speed_milli=settings.speed_milli,
+            overload=asdict(self._overload),
         )
         signal.signal(signal.SIGTERM, self._exit_unless_stopping)
         # The receiver stays open until the last request has been answered.
@@ -197,6 +210,7 @@
             self._client,
             self._clock,
             self._metrics,
+            self._overload,
         )
         self._owners[ownership.shard] = owner
         try:
@@ -296,8 +310,13 @@
             self._lease.abandon()
 
 
-def main() -> None:
-    """Run an instance with the settings file that the environment names.
+def main(instance_settings_path: str | None = None) -> None:
+    """Run an instance with the platform's settings file that the environment names.
+
+    Parameters
+    ----------
+    instance_settings_path : str, optional
+        Path of the operators' settings; without it they have their defaults.
 
     Raises
     ------
@@ -307,12 +326,13 @@
     path = settings_path()
     file_version = _file_version(path)
     settings = load_platform_settings(path)
+    overload = load_instance_settings(instance_settings_path).overload
     buffer = logs.configure(settings.name)
 
     async def run() -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(buffer.run)
-            await Instance(settings, file_version).run()
+            await Instance(settings, file_version, overload).run()
             nursery.cancel_scope.cancel()
 
     try:
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -2,11 +2,13 @@
 
 import json
 import os
+import shlex
 import signal
 import socket
 import subprocess
 import sys
 import time
+import tomllib
 from base64 import b64decode
 from contextlib import asynccontextmanager, closing
 from pathlib import Path
@@ -23,6 +25,16 @@
 from tests.loopback import call
 
 ROOT = Path(__file__).parent.parent
+
+
+def _deployed_command():
+    """Return the command of the deploy file, run by this interpreter."""
+    deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    (role,) = deploy["roles"].values()
+    return [sys.executable, *shlex.split(role["run"])[1:]]
+
+
+COMMAND = _deployed_command()
 SERVICE = "bakery"
 SPARE = "spare"
 KEY = "k-bakers"
@@ -140,7 +152,7 @@
         self._started_s = time.monotonic()
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "apricotgap", "serve"],
+                COMMAND,
                 cwd=ROOT,
                 env={**os.environ, "APRICOTGAP_NODE_FILE": str(self._path)},
                 stdout=log,
--- a/tests/day_process.py
+++ b/tests/day_process.py
@@ -12,6 +12,7 @@
 from apricotgap.instance.keys import OWNERS_PREFIX
 from apricotgap.platform.settings import Bounds, PlatformSettings
 from tests.jobs_harness import MAX_LEASE_MS, SERVICE
+from tests.overload_states import current_overload
 from tests.virtual_links import PeerLink, StoreLink, WorkerLink
 from tests.worker_pool import STOP_MS
 
@@ -143,7 +144,9 @@
         self.is_killed = self.is_stopping = False
         self._steps = None
         with mock.patch("apricotgap.instance.instance.BootClock", TrioClock):
-            self.instance = WorkingInstance(self._settings(), (0, 0))
+            self.instance = WorkingInstance(
+                self._settings(), (0, 0), current_overload.get()
+            )
         self.instance.use_links(
             StoreLink(self._world, self), WorkerLink(self._world, self)
         )
--- a/tests/test_owner_days.py
+++ b/tests/test_owner_days.py
@@ -13,6 +13,8 @@
 from tests.day_troubles import DAY_MS, Trouble
 from tests.owner_world import play_day
 
+pytestmark = pytest.mark.usefixtures("overload_state")
+
 # More seeds by hand: DAY_SEEDS=500 python -m pytest tests/test_owner_days.py
 N_SEEDS = int(os.environ.get("DAY_SEEDS", "1"))
 N_JOBS = 24
