--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -5,6 +5,7 @@
 import sys
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import asdict
 
 import structlog
 import trio
@@ -22,9 +23,14 @@
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.peers import PeerClient, serve_peers
+from apricotgap.instance.settings import load_instance_settings
 from apricotgap.instance.shard_owner import ShardOwner
 from apricotgap.instance.store_monitor import StoreMonitor
 from apricotgap.instance.worker_list import WorkerList
+from apricotgap.jobs.overload_options import (
+    DEFAULT_OVERLOAD_OPTIONS,
+    OverloadOptions,
+)
 from apricotgap.metrics import Metrics
 from apricotgap.platform.ingress import IngressApp
 from apricotgap.platform.settings import (
@@ -82,6 +88,8 @@
         Validated settings.
     file_version : tuple of int
         Version of the settings file, taken before it was read.
+    overload : OverloadOptions, optional
+        Which decisions under overload the owners of its shards take.
     started_ms : int or None
         Time on the boot clock at which this process started, by default that of `run`.
     """
@@ -90,9 +98,11 @@
         self,
         settings: PlatformSettings,
         file_version: tuple[int, int],
+        overload: OverloadOptions = DEFAULT_OVERLOAD_OPTIONS,
         started_ms: int | None = None,
     ) -> None:
         self._settings = settings
+        self._overload = overload
         self._file_version = file_version
         self._clock = BootClock()
         self._store = StoreClient(settings.store_address)
@@ -132,6 +142,7 @@
             incarnation=self._identity.incarnation,
             data_centre=settings.data_centre,
             speed_milli=settings.speed_milli,
+            overload=asdict(self._overload),
         )
         signal.signal(signal.SIGTERM, self._exit_unless_stopping)
         # The receiver stays open until the last request has been answered.
@@ -212,6 +223,7 @@
             self._client,
             self._clock,
             self._metrics,
+            self._overload,
         )
         self._owners[ownership.shard] = owner
         try:
@@ -322,8 +334,13 @@
     return load_platform_settings(path)
 
 
-def main() -> None:
-    """Run an instance with the settings file that the environment names.
+def main(instance_settings_path: str | None = None) -> None:
+    """Run an instance with the platform's settings file that the environment names.
+
+    Parameters
+    ----------
+    instance_settings_path : str, optional
+        Path of the operators' settings; without it they have their defaults.
 
     Raises
     ------
@@ -333,12 +350,13 @@
     path = settings_path()
     file_version = _file_version(path)
     settings = _load_first_settings(path)
+    overload = load_instance_settings(instance_settings_path).overload
     buffer = logs.configure(settings.name)
 
     async def run() -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(buffer.run)
-            await Instance(settings, file_version, PROCESS_STARTED_MS).run()
+            await Instance(settings, file_version, overload, PROCESS_STARTED_MS).run()
             nursery.cancel_scope.cancel()
 
     try:
