Ask for another worker where the one with room turns starts away

Callers would see a task wait as long as the only worker with room is unhealthy: it answers polls and turns each start away, or gives it no answer. The demand for room counted its room, so that nothing asked for another worker.

A worker whose starts have failed for a second, and none of which succeeded since, now counts as full. A start that it carries out ends this.

--- a/apricotgap/jobs/limits.py
+++ b/apricotgap/jobs/limits.py
@@ -48,6 +48,8 @@
 # one in a row for twice as long, up to the maximum. It may answer polls all the while.
 UNANSWERED_BLOCK_MS = 600
 MAX_UNANSWERED_MS = 4_800
+# A worker whose starts have failed for this long does not count as room for tasks.
+FAILING_STARTS_MS = 1_000
 # Failures of several jobs within this window make a worker suspect.
 SUSPECT_WINDOW_MS = 5_000
 # A suspect worker gets a single task as a trial after this time, and another one when
--- a/apricotgap/jobs/room_demand.py
+++ b/apricotgap/jobs/room_demand.py
@@ -20,10 +20,10 @@
 class RoomDemand:
     """Numbers of workers with room for the waiting tasks of a shard.
 
-    `n_occupied` workers have long-running tasks, and `n_more` are needed for those that
-    wait or must leave their workers. `beside` has the priorities of the jobs in time
-    with a task that needs another worker beside them, and `late` tells whether a late
-    job has one.
+    `n_occupied` workers have long-running tasks or turn starts away, and `n_more` are
+    needed for the tasks that wait or must leave their workers. `beside` has the
+    priorities of the jobs in time with a task that needs another worker beside them,
+    and `late` tells whether a late job has one.
     """
 
     n_occupied: int = 0
@@ -55,14 +55,20 @@
     ----------
     workers : collection of Worker
         Workers that the pool keeps; those without long-running tasks do not count.
+    n_failing : int
+        Number of further workers, whose starts fail.
     capacities : collection of Resources
         Capacities of the workers of the pool, which a new one may have.
     """
 
     def __init__(
-        self, workers: Collection[Worker], capacities: Collection[Resources]
+        self,
+        workers: Collection[Worker],
+        n_failing: int,
+        capacities: Collection[Resources],
     ) -> None:
         self._capacities = capacities
+        self._n_failing = n_failing
         self._occupied = [
             (worker, _beside_long_running(worker))
             for worker in workers
@@ -72,8 +78,8 @@
 
     @property
     def n_occupied(self) -> int:
-        """Number of workers with long-running tasks."""
-        return len(self._occupied)
+        """Number of workers with long-running tasks, and of those that fail."""
+        return len(self._occupied) + self._n_failing
 
     @property
     def n_new(self) -> int:
@@ -181,7 +187,8 @@
         if worker.is_usable(at_ms, shard.evacuated) and not worker.is_reserved(at_ms)
     }
     capacities = {worker.total for worker in shard.workers.values()}
-    room = _Room(kept.values(), capacities)
+    sound = [worker for worker in kept.values() if not worker.is_failing(at_ms)]
+    room = _Room(sound, len(kept) - len(sound), capacities)
     budget = _TeamBudget(shard)
     unix_ms = shard.unix_of(at_ms)
     beside: set[int] = set()
--- a/apricotgap/jobs/shard_runs.py
+++ b/apricotgap/jobs/shard_runs.py
@@ -148,6 +148,8 @@
                 "worker": worker.worker_id,
             },
         )
+        if kind in ("unknown", "busy"):
+            worker.record_failed_start(event.at_ms)
         if kind == "unknown":
             if run.phase is RunPhase.STARTING:
                 # The stop prevents a start that is still in flight from taking effect.
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -55,6 +55,9 @@
     `withheld_since_ms` is the time since which each list of the worker has held ends
     that are acknowledged, None if the last one held none.
 
+    `failing_since_ms` is the time of the first start that it turned away as unhealthy,
+    or that got no answer, since the last one that it carried out; None if none did.
+
     `normal_end_ms` is the time of the last end of a run that was done after no unusual
     time, `found_slow_ms` the last time at which its runs showed that it is slow.
 
@@ -90,6 +93,7 @@
     n_copyable: int = 0
     blocked_until_ms: int = -1_000_000
     n_unanswered_starts: int = 0
+    failing_since_ms: int | None = None
     slow_until_ms: int = -1_000_000
     normal_end_ms: int = -1_000_000
     found_slow_ms: int = -1_000_000
@@ -266,6 +270,17 @@
     def record_answered_start(self) -> None:
         """Record that the worker has carried out a start."""
         self.n_unanswered_starts = 0
+        self.failing_since_ms = None
+
+    def record_failed_start(self, at_ms: int) -> None:
+        """Record that a start was turned away as unhealthy or got no answer."""
+        if self.failing_since_ms is None:
+            self.failing_since_ms = at_ms
+
+    def is_failing(self, at_ms: int) -> bool:
+        """Whether starts of the worker have failed for a while, and none succeeded."""
+        since_ms = self.failing_since_ms
+        return since_ms is not None and at_ms - since_ms >= limits.FAILING_STARTS_MS
 
     def add(self, run: Run) -> None:
         """Add a run and reserve its resources."""
--- a/tests/test_room_demand.py
+++ b/tests/test_room_demand.py
@@ -7,7 +7,7 @@
 from apricotgap.jobs.demand import MIN_WORKERS, Demand
 from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.jobs.room_demand import _Room
-from tests.jobs_harness import SERVICE, Rig, entry, job
+from tests.jobs_harness import SERVICE, Rig, entry, job, running
 
 # Four of them fill the memory of a worker and a quarter of its cores.
 HEAVY = Resources(500, 2000)
@@ -215,3 +215,35 @@
         pass
     assert len(rig.shard.jobs["a" * 16].waiting[0, 0]) == 1
     assert wanted(rig) == 4
+
+
+def test_worker_that_turns_starts_away_is_no_room():
+    """Guards against a task that waits as long as the only worker with room is
+    unhealthy: it answers polls, and the demand counted its room.
+    """
+    rig = Rig(workers=("w1",)).ready()
+    rig.shard.loaded_ms = rig.shard.reported_ms = rig.now
+    rig.submit(job(steps=(replace(SERVICE_STEP, n_tasks=4),)))
+    begun = rig.schedule()
+    for start in begun:
+        rig.answer(start)
+
+    def poll_later():
+        rig.now += 1_500
+        rig.poll("w1", [running(start) for start in begun if start.worker_id == "w1"])
+        rig.poll("w2", [running(start) for start in begun if start.worker_id == "w2"])
+
+    rig.list_workers(entry("w1"), entry("w2"))
+    rig.ready_only("w2")
+    rig.submit(job("a" * 16, steps=(replace(SERVICE_STEP, n_tasks=1),)))
+    for kind in ("busy", "busy"):
+        (start,) = rig.schedule()
+        assert start.worker_id == "w2"
+        rig.answer(start, kind)
+        poll_later()
+    assert wanted(rig) == 3
+    (start,) = rig.schedule()
+    rig.answer(start)
+    begun.append(start)
+    poll_later()
+    assert wanted(rig) == MIN_WORKERS
