Do not end a worker whose id another machine runs by now

Callers could see a task run twice after the loss of an owner: the machine of a worker in the roster runs a later worker, and the id of the worker has another life on another machine. A start of the previous owner that was under way names the id only and may reach that life, which the new owner took for one without earlier runs.

Cause: the worker was removed before its next incarnation was looked at, which has to wait for the longest lease and for the first answers.

Such a worker is left to the code for the next incarnation, or to its lease where its id is in another pool. The test failed before. That an id changes its machine was not seen; the platform's pages do not exclude it.

--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -97,15 +97,19 @@
         """Remove workers whose machines run a later worker, of any service.
 
         A machine runs one worker at a time, so that nothing runs on the earlier one,
-        whatever is left of its lease.
+        whatever is left of its lease. One whose id has a later incarnation is left to
+        `_begin_incarnation`: starts under way name the id only and may reach that one.
         """
         latest = self._latest_workers(event.entries)
+        born_ms = {entry.worker_id: entry.born_ms for entry in event.entries}
         for worker in list(self.workers.values()):
             later = latest.get(worker.entry.machine)
             if later is None or later.worker_id == worker.worker_id:
                 continue
             if later.born_ms <= worker.entry.born_ms:
                 continue
+            if born_ms.get(worker.worker_id, 0) > worker.entry.born_ms:
+                continue
             is_moved = later.service != self.service
             if is_moved or self._was_reported_ended(worker, event.at_ms):
                 yield from self._mark_ordered_away(worker, event.at_ms)
--- a/tests/test_takeover_waits.py
+++ b/tests/test_takeover_waits.py
@@ -241,3 +241,16 @@
     # Its entry is still listed for a while.
     rig.list_workers(entry("w1"), entry("w2"), moved)
     assert "w1" not in rig.shard.workers
+
+
+def test_successor_waits_for_an_id_that_another_machine_runs_by_now():
+    """Guards against a second run: the machine of the worker runs a later one, but its
+    id lives on elsewhere, and a start of the previous owner that was under way names
+    the id only.
+    """
+    later = entry("w3", born_ms=2, machine="m1", service="spare")
+    for service in (SERVICE, "spare"):
+        again = entry("w1", born_ms=3, machine="m2", service=service)
+        rig = takeover_of_a_lost_worker(later, again)
+        assert rig.schedule() == []
+        assert rig.shard.workers["w1"].is_unverified
