Crashes: a crash just after a confirmed start is certain

A task that crashed each worker at its start could get five starts instead of two: whether a run may have ended unseen was judged by the last answer to a poll, which may be pending for a second while the worker has just confirmed the start.

The answer to a start tells that the worker was there as well.

Evidence: test_crash_just_after_a_confirmed_start_is_certain fails on the code before with a job that still runs after two crashes of two machines.

--- a/apricotgap/jobs/crashes.py
+++ b/apricotgap/jobs/crashes.py
@@ -123,8 +123,10 @@
     runs = [run for run in worker.runs.values() if _was_sent_before(run, worker)]
     begun = [run for run in runs if run.has_begun]
     at_start = [run for run in begun if _was_starting(run, worker)]
-    digest = _machine_to_blame(worker, at_ms)
-    lost = [LostTask(run.name, _points_at_start(run), digest) for run in at_start]
+    lost = [
+        LostTask(run.name, _points_at_start(run), _machine_to_blame(run, worker, at_ms))
+        for run in at_start
+    ]
     lost += [
         LostTask(run.name, 0, is_unconfirmed=True)
         for run in runs
@@ -132,7 +134,7 @@
     ]
     if worker.trial is None or worker.trial not in at_start:
         lost += [
-            _lost_at_work(run, worker, digest) for run in begun if run not in at_start
+            _lost_at_work(run, worker, at_ms) for run in begun if run not in at_start
         ]
     return tuple(lost)
 
@@ -150,16 +152,20 @@
     return has_several and len(record.crashed_machines) >= MAX_CRASHES - 1
 
 
-def _machine_to_blame(worker: Worker, at_ms: int) -> str:
-    """Return the digest of a machine, marked if its runs may have ended before.
+def _machine_to_blame(run: Run, worker: Worker, at_ms: int) -> str:
+    """Return the digest of a machine, marked if the run may have ended before.
 
     A worker that was reserved as it fell silent may have been ordered away: the report
-    of it is lost if the owner of the fleet is.
+    of it is lost if the owner of the fleet is. One that had just confirmed the run was
+    there, although it may not have answered a poll for longer.
     """
+    digest = worker.entry.machine_digest
     gone_ms = at_ms if worker.silent_since_ms is None else worker.silent_since_ms
-    if worker.is_reserved(gone_ms) or worker.may_have_run_on(at_ms):
-        return POSSIBLE_CRASH + worker.entry.machine_digest
-    return worker.entry.machine_digest
+    is_confirmed = gone_ms - run.started_ms <= limits.CRASH_SIGN_MS
+    has_run_on = worker.may_have_run_on(at_ms) and not is_confirmed
+    if worker.is_reserved(gone_ms) or has_run_on:
+        return POSSIBLE_CRASH + digest
+    return digest
 
 
 def _was_sent_before(run: Run, worker: Worker) -> bool:
@@ -183,8 +189,9 @@
     return CRASH_AT_START_POINTS
 
 
-def _lost_at_work(run: Run, worker: Worker, digest: str) -> LostTask:
+def _lost_at_work(run: Run, worker: Worker, at_ms: int) -> LostTask:
     if not run.step.is_long_running:
+        digest = _machine_to_blame(run, worker, at_ms)
         return LostTask(run.name, CRASH_AT_WORK_POINTS, digest)
     if worker.answered_ms - run.sent_ms >= PROVEN_RUN_MS:
         return LostTask(run.name, 0, is_cleared=True)
--- a/tests/test_crashes_out_of_reach.py
+++ b/tests/test_crashes_out_of_reach.py
@@ -217,3 +217,24 @@
     state.record(start.name).crash_points = 1
     rig.crash_out_of_reach(start)
     assert [each.worker_id for each in rig.start_and_answer()] == [other]
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_crash_just_after_a_confirmed_start_is_certain(is_listed):
+    """Guards against a task that crashes workers and gets more starts since their polls
+    had been pending for a while.
+    """
+    rig = CutRig(n_workers=2)
+    state = rig.submit(job(steps=ONE_TASK))
+    for _ in range(2):
+        rig.now += 2 * limits.CRASH_SIGN_MS
+        (start,) = rig.start_and_answer()
+        rig.now += limits.CRASH_SIGN_MS
+        if is_listed:
+            rig.crash(start.worker_id)
+        else:
+            rig.born_ms[start.worker_id] += 1
+            rig.poll(start.worker_id, born_ms=2, polled=1)
+            rig.crash()
+        rig.save()
+    assert state.progress.phase is JobPhase.FAILED
