Soak: a fault that takes the power from all instances and workers at once

Callers saw long-running tasks stay away for 7.4 to 8.3 s after such a loss. The soak could kill all instances or some workers, but not both at one moment.

`power_loss` ends all instances and all workers for 0.5 to 1.6 s. Workers come back as new incarnations, under their ids or with another id at another address on the same machine. Variants: some workers of a service never come back and are replaced, workers of one service come back before those of others, and machines were moved to another pool shortly before, as by an order whose holder is gone. The checks are the present ones: `LOST 3` for long-running tasks, and the end of each accepted job. The report names the variant of each fault.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -258,6 +258,12 @@
         self.workers.append(machine.worker)
         self.machines.add(machine)
 
+    async def return_with(self, machine, worker):
+        """Let a machine that is dark come back with a worker at its own address."""
+        await self._serve(worker)
+        self.workers.append(worker)
+        self.machines.return_with(machine, worker)
+
 
 class Cluster:
     """The platform and instances."""
--- a/soak/faults/__init__.py
+++ b/soak/faults/__init__.py
@@ -4,6 +4,7 @@
     instance_faults,
     operator_faults,
     planned_stops,
+    power_faults,
     store_faults,
     worker_faults,
 )
@@ -16,6 +17,7 @@
     "instance_faults",
     "operator_faults",
     "planned_stops",
+    "power_faults",
     "store_faults",
     "worker_faults",
 ]
--- a/soak/faults/worker_faults.py
+++ b/soak/faults/worker_faults.py
@@ -10,7 +10,7 @@
 from soak.timeline import Scope, Span, now_ms
 from standins.machine_service import StandinMachine
 
-__all__: list[str] = []
+__all__ = ["choose_machines", "join_machine"]
 
 # No fault takes a pool below this number of machines.
 _MIN_WORKERS = 4
@@ -30,8 +30,10 @@
     ]
 
 
-def _choose(state: SoakState, random: Random, share: float) -> list[StandinMachine]:
-    """Choose up to a share of a pool, so that enough of it stay."""
+def choose_machines(
+    state: SoakState, random: Random, share: float
+) -> list[StandinMachine]:
+    """Choose up to a share of a pool drawn at random, so that enough of it stay."""
     up = _up(state, random.choice(state.layout.services))
     n_chosen = min(max(1, int(share * len(up))), len(up) - _MIN_WORKERS)
     return random.sample(up, max(0, n_chosen))
@@ -45,7 +47,8 @@
         state.cluster.platform.machines.flap(machine.name, down_ms, is_silent)
 
 
-async def _join(state: SoakState, service: str, random: Random) -> None:
+async def join_machine(state: SoakState, service: str, random: Random) -> None:
+    """Add an empty machine to a pool."""
     place = random.choice(state.layout.data_centres)
     machine = new_machine(state.layout, state.work, service, place)
     await state.cluster.platform.join(machine)
@@ -59,7 +62,7 @@
 
     async def inject(self, state: SoakState, random: Random, span: Span) -> None:
         """Inject the fault once."""
-        for machine in _choose(state, random, 0):
+        for machine in choose_machines(state, random, 0):
             machine.worker.is_unanswering = True
             await trio.sleep(random.uniform(0.3, 3))
             machine.worker.is_unanswering = False
@@ -74,7 +77,7 @@
     async def inject(self, state: SoakState, random: Random, span: Span) -> None:
         """Inject the fault once."""
         down_ms = random.randint(500, 4_000)
-        for machine in _choose(state, random, random.uniform(0, 0.3)):
+        for machine in choose_machines(state, random, random.uniform(0, 0.3)):
             state.cluster.platform.machines.crash(machine.name, down_ms)
         await trio.sleep(down_ms / 1_000)
 
@@ -87,7 +90,7 @@
 
     async def inject(self, state: SoakState, random: Random, span: Span) -> None:
         """Inject the fault once."""
-        chosen = _choose(state, random, 0.15)
+        chosen = choose_machines(state, random, 0.15)
         for _ in range(random.randint(1, 3)):
             down_ms = random.randint(300, 1_500)
             for machine in chosen:
@@ -110,7 +113,7 @@
         """Inject the fault once."""
         until_ms = now_ms() + random.randint(4_000, 10_000)
         async with trio.open_nursery() as nursery:
-            for machine in _choose(state, random, _SHARE_FLAPPING):
+            for machine in choose_machines(state, random, _SHARE_FLAPPING):
                 own = Random(random.random())
                 nursery.start_soon(self._flap_until, state, machine, own, until_ms)
 
@@ -131,12 +134,12 @@
 
     async def inject(self, state: SoakState, random: Random, span: Span) -> None:
         """Inject the fault once."""
-        chosen = _choose(state, random, random.uniform(0.1, 0.5))
+        chosen = choose_machines(state, random, random.uniform(0.1, 0.5))
         for machine in chosen:
             state.cluster.platform.machines.lose(machine.name)
         await trio.sleep(random.uniform(0, 3))
         for machine in chosen:
-            await _join(state, machine.pool, random)
+            await join_machine(state, machine.pool, random)
 
 
 class FailingWorkers(Fault):
@@ -147,7 +150,7 @@
 
     async def inject(self, state: SoakState, random: Random, span: Span) -> None:
         """Inject the fault once."""
-        chosen = _choose(state, random, 0.1)
+        chosen = choose_machines(state, random, 0.1)
         for machine in chosen:
             machine.worker.is_failing = True
         await trio.sleep(random.uniform(0.5, 3))
@@ -166,7 +169,7 @@
         """Inject the fault once."""
         service = random.choice(state.layout.services)
         for _ in range(random.randint(1, 3)):
-            await _join(state, service, random)
+            await join_machine(state, service, random)
 
 
 class DrainWorkers(Fault):
@@ -178,13 +181,13 @@
 
     async def inject(self, state: SoakState, random: Random, span: Span) -> None:
         """Inject the fault once."""
-        chosen = _choose(state, random, random.uniform(0, 0.2))
+        chosen = choose_machines(state, random, random.uniform(0, 0.2))
         drain_ms = state.layout.bound_ms("drainMs") + _LINGER_MS
         for machine in chosen:
             state.cluster.platform.machines.drain(machine.name, drain_ms)
         await trio.sleep(random.uniform(0, drain_ms / 1_000))
         for machine in chosen:
-            await _join(state, machine.pool, random)
+            await join_machine(state, machine.pool, random)
 
 
 class Wave(Fault):
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,7 +10,7 @@
 from standins.machine_service import StandinMachine
 from standins.task_worker import TaskWorker
 
-__all__ = ["new_machine", "open_fleet"]
+__all__ = ["new_machine", "next_worker", "open_fleet"]
 
 _N_RACKS = 4
 _PAGE_SIZE = 50
@@ -37,6 +37,20 @@
     return StandinMachine(name, service, worker)
 
 
+def next_worker(worker: TaskWorker) -> TaskWorker:
+    """Return the worker of the same machine that comes after this one."""
+    return TaskWorker(
+        f"w{next(_numbers)}",
+        cpu=worker.cpu,
+        born_ms=worker.born_ms + 1,
+        work=worker.work,
+        gangs=worker.gangs,
+        zone=worker.zone,
+        rack=worker.rack,
+        machine=worker.machine,
+    )
+
+
 def _platform(layout: Layout, work: WorkCatalogue) -> Platform:
     machines = [
         new_machine(layout, work, pool.service, layout.data_centre(number))
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -155,6 +155,7 @@
         ),
         timeline=[
             f"{span.start_ms} {span.end_ms} {span.name} {sorted(span.instances)}"
+            f" {span.detail}".rstrip()
             for span in spans
         ]
         + [
--- a/soak/timeline.py
+++ b/soak/timeline.py
@@ -30,7 +30,10 @@
 
 @dataclass
 class Span:
-    """A fault or planned work; `instances` are those that it concerns."""
+    """A fault or planned work; `instances` are those that it concerns.
+
+    `detail` tells which variant of the fault it is.
+    """
 
     name: str
     scope: str
@@ -38,6 +41,7 @@
     start_ms: int
     end_ms: float = inf
     instances: set[str] = field(default_factory=set)
+    detail: str = ""
 
     def overlaps(self, start_ms: float, end_ms: float) -> bool:
         """Whether it was going on at some time of a span."""
--- a/standins/machine_service.py
+++ b/standins/machine_service.py
@@ -87,6 +87,24 @@
         away_ms = self.upkeep_ms if down_ms is None else down_ms
         self._returning[name] = now_ms() + away_ms
 
+    def go_dark(self, name: str) -> None:
+        """End the worker of a machine without a word until `return_with` is called."""
+        machine = self.machines[name]
+        self._returning.pop(name, None)
+        self._fall_silent(machine)
+        machine.worker.restart(f"{name}-{next(self._lives)}")
+        machine.worker.listener.close()
+        machine.state = "down"
+
+    def return_with(self, machine: StandinMachine, worker: TaskWorker) -> None:
+        """Let a machine that is dark come back with a worker at an address of its own.
+
+        One that was taken away meanwhile stays away.
+        """
+        if self.machines.get(machine.name) is machine:
+            machine.worker, machine.state = worker, "up"
+            self.add(machine)
+
     def flap(self, name: str, down_ms: int, is_silent: bool = False) -> None:
         """End the worker of a machine; it starts again under its id.
 
@@ -230,9 +248,15 @@
                 now_ms(),
             )
         )
+        self._take_away(machine, pool, "upkeep" if wave else "moving")
+
+    def move(self, name: str, pool: str) -> None:
+        """Move a machine as an order does whose holder is gone."""
+        self._take_away(self.machines[name], pool, "moving")
+
+    def _take_away(self, machine: StandinMachine, pool: str, state: str) -> None:
         self.store.remove(f"servers/{machine.worker.worker_id}")
         machine.worker.restart(f"{machine.name}-{next(self._lives)}")
-        machine.pool = pool
-        machine.state = "upkeep" if wave else "moving"
-        away_ms = self.upkeep_ms if wave else self.move_ms
+        machine.pool, machine.state = pool, state
+        away_ms = self.upkeep_ms if state == "upkeep" else self.move_ms
         self._returning[machine.name] = now_ms() + away_ms
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -172,10 +172,11 @@
     assert all(fault.is_planned for fault in choose_faults("planned"))
     assert {fault.scope for fault in choose_faults("store")} == {Scope.STORE}
     known_red = [name for name, fault in FAULTS.items() if fault.is_by_name_only]
-    assert known_red == ["flap_apart"]
-    for words in ("all", "worker", "unplanned"):
+    assert sorted(known_red) == ["flap_apart", "power_loss"]
+    for words in ("all", "worker", "machines", "unplanned"):
         assert not set(known_red) & {fault.name for fault in choose_faults(words)}
-    assert [fault.name for fault in choose_faults("flap_apart")] == known_red
+    for name in known_red:
+        assert [fault.name for fault in choose_faults(name)] == [name]
     with pytest.raises(ValueError, match="unknown fault"):
         choose_faults("no-such-fault")
 
@@ -205,3 +206,55 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.001))
+
+
+class RecordedInstance:
+    """Instance that notes when it was stopped and started."""
+
+    def __init__(self, name):
+        self.name = name
+        self.calls = []
+
+    def stop(self):
+        self.calls.append(("stop", now_ms()))
+
+    def start(self):
+        self.calls.append(("start", now_ms()))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_power_loss_ends_all_workers_and_instances_at_once(seed):
+    """Guards against runs in which a loss of power spares a worker or an instance."""
+    layout = LAYOUTS["small"]
+    work = WorkCatalogue()
+    span = Span("power_loss", Scope.MACHINES, False, 0)
+    instances = [RecordedInstance(f"i{number}") for number in range(2)]
+
+    async def main():
+        machines = [
+            new_machine(layout, work, service, "a")
+            for service in layout.services
+            for _ in range(6)
+        ]
+        platform = Platform(layout.configuration(), machines, layout.spare_pool)
+        lives = {each.name: each.worker.born_ms for each in machines}
+        state = SoakState(layout, Cluster(platform, instances, []), None, work)
+        async with trio.open_nursery() as nursery:
+            await platform.start(nursery)
+            await FAULTS["power_loss"].inject(state, Random(seed), span)
+            await trio.sleep(3)
+            kept = [
+                each for each in machines if each.name in platform.machines.machines
+            ]
+            assert len(kept) >= len(machines) - 1
+            for machine in kept:
+                assert machine.state == "up"
+                assert machine.worker.born_ms > lives[machine.name]
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert span.instances == {"i0", "i1"}
+    for instance in instances:
+        (stop, stopped_ms), (start, started_ms) = instance.calls
+        assert (stop, start) == ("stop", "start")
+        assert started_ms - stopped_ms >= 500
