Log which shard a call went to and which call was not answered

What callers saw: nothing new. A refused or late call could not be followed to the instance that it was forwarded to: its line did not name the shard, and the lines on owners and relays that did not answer named no job.

Change: call lines have the shard; owner_unreachable and relay_failed have the job or queue in about. The timeline of a request shows them, and with the shard the claims of its owners.

Evidence: test_line_of_a_call_names_the_shard_that_it_is_forwarded_to and test_timeline_of_a_refused_submission_tells_whom_it_was_forwarded_to need the new fields, so that they cannot pass before.

--- a/apricotgap/explain.py
+++ b/apricotgap/explain.py
@@ -108,7 +108,7 @@
 
 
 def _mentions(row: dict[str, object], request_id: str) -> bool:
-    if request_id in (row.get("job"), row.get("for_job")):
+    if request_id in (row.get("job"), row.get("for_job"), row.get("about")):
         return True
     listed = row.get("tasks")
     tasks = [row.get("task", ""), *(listed if isinstance(listed, list) else ())]
--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -107,7 +107,12 @@
             try:
                 relayed = decode_outcome(
                     await self._relays.call(
-                        member, "submit", document, deadline_ms, PEER_TIMEOUT_MS
+                        member,
+                        "submit",
+                        document,
+                        deadline_ms,
+                        PEER_TIMEOUT_MS,
+                        about=job.job_id,
                     )
                 ).result
             except PeerCallError as error:
@@ -138,6 +143,7 @@
                     "submit",
                     document,
                     deadline_ms,
+                    about=job.job_id,
                     is_verified=self._store.is_down,
                 )
             )
@@ -215,7 +221,9 @@
     ) -> JobPhase | None:
         try:
             return decode_phase(
-                await self._owner_calls.call(service, "phase", job_id, deadline_ms)
+                await self._owner_calls.call(
+                    service, "phase", job_id, deadline_ms, about=job_id
+                )
             )
         except (OwnerCallError, DecodeError):
             return await self._stored_jobs.phase_of(service, job_id)
@@ -254,7 +262,9 @@
         # The store is written to if the owner's own writes take too long.
         limit_ms = min(deadline_ms, self._clock.now_ms + PEER_TIMEOUT_MS)
         try:
-            answer = await self._owner_calls.call(service, "cancel", job_id, limit_ms)
+            answer = await self._owner_calls.call(
+                service, "cancel", job_id, limit_ms, about=job_id
+            )
         except OwnerCallError:
             return False
         return answer is True
@@ -289,7 +299,9 @@
     async def _n_pending_of(self, service: str, queue: str, deadline_ms: int) -> int:
         try:
             return decode_count(
-                await self._owner_calls.call(service, "pending", queue, deadline_ms)
+                await self._owner_calls.call(
+                    service, "pending", queue, deadline_ms, about=queue
+                )
             )
         except (OwnerCallError, DecodeError):
             return await self._stored_jobs.n_pending(service, queue)
--- a/apricotgap/instance/owner_calls.py
+++ b/apricotgap/instance/owner_calls.py
@@ -69,6 +69,7 @@
         argument: Any,
         deadline_ms: int,
         *,
+        about: str = "",
         is_verified: bool = False,
     ) -> Any:
         """Call the owner of a shard, locally if it is this instance.
@@ -79,6 +80,8 @@
             The call.
         deadline_ms : int
             When to give up, on the clock of the instance.
+        about : str
+            Job or queue that the call is about, for the log.
         is_verified : bool
             Whether to send nothing unless the owner's instance can be reached now.
 
@@ -105,7 +108,7 @@
             try:
                 await self._peers.verify(owner.address)
             except PeerCallError as error:
-                raise self._unreachable(service, owner, error) from error
+                raise self._unreachable(service, owner, about, error) from error
         left_ms = min(PEER_TIMEOUT_MS, deadline_ms - self._clock.now_ms)
         if operation == "report":
             argument = argument[: _n_report_elements(owner)]
@@ -119,7 +122,7 @@
                 max(1, left_ms),
             )
         except PeerCallError as error:
-            raise self._unreachable(service, owner, error) from error
+            raise self._unreachable(service, owner, about, error) from error
         if not isinstance(answer, list) or len(answer) != 2:
             raise OwnerCallError(True)
         if answer[0] != "ok":
@@ -127,12 +130,13 @@
         return answer[1]
 
     def _unreachable(
-        self, service: str, owner: Owner, error: PeerCallError
+        self, service: str, owner: Owner, about: str, error: PeerCallError
     ) -> OwnerCallError:
         self._log.info(
             "owner_unreachable",
             shard=service,
             owner=owner.name,
+            about=about,
             reason=str(error),
             sent=error.sent,
         )
--- a/apricotgap/instance/relays.py
+++ b/apricotgap/instance/relays.py
@@ -68,9 +68,12 @@
         argument: Any,
         deadline_ms: int,
         timeout_ms: int,
+        about: str = "",
     ) -> Any:
         """Have an instance make a call and return its result.
 
+        The log names the job or queue that the call is `about`.
+
         Raises
         ------
         PeerCallError
@@ -85,7 +88,11 @@
                 raise PeerCallError(f"answered {answer!r}"[:100], sent=True)
         except PeerCallError as error:
             self._log.info(
-                "relay_failed", peer=member.name, call=operation, reason=str(error)
+                "relay_failed",
+                peer=member.name,
+                call=operation,
+                about=about,
+                reason=str(error),
             )
             raise
         return answer[1]
--- a/apricotgap/instance/repeated_calls.py
+++ b/apricotgap/instance/repeated_calls.py
@@ -46,7 +46,8 @@
         Parameters
         ----------
         operation, argument : str, list
-            The call as other instances relay it; the argument begins with the service.
+            The call as other instances relay it; the argument has the service and
+            the job or queue.
         attempt : callable
             Makes the call from here; raises `StoreError` if nothing was reached.
         decode : callable
@@ -69,7 +70,12 @@
                 try:
                     return decode(
                         await self._relays.call(
-                            member, operation, argument, deadline_ms, _RELAY_TIMEOUT_MS
+                            member,
+                            operation,
+                            argument,
+                            deadline_ms,
+                            _RELAY_TIMEOUT_MS,
+                            about=str(argument[1]),
                         )
                     )
                 except (PeerCallError, ValueError):
--- a/apricotgap/platform/ingress.py
+++ b/apricotgap/platform/ingress.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 import msgspec
@@ -21,7 +21,7 @@
     send_response,
 )
 from apricotgap.drivers.timed_calls import CallTimeoutError, TimedCalls
-from apricotgap.jobs.configuration import QueueSpec
+from apricotgap.jobs.configuration import Configuration, QueueSpec
 from apricotgap.jobs.model import JobSpec
 from apricotgap.jobs.service import (
     DEFAULT_RETRY_AFTER_MS,
@@ -59,6 +59,8 @@
     body: object = None
     reason: str = ""
     retry_after_ms: int = DEFAULT_RETRY_AFTER_MS
+    # Service of the queue that was called.
+    service: str = ""
 
 
 class IngressApp:
@@ -168,6 +170,7 @@
                 "call",
                 method=method,
                 path=path,
+                shard=response.service,
                 status=response.status,
                 why=response.reason,
                 took_ms=took_ms,
@@ -199,6 +202,21 @@
         queue = config.queue_for(headers.get("host", "").partition(":")[0], path)
         if queue is None:
             return _Response(404, reason="no such queue")
+        response = await self._respond_for(
+            config, queue, method, path, headers, body, started_ms
+        )
+        return replace(response, service=queue.service)
+
+    async def _respond_for(
+        self,
+        config: Configuration,
+        queue: QueueSpec,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        started_ms: int,
+    ) -> _Response:
         team = ""
         if not queue.is_open:
             key_team = config.team_of_key.get(headers.get(_KEY_HEADER, ""))
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -91,3 +91,17 @@
         ("request_unanswered", False),
         ("state_denied", False),
     ]
+
+
+def test_timeline_of_a_refused_submission_tells_whom_it_was_forwarded_to():
+    """Guards against a refusal whose shard, owner and relays are not shown."""
+    lines = [
+        line(1, "claim", shard="s1", outcome="Stored"),
+        line(1, "claim", shard="s2", outcome="Stored"),
+        line(2, "owner_unreachable", shard="s1", owner="i2", about=JOB),
+        line(2, "owner_unreachable", shard="s1", owner="i2", about="plans"),
+        line(3, "relay_failed", peer="i3", call="submit", about=JOB),
+        line(4, "call", path=f"/plans/{JOB}", shard="s1", status=503),
+    ]
+    events = [entry.event for entry in explain(lines, JOB)]
+    assert events == ["claim", "owner_unreachable", "relay_failed", "call"]
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -10,6 +10,7 @@
 
 from apricotgap.drivers.http import headers_of, read_body, send_response
 from apricotgap.drivers.http_server import HttpServer
+from tests.jobs_harness import SERVICE
 from tests.loopback import free_port
 from tests.test_http_server import GET, connect, read_all
 from tests.test_ingress_reload import PATH, Rig
@@ -152,3 +153,18 @@
     assert line["job"] == PATH.rpartition("/")[2]
     assert line["shard"]
     assert 'apricotgap_states_denied_total{queue="plans"} 3' in text
+
+
+def test_line_of_a_call_names_the_shard_that_it_is_forwarded_to():
+    """Guards against a refused call whose owner cannot be told from the log."""
+
+    async def main():
+        rig = Rig()
+        rig.jobs.has_changed.set()
+        await rig.call("POST")
+        await rig.call("POST", "/none/")
+
+    with structlog.testing.capture_logs() as lines:
+        trio.run(main)
+    calls = [line for line in lines if line["event"] == "call"]
+    assert [line["shard"] for line in calls] == [SERVICE, ""]
