Count the workers of long-running tasks once in the demand for late jobs

Callers would see machines paid for and idle: with long-running tasks on 10 workers one late task, or one late gang, without room beside them asked for 9 workers beyond the 11 that the pool wanted already.

Cause: the workers that late jobs need at once include those with long-running tasks, and only the minimum of the pool was taken off.

What the pool wants for no finite jobs is taken off now, so that both together are enough. The test failed before.

--- a/apricotgap/jobs/demand.py
+++ b/apricotgap/jobs/demand.py
@@ -275,9 +275,15 @@
             self._room(at_ms).n_late,
         )
         return max(
-            ceil(cores * HEADROOM / worker_cores), n_at_once - self._min_workers()
+            ceil(cores * HEADROOM / worker_cores), n_at_once - self._n_first(at_ms)
         )
 
+    def _n_first(self, at_ms: int) -> int:
+        """Return the workers for no finite jobs, of the last target if it is of now."""
+        if self._targets and self._targets[-1][0] == at_ms:
+            return self._targets[-1][1][0][1]
+        return self._min_workers()
+
     def _worker_cores(self) -> float:
         return max(
             (worker.total.core_equivalents for worker in self._shard.workers.values()),
--- a/tests/test_room_demand.py
+++ b/tests/test_room_demand.py
@@ -247,3 +247,16 @@
     begun.append(start)
     poll_later()
     assert wanted(rig) == MIN_WORKERS
+
+
+def test_late_task_draws_no_workers_that_long_running_tasks_have_already():
+    """Guards against a pool that grows to twice its size for one late task: the workers
+    of the long-running tasks counted a second time.
+    """
+    whole = StepSpec(10, Resources(8000, 100), is_long_running=True)
+    rig = rig_with(10, job(steps=(whole,)))
+    rig.submit(job("f" * 16, steps=(StepSpec(1, Resources(500, 1000), 100),)))
+    rig.shard.unix_offset_ms += 1_000_000
+    report = Demand(rig.shard).report((), None, rig.now)
+    assert report.wanted >= 10
+    assert report.wanted_late == 1
