Look at the list of workers again under a new configuration

Callers would see tasks wait for the lease of a worker whose machine runs a later one, where the owner reads the entry of that one before the configuration with its service: the list was looked at only when an entry changed, which may take as long as the lease.

The list is looked at again with each configuration that comes into force. The test failed before.

--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -382,6 +382,8 @@
             return
         self._shard.config = config
         self._shard.team_limits.set_configuration(config)
+        # Which entries are those of workers depends on the services.
+        self._workers.add_reader(self.ownership.shard)
         self._limits.wake()
 
     async def _schedule_loop(self) -> None:
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -7,13 +7,22 @@
 from apricotgap.clock import FakeClock
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.shard_owner import ShardOwner
+from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.fleet_view import ReportRequest
 from apricotgap.jobs.limits import LEASE_MARGIN_MS
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.metrics import Metrics
-from tests.jobs_harness import MAX_LEASE_MS, SERVICE, Rig, job, running, stops
+from tests.jobs_harness import (
+    MAX_LEASE_MS,
+    SERVICE,
+    Rig,
+    configuration,
+    job,
+    running,
+    stops,
+)
 
 LEASE_ID = 7
 NOW_MS = 10_000
@@ -81,3 +90,19 @@
     assert worker.is_reserved
     assert worker.n_runs == 1
     assert worker.drain_ms == rig.shard.stop_listing_delay_ms
+
+
+def test_list_of_workers_is_applied_again_with_a_new_configuration():
+    """Guards against tasks that wait for the lease of a worker whose machine runs a
+    later one of a service that only a newer configuration names.
+    """
+    owner = owner_with(MAX_LEASE_MS)
+    workers = WorkerList(SimpleNamespace(), FakeClock(NOW_MS))
+    owner._workers = workers
+    owner._cluster_view = SimpleNamespace(config=None, evacuated=frozenset())
+    assert workers.has_changed_for(SERVICE)
+    owner._apply_configuration()
+    assert not workers.has_changed_for(SERVICE)
+    owner._cluster_view.config = configuration()
+    owner._apply_configuration()
+    assert workers.has_changed_for(SERVICE)
