Count new workers for long-running tasks in groups

A step that already has more runs on a worker than one may, by runs that were taken over, places none there.

--- a/apricotgap/jobs/room_demand.py
+++ b/apricotgap/jobs/room_demand.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass
+from math import ceil
 
 from apricotgap.jobs.job_state import JobState, StepKey
 from apricotgap.jobs.model import NO_RESOURCES, Resources, StepSpec
@@ -74,7 +75,8 @@
             for worker in workers
             if worker.n_long_running
         ]
-        self._new: list[Resources] = []
+        # What new workers have left, and how many have as much.
+        self._new: list[tuple[Resources, int]] = []
 
     @property
     def n_occupied(self) -> int:
@@ -84,11 +86,11 @@
     @property
     def n_new(self) -> int:
         """Number of new workers that the placed tasks need."""
-        return len(self._new)
+        return sum(n_workers for _, n_workers in self._new)
 
     def fits(self, step: StepSpec) -> bool:
         """Whether a task of a step fits on one of the workers."""
-        if any(step.allocation.fits(left) for left in self._new):
+        if any(step.allocation.fits(left) for left, _ in self._new):
             return True
         return any(
             _is_suited(worker, step) and step.allocation.fits(left)
@@ -109,20 +111,14 @@
             if not n_tasks:
                 return
             if step.allocation.fits(left) and _is_suited(worker, step):
-                n_more = most - _n_of_step(worker, step_name, step)
+                n_more = max(0, most - _n_of_step(worker, step_name, step))
                 n_here = min(n_tasks, step.allocation.n_fitting(left, n_more))
                 self._occupied[index] = worker, left - step.allocation.times(n_here)
                 n_tasks -= n_here
-        for index, left in enumerate(self._new):
-            if not n_tasks:
-                return
-            if step.allocation.fits(left):
-                n_here = min(n_tasks, step.allocation.n_fitting(left, most))
-                self._new[index] = left - step.allocation.times(n_here)
-                n_tasks -= n_here
-        self._add_workers(step, n_tasks, most)
-
-    def _add_workers(self, step: StepSpec, n_tasks: int, most: int) -> None:
+        found = self._new
+        self._new = []
+        for left, n_workers in found:
+            n_tasks = self._place_on_new(step, n_tasks, most, left, n_workers)
         n_on_empty, capacity = max(
             (
                 (step.allocation.n_fitting(each, most), each)
@@ -131,10 +127,26 @@
             key=lambda found: found[0],
             default=(0, NO_RESOURCES),
         )
-        while n_on_empty and n_tasks > 0:
-            n_here = min(n_tasks, n_on_empty)
-            self._new.append(capacity - step.allocation.times(n_here))
-            n_tasks -= n_here
+        if n_on_empty and n_tasks:
+            n_workers = ceil(n_tasks / n_on_empty)
+            self._place_on_new(step, n_tasks, most, capacity, n_workers)
+
+    def _place_on_new(
+        self, step: StepSpec, n_tasks: int, most: int, left: Resources, n_workers: int
+    ) -> int:
+        """Place tasks on new workers that have as much left; return those left over."""
+        n_each = step.allocation.n_fitting(left, most)
+        n_full = min(n_workers, n_tasks // n_each) if n_each else 0
+        n_tasks -= n_full * n_each
+        groups = [(n_full, n_each)]
+        if n_each and n_tasks and n_full < n_workers:
+            groups.append((1, n_tasks))
+            n_tasks = 0
+        groups.append((n_workers - sum(n for n, _ in groups), 0))
+        self._new += [
+            (left - step.allocation.times(n_placed), n) for n, n_placed in groups if n
+        ]
+        return n_tasks
 
 
 class _TeamBudget:
--- a/tests/test_room_demand.py
+++ b/tests/test_room_demand.py
@@ -7,7 +7,8 @@
 from apricotgap.jobs.demand import MIN_WORKERS, Demand
 from apricotgap.jobs.model import Resources, StepSpec
 from apricotgap.jobs.room_demand import _Room
-from tests.jobs_harness import SERVICE, Rig, entry, job, running
+from apricotgap.jobs.tickets import StepName
+from tests.jobs_harness import FREE, SERVICE, Rig, entry, job, running
 
 # Four of them fill the memory of a worker and a quarter of its cores.
 HEAVY = Resources(500, 2000)
@@ -260,3 +261,24 @@
     report = Demand(rig.shard).report((), None, rig.now)
     assert report.wanted >= 10
     assert report.wanted_late == 1
+
+
+def test_new_workers_are_counted_however_many_tasks_wait():
+    """Guards against an owner that is busy with its demand: callers may hand in jobs of
+    20,000 tasks, each of which needs a worker of its own.
+    """
+    whole = StepSpec(20_000, Resources(8000, 100), is_long_running=True)
+    small = StepSpec(20_000, Resources(0, 100), is_long_running=True)
+    rig = Rig(workers=("w1", "w2")).ready()
+    rig.shard.loaded_ms = rig.shard.reported_ms = rig.now
+    for number in range(5):
+        rig.submit(job(f"{number:016d}", steps=(whole,)))
+    rig.submit(job("s" * 16, steps=(small,)))
+    assert wanted(rig) == 100_000
+    room = _Room((), 0, (FREE,))
+    step_name = StepName("j" * 16, 0, 0)
+    for _ in range(5):
+        room.take(step_name, whole, 20_000)
+    room.take(step_name, small, 20_000)
+    assert room.n_new == 100_000
+    assert len(room._new) < 10
