Leave a worker alone that answers, whatever its machine's entries say

A reader of the change that ends workers by a later entry of their machine found that the clock of the machine may have been set back between two workers: the entry of the earlier one, which stays listed for some seconds, then has the later start, and the present worker is ended although it answers. Its tasks would run twice.

A worker that answers its polls is left alone, and looked at again with each tick. The new test failed before. The test of a moved worker lets its poll fail now, as the polls of a machine that was moved do.

--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -4,7 +4,6 @@
 from dataclasses import replace
 
 from apricotgap.jobs import limits
-from apricotgap.jobs.configuration import Configuration
 from apricotgap.jobs.effects import Effect, LogDecision, StopRun
 from apricotgap.jobs.events import (
     PollAnswered,
@@ -14,7 +13,7 @@
 )
 from apricotgap.jobs.fleet import WorkerEntry
 from apricotgap.jobs.runs import Run, RunPhase
-from apricotgap.jobs.shard_orders import ShardOrders
+from apricotgap.jobs.shard_replacements import ShardReplacements
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["ShardWorkers"]
@@ -22,13 +21,13 @@
 _STOP_RETRY_MS = 500
 
 
-class ShardWorkers(ShardOrders):
+class ShardWorkers(ShardReplacements):
     """State of the workers of one service.
 
     Parameters
     ----------
     service, epoch, max_lease_ms, stop_ms, inherited_lease_ms
-        As for `ShardOrders`.
+        As for `ShardReplacements`.
     """
 
     def __init__(
@@ -40,7 +39,6 @@
         inherited_lease_ms: int | None = None,
     ) -> None:
         super().__init__(service, epoch, max_lease_ms, stop_ms, inherited_lease_ms)
-        self.config: Configuration | None = None
         # Time of which the list of workers shows the state.
         self.list_fresh_ms = -1_000_000
 
@@ -53,7 +51,8 @@
         self._ended_incarnations &= {
             (entry.worker_id, entry.born_ms) for entry in listed.values()
         }
-        yield from self._end_replaced(event)
+        self._record_entries(event.entries)
+        yield from self._end_replaced(event.at_ms)
         for worker_id, entry in listed.items():
             yield from self._found_successor(entry, event.at_ms)
             worker = self.workers.get(worker_id)
@@ -93,45 +92,6 @@
                 worker.is_listed = False
                 yield from self._expire(worker, event.at_ms)
 
-    def _end_replaced(self, event: WorkersListed) -> Iterable[Effect]:
-        """Remove workers whose machines run a later worker, of any service.
-
-        A machine runs one worker at a time, so that nothing runs on the earlier one,
-        whatever is left of its lease. One whose id has a later incarnation is left to
-        `_begin_incarnation`: starts under way name the id only and may reach that one.
-        """
-        latest = self._latest_workers(event.entries)
-        born_ms = {entry.worker_id: entry.born_ms for entry in event.entries}
-        for worker in list(self.workers.values()):
-            later = latest.get(worker.entry.machine)
-            if later is None or later.worker_id == worker.worker_id:
-                continue
-            if later.born_ms <= worker.entry.born_ms:
-                continue
-            if born_ms.get(worker.worker_id, 0) > worker.entry.born_ms:
-                continue
-            is_moved = later.service != self.service
-            if is_moved or self._was_reported_ended(worker, event.at_ms):
-                yield from self._mark_ordered_away(worker, event.at_ms)
-            else:
-                yield from self._mark_crashed(worker, event.at_ms, "machine restarted")
-            self._remove(worker, event.at_ms)
-
-    def _latest_workers(self, entries: Iterable[WorkerEntry]) -> dict[str, WorkerEntry]:
-        """Return the latest worker of each machine, of those the configuration names.
-
-        Any other entry may have been written by something that is no worker.
-        """
-        services = self.config.service_by_name if self.config else {}
-        latest: dict[str, WorkerEntry] = {}
-        for entry in entries:
-            if not entry.machine or entry.service not in services:
-                continue
-            known = latest.get(entry.machine)
-            if known is None or entry.born_ms > known.born_ms:
-                latest[entry.machine] = entry
-        return latest
-
     def _begin_incarnation(
         self,
         worker: Worker,
@@ -162,6 +122,7 @@
     def tick(self, at_ms: int) -> list[Effect]:
         """Expire the leases of silent workers and repeat unanswered stops."""
         effects = self.set_failed_aside(at_ms)
+        effects.extend(self._end_replaced(at_ms))
         self._resume_failed(at_ms)
         self._forget_old_losses(at_ms)
         for worker in list(self.workers.values()):
--- a/apricotgap/jobs/workers.py
+++ b/apricotgap/jobs/workers.py
@@ -254,6 +254,12 @@
         """Record that a poll was sent that may wait this long for its response."""
         self.answer_due_ms = sent_ms + wait_ms
 
+    def is_answering(self, at_ms: int) -> bool:
+        """Whether the worker has answered its last polls."""
+        if not self.is_acquired or self.silent_since_ms is not None:
+            return False
+        return at_ms - self.answered_ms <= limits.SILENT_WORKER_MS
+
     def has_missed_answer(self, at_ms: int) -> bool:
         """Whether the worker has not answered although it should have.
 
--- a/tests/test_takeover_waits.py
+++ b/tests/test_takeover_waits.py
@@ -235,6 +235,7 @@
     (start,) = rig.schedule()
     rig.answer(start)
     rig.poll(running=[running(start)])
+    rig.shard.step(PollFailed(rig.now, "w1", 1, "refused"))
     moved = entry("w3", born_ms=2, machine="mw1", service="spare")
     rig.list_workers(entry("w1"), entry("w2"), moved)
     rig.ready_only("w2")
@@ -257,3 +258,22 @@
         rig = takeover_of_a_lost_worker(later, again)
         assert rig.schedule() == []
         assert rig.shard.workers["w1"].is_unverified
+
+
+def test_worker_that_answers_is_not_ended_by_an_entry_of_its_machine():
+    """Guards against a second run: the clock of a machine was set back between two of
+    its workers, and the entry of the earlier one is still listed with a later start.
+    """
+    rig = Rig(workers=("w1",)).ready()
+    rig.submit(job(steps=ONE_TASK))
+    (start,) = rig.schedule()
+    rig.answer(start)
+    rig.poll(running=[running(start)])
+    earlier = entry("w3", born_ms=5, machine="mw1", service="spare")
+    rig.list_workers(entry("w1"), entry("w2"), earlier)
+    rig.ready_only("w2")
+    assert rig.schedule() == []
+    # It ends once it answers no more.
+    rig.shard.step(PollFailed(rig.now, "w1", 1, "refused"))
+    rig.shard.tick(rig.now)
+    assert [each.worker_id for each in rig.schedule()] == ["w2"]
