Note when a request was read where it is answered

The parser of a request's head asked the event loop for the time, and its decoder test has none: test_decoder_returns_its_type_or_raises_its_error failed for the HTTP exchange.

--- a/apricotgap/drivers/http_exchange.py
+++ b/apricotgap/drivers/http_exchange.py
@@ -117,7 +117,6 @@
         event = await self._next_event()
         if isinstance(event, h11.Request):
             self._is_answered = False
-            self.read_s = trio.current_time()
             self.scope = self._scope_of(event)
 
     async def _next_event(self) -> Any:
--- a/apricotgap/drivers/http_server.py
+++ b/apricotgap/drivers/http_server.py
@@ -250,6 +250,7 @@
 
     async def _answer(self, exchange: HttpExchange) -> None:
         assert exchange.scope is not None
+        exchange.read_s = trio.current_time()
         try:
             await self._application(exchange.scope, exchange.receive, exchange.send)
         except ClientLeftError:
