Name what lacks room in the demand for room

Names that need no look at the docstring, and a test of a team's limit whose tasks run up to the limit: without a stored split none of them ran.

--- a/apricotgap/jobs/room_demand.py
+++ b/apricotgap/jobs/room_demand.py
@@ -21,32 +21,32 @@
 class RoomDemand:
     """Numbers of workers with room for the waiting tasks of a shard.
 
-    `n_occupied` workers have long-running tasks or turn starts away, and `n_more` are
-    needed for the tasks that wait or must leave their workers. `beside` has the
-    priorities of the jobs in time with a task that needs another worker beside them,
-    and `late` tells whether a late job has one.
+    `n_occupied` workers have long-running tasks or turn starts away, and `n_new` are
+    needed for the tasks that wait or must leave their workers. A job is without room if
+    a task of it needs another worker beside all these. `priorities_without_room` has
+    the priorities of such jobs in time, and `has_late_without_room` tells of late ones.
     """
 
     n_occupied: int = 0
-    n_more: int = 0
-    beside: frozenset[int] = frozenset()
-    late: bool = False
+    n_new: int = 0
+    priorities_without_room: frozenset[int] = frozenset()
+    has_late_without_room: bool = False
 
     @property
     def n_long_running(self) -> int:
         """Number of workers for the long-running tasks, 0 if each has its room."""
-        return self.n_occupied + self.n_more if self.n_more else 0
+        return self.n_occupied + self.n_new if self.n_new else 0
 
     def n_workers(self, priority: int) -> int:
         """Return the workers for jobs in time up to a priority, 0 if they have room."""
-        if not any(each <= priority for each in self.beside):
+        if not any(each <= priority for each in self.priorities_without_room):
             return 0
-        return self.n_occupied + self.n_more + 1
+        return self.n_occupied + self.n_new + 1
 
     @property
     def n_late(self) -> int:
         """Number of workers for the late jobs, 0 if they have room."""
-        return self.n_occupied + self.n_more + 1 if self.late else 0
+        return self.n_occupied + self.n_new + 1 if self.has_late_without_room else 0
 
 
 class _Room:
--- a/tests/test_room_demand.py
+++ b/tests/test_room_demand.py
@@ -92,20 +92,6 @@
     assert wanted_late(rig) == 0
 
 
-def test_tasks_beyond_the_limit_of_their_team_draw_none():
-    """Guards against machines that are paid for tasks that may not start."""
-    rig = Rig(workers=("w1", "w2"))
-    team = Team("bakers", frozenset({"key"}), 1.0, Resources(4000, 16_000))
-    rig.shard.config = replace(rig.shard.config, version=2, teams=(team,))
-    rig.shard.team_limits.set_configuration(rig.shard.config)
-    rig.ready()
-    rig.shard.loaded_ms = rig.shard.reported_ms = rig.now
-    rig.submit(job(steps=(SERVICE_STEP,)))
-    while rig.schedule():
-        pass
-    assert wanted(rig) == MIN_WORKERS
-
-
 def rig_with_limit(n_workers, limit, allowance, *specs):
     """Return a rig whose team has a limit and a stored allowance in this shard."""
     rig = Rig(workers=[f"w{number}" for number in range(1, n_workers + 1)])
@@ -124,6 +110,14 @@
     return rig
 
 
+def test_tasks_beyond_the_limit_of_their_team_draw_none():
+    """Guards against machines that are paid for tasks that may not start."""
+    limit = HEAVY.times(8)
+    rig = rig_with_limit(2, limit, limit, job(steps=(SERVICE_STEP,)))
+    assert len(rig.shard.jobs["j" * 16].waiting[0, 0]) == 4
+    assert wanted(rig) == MIN_WORKERS
+
+
 def test_task_above_the_allowance_of_its_team_draws_room():
     """Guards against a task that waits for good: the allowance of its team is raised
     only for tasks that have room, and room was asked for only within the allowance.
