--- a/apricotgap/jobs/shard_workers.py
+++ b/apricotgap/jobs/shard_workers.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from apricotgap.jobs import limits
+from apricotgap.jobs.configuration import Configuration
 from apricotgap.jobs.effects import Effect, LogDecision, StopRun
 from apricotgap.jobs.events import (
     PollAnswered,
@@ -12,8 +13,9 @@
     WorkersListed,
 )
 from apricotgap.jobs.fleet import WorkerEntry
+from apricotgap.jobs.latest_workers import LatestWorkers
 from apricotgap.jobs.runs import Run, RunPhase
-from apricotgap.jobs.shard_replacements import ShardReplacements
+from apricotgap.jobs.shard_orders import ShardOrders
 from apricotgap.jobs.workers import Worker
 
 __all__ = ["ShardWorkers"]
@@ -21,13 +23,13 @@
 _STOP_RETRY_MS = 500
 
 
-class ShardWorkers(ShardReplacements):
+class ShardWorkers(ShardOrders):
     """State of the workers of one service.
 
     Parameters
     ----------
     service, epoch, max_lease_ms, stop_ms, inherited_lease_ms
-        As for `ShardReplacements`.
+        As for `ShardOrders`.
     """
 
     def __init__(
@@ -39,8 +41,10 @@
         inherited_lease_ms: int | None = None,
     ) -> None:
         super().__init__(service, epoch, max_lease_ms, stop_ms, inherited_lease_ms)
+        self.config: Configuration | None = None
         # Time of which the list of workers shows the state.
         self.list_fresh_ms = -1_000_000
+        self._latest_workers = LatestWorkers()
 
     def _workers_listed(self, event: WorkersListed) -> Iterable[Effect]:
         listed = {
@@ -51,7 +55,8 @@
         self._ended_incarnations &= {
             (entry.worker_id, entry.born_ms) for entry in listed.values()
         }
-        self._record_entries(event.entries)
+        services = self.config.service_by_name if self.config else {}
+        self._latest_workers.record(event.entries, services)
         yield from self._end_replaced(event.at_ms)
         for worker_id, entry in listed.items():
             yield from self._found_successor(entry, event.at_ms)
@@ -92,6 +97,22 @@
                 worker.is_listed = False
                 yield from self._expire(worker, event.at_ms)
 
+    def _end_replaced(self, at_ms: int) -> Iterable[Effect]:
+        """Remove workers whose machines run a later worker, of any service.
+
+        One that answers is left alone: the clock of its machine may have been set back.
+        """
+        for worker in list(self.workers.values()):
+            later = self._latest_workers.successor_of(worker.entry)
+            if later is None or worker.is_answering(at_ms):
+                continue
+            is_moved = later.service != self.service
+            if is_moved or self._was_reported_ended(worker, at_ms):
+                yield from self._mark_ordered_away(worker, at_ms)
+            else:
+                yield from self._mark_crashed(worker, at_ms, "machine restarted")
+            self._remove(worker, at_ms)
+
     def _begin_incarnation(
         self,
         worker: Worker,
