Log what a failed call was waiting for, and how late the event loop is

Callers saw only 503 after a loss of all power, and the logs told neither in which stage a read of the store had failed nor how much of its answer had arrived.

--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -21,6 +21,7 @@
 from apricotgap.instance.job_router import JobRouter
 from apricotgap.instance.keys import Member, new_incarnation
 from apricotgap.instance.lease import InstanceLease
+from apricotgap.instance.loop_monitor import LoopMonitor
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.peers import PeerClient, serve_peers
 from apricotgap.instance.settings import load_instance_settings
@@ -112,6 +113,7 @@
         self._client = WorkerClient()
         self._metrics = Metrics(settings.name)
         self._store_monitor = StoreMonitor(self._store, self._clock, self._metrics)
+        self._loop_monitor = LoopMonitor(self._clock, self._metrics)
         self._owners: dict[str, ShardOwner] = {}
         self._is_draining = False
         self._identity = Member(
@@ -180,6 +182,7 @@
         nursery.start_soon(self._cluster_view.system_mirror.run)
         nursery.start_soon(self._workers.run)
         nursery.start_soon(self._store_monitor.run)
+        nursery.start_soon(self._loop_monitor.run)
         nursery.start_soon(self._lease.run)
         nursery.start_soon(self._election.run)
         nursery.start_soon(
--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -72,6 +72,7 @@
                     lease=self.lease_id,
                     left_ms=self.valid_until_ms - self._clock.now_ms,
                     reason=str(error),
+                    stage=error.stage,
                 )
                 await trio.sleep(_RETRY_S)
                 continue
--- a/apricotgap/instance/mirror.py
+++ b/apricotgap/instance/mirror.py
@@ -17,6 +17,8 @@
 __all__ = ["PrefixMirror"]
 
 _RETRY_S = 0.2
+# Failures in a row are logged at most this often.
+_LOG_MS = 5_000
 # A watch that returned changes proves freshness only up to when it was sent. The next
 # watch waits no longer than this, so that freshness is proved again soon. So does one
 # after a failure: while the store gives no answer, a long one would go on beyond its
@@ -62,7 +64,8 @@
         self._pause_ms = pause_ms
         self._revision: int | None = None
         self._log = structlog.get_logger().bind(prefix=prefix)
-        self._is_disconnected = False
+        self._n_failures = 0
+        self._logged_ms = 0
         self._had_changes = False
         # Revisions of adopted items that no read or watch has reached yet.
         self._adopted: dict[str, int] = {}
@@ -88,14 +91,33 @@
                 self._log.info("watch_history_lost", revision=self._revision)
                 self._revision = None
             except StoreError as error:
-                if not self._is_disconnected:
-                    self._is_disconnected = True
-                    self._log.warning("store_lost", reason=str(error))
+                self._record_failure(error)
                 await trio.sleep(_RETRY_S)
                 continue
             if self._is_disconnected:
-                self._is_disconnected = False
-                self._log.info("store_regained", revision=self._revision)
+                self._log.info(
+                    "store_regained",
+                    revision=self._revision,
+                    n_failures=self._n_failures,
+                )
+                self._n_failures = 0
+
+    @property
+    def _is_disconnected(self) -> bool:
+        return self._n_failures > 0
+
+    def _record_failure(self, error: StoreError) -> None:
+        self._n_failures += 1
+        if self._n_failures > 1 and self._clock.now_ms - self._logged_ms < _LOG_MS:
+            return
+        self._logged_ms = self._clock.now_ms
+        self._log.warning(
+            "store_lost",
+            reason=str(error),
+            stage=error.stage,
+            n_received_bytes=error.n_received_bytes,
+            n_failures=self._n_failures,
+        )
 
     async def _load(self) -> None:
         sent_ms = self._clock.now_ms
--- a/apricotgap/instance/shard_loader.py
+++ b/apricotgap/instance/shard_loader.py
@@ -35,7 +35,13 @@
         try:
             return await store.read_prefix(prefix)
         except StoreError as error:
-            log.warning("load_failed", prefix=prefix, reason=str(error))
+            log.warning(
+                "load_failed",
+                prefix=prefix,
+                reason=str(error),
+                stage=error.stage,
+                n_received_bytes=error.n_received_bytes,
+            )
             await trio.sleep(_RETRY_S)
 
 
--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -9,13 +9,14 @@
 import struct
 from collections import deque
 from dataclasses import dataclass
+from enum import Enum
 
 import httptools
 import trio
 
 from apricotgap.decoding import MAX_DOCUMENT_BYTES
 
-__all__ = ["HttpClient", "HttpResponse", "NoResponseError"]
+__all__ = ["CallStage", "HttpClient", "HttpResponse", "NoResponseError"]
 
 # Zero linger resets the connection on close and drops unsent data, so that bytes of
 # a call that timed out during a network partition are not delivered after it.
@@ -35,6 +36,15 @@
 _MAX_INTERIM_STATUS = 199
 
 
+class CallStage(Enum):
+    """What a call was waiting for as it failed."""
+
+    CONNECTION = "connection"
+    SEND = "send"
+    RESPONSE = "response"
+    BODY = "body"
+
+
 class NoResponseError(Exception):
     """A call got no usable response.
 
@@ -44,12 +54,24 @@
         Kind of failure, such as ``timeout`` or an errno name.
     sent : bool
         Whether a byte of the call was written, so that the server may execute it.
+    stage : CallStage
+        What the call was waiting for.
+    n_received_bytes : int
+        Bytes of the response that had arrived.
     """
 
-    def __init__(self, reason: str, sent: bool) -> None:
+    def __init__(
+        self,
+        reason: str,
+        sent: bool,
+        stage: CallStage = CallStage.CONNECTION,
+        n_received_bytes: int = 0,
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
+        self.stage = stage
+        self.n_received_bytes = n_received_bytes
 
     @property
     def has_timed_out(self) -> bool:
@@ -119,6 +141,9 @@
         self.idle_since_s = 0.0
         # Whether the kernel has taken a byte of the present request.
         self.has_sent = False
+        self.stage = CallStage.SEND
+        # Bytes of the present response, with its header.
+        self.n_received_bytes = 0
 
     @classmethod
     async def open(cls, address: str) -> "_Connection":
@@ -142,6 +167,8 @@
     async def exchange(self, request: bytes) -> tuple[HttpResponse, bool]:
         """Return the response and whether the connection can be reused."""
         self.has_sent = False
+        self.stage = CallStage.SEND
+        self.n_received_bytes = 0
         unsent = memoryview(request)
         while unsent:
             # A send that fails or is cancelled has taken no byte.
@@ -149,8 +176,11 @@
             self.has_sent = True
             unsent = unsent[n_taken:]
         reader = _ResponseReader()
+        self.stage = CallStage.RESPONSE
         while not reader.is_complete:
             data = await self._sock.recv(_READ_BYTES)
+            self.stage = CallStage.BODY
+            self.n_received_bytes += len(data)
             if not data:
                 raise ConnectionResetError(
                     errno.ECONNRESET, "closed before the response"
@@ -166,8 +196,12 @@
         self._sock.close()
 
 
-def _has_sent(connection: _Connection | None) -> bool:
-    return connection is not None and connection.has_sent
+def _no_response(reason: str, connection: _Connection | None) -> NoResponseError:
+    if connection is None:
+        return NoResponseError(reason, sent=False)
+    return NoResponseError(
+        reason, connection.has_sent, connection.stage, connection.n_received_bytes
+    )
 
 
 class _Pool:
@@ -192,18 +226,14 @@
                         connection = None
                     return response
         except trio.TooSlowError:
-            raise NoResponseError(_TIMEOUT, _has_sent(connection)) from None
+            raise _no_response(_TIMEOUT, connection) from None
         except OSError as error:
             reason = errno.errorcode.get(error.errno or 0, type(error).__name__)
-            raise NoResponseError(reason, _has_sent(connection)) from error
+            raise _no_response(reason, connection) from error
         except (httptools.HttpParserError, trio.ClosedResourceError) as error:
-            raise NoResponseError(
-                type(error).__name__, _has_sent(connection)
-            ) from error
+            raise _no_response(type(error).__name__, connection) from error
         except (ValueError, OverflowError) as error:
-            raise NoResponseError(
-                f"address {self._address}", _has_sent(connection)
-            ) from error
+            raise _no_response(f"address {self._address}", connection) from error
         finally:
             if connection is not None:
                 connection.close()
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -114,7 +114,7 @@
         try:
             response = await self._call("GET", target, b"", timeout_ms, kind)
         except NoResponseError as error:
-            raise StoreError(error.reason) from error
+            raise _store_error(error) from error
         return response.status, response.body
 
     async def read_key(self, key: str, timeout_ms: int = CALL_TIMEOUT_MS) -> Item:
@@ -304,7 +304,7 @@
         try:
             response = await self._call(method, target, body, timeout_ms, kind)
         except NoResponseError as error:
-            raise StoreError(error.reason) from error
+            raise _store_error(error) from error
         return response.status, response.body
 
     async def aclose(self) -> None:
@@ -312,6 +312,10 @@
         await self._http.aclose()
 
 
+def _store_error(error: NoResponseError) -> StoreError:
+    return StoreError(error.reason, error.stage.value, error.n_received_bytes)
+
+
 def _parse_write_outcome(status: int, body: bytes) -> WriteOutcome:
     if status == 200:
         return Stored(decode_revision(body))
--- a/apricotgap/platform/store_types.py
+++ b/apricotgap/platform/store_types.py
@@ -20,7 +20,22 @@
 
 
 class StoreError(Exception):
-    """A call other than a write got no usable response."""
+    """A call other than a write got no usable response.
+
+    Parameters
+    ----------
+    reason : str
+        What failed.
+    stage : str
+        What the call was waiting for, empty if it got a response.
+    n_received_bytes : int
+        Bytes of the response that had arrived.
+    """
+
+    def __init__(self, reason: str, stage: str = "", n_received_bytes: int = 0) -> None:
+        super().__init__(reason)
+        self.stage = stage
+        self.n_received_bytes = n_received_bytes
 
 
 class HistoryLostError(StoreError):
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from apricotgap.platform.http import HttpClient, NoResponseError
+from apricotgap.platform.http import CallStage, HttpClient, NoResponseError
 from apricotgap.platform.store import StoreClient, Stored, Unavailable, Unknown, Write
 from standins.transactional_store import TransactionalStore
 
@@ -214,3 +214,24 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_failed_call_tells_what_it_was_waiting_for():
+    """Guards against a timeout that does not show whether the answer had begun."""
+
+    async def main():
+        async def serve(stream):
+            await stream.receive_some(1_000)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab")
+            await trio.sleep_forever()
+
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, serve, 0)
+            port = listeners[0].socket.getsockname()[1]
+            with pytest.raises(NoResponseError) as caught:
+                await HttpClient().call("GET", f"127.0.0.1:{port}", "/", timeout_ms=200)
+            nursery.cancel_scope.cancel()
+        assert caught.value.stage is CallStage.BODY
+        assert caught.value.n_received_bytes == 40
+
+    trio.run(main)
