Let reads of the store take as long as their answer arrives

Cause: a read of a prefix had 1,000 ms for each page whatever the page held, and began anew with the first page after a failure. On a link of 2 Mbit/s a configuration of a thousand routes takes longer than that, so that it was never read, and its repetitions used up the link. Evidence: 36 failures in a row on each of 15 instances, each with 245,760 bytes received, all that the link carries in a second.

An interrupted read of a prefix goes on with the page that failed. A part of an answer shows that the store is reachable.

--- a/apricotgap/instance/mirror.py
+++ b/apricotgap/instance/mirror.py
@@ -6,6 +6,7 @@
 import trio
 
 from apricotgap.clock import Clock
+from apricotgap.instance.prefix_reader import PrefixReader
 from apricotgap.platform.store import (
     HistoryLostError,
     Item,
@@ -58,6 +59,9 @@
     ) -> None:
         self._store = store
         self._prefix = prefix
+        self._reader = PrefixReader(store, prefix)
+        # When the present read of the whole prefix was begun.
+        self._load_sent_ms = 0
         self._clock = clock
         self._on_change = on_change
         self._wait_ms = wait_ms
@@ -120,10 +124,11 @@
         )
 
     async def _load(self) -> None:
-        sent_ms = self._clock.now_ms
-        snapshot = await self._store.read_prefix(self._prefix)
+        if not self._reader.is_interrupted:
+            self._load_sent_ms = self._clock.now_ms
+        snapshot = await self._reader.read()
         self.replace(snapshot)
-        self.fresh_as_of_ms = sent_ms
+        self.fresh_as_of_ms = self._load_sent_ms
         self.loaded.set()
 
     def replace(self, snapshot: Snapshot) -> None:
--- a/apricotgap/instance/shard_loader.py
+++ b/apricotgap/instance/shard_loader.py
@@ -5,10 +5,8 @@
 """
 
 from collections.abc import Iterable
-from typing import Any
 
 import structlog
-import trio
 
 from apricotgap.jobs.documents import (
     DocumentError,
@@ -19,32 +17,14 @@
 from apricotgap.jobs.effects import Effect
 from apricotgap.jobs.model import JobSpec
 from apricotgap.jobs.shard import Shard
-from apricotgap.platform.store import Item, Snapshot, StoreClient, StoreError
+from apricotgap.platform.store import Item, Snapshot
 
-__all__ = ["add_found_jobs", "cancel_found_jobs", "load_jobs", "read_prefix"]
-
-_RETRY_S = 0.15
+__all__ = ["add_found_jobs", "cancel_found_jobs", "load_jobs"]
 
 # Slashes in jobs/SERVICE/JOB. A key with more of them, as of a cancellation, is no job.
 _N_SLASHES = 2
 
 
-async def read_prefix(store: StoreClient, prefix: str, log: Any) -> Snapshot:
-    """Read the keys below a prefix, again and again until the store answers."""
-    while True:
-        try:
-            return await store.read_prefix(prefix)
-        except StoreError as error:
-            log.warning(
-                "load_failed",
-                prefix=prefix,
-                reason=str(error),
-                stage=error.stage,
-                n_received_bytes=error.n_received_bytes,
-            )
-            await trio.sleep(_RETRY_S)
-
-
 def load_jobs(shard: Shard, jobs: Snapshot, progress: Snapshot) -> None:
     """Load the jobs that the previous owner left in the store.
 
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -15,13 +15,13 @@
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.poll_loops import PollLoops
+from apricotgap.instance.prefix_reader import read_prefix
 from apricotgap.instance.progress_writer import ProgressWriter
 from apricotgap.instance.roster import RosterWriter
 from apricotgap.instance.shard_loader import (
     add_found_jobs,
     cancel_found_jobs,
     load_jobs,
-    read_prefix,
 )
 from apricotgap.instance.shard_retirement import ShardRetirement, ShardUnusedError
 from apricotgap.instance.start_permission import StartPermission
--- a/apricotgap/instance/store_monitor.py
+++ b/apricotgap/instance/store_monitor.py
@@ -56,6 +56,10 @@
         self._reachability.record_start(call_id, kind, self._clock.now_ms)
         return call_id
 
+    def record_part(self, call_id: int) -> None:
+        """Record that a part of the answer to a call has arrived."""
+        self._reachability.record_part(self._clock.now_ms)
+
     def record_answer(self, call_id: int) -> None:
         """Record that a call was answered, with any status."""
         self._reachability.record_answer(call_id, self._clock.now_ms)
--- a/apricotgap/instance/store_reachability.py
+++ b/apricotgap/instance/store_reachability.py
@@ -24,8 +24,8 @@
 
     The store counts as unreachable after two silent calls, or after one failed lease
     renewal, if no call has been answered since they were sent. A call is silent if it
-    has failed or has had no answer for 400 ms. Any answer ends that. Watches wait for
-    changes, so only their answers count.
+    has failed or has had no answer for 400 ms. Any answer ends that, and any part of
+    one. Watches wait for changes, so only their answers count.
     """
 
     def __init__(self) -> None:
@@ -41,6 +41,10 @@
     def record_answer(self, call_id: int, at_ms: int) -> None:
         """Record that a call was answered."""
         self._pending.pop(call_id, None)
+        self.record_part(at_ms)
+
+    def record_part(self, at_ms: int) -> None:
+        """Record that a part of an answer has arrived."""
         self._answered_ms = at_ms
         self._n_failed = 0
         self._has_failed_renewal = False
--- a/apricotgap/instance/stored_jobs.py
+++ b/apricotgap/instance/stored_jobs.py
@@ -62,10 +62,8 @@
 
     async def n_pending(self, service: str, queue: str) -> int:
         """Count the stored jobs of a queue without a started task."""
-        jobs = await self._store.read_prefix(jobs_prefix(service), _STORE_TIMEOUT_MS)
-        progress = await self._store.read_prefix(
-            progress_prefix(service), _STORE_TIMEOUT_MS
-        )
+        jobs = await self._store.read_prefix(jobs_prefix(service))
+        progress = await self._store.read_prefix(progress_prefix(service))
         begun = {
             job_id for job_id, phase in _decode_phases(progress) if phase.has_begun
         }
--- a/apricotgap/platform/call_observer.py
+++ b/apricotgap/platform/call_observer.py
@@ -26,6 +26,10 @@
     def record_start(self, kind: CallKind) -> int:
         """Record that a call begins; returns its id."""
 
+    @abstractmethod
+    def record_part(self, call_id: int) -> None:
+        """Record that a part of the answer to a call has arrived."""
+
     @abstractmethod
     def record_answer(self, call_id: int) -> None:
         """Record that a call was answered, with any status."""
@@ -51,6 +55,9 @@
         """Record that a call begins; returns its id."""
         return 0
 
+    def record_part(self, call_id: int) -> None:
+        """Record that a part of the answer to a call has arrived."""
+
     def record_answer(self, call_id: int) -> None:
         """Record that a call was answered, with any status."""
 
--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -15,6 +16,7 @@
 import trio
 
 from apricotgap.decoding import MAX_DOCUMENT_BYTES
+from apricotgap.platform.call_timer import CallTimer
 
 __all__ = ["CallStage", "HttpClient", "HttpResponse", "NoResponseError"]
 
@@ -164,8 +166,13 @@
         is_old = trio.current_time() - self.idle_since_s > _MAX_IDLE_S
         return is_old or self._sock.is_readable()
 
-    async def exchange(self, request: bytes) -> tuple[HttpResponse, bool]:
-        """Return the response and whether the connection can be reused."""
+    async def exchange(
+        self, request: bytes, on_received: Callable[[int], None]
+    ) -> tuple[HttpResponse, bool]:
+        """Return the response and whether the connection can be reused.
+
+        `on_received` is called with the number of bytes of each part of the response.
+        """
         self.has_sent = False
         self.stage = CallStage.SEND
         self.n_received_bytes = 0
@@ -185,6 +192,7 @@
                 raise ConnectionResetError(
                     errno.ECONNRESET, "closed before the response"
                 )
+            on_received(len(data))
             try:
                 reader.parser.feed_data(data)
             except httptools.HttpParserUpgrade as error:
@@ -213,13 +221,26 @@
         self._idle: deque[_Connection] = deque()
         self._is_closed = False
 
-    async def call(self, request: bytes, timeout_ms: int) -> HttpResponse:
+    async def call(
+        self,
+        request: bytes,
+        timeout_ms: int,
+        stall_ms: int | None,
+        on_received: Callable[[], None] | None,
+    ) -> HttpResponse:
         connection: _Connection | None = None
+        timer = CallTimer(timeout_ms, stall_ms)
         try:
-            with trio.fail_after(timeout_ms / 1000):
+            with trio.fail_at(timer.deadline_s) as scope:
+
+                def receive(n_bytes: int) -> None:
+                    scope.deadline = timer.record_bytes(n_bytes)
+                    if on_received is not None:
+                        on_received()
+
                 async with self._semaphore:
                     connection = await self._acquire(timeout_ms)
-                    response, is_reusable = await connection.exchange(request)
+                    response, is_reusable = await connection.exchange(request, receive)
                     if is_reusable and not self._is_closed:
                         connection.idle_since_s = trio.current_time()
                         self._idle.append(connection)
@@ -274,6 +295,8 @@
         body: bytes = b"",
         timeout_ms: int = 1000,
         headers: tuple[tuple[str, str], ...] = (),
+        stall_ms: int | None = None,
+        on_received: Callable[[], None] | None = None,
     ) -> HttpResponse:
         """Make one call.
 
@@ -288,9 +311,15 @@
         body : bytes
             JSON body, may be empty.
         timeout_ms : int
-            Limit for the whole call, from connecting to the end of the response.
+            Limit for the whole call, from connecting to the end of the response; with
+            `stall_ms`, to its first byte.
         headers : tuple of (str, str)
             Additional headers.
+        stall_ms : int, optional
+            Longest pause within a response that may be large; the call then goes on
+            while the response arrives, see `CallTimer`.
+        on_received : callable, optional
+            Called with each part of the response that has arrived.
 
         Returns
         -------
@@ -315,7 +344,8 @@
         if not all(line.isascii() and line.isprintable() for line in header_lines):
             raise NoResponseError("unprintable character in a header", sent=False)
         head = "\r\n".join(header_lines) + "\r\n\r\n"
-        return await pool.call(head.encode("ascii") + body, timeout_ms)
+        request = head.encode("ascii") + body
+        return await pool.call(request, timeout_ms, stall_ms, on_received)
 
     async def close_connections(self, address: str) -> None:
         """Close the connections to an address that is no longer used."""
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's key-value store."""
 
 from base64 import b64encode
+from functools import partial
 from urllib.parse import quote
 
 import msgspec
@@ -17,9 +18,11 @@
 from apricotgap.platform.store_types import (
     Conflict,
     HistoryLostError,
+    InterruptedReadError,
     Item,
     Lease,
     LeaseGone,
+    PartialRead,
     Rejected,
     Snapshot,
     Stored,
@@ -33,9 +36,11 @@
 __all__ = [
     "Conflict",
     "HistoryLostError",
+    "InterruptedReadError",
     "Item",
     "Lease",
     "LeaseGone",
+    "PartialRead",
     "Rejected",
     "Snapshot",
     "StoreClient",
@@ -48,6 +53,9 @@
 ]
 
 CALL_TIMEOUT_MS = 1000
+# Longest pause within an answer that may be large. It may take any time while it
+# arrives.
+STALL_MS = 1000
 MAX_TXN_ENTRIES = 32
 # A single response can be lost although the store is up, so that one failure does not
 # show an outage.
@@ -88,11 +96,18 @@
         body: bytes,
         timeout_ms: int,
         kind: CallKind = CallKind.PROMPT,
+        stall_ms: int | None = None,
     ) -> HttpResponse:
         call_id = self._observer.record_start(kind)
         try:
             response = await self._http.call(
-                method, self._address, target, body, timeout_ms
+                method,
+                self._address,
+                target,
+                body,
+                timeout_ms,
+                stall_ms=stall_ms,
+                on_received=partial(self._observer.record_part, call_id),
             )
         except NoResponseError:
             self._n_consecutive_failures += 1
@@ -112,7 +127,7 @@
         self, target: str, timeout_ms: int, kind: CallKind = CallKind.PROMPT
     ) -> tuple[int, bytes]:
         try:
-            response = await self._call("GET", target, b"", timeout_ms, kind)
+            response = await self._call("GET", target, b"", timeout_ms, kind, STALL_MS)
         except NoResponseError as error:
             raise _store_error(error) from error
         return response.status, response.body
@@ -134,30 +149,41 @@
         return decode_item(body)
 
     async def read_prefix(
-        self, prefix: str, timeout_ms: int = CALL_TIMEOUT_MS
+        self, prefix: str, resume: PartialRead | None = None
     ) -> Snapshot:
         """Read all keys with a prefix.
 
         Pages may be read at different revisions. The revision of the first page is
         returned, so that a watch from there may repeat changes but misses none.
 
+        Parameters
+        ----------
+        prefix : str
+            Prefix of the keys.
+        resume : PartialRead, optional
+            What an interrupted read of the prefix has read.
+
         Raises
         ------
+        InterruptedReadError
+            A page after the first got no usable response.
         StoreError
-            No usable response.
+            The first one did not.
         """
         items: list[Item] = []
         revision = None
         after = ""
+        if resume is not None:
+            items, revision, after = [*resume.items], resume.revision, resume.after
         seen: set[str] = set()
         while True:
-            target = f"/v1/kv-range?prefix={quote(prefix, safe='')}"
-            if after:
-                target += f"&after={quote(after, safe='')}"
-            status, body = await self._read(target, timeout_ms)
-            if status != 200:
-                raise StoreError(f"status {status}")
-            page, has_more = decode_page(body)
+            try:
+                page, has_more = await self._read_page(prefix, after)
+            except StoreError as error:
+                if revision is None:
+                    raise
+                pages = PartialRead(tuple(items), revision, after)
+                raise InterruptedReadError(error, pages) from error
             revision = page.revision if revision is None else revision
             items.extend(page.items)
             if not has_more or not page.items:
@@ -167,6 +193,15 @@
                 raise StoreError("malformed response: the pages have no end")
             seen.add(after)
 
+    async def _read_page(self, prefix: str, after: str) -> tuple[Snapshot, bool]:
+        target = f"/v1/kv-range?prefix={quote(prefix, safe='')}"
+        if after:
+            target += f"&after={quote(after, safe='')}"
+        status, body = await self._read(target, CALL_TIMEOUT_MS)
+        if status != 200:
+            raise StoreError(f"status {status}")
+        return decode_page(body)
+
     async def watch(self, prefix: str, after: int, wait_ms: int) -> Snapshot:
         """Wait for changes of keys with a prefix.
 
--- a/apricotgap/platform/store_types.py
+++ b/apricotgap/platform/store_types.py
@@ -5,9 +5,11 @@
 __all__ = [
     "Conflict",
     "HistoryLostError",
+    "InterruptedReadError",
     "Item",
     "Lease",
     "LeaseGone",
+    "PartialRead",
     "Rejected",
     "Snapshot",
     "StoreError",
@@ -63,6 +65,34 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class PartialRead:
+    """Pages of a prefix that were read before a failure.
+
+    `revision` is that of the first page, `after` the last key of the last one.
+    """
+
+    items: tuple[Item, ...]
+    revision: int
+    after: str
+
+
+class InterruptedReadError(StoreError):
+    """A read of a prefix failed after some of its pages.
+
+    Parameters
+    ----------
+    cause : StoreError
+        Why it failed.
+    partial : PartialRead
+        From where to go on.
+    """
+
+    def __init__(self, cause: StoreError, partial: PartialRead) -> None:
+        super().__init__(str(cause), cause.stage, cause.n_received_bytes)
+        self.partial = partial
+
+
 @dataclass(frozen=True, slots=True)
 class Lease:
     """A lease that the store has granted.
