Let a late answer renew the lease of an instance

Cause: a renewal that was not answered within 600 ms was given up and begun anew, behind the same bytes; its answer, on the way, was thrown away with the connection.

A renewal now waits as long as its answer is of use, and after 600 ms another one follows, three at a time at most. A renewal that is silent for 600 ms still shows that the store is unreachable.

test_late_answer_of_a_renewal_extends_the_lease failed before.

--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -1,5 +1,7 @@
 """The lease of an instance in the store."""
 
+from dataclasses import dataclass, field
+
 import structlog
 import trio
 
@@ -12,10 +14,22 @@
 # outlast it.
 LEASE_TTL_MS = 3_000
 RENEW_INTERVAL_MS = 800
-_RENEW_TIMEOUT_MS = 600
+# A renewal without an answer for this long is followed by another one. Its own answer
+# still counts: it may only be late, on a link that is busy.
+RENEW_SILENCE_MS = 600
+MAX_PENDING_RENEWALS = 3
 _RETRY_S = 0.2
 
 
+@dataclass(slots=True)
+class _Renewal:
+    """A renewal of a lease, and what has become of it."""
+
+    lease_id: int
+    is_renewed: bool = False
+    has_ended: trio.Event = field(default_factory=trio.Event)
+
+
 class InstanceLease:
     """Acquires and renews the lease that all keys of the instance are attached to.
 
@@ -35,6 +49,8 @@
         self._ttl_ms = max(LEASE_TTL_MS, min_ttl_ms)
         self._log = structlog.get_logger()
         self._is_revoked = False
+        # Renewals without an answer yet.
+        self._n_pending = 0
         self.lease_id = 0
         self.valid_until_ms = 0
 
@@ -63,39 +79,79 @@
 
     async def run(self) -> None:
         """Renew the lease until cancelled; acquire a new one when it has expired."""
-        while not self._is_revoked:
-            try:
-                await self._renew_or_acquire()
-            except StoreError as error:
-                self._log.warning(
-                    "lease_renewal_failed",
-                    lease=self.lease_id,
-                    left_ms=self.valid_until_ms - self._clock.now_ms,
-                    reason=str(error),
-                    stage=error.stage,
-                )
-                await trio.sleep(_RETRY_S)
-                continue
-            await trio.sleep(RENEW_INTERVAL_MS / 1000)
-
-    async def _renew_or_acquire(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while not self._is_revoked:
+                if not self.lease_id:
+                    pause_s = await self._acquire()
+                elif self._n_pending < MAX_PENDING_RENEWALS:
+                    pause_s = await self._begin_renewal(nursery)
+                else:
+                    pause_s = _RETRY_S
+                await trio.sleep(pause_s)
+
+    async def _acquire(self) -> float:
+        """Request a lease; return the pause until the next call, in seconds."""
         sent_ms = self._clock.now_ms
-        if self.lease_id:
-            is_renewed = await self._store.renew_lease(self.lease_id, _RENEW_TIMEOUT_MS)
-            if self._is_revoked:
-                return
-            if is_renewed:
-                self.valid_until_ms = sent_ms + self._ttl_ms
-                return
-            self._log.warning("lease_ended", lease=self.lease_id)
-            self._set(0, 0)
-            sent_ms = self._clock.now_ms
-        lease_id, ttl_ms = await self._store.grant_lease(self._ttl_ms)
+        try:
+            lease_id, ttl_ms = await self._store.grant_lease(self._ttl_ms)
+        except StoreError as error:
+            self._log_failure(0, error)
+            return _RETRY_S
         if self._is_revoked:
-            return
+            return 0
         self._ttl_ms = ttl_ms
         self._set(lease_id, sent_ms + ttl_ms)
         self._log.info("lease_granted", lease=lease_id, ttl_ms=ttl_ms)
+        return RENEW_INTERVAL_MS / 1000
+
+    async def _begin_renewal(self, nursery: trio.Nursery) -> float:
+        """Send a renewal; return the pause until the next call, in seconds."""
+        renewal = _Renewal(self.lease_id)
+        nursery.start_soon(self._renew, renewal)
+        with trio.move_on_after(RENEW_SILENCE_MS / 1000):
+            await renewal.has_ended.wait()
+        if renewal.is_renewed:
+            return RENEW_INTERVAL_MS / 1000
+        if not renewal.has_ended.is_set():
+            self._log.warning(
+                "lease_renewal_late", lease=renewal.lease_id, left_ms=self._left_ms
+            )
+        return _RETRY_S if self.lease_id else 0
+
+    async def _renew(self, renewal: _Renewal) -> None:
+        sent_ms = self._clock.now_ms
+        self._n_pending += 1
+        try:
+            # An answer that comes after the lease has ended is of no use.
+            timeout_ms = max(RENEW_SILENCE_MS, self._left_ms)
+            is_alive = await self._store.renew_lease(renewal.lease_id, timeout_ms)
+        except StoreError as error:
+            self._log_failure(renewal.lease_id, error)
+            return
+        finally:
+            self._n_pending -= 1
+            renewal.has_ended.set()
+        if self._is_revoked or self.lease_id != renewal.lease_id:
+            return
+        if is_alive:
+            renewal.is_renewed = True
+            self.valid_until_ms = max(self.valid_until_ms, sent_ms + self._ttl_ms)
+            return
+        self._log.warning("lease_ended", lease=renewal.lease_id)
+        self._set(0, 0)
+
+    @property
+    def _left_ms(self) -> int:
+        return self.valid_until_ms - self._clock.now_ms
+
+    def _log_failure(self, lease_id: int, error: StoreError) -> None:
+        self._log.warning(
+            "lease_renewal_failed",
+            lease=lease_id,
+            left_ms=self._left_ms,
+            reason=str(error),
+            stage=error.stage,
+        )
 
     def _set(self, lease_id: int, valid_until_ms: int) -> None:
         self.lease_id = lease_id
--- a/apricotgap/instance/store_monitor.py
+++ b/apricotgap/instance/store_monitor.py
@@ -88,7 +88,7 @@
             self._logged_ms = since_ms
             why = (
                 "lease_renewal"
-                if self._reachability.has_failed_renewal
+                if self._reachability.has_silent_renewal(since_ms)
                 else "silent_calls"
             )
             self._log.warning("store_unreachable", why=why)
--- a/apricotgap/instance/store_reachability.py
+++ b/apricotgap/instance/store_reachability.py
@@ -9,6 +9,8 @@
 # A call without an answer for this long is silent. The store answers in 300 ms while it
 # is slow.
 SILENCE_MS = 400
+# A renewal of a lease is silent by itself after this time.
+RENEWAL_SILENCE_MS = 600
 # A single answer can be lost although the store is reachable.
 MIN_SILENT_CALLS = 2
 
@@ -22,10 +24,10 @@
 class StoreReachability:
     """Whether the store is reachable from this instance.
 
-    The store counts as unreachable after two silent calls, or after one failed lease
-    renewal, if no call has been answered since they were sent. A call is silent if it
-    has failed or has had no answer for 400 ms. Any answer ends that, and any part of
-    one. Watches wait for changes, so only their answers count.
+    The store counts as unreachable after two silent calls, or after one lease renewal
+    that has failed or is silent, if no call has been answered since they were sent. A
+    call is silent if it has failed or has had no answer for 400 ms. Any answer ends
+    that, and any part of one. Watches wait for changes, so only their answers count.
     """
 
     def __init__(self) -> None:
@@ -64,14 +66,18 @@
             self.record_failure(call_id)
         self._pending.pop(call_id, None)
 
-    @property
-    def has_failed_renewal(self) -> bool:
-        """Whether a lease renewal has failed since the last answer."""
-        return self._has_failed_renewal
+    def has_silent_renewal(self, at_ms: int) -> bool:
+        """Whether a lease renewal has failed or is silent since the last answer."""
+        return self._has_failed_renewal or any(
+            call.kind is CallKind.RENEWAL
+            and at_ms - call.sent_ms >= RENEWAL_SILENCE_MS
+            and self._is_relevant(call)
+            for call in self._pending.values()
+        )
 
     def is_unreachable(self, at_ms: int) -> bool:
         """Whether the store counts as unreachable."""
-        if self._has_failed_renewal:
+        if self.has_silent_renewal(at_ms):
             return True
         n_silent = self._n_failed + sum(
             at_ms - call.sent_ms >= SILENCE_MS
--- a/tests/test_instance_lease.py
+++ b/tests/test_instance_lease.py
@@ -3,9 +3,10 @@
 import trio
 import trio.testing
 
-from apricotgap.clock import FakeClock
+from apricotgap.clock import FakeClock, TrioClock
 from apricotgap.instance.lease import (
     LEASE_TTL_MS,
+    MAX_PENDING_RENEWALS,
     RENEW_INTERVAL_MS,
     InstanceLease,
 )
@@ -18,6 +19,7 @@
     def __init__(self):
         self.alive = set()
         self.n_granted = 0
+        self.n_waiting = 0
         self.is_down = False
         self.answer_delay_s = 0.0
 
@@ -29,7 +31,11 @@
     async def renew_lease(self, lease, timeout_ms):
         if self.is_down:
             raise StoreError("down")
-        await trio.sleep(self.answer_delay_s)
+        self.n_waiting += 1
+        await trio.sleep(min(self.answer_delay_s, timeout_ms / 1000))
+        self.n_waiting -= 1
+        if self.answer_delay_s > timeout_ms / 1000:
+            raise StoreError("timeout")
         return lease in self.alive
 
     async def revoke_lease(self, lease):
@@ -119,3 +125,50 @@
         assert store.n_granted == 1
 
     run(check)
+
+
+def test_late_answer_of_a_renewal_extends_the_lease():
+    """Guards against an owner that loses its shard on a busy link: each renewal is
+    answered in 0.9 s, and was given up after 0.6 s.
+    """
+
+    async def main():
+        store, clock = Store(), TrioClock()
+        lease = InstanceLease(store, clock, 1_000)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lease.run)
+            await trio.testing.wait_all_tasks_blocked()
+            store.answer_delay_s = 0.9
+            for _ in range(200):
+                await trio.sleep(0.1)
+                assert lease.is_valid
+            assert store.n_granted == 1
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+
+
+def test_renewals_without_answers_are_bounded():
+    """Guards against renewals that pile up while the store gives no answer."""
+
+    async def check(store, clock, lease):
+        store.answer_delay_s = 60
+        await trio.sleep(20)
+        assert store.n_waiting <= MAX_PENDING_RENEWALS
+
+    run(check)
+
+
+def test_renewal_that_finds_an_earlier_lease_ended_does_not_end_the_next():
+    """Guards against a lease that is given up for a late answer about another one."""
+
+    async def check(store, clock, lease):
+        store.answer_delay_s = 1.0
+        await trio.sleep(1.5)
+        store.alive.clear()
+        store.answer_delay_s = 0.0
+        await trio.sleep(5)
+        assert lease.lease_id in store.alive
+        assert store.n_granted == 2
+
+    run(check)
--- a/tests/test_store_reachability.py
+++ b/tests/test_store_reachability.py
@@ -8,7 +8,11 @@
 
 from apricotgap.clock import TrioClock
 from apricotgap.instance.store_monitor import PROBE_INTERVAL_MS, StoreMonitor
-from apricotgap.instance.store_reachability import SILENCE_MS, StoreReachability
+from apricotgap.instance.store_reachability import (
+    RENEWAL_SILENCE_MS,
+    SILENCE_MS,
+    StoreReachability,
+)
 from apricotgap.metrics import Metrics
 from apricotgap.platform.call_observer import CallKind
 from apricotgap.platform.http import HttpResponse, NoResponseError
@@ -97,6 +101,22 @@
     assert not reachability.is_unreachable(660)
 
 
+def test_silent_lease_renewal_of_an_idle_instance_is_an_outage():
+    """Guards against an instance that notices its cut only as its lease ends."""
+    calls = Calls((RENEWAL, 0, 1_500))
+    assert calls.unreachable_at(2_000) == list(range(RENEWAL_SILENCE_MS, 1_500, 10))
+
+
+def test_store_whose_answer_is_arriving_is_reachable():
+    """Guards against submissions that are refused while a large answer arrives."""
+    reachability = StoreReachability()
+    for call_id in (1, 2, 3):
+        reachability.record_start(call_id, PROMPT, 0)
+    assert reachability.is_unreachable(SILENCE_MS)
+    reachability.record_part(SILENCE_MS)
+    assert not reachability.is_unreachable(2 * SILENCE_MS)
+
+
 def test_failure_of_a_call_from_before_the_last_answer_does_not_count():
     """Guards against an outage that is taken from connections reset long ago."""
     reachability = StoreReachability()
