Let calls to a peer share a handshake that takes long

Cause: each call gave its handshake up after 0.4 s and the next one began anew, which costs the overloaded peer most.

The connection to the peer is still given up after 0.4 s, as is the wait of a call; the handshake goes on for up to 3 s for the calls that follow.

test_calls_share_a_handshake_that_takes_longer_than_each_waits failed before.

--- a/apricotgap/instance/peers.py
+++ b/apricotgap/instance/peers.py
@@ -18,7 +18,11 @@
 
 Handler = Callable[[str, Any], Awaitable[Any]]
 
-_CONNECT_TIMEOUT_S = 0.4
+# A call waits this long for its connection, and a peer that can be reached accepts one.
+_CONNECT_WAIT_S = 0.4
+# The handshake goes on for longer, for the calls that follow: a peer that is overloaded
+# would never get through one that is begun anew for each call.
+_HANDSHAKE_TIMEOUT_S = 3.0
 _CLOSE_TIMEOUT_S = 0.2
 # A link that was heard within this time is not pinged before a call that must not get
 # lost, and one that failed within this time is not tried again for such a call.
@@ -130,6 +134,31 @@
             pending_call[0].set()
 
 
+class _Opening:
+    """A connection that is being opened, for all calls that wait for it."""
+
+    def __init__(self) -> None:
+        self.has_ended = trio.Event()
+        self.connection: _Connection | None = None
+        self.error = "not opened"
+
+    async def wait(self) -> _Connection:
+        """Return the connection.
+
+        Raises
+        ------
+        OSError
+            It could not be opened, or not yet.
+        """
+        with trio.move_on_after(_CONNECT_WAIT_S):
+            await self.has_ended.wait()
+        if self.connection is not None:
+            return self.connection
+        if self.has_ended.is_set():
+            raise OSError(self.error)
+        raise OSError("the connection is still being opened")
+
+
 class PeerClient:
     """Calls other instances; opens a connection to each on first use.
 
@@ -142,7 +171,7 @@
     def __init__(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
         self._connections: dict[str, _Connection] = {}
-        self._locks: dict[str, trio.Lock] = {}
+        self._openings: dict[str, _Opening] = {}
         self._failed_s: dict[str, float] = {}
         self._call_ids = itertools.count(1)
 
@@ -220,42 +249,59 @@
         self._failed_s.pop(address, None)
 
     async def _get_connection(self, address: str) -> _Connection:
-        lock = self._locks.setdefault(address, trio.Lock())
-        async with lock:
-            connection = self._connections.get(address)
-            if connection is None:
-                connection = await self._nursery.start(self._run_connection, address)
-                self._connections[address] = connection
+        connection = self._connections.get(address)
+        if connection is not None:
             return connection
+        opening = self._openings.get(address)
+        if opening is None:
+            opening = self._openings[address] = _Opening()
+            self._nursery.start_soon(self._run_connection, address, opening)
+        return await opening.wait()
 
-    async def _run_connection(
-        self,
-        address: str,
-        task_status: "trio.TaskStatus[_Connection]" = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        with trio.CancelScope() as scope:
+    async def _run_connection(self, address: str, opening: _Opening) -> None:
+        try:
+            host, _, port = address.rpartition(":")
+            with trio.fail_after(_CONNECT_WAIT_S):
+                stream = await trio.open_tcp_stream(host, int(port))
             async with connect(
                 f"ws://{address}/",
+                stream=stream,
                 ping_interval=None,
                 compression=None,
                 max_size=_MAX_MESSAGE_BYTES,
                 proxy=None,
-                open_timeout=_CONNECT_TIMEOUT_S,
+                open_timeout=_HANDSHAKE_TIMEOUT_S,
                 close_timeout=_CLOSE_TIMEOUT_S,
             ) as socket:
-                connection = _Connection(socket, scope)
-                task_status.started(connection)
-                try:
-                    async for data in socket:
-                        connection.receive(data)
-                except (*_CONNECTION_ERRORS, ValueError) as error:
-                    structlog.get_logger().info(
-                        "peer_link_lost",
-                        peer=address,
-                        error=repr(error)[:_MAX_ERROR_CHARS],
-                    )
-                finally:
-                    self._close(address, connection)
+                with trio.CancelScope() as scope:
+                    opening.connection = _Connection(socket, scope)
+                    self._end_opening(address, opening)
+                    await self._receive(address, opening.connection)
+        except Exception as error:
+            # Addresses come from records that other programs may have written.
+            opening.error = repr(error)[:_MAX_ERROR_CHARS]
+        finally:
+            self._end_opening(address, opening)
+
+    def _end_opening(self, address: str, opening: _Opening) -> None:
+        if self._openings.get(address) is opening:
+            del self._openings[address]
+        if opening.connection is not None and not opening.has_ended.is_set():
+            self._connections[address] = opening.connection
+        opening.has_ended.set()
+
+    async def _receive(self, address: str, connection: _Connection) -> None:
+        try:
+            async for data in connection.socket:
+                connection.receive(data)
+        except (*_CONNECTION_ERRORS, ValueError) as error:
+            structlog.get_logger().info(
+                "peer_link_lost",
+                peer=address,
+                error=repr(error)[:_MAX_ERROR_CHARS],
+            )
+        finally:
+            self._close(address, connection)
 
     def _close(self, address: str, connection: _Connection) -> None:
         if self._connections.get(address) is connection:
--- a/tests/test_instance_peers.py
+++ b/tests/test_instance_peers.py
@@ -242,3 +242,45 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_calls_share_a_handshake_that_takes_longer_than_each_waits():
+    """Guards against an overloaded peer that is never reached: each call begins a
+    handshake of its own, which takes longer than the call waits for it.
+    """
+    n_opened = 0
+
+    async def main():
+        port, slow_port = free_port(), free_port()
+
+        async def forward(source, sink):
+            async with sink:
+                async for data in source:
+                    await sink.send_all(data)
+
+        async def accept(client):
+            nonlocal n_opened
+            n_opened += 1
+            await trio.sleep(1.0)
+            server = await trio.open_tcp_stream("127.0.0.1", port)
+            async with trio.open_nursery() as pair:
+                pair.start_soon(forward, client, server)
+                pair.start_soon(forward, server, client)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_peers, "127.0.0.1", port, _echo)
+            await nursery.start(
+                partial(trio.serve_tcp, accept, slow_port, host="127.0.0.1")
+            )
+            client, answers = PeerClient(nursery), []
+            for number in range(4):
+                try:
+                    address = f"127.0.0.1:{slow_port}"
+                    answers.append(await client.call(address, "echo", number, 500))
+                except PeerCallError as error:
+                    assert not error.sent
+            nursery.cancel_scope.cancel()
+        assert answers[-1] == 3
+        assert n_opened == 1
+
+    trio.run(main)
