--- a/tests/decoders/platform.py
+++ b/tests/decoders/platform.py
@@ -102,7 +102,8 @@
 
 def _exchange(data: bytes) -> Any:
     connection = platform_http._Connection(OneRead(data))
-    return finish(connection.exchange(b"GET / HTTP/1.1\r\n\r\n"))
+    request = b"GET / HTTP/1.1\r\n\r\n"
+    return finish(connection.exchange(request, lambda n_bytes: None))
 
 
 DECODERS = (
