Read an answer that arrived before giving its call up

Callers: starts, polls and calls to the store failed with a timeout although their answer had arrived, and were repeated, while the process got too little processor time. Cause: the limit of a call was checked before the socket, so a process that was late after sending, or between two parts of an answer, did not look at what it had received.

Once for each limit that passes, the call reads what its socket holds. A limit without a stall time is not extended by it; one with a stall time counts from the part read.

Failed before: test_answer_that_arrived_while_the_process_was_late_is_read and test_large_answer_goes_on_after_the_process_was_late.

--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -146,6 +146,8 @@
         self.stage = CallStage.SEND
         # Bytes of the present response, with its header.
         self.n_received_bytes = 0
+        # Time limit that has passed without an end of the call.
+        self._passed_limit_s: float | None = None
 
     @classmethod
     async def open(cls, address: str) -> "_Connection":
@@ -167,38 +169,68 @@
         return is_old or self._sock.is_readable()
 
     async def exchange(
-        self, request: bytes, on_received: Callable[[int], None]
+        self,
+        request: bytes,
+        timer: CallTimer,
+        on_received: Callable[[], None] | None = None,
     ) -> tuple[HttpResponse, bool]:
         """Return the response and whether the connection can be reused.
 
-        `on_received` is called with the number of bytes of each part of the response.
+        `on_received` is called with each part of the response.
+
+        Raises
+        ------
+        trio.TooSlowError
+            The limit of the timer has passed.
         """
-        self.has_sent = False
-        self.stage = CallStage.SEND
         self.n_received_bytes = 0
-        unsent = memoryview(request)
-        while unsent:
-            # A send that fails or is cancelled has taken no byte.
-            n_taken = await self._sock.send(unsent)
-            self.has_sent = True
-            unsent = unsent[n_taken:]
+        self._passed_limit_s = None
+        with trio.fail_at(timer.deadline_s):
+            await self._send(request)
         reader = _ResponseReader()
         self.stage = CallStage.RESPONSE
         while not reader.is_complete:
-            data = await self._sock.recv(_READ_BYTES)
+            data = await self._receive(timer.deadline_s)
             self.stage = CallStage.BODY
             self.n_received_bytes += len(data)
             if not data:
                 raise ConnectionResetError(
                     errno.ECONNRESET, "closed before the response"
                 )
-            on_received(len(data))
+            timer.record_bytes(len(data))
+            if on_received is not None:
+                on_received()
             try:
                 reader.parser.feed_data(data)
             except httptools.HttpParserUpgrade as error:
                 raise httptools.HttpParserError("an upgrade") from error
         return reader.response(), reader.is_reusable
 
+    async def _send(self, request: bytes) -> None:
+        self.has_sent = False
+        self.stage = CallStage.SEND
+        unsent = memoryview(request)
+        while unsent:
+            # A send that fails or is cancelled has taken no byte.
+            n_taken = await self._sock.send(unsent)
+            self.has_sent = True
+            unsent = unsent[n_taken:]
+
+    async def _receive(self, limit_s: float) -> bytes:
+        """Return the next part of the response.
+
+        A process that is late itself finds a limit passed before it has looked at what
+        arrived in time. Once for each limit, it reads what the socket holds by then.
+        """
+        with trio.move_on_at(limit_s):
+            return await self._sock.recv(_READ_BYTES)
+        if limit_s == self._passed_limit_s or not self._sock.is_readable():
+            raise trio.TooSlowError
+        self._passed_limit_s = limit_s
+        # Data is there, so this does not wait.
+        with trio.CancelScope(shield=True):
+            return await self._sock.recv(_READ_BYTES)
+
     def close(self) -> None:
         """Reset the connection."""
         self._sock.close()
@@ -231,21 +263,21 @@
         connection: _Connection | None = None
         timer = CallTimer(timeout_ms, stall_ms)
         try:
-            with trio.fail_at(timer.deadline_s) as scope:
-
-                def receive(n_bytes: int) -> None:
-                    scope.deadline = timer.record_bytes(n_bytes)
-                    if on_received is not None:
-                        on_received()
-
-                async with self._semaphore:
+            with trio.fail_at(timer.deadline_s):
+                await self._semaphore.acquire()
+            try:
+                with trio.fail_at(timer.deadline_s):
                     connection = await self._acquire(timeout_ms)
-                    response, is_reusable = await connection.exchange(request, receive)
-                    if is_reusable and not self._is_closed:
-                        connection.idle_since_s = trio.current_time()
-                        self._idle.append(connection)
-                        connection = None
-                    return response
+                response, is_reusable = await connection.exchange(
+                    request, timer, on_received
+                )
+                if is_reusable and not self._is_closed:
+                    connection.idle_since_s = trio.current_time()
+                    self._idle.append(connection)
+                    connection = None
+                return response
+            finally:
+                self._semaphore.release()
         except trio.TooSlowError:
             raise _no_response(_TIMEOUT, connection) from None
         except OSError as error:
--- a/tests/decoders/platform.py
+++ b/tests/decoders/platform.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import httptools
+import trio
 
 from apricotgap.jobs.configuration import Configuration, Wave
 from apricotgap.jobs.fleet import Machine, WorkerEntry
@@ -17,12 +18,13 @@
     workers,
 )
 from apricotgap.platform import http as platform_http
+from apricotgap.platform.call_timer import CallTimer
 from apricotgap.platform.job_wire import decode_job
 from apricotgap.platform.store import Item, Snapshot, StoreError
 from apricotgap.platform.wire import WireError
 from apricotgap.platform.workers import PollResponse, WorkerError
 from tests.decoders.entry import Decoder
-from tests.decoders.one_read import OneRead, finish
+from tests.decoders.one_read import OneRead
 from tests.document_strategies import (
     bytes_like,
     json_documents,
@@ -101,9 +103,12 @@
 
 
 def _exchange(data: bytes) -> Any:
-    connection = platform_http._Connection(OneRead(data))
-    request = b"GET / HTTP/1.1\r\n\r\n"
-    return finish(connection.exchange(request, lambda n_bytes: None))
+    async def exchange() -> Any:
+        connection = platform_http._Connection(OneRead(data))
+        request = b"GET / HTTP/1.1\r\n\r\n"
+        return await connection.exchange(request, CallTimer(1_000))
+
+    return trio.run(exchange)
 
 
 DECODERS = (
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -5,7 +5,9 @@
 
 import pytest
 import trio
+from trio.testing import MockClock
 
+from apricotgap.platform import http
 from apricotgap.platform.http import CallStage, HttpClient, NoResponseError
 from apricotgap.platform.store import StoreClient, Stored, Unavailable, Unknown, Write
 from standins.transactional_store import TransactionalStore
@@ -235,3 +237,73 @@
         assert caught.value.n_received_bytes == 40
 
     trio.run(main)
+
+
+class LateSocket:
+    """A socket in a process that does not run for a time after it has sent.
+
+    `parts` are what the socket holds by then, in reads.
+    """
+
+    def __init__(self, clock, away_s, parts):
+        self._clock = clock
+        self._away_s = away_s
+        self._parts = list(parts)
+
+    async def send(self, data):
+        self._clock.jump(self._away_s)
+        await trio.lowlevel.cancel_shielded_checkpoint()
+        return len(data)
+
+    async def recv(self, n_bytes):
+        await trio.lowlevel.checkpoint_if_cancelled()
+        if not self._parts:
+            await trio.sleep_forever()
+        await trio.lowlevel.cancel_shielded_checkpoint()
+        return self._parts.pop(0)
+
+    def is_readable(self):
+        return bool(self._parts)
+
+    def close(self):
+        """Close nothing."""
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+
+
+def call_late(monkeypatch, parts, away_s=2.0, **limits):
+    """Return the response to a call that the process looks after too late."""
+    clock = MockClock(autojump_threshold=0)
+
+    async def open_connection(address):
+        return http._Connection(LateSocket(clock, away_s, parts))
+
+    monkeypatch.setattr(http._Connection, "open", open_connection)
+
+    async def main():
+        return await HttpClient().call("GET", "10.0.0.1:1", "/", **limits)
+
+    return trio.run(main, clock=clock)
+
+
+def test_answer_that_arrived_while_the_process_was_late_is_read(monkeypatch):
+    """Guards against starts that are repeated although their answer is there."""
+    response = call_late(monkeypatch, [HEAD + b"abcd"], timeout_ms=500)
+    assert response.body == b"abcd"
+
+
+def test_large_answer_goes_on_after_the_process_was_late(monkeypatch):
+    """Guards against a read that is thrown away in its middle by a late process."""
+    parts = [HEAD + b"a", b"bc", b"d"]
+    response = call_late(monkeypatch, parts, timeout_ms=500, stall_ms=500)
+    assert response.body == b"abcd"
+
+
+@pytest.mark.parametrize("parts", [(), (HEAD + b"a",), (HEAD + b"a", b"b", b"cd")])
+def test_late_process_gets_no_more_time_for_an_answer(monkeypatch, parts):
+    """Guards against a limit that a server extends by parts of its answer."""
+    with pytest.raises(NoResponseError) as caught:
+        call_late(monkeypatch, parts, timeout_ms=500)
+    assert caught.value.has_timed_out
+    assert caught.value.sent
