Limit the starts of an owner that have no answer yet

Cause: an owner sent up to 64 starts a pass, however many were under way.

StartWindow limits the starts without an answer by the share of them that were too late. Workers that have answered no poll since a start do not count. Tasks beyond the window wait in the scheduler.

--- a/apricotgap/instance/effect_runner.py
+++ b/apricotgap/instance/effect_runner.py
@@ -19,8 +19,9 @@
 from apricotgap.jobs.events import StartAnswered, StopAnswered
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.start_window import StartWindow
 from apricotgap.metrics import Metrics
-from apricotgap.platform.workers import WorkerClient
+from apricotgap.platform.workers import START_TIMEOUT_MS, WorkerClient
 
 __all__ = ["EffectRunner"]
 
@@ -45,6 +46,8 @@
         Called when progress has to be stored.
     on_room : callable
         Called when waiting tasks may be able to start.
+    start_window : StartWindow, optional
+        Limit on the starts without an answer, which learns of the answers.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         metrics: Metrics,
         on_unsaved: Callable[[], None],
         on_room: Callable[[], None],
+        start_window: StartWindow | None = None,
     ) -> None:
         self._shard = shard
         self._service = ownership.shard
@@ -67,6 +71,7 @@
         self._metrics = metrics
         self._on_unsaved = on_unsaved
         self._on_room = on_room
+        self._start_window = start_window or StartWindow()
         self._nursery: trio.Nursery | None = None
         self._log = structlog.get_logger().bind(
             shard=ownership.shard, epoch=ownership.epoch
@@ -106,8 +111,12 @@
             raise OwnershipLostError("the owner has ended") from error
 
     async def _send_start(self, effect: StartRun) -> None:
+        sent_ms = self._clock.now_ms
         result = await self._client.start(effect, self._epoch)
         self._metrics.count("run_starts", result=result.kind)
+        self._start_window.record_answer(
+            self._is_too_late(effect, result.kind, sent_ms)
+        )
         self.execute(
             self._shard.step(
                 StartAnswered(
@@ -120,9 +129,23 @@
                 )
             )
         )
-        if result.kind != "ok":
+        if result.kind != "ok" or self._start_window.is_blocking:
             self._on_room()
 
+    def _is_too_late(self, effect: StartRun, kind: str, sent_ms: int) -> bool:
+        """Whether a worker that is there got a start too late, or its answer did.
+
+        A worker that has answered no poll since may be gone; this tells nothing of what
+        the owner can handle. Nor does a worker that rejects the start at once.
+        """
+        if kind == "late":
+            return True
+        worker = self._shard.workers.get(effect.worker_id)
+        if kind not in ("unknown", "busy") or worker is None:
+            return False
+        took_ms = self._clock.now_ms - sent_ms
+        return took_ms >= START_TIMEOUT_MS // 2 and worker.answered_ms > sent_ms
+
     async def _send_stop(self, effect: StopRun) -> None:
         ok = await self._client.stop(effect, self._epoch)
         self.execute(
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -46,6 +46,7 @@
 from apricotgap.jobs.service import SubmitOutcome
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.share_log import ShareLog
+from apricotgap.jobs.start_window import StartWindow
 from apricotgap.jobs.stragglers import StragglerDetector
 from apricotgap.jobs.team_use import team_use
 from apricotgap.jobs.wait_log import WaitLog
@@ -112,7 +113,10 @@
         )
         self._shard.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._demand = Demand(self._shard)
-        self._scheduler = Scheduler(self._shard, self._demand, overload)
+        self._start_window = StartWindow()
+        self._scheduler = Scheduler(
+            self._shard, self._demand, overload, self._start_window
+        )
         self._shares = self._scheduler.shares
         self._pacer = Pacer(self._shard)
         self._stragglers = StragglerDetector(self._shard)
@@ -173,6 +177,7 @@
             metrics,
             self._writer.wake,
             self._request_pass,
+            self._start_window,
         )
         self._poll_loops = PollLoops(
             self._shard,
@@ -394,7 +399,7 @@
             self._effects.execute(effects)
             if self._scheduler.is_team_blocked:
                 self._limits.wake()
-            if self._scheduler.hit_start_limit:
+            if self._scheduler.hit_start_limit and not self._start_window.is_blocking:
                 self._pass_requested.set()
             # Groups events that occur close together into one pass. With many waiting
             # jobs a pass takes long, and polls and starts need processor time too.
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -19,6 +19,7 @@
 from apricotgap.jobs.scheduling_pass import SchedulingPass
 from apricotgap.jobs.service_order import ServiceOrder
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.start_window import StartWindow
 from apricotgap.jobs.team_shares import TeamShares
 from apricotgap.jobs.tickets import StepName
 from apricotgap.jobs.workers import Worker
@@ -42,6 +43,9 @@
         Source of the pool's capacity; without it no job is deferred.
     overload : OverloadOptions, optional
         Which decisions under overload are taken.
+    start_window : StartWindow, optional
+        Limit on the starts without an answer, to which answers are reported; without it
+        there is no such limit.
     """
 
     def __init__(
@@ -49,9 +53,11 @@
         shard: Shard,
         demand: Demand | None = None,
         overload: OverloadOptions = DEFAULT_OVERLOAD_OPTIONS,
+        start_window: StartWindow | None = None,
     ) -> None:
         self._shard = shard
         self._demand = demand
+        self._start_window = start_window
         self.shares = TeamShares()
         self.service_order = ServiceOrder(shard, self.shares)
         self._config: Configuration | None = None
@@ -89,7 +95,9 @@
         workers = shard.accepting_workers(at_ms)
         if not workers:
             return []
-        current = SchedulingPass(at_ms, shard.unix_of(at_ms), workers, [])
+        current = SchedulingPass(
+            at_ms, shard.unix_of(at_ms), workers, [], self._max_starts()
+        )
         self.is_team_blocked = False
         self.hit_start_limit = False
         self.awaits_fresh_answer = False
@@ -99,7 +107,7 @@
         lacks_only_silent = shard.lacks_only_silent_workers(at_ms)
         may_start_long_running = shard.knows_reservations(at_ms)
         for job in self._order(current):
-            if current.n_starts >= limits.MAX_STARTS_PER_PASS:
+            if current.is_full:
                 self.hit_start_limit = True
                 break
             may_be_running = has_unverified_workers and job.is_inherited
@@ -113,9 +121,24 @@
                     self._start_job(job, current, may_be_running)
                 else:
                     self._request_first_save(job, current)
+        self._record_starts(current)
         failures = shard.set_failed_aside(at_ms)
         return [*current.effects, *current.log_lines.values(), *failures]
 
+    def _max_starts(self) -> int:
+        """Return the most starts of a pass."""
+        if self._start_window is None:
+            return limits.MAX_STARTS_PER_PASS
+        return min(limits.MAX_STARTS_PER_PASS, self._start_window.n_free)
+
+    def _record_starts(self, current: SchedulingPass) -> None:
+        if self._start_window is None:
+            return
+        is_blocking = (
+            self.hit_start_limit and current.max_starts < limits.MAX_STARTS_PER_PASS
+        )
+        self._start_window.record_pass(current.n_starts, is_blocking)
+
     def _order(self, current: SchedulingPass) -> list[JobState]:
         all_suspect = all(
             worker.suspect_since_ms is not None for worker in current.workers
@@ -175,7 +198,8 @@
                 self._start_gang(job, key, step, current)
                 continue
             for index in indices:
-                if current.n_starts >= limits.MAX_STARTS_PER_PASS:
+                if current.is_full:
+                    self.hit_start_limit = True
                     return
                 name = TaskName(job.spec.job_id, *key, index)
                 if job.has_unsaved_crash and job.is_suspect(name):
--- a/apricotgap/jobs/scheduling_pass.py
+++ b/apricotgap/jobs/scheduling_pass.py
@@ -19,11 +19,17 @@
     unix_ms: int
     workers: list[Worker]
     effects: list[Effect]
+    max_starts: int
     n_starts: int = 0
     has_kept_workers: bool = False
     log_lines: dict[tuple[str, StepKey], LogDecision] = field(default_factory=dict)
     too_large: dict[str, list[Resources]] = field(default_factory=dict)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the pass may start nothing more."""
+        return self.n_starts >= self.max_starts
+
     def is_too_large(self, label: str, allocation: Resources) -> bool:
         """Whether an allocation of this size or smaller has failed in this pass.
 
--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -228,8 +228,7 @@
             raise trio.TooSlowError
         self._passed_limit_s = limit_s
         # Data is there, so this does not wait.
-        with trio.CancelScope(shield=True):
-            return await self._sock.recv(_READ_BYTES)
+        return await self._sock.recv(_READ_BYTES)
 
     def close(self) -> None:
         """Reset the connection."""
