Refuse jobs that their owner cannot start in time

Callers: jobs were accepted and then waited up to 20 s beside free workers, while their owner's processor bounded a whole service. Cause: admission knew the capacity of the pool, but not that of the owner to start tasks.

StartRate measures the confirmed starts of the time in which tasks waited for the owner: the window of starts was full, or the first saves had reached their maximum. A job that the waiting tasks keep from starting while it is of use is refused at once, with the time until they are started as Retry-After, and limit=starts in job_refused and jobs_refused. An owner that has not been short of starts for a second within the last three refuses nothing by it.

--- a/apricotgap/instance/effect_runner.py
+++ b/apricotgap/instance/effect_runner.py
@@ -19,6 +19,7 @@
 from apricotgap.jobs.events import StartAnswered, StopAnswered
 from apricotgap.jobs.pacing import Pacer
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.start_rate import StartRate
 from apricotgap.jobs.start_window import StartWindow
 from apricotgap.metrics import Metrics
 from apricotgap.platform.workers import START_TIMEOUT_MS, WorkerClient
@@ -48,6 +49,8 @@
         Called when waiting tasks may be able to start.
     start_window : StartWindow, optional
         Limit on the starts without an answer, which learns of the answers.
+    start_rate : StartRate, optional
+        Rate of starts, which learns of those that are confirmed.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         on_unsaved: Callable[[], None],
         on_room: Callable[[], None],
         start_window: StartWindow | None = None,
+        start_rate: StartRate | None = None,
     ) -> None:
         self._shard = shard
         self._service = ownership.shard
@@ -72,6 +76,7 @@
         self._on_unsaved = on_unsaved
         self._on_room = on_room
         self._start_window = start_window or StartWindow()
+        self._start_rate = start_rate or StartRate()
         self._nursery: trio.Nursery | None = None
         self._log = structlog.get_logger().bind(
             shard=ownership.shard, epoch=ownership.epoch
@@ -117,6 +122,8 @@
         self._start_window.record_answer(
             self._is_too_late(effect, result.kind, sent_ms)
         )
+        if result.kind == "ok":
+            self._start_rate.record_start()
         self.execute(
             self._shard.step(
                 StartAnswered(
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -33,7 +33,11 @@
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.events import WorkersListed
 from apricotgap.jobs.fleet_view import PoolReport, ReportRequest
-from apricotgap.jobs.limits import LEASE_MARGIN_MS, TICK_INTERVAL_MS
+from apricotgap.jobs.limits import (
+    LEASE_MARGIN_MS,
+    MAX_PENDING_FIRST_SAVES,
+    TICK_INTERVAL_MS,
+)
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.overload_options import (
@@ -46,6 +50,7 @@
 from apricotgap.jobs.service import SubmitOutcome
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.share_log import ShareLog
+from apricotgap.jobs.start_rate import StartRate
 from apricotgap.jobs.start_window import StartWindow
 from apricotgap.jobs.stragglers import StragglerDetector
 from apricotgap.jobs.team_use import team_use
@@ -114,6 +119,7 @@
         self._shard.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._demand = Demand(self._shard)
         self._start_window = StartWindow()
+        self._start_rate = StartRate()
         self._scheduler = Scheduler(
             self._shard, self._demand, overload, self._start_window
         )
@@ -135,6 +141,7 @@
             clock,
             metrics,
             self._job_accepted,
+            self._start_rate,
         )
         self._tickets = (
             TicketRequests(
@@ -178,6 +185,7 @@
             self._writer.wake,
             self._request_pass,
             self._start_window,
+            self._start_rate,
         )
         self._poll_loops = PollLoops(
             self._shard,
@@ -390,6 +398,13 @@
         self._workers.add_reader(self.ownership.shard)
         self._limits.wake()
 
+    @property
+    def _is_short_of_starts(self) -> bool:
+        """Whether the last pass left tasks to wait for this owner, not for room."""
+        if self._start_window.is_blocking:
+            return True
+        return self._shard.n_pending_first_saves >= MAX_PENDING_FIRST_SAVES
+
     async def _schedule_loop(self) -> None:
         while True:
             await self._pass_requested.wait()
@@ -397,6 +412,7 @@
             started_ms = self._clock.now_ms
             effects = self._scheduler.run(started_ms, self._permission.until_ms)
             self._effects.execute(effects)
+            self._start_rate.record_pass(started_ms, self._is_short_of_starts)
             if self._scheduler.is_team_blocked:
                 self._limits.wake()
             if self._scheduler.hit_start_limit and not self._start_window.is_blocking:
--- a/apricotgap/instance/submissions.py
+++ b/apricotgap/instance/submissions.py
@@ -18,6 +18,7 @@
 from apricotgap.jobs.service import SubmitOutcome, SubmitResult
 from apricotgap.jobs.service_order import ServiceOrder
 from apricotgap.jobs.shard import Shard
+from apricotgap.jobs.start_rate import StartRate
 from apricotgap.metrics import Metrics
 from apricotgap.platform.store import (
     Conflict,
@@ -44,6 +45,8 @@
         Dependencies.
     on_accepted : callable
         Called with each job that has been stored and added to the shard.
+    start_rate : StartRate, optional
+        Rate at which the owner starts tasks while it is short of starts.
     """
 
     def __init__(
@@ -56,12 +59,13 @@
         clock: Clock,
         metrics: Metrics,
         on_accepted: Callable[[JobSpec], None],
+        start_rate: StartRate | None = None,
     ) -> None:
         self._shard = shard
         self._ownership = ownership
         self._store = store
         self._demand = demand
-        self._admission = Admission(shard, demand, order)
+        self._admission = Admission(shard, demand, order, start_rate)
         self._clock = clock
         self._metrics = metrics
         self._on_accepted = on_accepted
@@ -116,7 +120,9 @@
         self._log.info(
             "job_refused", job=job.job_id, queue=job.queue, **asdict(refusal)
         )
-        self._metrics.count("jobs_refused", queue=job.queue, team=job.team)
+        self._metrics.count(
+            "jobs_refused", queue=job.queue, team=job.team, limit=refusal.limit
+        )
         return SubmitOutcome(
             SubmitResult.REFUSED, refusal.retry_after_ms, "cannot be served in time"
         )
--- a/apricotgap/jobs/admission.py
+++ b/apricotgap/jobs/admission.py
@@ -14,6 +14,7 @@
 from apricotgap.jobs.service_wait import ServiceWait, newcomers_ahead
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.standing import Outlook, Standing
+from apricotgap.jobs.start_rate import StartRate, n_tasks_ahead
 
 __all__ = ["Admission", "Refusal"]
 
@@ -31,8 +32,10 @@
 class Refusal:
     """A job that cannot be served while it is of use, and why.
 
-    `wait_ms` is the time until the pool has done the `ahead_core_ms` of work of the
-    jobs that go first. `team_cores` and `share` are the use and the weight of the team,
+    `limit` is ``capacity`` if the pool is short of capacity, and `wait_ms` is then the
+    time until it has done the `ahead_core_ms` of work of the jobs that go first. With
+    ``starts``, `wait_ms` is the time that the owner takes to start the tasks that wait
+    already. `team_cores` and `share` are the use and the weight of the team,
     `n_refusals` how often the job has been refused by now.
     """
 
@@ -46,6 +49,7 @@
     team_cores: float
     share: float
     n_refusals: int
+    limit: str = "capacity"
 
 
 class Admission:
@@ -56,6 +60,9 @@
     is refused at once, unless capacity is idle. Since teams that use more than their
     share come last, they are the first to have jobs refused.
 
+    A job that the owner itself could not start in time is refused even if capacity is
+    idle, since it would wait beside it.
+
     Parameters
     ----------
     shard : Shard
@@ -64,12 +71,22 @@
         Capacity that the pool has and is expected to have.
     order : ServiceOrder
         Order in which the shard serves its jobs.
+    start_rate : StartRate, optional
+        Rate at which the owner starts tasks while it is short of starts; without it the
+        owner counts as never short.
     """
 
-    def __init__(self, shard: Shard, demand: Demand, order: ServiceOrder) -> None:
+    def __init__(
+        self,
+        shard: Shard,
+        demand: Demand,
+        order: ServiceOrder,
+        start_rate: StartRate | None = None,
+    ) -> None:
         self._shard = shard
         self._demand = demand
         self._order = order
+        self._start_rate = start_rate or StartRate()
         self._refused = RefusedJobs()
         self._rates = ArrivalRates()
         # Reservations of refused jobs and when they end.
@@ -94,6 +111,11 @@
         self._order.refresh(at_ms, self._demand.forecast(at_ms))
         self._reserve_returning(at_ms)
         outlook = self._order.would_stand(spec, at_ms)
+        useful_until_ms = spec.submitted_ms + USEFUL_FACTOR * spec.objective_span_ms
+        left_ms = useful_until_ms - spec.critical_path_ms - self._shard.unix_of(at_ms)
+        starts_ms = self._wait_for_starts_ms(spec.priority, at_ms)
+        if 0 <= left_ms < starts_ms:
+            return self._refuse(spec, outlook, at_ms, starts_ms, starts_ms, "starts")
         if outlook.standing is Standing.ON_TIME:
             return None
         forecast = self._demand.planned_forecast(at_ms)
@@ -105,15 +127,50 @@
         if wait_ms is None or done_ms is None:
             return None
         end_ms = self._shard.unix_of(at_ms) + max(wait_ms + work.path_ms, done_ms)
-        useful_until_ms = spec.submitted_ms + USEFUL_FACTOR * spec.objective_span_ms
         if end_ms <= useful_until_ms or self._has_idle_capacity(spec, at_ms):
             return None
         # Jobs of the team that were refused before and are still away go before it.
         away_core_ms = self._refused.away_core_ms(work)
         free_ms = wait.until(work.core_ms + away_core_ms) or done_ms
+        return self._refuse(spec, outlook, at_ms, wait_ms, free_ms, "capacity")
+
+    def _wait_for_starts_ms(self, priority: int, at_ms: int) -> int:
+        """Return how long the owner takes to start the tasks that wait already."""
+        starts_per_s = self._start_rate.per_s(at_ms)
+        if starts_per_s is None:
+            return 0
+        n_tasks = n_tasks_ahead(self._shard, priority, at_ms)
+        n_tasks += sum(
+            step.n_tasks
+            for spec in self._jobs_being_stored(at_ms)
+            if spec.priority <= priority
+            for step in spec.steps
+            if not step.after
+        )
+        return int(1_000 * n_tasks / starts_per_s)
+
+    def _jobs_being_stored(self, at_ms: int) -> list[JobSpec]:
+        jobs = self._shard.jobs
+        return [
+            spec
+            for job_id, (spec, until_ms) in self._being_stored.items()
+            if at_ms < until_ms and job_id not in jobs
+        ]
+
+    def _refuse(
+        self,
+        spec: JobSpec,
+        outlook: Outlook,
+        at_ms: int,
+        wait_ms: int,
+        free_ms: int,
+        limit: str,
+    ) -> Refusal:
+        """Record that a job is refused, and tell why and when there is room for it."""
         retry_after_ms = _retry_after_ms(spec.job_id, free_ms)
         self._record_refused(spec, at_ms, retry_after_ms)
         shares = self._order.shares
+        forecast = self._demand.forecast(at_ms)
         return Refusal(
             retry_after_ms,
             spec.team,
@@ -121,10 +178,11 @@
             outlook.standing.name.lower(),
             wait_ms,
             int(outlook.ahead_core_ms),
-            round(forecast.now_cores, 1),
+            round(forecast.now_cores, 1) if forecast else 0.0,
             round(shares.total_cores(spec.team, at_ms), 1),
             shares.share(spec.team),
             self._refused.n_refusals(spec.job_id),
+            limit,
         )
 
     def record_accepted(self, spec: JobSpec, at_ms: int) -> None:
@@ -163,12 +221,7 @@
         return ServiceWait(forecast, ahead, newcomers)
 
     def _has_idle_capacity(self, spec: JobSpec, at_ms: int) -> bool:
-        jobs = self._shard.jobs
-        being_stored = [
-            other
-            for job_id, (other, until_ms) in self._being_stored.items()
-            if at_ms < until_ms and job_id not in jobs
-        ]
+        being_stored = self._jobs_being_stored(at_ms)
         return has_idle_capacity(self._shard, spec, being_stored, at_ms)
 
     def _record_refused(self, spec: JobSpec, at_ms: int, retry_after_ms: int) -> None:
--- a/apricotgap/jobs/scheduling.py
+++ b/apricotgap/jobs/scheduling.py
@@ -84,6 +84,8 @@
             Starts and log lines; the shard already counts the runs as started.
         """
         shard = self._shard
+        if self._start_window is not None:
+            self._start_window.record_pass(0, is_blocking=False)
         shard.kept_workers = frozenset()
         shard.inherited_usage = inherited_usage(shard)
         if at_ms > lease_until_ms - limits.LEASE_MARGIN_MS:
