--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -33,11 +33,7 @@
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.events import WorkersListed
 from apricotgap.jobs.fleet_view import PoolReport, ReportRequest
-from apricotgap.jobs.limits import (
-    LEASE_MARGIN_MS,
-    MAX_PENDING_FIRST_SAVES,
-    TICK_INTERVAL_MS,
-)
+from apricotgap.jobs.limits import LEASE_MARGIN_MS, TICK_INTERVAL_MS
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import JobPhase, JobSpec
 from apricotgap.jobs.overload_options import (
@@ -398,13 +394,6 @@
         self._workers.add_reader(self.ownership.shard)
         self._limits.wake()
 
-    @property
-    def _is_short_of_starts(self) -> bool:
-        """Whether the last pass left tasks to wait for this owner, not for room."""
-        if self._start_window.is_blocking:
-            return True
-        return self._shard.n_pending_first_saves >= MAX_PENDING_FIRST_SAVES
-
     async def _schedule_loop(self) -> None:
         while True:
             await self._pass_requested.wait()
@@ -412,7 +401,7 @@
             started_ms = self._clock.now_ms
             effects = self._scheduler.run(started_ms, self._permission.until_ms)
             self._effects.execute(effects)
-            self._start_rate.record_pass(started_ms, self._is_short_of_starts)
+            self._start_rate.record_pass(started_ms, self._start_window.is_blocking)
             if self._scheduler.is_team_blocked:
                 self._limits.wake()
             if self._scheduler.hit_start_limit and not self._start_window.is_blocking:
