Renew leases on connections of their own

Callers see shards change their owner although the store answers: where open connections go silent without a reset, each renewal took one of the idle connections that a burst of calls had left, and three in a row had no answer within the lease.

Lease calls now have a pool of their own that keeps one idle connection, so that the renewal after a silent one opens a new connection. They no longer queue behind other calls for a connection either. Costs one connection to the store for each instance.

test_lease_outlasts_idle_connections_that_went_silent failed before.

--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -215,8 +215,9 @@
 class _Pool:
     """Connections to one address."""
 
-    def __init__(self, address: str, max_connections: int) -> None:
+    def __init__(self, address: str, max_connections: int, max_idle: int) -> None:
         self._address = address
+        self._max_idle = max_idle
         self._semaphore = trio.Semaphore(max_connections)
         self._idle: deque[_Connection] = deque()
         self._is_closed = False
@@ -241,9 +242,7 @@
                 async with self._semaphore:
                     connection = await self._acquire(timeout_ms)
                     response, is_reusable = await connection.exchange(request, receive)
-                    if is_reusable and not self._is_closed:
-                        connection.idle_since_s = trio.current_time()
-                        self._idle.append(connection)
+                    if is_reusable and self._keep(connection):
                         connection = None
                     return response
         except trio.TooSlowError:
@@ -259,6 +258,14 @@
             if connection is not None:
                 connection.close()
 
+    def _keep(self, connection: _Connection) -> bool:
+        """Keep a connection for a later call, unless there are enough."""
+        if self._is_closed or len(self._idle) >= self._max_idle:
+            return False
+        connection.idle_since_s = trio.current_time()
+        self._idle.append(connection)
+        return True
+
     async def _acquire(self, timeout_ms: int) -> _Connection:
         while self._idle:
             connection = self._idle.pop()
@@ -281,10 +288,13 @@
     ----------
     max_connections : int
         Maximum number of connections to one address.
+    max_idle : int, optional
+        Maximum number of idle ones, by default all.
     """
 
-    def __init__(self, max_connections: int = 24) -> None:
+    def __init__(self, max_connections: int = 24, max_idle: int | None = None) -> None:
         self._max_connections = max_connections
+        self._max_idle = max_connections if max_idle is None else max_idle
         self._pools: dict[str, _Pool] = {}
 
     async def call(
@@ -333,7 +343,8 @@
         """
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = _Pool(address, self._max_connections)
+            pool = _Pool(address, self._max_connections, self._max_idle)
+            self._pools[address] = pool
         header_lines = [f"{method} {target} HTTP/1.1", f"Host: {address}"]
         header_lines += [f"{name}: {value}" for name, value in headers]
         if body or method != "GET":
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -75,6 +75,9 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._http = HttpClient(max_connections=48)
+        # A burst of calls leaves idle connections, all of which may have gone silent
+        # since. A renewal that follows one without an answer opens a new connection.
+        self._lease_http = HttpClient(max_connections=4, max_idle=1)
         self._n_consecutive_failures = 0
         self._observer: CallObserver = NoObserver()
 
@@ -97,10 +100,12 @@
         timeout_ms: int,
         kind: CallKind = CallKind.PROMPT,
         stall_ms: int | None = None,
+        client: HttpClient | None = None,
     ) -> HttpResponse:
         call_id = self._observer.record_start(kind)
+        http = self._http if client is None else client
         try:
-            response = await self._http.call(
+            response = await http.call(
                 method,
                 self._address,
                 target,
@@ -337,7 +342,9 @@
         kind: CallKind = CallKind.PROMPT,
     ) -> tuple[int, bytes]:
         try:
-            response = await self._call(method, target, body, timeout_ms, kind)
+            response = await self._call(
+                method, target, body, timeout_ms, kind, client=self._lease_http
+            )
         except NoResponseError as error:
             raise _store_error(error) from error
         return response.status, response.body
@@ -345,6 +352,7 @@
     async def aclose(self) -> None:
         """Close all connections."""
         await self._http.aclose()
+        await self._lease_http.aclose()
 
 
 def _store_error(error: NoResponseError) -> StoreError:
--- a/tests/day_process.py
+++ b/tests/day_process.py
@@ -69,7 +69,7 @@
 
     def use_links(self, store, workers):
         """Call the store and workers by these instead of sockets."""
-        self._store._http = store
+        self._store._http = self._store._lease_http = store
         self._client._poll_http = self._client._order_http = workers
 
     def serve_calls(self, nursery):
--- a/tests/test_instance_lease.py
+++ b/tests/test_instance_lease.py
@@ -1,5 +1,8 @@
 """Renewal, loss and revocation of the lease of an instance."""
 
+from contextlib import suppress
+from functools import partial
+
 import trio
 import trio.testing
 
@@ -10,7 +13,7 @@
     RENEW_INTERVAL_MS,
     InstanceLease,
 )
-from apricotgap.platform.store import StoreError
+from apricotgap.platform.store import StoreClient, StoreError
 
 
 class Store:
@@ -172,3 +175,71 @@
         assert store.n_granted == 2
 
     run(check)
+
+
+class SilencedServer:
+    """A store whose open connections go silent without a reset; new ones work."""
+
+    def __init__(self):
+        self.is_silent = False
+
+    async def serve(self, stream):
+        """Serve a connection until its client has closed it."""
+        with suppress(trio.BrokenResourceError):
+            await self._answer(stream)
+
+    async def _answer(self, stream):
+        is_old = not self.is_silent
+        while await stream.receive_some(10_000):
+            if self.is_silent and is_old:
+                await trio.sleep_forever()
+            # Calls at the same time get connections of their own.
+            await trio.sleep(0.05)
+            body = b'{"lease":7,"ttlMs":3000}'
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            await stream.send_all(head + body)
+
+
+def run_silenced(check):
+    """Run `check` with the client of a `SilencedServer` and a lease granted by it."""
+
+    async def main():
+        server = SilencedServer()
+        async with trio.open_nursery() as nursery:
+            (listener,) = await nursery.start(
+                partial(trio.serve_tcp, server.serve, 0, host="127.0.0.1")
+            )
+            store = StoreClient(f"127.0.0.1:{listener.socket.getsockname()[1]}")
+            lease = InstanceLease(store, TrioClock(), 1_000)
+            nursery.start_soon(lease.run)
+            with trio.fail_after(10):
+                while not lease.is_valid:
+                    await trio.sleep(0.01)
+                await check(server, store, lease)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def read(store):
+    try:
+        await store.read_key("k")
+    except StoreError:
+        return
+
+
+def test_lease_outlasts_idle_connections_that_went_silent():
+    """Guards against a lease that ends although the store answers on new connections:
+    each renewal takes one of the idle connections that a burst of calls has left.
+    """
+
+    async def check(server, store, lease):
+        async with trio.open_nursery() as reads:
+            for _ in range(20):
+                reads.start_soon(read, store)
+        server.is_silent = True
+        for _ in range(60):
+            await trio.sleep(0.075)
+            assert lease.is_valid
+
+    run_silenced(check)
