End a connection to a peer at once when it is given up

Sockets and tasks pile up while a peer is cut off: the scope that ends a connection no longer included its closing handshake, whose frame waits until the peer takes bytes again. The limit for closing does not hold for that wait.

The scope includes the whole connection again.

--- a/apricotgap/instance/peers.py
+++ b/apricotgap/instance/peers.py
@@ -108,7 +108,11 @@
 
 
 class _Connection:
-    """A connection to a peer and its unanswered calls."""
+    """A connection to a peer and its unanswered calls.
+
+    `scope` ends it at once: the closing handshake waits for bytes that a peer that is
+    cut off does not take.
+    """
 
     def __init__(self, socket: Any, scope: trio.CancelScope) -> None:
         self.socket = socket
@@ -263,17 +267,17 @@
             host, _, port = address.rpartition(":")
             with trio.fail_after(_CONNECT_WAIT_S):
                 stream = await trio.open_tcp_stream(host, int(port))
-            async with connect(
-                f"ws://{address}/",
-                stream=stream,
-                ping_interval=None,
-                compression=None,
-                max_size=_MAX_MESSAGE_BYTES,
-                proxy=None,
-                open_timeout=_HANDSHAKE_TIMEOUT_S,
-                close_timeout=_CLOSE_TIMEOUT_S,
-            ) as socket:
-                with trio.CancelScope() as scope:
+            with trio.CancelScope() as scope:
+                async with connect(
+                    f"ws://{address}/",
+                    stream=stream,
+                    ping_interval=None,
+                    compression=None,
+                    max_size=_MAX_MESSAGE_BYTES,
+                    proxy=None,
+                    open_timeout=_HANDSHAKE_TIMEOUT_S,
+                    close_timeout=_CLOSE_TIMEOUT_S,
+                ) as socket:
                     opening.connection = _Connection(socket, scope)
                     self._end_opening(address, opening)
                     await self._receive(address, opening.connection)
--- a/tests/test_instance_peers.py
+++ b/tests/test_instance_peers.py
@@ -1,5 +1,6 @@
 """Calls between instances: malformed messages and unreachable peers."""
 
+import socket
 from functools import partial
 
 import cbor2
@@ -284,3 +285,38 @@
         assert n_opened == 1
 
     trio.run(main)
+
+
+def test_connection_to_a_peer_that_stopped_reading_is_closed():
+    """Guards against sockets that pile up while a peer is cut off: the end of a
+    connection waits until its last bytes can be sent.
+    """
+
+    async def main():
+        port, front_port = free_port(), free_port()
+
+        async def accept(client):
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            server = await trio.open_tcp_stream("127.0.0.1", port)
+            await server.send_all(await client.receive_some(10_000))
+            await client.send_all(await server.receive_some(10_000))
+            # Nothing is read any more, so that the window of the sender fills.
+            await trio.sleep_forever()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_peers, "127.0.0.1", port, _echo)
+            await nursery.start(
+                partial(trio.serve_tcp, accept, front_port, host="127.0.0.1")
+            )
+            client, address = PeerClient(nursery), f"127.0.0.1:{front_port}"
+            n_tasks = len(nursery.child_tasks)
+            for n_bytes in (1, 32 << 20):
+                with pytest.raises(PeerCallError):
+                    await client.call(address, "echo", bytes(n_bytes), 300)
+            with trio.move_on_after(1.0):
+                while len(nursery.child_tasks) > n_tasks:
+                    await trio.sleep(0.05)
+            assert len(nursery.child_tasks) == n_tasks
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
