Begin a second handshake with a peer beside one that hangs

Callers got no answer from an owner for up to 3 s after it had come back: all calls waited for one handshake that a cut, or the end of the peer's last process, had left without an answer. Before handshakes were shared, the next call opened a connection.

After 1 s without an end, one more handshake is begun beside the first, for all calls that wait; the first one to end is used.

test_handshake_that_hangs_does_not_keep_later_calls_from_the_peer failed before.

--- a/apricotgap/instance/peers.py
+++ b/apricotgap/instance/peers.py
@@ -23,6 +23,10 @@
 # The handshake goes on for longer, for the calls that follow: a peer that is overloaded
 # would never get through one that is begun anew for each call.
 _HANDSHAKE_TIMEOUT_S = 3.0
+# A handshake without an end for this long may be lost, in a cut or with a process that
+# is gone. One more is begun beside it; they are what costs an overloaded peer most.
+_SECOND_HANDSHAKE_S = 1.0
+_MAX_HANDSHAKES = 2
 _CLOSE_TIMEOUT_S = 0.2
 # A link that was heard within this time is not pinged before a call that must not get
 # lost, and one that failed within this time is not tried again for such a call.
@@ -145,6 +149,24 @@
         self.has_ended = trio.Event()
         self.connection: _Connection | None = None
         self.error = "not opened"
+        self._n_attempts = 0
+        self._begun_s = 0.0
+
+    def begin_attempt(self) -> bool:
+        """Count an attempt to open it, if one is due; returns whether it is."""
+        now_s = trio.current_time()
+        if self._n_attempts >= _MAX_HANDSHAKES:
+            return False
+        if self._n_attempts and now_s - self._begun_s < _SECOND_HANDSHAKE_S:
+            return False
+        self._n_attempts += 1
+        self._begun_s = now_s
+        return True
+
+    def end_attempt(self) -> bool:
+        """Count an attempt that has ended; returns whether it was the last one."""
+        self._n_attempts -= 1
+        return self._n_attempts == 0
 
     async def wait(self) -> _Connection:
         """Return the connection.
@@ -259,6 +281,7 @@
         opening = self._openings.get(address)
         if opening is None:
             opening = self._openings[address] = _Opening()
+        if opening.begin_attempt():
             self._nursery.start_soon(self._run_connection, address, opening)
         return await opening.wait()
 
@@ -278,6 +301,8 @@
                     open_timeout=_HANDSHAKE_TIMEOUT_S,
                     close_timeout=_CLOSE_TIMEOUT_S,
                 ) as socket:
+                    if opening.has_ended.is_set():
+                        return
                     opening.connection = _Connection(socket, scope)
                     self._end_opening(address, opening)
                     await self._receive(address, opening.connection)
@@ -285,7 +310,8 @@
             # Addresses come from records that other programs may have written.
             opening.error = repr(error)[:_MAX_ERROR_CHARS]
         finally:
-            self._end_opening(address, opening)
+            if opening.end_attempt():
+                self._end_opening(address, opening)
 
     def _end_opening(self, address: str, opening: _Opening) -> None:
         if self._openings.get(address) is opening:
--- a/tests/test_instance_peers.py
+++ b/tests/test_instance_peers.py
@@ -320,3 +320,47 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_handshake_that_hangs_does_not_keep_later_calls_from_the_peer():
+    """Guards against a peer that seems away for 3 s after it has come back: a handshake
+    that its last process, or a cut, has left without an answer is waited for.
+    """
+    n_opened = 0
+
+    async def main():
+        port, front_port = free_port(), free_port()
+
+        async def forward(source, sink):
+            async with sink:
+                async for data in source:
+                    await sink.send_all(data)
+
+        async def accept(client):
+            nonlocal n_opened
+            n_opened += 1
+            if n_opened == 1:
+                await trio.sleep_forever()
+            server = await trio.open_tcp_stream("127.0.0.1", port)
+            async with trio.open_nursery() as pair:
+                pair.start_soon(forward, client, server)
+                pair.start_soon(forward, server, client)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_peers, "127.0.0.1", port, _echo)
+            await nursery.start(
+                partial(trio.serve_tcp, accept, front_port, host="127.0.0.1")
+            )
+            client = PeerClient(nursery)
+            started_s = trio.current_time()
+            answer = None
+            while answer is None and trio.current_time() - started_s < 5:
+                try:
+                    address = f"127.0.0.1:{front_port}"
+                    answer = await client.call(address, "echo", 1, 500)
+                except PeerCallError as error:
+                    assert not error.sent
+            assert trio.current_time() - started_s < 2.5
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
