End renewals in progress as a lease is abandoned

Callers wait longer for the next owner of a shard that a stopping instance could not give up: a renewal that waited for its connection was sent after the lease had been abandoned, and lengthened it.

Abandoning a lease now ends the calls of its renewal.

test_renewal_that_was_not_sent_yet_is_not_sent_for_an_abandoned_lease failed before.

--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -49,6 +49,7 @@
         self._ttl_ms = max(LEASE_TTL_MS, min_ttl_ms)
         self._log = structlog.get_logger()
         self._is_revoked = False
+        self._calls = trio.CancelScope()
         # Renewals without an answer yet.
         self._n_pending = 0
         self.lease_id = 0
@@ -79,6 +80,10 @@
 
     async def run(self) -> None:
         """Renew the lease until cancelled; acquire a new one when it has expired."""
+        with self._calls:
+            await self._keep()
+
+    async def _keep(self) -> None:
         async with trio.open_nursery() as nursery:
             while not self._is_revoked:
                 if not self.lease_id:
@@ -160,6 +165,8 @@
     def abandon(self) -> int:
         """Renew the lease no more and acquire no new one; return its id, 0 for none."""
         self._is_revoked = True
+        # A renewal that waits for a connection would still be sent, up to 1.3 s later.
+        self._calls.cancel()
         lease_id = self.lease_id
         self._set(0, 0)
         return lease_id
--- a/tests/test_instance_lease.py
+++ b/tests/test_instance_lease.py
@@ -25,6 +25,9 @@
         self.n_waiting = 0
         self.is_down = False
         self.answer_delay_s = 0.0
+        # Time until a renewal is sent.
+        self.connect_s = 0.0
+        self.n_renewed = 0
 
     async def grant_lease(self, ttl_ms):
         self.n_granted += 1
@@ -34,6 +37,8 @@
     async def renew_lease(self, lease, timeout_ms):
         if self.is_down:
             raise StoreError("down")
+        await trio.sleep(self.connect_s)
+        self.n_renewed += 1
         self.n_waiting += 1
         await trio.sleep(min(self.answer_delay_s, timeout_ms / 1000))
         self.n_waiting -= 1
@@ -115,6 +120,22 @@
     run(check)
 
 
+def test_renewal_that_was_not_sent_yet_is_not_sent_for_an_abandoned_lease():
+    """Guards against shards of an instance that has stopped which wait for their next
+    owner: a renewal that was waiting for its connection lengthens the abandoned lease.
+    """
+
+    async def check(store, clock, lease):
+        store.connect_s = 1.0
+        await trio.sleep(RENEW_INTERVAL_MS / 1000 + 0.1)
+        n_renewed = store.n_renewed
+        lease.abandon()
+        await trio.sleep(5)
+        assert store.n_renewed == n_renewed
+
+    run(check)
+
+
 def test_no_lease_is_requested_after_a_renewal_that_finds_it_ended():
     """Guards against a stopping instance that acquires one more lease."""
 
