Play renewals of leases by the election's specification again

It now plays _renew, or _acquire without a lease, and the two faults that must show in it are put there. They are as strict as before; the part of them that was about a lease granted within the same call is gone with that call.

Several renewals in flight at a time are not part of the specification; tests/test_instance_lease.py has them.

--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -8,7 +8,7 @@
 from apricotgap.clock import Clock
 from apricotgap.platform.store import Lease, StoreClient, StoreError
 
-__all__ = ["InstanceLease"]
+__all__ = ["InstanceLease", "Renewal"]
 
 # The shards of a lost instance have no owner for about this time. The leases of workers
 # outlast it.
@@ -23,7 +23,7 @@
 
 
 @dataclass(slots=True)
-class _Renewal:
+class Renewal:
     """A renewal of a lease, and what has become of it."""
 
     lease_id: int
@@ -112,7 +112,7 @@
 
     async def _begin_renewal(self, nursery: trio.Nursery) -> float:
         """Send a renewal; return the pause until the next call, in seconds."""
-        renewal = _Renewal(self.lease_id)
+        renewal = Renewal(self.lease_id)
         nursery.start_soon(self._renew, renewal)
         with trio.move_on_after(RENEW_SILENCE_MS / 1000):
             await renewal.has_ended.wait()
@@ -124,7 +124,7 @@
             )
         return _RETRY_S if self.lease_id else 0
 
-    async def _renew(self, renewal: _Renewal) -> None:
+    async def _renew(self, renewal: Renewal) -> None:
         sent_ms = self._clock.now_ms
         self._n_pending += 1
         try:
