--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -8,7 +8,7 @@
 from apricotgap.clock import Clock
 from apricotgap.platform.store import Lease, StoreClient, StoreError
 
-__all__ = ["InstanceLease"]
+__all__ = ["InstanceLease", "Renewal"]
 
 # The shards of a lost instance have no owner for about this time. The leases of workers
 # outlast it.
@@ -17,12 +17,13 @@
 # A renewal without an answer for this long is followed by another one. Its own answer
 # still counts: it may only be late, on a link that is busy.
 RENEW_SILENCE_MS = 600
-MAX_PENDING_RENEWALS = 3
+# As many as are sent within the length of a lease.
+MAX_PENDING_RENEWALS = 4
 _RETRY_S = 0.2
 
 
 @dataclass(slots=True)
-class _Renewal:
+class Renewal:
     """A renewal of a lease, and what has become of it."""
 
     lease_id: int
@@ -49,6 +50,7 @@
         self._ttl_ms = max(LEASE_TTL_MS, min_ttl_ms)
         self._log = structlog.get_logger()
         self._is_revoked = False
+        self._calls = trio.CancelScope()
         # Renewals without an answer yet.
         self._n_pending = 0
         self.lease_id = 0
@@ -79,6 +81,10 @@
 
     async def run(self) -> None:
         """Renew the lease until cancelled; acquire a new one when it has expired."""
+        with self._calls:
+            await self._keep()
+
+    async def _keep(self) -> None:
         async with trio.open_nursery() as nursery:
             while not self._is_revoked:
                 if not self.lease_id:
@@ -106,7 +112,7 @@
 
     async def _begin_renewal(self, nursery: trio.Nursery) -> float:
         """Send a renewal; return the pause until the next call, in seconds."""
-        renewal = _Renewal(self.lease_id)
+        renewal = Renewal(self.lease_id)
         nursery.start_soon(self._renew, renewal)
         with trio.move_on_after(RENEW_SILENCE_MS / 1000):
             await renewal.has_ended.wait()
@@ -118,13 +124,13 @@
             )
         return _RETRY_S if self.lease_id else 0
 
-    async def _renew(self, renewal: _Renewal) -> None:
+    async def _renew(self, renewal: Renewal) -> None:
         sent_ms = self._clock.now_ms
         self._n_pending += 1
         try:
-            # An answer that comes after the lease has ended is of no use.
-            timeout_ms = max(RENEW_SILENCE_MS, self._left_ms)
-            is_alive = await self._store.renew_lease(renewal.lease_id, timeout_ms)
+            # An answer is of use for the length of a lease: the present end of the
+            # lease may be put off by an earlier answer until it comes.
+            is_alive = await self._store.renew_lease(renewal.lease_id, self._ttl_ms)
         except StoreError as error:
             self._log_failure(renewal.lease_id, error)
             return
@@ -160,6 +166,8 @@
     def abandon(self) -> int:
         """Renew the lease no more and acquire no new one; return its id, 0 for none."""
         self._is_revoked = True
+        # A renewal that waits for a connection would still be sent, up to 1.8 s later.
+        self._calls.cancel()
         lease_id = self.lease_id
         self._set(0, 0)
         return lease_id
--- a/tests/test_instance_lease.py
+++ b/tests/test_instance_lease.py
@@ -1,5 +1,9 @@
 """Renewal, loss and revocation of the lease of an instance."""
 
+from contextlib import suppress
+from functools import partial
+
+import pytest
 import trio
 import trio.testing
 
@@ -10,7 +14,7 @@
     RENEW_INTERVAL_MS,
     InstanceLease,
 )
-from apricotgap.platform.store import StoreError
+from apricotgap.platform.store import StoreClient, StoreError
 
 
 class Store:
@@ -22,6 +26,9 @@
         self.n_waiting = 0
         self.is_down = False
         self.answer_delay_s = 0.0
+        # Time until a renewal is sent.
+        self.connect_s = 0.0
+        self.n_renewed = 0
 
     async def grant_lease(self, ttl_ms):
         self.n_granted += 1
@@ -31,6 +38,8 @@
     async def renew_lease(self, lease, timeout_ms):
         if self.is_down:
             raise StoreError("down")
+        await trio.sleep(self.connect_s)
+        self.n_renewed += 1
         self.n_waiting += 1
         await trio.sleep(min(self.answer_delay_s, timeout_ms / 1000))
         self.n_waiting -= 1
@@ -112,6 +121,22 @@
     run(check)
 
 
+def test_renewal_that_was_not_sent_yet_is_not_sent_for_an_abandoned_lease():
+    """Guards against shards of an instance that has stopped which wait for their next
+    owner: a renewal that was waiting for its connection lengthens the abandoned lease.
+    """
+
+    async def check(store, clock, lease):
+        store.connect_s = 1.0
+        await trio.sleep(RENEW_INTERVAL_MS / 1000 + 0.1)
+        n_renewed = store.n_renewed
+        lease.abandon()
+        await trio.sleep(5)
+        assert store.n_renewed == n_renewed
+
+    run(check)
+
+
 def test_no_lease_is_requested_after_a_renewal_that_finds_it_ended():
     """Guards against a stopping instance that acquires one more lease."""
 
@@ -127,9 +152,11 @@
     run(check)
 
 
-def test_late_answer_of_a_renewal_extends_the_lease():
+@pytest.mark.parametrize("answer_delay_s", [0.9, 1.5, 2.0])
+def test_late_answer_of_a_renewal_extends_the_lease(answer_delay_s):
     """Guards against an owner that loses its shard on a busy link: each renewal is
-    answered in 0.9 s, and was given up after 0.6 s.
+    answered in 0.9 s, and was given up after 0.6 s; or it was given up at the end of
+    the lease as known when it was sent, which an earlier answer has put off since.
     """
 
     async def main():
@@ -138,7 +165,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(lease.run)
             await trio.testing.wait_all_tasks_blocked()
-            store.answer_delay_s = 0.9
+            store.answer_delay_s = answer_delay_s
             for _ in range(200):
                 await trio.sleep(0.1)
                 assert lease.is_valid
@@ -172,3 +199,71 @@
         assert store.n_granted == 2
 
     run(check)
+
+
+class SilencedServer:
+    """A store whose open connections go silent without a reset; new ones work."""
+
+    def __init__(self):
+        self.is_silent = False
+
+    async def serve(self, stream):
+        """Serve a connection until its client has closed it."""
+        with suppress(trio.BrokenResourceError):
+            await self._answer(stream)
+
+    async def _answer(self, stream):
+        is_old = not self.is_silent
+        while await stream.receive_some(10_000):
+            if self.is_silent and is_old:
+                await trio.sleep_forever()
+            # Calls at the same time get connections of their own.
+            await trio.sleep(0.05)
+            body = b'{"lease":7,"ttlMs":3000}'
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            await stream.send_all(head + body)
+
+
+def run_silenced(check):
+    """Run `check` with the client of a `SilencedServer` and a lease granted by it."""
+
+    async def main():
+        server = SilencedServer()
+        async with trio.open_nursery() as nursery:
+            (listener,) = await nursery.start(
+                partial(trio.serve_tcp, server.serve, 0, host="127.0.0.1")
+            )
+            store = StoreClient(f"127.0.0.1:{listener.socket.getsockname()[1]}")
+            lease = InstanceLease(store, TrioClock(), 1_000)
+            nursery.start_soon(lease.run)
+            with trio.fail_after(10):
+                while not lease.is_valid:
+                    await trio.sleep(0.01)
+                await check(server, store, lease)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def read(store):
+    try:
+        await store.read_key("k")
+    except StoreError:
+        return
+
+
+def test_lease_outlasts_idle_connections_that_went_silent():
+    """Guards against a lease that ends although the store answers on new connections:
+    each renewal takes one of the idle connections that a burst of calls has left.
+    """
+
+    async def check(server, store, lease):
+        async with trio.open_nursery() as reads:
+            for _ in range(20):
+                reads.start_soon(read, store)
+        server.is_silent = True
+        for _ in range(60):
+            await trio.sleep(0.075)
+            assert lease.is_valid
+
+    run_silenced(check)
