Store no job past an owner that cannot start it in time

Cause: an instance that gets no answer from the owner stores the job itself, which accepts it; an overloaded owner gives no answer in time. The fallback carries what the call that failed would have refused.

While jobs are refused for want of starts, the owner keeps a key in the store under its lease, with its epoch and the priority from which on it refuses. It judges the jobs that it finds in the store too. Other instances refuse such jobs at once then, unless the store holds them already.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -3,6 +3,7 @@
 import structlog
 
 from apricotgap.clock import Clock
+from apricotgap.decoding import DecodeError
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
     OWNERS_PREFIX,
@@ -11,8 +12,11 @@
     SYSTEM_PREFIX,
     Member,
     Owner,
+    Refusal,
     decode_member,
     decode_owner,
+    decode_refusal,
+    refusal_key,
 )
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.jobs.configuration import Configuration, Wave
@@ -239,6 +243,19 @@
         shards = self.shards()
         return not shards or service in shards or service in self._owners
 
+    def refusal(self, service: str) -> Refusal | None:
+        """Return what the present owner of a service refuses, None for nothing."""
+        item = self.system_mirror.items.get(refusal_key(service))
+        owner = self.owner(service)
+        if item is None or item.value is None or owner is None:
+            return None
+        try:
+            refusal = decode_refusal(item.value)
+        except DecodeError as error:
+            self._log.error("refusal_unreadable", shard=service, error=str(error))
+            return None
+        return refusal if refusal.epoch == owner.epoch else None
+
     def owner_item(self, shard: str) -> Item | None:
         """Return the owner key of a shard, None if the shard has no owner."""
         known = self._owners.get(shard)
--- a/apricotgap/instance/direct_submissions.py
+++ b/apricotgap/instance/direct_submissions.py
@@ -1,14 +1,23 @@
 """Submissions written to the store while no owner of their shard answers."""
 
+import structlog
+
 from apricotgap.clock import Clock
 from apricotgap.instance.cluster_view import ClusterView
-from apricotgap.instance.keys import SHARD_OPEN, index_key, job_writes, shard_key
+from apricotgap.instance.keys import (
+    SHARD_OPEN,
+    Refusal,
+    index_key,
+    job_writes,
+    shard_key,
+)
 from apricotgap.jobs.model import JobSpec
-from apricotgap.jobs.service import SubmitResult
+from apricotgap.jobs.service import SubmitOutcome, SubmitResult
 from apricotgap.platform.store import (
     Conflict,
     StoreClient,
     Stored,
+    StoreError,
     Unavailable,
     Unknown,
     Write,
@@ -34,11 +43,42 @@
         self._cluster_view = cluster_view
         self._store = store
         self._clock = clock
+        self._log = structlog.get_logger()
 
     async def submit(
         self, job: JobSpec, document: bytes, deadline_ms: int
+    ) -> SubmitOutcome:
+        """Write a job; REFUSED guarantees that no write of it can take effect.
+
+        Nothing is written while the owner is known to refuse jobs.
+        """
+        refusal = self._cluster_view.refusal(job.service)
+        if refusal is not None and _is_refused(job, refusal):
+            return await self._refuse(job, refusal.retry_after_ms)
+        return SubmitOutcome(await self._write(job, document, deadline_ms))
+
+    async def _refuse(self, job: JobSpec, retry_after_ms: int) -> SubmitOutcome:
+        """Refuse a job unless an earlier submission of it has been stored."""
+        try:
+            item = await self._store.read_key(index_key(job.job_id), _STORE_TIMEOUT_MS)
+        except StoreError:
+            return SubmitOutcome(SubmitResult.UNKNOWN)
+        if item.value is not None:
+            return SubmitOutcome(SubmitResult.ACCEPTED)
+        self._log.info(
+            "job_refused",
+            job=job.job_id,
+            queue=job.queue,
+            retry_after_ms=retry_after_ms,
+            limit="owner",
+        )
+        return SubmitOutcome(
+            SubmitResult.REFUSED, retry_after_ms, "the owner refuses jobs"
+        )
+
+    async def _write(
+        self, job: JobSpec, document: bytes, deadline_ms: int
     ) -> SubmitResult:
-        """Write a job; REFUSED guarantees that no write of it can take effect."""
         writes = job_writes(job.service, job.job_id, document)
         mark = self._shard_mark(job.service)
         result = SubmitResult.REFUSED
@@ -72,3 +112,10 @@
         if item is None or item.value != SHARD_OPEN:
             return Write(shard_key(service), SHARD_OPEN)
         return Write(item.key, expected_revision=item.revision, check_only=True)
+
+
+def _is_refused(job: JobSpec, refusal: Refusal) -> bool:
+    """Whether the owner refuses a job; long-running and scheduled ones may wait."""
+    if job.is_long_running or job.n_occurrences:
+        return False
+    return job.priority >= refusal.from_priority
--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -133,7 +133,8 @@
     ) -> SubmitOutcome:
         """Submit to the owner; if none answers, write the job to the store.
 
-        Only a refusal by the owner itself, for lack of capacity, has a reason.
+        Only a refusal by the owner itself has a reason, which may have come through the
+        store.
         """
         may_be_stored = False
         try:
@@ -155,10 +156,10 @@
         except DecodeError as error:
             self._log.error("owner_answer_odd", shard=job.service, error=str(error))
             may_be_stored = True
-        result = await self._direct_submissions.submit(job, document, deadline_ms)
-        if result is SubmitResult.REFUSED and may_be_stored:
-            result = SubmitResult.UNKNOWN
-        return SubmitOutcome(result)
+        outcome = await self._direct_submissions.submit(job, document, deadline_ms)
+        if outcome.result is SubmitResult.REFUSED and may_be_stored:
+            return SubmitOutcome(SubmitResult.UNKNOWN)
+        return outcome
 
     async def _handle_relay(self, operation: str, argument: Any) -> list[Any]:
         payload, left_ms = decode_relay_call(argument)
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -15,19 +15,23 @@
     "FLEET_ORDERS_KEY",
     "MEMBERS_PREFIX",
     "OWNERS_PREFIX",
+    "REFUSALS_PREFIX",
     "SHARDS_PREFIX",
     "SHARD_CLOSING",
     "SHARD_OPEN",
     "SYSTEM_PREFIX",
     "Member",
     "Owner",
+    "Refusal",
     "cancel_key",
     "decode_epoch",
     "decode_member",
     "decode_owner",
+    "decode_refusal",
     "decode_service",
     "encode_member",
     "encode_owner",
+    "encode_refusal",
     "epoch_key",
     "index_key",
     "job_key",
@@ -39,6 +43,7 @@
     "owner_key",
     "progress_key",
     "progress_prefix",
+    "refusal_key",
     "roster_key",
     "shard_key",
     "tenure_key",
@@ -49,7 +54,10 @@
 OWNERS_PREFIX = "sys/owners/"
 # Services that may have unfinished jobs, whether a queue uses them or not.
 SHARDS_PREFIX = "sys/shards/"
-# Values of these keys. While a shard is closing, its owner checks that no job is left.
+# Services whose owner refuses jobs.
+REFUSALS_PREFIX = "sys/refusals/"
+# Values of the keys of shards. While one is closing, its owner checks that no job is
+# left.
 SHARD_OPEN = b"open"
 SHARD_CLOSING = b"closing"
 # Machines that were recently named in an order of the fleet owner.
@@ -61,6 +69,9 @@
 ]
 # Name, incarnation, address and epoch of an owner.
 _OwnerRow = tuple[str, str, str, Count]
+# Epoch of the owner, when refused callers should come back, in milliseconds, and the
+# priority from which on jobs are refused.
+_RefusalRow = tuple[Count, Count, Count]
 # A run id is up to a thousand times an epoch, and must fit an integer.
 _MAX_EPOCH_DIGITS = 12
 
@@ -75,6 +86,40 @@
     return f"{SHARDS_PREFIX}{service}"
 
 
+def refusal_key(service: str) -> str:
+    """Return the key that exists while the owner of a service refuses jobs."""
+    return f"{REFUSALS_PREFIX}{service}"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """What the owner of a service with an epoch refuses.
+
+    Jobs with the priority `from_priority` or a less urgent one are refused. Their
+    callers should come back after `retry_after_ms`.
+    """
+
+    epoch: int
+    retry_after_ms: int
+    from_priority: int
+
+
+def encode_refusal(refusal: Refusal) -> bytes:
+    """Return the value of the key of a refusal."""
+    return cbor2.dumps([refusal.epoch, refusal.retry_after_ms, refusal.from_priority])
+
+
+def decode_refusal(data: bytes) -> Refusal:
+    """Decode the value of the key of a refusal.
+
+    Raises
+    ------
+    DecodeError
+        The value is malformed.
+    """
+    return Refusal(*decode_cbor(data, _RefusalRow))
+
+
 def epoch_key(shard: str) -> str:
     """Return the key of the number of owners that a shard has had."""
     return f"epochs/{shard}"
--- a/apricotgap/instance/shard_loader.py
+++ b/apricotgap/instance/shard_loader.py
@@ -4,7 +4,7 @@
 would end each successor too, and none of the shard's jobs would run.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import structlog
 
@@ -55,13 +55,28 @@
             _log_not_loaded(job)
 
 
-def add_found_jobs(shard: Shard, items: Iterable[Item]) -> None:
-    """Add the jobs that other instances wrote to the store directly."""
+def add_found_jobs(
+    shard: Shard,
+    items: Iterable[Item],
+    on_found: Callable[[JobSpec], None] = lambda job: None,
+) -> None:
+    """Add the jobs that other instances wrote to the store directly.
+
+    Parameters
+    ----------
+    shard : Shard
+        Shard to add to.
+    items : iterable of Item
+        New keys below the jobs of its service.
+    on_found : callable, optional
+        Called with each job before it is added.
+    """
     log = structlog.get_logger()
     for item in items:
         job = _decode_stored_job(item)
         if job is None or job.job_id in shard.jobs:
             continue
+        _tell(on_found, job)
         try:
             shard.submit(job)
         except Exception:
@@ -70,6 +85,15 @@
         log.info("job_found", job=job.job_id, shard=job.service)
 
 
+def _tell(on_found: Callable[[JobSpec], None], job: JobSpec) -> None:
+    """Call the listener; the job is added whatever it raises."""
+    try:
+        on_found(job)
+    except Exception:
+        log = structlog.get_logger()
+        log.exception("found_job_not_judged", job=job.job_id, shard=job.service)
+
+
 def cancel_found_jobs(shard: Shard, items: Iterable[Item], at_ms: int) -> list[Effect]:
     """Cancel the jobs whose cancellation other instances wrote to the store."""
     effects: list[Effect] = []
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -17,6 +17,7 @@
 from apricotgap.instance.poll_loops import PollLoops
 from apricotgap.instance.prefix_reader import read_prefix
 from apricotgap.instance.progress_writer import ProgressWriter
+from apricotgap.instance.refusal_mark import RefusalMark
 from apricotgap.instance.roster import RosterWriter
 from apricotgap.instance.shard_loader import (
     add_found_jobs,
@@ -128,6 +129,7 @@
         self._share_log = ShareLog(self._shard, self._shares)
         self._pass_requested = trio.Event()
         self._writer = ProgressWriter(self._shard, ownership, store)
+        self._refusal_mark = RefusalMark(ownership, store, clock)
         self._submissions = Submissions(
             self._shard,
             ownership,
@@ -138,6 +140,7 @@
             metrics,
             self._job_accepted,
             self._start_rate,
+            self._refusal_mark.record_refusal,
         )
         self._tickets = (
             TicketRequests(
@@ -222,6 +225,7 @@
                     nursery.start_soon(self._tickets.run)
                 nursery.start_soon(self._roster.run)
                 nursery.start_soon(self._tenure_mark.run)
+                nursery.start_soon(self._refusal_mark.run)
                 nursery.start_soon(self._tick_loop)
                 nursery.start_soon(self._cleanup.run, jobs)
                 nursery.start_soon(self._retirement.run, jobs)
@@ -280,7 +284,7 @@
     def _jobs_changed(self, items: tuple[Item, ...]) -> None:
         known = self._shard.jobs
         new = [item for item in items if item.key.rpartition("/")[2] not in known]
-        add_found_jobs(self._shard, new)
+        add_found_jobs(self._shard, new, self._submissions.record_found)
         self._effects.execute(cancel_found_jobs(self._shard, items, self._clock.now_ms))
         self._pass_requested.set()
 
--- a/apricotgap/instance/submissions.py
+++ b/apricotgap/instance/submissions.py
@@ -11,7 +11,7 @@
 from apricotgap.instance.keys import index_key, job_writes, progress_key
 from apricotgap.instance.ownership import Ownership
 from apricotgap.instance.unresolved_submissions import UnresolvedSubmissions
-from apricotgap.jobs.admission import Admission, Refusal
+from apricotgap.jobs.admission import STARTS, Admission, Refusal
 from apricotgap.jobs.demand import Demand
 from apricotgap.jobs.documents import Progress, encode_job, encode_progress
 from apricotgap.jobs.model import JobSpec
@@ -47,6 +47,9 @@
         Called with each job that has been stored and added to the shard.
     start_rate : StartRate, optional
         Rate at which the owner starts tasks while it is short of starts.
+    on_refused : callable, optional
+        Called with the priority of a job that the owner cannot start in time, and the
+        milliseconds after which its caller should come back.
     """
 
     def __init__(
@@ -60,7 +63,9 @@
         metrics: Metrics,
         on_accepted: Callable[[JobSpec], None],
         start_rate: StartRate | None = None,
+        on_refused: Callable[[int, int], None] = lambda priority, retry_after_ms: None,
     ) -> None:
+        self._on_refused = on_refused
         self._shard = shard
         self._ownership = ownership
         self._store = store
@@ -93,6 +98,21 @@
             job.job_id, partial(self._submit, job, deadline_ms)
         )
 
+    def record_found(self, job: JobSpec) -> None:
+        """Count a job that another instance has stored without the owner.
+
+        It stays accepted. If the owner would have refused it, others are to come back.
+        """
+        now_ms = self._clock.now_ms
+        refusal = self._admission.decide(job, now_ms)
+        if refusal is not None:
+            self._note_refusal(refusal)
+        self._admission.record_accepted(job, now_ms)
+
+    def _note_refusal(self, refusal: Refusal) -> None:
+        if refusal.limit == STARTS:
+            self._on_refused(refusal.priority, refusal.retry_after_ms)
+
     async def _submit(self, job: JobSpec, deadline_ms: int) -> SubmitOutcome:
         if job.job_id in self._shard.jobs:
             return _ACCEPTED
@@ -110,6 +130,7 @@
 
     async def _refuse(self, job: JobSpec, refusal: Refusal) -> SubmitOutcome:
         """Refuse a job unless an earlier submission of it has been stored."""
+        self._note_refusal(refusal)
         try:
             item = await self._store.read_key(index_key(job.job_id))
         except StoreError as error:
--- a/apricotgap/jobs/admission.py
+++ b/apricotgap/jobs/admission.py
@@ -16,8 +16,11 @@
 from apricotgap.jobs.standing import Outlook, Standing
 from apricotgap.jobs.start_rate import StartRate, n_tasks_ahead
 
-__all__ = ["Admission", "Refusal"]
+__all__ = ["CAPACITY", "STARTS", "Admission", "Refusal"]
 
+# What a refused job would wait for: capacity of the pool, or starts of the owner.
+CAPACITY = "capacity"
+STARTS = "starts"
 MIN_RETRY_AFTER_MS = 1_000
 MAX_RETRY_AFTER_MS = 10_000
 # Callers that are refused together return spread over this share of the delay.
@@ -49,7 +52,7 @@
     team_cores: float
     share: float
     n_refusals: int
-    limit: str = "capacity"
+    limit: str = CAPACITY
 
 
 class Admission:
@@ -115,7 +118,7 @@
         left_ms = useful_until_ms - spec.critical_path_ms - self._shard.unix_of(at_ms)
         starts_ms = self._wait_for_starts_ms(spec.priority, at_ms)
         if 0 <= left_ms < starts_ms:
-            return self._refuse(spec, outlook, at_ms, starts_ms, starts_ms, "starts")
+            return self._refuse(spec, outlook, at_ms, starts_ms, starts_ms, STARTS)
         if outlook.standing is Standing.ON_TIME:
             return None
         forecast = self._demand.planned_forecast(at_ms)
@@ -132,7 +135,7 @@
         # Jobs of the team that were refused before and are still away go before it.
         away_core_ms = self._refused.away_core_ms(work)
         free_ms = wait.until(work.core_ms + away_core_ms) or done_ms
-        return self._refuse(spec, outlook, at_ms, wait_ms, free_ms, "capacity")
+        return self._refuse(spec, outlook, at_ms, wait_ms, free_ms, CAPACITY)
 
     def _wait_for_starts_ms(self, priority: int, at_ms: int) -> int:
         """Return how long the owner takes to start the tasks that wait already."""
--- a/tests/decoders/instance.py
+++ b/tests/decoders/instance.py
@@ -84,6 +84,13 @@
         keys.Owner,
         (DecodeError,),
     ),
+    Decoder(
+        ("instance.keys:decode_refusal",),
+        keys.decode_refusal,
+        cbor_documents([4, 3_000, 1]),
+        keys.Refusal,
+        (DecodeError,),
+    ),
     Decoder(
         ("instance.roster:decode_roster", "instance.roster:_decode_entry"),
         _decode_roster,
--- a/tests/test_undelivered_submissions.py
+++ b/tests/test_undelivered_submissions.py
@@ -78,6 +78,7 @@
         owner=lambda service: OWNER,
         members=lambda: members,
         shard_item=lambda service: None,
+        refusal=lambda service: None,
     )
     return JobRouter("me", {}, view, store, peers, FakeClock())
 
