Share reads of the store for counts of waiting jobs

While the owner of a service does not answer within 700 ms, each call for pendingCount read all jobs and all progress of the service from the store, at each instance. The answer that was missing is one number; its replacement grows with what the service has stored, and many of them fill the link on which renewals and the owner's own writes go.

Calls for one service now share one read at a time, and its result serves for 1.8 s from before the read. The protocol allows a count that is 2 s old; 0.2 s are left for the way back. An older result serves only calls that were made before its read began. Results are counts by queue; outdated ones are dropped with the next read.

--- a/apricotgap/instance/job_router.py
+++ b/apricotgap/instance/job_router.py
@@ -80,7 +80,7 @@
         self._store = store
         self._relays = Relays(name, cluster_view, peers, clock)
         self._repeated = RepeatedCalls(self._relays, clock)
-        self._stored_jobs = StoredJobs(store)
+        self._stored_jobs = StoredJobs(store, clock)
         self._direct_submissions = DirectSubmissions(cluster_view, store, clock)
         self._unresolved = UnresolvedSubmissions(clock)
         self._clock = clock
--- a/apricotgap/instance/stored_jobs.py
+++ b/apricotgap/instance/stored_jobs.py
@@ -1,9 +1,11 @@
 """Reads the jobs of a shard from the store, while its owner does not answer."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 import structlog
 
+from apricotgap.clock import Clock
 from apricotgap.decoding import DecodeError
 from apricotgap.instance.keys import (
     decode_service,
@@ -12,6 +14,7 @@
     progress_key,
     progress_prefix,
 )
+from apricotgap.instance.shared_reads import SharedReads
 from apricotgap.jobs.documents import DocumentError, decode_job, decode_progress
 from apricotgap.jobs.model import JobPhase
 from apricotgap.platform.store import Snapshot, StoreClient, StoreError
@@ -19,6 +22,9 @@
 __all__ = ["StoredJobs"]
 
 _STORE_TIMEOUT_MS = 700
+# Callers accept a count that is 2 s old. Part of that is left for the way back to the
+# caller, through another instance if need be.
+MAX_COUNT_AGE_MS = 1_800
 
 
 class StoredJobs:
@@ -28,10 +34,15 @@
     ----------
     store : StoreClient
         The platform's store.
+    clock : Clock
+        Monotonic clock.
     """
 
-    def __init__(self, store: StoreClient) -> None:
+    def __init__(self, store: StoreClient, clock: Clock) -> None:
         self._store = store
+        # All jobs of a service are read for a count. A read for each call would fill
+        # the link while the owner of the service is slow.
+        self._counts = SharedReads(self._count_pending, clock, MAX_COUNT_AGE_MS)
         self._log = structlog.get_logger()
 
     async def service_of(self, job_id: str) -> str | None:
@@ -61,20 +72,27 @@
             raise StoreError("stored progress is unreadable") from error
 
     async def n_pending(self, service: str, queue: str) -> int:
-        """Count the stored jobs of a queue without a started task."""
+        """Count the stored jobs of a queue without a started task.
+
+        The count may be as old as callers accept.
+        """
+        return (await self._counts.get(service))[queue]
+
+    async def _count_pending(self, service: str) -> Counter[str]:
+        """Count the stored jobs without a started task by queue."""
         jobs = await self._store.read_prefix(jobs_prefix(service))
         progress = await self._store.read_prefix(progress_prefix(service))
         begun = {
             job_id for job_id, phase in _decode_phases(progress) if phase.has_begun
         }
-        n_pending = 0
+        n_pending: Counter[str] = Counter()
         for item in jobs.items:
             if item.key.count("/") != 2 or item.value is None:
                 continue
             if item.key.rpartition("/")[2] in begun:
                 continue
             try:
-                n_pending += decode_job(item.value).queue == queue
+                n_pending[decode_job(item.value).queue] += 1
             except DocumentError as error:
                 self._log.error("job_unreadable", key=item.key, error=str(error))
         return n_pending
--- a/tests/test_peer_documents.py
+++ b/tests/test_peer_documents.py
@@ -4,6 +4,7 @@
 import pytest
 import trio
 
+from apricotgap.clock import FakeClock
 from apricotgap.decoding import DecodeError
 from apricotgap.instance import peer_documents as documents
 from apricotgap.instance.pool_reports import decode_pool_report
@@ -87,4 +88,4 @@
             return Item(key, b"\xff", 1)
 
     with pytest.raises(StoreError):
-        trio.run(StoredJobs(Store()).service_of, "a" * 16)
+        trio.run(StoredJobs(Store(), FakeClock()).service_of, "a" * 16)
