Let the limit of a write grow with its size, and bound transactions by bytes

On a link of 2 Mbit/s an owner writes the same progress for ever once six transactions of 15 documents each take longer than the 1,000 ms of a call: each is given up, read again and sent again from its start, and nothing is acknowledged or started meanwhile. The same holds for the list of workers of a large shard, and for a job of 250 KB, which was sent to its owner with 700 ms and to the store with 700 ms, again and again until its caller gave up.

- A write without a limit of its caller has 1,000 ms, and its bytes at 16 KiB/s on top, at most 10 s.
Writes with a limit keep it.
- A transaction of progress holds at most 16 KiB of documents, or one document.
- Submissions have more time for a large document, at the owner at most half of the caller's time, so that the store can be asked after it.

An unknown outcome stays unknown, and the writes keep their conditions on the owner key. Nothing here renews a lease: an owner whose lease ends while it writes is cancelled as before.

Tests that failed before: test_slow_writes, 7 of 10 cases (progress of 90, 12 and 1 documents, bounds of transactions, size of a write, job without an owner, call of an owner).

--- a/apricotgap/instance/direct_submissions.py
+++ b/apricotgap/instance/direct_submissions.py
@@ -5,6 +5,7 @@
 from apricotgap.instance.keys import SHARD_OPEN, index_key, job_writes, shard_key
 from apricotgap.jobs.model import JobSpec
 from apricotgap.jobs.service import SubmitResult
+from apricotgap.platform.call_timer import transfer_ms
 from apricotgap.platform.store import (
     Conflict,
     StoreClient,
@@ -41,14 +42,13 @@
         """Write a job; REFUSED guarantees that no write of it can take effect."""
         writes = job_writes(job.service, job.job_id, document)
         mark = self._shard_mark(job.service)
+        timeout_ms = _STORE_TIMEOUT_MS + transfer_ms(len(document))
         result = SubmitResult.REFUSED
         while not self._store.is_down:
             left_ms = deadline_ms - self._clock.now_ms
             if left_ms <= 0:
                 break
-            written = await self._store.write(
-                (*writes, mark), min(left_ms, _STORE_TIMEOUT_MS)
-            )
+            written = await self._store.write((*writes, mark), min(left_ms, timeout_ms))
             if isinstance(written, Stored):
                 return SubmitResult.ACCEPTED
             if isinstance(written, Conflict):
--- a/apricotgap/instance/owner_calls.py
+++ b/apricotgap/instance/owner_calls.py
@@ -15,6 +15,7 @@
 from apricotgap.instance.pool_reports import encode_first_report, encode_pool_report
 from apricotgap.instance.shard_owner import ShardOwner
 from apricotgap.jobs.documents import decode_job
+from apricotgap.platform.call_timer import transfer_ms
 
 __all__ = ["PEER_TIMEOUT_MS", "OwnerCallError", "OwnerCalls"]
 
@@ -109,7 +110,7 @@
                 await self._peers.verify(owner.address)
             except PeerCallError as error:
                 raise self._unreachable(service, owner, about, error) from error
-        left_ms = min(PEER_TIMEOUT_MS, deadline_ms - self._clock.now_ms)
+        left_ms = self._limit_ms(argument, deadline_ms)
         if operation == "report":
             argument = argument[: _n_report_elements(owner)]
         if owner.has_second_protocol:
@@ -129,6 +130,16 @@
             raise OwnerCallError(answer[0] != _NOT_OWNER)
         return answer[1]
 
+    def _limit_ms(self, argument: Any, deadline_ms: int) -> int:
+        """Return the limit of a call, which grows with a document that it carries."""
+        left_ms = deadline_ms - self._clock.now_ms
+        timeout_ms = PEER_TIMEOUT_MS
+        if isinstance(argument, bytes):
+            # Half of the time is left to write the document to the store instead.
+            share_ms = max(0, left_ms // 2 - PEER_TIMEOUT_MS)
+            timeout_ms += min(transfer_ms(len(argument)), share_ms)
+        return min(timeout_ms, left_ms)
+
     def _unreachable(
         self, service: str, owner: Owner, about: str, error: PeerCallError
     ) -> OwnerCallError:
--- a/apricotgap/instance/progress_writer.py
+++ b/apricotgap/instance/progress_writer.py
@@ -38,6 +38,9 @@
 # Each document takes two entries of a transaction, its condition and its value. The
 # condition on the owner key takes one.
 _MAX_DOCUMENTS = (MAX_TXN_ENTRIES - 1) // 2
+# Bytes of the documents of a transaction that has more than one. A transaction that
+# times out on a slow link is sent again as a whole.
+MAX_TXN_BYTES = 16_384
 
 Documents = tuple[tuple[str, bytes, int], ...]
 
@@ -157,8 +160,7 @@
         """Yield the documents of each transaction, without those set aside."""
         due = [row for row in documents if row[0] not in self._retry_s]
         shared = tuple(row for row in due if row[0] not in self._isolated)
-        for start in range(0, len(shared), _MAX_DOCUMENTS):
-            yield shared[start : start + _MAX_DOCUMENTS]
+        yield from _split(shared)
         for row in due:
             if row[0] in self._isolated:
                 yield (row,)
@@ -231,3 +233,18 @@
         job = self._shard.jobs.get(job_id)
         if job is not None:
             job.revision = item.revision if item.value is not None else 0
+
+
+def _split(documents: Documents) -> Iterator[Documents]:
+    """Yield documents in groups, each of which fits into a transaction."""
+    group: list[tuple[str, bytes, int]] = []
+    n_bytes = 0
+    for row in documents:
+        size = len(row[1])
+        if group and (len(group) == _MAX_DOCUMENTS or n_bytes + size > MAX_TXN_BYTES):
+            yield tuple(group)
+            group, n_bytes = [], 0
+        group.append(row)
+        n_bytes += size
+    if group:
+        yield tuple(group)
--- a/apricotgap/platform/call_timer.py
+++ b/apricotgap/platform/call_timer.py
@@ -2,10 +2,17 @@
 
 import trio
 
-__all__ = ["MIN_BYTES_PER_S", "CallTimer"]
+__all__ = ["MIN_BYTES_PER_S", "CallTimer", "transfer_ms"]
 
 # A response that arrives at a lower rate on average is given up.
 MIN_BYTES_PER_S = 16_384
+# Bounds how long a call may wait for a server that has become silent.
+MAX_TRANSFER_MS = 10_000
+
+
+def transfer_ms(n_bytes: int) -> int:
+    """Return the time that bytes may take to be sent, in milliseconds."""
+    return min(n_bytes * 1000 // MIN_BYTES_PER_S, MAX_TRANSFER_MS)
 
 
 class CallTimer:
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from apricotgap.platform.call_observer import CallKind, CallObserver, NoObserver
+from apricotgap.platform.call_timer import transfer_ms
 from apricotgap.platform.http import HttpClient, HttpResponse, NoResponseError
 from apricotgap.platform.store_answers import (
     decode_changes,
@@ -241,7 +242,7 @@
         return decode_changes(body)
 
     async def write(
-        self, writes: tuple[Write, ...], timeout_ms: int = CALL_TIMEOUT_MS
+        self, writes: tuple[Write, ...], timeout_ms: int | None = None
     ) -> WriteOutcome:
         """Write all keys or none.
 
@@ -249,8 +250,9 @@
         ----------
         writes : tuple of Write
             At most 32 entries.
-        timeout_ms : int
-            Limit for the whole call, in milliseconds.
+        timeout_ms : int, optional
+            Limit for the whole call, in milliseconds. By default it grows with the
+            size of the transaction.
         """
         body = msgspec.json.encode(
             {
@@ -275,6 +277,8 @@
                 ],
             }
         )
+        if timeout_ms is None:
+            timeout_ms = CALL_TIMEOUT_MS + transfer_ms(len(body))
         try:
             response = await self._call("POST", "/v1/kv-txn", body, timeout_ms)
         except NoResponseError as error:
