Read answers of workers and pages of machines for as long as they arrive

The answer to a poll lists up to 500 ends and all runs. If it took longer than 700 ms beyond the wait of the poll, it was thrown away and asked for again from its start, so that a busy worker on a slow link never told of an end and counted as silent. A page of the list of machines had 1.5 s for everything, and one lost page threw all pages away. A new owner of the fleet read the progress of waves from the start after each failure.

- A page of machines after the first is asked for a second time before the list is given up.
The list is as old as its first request, as before.
- The progress of waves is read by read_prefix, which goes on where it stopped.

A lease that a poll offers counts from before the poll, and lists prove nothing about what began after it; a late answer changes neither.

--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -12,6 +12,7 @@
 from apricotgap.instance.fleet_order_store import FleetOrderStore
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.ownership import Ownership
+from apricotgap.instance.prefix_reader import read_prefix
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult
 from apricotgap.jobs.fleet_plan import FleetPlanner
@@ -128,13 +129,7 @@
                 )
 
     async def _load(self) -> None:
-        while True:
-            try:
-                snapshot = await self._store.read_prefix(WAVE_PROGRESS_PREFIX)
-                break
-            except StoreError as error:
-                self._log.warning("waves_not_read", reason=str(error))
-                await trio.sleep(_RETRY_S)
+        snapshot = await read_prefix(self._store, WAVE_PROGRESS_PREFIX, self._log)
         for item in snapshot.items:
             try:
                 number = int(item.key[len(WAVE_PROGRESS_PREFIX) :])
--- a/apricotgap/platform/machines.py
+++ b/apricotgap/platform/machines.py
@@ -8,12 +8,16 @@
 from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import MachineOrder
-from apricotgap.platform.http import HttpClient, NoResponseError
+from apricotgap.platform.http import HttpClient, HttpResponse, NoResponseError
 from apricotgap.platform.wire import WireError, decode_machines
 
 __all__ = ["MachineClient", "MachineListError"]
 
 CALL_TIMEOUT_MS = 1_500
+# Longest pause within a page of the list of machines.
+STALL_MS = 1_500
+# Attempts to read each page after the first one.
+MAX_PAGE_ATTEMPTS = 2
 # Reasons of a refused order. Any other could be mistaken for a result of another kind.
 _ORDER_REFUSALS = frozenset({"busy", "fence", "wave"})
 
@@ -56,14 +60,9 @@
             target = "/v1/machines"
             if page_token:
                 target += f"?pageToken={quote(page_token, safe='')}"
-            try:
-                response = await self._http.call(
-                    "GET", self._address, target, timeout_ms=CALL_TIMEOUT_MS
-                )
-            except NoResponseError as error:
-                raise MachineListError(error.reason) from error
-            if response.status != 200:
-                raise MachineListError(f"status {response.status}")
+            response = await self._read_page(
+                target, MAX_PAGE_ATTEMPTS if page_token else 1
+            )
             try:
                 machines, page_token = decode_machines(response.body, unreadable.append)
             except WireError as error:
@@ -76,6 +75,32 @@
                 raise MachineListError("the pages of the list have no end")
             seen_tokens.add(page_token)
 
+    async def _read_page(self, target: str, n_attempts: int) -> HttpResponse:
+        """Read one page.
+
+        Raises
+        ------
+        MachineListError
+            No attempt got a usable response.
+        """
+        reason = ""
+        for _ in range(n_attempts):
+            try:
+                response = await self._http.call(
+                    "GET",
+                    self._address,
+                    target,
+                    timeout_ms=CALL_TIMEOUT_MS,
+                    stall_ms=STALL_MS,
+                )
+            except NoResponseError as error:
+                reason = error.reason
+                continue
+            if response.status == 200:
+                return response
+            reason = f"status {response.status}"
+        raise MachineListError(reason)
+
     def _log_unreadable(self, errors: list[WireError]) -> None:
         """Log unreadable machines when their number changes."""
         if len(errors) == self._n_unreadable:
--- a/apricotgap/platform/workers.py
+++ b/apricotgap/platform/workers.py
@@ -20,6 +20,8 @@
 START_TIMEOUT_MS = 500
 STOP_TIMEOUT_MS = 500
 POLL_TIMEOUT_MARGIN_MS = 700
+# Longest pause within the answer to a poll, which may list 500 ends and all runs.
+POLL_STALL_MS = 700
 _MISDIRECTED_REQUEST = 421
 # Reasons of a refused start. Any other could be mistaken for a result of another kind.
 _START_REFUSALS = frozenset({"fence", "late", "old", "room", "ticket"})
@@ -152,7 +154,9 @@
     ) -> PollResponse:
         """Renew the worker's lease and read its running and ended runs.
 
-        The worker delays its response until a run ends, at most `wait_ms`.
+        The worker delays its response until a run ends, at most `wait_ms`. A response
+        that has begun may take any time while it arrives. The lease counts from before
+        the call.
 
         Parameters
         ----------
@@ -193,6 +197,7 @@
                 msgspec.json.encode(body),
                 wait_ms + POLL_TIMEOUT_MARGIN_MS,
                 _target_header(worker_id),
+                POLL_STALL_MS,
             )
         except NoResponseError as error:
             raise WorkerError(error.reason, error.sent, error.has_timed_out) from error
--- a/tests/virtual_links.py
+++ b/tests/virtual_links.py
@@ -125,8 +125,10 @@
 class WorkerLink(Link):
     """Stands in for the HTTP clients of a `WorkerClient`."""
 
-    async def call(self, method, address, target, body, timeout_ms, headers=()):
-        """Call the worker at an address."""
+    async def call(
+        self, method, address, target, body, timeout_ms, headers=(), stall_ms=None
+    ):
+        """Call the worker at an address; its answer arrives at once or not at all."""
         self._begin(target)
         worker_id = dict(headers)[TARGET_HEADER]
         status, document = await self._world.call_worker(
