Give up idle parts of a team's limit that another shard lacks

Callers saw an accepted job that waited for good: a task or a gang that needs more than four fifths of its team's limit never started, although the team ran nothing.

Cause: each shard keeps its part of 20% of the limit without work. Only a shard that lacks something reads the split, so that shards without work never learn that the limit is used up, and keep their parts.

An owner whose demand has not been met, and whose use has not changed, for 1 s names the team in `sys/limit-needs/SHARD`, written when it changes, at most once a second, under the owner's lease. All instances follow `sys/` already. An owner that sees it and holds an idle part reads the split, four at most a pass, in intervals that double from 1 s to 8 s while the split has room. If the split is used up, it lowers its part to its demand by the same path as before: the lower allowance counts at once, and the other shard takes it once it is stored, so that both never grant more than the limit. The part is taken again with demand and room only. Without a need nothing is read; each part that is given up costs one write.

The change of a row after a conflict is computed with the demand of all teams. With that of one team the others counted as without work, which restarted their waits for more.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -4,6 +4,7 @@
 
 from apricotgap.clock import Clock
 from apricotgap.instance.keys import (
+    LIMIT_NEEDS_PREFIX,
     MEMBERS_PREFIX,
     OWNERS_PREFIX,
     SHARD_CLOSING,
@@ -13,6 +14,7 @@
     Owner,
     decode_member,
     decode_owner,
+    decode_teams,
 )
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.jobs.configuration import Configuration, Wave
@@ -68,6 +70,7 @@
         self._members: dict[str, Member] = {}
         self._owners: dict[str, tuple[Item, Owner | None]] = {}
         self._stored_shards: dict[str, Item] = {}
+        self._limit_needs: dict[str, frozenset[str]] = {}
         # Services that the configurations seen so far have given to a queue.
         self._services_of: dict[str, set[str]] = {}
         self._log = structlog.get_logger()
@@ -141,6 +144,18 @@
                 self._apply_member(item)
             elif item.key.startswith(SHARDS_PREFIX):
                 self._apply_shard(item)
+            elif item.key.startswith(LIMIT_NEEDS_PREFIX):
+                self._apply_limit_needs(item)
+
+    def _apply_limit_needs(self, item: Item) -> None:
+        shard = item.key[len(LIMIT_NEEDS_PREFIX) :]
+        self._limit_needs.pop(shard, None)
+        if item.value is None:
+            return
+        try:
+            self._limit_needs[shard] = decode_teams(item.value)
+        except ValueError as error:
+            self._log.error("limit_needs_unreadable", shard=shard, error=str(error))
 
     def _apply_shard(self, item: Item) -> None:
         service = item.key[len(SHARDS_PREFIX) :]
@@ -239,6 +254,15 @@
         shards = self.shards()
         return not shards or service in shards or service in self._owners
 
+    def limit_needs_of(self, shard: str) -> frozenset[str]:
+        """Return the teams that lack a part of their limit in a shard."""
+        return self._limit_needs.get(shard, frozenset())
+
+    def limit_needs_beside(self, shard: str) -> frozenset[str]:
+        """Return the teams that lack a part of their limit in any other shard."""
+        others = (teams for name, teams in self._limit_needs.items() if name != shard)
+        return frozenset().union(*others)
+
     def owner_item(self, shard: str) -> Item | None:
         """Return the owner key of a shard, None if the shard has no owner."""
         known = self._owners.get(shard)
--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "FLEET_ORDERS_KEY",
+    "LIMIT_NEEDS_PREFIX",
     "MEMBERS_PREFIX",
     "OWNERS_PREFIX",
     "SHARDS_PREFIX",
@@ -26,12 +27,15 @@
     "decode_member",
     "decode_owner",
     "decode_service",
+    "decode_teams",
     "encode_member",
     "encode_owner",
+    "encode_teams",
     "epoch_key",
     "index_key",
     "job_key",
     "limit_key",
+    "limit_needs_key",
     "job_writes",
     "jobs_prefix",
     "names_owner",
@@ -47,6 +51,8 @@
 SYSTEM_PREFIX = "sys/"
 MEMBERS_PREFIX = "sys/members/"
 OWNERS_PREFIX = "sys/owners/"
+# Teams that lack a part of their limit in a shard.
+LIMIT_NEEDS_PREFIX = "sys/limit-needs/"
 # Services that may have unfinished jobs, whether a queue uses them or not.
 SHARDS_PREFIX = "sys/shards/"
 # Values of these keys. While a shard is closing, its owner checks that no job is left.
@@ -90,6 +96,11 @@
     return f"limits/{team}"
 
 
+def limit_needs_key(shard: str) -> str:
+    """Return the key of the teams that lack a part of their limit in a shard."""
+    return f"{LIMIT_NEEDS_PREFIX}{shard}"
+
+
 def roster_key(shard: str) -> str:
     """Return the key of the workers on which a shard may have started tasks."""
     return f"roster/{shard}"
@@ -265,6 +276,22 @@
         return False
 
 
+def encode_teams(teams: frozenset[str]) -> bytes:
+    """Encode names of teams for the store."""
+    return cbor2.dumps(sorted(teams))
+
+
+def decode_teams(data: bytes) -> frozenset[str]:
+    """Decode names of teams from the store.
+
+    Raises
+    ------
+    DecodeError
+        The bytes are malformed.
+    """
+    return frozenset(decode_cbor(data, list[str]))
+
+
 def job_writes(service: str, job_id: str, document: bytes) -> tuple[Write, Write]:
     """Return the writes that accept a job; they fail if its id is in use."""
     return (
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -12,6 +12,7 @@
 from apricotgap.instance.job_cleanup import JobCleanup
 from apricotgap.instance.keys import jobs_prefix, progress_prefix, roster_key
 from apricotgap.instance.lease import InstanceLease
+from apricotgap.instance.limit_needs import LimitNeeds
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.poll_loops import PollLoops
@@ -163,6 +164,7 @@
             lambda: self._lease_until_ms,
             cluster_view.has_shard,
             self._request_pass,
+            LimitNeeds(ownership, store, cluster_view),
         )
         self._effects = EffectRunner(
             self._shard,
--- a/apricotgap/instance/team_limit_updater.py
+++ b/apricotgap/instance/team_limit_updater.py
@@ -7,11 +7,12 @@
 
 from apricotgap.clock import Clock
 from apricotgap.instance.keys import limit_key
+from apricotgap.instance.limit_needs import LimitNeeds
 from apricotgap.instance.ownership import Ownership
 from apricotgap.jobs.documents import DocumentError, decode_split, encode_split
 from apricotgap.jobs.inherited_usage import possible_usage
 from apricotgap.jobs.limits import START_WINDOW_MS
-from apricotgap.jobs.model import NO_RESOURCES, Resources
+from apricotgap.jobs.model import Resources
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.team_demand import team_demand
 from apricotgap.jobs.team_limits import LimitChange
@@ -51,6 +52,9 @@
         Returns whether a service has a shard, with or without an owner.
     on_change : callable
         Called when blocked tasks may be able to start.
+    needs : LimitNeeds, optional
+        Which teams lack a part of their limit, and where. Without it, the splits of
+        all idle parts are read from time to time.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         lease_until_ms: Callable[[], int],
         has_shard: Callable[[str], bool],
         on_change: Callable[[], None],
+        needs: LimitNeeds | None = None,
     ) -> None:
         self._shard = shard
         self._ownership = ownership
@@ -74,6 +79,7 @@
             Worker.lease_bound_ms(0, shard.max_lease_ms) + START_WINDOW_MS
         )
         self._on_change = on_change
+        self._needs = needs
         self._wakeup = trio.Event()
         self._last_read_ms = -1_000_000
         self._log = structlog.get_logger().bind(
@@ -103,6 +109,8 @@
             demand = team_demand(self._shard, now_ms)
             limits = self._shard.team_limits
             limits.record_shards(self._has_shard, now_ms, self._row_retention_ms)
+            if self._needs is not None:
+                limits.set_lacking(self._needs.of_others)
             for change in self._changes(demand, now_ms):
                 await self._write_limit(change)
             if now_ms - self._last_read_ms >= READ_INTERVAL_MS:
@@ -110,6 +118,8 @@
                 teams = (*limits.unmet(demand), *limits.outdated(now_ms))
                 for team in dict.fromkeys(teams):
                     await self._read(team)
+            if self._needs is not None:
+                await self._needs.publish(limits.short_teams(now_ms), now_ms)
             self._on_change()
             await trio.sleep(MIN_PASS_INTERVAL_S)
 
@@ -148,9 +158,8 @@
             self._apply_conflict(change.team, outcome)
             now_ms = self._clock.now_ms
             demand = team_demand(self._shard, now_ms)
-            new_changes = self._changes(
-                {change.team: demand.get(change.team, NO_RESOURCES)}, now_ms
-            )
+            # With the demand of all teams, or the others would count as without work.
+            new_changes = self._changes(demand, now_ms)
             own_changes = [other for other in new_changes if other.team == change.team]
             if not own_changes:
                 return
--- a/apricotgap/jobs/team_limits.py
+++ b/apricotgap/jobs/team_limits.py
@@ -11,6 +11,7 @@
 
 from apricotgap.jobs.blocked_demand import BlockedDemand
 from apricotgap.jobs.configuration import Configuration
+from apricotgap.jobs.idle_shares import IdleShares, Shortage
 from apricotgap.jobs.model import NO_RESOURCES, Resources
 
 __all__ = ["LimitChange", "Split", "TeamLimits"]
@@ -24,7 +25,7 @@
 LOWER_FACTOR = 1.2
 LOWER_AFTER_MS = 1_000
 # Share of the limit that all shards together keep without demand, so that a first task
-# does not wait for a raise.
+# does not wait for a raise, until another shard lacks it.
 IDLE_SHARE = 0.2
 # After a limit was lowered the split is read for this long, since other owners may not
 # know of it yet and still raise their rows by the one before.
@@ -87,6 +88,8 @@
         self._allowances: dict[str, Resources] = {}
         self._surplus_since_ms: dict[str, int] = {}
         self._blocked = BlockedDemand()
+        self._shortage = Shortage()
+        self._idle = IdleShares()
         # Teams whose limits were lowered: those whose splits are older than that, and
         # the times at which this was noticed.
         self._unread: set[str] = set()
@@ -138,6 +141,20 @@
         """Return the limit of a team over all shards."""
         return self._limits.get(team, NO_RESOURCES)
 
+    def short_teams(self, at_ms: int) -> frozenset[str]:
+        """Return the teams that have lacked a part of their limit here for a while.
+
+        Parameters
+        ----------
+        at_ms : int
+            Current time.
+        """
+        return self._shortage.teams(at_ms) & self._limits.keys()
+
+    def set_lacking(self, teams: frozenset[str]) -> None:
+        """Set the teams that lack a part of their limit in another shard."""
+        self._idle.set_lacking(teams)
+
     def stored_cpu(self, team: str) -> dict[str, int]:
         """Return the CPU of the allowances of all shards, as last read or written."""
         split, _ = self._splits.get(team, ({}, 0))
@@ -173,6 +190,7 @@
         """Apply a split that was read from the store."""
         self._splits[team] = (split, revision)
         self._unread.discard(team)
+        self._idle.record_read(team, self._is_used_up(team))
         row = self._fair_row(team)
         # Never above the stored value, nor above what is left after a reduction.
         allowance = self._allowances.get(team, row)
@@ -193,6 +211,19 @@
                 others = others + amount
         return others
 
+    def _is_used_up(self, team: str) -> bool:
+        """Return whether the rows leave nothing of a resource that is limited."""
+        limit = self._limits.get(team)
+        if limit is None:
+            return False
+        split, _ = self._splits.get(team, ({}, 0))
+        left = limit - self._others(team) - split.get(self._service, NO_RESOURCES)
+        return (
+            (limit.cpu < UNLIMITED and left.cpu <= 0)
+            or (limit.memory_mb < UNLIMITED and left.memory_mb <= 0)
+            or (limit.gpus < UNLIMITED and left.gpus <= 0)
+        )
+
     def _rank(self, team: str) -> int:
         """Return how many shards with a row come before this one."""
         split, _ = self._splits.get(team, ({}, 0))
@@ -258,15 +289,16 @@
         return found
 
     def unmet(self, demand: Mapping[str, Resources]) -> list[str]:
-        """Return the teams whose allowance is below their demand.
+        """Return the teams whose splits should be read again.
 
-        Their splits should be read again, since other shards may have lowered their
-        allowances.
+        Their allowance is below their demand, and other shards may have lowered theirs;
+        or they have an idle part here that another shard may lack.
         """
-        found = []
+        found = list(self._idle.due)
         for team, amount in demand.items():
             allowance = self.allowed(team)
-            if allowance is not None and not amount.fits(allowance):
+            is_unmet = allowance is not None and not amount.fits(allowance)
+            if is_unmet and team not in self._idle.due:
                 found.append(team)
         return found
 
@@ -296,17 +328,17 @@
         """Return the allowance to have next; a lower one takes effect at once."""
         limit = self._limits[team]
         allowance = self._allowances.get(team, NO_RESOURCES)
-        idle_allowance = _scaled(limit, IDLE_SHARE / self._n_services)
-        wanted = _scaled(demand, RAISE_FACTOR).elementwise_max(idle_allowance)
-        if not demand.elementwise_max(idle_allowance).fits(allowance):
+        wanted = self._wanted(team, demand)
+        if not demand.elementwise_max(self._idle_part(team)).fits(allowance):
             self._surplus_since_ms.pop(team, None)
             if self._blocked.is_released(team, at_ms):
                 return allowance
             remaining = limit - self._others(team)
             raised = wanted.elementwise_min(remaining).elementwise_max(allowance)
             if demand.fits(raised):
-                self._blocked.clear(team)
+                self._record_met(team)
                 return raised
+            self._shortage.record(team, used, at_ms)
             if not may_lower or not _has_surplus(allowance, used, limit):
                 return raised
             rank = self._rank(team)
@@ -314,7 +346,10 @@
                 return raised
             self._allowances[team] = used.elementwise_min(allowance)
             return self._allowances[team]
-        self._blocked.clear(team)
+        self._record_met(team)
+        enough = _scaled(demand, RAISE_FACTOR * LOWER_FACTOR)
+        if _has_surplus(allowance, enough, limit):
+            self._idle.record_held(team, at_ms)
         if not may_lower or allowance.fits(_scaled(wanted, LOWER_FACTOR)):
             self._surplus_since_ms.pop(team, None)
             return allowance
@@ -323,3 +358,24 @@
             return allowance
         self._allowances[team] = wanted.elementwise_min(allowance)
         return self._allowances[team]
+
+    def _record_met(self, team: str) -> None:
+        self._blocked.clear(team)
+        self._shortage.clear(team)
+
+    def _idle_part(self, team: str) -> Resources:
+        """Return what the shard keeps of a limit without demand."""
+        if self._idle.is_given_up(team):
+            return NO_RESOURCES
+        return _scaled(self._limits[team], IDLE_SHARE / self._n_services)
+
+    def _wanted(self, team: str, demand: Resources) -> Resources:
+        """Return the allowance for a demand, by which an idle part is taken again."""
+        raised = _scaled(demand, RAISE_FACTOR)
+        if not self._idle.is_given_up(team):
+            return raised.elementwise_max(self._idle_part(team))
+        allowance = self._allowances.get(team, NO_RESOURCES)
+        if not demand.fits(allowance) and not self._is_used_up(team):
+            self._idle.take(team)
+            return raised.elementwise_max(self._idle_part(team))
+        return raised
--- a/tests/decoders/instance.py
+++ b/tests/decoders/instance.py
@@ -84,6 +84,13 @@
         keys.Owner,
         (DecodeError,),
     ),
+    Decoder(
+        ("instance.keys:decode_teams",),
+        keys.decode_teams,
+        cbor_documents(["t", "u"]),
+        frozenset[str],
+        (DecodeError,),
+    ),
     Decoder(
         ("instance.roster:decode_roster", "instance.roster:_decode_entry"),
         _decode_roster,
