--- a/apricotgap/instance/limit_needs.py
+++ b/apricotgap/instance/limit_needs.py
@@ -24,6 +24,8 @@
 # Least time between two writes of the key, in milliseconds. Each one ends the watch
 # of every instance.
 WRITE_INTERVAL_MS = 1_000
+# Most teams that a log line names.
+_MAX_LOGGED_TEAMS = 8
 
 
 class LimitNeeds:
@@ -79,6 +81,7 @@
         )
         if isinstance(outcome, Stored):
             self._cluster_view.apply(Item(key, value, outcome.revision))
+            self._log.info("limit_needs", teams=sorted(teams)[:_MAX_LOGGED_TEAMS])
             return
         if isinstance(outcome, Conflict):
             self._ownership.check(outcome)
