--- a/apricotgap/instance/keys.py
+++ b/apricotgap/instance/keys.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "FLEET_ORDERS_KEY",
+    "LIMIT_NEEDS_PREFIX",
     "MEMBERS_PREFIX",
     "OWNERS_PREFIX",
     "REFUSALS_PREFIX",
@@ -29,13 +30,16 @@
     "decode_owner",
     "decode_refusal",
     "decode_service",
+    "decode_teams",
     "encode_member",
     "encode_owner",
     "encode_refusal",
+    "encode_teams",
     "epoch_key",
     "index_key",
     "job_key",
     "limit_key",
+    "limit_needs_key",
     "job_writes",
     "jobs_prefix",
     "names_owner",
@@ -52,6 +56,8 @@
 SYSTEM_PREFIX = "sys/"
 MEMBERS_PREFIX = "sys/members/"
 OWNERS_PREFIX = "sys/owners/"
+# Teams that lack a part of their limit in a shard.
+LIMIT_NEEDS_PREFIX = "sys/limit-needs/"
 # Services that may have unfinished jobs, whether a queue uses them or not.
 SHARDS_PREFIX = "sys/shards/"
 # Services whose owner refuses jobs.
@@ -135,6 +141,11 @@
     return f"limits/{team}"
 
 
+def limit_needs_key(shard: str) -> str:
+    """Return the key of the teams that lack a part of their limit in a shard."""
+    return f"{LIMIT_NEEDS_PREFIX}{shard}"
+
+
 def roster_key(shard: str) -> str:
     """Return the key of the workers on which a shard may have started tasks."""
     return f"roster/{shard}"
@@ -310,6 +321,22 @@
         return False
 
 
+def encode_teams(teams: frozenset[str]) -> bytes:
+    """Encode names of teams for the store."""
+    return cbor2.dumps(sorted(teams))
+
+
+def decode_teams(data: bytes) -> frozenset[str]:
+    """Decode names of teams from the store.
+
+    Raises
+    ------
+    DecodeError
+        The bytes are malformed.
+    """
+    return frozenset(decode_cbor(data, list[str]))
+
+
 def job_writes(service: str, job_id: str, document: bytes) -> tuple[Write, Write]:
     """Return the writes that accept a job; they fail if its id is in use."""
     return (
