Report reads of whole prefixes and what is left of a lease

Operators and tests cannot tell how near a read of a prefix or a renewal of a lease comes to its limit: only failures are logged. A mirror now logs prefix_loaded with items, bytes and time, and the histogram lease_left_ms counts what was left of the lease as each renewal was answered.

Both new tests fail without the change, since line and argument are missing.

--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import asdict
+from functools import partial
 
 import structlog
 import trio
@@ -107,11 +108,16 @@
         self._file_version = file_version
         self._clock = BootClock()
         self._store = StoreClient(settings.store_address)
-        self._lease = InstanceLease(self._store, self._clock, settings.min_lease_ms)
+        self._metrics = Metrics(settings.name)
+        self._lease = InstanceLease(
+            self._store,
+            self._clock,
+            settings.min_lease_ms,
+            partial(self._metrics.observe_ms, "lease_left"),
+        )
         self._cluster_view = ClusterView(self._store, self._clock)
         self._workers = WorkerList(self._store, self._clock)
         self._client = WorkerClient()
-        self._metrics = Metrics(settings.name)
         self._store_monitor = StoreMonitor(self._store, self._clock, self._metrics)
         self._loop_monitor = LoopMonitor(self._clock, self._metrics)
         self._owners: dict[str, ShardOwner] = {}
--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -1,5 +1,6 @@
 """The lease of an instance in the store."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import structlog
@@ -21,6 +22,10 @@
 _RETRY_S = 0.2
 
 
+def _ignore(_left_ms: int) -> None:
+    pass
+
+
 @dataclass(slots=True)
 class _Renewal:
     """A renewal of a lease, and what has become of it."""
@@ -41,12 +46,22 @@
         Must keep counting while the machine is suspended.
     min_ttl_ms : int
         Shortest lease that the store grants, in milliseconds.
+    on_renewed : callable, optional
+        Called with what was left of the lease, in milliseconds, as the answer to a
+        renewal of it arrived.
     """
 
-    def __init__(self, store: StoreClient, clock: Clock, min_ttl_ms: int) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        clock: Clock,
+        min_ttl_ms: int,
+        on_renewed: Callable[[int], None] = _ignore,
+    ) -> None:
         self._store = store
         self._clock = clock
         self._ttl_ms = max(LEASE_TTL_MS, min_ttl_ms)
+        self._on_renewed = on_renewed
         self._log = structlog.get_logger()
         self._is_revoked = False
         # Renewals without an answer yet.
@@ -135,6 +150,7 @@
             return
         if is_alive:
             renewal.is_renewed = True
+            self._on_renewed(self._left_ms)
             self.valid_until_ms = max(self.valid_until_ms, sent_ms + self._ttl_ms)
             return
         self._log.warning("lease_ended", lease=renewal.lease_id)
--- a/apricotgap/instance/mirror.py
+++ b/apricotgap/instance/mirror.py
@@ -127,6 +127,12 @@
         if not self._reader.is_interrupted:
             self._load_sent_ms = self._clock.now_ms
         snapshot = await self._reader.read()
+        self._log.info(
+            "prefix_loaded",
+            n_items=len(snapshot.items),
+            n_bytes=sum(len(item.value or b"") for item in snapshot.items),
+            took_ms=self._clock.now_ms - self._load_sent_ms,
+        )
         self.replace(snapshot)
         self.fresh_as_of_ms = self._load_sent_ms
         self.loaded.set()
--- a/tests/test_instance_lease.py
+++ b/tests/test_instance_lease.py
@@ -172,3 +172,23 @@
         assert store.n_granted == 2
 
     run(check)
+
+
+def test_what_is_left_at_a_renewal_is_reported():
+    """Guards against a lease that comes near its end and no figure shows it."""
+    left_ms = []
+
+    async def main():
+        store = Store()
+        lease = InstanceLease(store, TrioClock(), 1_000, left_ms.append)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lease.run)
+            await trio.testing.wait_all_tasks_blocked()
+            store.answer_delay_s = 0.5
+            await trio.sleep(5)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+    # The renewal before was sent the interval and two answers earlier.
+    expected_ms = LEASE_TTL_MS - RENEW_INTERVAL_MS - 2 * 500
+    assert expected_ms - 50 < min(left_ms) <= expected_ms
--- a/tests/test_prefix_mirror.py
+++ b/tests/test_prefix_mirror.py
@@ -3,10 +3,11 @@
 import json
 
 import pytest
+import structlog
 import trio
 import trio.testing
 
-from apricotgap.clock import FakeClock
+from apricotgap.clock import FakeClock, TrioClock
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.keys import Owner, encode_owner, owner_key
 from apricotgap.platform.keys import CONFIGURATION_KEY
@@ -153,3 +154,32 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert waits_ms[0] >= 4_000
     assert max(waits_ms[1:]) <= 300
+
+
+def test_read_of_a_whole_prefix_is_logged_with_its_size_and_time():
+    """Guards against reads that come near their limit and no line shows it."""
+
+    class SlowStore:
+        def __init__(self):
+            self.is_failing = True
+
+        async def read_prefix(self, prefix):
+            await trio.sleep(0.5)
+            if self.is_failing:
+                self.is_failing = False
+                raise StoreError("timeout")
+            return Snapshot((Item("op/a", b"abc", 3),), 10)
+
+        async def watch(self, prefix, after, wait_ms):
+            await trio.sleep_forever()
+
+    async def main():
+        mirror = ClusterView(SlowStore(), TrioClock()).operator_mirror
+        with trio.move_on_after(5):
+            await mirror.run()
+
+    with structlog.testing.capture_logs() as lines:
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    (line,) = [line for line in lines if line["event"] == "prefix_loaded"]
+    assert (line["prefix"], line["n_items"], line["n_bytes"]) == ("op/", 1, 3)
+    assert line["took_ms"] >= 500
