--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -48,7 +48,7 @@
         Shortest lease that the store grants, in milliseconds.
     on_renewed : callable, optional
         Called with what was left of the lease, in milliseconds, as the answer to a
-        renewal of it arrived.
+        renewal of it arrived; 0 if it may have ended.
     """
 
     def __init__(
@@ -150,7 +150,7 @@
             return
         if is_alive:
             renewal.is_renewed = True
-            self._on_renewed(self._left_ms)
+            self._on_renewed(max(0, self._left_ms))
             self.valid_until_ms = max(self.valid_until_ms, sent_ms + self._ttl_ms)
             return
         self._log.warning("lease_ended", lease=renewal.lease_id)
--- a/tests/day_process.py
+++ b/tests/day_process.py
@@ -13,7 +13,7 @@
 from apricotgap.platform.settings import Bounds, PlatformSettings
 from tests.jobs_harness import MAX_LEASE_MS, SERVICE
 from tests.overload_states import current_overload
-from tests.virtual_links import PeerLink, SharedLink, StoreLink, WorkerLink
+from tests.virtual_links import PeerLink, Processor, SharedLink, StoreLink, WorkerLink
 from tests.worker_pool import STOP_MS
 
 PEER_PORT = 9_000
@@ -40,6 +40,11 @@
         """Whether this process runs a shard."""
         return shard in self._owners
 
+    @property
+    def has_lease(self):
+        """Whether a lease was granted and is not known to have ended."""
+        return self._lease.lease_id != 0
+
     def lease_left_ms(self):
         """Return what is left of the lease in the store, as this process knows it."""
         return self._lease.valid_until_ms - self._clock.now_ms
@@ -114,6 +119,7 @@
         self.address = f"10.0.1.{number}:{PEER_PORT}"
         self.is_up = self.is_killed = self.is_stopping = False
         self.link = SharedLink()
+        self.processor = Processor()
         # Steps since this process claimed the shard last, None before.
         self._steps = None
 
--- a/tests/owner_world.py
+++ b/tests/owner_world.py
@@ -85,6 +85,8 @@
         self._version = 0
         # Text that the operator adds to each configuration.
         self.configuration_padding = ""
+        # Entries of workers that no owner of this world uses, by key.
+        self.foreign_entries = {}
         self._specs = {}
 
     # Time
@@ -145,7 +147,8 @@
     def configure(self, services):
         """Write a configuration with these services of queues."""
         self._version += 1
-        pools = (SERVICE, OTHER_SERVICE, "spare")
+        others = set(services.values()) - {SERVICE, OTHER_SERVICE}
+        pools = (SERVICE, OTHER_SERVICE, "spare", *sorted(others))
         document = {
             "version": self._version,
             "routes": [
@@ -265,11 +268,12 @@
         if not self.store.is_up:
             return
         listed = {WORKERS_PREFIX + worker_id for worker_id in self.entries}
+        listed |= self.foreign_entries.keys()
         for key in list(self.store.items):
             if key.startswith(WORKERS_PREFIX) and key not in listed:
                 self.store.remove(key)
         for worker_id, each in self.entries.items():
-            data = _encode_entry(each)
+            data = encode_entry(each)
             if self.store.value(WORKERS_PREFIX + worker_id) != data:
                 self.store.put(WORKERS_PREFIX + worker_id, data)
 
@@ -344,7 +348,8 @@
         return super()._duration_ms(order)
 
 
-def _encode_entry(listed):
+def encode_entry(listed):
+    """Return the entry of a worker as it is stored."""
     return json.dumps(
         {
             "service": listed.service,
@@ -415,4 +420,4 @@
     return worlds[0]
 
 
-__all__ = ["OwnerWorld", "play_day"]
+__all__ = ["OwnerWorld", "encode_entry", "play_day"]
--- a/tests/virtual_links.py
+++ b/tests/virtual_links.py
@@ -41,6 +41,36 @@
                 return
 
 
+class Processor:
+    """The processor share of a machine: what its process handles takes turns.
+
+    Attributes
+    ----------
+    call_ms : float
+        Time for each call to the store or a worker, in milliseconds.
+    """
+
+    def __init__(self):
+        self.call_ms = 0
+        self._lock = trio.Lock()
+
+    async def handle(self, deadline_s, is_sent):
+        """Handle an answer in its turn, or a call before it is sent.
+
+        Raises
+        ------
+        NoResponseError
+            The time of the call is over before.
+        """
+        if not self.call_ms:
+            return
+        with trio.CancelScope(deadline=deadline_s) as scope:
+            async with self._lock:
+                await trio.sleep(self.call_ms / 1000)
+        if scope.cancelled_caught:
+            raise NoResponseError("timeout", sent=is_sent)
+
+
 class Link:
     """Calls of one process. One that has been killed sends nothing more.
 
@@ -85,8 +115,10 @@
         timer = CallTimer(timeout_ms, stall_ms)
         scope = trio.CancelScope(deadline=timer.deadline_s)
 
+        is_over = False
+
         def receive(n_bytes):
-            if scope.cancel_called:
+            if is_over or scope.cancel_called:
                 return False
             if on_received is not None:
                 on_received()
@@ -103,14 +135,21 @@
                 results.append(error)
             if self._world.rng.random() >= self._world.store.lost_share:
                 await trio.sleep(LINK_MS / 1000)
+                # What is sent to a process that is gone takes nothing from the next.
+                if is_over:
+                    return
                 await self._process.link.carry(n_bytes, receive)
                 answered.set()
 
         self._world.nursery.start_soon(carry_out)
-        with scope:
-            await answered.wait()
+        try:
+            with scope:
+                await answered.wait()
+        finally:
+            is_over = True
         if not answered.is_set():
             raise NoResponseError("timeout", sent=True)
+        await self._process.processor.handle(scope.deadline, is_sent=True)
         if isinstance(results[0], NoResponseError):
             raise results[0]
         return results[0]
@@ -128,6 +167,8 @@
     async def call(self, method, address, target, body, timeout_ms, headers=()):
         """Call the worker at an address."""
         self._begin(target)
+        deadline_s = trio.current_time() + timeout_ms / 1000
+        await self._process.processor.handle(deadline_s, is_sent=False)
         worker_id = dict(headers)[TARGET_HEADER]
         status, document = await self._world.call_worker(
             address, worker_id, target, json.loads(body), timeout_ms
@@ -183,4 +224,4 @@
     return " ".join(["write", *keys])
 
 
-__all__ = ["PeerLink", "SharedLink", "StoreLink", "WorkerLink"]
+__all__ = ["PeerLink", "Processor", "SharedLink", "StoreLink", "WorkerLink"]
--- a/tests/virtual_store.py
+++ b/tests/virtual_store.py
@@ -13,11 +13,42 @@
 LINK_MS = 2
 # How calls fail during an outage; a silent store lets them time out.
 OUTAGE_MODES = ("refuse", "busy", "silent")
+READ_PATHS = ("/v1/kv-key", "/v1/kv-range", "/v1/kv-watch", "/v1/kv-keep/")
+
+
+class CallLimit:
+    """Calls that all instances together may make; those of a second may come at once.
+
+    `per_s` is None without a limit.
+    """
+
+    def __init__(self):
+        self.per_s = None
+        self.n_refused = 0
+        self._n_free = 0.0
+        self._since_s = float("-inf")
+
+    def admits(self):
+        """Count a call; whether it is within the limit."""
+        if self.per_s is None:
+            return True
+        now_s = trio.current_time()
+        refilled = (now_s - self._since_s) * self.per_s
+        self._n_free = min(self.per_s, self._n_free + refilled)
+        self._since_s = now_s
+        if self._n_free < 1:
+            self.n_refused += 1
+            return False
+        self._n_free -= 1
+        return True
 
 
 class VirtualStore(TransactionalStore):
     """Store that can be down, with leases that go on or pause meanwhile.
 
+    `answer_ms` is what each answer takes beside the links. `reads` and `writes` are the
+    limits on calls.
+
     `lapsed_epochs` has the shard and the epoch of each owner whose key went with its
     lease, and not by giving the shard up.
     """
@@ -27,6 +58,9 @@
         self.outage = ""
         self.lapsed_epochs = set()
         self.lost_share = 0.0
+        self.answer_ms = 0
+        self.reads = CallLimit()
+        self.writes = CallLimit()
         self._pauses_leases = False
         self._down_since_ms = 0
         self._open = set()
@@ -87,6 +121,10 @@
             return HttpResponse(503, b"{}")
         if self.outage == "silent":
             await trio.sleep_forever()
+        if not self._limit_of(target).admits():
+            return HttpResponse(429, b"{}")
+        if self.answer_ms:
+            await trio.sleep(self.answer_ms / 1000)
         answers = []
 
         async def send(message):
@@ -108,6 +146,11 @@
             raise NoResponseError("ECONNRESET", sent=True)
         return HttpResponse(answers[0]["status"], answers[1]["body"])
 
+    def _limit_of(self, target):
+        """Renewals of leases count as reads."""
+        is_read = target.startswith(READ_PATHS)
+        return self.reads if is_read else self.writes
+
     @contextmanager
     def _cut_by_outage(self):
         with trio.CancelScope() as scope:
