Wait for the answer to the request for a lease for the length of a lease

Callers find shards without an owner: on a link on which answers take more than 1 s, an instance without a lease never got one. Each request was given up after 1 s and begun anew. It is the same class as the read that begins anew; renewals had got a longer limit.

A request is now given up when its lease would be over. After 1 s without an answer another one follows beside it, three at a time at most. The first lease granted counts, from before its own request was sent; another one ends unused. It is renewed 800 ms after its request was sent instead of 800 ms after it was granted.

test_lease_is_acquired_on_a_busy_link failed before.

--- a/apricotgap/instance/lease.py
+++ b/apricotgap/instance/lease.py
@@ -19,6 +19,9 @@
 RENEW_SILENCE_MS = 600
 # As many as are sent within the length of a lease.
 MAX_PENDING_RENEWALS = 4
+# The same for the request for a lease.
+GRANT_SILENCE_MS = 1_000
+MAX_PENDING_GRANTS = 3
 _RETRY_S = 0.2
 
 
@@ -53,6 +56,9 @@
         self._calls = trio.CancelScope()
         # Renewals without an answer yet.
         self._n_pending = 0
+        # Requests for a lease without one.
+        self._n_requested = 0
+        self._grant_ended = trio.Event()
         self.lease_id = 0
         self.valid_until_ms = 0
 
@@ -87,28 +93,45 @@
     async def _keep(self) -> None:
         async with trio.open_nursery() as nursery:
             while not self._is_revoked:
-                if not self.lease_id:
-                    pause_s = await self._acquire()
-                elif self._n_pending < MAX_PENDING_RENEWALS:
+                if self.lease_id and self._n_pending < MAX_PENDING_RENEWALS:
                     pause_s = await self._begin_renewal(nursery)
+                elif not self.lease_id and self._n_requested < MAX_PENDING_GRANTS:
+                    pause_s = await self._begin_grant(nursery)
                 else:
                     pause_s = _RETRY_S
                 await trio.sleep(pause_s)
 
-    async def _acquire(self) -> float:
+    async def _begin_grant(self, nursery: trio.Nursery) -> float:
         """Request a lease; return the pause until the next call, in seconds."""
+        self._grant_ended = trio.Event()
+        nursery.start_soon(self._acquire)
+        with trio.move_on_after(GRANT_SILENCE_MS / 1000):
+            await self._grant_ended.wait()
+        if not self.lease_id:
+            return _RETRY_S
+        # Part of the lease may have passed until it was granted.
+        return max(0, RENEW_INTERVAL_MS - self._ttl_ms + self._left_ms) / 1000
+
+    async def _acquire(self) -> None:
         sent_ms = self._clock.now_ms
+        self._n_requested += 1
         try:
-            lease_id, ttl_ms = await self._store.grant_lease(self._ttl_ms)
+            lease_id, ttl_ms = await self._store.grant_lease(
+                self._ttl_ms, timeout_ms=self._ttl_ms
+            )
         except StoreError as error:
             self._log_failure(0, error)
-            return _RETRY_S
-        if self._is_revoked:
-            return 0
+            self._grant_ended.set()
+            return
+        finally:
+            self._n_requested -= 1
+        # A lease that is not needed any more ends by itself.
+        if self._is_revoked or self.lease_id:
+            return
         self._ttl_ms = ttl_ms
         self._set(lease_id, sent_ms + ttl_ms)
+        self._grant_ended.set()
         self._log.info("lease_granted", lease=lease_id, ttl_ms=ttl_ms)
-        return RENEW_INTERVAL_MS / 1000
 
     async def _begin_renewal(self, nursery: trio.Nursery) -> float:
         """Send a renewal; return the pause until the next call, in seconds."""
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -77,7 +77,7 @@
         self._http = HttpClient(max_connections=48)
         # A burst of calls leaves idle connections, all of which may have gone silent
         # since. A renewal that follows one without an answer opens a new connection.
-        self._lease_http = HttpClient(max_connections=6, max_idle=1)
+        self._lease_http = HttpClient(max_connections=8, max_idle=1)
         self._n_consecutive_failures = 0
         self._observer: CallObserver = NoObserver()
 
@@ -291,7 +291,9 @@
         except StoreError as error:
             return Unknown(str(error))
 
-    async def grant_lease(self, ttl_ms: int) -> tuple[int, int]:
+    async def grant_lease(
+        self, ttl_ms: int, timeout_ms: int = CALL_TIMEOUT_MS
+    ) -> tuple[int, int]:
         """Request a lease; return its id and its TTL in milliseconds.
 
         Raises
@@ -300,7 +302,7 @@
             No usable response. A lease that was granted nevertheless expires unused.
         """
         status, body = await self._send_lease_request(
-            "POST", "/v1/kv-lease", msgspec.json.encode({"ttlMs": ttl_ms})
+            "POST", "/v1/kv-lease", msgspec.json.encode({"ttlMs": ttl_ms}), timeout_ms
         )
         if status != 200:
             raise StoreError(f"status {status}")
--- a/proof/claim_replay.py
+++ b/proof/claim_replay.py
@@ -88,7 +88,7 @@
     async def renew_lease(self, _lease: int, _timeout_ms: int) -> bool:
         return cast(bool, await _ask("renew"))
 
-    async def grant_lease(self, ttl_ms: int) -> tuple[int, int]:
+    async def grant_lease(self, ttl_ms: int, timeout_ms: int) -> tuple[int, int]:
         return cast(int, await _ask("grant")), ttl_ms
 
 
--- a/tests/test_election_stop.py
+++ b/tests/test_election_stop.py
@@ -38,7 +38,7 @@
         self.writes += writes
         return await super().write(writes)
 
-    async def grant_lease(self, ttl_ms):
+    async def grant_lease(self, ttl_ms, timeout_ms):
         if self.has_lease_ended:
             await self.grants.wait()
         self.n_leases += 1
--- a/tests/test_instance_lease.py
+++ b/tests/test_instance_lease.py
@@ -26,11 +26,15 @@
         self.n_waiting = 0
         self.is_down = False
         self.answer_delay_s = 0.0
+        self.grant_delay_s = 0.0
         # Time until a renewal is sent.
         self.connect_s = 0.0
         self.n_renewed = 0
 
-    async def grant_lease(self, ttl_ms):
+    async def grant_lease(self, ttl_ms, timeout_ms):
+        await trio.sleep(min(self.grant_delay_s, timeout_ms / 1000))
+        if self.grant_delay_s > timeout_ms / 1000:
+            raise StoreError("timeout")
         self.n_granted += 1
         self.alive.add(self.n_granted)
         return self.n_granted, ttl_ms
@@ -201,6 +205,28 @@
     run(check)
 
 
+def test_lease_is_acquired_on_a_busy_link():
+    """Guards against an instance that never gets a lease again, and owns no shard: each
+    grant is answered in 1.2 s, was given up after 1 s and begun anew.
+    """
+
+    async def main():
+        store = Store()
+        store.grant_delay_s = store.answer_delay_s = 1.2
+        lease = InstanceLease(store, TrioClock(), 1_000)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lease.run)
+            await trio.sleep(1.3)
+            first = lease.lease_id
+            for _ in range(100):
+                await trio.sleep(0.1)
+                assert lease.is_valid
+            assert lease.lease_id == first
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+
+
 class SilencedServer:
     """A store whose open connections go silent without a reset; new ones work."""
 
