Repeat refused reads of the store at growing pauses

Callers would see shards change their owner while the store refuses calls beyond its limit. Cause: each mirror made a refused call again after 0.2 s, all instances in step, and shortened its watches to 300 ms after a failure, so that refusals caused more calls, which took the limit from the renewals of leases.

The pause doubles with each refusal in a row, up to 3.2 s, and differs between instances. Calls without an answer are repeated as before.

test_refused_reads_become_rare_and_come_out_of_step failed before.

--- a/apricotgap/instance/mirror.py
+++ b/apricotgap/instance/mirror.py
@@ -1,5 +1,6 @@
 """Local copy of all store keys under a prefix."""
 
+import hashlib
 from collections.abc import Callable
 
 import structlog
@@ -10,6 +11,7 @@
 from apricotgap.platform.store import (
     HistoryLostError,
     Item,
+    RefusedError,
     Snapshot,
     StoreClient,
     StoreError,
@@ -18,6 +20,10 @@
 __all__ = ["PrefixMirror"]
 
 _RETRY_S = 0.2
+# A store that refuses calls has too many of them: the pause doubles with each refusal
+# in a row, and instances do not come back in step.
+MAX_REFUSED_RETRY_S = 3.2
+_MAX_COUNTED_REFUSALS = 8
 # Failures in a row are logged at most this often.
 _LOG_MS = 5_000
 # A watch that returned changes proves freshness only up to when it was sent. The next
@@ -69,6 +75,8 @@
         self._revision: int | None = None
         self._log = structlog.get_logger().bind(prefix=prefix)
         self._n_failures = 0
+        # Calls in a row that the store has refused.
+        self._n_refusals = 0
         self._logged_ms = 0
         self._had_changes = False
         # Revisions of adopted items that no read or watch has reached yet.
@@ -96,7 +104,7 @@
                 self._revision = None
             except StoreError as error:
                 self._record_failure(error)
-                await trio.sleep(_RETRY_S)
+                await trio.sleep(self._pause_s(error))
                 continue
             if self._is_disconnected:
                 self._log.info(
@@ -104,7 +112,19 @@
                     revision=self._revision,
                     n_failures=self._n_failures,
                 )
-                self._n_failures = 0
+                self._n_failures = self._n_refusals = 0
+
+    def _pause_s(self, error: StoreError) -> float:
+        """Return the pause after a failure, in seconds."""
+        if not isinstance(error, RefusedError):
+            self._n_refusals = 0
+            return _RETRY_S
+        longest_s = min(_RETRY_S * 2**self._n_refusals, MAX_REFUSED_RETRY_S)
+        self._n_refusals = min(self._n_refusals + 1, _MAX_COUNTED_REFUSALS)
+        # The clocks of instances differ, so that this spreads them.
+        text = f"{self._prefix} {self._clock.now_ms}"
+        digest = hashlib.blake2b(text.encode(), digest_size=2).digest()
+        return longest_s * (1 + int.from_bytes(digest, "big") / 0xFFFF) / 2
 
     @property
     def _is_disconnected(self) -> bool:
@@ -179,7 +199,7 @@
 
     async def _watch(self, revision: int) -> None:
         sent_ms = self._clock.now_ms
-        is_short = self._had_changes or self._is_disconnected
+        is_short = self._had_changes or (self._is_disconnected and not self._n_refusals)
         wait_ms = min(self._wait_ms, _SHORT_WAIT_MS) if is_short else self._wait_ms
         changes = await self._store.watch(self._prefix, revision, wait_ms)
         self._revision = max(revision, changes.revision)
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -24,6 +24,7 @@
     Lease,
     LeaseGone,
     PartialRead,
+    RefusedError,
     Rejected,
     Snapshot,
     Stored,
@@ -42,6 +43,7 @@
     "Lease",
     "LeaseGone",
     "PartialRead",
+    "RefusedError",
     "Rejected",
     "Snapshot",
     "StoreClient",
@@ -151,7 +153,7 @@
         if status == 404:
             return Item(key, None, 0)
         if status != 200:
-            raise StoreError(f"status {status}")
+            raise _status_error(status)
         return decode_item(body)
 
     async def read_prefix(
@@ -205,7 +207,7 @@
             target += f"&after={quote(after, safe='')}"
         status, body = await self._read(target, CALL_TIMEOUT_MS)
         if status != 200:
-            raise StoreError(f"status {status}")
+            raise _status_error(status)
         return decode_page(body)
 
     async def watch(self, prefix: str, after: int, wait_ms: int) -> Snapshot:
@@ -243,7 +245,7 @@
         if status == 410:
             raise HistoryLostError("history lost")
         if status != 200:
-            raise StoreError(f"status {status}")
+            raise _status_error(status)
         return decode_changes(body)
 
     async def write(
@@ -309,7 +311,7 @@
             "POST", "/v1/kv-lease", msgspec.json.encode({"ttlMs": ttl_ms}), timeout_ms
         )
         if status != 200:
-            raise StoreError(f"status {status}")
+            raise _status_error(status)
         return decode_lease(body)
 
     async def renew_lease(self, lease: int, timeout_ms: int) -> bool:
@@ -326,7 +328,7 @@
         if status == 404:
             return False
         if status != 200:
-            raise StoreError(f"status {status}")
+            raise _status_error(status)
         return True
 
     async def revoke_lease(self, lease: int) -> None:
@@ -361,6 +363,11 @@
         await self._lease_http.aclose()
 
 
+def _status_error(status: int) -> StoreError:
+    kind = RefusedError if status in _OVERLOAD_STATUSES else StoreError
+    return kind(f"status {status}")
+
+
 def _store_error(error: NoResponseError) -> StoreError:
     return StoreError(error.reason, error.stage.value, error.n_received_bytes)
 
--- a/apricotgap/platform/store_types.py
+++ b/apricotgap/platform/store_types.py
@@ -10,6 +10,7 @@
     "Lease",
     "LeaseGone",
     "PartialRead",
+    "RefusedError",
     "Rejected",
     "Snapshot",
     "StoreError",
@@ -40,6 +41,10 @@
         self.n_received_bytes = n_received_bytes
 
 
+class RefusedError(StoreError):
+    """The store has refused a call and done nothing, since it has too many calls."""
+
+
 class HistoryLostError(StoreError):
     """The store has dropped the history after the revision of a watch."""
 
--- a/tests/test_prefix_mirror.py
+++ b/tests/test_prefix_mirror.py
@@ -1,6 +1,7 @@
 """Local copies of the store's keys, beside what other answers of the store tell."""
 
 import json
+from itertools import pairwise
 
 import pytest
 import structlog
@@ -10,8 +11,9 @@
 from apricotgap.clock import FakeClock, TrioClock
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.keys import Owner, encode_owner, owner_key
+from apricotgap.instance.mirror import MAX_REFUSED_RETRY_S, PrefixMirror
 from apricotgap.platform.keys import CONFIGURATION_KEY
-from apricotgap.platform.store import Item, Snapshot, StoreError
+from apricotgap.platform.store import Item, RefusedError, Snapshot, StoreError
 from soak.cluster import configuration
 
 SHARD = "bakery"
@@ -183,3 +185,46 @@
     (line,) = [line for line in lines if line["event"] == "prefix_loaded"]
     assert (line["prefix"], line["n_items"], line["n_bytes"]) == ("op/", 1, 3)
     assert line["took_ms"] >= 500
+
+
+class RefusingStore:
+    """A store that has too many calls, and refuses all of these."""
+
+    def __init__(self, error):
+        self.error = error
+        self.called_s = []
+
+    async def read_prefix(self, prefix):
+        self.called_s.append(trio.current_time())
+        raise self.error
+
+
+def called_s(error, prefix="p/", length_s=30):
+    """Return when a mirror reads a prefix while each read fails."""
+    store = RefusingStore(error)
+
+    async def main():
+        mirror = PrefixMirror(store, prefix, TrioClock(), lambda items: None, 1_000)
+        with trio.move_on_after(length_s):
+            await mirror.run()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return [at_s - store.called_s[0] for at_s in store.called_s]
+
+
+def test_refused_reads_become_rare_and_come_out_of_step():
+    """Guards against refused calls that are what the store has too many of, and take
+    the place of the renewals of leases.
+    """
+    refused = RefusedError("status 429")
+    first, second = called_s(refused, "p/"), called_s(refused, "q/")
+    assert len(first) <= 20
+    assert first != second
+    gaps_s = [late - early for early, late in pairwise(first)]
+    assert max(gaps_s) <= MAX_REFUSED_RETRY_S
+
+
+def test_reads_without_an_answer_are_repeated_soon():
+    """Guards against an instance that is late to see that the store is back."""
+    gaps_s = [late - early for early, late in pairwise(called_s(StoreError("timeout")))]
+    assert max(gaps_s) < 0.3
