Play the renewal of a lease in the specification of elections again

`python -m proof.model_check` ended with an AttributeError, and five tests of test_specifications failed: the replay called `_renew_or_acquire`, which has split into `_acquire` and `_renew`.

The replay plays `_renew` for an instance with a lease and `_acquire` for one without. The faults "late renewal" and "ended lease" replace `_renew`, with the same defects as before. The specification has one renewal at a time; several that are open at once are left to test_instance_lease.

Failed before: test_fault_in_the_election_shows_in_its_specification, all five.

--- a/proof/claim_replay.py
+++ b/proof/claim_replay.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Coroutine, Generator
+from contextlib import suppress
 from functools import cache
 from types import coroutine
 from typing import Any, NamedTuple, cast
@@ -15,7 +16,7 @@
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.election import Election
 from apricotgap.instance.keys import Member
-from apricotgap.instance.lease import InstanceLease
+from apricotgap.instance.lease import InstanceLease, _Renewal
 from apricotgap.instance.ownership import Ownership
 from apricotgap.platform.store import Item, StoreClient, StoreError, Write
 
@@ -193,18 +194,17 @@
         Whether the process has given its lease back meanwhile.
     """
     lease, clock = _lease(began)
-    play = lease._renew_or_acquire()
+    play: Coroutine[Any, Any, object] = lease._acquire()
+    if lease.lease_id:
+        play.close()
+        play = lease._renew(_Renewal(lease.lease_id))
     play.send(None)
     if is_revoked:
         lease.abandon()
     if is_late:
         clock.advance(_TTL_MS + 1)
-    try:
+    with suppress(StopIteration):
         play.send(answer)
-        # The lease has ended, and a new one is asked for.
-        play.close()
-    except StopIteration:
-        pass
     return LeaseView(lease.lease_id, lease.is_valid, began.is_draining)
 
 
--- a/tests/test_specifications.py
+++ b/tests/test_specifications.py
@@ -160,23 +160,17 @@
     assert explore(Tenures()).violation is not None
 
 
-async def _count_from_answer(self):
-    if self.lease_id and await self._store.renew_lease(self.lease_id, 600):
+async def _count_from_answer(self, renewal):
+    if await self._store.renew_lease(renewal.lease_id, 600):
         self.valid_until_ms = self._clock.now_ms + self.ttl_ms
         return
     self._set(0, 0)
-    lease_id, ttl_ms = await self._store.grant_lease(self.ttl_ms)
-    self._set(lease_id, self._clock.now_ms + ttl_ms)
 
 
-async def _ignore_end(self):
+async def _ignore_end(self, renewal):
     sent_ms = self._clock.now_ms
-    if self.lease_id:
-        await self._store.renew_lease(self.lease_id, 600)
-        self.valid_until_ms = sent_ms + self.ttl_ms
-        return
-    lease_id, ttl_ms = await self._store.grant_lease(self.ttl_ms)
-    self._set(lease_id, sent_ms + ttl_ms)
+    await self._store.renew_lease(renewal.lease_id, 600)
+    self.valid_until_ms = sent_ms + self.ttl_ms
 
 
 ELECTION_FAULTS = {
@@ -191,8 +185,8 @@
         "names_owner",
         lambda value, owner: bool(value) and decode_owner(value).name == owner.name,
     ),
-    "late renewal": (InstanceLease, "_renew_or_acquire", _count_from_answer),
-    "ended lease": (InstanceLease, "_renew_or_acquire", _ignore_end),
+    "late renewal": (InstanceLease, "_renew", _count_from_answer),
+    "ended lease": (InstanceLease, "_renew", _ignore_end),
 }
 
 
