Leave time for other calls between slow reads for counts

Callers would see an instance whose link is full for good: while an owner is slow, a read of all jobs for pendingCount that takes longer than its result serves (1.8 s) was begun again at once. After such a read, or one that failed, the key is not read again for as long as it took; callers wait for the next one within their deadline.

test_reads_that_take_long_leave_time_for_other_calls failed before.

--- a/apricotgap/instance/shared_reads.py
+++ b/apricotgap/instance/shared_reads.py
@@ -36,6 +36,9 @@
     max_age_ms : int
         How long after its read has begun a result serves further calls, in
         milliseconds.
+
+    After a read that took longer than that, or failed, the key is not read again for as
+    long as it took, so that slow reads leave half of the link to other calls.
     """
 
     def __init__(
@@ -45,6 +48,8 @@
         self._clock = clock
         self._max_age_ms = max_age_ms
         self._reads: dict[str, _Read[_T]] = {}
+        # Until when keys are not read again.
+        self._paused_until_ms: dict[str, int] = {}
 
     async def get(self, key: str) -> _T:
         """Return a result that is young, or whose read began after this call.
@@ -58,7 +63,11 @@
         while True:
             read = self._reads.get(key)
             if read is None or self._is_outdated(read, called_ms):
-                return await self._begin(key)
+                pause_ms = self._paused_until_ms.get(key, 0) - self._clock.now_ms
+                if pause_ms <= 0:
+                    return await self._begin(key)
+                await trio.sleep(pause_ms / 1000)
+                continue
             await read.has_ended.wait()
             if read.error is not None:
                 raise StoreError(str(read.error)) from read.error
@@ -84,8 +93,15 @@
         finally:
             if not read.results:
                 del self._reads[key]
+            self._pause(key, self._clock.now_ms - read.began_ms, bool(read.results))
             read.has_ended.set()
 
+    def _pause(self, key: str, took_ms: int, is_read: bool) -> None:
+        if is_read and took_ms <= self._max_age_ms:
+            self._paused_until_ms.pop(key, None)
+            return
+        self._paused_until_ms[key] = self._clock.now_ms + took_ms
+
     def _forget_outdated(self) -> None:
         now_ms = self._clock.now_ms
         self._reads = {
--- a/tests/test_stored_counts.py
+++ b/tests/test_stored_counts.py
@@ -1,5 +1,6 @@
 """Counts of waiting jobs that are read from the store while their owner is slow."""
 
+from contextlib import suppress
 from functools import partial
 from types import SimpleNamespace
 
@@ -170,3 +171,24 @@
         assert answers == [1]
 
     run(check)
+
+
+def test_reads_that_take_long_leave_time_for_other_calls():
+    """Guards against a link that is full for good, since each read takes longer than
+    its result serves and the next one begins at once.
+    """
+
+    async def check(store, count):
+        store.read_s = 2.5
+
+        async def call():
+            with suppress(UnreadableError):
+                await count()
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(200):
+                nursery.start_soon(call)
+                await trio.sleep(0.1)
+        assert store.n_reads * store.read_s <= 0.6 * 23
+
+    run(check)
