--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import asdict
+from functools import partial
 
 import structlog
 import trio
@@ -21,6 +22,7 @@
 from apricotgap.instance.job_router import JobRouter
 from apricotgap.instance.keys import Member, new_incarnation
 from apricotgap.instance.lease import InstanceLease
+from apricotgap.instance.loop_monitor import LoopMonitor
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.peers import PeerClient, serve_peers
 from apricotgap.instance.settings import load_instance_settings
@@ -106,12 +108,18 @@
         self._file_version = file_version
         self._clock = BootClock()
         self._store = StoreClient(settings.store_address)
-        self._lease = InstanceLease(self._store, self._clock, settings.min_lease_ms)
+        self._metrics = Metrics(settings.name)
+        self._lease = InstanceLease(
+            self._store,
+            self._clock,
+            settings.min_lease_ms,
+            partial(self._metrics.observe_ms, "lease_left"),
+        )
         self._cluster_view = ClusterView(self._store, self._clock)
         self._workers = WorkerList(self._store, self._clock)
         self._client = WorkerClient()
-        self._metrics = Metrics(settings.name)
         self._store_monitor = StoreMonitor(self._store, self._clock, self._metrics)
+        self._loop_monitor = LoopMonitor(self._clock, self._metrics)
         self._owners: dict[str, ShardOwner] = {}
         self._is_draining = False
         self._identity = Member(
@@ -180,6 +188,7 @@
         nursery.start_soon(self._cluster_view.system_mirror.run)
         nursery.start_soon(self._workers.run)
         nursery.start_soon(self._store_monitor.run)
+        nursery.start_soon(self._loop_monitor.run)
         nursery.start_soon(self._lease.run)
         nursery.start_soon(self._election.run)
         nursery.start_soon(
--- a/apricotgap/instance/mirror.py
+++ b/apricotgap/instance/mirror.py
@@ -1,14 +1,17 @@
 """Local copy of all store keys under a prefix."""
 
+import hashlib
 from collections.abc import Callable
 
 import structlog
 import trio
 
 from apricotgap.clock import Clock
+from apricotgap.instance.prefix_reader import PrefixReader
 from apricotgap.platform.store import (
     HistoryLostError,
     Item,
+    RefusedError,
     Snapshot,
     StoreClient,
     StoreError,
@@ -17,6 +20,12 @@
 __all__ = ["PrefixMirror"]
 
 _RETRY_S = 0.2
+# A store that refuses calls has too many of them: the pause doubles with each refusal
+# in a row, and instances do not come back in step.
+MAX_REFUSED_RETRY_S = 3.2
+_MAX_COUNTED_REFUSALS = 8
+# Failures in a row are logged at most this often.
+_LOG_MS = 5_000
 # A watch that returned changes proves freshness only up to when it was sent. The next
 # watch waits no longer than this, so that freshness is proved again soon. So does one
 # after a failure: while the store gives no answer, a long one would go on beyond its
@@ -56,13 +65,19 @@
     ) -> None:
         self._store = store
         self._prefix = prefix
+        self._reader = PrefixReader(store, prefix)
+        # When the present read of the whole prefix was begun.
+        self._load_sent_ms = 0
         self._clock = clock
         self._on_change = on_change
         self._wait_ms = wait_ms
         self._pause_ms = pause_ms
         self._revision: int | None = None
         self._log = structlog.get_logger().bind(prefix=prefix)
-        self._is_disconnected = False
+        self._n_failures = 0
+        # Calls in a row that the store has refused.
+        self._n_refusals = 0
+        self._logged_ms = 0
         self._had_changes = False
         # Revisions of adopted items that no read or watch has reached yet.
         self._adopted: dict[str, int] = {}
@@ -88,20 +103,58 @@
                 self._log.info("watch_history_lost", revision=self._revision)
                 self._revision = None
             except StoreError as error:
-                if not self._is_disconnected:
-                    self._is_disconnected = True
-                    self._log.warning("store_lost", reason=str(error))
-                await trio.sleep(_RETRY_S)
+                self._record_failure(error)
+                await trio.sleep(self._pause_s(error))
                 continue
             if self._is_disconnected:
-                self._is_disconnected = False
-                self._log.info("store_regained", revision=self._revision)
+                self._log.info(
+                    "store_regained",
+                    revision=self._revision,
+                    n_failures=self._n_failures,
+                )
+                self._n_failures = self._n_refusals = 0
+
+    def _pause_s(self, error: StoreError) -> float:
+        """Return the pause after a failure, in seconds."""
+        if not isinstance(error, RefusedError):
+            self._n_refusals = 0
+            return _RETRY_S
+        longest_s = min(_RETRY_S * 2**self._n_refusals, MAX_REFUSED_RETRY_S)
+        self._n_refusals = min(self._n_refusals + 1, _MAX_COUNTED_REFUSALS)
+        # The clocks of instances differ, so that this spreads them.
+        text = f"{self._prefix} {self._clock.now_ms}"
+        digest = hashlib.blake2b(text.encode(), digest_size=2).digest()
+        return longest_s * (1 + int.from_bytes(digest, "big") / 0xFFFF) / 2
+
+    @property
+    def _is_disconnected(self) -> bool:
+        return self._n_failures > 0
+
+    def _record_failure(self, error: StoreError) -> None:
+        self._n_failures += 1
+        if self._n_failures > 1 and self._clock.now_ms - self._logged_ms < _LOG_MS:
+            return
+        self._logged_ms = self._clock.now_ms
+        self._log.warning(
+            "store_lost",
+            reason=str(error),
+            stage=error.stage,
+            n_received_bytes=error.n_received_bytes,
+            n_failures=self._n_failures,
+        )
 
     async def _load(self) -> None:
-        sent_ms = self._clock.now_ms
-        snapshot = await self._store.read_prefix(self._prefix)
+        if not self._reader.is_interrupted:
+            self._load_sent_ms = self._clock.now_ms
+        snapshot = await self._reader.read()
+        self._log.info(
+            "prefix_loaded",
+            n_items=len(snapshot.items),
+            n_bytes=sum(len(item.value or b"") for item in snapshot.items),
+            took_ms=self._clock.now_ms - self._load_sent_ms,
+        )
         self.replace(snapshot)
-        self.fresh_as_of_ms = sent_ms
+        self.fresh_as_of_ms = self._load_sent_ms
         self.loaded.set()
 
     def replace(self, snapshot: Snapshot) -> None:
@@ -146,7 +199,7 @@
 
     async def _watch(self, revision: int) -> None:
         sent_ms = self._clock.now_ms
-        is_short = self._had_changes or self._is_disconnected
+        is_short = self._had_changes or (self._is_disconnected and not self._n_refusals)
         wait_ms = min(self._wait_ms, _SHORT_WAIT_MS) if is_short else self._wait_ms
         changes = await self._store.watch(self._prefix, revision, wait_ms)
         self._revision = max(revision, changes.revision)
--- a/apricotgap/instance/shard_owner.py
+++ b/apricotgap/instance/shard_owner.py
@@ -12,16 +12,18 @@
 from apricotgap.instance.job_cleanup import JobCleanup
 from apricotgap.instance.keys import jobs_prefix, progress_prefix, roster_key
 from apricotgap.instance.lease import InstanceLease
+from apricotgap.instance.limit_needs import LimitNeeds
 from apricotgap.instance.mirror import PrefixMirror
 from apricotgap.instance.ownership import Ownership, OwnershipLostError
 from apricotgap.instance.poll_loops import PollLoops
+from apricotgap.instance.prefix_reader import read_prefix
 from apricotgap.instance.progress_writer import ProgressWriter
+from apricotgap.instance.refusal_mark import RefusalMark
 from apricotgap.instance.roster import RosterWriter
 from apricotgap.instance.shard_loader import (
     add_found_jobs,
     cancel_found_jobs,
     load_jobs,
-    read_prefix,
 )
 from apricotgap.instance.shard_retirement import ShardRetirement, ShardUnusedError
 from apricotgap.instance.start_permission import StartPermission
@@ -46,6 +48,8 @@
 from apricotgap.jobs.service import SubmitOutcome
 from apricotgap.jobs.shard import Shard
 from apricotgap.jobs.share_log import ShareLog
+from apricotgap.jobs.start_rate import StartRate
+from apricotgap.jobs.start_window import StartWindow
 from apricotgap.jobs.stragglers import StragglerDetector
 from apricotgap.jobs.team_use import team_use
 from apricotgap.jobs.wait_log import WaitLog
@@ -112,7 +116,11 @@
         )
         self._shard.unix_offset_ms = time.time_ns() // 1_000_000 - clock.now_ms
         self._demand = Demand(self._shard)
-        self._scheduler = Scheduler(self._shard, self._demand, overload)
+        self._start_window = StartWindow()
+        self._start_rate = StartRate()
+        self._scheduler = Scheduler(
+            self._shard, self._demand, overload, self._start_window
+        )
         self._shares = self._scheduler.shares
         self._pacer = Pacer(self._shard)
         self._stragglers = StragglerDetector(self._shard)
@@ -122,6 +130,7 @@
         self._share_log = ShareLog(self._shard, self._shares)
         self._pass_requested = trio.Event()
         self._writer = ProgressWriter(self._shard, ownership, store)
+        self._refusal_mark = RefusalMark(ownership, store, clock)
         self._submissions = Submissions(
             self._shard,
             ownership,
@@ -131,6 +140,8 @@
             clock,
             metrics,
             self._job_accepted,
+            self._start_rate,
+            self._refusal_mark.record_refusal,
         )
         self._tickets = (
             TicketRequests(
@@ -163,6 +174,7 @@
             lambda: self._lease_until_ms,
             cluster_view.has_shard,
             self._request_pass,
+            LimitNeeds(ownership, store, cluster_view),
         )
         self._effects = EffectRunner(
             self._shard,
@@ -173,6 +185,8 @@
             metrics,
             self._writer.wake,
             self._request_pass,
+            self._start_window,
+            self._start_rate,
         )
         self._poll_loops = PollLoops(
             self._shard,
@@ -213,6 +227,7 @@
                     nursery.start_soon(self._tickets.run)
                 nursery.start_soon(self._roster.run)
                 nursery.start_soon(self._tenure_mark.run)
+                nursery.start_soon(self._refusal_mark.run)
                 nursery.start_soon(self._tick_loop)
                 nursery.start_soon(self._cleanup.run, jobs)
                 nursery.start_soon(self._retirement.run, jobs)
@@ -271,7 +286,7 @@
     def _jobs_changed(self, items: tuple[Item, ...]) -> None:
         known = self._shard.jobs
         new = [item for item in items if item.key.rpartition("/")[2] not in known]
-        add_found_jobs(self._shard, new)
+        add_found_jobs(self._shard, new, self._submissions.record_found)
         self._effects.execute(cancel_found_jobs(self._shard, items, self._clock.now_ms))
         self._pass_requested.set()
 
@@ -392,9 +407,10 @@
             started_ms = self._clock.now_ms
             effects = self._scheduler.run(started_ms, self._permission.until_ms)
             self._effects.execute(effects)
+            self._start_rate.record_pass(started_ms, self._start_window.is_blocking)
             if self._scheduler.is_team_blocked:
                 self._limits.wake()
-            if self._scheduler.hit_start_limit:
+            if self._scheduler.hit_start_limit and not self._start_window.is_blocking:
                 self._pass_requested.set()
             # Groups events that occur close together into one pass. With many waiting
             # jobs a pass takes long, and polls and starts need processor time too.
--- a/apricotgap/instance/store_monitor.py
+++ b/apricotgap/instance/store_monitor.py
@@ -56,6 +56,10 @@
         self._reachability.record_start(call_id, kind, self._clock.now_ms)
         return call_id
 
+    def record_part(self, call_id: int) -> None:
+        """Record that a part of the answer to a call has arrived."""
+        self._reachability.record_part(self._clock.now_ms)
+
     def record_answer(self, call_id: int) -> None:
         """Record that a call was answered, with any status."""
         self._reachability.record_answer(call_id, self._clock.now_ms)
@@ -84,7 +88,7 @@
             self._logged_ms = since_ms
             why = (
                 "lease_renewal"
-                if self._reachability.has_failed_renewal
+                if self._reachability.has_silent_renewal(since_ms)
                 else "silent_calls"
             )
             self._log.warning("store_unreachable", why=why)
--- a/apricotgap/platform/http.py
+++ b/apricotgap/platform/http.py
@@ -8,14 +8,17 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 import httptools
 import trio
 
 from apricotgap.decoding import MAX_DOCUMENT_BYTES
+from apricotgap.platform.call_timer import CallTimer
 
-__all__ = ["HttpClient", "HttpResponse", "NoResponseError"]
+__all__ = ["CallStage", "HttpClient", "HttpResponse", "NoResponseError"]
 
 # Zero linger resets the connection on close and drops unsent data, so that bytes of
 # a call that timed out during a network partition are not delivered after it.
@@ -35,6 +38,15 @@
 _MAX_INTERIM_STATUS = 199
 
 
+class CallStage(Enum):
+    """What a call was waiting for as it failed."""
+
+    CONNECTION = "connection"
+    SEND = "send"
+    RESPONSE = "response"
+    BODY = "body"
+
+
 class NoResponseError(Exception):
     """A call got no usable response.
 
@@ -44,12 +56,24 @@
         Kind of failure, such as ``timeout`` or an errno name.
     sent : bool
         Whether a byte of the call was written, so that the server may execute it.
+    stage : CallStage
+        What the call was waiting for.
+    n_received_bytes : int
+        Bytes of the response that had arrived.
     """
 
-    def __init__(self, reason: str, sent: bool) -> None:
+    def __init__(
+        self,
+        reason: str,
+        sent: bool,
+        stage: CallStage = CallStage.CONNECTION,
+        n_received_bytes: int = 0,
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
+        self.stage = stage
+        self.n_received_bytes = n_received_bytes
 
     @property
     def has_timed_out(self) -> bool:
@@ -119,6 +143,11 @@
         self.idle_since_s = 0.0
         # Whether the kernel has taken a byte of the present request.
         self.has_sent = False
+        self.stage = CallStage.SEND
+        # Bytes of the present response, with its header.
+        self.n_received_bytes = 0
+        # Time limit that has passed without an end of the call.
+        self._passed_limit_s: float | None = None
 
     @classmethod
     async def open(cls, address: str) -> "_Connection":
@@ -139,75 +168,135 @@
         is_old = trio.current_time() - self.idle_since_s > _MAX_IDLE_S
         return is_old or self._sock.is_readable()
 
-    async def exchange(self, request: bytes) -> tuple[HttpResponse, bool]:
-        """Return the response and whether the connection can be reused."""
-        self.has_sent = False
-        unsent = memoryview(request)
-        while unsent:
-            # A send that fails or is cancelled has taken no byte.
-            n_taken = await self._sock.send(unsent)
-            self.has_sent = True
-            unsent = unsent[n_taken:]
+    async def exchange(
+        self,
+        request: bytes,
+        timer: CallTimer,
+        on_received: Callable[[], None] | None = None,
+    ) -> tuple[HttpResponse, bool]:
+        """Return the response and whether the connection can be reused.
+
+        `on_received` is called with each part of the response.
+
+        Raises
+        ------
+        trio.TooSlowError
+            The limit of the timer has passed.
+        """
+        self.n_received_bytes = 0
+        self._passed_limit_s = None
+        with trio.fail_at(timer.deadline_s):
+            await self._send(request)
         reader = _ResponseReader()
+        self.stage = CallStage.RESPONSE
         while not reader.is_complete:
-            data = await self._sock.recv(_READ_BYTES)
+            data = await self._receive(timer.deadline_s)
+            self.stage = CallStage.BODY
+            self.n_received_bytes += len(data)
             if not data:
                 raise ConnectionResetError(
                     errno.ECONNRESET, "closed before the response"
                 )
+            timer.record_bytes(len(data))
+            if on_received is not None:
+                on_received()
             try:
                 reader.parser.feed_data(data)
             except httptools.HttpParserUpgrade as error:
                 raise httptools.HttpParserError("an upgrade") from error
         return reader.response(), reader.is_reusable
 
+    async def _send(self, request: bytes) -> None:
+        self.has_sent = False
+        self.stage = CallStage.SEND
+        unsent = memoryview(request)
+        while unsent:
+            # A send that fails or is cancelled has taken no byte.
+            n_taken = await self._sock.send(unsent)
+            self.has_sent = True
+            unsent = unsent[n_taken:]
+
+    async def _receive(self, limit_s: float) -> bytes:
+        """Return the next part of the response.
+
+        A process that is late itself finds a limit passed before it has looked at what
+        arrived in time. Once for each limit, it reads what the socket holds by then.
+        """
+        with trio.move_on_at(limit_s):
+            return await self._sock.recv(_READ_BYTES)
+        if limit_s == self._passed_limit_s or not self._sock.is_readable():
+            raise trio.TooSlowError
+        self._passed_limit_s = limit_s
+        # Data is there, so this does not wait.
+        return await self._sock.recv(_READ_BYTES)
+
     def close(self) -> None:
         """Reset the connection."""
         self._sock.close()
 
 
-def _has_sent(connection: _Connection | None) -> bool:
-    return connection is not None and connection.has_sent
+def _no_response(reason: str, connection: _Connection | None) -> NoResponseError:
+    if connection is None:
+        return NoResponseError(reason, sent=False)
+    return NoResponseError(
+        reason, connection.has_sent, connection.stage, connection.n_received_bytes
+    )
 
 
 class _Pool:
     """Connections to one address."""
 
-    def __init__(self, address: str, max_connections: int) -> None:
+    def __init__(self, address: str, max_connections: int, max_idle: int) -> None:
         self._address = address
+        self._max_idle = max_idle
         self._semaphore = trio.Semaphore(max_connections)
         self._idle: deque[_Connection] = deque()
         self._is_closed = False
 
-    async def call(self, request: bytes, timeout_ms: int) -> HttpResponse:
+    async def call(
+        self,
+        request: bytes,
+        timeout_ms: int,
+        stall_ms: int | None,
+        on_received: Callable[[], None] | None,
+    ) -> HttpResponse:
         connection: _Connection | None = None
+        timer = CallTimer(timeout_ms, stall_ms)
         try:
-            with trio.fail_after(timeout_ms / 1000):
-                async with self._semaphore:
+            with trio.fail_at(timer.deadline_s):
+                await self._semaphore.acquire()
+            try:
+                with trio.fail_at(timer.deadline_s):
                     connection = await self._acquire(timeout_ms)
-                    response, is_reusable = await connection.exchange(request)
-                    if is_reusable and not self._is_closed:
-                        connection.idle_since_s = trio.current_time()
-                        self._idle.append(connection)
-                        connection = None
-                    return response
+                response, is_reusable = await connection.exchange(
+                    request, timer, on_received
+                )
+                if is_reusable and self._keep(connection):
+                    connection = None
+                return response
+            finally:
+                self._semaphore.release()
         except trio.TooSlowError:
-            raise NoResponseError(_TIMEOUT, _has_sent(connection)) from None
+            raise _no_response(_TIMEOUT, connection) from None
         except OSError as error:
             reason = errno.errorcode.get(error.errno or 0, type(error).__name__)
-            raise NoResponseError(reason, _has_sent(connection)) from error
+            raise _no_response(reason, connection) from error
         except (httptools.HttpParserError, trio.ClosedResourceError) as error:
-            raise NoResponseError(
-                type(error).__name__, _has_sent(connection)
-            ) from error
+            raise _no_response(type(error).__name__, connection) from error
         except (ValueError, OverflowError) as error:
-            raise NoResponseError(
-                f"address {self._address}", _has_sent(connection)
-            ) from error
+            raise _no_response(f"address {self._address}", connection) from error
         finally:
             if connection is not None:
                 connection.close()
 
+    def _keep(self, connection: _Connection) -> bool:
+        """Keep a connection for a later call, unless there are enough."""
+        if self._is_closed or len(self._idle) >= self._max_idle:
+            return False
+        connection.idle_since_s = trio.current_time()
+        self._idle.append(connection)
+        return True
+
     async def _acquire(self, timeout_ms: int) -> _Connection:
         while self._idle:
             connection = self._idle.pop()
@@ -230,10 +319,13 @@
     ----------
     max_connections : int
         Maximum number of connections to one address.
+    max_idle : int, optional
+        Maximum number of idle ones, by default all.
     """
 
-    def __init__(self, max_connections: int = 24) -> None:
+    def __init__(self, max_connections: int = 24, max_idle: int | None = None) -> None:
         self._max_connections = max_connections
+        self._max_idle = max_connections if max_idle is None else max_idle
         self._pools: dict[str, _Pool] = {}
 
     async def call(
@@ -244,6 +336,8 @@
         body: bytes = b"",
         timeout_ms: int = 1000,
         headers: tuple[tuple[str, str], ...] = (),
+        stall_ms: int | None = None,
+        on_received: Callable[[], None] | None = None,
     ) -> HttpResponse:
         """Make one call.
 
@@ -258,9 +352,15 @@
         body : bytes
             JSON body, may be empty.
         timeout_ms : int
-            Limit for the whole call, from connecting to the end of the response.
+            Limit for the whole call, from connecting to the end of the response; with
+            `stall_ms`, to its first byte.
         headers : tuple of (str, str)
             Additional headers.
+        stall_ms : int, optional
+            Longest pause within a response that may be large; the call then goes on
+            while the response arrives, see `CallTimer`.
+        on_received : callable, optional
+            Called with each part of the response that has arrived.
 
         Returns
         -------
@@ -274,7 +374,8 @@
         """
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = _Pool(address, self._max_connections)
+            pool = _Pool(address, self._max_connections, self._max_idle)
+            self._pools[address] = pool
         header_lines = [f"{method} {target} HTTP/1.1", f"Host: {address}"]
         header_lines += [f"{name}: {value}" for name, value in headers]
         if body or method != "GET":
@@ -285,7 +386,8 @@
         if not all(line.isascii() and line.isprintable() for line in header_lines):
             raise NoResponseError("unprintable character in a header", sent=False)
         head = "\r\n".join(header_lines) + "\r\n\r\n"
-        return await pool.call(head.encode("ascii") + body, timeout_ms)
+        request = head.encode("ascii") + body
+        return await pool.call(request, timeout_ms, stall_ms, on_received)
 
     async def close_connections(self, address: str) -> None:
         """Close the connections to an address that is no longer used."""
--- a/apricotgap/platform/store.py
+++ b/apricotgap/platform/store.py
@@ -1,11 +1,13 @@
 """Client of the platform's key-value store."""
 
 from base64 import b64encode
+from functools import partial
 from urllib.parse import quote
 
 import msgspec
 
 from apricotgap.platform.call_observer import CallKind, CallObserver, NoObserver
+from apricotgap.platform.call_timer import transfer_ms
 from apricotgap.platform.http import HttpClient, HttpResponse, NoResponseError
 from apricotgap.platform.store_answers import (
     decode_changes,
@@ -17,9 +19,12 @@
 from apricotgap.platform.store_types import (
     Conflict,
     HistoryLostError,
+    InterruptedReadError,
     Item,
     Lease,
     LeaseGone,
+    PartialRead,
+    RefusedError,
     Rejected,
     Snapshot,
     Stored,
@@ -33,9 +38,12 @@
 __all__ = [
     "Conflict",
     "HistoryLostError",
+    "InterruptedReadError",
     "Item",
     "Lease",
     "LeaseGone",
+    "PartialRead",
+    "RefusedError",
     "Rejected",
     "Snapshot",
     "StoreClient",
@@ -48,6 +56,9 @@
 ]
 
 CALL_TIMEOUT_MS = 1000
+# Longest pause within an answer that may be large. It may take any time while it
+# arrives.
+STALL_MS = 1000
 MAX_TXN_ENTRIES = 32
 # A single response can be lost although the store is up, so that one failure does not
 # show an outage.
@@ -67,6 +78,9 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._http = HttpClient(max_connections=48)
+        # A burst of calls leaves idle connections, all of which may have gone silent
+        # since. A renewal that follows one without an answer opens a new connection.
+        self._lease_http = HttpClient(max_connections=8, max_idle=1)
         self._n_consecutive_failures = 0
         self._observer: CallObserver = NoObserver()
 
@@ -88,11 +102,20 @@
         body: bytes,
         timeout_ms: int,
         kind: CallKind = CallKind.PROMPT,
+        stall_ms: int | None = None,
+        client: HttpClient | None = None,
     ) -> HttpResponse:
         call_id = self._observer.record_start(kind)
+        http = self._http if client is None else client
         try:
-            response = await self._http.call(
-                method, self._address, target, body, timeout_ms
+            response = await http.call(
+                method,
+                self._address,
+                target,
+                body,
+                timeout_ms,
+                stall_ms=stall_ms,
+                on_received=partial(self._observer.record_part, call_id),
             )
         except NoResponseError:
             self._n_consecutive_failures += 1
@@ -112,9 +135,9 @@
         self, target: str, timeout_ms: int, kind: CallKind = CallKind.PROMPT
     ) -> tuple[int, bytes]:
         try:
-            response = await self._call("GET", target, b"", timeout_ms, kind)
+            response = await self._call("GET", target, b"", timeout_ms, kind, STALL_MS)
         except NoResponseError as error:
-            raise StoreError(error.reason) from error
+            raise _store_error(error) from error
         return response.status, response.body
 
     async def read_key(self, key: str, timeout_ms: int = CALL_TIMEOUT_MS) -> Item:
@@ -130,34 +153,45 @@
         if status == 404:
             return Item(key, None, 0)
         if status != 200:
-            raise StoreError(f"status {status}")
+            raise _status_error(status)
         return decode_item(body)
 
     async def read_prefix(
-        self, prefix: str, timeout_ms: int = CALL_TIMEOUT_MS
+        self, prefix: str, resume: PartialRead | None = None
     ) -> Snapshot:
         """Read all keys with a prefix.
 
         Pages may be read at different revisions. The revision of the first page is
         returned, so that a watch from there may repeat changes but misses none.
 
+        Parameters
+        ----------
+        prefix : str
+            Prefix of the keys.
+        resume : PartialRead, optional
+            What an interrupted read of the prefix has read.
+
         Raises
         ------
+        InterruptedReadError
+            A page after the first got no usable response.
         StoreError
-            No usable response.
+            The first one did not.
         """
         items: list[Item] = []
         revision = None
         after = ""
+        if resume is not None:
+            items, revision, after = [*resume.items], resume.revision, resume.after
         seen: set[str] = set()
         while True:
-            target = f"/v1/kv-range?prefix={quote(prefix, safe='')}"
-            if after:
-                target += f"&after={quote(after, safe='')}"
-            status, body = await self._read(target, timeout_ms)
-            if status != 200:
-                raise StoreError(f"status {status}")
-            page, has_more = decode_page(body)
+            try:
+                page, has_more = await self._read_page(prefix, after)
+            except StoreError as error:
+                if revision is None:
+                    raise
+                pages = PartialRead(tuple(items), revision, after)
+                raise InterruptedReadError(error, pages) from error
             revision = page.revision if revision is None else revision
             items.extend(page.items)
             if not has_more or not page.items:
@@ -167,6 +201,15 @@
                 raise StoreError("malformed response: the pages have no end")
             seen.add(after)
 
+    async def _read_page(self, prefix: str, after: str) -> tuple[Snapshot, bool]:
+        target = f"/v1/kv-range?prefix={quote(prefix, safe='')}"
+        if after:
+            target += f"&after={quote(after, safe='')}"
+        status, body = await self._read(target, CALL_TIMEOUT_MS)
+        if status != 200:
+            raise _status_error(status)
+        return decode_page(body)
+
     async def watch(self, prefix: str, after: int, wait_ms: int) -> Snapshot:
         """Wait for changes of keys with a prefix.
 
@@ -202,11 +245,11 @@
         if status == 410:
             raise HistoryLostError("history lost")
         if status != 200:
-            raise StoreError(f"status {status}")
+            raise _status_error(status)
         return decode_changes(body)
 
     async def write(
-        self, writes: tuple[Write, ...], timeout_ms: int = CALL_TIMEOUT_MS
+        self, writes: tuple[Write, ...], timeout_ms: int | None = None
     ) -> WriteOutcome:
         """Write all keys or none.
 
@@ -214,8 +257,9 @@
         ----------
         writes : tuple of Write
             At most 32 entries.
-        timeout_ms : int
-            Limit for the whole call, in milliseconds.
+        timeout_ms : int, optional
+            Limit for the whole call, in milliseconds. By default it grows with the
+            size of the transaction.
         """
         body = msgspec.json.encode(
             {
@@ -240,6 +284,8 @@
                 ],
             }
         )
+        if timeout_ms is None:
+            timeout_ms = CALL_TIMEOUT_MS + transfer_ms(len(body))
         try:
             response = await self._call("POST", "/v1/kv-txn", body, timeout_ms)
         except NoResponseError as error:
@@ -251,7 +297,9 @@
         except StoreError as error:
             return Unknown(str(error))
 
-    async def grant_lease(self, ttl_ms: int) -> tuple[int, int]:
+    async def grant_lease(
+        self, ttl_ms: int, timeout_ms: int = CALL_TIMEOUT_MS
+    ) -> tuple[int, int]:
         """Request a lease; return its id and its TTL in milliseconds.
 
         Raises
@@ -260,10 +308,10 @@
             No usable response. A lease that was granted nevertheless expires unused.
         """
         status, body = await self._send_lease_request(
-            "POST", "/v1/kv-lease", msgspec.json.encode({"ttlMs": ttl_ms})
+            "POST", "/v1/kv-lease", msgspec.json.encode({"ttlMs": ttl_ms}), timeout_ms
         )
         if status != 200:
-            raise StoreError(f"status {status}")
+            raise _status_error(status)
         return decode_lease(body)
 
     async def renew_lease(self, lease: int, timeout_ms: int) -> bool:
@@ -280,7 +328,7 @@
         if status == 404:
             return False
         if status != 200:
-            raise StoreError(f"status {status}")
+            raise _status_error(status)
         return True
 
     async def revoke_lease(self, lease: int) -> None:
@@ -302,14 +350,26 @@
         kind: CallKind = CallKind.PROMPT,
     ) -> tuple[int, bytes]:
         try:
-            response = await self._call(method, target, body, timeout_ms, kind)
+            response = await self._call(
+                method, target, body, timeout_ms, kind, client=self._lease_http
+            )
         except NoResponseError as error:
-            raise StoreError(error.reason) from error
+            raise _store_error(error) from error
         return response.status, response.body
 
     async def aclose(self) -> None:
         """Close all connections."""
         await self._http.aclose()
+        await self._lease_http.aclose()
+
+
+def _status_error(status: int) -> StoreError:
+    kind = RefusedError if status in _OVERLOAD_STATUSES else StoreError
+    return kind(f"status {status}")
+
+
+def _store_error(error: NoResponseError) -> StoreError:
+    return StoreError(error.reason, error.stage.value, error.n_received_bytes)
 
 
 def _parse_write_outcome(status: int, body: bytes) -> WriteOutcome:
--- a/apricotgap/platform/store_types.py
+++ b/apricotgap/platform/store_types.py
@@ -5,9 +5,12 @@
 __all__ = [
     "Conflict",
     "HistoryLostError",
+    "InterruptedReadError",
     "Item",
     "Lease",
     "LeaseGone",
+    "PartialRead",
+    "RefusedError",
     "Rejected",
     "Snapshot",
     "StoreError",
@@ -20,7 +23,26 @@
 
 
 class StoreError(Exception):
-    """A call other than a write got no usable response."""
+    """A call other than a write got no usable response.
+
+    Parameters
+    ----------
+    reason : str
+        What failed.
+    stage : str
+        What the call was waiting for, empty if it got a response.
+    n_received_bytes : int
+        Bytes of the response that had arrived.
+    """
+
+    def __init__(self, reason: str, stage: str = "", n_received_bytes: int = 0) -> None:
+        super().__init__(reason)
+        self.stage = stage
+        self.n_received_bytes = n_received_bytes
+
+
+class RefusedError(StoreError):
+    """The store has refused a call and done nothing, since it has too many calls."""
 
 
 class HistoryLostError(StoreError):
@@ -48,6 +70,34 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class PartialRead:
+    """Pages of a prefix that were read before a failure.
+
+    `revision` is that of the first page, `after` the last key of the last one.
+    """
+
+    items: tuple[Item, ...]
+    revision: int
+    after: str
+
+
+class InterruptedReadError(StoreError):
+    """A read of a prefix failed after some of its pages.
+
+    Parameters
+    ----------
+    cause : StoreError
+        Why it failed.
+    partial : PartialRead
+        From where to go on.
+    """
+
+    def __init__(self, cause: StoreError, partial: PartialRead) -> None:
+        super().__init__(str(cause), cause.stage, cause.n_received_bytes)
+        self.partial = partial
+
+
 @dataclass(frozen=True, slots=True)
 class Lease:
     """A lease that the store has granted.
