--- a/review/harness2/stage.py
+++ b/review/harness2/stage.py
@@ -66,6 +66,7 @@
         self._host = host
         self._server = None
         self._writers = set()
+        self.is_cut = False
         self.address = ""
 
     async def start(self, port=0):
@@ -75,6 +76,7 @@
 
     async def stop(self):
         """Reset all connections and refuse new ones, as a process that has ended."""
+        self.is_cut = False
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -105,8 +107,12 @@
                 url = urlsplit(target)
                 query = {k: v[0] for k, v in parse_qs(url.query).items()}
                 document = json.loads(body) if body else {}
-                answer = await self._handler(method, url.path, query, headers, document)
-                if answer is None:
+                answer = None
+                if not self.is_cut:
+                    answer = await self._handler(
+                        method, url.path, query, headers, document
+                    )
+                if answer is None or self.is_cut:
                     await asyncio.sleep(3600)
                     return
                 status, document = answer
@@ -349,22 +355,32 @@
         for run in self.running.values():
             run.ended, run.how = now(), "crashed"
         self.running = {}
-        key = f"servers/{self.worker_id}"
+        asyncio.create_task(self._lapse_entry())
         await self.server.stop()
 
-        async def lapse():
-            await asyncio.sleep(4.5)
-            if key in self.stage.store.items:
-                self.stage.store.remove(key)
+    def cut_off(self):
+        """Cut the worker off from the processes and the store; its runs go on.
+
+        Its entry ends after three check-ins.
+        """
+        self.stage.record("worker", self.worker_id, "is cut off")
+        self.server.is_cut = True
+        asyncio.create_task(self._lapse_entry())
 
-        asyncio.create_task(lapse())
+    async def _lapse_entry(self):
+        key = f"servers/{self.worker_id}"
+        await asyncio.sleep(4.5)
+        if key in self.stage.store.items:
+            self.stage.store.remove(key)
 
     async def _live(self, life):
         """End runs as their time comes, and all of them with the lease."""
         last_entry = time.monotonic()
         while self.is_up and self.n_lives == life:
             await asyncio.sleep(0.01)
-            if time.monotonic() - last_entry >= 1.5:
+            if self.server.is_cut:
+                last_entry = time.monotonic()
+            elif time.monotonic() - last_entry >= 1.5:
                 last_entry = time.monotonic()
                 self.write_entry()
             for run in list(self.running.values()):
