--- a/review/harness2/stage.py
+++ b/review/harness2/stage.py
@@ -824,7 +824,10 @@
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
-            status = int((await reader.readline()).split(b" ")[1])
+            line = await reader.readline()
+            if not line:
+                raise ConnectionResetError("closed before the answer")
+            status = int(line.split(b" ")[1])
             n_bytes = 0
             while row := (await reader.readline()).strip():
                 name, _, value = row.partition(b":")
@@ -858,7 +861,8 @@
 
         try:
             broken = asyncio.run(run())
-        except (CannotRunError, TimeoutError) as error:
+        except Exception as error:
+            # Any error of the script itself: it must not count as a broken rule.
             record("could not run:", repr(error))
             print("could not run:", repr(error))
             return 2
