Log each machine that a wave counts as gone, with the age of the list

Nothing told which machines a wave left out, or on what evidence. The line has the time since the order of the wave and the age of the list.

--- a/apricotgap/jobs/maintenance_waves.py
+++ b/apricotgap/jobs/maintenance_waves.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from apricotgap.jobs.configuration import Wave
+from apricotgap.jobs.effects import LogDecision
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderTracker
 from apricotgap.jobs.fleet_view import FleetView
@@ -221,6 +222,17 @@
                 left.append(machine)
             elif view.at_ms - state.first_seen_ms > LIST_DELAY_MS:
                 state.skipped.add(name)
+                view.log_lines.append(
+                    LogDecision(
+                        "wave_machine_left",
+                        {
+                            "wave": state.wave.number,
+                            "machine": name,
+                            "known_for_ms": view.at_ms - state.begun_ms,
+                            "list_age_ms": view.at_ms - view.listed_ms,
+                        },
+                    )
+                )
         return left
 
     def n_down(self, number: int, view: FleetView) -> int:
