Let a wave leave a machine out only by the platform's word

Cause: a machine that the list lacked was skipped for good 3 s after its wave was first seen. Neither the age of the list counted, nor whether rows of it could not be decoded, nor a later list that had the machine. One answer "no such machine" or "not of that wave" had the same effect.

Change: absence is measured over lists that were requested after the order of the wave (AbsenceTracker); a list with a row that shows no name proves no absence. A machine that was missing for 3 s is asked for by an order, unless a registered worker names it, whose tasks the order could end. It has left when the answer is "no such machine" and a list from after the answer lacks it, until a list has it again. "Not of that wave" counts when it is repeated after 3 s. Refused orders are repeated at growing pauses.

Stand-in workers of the small cluster name the machine that they run on.

--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -13,11 +13,12 @@
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.ownership import Ownership
 from apricotgap.instance.prefix_reader import read_prefix
-from apricotgap.jobs.fleet import Machine
+from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult
 from apricotgap.jobs.fleet_plan import FleetPlanner
 from apricotgap.jobs.fleet_view import PoolReport, ReportRequest
 from apricotgap.jobs.limits import RESERVATION_MS
+from apricotgap.jobs.machine_list import MachineList
 from apricotgap.jobs.team_totals import TeamTotals
 from apricotgap.metrics import Metrics
 from apricotgap.platform.keys import encode_wave_status, wave_status_key
@@ -45,6 +46,8 @@
 LIST_INTERVAL_MS = 900
 # Interval of lists while orders are in progress.
 BUSY_LIST_INTERVAL_MS = 450
+# An older list of workers does not tell which machines have one.
+WORKERS_MAX_AGE_MS = 5_000
 # An order is not sent with less time than this for its answer.
 MIN_TIMEOUT_MS = 100
 
@@ -69,7 +72,7 @@
     ----------
     ownership : Ownership
         Ownership of the fleet shard.
-    settings, store, lease, cluster_view, clock, metrics
+    settings, store, lease, cluster_view, workers, clock, metrics
         Dependencies.
     request_pool_report : callable
         Called with a pool and what its owner is told; returns the report of the owner,
@@ -83,6 +86,7 @@
         store: StoreClient,
         lease: InstanceLease,
         cluster_view: ClusterView,
+        workers: WorkerList,
         clock: Clock,
         metrics: Metrics,
         request_pool_report: RequestPoolReport,
@@ -91,6 +95,7 @@
         self._store = store
         self._lease = lease
         self._cluster_view = cluster_view
+        self._workers = workers
         self._clock = clock
         self._metrics = metrics
         self._request_pool_report = request_pool_report
@@ -101,7 +106,7 @@
         self._order_store = FleetOrderStore(
             ownership, store, clock, self._holder_lease_ms
         )
-        self._machines: dict[str, Machine] = {}
+        self._list = MachineList({})
         self._listed_ms = -1_000_000
         self._stored_done: dict[int, tuple[str, ...]] = {}
         self._stored_status: dict[int, bool] = {}
@@ -163,7 +168,8 @@
         if config is None or not self._has_lease(0):
             return
         await self._list_machines()
-        if not self._machines:
+        machines = self._list.machines
+        if not machines:
             return
         now_ms = self._clock.now_ms
         self._planner.set_waves(
@@ -172,9 +178,9 @@
             now_ms,
             self._cluster_view.waves_begun_ms,
         )
-        reserved = self._planner.reserved_workers(self._machines)
+        reserved = self._planner.reserved_workers(machines)
         ended = self._planner.ended_workers(now_ms)
-        urgent = self._planner.urgent_workers(self._machines)
+        urgent = self._planner.urgent_workers(machines)
         services = self._cluster_view.services()
         reports: dict[str, PoolReport] = {}
         # A shard that reports keeps its reserved workers empty at least until then.
@@ -203,10 +209,11 @@
             self._clock.now_ms,
             self._listed_ms,
             config,
-            self._machines,
+            self._list,
             reports,
             self._cluster_view.evacuated,
             services,
+            self._registered_machines(),
         )
         for decision in decisions:
             self._log.info(decision.event, **decision.fields)
@@ -232,11 +239,26 @@
         if now_ms - self._listed_ms < interval_ms:
             return
         try:
-            self._machines = await self._client.machines()
+            self._list = await self._client.machines()
             self._listed_ms = now_ms
         except MachineListError as error:
             self._log.warning("machines_not_listed", reason=str(error))
 
+    def _registered_machines(self) -> frozenset[str] | None:
+        """Return the machines of registered workers, None if they are unknown now.
+
+        The workers are watched from the first time on that a machine is missing.
+        """
+        if not self._planner.lacks_machines:
+            return None
+        as_of_ms = self._workers.fresh_as_of_ms
+        if as_of_ms is None:
+            self._workers.add_reader(self._ownership.shard)
+            return None
+        if self._clock.now_ms - as_of_ms > WORKERS_MAX_AGE_MS:
+            return None
+        return frozenset(entry.machine for entry in self._workers.entries())
+
     async def _send(self, order: MachineOrder, reserved_until_ms: int) -> None:
         kind = "unavailable"
         left_ms = reserved_until_ms - self._clock.now_ms
--- a/apricotgap/instance/instance.py
+++ b/apricotgap/instance/instance.py
@@ -248,6 +248,7 @@
             self._store,
             self._lease,
             self._cluster_view,
+            self._workers,
             self._clock,
             self._metrics,
             self._router.pool_report,
--- a/apricotgap/jobs/fleet_orders.py
+++ b/apricotgap/jobs/fleet_orders.py
@@ -1,5 +1,6 @@
 """Pending machine orders, and machines reserved to be emptied for one."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -20,6 +21,9 @@
 ENDED_REPORT_MS = 6_000
 # No new order for this long after the platform did not carry one out.
 BUSY_BACKOFF_MS = 1_500
+# An order that the platform refuses again and again waits twice as long each time, up
+# to this many times.
+MAX_DOUBLINGS = 4
 # Results that say only that this order was not carried out, not that none was.
 _NOT_DONE = frozenset({"busy", "unavailable"})
 
@@ -84,6 +88,7 @@
         self._move_ms = move_ms
         self._maintenance_ms = maintenance_ms
         self._backoff_until_ms: dict[str, int] = {}
+        self._n_refusals: Counter[str] = Counter()
         self._inherited_machines: frozenset[str] = frozenset()
         self._inherited_until_ms = 0
         self._ended: dict[str, int] = {}
@@ -161,11 +166,15 @@
         if result.kind == "ok":
             pending.done_ms = result.at_ms
             self.reserved.pop(order.machine, None)
+            self._n_refusals.pop(order.machine, None)
             return True
         del self.pending[order.machine]
+        backoff_ms = BUSY_BACKOFF_MS
         if result.kind in ("gone", "wave") and order.wave:
             self.reserved.pop(order.machine, None)
-        self._backoff_until_ms[order.machine] = result.at_ms + BUSY_BACKOFF_MS
+            backoff_ms <<= min(self._n_refusals[order.machine], MAX_DOUBLINGS)
+            self._n_refusals[order.machine] += 1
+        self._backoff_until_ms[order.machine] = result.at_ms + backoff_ms
         return True
 
     def prune(
@@ -256,7 +265,8 @@
 
     def order(self, order: MachineOrder, view: FleetView) -> MachineOrder:
         """Add an order as pending at once, so that this pass already counts it."""
-        worker_id = view.machines[order.machine].worker_id
+        machine = view.machines.get(order.machine)
+        worker_id = machine.worker_id if machine else ""
         if order.pool:
             self._moved_ms[order.machine] = view.at_ms
         self.pending[order.machine] = PendingOrder(order, view.at_ms, worker_id)
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -7,8 +7,11 @@
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult, OrderTracker
 from apricotgap.jobs.fleet_view import FleetView, PoolReport
-from apricotgap.jobs.maintenance_waves import MaintenanceWaves, WaveState
+from apricotgap.jobs.machine_absence import AbsenceTracker
+from apricotgap.jobs.machine_list import MachineList
+from apricotgap.jobs.maintenance_waves import MaintenanceWaves
 from apricotgap.jobs.pool_sizes import PoolSizes
+from apricotgap.jobs.wave_state import WaveState
 
 __all__ = ["FleetPlanner"]
 
@@ -23,8 +26,9 @@
     """
 
     def __init__(self, move_ms: int, maintenance_ms: int) -> None:
+        self._absences = AbsenceTracker()
         self._tracker = OrderTracker(move_ms, maintenance_ms)
-        self._waves = MaintenanceWaves(self._tracker)
+        self._waves = MaintenanceWaves(self._tracker, self._absences)
         self._sizes = PoolSizes(self._tracker, self._waves)
 
     @property
@@ -97,17 +101,23 @@
     def handle_response(self, result: OrderResult) -> None:
         """Apply the result of an order."""
         if self._tracker.handle_response(result):
-            self._waves.record_result(result.order, result.kind)
+            self._waves.record_result(result)
+
+    @property
+    def lacks_machines(self) -> bool:
+        """Whether the next pass needs to know the machines of registered workers."""
+        return self._waves.lacks_machines()
 
     def plan(
         self,
         at_ms: int,
         listed_ms: int,
         config: Configuration,
-        machines: Mapping[str, Machine],
+        machines: MachineList,
         reports: Mapping[str, PoolReport],
         evacuated: frozenset[str],
         services: Iterable[str] | None = None,
+        registered: frozenset[str] | None = None,
     ) -> tuple[list[MachineOrder], list[LogDecision]]:
         """Return the orders to send now and the log lines of this pass.
 
@@ -119,19 +129,30 @@
             When the list of machines was requested.
         config : Configuration
             Source of the pools and which of them is spare.
-        machines : mapping of str to Machine
-            Machines by name.
+        machines : MachineList
+            The list of machines.
         reports : mapping of str to PoolReport
             Reports by pool; the machines of a pool without one are not ordered.
         evacuated : frozenset of str
             Data centres that get no work now.
         services : iterable of str, optional
             Services that have a shard, by default those that a queue uses.
+        registered : frozenset of str, optional
+            Machines that registered workers name, None if they are unknown now. They
+            are needed only while `lacks_machines`.
         """
         if services is None:
             services = config.working_services
+        self._absences.record(machines, listed_ms)
         view = FleetView(
-            at_ms, listed_ms, config, machines, reports, evacuated, services
+            at_ms,
+            listed_ms,
+            config,
+            machines.machines,
+            reports,
+            evacuated,
+            services,
+            registered,
         )
         reserved = frozenset(self._tracker.reserved)
         self._tracker.prune(view, self._waves.is_obsolete)
--- a/apricotgap/jobs/fleet_view.py
+++ b/apricotgap/jobs/fleet_view.py
@@ -104,6 +104,8 @@
         Data centres that get no work now.
     services : iterable of str
         Services that have a shard.
+    registered : frozenset of str, optional
+        Machines that registered workers name, None if they are unknown now.
     """
 
     def __init__(
@@ -115,12 +117,14 @@
         reports: Mapping[str, PoolReport],
         evacuated: frozenset[str],
         services: Iterable[str],
+        registered: frozenset[str] | None = None,
     ) -> None:
         self.at_ms = at_ms
         self.listed_ms = listed_ms
         self.machines = machines
         self.reports = reports
         self.evacuated = evacuated
+        self.registered = registered
         self.log_lines: list[LogDecision] = []
         self._services = config.service_by_name
         self._sharded = frozenset(services)
--- a/apricotgap/jobs/maintenance_waves.py
+++ b/apricotgap/jobs/maintenance_waves.py
@@ -5,52 +5,17 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
 
 from apricotgap.jobs.configuration import Wave
 from apricotgap.jobs.effects import LogDecision
 from apricotgap.jobs.fleet import Machine
-from apricotgap.jobs.fleet_orders import MachineOrder, OrderTracker
+from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult, OrderTracker
 from apricotgap.jobs.fleet_view import FleetView
+from apricotgap.jobs.machine_absence import AbsenceTracker
 from apricotgap.jobs.wave_reservations import WaveReservations
+from apricotgap.jobs.wave_state import WaveState
 
-__all__ = ["MaintenanceWaves", "WaveState"]
-
-# Estimated time from reserving a worker to the end of its maintenance; sets the rate of
-# a wave.
-MAINTENANCE_CYCLE_MS = 4_500
-# A wave is planned to be complete this long before its end: a takeover of the fleet
-# takes about 4 s, and the store may be unavailable for a few seconds.
-END_RESERVE_MS = 7_000
-# A machine that is missing from the list for this long has left the fleet; before, the
-# list may just be late.
-LIST_DELAY_MS = 3_000
-
-
-@dataclass(slots=True)
-class WaveState:
-    """Progress of a wave; `skipped` machines no longer need its maintenance.
-
-    `begun_ms` is when the wave was ordered, as far as this instance knows.
-    `first_seen_ms` is when this owner of the fleet first planned it.
-    """
-
-    wave: Wave
-    first_seen_ms: int
-    begun_ms: int
-    done: set[str] = field(default_factory=set)
-    skipped: set[str] = field(default_factory=set)
-    is_finished: bool = False
-
-    def n_cycles_left(self, at_ms: int) -> int:
-        """Return how often machines can be emptied and maintained in time.
-
-        This is 0 near the end. A short wave keeps a third of its duration in reserve.
-        """
-        duration_ms = self.wave.duration_ms
-        reserve_ms = min(END_RESERVE_MS, duration_ms // 3)
-        left_ms = self.begun_ms + duration_ms - reserve_ms - at_ms
-        return max(0, left_ms // MAINTENANCE_CYCLE_MS)
+__all__ = ["MaintenanceWaves"]
 
 
 class MaintenanceWaves:
@@ -60,10 +25,13 @@
     ----------
     tracker : OrderTracker
         Pending orders and reserved machines.
+    absences : AbsenceTracker
+        Machines that the lists lack.
     """
 
-    def __init__(self, tracker: OrderTracker) -> None:
+    def __init__(self, tracker: OrderTracker, absences: AbsenceTracker) -> None:
         self._tracker = tracker
+        self._absences = absences
         self.states: dict[int, WaveState] = {}
 
     def replace(
@@ -91,16 +59,15 @@
             del self.states[number]
         for number, wave in wanted.items():
             begins_ms = begun_ms.get(number, at_ms)
-            state = self.states.setdefault(number, WaveState(wave, at_ms, begins_ms))
+            state = self.states.setdefault(number, WaveState(wave, begins_ms))
             state.wave = wave
-            state.done.update(done.get(number, ()))
+            state.add_done(done.get(number, ()))
 
     def pop_finished(self) -> list[int]:
         """Return the waves that have finished since the last call."""
         finished = []
         for number, state in self.states.items():
-            left = set(state.wave.machines) - state.done - state.skipped
-            if not left and not state.is_finished:
+            if not state.open_machines and not state.is_finished:
                 state.is_finished = True
                 finished.append(number)
         return finished
@@ -112,37 +79,43 @@
         state = self.states.get(order.wave)
         return state is None or name in state.done
 
-    def record_result(self, order: MachineOrder, kind: str) -> None:
-        """Apply the result of an maintenance order."""
-        state = self.states.get(order.wave)
-        if state is None:
-            return
-        if kind == "ok":
-            state.done.add(order.machine)
-        elif kind in ("gone", "wave"):
-            state.skipped.add(order.machine)
+    def record_result(self, result: OrderResult) -> None:
+        """Apply the result of a maintenance order."""
+        state = self.states.get(result.order.wave)
+        if state is not None:
+            state.record_result(result)
 
     def waiting(self) -> set[str]:
         """Return the names of the machines that still need maintenance."""
-        return {
-            name
+        return {name for state in self.states.values() for name in state.open_machines}
+
+    def lacks_machines(self) -> bool:
+        """Whether lists have lacked a machine of a wave long; it is to be asked for."""
+        return any(
+            state.is_questionable(name, self._absences)
             for state in self.states.values()
-            if not state.is_finished
-            for name in set(state.wave.machines) - state.done - state.skipped
-        }
+            for name in state.open_machines
+        )
 
     def plan(self, view: FleetView) -> list[MachineOrder]:
         """Return the maintenance to order now, and reserve machines to be emptied."""
         orders: list[MachineOrder] = []
         for number, state in self.states.items():
-            if not state.is_finished:
+            for name, has_left in state.update(self._absences):
+                event = "wave_machine_left" if has_left else "wave_machine_back"
+                fields = {"wave": number, "machine": name}
+                view.log_lines.append(LogDecision(event, fields))
+            if state.open_machines:
+                state.is_finished = False
                 orders += self._plan_wave(number, state, view)
         return orders
 
     def _plan_wave(
         self, number: int, state: WaveState, view: FleetView
     ) -> list[MachineOrder]:
-        left = self._remaining_machines(state, view)
+        left = [
+            view.machines[name] for name in state.open_machines if name in view.machines
+        ]
         ready = [
             machine
             for machine in left
@@ -155,6 +128,7 @@
             self._tracker.order(MachineOrder(machine.name, wave=number), view)
             for machine in empty[: max(0, n_allowed)]
         ]
+        orders += self._ask_for_missing(state, view, n_allowed - len(orders))
         if not state.n_cycles_left(view.at_ms):
             self._claim_leaving(number, left)
         busy = [
@@ -211,29 +185,30 @@
                     machine.name, wave=number
                 )
 
-    def _remaining_machines(self, state: WaveState, view: FleetView) -> list[Machine]:
-        """Return the machines of a wave that still need maintenance."""
-        left = []
-        for name in state.wave.machines:
-            if name in state.done or name in state.skipped:
-                continue
-            machine = view.machines.get(name)
-            if machine is not None:
-                left.append(machine)
-            elif view.at_ms - state.first_seen_ms > LIST_DELAY_MS:
-                state.skipped.add(name)
-                view.log_lines.append(
-                    LogDecision(
-                        "wave_machine_left",
-                        {
-                            "wave": state.wave.number,
-                            "machine": name,
-                            "known_for_ms": view.at_ms - state.begun_ms,
-                            "list_age_ms": view.at_ms - view.listed_ms,
-                        },
-                    )
-                )
-        return left
+    def _ask_for_missing(
+        self, state: WaveState, view: FleetView, n_allowed: int
+    ) -> list[MachineOrder]:
+        """Return orders for machines that the lists have lacked long.
+
+        Only the platform's answer tells that such a machine is gone. The order is
+        carried out if it is not, so nothing is ordered that may end tasks: a machine
+        with a registered worker waits until it is listed.
+        """
+        if view.registered is None:
+            return []
+        names = [
+            name
+            for name in state.open_machines
+            if name not in view.registered
+            and state.is_questionable(name, self._absences)
+            and self._tracker.is_idle(name, view.at_ms)
+        ]
+        return [
+            self._tracker.order(
+                MachineOrder(name, wave=state.wave.number, why="missing"), view
+            )
+            for name in names[: max(0, n_allowed)]
+        ]
 
     def n_down(self, number: int, view: FleetView) -> int:
         """Return an upper bound of the machines of a wave that are down now."""
--- a/apricotgap/platform/machines.py
+++ b/apricotgap/platform/machines.py
@@ -8,6 +8,7 @@
 from apricotgap.decoding import DecodeError, decode_json
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_orders import MachineOrder
+from apricotgap.jobs.machine_list import MachineList
 from apricotgap.platform.http import HttpClient, HttpResponse, NoResponseError
 from apricotgap.platform.wire import WireError, decode_machines
 
@@ -44,8 +45,8 @@
         self._n_unreadable = 0
         self._log = structlog.get_logger()
 
-    async def machines(self) -> dict[str, Machine]:
-        """Return all readable machines by name.
+    async def machines(self) -> MachineList:
+        """Return all machines, and which of them cannot be read.
 
         Raises
         ------
@@ -53,7 +54,11 @@
             No usable response.
         """
         machines_by_name: dict[str, Machine] = {}
-        unreadable: list[WireError] = []
+        unreadable: list[tuple[str, WireError]] = []
+
+        def note(name: str, error: WireError) -> None:
+            unreadable.append((name, error))
+
         page_token = ""
         seen_tokens = {page_token}
         while True:
@@ -64,13 +69,16 @@
                 target, MAX_PAGE_ATTEMPTS if page_token else 1
             )
             try:
-                machines, page_token = decode_machines(response.body, unreadable.append)
+                machines, page_token = decode_machines(response.body, note)
             except WireError as error:
                 raise MachineListError(str(error)) from error
             machines_by_name.update((machine.name, machine) for machine in machines)
             if not page_token:
-                self._log_unreadable(unreadable)
-                return machines_by_name
+                self._log_unreadable([error for _, error in unreadable])
+                names = [name for name, _ in unreadable]
+                return MachineList(
+                    machines_by_name, frozenset(filter(None, names)), names.count("")
+                )
             if page_token in seen_tokens:
                 raise MachineListError("the pages of the list have no end")
             seen_tokens.add(page_token)
--- a/apricotgap/platform/wire.py
+++ b/apricotgap/platform/wire.py
@@ -152,6 +152,10 @@
     worker_id: str | None = None
 
 
+class _MachineName(msgspec.Struct, rename={"name": "machine"}):
+    name: str
+
+
 class _MachinePage(msgspec.Struct, rename={"next_page": "nextPageToken"}):
     machines: list[msgspec.Raw]
     next_page: str | None = None
@@ -256,12 +260,12 @@
     )
 
 
-def _ignore(_error: WireError) -> None:
+def _ignore(_name: str, _error: WireError) -> None:
     pass
 
 
 def decode_machines(
-    data: bytes, on_unreadable: Callable[[WireError], None] = _ignore
+    data: bytes, on_unreadable: Callable[[str, WireError], None] = _ignore
 ) -> tuple[list[Machine], str]:
     """Decode one page of the list of machines.
 
@@ -270,7 +274,8 @@
     data : bytes
         The page.
     on_unreadable : callable, optional
-        Called with the error of each machine that cannot be decoded, which is left out.
+        Called with the name and the error of each machine that cannot be decoded, which
+        is left out. The name is empty if the row does not show it.
 
     Returns
     -------
@@ -290,12 +295,22 @@
         try:
             machines.append(_decode_machine(bytes(row)))
         except WireError as error:
-            on_unreadable(error)
+            on_unreadable(_machine_name(bytes(row)), error)
     return machines, page.next_page or ""
 
 
+def _machine_name(data: bytes) -> str:
+    """Return the name in a row that cannot be decoded otherwise, empty without one."""
+    try:
+        return decode(_MachineName, data).name
+    except WireError:
+        return ""
+
+
 def _decode_machine(data: bytes) -> Machine:
     machine = decode(_Machine, data)
+    if not machine.name:
+        raise WireError("a machine has no name")
     return Machine(
         machine.name,
         machine.pool,
--- a/simulation/deployment.py
+++ b/simulation/deployment.py
@@ -23,6 +23,7 @@
 from apricotgap.jobs.fleet import Machine, WorkerEntry
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult
 from apricotgap.jobs.fleet_plan import FleetPlanner
+from apricotgap.jobs.machine_list import MachineList
 from apricotgap.jobs.migration import Migrator
 from apricotgap.jobs.model import (
     JobPhase,
@@ -381,7 +382,7 @@
             self.now_ms,
             self.now_ms,
             self._configuration,
-            self._machines,
+            MachineList(self._machines),
             reports,
             frozenset(),
         )
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -390,7 +390,7 @@
         StandinMachine(
             f"m{n}",
             SERVICE if n < n_workers else SPARE,
-            TaskWorker(f"w{n}", task_ms=task_ms),
+            TaskWorker(f"w{n}", task_ms=task_ms, machine=f"m{n}"),
         )
         for n in range(n_workers + n_spare)
     ]
--- a/standins/machine_service.py
+++ b/standins/machine_service.py
@@ -50,7 +50,8 @@
     """Moves machines between pools and takes them down for upkeep.
 
     Machines of the pool `spare_pool` are off and show no worker. The entry of a worker
-    that crashed stays in the store for `silence_ms`.
+    that crashed stays in the store for `silence_ms`. The list lacks `unlisted`
+    machines, and the rows of `garbled` ones cannot be decoded.
     """
 
     store: TransactionalStore
@@ -63,6 +64,10 @@
     n_lost_answers: int = 0
     machines: dict[str, StandinMachine] = field(default_factory=dict)
     orders: list[OrderRecord] = field(default_factory=list)
+    unlisted: set[str] = field(default_factory=set)
+    garbled: set[str] = field(default_factory=set)
+    # Machines that were named in an order and do not exist.
+    unknown: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.listener = Listener(self._serve)
@@ -185,7 +190,7 @@
 
     async def _page(self, exchange: Exchange) -> None:
         start = int(parse_qs(exchange.query).get("pageToken", ["0"])[0])
-        names = sorted(self.machines)
+        names = sorted(set(self.machines) - self.unlisted)
         rows = [
             self._row(self.machines[name])
             for name in names[start : start + self.page_size]
@@ -197,6 +202,8 @@
 
     def _row(self, machine: StandinMachine) -> dict[str, Any]:
         entry = machine.worker.entry(machine.pool)
+        if machine.name in self.garbled:
+            return {"machine": machine.name, "pool": 7}
         is_on = machine.state == "up" and machine.pool != self.spare_pool
         return {
             "machine": machine.name,
@@ -211,6 +218,7 @@
     async def _order(self, exchange: Exchange, body: dict[str, Any]) -> None:
         machine = self.machines.get(body["machine"])
         if machine is None:
+            self.unknown.append(body["machine"])
             await exchange.answer_json(400, {})
             return
         pool, wave = body.get("pool", machine.pool), body.get("wave", 0)
--- a/tests/test_fleet_owner.py
+++ b/tests/test_fleet_owner.py
@@ -14,6 +14,7 @@
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.limits import RESERVATION_MS
+from apricotgap.jobs.machine_list import MachineList
 from apricotgap.jobs.model import Resources
 from apricotgap.metrics import Metrics
 from apricotgap.platform.store import Item, Snapshot, Stored
@@ -52,12 +53,14 @@
 
     async def machines(self):
         labels = ("k", "r1")
-        return {
-            name: Machine(
-                name, SERVICE, "up", "a", labels, Resources(8000), f"w-{name}"
-            )
-            for name in NAMES
-        }
+        return MachineList(
+            {
+                name: Machine(
+                    name, SERVICE, "up", "a", labels, Resources(8000), f"w-{name}"
+                )
+                for name in NAMES
+            }
+        )
 
     async def send_order(self, order, token, timeout_ms=1_500):
         arrives_ms = self.clock.now_ms + timeout_ms
@@ -103,6 +106,7 @@
                 evacuated=frozenset(),
                 services=lambda: (SERVICE,),
             ),
+            SimpleNamespace(fresh_as_of_ms=None, add_reader=lambda reader: None),
             clock,
             Metrics("me"),
             fleet.report,
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -15,6 +15,7 @@
 )
 from apricotgap.jobs.fleet_plan import FleetPlanner
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
+from apricotgap.jobs.machine_list import MachineList
 from apricotgap.jobs.model import Resources
 from tests.jobs_harness import SERVICE, configuration
 
@@ -46,6 +47,9 @@
         self.evacuated = frozenset()
         self.unusable = False
         self.has_report = True
+        self.registered = frozenset()
+        self.unreadable = frozenset()
+        self.n_unnamed = 0
         self.now = 100_000
 
     def plan(self, *waves, listed_ms=None):
@@ -70,9 +74,10 @@
             self.now,
             self.now if listed_ms is None else listed_ms,
             CONFIGURATION,
-            self.machines,
+            MachineList(self.machines, self.unreadable, self.n_unnamed),
             reports,
             self.evacuated,
+            registered=self.registered,
         )
         return orders
 
@@ -263,15 +268,6 @@
     assert rig.planner.ended_workers(rig.now) == []
 
 
-def test_machine_that_left_the_fleet_needs_no_maintenance():
-    """Guards against a wave that never finishes."""
-    rig = Rig(machine("m0"))
-    rig.plan(wave("m9"))
-    rig.now += 3_001
-    rig.plan(wave("m9"))
-    assert rig.planner.pop_finished() == [1]
-
-
 def test_wave_finishes_only_after_the_maintenance_of_each_machine():
     """Guards against a wave reported as finished while an order is pending."""
     rig = Rig(machine("m0", "spare"), machine("m1", "spare"))
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -1,5 +1,6 @@
 """Machine moves, maintenance waves and tickets with instance processes."""
 
+import pytest
 import trio
 
 from apricotgap.jobs.demand import MIN_WORKERS
@@ -97,6 +98,85 @@
         by_machine[order.machine] = order
 
 
+def _order_wave(cluster, names):
+    wave = {"wave": 3, "machines": names, "durationS": 20, "maxCount": 2}
+    cluster.platform.put("op/wave/3", wave)
+
+
+def _is_succeeded(cluster):
+    return (cluster.platform.get("status/wave/3") or {}).get("state") == "succeeded"
+
+
+async def _check_wave_waits(cluster, name):
+    """Check that a wave does not end before a machine has had its maintenance."""
+    service = cluster.platform.machines
+    while not _is_succeeded(cluster):
+        await trio.sleep(0.02)
+    assert name in {order.machine for order in service.orders if order.wave == 3}
+
+
+def test_machine_that_joins_while_the_list_is_away_is_in_its_wave(tmp_path):
+    """Guards against a wave that is said to have succeeded without a machine.
+
+    It joins, and the wave is ordered, while the list of machines cannot be read.
+    """
+
+    async def check(cluster):
+        service = cluster.platform.machines
+        name = sorted(service.machines)[-1]
+        service.unlisted = {name}
+        await until(lambda: _fleet_claims(cluster))
+        await trio.sleep(2)
+        service.is_busy = True
+        service.unlisted = set()
+        _order_wave(cluster, sorted(service.machines))
+        await trio.sleep(5)
+        service.is_busy = False
+        await _check_wave_waits(cluster, name)
+
+    run(check, tmp_path, n_workers=2, n_spare=2)
+
+
+@pytest.mark.parametrize("doubt", ["unlisted", "garbled"])
+def test_machine_that_the_list_lacks_for_long_is_in_its_wave(doubt, tmp_path):
+    """Guards against a wave that takes a short list for the whole fleet.
+
+    The worker of the machine is registered, or the machine is off. The one with a
+    worker is not asked for, so that none of its tasks ends.
+    """
+
+    async def check(cluster):
+        service = cluster.platform.machines
+        spare = [m.name for m in service.machines.values() if m.pool == SPARE]
+        other = [m.name for m in service.machines.values() if m.pool == SERVICE]
+        setattr(service, doubt, {spare[0], other[0]})
+        _order_wave(cluster, sorted(service.machines))
+        await trio.sleep(8)
+        assert not _is_succeeded(cluster)
+        assert other[0] not in {order.machine for order in service.orders}
+        setattr(service, doubt, set())
+        await _check_wave_waits(cluster, other[0])
+        await _check_wave_waits(cluster, spare[0])
+
+    run(check, tmp_path, n_workers=2, n_spare=2)
+
+
+def test_wave_ends_without_a_machine_that_is_lost(tmp_path):
+    """Guards against a wave that never ends: a machine of it is gone for good."""
+
+    async def check(cluster):
+        service = cluster.platform.machines
+        names = sorted(service.machines)
+        service.lose(names[-1])
+        _order_wave(cluster, names)
+        await until(lambda: _is_succeeded(cluster))
+        assert service.unknown == [names[-1]]
+        serviced = {order.machine for order in service.orders if order.wave == 3}
+        assert serviced == set(names[:-1])
+
+    run(check, tmp_path, n_workers=2, n_spare=2)
+
+
 def test_order_with_a_lost_answer_is_repeated(tmp_path):
     """Guards against a machine move that is forgotten with its answer."""
 
--- a/tests/test_machine_list.py
+++ b/tests/test_machine_list.py
@@ -20,10 +20,18 @@
     "odd", [None, 5, [], {}, MACHINE | {"state": 1}, MACHINE | {"labels": [1]}]
 )
 def test_odd_machine_leaves_the_others(odd):
-    """Guards against one machine that keeps the fleet's owner from all others."""
+    """Guards against one machine that keeps the fleet's owner from all others, and
+    against one that counts as missing since its row is odd.
+    """
     page = {"machines": [odd, MACHINE | {"machine": "m2"}]}
     client = client_of(page)
-    assert list(trio.run(client.machines)) == ["m2"]
+    listed = trio.run(client.machines)
+    assert list(listed.machines) == ["m2"]
+    has_name = isinstance(odd, dict) and "machine" in odd
+    assert listed.unreadable == ({"m1"} if has_name else set())
+    assert listed.n_unnamed == (not has_name)
+    assert listed.lacks("m3") == has_name
+    assert not listed.lacks("m1")
 
 
 def test_pages_of_machines_without_end_are_an_error():
--- a/tests/test_machine_moves.py
+++ b/tests/test_machine_moves.py
@@ -5,6 +5,7 @@
 from apricotgap.jobs.fleet_plan import FleetPlanner
 from apricotgap.jobs.fleet_view import PoolReport, WorkerReport
 from apricotgap.jobs.limits import RESERVATION_MS
+from apricotgap.jobs.machine_list import MachineList
 from apricotgap.jobs.model import Resources
 from apricotgap.jobs.pool_sizes import SUSTAINED_MS
 from tests.jobs_harness import SERVICE, Rig
@@ -63,7 +64,12 @@
         self.now += CYCLE_MS
         reports = {pool: self.report(pool) for pool in (SERVICE, OTHER)}
         orders, lines = self.planner.plan(
-            self.now, self.now, CONFIGURATION, self.machines, reports, frozenset()
+            self.now,
+            self.now,
+            CONFIGURATION,
+            MachineList(self.machines),
+            reports,
+            frozenset(),
         )
         self.log += [line for line in lines if line.event == "machine_order"]
         return orders
--- a/tests/test_share_failures.py
+++ b/tests/test_share_failures.py
@@ -71,6 +71,7 @@
                 evacuated=frozenset(),
                 services=lambda: tuple(POOLS),
             ),
+            SimpleNamespace(fresh_as_of_ms=None, add_reader=lambda reader: None),
             clock,
             Metrics("me"),
             fleet.report,
--- a/tests/test_slow_answers.py
+++ b/tests/test_slow_answers.py
@@ -82,7 +82,8 @@
     }
 
     async def check(address):
-        assert len(await MachineClient(address, "me").machines()) == 500
+        listed = await MachineClient(address, "me").machines()
+        assert len(listed.machines) == 500
 
     serve_slowly(page, check)
 
@@ -115,7 +116,7 @@
     client = MachineClient("10.0.0.1:1", "me")
     client._http = FailingHttp(failing, *pages(n_pages))
     try:
-        return sorted(trio.run(client.machines)), client._http.n_calls
+        return sorted(trio.run(client.machines).machines), client._http.n_calls
     except MachineListError as error:
         return str(error), client._http.n_calls
 
--- a/tests/test_unused_services.py
+++ b/tests/test_unused_services.py
@@ -33,6 +33,7 @@
 from apricotgap.jobs.demand import MIN_WORKERS, Demand
 from apricotgap.jobs.fleet import Machine
 from apricotgap.jobs.fleet_plan import FleetPlanner
+from apricotgap.jobs.machine_list import MachineList
 from apricotgap.jobs.model import Resources
 from apricotgap.jobs.service import SubmitResult
 from apricotgap.jobs.shard import Shard
@@ -419,7 +420,7 @@
         100_000,
         100_000,
         config,
-        {"m1": machine},
+        MachineList({"m1": machine}),
         {},
         frozenset(),
         services,
--- a/tests/test_wave_plans.py
+++ b/tests/test_wave_plans.py
@@ -13,6 +13,7 @@
 from apricotgap.jobs.fleet_orders import OrderResult
 from apricotgap.jobs.fleet_plan import FleetPlanner
 from apricotgap.jobs.fleet_view import FleetView, PoolReport, WorkerReport
+from apricotgap.jobs.machine_list import MachineList
 from apricotgap.jobs.model import Resources
 from apricotgap.jobs.wave_reservations import WaveReservations
 from apricotgap.platform.store import Item
@@ -157,7 +158,7 @@
             self.now,
             self.now,
             CONFIGURATION,
-            self.machines,
+            MachineList(self.machines),
             reports,
             frozenset(),
             POOLS,
@@ -291,7 +292,13 @@
         workers = (WorkerReport("w-m0", 0, 0, True, is_reserved),)
         reports = {"p0": PoolReport(1, workers)}
         made, _ = planner.plan(
-            at_ms, at_ms, CONFIGURATION, machines, reports, frozenset(), POOLS
+            at_ms,
+            at_ms,
+            CONFIGURATION,
+            MachineList(machines),
+            reports,
+            frozenset(),
+            POOLS,
         )
         orders.append([each.machine for each in made if each.wave])
         for each in made:
@@ -314,7 +321,13 @@
         )
         reports = {"p0": PoolReport(0, workers)}
         made, _ = planner.plan(
-            at_ms, at_ms, CONFIGURATION, machines, reports, frozenset(), POOLS
+            at_ms,
+            at_ms,
+            CONFIGURATION,
+            MachineList(machines),
+            reports,
+            frozenset(),
+            POOLS,
         )
     assert sorted((each.machine, each.wave) for each in made) == [("m0", 1), ("m1", 1)]
 
