Store the status of waves so that no late write undoes a later one

Seen by reading. A write of a wave's progress and status had the owner's key as its only condition. Where its answer was lost, it could be carried out after the next write of the same owner: a wave shown as running after it has succeeded, or shown as succeeded while a machine is back and open again.

Change: WaveStore (from fleet_owner.py) makes each write conditional on the progress as this owner last knew it, and reads it again after an unknown outcome. It reads the status, which counts if it was stored after the order of the wave: machines that were not maintained then have left, unless a list shows them. Whether a wave is finished is no longer kept, but follows from its machines.

test_status_that_takes_effect_late_replaces_no_later_one fails without the condition. Tests ask is_finished in place of pop_finished, which nothing else called any more.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -70,6 +70,8 @@
         # When this instance saw the order of each wave. It may become the owner of the
         # fleet halfway through a wave.
         self.waves_begun_ms: dict[int, int] = {}
+        # Store revision of the order of each wave.
+        self.wave_revisions: dict[int, int] = {}
         self._clock = clock
         self._members: dict[str, Member] = {}
         self._owners: dict[str, tuple[Item, Owner | None]] = {}
@@ -125,6 +127,7 @@
             if item.value is None:
                 self.waves.pop(number, None)
                 self.waves_begun_ms.pop(number, None)
+                self.wave_revisions.pop(number, None)
                 return
             wave = decode_wave(item.value)
         except (WireError, ValueError) as error:
@@ -133,6 +136,7 @@
         if wave != self.waves.get(number):
             self._log.info("wave", number=number, n_machines=len(wave.machines))
         self.waves[number] = wave
+        self.wave_revisions[number] = item.revision
         self.waves_begun_ms.setdefault(number, self._clock.now_ms)
 
     def apply(self, item: Item) -> None:
--- a/apricotgap/instance/fleet_owner.py
+++ b/apricotgap/instance/fleet_owner.py
@@ -2,17 +2,15 @@
 
 from collections.abc import Awaitable, Callable
 
-import cbor2
 import structlog
 import trio
 
 from apricotgap.clock import Clock
-from apricotgap.decoding import decode_cbor
 from apricotgap.instance.cluster_view import ClusterView
 from apricotgap.instance.fleet_order_store import FleetOrderStore
 from apricotgap.instance.lease import InstanceLease
 from apricotgap.instance.ownership import Ownership
-from apricotgap.instance.prefix_reader import read_prefix
+from apricotgap.instance.wave_store import WaveStore
 from apricotgap.instance.worker_list import WorkerList
 from apricotgap.jobs.fleet_orders import MachineOrder, OrderResult
 from apricotgap.jobs.fleet_plan import FleetPlanner
@@ -21,24 +19,16 @@
 from apricotgap.jobs.machine_list import MachineList
 from apricotgap.jobs.team_totals import TeamTotals
 from apricotgap.metrics import Metrics
-from apricotgap.platform.keys import encode_wave_status, wave_status_key
 from apricotgap.platform.machines import (
     CALL_TIMEOUT_MS,
     MachineClient,
     MachineListError,
 )
 from apricotgap.platform.settings import PlatformSettings
-from apricotgap.platform.store import (
-    Conflict,
-    StoreClient,
-    Stored,
-    StoreError,
-    Write,
-)
+from apricotgap.platform.store import StoreClient, StoreError
 
-__all__ = ["FleetOwner", "WAVE_PROGRESS_PREFIX", "decode_wave_progress"]
+__all__ = ["FleetOwner"]
 
-WAVE_PROGRESS_PREFIX = "waves/"
 _CYCLE_INTERVAL_S = 0.3
 # Interval of the cycles while workers are being emptied for a pool that lacks machines.
 _DRAIN_CYCLE_INTERVAL_S = 0.2
@@ -54,17 +44,6 @@
 RequestPoolReport = Callable[[str, ReportRequest], Awaitable[PoolReport | None]]
 
 
-def decode_wave_progress(data: bytes) -> tuple[str, ...]:
-    """Decode the names of the machines that a wave has had maintained.
-
-    Raises
-    ------
-    DecodeError
-        The data is malformed.
-    """
-    return decode_cbor(data, tuple[str, ...])
-
-
 class FleetOwner:
     """Runs the fleet shard for the duration of one ownership.
 
@@ -108,8 +87,7 @@
         )
         self._list = MachineList({})
         self._listed_ms = -1_000_000
-        self._stored_done: dict[int, tuple[str, ...]] = {}
-        self._stored_status: dict[int, bool] = {}
+        self._wave_store = WaveStore(ownership, store)
         self._log = structlog.get_logger().bind(
             shard=ownership.shard, epoch=ownership.epoch
         )
@@ -123,7 +101,7 @@
             The store shows another owner.
         """
         claimed_ms = self._clock.now_ms
-        await self._load()
+        await self._wave_store.load()
         await self._load_recent_orders(claimed_ms + self._holder_lease_ms)
         async with trio.open_nursery() as nursery:
             while True:
@@ -133,15 +111,6 @@
                     _DRAIN_CYCLE_INTERVAL_S if is_draining else _CYCLE_INTERVAL_S
                 )
 
-    async def _load(self) -> None:
-        snapshot = await read_prefix(self._store, WAVE_PROGRESS_PREFIX, self._log)
-        for item in snapshot.items:
-            try:
-                number = int(item.key[len(WAVE_PROGRESS_PREFIX) :])
-                self._stored_done[number] = decode_wave_progress(item.value or b"")
-            except ValueError as error:
-                self._log.error("wave_unreadable", key=item.key, error=str(error))
-
     async def _load_recent_orders(self, until_ms: int) -> None:
         """Exclude machines of the previous owner's recent orders until `until_ms`.
 
@@ -159,7 +128,7 @@
             await trio.sleep(max(0, until_ms - self._clock.now_ms) / 1000)
             return
         self._log.info(
-            "fleet_loaded", n_waves=len(self._stored_done), n_ordered=len(machines)
+            "fleet_loaded", n_waves=len(self._wave_store.done), n_ordered=len(machines)
         )
         self._planner.inherit(machines, until_ms)
 
@@ -174,9 +143,10 @@
         now_ms = self._clock.now_ms
         self._planner.set_waves(
             self._cluster_view.waves.values(),
-            self._stored_done,
+            self._wave_store.done,
             now_ms,
             self._cluster_view.waves_begun_ms,
+            self._wave_store.succeeded(self._cluster_view.wave_revisions),
         )
         reserved = self._planner.reserved_workers(machines)
         ended = self._planner.ended_workers(now_ms)
@@ -224,7 +194,7 @@
             else:
                 self._handle_response(order, "unavailable")
         await self._order_store.prune()
-        await self._store_waves()
+        await self._wave_store.save(self._planner.waves)
 
     def _has_lease(self, span_ms: int) -> bool:
         """Return whether the lease of the ownership lasts longer than `span_ms`."""
@@ -283,33 +253,3 @@
             result=kind,
         )
         self._planner.handle_response(OrderResult(order, kind, self._clock.now_ms))
-
-    async def _store_waves(self) -> None:
-        finished = set(self._planner.pop_finished())
-        for number, state in self._planner.waves.items():
-            done = tuple(sorted(state.done))
-            is_finished = state.is_finished
-            if (
-                self._stored_done.get(number) == done
-                and self._stored_status.get(number) == is_finished
-            ):
-                continue
-            outcome = await self._store.write(
-                (
-                    self._ownership.condition,
-                    Write(f"{WAVE_PROGRESS_PREFIX}{number}", cbor2.dumps(list(done))),
-                    Write(
-                        wave_status_key(number),
-                        encode_wave_status(number, is_finished),
-                    ),
-                )
-            )
-            if isinstance(outcome, Stored):
-                self._stored_done[number] = done
-                self._stored_status[number] = is_finished
-                if number in finished:
-                    self._log.info("wave_finished", wave=number)
-                continue
-            self._log.warning("wave_not_stored", wave=number, outcome=repr(outcome))
-            if isinstance(outcome, Conflict):
-                self._ownership.check(outcome)
--- a/apricotgap/jobs/fleet_plan.py
+++ b/apricotgap/jobs/fleet_plan.py
@@ -1,6 +1,6 @@
 """Planner of machine orders: moves between pools and maintenance waves."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 
 from apricotgap.jobs.configuration import Configuration, Wave
 from apricotgap.jobs.effects import LogDecision
@@ -78,6 +78,7 @@
         done: Mapping[int, Iterable[str]],
         at_ms: int,
         begun_ms: Mapping[int, int] | None = None,
+        succeeded: Container[int] = (),
     ) -> None:
         """Replace the waves.
 
@@ -91,12 +92,10 @@
             Current time.
         begun_ms : mapping of int to int, optional
             When the waves were ordered; those without an entry begin now.
+        succeeded : container of int, optional
+            Waves that have succeeded by what an earlier owner has stored.
         """
-        self._waves.replace(waves, done, at_ms, begun_ms or {})
-
-    def pop_finished(self) -> list[int]:
-        """Return the waves that have finished since the last call."""
-        return self._waves.pop_finished()
+        self._waves.replace(waves, done, at_ms, begun_ms or {}, succeeded)
 
     def handle_response(self, result: OrderResult) -> None:
         """Apply the result of an order."""
--- a/apricotgap/jobs/maintenance_waves.py
+++ b/apricotgap/jobs/maintenance_waves.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 
 from apricotgap.jobs.configuration import Wave
 from apricotgap.jobs.effects import LogDecision
@@ -40,6 +40,7 @@
         done: Mapping[int, Iterable[str]],
         at_ms: int,
         begun_ms: Mapping[int, int],
+        succeeded: Container[int],
     ) -> None:
         """Replace the waves.
 
@@ -53,25 +54,23 @@
             Current time.
         begun_ms : mapping of int to int
             When the waves were ordered; those without an entry begin now.
+        succeeded : container of int
+            Waves that have succeeded by what an earlier owner has stored. Their other
+            machines have left, unless a list shows them.
         """
         wanted = {wave.number: wave for wave in waves}
         for number in set(self.states) - set(wanted):
             del self.states[number]
         for number, wave in wanted.items():
-            begins_ms = begun_ms.get(number, at_ms)
-            state = self.states.setdefault(number, WaveState(wave, begins_ms))
+            state = self.states.get(number)
+            if state is None:
+                state = WaveState(wave, begun_ms.get(number, at_ms))
+                self.states[number] = state
+                if number in succeeded:
+                    state.left.update(set(wave.machines) - set(done.get(number, ())))
             state.wave = wave
             state.add_done(done.get(number, ()))
 
-    def pop_finished(self) -> list[int]:
-        """Return the waves that have finished since the last call."""
-        finished = []
-        for number, state in self.states.items():
-            if not state.open_machines and not state.is_finished:
-                state.is_finished = True
-                finished.append(number)
-        return finished
-
     def is_obsolete(self, name: str, order: MachineOrder) -> bool:
         """Whether a reservation for maintenance is no longer needed."""
         if not order.wave:
@@ -106,7 +105,6 @@
                 fields = {"wave": number, "machine": name}
                 view.log_lines.append(LogDecision(event, fields))
             if state.open_machines:
-                state.is_finished = False
                 orders += self._plan_wave(number, state, view)
         return orders
 
--- a/apricotgap/jobs/wave_state.py
+++ b/apricotgap/jobs/wave_state.py
@@ -40,7 +40,6 @@
     done: set[str] = field(default_factory=set)
     left: set[str] = field(default_factory=set)
     foreign: set[str] = field(default_factory=set)
-    is_finished: bool = False
     # When the platform answered that there is no such machine.
     _unknown_ms: dict[str, int] = field(default_factory=dict)
     # When it first answered that a machine is none of the wave.
@@ -52,6 +51,11 @@
         ended = self.done | self.left | self.foreign
         return [name for name in self.wave.machines if name not in ended]
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether no machine needs maintenance; not for good, as machines come back."""
+        return not self.open_machines
+
     def n_cycles_left(self, at_ms: int) -> int:
         """Return how often machines can be emptied and maintained in time.
 
@@ -71,9 +75,10 @@
             Machines that have left since the last call (True) or are back (False).
         """
         changes = []
-        for name, said_ms in list(self._unknown_ms.items()):
+        for name in sorted(self.left | self._unknown_ms.keys()):
+            said_ms = self._unknown_ms.get(name, self.begun_ms)
             if absences.is_shown(name, said_ms):
-                del self._unknown_ms[name]
+                self._unknown_ms.pop(name, None)
                 if name in self.left:
                     self.left.remove(name)
                     changes.append((name, False))
--- a/tests/decoders/platform.py
+++ b/tests/decoders/platform.py
@@ -5,6 +5,7 @@
 import httptools
 import trio
 
+from apricotgap.decoding import DecodeError
 from apricotgap.jobs.configuration import Configuration, Wave
 from apricotgap.jobs.fleet import Machine, WorkerEntry
 from apricotgap.jobs.model import JobSpec
@@ -20,6 +21,7 @@
 from apricotgap.platform import http as platform_http
 from apricotgap.platform.call_timer import CallTimer
 from apricotgap.platform.job_wire import decode_job
+from apricotgap.platform.keys import decode_wave_status
 from apricotgap.platform.store import Item, Snapshot, StoreError
 from apricotgap.platform.wire import WireError
 from apricotgap.platform.workers import PollResponse, WorkerError
@@ -143,6 +145,13 @@
         Wave,
         (WireError,),
     ),
+    Decoder(
+        ("platform.keys:decode_wave_status",),
+        decode_wave_status,
+        json_documents({"wave": 3, "state": "succeeded"}),
+        bool,
+        (DecodeError,),
+    ),
     Decoder(
         ("platform.wire:decode_machines", "platform.wire:_decode_machine"),
         wire.decode_machines,
--- a/tests/test_fleet_owner.py
+++ b/tests/test_fleet_owner.py
@@ -103,6 +103,7 @@
                 config=configuration(),
                 waves={1: Wave(1, NAMES, 20_000, 2)},
                 waves_begun_ms={},
+                wave_revisions={},
                 evacuated=frozenset(),
                 services=lambda: (SERVICE,),
             ),
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -7,7 +7,6 @@
 from apricotgap.decoding import DecodeError
 from apricotgap.instance.election import RANK_DELAY_MS
 from apricotgap.instance.fleet_order_store import decode_orders
-from apricotgap.instance.fleet_owner import decode_wave_progress
 from apricotgap.instance.keys import (
     MEMBERS_PREFIX,
     OWNERS_PREFIX,
@@ -18,6 +17,7 @@
 )
 from apricotgap.instance.ownership import Ownership
 from apricotgap.instance.roster import RosterWriter, decode_settled
+from apricotgap.instance.wave_store import decode_wave_progress
 from apricotgap.jobs.shard import Shard
 from apricotgap.platform.store import Item, Snapshot
 from tests.election_harness import run
--- a/tests/test_share_failures.py
+++ b/tests/test_share_failures.py
@@ -68,6 +68,7 @@
                 config=configuration(),
                 waves={},
                 waves_begun_ms={},
+                wave_revisions={},
                 evacuated=frozenset(),
                 services=lambda: tuple(POOLS),
             ),
