Begin a wave anew when its order is written anew

Its time went on from the first order, so that the new machines were due at once; and what had been heard of its machines before the new order still counted for it.

Change: a changed order begins a new WaveState, which keeps the maintained machines only, and its time. test_instance_notes_when_a_wave_was_ordered (extended) and test_wave_that_is_ordered_anew_with_more_machines_is_open_again failed before.

--- a/apricotgap/instance/cluster_view.py
+++ b/apricotgap/instance/cluster_view.py
@@ -135,9 +135,9 @@
             return
         if wave != self.waves.get(number):
             self._log.info("wave", number=number, n_machines=len(wave.machines))
+            self.waves_begun_ms[number] = self._clock.now_ms
         self.waves[number] = wave
         self.wave_revisions[number] = item.revision
-        self.waves_begun_ms.setdefault(number, self._clock.now_ms)
 
     def apply(self, item: Item) -> None:
         """Apply a change of a key that instances write, before a watch delivers it."""
--- a/apricotgap/jobs/maintenance_waves.py
+++ b/apricotgap/jobs/maintenance_waves.py
@@ -62,14 +62,16 @@
         for number in set(self.states) - set(wanted):
             del self.states[number]
         for number, wave in wanted.items():
-            state = self.states.get(number)
-            if state is None:
+            known = self.states.get(number)
+            if known is None or known.wave != wave:
+                # What was heard of machines before an order doesn't count for it.
                 state = WaveState(wave, begun_ms.get(number, at_ms))
-                self.states[number] = state
-                if number in succeeded:
+                if known is not None:
+                    state.add_done(known.done)
+                elif number in succeeded:
                     state.left.update(set(wave.machines) - set(done.get(number, ())))
-            state.wave = wave
-            state.add_done(done.get(number, ()))
+                self.states[number] = state
+            self.states[number].add_done(done.get(number, ()))
 
     def is_obsolete(self, name: str, order: MachineOrder) -> bool:
         """Whether a reservation for maintenance is no longer needed."""
--- a/tests/test_missing_machines.py
+++ b/tests/test_missing_machines.py
@@ -221,6 +221,33 @@
     assert rig.plan(*waves) == [order]
 
 
+def test_wave_that_is_ordered_anew_with_more_machines_is_open_again():
+    """Guards against a wave that is said to have succeeded without machines that its
+    operator has added, and against time that is counted from its first order.
+    """
+    rig = Rig(machine("m0", "spare"), machine("m9", "spare"))
+    (order,) = rig.plan(wave("m0"))
+    rig.answer(order)
+    assert rig.planner.waves[1].is_finished
+    rig.now += 30_000
+    assert rig.plan(wave("m0", "m9")) == [ORDER]
+    state = rig.planner.waves[1]
+    assert (state.is_finished, state.begun_ms) == (False, rig.now)
+    rig.answer(ORDER)
+    assert rig.planner.waves[1].is_finished
+
+
+def test_absence_before_a_wave_is_ordered_anew_does_not_count():
+    """Guards against an answer about a machine from before its wave named it again."""
+    rig, _ = missing_machine()
+    rig.answer(ORDER, "gone")
+    rig.now += LIST_MS
+    rig.plan(wave("m9"))
+    assert rig.planner.waves[1].is_finished
+    rig.plan(wave("m0", "m9"))
+    assert "m9" in rig.planner.waves[1].open_machines
+
+
 def listing(*names, **options):
     return MachineList({name: machine(name) for name in names}, **options)
 
--- a/tests/test_wave_plans.py
+++ b/tests/test_wave_plans.py
@@ -343,5 +343,9 @@
         view._operator_changed((Item("op/wave/1", value, 3),))
         clock.advance(4_000)
     assert view.waves_begun_ms == {1: 5_000}
+    more = value.replace(b'["m1"]', b'["m1", "m2"]')
+    view._operator_changed((Item("op/wave/1", more, 4),))
+    assert view.waves_begun_ms == {1: 13_000}
+    assert view.wave_revisions == {1: 4}
     view._operator_changed((Item("op/wave/1", None, 4),))
     assert view.waves_begun_ms == {}
