Take repeated "not up" of a machine that no list has for gone

Change: for a machine that lists lack, answers busy over 3 s count as the platform's word that it is gone; as before, a list that was requested later has to lack it, and a list that has it opens it again. Busy about a listed machine says nothing of the kind.

test_wave_ends_without_a_machine_that_is_not_up_and_not_listed failed before. The stand-in answers for departed machines in both ways.

--- a/apricotgap/jobs/maintenance_waves.py
+++ b/apricotgap/jobs/maintenance_waves.py
@@ -84,7 +84,7 @@
         """Apply the result of a maintenance order."""
         state = self.states.get(result.order.wave)
         if state is not None:
-            state.record_result(result)
+            state.record_result(result, self._absences)
 
     def waiting(self) -> set[str]:
         """Return the names of the machines that still need maintenance."""
--- a/apricotgap/jobs/wave_state.py
+++ b/apricotgap/jobs/wave_state.py
@@ -15,8 +15,9 @@
 # Estimated time from reserving a worker to the end of its maintenance; sets the rate of
 # a wave.
 MAINTENANCE_CYCLE_MS = 4_500
-# The platform may learn of a wave later than the owner of the fleet. A machine is none
-# of the wave when the platform still says so after this time.
+# A refusal that may be about a passing state counts when it is repeated after this
+# time: the platform may learn of a wave later than the owner of the fleet, and a
+# machine may be down for a while.
 REFUSAL_MS = 3_000
 
 
@@ -29,8 +30,9 @@
     A machine needs no maintenance once it is `done`, `foreign` or has `left`. Nothing
     of this rests on absence alone, nor on one refusal:
 
-    - A machine has left when the platform has answered an order with "no such machine",
-      and a list that was requested later lacks it. It is back once a list has it.
+    - A machine has left when the platform has said so, and a list that was requested
+      later lacks it. It is back once a list has it. The platform says so by "no such
+      machine", and by "not up, or leaving" over `REFUSAL_MS` while all lists lack it.
     - It is foreign when the platform has answered twice, over `REFUSAL_MS`, that it is
       none of the wave.
     """
@@ -40,10 +42,12 @@
     done: set[str] = field(default_factory=set)
     left: set[str] = field(default_factory=set)
     foreign: set[str] = field(default_factory=set)
-    # When the platform answered that there is no such machine.
-    _unknown_ms: dict[str, int] = field(default_factory=dict)
-    # When it first answered that a machine is none of the wave.
+    # When the platform said that a machine is gone.
+    _gone_ms: dict[str, int] = field(default_factory=dict)
+    # When it first said that a machine is none of the wave, or that one that is missing
+    # is not up.
     _refused_ms: dict[str, int] = field(default_factory=dict)
+    _unavailable_ms: dict[str, int] = field(default_factory=dict)
 
     @property
     def open_machines(self) -> list[str]:
@@ -75,10 +79,13 @@
             Machines that have left since the last call (True) or are back (False).
         """
         changes = []
-        for name in sorted(self.left | self._unknown_ms.keys()):
-            said_ms = self._unknown_ms.get(name, self.begun_ms)
+        for name, first_ms in list(self._unavailable_ms.items()):
+            if absences.is_shown(name, first_ms):
+                del self._unavailable_ms[name]
+        for name in sorted(self.left | self._gone_ms.keys()):
+            said_ms = self._gone_ms.get(name, self.begun_ms)
             if absences.is_shown(name, said_ms):
-                self._unknown_ms.pop(name, None)
+                self._gone_ms.pop(name, None)
                 if name in self.left:
                     self.left.remove(name)
                     changes.append((name, False))
@@ -89,18 +96,22 @@
 
     def is_questionable(self, name: str, absences: AbsenceTracker) -> bool:
         """Whether lists have lacked an open machine long, and no answer confirms it."""
-        return name not in self._unknown_ms and absences.is_missing(name, self.begun_ms)
+        return name not in self._gone_ms and absences.is_missing(name, self.begun_ms)
 
-    def record_result(self, result: OrderResult) -> None:
+    def record_result(self, result: OrderResult, absences: AbsenceTracker) -> None:
         """Apply the result of a maintenance order."""
-        name = result.order.machine
+        name, at_ms = result.order.machine, result.at_ms
         if result.kind == "ok":
             self.done.add(name)
         elif result.kind == "gone":
-            self._unknown_ms[name] = result.at_ms
+            self._gone_ms[name] = at_ms
+        elif result.kind == "busy" and absences.is_missing(name, self.begun_ms):
+            first_ms = self._unavailable_ms.setdefault(name, at_ms)
+            if at_ms - first_ms >= REFUSAL_MS:
+                self._gone_ms[name] = at_ms
         elif result.kind == "wave":
-            first_ms = self._refused_ms.setdefault(name, result.at_ms)
-            if result.at_ms - first_ms >= REFUSAL_MS:
+            first_ms = self._refused_ms.setdefault(name, at_ms)
+            if at_ms - first_ms >= REFUSAL_MS:
                 self.foreign.add(name)
 
     def add_done(self, names: Iterable[str]) -> None:
--- a/standins/machine_service.py
+++ b/standins/machine_service.py
@@ -51,7 +51,8 @@
 
     Machines of the pool `spare_pool` are off and show no worker. The entry of a worker
     that crashed stays in the store for `silence_ms`. The list lacks `unlisted`
-    machines, and the rows of `garbled` ones cannot be decoded.
+    machines, and the rows of `garbled` ones cannot be decoded. Orders for a machine
+    that does not exist are refused by 400, or by 409 with `departed_reason`.
     """
 
     store: TransactionalStore
@@ -66,7 +67,8 @@
     orders: list[OrderRecord] = field(default_factory=list)
     unlisted: set[str] = field(default_factory=set)
     garbled: set[str] = field(default_factory=set)
-    # Machines that were named in an order and do not exist.
+    departed_reason: str = ""
+    # Orders for machines that do not exist.
     unknown: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -219,7 +221,10 @@
         machine = self.machines.get(body["machine"])
         if machine is None:
             self.unknown.append(body["machine"])
-            await exchange.answer_json(400, {})
+            if self.departed_reason:
+                await exchange.answer_json(409, {"reason": self.departed_reason})
+            else:
+                await exchange.answer_json(400, {})
             return
         pool, wave = body.get("pool", machine.pool), body.get("wave", 0)
         if self._is_done(machine, pool, wave):
--- a/tests/test_missing_machines.py
+++ b/tests/test_missing_machines.py
@@ -68,6 +68,46 @@
     assert rig.planner.waves[1].is_finished
 
 
+def test_wave_ends_without_a_machine_that_is_not_up_and_not_listed():
+    """Guards against a wave that never finishes: for a machine that has left, the
+    users' platform says only that it is not up, or leaving.
+    """
+    rig, orders = missing_machine()
+    rig.answer(ORDER, "busy")
+    begin_ms = rig.now
+    while not rig.planner.waves[1].is_finished:
+        rig.now += 300
+        for order in rig.plan(wave("m9")):
+            rig.answer(order, "busy")
+        assert rig.now - begin_ms < 10_000
+    assert rig.now - begin_ms >= REFUSAL_MS
+
+
+def test_listed_machine_that_is_not_up_stays_in_its_wave():
+    """Guards against a machine that counts as gone since it was busy for long."""
+    rig = Rig(machine("m9", "spare"))
+    for _ in range(50):
+        for order in rig.plan(wave("m9")):
+            rig.answer(order, "busy")
+        assert not rig.planner.waves[1].is_finished
+        rig.now += 300
+
+
+def test_machine_that_is_listed_between_two_refusals_stays_in_its_wave():
+    """Guards against refusals that are counted across a list that has the machine."""
+    rig, _ = missing_machine()
+    rig.answer(ORDER, "busy")
+    rig.machines["m9"] = machine("m9", "spare", "moving")
+    rig.now += LIST_MS
+    rig.plan(wave("m9"))
+    del rig.machines["m9"]
+    (order,) = lists(rig, [wave("m9")], ABSENCE_MS + 2 * LIST_MS)
+    rig.answer(order, "busy")
+    rig.now += LIST_MS
+    rig.plan(wave("m9"))
+    assert not rig.planner.waves[1].is_finished
+
+
 def test_missing_machine_that_stays_gets_its_maintenance():
     """Guards against a list that lacks a machine for long: the platform knows it."""
     rig, _ = missing_machine()
